Lay out the workspace and the interfaces between its parts

Cause: several parts are written side by side, so the messages, typed errors, configuration model and module interfaces have to stand first. Not measured: nothing runs yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := quetzalsill quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
+STAMP := $(VENV)/.installed
+
+.PHONY: install test lint format demo clean
+
+install: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --no-input setuptools wheel -c constraints.txt
+	$(BIN)/pip install -q --no-input --no-build-isolation -c constraints.txt \
+	  -r requirements-dev.txt $(PACKAGES:%=-e packages/%)
+	touch $@
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/python -m quetzalsill_dev.testing.run_suite
+
+demo: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.demo
+
+clean:
+	rm -rf $(VENV) bench-results run-demo
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demo and benches for development; never in production."""
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the only path to one upstream."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel of quetzalsill: what every process of the system shares."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/config/__init__.py
@@ -0,0 +1,1 @@
+"""The shared configuration: its model, checker and distribution."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/error/__init__.py
@@ -0,0 +1,1 @@
+"""Typed failures."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/error/base.py
@@ -0,0 +1,33 @@
+"""Base of every failure that quetzalsill raises."""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = ['QuetzalsillError', 'Ran']
+
+
+class Ran(enum.StrEnum):
+    """Whether the work of a request ran on an upstream."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class QuetzalsillError(Exception):
+    """A failure with a stable code and advice for its reader.
+
+    Attributes:
+      code: Stable name of the failure, in lower case with underscores.
+      advice: What the reader can do about it; empty if nothing.
+    """
+
+    code = 'internal'
+    advice = ''
+
+    def __init__(self, detail: str = '', *, advice: str | None = None) -> None:
+        super().__init__(detail or self.code)
+        self.detail = detail or self.code
+        if advice is not None:
+            self.advice = advice
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/__init__.py
@@ -0,0 +1,1 @@
+"""Plumbing around HTTP and TLS libraries."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table, object store and host list."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/plugin/__init__.py
@@ -0,0 +1,1 @@
+"""Registry through which packages add roles, policies and commands."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Typed keys of settings and configuration, and their checker."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/schema/key.py
@@ -0,0 +1,51 @@
+"""Declaration of one typed key of settings or configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+__all__ = ['DOC', 'KeySpec', 'REQUIRED', 'key']
+
+DOC = 'quetzalsill'
+REQUIRED = dataclasses.MISSING
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeySpec:
+    """What is known of a key besides its name, type and default.
+
+    Attributes:
+      doc: One sentence for the reader of the file.
+      unit: Unit of the value, such as `s` or `bytes`; empty if none.
+      minimum: Least value allowed, inclusive; None for no bound.
+      maximum: Greatest value allowed, inclusive; None for no bound.
+      choices: Values allowed; empty for any.
+      example: Value shown by `example-settings` if there is no default.
+      secret: The value is masked wherever it is printed.
+      pattern: Regular expression that a string must match whole.
+    """
+
+    doc: str
+    unit: str = ''
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[Any, ...] = ()
+    example: Any = None
+    secret: bool = False
+    pattern: str = ''
+
+
+def key(
+    doc: str,
+    default: Any = REQUIRED,
+    *,
+    factory: Any = REQUIRED,
+    **spec: Any,
+) -> Any:
+    """Declares a key as a dataclass field with its `KeySpec` beside it."""
+    return dataclasses.field(
+        default=default,
+        default_factory=factory,
+        metadata={DOC: KeySpec(doc=doc, **spec)},
+    )
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of one process."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Framed messages between router and sidecar."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in the layout of the packages."""
