--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Runner of the test suite."""
--- /dev/null
+++ b/tests/failure/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes under failure."""
--- /dev/null
+++ b/tests/quetzalsill_dev/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the test runner."""
