--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API `/admin/v1`."""
