--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/serve.py
@@ -0,0 +1,65 @@
+"""A running stand-in, in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+from quetzalsill_dev.platform_standin import app
+
+if TYPE_CHECKING:
+    from quetzalsill_dev.platform_standin import fault
+
+__all__ = ['StandIn']
+
+
+class StandIn:
+    """Serves one part of the platform on a loopback port.
+
+    Attributes:
+      faults: Switches and counts, for tests in the same process.
+      port: Port in use.
+    """
+
+    def __init__(self, part: str, port: int = 0) -> None:
+        self.faults: fault.Faults = app.build(part)
+        self._socket = socket.create_server(('127.0.0.1', port), backlog=1024)
+        self.port: int = self._socket.getsockname()[1]
+        cfg = uvicorn.Config(
+            self.faults,
+            loop='asyncio',
+            http='httptools',
+            log_level='warning',
+            access_log=False,
+            timeout_graceful_shutdown=1,
+        )
+        self._server = uvicorn.Server(cfg)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL."""
+        return f'http://127.0.0.1:{self.port}'
+
+    async def start(self) -> None:
+        """Serves from a task of its own.
+
+        These are the steps of `uvicorn.Server.serve` without its signal
+        handlers, which belong to the process and not to one server in it.
+        """
+        cfg = self._server.config
+        cfg.load()
+        self._server.lifespan = cfg.lifespan_class(cfg)
+        await self._server.startup(sockets=[self._socket])
+        self._task = asyncio.create_task(self._server.main_loop())
+
+    async def stop(self) -> None:
+        """Closes all connections and stops."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+            await self._server.shutdown(sockets=[self._socket])
+        self._socket.close()
