Add the link between router and sidecar

Cause: both ends need framed, checked messages with a handshake, heartbeats and bounded buffers before either can be built.

Ruled out: reading each frame by two awaits (one read takes all frames that arrived); a task per link for heartbeats (one timer does). Handshake frames are held to 4 KiB, so that nobody without the credential can send more.

--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/wire/dial.py
@@ -0,0 +1,85 @@
+"""Opens a link to a sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import error, frame, handshake, link
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable
+
+    from quetzalsill.settings import section
+    from quetzalsill.wire import message
+
+__all__ = ['dial']
+
+
+async def dial(
+    host: str,
+    port: int,
+    hello: message.Hello,
+    timing: section.LinkTiming,
+    tls: ssl.SSLContext | None = None,
+    *,
+    revision: Callable[[], int] | None = None,
+    on_revision: Callable[[int], None] | None = None,
+) -> link.Link:
+    """Connects and completes the handshake within `timing.connect_s`.
+
+    Args:
+      host: IP number of the sidecar.
+      port: Its port.
+      hello: What this end says of itself.
+      timing: Bounds of the link.
+      tls: Context of an encrypted link; None for a plain one.
+      revision: Gives the revision in force here, for heartbeats; that of
+        the Hello if there is none.
+      on_revision: Called with each revision that heartbeats bring.
+
+    Raises:
+      error.DialError: No connection could be made.
+      error.HandshakeTimeoutError: The other end was too slow.
+      error.RejectedError: The other end refused this one.
+      error.WireError: The other end broke the protocol.
+    """
+    try:
+        async with asyncio.timeout(timing.connect_s):
+            reader, writer = await asyncio.open_connection(host, port, ssl=tls)
+            try:
+                return await _shake_hands(
+                    reader, writer, hello, timing, revision, on_revision
+                )
+            except BaseException:
+                writer.transport.abort()
+                raise
+    except TimeoutError as exc:
+        raise error.HandshakeTimeoutError(
+            f'{host}:{port} took longer than {timing.connect_s} s'
+        ) from exc
+    except OSError as exc:
+        raise error.DialError(f'{host}:{port}: {exc}') from exc
+
+
+async def _shake_hands(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    hello: message.Hello,
+    timing: section.LinkTiming,
+    revision: Callable[[], int] | None,
+    on_revision: Callable[[int], None] | None,
+) -> link.Link:
+    handshake.write_first(writer, hello)
+    splitter = frame.Splitter(frame.MAX_HANDSHAKE_BODY)
+    first = await handshake.read_first(reader, splitter)
+    return link.Link(
+        reader,
+        writer,
+        handshake.check_welcome(first),
+        splitter,
+        timing,
+        revision or (lambda: hello.revision),
+        on_revision,
+    )
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/wire/frame.py
@@ -0,0 +1,69 @@
+"""Frames: a length of four bytes, most significant first, then the body."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import error
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ['MAX_BODY', 'MAX_HANDSHAKE_BODY', 'Splitter', 'pack']
+
+MAX_BODY = 4 * 1024 * 1024
+MAX_HANDSHAKE_BODY = 4096
+LENGTH = struct.Struct('>I')
+
+
+def pack(body: bytes) -> bytes:
+    """Puts the length in front of a body.
+
+    Raises:
+      error.OversizeFrameError: The body is longer than `MAX_BODY` bytes.
+    """
+    if len(body) > MAX_BODY:
+        raise error.OversizeFrameError(
+            f'{len(body)} bytes, {MAX_BODY} are allowed'
+        )
+    return LENGTH.pack(len(body)) + body
+
+
+class Splitter:
+    """Splits a byte stream into the bodies of its frames.
+
+    Attributes:
+      limit: Longest body accepted, in bytes.
+    """
+
+    __slots__ = ('_buffer', 'limit')
+
+    def __init__(self, limit: int = MAX_BODY) -> None:
+        self.limit = limit
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Takes the next bytes and yields each body that is complete.
+
+        Yields:
+          Bodies of frames, in order.
+
+        Raises:
+          error.OversizeFrameError: A frame announces more than `limit`
+            bytes; it is refused before any of them is kept.
+        """
+        buffer = self._buffer
+        buffer += data
+        while len(buffer) >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(buffer)
+            if length > self.limit:
+                raise error.OversizeFrameError(
+                    f'{length} bytes, {self.limit} are allowed'
+                )
+            end = LENGTH.size + length
+            if len(buffer) < end:
+                return
+            body = bytes(buffer[LENGTH.size : end])
+            del buffer[:end]
+            yield body
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/wire/link.py
@@ -0,0 +1,262 @@
+"""One open connection between a router and a sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import codec, error, frame, message
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from quetzalsill.settings import section
+
+__all__ = ['MAX_UNSENT', 'Link']
+
+MAX_UNSENT = 2 * frame.MAX_BODY
+READ_BYTES = 65536
+CLOSE_GRACE_S = 2.0
+
+
+def _ignore_revision(revision: int) -> None:
+    """Default of `Link.on_revision`."""
+
+
+class Link:
+    """Sends and receives messages over one connection.
+
+    The link answers and sends heartbeats by itself. Silence is noticed only
+    while `messages` is being read, so one task must read it all the time.
+
+    Attributes:
+      peer: Hello or Welcome of the other end.
+      remote: Address of the other end, for logs.
+      on_revision: Called with each revision that a heartbeat of the other
+        end carries.
+      sent_bytes: Bytes handed to the connection so far.
+      received_bytes: Bytes read so far.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: message.Hello | message.Welcome,
+        splitter: frame.Splitter,
+        timing: section.LinkTiming,
+        revision: Callable[[], int],
+        on_revision: Callable[[int], None] | None = None,
+    ) -> None:
+        """Takes over a connection whose handshake is done.
+
+        Args:
+          reader: Stream of the connection.
+          writer: Stream of the connection.
+          peer: What the other end said in the handshake.
+          splitter: Holds what was read beyond the handshake.
+          timing: Bounds of idleness and silence.
+          revision: Gives the revision in force here, for heartbeats.
+          on_revision: See the attribute.
+        """
+        self.peer = peer
+        self.remote = remote_address(writer)
+        self.on_revision = on_revision or _ignore_revision
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._reader = reader
+        self._writer = writer
+        self._splitter = splitter
+        self._timing = timing
+        self._revision = revision
+        self._loop = asyncio.get_running_loop()
+        self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
+        self._failure: error.WireError | None = None
+        self._nonce = 0
+        self._sent_at = self._loop.time()
+        self._reading_since: float | None = None
+        self._timer = self._loop.call_later(timing.idle_s, self._beat)
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._failure is not None
+
+    def send_nowait(self, msg: message.Message) -> None:
+        """Buffers a message; all of one loop tick leave in one write.
+
+        Raises:
+          error.LinkClosedError: The link is closed, or was dropped just now
+            because the other end reads too slowly (`LinkOverflowError`).
+          error.MalformedFrameError: A field cannot be encoded.
+          error.OversizeFrameError: The message is too long.
+        """
+        if self._failure is not None:
+            raise error.LinkClosedError(str(self._failure))
+        data = frame.pack(codec.encode(msg))
+        self._check_room(len(data))
+        if not self._unsent:
+            self._loop.call_soon(self._flush)
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+
+    async def send(self, msg: message.Message) -> None:
+        """Sends a message and waits while the other end reads too slowly.
+
+        Raises:
+          error.LinkClosedError: The link is closed or closes meanwhile.
+          error.MalformedFrameError: A field cannot be encoded.
+          error.OversizeFrameError: The message is too long.
+        """
+        self.send_nowait(msg)
+        self._flush()
+        try:
+            await self._writer.drain()
+        except OSError as exc:
+            raise self._drop(error.LinkClosedError(str(exc))) from exc
+
+    async def messages(self) -> AsyncIterator[message.Message]:
+        """Yields messages as they come; heartbeats are dealt with here.
+
+        Raises:
+          error.LinkClosedError: The connection ended.
+          error.LinkSilentError: Nothing arrived for `silence_s`.
+          error.RejectedError: The other end closed the link and said why.
+          error.WireError: The other end broke the protocol; it was told.
+        """
+        data = b''
+        while True:
+            try:
+                for body in self._splitter.feed(data):
+                    msg = codec.decode(body)
+                    if not self._handle(msg):
+                        yield msg
+            except error.WireError as exc:
+                self.reject(exc)
+                raise
+            data = await self._read()
+
+    def reject(self, exc: error.WireError) -> None:
+        """Tells the other end why its link is closed, and closes it."""
+        if not isinstance(exc, error.RejectedError):
+            with contextlib.suppress(error.LinkClosedError):
+                self.send_nowait(message.Reject(exc.code, exc.detail))
+        self.close(exc)
+
+    def close(self, exc: error.WireError | None = None) -> None:
+        """Closes the link after what is buffered has left."""
+        if self._failure is not None:
+            return
+        self._flush()
+        self._failure = exc or error.LinkClosedError('closed by this end')
+        self._timer.cancel()
+        self._writer.close()
+        # A peer that stopped reading never lets the rest leave, and the
+        # connection with its buffer would stay for good.
+        self._loop.call_later(CLOSE_GRACE_S, self._writer.transport.abort)
+
+    def _handle(self, msg: message.Message) -> bool:
+        """Deals with messages that concern the link alone."""
+        cls = type(msg)
+        if cls is message.Ping:
+            if self._failure is None:
+                self.send_nowait(message.Pong(msg.nonce, self._revision()))
+            self.on_revision(msg.revision)
+        elif cls is message.Pong:
+            self.on_revision(msg.revision)
+        elif cls is message.Reject:
+            raise error.RejectedError(msg.code, msg.detail)
+        elif cls is message.Hello or cls is message.Welcome:
+            raise error.ProtocolError('second handshake on one link')
+        else:
+            return False
+        return True
+
+    async def _read(self) -> bytes:
+        self._reading_since = self._loop.time()
+        try:
+            data = await self._reader.read(READ_BYTES)
+        except OSError as exc:
+            raise self._drop(error.LinkClosedError(str(exc))) from exc
+        finally:
+            self._reading_since = None
+        if not data:
+            raise self._drop(error.LinkClosedError('closed by the other end'))
+        self.received_bytes += len(data)
+        return data
+
+    def _drop(self, exc: error.WireError) -> error.WireError:
+        """Ends the connection at once; gives the failure to be raised."""
+        if self._failure is None:
+            self._failure = exc
+            self._timer.cancel()
+            self._unsent.clear()
+            self._writer.transport.abort()
+        return self._failure
+
+    def _check_room(self, size: int) -> None:
+        # A peer that stops reading while its connection stays open would
+        # let the buffer grow until this process has no memory left.
+        waiting = self._writer.transport.get_write_buffer_size()
+        if waiting + self._unsent_bytes + size > MAX_UNSENT:
+            raise self._drop(
+                error.LinkOverflowError(f'more than {MAX_UNSENT} bytes unsent')
+            )
+
+    def _flush(self) -> None:
+        if not self._unsent or self._failure is not None:
+            return
+        data = b''.join(self._unsent)
+        self._unsent.clear()
+        self._unsent_bytes = 0
+        self._sent_at = self._loop.time()
+        self.sent_bytes += len(data)
+        self._writer.write(data)
+
+    def _beat(self) -> None:
+        """Sends a heartbeat when one is due and drops a silent link."""
+        now = self._loop.time()
+        if self._is_silent(now):
+            self._drop(
+                error.LinkSilentError(
+                    f'nothing for {self._timing.silence_s} s from {self.remote}'
+                )
+            )
+            return
+        if now - self._sent_at >= self._timing.idle_s:
+            self._ping()
+        if self._failure is None:
+            self._timer = self._loop.call_at(self._next_beat(), self._beat)
+
+    def _ping(self) -> None:
+        self._nonce += 1
+        # An overflow has dropped the link; its reader is told by `messages`.
+        with contextlib.suppress(error.LinkClosedError):
+            self.send_nowait(message.Ping(self._nonce, self._revision()))
+            self._flush()
+
+    def _is_silent(self, now: float) -> bool:
+        # Something between the ends can lose track of the connection: both
+        # ends see it open and nothing ever arrives. Both ends send something
+        # every idle_s, so silence for several times that is proof enough.
+        if self._reading_since is None:
+            return False
+        # A process that was paused wakes to a late timer and to data that
+        # waits unread; that silence was its own, so it starts anew.
+        if now - self._timer.when() > self._timing.idle_s:
+            self._reading_since = now
+        return now - self._reading_since >= self._timing.silence_s
+
+    def _next_beat(self) -> float:
+        due = self._sent_at + self._timing.idle_s
+        if self._reading_since is None:
+            return due
+        return min(due, self._reading_since + self._timing.silence_s)
+
+
+def remote_address(writer: asyncio.StreamWriter) -> str:
+    """Gives the address of the other end as `IP:PORT`."""
+    address = writer.get_extra_info('peername') or ('unknown', 0)
+    return f'{address[0]}:{address[1]}'
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/wire/listen.py
@@ -0,0 +1,184 @@
+"""Takes the links that routers dial."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from quetzalsill.wire import error, frame, handshake, link, message
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Awaitable, Callable
+
+    from quetzalsill.settings import section
+
+__all__ = ['MAX_HANDSHAKES', 'LinkServer']
+
+MAX_HANDSHAKES = 1024
+
+LOG = structlog.get_logger('wire.listen')
+
+
+class LinkServer:
+    """Listens for links; each runs in a task of its own."""
+
+    def __init__(
+        self,
+        listen: section.Listen,
+        credential: str,
+        welcome: Callable[[message.Hello], message.Welcome],
+        on_link: Callable[[link.Link], Awaitable[None]],
+        timing: section.LinkTiming,
+        tls: ssl.SSLContext | None = None,
+        *,
+        revision: Callable[[], int] | None = None,
+    ) -> None:
+        """Prepares a server; `start` opens it.
+
+        Args:
+          listen: Address to listen at; port 0 lets the kernel choose.
+          credential: Credential that a Hello must carry.
+          welcome: Gives the answer to a Hello; may raise `WireError` to
+            reject it.
+          on_link: Serves one link; the link is closed when it returns. A
+            `WireError` that it raises ends that link only.
+          timing: Bounds of each link and its handshake.
+          tls: Context of encrypted links; None for plain ones.
+          revision: Gives the revision in force here, for heartbeats; that
+            of the Welcome if there is none.
+        """
+        self._listen = listen
+        self._credential = credential
+        self._welcome = welcome
+        self._on_link = on_link
+        self._timing = timing
+        self._tls = tls
+        self._revision = revision
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._handshakes = 0
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Port listened at."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Opens the listener.
+
+        Raises:
+          OSError: The address cannot be used.
+        """
+        bound = {'ssl_handshake_timeout': self._timing.connect_s}
+        self._server = await asyncio.start_server(
+            self._accept,
+            self._listen.host,
+            self._listen.port,
+            ssl=self._tls,
+            **(bound if self._tls else {}),
+        )
+
+    async def stop(self) -> None:
+        """Closes the listener and every link."""
+        self._server.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # Connections that never say Hello would fill the table of open
+        # files; above the bound a new one is dropped until others time out.
+        if self._handshakes >= MAX_HANDSHAKES:
+            writer.transport.abort()
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._serve(reader, writer)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error('link_task_failed', exc_info=task.exception())
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            conn = await self._shake_hands(reader, writer)
+        except error.WireError as exc:
+            _refuse(writer, exc)
+            return
+        except OSError:
+            writer.transport.abort()
+            return
+        except BaseException:
+            writer.transport.abort()
+            raise
+        try:
+            await self._on_link(conn)
+        except error.WireError as exc:
+            _log_end(conn, exc)
+            conn.reject(exc)
+        finally:
+            conn.close()
+
+    async def _shake_hands(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> link.Link:
+        splitter = frame.Splitter(frame.MAX_HANDSHAKE_BODY)
+        self._handshakes += 1
+        try:
+            # A client that sends its Hello byte by byte, or none, would
+            # hold the connection for good.
+            async with asyncio.timeout(self._timing.connect_s):
+                first = await handshake.read_first(reader, splitter)
+        except TimeoutError as exc:
+            raise error.HandshakeTimeoutError(
+                f'no Hello within {self._timing.connect_s} s'
+            ) from exc
+        finally:
+            self._handshakes -= 1
+        hello = handshake.check_hello(first, self._credential)
+        welcome = self._welcome(hello)
+        handshake.write_first(writer, welcome)
+        return link.Link(
+            reader,
+            writer,
+            hello,
+            splitter,
+            self._timing,
+            self._revision or (lambda: welcome.revision),
+        )
+
+
+def _refuse(writer: asyncio.StreamWriter, exc: error.WireError) -> None:
+    LOG.warning(
+        'link_refused',
+        remote=link.remote_address(writer),
+        code=exc.code,
+        detail=exc.detail,
+    )
+    if not isinstance(exc, error.LinkClosedError):
+        handshake.write_first(writer, message.Reject(exc.code, exc.detail))
+    writer.close()
+    asyncio.get_running_loop().call_later(
+        link.CLOSE_GRACE_S, writer.transport.abort
+    )
+
+
+def _log_end(conn: link.Link, exc: error.WireError) -> None:
+    LOG.info(
+        'link_ended',
+        remote=conn.remote,
+        node=conn.peer.node,
+        code=exc.code,
+        detail=exc.detail,
+    )
--- /dev/null
+++ b/tests/quetzalsill/wire/test_link.py
@@ -0,0 +1,243 @@
+"""Tests of links: handshake, heartbeat, and what a bad peer can do."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import unittest
+
+from quetzalsill.wire import (
+    codec,
+    dial,
+    error,
+    frame,
+    link,
+    listen,
+    message,
+)
+
+BOUND_S = 20.0
+
+
+@dataclasses.dataclass(slots=True)
+class Timing:
+    """Bounds short enough for a test."""
+
+    idle_s: float = 0.05
+    silence_s: float = 0.4
+    connect_s: float = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Listen:
+    """Any port of the loopback address."""
+
+    host: str = '127.0.0.1'
+    port: int = 0
+
+
+def hello(credential='secret', version=message.VERSION):
+    return message.Hello(version, 'router-1', 1, credential, 'ikeja-hall', 4)
+
+
+def welcome(_):
+    return message.Welcome(
+        message.VERSION, 'host-1', 7, 'engine-1', 'ikeja-hall', 5, False
+    )
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Two ends in one process, over loopback."""
+
+    async def asyncSetUp(self):
+        self.accepted = asyncio.Queue()
+        self.received = asyncio.Queue()
+        self.server = await self.serve(Timing())
+
+    async def serve(self, timing):
+        server = listen.LinkServer(
+            Listen(), 'secret', welcome, self.on_link, timing
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        return server
+
+    async def on_link(self, conn):
+        await self.accepted.put(conn)
+        async for msg in conn.messages():
+            await self.received.put(msg)
+
+    async def dial(self, msg=None, timing=None, port=None, **kwargs):
+        conn = await dial.dial(
+            '127.0.0.1',
+            port or self.server.port,
+            msg or hello(),
+            timing or Timing(),
+            **kwargs,
+        )
+        self.addCleanup(conn.close)
+        return conn
+
+    async def raw(self):
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.server.port
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def next_of(self, queue):
+        return await asyncio.wait_for(queue.get(), BOUND_S)
+
+    async def test_messages_pass_both_ways_in_order(self):
+        conn = await self.dial()
+        far = await self.next_of(self.accepted)
+        self.assertEqual(conn.peer.upstream, 'engine-1')
+        self.assertEqual(far.peer.node, 'router-1')
+        sent = [message.Chunk('a', n, [b'x' * 50_000]) for n in range(40)]
+        for msg in sent:
+            far.send_nowait(msg)
+        await conn.send(message.Ack('a'))
+        self.assertEqual(await self.next_of(self.received), message.Ack('a'))
+        found = []
+        async with asyncio.timeout(BOUND_S):
+            async for msg in conn.messages():
+                found.append(msg)
+                if len(found) == len(sent):
+                    break
+        self.assertEqual(found, sent)
+
+    async def test_messages_of_one_tick_leave_in_one_write(self):
+        conn = await self.dial()
+        writes = []
+        write = conn._writer.write
+        conn._writer.write = lambda data: (writes.append(data), write(data))
+        for number in range(10):
+            conn.send_nowait(message.Ack(str(number)))
+        for _ in range(10):
+            await self.next_of(self.received)
+        self.assertEqual(len([data for data in writes if len(data) > 30]), 1)
+
+    async def test_handshake_refusals_have_their_code(self):
+        for msg, code in (
+            (hello(credential='wrong'), 'wrong_credential'),
+            (hello(credential='\u00e9'), 'wrong_credential'),
+            (hello(version=9), 'version_mismatch'),
+            (message.Ack('a'), 'protocol_violation'),
+        ):
+            with self.assertRaises(error.RejectedError) as caught:
+                await self.dial(msg)
+            self.assertEqual(caught.exception.reason, code)
+
+    async def test_bad_first_frames_end_that_link_only(self):
+        """A port scanner or a broken router reaches the sidecar's port.
+
+        It sends an oversize or malformed first frame; it gets a Reject with
+        the code, and the link of another router works on.
+        """
+        conn = await self.dial()
+        for data, code in (
+            ((frame.MAX_HANDSHAKE_BODY + 1).to_bytes(4, 'big'), 'oversize'),
+            (frame.pack(b'GET / HTTP/1.1'), 'malformed'),
+            (frame.pack(b'\x91\xcc\xfa'), 'unknown'),
+        ):
+            reader, writer = await self.raw()
+            writer.write(data)
+            answer = await asyncio.wait_for(reader.read(), BOUND_S)
+            reject = codec.decode(answer[4:])
+            self.assertIn(code, reject.code)
+        await conn.send(message.Ack('still there'))
+        self.assertEqual(
+            await self.next_of(self.received), message.Ack('still there')
+        )
+
+    async def test_bad_frame_after_the_handshake_ends_that_link_only(self):
+        conn = await self.dial()
+        bad = await self.dial()
+        bad._writer.write(frame.pack(b'\xc1'))
+        with self.assertRaises(error.RejectedError) as caught:
+            await self.drain(bad)
+        self.assertEqual(caught.exception.reason, 'malformed_frame')
+        await conn.send(message.Ack('b'))
+        self.assertEqual(await self.next_of(self.received), message.Ack('b'))
+
+    async def test_a_client_that_never_says_hello_is_dropped(self):
+        """Routers can't reach a sidecar although its process lives.
+
+        Clients connect, send nothing or a byte now and then, and hold the
+        connections for good (slow-loris).
+        """
+        self.server = await self.serve(Timing(connect_s=0.2))
+        reader, writer = await self.raw()
+        writer.write(b'\x00')
+        answer = await asyncio.wait_for(reader.read(), BOUND_S)
+        self.assertEqual(codec.decode(answer[4:]).code, 'handshake_timeout')
+
+    async def test_a_listener_that_never_answers_is_given_up(self):
+        async def mute(reader, writer):
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(mute, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        with self.assertRaises(error.HandshakeTimeoutError):
+            await self.dial(timing=Timing(connect_s=0.2), port=port)
+
+    async def test_nobody_listens(self):
+        server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        with self.assertRaises(error.DialError):
+            await self.dial(port=port)
+
+    async def test_heartbeats_carry_the_revision_and_keep_a_link(self):
+        seen = asyncio.Queue()
+        conn = await self.dial(revision=lambda: 11, on_revision=seen.put_nowait)
+        reading = asyncio.create_task(self.drain(conn))
+        self.addCleanup(reading.cancel)
+        for _ in range(12):
+            self.assertEqual(await self.next_of(seen), 5)
+        self.assertFalse(conn.closed)
+
+    async def test_a_silent_link_is_dropped_and_a_new_one_works(self):
+        """Answers stop in the middle and never go on, nor do they fail.
+
+        Something between the ends lost track of the connection: both ends
+        see it open, nothing arrives. The link ends by LinkSilentError, and
+        a dial anew works.
+        """
+        conn = await self.dial()
+        far = await self.next_of(self.accepted)
+        far._writer.write = lambda data: None
+        with self.assertRaises(error.LinkSilentError):
+            await self.drain(conn)
+        with self.assertRaises(error.LinkClosedError):
+            conn.send_nowait(message.Ack('a'))
+        again = await self.dial()
+        await again.send(message.Ack('b'))
+        self.assertEqual(await self.next_of(self.received), message.Ack('b'))
+
+    async def test_a_peer_that_stops_reading_costs_bounded_memory(self):
+        """The process grows until it is killed, with all its requests.
+
+        One peer stops reading while its connection stays open, and what is
+        sent to it piles up. The link is dropped at its bound instead.
+        """
+        conn = await self.dial()
+        far = await self.next_of(self.accepted)
+        far._reader._transport.pause_reading()
+        body = message.Body('a', bytes(1024 * 1024), False)
+        with self.assertRaises(error.LinkOverflowError):
+            for _ in range(link.MAX_UNSENT // len(body.data) + 64):
+                conn.send_nowait(body)
+                await asyncio.sleep(0)
+        self.assertTrue(conn.closed)
+
+    async def drain(self, conn):
+        async with asyncio.timeout(BOUND_S):
+            async for _ in conn.messages():
+                pass
+
+
+if __name__ == '__main__':
+    unittest.main()
