--- /dev/null
+++ b/tests/quetzalsill_router/durable/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a router keeps in the platform."""
