Add the engine stand-in

Cause: router, sidecar and benches need an engine that batches continuously, fills its key-value memory in mid-decode and preempts. Generation numbers differ between engines, so that a splice of two answers shows. Ruled out: cutting memory by cached prefixes of whole prompts (two running sequences with one prefix would be counted twice).

--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/engine_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a model engine: batching, memory, preemption, resume."""
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/engine_standin/completion.py
@@ -0,0 +1,199 @@
+"""Requests for a generation and the events that answer them."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import re
+import time
+import uuid
+from typing import TYPE_CHECKING, Any
+
+from quetzalsill_dev.engine_standin import prefix_cache
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    'DONE',
+    'CompletionRequest',
+    'InvalidRequestError',
+    'draw_length',
+    'error_event',
+    'event_writer',
+    'parse',
+    'whole_answer',
+]
+
+DONE = b'data: [DONE]\n\n'
+FIXED_LENGTH = re.compile(r'\[\[tokens=(\d{1,6})\]\]')
+LENGTH_MU = 5.0
+LENGTH_SIGMA = 1.3
+LENGTH_MAXIMUM = 20_000
+
+
+class InvalidRequestError(ValueError):
+    """A field of the request is missing or of another type."""
+
+
+@dataclasses.dataclass(slots=True)
+class CompletionRequest:
+    """A request for one generation.
+
+    Attributes:
+      request_id: Id given by the caller, or one made here.
+      model: Name of the model.
+      adapter: Name of the adapter; empty for none.
+      prompt: The prompt, or the messages of a chat as one text.
+      chat: It came as a chat.
+      stream: It is answered by events.
+      priority: 0 is served first.
+      max_tokens: Bound on the answer; None for no bound.
+    """
+
+    request_id: str
+    model: str
+    adapter: str
+    prompt: str
+    chat: bool
+    stream: bool
+    priority: int
+    max_tokens: int | None
+
+    def length(self, seed: int) -> int:
+        """Length of the answer without the bound."""
+        return draw_length(self.prompt, seed)
+
+
+def parse(plain: Any, chat: bool) -> CompletionRequest:
+    """Reads a request's JSON.
+
+    Raises:
+      InvalidRequestError: A field does not fit.
+    """
+    if not isinstance(plain, dict):
+        raise InvalidRequestError('the body is not an object')
+    max_tokens = plain.get('max_tokens', plain.get('max_completion_tokens'))
+    if max_tokens is not None and (type(max_tokens) is not int):
+        raise InvalidRequestError('max_tokens is not an integer')
+    if max_tokens is not None and max_tokens < 1:
+        raise InvalidRequestError('max_tokens is below 1')
+    return CompletionRequest(
+        request_id=_field(plain, 'request_id', str, str(uuid.uuid4())),
+        model=_field(plain, 'model', str, ''),
+        adapter=_field(plain, 'adapter', str, ''),
+        prompt=_chat_prompt(plain) if chat else _plain_prompt(plain),
+        chat=chat,
+        stream=_field(plain, 'stream', bool, False),
+        priority=_field(plain, 'priority', int, 5),
+        max_tokens=max_tokens,
+    )
+
+
+def _field(plain: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    value = plain.get(name, default)
+    if type(value) is not kind:
+        raise InvalidRequestError(f'{name} is not {kind.__name__}')
+    return value
+
+
+def _plain_prompt(plain: dict[str, Any]) -> str:
+    return _field(plain, 'prompt', str, None)
+
+
+def _chat_prompt(plain: dict[str, Any]) -> str:
+    messages = _field(plain, 'messages', list, None)
+    lines = []
+    for msg in messages:
+        if not isinstance(msg, dict):
+            raise InvalidRequestError('a message is not an object')
+        content = msg.get('content')
+        text = content if isinstance(content, str) else json.dumps(content)
+        lines.append(f'{msg.get("role")}: {text}')
+    return '\n'.join(lines)
+
+
+def draw_length(prompt: str, seed: int) -> int:
+    """True length of the answer: as the prompt fixes it, else heavy-tailed."""
+    fixed = FIXED_LENGTH.search(prompt)
+    if fixed:
+        return max(int(fixed[1]), 1)
+    draw = random.Random(f'{seed}/{prompt}').lognormvariate(
+        LENGTH_MU, LENGTH_SIGMA
+    )
+    return min(max(int(draw), 1), LENGTH_MAXIMUM)
+
+
+def event_writer(
+    req: CompletionRequest, number: int, finish_reason: str
+) -> Callable[[int, bool], bytes]:
+    """Makes the function that writes the event of a token."""
+    created = int(time.time())
+
+    def write(index: int, last: bool) -> bytes:
+        text = f'g{number}.{index} '
+        event = _envelope(req, created, stream=True) | {
+            'generation': number,
+            'index': index,
+            'choices': [_choice(req, text, finish_reason if last else None)],
+        }
+        if last:
+            event['usage'] = _usage(req, index + 1)
+        return b'data: ' + json.dumps(event).encode() + b'\n\n'
+
+    return write
+
+
+def error_event(code: str) -> bytes:
+    """Event that ends a stream which cannot be completed."""
+    return b'data: ' + json.dumps({'error': {'code': code}}).encode() + b'\n\n'
+
+
+def whole_answer(
+    req: CompletionRequest, number: int, tokens: int, finish_reason: str
+) -> dict[str, Any]:
+    """The whole answer as one object."""
+    text = ''.join(f'g{number}.{index} ' for index in range(tokens))
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': finish_reason}
+    if req.chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    return _envelope(req, int(time.time()), stream=False) | {
+        'generation': number,
+        'choices': [choice],
+        'usage': _usage(req, tokens),
+    }
+
+
+def _envelope(
+    req: CompletionRequest, created: int, stream: bool
+) -> dict[str, Any]:
+    kind = 'text_completion'
+    if req.chat:
+        kind = 'chat.completion.chunk' if stream else 'chat.completion'
+    return {
+        'id': req.request_id,
+        'object': kind,
+        'created': created,
+        'model': req.model,
+    }
+
+
+def _choice(
+    req: CompletionRequest, text: str, finish_reason: str | None
+) -> dict[str, Any]:
+    content = {'delta': {'role': 'assistant', 'content': text}}
+    if not req.chat:
+        content = {'text': text}
+    return {'index': 0, 'finish_reason': finish_reason} | content
+
+
+def _usage(req: CompletionRequest, tokens: int) -> dict[str, int]:
+    prompt_tokens = prefix_cache.count_tokens(req.prompt)
+    return {
+        'prompt_tokens': prompt_tokens,
+        'completion_tokens': tokens,
+        'total_tokens': prompt_tokens + tokens,
+    }
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/serve.py
@@ -0,0 +1,56 @@
+"""Runs a stand-in's HTTP application until the process is told to stop.
+
+It does not use `quetzalsill.net`, so that a fault there is not repeated on
+the other side of the tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+if TYPE_CHECKING:
+    import blacksheep
+
+__all__ = ['announce', 'run']
+
+BACKLOG = 2048
+GRACE_S = 1
+KEEP_ALIVE_S = 300
+
+
+def announce(port: int) -> None:
+    """Prints the line that the launcher waits for."""
+    print(f'ready port={port}', flush=True)
+
+
+def run(app: blacksheep.Application, host: str, port: int) -> None:
+    """Serves `app`; port 0 lets the kernel choose. Returns at SIGTERM."""
+    asyncio.run(_serve(app, host, port))
+
+
+class _AnnouncingServer(uvicorn.Server):
+    """A server that prints its port once it takes connections."""
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        if self.started and sockets:
+            announce(sockets[0].getsockname()[1])
+
+
+async def _serve(app: blacksheep.Application, host: str, port: int) -> None:
+    listener = socket.create_server((host, port), backlog=BACKLOG)
+    cfg = uvicorn.Config(
+        app,
+        loop='asyncio',
+        http='httptools',
+        ws='none',
+        log_level='warning',
+        access_log=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=GRACE_S,
+    )
+    await _AnnouncingServer(cfg).serve([listener])
--- /dev/null
+++ b/tests/quetzalsill_dev/engine_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the engine stand-in."""
