--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/platform/table.py
@@ -0,0 +1,184 @@
+"""Client of the platform's transactional table."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import urllib.parse
+from typing import TYPE_CHECKING, Any
+
+from blacksheep import contents
+
+from quetzalsill.platform import error, exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+__all__ = ['Condition', 'KeyedRow', 'Row', 'Table', 'Write']
+
+SCAN_PAGE = 1000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Condition:
+    """A row that must stand at a version; 0 if it must be absent."""
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Write:
+    """A JSON value for a row; None deletes the row."""
+
+    table: str
+    key: str
+    value: Any
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Row:
+    """A JSON value and its version, which grows with each write."""
+
+    version: int
+    value: Any
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeyedRow:
+    """A row with its key."""
+
+    key: str
+    version: int
+    value: Any
+
+
+class Table:
+    """Reads rows and changes them in transactions.
+
+    A row that was deleted and made again may start at version 1 again, so a
+    condition can't tell the two apart: keep rows that are raced for, and mark
+    them as free.
+    """
+
+    def __init__(self, calls: exchange.Exchange) -> None:
+        self._calls = calls
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Reads one row; None if it is absent.
+
+        Raises:
+          PlatformUnavailableError: The store does not answer.
+          PlatformProtocolError: The answer is malformed.
+        """
+        reply = await self._calls.read(
+            f'/table/{exchange.quote(table)}/{exchange.quote(key)}'
+        )
+        if reply.status == 404:
+            return None
+        return _row(reply.json(200))
+
+    async def scan(self, table: str, prefix: str = '') -> list[KeyedRow]:
+        """Reads all rows whose keys start with `prefix`, in order of key.
+
+        Raises:
+          PlatformUnavailableError: The store does not answer.
+          PlatformProtocolError: The answer is malformed.
+        """
+        rows: list[KeyedRow] = []
+        while True:
+            after = rows[-1].key if rows else ''
+            page = await self.page(table, prefix, after, SCAN_PAGE)
+            rows += page
+            if len(page) < SCAN_PAGE:
+                return rows
+
+    async def page(
+        self, table: str, prefix: str, after: str, limit: int
+    ) -> list[KeyedRow]:
+        """Reads at most `limit` rows behind the key `after`.
+
+        Raises:
+          PlatformUnavailableError: The store does not answer.
+          PlatformProtocolError: The answer is malformed.
+        """
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'after': after, 'limit': limit}
+        )
+        reply = await self._calls.read(
+            f'/table/{exchange.quote(table)}?{query}'
+        )
+        return _keyed_rows(reply.json(200))
+
+    async def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> list[int]:
+        """Applies all writes if all conditions hold, else none.
+
+        Returns:
+          The new version of each written row.
+
+        Raises:
+          ConditionFailedError: A condition does not hold; nothing written.
+          PlatformUnavailableError: Nothing was written.
+          PlatformAnswerLostError: All may be written, now or later; a
+            condition on a version keeps a repetition from counting twice.
+          PlatformProtocolError: The store refused the transaction.
+        """
+        reply = await self._calls.write(
+            'POST', '/table/transact', _transaction(conditions, writes)
+        )
+        if reply.status == 409:
+            raise _failed_condition(reply.json(409))
+        if 400 <= reply.status < 500:
+            raise error.PlatformProtocolError(f'status {reply.status}')
+        try:
+            return list(reply.json(200)['versions'])
+        except (error.PlatformProtocolError, KeyError, TypeError) as exc:
+            raise error.PlatformAnswerLostError('malformed answer') from exc
+
+
+def _transaction(
+    conditions: Sequence[Condition], writes: Sequence[Write]
+) -> contents.Content:
+    plain = {
+        'conditions': [
+            {'table': c.table, 'key': c.key, 'version': c.version}
+            for c in conditions
+        ],
+        'writes': [
+            {'table': w.table, 'key': w.key, 'value': w.value} for w in writes
+        ],
+    }
+    data = json.dumps(plain, separators=(',', ':')).encode()
+    return contents.Content(b'application/json', data)
+
+
+def _row(plain: Any) -> Row:
+    with _fields():
+        return Row(plain['version'], plain['value'])
+
+
+def _keyed_rows(plain: Any) -> list[KeyedRow]:
+    with _fields():
+        return [
+            KeyedRow(row['key'], row['version'], row['value'])
+            for row in plain['rows']
+        ]
+
+
+def _failed_condition(plain: Any) -> error.ConditionFailedError:
+    with _fields():
+        return error.ConditionFailedError(
+            plain['failed'], plain['version'], plain['value']
+        )
+
+
+@contextlib.contextmanager
+def _fields() -> Iterator[None]:
+    try:
+        yield
+    except (KeyError, TypeError) as exc:
+        raise error.PlatformProtocolError(f'answer lacks {exc}') from exc
