--- a/packages/quetzalsill-dev/src/quetzalsill_dev/serve.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/serve.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 if TYPE_CHECKING:
     import blacksheep
@@ -27,9 +28,14 @@
     print(f'ready port={port}', flush=True)
 
 
-def run(app: blacksheep.Application, host: str, port: int) -> None:
+def run(
+    app: blacksheep.Application,
+    host: str,
+    port: int,
+    protocol: type[asyncio.Protocol] = httptools_impl.HttpToolsProtocol,
+) -> None:
     """Serves `app`; port 0 lets the kernel choose. Returns at SIGTERM."""
-    asyncio.run(_serve(app, host, port))
+    asyncio.run(_serve(app, host, port, protocol))
 
 
 class _AnnouncingServer(uvicorn.Server):
@@ -41,12 +47,17 @@
             announce(sockets[0].getsockname()[1])
 
 
-async def _serve(app: blacksheep.Application, host: str, port: int) -> None:
+async def _serve(
+    app: blacksheep.Application,
+    host: str,
+    port: int,
+    protocol: type[asyncio.Protocol],
+) -> None:
     listener = socket.create_server((host, port), backlog=BACKLOG)
     cfg = uvicorn.Config(
         app,
         loop='asyncio',
-        http='httptools',
+        http=protocol,
         ws='none',
         log_level='warning',
         access_log=False,
