--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/serve.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/serve.py
@@ -15,6 +15,8 @@
 
 __all__ = ['StandIn']
 
+BACKLOG = 1024
+
 
 class StandIn:
     """Serves one part of the platform on a loopback port.
@@ -26,7 +28,7 @@
 
     def __init__(self, part: str, port: int = 0) -> None:
         self.faults: fault.Faults = app.build(part)
-        self._socket = socket.create_server(('127.0.0.1', port), backlog=1024)
+        self._socket = _listen(port)
         self.port: int = self._socket.getsockname()[1]
         cfg = uvicorn.Config(
             self.faults,
@@ -63,3 +65,14 @@
             await self._task
             await self._server.shutdown(sockets=[self._socket])
         self._socket.close()
+
+
+def _listen(port: int) -> socket.socket:
+    # asyncio sets TCP_NODELAY only on sockets whose protocol number is TCP's,
+    # and socket.create_server leaves it 0. Without it each answer, written as
+    # head and body, waits some 40 ms for the client's delayed acknowledgement.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(('127.0.0.1', port))
+    sock.listen(BACKLOG)
+    return sock
