Add a relay for failures of links, and say which engine a dispatch meant

Cause: tests have to cut, silence and delay links. And a sidecar that restarted together with its engine can't know whether an attempt ran on the engine before: it would answer Refused (not run) to work that may have run. So Load names the engine's incarnation, Dispatch carries it back, and a recover is refused as not run only by the same engine.

Ruled out: the router deciding by itself; it learns of the new engine too late. Both fields have defaults, so that nothing that stands breaks.

--- a/packages/quetzalsill/src/quetzalsill/wire/message.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/message.py
@@ -86,9 +86,13 @@
       max_tokens: Bound on generated tokens.
       prefix: Digest of the prompt prefix for cache affinity.
       recover: Only attach to work of this request that the engine already
-        has; if the engine has none, answer Refused (not run).
-      credit: Chunks that the sidecar may send before a Credit.
+        has; if the engine has none, answer Refused (not run), or Failed
+        with `ran` unknown if its incarnation is not `engine`.
+      credit: Items that the sidecar may send before a Credit.
       trace: W3C traceparent.
+      engine: Incarnation of the engine that the sidecar last reported; 0
+        if unknown. An engine that restarted since can't prove that the
+        work did not run.
     """
 
     attempt: str
@@ -114,6 +118,7 @@
     recover: bool
     credit: int
     trace: str
+    engine: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -264,6 +269,7 @@
       leaving: Takes no new work.
       healthy: The upstream answers.
       revision: Configuration in force at the sidecar.
+      engine: Incarnation of the engine; 0 if unknown.
     """
 
     queued: int
@@ -276,6 +282,7 @@
     leaving: bool
     healthy: bool
     revision: int
+    engine: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/quetzalsill/wire/test_link.py
+++ b/tests/quetzalsill/wire/test_link.py
@@ -15,6 +15,7 @@
     listen,
     message,
 )
+from quetzalsill_dev import relay
 
 BOUND_S = 20.0
 
@@ -52,6 +53,7 @@
     async def asyncSetUp(self):
         self.accepted = asyncio.Queue()
         self.received = asyncio.Queue()
+        self.ended = asyncio.Queue()
         self.server = await self.serve(Timing())
 
     async def serve(self, timing):
@@ -64,8 +66,11 @@
 
     async def on_link(self, conn):
         await self.accepted.put(conn)
-        async for msg in conn.messages():
-            await self.received.put(msg)
+        try:
+            async for msg in conn.messages():
+                await self.received.put(msg)
+        finally:
+            await self.ended.put(conn)
 
     async def dial(self, msg=None, timing=None, port=None, **kwargs):
         conn = await dial.dial(
@@ -85,6 +90,27 @@
         self.addCleanup(writer.close)
         return reader, writer
 
+    async def relay(self):
+        middle = relay.Relay('127.0.0.1', self.server.port)
+        await middle.start()
+        self.addAsyncCleanup(middle.stop)
+        return middle
+
+    async def test_a_delayed_link_keeps_its_order_and_a_cut_one_ends(self):
+        middle = await self.relay()
+        middle.delay(0.05)
+        conn = await self.dial(port=middle.port)
+        far = await self.next_of(self.accepted)
+        for number in range(20):
+            await conn.send(message.Ack(str(number)))
+            await asyncio.sleep(0)
+        found = [await self.next_of(self.received) for _ in range(20)]
+        self.assertEqual([int(msg.attempt) for msg in found], [*range(20)])
+        middle.cut()
+        with self.assertRaises(error.LinkClosedError):
+            await self.drain(conn)
+        await self.until_ended(far)
+
     async def next_of(self, queue):
         return await asyncio.wait_for(queue.get(), BOUND_S)
 
@@ -206,14 +232,19 @@
         see it open, nothing arrives. The link ends by LinkSilentError, and
         a dial anew works.
         """
-        conn = await self.dial()
-        far = await self.next_of(self.accepted)
-        far._writer.write = lambda data: None
-        with self.assertRaises(error.LinkSilentError):
-            await self.drain(conn)
-        with self.assertRaises(error.LinkClosedError):
-            conn.send_nowait(message.Ack('a'))
-        again = await self.dial()
+        middle = await self.relay()
+        for ways in ({}, {'up': False}, {'down': False}):
+            conn = await self.dial(port=middle.port)
+            far = await self.next_of(self.accepted)
+            middle.silence(**ways)
+            with self.assertRaises(error.LinkClosedError) as caught:
+                await self.drain(conn)
+            if ways != {'down': False}:
+                self.assertIsInstance(caught.exception, error.LinkSilentError)
+            with self.assertRaises(error.LinkClosedError):
+                conn.send_nowait(message.Ack('a'))
+            await self.until_ended(far)
+        again = await self.dial(port=middle.port)
         await again.send(message.Ack('b'))
         self.assertEqual(await self.next_of(self.received), message.Ack('b'))
 
@@ -233,6 +264,10 @@
                 await asyncio.sleep(0)
         self.assertTrue(conn.closed)
 
+    async def until_ended(self, conn):
+        while await self.next_of(self.ended) is not conn:
+            pass
+
     async def drain(self, conn):
         async with asyncio.timeout(BOUND_S):
             async for _ in conn.messages():
