--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/config/document.py
@@ -0,0 +1,64 @@
+"""The configuration as the bytes that the store keeps and links carry."""
+
+from __future__ import annotations
+
+import json
+
+from quetzalsill.config import model
+from quetzalsill.schema import check, load
+from quetzalsill.schema import error as schema_error
+from quetzalsill.schema import plain as schema_plain
+
+__all__ = ['MAX_DOCUMENT_BYTES', 'WHERE', 'parse', 'render']
+
+WHERE = 'configuration'
+
+# A document travels in one frame of a link, which holds 4 MiB.
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024 - 64 * 1024
+
+
+def parse(document: bytes, revision: int) -> model.Configuration:
+    """Parses a document that was stored at a revision.
+
+    Args:
+      document: Strict JSON in UTF-8.
+      revision: Number that the store gave it.
+
+    Raises:
+      InvalidDocumentError: If it is not JSON or does not fit the model.
+    """
+    _check_size(document)
+    try:
+        text = document.decode()
+    except UnicodeDecodeError as exc:
+        raise _invalid(str(exc), 'UTF-8') from exc
+    plain = load.parse_strict(text, WHERE)
+    cfg = check.check(model.Configuration, plain, WHERE)
+    cfg.revision = revision
+    return cfg
+
+
+def render(cfg: model.Configuration) -> bytes:
+    """Returns the document of a configuration, without its revision.
+
+    Equal configurations give equal bytes.
+
+    Raises:
+      InvalidDocumentError: If it is larger than a frame holds.
+    """
+    plain = schema_plain.to_plain(cfg)
+    del plain['revision']
+    document = json.dumps(plain, sort_keys=True, separators=(',', ':')).encode()
+    _check_size(document)
+    return document
+
+
+def _check_size(document: bytes) -> None:
+    if len(document) > MAX_DOCUMENT_BYTES:
+        allowed = f'at most {MAX_DOCUMENT_BYTES} bytes'
+        raise _invalid(f'{len(document)} bytes', allowed)
+
+
+def _invalid(found: str, allowed: str) -> schema_error.InvalidDocumentError:
+    fault = schema_error.InvalidKeyError(WHERE, '', found, allowed)
+    return schema_error.InvalidDocumentError(WHERE, [fault])
--- a/packages/quetzalsill/src/quetzalsill/config/model.py
+++ b/packages/quetzalsill/src/quetzalsill/config/model.py
@@ -24,7 +24,7 @@
 ]
 
 key = schema_key.key
-NAME = r'[a-z0-9][a-z0-9._-]{0,62}'
+NAME = schema_key.NAME
 SHA256 = r'[0-9a-f]{64}'
 
 
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/keepalive.py
@@ -0,0 +1,37 @@
+"""Socket options that find connections which went silent."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+__all__ = ['IDLE_S', 'LOST_S', 'tune']
+
+IDLE_S = 10
+INTERVAL_S = 5
+PROBES = 3
+LOST_S = 30
+MS_PER_S = 1000
+
+
+def tune(transport: asyncio.BaseTransport) -> None:
+    """Lets the kernel close a connection whose other end is lost.
+
+    Something between the two ends may lose track of an open connection: no
+    reset comes, writes vanish and reads wait for good. Keepalive probes find
+    this on an idle connection after `IDLE_S + PROBES * INTERVAL_S`, the user
+    timeout on one with unacknowledged data after `LOST_S`; both then raise
+    an error on the transport, as a reset would.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp_options = (
+        (socket.TCP_KEEPIDLE, IDLE_S),
+        (socket.TCP_KEEPINTVL, INTERVAL_S),
+        (socket.TCP_KEEPCNT, PROBES),
+        (socket.TCP_USER_TIMEOUT, LOST_S * MS_PER_S),
+    )
+    for option, value in tcp_options:
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/protocol.py
@@ -0,0 +1,230 @@
+"""HTTP protocol of a listener, with bounds on what a client may hold up."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import http
+from collections.abc import Callable
+from typing import Any
+
+from uvicorn.protocols.http import httptools_impl
+
+from quetzalsill.net import keepalive
+from quetzalsill.telemetry import log, metric
+
+__all__ = ['Bounds', 'BoundedProtocol', 'bounded']
+
+logger = log.get(__name__)
+cut_connections = metric.counter(
+    'quetzalsill_http_connections_cut_total',
+    'Connections of callers closed for exceeding a bound, by reason.',
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Bounds:
+    """What one client may hold up.
+
+    Attributes:
+      head_s: Longest time from the first byte, or from the connection, to
+        the end of a request's head.
+      body_s: Longest silence within a request's body.
+      write_s: Longest time in which the client reads nothing of an answer.
+      idle_s: Longest time between two requests of a connection.
+      head_bytes: Largest head.
+      connections: Connections at once.
+    """
+
+    head_s: float = 10.0
+    body_s: float = 30.0
+    write_s: float = 30.0
+    idle_s: float = 75.0
+    head_bytes: int = 32768
+    connections: int = 10_000
+
+
+class _Await(enum.Enum):
+    """What the client still owes."""
+
+    HEAD = 'head'
+    BODY = 'body'
+    NOTHING = 'nothing'
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """Closes a connection whose client exceeds a bound.
+
+    A client that sends its request byte by byte, or stops in the middle,
+    holds a connection and memory for as long as it likes; many of them keep
+    all others out (slow-loris). One timer per connection runs while the
+    client owes something, and closes it when the bound is over.
+    """
+
+    bounds = Bounds()
+    on_lost: Callable[[], None] = staticmethod(lambda: None)
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._awaits = _Await.NOTHING
+        self._deadline = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
+        self._head_bytes = 0
+        self._refusal = http.HTTPStatus.BAD_REQUEST
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Starts to wait for the first head."""
+        super().connection_made(transport)
+        keepalive.tune(transport)
+        if len(self.connections) > self.bounds.connections:
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, 'connections')
+            return
+        self._expect_head()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the timers."""
+        self._settle()
+        self.resume_writing()
+        super().connection_lost(exc)
+        self._unset_keepalive_if_required()
+        self.on_lost()
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the client."""
+        if self.transport.is_closing():
+            return
+        # Line ends before a request line begin no message for the parser,
+        # so that the bound has to start with the first byte.
+        if self._awaits is _Await.NOTHING and self._is_idle():
+            self._expect_head()
+        super().data_received(data)
+        if self._awaits is _Await.HEAD:
+            self._count_head(len(data))
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        super().on_message_begin()
+        if self._awaits is _Await.NOTHING:
+            self._expect_head()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > self.bounds.head_bytes:
+            self._refusal = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            raise ValueError(self._refusal.phrase)
+        super().on_header(name, value)
+
+    def on_url(self, url: bytes) -> None:
+        """Takes the target."""
+        self._header_bytes = len(url)
+        if self._header_bytes > self.bounds.head_bytes:
+            self._refusal = http.HTTPStatus.REQUEST_URI_TOO_LONG
+            raise ValueError(self._refusal.phrase)
+        super().on_url(url)
+
+    def on_headers_complete(self) -> None:
+        """Starts to wait for the body."""
+        self._awaits = _Await.BODY
+        self._extend(self.bounds.body_s)
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        self._extend(self.bounds.body_s)
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends a request: the client owes nothing more."""
+        self._settle()
+        super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses what the parser did not take."""
+        self._refuse(self._refusal, 'malformed')
+
+    def pause_writing(self) -> None:
+        """Starts to wait for the client to read."""
+        super().pause_writing()
+        self._write_timer = self.loop.call_later(
+            self.bounds.write_s, self._cut, 'write_stalled'
+        )
+
+    def resume_writing(self) -> None:
+        """The client read."""
+        super().resume_writing()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
+    def _is_idle(self) -> bool:
+        return self.cycle is None or self.cycle.response_complete
+
+    def _expect_head(self) -> None:
+        self._awaits = _Await.HEAD
+        self._head_bytes = 0
+        self._extend(self.bounds.head_s)
+
+    def _extend(self, bound_s: float) -> None:
+        self._deadline = self.loop.time() + bound_s
+        if self._timer is None:
+            self._timer = self.loop.call_at(self._deadline, self._on_deadline)
+
+    def _settle(self) -> None:
+        self._awaits = _Await.NOTHING
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_deadline(self) -> None:
+        self._timer = None
+        # While the application does not take the body, reading is paused
+        # and the silence is not the client's.
+        if self.flow.read_paused:
+            self._extend(self.bounds.body_s)
+        elif self.loop.time() < self._deadline:
+            self._timer = self.loop.call_at(self._deadline, self._on_deadline)
+        elif self._awaits is _Await.HEAD and self._is_idle():
+            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT, 'head_slow')
+        else:
+            self._cut('body_stalled')
+
+    def _count_head(self, received: int) -> None:
+        self._head_bytes += received
+        if self._head_bytes > self.bounds.head_bytes:
+            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self._refuse(status, 'head_large')
+
+    def _refuse(self, status: http.HTTPStatus, reason: str) -> None:
+        """Answers with a bare status and closes."""
+        self._note(reason)
+        self._settle()
+        if not self.transport.is_closing():
+            line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+            rest = 'content-length: 0\r\nconnection: close\r\n\r\n'
+            self.transport.write((line + rest).encode())
+            self.transport.close()
+
+    def _cut(self, reason: str) -> None:
+        """Closes without an answer; the application sees a disconnect."""
+        self._note(reason)
+        self.transport.abort()
+
+    def _note(self, reason: str) -> None:
+        cut_connections.inc({'reason': reason})
+        logger.warning('connection_cut', reason=reason, client=self.client)
+
+
+def bounded(
+    bounds: Bounds, on_lost: Callable[[], None]
+) -> type[BoundedProtocol]:
+    """Returns the protocol class of one listener.
+
+    Args:
+      bounds: What one client may hold up.
+      on_lost: Called when a connection has ended.
+    """
+    attributes = {'bounds': bounds, 'on_lost': staticmethod(on_lost)}
+    return type('ListenerProtocol', (BoundedProtocol,), attributes)
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/server.py
@@ -0,0 +1,185 @@
+"""HTTP listener inside the process, on its own event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, Any
+
+import uvicorn
+
+from quetzalsill.net import error, protocol
+from quetzalsill.net import tls as net_tls
+from quetzalsill.telemetry import log
+
+if TYPE_CHECKING:
+    from quetzalsill.settings import section
+
+__all__ = ['HttpServer']
+
+BACKLOG = 1024
+DATE_INTERVAL_S = 1.0
+CLOSE_S = 1.0
+
+logger = log.get(__name__)
+
+
+class HttpServer:
+    """Serves an ASGI application.
+
+    The signals of the process and its other tasks stay untouched.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        listen: section.Listen,
+        tls: section.Tls | None = None,
+        bounds: protocol.Bounds | None = None,
+    ) -> None:
+        """Prepares the listener; `start` opens it.
+
+        Args:
+          app: ASGI application.
+          listen: Address; port 0 lets the kernel choose.
+          tls: Certificates; none or empty serves in the clear.
+          bounds: What one client may hold up.
+        """
+        bounds = bounds or protocol.Bounds()
+        self._listen = listen
+        self._tls = tls
+        self._head_s = bounds.head_s
+        self._lost = asyncio.Event()
+        config = uvicorn.Config(
+            app,
+            loop='asyncio',
+            http=protocol.bounded(bounds, self._lost.set),
+            ws='none',
+            lifespan='auto',
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            timeout_keep_alive=bounds.idle_s,
+            reset_contextvars=True,
+        )
+        config.load()
+        self._config = config
+        self._uvicorn = uvicorn.Server(config)
+        self._lifespan = config.lifespan_class(config)
+        self._server: asyncio.Server | None = None
+        self._date_task: asyncio.Task[None] | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Starts the application and then listens.
+
+        Raises:
+          CertificateError: If the certificate files cannot be used.
+          ListenError: If the application does not start, or the address
+            cannot be had.
+        """
+        context = net_tls.server_context(self._tls) if self._tls else None
+        await self._lifespan.startup()
+        if self._lifespan.should_exit:
+            raise error.ListenError('the application did not start')
+        sock = self._bind()
+        self.port = sock.getsockname()[1]
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol,
+            sock=sock,
+            ssl=context,
+            backlog=BACKLOG,
+            ssl_handshake_timeout=self._head_s if context else None,
+        )
+        self._date_task = asyncio.create_task(self._keep_date())
+
+    async def stop(self, grace_s: float) -> int:
+        """Stops listening and lets the requests in flight end.
+
+        Idle connections are closed at once, others after their answer.
+
+        Args:
+          grace_s: How long requests in flight may take.
+
+        Returns:
+          How many requests still ran after that; they were cut.
+        """
+        if self._server is None:
+            return 0
+        self._server.close()
+        self._server = None
+        for conn in list(self._connections):
+            conn.shutdown()
+        await self._wait_until_empty(grace_s)
+        cut = await self._cut_rest()
+        self._date_task.cancel()
+        await self._lifespan.shutdown()
+        return cut
+
+    @property
+    def running(self) -> int:
+        """Requests in flight."""
+        return len(self._uvicorn.server_state.tasks)
+
+    @property
+    def _connections(self) -> set[Any]:
+        return self._uvicorn.server_state.connections
+
+    def _make_protocol(self) -> protocol.BoundedProtocol:
+        return self._config.http_protocol_class(
+            config=self._config,
+            server_state=self._uvicorn.server_state,
+            app_state=self._lifespan.state,
+        )
+
+    def _bind(self) -> socket.socket:
+        host, port = self._listen.host, self._listen.port
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError as exc:
+            sock.close()
+            raise error.ListenError(f'{host}:{port}: {exc}') from exc
+        return sock
+
+    async def _keep_date(self) -> None:
+        """Renews the Date header of answers."""
+        while True:
+            await self._uvicorn.on_tick(0)
+            await asyncio.sleep(DATE_INTERVAL_S)
+
+    async def _wait_until_empty(self, bound_s: float) -> None:
+        # A request's task ends when its last bytes are buffered, not when
+        # they are sent, so the wait is for the connections too: leaving
+        # earlier would cut the end of an answer to a slow reader.
+        try:
+            async with asyncio.timeout(bound_s):
+                while self._connections or self.running:
+                    self._lost.clear()
+                    await self._wait_for_one()
+        except TimeoutError:
+            logger.warning(
+                'http_stop_bound',
+                running=self.running,
+                connections=len(self._connections),
+            )
+
+    async def _wait_for_one(self) -> None:
+        if self._connections:
+            await self._lost.wait()
+        else:
+            await asyncio.wait(list(self._uvicorn.server_state.tasks))
+
+    async def _cut_rest(self) -> int:
+        tasks = list(self._uvicorn.server_state.tasks)
+        unsent = list(self._connections)
+        for conn in unsent:
+            conn.transport.abort()
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_S)
+        return max(len(tasks), len(unsent))
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/tls.py
@@ -0,0 +1,158 @@
+"""TLS contexts from certificate files, reloaded when the files change."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import ssl
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from quetzalsill.net import error
+from quetzalsill.telemetry import log
+
+if TYPE_CHECKING:
+    from quetzalsill.settings import section
+
+__all__ = ['client_context', 'server_context']
+
+Stamp = tuple[tuple[int, int, int], ...]
+Build = Callable[['section.Tls'], ssl.SSLContext]
+
+logger = log.get(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class _Loaded:
+    """A context and the state of the files that it was built from."""
+
+    stamp: Stamp
+    context: ssl.SSLContext
+
+
+class _Reloading:
+    """Gives the newest context that its files make.
+
+    Files are replaced one after the other, so a certificate may stand
+    beside the key of its predecessor for a moment. Such a pair does not
+    load; the context before it then stays in use until they change again.
+    """
+
+    def __init__(self, tls: section.Tls, build: Build) -> None:
+        self._tls = tls
+        self._build = build
+        self._loaded = _Loaded(_stamp(tls), build(tls))
+        self._tried = self._loaded.stamp
+
+    def newest(self) -> ssl.SSLContext:
+        """Returns the context of the files as they are now."""
+        try:
+            stamp = _stamp(self._tls)
+            if stamp != self._tried:
+                self._tried = stamp
+                self._loaded = _Loaded(stamp, self._build(self._tls))
+                logger.info('certificate_reloaded', file=self._tls.certificate)
+        except error.CertificateError as exc:
+            logger.warning('certificate_not_reloaded', reason=exc.detail)
+        return self._loaded.context
+
+
+_clients: dict[tuple[str, str, str], _Reloading] = {}
+
+
+def server_context(tls: section.Tls) -> ssl.SSLContext | None:
+    """Returns the context of a listener; None if TLS is off.
+
+    Each handshake uses the files as they are then. With an authority,
+    clients must show a certificate that it signed.
+
+    Raises:
+      CertificateError: If the files cannot be used.
+    """
+    if not tls.certificate:
+        _refuse_half(tls)
+        return None
+    reloading = _Reloading(tls, _build_server)
+    context = reloading.newest()
+
+    def choose(
+        connection: ssl.SSLObject, _name: str | None, _context: ssl.SSLContext
+    ) -> None:
+        connection.context = reloading.newest()
+
+    context.sni_callback = choose
+    return context
+
+
+def client_context(tls: section.Tls) -> ssl.SSLContext | None:
+    """Returns the context for one connection now; None if TLS is off.
+
+    Ask again for each connection, since the files may have changed.
+
+    Raises:
+      CertificateError: If the files cannot be used.
+    """
+    files = (tls.certificate, tls.key, tls.authority)
+    if not any(files):
+        return None
+    reloading = _clients.get(files)
+    if reloading is None:
+        reloading = _clients[files] = _Reloading(tls, _build_client)
+    return reloading.newest()
+
+
+def _build_server(tls: section.Tls) -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    # A resumed session skips the check of the client's certificate, so that
+    # one that has expired since would still be let in.
+    context.num_tickets = 0
+    context.options |= ssl.OP_NO_TICKET
+    _load(context, tls)
+    if tls.authority:
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _build_client(tls: section.Tls) -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    if not tls.authority:
+        context.load_default_certs()
+    _load(context, tls)
+    return context
+
+
+def _load(context: ssl.SSLContext, tls: section.Tls) -> None:
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        if tls.certificate:
+            context.load_cert_chain(tls.certificate, tls.key)
+        if tls.authority:
+            context.load_verify_locations(cafile=tls.authority)
+    except (OSError, ValueError) as exc:
+        raise _invalid(tls, exc) from exc
+
+
+def _stamp(tls: section.Tls) -> Stamp:
+    """Returns what changes when one of the files is replaced."""
+    files = filter(None, (tls.certificate, tls.key, tls.authority))
+    try:
+        stats = [os.stat(file) for file in files]
+    except OSError as exc:
+        raise _invalid(tls, exc) from exc
+    return tuple(
+        (stat.st_mtime_ns, stat.st_ino, stat.st_size) for stat in stats
+    )
+
+
+def _refuse_half(tls: section.Tls) -> None:
+    # A listener that was meant to be protected must not come up in the clear
+    # because one of its keys was forgotten.
+    if tls.key or tls.authority:
+        raise error.CertificateError(
+            'a key or an authority is set without a certificate'
+        )
+
+
+def _invalid(tls: section.Tls, exc: Exception) -> error.CertificateError:
+    files = ', '.join(filter(None, (tls.certificate, tls.key, tls.authority)))
+    return error.CertificateError(f'{files}: {exc}')
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/plugin/registry.py
@@ -0,0 +1,105 @@
+"""Registry of plug-ins by kind and name."""
+
+from __future__ import annotations
+
+import dataclasses
+import importlib.metadata
+from typing import Any
+
+from quetzalsill.plugin import error
+
+__all__ = ['GROUP', 'KINDS', 'REGISTRY', 'Plugin', 'Registry']
+
+GROUP = 'quetzalsill.plugins'
+KINDS = ('role', 'routing', 'admission', 'fairness', 'limits', 'command')
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plugin:
+    """One registered plug-in.
+
+    Attributes:
+      kind: One of `KINDS`.
+      name: Name by which configuration and command line choose it.
+      value: What the kind asks for: a function, or a `Role`.
+      doc: One sentence for operators.
+    """
+
+    kind: str
+    name: str
+    value: Any
+    doc: str
+
+
+class Registry:
+    """Plug-ins by kind and name."""
+
+    def __init__(self) -> None:
+        self._plugins: dict[tuple[str, str], Plugin] = {}
+        self._loaded = False
+
+    def add(self, kind: str, name: str, value: Any, doc: str) -> None:
+        """Registers a plug-in.
+
+        Raises:
+          UnknownPluginError: If there is no such kind.
+          DuplicatePluginError: If the kind has the name already.
+        """
+        if kind not in KINDS:
+            raise error.UnknownPluginError(
+                f'there is no kind {kind!r} of plug-in: {", ".join(KINDS)}'
+            )
+        if (kind, name) in self._plugins:
+            raise error.DuplicatePluginError(
+                f'the {kind} plug-in {name!r} is registered twice'
+            )
+        self._plugins[kind, name] = Plugin(kind, name, value, doc)
+
+    def get(self, kind: str, name: str) -> Any:
+        """Returns the value of a plug-in.
+
+        Raises:
+          UnknownPluginError: If there is none; its text names those known.
+        """
+        found = self._plugins.get((kind, name))
+        if found is None:
+            known = ', '.join(self.names(kind)) or 'none'
+            raise error.UnknownPluginError(
+                f'there is no {kind} plug-in {name!r}; known: {known}'
+            )
+        return found.value
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of a kind, sorted."""
+        return sorted(
+            name for of_kind, name in self._plugins if of_kind == kind
+        )
+
+    def plugins(self, kind: str) -> list[Plugin]:
+        """Returns the plug-ins of a kind, sorted by name."""
+        return [self._plugins[kind, name] for name in self.names(kind)]
+
+    def load(self) -> None:
+        """Lets every installed plug-in module register itself, once.
+
+        Raises:
+          PluginLoadError: If one cannot be imported or does not register.
+        """
+        if self._loaded:
+            return
+        for entry in importlib.metadata.entry_points(group=GROUP):
+            self._load_entry(entry)
+        self._loaded = True
+
+    def _load_entry(self, entry: importlib.metadata.EntryPoint) -> None:
+        try:
+            register = entry.load().register
+        except (ImportError, AttributeError) as exc:
+            raise error.PluginLoadError(
+                f'the plug-in {entry.name!r} ({entry.value}) does not load: '
+                f'{exc}'
+            ) from exc
+        register(self)
+
+
+REGISTRY = Registry()
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/schema/check.py
@@ -0,0 +1,223 @@
+"""Check of parsed JSON against the dataclasses that declare its keys."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import math
+import re
+import typing
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from quetzalsill.schema import fault as schema_fault
+from quetzalsill.schema import key as schema_key
+
+__all__ = ['check']
+
+T = TypeVar('T')
+Checker = Callable[[Any, str, schema_fault.Faults], Any]
+
+NAME = re.compile(schema_key.NAME)
+SCALARS = {
+    str: 'string',
+    int: 'integer',
+    float: 'number',
+    bool: 'true or false',
+}
+
+
+def check(cls: type[T], plain: Any, where: str) -> T:
+    """Builds an instance of a declared class from parsed JSON.
+
+    Args:
+      cls: Dataclass whose fields are declared with `schema.key.key`.
+      plain: Parsed JSON.
+      where: File or other origin of the document, for its reader.
+
+    Returns:
+      The instance, with defaults where keys are absent.
+
+    Raises:
+      InvalidDocumentError: With every fault that was found.
+    """
+    faults = schema_fault.Faults(where)
+    built = _section(cls)(plain, '', faults)
+    faults.raise_if_any()
+    return built
+
+
+@functools.cache
+def _section(cls: type) -> Checker:
+    """Returns the checker of a dataclass."""
+    types = typing.get_type_hints(cls)
+    fields = dataclasses.fields(cls)
+    checkers = {
+        field.name: _checker(types[field.name], field.metadata[schema_key.DOC])
+        for field in fields
+    }
+    required = [field.name for field in fields if _is_required(field)]
+
+    def check_section(
+        value: Any, path: str, faults: schema_fault.Faults
+    ) -> Any:
+        if not isinstance(value, dict):
+            faults.add(path, schema_fault.show(value), 'object')
+            return None
+        before = len(faults.found)
+        prefix = f'{path}.' if path else ''
+        built = {}
+        for name, item in value.items():
+            checker = checkers.get(name)
+            if checker is None:
+                faults.add_unknown(f'{prefix}{name}', name, checkers)
+            else:
+                built[name] = checker(item, f'{prefix}{name}', faults)
+        for name in required:
+            if name not in value:
+                faults.add(f'{prefix}{name}', 'nothing', 'a value is required')
+        return cls(**built) if len(faults.found) == before else None
+
+    return check_section
+
+
+def _is_required(field: dataclasses.Field) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _checker(annotation: Any, spec: schema_key.KeySpec) -> Checker:
+    """Returns the checker of one key by its annotation."""
+    if dataclasses.is_dataclass(annotation):
+        return _section(annotation)
+    origin = typing.get_origin(annotation)
+    arguments = typing.get_args(annotation)
+    if origin is list:
+        return _array(_checker(arguments[0], spec), spec)
+    if origin is dict and arguments[0] is str:
+        return _named(_checker(arguments[1], spec), spec)
+    if annotation in SCALARS:
+        return _scalar(annotation, spec)
+    raise TypeError(f'a key cannot be declared as {annotation!r}')
+
+
+def _array(item_checker: Checker, spec: schema_key.KeySpec) -> Checker:
+    def check_array(value: Any, path: str, faults: schema_fault.Faults) -> Any:
+        if not isinstance(value, list):
+            faults.add_value(path, value, 'array', spec)
+            return None
+        return [
+            item_checker(item, f'{path}[{index}]', faults)
+            for index, item in enumerate(value)
+        ]
+
+    return check_array
+
+
+def _named(item_checker: Checker, spec: schema_key.KeySpec) -> Checker:
+    def check_named(value: Any, path: str, faults: schema_fault.Faults) -> Any:
+        if not isinstance(value, dict):
+            faults.add_value(path, value, 'object', spec)
+            return None
+        for name in value:
+            if not NAME.fullmatch(name):
+                found = f'the name {schema_fault.show(name)}'
+                faults.add(path, found, f'names that match {schema_key.NAME}')
+        return {
+            name: item_checker(item, f'{path}.{name}', faults)
+            for name, item in value.items()
+        }
+
+    return check_named
+
+
+def _scalar(wanted: type, spec: schema_key.KeySpec) -> Checker:
+    convert = _CONVERTERS[wanted]
+    fits = _predicate(wanted, spec)
+    allowed = describe(wanted, spec)
+
+    def check_scalar(value: Any, path: str, faults: schema_fault.Faults) -> Any:
+        converted = convert(value)
+        if converted is None or not fits(converted):
+            faults.add_value(path, value, allowed, spec)
+        return converted
+
+    return check_scalar
+
+
+def _to_str(value: Any) -> str | None:
+    # JSON can hold half of a surrogate pair ("\ud800"); such a string passes
+    # here and fails later, when it is encoded for a frame or a log line.
+    if type(value) is not str or not _encodable(value):
+        return None
+    return value
+
+
+def _encodable(value: str) -> bool:
+    if value.isascii():
+        return True
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _to_int(value: Any) -> int | None:
+    return value if type(value) is int else None
+
+
+def _to_float(value: Any) -> float | None:
+    if type(value) not in (int, float):
+        return None
+    try:
+        number = float(value)
+    except OverflowError:
+        return None
+    return number if math.isfinite(number) else None
+
+
+def _to_bool(value: Any) -> bool | None:
+    return value if type(value) is bool else None
+
+
+_CONVERTERS: dict[type, Callable[[Any], Any]] = {
+    str: _to_str,
+    int: _to_int,
+    float: _to_float,
+    bool: _to_bool,
+}
+
+
+def _predicate(wanted: type, spec: schema_key.KeySpec) -> Callable[[Any], bool]:
+    """Returns the test of a converted value against its bounds."""
+    if spec.choices:
+        return lambda value: value in spec.choices
+    if wanted is str and spec.pattern:
+        pattern = re.compile(spec.pattern)
+        return lambda value: pattern.fullmatch(value) is not None
+    if wanted in (int, float):
+        low = -math.inf if spec.minimum is None else spec.minimum
+        high = math.inf if spec.maximum is None else spec.maximum
+        return lambda value: low <= value <= high
+    return lambda value: True
+
+
+def describe(wanted: type, spec: schema_key.KeySpec) -> str:
+    """Says which values of a scalar key are allowed."""
+    if spec.choices:
+        return 'one of ' + ', '.join(map(repr, spec.choices))
+    parts = [SCALARS[wanted]]
+    if spec.pattern:
+        parts.append(f'that matches {spec.pattern}')
+    if spec.minimum is not None and spec.maximum is not None:
+        parts.append(f'from {spec.minimum} to {spec.maximum}')
+    elif spec.minimum is not None:
+        parts.append(f'of at least {spec.minimum}')
+    elif spec.maximum is not None:
+        parts.append(f'of at most {spec.maximum}')
+    if spec.unit:
+        parts.append(f'in {spec.unit}')
+    return ' '.join(parts)
--- a/packages/quetzalsill/src/quetzalsill/schema/key.py
+++ b/packages/quetzalsill/src/quetzalsill/schema/key.py
@@ -5,9 +5,10 @@
 import dataclasses
 from typing import Any
 
-__all__ = ['DOC', 'KeySpec', 'REQUIRED', 'key']
+__all__ = ['DOC', 'NAME', 'KeySpec', 'REQUIRED', 'key']
 
 DOC = 'quetzalsill'
+NAME = r'[a-z0-9][a-z0-9._-]{0,62}'
 REQUIRED = dataclasses.MISSING
 
 
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/schema/load.py
@@ -0,0 +1,108 @@
+"""Reading of documents in JSON, with or without comments."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import json5
+
+from quetzalsill.schema import check
+from quetzalsill.schema import error as schema_error
+
+__all__ = ['MAX_FILE_BYTES', 'load_file', 'parse_strict', 'parse_text']
+
+T = TypeVar('T')
+Pairs = list[tuple[str, Any]]
+
+MAX_FILE_BYTES = 16 * 1024 * 1024
+
+
+class _DuplicateKeyError(ValueError):
+    """A key stands twice in one object, so that one value would be lost."""
+
+
+def load_file(cls: type[T], path: str) -> T:
+    """Reads and checks a file of JSON with comments.
+
+    Args:
+      cls: Declared dataclass of the whole document.
+      path: File to read.
+
+    Raises:
+      InvalidDocumentError: If the file cannot be read, is not JSON, or does
+        not fit `cls`.
+    """
+    return check.check(cls, parse_text(_read(path), path), path)
+
+
+def parse_text(text: str, where: str) -> Any:
+    """Parses JSON with comments.
+
+    Raises:
+      InvalidDocumentError: If the text is not JSON.
+    """
+    # The parser for comments is slow, some seconds per megabyte, so a
+    # document that is JSON without them never reaches it.
+    try:
+        return json.loads(text, object_pairs_hook=_unique)
+    except (ValueError, RecursionError):
+        return _parse_with(_loads_commented, text, where)
+
+
+def parse_strict(text: str, where: str) -> Any:
+    """Parses JSON without comments.
+
+    Raises:
+      InvalidDocumentError: If the text is not JSON.
+    """
+    return _parse_with(_loads_strict, text, where)
+
+
+def _loads_commented(text: str) -> Any:
+    return json5.loads(text, object_pairs_hook=_unique)
+
+
+def _loads_strict(text: str) -> Any:
+    return json.loads(text, object_pairs_hook=_unique)
+
+
+def _parse_with(loads: Callable[[str], Any], text: str, where: str) -> Any:
+    try:
+        return loads(text)
+    except RecursionError:
+        raise _invalid(where, 'values nested too deep', 'JSON') from None
+    except ValueError as exc:
+        raise _invalid(where, ' '.join(str(exc).split()), 'JSON') from exc
+
+
+def _unique(pairs: Pairs) -> dict[str, Any]:
+    built = dict(pairs)
+    if len(built) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise _DuplicateKeyError(f'the key {twice!r} twice in one object')
+    return built
+
+
+def _read(path: str) -> str:
+    try:
+        size = pathlib.Path(path).stat().st_size
+        if size > MAX_FILE_BYTES:
+            allowed = f'at most {MAX_FILE_BYTES} bytes'
+            raise _invalid(path, f'{size} bytes', allowed)
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+        raise _invalid(path, reason, 'a readable file') from exc
+    except UnicodeDecodeError as exc:
+        raise _invalid(path, str(exc), 'UTF-8') from exc
+
+
+def _invalid(
+    where: str, found: str, allowed: str
+) -> schema_error.InvalidDocumentError:
+    fault = schema_error.InvalidKeyError(where, '', found, allowed)
+    return schema_error.InvalidDocumentError(where, [fault])
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/telemetry/log.py
@@ -0,0 +1,124 @@
+"""Log lines: one line of key=value pairs for each event, to stderr."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+from opentelemetry import trace as otel_trace
+
+__all__ = ['LEVELS', 'configure', 'get']
+
+LEVELS = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+KEY_ORDER = ('timestamp', 'level', 'event', 'node', 'role', 'module', 'trace')
+
+EventDict = dict[str, Any]
+
+
+def configure(level: str, node: str = '', role: str = '') -> None:
+    """Sets up the log lines of this process, its libraries' included.
+
+    Args:
+      level: Least level that is written; a key of `LEVELS`.
+      node: Name of the node, put on each line.
+      role: Role of the process, put on each line.
+    """
+    shared = [
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt='iso', utc=True),
+        _process_keys(node, role),
+        _add_trace,
+        structlog.processors.format_exc_info,
+        _one_line,
+    ]
+    renderer = structlog.processors.LogfmtRenderer(
+        key_order=KEY_ORDER, drop_missing=True
+    )
+    structlog.configure(
+        processors=[*shared, renderer],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    _configure_libraries(level, [_library_keys, *shared], renderer)
+
+
+def get(name: str) -> Any:
+    """Returns the logger of a module.
+
+    Its methods take the name of the event and its keys:
+    `logger.info('link_lost', peer='ikeja-1')`.
+    """
+    return structlog.get_logger(module=name)
+
+
+def _configure_libraries(
+    level: str, processors: list[Any], renderer: Any
+) -> None:
+    """Gives lines of libraries, logged by `logging`, the same form."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=processors,
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                renderer,
+            ],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    handler.setLevel(max(LEVELS[level], logging.WARNING))
+
+
+def _process_keys(node: str, role: str) -> Any:
+    keys = {
+        name: value for name, value in (('node', node), ('role', role)) if value
+    }
+
+    def add_process_keys(
+        _logger: Any, _method: str, event: EventDict
+    ) -> EventDict:
+        return keys | event
+
+    return add_process_keys
+
+
+def _library_keys(_logger: Any, _method: str, event: EventDict) -> EventDict:
+    record = event['_record']
+    text = event['event']
+    return event | {
+        'event': 'library_message',
+        'module': record.name,
+        'message': text,
+    }
+
+
+def _add_trace(_logger: Any, _method: str, event: EventDict) -> EventDict:
+    context = otel_trace.get_current_span().get_span_context()
+    if context.is_valid:
+        event.setdefault('trace', otel_trace.format_trace_id(context.trace_id))
+    return event
+
+
+def _one_line(_logger: Any, _method: str, event: EventDict) -> EventDict:
+    # A value from outside may hold line ends or terminal controls, which
+    # would forge further log lines; escaped, they stay within their value.
+    return {name: _printable(value) for name, value in event.items()}
+
+
+def _printable(value: Any) -> Any:
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
+    text = str(value)
+    if text.isprintable():
+        return text
+    return text.encode('unicode_escape').decode('ascii')
