Add the launcher of processes and the measuring caller

The caller's HTTP client is another one than the router's, so that a resend by the router can't be hidden by the same fault in the caller. Not covered by a test of its own yet; the cluster's tests will run it.

--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/caller.py
@@ -0,0 +1,140 @@
+"""A caller that measures what reaches it, and when.
+
+Its HTTP client is another one than the router's own, and it sends nothing
+again by itself.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+import httpx2
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+__all__ = ['Answer', 'open_client', 'stream_generation']
+
+TIMEOUT_S = 120.0
+DATA = 'data: '
+DONE = '[DONE]'
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller got for a generation.
+
+    Attributes:
+      status: HTTP status.
+      texts: Text of each token, in order of arrival.
+      arrivals: Monotonic time of each token.
+      asked: Monotonic time when the request was sent.
+      ended: Monotonic time when the answer ended.
+      request: Id of the request, as the router told it; empty if it did not.
+      finish_reason: Why the generation ended; empty if it did not.
+      error: Error body; None if there was none.
+    """
+
+    status: int = 0
+    texts: list[str] = dataclasses.field(default_factory=list)
+    arrivals: list[float] = dataclasses.field(default_factory=list)
+    asked: float = 0.0
+    ended: float = 0.0
+    request: str = ''
+    finish_reason: str = ''
+    error: Any = None
+
+    @property
+    def generations(self) -> set[str]:
+        """Generations that the tokens came from."""
+        return {text.partition('.')[0] for text in self.texts}
+
+    @property
+    def first_token_s(self) -> float:
+        """Time to the first token; to the end if there is none."""
+        return (self.arrivals or [self.ended])[0] - self.asked
+
+    @property
+    def stall_s(self) -> float:
+        """Longest time with nothing arriving, from the question on."""
+        times = [self.asked, *self.arrivals, self.ended]
+        return max(after - before for before, after in _pairs(times))
+
+    @property
+    def worst_gap_s(self) -> float:
+        """Longest time between two tokens; 0 if there are none."""
+        gaps = (after - before for before, after in _pairs(self.arrivals))
+        return max(gaps, default=0.0)
+
+    @property
+    def is_whole(self) -> bool:
+        """One generation's tokens, each once, in order, to its end."""
+        expected = [
+            f'{name}.{index} '
+            for name in self.generations
+            for index in range(len(self.texts))
+        ]
+        return self.texts == expected and bool(self.finish_reason)
+
+
+def _pairs(times: list[float]) -> zip[tuple[float, float]]:
+    return zip(times, times[1:], strict=False)
+
+
+def open_client(base_url: str, token: str = '') -> httpx2.AsyncClient:
+    """A client of one router or upstream, to be closed by its user."""
+    headers = {'authorization': f'Bearer {token}'} if token else {}
+    limits = httpx2.Limits(max_connections=None)
+    return httpx2.AsyncClient(
+        base_url=base_url,
+        headers=headers,
+        timeout=TIMEOUT_S,
+        limits=limits,
+        trust_env=False,
+    )
+
+
+async def stream_generation(
+    client: httpx2.AsyncClient,
+    body: dict[str, Any],
+    headers: dict[str, str] | None = None,
+    path: str = '/v1/completions',
+) -> AsyncIterator[Answer]:
+    """Asks for a generation; yields the answer as it grows, then whole."""
+    answer = Answer(asked=time.monotonic())
+    plain = body | {'stream': True}
+    async with client.stream(
+        'POST', path, json=plain, headers=headers
+    ) as response:
+        answer.status = response.status_code
+        answer.request = response.headers.get('x-request-id', '')
+        if response.status_code != httpx2.codes.OK:
+            answer.error = json.loads(await response.aread())
+        else:
+            async for line in response.aiter_lines():
+                if _take_line(answer, line):
+                    yield answer
+    answer.ended = time.monotonic()
+    yield answer
+
+
+def _take_line(answer: Answer, line: str) -> bool:
+    """Takes one line of an event stream; True if it brought a token."""
+    data = line.removeprefix(DATA)
+    if data in (line, DONE):
+        return False
+    event = json.loads(data)
+    if 'error' in event:
+        answer.error = event
+        return False
+    for choice in event.get('choices', ()):
+        answer.finish_reason = choice.get('finish_reason') or ''
+        text = choice.get('text') or choice.get('delta', {}).get('content')
+        if text:
+            answer.texts.append(text)
+            answer.arrivals.append(time.monotonic())
+            return True
+    return False
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -0,0 +1,197 @@
+"""Starts the processes of a test or demo, and ends every one of them.
+
+A process counts as started once it has printed `ready port=N`. What it prints
+goes to a log file in the launcher's folder.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import re
+import signal
+import sys
+import tempfile
+from typing import TYPE_CHECKING, Self
+
+if TYPE_CHECKING:
+    import types
+
+__all__ = ['Launcher', 'Process', 'StartFailedError']
+
+READY = re.compile(rb'^ready port=(\d+)\s*$')
+READY_BOUND_S = 30.0
+END_BOUND_S = 30.0
+LINE_LIMIT = 1024 * 1024
+LOG_TAIL = 4000
+
+
+class StartFailedError(Exception):
+    """A process ended or stayed silent before it was ready."""
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """A started process.
+
+    Attributes:
+      name: Name given by the launcher's user.
+      log: File with everything that it printed.
+      port: Port that it said it listens on; 0 if it said none.
+    """
+
+    name: str
+    log: pathlib.Path
+    _inner: asyncio.subprocess.Process
+    port: int = 0
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._inner.pid
+
+    @property
+    def address(self) -> str:
+        """IP:PORT where it listens."""
+        return f'127.0.0.1:{self.port}'
+
+    @property
+    def url(self) -> str:
+        """Base URL, if it speaks HTTP."""
+        return f'http://{self.address}'
+
+    @property
+    def running(self) -> bool:
+        """It has not ended; a stopped process is running."""
+        return self._inner.returncode is None
+
+    def kill(self) -> None:
+        """Ends it at once."""
+        self._signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Asks it to end gracefully."""
+        self._signal(signal.SIGTERM)
+
+    def stop(self) -> None:
+        """Pauses it."""
+        self._signal(signal.SIGSTOP)
+
+    def cont(self) -> None:
+        """Lets it go on after a pause."""
+        self._signal(signal.SIGCONT)
+
+    async def wait(self, bound_s: float = END_BOUND_S) -> int:
+        """Exit status, once it has ended.
+
+        Raises:
+          TimeoutError: It has not ended within the bound.
+        """
+        async with asyncio.timeout(bound_s):
+            return await self._inner.wait()
+
+    def log_text(self) -> str:
+        """Everything that it printed so far."""
+        return self.log.read_text(errors='replace')
+
+    def _signal(self, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self._inner.send_signal(number)
+
+
+class Launcher:
+    """Starts processes; used as an asynchronous context manager.
+
+    Attributes:
+      folder: Folder for settings files and logs. It is removed at the end if
+        the launcher made it.
+      processes: Every process started, in order.
+    """
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._temporary: tempfile.TemporaryDirectory[str] | None = None
+        if folder is None:
+            self._temporary = tempfile.TemporaryDirectory(prefix='quetzalsill-')
+            folder = pathlib.Path(self._temporary.name)
+        self.folder = folder
+        self.processes: list[Process] = []
+        self._pumps: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> Self:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends every process that is left, by its id."""
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            await process.wait()
+        await asyncio.gather(*self._pumps, return_exceptions=True)
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    async def start(self, name: str, module: str, *args: str) -> Process:
+        """Starts `python -m MODULE ARGS` and waits until it is ready.
+
+        Raises:
+          StartFailedError: It ended or was not ready in time.
+        """
+        inner = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            *args,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            limit=LINE_LIMIT,
+        )
+        count = sum(process.name == name for process in self.processes)
+        log = self.folder / f'{name}.{count}.log'
+        process = Process(name, log, inner)
+        self.processes.append(process)
+        ready = asyncio.get_running_loop().create_future()
+        self._pumps.append(asyncio.create_task(_pump(inner, log, ready)))
+        try:
+            async with asyncio.timeout(READY_BOUND_S):
+                process.port = await ready
+        except TimeoutError as exc:
+            raise StartFailedError(f'{name} is not ready in time') from exc
+        if not process.port:
+            raise StartFailedError(f'{name}:\n{process.log_text()[-LOG_TAIL:]}')
+        return process
+
+
+async def _pump(
+    inner: asyncio.subprocess.Process,
+    log: pathlib.Path,
+    ready: asyncio.Future[int],
+) -> None:
+    """Copies what a process prints to its log; gives 0 if it never is ready."""
+    with log.open('wb', buffering=0) as file:
+        while line := await _read_line(inner.stdout):
+            file.write(line)
+            found = READY.match(line)
+            if found and not ready.done():
+                ready.set_result(int(found[1]))
+    if not ready.done():
+        ready.set_result(0)
+
+
+async def _read_line(stream: asyncio.StreamReader) -> bytes:
+    try:
+        return await stream.readline()
+    except ValueError:
+        # A line over the limit; what was read of it is dropped.
+        return b'(line too long)\n'
