--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' API over HTTP."""
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
@@ -0,0 +1,231 @@
+"""Answers to generation requests: whole documents and event streams."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import AsyncIterator, Iterable
+from typing import TYPE_CHECKING, Any
+
+import blacksheep
+
+from quetzalsill.error import request as request_error
+from quetzalsill_router.http import error
+from quetzalsill_router.request import piece, spec
+
+if TYPE_CHECKING:
+    from quetzalsill_router.request import active
+
+__all__ = ['document', 'events', 'sse', 'stream', 'whole']
+
+JSON_TYPE = b'application/json'
+SSE_TYPE = b'text/event-stream; charset=utf-8'
+KEEP_ALIVE = b': keep-alive\n\n'
+DONE = b'data: [DONE]\n\n'
+
+
+def sse(items: Iterable[bytes]) -> bytes:
+    """Renders JSON items as server-sent events."""
+    return b''.join([b'data: %b\n\n' % item for item in items])
+
+
+async def whole(
+    running: active.Active,
+) -> blacksheep.Response:
+    """Waits for the whole answer and renders it as one document.
+
+    Raises:
+      RequestError: The request failed.
+    """
+    items: list[bytes] = []
+    delivery = running.delivery
+    while True:
+        await delivery.wait(None)
+        for part in delivery.take():
+            if isinstance(part, piece.Items):
+                items.extend(part.items)
+                part.release()
+        if delivery.ended or delivery.gone:
+            break
+    if delivery.error is not None:
+        raise delivery.error
+    content = blacksheep.Content(JSON_TYPE, document(running.work, items))
+    return blacksheep.Response(200, None, content)
+
+
+async def stream(
+    running: active.Active, keep_alive_s: float, usage: bool
+) -> blacksheep.Response:
+    """Answers with server-sent events, from the first piece on.
+
+    A request that fails before anything came, and before a comment had to
+    be sent, is answered with the status of its failure.
+
+    Raises:
+      RequestError: The request failed before its first event.
+    """
+    delivery = running.delivery
+    await delivery.wait(keep_alive_s)
+    if delivery.error is not None and running.delivered == 0:
+        raise delivery.error
+
+    async def produce() -> AsyncIterator[bytes]:
+        async for data in events(running, keep_alive_s, usage):
+            yield data
+
+    content = blacksheep.StreamedContent(SSE_TYPE, produce)
+    headers = [(b'cache-control', b'no-cache')]
+    return blacksheep.Response(200, headers, content)
+
+
+async def events(
+    running: active.Active, keep_alive_s: float, usage: bool
+) -> AsyncIterator[bytes]:
+    """Yields the text of the event stream, coalesced by write.
+
+    Control comes back here only when the server has taken the last text,
+    which it does while its buffer towards the caller is below its bound;
+    the items are released then. A slow caller so slows its own attempt.
+    """
+    delivery = running.delivery
+    count = 0
+    last = b''
+    while not delivery.gone:
+        if not await delivery.wait(keep_alive_s):
+            yield KEEP_ALIVE
+            continue
+        parts = [
+            part for part in delivery.take() if isinstance(part, piece.Items)
+        ]
+        if parts:
+            items = [item for part in parts for item in part.items]
+            count += len(items)
+            last = items[-1]
+            yield sse(items)
+            for part in parts:
+                part.release()
+        elif delivery.ended:
+            break
+    if delivery.gone:
+        return
+    if delivery.error is not None:
+        yield sse([error.document(delivery.error, running.work.request)])
+        return
+    if usage:
+        yield sse(_usage_event(running.work, last, count))
+    yield DONE
+
+
+def document(work: spec.Work, items: list[bytes]) -> bytes:
+    """Joins the events of a generation into one document.
+
+    Raises:
+      UpstreamFailedError: An event is not what the protocol says.
+    """
+    try:
+        parsed = [json.loads(item) for item in items]
+        joined = _chat(parsed) if work.kind == spec.CHAT else _text(parsed)
+    except (ValueError, KeyError, TypeError, IndexError) as exc:
+        raise request_error.UpstreamFailedError(
+            'the upstream sent an event that can not be read'
+        ) from exc
+    choice = {
+        'index': 0,
+        **joined,
+        'logprobs': None,
+        'finish_reason': _finish_reason(parsed),
+    }
+    kind = 'chat.completion' if work.kind == spec.CHAT else 'text_completion'
+    return json.dumps(
+        {
+            'id': work.request,
+            'object': kind,
+            'created': int(time.time()),
+            'model': work.target,
+            'choices': [choice],
+            'usage': _usage(work, parsed),
+        }
+    ).encode()
+
+
+def _text(parsed: list[dict[str, Any]]) -> dict[str, Any]:
+    """Joins the texts of completion events."""
+    return {
+        'text': ''.join(
+            choice.get('text') or ''
+            for event in parsed
+            for choice in event['choices']
+        )
+    }
+
+
+def _chat(parsed: list[dict[str, Any]]) -> dict[str, Any]:
+    """Joins the deltas of chat events into one message."""
+    deltas = [
+        choice.get('delta') or {}
+        for event in parsed
+        for choice in event['choices']
+    ]
+    content = ''.join(delta.get('content') or '' for delta in deltas)
+    message = {'role': 'assistant', 'content': content}
+    tools = _tool_calls(deltas)
+    if tools:
+        message['tool_calls'] = tools
+    return {'message': message}
+
+
+def _tool_calls(deltas: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Joins the pieces of tool calls by their index."""
+    calls: dict[int, dict[str, Any]] = {}
+    for delta in deltas:
+        for part in delta.get('tool_calls') or ():
+            call = calls.setdefault(
+                part['index'],
+                {'type': 'function', 'function': {'name': '', 'arguments': ''}},
+            )
+            call['id'] = part.get('id') or call.get('id')
+            for name in ('name', 'arguments'):
+                text = (part.get('function') or {}).get(name) or ''
+                call['function'][name] += text
+    return [calls[index] for index in sorted(calls)]
+
+
+def _finish_reason(parsed: list[dict[str, Any]]) -> str:
+    """Returns the last finish reason that an event gave."""
+    for event in reversed(parsed):
+        for choice in event['choices']:
+            if choice.get('finish_reason'):
+                return choice['finish_reason']
+    return 'stop'
+
+
+def _usage(work: spec.Work, parsed: list[dict[str, Any]]) -> dict[str, Any]:
+    """Returns the usage that the upstream reported, else our own count."""
+    if parsed and isinstance(parsed[-1].get('usage'), dict):
+        return parsed[-1]['usage']
+    return _counted(work, len(parsed))
+
+
+def _counted(work: spec.Work, count: int) -> dict[str, int]:
+    """Returns a usage from our own count of tokens."""
+    return {
+        'prompt_tokens': work.prompt_tokens,
+        'completion_tokens': count,
+        'total_tokens': work.prompt_tokens + count,
+    }
+
+
+def _usage_event(work: spec.Work, last: bytes, count: int) -> list[bytes]:
+    """Returns the closing usage event, unless the upstream sent one."""
+    if b'"usage"' in last:
+        return []
+    chat = work.kind == spec.CHAT
+    event = {
+        'id': work.request,
+        'object': 'chat.completion.chunk' if chat else 'text_completion',
+        'created': int(time.time()),
+        'model': work.target,
+        'choices': [],
+        'usage': _counted(work, count),
+    }
+    return [json.dumps(event).encode()]
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/auth.py
@@ -0,0 +1,71 @@
+"""Finds the client account of a bearer token."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import request as request_error
+
+if TYPE_CHECKING:
+    import blacksheep
+
+    from quetzalsill.config import holder, model
+
+__all__ = ['Caller', 'Callers']
+
+SCHEME = 'bearer '
+MAX_TOKEN = 512
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """The client account behind a request."""
+
+    name: str
+    account: model.Account
+
+
+class Callers:
+    """Index of token digests, rebuilt with each configuration."""
+
+    def __init__(self, holder: holder.Holder) -> None:
+        self._holder = holder
+        self._revision = -1
+        self._by_digest: dict[str, Caller] = {}
+
+    def identify(self, request: blacksheep.Request) -> Caller:
+        """Returns the caller.
+
+        The token is looked up by its digest: how long that takes tells
+        nothing about the tokens that exist.
+
+        Raises:
+          UnauthorizedError: The token is missing or unknown.
+        """
+        raw = request.get_first_header(b'authorization') or b''
+        text = raw.decode('latin-1')
+        if not text.lower().startswith(SCHEME) or len(text) > MAX_TOKEN:
+            raise request_error.UnauthorizedError('no bearer token')
+        token = text[len(SCHEME) :].strip()
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        found = self._index().get(digest)
+        if found is None:
+            raise request_error.UnauthorizedError('unknown bearer token')
+        known = found.account.token_sha256
+        if not any(hmac.compare_digest(digest, item) for item in known):
+            raise request_error.UnauthorizedError('unknown bearer token')
+        return found
+
+    def _index(self) -> dict[str, Caller]:
+        """Returns the index of the configuration in force."""
+        if self._revision != self._holder.revision:
+            self._by_digest = {
+                digest: Caller(name, account)
+                for name, account in self._holder.current.accounts.items()
+                for digest in account.token_sha256
+            }
+            self._revision = self._holder.revision
+        return self._by_digest
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/caller.py
@@ -0,0 +1,96 @@
+"""The caller's end of a request: its headers and its leaving."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING
+
+from quetzalsill_router.http import error
+
+if TYPE_CHECKING:
+    import blacksheep
+
+    from quetzalsill_router.request import active
+
+__all__ = [
+    'accepts_later',
+    'idempotency_key',
+    'profile_name',
+    'traceparent',
+    'watch',
+]
+
+KEY = re.compile(r'[!-~]{1,255}')
+NAME = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
+TRACEPARENT = re.compile(r'[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
+
+
+def idempotency_key(request: blacksheep.Request) -> str:
+    """Returns the idempotency key; empty if there is none.
+
+    Raises:
+      FieldError: It is not 1 to 255 printable ASCII characters.
+    """
+    return _header(request, 'Idempotency-Key', KEY, '1 to 255 of ! to ~')
+
+
+def profile_name(request: blacksheep.Request) -> str:
+    """Returns the profile that the caller names; empty if none.
+
+    Raises:
+      FieldError: It is not the form of a name.
+    """
+    return _header(
+        request,
+        'X-Quetzalsill-Profile',
+        NAME,
+        'lower-case letters, digits, dots, dashes',
+    )
+
+
+def traceparent(request: blacksheep.Request) -> str:
+    """Returns the caller's W3C traceparent; empty if absent or malformed."""
+    raw = request.get_first_header(b'traceparent') or b''
+    text = raw.decode('latin-1')
+    return text if TRACEPARENT.fullmatch(text) else ''
+
+
+def accepts_later(request: blacksheep.Request) -> bool:
+    """Whether the caller prefers an id now and the answer later."""
+    raw = request.get_first_header(b'prefer') or b''
+    parts = raw.decode('latin-1').lower().split(',')
+    return 'respond-async' in [part.strip() for part in parts]
+
+
+def watch(request: blacksheep.Request, running: active.Active) -> None:
+    """Tells the request when its caller is gone.
+
+    To be called once the body is read. The server reports a closed
+    connection only to who is receiving; nobody else would notice one that
+    closes while the answer is queued.
+    """
+    running.watcher = asyncio.create_task(
+        _watch(request.content.receive, running),
+        name=f'watch {running.work.request}',
+    )
+
+
+async def _watch(receive: object, running: active.Active) -> None:
+    """Receives until the connection ends or the answer is complete."""
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    running.caller_left()
+
+
+def _header(
+    request: blacksheep.Request, name: str, form: re.Pattern[str], what: str
+) -> str:
+    """Returns a header that comes at most once and has a given form."""
+    found = request.get_headers(name.lower().encode())
+    if not found:
+        return ''
+    text = found[0].decode('latin-1')
+    if len(found) > 1 or not form.fullmatch(text):
+        raise error.FieldError(name, f'must come once and be {what}')
+    return text
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/limit/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds of client accounts, shared by routers."""
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/__init__.py
@@ -0,0 +1,1 @@
+"""One request, from acceptance to its terminal event."""
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
@@ -0,0 +1,130 @@
+"""Acceptance: from a checked call of the API to `Work`."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import request as request_error
+from quetzalsill_router.request import spec
+
+if TYPE_CHECKING:
+    from quetzalsill.config import model
+    from quetzalsill_router import context
+    from quetzalsill_router.http import auth, generation
+
+__all__ = ['check_open', 'generation_work', 'pick_profile']
+
+STOPPING_RETRY_AFTER_S = 1.0
+
+
+def check_open(ctx: context.Context) -> None:
+    """Refuses new work while the process stops or lacks configuration.
+
+    Raises:
+      ShuttingDownError: The process takes no new work; not run.
+      StoreUnavailableError: No configuration was had yet; not run.
+    """
+    if ctx.stopping:
+        raise request_error.ShuttingDownError(
+            'this router is stopping', retry_after_s=STOPPING_RETRY_AFTER_S
+        )
+    if ctx.holder.revision == 0:
+        raise request_error.StoreUnavailableError(
+            'this router has no configuration yet',
+            retry_after_s=STOPPING_RETRY_AFTER_S,
+        )
+
+
+def pick_profile(
+    cfg: model.Configuration,
+    caller: auth.Caller,
+    asked: str,
+    model_default: str = '',
+) -> tuple[str, model.Profile]:
+    """Returns name and profile: the caller's, else the account's default.
+
+    Raises:
+      UnknownProfileError: No such profile.
+      ForbiddenError: The account may not use it.
+    """
+    name = asked or caller.account.default_profile or model_default
+    profile = cfg.profiles.get(name)
+    if profile is None:
+        raise request_error.UnknownProfileError(
+            f'no profile {name!r}',
+            advice='Name one of the configured profiles.',
+        )
+    allowed = caller.account.profiles
+    if allowed and name not in allowed:
+        raise request_error.ForbiddenError(
+            f'account {caller.name} may not use profile {name!r}',
+            advice=f'Use one of: {", ".join(allowed)}.',
+        )
+    return name, profile
+
+
+def generation_work(
+    ctx: context.Context,
+    caller: auth.Caller,
+    asked: generation.Generation,
+    profile_name: str,
+    key: str,
+) -> spec.Work:
+    """Builds the work of a completion or chat request.
+
+    Raises:
+      RequestError: The configuration does not permit it.
+    """
+    cfg = ctx.holder.current
+    target = cfg.models.get(asked.model)
+    if target is None:
+        raise request_error.UnknownModelError(f'no model {asked.model!r}')
+    if asked.adapter and asked.adapter not in target.adapters:
+        raise request_error.BadRequestError(
+            f'adapter: model {asked.model} has no {asked.adapter!r}'
+        )
+    name, profile = pick_profile(cfg, caller, profile_name, target.profile)
+    max_tokens = _max_tokens(asked, target, profile)
+    return spec.Work(
+        request='',
+        account=caller.name,
+        profile_name=name,
+        profile=profile,
+        target=asked.model,
+        kind=asked.kind,
+        payload=asked.payload(max_tokens),
+        deadline=time.monotonic() + profile.deadline_s,
+        idempotent=profile.idempotent,
+        stream=asked.stream,
+        prompt_tokens=asked.prompt_tokens,
+        max_tokens=max_tokens,
+        prefix=asked.prefix,
+        adapter=asked.adapter,
+        key=key,
+    )
+
+
+def _max_tokens(
+    asked: generation.Generation, target: model.Model, profile: model.Profile
+) -> int:
+    """Returns the bound on generated tokens.
+
+    Raises:
+      TooLargeError: The prompt leaves no room in the context.
+      BadRequestError: The caller asks for more than is allowed.
+    """
+    room = target.context_tokens - asked.prompt_tokens
+    if room < 1:
+        raise request_error.TooLargeError(
+            f'the prompt has about {asked.prompt_tokens} tokens; the context '
+            f'of the model holds {target.context_tokens}',
+            advice='Shorten the prompt.',
+        )
+    bound = min(room, profile.max_output_tokens)
+    if asked.max_tokens > bound:
+        raise request_error.BadRequestError(
+            f'max_tokens: {asked.max_tokens} is over {bound}',
+            advice=f'Ask for at most {bound} tokens with this profile.',
+        )
+    return asked.max_tokens or bound
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -0,0 +1,203 @@
+"""One attempt: dispatched to one peer and followed to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
+from quetzalsill.wire import message
+from quetzalsill_router.request import outcome, piece
+
+if TYPE_CHECKING:
+    from quetzalsill_router.peer import attempt as peer_attempt
+    from quetzalsill_router.peer import peer as peer_module
+    from quetzalsill_router.request import spec
+
+__all__ = ['build', 'follow']
+
+DEADLINE_GRACE_S = 1.0
+LOOK_INTERVAL_S = 0.25
+MILLIS = 1000
+
+
+def build(
+    work: spec.Work,
+    peer: peer_module.Peer,
+    attempt: str,
+    revision: int,
+    credit: int,
+    recover: bool = False,
+) -> message.Dispatch:
+    """Builds the Dispatch of `work` to `peer`."""
+    remaining_s = max(0.0, work.remaining_s())
+    queue_s = min(work.profile.queue_wait_s, remaining_s)
+    return message.Dispatch(
+        attempt=attempt,
+        request=work.request,
+        incarnation=peer.incarnation,
+        revision=revision,
+        fence=work.fence,
+        account=work.account,
+        profile=work.profile_name,
+        model=work.target,
+        kind=work.kind,
+        method=work.method,
+        path=work.path,
+        headers=work.headers,
+        payload=work.payload,
+        body_open=work.body is not None,
+        idempotent=work.idempotent,
+        remaining_ms=int(remaining_s * MILLIS),
+        queue_ms=int(queue_s * MILLIS),
+        prompt_tokens=work.prompt_tokens,
+        max_tokens=work.max_tokens,
+        prefix=work.prefix,
+        recover=recover,
+        credit=credit,
+        trace=work.trace,
+        engine=peer.load.engine if peer.load is not None else 0,
+    )
+
+
+async def follow(
+    attempt: peer_attempt.Attempt,
+    work: spec.Work,
+    should_move: Callable[[], bool],
+) -> AsyncGenerator[piece.Piece, None]:
+    """Yields the pieces of one attempt.
+
+    However the consumer ends, an attempt that reached no terminal message
+    is cancelled, so that the upstream does not go on for nobody.
+
+    Raises:
+      AttemptEndedError: The attempt ended without its whole answer.
+    """
+    ended = False
+    sender: asyncio.Task[None] | None = None
+    try:
+        async for msg in _messages(attempt, work, should_move):
+            match msg:
+                case message.Started():
+                    if work.body is not None and sender is None:
+                        sender = asyncio.create_task(_send_body(attempt, work))
+                case message.Head():
+                    yield piece.Head(msg.status, msg.headers)
+                case message.Chunk():
+                    yield _items(attempt, msg)
+                case message.Finished():
+                    ended = True
+                    return
+                case _:
+                    ended = True
+                    raise outcome.AttemptEndedError(failure(msg))
+    finally:
+        if sender is not None:
+            sender.cancel()
+        if not ended:
+            attempt.cancel()
+        attempt.close()
+
+
+def failure(msg: message.Message) -> outcome.Outcome:
+    """Reads a terminal message other than Finished."""
+    match msg:
+        case message.Withdrawn():
+            error = request_error.OverloadedError('withdrawn from the queue')
+            return outcome.Outcome(error, moved=True)
+        case message.Refused():
+            retry_after_s = msg.retry_after_ms / MILLIS or None
+            error = request_error.from_code(
+                msg.code, msg.detail, base.Ran.NO, retry_after_s
+            )
+            return outcome.Outcome(error)
+        case message.Failed():
+            error = request_error.from_code(
+                msg.code, msg.detail, base.Ran(msg.ran)
+            )
+            return outcome.Outcome(error, gone=msg.gone)
+    error = request_error.OutcomeUnknownError(
+        f'unexpected {type(msg).__name__} from the sidecar'
+    )
+    return outcome.Outcome(error)
+
+
+def _items(attempt: peer_attempt.Attempt, chunk: message.Chunk) -> piece.Items:
+    """Binds the release of a chunk's items to the attempt's credit."""
+    count = len(chunk.items)
+    end = chunk.seq + count
+    return piece.Items(chunk.items, lambda: attempt.grant(end, count))
+
+
+async def _messages(
+    attempt: peer_attempt.Attempt,
+    work: spec.Work,
+    should_move: Callable[[], bool],
+) -> AsyncIterator[message.Message]:
+    """Yields the attempt's messages up to its deadline.
+
+    The sidecar counts the same deadline and says itself whether the work
+    ran; it is given a short grace, because only its word can be "not run".
+    """
+    limit = work.deadline + DEADLINE_GRACE_S
+    msg = await _receive_queued(attempt, limit, should_move)
+    while True:
+        yield msg
+        try:
+            async with asyncio.timeout(limit - time.monotonic()):
+                msg = await attempt.receive()
+        except TimeoutError as exc:
+            raise _late(started=True) from exc
+
+
+async def _receive_queued(
+    attempt: peer_attempt.Attempt,
+    limit: float,
+    should_move: Callable[[], bool],
+) -> message.Message:
+    """Returns the first message that ends the attempt's time in a queue.
+
+    While it waits, the attempt is withdrawn once if `should_move` says
+    that another upstream would serve it sooner; whether it moves is the
+    sidecar's word alone (Withdrawn or Running).
+    """
+    withdrawn = False
+    receiver = asyncio.ensure_future(attempt.receive())
+    try:
+        while True:
+            left = limit - time.monotonic()
+            wait_s = left if withdrawn else min(left, LOOK_INTERVAL_S)
+            done, _ = await asyncio.wait({receiver}, timeout=max(0.0, wait_s))
+            if done:
+                msg = receiver.result()
+                if not isinstance(msg, message.Running):
+                    return msg
+                receiver = asyncio.ensure_future(attempt.receive())
+                continue
+            if time.monotonic() >= limit:
+                raise _late(started=False)
+            if not withdrawn and should_move():
+                attempt.withdraw()
+                withdrawn = True
+    finally:
+        receiver.cancel()
+
+
+def _late(started: bool) -> outcome.AttemptEndedError:
+    """Builds the end of an attempt that missed its deadline."""
+    ran = base.Ran.YES if started else base.Ran.UNKNOWN
+    error = request_error.DeadlineError(
+        'the answer was not complete by the deadline', ran=ran
+    )
+    return outcome.AttemptEndedError(outcome.Outcome(error))
+
+
+async def _send_body(attempt: peer_attempt.Attempt, work: spec.Work) -> None:
+    """Passes the rest of a call's body on, each piece as it comes."""
+    work.body_taken = True
+    async for data in work.body:
+        await attempt.send_body(data, False)
+    await attempt.send_body(b'', True)
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/ident.py
@@ -0,0 +1,46 @@
+"""Ids of requests and attempts, unique over restarts."""
+
+from __future__ import annotations
+
+import itertools
+import re
+import secrets
+import time
+
+__all__ = ['Idents', 'is_request_id', 'new_incarnation']
+
+RANDOM_BITS = 12
+REQUEST_ID = re.compile(r'req-[a-z0-9][a-z0-9._-]{0,99}')
+
+
+def new_incarnation() -> int:
+    """Returns a number that no earlier start of this node used.
+
+    The wall clock may have jumped back since the last start, so random
+    bits follow the milliseconds; the result stays below 2**53.
+    """
+    millis = time.time_ns() // 1_000_000
+    return (millis << RANDOM_BITS) | secrets.randbits(RANDOM_BITS)
+
+
+def is_request_id(text: str) -> bool:
+    """Whether `text` has the form of a request id."""
+    return REQUEST_ID.fullmatch(text) is not None
+
+
+class Idents:
+    """Source of ids of one router process."""
+
+    def __init__(self, node: str, incarnation: int) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._attempts = itertools.count(1)
+        self._requests = itertools.count(1)
+
+    def attempt(self) -> str:
+        """Returns a fresh attempt id, `NODE/INCARNATION/COUNTER`."""
+        return f'{self._node}/{self._incarnation}/{next(self._attempts)}'
+
+    def request(self) -> str:
+        """Returns a fresh request id, fit for a URL path."""
+        return f'req-{self._node}-{self._incarnation}-{next(self._requests)}'
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
@@ -0,0 +1,94 @@
+"""How an attempt ended, and whether another dispatch is permitted."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from quetzalsill.error import base, request
+
+__all__ = [
+    'AttemptEndedError',
+    'Outcome',
+    'is_final',
+    'may_dispatch_again',
+    'strongest',
+]
+
+FINAL_CODES = frozenset(
+    (
+        request.BadRequestError.code,
+        request.CancelledError.code,
+        request.ConflictError.code,
+        request.DeadlineError.code,
+        request.ForbiddenError.code,
+        request.LimitError.code,
+        request.SupersededError.code,
+        request.TooLargeError.code,
+        request.UnauthorizedError.code,
+    )
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """The unsuccessful end of an attempt.
+
+    Attributes:
+      error: What the caller is told if nothing else is tried.
+      gone: The generation is proved lost on its upstream.
+      moved: The attempt was withdrawn in favour of another upstream.
+    """
+
+    error: request.RequestError
+    gone: bool = False
+    moved: bool = False
+
+    @property
+    def ran(self) -> base.Ran:
+        """Whether the work of the attempt ran."""
+        return self.error.ran
+
+
+class AttemptEndedError(base.QuetzalsillError):
+    """An attempt ended without its whole answer."""
+
+    code = 'attempt_ended'
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.error.detail)
+        self.outcome = outcome
+
+
+def strongest(one: base.Ran, other: base.Ran) -> base.Ran:
+    """Returns what two attempts together say: yes, else unknown, else no."""
+    if base.Ran.YES in (one, other):
+        return base.Ran.YES
+    if base.Ran.UNKNOWN in (one, other):
+        return base.Ran.UNKNOWN
+    return base.Ran.NO
+
+
+def is_final(outcome: Outcome) -> bool:
+    """Whether no other upstream would answer differently."""
+    return outcome.error.code in FINAL_CODES
+
+
+def may_dispatch_again(
+    idempotent: bool, delivered: bool, outcome: Outcome
+) -> bool:
+    """Decides whether the same request may be dispatched a second time.
+
+    Doubled work shows as a second order at the same door or as tokens of
+    two generations in one answer. Work that is proved not run can't be
+    doubled. Any other may run again only if it is idempotent, and only
+    while the caller has nothing of the first run; the caller of this
+    function has cancelled and closed the first attempt by then.
+
+    Args:
+      idempotent: The profile or route permits a repeat.
+      delivered: Anything of the attempt was handed to the caller.
+      outcome: How the attempt ended.
+    """
+    if delivered:
+        return False
+    return outcome.ran is base.Ran.NO or idempotent
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/piece.py
@@ -0,0 +1,33 @@
+"""Pieces of an answer on their way from an attempt to the caller."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+__all__ = ['Head', 'Items', 'Piece']
+
+
+@dataclasses.dataclass(slots=True)
+class Head:
+    """Status and headers of a call's answer."""
+
+    status: int
+    headers: list[list[str]]
+
+
+@dataclasses.dataclass(slots=True)
+class Items:
+    """Consecutive items: JSON events of a generation or bytes of a call.
+
+    Attributes:
+      items: The items, in order.
+      release: Called once the items are written to the caller or held
+        whole; lets the sidecar send as many more.
+    """
+
+    items: list[bytes]
+    release: Callable[[], None]
+
+
+Piece = Head | Items
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the upstream for an attempt."""
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/routing/expected_wait.py
@@ -0,0 +1,123 @@
+"""Routing to the least expected wait of a few candidates."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from quetzalsill_router.routing import affinity as affinity_module
+from quetzalsill_router.routing import query as routing_query
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalsill.wire import message
+    from quetzalsill_router.peer import peer as peer_module
+
+__all__ = ['expected_wait']
+
+SAMPLE = 4
+OTHER_ZONE_MS = 5.0
+UNKNOWN_LOAD_MS = 50.0
+UNHEALTHY_MS = 60_000.0
+NOT_LOADED_MS = 30_000.0
+FULL_MEMORY_MS = 400.0
+MIN_STEP_MS = 5.0
+PREFILL_MS_PER_TOKEN = 0.2
+MAX_AFFINITY_MS = 500.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    """Own choices of a peer since its newest load report."""
+
+    load: message.Load | None
+    count: int = 0
+
+
+def expected_wait(rng: random.Random | None = None) -> routing_query.Policy:
+    """Makes the policy; its state is what this router itself sent.
+
+    Args:
+      rng: Source of the samples; a fresh one if None.
+    """
+    rng = rng or random.Random()
+    affinity = affinity_module.Affinity()
+    sent: dict[str, _Sent] = {}
+
+    def since_report(peer: peer_module.Peer) -> _Sent:
+        known = sent.get(peer.upstream)
+        if known is None or known.load is not peer.load:
+            known = sent[peer.upstream] = _Sent(peer.load)
+        return known
+
+    def cost_ms(query: routing_query.Query, peer: peer_module.Peer) -> float:
+        cost = _reported_ms(query, peer.load)
+        cost += since_report(peer).count * _step_ms(peer.load)
+        if peer.availability_zone != query.availability_zone:
+            cost += OTHER_ZONE_MS
+        saved = min(MAX_AFFINITY_MS, query.prompt_tokens * PREFILL_MS_PER_TOKEN)
+        return cost - saved * affinity.strength(query.prefix, peer.upstream)
+
+    def choose(
+        query: routing_query.Query, candidates: Sequence[peer_module.Peer]
+    ) -> peer_module.Peer | None:
+        if not candidates:
+            return None
+        few = _sample(rng, candidates, affinity.holders(query.prefix))
+        best = min(few, key=lambda peer: cost_ms(query, peer))
+        since_report(best).count += 1
+        affinity.note(query.prefix, best.upstream)
+        return best
+
+    return choose
+
+
+def _sample(
+    rng: random.Random,
+    candidates: Sequence[peer_module.Peer],
+    holders: Sequence[str],
+) -> list[peer_module.Peer]:
+    """Returns a few candidates at random, and those with the prefix.
+
+    Reports lag: were all routers to look at all peers, all would run to
+    the one that was idle a moment ago. Samples spread them.
+    """
+    if len(candidates) <= SAMPLE:
+        few = list(candidates)
+        rng.shuffle(few)
+        return few
+    few = rng.sample(candidates, SAMPLE)
+    few += [
+        peer
+        for peer in candidates
+        if peer.upstream in holders and peer not in few
+    ]
+    return few
+
+
+def _reported_ms(
+    query: routing_query.Query, load: message.Load | None
+) -> float:
+    """Returns the cost of a peer by its newest report, in milliseconds."""
+    if load is None:
+        return UNKNOWN_LOAD_MS
+    cost = float(load.expected_wait_ms)
+    if not load.healthy:
+        cost += UNHEALTHY_MS
+    if not query.is_call and query.target not in load.models:
+        cost += NOT_LOADED_MS
+    if load.capacity_tokens > 0:
+        used = load.used_tokens / load.capacity_tokens
+        cost += FULL_MEMORY_MS * used * used
+    return cost + load.running * max(0.0, load.token_ms) * 0.1
+
+
+def _step_ms(load: message.Load | None) -> float:
+    """Returns what one more attempt adds to a peer's expected wait."""
+    if load is None:
+        return UNKNOWN_LOAD_MS
+    return max(MIN_STEP_MS, load.token_ms) + load.expected_wait_ms / (
+        load.queued + 1
+    )
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/routing/query.py
@@ -0,0 +1,68 @@
+"""What a routing policy is asked, and what it knows of each peer."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from quetzalsill_router.peer import peer as peer_module
+
+    Policy = Callable[
+        ['Query', Sequence[peer_module.Peer]], peer_module.Peer | None
+    ]
+
+__all__ = ['Query', 'expected_wait_ms', 'is_better_elsewhere']
+
+MOVE_MIN_WAIT_MS = 500
+MOVE_RATIO = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class Query:
+    """One choice of an upstream.
+
+    Attributes:
+      target: Model or service name.
+      is_call: The target is a plain service.
+      availability_zone: Availability zone of this router.
+      prefix: Digest of the prompt prefix; empty for none.
+      prompt_tokens: Estimated tokens of the prompt.
+    """
+
+    target: str
+    is_call: bool
+    availability_zone: str
+    prefix: str = ''
+    prompt_tokens: int = 0
+
+
+def expected_wait_ms(peer: peer_module.Peer) -> float:
+    """Returns the wait that the sidecar reported; 0 before any report."""
+    return peer.load.expected_wait_ms if peer.load is not None else 0.0
+
+
+def is_better_elsewhere(
+    peer: peer_module.Peer, others: Sequence[peer_module.Peer]
+) -> bool:
+    """Whether an attempt queued at `peer` should move to an idle peer.
+
+    A move costs a withdrawal and a second queue, so the wait must be worth
+    it and the other must be idle by its own report.
+    """
+    wait_ms = expected_wait_ms(peer)
+    if wait_ms < MOVE_MIN_WAIT_MS and peer.linked and not peer.leaving:
+        return False
+    return any(
+        other is not peer and _is_idle(other, wait_ms) for other in others
+    )
+
+
+def _is_idle(peer: peer_module.Peer, wait_ms: float) -> bool:
+    """Whether `peer` reports no queue and a far shorter wait."""
+    load = peer.load
+    if load is None or not load.healthy or load.queued > 0:
+        return False
+    return load.expected_wait_ms <= wait_ms * MOVE_RATIO
