--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -0,0 +1,287 @@
+"""A whole cluster of processes on the loopback address.
+
+Two platform stand-ins (store, host list), an engine or service stand-in with
+its sidecar per upstream, and routers. Each process can be killed, paused and
+started again at the address that it had.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import httpx2
+
+from quetzalsill.config import document, model
+from quetzalsill.config import store as config_store
+from quetzalsill.platform import clients
+from quetzalsill_dev import board, caller, launch, layout, process_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Via = Callable[[str, str], Awaitable[str]]
+
+__all__ = ['Cluster', 'NotReadyError']
+
+READY_BOUND_S = 30.0
+READY_POLL_S = 0.05
+PLATFORM_TIMEOUT_S = 2.0
+
+
+class NotReadyError(Exception):
+    """The cluster did not get ready in time."""
+
+
+async def _direct(hop: str, address: str) -> str:
+    return address
+
+
+class Cluster:
+    """Processes by name.
+
+    Attributes:
+      store: Stand-in of table and object store.
+      hosts: Stand-in of the host list.
+      upstreams: Engine and service stand-ins by upstream name.
+      sidecars: Sidecars by upstream name.
+      routers: Routers by name.
+      configuration: What `publish` made of it last.
+      revision: Revision published last.
+      changes: Changes to the settings of every process started from now on,
+        by section and key.
+    """
+
+    store: launch.Process
+    hosts: launch.Process
+
+    def __init__(
+        self,
+        launcher: launch.Launcher,
+        spec: layout.Layout,
+        configuration: model.Configuration | None = None,
+        via: Via = _direct,
+    ) -> None:
+        """Prepares a cluster; `start` starts it.
+
+        Args:
+          launcher: Starts and ends the processes.
+          spec: Which processes.
+          configuration: First configuration without upstreams; the Board's
+            if there is none.
+          via: Called with a hop (`store`, `hosts`, `upstream:NAME` or
+            `sidecar:NAME`) and its address; gives the address that the
+            other processes are told, such as that of a relay.
+        """
+        self.upstreams: dict[str, launch.Process] = {}
+        self.sidecars: dict[str, launch.Process] = {}
+        self.routers: dict[str, launch.Process] = {}
+        self.configuration = configuration or board.configuration()
+        self.revision = 0
+        self.changes: dict[str, Any] = {}
+        self._launcher = launcher
+        self._spec = spec
+        self._via = via
+        self._told: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Starts everything and waits until the routers are ready."""
+        self.store, self.hosts = await asyncio.gather(
+            self._start_platform('store'), self._start_platform('hosts')
+        )
+        names = [spec.name for spec in self._upstream_specs()]
+        await asyncio.gather(*map(self.start_upstream, names))
+        await asyncio.gather(*map(self.start_sidecar, names))
+        for spec in self._upstream_specs():
+            self.configuration.upstreams[spec.name] = self._upstream(spec)
+        await self.publish()
+        routers = [spec.name for spec in self._spec.routers]
+        await asyncio.gather(*map(self.start_router, routers))
+        await self.set_hosts()
+        await self.wait_ready()
+
+    async def start_upstream(self, name: str) -> launch.Process:
+        """Starts an engine or service, where it was before if it was."""
+        spec = self._upstream_spec(name)
+        port = _port_of(self.upstreams.get(name))
+        if isinstance(spec, layout.EngineSpec):
+            started = await self._start_engine(spec, port)
+        else:
+            started = await self._launcher.start(
+                name, 'quetzalsill_dev.service_standin', f'--port={port}'
+            )
+        self.upstreams[name] = started
+        await self._tell(f'upstream:{name}', started)
+        return started
+
+    async def start_sidecar(self, name: str) -> launch.Process:
+        """Starts the sidecar of an upstream, where it was before."""
+        spec = self._upstream_spec(name)
+        settings = process_settings.sidecar(
+            name,
+            spec.availability_zone,
+            _port_of(self.sidecars.get(name)),
+            self._platform(),
+            f'http://{self._told[f"upstream:{name}"]}',
+        )
+        started = await self._start_role('sidecar', f'sidecar-{name}', settings)
+        self.sidecars[name] = started
+        await self._tell(f'sidecar:{name}', started)
+        return started
+
+    async def start_router(self, name: str) -> launch.Process:
+        """Starts a router, where it was before."""
+        (spec,) = (s for s in self._spec.routers if s.name == name)
+        settings = process_settings.router(
+            name,
+            spec.availability_zone,
+            _port_of(self.routers.get(name)),
+            self._platform(),
+        )
+        self.routers[name] = await self._start_role('router', name, settings)
+        return self.routers[name]
+
+    async def publish(self, note: str = 'by the launcher') -> int:
+        """Stores `configuration` as the next revision."""
+        data = document.render(self.configuration)
+        url = self.store.url
+        async with clients.open_clients(
+            url, url, url, PLATFORM_TIMEOUT_S
+        ) as platform:
+            store = config_store.ConfigStore(platform.table)
+            self.revision = await store.publish(
+                data, self.revision, uuid.uuid4().hex, 'launcher', note
+            )
+        return self.revision
+
+    async def set_hosts(
+        self, leaving: tuple[str, ...] = (), gone: tuple[str, ...] = ()
+    ) -> None:
+        """Sets the host list; the stand-in publishes it with its lag."""
+        told = [
+            _host(spec, 'upstream', self._told[f'sidecar:{spec.name}'])
+            for spec in self._upstream_specs()
+        ]
+        told += [
+            _host(spec, 'entry', self.routers[spec.name].address)
+            for spec in self._spec.routers
+        ]
+        listed = [host for host in told if host['name'] not in gone]
+        for host in listed:
+            host['state'] = 'leaving' if host['name'] in leaving else 'live'
+        await self.switch(self.hosts, hosts=listed)
+
+    async def switch(self, process: launch.Process, **switches: Any) -> None:
+        """Sets switches of a stand-in."""
+        async with caller.open_client(process.url) as client:
+            response = await client.post('/stand-in', json=switches)
+            response.raise_for_status()
+
+    async def audit(self, name: str) -> dict[str, Any]:
+        """Audit of an upstream's stand-in."""
+        async with caller.open_client(self.upstreams[name].url) as client:
+            response = await client.get('/stand-in/audit')
+            return response.raise_for_status().json()
+
+    async def wait_ready(self) -> None:
+        """Waits until every router that runs says that it is ready.
+
+        Raises:
+          NotReadyError: Not within the bound.
+        """
+        for process in self.routers.values():
+            if process.running:
+                await _wait_ready(process)
+
+    async def _start_platform(self, part: str) -> launch.Process:
+        started = await self._launcher.start(
+            f'platform-{part}',
+            'quetzalsill_dev.platform_standin',
+            f'--part={part}',
+        )
+        await self._tell(part, started)
+        return started
+
+    async def _start_engine(
+        self, spec: layout.EngineSpec, port: int
+    ) -> launch.Process:
+        options = [
+            f'--port={port}',
+            f'--models={",".join(spec.models)}',
+            f'--capacity-tokens={spec.capacity_tokens}',
+            f'--max-batch={spec.max_batch}',
+            f'--token-s={spec.token_s}',
+        ]
+        if spec.checks_fence:
+            options.append('--checks-fence')
+        return await self._launcher.start(
+            spec.name, 'quetzalsill_dev.engine_standin', *options
+        )
+
+    async def _start_role(
+        self, role: str, name: str, settings: dict[str, Any]
+    ) -> launch.Process:
+        path = self._launcher.folder / f'{name}.json'
+        merged = process_settings.merge(settings, self.changes)
+        process_settings.write(path, merged)
+        return await self._launcher.start(
+            name, 'quetzalsill.run', role, f'--settings={path}'
+        )
+
+    async def _tell(self, hop: str, process: launch.Process) -> None:
+        self._told[hop] = await self._via(hop, process.address)
+
+    def _platform(self) -> dict[str, str]:
+        store = f'http://{self._told["store"]}'
+        hosts = f'http://{self._told["hosts"]}'
+        return {'table': store, 'objects': store, 'hosts': hosts}
+
+    def _upstream_specs(self) -> list[layout.EngineSpec | layout.ServiceSpec]:
+        return [*self._spec.engines, *self._spec.services]
+
+    def _upstream_spec(
+        self, name: str
+    ) -> layout.EngineSpec | layout.ServiceSpec:
+        (spec,) = (s for s in self._upstream_specs() if s.name == name)
+        return spec
+
+    def _upstream(
+        self, spec: layout.EngineSpec | layout.ServiceSpec
+    ) -> model.Upstream:
+        address = self._told[f'sidecar:{spec.name}']
+        zone = spec.availability_zone
+        if isinstance(spec, layout.ServiceSpec):
+            return model.Upstream('app', address, zone, services=spec.services)
+        return model.Upstream(
+            'model',
+            address,
+            zone,
+            models=spec.models,
+            checks_fence=spec.checks_fence,
+        )
+
+
+def _port_of(process: launch.Process | None) -> int:
+    return process.port if process else 0
+
+
+def _host(spec: Any, kind: str, address: str) -> dict[str, str]:
+    return {
+        'name': spec.name,
+        'kind': kind,
+        'address': address,
+        'availability_zone': spec.availability_zone,
+    }
+
+
+async def _wait_ready(process: launch.Process) -> None:
+    deadline = time.monotonic() + READY_BOUND_S
+    async with caller.open_client(process.url) as client:
+        while time.monotonic() < deadline:
+            response = await client.get('/readyz')
+            if response.status_code == httpx2.codes.OK:
+                return
+            await asyncio.sleep(READY_POLL_S)
+    raise NotReadyError(process.name)
