--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quetzalsill quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo clean
+.PHONY: install test lint format demo bench-path clean
 
 install: $(STAMP)
 
@@ -29,5 +29,8 @@
 demo: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.demo
 
+bench-path: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.bench.path
+
 clean:
 	rm -rf $(VENV) bench-results run-demo
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/caller.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/caller.py
@@ -9,14 +9,11 @@
 import dataclasses
 import json
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import httpx2
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-__all__ = ['Answer', 'open_client', 'stream_generation']
+__all__ = ['Answer', 'generate', 'open_client']
 
 TIMEOUT_S = 120.0
 DATA = 'data: '
@@ -97,14 +94,24 @@
     )
 
 
-async def stream_generation(
+async def generate(
     client: httpx2.AsyncClient,
     body: dict[str, Any],
     headers: dict[str, str] | None = None,
     path: str = '/v1/completions',
-) -> AsyncIterator[Answer]:
-    """Asks for a generation; yields the answer as it grows, then whole."""
-    answer = Answer(asked=time.monotonic())
+    answer: Answer | None = None,
+) -> Answer:
+    """Asks for a generation and reads its event stream to the end.
+
+    Args:
+      client: Client of a router or engine.
+      body: JSON body; it is asked for as a stream.
+      headers: Further headers.
+      path: Path of the completions API.
+      answer: Filled as the answer comes, for who watches it meanwhile.
+    """
+    answer = answer or Answer()
+    answer.asked = time.monotonic()
     plain = body | {'stream': True}
     async with client.stream(
         'POST', path, json=plain, headers=headers
@@ -115,26 +122,23 @@
             answer.error = json.loads(await response.aread())
         else:
             async for line in response.aiter_lines():
-                if _take_line(answer, line):
-                    yield answer
+                _take_line(answer, line)
     answer.ended = time.monotonic()
-    yield answer
+    return answer
 
 
-def _take_line(answer: Answer, line: str) -> bool:
-    """Takes one line of an event stream; True if it brought a token."""
+def _take_line(answer: Answer, line: str) -> None:
+    """Takes one line of an event stream."""
     data = line.removeprefix(DATA)
     if data in (line, DONE):
-        return False
+        return
     event = json.loads(data)
     if 'error' in event:
         answer.error = event
-        return False
+        return
     for choice in event.get('choices', ()):
         answer.finish_reason = choice.get('finish_reason') or ''
         text = choice.get('text') or choice.get('delta', {}).get('content')
         if text:
             answer.texts.append(text)
             answer.arrivals.append(time.monotonic())
-            return True
-    return False
--- /dev/null
+++ b/tests/quetzalsill_dev/test_launch.py
@@ -0,0 +1,79 @@
+"""Tests of the launcher, with the stand-ins as its processes."""
+
+from __future__ import annotations
+
+import signal
+import unittest
+
+import httpx2
+
+from quetzalsill_dev import caller, launch
+
+
+class LaunchTest(unittest.IsolatedAsyncioTestCase):
+    """Processes of one launcher."""
+
+    async def asyncSetUp(self):
+        self.launcher = launch.Launcher()
+        self.addAsyncCleanup(self.launcher.close)
+
+    def service(self):
+        return self.launcher.start('app', 'quetzalsill_dev.service_standin')
+
+    async def test_paused_process_goes_on_and_ends_when_killed(self):
+        process = await self.service()
+        process.stop()
+        async with caller.open_client(process.url) as client:
+            with self.assertRaises(httpx2.ReadTimeout):
+                await client.get('/', timeout=0.5)
+            process.cont()
+            self.assertEqual((await client.get('/')).status_code, 200)
+        process.kill()
+        self.assertEqual(await process.wait(), -signal.SIGKILL)
+        self.assertFalse(process.running)
+
+    async def test_closing_ends_also_what_is_paused(self):
+        process = await self.service()
+        process.stop()
+        await self.launcher.close()
+        self.assertFalse(process.running)
+
+    async def test_process_that_fails_is_told_with_its_output(self):
+        with self.assertRaisesRegex(launch.StartFailedError, 'No such option'):
+            await self.launcher.start(
+                'app', 'quetzalsill_dev.service_standin', '--nonsense'
+            )
+
+    async def test_order_is_counted_though_its_connection_is_closed(self):
+        """An order is taken, and the service dies before it answers.
+
+        The caller sees its kept-alive connection close; the order counts
+        once, and a client that sent it again would raise the count.
+        """
+        process = await self.service()
+        async with caller.open_client(process.url) as client:
+            await client.get('/')
+            await client.post('/stand-in', json={'close_orders': 1})
+            with self.assertRaises(httpx2.RemoteProtocolError):
+                await client.post('/orders', json={'id': 'o1'})
+            audit = (await client.get('/stand-in/audit')).json()
+        self.assertEqual(audit['orders'], {'o1': 1})
+
+    async def test_caller_sees_a_whole_generation_of_an_engine(self):
+        engine = await self.launcher.start(
+            'engine',
+            'quetzalsill_dev.engine_standin',
+            '--models=m',
+            '--token-s=0.001',
+        )
+        body = {'model': 'm', 'prompt': '[[tokens=20]]'}
+        async with caller.open_client(engine.url) as client:
+            answer = await caller.generate(client, body)
+        self.assertEqual(len(answer.texts), 20)
+        self.assertTrue(answer.is_whole)
+        answer.texts[3] = 'g1.3 '
+        self.assertFalse(answer.is_whole)
+
+
+if __name__ == '__main__':
+    unittest.main()
