--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/__init__.py
@@ -0,0 +1,1 @@
+"""State of attempts, from Dispatch to acknowledged terminal."""
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/state.py
@@ -0,0 +1,140 @@
+"""One attempt: what was asked, how far it is, and who listens."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill_sidecar.attempt import body as body_lib
+    from quetzalsill_sidecar.attempt import tail as tail_lib
+
+__all__ = ['Attempt', 'Stage']
+
+
+class Stage(enum.Enum):
+    """How far an attempt is."""
+
+    JUDGED = 'judged'
+    QUEUED = 'queued'
+    CONNECTING = 'connecting'
+    STARTED = 'started'
+    OVER = 'over'
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """State of an attempt that this incarnation knows.
+
+    Attributes:
+      dispatch: What the router asked.
+      arrived: When it came (monotonic seconds).
+      deadline: When its answer must be whole (monotonic seconds).
+      queue_deadline: Until when it may wait in the queue.
+      tail: Its answer so far.
+      body: Further pieces of a call's request body.
+      orphan_s: How long it runs on without a link.
+      stage: How far it is.
+      started: When it was handed to the upstream; 0 if it was not.
+      link: Identity of the link of its router; None while there is none.
+      put: Sends to that link.
+      detached: When the link was lost.
+      head: Status and headers of a call's answer, once they came.
+      terminal: How it ended.
+      ended: When it ended.
+      task: Runs it on the upstream.
+      stopping: Code of the failure for which `task` is being cancelled.
+    """
+
+    dispatch: message.Dispatch
+    arrived: float
+    deadline: float
+    queue_deadline: float
+    tail: tail_lib.Tail
+    body: body_lib.RequestBody
+    orphan_s: float
+    stage: Stage = Stage.JUDGED
+    started: float = 0.0
+    link: object = None
+    put: Callable[[message.Message], None] | None = None
+    detached: float = 0.0
+    head: message.Head | None = None
+    terminal: message.Message | None = None
+    ended: float = 0.0
+    task: asyncio.Task[None] | None = None
+    stopping: str = ''
+    _flush_due: bool = False
+    _terminal_sent: bool = False
+
+    @property
+    def id(self) -> str:
+        """Id of the attempt."""
+        return self.dispatch.attempt
+
+    def attach(
+        self, link: object, put: Callable[[message.Message], None]
+    ) -> None:
+        """Sends to `link` from now on, beginning with what it must know."""
+        self.link = link
+        self.put = put
+        self._terminal_sent = False
+        if self.started:
+            put(self._started_message())
+        if self.head is not None:
+            put(self.head)
+        self.flush()
+
+    def detach(self, now: float) -> None:
+        """Notes that the link is lost."""
+        self.link = None
+        self.put = None
+        self.detached = now
+
+    def start(self, now: float) -> None:
+        """Notes that the request is about to be written to the upstream.
+
+        From here on it counts as run, whatever becomes of the write.
+        """
+        self.stage = Stage.STARTED
+        self.started = now
+        if self.put is not None:
+            self.put(self._started_message())
+
+    def set_head(self, head: message.Head) -> None:
+        """Takes and sends the head of a call's answer."""
+        self.head = head
+        if self.put is not None:
+            self.put(head)
+
+    def deliver(self, items: list[bytes]) -> None:
+        """Takes items of the answer; those of one loop tick share a chunk."""
+        self.tail.append(items)
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Sends what credit allows, and the terminal behind the last item.
+
+        A failure does not wait for credit: a slow reader learns at once that
+        the answer will not be whole.
+        """
+        self._flush_due = False
+        if self.put is None or self._terminal_sent:
+            return
+        failed = isinstance(self.terminal, message.Failed)
+        if not failed:
+            self.tail.send(self.put)
+        if self.terminal is not None and (failed or self.tail.all_sent):
+            self._terminal_sent = True
+            self.put(self.terminal)
+
+    def _started_message(self) -> message.Started:
+        waited_ms = round((self.started - self.arrived) * 1000)
+        return message.Started(self.id, waited_ms)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
@@ -0,0 +1,121 @@
+"""All attempts that this incarnation knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log, metric
+from quetzalsill.wire import message
+from quetzalsill_sidecar.attempt import fence, state, tombstone
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+__all__ = ['Attempts']
+
+MARGIN_S = 60.0
+MAX_FENCES = 65536
+OUTCOMES = {
+    message.Refused: 'refused',
+    message.Withdrawn: 'withdrawn',
+    message.Finished: 'finished',
+    message.Failed: 'failed',
+}
+
+logger = log.get(__name__)
+ended_total = metric.counter(
+    'quetzalsill_sidecar_attempts_total', 'Attempts ended, by outcome.'
+)
+
+
+class Attempts:
+    """Live attempts, and tombstones of those that are over.
+
+    Attributes:
+      stones: What is remembered of attempts that are over.
+      fences: Highest ownership epoch of each durable request.
+    """
+
+    def __init__(self, max_stones: int, clock: Callable[[], float]) -> None:
+        """Makes an empty table that remembers at most `max_stones` ended."""
+        self.stones = tombstone.Tombstones(max_stones, clock)
+        self.fences = fence.Fences(MAX_FENCES)
+        self._clock = clock
+        self._live: dict[str, state.Attempt] = {}
+
+    def __iter__(self) -> Iterator[state.Attempt]:
+        return iter(list(self._live.values()))
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def add(self, attempt: state.Attempt) -> None:
+        """Takes a new attempt."""
+        self._live[attempt.id] = attempt
+
+    def get(self, attempt: str) -> state.Attempt | None:
+        """Returns a live attempt, or one whose terminal waits for its Ack."""
+        return self._live.get(attempt)
+
+    def of_link(self, link: object) -> list[state.Attempt]:
+        """Returns the attempts attached to a link."""
+        return [a for a in self._live.values() if a.link is link]
+
+    def refuse(
+        self,
+        attempt: state.Attempt,
+        code: str,
+        detail: str,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Ends an attempt that has not started as not run."""
+        self.end(
+            attempt, message.Refused(attempt.id, code, detail, retry_after_ms)
+        )
+
+    def end(self, attempt: state.Attempt, terminal: message.Message) -> None:
+        """Ends an attempt once; a later terminal is ignored.
+
+        Proofs that it did not run are remembered by a tombstone alone. An
+        answer is kept until its Ack, so that a new link can take it up.
+        """
+        if attempt.terminal is not None:
+            return
+        attempt.stage = state.Stage.OVER
+        attempt.terminal = terminal
+        attempt.ended = self._clock()
+        _log_end(attempt, terminal)
+        attempt.flush()
+        if isinstance(terminal, message.Refused | message.Withdrawn):
+            self.forget(attempt)
+
+    def forget(self, attempt: state.Attempt) -> None:
+        """Drops an ended attempt and leaves a tombstone."""
+        self._live.pop(attempt.id, None)
+        keep_s = max(0.0, attempt.deadline - self._clock()) + MARGIN_S
+        self.stones.lay(attempt.id, _epitaph(attempt), keep_s)
+
+
+def _epitaph(attempt: state.Attempt) -> message.Message:
+    """What a router is told that asks after the answer was dropped."""
+    if not isinstance(attempt.terminal, message.Finished):
+        return attempt.terminal
+    return message.Failed(
+        attempt.id, 'outcome_unknown', 'answer no longer kept', 'yes', False
+    )
+
+
+def _log_end(attempt: state.Attempt, terminal: message.Message) -> None:
+    outcome = OUTCOMES[type(terminal)]
+    code = getattr(terminal, 'code', '')
+    ended_total.inc({'outcome': outcome, 'code': code})
+    logger.info(
+        f'attempt_{outcome}',
+        attempt=attempt.id,
+        request=attempt.dispatch.request,
+        account=attempt.dispatch.account,
+        profile=attempt.dispatch.profile,
+        items=attempt.tail.end,
+        code=code,
+        detail=getattr(terminal, 'detail', ''),
+    )
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tail.py
@@ -0,0 +1,131 @@
+"""The unacknowledged end of an answer, sent as credit allows."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ['Tail']
+
+CHUNK_BYTES = 262_144
+
+
+class Tail:
+    """Items of one answer that the router has not acknowledged.
+
+    Items are numbered from 0. Those below `start` were acknowledged and
+    dropped; those from `start` on can be sent again to a new link. Items
+    below `limit` are covered by credit.
+
+    Attributes:
+      start: Number of the first item kept.
+      sent: Number of the next item to send.
+      limit: First item not covered by credit.
+      end: Number of items received in all.
+    """
+
+    def __init__(
+        self,
+        attempt: str,
+        credit: int,
+        max_bytes: int,
+        *,
+        keep_all: bool = False,
+    ) -> None:
+        """Makes an empty tail.
+
+        Args:
+          attempt: Id of the attempt, for the chunks.
+          credit: Items that may be sent at first.
+          max_bytes: Bytes kept beyond which `room` waits.
+          keep_all: Keep acknowledged items too, so that another router can
+            take up the answer from its first item.
+        """
+        self.start = 0
+        self.sent = 0
+        self.limit = credit
+        self._attempt = attempt
+        self._max_bytes = max_bytes
+        self._keep_all = keep_all
+        self._items: list[bytes] = []
+        self._bytes = 0
+        self._acknowledged = 0
+        self._has_room = asyncio.Event()
+        self._has_room.set()
+
+    @property
+    def end(self) -> int:
+        """Number of items received in all."""
+        return self.start + len(self._items)
+
+    @property
+    def all_sent(self) -> bool:
+        """Every item was sent to the present link."""
+        return self.sent >= self.end
+
+    def append(self, items: list[bytes]) -> None:
+        """Takes further items of the answer."""
+        self._items += items
+        self._bytes += sum(map(len, items))
+        self._note_room()
+
+    async def room(self) -> None:
+        """Waits until less than `max_bytes` are kept."""
+        await self._has_room.wait()
+
+    def grant(self, seq: int, items: int) -> None:
+        """Permits `items` more and acknowledges all below `seq`."""
+        self.limit += items
+        self._drop_below(seq)
+
+    def rewind(self, seq: int, credit: int) -> bool:
+        """Goes back to item `seq` for a new link.
+
+        Returns:
+          False if items from `seq` on were dropped or never came.
+        """
+        if not self.start <= seq <= self.end:
+            return False
+        self._drop_below(seq)
+        self.sent = seq
+        self.limit = seq + credit
+        return True
+
+    def send(self, put: Callable[[message.Message], None]) -> None:
+        """Sends what credit allows as chunks of bounded size."""
+        stop = min(self.end, self.limit)
+        while self.sent < stop:
+            items = self._cut(self.sent - self.start, stop - self.start)
+            put(message.Chunk(self._attempt, self.sent, items))
+            self.sent += len(items)
+
+    def _cut(self, first: int, stop: int) -> list[bytes]:
+        size = 0
+        last = first
+        while last < stop and (size < CHUNK_BYTES or last == first):
+            size += len(self._items[last])
+            last += 1
+        return self._items[first:last]
+
+    def _drop_below(self, seq: int) -> None:
+        self._acknowledged = max(self._acknowledged, min(seq, self.sent))
+        if self._keep_all:
+            return
+        count = self._acknowledged - self.start
+        if count <= 0:
+            return
+        self._bytes -= sum(map(len, self._items[:count]))
+        del self._items[:count]
+        self.start += count
+        self._note_room()
+
+    def _note_room(self) -> None:
+        if self._bytes < self._max_bytes:
+            self._has_room.set()
+        else:
+            self._has_room.clear()
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
@@ -0,0 +1,61 @@
+"""Failures of the sidecar's own exchanges with its upstream."""
+
+from __future__ import annotations
+
+from quetzalsill.error import base
+
+__all__ = [
+    'AnswerLostError',
+    'AnswerRejectedError',
+    'GenerationGoneError',
+    'GenerationUnreachableError',
+    'RequestMalformedError',
+    'UpstreamConnectError',
+]
+
+
+class UpstreamConnectError(base.QuetzalsillError):
+    """No connection to the upstream could be opened; nothing was written."""
+
+    code = 'upstream_connect'
+
+
+class AnswerLostError(base.QuetzalsillError):
+    """The connection ended, fell silent or broke the protocol mid-exchange."""
+
+    code = 'answer_lost'
+
+
+class AnswerRejectedError(base.QuetzalsillError):
+    """The upstream answered with a status that is no success.
+
+    Attributes:
+      status: HTTP status of the answer.
+      body: First bytes of its body.
+    """
+
+    code = 'answer_rejected'
+
+    def __init__(self, status: int, body: bytes) -> None:
+        text = body[:200].decode('utf-8', 'replace')
+        super().__init__(f'upstream answered {status}: {text}')
+        self.status = status
+        self.body = body
+
+
+class GenerationGoneError(base.QuetzalsillError):
+    """The engine proved that it no longer has the generation."""
+
+    code = 'generation_gone'
+
+
+class GenerationUnreachableError(base.QuetzalsillError):
+    """The engine stayed out of reach beyond the bound; work may go on."""
+
+    code = 'generation_unreachable'
+
+
+class RequestMalformedError(base.QuetzalsillError):
+    """The request can't be written as HTTP, or its body breaks its length."""
+
+    code = 'request_malformed'
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -0,0 +1,259 @@
+"""Takes Dispatches in: knows them, judges them and queues them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.config import model
+from quetzalsill.telemetry import log
+from quetzalsill.wire import message
+from quetzalsill_sidecar.attempt import body, judge, state, tail
+from quetzalsill_sidecar.queue import policy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill.config import holder
+    from quetzalsill_sidecar import leave, runner
+    from quetzalsill_sidecar import settings as settings_lib
+    from quetzalsill_sidecar.attempt import table
+    from quetzalsill_sidecar.queue import schedule
+
+    Put = Callable[[message.Message], None]
+
+__all__ = ['Intake']
+
+NEVER_SEEN_KEEP_S = 3600.0
+GENERATION_KINDS = ('completion', 'chat')
+CALL_KINDS = ('call',)
+
+logger = log.get(__name__)
+
+
+class Intake:
+    """Way of an attempt from its Dispatch to the queue and out again."""
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        incarnation: int,
+        configuration: holder.Holder,
+        attempts: table.Attempts,
+        queue: schedule.Schedule,
+        runs: runner.Runner,
+        leaving: leave.Leave,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._configuration = configuration
+        self._attempts = attempts
+        self._queue = queue
+        self._runs = runs
+        self._leaving = leaving
+        self._on_change = on_change
+        self._waits: set[asyncio.Task[None]] = set()
+
+    def dispatch(
+        self, dispatch: message.Dispatch, link: object, put: Put
+    ) -> None:
+        """Takes a Dispatch; one of a known attempt only re-attaches it."""
+        if self._answer_known(dispatch, link, put):
+            return
+        attempt = self._new_attempt(dispatch)
+        self._attempts.add(attempt)
+        attempt.attach(link, put)
+        if dispatch.revision > self._configuration.revision:
+            task = asyncio.create_task(self._judge_later(attempt))
+            self._waits.add(task)
+            task.add_done_callback(self._waits.discard)
+        else:
+            self._judge(attempt)
+
+    def withdraw(self, attempt_id: str, put: Put) -> None:
+        """Takes back an attempt that has not started.
+
+        An attempt never seen leaves a tombstone: its Dispatch may be on the
+        way over another link, and would run after it was given up.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None:
+            self._withdraw_known(attempt, put)
+            return
+        stone = self._attempts.stones.find(attempt_id)
+        if stone is None:
+            stone = message.Withdrawn(attempt_id)
+            self._attempts.stones.lay(attempt_id, stone, NEVER_SEEN_KEEP_S)
+        put(stone)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Ends an attempt that is no longer wanted."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None:
+            self.stop(attempt, 'cancelled')
+
+    def stop(
+        self, attempt: state.Attempt, code: str, retry_after_ms: int = 0
+    ) -> None:
+        """Ends an attempt at whatever stage it is."""
+        if attempt.stage in (state.Stage.JUDGED, state.Stage.QUEUED):
+            self._queue.remove(attempt.id)
+            self._attempts.refuse(attempt, code, code, retry_after_ms)
+            self._on_change()
+        elif attempt.stage is not state.Stage.OVER:
+            self._runs.stop_attempt(attempt, code)
+
+    def resume(self, msg: message.Resume, link: object, put: Put) -> None:
+        """Takes an attempt up on a new link, from the item asked for."""
+        attempt = self._attempts.get(msg.attempt)
+        if attempt is None:
+            put(self._answer_lost(msg.attempt))
+        elif attempt.tail.rewind(msg.seq, msg.credit):
+            attempt.attach(link, put)
+        else:
+            put(_not_kept(attempt))
+
+    def pump(self) -> None:
+        """Starts what the admission policy lets start."""
+        for attempt_id in self._queue.start_admitted():
+            attempt = self._attempts.get(attempt_id)
+            self._runs.start(attempt, self._demand(attempt))
+
+    def _answer_known(
+        self, dispatch: message.Dispatch, link: object, put: Put
+    ) -> bool:
+        attempt = self._attempts.get(dispatch.attempt)
+        if attempt is None:
+            stone = self._attempts.stones.find(dispatch.attempt)
+            if stone is not None:
+                put(stone)
+            return stone is not None
+        fences = self._attempts.fences
+        if not fences.admit(dispatch.request, dispatch.fence):
+            # Not Refused: the attempt may have run for its new owner.
+            put(
+                message.Failed(
+                    attempt.id, 'superseded', 'fence is old', 'unknown', False
+                )
+            )
+        elif attempt.tail.rewind(attempt.tail.start, dispatch.credit):
+            attempt.attach(link, put)
+        return True
+
+    def _answer_lost(self, attempt_id: str) -> message.Message:
+        stone = self._attempts.stones.find(attempt_id)
+        if stone is None:
+            stone = message.Refused(attempt_id, 'not_found', 'never seen', 0)
+            self._attempts.stones.lay(attempt_id, stone, NEVER_SEEN_KEEP_S)
+        return stone
+
+    def _withdraw_known(self, attempt: state.Attempt, put: Put) -> None:
+        if attempt.started or attempt.stage is state.Stage.OVER:
+            put(message.Running(attempt.id))
+            return
+        self._queue.remove(attempt.id)
+        if attempt.stage is state.Stage.CONNECTING:
+            self._runs.stop_attempt(attempt, 'withdrawn')
+        attempt.put = put
+        self._attempts.end(attempt, message.Withdrawn(attempt.id))
+        self._on_change()
+
+    async def _judge_later(self, attempt: state.Attempt) -> None:
+        revision = attempt.dispatch.revision
+        try:
+            async with asyncio.timeout(self._settings.timing.config_s):
+                await self._configuration.wait_for(revision)
+        except TimeoutError:
+            logger.warning('configuration_not_had', revision=revision)
+        self._judge(attempt)
+
+    def _judge(self, attempt: state.Attempt) -> None:
+        if attempt.stage is not state.Stage.JUDGED:
+            return
+        dispatch = attempt.dispatch
+        if dispatch.revision > self._configuration.revision:
+            detail = f'revision {dispatch.revision} could not be had'
+            self._attempts.refuse(attempt, 'stale_revision', detail)
+            return
+        demand = self._demand(attempt)
+        verdict = judge.judge(dispatch, self._circumstances(demand))
+        if verdict is not None:
+            self._attempts.refuse(
+                attempt, verdict.code, verdict.detail, verdict.retry_after_ms
+            )
+        elif dispatch.recover:
+            self._queue.occupy(demand)
+            self._runs.start(attempt, demand)
+        else:
+            attempt.stage = state.Stage.QUEUED
+            self._queue.push(demand)
+        self._on_change()
+
+    def _circumstances(self, demand: policy.Demand) -> judge.Circumstances:
+        is_model = self._settings.upstream.kind == 'model'
+        wait_s = self._queue.expected_wait_s(demand.rank(demand.arrived))
+        return judge.Circumstances(
+            incarnation=self._incarnation,
+            revision=self._configuration.revision,
+            leaving=self._leaving.refusal(),
+            kinds=GENERATION_KINDS if is_model else CALL_KINDS,
+            fences=self._attempts.fences,
+            queued=self._queue.queued,
+            max_queued=self._settings.bounds.queue,
+            expected_wait_ms=round(wait_s * 1000),
+        )
+
+    def _new_attempt(self, dispatch: message.Dispatch) -> state.Attempt:
+        now = asyncio.get_running_loop().time()
+        bounds, timing = self._settings.bounds, self._settings.timing
+        durable = self._profile(dispatch).durable
+        is_call = dispatch.kind == 'call'
+        return state.Attempt(
+            dispatch=dispatch,
+            arrived=now,
+            deadline=now + dispatch.remaining_ms / 1000,
+            queue_deadline=now + dispatch.queue_ms / 1000,
+            tail=tail.Tail(
+                dispatch.attempt,
+                dispatch.credit,
+                bounds.call_bytes if is_call else bounds.tail_bytes,
+                keep_all=durable and not is_call,
+            ),
+            body=body.RequestBody(
+                dispatch.payload,
+                is_open=dispatch.body_open,
+                max_bytes=bounds.call_bytes,
+            ),
+            orphan_s=timing.durable_orphan_s if durable else timing.orphan_s,
+        )
+
+    def _demand(self, attempt: state.Attempt) -> policy.Demand:
+        dispatch = attempt.dispatch
+        cfg = self._configuration.current
+        profile = self._profile(dispatch)
+        account = cfg.accounts.get(dispatch.account)
+        return policy.Demand(
+            attempt=attempt.id,
+            account=dispatch.account,
+            profile=dispatch.profile,
+            model=dispatch.model,
+            arrived=attempt.arrived,
+            weight=account.weight if account else 1.0,
+            priority=profile.priority,
+            ageing_s=profile.ageing_s,
+            uses_headroom=profile.uses_headroom,
+            quantile=profile.memory_quantile,
+            prompt_tokens=dispatch.prompt_tokens,
+            max_tokens=dispatch.max_tokens,
+        )
+
+    def _profile(self, dispatch: message.Dispatch) -> model.Profile:
+        profiles = self._configuration.current.profiles
+        return profiles.get(dispatch.profile) or model.Profile()
+
+
+def _not_kept(attempt: state.Attempt) -> message.Message:
+    return message.Failed(
+        attempt.id, 'outcome_unknown', 'items no longer kept', 'yes', False
+    )
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/leave.py
@@ -0,0 +1,64 @@
+"""Whether the upstream takes new work."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill.config import holder
+
+__all__ = ['Leave']
+
+logger = log.get(__name__)
+
+
+class Leave:
+    """Reasons to take nothing new: leaving for good, or drained.
+
+    Attributes:
+      reason: Why this process leaves for good; empty while it does not.
+      begun: Set once it leaves for good.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        configuration: holder.Holder,
+        on_begin: Callable[[str], None],
+    ) -> None:
+        """Watches for reasons.
+
+        Args:
+          upstream: Name of the upstream in the configuration.
+          configuration: May drain the upstream.
+          on_begin: Called once with the reason for leaving for good.
+        """
+        self.reason = ''
+        self.begun = asyncio.Event()
+        self._upstream = upstream
+        self._configuration = configuration
+        self._on_begin = on_begin
+
+    @property
+    def draining(self) -> bool:
+        """An operator drains the upstream."""
+        upstream = self._configuration.current.upstreams.get(self._upstream)
+        return upstream is not None and upstream.draining
+
+    def refusal(self) -> str:
+        """Why new work is refused; empty if it is not."""
+        return self.reason or ('draining' if self.draining else '')
+
+    def begin(self, reason: str) -> None:
+        """Leaves for good; a second call changes nothing."""
+        if self.reason:
+            return
+        self.reason = reason
+        self.begun.set()
+        logger.info('leaving', upstream=self._upstream, reason=reason)
+        self._on_begin(reason)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
@@ -0,0 +1,133 @@
+"""What the sidecar knows of its upstream, told to every router."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log, metric
+from quetzalsill.wire import message
+from quetzalsill_sidecar import error
+from quetzalsill_sidecar.upstream import engine
+
+if TYPE_CHECKING:
+    from quetzalsill_sidecar import sidecar as sidecar_lib
+
+__all__ = ['LoadReporter']
+
+LEAST_INTERVAL_S = 0.25
+CORRECTION = 0.2
+PROMPT_RANK = 0
+
+logger = log.get(__name__)
+queued_gauge = metric.gauge(
+    'quetzalsill_sidecar_queued', 'Attempts waiting in the sidecar.'
+)
+running_gauge = metric.gauge(
+    'quetzalsill_sidecar_running', 'Attempts on the upstream.'
+)
+used_gauge = metric.gauge(
+    'quetzalsill_sidecar_used_tokens', 'Key-value memory in use, in tokens.'
+)
+preemptions_gauge = metric.gauge(
+    'quetzalsill_engine_preemptions', 'Preemptions told by the engine.'
+)
+
+
+class LoadReporter:
+    """Polls the engine and reports to routers.
+
+    Attributes:
+      report: The engine's newest word; it lags.
+      healthy: The upstream answered the last time.
+    """
+
+    def __init__(self, sidecar: sidecar_lib.Sidecar) -> None:
+        """Reports on the parts of `sidecar`."""
+        self.report = engine.EngineReport()
+        self.healthy = True
+        self._sidecar = sidecar
+        self._changed = asyncio.Event()
+
+    def note_change(self) -> None:
+        """Something that routers should know has changed."""
+        self._changed.set()
+
+    def message(self) -> message.Load:
+        """Returns the present state."""
+        sidecar = self._sidecar
+        queue = sidecar.queue
+        wait_s = queue.expected_wait_s(PROMPT_RANK)
+        return message.Load(
+            queued=queue.queued,
+            running=queue.running,
+            used_tokens=queue.used_tokens,
+            capacity_tokens=queue.capacity_tokens,
+            expected_wait_ms=round(wait_s * 1000),
+            token_ms=float(self.report.token_ms),
+            models=list(self.report.models),
+            leaving=bool(sidecar.leaving.refusal()),
+            healthy=self.healthy,
+            revision=sidecar.configuration.revision,
+        )
+
+    async def run(self) -> None:
+        """Reports on change, at most every `LEAST_INTERVAL_S`."""
+        idle_s = self._sidecar.settings.link.idle_s
+        while True:
+            await self._wait_for_change(idle_s)
+            self._changed.clear()
+            msg = self.message()
+            self._set_gauges(msg)
+            self._sidecar.send_to_all(msg)
+            await asyncio.sleep(LEAST_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Fetches the engine's report again and again."""
+        interval_s = self._sidecar.settings.timing.poll_s
+        while True:
+            try:
+                self._take(await self._sidecar.runs.engine.report())
+            except (
+                error.UpstreamConnectError,
+                error.AnswerLostError,
+                error.AnswerRejectedError,
+            ) as exc:
+                self._set_healthy(False, exc.detail)
+            await asyncio.sleep(interval_s)
+
+    def _take(self, report: engine.EngineReport) -> None:
+        self._set_healthy(True, '')
+        self.report = report
+        queue = self._sidecar.queue
+        queue.capacity_tokens = report.capacity_tokens
+        # The report lags: what was just started is not in it yet and what
+        # just ended still is. A slow correction keeps only what stays.
+        own = queue.used_tokens - queue.foreign_tokens
+        beyond = report.used_tokens - own
+        step = (beyond - queue.foreign_tokens) * CORRECTION
+        queue.foreign_tokens = max(0, round(queue.foreign_tokens + step))
+        preemptions_gauge.set({}, report.preemptions)
+        if report.leaving:
+            self._sidecar.leave('engine is leaving')
+        self.note_change()
+
+    def _set_healthy(self, healthy: bool, detail: str) -> None:
+        if healthy != self.healthy:
+            self.healthy = healthy
+            logger.warning(
+                'engine_health_changed', healthy=healthy, detail=detail
+            )
+            self.note_change()
+
+    async def _wait_for_change(self, idle_s: float) -> None:
+        try:
+            async with asyncio.timeout(idle_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def _set_gauges(self, msg: message.Load) -> None:
+        queued_gauge.set({}, msg.queued)
+        running_gauge.set({}, msg.running)
+        used_gauge.set({}, msg.used_tokens)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/__init__.py
@@ -0,0 +1,1 @@
+"""Order and admission of what waits for the upstream."""
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
@@ -0,0 +1,159 @@
+"""What waits and what runs on the upstream."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from quetzalsill_sidecar.queue import lengths as lengths_lib
+from quetzalsill_sidecar.queue import policy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+__all__ = ['Schedule']
+
+SMOOTHING = 0.1
+
+
+class Schedule:
+    """Queue and occupancy of one upstream.
+
+    What the sidecar itself started and ended is the truth here; the engine's
+    report, which lags, only adds memory that others hold there.
+
+    Attributes:
+      capacity_tokens: Key-value memory in all; 0 if unknown.
+      foreign_tokens: Memory in use that is not of our attempts.
+      headroom: Part of the memory kept for prompt work.
+      lengths: Observed output lengths.
+    """
+
+    def __init__(
+        self,
+        order: policy.Order,
+        admit: policy.Admit,
+        max_running: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.capacity_tokens = 0
+        self.foreign_tokens = 0
+        self.headroom = 0.0
+        self.lengths = lengths_lib.Lengths()
+        self._order = order
+        self._admit = admit
+        self._max_running = max_running
+        self._clock = clock
+        self._waiting: dict[str, policy.Demand] = {}
+        self._running: dict[str, policy.Occupant] = {}
+        self._service_s = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting demands."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Number of attempts on the upstream."""
+        return len(self._running)
+
+    @property
+    def used_tokens(self) -> int:
+        """Memory that is held on the engine, in tokens."""
+        own = sum(o.held_tokens for o in self._running.values())
+        return own + self.foreign_tokens
+
+    def set_policies(self, order: policy.Order, admit: policy.Admit) -> None:
+        """Replaces the policies; what waits is ordered anew."""
+        for demand in self._waiting.values():
+            order.push(demand)
+        self._order = order
+        self._admit = admit
+
+    def push(self, demand: policy.Demand) -> None:
+        """Queues a demand."""
+        self._waiting[demand.attempt] = demand
+        self._order.push(demand)
+
+    def remove(self, attempt: str) -> bool:
+        """Takes a waiting demand out; False if it does not wait."""
+        demand = self._waiting.pop(attempt, None)
+        if demand is None:
+            return False
+        self._order.remove(demand)
+        return True
+
+    def start_admitted(self) -> Iterator[str]:
+        """Yields, one by one, the attempts that may start now."""
+        while (demand := self._next()) is not None:
+            self._order.take(demand)
+            del self._waiting[demand.attempt]
+            self.occupy(demand)
+            yield demand.attempt
+
+    def occupy(self, demand: policy.Demand) -> None:
+        """Notes an attempt on the upstream."""
+        occupant = policy.Occupant(demand, self._clock())
+        self._running[demand.attempt] = occupant
+
+    def produce(self, attempt: str, tokens: int) -> None:
+        """Counts tokens that an attempt received."""
+        occupant = self._running.get(attempt)
+        if occupant is not None:
+            occupant.produced += tokens
+
+    def release(self, attempt: str, *, whole: bool) -> None:
+        """Notes that an attempt left the upstream.
+
+        Args:
+          attempt: Its id; one that does not run is ignored.
+          whole: It gave its whole answer, so that its length is known.
+        """
+        occupant = self._running.pop(attempt, None)
+        if occupant is None:
+            return
+        now = self._clock()
+        took = now - occupant.started
+        self._service_s += (took - self._service_s) * (
+            SMOOTHING if self._service_s else 1.0
+        )
+        if whole:
+            demand = occupant.demand
+            self.lengths.record(
+                demand.model, demand.profile, occupant.produced, now
+            )
+
+    def expected_wait_s(self, rank: int) -> float:
+        """Wait that a demand arriving now at this rank would see."""
+        now = self._clock()
+        ahead = sum(d.rank(now) <= rank for d in self._waiting.values())
+        if not ahead:
+            return 0.0
+        return ahead * self._service_s / max(1, len(self._running))
+
+    def _next(self) -> policy.Demand | None:
+        now = self._clock()
+        view = self._view(now)
+        blocked = False
+        for demand in self._order.heads(now):
+            # A head that doesn't fit holds back what is behind it, lest
+            # small work starve it; only work that has memory kept for it
+            # may pass.
+            if blocked and not demand.uses_headroom:
+                continue
+            if self._admit(view, demand):
+                return demand
+            blocked = True
+        return None
+
+    def _view(self, now: float) -> policy.View:
+        return policy.View(
+            now=now,
+            capacity_tokens=self.capacity_tokens,
+            foreign_tokens=self.foreign_tokens,
+            headroom=self.headroom,
+            max_running=self._max_running,
+            running=list(self._running.values()),
+            remaining=self.lengths.remaining,
+        )
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -0,0 +1,178 @@
+"""Runs attempts on the upstream, each in a task of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log, trace
+from quetzalsill.wire import message
+from quetzalsill_sidecar import error
+from quetzalsill_sidecar.attempt import state
+from quetzalsill_sidecar.upstream import (
+    call,
+    canceller,
+    generate,
+    generation,
+    http,
+    outcome,
+)
+from quetzalsill_sidecar.upstream import engine as engine_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill_sidecar import settings as settings_lib
+    from quetzalsill_sidecar.attempt import table
+    from quetzalsill_sidecar.queue import policy, schedule
+
+__all__ = ['Runner']
+
+RETRY_MS = 1000
+
+logger = log.get(__name__)
+
+
+class Runner:
+    """Hands admitted attempts to the upstream and brings their answers.
+
+    Attributes:
+      engine: Client of the engine; unused beside an app server.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        attempts: table.Attempts,
+        queue: schedule.Schedule,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Prepares to run.
+
+        Args:
+          settings: Settings of the sidecar.
+          attempts: All attempts known.
+          queue: Told of tokens and of ends.
+          on_change: Called when the upstream may take more.
+        """
+        self._timing = settings.timing
+        self._origin = http.Origin.parse(settings.upstream.url)
+        self.engine = engine_lib.Engine(
+            self._origin, self._timing.connect_s, self._timing.answer_s
+        )
+        self._attempts = attempts
+        self._queue = queue
+        self._on_change = on_change
+        self._canceller = canceller.Canceller(self.engine)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, attempt: state.Attempt, demand: policy.Demand) -> None:
+        """Runs an attempt in a task of its own."""
+        attempt.stage = state.Stage.CONNECTING
+        attempt.task = asyncio.create_task(self._run(attempt, demand))
+        self._tasks.add(attempt.task)
+        attempt.task.add_done_callback(self._tasks.discard)
+
+    def stop_attempt(self, attempt: state.Attempt, code: str) -> None:
+        """Ends an attempt that was admitted, for the named cause."""
+        if attempt.task is not None and not attempt.stopping:
+            attempt.stopping = code
+            attempt.task.cancel()
+
+    async def stop(self) -> None:
+        """Drops all tasks; for the end of the process."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._canceller.stop()
+
+    async def _run(self, attempt: state.Attempt, demand: policy.Demand) -> None:
+        dispatch = attempt.dispatch
+        with trace.span(
+            'sidecar.attempt', parent=dispatch.trace, attempt=attempt.id
+        ):
+            try:
+                async with asyncio.timeout_at(attempt.deadline):
+                    terminal = await self._serve(attempt, demand)
+            except TimeoutError:
+                terminal = self._stopped(attempt, 'deadline_exceeded')
+            except asyncio.CancelledError:
+                if not attempt.stopping:
+                    raise
+                terminal = self._stopped(attempt, attempt.stopping)
+            except (
+                error.UpstreamConnectError,
+                error.RequestMalformedError,
+            ) as exc:
+                terminal = _not_written(attempt, exc)
+            self._end(attempt, terminal)
+
+    async def _serve(
+        self, attempt: state.Attempt, demand: policy.Demand
+    ) -> message.Message:
+        def start() -> None:
+            attempt.start(asyncio.get_running_loop().time())
+            logger.info('attempt_started', attempt=attempt.id)
+
+        if attempt.dispatch.kind == 'call':
+            return await call.run(
+                attempt, self._origin, self._timing.connect_s, start
+            )
+        progress = self._progress(attempt)
+        if attempt.dispatch.recover:
+            return await generate.recover(attempt, self.engine, progress)
+        return await generate.run(
+            attempt, self.engine, progress, demand.priority, start
+        )
+
+    def _progress(self, attempt: state.Attempt) -> generation.Generation:
+        async def deliver(items: list[bytes]) -> None:
+            if not attempt.started:
+                attempt.start(asyncio.get_running_loop().time())
+            self._queue.produce(attempt.id, len(items))
+            attempt.deliver(items)
+            await attempt.tail.room()
+
+        bounds = generation.Bounds(self._timing.stall_s, self._timing.resume_s)
+        return generation.Generation(self.engine, attempt.id, bounds, deliver)
+
+    def _stopped(self, attempt: state.Attempt, code: str) -> message.Message:
+        if not attempt.started and not attempt.dispatch.recover:
+            return message.Refused(attempt.id, code, code, 0)
+        return outcome.failed(attempt.id, code, code)
+
+    def _end(self, attempt: state.Attempt, terminal: message.Message) -> None:
+        self._attempts.end(attempt, terminal)
+        if self._may_still_run(attempt, terminal):
+            self._canceller.cancel(
+                attempt.id, lambda: self._release(attempt, whole=False)
+            )
+        else:
+            whole = isinstance(terminal, message.Finished)
+            self._release(attempt, whole=whole)
+
+    def _may_still_run(
+        self, attempt: state.Attempt, terminal: message.Message
+    ) -> bool:
+        return (
+            attempt.dispatch.kind != 'call'
+            and isinstance(terminal, message.Failed)
+            and terminal.ran != 'no'
+            and not terminal.gone
+        )
+
+    def _release(self, attempt: state.Attempt, *, whole: bool) -> None:
+        self._queue.release(attempt.id, whole=whole)
+        self._on_change()
+
+
+def _not_written(
+    attempt: state.Attempt,
+    exc: error.UpstreamConnectError | error.RequestMalformedError,
+) -> message.Message:
+    if attempt.started:
+        return outcome.failed(attempt.id, 'upstream_failed', exc.detail)
+    if isinstance(exc, error.RequestMalformedError):
+        return message.Refused(attempt.id, 'bad_request', exc.detail, 0)
+    return message.Refused(attempt.id, 'no_upstream', exc.detail, RETRY_MS)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -0,0 +1,150 @@
+"""One link of a router, served by one task."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from quetzalsill.schema import error as schema_error
+from quetzalsill.telemetry import log
+from quetzalsill.wire import error as wire_error
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill.config import holder
+    from quetzalsill.wire import link as link_lib
+    from quetzalsill_sidecar import intake
+    from quetzalsill_sidecar.attempt import table
+
+__all__ = ['Session']
+
+logger = log.get(__name__)
+
+
+class Session:
+    """Acts on the messages of one router."""
+
+    def __init__(
+        self,
+        link: link_lib.Link,
+        intake: intake.Intake,
+        attempts: table.Attempts,
+        configuration: holder.Holder,
+    ) -> None:
+        """Takes a link whose handshake is done."""
+        self._link = link
+        self._intake = intake
+        self._attempts = attempts
+        self._configuration = configuration
+        self._fetched = 0
+        self._handlers: dict[type, Callable[..., None]] = {
+            message.Dispatch: self._on_dispatch,
+            message.Body: self._on_body,
+            message.Credit: self._on_credit,
+            message.Ack: self._on_ack,
+            message.Withdraw: self._on_withdraw,
+            message.Cancel: self._on_cancel,
+            message.Resume: self._on_resume,
+            message.ConfigFetch: self._on_config_fetch,
+            message.ConfigReply: self._on_config_reply,
+            message.GoAway: self._on_go_away,
+        }
+
+    async def serve(self) -> None:
+        """Acts on messages until the link ends.
+
+        Raises:
+          WireError: The link ended or broke the protocol.
+        """
+        self._link.on_revision = self.fetch_newer
+        self.fetch_newer(self._link.peer.revision)
+        try:
+            async for msg in self._link.messages():
+                self._handle(msg)
+        finally:
+            self._detach()
+
+    def put(self, msg: message.Message) -> None:
+        """Sends to the router; a link that is gone is noticed by `serve`."""
+        with contextlib.suppress(wire_error.LinkClosedError):
+            self._link.send_nowait(msg)
+
+    def fetch_newer(self, revision: int) -> None:
+        """Asks for the configuration if the router has a newer one."""
+        if revision > max(self._fetched, self._configuration.revision):
+            self._fetched = revision
+            self.put(message.ConfigFetch(self._configuration.revision))
+
+    def _handle(self, msg: message.Message) -> None:
+        handler = self._handlers.get(type(msg))
+        if handler is None:
+            logger.warning(
+                'message_unexpected',
+                router=self._link.peer.node,
+                kind=type(msg).__name__,
+            )
+            return
+        handler(msg)
+
+    def _detach(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for attempt in self._attempts.of_link(self):
+            attempt.detach(now)
+
+    def _on_dispatch(self, msg: message.Dispatch) -> None:
+        self.fetch_newer(msg.revision)
+        self._intake.dispatch(msg, self, self.put)
+
+    def _on_body(self, msg: message.Body) -> None:
+        attempt = self._attempts.get(msg.attempt)
+        if attempt is not None:
+            attempt.body.feed(msg.data, last=msg.last)
+
+    def _on_credit(self, msg: message.Credit) -> None:
+        attempt = self._attempts.get(msg.attempt)
+        # A link that was replaced may still deliver; its credit was counted
+        # anew by the Resume on the other link.
+        if attempt is not None and attempt.link is self:
+            attempt.tail.grant(msg.seq, msg.items)
+            attempt.flush()
+
+    def _on_ack(self, msg: message.Ack) -> None:
+        attempt = self._attempts.get(msg.attempt)
+        if attempt is not None and attempt.terminal is not None:
+            self._attempts.forget(attempt)
+
+    def _on_withdraw(self, msg: message.Withdraw) -> None:
+        self._intake.withdraw(msg.attempt, self.put)
+
+    def _on_cancel(self, msg: message.Cancel) -> None:
+        self._intake.cancel(msg.attempt)
+
+    def _on_resume(self, msg: message.Resume) -> None:
+        self._intake.resume(msg, self, self.put)
+
+    def _on_config_fetch(self, msg: message.ConfigFetch) -> None:
+        if self._configuration.revision > msg.revision:
+            self.put(
+                message.ConfigReply(
+                    self._configuration.revision, self._configuration.document
+                )
+            )
+
+    def _on_config_reply(self, msg: message.ConfigReply) -> None:
+        try:
+            self._configuration.install(msg.document, msg.revision)
+        except schema_error.InvalidDocumentError as exc:
+            logger.error(
+                'configuration_invalid',
+                router=self._link.peer.node,
+                revision=msg.revision,
+                detail=str(exc),
+            )
+
+    def _on_go_away(self, msg: message.GoAway) -> None:
+        logger.info(
+            'router_leaving', router=self._link.peer.node, reason=msg.reason
+        )
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
@@ -0,0 +1,170 @@
+"""Settings of a sidecar process."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from quetzalsill.schema import key as schema_key
+from quetzalsill.settings import section
+
+__all__ = ['Bounds', 'SidecarSettings', 'Timing', 'UpstreamTarget']
+
+key = schema_key.key
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamTarget:
+    """The upstream beside this process."""
+
+    name: str = key(
+        'Name of the upstream in the configuration.',
+        pattern=schema_key.NAME,
+        example='ikeja-planner-1',
+    )
+    url: str = key(
+        'URL of the upstream.',
+        pattern=r'http://[^\s/]+(/\S*)?',
+        example='http://127.0.0.1:7401',
+    )
+    kind: str = key(
+        'Model server or app server.', 'model', choices=('model', 'app')
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Timing:
+    """Bounds of waits on the upstream and on lost routers."""
+
+    connect_s: float = key(
+        'Longest time to open a connection to the upstream.',
+        2.0,
+        unit='s',
+        minimum=0.05,
+        maximum=60,
+    )
+    answer_s: float = key(
+        'Longest time for a cancel or a load report.',
+        3.0,
+        unit='s',
+        minimum=0.05,
+        maximum=60,
+    )
+    stall_s: float = key(
+        'Silence between tokens after which a new connection is tried.',
+        10.0,
+        unit='s',
+        minimum=0.1,
+        maximum=600,
+    )
+    resume_s: float = key(
+        'Time without any answer after which a generation is given up.',
+        15.0,
+        unit='s',
+        minimum=0.1,
+        maximum=600,
+    )
+    poll_s: float = key(
+        'Interval of load reports fetched from the engine.',
+        0.5,
+        unit='s',
+        minimum=0.05,
+        maximum=60,
+    )
+    queued_orphan_s: float = key(
+        'Time that queued work waits for its lost router to come back.',
+        3.0,
+        unit='s',
+        minimum=0.1,
+        maximum=600,
+    )
+    orphan_s: float = key(
+        'Time that running work goes on for its lost router.',
+        15.0,
+        unit='s',
+        minimum=0.1,
+        maximum=3600,
+    )
+    durable_orphan_s: float = key(
+        'The same for durable profiles, whose requests are taken over.',
+        300.0,
+        unit='s',
+        minimum=0.1,
+        maximum=86400,
+    )
+    retention_s: float = key(
+        'Time that an ended answer is kept for its acknowledgement.',
+        60.0,
+        unit='s',
+        minimum=0.1,
+        maximum=86400,
+    )
+    config_s: float = key(
+        'Longest wait for a newer configuration named by a Dispatch.',
+        2.0,
+        unit='s',
+        minimum=0.05,
+        maximum=60,
+    )
+    grace_s: float = key(
+        'Longest time that running work is given at shutdown.',
+        300.0,
+        unit='s',
+        minimum=0.1,
+        maximum=86400,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Bounds:
+    """Bounds of memory."""
+
+    queue: int = key(
+        'Attempts that may wait.', 1024, minimum=1, maximum=1_000_000
+    )
+    running: int = key(
+        'Attempts on the upstream at once.', 256, minimum=1, maximum=100_000
+    )
+    tail_bytes: int = key(
+        'Unacknowledged answer kept of one generation before its reading '
+        'is held up.',
+        8_388_608,
+        unit='bytes',
+        minimum=65536,
+        maximum=1_073_741_824,
+    )
+    call_bytes: int = key(
+        'Unacknowledged answer, and unwritten body, kept of one call.',
+        1_048_576,
+        unit='bytes',
+        minimum=65536,
+        maximum=1_073_741_824,
+    )
+    tombstones: int = key(
+        'Ended attempts remembered.', 100_000, minimum=100, maximum=10_000_000
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class SidecarSettings:
+    """Settings of one sidecar."""
+
+    node: section.Node = key('Identity of this process.')
+    upstream: UpstreamTarget = key('The upstream beside this process.')
+    credential: str = key(
+        'Shared secret that routers present on their links.',
+        secret=True,
+        example='change-me',
+    )
+    platform: section.Platform = key('Services of the platform.')
+    listen: section.Listen = key(
+        'Listener for the links of routers.', factory=section.Listen
+    )
+    tls: section.Tls = key('TLS of the links.', factory=section.Tls)
+    telemetry: section.Telemetry = key(
+        'Logs and traces.', factory=section.Telemetry
+    )
+    link: section.LinkTiming = key(
+        'Timing of the links.', factory=section.LinkTiming
+    )
+    timing: Timing = key('Bounds of waits.', factory=Timing)
+    bounds: Bounds = key('Bounds of memory.', factory=Bounds)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -0,0 +1,262 @@
+"""The sidecar: its parts and its background work."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+from quetzalsill.config import holder
+from quetzalsill.net import tls as net_tls
+from quetzalsill.telemetry import log
+from quetzalsill.wire import listen, message
+from quetzalsill_sidecar import (
+    intake,
+    leave,
+    load,
+    runner,
+    session,
+    sweep,
+)
+from quetzalsill_sidecar.attempt import table
+from quetzalsill_sidecar.queue import schedule
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from quetzalsill.config import model
+    from quetzalsill.plugin import registry as registry_lib
+    from quetzalsill.wire import link as link_lib
+    from quetzalsill_sidecar import settings as settings_lib
+
+__all__ = ['Sidecar', 'new_incarnation']
+
+RANDOM_BITS = 16
+DRAIN_TICK_S = 0.05
+# After the last answer has ended: time for routers to acknowledge it.
+ACK_GRACE_S = 3.0
+
+logger = log.get(__name__)
+
+
+def new_incarnation() -> int:
+    """Returns a number that no earlier start of this process had."""
+    started_ms = time.time_ns() // 1_000_000
+    return (started_ms << RANDOM_BITS) | secrets.randbits(RANDOM_BITS)
+
+
+class Sidecar:
+    """The only path to one upstream.
+
+    Attributes:
+      incarnation: Number of this start of the process.
+      configuration: Configuration in force here.
+      attempts: All attempts known.
+      queue: What waits and what runs.
+      leaving: Whether new work is taken.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        registry: registry_lib.Registry,
+    ) -> None:
+        """Builds the parts; `start` opens the listener."""
+        clock = asyncio.get_running_loop().time
+        self.incarnation = new_incarnation()
+        self.configuration = holder.Holder()
+        self.attempts = table.Attempts(settings.bounds.tombstones, clock)
+        self._settings = settings
+        self._registry = registry
+        self._sessions: set[session.Session] = set()
+        policies = self.configuration.current.policies
+        self.queue = schedule.Schedule(
+            registry.get('fairness', policies.fairness)(),
+            registry.get('admission', policies.admission),
+            settings.bounds.running,
+            clock,
+        )
+        self.leaving = leave.Leave(
+            settings.upstream.name, self.configuration, self._say_leaving
+        )
+        self.runs = runner.Runner(
+            settings, self.attempts, self.queue, self._changed
+        )
+        self.intake = intake.Intake(
+            settings,
+            self.incarnation,
+            self.configuration,
+            self.attempts,
+            self.queue,
+            self.runs,
+            self.leaving,
+            self._changed,
+        )
+        self.load = load.LoadReporter(self)
+        self._pump_due = False
+        self._background: set[asyncio.Task[None]] = set()
+        self._server = listen.LinkServer(
+            settings.listen,
+            settings.credential,
+            self._welcome,
+            self._on_link,
+            settings.link,
+            net_tls.server_context(settings.tls),
+            revision=lambda: self.configuration.revision,
+        )
+        self.configuration.on_change(self._on_configuration)
+
+    @property
+    def port(self) -> int:
+        """Port that routers dial."""
+        return self._server.port
+
+    @property
+    def settings(self) -> settings_lib.SidecarSettings:
+        """Settings of this process."""
+        return self._settings
+
+    async def start(self) -> None:
+        """Opens the listener and starts the background work.
+
+        Raises:
+          OSError: The address can't be listened at.
+        """
+        await self._server.start()
+        self._spawn(sweep.run(self))
+        self._spawn(self.load.run())
+        if self._settings.upstream.kind == 'model':
+            self._spawn(self.load.poll())
+        logger.info(
+            'sidecar_ready',
+            port=self.port,
+            incarnation=self.incarnation,
+            upstream=self._settings.upstream.name,
+        )
+
+    def leave(self, reason: str) -> None:
+        """Takes nothing new from now on; running work goes to its end."""
+        self.leaving.begin(reason)
+
+    async def drained(self) -> bool:
+        """Waits until nothing runs and all answers are acknowledged.
+
+        Returns:
+          False if work still ran after `grace_s`.
+        """
+        ended = await self._wait_until(
+            lambda: all(a.terminal is not None for a in self.attempts),
+            self._settings.timing.grace_s,
+        )
+        if not ended:
+            self._log_unfinished()
+            return False
+        await self._wait_until(lambda: not len(self.attempts), ACK_GRACE_S)
+        return True
+
+    async def stop(self) -> None:
+        """Closes everything at once."""
+        await self._server.stop()
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+        await self.runs.stop()
+
+    def send_to_all(self, msg: message.Message) -> None:
+        """Sends to every router."""
+        for one in self._sessions:
+            one.put(msg)
+
+    async def _wait_until(
+        self, condition: Callable[[], bool], timeout_s: float
+    ) -> bool:
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + timeout_s
+        while not condition():
+            if loop.time() >= limit:
+                return False
+            await asyncio.sleep(DRAIN_TICK_S)
+        return True
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(_log_crash)
+
+    def _welcome(self, hello: message.Hello) -> message.Welcome:
+        del hello
+        return message.Welcome(
+            version=message.VERSION,
+            node=self._settings.node.name,
+            incarnation=self.incarnation,
+            upstream=self._settings.upstream.name,
+            availability_zone=self._settings.node.availability_zone,
+            revision=self.configuration.revision,
+            leaving=bool(self.leaving.refusal()),
+        )
+
+    async def _on_link(self, link: link_lib.Link) -> None:
+        one = session.Session(
+            link, self.intake, self.attempts, self.configuration
+        )
+        self._sessions.add(one)
+        logger.info('router_linked', router=link.peer.node)
+        try:
+            one.put(self.load.message())
+            if self.leaving.reason:
+                one.put(self._leaving_message(self.leaving.reason))
+                one.put(message.GoAway(self.leaving.reason))
+            await one.serve()
+        finally:
+            self._sessions.discard(one)
+            logger.info('router_unlinked', router=link.peer.node)
+
+    def _on_configuration(self, cfg: model.Configuration) -> None:
+        self.queue.set_policies(
+            self._registry.get('fairness', cfg.policies.fairness)(),
+            self._registry.get('admission', cfg.policies.admission),
+        )
+        self.queue.headroom = cfg.policies.headroom
+        if self.leaving.draining:
+            self._refuse_waiting()
+        self._changed()
+
+    def _say_leaving(self, reason: str) -> None:
+        self.send_to_all(self._leaving_message(reason))
+        self.send_to_all(message.GoAway(reason))
+        self._refuse_waiting()
+        self._changed()
+
+    def _leaving_message(self, reason: str) -> message.Leaving:
+        return message.Leaving(self._settings.upstream.name, reason)
+
+    def _refuse_waiting(self) -> None:
+        for attempt in self.attempts:
+            if not attempt.started and not attempt.dispatch.recover:
+                self.intake.stop(attempt, 'upstream_leaving')
+
+    def _changed(self) -> None:
+        """Lets the queue move once this loop tick is over."""
+        self.load.note_change()
+        if not self._pump_due:
+            self._pump_due = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self._pump_due = False
+        self.intake.pump()
+
+    def _log_unfinished(self) -> None:
+        for attempt in self.attempts:
+            logger.warning(
+                'attempt_unfinished',
+                attempt=attempt.id,
+                request=attempt.dispatch.request,
+                items=attempt.tail.end,
+            )
+
+
+def _log_crash(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error('background_task_failed', exc_info=task.exception())
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -0,0 +1,64 @@
+"""Ends what has run out of time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import message
+from quetzalsill_sidecar.attempt import state
+
+if TYPE_CHECKING:
+    from quetzalsill_sidecar import settings as settings_lib
+    from quetzalsill_sidecar import sidecar as sidecar_lib
+
+__all__ = ['run', 'sweep']
+
+INTERVAL_S = 0.1
+WAITING = (state.Stage.JUDGED, state.Stage.QUEUED)
+
+
+async def run(sidecar: sidecar_lib.Sidecar) -> None:
+    """Sweeps for ever."""
+    while True:
+        await asyncio.sleep(INTERVAL_S)
+        sweep(sidecar, asyncio.get_running_loop().time())
+
+
+def sweep(sidecar: sidecar_lib.Sidecar, now: float) -> None:
+    """Ends what is past its bound at `now`, and lets the queue move."""
+    for attempt in sidecar.attempts:
+        _sweep_attempt(sidecar, attempt, now)
+    sidecar.attempts.stones.expire()
+    sidecar.intake.pump()
+
+
+def _sweep_attempt(
+    sidecar: sidecar_lib.Sidecar, attempt: state.Attempt, now: float
+) -> None:
+    timing = sidecar.settings.timing
+    if attempt.stage is state.Stage.OVER:
+        if now - attempt.ended >= timing.retention_s:
+            sidecar.attempts.forget(attempt)
+    elif attempt.stage in WAITING:
+        _sweep_waiting(sidecar, attempt, now, timing)
+    elif attempt.link is None and now - attempt.detached >= attempt.orphan_s:
+        # Its router is gone or has given it up; nobody would take the
+        # answer, and its memory on the engine is needed.
+        sidecar.intake.stop(attempt, 'cancelled')
+
+
+def _sweep_waiting(
+    sidecar: sidecar_lib.Sidecar,
+    attempt: state.Attempt,
+    now: float,
+    timing: settings_lib.Timing,
+) -> None:
+    if now >= min(attempt.deadline, attempt.queue_deadline):
+        wait_s = sidecar.queue.expected_wait_s(0)
+        sidecar.intake.stop(attempt, 'overloaded', round(wait_s * 1000))
+        return
+    lost_s = now - attempt.detached if attempt.link is None else 0.0
+    if lost_s >= timing.queued_orphan_s:
+        sidecar.queue.remove(attempt.id)
+        sidecar.attempts.end(attempt, message.Withdrawn(attempt.id))
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the upstream: model engine or app server."""
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
@@ -0,0 +1,130 @@
+"""One call of an app server, with streamed bodies."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import base
+from quetzalsill.wire import message
+from quetzalsill_sidecar import error
+from quetzalsill_sidecar.upstream import headers, http, outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill_sidecar.attempt import state
+
+__all__ = ['run']
+
+ITEM_BYTES = 65536
+
+
+async def run(
+    attempt: state.Attempt,
+    origin: http.Origin,
+    connect_s: float,
+    start: Callable[[], None],
+) -> message.Message:
+    """Makes the call, streaming both bodies; never sends it twice.
+
+    Args:
+      attempt: What to call; takes the answer.
+      origin: The app server.
+      connect_s: Bound on opening the connection, in seconds.
+      start: Called just before the first byte is written.
+
+    Returns:
+      The terminal message.
+
+    Raises:
+      UpstreamConnectError: Nothing was written.
+      RequestMalformedError: A header cannot be written; nothing was.
+    """
+    request_headers = _request_headers(attempt.dispatch)
+    method, path = attempt.dispatch.method, attempt.dispatch.path
+    async with http.exchange(origin, connect_s) as conn:
+        head = conn.request(method, path, request_headers)
+        start()
+        writing = asyncio.create_task(_write(attempt, conn, head))
+        try:
+            return await _read(attempt, conn)
+        finally:
+            writing.cancel()
+            with contextlib.suppress(
+                asyncio.CancelledError,
+                error.AnswerLostError,
+                error.RequestMalformedError,
+            ):
+                await writing
+
+
+async def _write(
+    attempt: state.Attempt, conn: http.Connection, head: bytes
+) -> None:
+    # A write that fails is no verdict on the call: the server may have
+    # answered early and closed. What can be read decides.
+    await conn.write(head)
+    async for data in attempt.body.pieces():
+        await conn.write_body(data)
+        if attempt.put is not None and attempt.body.is_open:
+            taken = attempt.body.taken + 1
+            attempt.put(message.Credit(attempt.id, taken, 1))
+    if attempt.body.broken:
+        conn.close()
+        return
+    await conn.write_end()
+
+
+async def _read(
+    attempt: state.Attempt, conn: http.Connection
+) -> message.Message:
+    again = attempt.dispatch.idempotent
+    try:
+        head = await conn.read_head()
+    except error.AnswerLostError as exc:
+        return outcome.failed(
+            attempt.id,
+            'outcome_unknown',
+            exc.detail,
+            base.Ran.UNKNOWN,
+            gone=again,
+        )
+    attempt.set_head(_head_message(attempt.id, head))
+    try:
+        while data := await conn.read_data():
+            attempt.deliver(_cut(data))
+            await attempt.tail.room()
+    except error.AnswerLostError as exc:
+        return outcome.failed(
+            attempt.id, 'upstream_failed', exc.detail, gone=again
+        )
+    return message.Finished(attempt.id, attempt.tail.end)
+
+
+def _request_headers(dispatch: message.Dispatch) -> http.Headers:
+    pairs = headers.end_to_end(dispatch.headers, request=True)
+    pairs += headers.framing(
+        dispatch.method,
+        dispatch.headers,
+        dispatch.payload,
+        is_open=dispatch.body_open,
+    )
+    return [
+        (name.encode('latin-1', 'replace'), value.encode('latin-1', 'replace'))
+        for name, value in pairs
+    ]
+
+
+def _head_message(attempt: str, head: http.ResponseHead) -> message.Head:
+    pairs = [
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in head.headers
+    ]
+    kept = headers.end_to_end(pairs, request=False)
+    return message.Head(attempt, head.status, [list(pair) for pair in kept])
+
+
+def _cut(data: bytes) -> list[bytes]:
+    return [data[i : i + ITEM_BYTES] for i in range(0, len(data), ITEM_BYTES)]
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/canceller.py
@@ -0,0 +1,68 @@
+"""Cancels work on the engine, again and again until it is confirmed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log
+from quetzalsill_sidecar import error
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill_sidecar.upstream import engine
+
+__all__ = ['Canceller']
+
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 5.0
+GIVE_UP_S = 600.0
+
+logger = log.get(__name__)
+
+
+class Canceller:
+    """Runs cancellations in the background.
+
+    A task that stops reading proves nothing about the engine, which goes on
+    generating and holding memory until it has confirmed the cancel.
+    """
+
+    def __init__(self, target: engine.Engine) -> None:
+        """Names the engine."""
+        self._engine = target
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def cancel(self, attempt: str, then: Callable[[], None]) -> None:
+        """Cancels in the background, and calls `then` once it is settled."""
+        task = asyncio.create_task(self._cancel(attempt))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: then())
+
+    async def stop(self) -> None:
+        """Drops what is still unsettled."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _cancel(self, attempt: str) -> None:
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + GIVE_UP_S
+        pause = FIRST_PAUSE_S
+        while loop.time() < limit:
+            try:
+                found = await self._engine.cancel(attempt)
+            except (
+                error.UpstreamConnectError,
+                error.AnswerLostError,
+                error.AnswerRejectedError,
+            ):
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, MAX_PAUSE_S)
+            else:
+                logger.info('engine_cancelled', attempt=attempt, state=found)
+                return
+        logger.warning('engine_cancel_given_up', attempt=attempt)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
@@ -0,0 +1,183 @@
+"""Client of a model engine: start, resume, cancel and load report."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import urllib.parse
+from typing import TYPE_CHECKING
+
+from quetzalsill_sidecar import error
+from quetzalsill_sidecar.upstream import http
+
+if TYPE_CHECKING:
+    from contextlib import AbstractAsyncContextManager
+
+    from quetzalsill.wire import message
+
+__all__ = [
+    'PATHS',
+    'Engine',
+    'EngineReport',
+    'generation_body',
+    'write_resume',
+    'write_start',
+]
+
+PATHS = {'completion': '/v1/completions', 'chat': '/v1/chat/completions'}
+MAX_ANSWER_BYTES = 1_048_576
+JSON_HEADERS: http.Headers = [(b'content-type', b'application/json')]
+
+
+@dataclasses.dataclass(slots=True)
+class EngineReport:
+    """The engine's own, lagging, word on its state.
+
+    Attributes:
+      incarnation: Grows or changes with each start of the engine.
+      running: Requests in the batch.
+      waiting: Requests queued inside the engine.
+      used_tokens: Key-value memory in use.
+      capacity_tokens: Key-value memory in all.
+      preemptions: Requests pushed off since its start.
+      token_ms: Mean time between tokens, in milliseconds.
+      leaving: It takes no new work.
+      models: Models loaded.
+      adapters: Adapters loaded.
+      role: Role in force.
+      fence: Highest fencing number it has seen.
+    """
+
+    incarnation: int = 0
+    running: int = 0
+    waiting: int = 0
+    used_tokens: int = 0
+    capacity_tokens: int = 0
+    preemptions: int = 0
+    token_ms: float = 0.0
+    leaving: bool = False
+    models: list[str] = dataclasses.field(default_factory=list)
+    adapters: list[str] = dataclasses.field(default_factory=list)
+    role: str = ''
+    fence: int = 0
+
+
+class Engine:
+    """Exchanges with one engine, each on its own connection."""
+
+    def __init__(
+        self, origin: http.Origin, connect_s: float, answer_s: float
+    ) -> None:
+        """Names the engine.
+
+        Args:
+          origin: Where it listens.
+          connect_s: Bound on opening a connection, in seconds.
+          answer_s: Bound on a short exchange (cancel, report), in seconds.
+        """
+        self._origin = origin
+        self._connect_s = connect_s
+        self._answer_s = answer_s
+
+    def exchange(self) -> AbstractAsyncContextManager[http.Connection]:
+        """Opens a connection for a stream, for a `with` block.
+
+        Raises:
+          UpstreamConnectError: nothing was written.
+        """
+        return http.exchange(self._origin, self._connect_s)
+
+    async def cancel(self, attempt: str) -> str:
+        """Cancels the work, or forbids that it ever start.
+
+        Returns:
+          `cancelled`, `forbidden` or `finished`.
+
+        Raises:
+          UpstreamConnectError: not reached.
+          AnswerLostError: no whole answer came.
+          AnswerRejectedError: the engine would not.
+        """
+        answer = await self._ask('POST', f'{_request_path(attempt)}/cancel')
+        return str(answer.get('state', ''))
+
+    async def report(self) -> EngineReport:
+        """Fetches the load report; raises as `cancel` does."""
+        answer = await self._ask('GET', '/load')
+        known = {field.name for field in dataclasses.fields(EngineReport)}
+        return EngineReport(**{k: v for k, v in answer.items() if k in known})
+
+    async def cache_events(self, since: int) -> list[dict[str, object]]:
+        """Fetches cache events after number `since`."""
+        answer = await self._ask('GET', f'/cache-events?since={since}')
+        events = answer.get('events')
+        return events if isinstance(events, list) else []
+
+    async def _ask(self, method: str, target: str) -> dict[str, object]:
+        try:
+            async with (
+                asyncio.timeout(self._answer_s),
+                http.exchange(self._origin, self._connect_s) as conn,
+            ):
+                await conn.ask(method, target, [])
+                head = await conn.read_head()
+                body = await conn.read_all(MAX_ANSWER_BYTES)
+        except TimeoutError as exc:
+            raise error.AnswerLostError(f'{target}: no answer in time') from exc
+        if head.status != 200:
+            raise error.AnswerRejectedError(head.status, body)
+        return _parse_object(body)
+
+
+async def write_start(conn: http.Connection, kind: str, body: bytes) -> None:
+    """Writes the request that starts a generation.
+
+    Raises:
+      AnswerLostError: the connection broke; the engine may have it.
+    """
+    await conn.ask('POST', PATHS[kind], JSON_HEADERS, body)
+
+
+async def write_resume(conn: http.Connection, attempt: str, first: int) -> None:
+    """Writes the request for the events from number `first` on.
+
+    Raises:
+      AnswerLostError: the connection broke.
+    """
+    target = f'{_request_path(attempt)}/stream?from={first}'
+    await conn.ask('GET', target, [])
+
+
+def generation_body(dispatch: message.Dispatch, priority: int) -> bytes:
+    """Returns the caller's JSON with what the engine needs added.
+
+    Raises:
+      RequestMalformedError: the payload is no JSON object.
+    """
+    try:
+        request = json.loads(dispatch.payload)
+    except ValueError as exc:
+        raise error.RequestMalformedError(f'payload: {exc}') from exc
+    if not isinstance(request, dict):
+        raise error.RequestMalformedError('payload is no JSON object')
+    request['model'] = dispatch.model
+    request['stream'] = True
+    request['request_id'] = dispatch.attempt
+    request['priority'] = priority
+    request['max_tokens'] = dispatch.max_tokens
+    return json.dumps(request).encode()
+
+
+def _request_path(attempt: str) -> str:
+    return f'/v1/requests/{urllib.parse.quote(attempt, safe="")}'
+
+
+def _parse_object(body: bytes) -> dict[str, object]:
+    try:
+        answer = json.loads(body)
+    except ValueError as exc:
+        raise error.AnswerLostError(f'answer is no JSON: {exc}') from exc
+    if not isinstance(answer, dict):
+        raise error.AnswerLostError('answer is no JSON object')
+    return answer
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
@@ -0,0 +1,134 @@
+"""One attempt's generation: start or recover, then read it whole."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import base
+from quetzalsill.wire import message
+from quetzalsill_sidecar import error
+from quetzalsill_sidecar.upstream import engine as engine_lib
+from quetzalsill_sidecar.upstream import generation, outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalsill_sidecar.attempt import state
+    from quetzalsill_sidecar.upstream import http
+
+__all__ = ['recover', 'run']
+
+FORBIDDEN = 'forbidden'
+
+
+async def run(
+    attempt: state.Attempt,
+    engine: engine_lib.Engine,
+    progress: generation.Generation,
+    priority: int,
+    start: Callable[[], None],
+) -> message.Message:
+    """Starts the generation and reads it to its end.
+
+    Args:
+      attempt: What to generate.
+      engine: Where.
+      progress: Reads the stream and delivers its events.
+      priority: Priority for the engine.
+      start: Called just before the first byte is written.
+
+    Returns:
+      The terminal message.
+
+    Raises:
+      UpstreamConnectError: Nothing was written.
+      RequestMalformedError: The payload is no JSON object; nothing was
+        written.
+    """
+    body = engine_lib.generation_body(attempt.dispatch, priority)
+    try:
+        async with engine.exchange() as conn:
+            start()
+            if await _read_first(conn, attempt.dispatch.kind, body, progress):
+                return message.Finished(attempt.id, attempt.tail.end)
+        await progress.resume()
+    except error.AnswerRejectedError as exc:
+        return outcome.rejected(attempt.id, exc)
+    except error.GenerationGoneError as exc:
+        # The request may still be on its way to an engine that does not
+        # know it yet; the loss is proved once its start is forbidden.
+        gone = bool(await _settle(attempt.id, engine))
+        return outcome.failed(
+            attempt.id, 'upstream_failed', exc.detail, gone=gone
+        )
+    except error.GenerationUnreachableError as exc:
+        return outcome.failed(attempt.id, 'upstream_failed', exc.detail)
+    return message.Finished(attempt.id, attempt.tail.end)
+
+
+async def recover(
+    attempt: state.Attempt,
+    engine: engine_lib.Engine,
+    progress: generation.Generation,
+) -> message.Message:
+    """Attaches to a generation that an earlier sidecar started.
+
+    An engine that does not know it is first told never to start it: its
+    request may still be on the way, and "not run" would become untrue.
+
+    Returns:
+      The terminal message; `Refused` once the start is forbidden.
+    """
+    try:
+        await progress.resume()
+    except error.GenerationGoneError as exc:
+        return await _forbid(attempt, engine, exc)
+    except error.GenerationUnreachableError as exc:
+        return outcome.failed(
+            attempt.id, 'outcome_unknown', exc.detail, base.Ran.UNKNOWN
+        )
+    return message.Finished(attempt.id, attempt.tail.end)
+
+
+async def _read_first(
+    conn: http.Connection,
+    kind: str,
+    body: bytes,
+    progress: generation.Generation,
+) -> bool:
+    """Reads over the starting connection; False if it broke or fell silent."""
+    try:
+        await engine_lib.write_start(conn, kind, body)
+        await progress.read(conn)
+    except (error.AnswerLostError, TimeoutError):
+        return False
+    return True
+
+
+async def _forbid(
+    attempt: state.Attempt,
+    engine: engine_lib.Engine,
+    exc: error.GenerationGoneError,
+) -> message.Message:
+    found = await _settle(attempt.id, engine)
+    if found == FORBIDDEN and not attempt.started:
+        return message.Refused(attempt.id, 'not_found', exc.detail, 0)
+    if found:
+        return outcome.failed(
+            attempt.id, 'upstream_failed', exc.detail, gone=True
+        )
+    return outcome.failed(
+        attempt.id, 'outcome_unknown', exc.detail, base.Ran.UNKNOWN
+    )
+
+
+async def _settle(attempt: str, engine: engine_lib.Engine) -> str:
+    """Cancels or forbids the generation; empty if that stays unsettled."""
+    try:
+        return await engine.cancel(attempt)
+    except (
+        error.UpstreamConnectError,
+        error.AnswerLostError,
+        error.AnswerRejectedError,
+    ):
+        return ''
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/headers.py
@@ -0,0 +1,67 @@
+"""Headers that pass between caller and app server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ['end_to_end', 'framing']
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+REQUEST_ONLY = frozenset({'host', 'expect', 'content-length'})
+WITH_BODY = frozenset({'POST', 'PUT', 'PATCH'})
+
+
+def end_to_end(
+    pairs: Sequence[Sequence[str]], *, request: bool
+) -> list[tuple[str, str]]:
+    """Drops the headers that concern one connection only."""
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    }
+    dropped = HOP_BY_HOP | named | (REQUEST_ONLY if request else frozenset())
+    return [
+        (name, value) for name, value in pairs if name.lower() not in dropped
+    ]
+
+
+def framing(
+    method: str,
+    pairs: Sequence[Sequence[str]],
+    first: bytes,
+    *,
+    is_open: bool,
+) -> list[tuple[str, str]]:
+    """Headers that tell the length of a request body.
+
+    Args:
+      method: HTTP method.
+      pairs: The caller's headers.
+      first: First piece of the body.
+      is_open: More pieces will come.
+    """
+    if not is_open:
+        if first or method.upper() in WITH_BODY:
+            return [('content-length', str(len(first)))]
+        return []
+    for name, value in pairs:
+        if name.lower() == 'content-length':
+            return [('content-length', value)]
+    return [('transfer-encoding', 'chunked')]
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/outcome.py
@@ -0,0 +1,40 @@
+"""Which terminal message a failure on the upstream becomes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import base
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from quetzalsill_sidecar import error
+
+__all__ = ['failed', 'rejected']
+
+REFUSING = {429: 'overloaded', 503: 'overloaded', 404: 'no_upstream'}
+FORBIDDEN = b'"forbidden"'
+
+
+def failed(
+    attempt: str,
+    code: str,
+    detail: str,
+    ran: base.Ran = base.Ran.YES,
+    *,
+    gone: bool = False,
+) -> message.Failed:
+    """Makes the terminal of an attempt that was started."""
+    return message.Failed(attempt, code, detail, ran.value, gone)
+
+
+def rejected(attempt: str, exc: error.AnswerRejectedError) -> message.Failed:
+    """Terminal for an engine that answered a start with an error status."""
+    status = exc.status
+    if status == 409 and FORBIDDEN in exc.body:
+        return failed(attempt, 'cancelled', exc.detail, base.Ran.NO)
+    if status in REFUSING:
+        return failed(attempt, REFUSING[status], exc.detail, base.Ran.NO)
+    if status in (400, 413, 422):
+        return failed(attempt, 'bad_request', exc.detail, base.Ran.NO)
+    return failed(attempt, 'upstream_failed', exc.detail)
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/sse.py
@@ -0,0 +1,39 @@
+"""Server-sent events: bytes in, payloads of `data` fields out."""
+
+from __future__ import annotations
+
+from quetzalsill_sidecar import error
+
+__all__ = ['DONE', 'EventParser']
+
+DONE = b'[DONE]'
+MAX_EVENT_BYTES = 1_048_576
+
+
+class EventParser:
+    """Cuts a byte stream into events, whatever the cuts of the reads."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the payloads of all events that are now whole.
+
+        Raises:
+          AnswerLostError: an event is larger than `MAX_EVENT_BYTES`.
+        """
+        text = (self._rest + data).replace(b'\r\n', b'\n')
+        *blocks, self._rest = text.split(b'\n\n')
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise error.AnswerLostError('event too large')
+        payloads = (_payload(block) for block in blocks)
+        return [payload for payload in payloads if payload]
+
+
+def _payload(block: bytes) -> bytes:
+    lines = (
+        line[5:].removeprefix(b' ')
+        for line in block.split(b'\n')
+        if line.startswith(b'data:')
+    )
+    return b'\n'.join(lines)
