--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of `quetzalsilld`."""
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/daemon/start.py
@@ -0,0 +1,52 @@
+"""Running of a role with its settings until it stops."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from quetzalsill.daemon import exit_code
+from quetzalsill.error import base
+from quetzalsill.telemetry import log, trace
+
+if TYPE_CHECKING:
+    from quetzalsill.plugin import role as plugin_role
+
+__all__ = ['run_role']
+
+logger = log.get(__name__)
+
+
+def run_role(role: plugin_role.Role, settings: Any) -> exit_code.ExitCode:
+    """Runs a role to its end.
+
+    Returns:
+      `OK` after a graceful stop, `CANNOT_START` for a typed failure and
+      `INTERNAL` for any other; the failures are logged.
+    """
+    log.configure(settings.telemetry.log_level, settings.node.name, role.name)
+    try:
+        trace.setup(settings.node.name, settings.telemetry.trace_file)
+        logger.info('process_started')
+        asyncio.run(role.run(settings))
+    except* (base.QuetzalsillError, OSError) as group:
+        for exc in _flat(group):
+            logger.error(
+                'process_failed', error=type(exc).__name__, reason=str(exc)
+            )
+        return_code = exit_code.ExitCode.CANNOT_START
+    except* Exception as group:
+        for exc in _flat(group):
+            logger.error('process_failed', exc_info=exc)
+        return_code = exit_code.ExitCode.INTERNAL
+    else:
+        logger.info('process_stopped')
+        return_code = exit_code.ExitCode.OK
+    trace.shutdown()
+    return return_code
+
+
+def _flat(exc: BaseException) -> list[BaseException]:
+    if isinstance(exc, BaseExceptionGroup):
+        return [leaf for inner in exc.exceptions for leaf in _flat(inner)]
+    return [exc]
--- a/packages/quetzalsill/src/quetzalsill/net/client.py
+++ b/packages/quetzalsill/src/quetzalsill/net/client.py
@@ -59,6 +59,7 @@
             async with asyncio.timeout(self.request_timeout):
                 return await conn.send(request)
         except TimeoutError as exc:
+            conn.note_silence()
             raise error.AnswerTimeoutError(
                 f'no answer within {self.request_timeout} s'
             ) from exc
--- a/packages/quetzalsill/src/quetzalsill/net/connection.py
+++ b/packages/quetzalsill/src/quetzalsill/net/connection.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     import ssl
 
-    from blacksheep.client import pool as library_pool
+    from quetzalsill.net import pool as net_pool
 
 __all__ = ['Connection']
 
@@ -76,6 +76,7 @@
             async with asyncio.timeout(self._silence_s):
                 event = await self._conn.next_event()
         except TimeoutError as exc:
+            self._conn.note_silence()
             raise error.AnswerTimeoutError(
                 f'nothing came for {self._silence_s} s'
             ) from exc
@@ -91,7 +92,7 @@
 
     def __init__(
         self,
-        pool: library_pool.ConnectionPool,
+        pool: net_pool.Pool,
         context: ssl.SSLContext | None,
         silence_s: float | None,
         on_released: Callable[[Connection], None],
@@ -156,6 +157,12 @@
         else:
             self.abort()
 
+    def note_silence(self) -> None:
+        """Distrusts the idle connections to the same address too."""
+        pool = self.pool()
+        if pool is not None:
+            pool.drop_idle()
+
     def abort(self) -> None:
         """Closes the connection at once, whatever it carries."""
         self._closing = True
--- a/packages/quetzalsill/src/quetzalsill/net/pool.py
+++ b/packages/quetzalsill/src/quetzalsill/net/pool.py
@@ -58,6 +58,15 @@
         conn.last_used = time.time()
         self._idle_connections.put_nowait(conn)
 
+    def drop_idle(self) -> None:
+        """Closes the idle connections after one of them went silent.
+
+        What lost track of one connection between the ends has mostly lost
+        its siblings too, and each would cost its request a timeout.
+        """
+        while not self._idle_connections.empty():
+            self._idle_connections.get_nowait().abort()
+
     async def dispose(self) -> None:
         """Closes every connection, those in use included."""
         self.disposed = True
--- a/packages/quetzalsill/src/quetzalsill/plugin/role.py
+++ b/packages/quetzalsill/src/quetzalsill/plugin/role.py
@@ -15,9 +15,9 @@
 
     Attributes:
       name: Subcommand of `quetzalsilld`.
-      settings_class: Declared dataclass of the role's settings. If it has
-        a key `node` of `settings.section.Node` or `telemetry` of
-        `settings.section.Telemetry`, logs and traces are set up from them.
+      settings_class: Declared dataclass of the role's settings, with at least
+        the keys `node` of `settings.section.Node` and `telemetry` of
+        `settings.section.Telemetry`, from which logs and traces are set up.
       run: Runs the role with its settings; returns after a graceful stop.
     """
 
--- a/packages/quetzalsill/src/quetzalsill/schema/check.py
+++ b/packages/quetzalsill/src/quetzalsill/schema/check.py
@@ -13,7 +13,7 @@
 from quetzalsill.schema import fault as schema_fault
 from quetzalsill.schema import key as schema_key
 
-__all__ = ['check']
+__all__ = ['check', 'describe', 'is_required']
 
 T = TypeVar('T')
 Checker = Callable[[Any, str, schema_fault.Faults], Any]
@@ -56,7 +56,7 @@
         field.name: _checker(types[field.name], field.metadata[schema_key.DOC])
         for field in fields
     }
-    required = [field.name for field in fields if _is_required(field)]
+    required = [field.name for field in fields if is_required(field)]
 
     def check_section(
         value: Any, path: str, faults: schema_fault.Faults
@@ -81,7 +81,8 @@
     return check_section
 
 
-def _is_required(field: dataclasses.Field) -> bool:
+def is_required(field: dataclasses.Field) -> bool:
+    """Whether a key has no default."""
     return (
         field.default is dataclasses.MISSING
         and field.default_factory is dataclasses.MISSING
@@ -205,8 +206,14 @@
     return lambda value: True
 
 
-def describe(wanted: type, spec: schema_key.KeySpec) -> str:
-    """Says which values of a scalar key are allowed."""
+def describe(wanted: Any, spec: schema_key.KeySpec) -> str:
+    """Says which values of a key are allowed."""
+    arguments = typing.get_args(wanted)
+    if arguments:
+        kind = 'array of' if len(arguments) == 1 else 'object by name of'
+        return f'{kind} {describe(arguments[-1], spec)}'
+    if dataclasses.is_dataclass(wanted):
+        return 'object'
     if spec.choices:
         return 'one of ' + ', '.join(map(repr, spec.choices))
     parts = [SCALARS[wanted]]
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/schema/example.py
@@ -0,0 +1,87 @@
+"""Commented examples of documents, made from the declared keys."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import textwrap
+import typing
+from collections.abc import Iterator
+from typing import Any
+
+from quetzalsill.schema import check, key, plain
+
+__all__ = ['example']
+
+INDENT = '  '
+WIDTH = 80
+
+
+def example(cls: type) -> str:
+    """Returns a document that passes the check of `cls`.
+
+    Each key stands with its description, type, unit, bounds and default in
+    a comment, and with its default or an example as value.
+    """
+    return '\n'.join([*_object(cls, 0), ''])
+
+
+def _object(cls: type, depth: int) -> Iterator[str]:
+    """Yields the lines of an object, without a line end after the brace."""
+    types = typing.get_type_hints(cls)
+    fields = dataclasses.fields(cls)
+    yield '{'
+    for field in fields:
+        comma = '' if field is fields[-1] else ','
+        yield from _key(field, types[field.name], depth + 1, comma)
+    yield f'{INDENT * depth}}}'
+
+
+def _key(
+    field: dataclasses.Field, annotation: Any, depth: int, comma: str
+) -> Iterator[str]:
+    margin = INDENT * depth
+    yield from _comment(field, annotation, margin)
+    if dataclasses.is_dataclass(annotation):
+        lines = list(_object(annotation, depth))
+    else:
+        lines = [json.dumps(_shown(field))]
+    lines[0] = f'{margin}"{field.name}": {lines[0]}'
+    lines[-1] += comma
+    yield from lines
+
+
+def _comment(
+    field: dataclasses.Field, annotation: Any, margin: str
+) -> Iterator[str]:
+    spec: key.KeySpec = field.metadata[key.DOC]
+    notes = [spec.doc]
+    if not dataclasses.is_dataclass(annotation):
+        notes.append(f'{check.describe(annotation, spec)}; {_default(field)}.')
+    for note in notes:
+        yield from textwrap.wrap(
+            note,
+            WIDTH,
+            initial_indent=f'{margin}// ',
+            subsequent_indent=f'{margin}// ',
+            break_long_words=False,
+            break_on_hyphens=False,
+        )
+
+
+def _default(field: dataclasses.Field) -> str:
+    if check.is_required(field):
+        return 'required'
+    return f'default {json.dumps(_value(field))}'
+
+
+def _shown(field: dataclasses.Field) -> Any:
+    if check.is_required(field):
+        return field.metadata[key.DOC].example
+    return _value(field)
+
+
+def _value(field: dataclasses.Field) -> Any:
+    if field.default is not dataclasses.MISSING:
+        return plain.to_plain(field.default)
+    return plain.to_plain(field.default_factory())
--- a/packages/quetzalsill/src/quetzalsill/telemetry/log.py
+++ b/packages/quetzalsill/src/quetzalsill/telemetry/log.py
@@ -21,6 +21,9 @@
 
 EventDict = dict[str, Any]
 
+# Before `configure`, lines must not mix with what a command prints.
+structlog.configure(logger_factory=structlog.WriteLoggerFactory(sys.stderr))
+
 
 def configure(level: str, node: str = '', role: str = '') -> None:
     """Sets up the log lines of this process, its libraries' included.
@@ -46,7 +49,6 @@
         processors=[*shared, renderer],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=structlog.WriteLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
     )
     _configure_libraries(level, [_library_keys, *shared], renderer)
 
--- /dev/null
+++ b/tests/quetzalsill/config/test_document.py
@@ -0,0 +1,150 @@
+"""Tests of the configuration's document, differences and references."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from quetzalsill.config import difference, document, model, reference
+from quetzalsill.plugin import registry as plugin_registry
+from quetzalsill.schema import error
+
+NAMES = strategies.from_regex(model.NAME, fullmatch=True)
+CONFIGURATIONS = strategies.builds(
+    model.Configuration,
+    profiles=strategies.dictionaries(
+        NAMES,
+        strategies.builds(
+            model.Profile,
+            durable=strategies.booleans(),
+            priority=strategies.integers(0, 9),
+            deadline_s=strategies.floats(0.1, 86400),
+        ),
+        max_size=3,
+    ),
+    accounts=strategies.dictionaries(
+        NAMES,
+        strategies.builds(
+            model.Account,
+            profiles=strategies.lists(NAMES, max_size=2),
+            limits=strategies.builds(
+                model.Limits, concurrency=strategies.integers(0, 1000)
+            ),
+        ),
+        max_size=3,
+    ),
+)
+
+
+def parse(plain):
+    return document.parse(json.dumps(plain).encode(), 1)
+
+
+class DocumentTest(unittest.TestCase):
+    """A document is the same configuration on every node."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(CONFIGURATIONS, strategies.integers(0))
+    def test_round_trip(self, cfg, revision):
+        stored = document.render(cfg)
+        parsed = document.parse(stored, revision)
+        self.assertEqual(parsed, dataclasses.replace(cfg, revision=revision))
+        self.assertEqual(document.render(parsed), stored)
+        self.assertEqual(difference.difference(cfg, parsed), [])
+
+    def test_refuses_what_no_frame_holds(self):
+        with self.assertRaises(error.InvalidDocumentError):
+            document.parse(b' ' * (document.MAX_DOCUMENT_BYTES + 1), 1)
+
+    def test_refuses_comments_in_the_store(self):
+        with self.assertRaises(error.InvalidDocumentError):
+            document.parse(b'{} // edited', 1)
+
+    def test_difference_names_keys_and_masks_secrets(self):
+        digest = 'a' * 64
+        old = parse({'profiles': {'p': {}}, 'accounts': {'a': {}}})
+        new = parse(
+            {
+                'profiles': {'p': {'priority': 1}},
+                'accounts': {'a': {'token_sha256': [digest]}},
+            }
+        )
+        secret, priority = difference.difference(old, new)
+        self.assertEqual(secret.path, 'accounts.a.token_sha256')
+        self.assertNotIn(digest, str(secret))
+        self.assertEqual(
+            priority, difference.Change('profiles.p.priority', 5, 1)
+        )
+
+
+class ReferenceTest(unittest.TestCase):
+    """Names that lead nowhere are told before a configuration is accepted."""
+
+    def faults(self, plain, registry=None):
+        registry = registry or plugin_registry.Registry()
+        try:
+            reference.check_references(parse(plain), registry)
+        except error.InvalidDocumentError as exc:
+            return [fault.path for fault in exc.exceptions]
+        return []
+
+    def test_names_must_exist(self):
+        upstream = {
+            'kind': 'model',
+            'sidecar': '127.0.0.1:1',
+            'availability_zone': 'z',
+            'models': ['m', 'gone'],
+            'adapters': ['a', 'gone'],
+            'services': ['gone'],
+        }
+        self.assertEqual(
+            self.faults(
+                {
+                    'profiles': {'prompt': {}},
+                    'models': {'m': {'profile': 'gone', 'adapters': ['a']}},
+                    'upstreams': {'u': upstream},
+                    'accounts': {'c': {'profiles': ['prompt', 'gone']}},
+                }
+            ),
+            [
+                'models.m.profile',
+                'upstreams.u.models[1]',
+                'upstreams.u.adapters[1]',
+                'upstreams.u.services[0]',
+                'accounts.c.profiles[1]',
+            ],
+        )
+
+    def test_policies_are_checked_if_their_kind_is_installed(self):
+        registry = plugin_registry.Registry()
+        registry.add('routing', 'rotate', None, 'In turn.')
+        plain = {'policies': {'routing': 'gone', 'fairness': 'gone'}}
+        self.assertEqual(self.faults(plain, registry), ['policies.routing'])
+
+    def test_tokens_and_sidecars_belong_to_one(self):
+        """A caller would be charged to another account.
+
+        Two accounts hold the digest of the same token, so which of them a
+        request belongs to depends on the order of the table.
+        """
+        digest = '0' * 64
+        upstream = {
+            'kind': 'app',
+            'sidecar': '127.0.0.1:1',
+            'availability_zone': 'z',
+        }
+        self.assertEqual(
+            self.faults(
+                {
+                    'profiles': {'prompt': {}},
+                    'accounts': {'a': {'token_sha256': [digest]}},
+                    'operators': {'o': {'token_sha256': digest}},
+                    'upstreams': {'u': upstream, 'v': upstream},
+                }
+            ),
+            ['operators.o.token_sha256', 'upstreams.v.sidecar'],
+        )
--- /dev/null
+++ b/tests/quetzalsill/plugin/test_registry.py
@@ -0,0 +1,59 @@
+"""Tests of the plug-in registry."""
+
+from __future__ import annotations
+
+import importlib.metadata
+import types
+import unittest
+from unittest import mock
+
+from quetzalsill.plugin import error, registry
+
+
+def entry(module):
+    fake = mock.create_autospec(importlib.metadata.EntryPoint, instance=True)
+    fake.load.return_value = module
+    fake.name, fake.value = 'fake', 'fake.plugin'
+    return fake
+
+
+class RegistryTest(unittest.TestCase):
+    """Plug-ins register themselves once, by kind and name."""
+
+    def setUp(self):
+        self.registry = registry.Registry()
+
+    def test_finds_what_was_added(self):
+        self.registry.add('routing', 'b', 2, 'Second.')
+        self.registry.add('routing', 'a', 1, 'First.')
+        self.assertEqual(self.registry.names('routing'), ['a', 'b'])
+        self.assertEqual(self.registry.get('routing', 'a'), 1)
+        self.assertEqual(self.registry.plugins('routing')[1].doc, 'Second.')
+
+    def test_names_what_is_known_instead(self):
+        self.registry.add('routing', 'rotate', 1, '')
+        with self.assertRaisesRegex(error.UnknownPluginError, 'rotate'):
+            self.registry.get('routing', 'rotat')
+        with self.assertRaises(error.UnknownPluginError):
+            self.registry.add('rooting', 'rotate', 1, '')
+
+    def test_refuses_a_name_twice(self):
+        self.registry.add('routing', 'a', 1, '')
+        with self.assertRaises(error.DuplicatePluginError):
+            self.registry.add('routing', 'a', 2, '')
+
+    def load(self, module):
+        with mock.patch.object(
+            importlib.metadata, 'entry_points', return_value=[entry(module)]
+        ):
+            self.registry.load()
+
+    def test_loads_installed_modules_once(self):
+        module = types.SimpleNamespace(register=mock.Mock())
+        self.load(module)
+        self.load(module)
+        module.register.assert_called_once_with(self.registry)
+
+    def test_names_a_module_that_does_not_register(self):
+        with self.assertRaisesRegex(error.PluginLoadError, 'fake.plugin'):
+            self.load(types.SimpleNamespace())
--- /dev/null
+++ b/tests/quetzalsill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the module of the same name."""
