Add the router's peers: links, attempts and the subset

Cause: the router needs its sidecars as objects that keep a link, and answers that go on over broken links, before requests can be written against them.

Ruled out: Resume after an unanswered recover. A sidecar that never saw the recover would lay a tombstone and answer Refused (not run) to work that an earlier incarnation may have started; the recover is sent again instead, with a Resume behind it. Withdraw and Cancel wait for the answer to a recover.

--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecars that a router is linked to."""
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
@@ -0,0 +1,343 @@
+"""One attempt at a request, seen from the router."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Protocol
+
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
+from quetzalsill.wire import error as wire_error
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ['Attempt', 'Owner']
+
+
+class Owner(Protocol):
+    """What an attempt needs of its peer.
+
+    Attributes:
+      incarnation: Incarnation of the sidecar at the other end of the link.
+    """
+
+    incarnation: int
+
+    def send(self, msg: message.Message) -> bool:
+        """Sends a message if there is a link; False if there is none."""
+
+    def send_later(self, msg: message.Message) -> None:
+        """Sends a message now, or on the next link to this incarnation."""
+
+    async def send_body(self, msg: message.Body) -> None:
+        """Sends a message and waits while the link is congested."""
+
+    def forget(self, attempt: Attempt) -> None:
+        """Takes the attempt off the peer."""
+
+
+class Attempt:
+    """Gives the answer of one attempt, whatever happens to its link.
+
+    `receive` gives each item once and in order, and one terminal message:
+    Refused, Withdrawn, Finished or Failed. The methods for the peer (`take`,
+    `link_up`, `link_lost`, `expire`) are not for the request.
+
+    Attributes:
+      id: Id of the attempt.
+      dispatch: Message that opened it.
+      started: The work is known to have reached the upstream.
+      next_seq: Items received so far.
+    """
+
+    def __init__(
+        self, dispatch: message.Dispatch, owner: Owner, recover_s: float
+    ) -> None:
+        """Makes an attempt that the peer is about to dispatch.
+
+        Args:
+          dispatch: Message that opens it.
+          owner: The peer.
+          recover_s: Seconds without a link, or without an answer of a new
+            sidecar, after which the outcome is given as unknown.
+        """
+        self.id = dispatch.attempt
+        self.dispatch = dispatch
+        self.started = False
+        self.next_seq = 0
+        self._owner = owner
+        self._recover_s = recover_s
+        self._limit = dispatch.credit
+        self._recovering = dispatch.recover
+        self._body_cut = False
+        self._head_taken = False
+        self._withdrawing = False
+        self._cancelling = False
+        self._closed = False
+        self._gave_up = False
+        self._terminal: message.Message | None = None
+        self._to_acknowledge = False
+        self._timer: asyncio.TimerHandle | None = None
+        # Bounded by the credit that the request grants: a sidecar that sends
+        # more than that breaks the protocol.
+        self._inbox: asyncio.Queue[message.Message] = asyncio.Queue()
+        if self._recovering:
+            self._start_timer()
+
+    async def receive(self) -> message.Message:
+        """Gives the next message of the answer; the terminal one for ever.
+
+        Started may be missing before the first item, if it was lost with a
+        link. Running comes only after `withdraw`.
+        """
+        if self._terminal is not None and self._inbox.empty():
+            return self._terminal
+        return await self._inbox.get()
+
+    def grant(self, seq: int, items: int) -> None:
+        """Acknowledges the items below `seq` and permits `items` more."""
+        self._limit += items
+        # A grant that is lost with its link is part of the next Resume.
+        self._owner.send(message.Credit(self.id, seq, items))
+
+    async def send_body(self, data: bytes, *, last: bool) -> None:
+        """Sends a further piece of a call's body.
+
+        Raises:
+          wire_error.LinkClosedError: The link that carries the body is
+            gone; the answer tells what became of the call.
+        """
+        if self._body_cut or self._terminal is not None:
+            raise wire_error.LinkClosedError('the body was cut off')
+        await self._owner.send_body(message.Body(self.id, data, last))
+
+    def withdraw(self) -> None:
+        """Asks that the attempt never start; gives Withdrawn or Running."""
+        if self._terminal is not None:
+            return
+        self._withdrawing = True
+        if not self._recovering:
+            self._owner.send(message.Withdraw(self.id))
+
+    def cancel(self) -> None:
+        """Stops the work; the terminal message tells whether it ran."""
+        if self._terminal is not None:
+            if self._gave_up:
+                self._owner.send_later(message.Cancel(self.id))
+            return
+        self._cancelling = True
+        if not self._recovering:
+            self._owner.send(message.Cancel(self.id))
+
+    def close(self) -> None:
+        """Ends the interest in the answer: acknowledges or cancels it."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._terminal is not None:
+            self._leave()
+            return
+        self.cancel()
+        self._start_timer()
+
+    def refuse(self, code: str, detail: str) -> None:
+        """Ends an attempt whose Dispatch was never written to any link."""
+        self._end(message.Refused(self.id, code, detail, 0))
+
+    def take(self, msg: message.Message) -> bool:
+        """Takes a message of the link; False if it is of no use.
+
+        Raises:
+          wire_error.ProtocolError: It cannot follow what came before.
+        """
+        if self._terminal is not None:
+            return False
+        recovering = self._recovering
+        taken = TAKE[type(msg)](self, msg)
+        if recovering:
+            self._settle_recovery()
+        return taken
+
+    def link_up(self, *, same: bool) -> None:
+        """Takes the attempt up on a new link.
+
+        Args:
+          same: The sidecar is the one that the last link went to.
+        """
+        if self._terminal is not None:
+            return
+        if same and not self._recovering:
+            self._resume()
+            return
+        again = same and self._recovering
+        self._recovering = True
+        self._owner.send(self._recover_dispatch())
+        # A sidecar that has this Dispatch already need not answer it again.
+        if again:
+            self._owner.send(self._resume_message())
+
+    def link_lost(self) -> None:
+        """Starts the time within which the attempt must be taken up."""
+        self._body_cut = True
+        if self._terminal is None:
+            self._start_timer()
+
+    def expire(self) -> None:
+        """Gives up: what became of the attempt can't be learnt in time."""
+        if self._terminal is None:
+            self._gave_up = True
+            self._end(
+                message.Failed(
+                    self.id,
+                    request_error.OutcomeUnknownError.code,
+                    'the sidecar could not be reached again in time',
+                    base.Ran.UNKNOWN,
+                    False,
+                )
+            )
+
+    def _resume(self) -> None:
+        if not self._closed:
+            self._stop_timer()
+        self._owner.send(self._resume_message())
+        if self._withdrawing:
+            self._owner.send(message.Withdraw(self.id))
+        if self._cancelling:
+            self._owner.send(message.Cancel(self.id))
+
+    def _resume_message(self) -> message.Resume:
+        seq = self.next_seq
+        return message.Resume(self.id, seq, self._limit - seq)
+
+    def _recover_dispatch(self) -> message.Dispatch:
+        return dataclasses.replace(
+            self.dispatch,
+            incarnation=self._owner.incarnation,
+            recover=True,
+            body_open=False,
+            credit=self._limit,
+        )
+
+    def _settle_recovery(self) -> None:
+        """The new sidecar has answered and knows the attempt from now on."""
+        self._recovering = False
+        if self._terminal is not None:
+            return
+        if not self._closed:
+            self._stop_timer()
+        # Withdraw and Cancel wait for this moment: before, the sidecar could
+        # take the attempt for one that is still queued, and answer "not run"
+        # while the engine runs it.
+        if self._withdrawing:
+            self._take_running(message.Running(self.id))
+        if self._cancelling:
+            self._owner.send(message.Cancel(self.id))
+
+    def _take_started(self, msg: message.Started) -> bool:
+        if self.started:
+            return False
+        self.started = True
+        return self._deliver(msg)
+
+    def _take_running(self, msg: message.Running) -> bool:
+        self.started = True
+        if not self._withdrawing:
+            return False
+        self._withdrawing = False
+        return self._deliver(msg)
+
+    def _take_head(self, msg: message.Head) -> bool:
+        if self._head_taken:
+            return False
+        self.started = self._head_taken = True
+        return self._deliver(msg)
+
+    def _take_chunk(self, msg: message.Chunk) -> bool:
+        end = msg.seq + len(msg.items)
+        if not 0 <= msg.seq <= self.next_seq:
+            raise wire_error.ProtocolError(
+                f'{self.id}: item {msg.seq} instead of {self.next_seq}'
+            )
+        if end > self._limit:
+            raise wire_error.ProtocolError(
+                f'{self.id}: item {end - 1} beyond the credit of {self._limit}'
+            )
+        if end <= self.next_seq:
+            return False
+        first = self.next_seq
+        self.started = True
+        self.next_seq = end
+        items = msg.items[first - msg.seq :]
+        return self._deliver(message.Chunk(self.id, first, items))
+
+    def _take_finished(self, msg: message.Finished) -> bool:
+        if msg.seq > self.next_seq:
+            raise wire_error.ProtocolError(
+                f'{self.id}: ended at {msg.seq}, received {self.next_seq}'
+            )
+        if msg.seq < self.next_seq:
+            return self._fail('the answer is shorter than what was received')
+        return self._end(msg, acknowledge=True)
+
+    def _take_failed(self, msg: message.Failed) -> bool:
+        if self.started and msg.ran == base.Ran.NO:
+            msg = dataclasses.replace(msg, ran=base.Ran.YES)
+        return self._end(msg, acknowledge=True)
+
+    def _take_not_run(self, msg: message.Refused | message.Withdrawn) -> bool:
+        # What has started can't be "not run" any more. An engine that lost
+        # it says so to the sidecar that asks for it in a recover.
+        if self.started:
+            return self._fail('the work was lost', gone=self._recovering)
+        return self._end(msg)
+
+    def _fail(self, detail: str, *, gone: bool = False) -> bool:
+        code = request_error.UpstreamFailedError.code
+        return self._end(
+            message.Failed(self.id, code, detail, base.Ran.YES, gone)
+        )
+
+    def _end(self, msg: message.Message, *, acknowledge: bool = False) -> bool:
+        self._terminal = msg
+        self._to_acknowledge = acknowledge
+        self._stop_timer()
+        self._deliver(msg)
+        if self._closed:
+            self._leave()
+        return True
+
+    def _deliver(self, msg: message.Message) -> bool:
+        if not self._closed:
+            self._inbox.put_nowait(msg)
+        return True
+
+    def _leave(self) -> None:
+        self._owner.forget(self)
+        if self._to_acknowledge:
+            self._owner.send_later(message.Ack(self.id))
+
+    def _start_timer(self) -> None:
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                self._recover_s, self.expire
+            )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+TAKE: dict[type[message.Message], Callable[..., bool]] = {
+    message.Refused: Attempt._take_not_run,
+    message.Withdrawn: Attempt._take_not_run,
+    message.Started: Attempt._take_started,
+    message.Running: Attempt._take_running,
+    message.Head: Attempt._take_head,
+    message.Chunk: Attempt._take_chunk,
+    message.Finished: Attempt._take_finished,
+    message.Failed: Attempt._take_failed,
+}
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -0,0 +1,388 @@
+"""One sidecar, and the link to it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+from typing import TYPE_CHECKING
+
+import structlog
+
+from quetzalsill.error import request as request_error
+from quetzalsill.wire import error as wire_error
+from quetzalsill.wire import message
+from quetzalsill_router.peer import attempt as peer_attempt
+from quetzalsill_router.peer import backoff, error, fetch, status
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+    from quetzalsill.config import holder as config_holder
+    from quetzalsill.config import model
+    from quetzalsill.wire import link
+
+__all__ = ['Peer']
+
+LOG = structlog.get_logger('router.peer')
+
+MAX_DEFERRED = 10_000
+STABLE_S = 5.0
+
+
+class Peer:
+    """Keeps a link to one sidecar and the attempts open there.
+
+    Attributes:
+      upstream: Name of the upstream.
+      availability_zone: Its availability zone.
+      address: IP:PORT of the sidecar after the configuration.
+      hint: State that the host list gives, `live` or `leaving`; empty if it
+        does not name the upstream.
+      hint_address: IP:PORT that the host list gives; empty if none.
+      status: What this incarnation of the sidecar has said.
+      revision: Highest revision that this sidecar has named.
+      dropped: Messages thrown away because their attempt was unknown,
+        superseded, or had them already.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        spec: model.Upstream,
+        connect: Callable[
+            [str, int, Callable[[int], None]], Awaitable[link.Link]
+        ],
+        holder: config_holder.Holder,
+        recover_s: float,
+        on_revision: Callable[[int, Peer], None],
+    ) -> None:
+        """Makes a peer; `run` links it.
+
+        Args:
+          upstream: Name of the upstream.
+          spec: What the configuration says of it.
+          connect: Dials host and port, and reports revisions by the given
+            function.
+          holder: Configuration in force.
+          recover_s: See `Attempt`.
+          on_revision: Called with a revision higher than the one in force.
+        """
+        self.upstream = upstream
+        self.availability_zone = spec.availability_zone
+        self.address = spec.sidecar
+        self.hint = ''
+        self.hint_address = ''
+        self.status = status.Status()
+        self.revision = 0
+        self.dropped = 0
+        self._spec = spec
+        self._connect = connect
+        self._holder = holder
+        self._recover_s = recover_s
+        self._on_revision = on_revision
+        self._link: link.Link | None = None
+        self._attempts: dict[str, peer_attempt.Attempt] = {}
+        # For a link that stays away for long; the sidecar forgets tails by
+        # itself, so that the oldest may be lost.
+        self._deferred: collections.deque[message.Message] = collections.deque(
+            maxlen=MAX_DEFERRED
+        )
+        self._fetches = fetch.Fetches()
+        self._retired = False
+        self._unreachable = False
+        self._wake = asyncio.Event()
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of the sidecar; 0 before the first link."""
+        return self.status.incarnation
+
+    @property
+    def load(self) -> message.Load | None:
+        """Newest Load of this incarnation; None before the first."""
+        return self.status.load
+
+    @property
+    def linked(self) -> bool:
+        """Whether there is a link now."""
+        return self._link is not None and not self._link.closed
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the upstream takes no new work.
+
+        What the sidecar says goes before the host list, which lags; the list
+        counts only while nothing was heard from the sidecar.
+        """
+        if self._retired or self._spec.draining or self.status.going_away:
+            return True
+        if self.status.incarnation:
+            return self.status.leaving
+        return self.hint == 'leaving'
+
+    @property
+    def outstanding(self) -> int:
+        """Attempts open at this sidecar."""
+        return len(self._attempts)
+
+    @property
+    def retired(self) -> bool:
+        """Whether the peer ends with its last attempt."""
+        return self._retired
+
+    def serves(self, name: str) -> bool:
+        """Whether new work for the model or service may be sent now."""
+        if not self.linked or self.leaving:
+            return False
+        if name in self._spec.services:
+            return self.status.healthy
+        return name in self._spec.models and self.status.has_loaded(name)
+
+    def open(self, dispatch: message.Dispatch) -> peer_attempt.Attempt:
+        """Sends a Dispatch and gives the attempt.
+
+        If it can't be written to a link, the attempt answers Refused at
+        once: it has not run and never will.
+        """
+        dispatch.engine = self.status.engine
+        attempt = peer_attempt.Attempt(dispatch, self, self._recover_s)
+        self._attempts[attempt.id] = attempt
+        try:
+            written = self.send(dispatch)
+        except wire_error.OversizeFrameError as exc:
+            attempt.refuse(request_error.TooLargeError.code, exc.detail)
+        except wire_error.MalformedFrameError as exc:
+            attempt.refuse(request_error.BadRequestError.code, exc.detail)
+        else:
+            if not written:
+                attempt.refuse(
+                    request_error.NoUpstreamError.code,
+                    f'no link to {self.upstream}',
+                )
+        return attempt
+
+    async def fetch_config(self, revision: int) -> message.ConfigReply:
+        """Gets the sidecar's configuration if newer than `revision`.
+
+        Raises:
+          error.ConfigFetchError: There is no link, or no newer configuration
+            came in time.
+        """
+        if not self.send(message.ConfigFetch(revision)):
+            raise error.ConfigFetchError(f'no link to {self.upstream}')
+        return await self._fetches.wait()
+
+    def update(
+        self, spec: model.Upstream, hint: str, hint_address: str
+    ) -> None:
+        """Takes what the configuration and the host list say now."""
+        if hint != self.hint or hint_address != self.hint_address:
+            self._wake.set()
+        self._spec = spec
+        self.availability_zone = spec.availability_zone
+        self.hint = hint
+        self.hint_address = hint_address
+
+    def retire(self) -> None:
+        """Takes no new work; the link is closed with the last attempt."""
+        self._retired = True
+        self._end_if_done()
+
+    def reinstate(self) -> None:
+        """Undoes `retire`."""
+        self._retired = False
+
+    async def run(self) -> None:
+        """Links and links again until retired and out of attempts."""
+        delays = backoff.delays()
+        clock = asyncio.get_running_loop().time
+        addresses = self._addresses()
+        try:
+            while not self._done:
+                began = clock()
+                conn = await self._dial(next(addresses))
+                if conn is not None:
+                    await self._serve(conn)
+                if clock() - began > STABLE_S:
+                    delays = backoff.delays()
+                if not self._done:
+                    await self._pause(next(delays))
+        finally:
+            for attempt in list(self._attempts.values()):
+                attempt.expire()
+
+    def send(self, msg: message.Message) -> bool:
+        """Sends a message if there is a link; False if there is none.
+
+        Raises:
+          wire_error.MalformedFrameError: A field cannot be encoded.
+          wire_error.OversizeFrameError: The message is too long.
+        """
+        if self._link is None:
+            return False
+        try:
+            self._link.send_nowait(msg)
+        except wire_error.LinkClosedError:
+            return False
+        return True
+
+    def send_later(self, msg: message.Message) -> None:
+        """Sends a message now, or on the next link to this incarnation."""
+        if not self.send(msg):
+            self._deferred.append(msg)
+
+    async def send_body(self, msg: message.Body) -> None:
+        """Sends a message and waits while the link is congested.
+
+        Raises:
+          wire_error.LinkClosedError: There is no link.
+        """
+        if self._link is None:
+            raise wire_error.LinkClosedError(f'no link to {self.upstream}')
+        await self._link.send(msg)
+
+    def forget(self, attempt: peer_attempt.Attempt) -> None:
+        """Takes an attempt off the peer."""
+        self._attempts.pop(attempt.id, None)
+        self._end_if_done()
+
+    @property
+    def _done(self) -> bool:
+        return self._retired and not self._attempts
+
+    def _end_if_done(self) -> None:
+        if self._done:
+            self._wake.set()
+            if self._link is not None:
+                self._link.close()
+
+    def _addresses(self) -> Iterator[str]:
+        """Yields the address to dial next.
+
+        A replaced host is in the host list before the configuration has its
+        new address, or the other way round, so both are tried in turn.
+        """
+        while True:
+            yield self.address
+            if self.hint_address and self.hint_address != self.address:
+                yield self.hint_address
+
+    async def _dial(self, address: str) -> link.Link | None:
+        host, _, port = address.rpartition(':')
+        try:
+            conn = await self._connect(host, int(port), self._see)
+            # An IP number goes to another host when a host is replaced.
+            if conn.peer.upstream != self.upstream:
+                exc = wire_error.ProtocolError(
+                    f'{address} belongs to {conn.peer.upstream}'
+                )
+                conn.reject(exc)
+                raise exc
+        except wire_error.WireError as exc:
+            self._log_unreachable(address, exc)
+            return None
+        self._unreachable = False
+        return conn
+
+    def _log_unreachable(self, address: str, exc: wire_error.WireError) -> None:
+        if not self._unreachable:
+            LOG.warning(
+                'peer_unreachable',
+                upstream=self.upstream,
+                address=address,
+                code=exc.code,
+                detail=exc.detail,
+            )
+        self._unreachable = True
+
+    async def _pause(self, delay_s: float) -> None:
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                await self._wake.wait()
+
+    async def _serve(self, conn: link.Link) -> None:
+        self._link = conn
+        try:
+            self._adopt(conn.peer)
+            async for msg in conn.messages():
+                self._take(msg)
+        except wire_error.WireError as exc:
+            conn.reject(exc)
+            LOG.info(
+                'link_ended',
+                upstream=self.upstream,
+                code=exc.code,
+                detail=exc.detail,
+                outstanding=self.outstanding,
+            )
+        finally:
+            self._link = None
+            conn.close()
+            for attempt in self._attempts.values():
+                attempt.link_lost()
+            self._fetches.fail()
+
+    def _adopt(self, welcome: message.Welcome) -> None:
+        """Takes up the attempts, on the same sidecar or on a new one."""
+        same = welcome.incarnation == self.incarnation
+        if not same:
+            # Nothing that is known of the old one holds for the new one.
+            self.status = status.Status(welcome.incarnation)
+            self._deferred.clear()
+        self.status.leaving |= welcome.leaving
+        LOG.info(
+            'linked',
+            upstream=self.upstream,
+            incarnation=welcome.incarnation,
+            same=same,
+            outstanding=self.outstanding,
+        )
+        while self._deferred:
+            self.send(self._deferred.popleft())
+        for attempt in list(self._attempts.values()):
+            attempt.link_up(same=same)
+        self._see(welcome.revision)
+
+    def _take(self, msg: message.Message) -> None:
+        cls = type(msg)
+        if cls in peer_attempt.TAKE:
+            self._take_answer(msg)
+        elif cls is message.Load:
+            self.status.take_load(msg)
+            self._see(msg.revision)
+        elif cls is message.Leaving:
+            self.status.leaving = True
+            LOG.info('leaving', upstream=self.upstream, reason=msg.reason)
+        elif cls is message.GoAway:
+            self.status.going_away = True
+            LOG.info('going_away', upstream=self.upstream, reason=msg.reason)
+        elif cls is message.ConfigFetch:
+            self._give_config(msg.revision)
+        elif cls is message.ConfigReply:
+            self._fetches.settle(msg)
+        else:
+            raise wire_error.ProtocolError(f'{cls.__name__} from a sidecar')
+
+    def _take_answer(self, msg: message.Message) -> None:
+        attempt = self._attempts.get(msg.attempt)
+        if attempt is not None:
+            self.dropped += not attempt.take(msg)
+            return
+        self.dropped += 1
+        if type(msg) in (message.Finished, message.Failed):
+            self.send(message.Ack(msg.attempt))
+
+    def _see(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        if revision > self._holder.revision:
+            self._on_revision(revision, self)
+
+    def _give_config(self, revision: int) -> None:
+        if self._holder.revision > revision:
+            self.send(
+                message.ConfigReply(
+                    self._holder.revision, self._holder.document
+                )
+            )
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -0,0 +1,238 @@
+"""All sidecars that a router is linked to."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+from typing import TYPE_CHECKING
+
+import structlog
+
+from quetzalsill.wire import dial, message
+from quetzalsill_router.peer import peer as peer_module
+from quetzalsill_router.peer import subset
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable, Iterable
+
+    from quetzalsill.config import holder as config_holder
+    from quetzalsill.config import model
+    from quetzalsill.platform import hosts as platform_hosts
+    from quetzalsill.settings import section
+    from quetzalsill.wire import link
+
+__all__ = ['RECOVER_S', 'Peers']
+
+LOG = structlog.get_logger('router.peers')
+
+RECOVER_S = 15.0
+
+
+def _ignore_revision(revision: int, peer: peer_module.Peer) -> None:
+    """Default of `on_revision`."""
+
+
+class Peers:
+    """Keeps one `Peer` for each upstream of the router's subset."""
+
+    def __init__(
+        self,
+        node: section.Node,
+        incarnation: int,
+        credential: str,
+        holder: config_holder.Holder,
+        timing: section.LinkTiming,
+        tls: ssl.SSLContext | None = None,
+        *,
+        recover_s: float = RECOVER_S,
+        on_revision: Callable[[int, peer_module.Peer], None] | None = None,
+    ) -> None:
+        """Makes an empty set; `reconcile` fills it.
+
+        Args:
+          node: Name and availability zone of the router.
+          incarnation: Number of this run of the router.
+          credential: Credential of the fleet's links.
+          holder: Configuration in force.
+          timing: Bounds of links.
+          tls: Context of encrypted links; None for plain ones.
+          recover_s: Seconds without a link, or without an answer of a new
+            sidecar, after which an attempt's outcome is given as unknown.
+          on_revision: Called with a revision higher than the one in force
+            and the peer that named it.
+        """
+        self._node = node
+        self._incarnation = incarnation
+        self._credential = credential
+        self._holder = holder
+        self._timing = timing
+        self._tls = tls
+        self._recover_s = recover_s
+        self._on_revision = on_revision or _ignore_revision
+        self._peers: dict[str, peer_module.Peer] = {}
+        self._retiring: dict[str, peer_module.Peer] = {}
+        self._tasks: dict[peer_module.Peer, asyncio.Task[None]] = {}
+        self._hosts: dict[str, platform_hosts.Host] = {}
+        self._by_use: dict[str, list[peer_module.Peer]] = {}
+        self._counter = itertools.count(1)
+
+    def next_attempt_id(self) -> str:
+        """Gives an id that no attempt of any router has had."""
+        return f'{self._node.name}/{self._incarnation}/{next(self._counter)}'
+
+    def reconcile(
+        self,
+        cfg: model.Configuration,
+        hosts: Iterable[platform_hosts.Host] | None,
+    ) -> None:
+        """Brings the peers to what configuration and host list say.
+
+        Args:
+          cfg: Configuration in force; it alone says which upstreams exist.
+          hosts: The host list, a hint that lags; None while it is down,
+            when what was known goes on.
+        """
+        if hosts is not None:
+            self._hosts = {
+                host.name: host for host in hosts if host.kind == 'upstream'
+            }
+        wanted = subset.wanted(
+            self._node.name,
+            self._node.availability_zone,
+            cfg,
+            self._passive(cfg),
+        )
+        for name in sorted(self._peers.keys() - wanted):
+            self._retire(name)
+        for name in sorted(wanted):
+            self._want(name, cfg.upstreams[name])
+        self._by_use = self._index(cfg)
+
+    def candidates(self, model_or_service: str) -> list[peer_module.Peer]:
+        """Gives the peers that may get new work for a model or service."""
+        return [
+            peer
+            for peer in self._by_use.get(model_or_service, ())
+            if peer.serves(model_or_service)
+        ]
+
+    def peers(self) -> list[peer_module.Peer]:
+        """Gives all peers, linked or not, in order of their names."""
+        return [self._peers[name] for name in sorted(self._peers)]
+
+    def get(self, upstream: str) -> peer_module.Peer | None:
+        """Gives the peer of an upstream; None if it is not in the subset."""
+        return self._peers.get(upstream)
+
+    async def stop(self) -> None:
+        """Closes all links; open attempts end with an unknown outcome."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _passive(self, cfg: model.Configuration) -> set[str]:
+        return {
+            name
+            for name, spec in cfg.upstreams.items()
+            if spec.draining or self._hint(name)[0] == 'leaving'
+        }
+
+    def _hint(self, name: str) -> tuple[str, str]:
+        host = self._hosts.get(name)
+        return (host.state, host.address) if host else ('', '')
+
+    def _want(self, name: str, spec: model.Upstream) -> None:
+        peer = self._peers.get(name)
+        # A sidecar at another address is another one. Attempts open at the
+        # old one end there.
+        if peer is not None and peer.address != spec.sidecar:
+            self._retire(name)
+            peer = None
+        if peer is None:
+            peer = self._reinstate(name, spec) or self._add(name, spec)
+        peer.update(spec, *self._hint(name))
+
+    def _retire(self, name: str) -> None:
+        peer = self._peers.pop(name)
+        self._retiring[name] = peer
+        peer.retire()
+
+    def _reinstate(
+        self, name: str, spec: model.Upstream
+    ) -> peer_module.Peer | None:
+        """Takes back a peer that still ends its attempts, if it is the same.
+
+        A second link to one sidecar would split what is known of it.
+        """
+        peer = self._retiring.get(name)
+        if peer is None or peer.address != spec.sidecar:
+            return None
+        del self._retiring[name]
+        self._peers[name] = peer
+        peer.reinstate()
+        return peer
+
+    def _add(self, name: str, spec: model.Upstream) -> peer_module.Peer:
+        peer = peer_module.Peer(
+            name,
+            spec,
+            self._connect,
+            self._holder,
+            self._recover_s,
+            self._on_revision,
+        )
+        self._peers[name] = peer
+        task = asyncio.get_running_loop().create_task(peer.run())
+        self._tasks[peer] = task
+        task.add_done_callback(lambda task: self._end(peer, task))
+        return peer
+
+    def _end(self, peer: peer_module.Peer, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(peer)
+        if self._retiring.get(peer.upstream) is peer:
+            del self._retiring[peer.upstream]
+        if task.cancelled():
+            return
+        # The next reconcile makes a new one, should it be wanted after all.
+        if self._peers.get(peer.upstream) is peer:
+            del self._peers[peer.upstream]
+        if task.exception() is not None:
+            LOG.error(
+                'peer_task_failed',
+                upstream=peer.upstream,
+                exc_info=task.exception(),
+            )
+
+    def _index(
+        self, cfg: model.Configuration
+    ) -> dict[str, list[peer_module.Peer]]:
+        by_use = collections.defaultdict(list)
+        for peer in self.peers():
+            spec = cfg.upstreams[peer.upstream]
+            for use in (*spec.models, *spec.services):
+                by_use[use].append(peer)
+        return dict(by_use)
+
+    async def _connect(
+        self, host: str, port: int, on_revision: Callable[[int], None]
+    ) -> link.Link:
+        hello = message.Hello(
+            message.VERSION,
+            self._node.name,
+            self._incarnation,
+            self._credential,
+            self._node.availability_zone,
+            self._holder.revision,
+        )
+        return await dial.dial(
+            host,
+            port,
+            hello,
+            self._timing,
+            self._tls,
+            revision=lambda: self._holder.revision,
+            on_revision=on_revision,
+        )
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/status.py
@@ -0,0 +1,47 @@
+"""What is known of a sidecar from its own mouth."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill.wire import message
+
+__all__ = ['Status']
+
+
+@dataclasses.dataclass(slots=True)
+class Status:
+    """What one incarnation of a sidecar has said.
+
+    Attributes:
+      incarnation: Incarnation of the sidecar; 0 before the first link.
+      load: Newest Load; None before the first.
+      leaving: It said that it is leaving, and no later Load denied that.
+      going_away: It said that it is stopping, which is final.
+    """
+
+    incarnation: int = 0
+    load: message.Load | None = None
+    leaving: bool = False
+    going_away: bool = False
+
+    def take_load(self, load: message.Load) -> None:
+        """Takes a newer Load."""
+        self.load = load
+        self.leaving = load.leaving
+
+    def has_loaded(self, model: str) -> bool:
+        """Whether the model is loaded and its engine answers."""
+        return self.healthy and model in self.load.models
+
+    @property
+    def healthy(self) -> bool:
+        """Whether the upstream is known to answer."""
+        return self.load is not None and self.load.healthy
+
+    @property
+    def engine(self) -> int:
+        """Incarnation of the engine; 0 if unknown."""
+        return self.load.engine if self.load else 0
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/subset.py
@@ -0,0 +1,101 @@
+"""Which upstreams of a model a router keeps links to.
+
+A link from every router to every sidecar costs too much in a large fleet.
+Each router keeps a few upstreams of each model, chosen by rendezvous hashing:
+routers need not agree on anything, each upstream is chosen by about equally
+many, and an upstream that comes or goes changes at most one other choice.
+"""
+
+from __future__ import annotations
+
+import collections
+import itertools
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterator, Mapping
+
+    from quetzalsill.config import model
+
+__all__ = ['choose', 'wanted']
+
+# Part of a subset kept outside the own availability zone, for when the
+# zone's upstreams fail together.
+REMOTE_PART = 4
+
+
+def choose(
+    node: str, zone: str, zones: Mapping[str, str], size: int
+) -> set[str]:
+    """Chooses upstreams for a router.
+
+    Most are of the router's own availability zone, the others are spread
+    over the other zones. Adding or removing one upstream changes the choice
+    by at most that upstream and one other.
+
+    Args:
+      node: Name of the router.
+      zone: Its availability zone.
+      zones: Availability zone of each upstream by its name.
+      size: Upstreams wanted.
+    """
+    ranked = sorted(zones, key=lambda name: _score(node, name))
+    local = [name for name in ranked if zones[name] == zone]
+    remote = list(
+        _spread(
+            node, {name: zones[name] for name in ranked if zones[name] != zone}
+        )
+    )
+    spare = max(1, size // REMOTE_PART) if size > 1 else 0
+    from_remote = min(len(remote), max(spare, size - len(local)))
+    return {*remote[:from_remote], *local[: size - from_remote]}
+
+
+def wanted(
+    node: str, zone: str, cfg: model.Configuration, passive: Collection[str]
+) -> set[str]:
+    """Gives all upstreams that a router should be linked to.
+
+    Args:
+      node: Name of the router.
+      zone: Its availability zone.
+      cfg: Configuration in force.
+      passive: Upstreams that take no new work. They don't count towards
+        the size of a subset, but a link to them is kept, since it brings
+        them the configuration.
+    """
+    chosen: set[str] = set()
+    for names in _by_use(cfg).values():
+        zones = {name: cfg.upstreams[name].availability_zone for name in names}
+        active = {
+            name: zone for name, zone in zones.items() if name not in passive
+        }
+        size = cfg.policies.subset
+        chosen |= choose(node, zone, active, size)
+        chosen |= choose(node, zone, zones, size).intersection(passive)
+    return chosen
+
+
+def _by_use(cfg: model.Configuration) -> Mapping[str, list[str]]:
+    """Groups upstreams by model or service; those of none are a group too."""
+    groups = collections.defaultdict(list)
+    for name, upstream in cfg.upstreams.items():
+        for use in (*upstream.models, *upstream.services) or ('',):
+            groups[use].append(name)
+    return groups
+
+
+def _spread(node: str, zones: Mapping[str, str]) -> Iterator[str]:
+    """Takes one upstream of each zone in turn."""
+    by_zone = collections.defaultdict(list)
+    for name, zone in zones.items():
+        by_zone[zone].append(name)
+    order = sorted(by_zone, key=lambda zone: _score(node, zone))
+    rounds = itertools.zip_longest(*(by_zone[zone] for zone in order))
+    return filter(None, itertools.chain.from_iterable(rounds))
+
+
+def _score(node: str, name: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f'{node}\0{name}'.encode()), name
