--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole path in separate processes."""
