Bench of the path's overhead, not run yet

Cause: the landing of the path has to name what it adds to first token and per token, and tokens per core second.

--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the whole path and of the decisions."""
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/processor_time.py
@@ -0,0 +1,21 @@
+"""Processor time of another process, from the kernel's own account."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+__all__ = ['processor_time_s']
+
+UTIME_FIELD = 11
+STIME_FIELD = 12
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+
+
+def processor_time_s(pid: int) -> float:
+    """User and system time that a live process has used, in seconds."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    # The name before the last bracket may hold spaces and brackets itself.
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[UTIME_FIELD]) + int(fields[STIME_FIELD])
+    return ticks / TICKS_PER_S
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -125,6 +125,7 @@
             _port_of(self.sidecars.get(name)),
             self._platform(),
             f'http://{self._told[f"upstream:{name}"]}',
+            'model' if isinstance(spec, layout.EngineSpec) else 'app',
         )
         started = await self._start_role('sidecar', f'sidecar-{name}', settings)
         self.sidecars[name] = started
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/process_settings.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/process_settings.py
@@ -32,6 +32,7 @@
     port: int,
     platform: dict[str, Any],
     upstream_url: str,
+    kind: str,
 ) -> dict[str, Any]:
     """Settings of the sidecar beside an upstream."""
     return {
@@ -39,7 +40,7 @@
         'listen': {'host': '127.0.0.1', 'port': port},
         'platform': platform,
         'credential': CREDENTIAL,
-        'upstream': {'name': name, 'url': upstream_url},
+        'upstream': {'name': name, 'url': upstream_url, 'kind': kind},
     }
 
 
