--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -1,6 +1,7 @@
 """Starts the processes of a test or demo, and ends every one of them.
 
-A process counts as started once it has printed `ready port=N`. What it prints
+A process counts as started once it has printed `ready port=N`, or a log line
+whose event ends in `ready` and that holds the port. Everything that it prints
 goes to a log file in the launcher's folder.
 """
 
@@ -21,7 +22,7 @@
 
 __all__ = ['Launcher', 'Process', 'StartFailedError']
 
-READY = re.compile(rb'^ready port=(\d+)\s*$')
+READY = re.compile(rb'(?:^|event=\w*)ready\b.*\bport=(\d+)')
 READY_BOUND_S = 30.0
 END_BOUND_S = 30.0
 LINE_LIMIT = 1024 * 1024
@@ -182,7 +183,7 @@
     with log.open('wb', buffering=0) as file:
         while line := await _read_line(inner.stdout):
             file.write(line)
-            found = READY.match(line)
+            found = READY.search(line)
             if found and not ready.done():
                 ready.set_result(int(found[1]))
     if not ready.done():
