Add the administration API and the operators' command line

Operators need one way to change the shared configuration that neither loses a race unseen nor doubles an edit. Every write names the revision it was made from and carries an edit id; the document is checked whole before the store is asked, and a repetition is found again by its id.

Weighed: letting the router settle lost answers by itself. Ruled out, as the answer can be lost between router and operator too; the command line repeats with the same id instead, and says what it found. A drain is made again after an unrelated edit, since it concerns one upstream only.

A refused credential after a lost answer counts as unknown: the edit may have removed the credential that made it.

--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/assignment.py
@@ -0,0 +1,36 @@
+"""Values given as KEY=VALUE on the command line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import click
+
+__all__ = ['apply']
+
+
+def _value(text: str) -> Any:
+    """Reads JSON; what is no JSON is a string."""
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def apply(values: dict[str, Any], assignments: Iterable[str]) -> dict[str, Any]:
+    """Returns a copy of the values with each `KEY=VALUE` applied.
+
+    Whether the key exists and the value fits is the router's to check.
+
+    Raises:
+      click.UsageError: An assignment has no `=`.
+    """
+    changed = dict(values)
+    for text in assignments:
+        name, sign, value = text.partition('=')
+        if not sign or not name:
+            raise click.UsageError(f'{text!r} is not KEY=VALUE')
+        changed[name] = _value(value)
+    return changed
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command groups; each registers itself under the kind `command`."""
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/completion.py
@@ -0,0 +1,25 @@
+"""`quetzalsill completion`: completion scripts of shells."""
+
+from __future__ import annotations
+
+import click
+from click import shell_completion
+
+__all__ = ['command']
+
+_PROGRAM = 'quetzalsill'
+_VARIABLE = '_QUETZALSILL_COMPLETE'
+
+
+@click.command(name='completion')
+@click.argument('shell', type=click.Choice(['bash', 'zsh', 'fish']))
+@click.pass_context
+def command(ctx: click.Context, shell: str) -> None:
+    """Print the completion script of a shell.
+
+    For bash, put it in a file and source that from ~/.bashrc.
+    """
+    cls = shell_completion.get_completion_class(shell)
+    script = cls(ctx.find_root().command, {}, _PROGRAM, _VARIABLE)
+    # The method of bash's own class starts a shell to learn its version.
+    click.echo(shell_completion.ShellComplete.source(script))
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/config.py
@@ -0,0 +1,177 @@
+"""`quetzalsill config`: the shared configuration as a whole."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import click
+
+from quetzalsill.config import difference, model
+from quetzalsill.schema import check as schema_check
+from quetzalsill.schema import error as schema_error
+from quetzalsill_cli import (
+    document,
+    edit,
+    exchange,
+    failure,
+    history,
+    option,
+    output,
+    perform,
+    rollout,
+    routers,
+)
+
+__all__ = ['group']
+
+_FILE = click.Path(exists=True, dir_okay=False)
+
+
+@click.group(name='config')
+def group() -> None:
+    """The shared configuration as a whole."""
+
+
+@group.command()
+@click.argument('file', type=_FILE)
+def check(file: str) -> None:
+    """Check a configuration file; needs no router."""
+    document.load(file)
+    click.echo(f'{file} is valid')
+
+
+@group.command()
+@option.json_output
+def show(as_json: bool) -> None:
+    """Print the configuration as a document that `apply` takes."""
+    body = perform.run(lambda links: links.read(exchange.path('config')))
+    output.print_json(body)
+
+
+async def _expected(
+    links: routers.Routers, plain: dict[str, Any], expect: int | None
+) -> int:
+    """Chooses the revision that an edit is made from.
+
+    That is the one named, else the one that `config show` wrote into the
+    file, else the current one.
+    """
+    if expect is not None:
+        return expect
+    if plain.get('revision'):
+        return plain['revision']
+    body = await links.read(exchange.path('config'))
+    return body['revision']
+
+
+@group.command()
+@click.argument('file', type=_FILE)
+@option.expect
+@option.note
+@option.wait
+def apply(file: str, expect: int | None, note: str, wait: bool) -> None:
+    """Replace the whole configuration by a file.
+
+    The edit is refused if the configuration changed since the revision in
+    --expect, or since the one that `config show` wrote into the file.
+    """
+    plain = document.read(file)
+
+    async def work(links: routers.Routers) -> None:
+        expected = await _expected(links, plain, expect)
+        wanted = edit.Edit(
+            'PUT', exchange.path('config'), plain, expected, note
+        )
+        await perform.carry_out(links, wanted, wait)
+
+    perform.run(work)
+
+
+@group.command()
+@click.argument('file', type=_FILE, required=False)
+@click.option('--from', 'since', type=click.IntRange(min=0), metavar='REVISION')
+@click.option('--to', type=click.IntRange(min=0), metavar='REVISION')
+@option.json_output
+def diff(
+    file: str | None, since: int | None, to: int | None, as_json: bool
+) -> None:
+    """Show what FILE would change, or what changed between revisions."""
+    if file is None:
+        path = exchange.path('diff', **{'from': since, 'to': to})
+        body = perform.run(lambda links: links.read(path))
+    elif since is not None or to is not None:
+        raise click.UsageError('give FILE, or --from and --to')
+    else:
+        body = _compare(file)
+    if as_json:
+        output.print_json(body)
+    else:
+        history.show_changes(body['changes'])
+
+
+def _compare(file: str) -> dict[str, Any]:
+    """Compares a file with the configuration in force."""
+    wanted = document.load(file)
+    plain = perform.run(lambda links: links.read(exchange.path('config')))
+    try:
+        current = schema_check.check(model.Configuration, plain, 'router')
+    except schema_error.InvalidDocumentError as exc:
+        raise failure.InvalidDocumentError(
+            '\n'.join(exc.lines()),
+            'A viewer gets masked secrets; comparing needs role operator.',
+        ) from exc
+    wanted.revision = current.revision
+    changes = difference.difference(current, wanted)
+    return {
+        'from': current.revision,
+        'to': file,
+        'changes': [dataclasses.asdict(change) for change in changes],
+    }
+
+
+@group.command(name='history')
+@history.limit
+@option.json_output
+def show_history(limit: int, as_json: bool) -> None:
+    """Show who made the newest revisions."""
+    history.show(None, limit, as_json)
+
+
+@group.command()
+@option.json_output
+def status(as_json: bool) -> None:
+    """Show which node has which revision in force."""
+    fleet = perform.run(rollout.look)
+    if as_json:
+        output.print_json(
+            {
+                'complete': fleet.complete,
+                'nodes': [node.plain() for node in fleet.nodes],
+            }
+        )
+        return
+    rows = (
+        [
+            node.name,
+            node.kind,
+            node.availability_zone,
+            node.state,
+            node.revision,
+            node.incarnation,
+            node.address,
+        ]
+        for node in fleet.nodes
+    )
+    heads = (
+        'NODE',
+        'KIND',
+        'ZONE',
+        'STATE',
+        'REVISION',
+        'INCARNATION',
+        'ADDRESS',
+    )
+    output.table(heads, rows)
+    if not fleet.complete:
+        click.echo('the store does not tell which routers are live', err=True)
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/model.py
@@ -0,0 +1,75 @@
+"""`quetzalsill model`: the models that callers name."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+import click
+
+from quetzalsill_cli import (
+    exchange,
+    option,
+    output,
+    perform,
+    rollout,
+    routers,
+)
+
+__all__ = ['group']
+
+
+@click.group(name='model')
+def group() -> None:
+    """The models that callers name."""
+
+
+async def _read(
+    links: routers.Routers,
+) -> tuple[dict[str, Any], dict[str, Any], rollout.Fleet]:
+    return await asyncio.gather(
+        links.read(exchange.path('models')),
+        links.read(exchange.path('upstreams')),
+        rollout.look(links),
+    )
+
+
+def _loaded(fleet: rollout.Fleet) -> Iterator[str]:
+    for node in fleet.linked():
+        if node.load:
+            yield from node.load['models']
+
+
+@group.command(name='list')
+@option.json_output
+def list_models(as_json: bool) -> None:
+    """List the models: upstreams that should, and do, have them loaded."""
+    body, upstreams, fleet = perform.run(_read)
+    wanted = Counter(
+        model
+        for upstream in upstreams['value'].values()
+        for model in upstream['models']
+    )
+    loaded = Counter(_loaded(fleet))
+    if as_json:
+        counts = {
+            name: {'wanted': wanted[name], 'loaded': loaded[name]}
+            for name in body['value']
+        }
+        output.print_json({**body, 'upstreams': counts})
+        return
+    rows = (
+        [
+            name,
+            model['profile'],
+            model['adapters'],
+            model['context_tokens'],
+            wanted[name],
+            loaded[name],
+        ]
+        for name, model in sorted(body['value'].items())
+    )
+    heads = ('NAME', 'PROFILE', 'ADAPTERS', 'CONTEXT', 'WANTED', 'LOADED')
+    output.table(heads, rows)
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/profile.py
@@ -0,0 +1,132 @@
+"""`quetzalsill profile`: profiles, which promise how traffic is served."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+
+from quetzalsill_cli import (
+    assignment,
+    edit,
+    editor,
+    exchange,
+    failure,
+    history,
+    option,
+    output,
+    perform,
+    routers,
+)
+
+__all__ = ['group']
+
+_COLUMNS = (
+    'delivery',
+    'durable',
+    'idempotent',
+    'deadline_s',
+    'queue_wait_s',
+    'priority',
+)
+
+
+@click.group(name='profile')
+def group() -> None:
+    """Profiles, which promise how traffic is served."""
+
+
+@group.command(name='list')
+@option.json_output
+def list_profiles(as_json: bool) -> None:
+    """List the profiles."""
+    body = perform.run(lambda links: links.read(exchange.path('profiles')))
+    if as_json:
+        output.print_json(body)
+        return
+    rows = (
+        [name, *(profile[key] for key in _COLUMNS)]
+        for name, profile in sorted(body['value'].items())
+    )
+    output.table(['NAME', *map(str.upper, _COLUMNS)], rows)
+
+
+@group.command()
+@click.argument('name')
+@option.json_output
+def show(name: str, as_json: bool) -> None:
+    """Show every key of one profile."""
+    body = perform.run(
+        lambda links: links.read(exchange.path('profiles', name))
+    )
+    if as_json:
+        output.print_json(body)
+    else:
+        output.pairs(body['value'])
+
+
+@group.command(name='history')
+@click.argument('name')
+@history.limit
+@option.json_output
+def show_history(name: str, limit: int, as_json: bool) -> None:
+    """Show who changed a profile, the newest edit first."""
+    history.show(f'profiles.{name}', limit, as_json)
+
+
+async def _read(
+    links: routers.Routers, name: str, create: bool
+) -> tuple[int, dict[str, Any]]:
+    """Reads the profile and its revision; a new one has no values."""
+    body = await links.read(exchange.path('profiles'))
+    known = body['value']
+    if name not in known and not create:
+        raise failure.NotFoundError(
+            f'no profile {name!r}; there are: {", ".join(sorted(known))}',
+            'Use --create to add it.',
+        )
+    return body['revision'], known.get(name, {})
+
+
+@group.command(name='edit')
+@click.argument('name')
+@click.option(
+    '--set',
+    'assignments',
+    multiple=True,
+    metavar='KEY=VALUE',
+    help='Change one key; repeatable. Without it $EDITOR opens.',
+)
+@click.option('--create', is_flag=True, help='Add the profile if it is new.')
+@option.expect
+@option.note
+@option.wait
+def edit_profile(
+    name: str,
+    assignments: tuple[str, ...],
+    create: bool,
+    expect: int | None,
+    note: str,
+    wait: bool,
+) -> None:
+    """Change a profile and see it in force everywhere."""
+
+    async def work(links: routers.Routers) -> None:
+        revision, values = await _read(links, name, create)
+        if assignments:
+            changed = assignment.apply(values, assignments)
+        else:
+            changed = editor.change(f'profile {name}', values)
+        if changed is None:
+            click.echo('no change')
+            return
+        wanted = edit.Edit(
+            'PUT',
+            exchange.path('profiles', name),
+            changed,
+            revision if expect is None else expect,
+            note,
+        )
+        await perform.carry_out(links, wanted, wait)
+
+    perform.run(work)
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/upstream.py
@@ -0,0 +1,128 @@
+"""`quetzalsill upstream`: model servers and app servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import click
+
+from quetzalsill_cli import (
+    edit,
+    exchange,
+    failure,
+    option,
+    output,
+    perform,
+    rollout,
+    routers,
+)
+
+__all__ = ['group']
+
+_CONFLICT_TRIES = 5
+
+
+@click.group(name='upstream')
+def group() -> None:
+    """Model servers and app servers."""
+
+
+async def _read(
+    links: routers.Routers,
+) -> tuple[dict[str, Any], rollout.Fleet]:
+    return await asyncio.gather(
+        links.read(exchange.path('upstreams')), rollout.look(links)
+    )
+
+
+def _row(
+    name: str, upstream: dict[str, Any], node: rollout.Node | None
+) -> list[Any]:
+    load = node.load if node is not None and node.load else {}
+    return [
+        name,
+        upstream['kind'],
+        upstream['availability_zone'],
+        node.state if node is not None else 'unlinked',
+        upstream['draining'],
+        load.get('queued'),
+        load.get('running'),
+        load.get('expected_wait_ms'),
+        load.get('healthy'),
+        upstream['models'] or upstream['services'],
+    ]
+
+
+@group.command(name='list')
+@option.json_output
+def list_upstreams(as_json: bool) -> None:
+    """List the upstreams with their state and load."""
+    body, fleet = perform.run(_read)
+    nodes = {n.name: n for n in fleet.nodes if n.kind == 'sidecar'}
+    if as_json:
+        output.print_json(
+            {**body, 'nodes': {n: nodes[n].plain() for n in sorted(nodes)}}
+        )
+        return
+    heads = (
+        'NAME',
+        'KIND',
+        'ZONE',
+        'STATE',
+        'DRAINING',
+        'QUEUED',
+        'RUNNING',
+        'WAIT_MS',
+        'HEALTHY',
+        'SERVES',
+    )
+    rows = (
+        _row(name, upstream, nodes.get(name))
+        for name, upstream in sorted(body['value'].items())
+    )
+    output.table(heads, rows)
+
+
+async def _set(
+    links: routers.Routers, name: str, action: str, note: str, wait: bool
+) -> None:
+    """Drains or undrains an upstream, whatever else is edited meanwhile.
+
+    A drain says something of one upstream only, so an edit of another part
+    that comes first is no reason to refuse it: it is made again from the
+    newer revision.
+    """
+    for tries_left in reversed(range(_CONFLICT_TRIES)):
+        body = await links.read(exchange.path('upstreams', name))
+        wanted = edit.Edit(
+            'POST',
+            exchange.path('upstreams', name, action),
+            None,
+            body['revision'],
+            note,
+        )
+        try:
+            return await perform.carry_out(links, wanted, wait)
+        except failure.ConflictError:
+            if not tries_left:
+                raise
+    return None
+
+
+@group.command()
+@click.argument('name')
+@option.note
+@option.wait
+def drain(name: str, note: str, wait: bool) -> None:
+    """Give an upstream no new work; what runs there runs on."""
+    perform.run(lambda links: _set(links, name, 'drain', note, wait))
+
+
+@group.command()
+@click.argument('name')
+@option.note
+@option.wait
+def undrain(name: str, note: str, wait: bool) -> None:
+    """Give an upstream new work again."""
+    perform.run(lambda links: _set(links, name, 'undrain', note, wait))
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/document.py
@@ -0,0 +1,52 @@
+"""Configuration files on the operator's host."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+from quetzalsill.config import model, reference
+from quetzalsill.schema import check as schema_check
+from quetzalsill.schema import error as schema_error
+from quetzalsill.schema import load as schema_load
+from quetzalsill_cli import failure
+
+__all__ = ['load', 'read']
+
+
+def _failure(
+    exc: schema_error.InvalidDocumentError,
+) -> failure.InvalidDocumentError:
+    return failure.InvalidDocumentError('\n'.join(exc.lines()))
+
+
+def read(path: str) -> dict[str, Any]:
+    """Reads a file of JSON with comments, without checking its keys.
+
+    Raises:
+      InvalidDocumentError: It is no JSON object.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        plain = schema_load.parse_text(text, path)
+    except schema_error.InvalidDocumentError as exc:
+        raise _failure(exc) from exc
+    except (OSError, UnicodeDecodeError) as exc:
+        raise failure.InvalidDocumentError(f'{path}: {exc}') from exc
+    if not isinstance(plain, dict):
+        raise failure.InvalidDocumentError(f'{path}: not a JSON object')
+    return plain
+
+
+def load(path: str) -> model.Configuration:
+    """Reads a configuration file and checks it whole.
+
+    Raises:
+      InvalidDocumentError: With every fault that was found.
+    """
+    try:
+        cfg = schema_check.check(model.Configuration, read(path), path)
+        reference.check_references(cfg)
+    except schema_error.InvalidDocumentError as exc:
+        raise _failure(exc) from exc
+    return cfg
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/exchange.py
@@ -0,0 +1,135 @@
+"""One HTTP exchange with one router."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+from urllib import parse as url_parse
+
+import blacksheep
+
+from quetzalsill.error import base
+from quetzalsill.net import error as net_error
+
+if TYPE_CHECKING:
+    from quetzalsill.net import client
+
+__all__ = [
+    'Answer',
+    'AnswerLostError',
+    'Call',
+    'ExchangeError',
+    'NotSentError',
+    'path',
+    'perform',
+]
+
+_PREFIX = '/admin/v1'
+_JSON = b'application/json'
+
+
+class ExchangeError(base.QuetzalsillError):
+    """A router gave no answer."""
+
+    code = 'no_answer'
+
+
+class NotSentError(ExchangeError):
+    """No connection came about, so the router saw nothing of the call."""
+
+    code = 'not_sent'
+
+
+class AnswerLostError(ExchangeError):
+    """The call was sent, or in part, and no whole answer came."""
+
+    code = 'answer_lost'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Call:
+    """A call of the administration API.
+
+    Attributes:
+      method: HTTP method.
+      path: Path below `/admin/v1`, with its query.
+      body: JSON data to send; None for no body.
+      headers: Headers besides the credential.
+    """
+
+    method: str
+    path: str
+    body: Any = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """What a router answered.
+
+    Attributes:
+      router: Base URL of the router.
+      status: HTTP status.
+      body: JSON data; None if the answer was no JSON.
+    """
+
+    router: str
+    status: int
+    body: Any
+
+
+def path(*parts: str, **query: Any) -> str:
+    """Joins quoted parts to a path; query values of None are left out."""
+    joined = ''.join(f'/{url_parse.quote(part, safe="")}' for part in parts)
+    given = {name: value for name, value in query.items() if value is not None}
+    return f'{joined}?{url_parse.urlencode(given)}' if given else joined
+
+
+def _request(router: str, token: str, call: Call) -> blacksheep.Request:
+    headers = [
+        (b'Authorization', f'Bearer {token}'.encode()),
+        *((name.encode(), value.encode()) for name, value in call.headers),
+    ]
+    url = f'{router}{_PREFIX}{call.path}'.encode()
+    req = blacksheep.Request(call.method, url, headers)
+    if call.body is None:
+        return req
+    data = json.dumps(call.body).encode()
+    return req.with_content(blacksheep.Content(_JSON, data))
+
+
+def _decode(data: bytes | None) -> Any:
+    try:
+        return json.loads(data or b'')
+    except ValueError:
+        return None
+
+
+async def perform(
+    session: client.Session,
+    router: str,
+    token: str,
+    call: Call,
+    timeout_s: float,
+) -> Answer:
+    """Sends a call to a router and reads the whole answer.
+
+    Raises:
+      NotSentError: No connection came about.
+      AnswerLostError: The connection failed or was silent after that.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            resp = await session.send(_request(router, token, call))
+            data = await resp.read()
+    except (net_error.ConnectFailedError, net_error.RequestInvalidError) as exc:
+        raise NotSentError(f'{router}: {exc.detail}') from exc
+    except net_error.NetError as exc:
+        raise AnswerLostError(f'{router}: {exc.detail}') from exc
+    except TimeoutError as exc:
+        raise AnswerLostError(
+            f'{router}: no whole answer within {timeout_s:g} s'
+        ) from exc
+    return Answer(router, resp.status, _decode(data))
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/failure.py
@@ -0,0 +1,131 @@
+"""Failures of a command, each with the exit code of the process."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from typing import Any
+
+import click
+
+__all__ = [
+    'CommandError',
+    'ConflictError',
+    'ExitCode',
+    'InvalidDocumentError',
+    'NotFoundError',
+    'NotInForceError',
+    'OutcomeUnknownError',
+    'RefusedError',
+    'UnreachableError',
+    'from_answer',
+]
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of `quetzalsill`; scripts rely on them."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    UNREACHABLE = 5
+    REFUSED = 6
+    UNKNOWN = 7
+    NOT_IN_FORCE = 8
+
+
+class CommandError(click.ClickException):
+    """A command did not do what was asked.
+
+    Attributes:
+      advice: What the operator can do about it; empty if nothing.
+    """
+
+    exit_code = ExitCode.FAILED
+
+    def __init__(self, message: str, advice: str = '') -> None:
+        super().__init__(message)
+        self.advice = advice
+
+    def format_message(self) -> str:
+        """Gives the message with the advice below it."""
+        return f'{self.message}\n{self.advice}' if self.advice else self.message
+
+
+class NotFoundError(CommandError):
+    """An argument names nothing that exists."""
+
+    exit_code = ExitCode.USAGE
+
+
+class InvalidDocumentError(CommandError):
+    """A document does not pass the check; nothing was changed."""
+
+    exit_code = ExitCode.INVALID
+
+
+class ConflictError(CommandError):
+    """Another edit was first; nothing was changed."""
+
+    exit_code = ExitCode.CONFLICT
+
+
+class UnreachableError(CommandError):
+    """No router could serve the call; nothing was changed."""
+
+    exit_code = ExitCode.UNREACHABLE
+
+
+class RefusedError(CommandError):
+    """The credential is unknown, or its role does not permit the call."""
+
+    exit_code = ExitCode.REFUSED
+
+
+class OutcomeUnknownError(CommandError):
+    """A write was sent and nothing tells whether it took effect."""
+
+    exit_code = ExitCode.UNKNOWN
+
+
+class NotInForceError(CommandError):
+    """The edit is accepted, but some live node does not show it yet."""
+
+    exit_code = ExitCode.NOT_IN_FORCE
+
+
+_BY_STATUS: dict[int, type[CommandError]] = {
+    400: NotFoundError,
+    401: RefusedError,
+    403: RefusedError,
+    404: NotFoundError,
+    409: ConflictError,
+    413: InvalidDocumentError,
+    422: InvalidDocumentError,
+    503: UnreachableError,
+    504: OutcomeUnknownError,
+}
+
+
+def _fault_lines(faults: Iterable[Any]) -> Iterable[str]:
+    for fault in faults:
+        path = fault.get('path') or 'document'
+        yield (
+            f'  {path}: found {fault.get("found")}; '
+            f'allowed: {fault.get("allowed")}'
+        )
+
+
+def from_answer(status: int, body: Any) -> CommandError:
+    """Makes the failure that a router's answer tells of."""
+    cls = _BY_STATUS.get(status, CommandError)
+    error = body.get('error') if isinstance(body, dict) else None
+    if not isinstance(error, dict):
+        return cls(f'the router answered with status {status}')
+    lines = [
+        str(error.get('message', f'status {status}')),
+        *_fault_lines(error.get('faults', ())),
+    ]
+    return cls('\n'.join(lines), str(error.get('advice', '')))
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
@@ -0,0 +1,147 @@
+"""Options that all commands share."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import re
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import click
+
+__all__ = [
+    'DEFAULT_ROUTER',
+    'Options',
+    'TOKEN_VARIABLE',
+    'json_output',
+    'make',
+    'root',
+    'wait',
+]
+
+DEFAULT_ROUTER = 'http://127.0.0.1:7100'
+TOKEN_VARIABLE = 'QUETZALSILL_TOKEN'
+_TOKEN = re.compile(r'[\x21-\x7e]{1,512}')
+_DEFAULT_TIMEOUT_S = 5.0
+
+F = TypeVar('F', bound=Callable[..., Any])
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Options:
+    """Where and how to reach the routers.
+
+    Attributes:
+      routers: Base URLs, tried in order.
+      token: Bearer token of the operator; empty if none was given.
+      timeout_s: Longest wait for one answer of one router.
+      authority: File of the certificate authority; empty for the system's.
+    """
+
+    routers: tuple[str, ...]
+    token: str
+    timeout_s: float
+    authority: str
+
+
+def _read_token(
+    ctx: click.Context, param: click.Parameter, value: str | None
+) -> str:
+    if value is None:
+        return ''
+    try:
+        text = pathlib.Path(value).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise click.BadParameter(str(exc), ctx, param) from exc
+    return text.strip()
+
+
+def _check_routers(
+    ctx: click.Context, param: click.Parameter, value: tuple[str, ...]
+) -> tuple[str, ...]:
+    for url in value:
+        if not re.fullmatch(r'https?://[^\s/]+/?', url):
+            raise click.BadParameter(
+                f'{url!r} is not a URL such as {DEFAULT_ROUTER}', ctx, param
+            )
+    return tuple(url.rstrip('/') for url in value)
+
+
+def make(
+    routers: tuple[str, ...],
+    file_token: str,
+    timeout_s: float,
+    authority: str | None,
+) -> Options:
+    """Checks and joins the options of the root command."""
+    token = file_token or os.environ.get(TOKEN_VARIABLE, '').strip()
+    if token and not _TOKEN.fullmatch(token):
+        raise click.UsageError('the token holds characters that none may have')
+    return Options(routers, token, timeout_s, authority or '')
+
+
+def root(command: F) -> F:
+    """Adds the shared options to the root command."""
+    decorators = (
+        click.option(
+            '--router',
+            'routers',
+            multiple=True,
+            default=(DEFAULT_ROUTER,),
+            show_default=True,
+            metavar='URL',
+            callback=_check_routers,
+            envvar='QUETZALSILL_ROUTER',
+            help='Router to ask; repeat it to name others to try next.',
+        ),
+        click.option(
+            '--token-file',
+            'file_token',
+            metavar='FILE',
+            callback=_read_token,
+            help='File with the operator token; goes before QUETZALSILL_TOKEN.',
+        ),
+        click.option(
+            '--timeout',
+            'timeout_s',
+            type=click.FloatRange(0.1, 600),
+            default=_DEFAULT_TIMEOUT_S,
+            show_default=True,
+            metavar='SECONDS',
+            help='Longest wait for one answer of one router.',
+        ),
+        click.option(
+            '--authority',
+            metavar='FILE',
+            type=click.Path(exists=True, dir_okay=False),
+            help='Certificate authority that signed the routers.',
+        ),
+    )
+    for decorate in reversed(decorators):
+        command = decorate(command)
+    return command
+
+
+json_output = click.option(
+    '--json', 'as_json', is_flag=True, help='Print JSON instead of a table.'
+)
+
+wait = click.option(
+    '--wait/--no-wait',
+    default=True,
+    show_default=True,
+    help='Wait until every live node shows the new revision.',
+)
+
+expect = click.option(
+    '--expect',
+    type=click.IntRange(min=0),
+    metavar='REVISION',
+    help='Refuse the edit unless this revision is current.',
+)
+
+note = click.option(
+    '--note', default='', metavar='TEXT', help='Why, for the history.'
+)
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/perform.py
@@ -0,0 +1,93 @@
+"""Runs the asynchronous part of a command, and sees an edit through."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import click
+
+from quetzalsill_cli import edit, failure, option, rollout, routers
+
+__all__ = ['carry_out', 'run']
+
+T = TypeVar('T')
+
+
+def run(work: Callable[[routers.Routers], Awaitable[T]]) -> T:
+    """Runs work with the routers that the options name."""
+    options = click.get_current_context().find_object(option.Options)
+
+    async def connected() -> T:
+        async with routers.connect(options) as links:
+            return await work(links)
+
+    return asyncio.run(connected())
+
+
+async def carry_out(
+    links: routers.Routers, wanted: edit.Edit, wait: bool
+) -> None:
+    """Submits an edit, says what became of it, and waits if asked to.
+
+    Raises:
+      NotInForceError: Accepted, but not yet in force on every live node.
+      CommandError: As `edit.submit` does.
+    """
+    accepted = await edit.submit(links, wanted)
+    if accepted.lost:
+        _say_what_was_found(accepted)
+    click.echo(f'revision {accepted.revision} accepted (edit {accepted.edit})')
+    if wait:
+        await _wait(links, accepted.revision)
+
+
+def _say_what_was_found(accepted: edit.Accepted) -> None:
+    found = (
+        'the edit had taken effect'
+        if accepted.earlier
+        else 'the edit had not taken effect and was made now'
+    )
+    click.echo(
+        f'{accepted.lost} answers were lost; asked again: {found}', err=True
+    )
+
+
+async def _wait(links: routers.Routers, revision: int) -> None:
+    try:
+        fleet = await rollout.wait(links, revision, rollout.BOUND_S)
+    except failure.CommandError as exc:
+        raise failure.NotInForceError(
+            f'revision {revision} is accepted, but no router tells who has '
+            f'it in force: {exc.message}'
+        ) from exc
+    _check(fleet, revision)
+    unlinked = len(fleet.unlinked())
+    click.echo(f'in force on {len(fleet.linked())} nodes')
+    if unlinked:
+        click.echo(
+            f'{unlinked} sidecars have no link to the routers asked', err=True
+        )
+
+
+def _check(fleet: rollout.Fleet, revision: int) -> None:
+    behind = fleet.behind(revision)
+    lines = [
+        f'  {node.kind} {node.name} ({node.availability_zone}): '
+        f'revision {node.revision}'
+        for node in behind
+    ]
+    if not fleet.complete:
+        lines.append('  the store does not tell which routers are live')
+    if lines:
+        raise failure.NotInForceError(
+            '\n'.join(
+                [
+                    f'revision {revision} is accepted, but within '
+                    f'{rollout.BOUND_S:g} s it was not in force on:',
+                    *lines,
+                ]
+            ),
+            'It stays accepted; see `quetzalsill config status`.',
+        )
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/plugin.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/plugin.py
@@ -2,10 +2,39 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING
+
+from quetzalsill_cli.commands import (
+    account,
+    completion,
+    config,
+    model,
+    profile,
+    request,
+    status,
+    upstream,
+)
+
+if TYPE_CHECKING:
+    from quetzalsill.plugin import registry as plugin_registry
 
 __all__ = ['register']
 
+_COMMANDS = (
+    account.group,
+    completion.command,
+    config.group,
+    model.group,
+    profile.group,
+    request.group,
+    status.command,
+    upstream.group,
+)
+
 
-def register(registry: Any) -> None:
+def register(registry: plugin_registry.Registry) -> None:
     """Adds each command group under the kind `command`."""
+    for command in _COMMANDS:
+        registry.add(
+            'command', command.name, command, command.get_short_help_str()
+        )
--- /dev/null
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/rollout.py
@@ -0,0 +1,123 @@
+"""Which live node has which revision in force."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING, Any
+
+from quetzalsill_cli import exchange
+
+if TYPE_CHECKING:
+    from quetzalsill_cli import routers as cli_routers
+
+__all__ = ['BOUND_S', 'Fleet', 'Node', 'look', 'wait']
+
+BOUND_S = 14.0
+_POLL_S = 0.25
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Node:
+    """A process as the routers that were asked see it.
+
+    Attributes:
+      name: Node name of a router; upstream name of a sidecar.
+      kind: `router` or `sidecar`.
+      state: `live`, `leaving` or `unlinked`.
+      availability_zone: Where it runs.
+      address: URL of a router; IP:PORT of a sidecar.
+      incarnation: Number of its present start; 0 if unknown.
+      revision: Configuration in force there; 0 if unknown.
+      load: Newest load of a sidecar, as JSON data; None if unknown.
+    """
+
+    name: str
+    kind: str
+    state: str
+    availability_zone: str
+    address: str
+    incarnation: int
+    revision: int
+    load: Any
+
+    def plain(self) -> dict[str, Any]:
+        """Gives the node as JSON data."""
+        return dataclasses.asdict(self)
+
+    def age(self) -> tuple[bool, int, int]:
+        """Orders views of the same node, the newest last."""
+        return self.state != 'unlinked', self.incarnation, self.revision
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fleet:
+    """All nodes that are known.
+
+    Attributes:
+      nodes: By kind and name.
+      complete: Some router could read which routers are live.
+    """
+
+    nodes: list[Node]
+    complete: bool
+
+    def linked(self) -> list[Node]:
+        """Gives the nodes that some router sees now."""
+        return [node for node in self.nodes if node.state != 'unlinked']
+
+    def unlinked(self) -> list[Node]:
+        """Gives the sidecars that no asked router holds a link to."""
+        return [node for node in self.nodes if node.state == 'unlinked']
+
+    def behind(self, revision: int) -> list[Node]:
+        """Gives the linked nodes that do not show the revision yet."""
+        return [node for node in self.linked() if node.revision < revision]
+
+
+def _views(body: Any) -> Iterator[Node]:
+    """Yields the nodes of one answer; a router knows itself best."""
+    for plain in body['nodes']:
+        node = Node(**plain)
+        if (node.kind, node.name) == ('router', body['node']):
+            node = dataclasses.replace(node, revision=body['revision'])
+        yield node
+
+
+def _merge(views: Iterable[Node]) -> list[Node]:
+    newest: dict[tuple[str, str], Node] = {}
+    for node in views:
+        place = (node.kind, node.name)
+        known = newest.get(place)
+        if known is None or known.age() < node.age():
+            newest[place] = node
+    return [newest[place] for place in sorted(newest)]
+
+
+async def look(links: cli_routers.Routers) -> Fleet:
+    """Asks every router named and merges what they see.
+
+    Raises:
+      CommandError: None of them gave an answer.
+    """
+    answers = await links.read_each(exchange.path('nodes'))
+    good = [answer.body for answer in answers if answer.status == 200]
+    if not good:
+        good = [await links.read(exchange.path('nodes'))]
+    nodes = _merge(node for body in good for node in _views(body))
+    return Fleet(nodes, any(body['complete'] for body in good))
+
+
+async def wait(
+    links: cli_routers.Routers, revision: int, bound_s: float
+) -> Fleet:
+    """Looks until every linked node shows a revision, or the bound is up."""
+    deadline = time.monotonic() + bound_s
+    while True:
+        fleet = await look(links)
+        done = fleet.complete and not fleet.behind(revision)
+        if done or time.monotonic() + _POLL_S > deadline:
+            return fleet
+        await asyncio.sleep(_POLL_S)
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/answer.py
@@ -0,0 +1,67 @@
+"""Turns results and failures into JSON answers."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+
+import blacksheep
+
+from quetzalsill_router.admin import error
+from quetzalsill_router.http import error as http_error
+
+if TYPE_CHECKING:
+    from quetzalsill.error import request as request_error
+
+__all__ = ['Reply', 'failure', 'success']
+
+_JSON = b'application/json'
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """What a successful call answers.
+
+    Attributes:
+      body: JSON data.
+      revision: Revision that the body shows; sent as ETag unless None.
+      edit: Id of the accepted edit; empty for reads.
+    """
+
+    body: Any
+    revision: int | None = None
+    edit: str = ''
+
+
+def _response(status: int, body: Any) -> blacksheep.Response:
+    content = blacksheep.Content(_JSON, json.dumps(body).encode())
+    return blacksheep.Response(status, content=content)
+
+
+def success(reply: Reply) -> blacksheep.Response:
+    """Renders the answer of a successful call."""
+    resp = _response(200, reply.body)
+    if reply.revision is not None:
+        resp.add_header(b'ETag', b'"%d"' % reply.revision)
+    if reply.edit:
+        resp.add_header(b'X-Edit-Id', reply.edit.encode())
+    return resp
+
+
+def _extras(exc: request_error.RequestError) -> dict[str, Any]:
+    if isinstance(exc, error.InvalidConfigurationError):
+        return {'faults': [dataclasses.asdict(f) for f in exc.faults]}
+    if isinstance(exc, error.EditConflictError):
+        return {'current_revision': exc.current, 'author': exc.author}
+    return {}
+
+
+def failure(exc: request_error.RequestError) -> blacksheep.Response:
+    """Renders a failure in the shape that callers get too."""
+    body = json.loads(http_error.document(exc))
+    body['error'].update(_extras(exc))
+    resp = _response(exc.status, body)
+    for name, value in http_error.headers(exc):
+        resp.add_header(name, value)
+    return resp
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/call.py
@@ -0,0 +1,154 @@
+"""One call of the administration API."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+# The library resolves the annotations of handlers when it starts.
+import blacksheep  # noqa: TC002
+
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
+from quetzalsill.platform import error as platform_error
+from quetzalsill.schema import error as schema_error
+from quetzalsill.telemetry import log
+from quetzalsill_router.admin import access, answer, check, edit, error
+from quetzalsill_router.http import body as http_body
+
+if TYPE_CHECKING:
+    from quetzalsill_router.admin import context as admin_context
+
+__all__ = ['Call', 'Handler', 'endpoint']
+
+_LOG = log.get(__name__)
+_RETRY_AFTER_S = 2.0
+_EDIT_ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
+_REVISION = re.compile(r'(?:W/)?"?(\d{1,18})"?')
+_NOTE_LENGTH = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """What a handler gets.
+
+    Attributes:
+      context: The router around the API.
+      operator: Who calls.
+      req: The HTTP request.
+    """
+
+    context: admin_context.AdminContext
+    operator: access.Operator
+    req: blacksheep.Request
+
+    def name(self) -> str:
+        """Gives the name in the path."""
+        return self.req.route_values['name']
+
+    def text(self, key: str) -> str:
+        """Gives a value of the query; empty if there is none."""
+        values = self.req.query.get(key)
+        return values[-1] if values else ''
+
+    def number(self, key: str, default: int, maximum: int) -> int:
+        """Gives a count from the query.
+
+        Raises:
+          BadRequestError: It is no number in 0 to `maximum`.
+        """
+        text = self.text(key)
+        if not text:
+            return default
+        if not re.fullmatch(r'[0-9]{1,18}', text) or int(text) > maximum:
+            raise request_error.BadRequestError(
+                f'{key} must be a number in 0 to {maximum}'
+            )
+        return int(text)
+
+    def edit(self) -> edit.Edit:
+        """Reads the headers that each write carries.
+
+        Raises:
+          MissingPreconditionError: No expected revision is named.
+          BadRequestError: A header is malformed.
+        """
+        return edit.Edit(
+            id=self._edit_id(),
+            author=self.operator.name,
+            note=self._header('x-edit-note')[:_NOTE_LENGTH],
+            expected=self._expected(),
+        )
+
+    def _header(self, name: str) -> str:
+        value = self.req.get_first_header(name.encode()) or b''
+        return value.decode('utf-8', 'replace').strip()
+
+    def _edit_id(self) -> str:
+        text = self._header('x-edit-id') or uuid.uuid4().hex
+        if not _EDIT_ID.fullmatch(text):
+            raise request_error.BadRequestError(
+                f'X-Edit-Id must match {_EDIT_ID.pattern}'
+            )
+        return text
+
+    def _expected(self) -> int:
+        text = self._header('if-match') or self.text('expected_revision')
+        if not text:
+            raise error.MissingPreconditionError('no expected revision')
+        match = _REVISION.fullmatch(text)
+        if match is None:
+            raise request_error.BadRequestError(
+                'If-Match must be a revision number'
+            )
+        return int(match[1])
+
+
+Handler = Callable[[Call], Awaitable[answer.Reply]]
+
+
+def endpoint(
+    context: admin_context.AdminContext,
+    role: access.Role,
+    handler: Handler,
+) -> Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]:
+    """Wraps a handler: credentials first, failures as JSON last."""
+
+    async def run(req: blacksheep.Request) -> answer.Reply:
+        operator = access.authenticate(context, req)
+        access.require(operator, role)
+        return await handler(Call(context, operator, req))
+
+    async def serve(req: blacksheep.Request) -> blacksheep.Response:
+        try:
+            return answer.success(await run(req))
+        except request_error.RequestError as exc:
+            failed = exc
+        except platform_error.PlatformError as exc:
+            failed = request_error.StoreUnavailableError(
+                exc.detail, retry_after_s=_RETRY_AFTER_S
+            )
+        except schema_error.InvalidDocumentError as exc:
+            failed = error.InvalidConfigurationError(list(check.faults(exc)))
+        except http_body.CallerLeftError:
+            raise
+        except Exception:
+            # A fault of our own must cost one answer, not the connection,
+            # and must be seen: it is logged with its traceback.
+            _LOG.exception('admin_call_failed', path=req.path)
+            failed = request_error.RequestError(
+                'internal error', ran=base.Ran.UNKNOWN
+            )
+        _LOG.info(
+            'admin_call_refused',
+            method=req.method,
+            path=req.path,
+            code=failed.code,
+            detail=failed.detail,
+        )
+        return answer.failure(failed)
+
+    return serve
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/fleet.py
@@ -0,0 +1,133 @@
+"""The nodes of the system, and which revision each has in force."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from quetzalsill.platform import error as platform_error
+from quetzalsill_router.admin import answer, view
+
+if TYPE_CHECKING:
+    from quetzalsill.config import model
+    from quetzalsill.wire import message
+    from quetzalsill_router.admin import call as admin_call
+    from quetzalsill_router.admin import context as admin_context
+
+__all__ = ['nodes', 'status']
+
+
+def _load(load: message.Load) -> view.LoadView:
+    return view.LoadView(
+        queued=load.queued,
+        running=load.running,
+        used_tokens=load.used_tokens,
+        capacity_tokens=load.capacity_tokens,
+        expected_wait_ms=load.expected_wait_ms,
+        models=load.models,
+        healthy=load.healthy,
+    )
+
+
+def _state(peer: admin_context.LinkedPeer) -> str:
+    if not peer.linked:
+        return 'unlinked'
+    return 'leaving' if peer.leaving else 'live'
+
+
+def _sidecar(
+    name: str,
+    upstream: model.Upstream,
+    peer: admin_context.LinkedPeer | None,
+) -> view.NodeView:
+    """Shows an upstream's sidecar, by its peer if this router has one."""
+    linked = peer is not None and peer.linked
+    load = peer.load if linked else None
+    return view.NodeView(
+        name=name,
+        kind='sidecar',
+        state=_state(peer) if peer is not None else 'unlinked',
+        availability_zone=upstream.availability_zone,
+        address=upstream.sidecar,
+        incarnation=peer.incarnation if linked else 0,
+        revision=load.revision if load is not None else 0,
+        load=_load(load) if load is not None else None,
+    )
+
+
+def _sidecars(
+    context: admin_context.AdminContext,
+) -> Iterator[view.NodeView]:
+    peers = {peer.upstream: peer for peer in context.peers()}
+    for name, upstream in sorted(context.holder.current.upstreams.items()):
+        yield _sidecar(name, upstream, peers.get(name))
+
+
+async def _routers(
+    context: admin_context.AdminContext,
+) -> tuple[list[view.NodeView], bool]:
+    """Reads the routers; False beside them if the store is unavailable."""
+    try:
+        found = await context.routers()
+    except platform_error.PlatformUnavailableError:
+        return [], False
+    return [
+        dataclasses.replace(router, revision=context.holder.revision)
+        if router.name == context.node
+        else router
+        for router in found
+    ], True
+
+
+async def nodes(call: admin_call.Call) -> answer.Reply:
+    """Gives every router and sidecar with its revision.
+
+    `complete` is false if the store did not tell which routers there are.
+    """
+    context = call.context
+    routers, complete = await _routers(context)
+    found = [*routers, *_sidecars(context)]
+    return answer.Reply(
+        {
+            'node': context.node,
+            'revision': context.holder.revision,
+            'complete': complete,
+            'nodes': [dataclasses.asdict(node) for node in found],
+        }
+    )
+
+
+def _count(found: list[view.NodeView], state: str) -> int:
+    return sum(1 for node in found if node.state == state)
+
+
+async def status(call: admin_call.Call) -> answer.Reply:
+    """Gives a summary: routers, sidecars, work, and the store."""
+    context = call.context
+    routers, complete = await _routers(context)
+    sidecars = list(_sidecars(context))
+    loads = [node.load for node in sidecars if node.load is not None]
+    revision = context.holder.revision
+    live = [n for n in (*routers, *sidecars) if n.state == 'live']
+    return answer.Reply(
+        {
+            'node': context.node,
+            'operator': call.operator.name,
+            'role': call.operator.role,
+            'revision': revision,
+            'store': 'available' if complete else 'unavailable',
+            'routers': len(routers),
+            'sidecars_live': _count(sidecars, 'live'),
+            'sidecars_leaving': _count(sidecars, 'leaving'),
+            'sidecars_unlinked': _count(sidecars, 'unlinked'),
+            'behind': [n.name for n in live if n.revision < revision],
+            'queued': sum(load.queued for load in loads),
+            'running': sum(load.running for load in loads),
+            'unhealthy': [
+                n.name
+                for n in sidecars
+                if n.load is not None and not n.load.healthy
+            ],
+        }
+    )
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/routes.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/routes.py
@@ -2,8 +2,21 @@
 
 from __future__ import annotations
 
+import dataclasses
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import request as request_error
+from quetzalsill_router.admin import (
+    access,
+    answer,
+    call,
+    fleet,
+    inquiry,
+    read,
+    write,
+)
+
 if TYPE_CHECKING:
     import blacksheep
 
@@ -12,9 +25,71 @@
 __all__ = ['PREFIX', 'mount']
 
 PREFIX = '/admin/v1'
+_SECTIONS = (
+    'profiles',
+    'upstreams',
+    'accounts',
+    'models',
+    'services',
+    'operators',
+)
+_METHODS = ('GET', 'PUT', 'POST', 'DELETE')
+
+
+@dataclasses.dataclass(slots=True)
+class _Endpoint:
+    method: str
+    path: str
+    handler: call.Handler
+
+    @property
+    def role(self) -> access.Role:
+        """Whoever may call reads; writes are for operators."""
+        if self.method == 'GET':
+            return access.Role.VIEWER
+        return access.Role.OPERATOR
+
+
+def _section(name: str) -> Iterator[_Endpoint]:
+    yield _Endpoint('GET', f'/{name}', read.section(name))
+    yield _Endpoint('GET', f'/{name}/:name', read.entry(name))
+    yield _Endpoint('PUT', f'/{name}/:name', write.entry(name))
+    yield _Endpoint('DELETE', f'/{name}/:name', write.removal(name))
+
+
+def _endpoints() -> Iterator[_Endpoint]:
+    yield _Endpoint('GET', '/config', read.configuration)
+    yield _Endpoint('PUT', '/config', write.configuration)
+    yield _Endpoint('GET', '/history', read.history)
+    yield _Endpoint('GET', '/diff', read.diff)
+    for name in _SECTIONS:
+        yield from _section(name)
+    yield _Endpoint('GET', '/accounts/:name/limits', read.limits)
+    yield _Endpoint('PUT', '/accounts/:name/limits', write.limits)
+    yield _Endpoint('GET', '/policies', read.section('policies'))
+    yield _Endpoint('PUT', '/policies', write.policies)
+    yield _Endpoint('POST', '/upstreams/:name/drain', write.drain(True))
+    yield _Endpoint('POST', '/upstreams/:name/undrain', write.drain(False))
+    yield _Endpoint('GET', '/nodes', fleet.nodes)
+    yield _Endpoint('GET', '/status', fleet.status)
+    yield _Endpoint('GET', '/requests/:name', inquiry.show)
+    yield _Endpoint('DELETE', '/requests/:name', inquiry.cancel)
+
+
+async def _unknown(served: call.Call) -> answer.Reply:
+    raise request_error.NotFoundError(
+        f'no {served.req.method} {served.req.path}',
+        advice='docs/API.md lists the calls.',
+    )
 
 
 def mount(
     app: blacksheep.Application, context: admin_context.AdminContext
 ) -> None:
     """Adds every route below `/admin/v1` to the application."""
+    for entry in _endpoints():
+        served = call.endpoint(context, entry.role, entry.handler)
+        app.router.add(entry.method, f'{PREFIX}{entry.path}', served)
+    unknown = call.endpoint(context, access.Role.VIEWER, _unknown)
+    for method in _METHODS:
+        app.router.add(method, f'{PREFIX}/*', unknown)
