--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/app.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/app.py
@@ -27,7 +27,9 @@
     Args:
       part: `store` (table and objects), `hosts` or `all`.
     """
-    app = blacksheep.Application()
+    # Without a router of its own each application would share the library's
+    # global one, and answer from the state of the first.
+    app = blacksheep.Application(router=blacksheep.Router())
     faults = fault.Faults(app)
     board = host.HostBoard()
     if part in ('store', 'all'):
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
@@ -84,6 +84,8 @@
 
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
         if self.switches.slow_s:
+            # Read first: a caller who gives up must not stop the effect.
+            receive = await _read_ahead(receive)
             await asyncio.sleep(self.switches.slow_s)
         if scope['method'] in WRITE_METHODS and self.switches.lose_answers:
             self.switches.lose_answers -= 1
@@ -111,6 +113,18 @@
     del event
 
 
+async def _read_ahead(receive: Any) -> Callable[[], Awaitable[Any]]:
+    events = [await receive()]
+    while events[-1].get('more_body'):
+        events.append(await receive())
+    read = iter(events)
+
+    async def again() -> Any:
+        return next(read, None) or await receive()
+
+    return again
+
+
 async def _until_disconnect(receive: Any) -> None:
     while (await receive())['type'] != 'http.disconnect':
         pass
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/config/follower.py
@@ -0,0 +1,100 @@
+"""Keeps a process at the newest revision in the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from quetzalsill.config import store as config_store
+from quetzalsill.platform import error
+from quetzalsill.schema import error as schema_error
+from quetzalsill.telemetry import log
+
+if TYPE_CHECKING:
+    from quetzalsill.config import holder
+
+__all__ = ['Follower']
+
+JITTER = 0.2
+LEAST_GAP_S = 0.2
+FAILURES = (
+    error.PlatformError,
+    config_store.ConfigStoreError,
+    schema_error.InvalidDocumentError,
+)
+
+logger = log.get(__name__)
+
+
+class Follower:
+    """Task of a router that installs newer revisions as they are accepted.
+
+    It reads the head row once per `interval_s`, spread by a fifth so that
+    nodes don't read in step: `1 / interval_s` reads a second, and two more
+    for each new revision (its row and its document). Hints can't raise that
+    above `1 / LEAST_GAP_S` polls a second. In an outage it goes on with what
+    the holder has; each poll then costs an attempt and its timeout.
+    """
+
+    def __init__(
+        self,
+        store: config_store.ConfigStore,
+        held: holder.Holder,
+        interval_s: float,
+    ) -> None:
+        self._store = store
+        self._holder = held
+        self._interval_s = interval_s
+        self._hinted = asyncio.Event()
+        self._failing = False
+
+    def hint(self, revision: int) -> None:
+        """Polls soon because a peer has told of a newer revision."""
+        if revision > self._holder.revision:
+            self._hinted.set()
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            self._hinted.clear()
+            await self._poll()
+            await asyncio.sleep(LEAST_GAP_S)
+            await self._wait()
+
+    async def _wait(self) -> None:
+        wait_s = self._interval_s * random.uniform(1 - JITTER, 1 + JITTER)
+        try:
+            async with asyncio.timeout(max(0, wait_s - LEAST_GAP_S)):
+                await self._hinted.wait()
+        except TimeoutError:
+            return
+
+    async def _poll(self) -> None:
+        try:
+            await self.refresh()
+        except FAILURES as exc:
+            if not self._failing:
+                logger.warning('configuration_not_read', error=exc.code)
+            self._failing = True
+            return
+        if self._failing:
+            logger.info('configuration_read_again')
+        self._failing = False
+
+    async def refresh(self) -> bool:
+        """Reads the head once and installs its revision if newer.
+
+        Returns:
+          Whether a newer revision was installed.
+
+        Raises:
+          PlatformError: The store does not answer as it should.
+          RevisionMissingError: The document is lost or damaged.
+          InvalidDocumentError: The document does not fit.
+        """
+        newest = (await self._store.head()).revision
+        if newest <= self._holder.revision:
+            return False
+        document = await self._store.load(newest)
+        return self._holder.install(document, newest)
--- a/packages/quetzalsill/src/quetzalsill/platform/clients.py
+++ b/packages/quetzalsill/src/quetzalsill/platform/clients.py
@@ -6,11 +6,14 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import client
 from quetzalsill.platform import exchange, health, hosts, objects, table
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from quetzalsill.settings import section
+
 __all__ = ['Clients', 'open_clients']
 
 PROBE_TABLE = 'config'
@@ -28,23 +31,27 @@
     """
 
     def __init__(
-        self, table_url: str, objects_url: str, hosts_url: str, timeout_s: float
+        self, cfg: section.Platform, tls: section.Tls | None = None
     ) -> None:
         self.health = health.StoreHealth()
-        self._sessions = [
-            exchange.open_session(url, timeout_s)
-            for url in (table_url, objects_url, hosts_url)
-        ]
-        healths = (self.health, self.health, health.StoreHealth())
-        calls = [
-            exchange.Exchange(session, timeout_s, store_health)
-            for session, store_health in zip(
-                self._sessions, healths, strict=True
-            )
-        ]
-        self.table = table.Table(calls[0])
-        self.objects = objects.Objects(calls[1])
-        self.hosts = hosts.HostList(calls[2])
+        self._timeout_s = cfg.timeout_s
+        self._tls = tls
+        self._sessions: list[client.Session] = []
+        self.table = table.Table(self._calls(cfg.table, self.health))
+        self.objects = objects.Objects(self._calls(cfg.objects, self.health))
+        self.hosts = hosts.HostList(
+            self._calls(cfg.hosts, health.StoreHealth())
+        )
+
+    def _calls(
+        self, url: str, store_health: health.StoreHealth
+    ) -> exchange.Exchange:
+        # No bound of its own: the exchange bounds each attempt as a whole.
+        session = client.session(
+            url, None, self._tls, connect_s=self._timeout_s
+        )
+        self._sessions.append(session)
+        return exchange.Exchange(session, self._timeout_s, store_health)
 
     async def watch(self) -> None:
         """Probes the store while it fails; runs until cancelled."""
@@ -58,17 +65,15 @@
 
 @contextlib.asynccontextmanager
 async def open_clients(
-    table_url: str, objects_url: str, hosts_url: str, timeout_s: float
+    cfg: section.Platform, tls: section.Tls | None = None
 ) -> AsyncIterator[Clients]:
     """Opens clients, watches the store's health, and closes them at the end.
 
     Args:
-      table_url: Base URL of the table.
-      objects_url: Base URL of the object store.
-      hosts_url: Base URL of the host list.
-      timeout_s: Bound of one attempt; a read has two.
+      cfg: Addresses; its timeout bounds one attempt, and a read has two.
+      tls: Certificates for `https` addresses; the system's if None.
     """
-    clients = Clients(table_url, objects_url, hosts_url, timeout_s)
+    clients = Clients(cfg, tls)
     watch = asyncio.create_task(clients.watch())
     try:
         yield clients
--- a/packages/quetzalsill/src/quetzalsill/platform/exchange.py
+++ b/packages/quetzalsill/src/quetzalsill/platform/exchange.py
@@ -3,31 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import json
 import random
 import urllib.parse
+import weakref
 from typing import TYPE_CHECKING, Any
 
-import h11
-from blacksheep import client, contents, messages, url
-from blacksheep.client import connection, pool
+from blacksheep import contents, messages, url
 
+from quetzalsill.net import error as net_error
 from quetzalsill.platform import error, health
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from quetzalsill.net import client, connection
 
-__all__ = ['Exchange', 'Reply', 'open_session', 'quote']
+__all__ = ['Exchange', 'Reply', 'quote']
 
 OPEN_CALLS = 64
 RETRY_JITTER_S = 0.1
-IDLE_S = 15.0
 LARGEST_ANSWER = 64 * 1024 * 1024
 UNAVAILABLE = frozenset((429, 503))
 AMBIGUOUS = frozenset((500, 502, 504))
-LINK_ERRORS = (OSError, connection.ConnectionException, h11.ProtocolError)
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,19 +53,6 @@
     return urllib.parse.quote(name, safe='')
 
 
-def open_session(base_url: str, timeout_s: float) -> client.ClientSession:
-    """Opens a session that sends each request once and follows nothing."""
-    return client.ClientSession(
-        base_url=base_url,
-        follow_redirects=False,
-        connection_timeout=timeout_s,
-        request_timeout=timeout_s,
-        http2=False,
-        max_connection_retries=0,
-        idle_timeout=IDLE_S,
-    )
-
-
 class Exchange:
     """Calls one base URL of the platform.
 
@@ -83,7 +67,7 @@
 
     def __init__(
         self,
-        session: client.ClientSession,
+        session: client.Session,
         timeout_s: float,
         store_health: health.StoreHealth,
     ) -> None:
@@ -91,7 +75,10 @@
         self._session = session
         self._timeout_s = timeout_s
         self._slots = asyncio.Semaphore(OPEN_CALLS)
-        self._closing: set[asyncio.Task[None]] = set()
+        self._generation = 0
+        self._generations: weakref.WeakKeyDictionary[
+            connection.Connection, int
+        ] = weakref.WeakKeyDictionary()
 
     async def read(self, path: str) -> Reply:
         """Sends a GET.
@@ -145,79 +132,54 @@
 
     async def _send(self, req: messages.Request) -> Reply:
         sent = False
-        lost: type[error.PlatformError] = error.PlatformUnavailableError
         try:
-            async with (
-                asyncio.timeout(self._timeout_s),
-                self._slots,
-                self._connection(req.url) as conn,
-            ):
+            async with asyncio.timeout(self._timeout_s), self._slots:
+                conn = await self._connection(req.url)
                 sent = True
-                if req.method != 'GET':
-                    lost = error.PlatformAnswerLostError
                 reply = await _answer(conn, req)
         except TimeoutError as exc:
-            if sent:
-                self._dial_anew()
-            raise lost(f'no answer within {self._timeout_s} s') from exc
-        except LINK_ERRORS as exc:
-            raise lost(f'{type(exc).__name__}: {exc}') from exc
+            self._generation += sent
+            detail = f'no answer within {self._timeout_s} s'
+            raise _failure(req, sent)(detail) from exc
+        except net_error.NetError as exc:
+            raise _failure(req, sent)(exc.detail) from exc
+        self._generations[conn] = self._generation
         if reply.status in AMBIGUOUS:
-            raise lost(f'status {reply.status}')
+            raise _failure(req, sent)(f'status {reply.status}')
         if reply.status in UNAVAILABLE:
             raise error.PlatformUnavailableError(f'status {reply.status}')
         return reply
 
-    @contextlib.asynccontextmanager
-    async def _connection(
-        self, target: url.URL
-    ) -> AsyncIterator[connection.HTTP11Connection]:
-        conn = await self._session.get_connection(target)
-        # The pool hands out kept-alive connections that the other end closed
-        # while they were idle; a write on one would count as lost although it
-        # never left. Each look takes one out of the pool, so this ends.
-        while not _usable(conn):
-            conn.writer.transport.abort()
-            conn = await self._session.get_connection(target)
-        try:
-            yield conn
-        except BaseException:
-            # An exchange broken off leaves the rest of its answer to come:
-            # the connection must never carry another request.
-            conn.writer.transport.abort()
-            raise
-
-    def _dial_anew(self) -> None:
-        """Gives up all idle connections after one of them went silent.
+    async def _connection(self, target: url.URL) -> connection.Connection:
+        """Takes a connection that no silence has made suspect.
 
-        What lost track of one connection has mostly lost its siblings too;
-        each would cost its user a timeout. New ones are dialled instead.
+        A connection may go silent for good while new ones work: its user sees
+        no answer within the timeout. What lost track of one has mostly lost
+        its siblings too, and each would cost another user a timeout. So one
+        timeout starts a new generation, and those of an older one are not
+        used again unless an answer came on them since. The pool gives each
+        idle connection once and then dials, so the loop ends.
         """
-        old = self._session.pools
-        self._session.pools = pool.ConnectionPools(
-            http2=False, idle_timeout=IDLE_S
-        )
-        task = asyncio.create_task(old.dispose())
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        while True:
+            conn = await self._session.get_connection(target)
+            generation = self._generations.setdefault(conn, self._generation)
+            if generation == self._generation:
+                return conn
+            conn.abort()
 
 
-def _usable(conn: connection.HTTP11Connection) -> bool:
-    ended = conn.reader.at_eof() or conn.writer.transport.is_closing()
-    return conn.is_alive() and not ended
+def _failure(
+    req: messages.Request, sent: bool
+) -> type[error.PlatformUnavailableError] | type[error.PlatformAnswerLostError]:
+    if sent and req.method != 'GET':
+        return error.PlatformAnswerLostError
+    return error.PlatformUnavailableError
 
 
-async def _answer(
-    conn: connection.HTTP11Connection, req: messages.Request
-) -> Reply:
+async def _answer(conn: connection.Connection, req: messages.Request) -> Reply:
     response = await conn.send(req)
     length = response.get_first_header(b'content-length')
     if length and int(length) > LARGEST_ANSWER:
-        raise connection.ConnectionException(f'answer of {int(length)} bytes')
-    content = response.content
-    body = await content.read()
-    # blacksheep's read() returns a cut body as if it were whole and only
-    # notes the failure here.
-    if content.exc is not None:
-        raise connection.ConnectionException('answer cut') from content.exc
-    return Reply(response.status, body)
+        conn.abort()
+        raise net_error.AnswerLostError(f'answer of {int(length)} bytes')
+    return Reply(response.status, await response.read() or b'')
--- /dev/null
+++ b/tests/quetzalsill/config/test_store.py
@@ -0,0 +1,316 @@
+"""Tests of `quetzalsill.config.store`."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from quetzalsill.config import revision, store
+from quetzalsill.platform import clients, error
+from quetzalsill.settings import section
+from quetzalsill_dev.platform_standin import serve
+from tests.quetzalsill.platform import gated
+
+TIMEOUT_S = 0.4
+
+
+class _Edit:
+    def __init__(self, name, expected):
+        self.name = name
+        self.expected = expected
+        self.document = f'document of {name}'.encode()
+        self.refused = False
+
+
+class PublishMachine(stateful.RuleBasedStateMachine):
+    """Racing operators over a store that loses and delays what it likes."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.now = 0.0
+        self.gate = gated.Gate()
+        self.table = gated.GatedTable(self.gate)
+        self.objects = gated.GatedObjects(self.gate)
+        self.store = store.ConfigStore(
+            self.table, self.objects, 1.0, lambda: self.now, self._sleep
+        )
+        self.edits = []
+        self.running = {}
+        self.line = []
+
+    async def _sleep(self, duration_s):
+        self.now += duration_s
+
+    def _settle(self):
+        self.loop.run_until_complete(gated.settle())
+        self.gate.drop_done()
+        for task in [task for task in self.running if task.done()]:
+            self._check_outcome(self.running.pop(task), task)
+
+    def _start(self, edit):
+        task = self.loop.create_task(
+            self.store.publish(
+                edit.document, edit.expected, edit.name, 'operator', 'note'
+            )
+        )
+        self.running[task] = edit
+        self._settle()
+
+    def _check_outcome(self, edit, task):
+        self._read_line()
+        accepted = dict(self.line)
+        try:
+            number = task.result()
+        except store.RevisionConflictError:
+            assert edit.name not in accepted
+            edit.refused = True
+        except error.PlatformUnavailableError:
+            # This sending is refused for good, but not an earlier one.
+            pass
+        except store.OutcomeUnknownEditError:
+            pass
+        else:
+            assert self.line[number - 1] == (edit.name, edit.document)
+
+    def _read_line(self):
+        """Reads the revisions; those seen before must stand unchanged."""
+        row = self.table.rows.get('config', 'head')
+        head = revision.parse_head(row.value) if row else revision.Head()
+        rows = self.table.rows.scan('config', 'revision/')
+        entries = [revision.parse_revision(row.value) for row in rows]
+        numbers = [entry.revision for entry in entries]
+        assert numbers == list(range(1, head.revision + 1))
+        line = [
+            (entry.edit, self.objects.objects[entry.document])
+            for entry in entries
+        ]
+        assert line[: len(self.line)] == self.line
+        assert len(line) <= len(self.line) + 1
+        assert not line or line[-1][0] == head.edit
+        self.line = line
+
+    def _waiting(self, data, predicate):
+        calls = [call for call in self.gate.calls if predicate(call)]
+        if not calls:
+            return None
+        return calls[data.draw(st.integers(0, len(calls) - 1))]
+
+    @stateful.rule(behind=st.sampled_from([0, 0, 0, 1]))
+    def edit(self, behind):
+        expected = max(0, len(self.line) - behind)
+        edit = _Edit(f'edit-{len(self.edits)}', expected)
+        self.edits.append(edit)
+        self._start(edit)
+
+    @stateful.precondition(lambda self: self.edits)
+    @stateful.rule(data=st.data())
+    def send_again(self, data):
+        self._start(data.draw(st.sampled_from(self.edits)))
+
+    @stateful.rule(data=st.data(), count=st.integers(1, 12))
+    def work_well(self, data, count):
+        for _ in range(count):
+            self.take_effect(data, True)
+
+    @stateful.rule(data=st.data(), answered=st.booleans())
+    def take_effect(self, data, answered):
+        call = self._waiting(data, lambda call: not call.effected)
+        if call is None:
+            return
+        call.effect()
+        if answered and not call.answer.done():
+            call.deliver()
+        self._settle()
+
+    @stateful.rule(
+        data=st.data(), fault=st.sampled_from(['none', 'lose', 'refuse'])
+    )
+    def answer(self, data, fault):
+        call = self._waiting(data, lambda call: not call.answer.done())
+        if call is None:
+            return
+        if call.effected and fault == 'none':
+            call.deliver()
+        elif not call.effected and fault == 'refuse':
+            call.refuse()
+        else:
+            call.lose()
+        self._settle()
+
+    @stateful.invariant()
+    def one_line_of_revisions(self):
+        self._read_line()
+        accepted = [name for name, _ in self.line]
+        assert len(set(accepted)) == len(accepted)
+        for edit in self.edits:
+            assert not (edit.refused and edit.name in accepted), edit.name
+
+    def teardown(self):
+        while self.gate.calls:
+            call = self.gate.calls[0]
+            if not call.effected:
+                call.effect()
+            if not call.answer.done():
+                call.deliver()
+            self._settle()
+            self.one_line_of_revisions()
+        assert not self.running
+        self.loop.close()
+
+
+PublishMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+)
+PublishTest = PublishMachine.TestCase
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store over the stand-in, through real connections."""
+
+    async def asyncSetUp(self):
+        self.standin = serve.StandIn('all')
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        url = self.standin.url
+        cfg = section.Platform(url, url, url, TIMEOUT_S)
+        self.clients = await self.enterAsyncContext(clients.open_clients(cfg))
+        self.store = store.ConfigStore(self.clients.table, self.clients.objects)
+        self.switches = self.standin.faults.switches
+        self.counts = self.standin.faults.counts
+
+    async def publish(self, name, expected):
+        return await self.store.publish(
+            name.encode(), expected, name, 'ada', 'why'
+        )
+
+    def after_put(self, action):
+        """Runs an action between an edit's document and its transaction."""
+        put = self.clients.objects.put
+
+        async def put_then_act(*args):
+            await put(*args)
+            action()
+
+        self.clients.objects.put = put_then_act
+
+    async def test_publishes_loads_and_lists(self):
+        self.assertEqual((await self.store.head()).revision, 0)
+        for number in range(1, 4):
+            name = f'edit-{number}'
+            self.assertEqual(await self.publish(name, number - 1), number)
+        self.assertEqual(await self.store.load(2), b'edit-2')
+        history = await self.store.history(2)
+        self.assertEqual(
+            [entry.edit for entry in history], ['edit-3', 'edit-2']
+        )
+        with self.assertRaises(store.RevisionMissingError):
+            await self.store.load(4)
+
+    async def test_three_racing_operators(self):
+        """Three operators save different edits of revision 0 at once.
+
+        Each is told at once whether theirs is in force: one is, two get the
+        revision that beat them. Without the condition on the head's version
+        the last to write would silently undo the others.
+        """
+        outcomes = await asyncio.gather(
+            *(self.publish(f'edit-{i}', 0) for i in range(3)),
+            return_exceptions=True,
+        )
+        lost = [
+            exc.current
+            for exc in outcomes
+            if isinstance(exc, store.RevisionConflictError)
+        ]
+        self.assertEqual(lost, [1, 1])
+        winner = outcomes.index(1)
+        self.assertEqual(await self.store.load(1), f'edit-{winner}'.encode())
+
+    async def test_answer_lost_after_the_write(self):
+        """An operator's edit is accepted, but the store's answer is lost.
+
+        The operator must be told that it is in force, not that it failed:
+        sent again as new, it would meet its own revision and look like a
+        conflict with somebody else. Both the document's and the head's
+        writes lose their answer here.
+        """
+        self.switches.lose_answers = 1
+        self.assertEqual(await self.publish('first', 0), 1)
+        self.after_put(lambda: setattr(self.switches, 'lose_answers', 1))
+        self.assertEqual(await self.publish('second', 1), 2)
+        self.assertEqual(self.counts['lost'], 2)
+        self.assertEqual(self.counts['conflict'], 1)
+
+    async def test_write_that_takes_effect_late(self):
+        """A slow store applies an edit after the operator's call timed out.
+
+        To find the head unmoved in between and report that the edit was not
+        accepted would become untrue a moment later.
+        """
+        self.after_put(lambda: setattr(self.switches, 'slow_s', 2 * TIMEOUT_S))
+        task = asyncio.create_task(self.publish('slow', 0))
+        async with asyncio.timeout(10):
+            while not self.counts['row_written']:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.switches.slow_s = 0.0
+        self.assertEqual(await task, 1)
+        self.assertEqual((await self.store.head()).edit, 'slow')
+
+    async def test_store_down(self):
+        """An operator edits while the store is down.
+
+        They are told at once that nothing was accepted, and the same edit
+        goes through once the store is back.
+        """
+        self.switches.down = True
+        with self.assertRaises(error.PlatformUnavailableError):
+            await self.publish('patient', 0)
+        self.switches.down = False
+        self.assertEqual(await self.publish('patient', 0), 1)
+
+    async def test_store_lost_for_good_in_mid_edit(self):
+        """The store dies between the head's write and its answer.
+
+        The operator learns that the outcome is unknown, with the edit's id
+        and what to do; the same edit sent again gives the settled outcome.
+        """
+
+        def lose_then_fall():
+            self.switches.lose_answers = 1
+            transact = self.clients.table.transact
+
+            async def transact_then_fall(*args):
+                try:
+                    return await transact(*args)
+                finally:
+                    self.switches.reset = True
+
+            self.clients.table.transact = transact_then_fall
+
+        self.after_put(lose_then_fall)
+        short = store.ConfigStore(
+            self.clients.table, self.clients.objects, settle_s=0.3
+        )
+        with self.assertRaises(store.OutcomeUnknownEditError) as caught:
+            await short.publish(b'x', 0, 'edit-x', 'ada', '')
+        self.assertIn('edit-x', caught.exception.detail)
+        self.switches.reset = False
+        again = await self.store.publish(b'x', 0, 'edit-x', 'ada', '')
+        self.assertEqual(again, 1)
+
+    async def test_edit_id_used_for_another_document(self):
+        await self.publish('edit', 0)
+        with self.assertRaises(store.EditReusedError):
+            await self.store.publish(b'other', 1, 'edit', 'ada', '')
+
+
+if __name__ == '__main__':
+    unittest.main()
