--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/answer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/answer.py
@@ -1,17 +1,15 @@
-"""Settled answers, and how any router finds one by its request id."""
+"""The settled outcome of a request."""
 
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 
-if TYPE_CHECKING:
-    from quetzalsill.platform import objects as platform_objects
-    from quetzalsill.platform import table as platform_table
+__all__ = ['Answer', 'DONE', 'failure']
 
-__all__ = ['Answer', 'Answers', 'Stored']
+DONE = 'done'
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,47 +26,19 @@
         of a body.
     """
 
-    code: str = 'done'
+    code: str = DONE
     detail: str = ''
     ran: base.Ran = base.Ran.YES
     status: int = 200
     headers: list[list[str]] = dataclasses.field(default_factory=list)
     events: list[bytes] = dataclasses.field(default_factory=list)
 
+    @property
+    def size(self) -> int:
+        """Gives the bytes of the answer itself."""
+        return sum(map(len, self.events))
 
-@dataclasses.dataclass(slots=True)
-class Stored:
-    """What the platform holds of a request.
-
-    Attributes:
-      request: Id of the request.
-      answer: The settled outcome; None while the request is pending.
-    """
-
-    request: str
-    answer: Answer | None
-
-
-class Answers:
-    """Reads answers through any router."""
-
-    def __init__(
-        self,
-        table: platform_table.Table,
-        objects: platform_objects.Objects,
-    ) -> None:
-        self._table = table
-        self._objects = objects
-
-    async def get(self, account: str, request: str) -> Stored:
-        """Looks a request up.
-
-        Raises:
-          NotFoundError: No such request of this account, or it has expired.
-          StoreUnavailableError: The platform did not answer.
-        """
-        raise NotImplementedError
 
-    async def wait(self, account: str, request: str, within_s: float) -> Stored:
-        """Like `get`, but waits up to `within_s` for a pending request."""
-        raise NotImplementedError
+def failure(exc: request_error.RequestError) -> Answer:
+    """Makes the outcome of a request that failed."""
+    return Answer(code=exc.code, detail=exc.detail, ran=exc.ran, status=0)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/claim.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/claim.py
@@ -2,19 +2,33 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import hashlib
+import random
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
+from quetzalsill.platform import error as platform_error
+from quetzalsill.telemetry import log as telemetry_log
+from quetzalsill_router.durable import answer as durable_answer
+from quetzalsill_router.durable import claim_writer as durable_claim_writer
+
 if TYPE_CHECKING:
-    from quetzalsill.platform import table as platform_table
-    from quetzalsill_router.durable import answer as durable_answer
     from quetzalsill_router.durable import entry as durable_entry
     from quetzalsill_router.durable import journal as durable_journal
+    from quetzalsill_router.durable import lookup as durable_lookup
+
+__all__ = ['Claim', 'Claims', 'key_of']
+
+KEY_DIGITS = 40
+RETRY_S = 0.5
 
-__all__ = ['Claim', 'Claims']
+LOG = telemetry_log.get(__name__)
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, frozen=True)
 class Claim:
     """The holder of an idempotency key.
 
@@ -27,29 +41,139 @@
 
 
 class Claims:
-    """One row per idempotency key, inserted before the first dispatch."""
+    """One row per idempotency key, inserted before the first dispatch.
+
+    The row names the accepted request that holds the key. Whether that was
+    dispatched, settled or taken over stands in the journal, so the row needs
+    no further writes, and a router that lost its journal in a pause cannot
+    dispatch for a key that it still believes to hold.
+
+    Args:
+      writer: Writes the rows.
+      journal: Journal of this router.
+      answers: Tells whether the holder of a key was settled as not run.
+      bound_s: Longest wait for the platform, in s.
+    """
 
     def __init__(
         self,
-        table: platform_table.Table,
+        writer: durable_claim_writer.ClaimWriter,
         journal: durable_journal.Journal,
-        answers: durable_answer.Answers,
+        answers: durable_lookup.Answers,
+        bound_s: float,
     ) -> None:
-        self._table = table
+        self._writer = writer
         self._journal = journal
         self._answers = answers
+        self._bound_s = bound_s
 
     async def claim(self, entry: durable_entry.Entry) -> Claim:
-        """Claims the key of an accepted entry.
+        """Claims the key of an entry that was accepted here.
 
-        A key whose holder was settled as not run passes to the entry.
+        A key whose holder was settled as not run passes to the entry, so
+        that a caller may repeat what was refused.
 
         Raises:
           ConflictError: The key is held by a request with another digest;
             the entry was settled as not run.
           StoreUnavailableError: Not claimed; the entry was settled as not
-            run and will never run.
-          OutcomeUnknownError: Not claimed, and the platform is silent.
+            run.
+          OutcomeUnknownError: Not claimed, and the platform is silent; the
+            entry will not be run by this router.
           SupersededError: Another router has taken the entry over.
         """
-        raise NotImplementedError
+        try:
+            async with asyncio.timeout(self._bound_s):
+                holder = await self._acquire(entry)
+        except (
+            TimeoutError,
+            platform_error.PlatformError,
+            request_error.StoreUnavailableError,
+        ):
+            raise await self._withdraw(entry) from None
+        return self._yield_to(holder, entry)
+
+    async def reclaim(self, entry: durable_entry.Entry) -> Claim:
+        """Claims the key of an entry that was taken over.
+
+        It may have been claimed and run before, so it is not refused when
+        the platform fails; this repeats until the platform answers.
+
+        Raises:
+          ConflictError: See `claim`.
+          SupersededError: See `claim`.
+        """
+        while True:
+            try:
+                holder = await self._acquire(entry)
+            except (
+                platform_error.PlatformError,
+                request_error.StoreUnavailableError,
+            ) as exc:
+                LOG.warning('claim_retried', request=entry.request, why=exc)
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+            else:
+                return self._yield_to(holder, entry)
+
+    async def _acquire(
+        self, entry: durable_entry.Entry
+    ) -> durable_claim_writer.Holder:
+        key = key_of(entry.account, entry.idempotency_key)
+        before = durable_claim_writer.Holder()
+        while True:
+            holder = await self._writer.put(
+                key, before, entry.request, entry.digest
+            )
+            if holder.request == entry.request:
+                return holder
+            if holder.version and not await self._released(entry, holder):
+                return holder
+            before = holder
+
+    async def _released(
+        self, entry: durable_entry.Entry, holder: durable_claim_writer.Holder
+    ) -> bool:
+        """Whether the holder surely did not run, or has expired."""
+        try:
+            stored = await self._answers.get(entry.account, holder.request)
+        except request_error.NotFoundError:
+            return True
+        answer = stored.answer
+        return answer is not None and answer.ran is base.Ran.NO
+
+    def _yield_to(
+        self, holder: durable_claim_writer.Holder, entry: durable_entry.Entry
+    ) -> Claim:
+        if holder.request == entry.request:
+            return Claim(entry.request)
+        exc = request_error.ConflictError(
+            f'the idempotency key belongs to request {holder.request}'
+        )
+        self._journal.settle_later(entry, durable_answer.failure(exc))
+        if holder.digest != entry.digest:
+            raise exc
+        return Claim(holder.request)
+
+    async def _withdraw(
+        self, entry: durable_entry.Entry
+    ) -> request_error.RequestError:
+        """Settles an entry that was not claimed as not run.
+
+        Until that is durable this router may die and a taker run the entry,
+        so only then may the caller be told that it did not run.
+        """
+        exc = self._journal.unavailable('the key could not be claimed')
+        try:
+            async with asyncio.timeout(self._bound_s):
+                await self._journal.settle(entry, durable_answer.failure(exc))
+        except TimeoutError:
+            return request_error.OutcomeUnknownError(
+                f'the fate of {entry.request} is not settled'
+            )
+        return exc
+
+
+def key_of(account: str, idempotency_key: str) -> str:
+    """Gives the key of the row; a caller's key may hold anything."""
+    digest = hashlib.sha256(idempotency_key.encode()).hexdigest()
+    return f'{account}/{digest[:KEY_DIGITS]}'
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/index.py
@@ -0,0 +1,159 @@
+"""Index of answers: in which segment the outcome of a request stands.
+
+A row covers a few neighbouring segments of acceptance and grows as their
+entries are settled. The log is the truth and the index only a way to find
+it, so rows are written late and in groups, and whoever takes a log over
+writes what its owner did not come to.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+from typing import TYPE_CHECKING
+
+from quetzalsill.platform import error as platform_error
+from quetzalsill.platform import table as platform_table
+from quetzalsill.telemetry import log as telemetry_log
+from quetzalsill_router.durable import entry as durable_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from quetzalsill_router.durable import pace as durable_pace
+
+__all__ = ['Index', 'Pointer', 'TABLE', 'find', 'row_key']
+
+TABLE = 'answers'
+SEGMENTS_PER_ROW = 16
+ROWS_AT_ONCE = 32
+RETRY_S = 0.5
+
+LOG = telemetry_log.get(__name__)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Pointer:
+    """Says that the outcome of a request stands in a segment."""
+
+    request: str
+    log: str
+    segment: int
+
+
+class Index:
+    """Writes pointers to settled outcomes."""
+
+    def __init__(
+        self, table: platform_table.Table, pace: durable_pace.Pace
+    ) -> None:
+        self._table = table
+        self._pace = pace
+        self._queued: dict[str, Pointer] = {}
+        self._releases: list[Callable[[], None]] = []
+        self._wanted = asyncio.Event()
+
+    def add(
+        self, pointers: Sequence[Pointer], release: Callable[[], None]
+    ) -> None:
+        """Queues pointers; calls `release` once they are durable."""
+        self._queued.update((pointer.request, pointer) for pointer in pointers)
+        self._releases.append(release)
+        self._wanted.set()
+
+    def queued(self, request: str) -> Pointer | None:
+        """Finds a pointer that is not durable yet."""
+        return self._queued.get(request)
+
+    async def run(self) -> None:
+        """Writes what is queued, until cancelled."""
+        while True:
+            await self._wanted.wait()
+            await self._pace.turn()
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Writes what is queued now; repeats until the platform took it."""
+        self._wanted.clear()
+        pointers = list(self._queued.values())
+        releases, self._releases = self._releases, []
+        await self.write(pointers)
+        for pointer in pointers:
+            if self._queued.get(pointer.request) is pointer:
+                del self._queued[pointer.request]
+        for release in releases:
+            release()
+
+    async def write(self, pointers: Sequence[Pointer]) -> None:
+        """Adds pointers to their rows; repeats until the platform took it.
+
+        Repeating is harmless: a row is a union of pointers, and a request
+        has one outcome only.
+        """
+        by_row = sorted(pointers, key=_row_of)
+        rows = [
+            (key, list(group))
+            for key, group in itertools.groupby(by_row, _row_of)
+        ]
+        for start in range(0, len(rows), ROWS_AT_ONCE):
+            await self._write_rows(rows[start : start + ROWS_AT_ONCE])
+
+    async def _write_rows(self, rows: list[tuple[str, list[Pointer]]]) -> None:
+        while True:
+            try:
+                await self._try_rows(rows)
+            except platform_error.ConditionFailedError:
+                continue
+            except platform_error.PlatformError as exc:
+                LOG.warning('index_write_failed', rows=len(rows), why=exc.code)
+                await asyncio.sleep(RETRY_S)
+            else:
+                return
+
+    async def _try_rows(self, rows: list[tuple[str, list[Pointer]]]) -> None:
+        conditions = []
+        writes = []
+        for key, pointers in rows:
+            row = await self._table.get(TABLE, key)
+            version, value = (row.version, row.value) if row else (0, {})
+            added = dict(_to_plain(pointer) for pointer in pointers)
+            conditions.append(platform_table.Condition(TABLE, key, version))
+            writes.append(platform_table.Write(TABLE, key, added | value))
+        await self._table.transact(conditions, writes)
+
+
+async def find(table: platform_table.Table, request: str) -> Pointer | None:
+    """Looks up the outcome of a request; None if there is no pointer.
+
+    Raises:
+      NotFoundError: The id is not one that a journal gave.
+      PlatformUnavailableError: The platform does not answer.
+    """
+    place = durable_entry.place_of(request)
+    row = await table.get(TABLE, row_key(place.log, place.segment))
+    plain = row.value.get(_item_key(place)) if row else None
+    if plain is None:
+        return None
+    segment, *log = plain
+    return Pointer(request, log[0] if log else place.log, segment)
+
+
+def row_key(log: str, segment: int) -> str:
+    """Gives the key of the row for entries accepted in a segment."""
+    return f'{log}/{segment // SEGMENTS_PER_ROW:08d}'
+
+
+def _row_of(pointer: Pointer) -> str:
+    place = durable_entry.place_of(pointer.request)
+    return row_key(place.log, place.segment)
+
+
+def _item_key(place: durable_entry.Place) -> str:
+    return f'{place.segment}-{place.index}'
+
+
+def _to_plain(pointer: Pointer) -> tuple[str, list[int | str]]:
+    place = durable_entry.place_of(pointer.request)
+    log = [] if pointer.log == place.log else [pointer.log]
+    return _item_key(place), [pointer.segment, *log]
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
@@ -1,42 +1,48 @@
-"""The writing end of a router's log."""
+"""The journal of accepted requests, as the router uses it."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import request as request_error
+from quetzalsill.telemetry import metric
+from quetzalsill_router.durable import queue as durable_queue
+from quetzalsill_router.durable import segment as durable_segment
+
 if TYPE_CHECKING:
-    from quetzalsill.platform import objects as platform_objects
-    from quetzalsill.platform import table as platform_table
     from quetzalsill_router.durable import answer as durable_answer
     from quetzalsill_router.durable import entry as durable_entry
+    from quetzalsill_router.durable import log_writer as durable_log_writer
+    from quetzalsill_router.durable import pace as durable_pace
     from quetzalsill_router.durable import setting
 
 __all__ = ['Journal']
 
+OVERLOAD_RETRY_S = 5.0
+
+REFUSED = metric.counter(
+    'quetzalsill_journal_refused_total', 'Entries not accepted, by reason.'
+)
+
 
 class Journal:
     """Makes acceptances, dispatches and outcomes durable, in groups."""
 
     def __init__(
         self,
-        table: platform_table.Table,
-        objects: platform_objects.Objects,
-        node: str,
-        incarnation: int,
+        writer: durable_log_writer.LogWriter,
+        pace: durable_pace.Pace,
         cfg: setting.Durable,
     ) -> None:
-        self._table = table
-        self._objects = objects
-        self._node = node
-        self._incarnation = incarnation
+        self._writer = writer
+        self._pace = pace
         self._cfg = cfg
-        self.superseded = asyncio.Event()
 
     @property
     def available(self) -> bool:
-        """Whether the newest write to the platform succeeded."""
-        raise NotImplementedError
+        """Whether the platform takes new entries, as far as is known."""
+        return self._writer.available
 
     async def accept(self, entry: durable_entry.Entry) -> str:
         """Stores an entry and names it; returns once it is durable.
@@ -46,27 +52,59 @@
 
         Raises:
           StoreUnavailableError: Not accepted, will never run.
+          OverloadedError: Too much is unsettled here; not accepted.
           OutcomeUnknownError: The platform's answer was lost and it stays
-            silent; `entry.request` is set. The entry will not be run by
-            this router, and is settled as such once the platform is back.
+            silent; `entry.request` is set. This router will not run the
+            entry: it settles it as not run once the platform is back, or
+            the id is not found, which means the same. Only if this router
+            dies before may a taker run it.
         """
-        raise NotImplementedError
+        self._check_room(entry)
+        waiting = durable_queue.item(entry)
+        self._writer.queue.add(waiting)
+        try:
+            async with asyncio.timeout(self._bound_s()):
+                await waiting.done
+        except TimeoutError:
+            return self._late(waiting)
+        except asyncio.CancelledError:
+            self._abandon(waiting)
+            raise
+        except request_error.StoreUnavailableError:
+            REFUSED.inc({'reason': 'store'})
+            raise
+        return entry.request
 
     async def dispatching(
         self, entry: durable_entry.Entry, run: durable_entry.Run
     ) -> None:
         """Records where an entry is about to be dispatched.
 
-        Returns once it is durable; at once for an idempotent entry, which
-        needs no record.
+        Returns once it is durable; for an idempotent entry, at once: its
+        record goes along with the next segment, so that a taker may find
+        the run, but need not.
 
         Raises:
-          SupersededError: Another router has taken the entry over; it must
-            not be dispatched here.
+          SupersededError: Another router has taken the entry over, or it is
+            settled; it must not be dispatched here.
           StoreUnavailableError: Not recorded in time; must not be
             dispatched. The call may be repeated.
         """
-        raise NotImplementedError
+        self._writer.check_owned(entry)
+        if entry.run == run:
+            return
+        record = durable_segment.Dispatched(entry.request, entry.fence, run)
+        waiting = durable_queue.item(record)
+        self._writer.queue.add(waiting, hurry=not entry.idempotent)
+        if entry.idempotent:
+            entry.run = run
+            return
+        try:
+            async with asyncio.timeout(self._bound_s()):
+                await asyncio.shield(waiting.done)
+        except TimeoutError:
+            self._writer.queue.remove(waiting)
+            raise self._writer.unavailable('dispatch not recorded') from None
 
     async def settle(
         self, entry: durable_entry.Entry, answer: durable_answer.Answer
@@ -78,15 +116,92 @@
         The caller may be answered meanwhile.
 
         Raises:
-          SupersededError: Another router has taken the entry over; the
-            outcome is dropped.
+          SupersededError: Another router has taken the entry over, or it is
+            settled; the outcome is dropped.
         """
-        raise NotImplementedError
+        await asyncio.shield(self.settle_later(entry, answer))
 
-    def owns(self, entry: durable_entry.Entry) -> bool:
-        """Whether no takeover of the entry is known here."""
-        raise NotImplementedError
+    def settle_later(
+        self, entry: durable_entry.Entry, answer: durable_answer.Answer
+    ) -> asyncio.Future[None]:
+        """Queues an outcome without waiting for it; see `settle`."""
+        return self._writer.settle_later(entry, answer)
+
+    async def adopt(
+        self,
+        by: str,
+        mark: durable_segment.Adopted,
+        entries: list[durable_entry.Entry],
+    ) -> None:
+        """Moves the entries of a sealed log here; returns once durable.
 
-    async def stop(self) -> None:
-        """Writes what is queued, within a bound, and stops."""
-        raise NotImplementedError
+        Args:
+          by: Log of this router that made the seal.
+          mark: The sealed log and its seal.
+          entries: Its unsettled entries, with their new fences.
+
+        Raises:
+          SupersededError: This router's log was itself taken over.
+        """
+        if by != self._writer.log:
+            raise request_error.SupersededError(f'log {by} was taken over')
+        waiting = durable_queue.item(durable_queue.Adoption(mark, entries))
+        self._writer.queue.add(waiting)
+        await asyncio.shield(waiting.done)
+
+    def release_adopted(self, log: str) -> None:
+        """Notes that the row of an adopted log is closed."""
+        self._writer.release_adopted(log)
+
+    def unavailable(self, detail: str) -> request_error.StoreUnavailableError:
+        """Makes the failure of what could not be stored."""
+        return self._writer.unavailable(detail)
+
+    def owns(self, entry: durable_entry.Entry) -> bool:
+        """Whether the entry has no outcome, and no takeover is known."""
+        return self._writer.held.owned(entry)
+
+    def _bound_s(self) -> float:
+        return self._cfg.accept_s + 2 * self._pace.interval_s
+
+    def _check_room(self, entry: durable_entry.Entry) -> None:
+        writer = self._writer
+        if not writer.available:
+            REFUSED.inc({'reason': 'store'})
+            raise writer.unavailable('the platform does not answer')
+        held_bytes = writer.held.payload_bytes + writer.queue.held_bytes
+        held_bytes += len(entry.payload)
+        waiting = len(writer.held) + len(writer.queue)
+        if (
+            waiting >= self._cfg.max_unsettled
+            or held_bytes > self._cfg.max_unsettled_bytes
+        ):
+            REFUSED.inc({'reason': 'room'})
+            raise request_error.OverloadedError(
+                'too many unsettled requests', retry_after_s=OVERLOAD_RETRY_S
+            )
+
+    def _late(self, waiting: durable_queue.Item) -> str:
+        """Ends a wait for acceptance that reached its bound."""
+        entry = waiting.record
+        if self._writer.held.owned(entry):
+            return entry.request
+        if self._abandon(waiting):
+            REFUSED.inc({'reason': 'store'})
+            raise self._writer.unavailable('the platform is slow')
+        REFUSED.inc({'reason': 'unknown'})
+        raise request_error.OutcomeUnknownError(
+            f'acceptance of {entry.request} is not settled'
+        )
+
+    def _abandon(self, waiting: durable_queue.Item) -> bool:
+        """Gives an entry up; True if it is certain that none will run it.
+
+        A wait can end in the same turn of the event loop in which the entry
+        became durable. It is held then, and nobody would ever settle it, so
+        it is withdrawn here.
+        """
+        waiting.abandoned = True
+        if self._writer.held.owned(waiting.record):
+            self._writer.withdraw(waiting.record)
+        return self._writer.queue.remove(waiting)
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
@@ -0,0 +1,274 @@
+"""Writes a router's log, segment by segment."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
+from quetzalsill.platform import health as platform_health
+from quetzalsill.telemetry import log as telemetry_log
+from quetzalsill.telemetry import metric
+from quetzalsill_router.durable import answer as durable_answer
+from quetzalsill_router.durable import entry as durable_entry
+from quetzalsill_router.durable import index as durable_index
+from quetzalsill_router.durable import queue as durable_queue
+from quetzalsill_router.durable import segment as durable_segment
+from quetzalsill_router.durable import unsettled as durable_unsettled
+from quetzalsill_router.durable import write as durable_write
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from quetzalsill.platform import objects as platform_objects
+    from quetzalsill_router.durable import pace as durable_pace
+
+__all__ = ['LogWriter']
+
+SEALED_RETRY_S = 0.1
+
+LOG = telemetry_log.get(__name__)
+SEGMENTS = metric.counter(
+    'quetzalsill_journal_segments_total', 'Segments written to the journal.'
+)
+RECORDS = metric.counter(
+    'quetzalsill_journal_records_total', 'Records written, by kind.'
+)
+SUPERSEDED = metric.counter(
+    'quetzalsill_journal_superseded_total',
+    'Times that another router took over the journal of this one.',
+)
+UNSETTLED = metric.gauge(
+    'quetzalsill_journal_unsettled', 'Accepted requests without an outcome.'
+)
+QUEUED_BYTES = metric.gauge(
+    'quetzalsill_journal_queued_bytes', 'Records that wait for the platform.'
+)
+
+
+class LogWriter:
+    """Writes what is queued, one segment at a time.
+
+    All that waits when a segment is cut goes into one object; while that is
+    on its way the next collects.
+
+    Attributes:
+      log: Name of the log; empty while none is open.
+      last: Number of the newest segment.
+      queue: Records that wait.
+      held: Entries in the log without an outcome.
+      health: Whether the object store takes the segments.
+    """
+
+    def __init__(
+        self,
+        objects: platform_objects.Objects,
+        register: Callable[[], Awaitable[str]],
+        index: durable_index.Index,
+        pace: durable_pace.Pace,
+    ) -> None:
+        """Makes a writer without an open log.
+
+        Args:
+          objects: Client of the object store.
+          register: Registers a new log in the platform and gives its name;
+            repeats until the platform took it.
+          index: Told of each outcome.
+          pace: Spaces the segments.
+        """
+        self.log = ''
+        self.last = 0
+        self.queue = durable_queue.Queue()
+        self.held = durable_unsettled.Unsettled()
+        self.health = platform_health.StoreHealth()
+        self._objects = objects
+        self._register = register
+        self._index = index
+        self._pace = pace
+        self._writing: list[durable_queue.Item] = []
+        self._adopted: dict[str, Callable[[], None]] = {}
+        self._probe = False
+
+    @property
+    def available(self) -> bool:
+        """Whether the platform takes new entries, as far as is known."""
+        return bool(self.log) and self.health.up
+
+    @property
+    def floor(self) -> int:
+        """Gives the least segment that a taker would read."""
+        return self.held.floor(self.last + 1)
+
+    def settle_later(
+        self, entry: durable_entry.Entry, answer: durable_answer.Answer
+    ) -> asyncio.Future[None]:
+        """Queues an outcome; its future is done once it is durable.
+
+        Raises:
+          SupersededError: The entry is not held here, or has an outcome.
+        """
+        self.check_owned(entry)
+        self.held.settling(entry.request)
+        record = durable_segment.Settled(entry.request, entry.account, answer)
+        waiting = durable_queue.item(record)
+        self.queue.add(waiting)
+        return waiting.done
+
+    def check_owned(self, entry: durable_entry.Entry) -> None:
+        """Checks that an entry is held here and has no outcome.
+
+        Raises:
+          SupersededError: It is not, or has one.
+        """
+        if not self.held.owned(entry):
+            detail = f'request {entry.request} is settled or taken over'
+            raise request_error.SupersededError(detail, ran=base.Ran.UNKNOWN)
+
+    def unavailable(self, detail: str) -> request_error.StoreUnavailableError:
+        """Makes the failure of what could not be stored."""
+        return request_error.StoreUnavailableError(
+            detail, retry_after_s=self.health.retry_after_s()
+        )
+
+    def release_adopted(self, log: str) -> None:
+        """Notes that the row of an adopted log is closed."""
+        release = self._adopted.pop(log, None)
+        if release is not None:
+            release()
+
+    def probe(self) -> None:
+        """Writes a segment soon, so that a seal is found."""
+        self._probe = True
+        self.queue.wanted.set()
+
+    async def run(self) -> None:
+        """Opens a log and writes it, and a new one after each seal."""
+        while True:
+            self.log = await self._register()
+            self.last = 0
+            LOG.info('journal_opened', log=self.log)
+            await self._write_until_sealed()
+
+    async def drain(self, within_s: float) -> None:
+        """Waits until all records are durable, at most `within_s`."""
+        waiting = [item.done for item in (*self._writing, *self.queue)]
+        if waiting:
+            self.queue.wanted.set()
+            await asyncio.wait(waiting, timeout=within_s)
+
+    async def _write_until_sealed(self) -> None:
+        while True:
+            await self.queue.wanted.wait()
+            await self._pace.turn()
+            items = self.queue.cut()
+            if not (items or self._probe):
+                continue
+            self._probe = False
+            stored = await self._write(items)
+            if stored is None:
+                self._end_log()
+                return
+            self._take_up(stored)
+
+    async def _write(
+        self, items: list[durable_queue.Item]
+    ) -> durable_segment.Segment | None:
+        number = self.last + 1
+        carried = map(_record_anew, self.held.stragglers(number))
+        self._writing = [*carried, *items]
+        segment = durable_queue.assemble(
+            self._writing, self.log, number, self.floor
+        )
+        stored = await durable_write.write(
+            self._objects,
+            self.health,
+            (self.log, number),
+            segment,
+            self._drop_accepted,
+        )
+        self.queue.release(items)
+        return stored
+
+    def _drop_accepted(self, lost: bool) -> bool:
+        """Gives up new entries whose write failed, if that may be.
+
+        Entries that surely are not in the store are refused at once. After
+        a lost answer they are kept while anybody waits for them.
+        """
+        if not self.health.up:
+            self._refuse(self.queue.take_entries())
+        entries = [item for item in self._writing if item.is_entry]
+        if lost and not all(item.abandoned for item in entries):
+            return False
+        self._refuse(entries)
+        return True
+
+    def _refuse(self, entries: Iterable[durable_queue.Item]) -> None:
+        for item in entries:
+            item.fail(self.unavailable('the platform does not answer'))
+
+    def _take_up(self, stored: durable_segment.Segment) -> None:
+        """Acts on a segment that is in the log now."""
+        self.last += 1
+        items, self._writing = self._writing, []
+        for item in items:
+            if stored.accepted or not item.is_entry:
+                self._take_up_item(item)
+        if stored.settled:
+            pointers = [
+                durable_index.Pointer(record.request, self.log, self.last)
+                for record in stored.settled
+            ]
+            self._index.add(pointers, self.held.pin(self.last))
+        SEGMENTS.inc({})
+        UNSETTLED.set({}, len(self.held))
+        QUEUED_BYTES.set({}, self.queue.held_bytes)
+
+    def _take_up_item(self, item: durable_queue.Item) -> None:
+        match item.record:
+            case durable_entry.Entry() as entry:
+                self.held.hold(entry, self.last)
+                if item.abandoned:
+                    self.withdraw(entry)
+            case durable_segment.Dispatched(request=request, run=run):
+                self.held.move(request, self.last, run)
+            case durable_segment.Settled(request=request):
+                self.held.settled(request)
+            case durable_queue.Adoption(mark=mark, entries=entries):
+                for entry in entries:
+                    self.held.hold(entry, self.last)
+                self._adopted[mark.log] = self.held.pin(self.last)
+        RECORDS.inc({'kind': type(item.record).__name__.lower()})
+        item.succeed()
+
+    def withdraw(self, entry: durable_entry.Entry) -> None:
+        """Settles an entry that nobody waits for as not run."""
+        exc = request_error.StoreUnavailableError('not accepted in time')
+        self.settle_later(entry, durable_answer.failure(exc))
+
+    def _end_log(self) -> None:
+        """Lets go of all that another router has taken over."""
+        SUPERSEDED.inc({})
+        LOG.warning('journal_superseded', log=self.log, held=len(self.held))
+        self.log = ''
+        self.held = durable_unsettled.Unsettled()
+        self._adopted.clear()
+        items, self._writing = self._writing, []
+        for item in (*items, *self.queue.take_all()):
+            item.fail(_sealed_failure(item))
+
+
+def _record_anew(entry: durable_entry.Entry) -> durable_queue.Item:
+    return durable_queue.item(
+        durable_segment.Dispatched(entry.request, entry.fence, entry.run)
+    )
+
+
+def _sealed_failure(item: durable_queue.Item) -> request_error.RequestError:
+    detail = 'another router took over the journal of this one'
+    if item.is_entry:
+        return request_error.StoreUnavailableError(
+            detail, retry_after_s=SEALED_RETRY_S
+        )
+    return request_error.SupersededError(detail, ran=base.Ran.UNKNOWN)
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/queue.py
@@ -0,0 +1,172 @@
+"""Records that wait to be written to the log, and their groups."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from quetzalsill_router.durable import entry as durable_entry
+from quetzalsill_router.durable import segment as durable_segment
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+__all__ = ['Adoption', 'Item', 'Queue', 'assemble', 'item']
+
+MAX_SEGMENT_BYTES = 8_388_608
+RECORD_BYTES = 256
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Adoption:
+    """Entries of a sealed log that are moved here, all or none."""
+
+    mark: durable_segment.Adopted
+    entries: list[durable_entry.Entry]
+
+
+Record = (
+    durable_entry.Entry
+    | durable_segment.Dispatched
+    | durable_segment.Settled
+    | Adoption
+)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Item:
+    """A record on its way into the log.
+
+    Attributes:
+      record: The record.
+      size: Its bytes, about.
+      done: Result None once the record is durable, or why it is not.
+      abandoned: Nobody waits any more; an entry must not run.
+    """
+
+    record: Record
+    size: int
+    done: asyncio.Future[None]
+    abandoned: bool = False
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether it is a new entry, which can be refused as not run."""
+        return isinstance(self.record, durable_entry.Entry)
+
+    def fail(self, exc: Exception) -> None:
+        """Tells who waits that the record is not durable."""
+        if not self.done.done():
+            self.done.set_exception(exc)
+
+    def succeed(self) -> None:
+        """Tells who waits that the record is durable."""
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+def item(record: Record) -> Item:
+    """Makes the item of a record; needs a running event loop."""
+    done = asyncio.get_running_loop().create_future()
+    # Not everybody waits for a record; a failure that nobody fetches is not
+    # an error of the program.
+    done.add_done_callback(lambda fut: fut.cancelled() or fut.exception())
+    return Item(record, RECORD_BYTES + _payload_bytes(record), done)
+
+
+class Queue:
+    """Items in the order in which they are to be written."""
+
+    def __init__(self) -> None:
+        self._items: collections.deque[Item] = collections.deque()
+        self.wanted = asyncio.Event()
+        self.held_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __iter__(self) -> Iterator[Item]:
+        return iter(self._items)
+
+    def add(self, new: Item, hurry: bool = True) -> None:
+        """Queues an item; without `hurry` it waits for another to go."""
+        self._items.append(new)
+        self.held_bytes += new.size
+        if hurry:
+            self.wanted.set()
+
+    def remove(self, old: Item) -> bool:
+        """Takes an item back; False if it is being written already."""
+        if old not in self._items:
+            return False
+        self._items.remove(old)
+        self.held_bytes -= old.size
+        return True
+
+    def cut(self) -> list[Item]:
+        """Takes the items of the next segment."""
+        taken: list[Item] = []
+        room = MAX_SEGMENT_BYTES
+        while self._items and (not taken or self._items[0].size <= room):
+            taken.append(self._items.popleft())
+            room -= taken[-1].size
+        if not self._items:
+            self.wanted.clear()
+        return taken
+
+    def release(self, items: Iterable[Item]) -> None:
+        """Frees the memory of items that were cut and are done."""
+        self.held_bytes -= sum(old.size for old in items)
+
+    def take_entries(self) -> list[Item]:
+        """Takes the new entries and leaves the other records."""
+        entries = [waiting for waiting in self._items if waiting.is_entry]
+        for waiting in entries:
+            self.remove(waiting)
+        return entries
+
+    def take_all(self) -> list[Item]:
+        """Takes all items."""
+        taken = list(self._items)
+        self._items.clear()
+        self.release(taken)
+        return taken
+
+
+def assemble(
+    items: list[Item], log: str, number: int, floor: int
+) -> durable_segment.Segment:
+    """Makes the segment of some items, and names its new entries."""
+    segment = durable_segment.Segment(floor=floor)
+    for record in (waiting.record for waiting in items):
+        match record:
+            case durable_entry.Entry():
+                place = durable_entry.Place(log, number, len(segment.accepted))
+                record.request = str(place)
+                segment.accepted.append(record)
+            case durable_segment.Dispatched():
+                segment.dispatched.append(record)
+            case durable_segment.Settled():
+                segment.settled.append(record)
+            case Adoption():
+                segment.adopted.append(record.mark)
+                segment.dispatched += map(_owned, record.entries)
+    return segment
+
+
+def _owned(entry: durable_entry.Entry) -> durable_segment.Dispatched:
+    return durable_segment.Dispatched(entry.request, entry.fence, entry.run)
+
+
+def _payload_bytes(record: Record) -> int:
+    match record:
+        case durable_entry.Entry():
+            return len(record.payload)
+        case durable_segment.Settled():
+            return record.answer.size
+        case Adoption():
+            return RECORD_BYTES * len(record.entries)
+        case _:
+            return 0
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
@@ -2,24 +2,47 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
-from quetzalsill_router.durable import answer as durable_answer
+from quetzalsill.platform import error as platform_error
+from quetzalsill.telemetry import log as telemetry_log
+from quetzalsill_router.durable import adoption as durable_adoption
 from quetzalsill_router.durable import claim as durable_claim
+from quetzalsill_router.durable import claim_writer as durable_claim_writer
+from quetzalsill_router.durable import index as durable_index
 from quetzalsill_router.durable import journal as durable_journal
+from quetzalsill_router.durable import log_writer as durable_log_writer
+from quetzalsill_router.durable import lookup as durable_lookup
+from quetzalsill_router.durable import pace as durable_pace
+from quetzalsill_router.durable import recovery as durable_recovery
 from quetzalsill_router.durable import registration as durable_registration
 from quetzalsill_router.durable import takeover as durable_takeover
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from quetzalsill.platform import objects as platform_objects
     from quetzalsill.platform import table as platform_table
     from quetzalsill_router.durable import setting
 
 __all__ = ['DurableState']
 
+RELEASE_S = 2.0
+
+LOG = telemetry_log.get(__name__)
+
 
 class DurableState:
-    """Journal, claims, answers, registration and takeover of one router."""
+    """What one router keeps in the platform.
+
+    Attributes:
+      journal: Accepted requests, their dispatches and outcomes.
+      claims: Holders of idempotency keys.
+      answers: Looks requests up by id.
+      registration: The routers seen alive; `registration.router.revision` is
+        to be kept up to date by its holder.
+    """
 
     def __init__(
         self,
@@ -27,24 +50,77 @@
         objects: platform_objects.Objects,
         router: durable_registration.Router,
         cfg: setting.Durable,
-        recover: durable_takeover.Recover,
+        recover: durable_recovery.Recover,
     ) -> None:
-        self.journal = durable_journal.Journal(
-            table, objects, router.node, router.incarnation, cfg
-        )
-        self.answers = durable_answer.Answers(table, objects)
-        self.claims = durable_claim.Claims(table, self.journal, self.answers)
         self.registration = durable_registration.Registration(
             table, router, cfg
         )
-        self.takeover = durable_takeover.Takeover(
-            table, objects, self.journal, self.registration, recover
+        count = self.registration.count
+        pace = durable_pace.journal_pace(cfg, count)
+        self._index = durable_index.Index(
+            table, durable_pace.index_pace(cfg, count)
+        )
+        self._writer = durable_log_writer.LogWriter(
+            objects, self.registration.register, self._index, pace
+        )
+        self.journal = durable_journal.Journal(self._writer, pace, cfg)
+        self.answers = durable_lookup.Answers(
+            table, objects, self._index, self._suspect
+        )
+        self._claim_writer = durable_claim_writer.ClaimWriter(
+            table, durable_pace.claim_pace(cfg, count)
         )
+        self.claims = durable_claim.Claims(
+            self._claim_writer, self.journal, self.answers, cfg.accept_s
+        )
+        self._takeover = durable_takeover.Takeover(
+            table,
+            self.registration,
+            durable_adoption.Adopter(table, objects, self.journal, self._index),
+            durable_recovery.Recovery(
+                self.journal, self.claims, recover, cfg.recoveries
+            ),
+            lambda: self._writer.log,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Starts the tasks; the platform may be down meanwhile."""
-        raise NotImplementedError
+        renewal = self.registration.run(self._span, self._writer.probe)
+        self._spawn(self._writer.run())
+        self._spawn(self._index.run())
+        self._spawn(self._claim_writer.run())
+        self._spawn(renewal)
+        self._spawn(self._takeover.run())
+
+    async def stop(self, within_s: float) -> None:
+        """Writes what is queued, hands the rest over and ends the tasks.
+
+        Args:
+          within_s: Bound of the wait for the platform.
+        """
+        await self._writer.drain(within_s)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                await self.registration.release(self._span())
+        except (TimeoutError, platform_error.PlatformError) as exc:
+            LOG.warning('release_failed', log=self._writer.log, why=exc)
+
+    def _suspect(self, log: str) -> None:
+        self._takeover.suspect(log)
+
+    def _span(self) -> durable_registration.Span:
+        return durable_registration.Span(1, self._writer.last)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report)
+        self._tasks.append(task)
+
 
-    async def stop(self) -> None:
-        """Writes what is queued, removes the registration, ends the tasks."""
-        raise NotImplementedError
+def _report(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        LOG.error('durable_task_died', exc_info=task.exception())
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/takeover.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/takeover.py
@@ -1,45 +1,156 @@
-"""Takes over the logs of dead routers."""
+"""Finds the logs of dead routers and takes them over."""
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import asyncio
+import hashlib
+import random
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
+from quetzalsill.platform import error as platform_error
+from quetzalsill.telemetry import log as telemetry_log
+from quetzalsill.telemetry import metric
+from quetzalsill_router.durable import row as durable_row
+
 if TYPE_CHECKING:
-    from quetzalsill.platform import objects as platform_objects
+    from collections.abc import Callable
+
     from quetzalsill.platform import table as platform_table
-    from quetzalsill_router.durable import entry as durable_entry
-    from quetzalsill_router.durable import journal as durable_journal
+    from quetzalsill_router.durable import adoption as durable_adoption
+    from quetzalsill_router.durable import recovery as durable_recovery
     from quetzalsill_router.durable import registration
 
-__all__ = ['Recover', 'Takeover']
+__all__ = ['Takeover']
 
-Recover = Callable[['durable_entry.Entry'], Awaitable[None]]
+# Bounds what the scans of all rows cost the link of a node.
+ROW_BYTES = 250
+SCAN_BYTES_PER_S = 1500
+
+LOG = telemetry_log.get(__name__)
+TAKEOVERS = metric.counter(
+    'quetzalsill_journal_takeovers_total', 'Logs of dead routers adopted here.'
+)
 
 
 class Takeover:
-    """Finds logs whose router is dead, adopts them, and has them recovered.
+    """Watches the rows of all logs and adopts those of dead routers.
 
-    `recover(entry)` brings an entry to its settled outcome: if `entry.run`
-    is set, it asks that sidecar (Dispatch with `recover`, attempt of
-    `entry.run`) and only dispatches anew once that is proved not run, or if
-    the entry is idempotent. It ends with `Journal.settle`.
+    Args:
+      table: Client of the table.
+      routers: Registration of this router, which judges the others.
+      adopter: Seals, adopts and closes.
+      recovery: Recovers adopted entries.
+      own_log: Gives the log of this router; empty while none is open.
     """
 
     def __init__(
         self,
         table: platform_table.Table,
-        objects: platform_objects.Objects,
-        journal: durable_journal.Journal,
         routers: registration.Registration,
-        recover: Recover,
+        adopter: durable_adoption.Adopter,
+        recovery: durable_recovery.Recovery,
+        own_log: Callable[[], str],
     ) -> None:
         self._table = table
-        self._objects = objects
-        self._journal = journal
         self._routers = routers
-        self._recover = recover
+        self._adopter = adopter
+        self._recovery = recovery
+        self._own_log = own_log
+        self._suspects: set[str] = set()
+        self._noticed: dict[str, float] = {}
+        self._taking: dict[str, asyncio.Task[None]] = {}
+        self._scan_at = 0.0
+
+    def suspect(self, log: str) -> None:
+        """Watches a log closely: somebody waits for a request in it."""
+        self._suspects.add(log)
 
     async def run(self) -> None:
         """Watches and takes over until cancelled."""
-        raise NotImplementedError
+        try:
+            while True:
+                await self.look()
+                pause_s = self._routers.interval_s * random.uniform(0.8, 1.0)
+                await asyncio.sleep(pause_s)
+        finally:
+            await self._stop()
+
+    async def look(self) -> None:
+        """Reads rows that are due and starts the takeovers that are due."""
+        asked_at = asyncio.get_running_loop().time()
+        watch = self._routers.seen
+        try:
+            if asked_at >= self._scan_at:
+                await self._scan(asked_at)
+            else:
+                await self._read_suspects(asked_at)
+        except base.QuetzalsillError as exc:
+            LOG.warning('watch_failed', why=exc)
+            watch.restart()
+            return
+        self._start_due(asked_at)
+
+    async def _scan(self, asked_at: float) -> None:
+        rows = await durable_row.scan(self._table)
+        self._routers.seen.keep_only({found.row.log for found in rows})
+        self._routers.seen.saw(rows, asked_at)
+        self._scan_at = asked_at + max(
+            self._routers.interval_s, len(rows) * ROW_BYTES / SCAN_BYTES_PER_S
+        )
+
+    async def _read_suspects(self, asked_at: float) -> None:
+        for log in list(self._suspects):
+            found = await durable_row.read(self._table, log)
+            if found is None or found.row.keeper:
+                self._suspects.discard(log)
+            if found is not None:
+                self._routers.seen.saw([found], asked_at)
+                if found.row.keeper:
+                    self._suspects.add(found.row.keeper)
+
+    def _start_due(self, now: float) -> None:
+        own = self._own_log()
+        orphans = {
+            row.log for row in self._routers.seen.orphans() if row.log != own
+        }
+        for log in self._noticed.keys() - orphans:
+            del self._noticed[log]
+        for log in orphans - self._taking.keys():
+            noticed = self._noticed.setdefault(log, now)
+            if own and now - noticed >= self._delay_s(log):
+                task = asyncio.create_task(self._take(log, own))
+                self._taking[log] = task
+
+    def _delay_s(self, log: str) -> float:
+        """Gives how long others go first, so that not all come at once."""
+        nodes = [router.node for router in self._routers.live_routers()]
+        nodes.sort(key=lambda node: _weight(node, log))
+        rank = nodes.index(self._routers.router.node)
+        return rank * self._routers.interval_s
+
+    async def _take(self, log: str, own: str) -> None:
+        try:
+            adoption = await self._adopter.adopt(log, own)
+            if adoption is not None:
+                TAKEOVERS.inc({})
+                self._recovery.start(adoption.remains.entries)
+                # Stays in `_taking` until the row is closed, so that no scan
+                # that still saw it open has it adopted twice.
+                await self._adopter.close(adoption)
+        except platform_error.PlatformError as exc:
+            LOG.warning('takeover_retried', log=log, why=exc.code)
+        except base.QuetzalsillError as exc:
+            LOG.error('takeover_failed', log=log, why=exc)
+        del self._taking[log]
+
+    async def _stop(self) -> None:
+        tasks = list(self._taking.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._recovery.stop()
+
+
+def _weight(node: str, log: str) -> bytes:
+    return hashlib.sha256(f'{node}/{log}'.encode()).digest()
--- /dev/null
+++ b/tests/quetzalsill_router/durable/test_takeover.py
@@ -0,0 +1,112 @@
+"""Tests of what becomes of a dead or paused router's requests."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill.error import base
+from quetzalsill_router.durable import segment
+from tests.quetzalsill_router.durable import virtual, world
+
+SETTLE_S = 60.0
+
+
+async def stored(router, request):
+    """Waits for the outcome of a request."""
+    found = await router.state.answers.wait(world.ACCOUNT, request, SETTLE_S)
+    return found.answer
+
+
+class DeadRouterTest(unittest.TestCase):
+    """A router that is gone for good."""
+
+    def test_answer_through_another_router(self):
+        """A clerk sends a manifest and its router dies while it runs.
+
+        The clerk asks another router by the request id. The taker attaches
+        to the run that the journal names, so the clerk gets the answer of
+        that run and the work is not run again.
+        """
+
+        async def story():
+            board = world.World(['a', 'b', 'c'])
+            await asyncio.sleep(1)
+            told = board.routers['a'].serve(world.make_entry('manifest'))
+            await asyncio.sleep(1)
+            board.routers['a'].kill()
+            answer = await stored(board.routers['b'], told.request)
+            self.assertEqual(answer.events, [b'manifest planner-0 1'])
+            self.assertEqual(board.runs('manifest'), 1)
+
+        virtual.run(story)
+
+    def test_taker_dies_in_the_middle(self):
+        """A clerk's manifest outlives its router and the router's taker.
+
+        Router `a` dies. Its taker seals the log, and dies before it has
+        adopted it, because the store loses sight of it. The log has a seal
+        but no owner, and the third router must see that this seal is void.
+        """
+
+        async def story():
+            board = world.World(['a', 'b', 'c'])
+            await asyncio.sleep(1)
+            told = board.routers['a'].serve(world.make_entry('manifest'))
+            await asyncio.sleep(1)
+            board.routers['a'].kill()
+            taker = await world.until(lambda: sealed_by(board, 'a.1.1'))
+            board.routers[taker].kill()
+            (left,) = {'b', 'c'} - {taker}
+            answer = await stored(board.routers[left], told.request)
+            self.assertEqual(answer.events, [b'manifest planner-0 1'])
+            self.assertEqual(board.runs('manifest'), 1)
+
+        virtual.run(story)
+
+
+def sealed_by(board, log):
+    """Gives the node that sealed a log; empty if none has."""
+    number = 1
+    while data := board.platform.objects.get(f'journal/{log}/{number:08d}'):
+        maker = segment.decode(data, log, number).sealed_by
+        if maker:
+            return maker.split('.')[0]
+        number += 1
+    return ''
+
+
+class PausedRouterTest(unittest.TestCase):
+    """A router that is stopped and goes on later."""
+
+    def test_wakes_after_takeover(self):
+        """The same order goes through two routers while one is paused.
+
+        Router `a` is stopped after it has claimed the key and before its
+        dispatch is recorded. The retailer's app repeats the order through
+        `b`. `a` wakes, still believes that it holds the key, and must not
+        send a second truck.
+        """
+
+        async def story():
+            board = world.World(['a', 'b'])
+            await asyncio.sleep(1)
+            paused, other = board.routers['a'], board.routers['b']
+            first = paused.serve(world.make_entry('order', key='k1'))
+            await world.until(lambda: board.platform.rows.scan('claims'))
+            paused.pause()
+            second = other.serve(world.make_entry('order-again', key='k1'))
+            await asyncio.sleep(SETTLE_S)
+            paused.wake()
+            await asyncio.sleep(SETTLE_S)
+            runs = board.runs('order') + board.runs('order-again')
+            self.assertEqual(runs, 1)
+            self.assertEqual(second.ran, base.Ran.YES)
+            self.assertIsNot(first.ran, base.Ran.NO)
+            self.assertTrue(paused.state.journal.available)
+
+        virtual.run(story)
+
+
+if __name__ == '__main__':
+    unittest.main()
