--- a/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
@@ -16,7 +16,16 @@
 if TYPE_CHECKING:
     from quetzalsill_router.request import active
 
-__all__ = ['document', 'events', 'sse', 'stream', 'whole']
+__all__ = [
+    'DONE',
+    'SSE_TYPE',
+    'document',
+    'events',
+    'join',
+    'sse',
+    'stream',
+    'whole',
+]
 
 JSON_TYPE = b'application/json'
 SSE_TYPE = b'text/event-stream; charset=utf-8'
@@ -122,28 +131,43 @@
     Raises:
       UpstreamFailedError: An event is not what the protocol says.
     """
+    return join(work.request, work.target, work.kind, items)
+
+
+def join(request: str, model: str, kind: str, items: list[bytes]) -> bytes:
+    """Joins events into the document of one answer.
+
+    Args:
+      request: Id of the request.
+      model: Name of the model.
+      kind: `completion` or `chat`.
+      items: JSON of each event.
+
+    Raises:
+      UpstreamFailedError: An event is not what the protocol says.
+    """
+    chat = kind == spec.CHAT
     try:
         parsed = [json.loads(item) for item in items]
-        joined = _chat(parsed) if work.kind == spec.CHAT else _text(parsed)
+        joined = _chat(parsed) if chat else _text(parsed)
+        choice = {
+            'index': 0,
+            **joined,
+            'logprobs': None,
+            'finish_reason': _finish_reason(parsed),
+        }
     except (ValueError, KeyError, TypeError, IndexError) as exc:
         raise request_error.UpstreamFailedError(
             'the upstream sent an event that can not be read'
         ) from exc
-    choice = {
-        'index': 0,
-        **joined,
-        'logprobs': None,
-        'finish_reason': _finish_reason(parsed),
-    }
-    kind = 'chat.completion' if work.kind == spec.CHAT else 'text_completion'
     return json.dumps(
         {
-            'id': work.request,
-            'object': kind,
+            'id': request,
+            'object': 'chat.completion' if chat else 'text_completion',
             'created': int(time.time()),
-            'model': work.target,
+            'model': model,
             'choices': [choice],
-            'usage': _usage(work, parsed),
+            'usage': _usage(parsed),
         }
     ).encode()
 
@@ -199,19 +223,19 @@
     return 'stop'
 
 
-def _usage(work: spec.Work, parsed: list[dict[str, Any]]) -> dict[str, Any]:
+def _usage(parsed: list[dict[str, Any]]) -> dict[str, Any]:
     """Returns the usage that the upstream reported, else our own count."""
     if parsed and isinstance(parsed[-1].get('usage'), dict):
         return parsed[-1]['usage']
-    return _counted(work, len(parsed))
+    return _counted(0, len(parsed))
 
 
-def _counted(work: spec.Work, count: int) -> dict[str, int]:
+def _counted(prompt_tokens: int, count: int) -> dict[str, int]:
     """Returns a usage from our own count of tokens."""
     return {
-        'prompt_tokens': work.prompt_tokens,
+        'prompt_tokens': prompt_tokens,
         'completion_tokens': count,
-        'total_tokens': work.prompt_tokens + count,
+        'total_tokens': prompt_tokens + count,
     }
 
 
@@ -226,6 +250,6 @@
         'created': int(time.time()),
         'model': work.target,
         'choices': [],
-        'usage': _counted(work, count),
+        'usage': _counted(work.prompt_tokens, count),
     }
     return [json.dumps(event).encode()]
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/app.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/app.py
@@ -7,16 +7,25 @@
 import blacksheep
 from blacksheep.server import routing
 
+from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log
-from quetzalsill_router.http import auth, body, completions, error, health
+from quetzalsill_router.http import (
+    auth,
+    body,
+    completions,
+    error,
+    health,
+    requests,
+    services,
+)
 
 if TYPE_CHECKING:
     from quetzalsill_router import context
 
 __all__ = ['build']
 
-_log = log.get(__name__)
+logger = log.get(__name__)
 
 
 def build(ctx: context.Context) -> blacksheep.Application:
@@ -24,56 +33,66 @@
     app = blacksheep.Application(router=routing.Router())
     callers = auth.Callers(ctx.holder)
     completions.mount(app, ctx, callers)
+    requests.mount(app, ctx, callers)
+    services.mount(app, ctx, callers)
     health.mount(app, ctx)
-    app.exceptions_handlers[request_error.RequestError] = _refused
-    app.exceptions_handlers[body.CallerLeftError] = _left
-    app.exceptions_handlers[404] = _not_found
-    app.exceptions_handlers[Exception] = _fault
+    _handle_failures(app, ctx)
     return app
 
 
-async def _refused(
-    app: blacksheep.Application,
-    request: blacksheep.Request,
-    exc: request_error.RequestError,
-) -> blacksheep.Response:
-    """Answers a request that failed before its answer began."""
-    _log.info(
-        'request_refused',
-        method=request.method,
-        path=request.url.path.decode('latin-1'),
-        code=exc.code,
-        status=exc.status,
-        detail=exc.detail,
-    )
-    return error.response(exc)
-
-
-async def _left(
-    app: blacksheep.Application,
-    request: blacksheep.Request,
-    exc: body.CallerLeftError,
-) -> blacksheep.Response:
-    """Stands for an answer that nobody is there to read."""
-    return blacksheep.Response(400)
-
-
-async def _not_found(
-    app: blacksheep.Application, request: blacksheep.Request, exc: Exception
-) -> blacksheep.Response:
-    """Answers a path that does not exist."""
-    return error.response(
-        request_error.NotFoundError(
-            f'no {request.method} {request.url.path.decode("latin-1")}'
+def _handle_failures(app: blacksheep.Application, ctx: context.Context) -> None:
+    """Gives every failure the same shape of answer."""
+
+    def answer(
+        request: blacksheep.Request, exc: request_error.RequestError
+    ) -> blacksheep.Response:
+        ident = ctx.request_ids.next()
+        logger.info(
+            'request_refused',
+            request=ident,
+            method=request.method,
+            path=request.url.path.decode('latin-1'),
+            code=exc.code,
+            status=exc.status,
+            detail=exc.detail,
+        )
+        return error.response(exc, ident)
+
+    async def refused(
+        app: blacksheep.Application,
+        request: blacksheep.Request,
+        exc: request_error.RequestError,
+    ) -> blacksheep.Response:
+        return answer(request, exc)
+
+    async def left(
+        app: blacksheep.Application,
+        request: blacksheep.Request,
+        exc: body.CallerLeftError,
+    ) -> blacksheep.Response:
+        return answer(request, request_error.BadRequestError('left early'))
+
+    async def not_found(
+        app: blacksheep.Application,
+        request: blacksheep.Request,
+        exc: Exception,
+    ) -> blacksheep.Response:
+        return answer(request, request_error.NotFoundError('no such path'))
+
+    async def fault(
+        app: blacksheep.Application,
+        request: blacksheep.Request,
+        exc: Exception,
+    ) -> blacksheep.Response:
+        logger.error('http_fault', exc_info=exc)
+        return answer(
+            request,
+            request_error.RequestError(
+                f'internal fault: {type(exc).__name__}', ran=base.Ran.UNKNOWN
+            ),
         )
-    )
-
 
-async def _fault(
-    app: blacksheep.Application, request: blacksheep.Request, exc: Exception
-) -> blacksheep.Response:
-    """Answers after a fault of our own code."""
-    _log.error('http_fault', path=request.url.path.decode('latin-1'))
-    return error.response(
-        request_error.RequestError(f'internal fault: {type(exc).__name__}')
-    )
+    app.exceptions_handlers[request_error.RequestError] = refused
+    app.exceptions_handlers[body.CallerLeftError] = left
+    app.exceptions_handlers[404] = not_found
+    app.exceptions_handlers[Exception] = fault
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/completions.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/completions.py
@@ -8,11 +8,22 @@
 
 import blacksheep
 
-from quetzalsill_router.http import answer, auth, body, caller, generation
-from quetzalsill_router.request import accept, serve, spec
+from quetzalsill.error import request as request_error
+from quetzalsill_router.http import (
+    answer,
+    auth,
+    body,
+    caller,
+    error,
+    generation,
+    stored,
+    submit,
+)
+from quetzalsill_router.request import accept, spec
 
 if TYPE_CHECKING:
     from quetzalsill_router import context
+    from quetzalsill_router.request import active
 
 __all__ = ['mount']
 
@@ -50,33 +61,32 @@
             caller.idempotency_key(request),
         )
         work.trace = caller.traceparent(request)
-        work.request = ctx.idents.request()
-        grant = ctx.limiter.admit(
-            identity.name,
-            identity.account.limits,
-            ctx.lengths.estimate(
-                work.target, work.profile_name, work.max_tokens
-            ),
-        )
-        running = serve.start(ctx, work, grant)
-        caller.watch(request, running)
-        return await _respond(ctx, running, asked)
+        later = work.durable and caller.accepts_later(request)
+        accepted = await submit.submit(ctx, identity, work, not later)
+        if isinstance(accepted, submit.Repeated):
+            return await submit.replay(ctx, accepted, asked.stream)
+        if later:
+            return stored.pending(work.request)
+        caller.watch(request, accepted)
+        return await _respond(ctx, accepted, asked)
 
     return handle
 
 
 async def _respond(
-    ctx: context.Context,
-    running: serve.Active,
-    asked: generation.Generation,
+    ctx: context.Context, running: active.Active, asked: generation.Generation
 ) -> blacksheep.Response:
-    """Answers as the caller asked, stream or document."""
+    """Answers as the caller asked, with events or one document."""
+    request = running.work.request
     keep_alive_s = ctx.settings.requests.keep_alive_s
-    if asked.stream:
-        response = await answer.stream(running, keep_alive_s, asked.usage)
-    else:
-        response = await answer.whole(running)
-    response.add_header(b'x-request-id', running.work.request.encode())
+    try:
+        if asked.stream:
+            response = await answer.stream(running, keep_alive_s, asked.usage)
+        else:
+            response = await answer.whole(running)
+    except request_error.RequestError as exc:
+        return error.response(exc, request)
+    response.add_header(b'x-request-id', request.encode())
     return response
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/error.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/error.py
@@ -69,8 +69,9 @@
 
 
 def response(
-    error: request_error.RequestError, request: str = ''
+    error: request_error.RequestError, request: str
 ) -> blacksheep.Response:
     """Builds the whole answer for a failed request."""
     content = blacksheep.Content(JSON_TYPE, document(error, request))
-    return blacksheep.Response(error.status, headers(error), content)
+    found = [*headers(error), (b'x-request-id', request.encode())]
+    return blacksheep.Response(error.status, found, content)
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/relay.py
@@ -0,0 +1,75 @@
+"""Headers that pass between caller and upstream."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+
+import blacksheep
+
+__all__ = ['WITHOUT_BODY', 'content_type', 'request_headers', 'response']
+
+WITHOUT_BODY = (204, 304)
+DEFAULT_TYPE = b'application/octet-stream'
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+NOT_TO_UPSTREAM = HOP_BY_HOP | {
+    'authorization',
+    'expect',
+    'host',
+    'prefer',
+    'traceparent',
+    'x-request-id',
+    'x-quetzalsill-profile',
+}
+NOT_TO_CALLER = HOP_BY_HOP | {'content-length', 'content-type', 'x-request-id'}
+NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}")
+UNSAFE_VALUE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+
+
+def request_headers(
+    pairs: Iterable[tuple[bytes, bytes]],
+) -> list[list[str]]:
+    """Returns the caller's headers that go to the upstream.
+
+    The caller's token is ours, so it stays here.
+    """
+    return [
+        [name.decode('latin-1'), value.decode('latin-1')]
+        for name, value in pairs
+        if name.decode('latin-1').lower() not in NOT_TO_UPSTREAM
+    ]
+
+
+def response(status: int, pairs: Iterable[list[str]]) -> blacksheep.Response:
+    """Starts the answer to the caller with the upstream's headers."""
+    headers = [
+        (name.encode('latin-1'), value.encode('latin-1', 'replace'))
+        for name, value in pairs
+        if name.lower() not in NOT_TO_CALLER and _is_safe(name, value)
+    ]
+    return blacksheep.Response(status, headers)
+
+
+def content_type(pairs: Iterable[list[str]]) -> bytes:
+    """Returns the content type that the upstream gave."""
+    for name, value in pairs:
+        if name.lower() == 'content-type' and _is_safe(name, value):
+            return value.encode('latin-1', 'replace')
+    return DEFAULT_TYPE
+
+
+def _is_safe(name: str, value: str) -> bool:
+    """Whether a header can be written without forging another."""
+    return bool(NAME.fullmatch(name)) and not UNSAFE_VALUE.search(value)
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
@@ -0,0 +1,91 @@
+"""`/v1/requests/{id}`: fetch and cancel requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import request as request_error
+from quetzalsill_router.http import auth, stored
+from quetzalsill_router.request import ident
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    import blacksheep
+
+    from quetzalsill_router import context
+
+    Handler = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
+
+__all__ = ['mount']
+
+PATH = '/v1/requests/:request'
+CANCELLED = 'cancelled by the caller'
+
+
+def mount(
+    app: blacksheep.Application, ctx: context.Context, callers: auth.Callers
+) -> None:
+    """Adds the routes of stored requests to the application."""
+    app.router.add('GET', PATH, _fetch(ctx, callers))
+    app.router.add('DELETE', PATH, _cancel(ctx, callers))
+
+
+def _fetch(ctx: context.Context, callers: auth.Callers) -> Handler:
+    """Makes the handler that fetches an answer."""
+
+    async def handle(request: blacksheep.Request) -> blacksheep.Response:
+        account = callers.identify(request).name
+        ident_ = _ident(request)
+        if _runs_here(ctx, account, ident_):
+            return stored.pending(ident_)
+        found = await ctx.answers.get(account, ident_)
+        if found.answer is None:
+            return stored.pending(ident_)
+        return stored.render(ident_, found.answer, _wants_events(request))
+
+    return handle
+
+
+def _cancel(ctx: context.Context, callers: auth.Callers) -> Handler:
+    """Makes the handler that cancels a request."""
+
+    async def handle(request: blacksheep.Request) -> blacksheep.Response:
+        account = callers.identify(request).name
+        ident_ = _ident(request)
+        if _runs_here(ctx, account, ident_):
+            ctx.active.get(ident_).cancel(CANCELLED)
+            return stored.pending(ident_)
+        found = await ctx.answers.get(account, ident_)
+        if found.answer is not None:
+            return stored.render(ident_, found.answer, as_events=False)
+        raise request_error.ConflictError(
+            f'request {ident_} runs at another router',
+            retry_after_s=1.0,
+        )
+
+    return handle
+
+
+def _runs_here(ctx: context.Context, account: str, request: str) -> bool:
+    """Whether the account's request runs in this router."""
+    running = ctx.active.get(request)
+    return running is not None and running.work.account == account
+
+
+def _ident(request: blacksheep.Request) -> str:
+    """Returns the request id of the path.
+
+    Raises:
+      NotFoundError: It has not the form of one.
+    """
+    found = request.route_values['request']
+    if not ident.is_request_id(found):
+        raise request_error.NotFoundError('not a request id')
+    return found
+
+
+def _wants_events(request: blacksheep.Request) -> bool:
+    """Whether the caller asks for server-sent events."""
+    raw = request.get_first_header(b'accept') or b''
+    return b'text/event-stream' in raw.lower()
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
@@ -0,0 +1,217 @@
+"""`/services/{name}/...`: plain services beside the model engines."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING
+
+import blacksheep
+
+from quetzalsill.error import request as request_error
+from quetzalsill_router.http import auth, body, caller, error, relay, submit
+from quetzalsill_router.request import accept, piece, spec
+
+if TYPE_CHECKING:
+    from quetzalsill.config import model
+    from quetzalsill_router import context
+    from quetzalsill_router.request import active
+
+__all__ = ['AnswerCutError', 'mount', 'pick_route']
+
+PREFIX = '/services/'
+METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+FIRST_BYTES = 1_048_576
+MAX_PATH = 8192
+
+
+class AnswerCutError(request_error.RequestError):
+    """The answer of a call broke off after its head was delivered."""
+
+    code = 'answer_cut'
+
+
+def mount(
+    app: blacksheep.Application, ctx: context.Context, callers: auth.Callers
+) -> None:
+    """Adds the routes of plain services to the application."""
+
+    async def handle(request: blacksheep.Request) -> blacksheep.Response:
+        accept.check_open(ctx)
+        identity = callers.identify(request)
+        work = await _work(ctx, identity, request)
+        accepted = await submit.submit(ctx, identity, work, attend=True)
+        if isinstance(accepted, submit.Repeated):
+            return await submit.replay(ctx, accepted, as_events=False)
+        caller.watch(request, accepted)
+        try:
+            return await _respond(accepted)
+        except request_error.RequestError as exc:
+            return error.response(exc, accepted.work.request)
+
+    for method in METHODS:
+        app.router.add(method, f'{PREFIX}*', handle)
+
+
+def pick_route(
+    service: model.Service, method: str, path: str
+) -> model.Route | None:
+    """Returns the route with the longest path that takes the call."""
+    plain = path.partition('?')[0]
+    fitting = [
+        route
+        for route in service.routes
+        if _is_below(plain, route.path)
+        and (not route.methods or method in route.methods)
+    ]
+    return max(fitting, key=lambda route: len(route.path), default=None)
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    """Whether `path` is `prefix` or stands below it."""
+    stem = prefix.rstrip('/')
+    return path in (prefix, stem) or path.startswith(f'{stem}/')
+
+
+async def _work(
+    ctx: context.Context, identity: auth.Caller, request: blacksheep.Request
+) -> spec.Work:
+    """Builds the work of a call.
+
+    Raises:
+      RequestError: It does not fit the configuration.
+    """
+    name, path = _target(request)
+    service = ctx.holder.current.services.get(name)
+    if service is None:
+        raise request_error.NotFoundError(f'no service {name!r}')
+    route = pick_route(service, request.method, path)
+    if route is None:
+        raise request_error.NotFoundError(
+            f'service {name} has no route for {request.method} {path}'
+        )
+    profile_name, profile = accept.pick_profile(
+        ctx.holder.current, identity, caller.profile_name(request)
+    )
+    key = caller.idempotency_key(request)
+    first, rest = await _body(request, route, whole=bool(key))
+    return spec.Work(
+        request='',
+        account=identity.name,
+        profile_name=profile_name,
+        profile=profile,
+        target=name,
+        kind=spec.CALL,
+        payload=first,
+        deadline=time.monotonic() + route.timeout_s,
+        idempotent=route.idempotent,
+        stream=True,
+        method=request.method,
+        path=path,
+        headers=relay.request_headers(request.headers),
+        body=rest,
+        trace=caller.traceparent(request),
+        key=key,
+    )
+
+
+def _target(request: blacksheep.Request) -> tuple[str, str]:
+    """Returns service name and the path with its query below it.
+
+    The path goes on as it came, still encoded: a decoded one could hold
+    line ends and so forge headers on the way to the upstream.
+    """
+    raw = request.scope['raw_path'].decode('latin-1')
+    query = request.scope.get('query_string', b'').decode('latin-1')
+    name, slash, rest = raw[len(PREFIX) :].partition('/')
+    path = f'/{rest}' + (f'?{query}' if query else '')
+    if len(path) > MAX_PATH:
+        raise error.FieldError('path', f'longer than {MAX_PATH} characters')
+    if not path.isascii() or not path.isprintable() or ' ' in path:
+        raise error.FieldError('path', 'must be printable ASCII, encoded')
+    return name, path
+
+
+async def _body(
+    request: blacksheep.Request, route: model.Route, whole: bool
+) -> tuple[bytes, AsyncIterator[bytes] | None]:
+    """Returns the first bytes of the body, and the rest if there is one.
+
+    A call with an idempotency key is read whole: its digest has to cover
+    all of it.
+    """
+    pieces = body.chunks(request, route.max_body_bytes)
+    first = bytearray()
+    async for data in pieces:
+        first += data
+        if len(first) >= FIRST_BYTES:
+            break
+    else:
+        return bytes(first), None
+    if whole:
+        raise request_error.TooLargeError(
+            f'a call with an idempotency key holds below {FIRST_BYTES} bytes'
+        )
+    return bytes(first), pieces
+
+
+async def _respond(running: active.Active) -> blacksheep.Response:
+    """Answers with the upstream's head, then its body as it comes.
+
+    Raises:
+      RequestError: The call failed before its head.
+    """
+    delivery = running.delivery
+    await delivery.wait(None)
+    parts = delivery.take()
+    if not parts or not isinstance(parts[0], piece.Head):
+        raise delivery.error or request_error.UpstreamFailedError(
+            'the upstream answered without a head'
+        )
+    head, early = parts[0], parts[1:]
+    response = relay.response(head.status, head.headers)
+    response.add_header(b'x-request-id', running.work.request.encode())
+    if head.status in relay.WITHOUT_BODY:
+        return response
+
+    async def produce() -> AsyncIterator[bytes]:
+        async for data in _pieces(running, early):
+            yield data
+
+    response.content = blacksheep.StreamedContent(
+        relay.content_type(head.headers), produce, _length(head)
+    )
+    return response
+
+
+def _length(head: piece.Head) -> int:
+    """Returns the content length that the upstream gave; -1 for none."""
+    for name, value in head.headers:
+        if name.lower() == 'content-length' and value.isdecimal():
+            return int(value)
+    return -1
+
+
+async def _pieces(
+    running: active.Active, early: list[piece.Piece]
+) -> AsyncIterator[bytes]:
+    """Yields the body as it comes.
+
+    Raises:
+      AnswerCutError: The call failed midway. The connection is closed
+        without the end of the body, so that nobody takes it for whole.
+    """
+    delivery = running.delivery
+    parts = early
+    while True:
+        data = b''.join(item for part in parts for item in part.items)
+        if data:
+            yield data
+        for part in parts:
+            part.release()
+        if delivery.gone or (delivery.ended and not parts):
+            break
+        await delivery.wait(None)
+        parts = delivery.take()
+    if delivery.error is not None and not delivery.gone:
+        raise AnswerCutError(delivery.error.detail, ran=delivery.error.ran)
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
@@ -6,9 +6,14 @@
 import dataclasses
 import time
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
 from quetzalsill.error import request as request_error
-from quetzalsill_router.request import delivery, spec
+from quetzalsill_router.request import delivery, outcome, spec
+
+if TYPE_CHECKING:
+    from quetzalsill_router.limit import shares
 
 __all__ = ['Active', 'ActiveRequests']
 
@@ -22,10 +27,15 @@
       delivery: Where its pieces go.
       accepted: Monotonic time of acceptance.
       task: The task that serves it.
+      attempt: Id of the present attempt; empty before the first.
       upstream: Upstream of the present attempt; empty if none.
       attempts: Dispatches so far.
+      runs: What is known of each attempt, by its id.
       delivered: Items handed to the caller so far.
+      grant: Leave of its account; None for work that another router
+        granted or that is only settled here.
       cancelled: Why it was cancelled; None if it was not.
+      handed_over: Its task ends but its run goes on, for another router.
       watcher: The task that watches for the caller leaving.
     """
 
@@ -37,10 +47,47 @@
     task: asyncio.Task[None] | None = None
     upstream: str = ''
     attempts: int = 0
+    runs: dict[str, base.Ran] = dataclasses.field(default_factory=dict)
+    attempt: str = ''
     delivered: int = 0
+    grant: shares.Grant | None = None
     cancelled: request_error.RequestError | None = None
+    handed_over: bool = False
     watcher: asyncio.Task[None] | None = None
 
+    @property
+    def ran(self) -> base.Ran:
+        """What all attempts together say of the request.
+
+        A refusal after an earlier attempt had run is not "not run" to the
+        caller, who would then repeat what has run already.
+        """
+        known = base.Ran.NO
+        for ran in self.runs.values():
+            known = outcome.strongest(known, ran)
+        return known
+
+    def begin_attempt(self, attempt: str, upstream: str) -> None:
+        """Notes a Dispatch; until its upstream says more, it may run."""
+        self.attempts += 1
+        self.attempt = attempt
+        self.upstream = upstream
+        self.runs[attempt] = base.Ran.UNKNOWN
+
+    def attempt_started(self) -> None:
+        """Notes that the present attempt reached its upstream."""
+        self.runs[self.attempt] = base.Ran.YES
+
+    def end_attempt(self, ran: base.Ran) -> None:
+        """Notes the word that the present attempt ended with."""
+        if self.attempt:
+            self.runs[self.attempt] = ran
+
+    def generated(self, items: int) -> None:
+        """Charges the account for items as they come."""
+        if self.grant is not None and self.work.kind != spec.CALL:
+            self.grant.charge(items)
+
     def cancel(self, reason: str) -> None:
         """Ends the request; its attempt is cancelled on the upstream."""
         if self.task is None or self.task.done() or self.cancelled:
@@ -48,10 +95,20 @@
         self.cancelled = request_error.CancelledError(reason)
         self.task.cancel()
 
+    def hand_over(self) -> None:
+        """Ends the task; a journalled run goes on for another router."""
+        self.handed_over = self.work.entry is not None
+        if self.task is not None:
+            self.task.cancel()
+
     def caller_left(self) -> None:
-        """Notes that nobody waits; only a durable request goes on."""
+        """Notes that nobody waits; what can be fetched later goes on.
+
+        A caller whose connection broke repeats its idempotency key and is
+        owed the answer of the first request, not of its cancellation.
+        """
         self.delivery.leave()
-        if not self.work.durable:
+        if self.work.entry is None:
             self.cancel('the caller disconnected')
 
 
@@ -76,7 +133,8 @@
 
     def remove(self, active: Active) -> None:
         """Counts a request as ended."""
-        self._requests.pop(active.work.request, None)
+        if self._requests.get(active.work.request) is active:
+            del self._requests[active.work.request]
         if not self._requests:
             self._idle.set()
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import random
+import time
 from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
-from quetzalsill.plugin import registry
 from quetzalsill.telemetry import log, metric, trace
-from quetzalsill_router.request import active as active_module
+from quetzalsill_router.durable import entry as durable_entry
 from quetzalsill_router.request import (
     dispatch,
     hold,
@@ -22,67 +21,28 @@
     retry,
     spec,
 )
+from quetzalsill_router.request import tries as tries_module
 from quetzalsill_router.routing import query as routing_query
 
 if TYPE_CHECKING:
     from quetzalsill_router import context
     from quetzalsill_router.peer import peer as peer_module
+    from quetzalsill_router.request import active as active_module
 
 __all__ = ['pieces']
 
-DEFAULT_RETRY_AFTER_S = 1.0
 STALE_WAIT_S = 2.0
 MAX_MOVES = 3
-DURABLE_MIN_WAIT_S = 0.2
-DURABLE_MAX_WAIT_S = 5.0
+MIN_PACE_S = 0.2
+MAX_PACE_S = 5.0
 
-_log = log.get(__name__)
-_rng = random.Random()
-_retries = metric.counter(
+logger = log.get(__name__)
+rng = random.Random()
+retries_total = metric.counter(
     'quetzalsill_router_retries_total', 'Further dispatches, by cause.'
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _Tries:
-    """What earlier attempts of this request have taught.
-
-    Attributes:
-      refused: Upstreams that refused; not asked again in this round.
-      failed: Upstreams whose attempt failed; asked only if none is left.
-      retries: Further dispatches so far.
-      moves: Withdrawals in favour of another upstream so far.
-      hints: Times to come back that refusals named, in seconds.
-      last: The latest failure.
-      ran: Whether any attempt so far ran.
-      revision: Configuration under which the latest attempt was sent.
-    """
-
-    refused: set[str] = dataclasses.field(default_factory=set)
-    failed: set[str] = dataclasses.field(default_factory=set)
-    retries: int = 0
-    moves: int = 0
-    hints: list[float] = dataclasses.field(default_factory=list)
-    last: request_error.RequestError | None = None
-    ran: base.Ran = base.Ran.NO
-    revision: int = 0
-
-    def note_ran(self, ended: outcome.Outcome) -> None:
-        """Keeps the strongest word that any attempt gave.
-
-        A refusal after an earlier attempt of the same request had run is
-        not "not run" to the caller, who would then repeat it.
-        """
-        self.ran = outcome.strongest(self.ran, ended.ran)
-
-    def final(
-        self, error: request_error.RequestError
-    ) -> request_error.RequestError:
-        """Makes the caller's final answer of the latest failure."""
-        error.ran = outcome.strongest(self.ran, error.ran)
-        return error
-
-
 async def pieces(
     ctx: context.Context, active: active_module.Active
 ) -> AsyncGenerator[piece.Piece, None]:
@@ -93,54 +53,119 @@
         deadline.
     """
     work = active.work
-    tries = _Tries()
+    tries = tries_module.Tries()
+    run = work.entry.run if work.entry is not None else None
     ctx.budget.deposit()
     while True:
-        peer = await _choose(ctx, work, tries)
-        active.upstream = peer.upstream
-        active.attempts += 1
-        tries.revision = ctx.holder.revision
         delivered = False
         try:
-            stream = _attempt(ctx, work, peer, tries)
+            if run is None:
+                stream = _dispatch(ctx, active, tries)
+            else:
+                stream = _recover(ctx, active, run)
             async with contextlib.aclosing(stream):
                 async for part in stream:
                     delivered = True
                     yield part
             return
-        except outcome.AttemptEndedError as ended:
-            tries.note_ran(ended.outcome)
-            await _after(ctx, work, tries, peer, ended.outcome, delivered)
+        except outcome.AttemptEndedError as exc:
+            ended = exc.outcome
+        active.end_attempt(ended.ran)
+        _log_end(active, ended, delivered)
+        if _must_recover(work, ended, delivered):
+            run = work.entry.run
+            await _pace(active, tries_module.DEFAULT_RETRY_AFTER_S)
+            continue
+        run = None
+        await _before_next(ctx, active, tries, ended, delivered)
+
+
+def _must_recover(
+    work: spec.Work, ended: outcome.Outcome, delivered: bool
+) -> bool:
+    """Whether to ask the upstream of the latest run what became of it.
+
+    A durable request may neither be given up nor dispatched a second time
+    while its outcome is unknown, unless it is idempotent.
+    """
+    if work.entry is None or work.entry.run is None or delivered:
+        return False
+    if ended.ran is not base.Ran.UNKNOWN or ended.gone:
+        return False
+    return work.recover_only or (work.durable and not work.idempotent)
 
 
-async def _attempt(
+async def _dispatch(
     ctx: context.Context,
-    work: spec.Work,
-    peer: peer_module.Peer,
-    tries: _Tries,
+    active: active_module.Active,
+    tries: tries_module.Tries,
 ) -> AsyncGenerator[piece.Piece, None]:
-    """Dispatches to `peer` and yields what may be handed on."""
-    ident = ctx.idents.attempt()
+    """Dispatches to the peer that the routing policy chooses."""
+    work = active.work
+    peer = await _choose(ctx, active, tries)
+    ident = ctx.peers.next_attempt_id()
+    tries.revision = ctx.holder.revision
+    await _record_run(ctx, active, peer, ident)
 
     def should_move() -> bool:
         if tries.moves >= MAX_MOVES:
             return False
-        others = _usable(ctx, work, tries)
+        others = tries.usable(ctx.peers.candidates(work.target))
         return routing_query.is_better_elsewhere(peer, others)
 
+    stream = _open(ctx, active, peer, ident, should_move, recover=False)
+    async with contextlib.aclosing(stream):
+        async for part in stream:
+            yield part
+
+
+async def _recover(
+    ctx: context.Context,
+    active: active_module.Active,
+    run: durable_entry.Run,
+) -> AsyncGenerator[piece.Piece, None]:
+    """Attaches to an earlier run on its own upstream.
+
+    Raises:
+      AttemptEndedError: It can't be attached to, or failed.
+    """
+    peer = await _find(ctx, active, run.upstream)
+    same = peer.incarnation == run.incarnation
+    stream = _open(ctx, active, peer, run.attempt, lambda: False, recover=True)
+    try:
+        async with contextlib.aclosing(stream):
+            async for part in stream:
+                yield part
+    except outcome.AttemptEndedError as exc:
+        ended = outcome.of_recovery(exc.outcome, same)
+        raise outcome.AttemptEndedError(ended) from exc
+
+
+async def _open(
+    ctx: context.Context,
+    active: active_module.Active,
+    peer: peer_module.Peer,
+    ident: str,
+    should_move: dispatch.ShouldMove,
+    recover: bool,
+) -> AsyncGenerator[piece.Piece, None]:
+    """Sends the Dispatch and yields what may be handed on."""
+    work = active.work
+    credit = ctx.settings.requests.credit_items
+    msg = dispatch.build(
+        work, peer, ident, ctx.holder.revision, credit, recover
+    )
     with trace.span(
-        'dispatch', parent=work.trace, upstream=peer.upstream, attempt=ident
+        'router.dispatch',
+        parent=work.trace,
+        upstream=peer.upstream,
+        attempt=ident,
+        recover=recover,
     ):
-        msg = dispatch.build(
-            work,
-            peer,
-            ident,
-            ctx.holder.revision,
-            ctx.settings.requests.credit_items,
-        )
         msg.trace = trace.traceparent()
         attempt = peer.open(msg)
-    stream = dispatch.follow(attempt, work, should_move)
+    active.begin_attempt(ident, peer.upstream)
+    stream = dispatch.follow(attempt, active, should_move)
     if work.held:
         stream = hold.whole(stream)
     async with contextlib.aclosing(stream):
@@ -148,166 +173,198 @@
             yield part
 
 
-def _query(ctx: context.Context, work: spec.Work) -> routing_query.Query:
-    """Builds the question that the routing policy is asked."""
-    return routing_query.Query(
-        target=work.target,
-        is_call=work.kind == spec.CALL,
-        availability_zone=ctx.settings.node.availability_zone,
-        prefix=work.prefix,
-        prompt_tokens=work.prompt_tokens,
-    )
-
+async def _record_run(
+    ctx: context.Context,
+    active: active_module.Active,
+    peer: peer_module.Peer,
+    ident: str,
+) -> None:
+    """Journals where a durable or keyed request is about to run.
 
-def _usable(
-    ctx: context.Context, work: spec.Work, tries: _Tries
-) -> list[peer_module.Peer]:
-    """Returns the peers that may be asked, those that failed last."""
-    usable = [
-        peer
-        for peer in ctx.peers.candidates(work.target)
-        if peer.linked
-        and not peer.leaving
-        and peer.upstream not in tries.refused
-    ]
-    fresh = [peer for peer in usable if peer.upstream not in tries.failed]
-    return fresh or usable
+    Raises:
+      RequestError: It is not recorded, so it must not be dispatched.
+    """
+    entry = active.work.entry
+    if entry is None:
+        return
+    run = durable_entry.Run(ident, peer.upstream, peer.incarnation)
+    while True:
+        try:
+            await ctx.journal.dispatching(entry, run)
+        except request_error.StoreUnavailableError:
+            if not active.work.durable:
+                raise
+            await _pace(active, tries_module.DEFAULT_RETRY_AFTER_S)
+        else:
+            entry.run = run
+            return
 
 
 async def _choose(
-    ctx: context.Context, work: spec.Work, tries: _Tries
+    ctx: context.Context,
+    active: active_module.Active,
+    tries: tries_module.Tries,
 ) -> peer_module.Peer:
     """Returns the peer of the next attempt.
 
     Raises:
-      RequestError: No peer is left; a durable request waits instead.
+      RequestError: No peer is left; a durable request waits instead,
+        since a refusal by all is no answer to what was accepted.
     """
+    work = active.work
     while True:
-        if work.remaining_s() <= 0:
-            raise tries.final(
-                request_error.DeadlineError('no upstream took it in time')
-            )
-        candidates = _usable(ctx, work, tries)
-        query = _query(ctx, work)
-        policy = registry.REGISTRY.get(
-            'routing', ctx.holder.current.policies.routing
-        )
-        peer = policy(query, candidates) if candidates else None
+        _check_deadline(work)
+        usable = tries.usable(ctx.peers.candidates(work.target))
+        with trace.span('router.route', parent=work.trace):
+            peer = ctx.routing(_query(ctx, work), usable)
         if peer is not None:
             return peer
-        error = _exhausted(tries)
+        error = tries.exhausted()
         if not work.durable:
-            raise tries.final(error)
-        await _wait_for_room(work, tries, error)
+            raise error
+        await _pace(active, error.retry_after_s)
+        tries.next_round()
 
 
-async def _wait_for_room(
-    work: spec.Work, tries: _Tries, error: request_error.RequestError
-) -> None:
-    """Waits before all upstreams are asked again for a durable request.
+async def _find(
+    ctx: context.Context, active: active_module.Active, upstream: str
+) -> peer_module.Peer:
+    """Returns the linked peer of an upstream, waiting for its link.
 
-    It was accepted, so a refusal by all is no answer to it; the pace is
-    the one that the refusals named.
+    Raises:
+      AttemptEndedError: It did not come back in time, or is gone for good.
     """
-    hint_s = error.retry_after_s or DEFAULT_RETRY_AFTER_S
-    wait_s = min(max(hint_s, DURABLE_MIN_WAIT_S), DURABLE_MAX_WAIT_S)
-    wait_s *= _rng.uniform(0.75, 1.25)
-    await asyncio.sleep(min(wait_s, max(0.0, work.remaining_s())))
-    tries.refused.clear()
-    tries.hints.clear()
-
-
-def _exhausted(tries: _Tries) -> request_error.RequestError:
-    """Builds the final answer when no peer is left to ask."""
-    if not tries.refused and not tries.failed:
-        return request_error.NoUpstreamError(
-            'no live upstream serves it', retry_after_s=DEFAULT_RETRY_AFTER_S
-        )
-    retry_after_s = min(tries.hints, default=DEFAULT_RETRY_AFTER_S)
-    detail = tries.last.detail if tries.last else 'no upstream has room'
-    return request_error.OverloadedError(
-        f'every upstream refused: {detail}', retry_after_s=retry_after_s
+    work = active.work
+    limit = work.deadline
+    # A recovery of a call would be a second call: no app server can say
+    # what became of the first.
+    if work.kind == spec.CALL:
+        limit = 0.0
+    if work.idempotent and not work.recover_only:
+        limit = min(limit, time.monotonic() + ctx.settings.requests.recover_s)
+    while time.monotonic() < limit:
+        peer = ctx.peers.get(upstream)
+        if peer is not None and peer.linked:
+            return peer
+        if upstream not in ctx.holder.current.upstreams:
+            break
+        await _pace(active, MIN_PACE_S)
+    error = request_error.OutcomeUnknownError(
+        f'upstream {upstream} did not come back to say'
     )
+    raise outcome.AttemptEndedError(outcome.Outcome(error, gone=True))
 
 
-async def _after(
+def _query(ctx: context.Context, work: spec.Work) -> routing_query.Query:
+    """Builds the question that the routing policy is asked."""
+    return routing_query.Query(
+        target=work.target,
+        is_call=work.kind == spec.CALL,
+        availability_zone=ctx.settings.node.availability_zone,
+        prefix=work.prefix,
+        prompt_tokens=work.prompt_tokens,
+    )
+
+
+async def _before_next(
     ctx: context.Context,
-    work: spec.Work,
-    tries: _Tries,
-    peer: peer_module.Peer,
+    active: active_module.Active,
+    tries: tries_module.Tries,
     ended: outcome.Outcome,
     delivered: bool,
 ) -> None:
-    """Returns if another dispatch is permitted.
+    """Returns if and when another dispatch is permitted.
 
     Raises:
       RequestError: The request ends with this attempt.
     """
+    work = active.work
     error = ended.error
-    _log.info(
-        'attempt_ended',
-        request=work.request,
-        upstream=peer.upstream,
-        code=error.code,
-        ran=str(error.ran),
-        gone=ended.gone,
-        moved=ended.moved,
-        delivered=delivered,
-    )
-    if outcome.is_final(ended) or work.body_taken:
-        raise tries.final(error)
+    if work.body_taken or work.recover_only or _is_final(ctx, work, ended):
+        raise error
     if not outcome.may_dispatch_again(work.idempotent, delivered, ended):
-        raise tries.final(error)
+        raise error
     if ended.moved:
         tries.moves += 1
         return
-    tries.last = error
-    _remember(tries, peer, ended)
+    tries.note(active.upstream, ended)
     if error.code == request_error.StaleRevisionError.code:
-        await _catch_up(ctx, tries, peer)
+        await _catch_up(ctx, tries, active.upstream)
     if not work.durable:
         _spend_retry(ctx, work, tries, error)
-    _retries.inc({'code': error.code})
     tries.retries += 1
-    wait_s = retry.backoff_s(
-        ctx.settings.retries.backoff_s, tries.retries, _rng
-    )
-    await asyncio.sleep(min(wait_s, max(0.0, work.remaining_s())))
+    retries_total.inc({'code': error.code})
+    wait_s = retry.backoff_s(ctx.settings.retries.backoff_s, tries.retries, rng)
+    if wait_s >= work.remaining_s():
+        raise error
+    await asyncio.sleep(wait_s)
 
 
-def _remember(
-    tries: _Tries, peer: peer_module.Peer, ended: outcome.Outcome
-) -> None:
-    """Notes which upstream is not to be asked at once again."""
-    if ended.ran is base.Ran.NO:
-        tries.refused.add(peer.upstream)
-        if ended.error.retry_after_s is not None:
-            tries.hints.append(ended.error.retry_after_s)
-    else:
-        tries.failed.add(peer.upstream)
+def _is_final(
+    ctx: context.Context, work: spec.Work, ended: outcome.Outcome
+) -> bool:
+    """Whether no other upstream would answer differently.
+
+    "Superseded" means a newer owner for journalled work. It also comes from
+    a sidecar that was replaced since it was chosen; then any other will do.
+    """
+    if ended.error.code == request_error.SupersededError.code:
+        return work.entry is not None and not ctx.journal.owns(work.entry)
+    return outcome.is_final(ended)
 
 
 def _spend_retry(
     ctx: context.Context,
     work: spec.Work,
-    tries: _Tries,
+    tries: tries_module.Tries,
     error: request_error.RequestError,
 ) -> None:
-    """Spends one retry of the profile and of the router's budget."""
+    """Spends one retry of the profile and of the router's budget.
+
+    Raises:
+      RequestError: Either is used up.
+    """
     if tries.retries < work.profile.retries and ctx.budget.take():
         return
     if error.retry_after_s is None:
-        error.retry_after_s = DEFAULT_RETRY_AFTER_S
-    raise tries.final(error)
+        error.retry_after_s = tries_module.DEFAULT_RETRY_AFTER_S
+    raise error
 
 
 async def _catch_up(
-    ctx: context.Context, tries: _Tries, peer: peer_module.Peer
+    ctx: context.Context, tries: tries_module.Tries, upstream: str
 ) -> None:
     """Waits for the newer configuration that the sidecar already has."""
-    newer = tries.revision + 1
-    try:
-        await asyncio.wait_for(ctx.holder.wait_for(newer), STALE_WAIT_S)
-    except TimeoutError:
-        return
-    tries.refused.discard(peer.upstream)
+    waiting = ctx.holder.wait_for(tries.revision + 1)
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(waiting, STALE_WAIT_S)
+        tries.refused.discard(upstream)
+
+
+async def _pace(active: active_module.Active, hint_s: float) -> None:
+    """Waits before a durable request asks again, as long as was hinted."""
+    wait_s = min(max(hint_s, MIN_PACE_S), MAX_PACE_S) * rng.uniform(0.75, 1.25)
+    await asyncio.sleep(min(wait_s, max(0.0, active.work.remaining_s())))
+
+
+def _check_deadline(work: spec.Work) -> None:
+    """Raises `DeadlineError` once the deadline is past."""
+    if work.remaining_s() <= 0:
+        raise request_error.DeadlineError('no upstream took it in time')
+
+
+def _log_end(
+    active: active_module.Active, ended: outcome.Outcome, delivered: bool
+) -> None:
+    """Logs an attempt that did not bring the whole answer."""
+    logger.info(
+        'attempt_ended',
+        request=active.work.request,
+        upstream=active.upstream,
+        code=ended.error.code,
+        detail=ended.error.detail,
+        ran=str(ended.ran),
+        gone=ended.gone,
+        moved=ended.moved,
+        delivered=delivered,
+    )
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
+from quetzalsill.wire import error as wire_error
 from quetzalsill.wire import message
 from quetzalsill_router.request import outcome, piece
 
 if TYPE_CHECKING:
     from quetzalsill_router.peer import attempt as peer_attempt
     from quetzalsill_router.peer import peer as peer_module
+    from quetzalsill_router.request import active as active_module
     from quetzalsill_router.request import spec
 
-__all__ = ['build', 'follow']
+__all__ = ['ShouldMove', 'build', 'follow']
+
+ShouldMove = Callable[[], bool]
 
 DEADLINE_GRACE_S = 1.0
 LOOK_INTERVAL_S = 0.25
@@ -40,7 +45,7 @@
         request=work.request,
         incarnation=peer.incarnation,
         revision=revision,
-        fence=work.fence,
+        fence=work.entry.fence if work.entry is not None else 0,
         account=work.account,
         profile=work.profile_name,
         model=work.target,
@@ -59,47 +64,65 @@
         recover=recover,
         credit=credit,
         trace=work.trace,
-        engine=peer.load.engine if peer.load is not None else 0,
     )
 
 
 async def follow(
     attempt: peer_attempt.Attempt,
-    work: spec.Work,
-    should_move: Callable[[], bool],
+    active: active_module.Active,
+    should_move: ShouldMove,
 ) -> AsyncGenerator[piece.Piece, None]:
     """Yields the pieces of one attempt.
 
     However the consumer ends, an attempt that reached no terminal message
-    is cancelled, so that the upstream does not go on for nobody.
+    is cancelled by its `close`, so that the upstream does not go on for
+    nobody.
 
     Raises:
       AttemptEndedError: The attempt ended without its whole answer.
     """
+    work = active.work
     ended = False
     sender: asyncio.Task[None] | None = None
     try:
         async for msg in _messages(attempt, work, should_move):
             match msg:
                 case message.Started():
+                    active.attempt_started()
                     if work.body is not None and sender is None:
                         sender = asyncio.create_task(_send_body(attempt, work))
                 case message.Head():
                     yield piece.Head(msg.status, msg.headers)
                 case message.Chunk():
+                    active.generated(len(msg.items))
                     yield _items(attempt, msg)
                 case message.Finished():
                     ended = True
                     return
                 case _:
                     ended = True
-                    raise outcome.AttemptEndedError(failure(msg))
+                    raise outcome.AttemptEndedError(_end(attempt, work, msg))
     finally:
         if sender is not None:
             sender.cancel()
-        if not ended:
-            attempt.cancel()
-        attempt.close()
+        # The router that takes a journalled request over attaches to this
+        # run; cancelled here, it would be lost there.
+        if ended or not active.handed_over:
+            attempt.close()
+
+
+def _end(
+    attempt: peer_attempt.Attempt, work: spec.Work, msg: message.Message
+) -> outcome.Outcome:
+    """Reads a terminal message, and cancels what another run may replace.
+
+    Of work that may not be repeated the run goes on: its outcome can be
+    asked for later.
+    """
+    ended = failure(msg)
+    if ended.ran is base.Ran.UNKNOWN and work.idempotent:
+        attempt.cancel()
+    return ended
 
 
 def failure(msg: message.Message) -> outcome.Outcome:
@@ -135,7 +158,7 @@
 async def _messages(
     attempt: peer_attempt.Attempt,
     work: spec.Work,
-    should_move: Callable[[], bool],
+    should_move: ShouldMove,
 ) -> AsyncIterator[message.Message]:
     """Yields the attempt's messages up to its deadline.
 
@@ -156,7 +179,7 @@
 async def _receive_queued(
     attempt: peer_attempt.Attempt,
     limit: float,
-    should_move: Callable[[], bool],
+    should_move: ShouldMove,
 ) -> message.Message:
     """Returns the first message that ends the attempt's time in a queue.
 
@@ -196,8 +219,13 @@
 
 
 async def _send_body(attempt: peer_attempt.Attempt, work: spec.Work) -> None:
-    """Passes the rest of a call's body on, each piece as it comes."""
+    """Passes the rest of a call's body on, each piece as it comes.
+
+    A link that is lost meanwhile cuts the body; what became of the call is
+    then told by the attempt's terminal message.
+    """
     work.body_taken = True
-    async for data in work.body:
-        await attempt.send_body(data, False)
-    await attempt.send_body(b'', True)
+    with contextlib.suppress(wire_error.LinkClosedError):
+        async for data in work.body:
+            await attempt.send_body(data, last=False)
+        await attempt.send_body(b'', last=True)
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/ident.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/ident.py
@@ -1,4 +1,4 @@
-"""Ids of requests and attempts, unique over restarts."""
+"""Ids of requests, unique over restarts."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 import secrets
 import time
 
-__all__ = ['Idents', 'is_request_id', 'new_incarnation']
+__all__ = ['RequestIds', 'is_request_id', 'new_incarnation']
 
 RANDOM_BITS = 12
-REQUEST_ID = re.compile(r'req-[a-z0-9][a-z0-9._-]{0,99}')
+REQUEST_ID = re.compile(r'[a-z0-9][a-z0-9._-]{0,127}')
 
 
 def new_incarnation() -> int:
@@ -28,19 +28,14 @@
     return REQUEST_ID.fullmatch(text) is not None
 
 
-class Idents:
-    """Source of ids of one router process."""
+class RequestIds:
+    """Source of the ids of requests that no journal names."""
 
     def __init__(self, node: str, incarnation: int) -> None:
         self._node = node
         self._incarnation = incarnation
-        self._attempts = itertools.count(1)
         self._requests = itertools.count(1)
 
-    def attempt(self) -> str:
-        """Returns a fresh attempt id, `NODE/INCARNATION/COUNTER`."""
-        return f'{self._node}/{self._incarnation}/{next(self._attempts)}'
-
-    def request(self) -> str:
+    def next(self) -> str:
         """Returns a fresh request id, fit for a URL path."""
         return f'req-{self._node}-{self._incarnation}-{next(self._requests)}'
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
@@ -11,6 +11,7 @@
     'Outcome',
     'is_final',
     'may_dispatch_again',
+    'of_recovery',
     'strongest',
 ]
 
@@ -22,7 +23,6 @@
         request.DeadlineError.code,
         request.ForbiddenError.code,
         request.LimitError.code,
-        request.SupersededError.code,
         request.TooLargeError.code,
         request.UnauthorizedError.code,
     )
@@ -73,6 +73,28 @@
     return outcome.error.code in FINAL_CODES
 
 
+def of_recovery(ended: Outcome, same_sidecar: bool) -> Outcome:
+    """Reads the end of a recovery, which is about an earlier run.
+
+    A refusal says that nothing runs now. That nothing ran before is known
+    only to the sidecar that would have run it: a later one may stand
+    beside an engine that restarted and forgot what it ran.
+
+    Args:
+      ended: How the recovery ended.
+      same_sidecar: It was answered by the sidecar of the earlier run.
+    """
+    if ended.ran is not base.Ran.NO:
+        return ended
+    if same_sidecar and ended.error.code == request.NotFoundError.code:
+        return ended
+    final = ended.error.code == request.NotFoundError.code
+    error = request.OutcomeUnknownError(
+        f'the earlier run is not known any more: {ended.error.detail}'
+    )
+    return Outcome(error, gone=final)
+
+
 def may_dispatch_again(
     idempotent: bool, delivered: bool, outcome: Outcome
 ) -> bool:
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/record.py
@@ -0,0 +1,108 @@
+"""Keeps the outcome of journalled requests in the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import request as request_error
+from quetzalsill.telemetry import log
+from quetzalsill_router.durable import answer as durable_answer
+from quetzalsill_router.request import piece, spec
+
+if TYPE_CHECKING:
+    from quetzalsill_router import context
+    from quetzalsill_router.request import active as active_module
+
+__all__ = ['KIND', 'MODEL', 'failure', 'recorded']
+
+KIND = 'x-quetzalsill-kind'
+MODEL = 'x-quetzalsill-model'
+SETTLE_WAIT_S = 2.0
+MAX_STORED_BYTES = 8_000_000
+
+logger = log.get(__name__)
+
+
+async def recorded(
+    ctx: context.Context,
+    active: active_module.Active,
+    pieces: AsyncGenerator[piece.Piece, None],
+) -> AsyncGenerator[piece.Piece, None]:
+    """Passes `pieces` on; their end follows once the answer is stored.
+
+    Tokens stream to the caller meanwhile, unless the request holds them:
+    then nothing reaches the caller before the answer is stored whole.
+    """
+    answer = _empty(active.work)
+    stored_bytes = 0
+    held: list[piece.Piece] = []
+    async with contextlib.aclosing(pieces):
+        async for part in pieces:
+            if isinstance(part, piece.Head):
+                answer.status = part.status
+                answer.headers = part.headers
+            else:
+                answer.events.extend(part.items)
+                stored_bytes += sum(map(len, part.items))
+            if active.work.held:
+                held.append(part)
+            else:
+                yield part
+    if stored_bytes > MAX_STORED_BYTES:
+        answer = _too_large(stored_bytes)
+    await settle(ctx, active, answer)
+    for part in held:
+        yield part
+
+
+async def failure(
+    ctx: context.Context,
+    active: active_module.Active,
+    error: request_error.RequestError,
+) -> None:
+    """Stores the failure that ends a journalled request."""
+    answer = durable_answer.Answer(
+        code=error.code, detail=error.detail, ran=error.ran, status=0
+    )
+    await settle(ctx, active, answer)
+
+
+async def settle(
+    ctx: context.Context,
+    active: active_module.Active,
+    answer: durable_answer.Answer,
+) -> None:
+    """Stores the outcome, and waits for that a bounded time.
+
+    While the store is down the caller gets its answer all the same; the
+    journal keeps the outcome and writes it when the store is back.
+    """
+    request = active.work.request
+    try:
+        async with asyncio.timeout(SETTLE_WAIT_S):
+            await ctx.journal.settle(active.work.entry, answer)
+    except TimeoutError:
+        logger.warning('settle_delayed', request=request)
+    except request_error.SupersededError:
+        logger.warning('settle_superseded', request=request)
+
+
+def _empty(work: spec.Work) -> durable_answer.Answer:
+    """Makes the answer that the pieces are gathered in."""
+    if work.kind == spec.CALL:
+        return durable_answer.Answer()
+    headers = [[KIND, work.kind], [MODEL, work.target]]
+    return durable_answer.Answer(headers=headers)
+
+
+def _too_large(size: int) -> durable_answer.Answer:
+    """Stands for an answer that is too large to be kept."""
+    error = request_error.TooLargeError
+    return durable_answer.Answer(
+        code=error.code,
+        detail=f'the answer of {size} bytes was delivered but not kept',
+        status=0,
+    )
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
@@ -4,110 +4,177 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import time
+from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log, metric, trace
 from quetzalsill_router.request import active as active_module
-from quetzalsill_router.request import attempts, piece, spec
+from quetzalsill_router.request import attempts, outcome, piece, record, spec
 
 if TYPE_CHECKING:
     from quetzalsill_router import context
     from quetzalsill_router.limit import shares
 
-__all__ = ['start']
+__all__ = ['start', 'start_unattended']
 
-_log = log.get(__name__)
-_requests = metric.counter(
+logger = log.get(__name__)
+requests_total = metric.counter(
     'quetzalsill_router_requests_total', 'Requests ended, by code.'
 )
-_seconds = metric.histogram(
+request_seconds = metric.histogram(
     'quetzalsill_router_request_seconds', 'Time from acceptance to the end.'
 )
 
 
 def start(
-    ctx: context.Context, work: spec.Work, grant: shares.Grant
+    ctx: context.Context,
+    work: spec.Work,
+    grant: shares.Grant | None = None,
 ) -> active_module.Active:
-    """Starts the task that serves `work`; its pieces go to `delivery`."""
-    active = active_module.Active(work)
+    """Starts the task that serves `work`; its pieces go to `delivery`.
+
+    Args:
+      ctx: The router.
+      work: The accepted request.
+      grant: Leave of its account, released at the end.
+    """
+    active = active_module.Active(work, grant=grant)
     ctx.active.add(active)
     active.task = asyncio.create_task(
-        _run(ctx, active, grant), name=f'request {work.request}'
+        _run(ctx, active), name=f'request {work.request}'
     )
     return active
 
 
-async def _run(
-    ctx: context.Context, active: active_module.Active, grant: shares.Grant
-) -> None:
-    """Serves the request; whatever happens, the caller gets an end."""
+def start_unattended(
+    ctx: context.Context, work: spec.Work, grant: shares.Grant | None = None
+) -> active_module.Active:
+    """Starts work whose answer is only stored, not delivered."""
+    active = start(ctx, work, grant)
+    active.delivery.leave()
+    return active
+
+
+async def _run(ctx: context.Context, active: active_module.Active) -> None:
+    """Serves the request, tells its end, and stores a failure."""
+    try:
+        error = await _serve(ctx, active)
+        if error is not None and active.work.entry is not None:
+            await _settle_failure(ctx, active, error)
+    finally:
+        ctx.active.remove(active)
+
+
+async def _serve(
+    ctx: context.Context, active: active_module.Active
+) -> request_error.RequestError | None:
+    """Serves the request; whatever happens, the caller gets an end.
+
+    Returns:
+      The failure that ended it; None if the answer is whole.
+    """
     error: request_error.RequestError | None = None
     try:
         with trace.span(
-            'request',
+            'router.request',
             parent=active.work.trace,
             request=active.work.request,
             account=active.work.account,
         ):
             active.work.trace = trace.traceparent()
-            await _deliver(ctx, active, grant)
+            await _deliver(ctx, active)
     except request_error.RequestError as exc:
         error = exc
     except asyncio.CancelledError:
         if active.cancelled is None:
-            error = request_error.ShuttingDownError(ran=base.Ran.UNKNOWN)
+            error = request_error.ShuttingDownError('the router stopped')
             raise
         error = active.cancelled
     except Exception as exc:
         # A fault of our own code must not leave the caller waiting: it
         # would show as an answer that stalls for ever.
-        _log.exception('request_fault', request=active.work.request)
+        logger.exception('request_fault', request=active.work.request)
         error = request_error.RequestError(
-            f'internal fault: {type(exc).__name__}', ran=base.Ran.UNKNOWN
+            f'internal fault: {type(exc).__name__}'
         )
     finally:
-        grant.release()
-        ctx.active.remove(active)
+        if error is not None:
+            error.ran = outcome.strongest(active.ran, error.ran)
+        if active.grant is not None:
+            active.grant.release()
         active.delivery.end(error)
         _report(active, error)
+    return error
 
 
-async def _deliver(
-    ctx: context.Context, active: active_module.Active, grant: shares.Grant
-) -> None:
+async def _deliver(ctx: context.Context, active: active_module.Active) -> None:
     """Hands the pieces of the answer to the caller, and counts them."""
     work = active.work
-    stream = attempts.pieces(ctx, active)
+    stream = _pipeline(ctx, active)
     async with contextlib.aclosing(stream):
         async for part in stream:
             if isinstance(part, piece.Items):
                 active.delivered += len(part.items)
-                if work.kind != spec.CALL:
-                    grant.charge(len(part.items))
             active.delivery.put(part)
     if work.kind != spec.CALL:
         ctx.lengths.observe(work.target, work.profile_name, active.delivered)
 
 
+def _pipeline(
+    ctx: context.Context, active: active_module.Active
+) -> AsyncGenerator[piece.Piece, None]:
+    """Joins the generators that make the request's answer."""
+    stream = attempts.pieces(ctx, active)
+    if active.work.entry is not None:
+        stream = record.recorded(ctx, active, stream)
+    return stream
+
+
+async def _settle_failure(
+    ctx: context.Context,
+    active: active_module.Active,
+    error: request_error.RequestError,
+) -> None:
+    """Stores a failure, or goes on asking what became of the work.
+
+    A caller that was told "unknown" may ask again later; the outcome is
+    then what the upstream says once it can be asked.
+    """
+    work = active.work
+    open_outcome = error.ran is base.Ran.UNKNOWN and active.cancelled is None
+    if open_outcome and work.entry.run is not None and not work.recover_only:
+        start_unattended(ctx, _recovering(ctx, work))
+        return
+    await record.failure(ctx, active, error)
+
+
+def _recovering(ctx: context.Context, work: spec.Work) -> spec.Work:
+    """Makes the work that only asks for the outcome of its latest run."""
+    deadline = time.monotonic() + ctx.settings.requests.settle_s
+    return dataclasses.replace(work, deadline=deadline, recover_only=True)
+
+
 def _report(
     active: active_module.Active, error: request_error.RequestError | None
 ) -> None:
     """Logs and counts the end of a request."""
+    work = active.work
     code = error.code if error is not None else 'ok'
     seconds = time.monotonic() - active.accepted
-    _requests.inc({'code': code, 'kind': active.work.kind})
-    _seconds.observe({'kind': active.work.kind}, seconds)
-    _log.info(
+    requests_total.inc({'code': code, 'kind': work.kind})
+    request_seconds.observe({'kind': work.kind}, seconds)
+    logger.info(
         'request_ended',
-        request=active.work.request,
-        account=active.work.account,
-        profile=active.work.profile_name,
-        target=active.work.target,
+        request=work.request,
+        account=work.account,
+        profile=work.profile_name,
+        target=work.target,
         code=code,
-        ran=str(error.ran) if error is not None else 'yes',
+        ran=str(error.ran if error is not None else base.Ran.YES),
         attempts=active.attempts,
         delivered=active.delivered,
         seconds=round(seconds, 4),
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/spec.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/spec.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill.config import model
+    from quetzalsill_router.durable import entry as durable_entry
 
 __all__ = ['CALL', 'CHAT', 'COMPLETION', 'Work']
 
@@ -40,7 +41,9 @@
       path: Path and query of a call below its service.
       headers: Header pairs of a call.
       body: Rest of a call's body after `payload`; None if there is none.
-      fence: Ownership epoch of a durable request.
+      entry: What the journal keeps of it; None if it is not journalled.
+      recover_only: It may not be dispatched anew; only the outcome of an
+        earlier run is asked for.
       trace: W3C traceparent of the request's span.
       key: Idempotency key; empty if the caller sent none.
       body_taken: Some of `body` was sent, so that it can't be sent again.
@@ -64,14 +67,17 @@
     path: str = ''
     headers: list[list[str]] = dataclasses.field(default_factory=list)
     body: AsyncIterator[bytes] | None = None
-    fence: int = 0
+    entry: durable_entry.Entry | None = None
+    recover_only: bool = False
     trace: str = ''
     key: str = ''
     body_taken: bool = False
 
     @property
     def durable(self) -> bool:
-        """Whether acceptance was journalled; calls never are."""
+        """Whether it is never lost once accepted; calls never are."""
+        if self.entry is not None:
+            return self.entry.durable
         return self.profile.durable and self.kind != CALL
 
     @property
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/takeover.py
@@ -0,0 +1,59 @@
+"""Recovers requests that a dead router had accepted."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from quetzalsill.config import model
+from quetzalsill.error import base
+from quetzalsill.telemetry import log
+from quetzalsill_router.durable import answer as durable_answer
+from quetzalsill_router.request import keep, serve
+
+if TYPE_CHECKING:
+    from quetzalsill_router import context
+    from quetzalsill_router.durable import entry as durable_entry
+
+__all__ = ['recover']
+
+LOST_CODE = 'shutting_down'
+
+logger = log.get(__name__)
+
+
+async def recover(ctx: context.Context, entry: durable_entry.Entry) -> None:
+    """Brings an entry that was taken over to its settled outcome.
+
+    A durable request is served to its end. Any other had a caller whose
+    connection died with the router: it is settled with what became of its
+    run, so that a repeat of its key is answered truly, and never begun.
+    """
+    logger.info(
+        'request_taken_over',
+        request=entry.request,
+        durable=entry.durable,
+        had_run=entry.run is not None,
+    )
+    if not entry.durable and entry.run is None:
+        await ctx.journal.settle(entry, _not_run())
+        return
+    cfg = ctx.holder.current
+    profile = cfg.profiles.get(entry.profile) or model.Profile()
+    work = keep.work_of(entry, profile)
+    if not entry.durable:
+        work.recover_only = True
+        settle_s = ctx.settings.requests.settle_s
+        work.deadline = time.monotonic() + settle_s
+    active = serve.start_unattended(ctx, work)
+    await active.task
+
+
+def _not_run() -> durable_answer.Answer:
+    """Makes the outcome of a request that ended before its dispatch."""
+    return durable_answer.Answer(
+        code=LOST_CODE,
+        detail='its router ended before it ran',
+        ran=base.Ran.NO,
+        status=0,
+    )
--- a/packages/quetzalsill-router/src/quetzalsill_router/settings.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/settings.py
@@ -6,6 +6,7 @@
 
 from quetzalsill.schema import key as schema_key
 from quetzalsill.settings import section
+from quetzalsill_router.durable import setting as durable_setting
 
 __all__ = ['RequestSettings', 'RetrySettings', 'RouterSettings', 'StopSettings']
 
@@ -109,6 +110,15 @@
     links: section.LinkTiming = key(
         'Timing of links to sidecars.', factory=section.LinkTiming
     )
+    durable: durable_setting.Durable = key(
+        'What this router keeps in the platform.',
+        factory=durable_setting.Durable,
+    )
+    bootstrap_sha256: str = key(
+        'Digest of the token that may apply the first configuration.',
+        '',
+        pattern=r'([0-9a-f]{64})?',
+    )
     telemetry: section.Telemetry = key(
         'Logs and traces.', factory=section.Telemetry
     )
