Parse answers with httptools and take no unasked answer

With it a hole is closed: a server that says 408 on an idle connection would have answered the next request.

--- a/packages/quetzalsill/src/quetzalsill/net/connection.py
+++ b/packages/quetzalsill/src/quetzalsill/net/connection.py
@@ -16,7 +16,7 @@
 import h11
 from blacksheep.client import connection as library_connection
 
-from quetzalsill.net import error, keepalive
+from quetzalsill.net import error, keepalive, parser
 
 if TYPE_CHECKING:
     import ssl
@@ -27,7 +27,6 @@
 
 EAGER_BYTES = 65536
 NO_BODY_STATUSES = (204, 304)
-Event = h11.Event | type[h11.PAUSED]
 
 
 class _StreamedBody(blacksheep.StreamedContent):
@@ -45,8 +44,14 @@
     earlier answer, such as an iterator dropped late, must not reach it.
     """
 
-    def __init__(self, conn: Connection, silence_s: float | None) -> None:
+    def __init__(
+        self,
+        conn: Connection,
+        answer_parser: parser.AnswerParser,
+        silence_s: float | None,
+    ) -> None:
         self._conn = conn
+        self._parser = answer_parser
         self._silence_s = silence_s
         self._ended = False
 
@@ -56,10 +61,13 @@
             raise error.NetError('the body of this answer was read already')
         try:
             while True:
-                event = await self._next_piece()
-                if isinstance(event, h11.EndOfMessage):
+                piece = self._parser.take()
+                if piece:
+                    yield piece
+                elif self._parser.is_whole:
                     break
-                yield bytes(event.data)
+                else:
+                    await self._more()
             self._ended = True
             self._conn.release()
         finally:
@@ -71,20 +79,17 @@
             self._ended = True
             self._conn.abort()
 
-    async def _next_piece(self) -> h11.Data | h11.EndOfMessage:
+    async def _more(self) -> None:
         try:
             async with asyncio.timeout(self._silence_s):
-                event = await self._conn.next_event()
+                await self._conn.feed_parser()
         except TimeoutError as exc:
             self._conn.note_silence()
             raise error.AnswerTimeoutError(
                 f'nothing came for {self._silence_s} s'
             ) from exc
-        except (OSError, h11.ProtocolError) as exc:
+        except OSError as exc:
             raise error.AnswerLostError(_reason(exc)) from exc
-        if not isinstance(event, (h11.Data, h11.EndOfMessage)):
-            raise error.AnswerLostError('closed within an answer')
-        return event
 
 
 class Connection(library_connection.HTTP11Connection):
@@ -102,6 +107,7 @@
         self._silence_s = silence_s
         self._on_released = on_released
         self._has_answer = False
+        self._parser: parser.AnswerParser | None = None
 
     @property
     def is_open(self) -> bool:
@@ -109,9 +115,11 @@
 
         A server closes a connection that is idle for long. Its end of
         stream is then here already, and a request written behind it would
-        be lost with its outcome unknown.
+        be lost with its outcome unknown. Some servers write an answer
+        before they close, which a further request would take for its own.
         """
-        return super().is_open and not self.reader.at_eof()
+        is_clean = not self.reader.at_eof() and not self.reader._buffer
+        return super().is_open and is_clean
 
     async def connect(self) -> None:
         """Opens the connection."""
@@ -138,21 +146,19 @@
             if not self._has_answer:
                 self.abort()
 
-    async def next_event(self) -> Event:
-        """Returns the next event of the answer."""
-        while True:
-            event = self._h11_conn.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            data = await self.reader.read(self.buffer_size)
-            # The empty end of stream is fed too: the parser knows whether
-            # the answer was whole by then.
-            self._h11_conn.receive_data(data)
+    async def feed_parser(self) -> None:
+        """Waits for bytes and gives them to the parser of the answer.
+
+        Raises:
+          AnswerLostError: If they are no HTTP, or end within the answer.
+        """
+        self._parser.feed(await self.reader.read(self.buffer_size))
 
     def release(self) -> None:
         """Gives the connection back after a whole answer."""
-        states = (self._h11_conn.our_state, self._h11_conn.their_state)
-        if states == (h11.DONE, h11.DONE):
+        is_sent = self._h11_conn.our_state is h11.DONE
+        if is_sent and self._parser.keeps_connection:
+            self._h11_conn = h11.Connection(our_role=h11.CLIENT)
             self._on_released(self)
         else:
             self.abort()
@@ -176,6 +182,7 @@
     def _convert_request_to_h11(
         self, request: blacksheep.Request
     ) -> tuple[h11.Request, bytes | None]:
+        self._parser = parser.AnswerParser(request.method)
         # The library answers an expectation on a path that reads ahead.
         request.remove_header(b'expect')
         try:
@@ -187,28 +194,19 @@
         self, timeout: float | None = None
     ) -> blacksheep.Response:
         async with asyncio.timeout(timeout):
-            head = await self._next_head()
-        response = blacksheep.Response(head.status_code, list(head.headers))
-        response.content = await self._content(response)
+            while self._parser.head is None:
+                await self.feed_parser()
+        head = self._parser.head
+        response = blacksheep.Response(head.status, head.headers)
+        response.content = await self._content(head)
         self._has_answer = True
         return response
 
-    async def _next_head(self) -> h11.Response:
-        while True:
-            event = await self.next_event()
-            if isinstance(event, h11.Response):
-                return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise error.AnswerLostError('closed before an answer')
-
-    async def _content(
-        self, response: blacksheep.Response
-    ) -> blacksheep.Content:
-        answer = _Answer(self, self._silence_s)
-        length = response.get_first_header(b'content-length')
-        kind = response.get_first_header(b'content-type')
-        kind = kind or b'application/octet-stream'
-        if _is_short(response.status, length):
+    async def _content(self, head: parser.Head) -> blacksheep.Content:
+        answer = _Answer(self, self._parser, self._silence_s)
+        length = head.first(b'content-length')
+        kind = head.first(b'content-type') or b'application/octet-stream'
+        if _is_short(head.status, length) or self._parser.is_whole:
             pieces = [piece async for piece in answer.pieces()]
             return blacksheep.Content(kind, b''.join(pieces))
         body = _StreamedBody(kind, answer.pieces, int(length or -1))
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/parser.py
@@ -0,0 +1,129 @@
+"""Parser of one HTTP/1.1 answer."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import httptools
+
+from quetzalsill.net import error
+
+__all__ = ['MAX_HEAD_BYTES', 'AnswerParser', 'Head']
+
+MAX_HEAD_BYTES = 65536
+FIRST_FINAL_STATUS = 200
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Head:
+    """Status and headers of an answer, in order."""
+
+    status: int
+    headers: Headers
+
+    def first(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header; None if it is absent."""
+        values = (value for known, value in self.headers if known == name)
+        return next(values, None)
+
+
+class AnswerParser:
+    """Takes the bytes of a connection as they come.
+
+    Attributes:
+      head: Head of the final answer, once it is there.
+      is_whole: Whether the answer has ended as its head announced.
+    """
+
+    def __init__(self, method: str) -> None:
+        self.head: Head | None = None
+        self.is_whole = False
+        self._has_body = method != 'HEAD'
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._pieces: list[bytes] = []
+        self._keeps_connection = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether another request may follow on the connection."""
+        return self.is_whole and self._keeps_connection
+
+    def feed(self, data: bytes) -> None:
+        """Takes bytes; none at all stand for the end of the stream.
+
+        Raises:
+          AnswerLostError: If they are no HTTP, or end within the answer.
+        """
+        if not data:
+            self._feed_end()
+            return
+        if self.head is None:
+            self._count_head(len(data))
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            raise error.AnswerLostError(f'malformed answer: {exc}') from exc
+
+    def take(self) -> bytes:
+        """Returns what has come of the body since the last time."""
+        taken = b''.join(self._pieces)
+        self._pieces.clear()
+        return taken
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        """Starts an answer, an interim one, or one that nobody asked for.
+
+        The last could be taken for the answer to the next request, so the
+        connection is given up.
+        """
+        if self.head is not None:
+            self._keeps_connection = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Takes the head, unless it is of an interim answer (1xx)."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            self._headers = []
+            return
+        if self.head is not None:
+            return
+        self.head = Head(status, self._headers)
+        self._keeps_connection = self._parser.should_keep_alive()
+        if not self._has_body:
+            # The parser does not know of HEAD and would wait for the body
+            # that the head describes, so the connection is given up.
+            self._keeps_connection = False
+            self.is_whole = True
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        if not self.is_whole:
+            self._pieces.append(body)
+
+    def on_message_complete(self) -> None:
+        """Ends the answer, unless it was an interim one."""
+        if self.head is not None:
+            self.is_whole = True
+
+    def _feed_end(self) -> None:
+        if self.head is None:
+            raise error.AnswerLostError('closed before an answer')
+        framed = (b'content-length', b'transfer-encoding')
+        if any(self.head.first(name) is not None for name in framed):
+            raise error.AnswerLostError('closed within an answer')
+        self.is_whole = True
+
+    def _count_head(self, received: int) -> None:
+        self._head_bytes += received
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise error.AnswerLostError('the head of the answer is too large')
--- a/tests/quetzalsill/net/test_client.py
+++ b/tests/quetzalsill/net/test_client.py
@@ -87,6 +87,34 @@
         response = await self.client.post('/orders', ORDER)
         self.assertEqual((response.status, len(served.heads)), (200, 2))
 
+    async def test_unasked_answer_is_not_taken_for_the_next(self):
+        """A caller gets an answer that is not to its own request.
+
+        The server says 408 on an idle connection before it closes it, and
+        the next request on that connection takes this for its answer.
+        """
+        said = asyncio.Event()
+
+        async def say_more(served, reader, writer):
+            await served.head(reader)
+            writer.write(peer.answer(b'own'))
+            await writer.drain()
+            await asyncio.wait_for(self.answered.wait(), peer.BOUND_S)
+            writer.write(peer.answer(b'unasked'))
+            await writer.drain()
+            said.set()
+            await served.head(reader)
+
+        self.answered = asyncio.Event()
+        served = await self.serve(say_more)
+        await self.client.get('/slots')
+        self.answered.set()
+        await said.wait()
+        await asyncio.sleep(0)
+        response = await self.client.get('/slots')
+        self.assertEqual(await response.read(), b'own')
+        self.assertEqual(len(served.heads), 2)
+
     async def test_redirect_is_not_followed(self):
         async def redirect(served, reader, writer):
             await served.head(reader)
@@ -206,6 +234,12 @@
             call = asyncio.create_task(self.client.get('/hang'))
             await asyncio.wait_for(served.reached.wait(), peer.BOUND_S)
             call.cancel()
+            try:
+                await call
+            except asyncio.CancelledError as exc:
+                # Its frames refer to the connection, which must not stay
+                # open for that.
+                self.kept = exc
 
         async def leave():
             stream = (await self.client.get('/')).content.stream()
