Prove the sidecar's promises against engine, links and calls that fail

Cause: the path that landed first had one test. Mended on the way: a recovery whose engine could not be asked is run anew when it is asked for again, instead of being given its old answer; a recovery says "not run" only if the engine's incarnation is still the one that the Dispatch names; a repeated Dispatch counts its credit from the first item; an edit of a profile reaches what waits and what runs; no Credit is sent for request bodies, which the router's peer takes for a breach of protocol.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/body.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/body.py
@@ -16,7 +16,6 @@
     """Pieces that came and are not yet written to the upstream.
 
     Attributes:
-      taken: Pieces handed on so far.
       broken: The router sent more than was bounded.
     """
 
@@ -28,7 +27,6 @@
           is_open: More will come.
           max_bytes: Bytes that may wait.
         """
-        self.taken = 0
         self.broken = False
         self._pieces = collections.deque([first] if first else [])
         self._waiting = len(first)
@@ -44,8 +42,9 @@
     def feed(self, data: bytes, *, last: bool) -> None:
         """Takes a piece from the router.
 
-        A router that ignores the credit would fill this process's memory;
-        beyond the bound the body is broken and the call fails.
+        Bodies have no credit of their own, and holding up the link for one
+        slow server would hold up all its attempts. Beyond the bound the body
+        is broken and the call fails, lest it fill this process's memory.
         """
         if not self._open:
             return
@@ -65,7 +64,6 @@
                 data = self._pieces.popleft()
                 self._waiting -= len(data)
                 yield data
-                self.taken += 1
             if not self._open:
                 return
             self._changed.clear()
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
@@ -89,6 +89,11 @@
         if isinstance(terminal, message.Refused | message.Withdrawn):
             self.forget(attempt)
 
+    def drop(self, attempt_id: str) -> None:
+        """Forgets an ended attempt without a trace, to run it anew."""
+        self._live.pop(attempt_id, None)
+        self.stones.remove(attempt_id)
+
     def forget(self, attempt: state.Attempt) -> None:
         """Drops an ended attempt and leaves a tombstone."""
         self._live.pop(attempt.id, None)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tail.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tail.py
@@ -96,6 +96,11 @@
         self.limit = seq + credit
         return True
 
+    def restart(self, credit: int) -> None:
+        """Goes back to the first item kept; `credit` counts from item 0."""
+        self.sent = self.start
+        self.limit = credit
+
     def send(self, put: Callable[[message.Message], None]) -> None:
         """Sends what credit allows as chunks of bounded size."""
         stop = min(self.end, self.limit)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tombstone.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tombstone.py
@@ -70,6 +70,10 @@
             attempt, 'outcome_unknown', 'no longer remembered', 'unknown', False
         )
 
+    def remove(self, attempt: str) -> None:
+        """Forgets how an attempt ended."""
+        self._stones.pop(attempt, None)
+
     def expire(self) -> None:
         """Drops what is past its time."""
         now = self._clock()
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
@@ -7,6 +7,7 @@
 __all__ = [
     'AnswerLostError',
     'AnswerRejectedError',
+    'ExchangeError',
     'GenerationGoneError',
     'GenerationUnreachableError',
     'RequestMalformedError',
@@ -14,19 +15,25 @@
 ]
 
 
-class UpstreamConnectError(base.QuetzalsillError):
+class ExchangeError(base.QuetzalsillError):
+    """An exchange with the upstream gave no proper answer."""
+
+    code = 'exchange_failed'
+
+
+class UpstreamConnectError(ExchangeError):
     """No connection to the upstream could be opened; nothing was written."""
 
     code = 'upstream_connect'
 
 
-class AnswerLostError(base.QuetzalsillError):
+class AnswerLostError(ExchangeError):
     """The connection ended, fell silent or broke the protocol mid-exchange."""
 
     code = 'answer_lost'
 
 
-class AnswerRejectedError(base.QuetzalsillError):
+class AnswerRejectedError(ExchangeError):
     """The upstream answered with a status that is no success.
 
     Attributes:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from quetzalsill.config import holder
+    from quetzalsill.plugin import registry as registry_lib
     from quetzalsill_sidecar import leave, runner
     from quetzalsill_sidecar import settings as settings_lib
     from quetzalsill_sidecar.attempt import table
@@ -43,6 +44,7 @@
         queue: schedule.Schedule,
         runs: runner.Runner,
         leaving: leave.Leave,
+        registry: registry_lib.Registry,
         on_change: Callable[[], None],
     ) -> None:
         self._settings = settings
@@ -52,6 +54,7 @@
         self._queue = queue
         self._runs = runs
         self._leaving = leaving
+        self._registry = registry
         self._on_change = on_change
         self._waits: set[asyncio.Task[None]] = set()
 
@@ -120,26 +123,66 @@
             attempt = self._attempts.get(attempt_id)
             self._runs.start(attempt, self._demand(attempt))
 
+    def adopt(self, cfg: model.Configuration) -> None:
+        """Lets a new configuration apply to what waits and what runs."""
+        self._queue.reorder(
+            self._registry.get('fairness', cfg.policies.fairness)(),
+            self._registry.get('admission', cfg.policies.admission),
+            self._demand_of,
+        )
+        self._queue.headroom = cfg.policies.headroom
+        if self._leaving.draining:
+            self.refuse_waiting()
+        self._on_change()
+
+    def refuse_waiting(self) -> None:
+        """Gives back all that has not started; nothing new is taken."""
+        for attempt in self._attempts:
+            if not attempt.started and not attempt.dispatch.recover:
+                self.stop(attempt, 'upstream_leaving')
+
+    def _demand_of(self, attempt_id: str) -> policy.Demand | None:
+        attempt = self._attempts.get(attempt_id)
+        return self._demand(attempt) if attempt is not None else None
+
     def _answer_known(
         self, dispatch: message.Dispatch, link: object, put: Put
     ) -> bool:
+        """Answers for an attempt seen before; False if it is to be run."""
         attempt = self._attempts.get(dispatch.attempt)
-        if attempt is None:
-            stone = self._attempts.stones.find(dispatch.attempt)
-            if stone is not None:
-                put(stone)
-            return stone is not None
+        terminal = (
+            attempt.terminal
+            if attempt is not None
+            else self._attempts.stones.find(dispatch.attempt)
+        )
+        if dispatch.recover and _is_open(terminal):
+            # The engine could not be asked the last time; now it may.
+            self._attempts.drop(dispatch.attempt)
+            return False
+        if attempt is not None:
+            self._take_up(attempt, dispatch, link, put)
+        elif terminal is not None:
+            put(terminal)
+        return attempt is not None or terminal is not None
+
+    def _take_up(
+        self,
+        attempt: state.Attempt,
+        dispatch: message.Dispatch,
+        link: object,
+        put: Put,
+    ) -> None:
         fences = self._attempts.fences
-        if not fences.admit(dispatch.request, dispatch.fence):
-            # Not Refused: the attempt may have run for its new owner.
-            put(
-                message.Failed(
-                    attempt.id, 'superseded', 'fence is old', 'unknown', False
-                )
-            )
-        elif attempt.tail.rewind(attempt.tail.start, dispatch.credit):
+        if fences.admit(dispatch.request, dispatch.fence):
+            attempt.tail.restart(dispatch.credit)
             attempt.attach(link, put)
-        return True
+            return
+        # Not Refused: the attempt may have run for its new owner.
+        put(
+            message.Failed(
+                attempt.id, 'superseded', 'fence is old', 'unknown', False
+            )
+        )
 
     def _answer_lost(self, attempt_id: str) -> message.Message:
         stone = self._attempts.stones.find(attempt_id)
@@ -223,7 +266,7 @@
             body=body.RequestBody(
                 dispatch.payload,
                 is_open=dispatch.body_open,
-                max_bytes=bounds.call_bytes,
+                max_bytes=bounds.body_bytes,
             ),
             orphan_s=timing.durable_orphan_s if durable else timing.orphan_s,
         )
@@ -253,6 +296,15 @@
         return profiles.get(dispatch.profile) or model.Profile()
 
 
+def _is_open(terminal: message.Message | None) -> bool:
+    """Whether an attempt ended with nothing proved about its work."""
+    return (
+        isinstance(terminal, message.Failed)
+        and terminal.ran == 'unknown'
+        and not terminal.gone
+    )
+
+
 def _not_kept(attempt: state.Attempt) -> message.Message:
     return message.Failed(
         attempt.id, 'outcome_unknown', 'items no longer kept', 'yes', False
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
@@ -69,6 +69,7 @@
             leaving=bool(sidecar.leaving.refusal()),
             healthy=self.healthy,
             revision=sidecar.configuration.revision,
+            engine=self.report.incarnation,
         )
 
     async def run(self) -> None:
@@ -88,11 +89,7 @@
         while True:
             try:
                 self._take(await self._sidecar.runs.engine.report())
-            except (
-                error.UpstreamConnectError,
-                error.AnswerLostError,
-                error.AnswerRejectedError,
-            ) as exc:
+            except error.ExchangeError as exc:
                 self._set_healthy(False, exc.detail)
             await asyncio.sleep(interval_s)
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
@@ -64,12 +64,27 @@
         own = sum(o.held_tokens for o in self._running.values())
         return own + self.foreign_tokens
 
-    def set_policies(self, order: policy.Order, admit: policy.Admit) -> None:
-        """Replaces the policies; what waits is ordered anew."""
-        for demand in self._waiting.values():
-            order.push(demand)
+    def reorder(
+        self,
+        order: policy.Order,
+        admit: policy.Admit,
+        demand_of: Callable[[str], policy.Demand | None],
+    ) -> None:
+        """Replaces the policies and what each attempt asks.
+
+        Args:
+          order: Empty order; takes over what waits.
+          admit: Admission policy.
+          demand_of: Gives the demand of an attempt under the configuration
+            in force; None if that is no longer known.
+        """
         self._order = order
         self._admit = admit
+        for attempt, demand in self._waiting.items():
+            self._waiting[attempt] = demand_of(attempt) or demand
+            order.push(self._waiting[attempt])
+        for attempt, occupant in self._running.items():
+            occupant.demand = demand_of(attempt) or occupant.demand
 
     def push(self, demand: policy.Demand) -> None:
         """Queues a demand."""
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
 from quetzalsill.telemetry import log, trace
 from quetzalsill.wire import message
 from quetzalsill_sidecar import error
@@ -138,13 +139,15 @@
         return generation.Generation(self.engine, attempt.id, bounds, deliver)
 
     def _stopped(self, attempt: state.Attempt, code: str) -> message.Message:
-        if not attempt.started and not attempt.dispatch.recover:
-            return message.Refused(attempt.id, code, code, 0)
-        return outcome.failed(attempt.id, code, code)
+        if attempt.started:
+            return outcome.failed(attempt.id, code, code, _ran(attempt))
+        if attempt.dispatch.recover:
+            return outcome.failed(attempt.id, code, code, base.Ran.UNKNOWN)
+        return message.Refused(attempt.id, code, code, 0)
 
     def _end(self, attempt: state.Attempt, terminal: message.Message) -> None:
         self._attempts.end(attempt, terminal)
-        if self._may_still_run(attempt, terminal):
+        if _may_still_run(attempt, terminal):
             self._canceller.cancel(
                 attempt.id, lambda: self._release(attempt, whole=False)
             )
@@ -152,21 +155,32 @@
             whole = isinstance(terminal, message.Finished)
             self._release(attempt, whole=whole)
 
-    def _may_still_run(
-        self, attempt: state.Attempt, terminal: message.Message
-    ) -> bool:
-        return (
-            attempt.dispatch.kind != 'call'
-            and isinstance(terminal, message.Failed)
-            and terminal.ran != 'no'
-            and not terminal.gone
-        )
-
     def _release(self, attempt: state.Attempt, *, whole: bool) -> None:
         self._queue.release(attempt.id, whole=whole)
         self._on_change()
 
 
+def _ran(attempt: state.Attempt) -> base.Ran:
+    """Whether a started attempt ran: of a call only its answer proves it."""
+    unanswered = attempt.dispatch.kind == 'call' and attempt.head is None
+    return base.Ran.UNKNOWN if unanswered else base.Ran.YES
+
+
+def _may_still_run(attempt: state.Attempt, terminal: message.Message) -> bool:
+    """Whether the engine must be told that the answer is not wanted.
+
+    A recovery that could not reach the engine may be tried again, and the
+    work that it is after must live on until then.
+    """
+    if attempt.dispatch.kind == 'call' or not isinstance(
+        terminal, message.Failed
+    ):
+        return False
+    if terminal.code == 'outcome_unknown':
+        return False
+    return terminal.ran != 'no' and not terminal.gone
+
+
 def _not_written(
     attempt: state.Attempt,
     exc: error.UpstreamConnectError | error.RequestMalformedError,
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
@@ -133,12 +133,20 @@
         maximum=1_073_741_824,
     )
     call_bytes: int = key(
-        'Unacknowledged answer, and unwritten body, kept of one call.',
+        'Unacknowledged answer kept of one call before its reading is held up.',
         1_048_576,
         unit='bytes',
         minimum=65536,
         maximum=1_073_741_824,
     )
+    body_bytes: int = key(
+        'Body of one call kept while the upstream takes it slowly; the call '
+        'fails beyond it.',
+        16_777_216,
+        unit='bytes',
+        minimum=65536,
+        maximum=1_073_741_824,
+    )
     tombstones: int = key(
         'Ended attempts remembered.', 100_000, minimum=100, maximum=10_000_000
     )
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from quetzalsill.config import model
     from quetzalsill.plugin import registry as registry_lib
     from quetzalsill.wire import link as link_lib
     from quetzalsill_sidecar import settings as settings_lib
@@ -68,7 +67,6 @@
         self.configuration = holder.Holder()
         self.attempts = table.Attempts(settings.bounds.tombstones, clock)
         self._settings = settings
-        self._registry = registry
         self._sessions: set[session.Session] = set()
         policies = self.configuration.current.policies
         self.queue = schedule.Schedule(
@@ -91,6 +89,7 @@
             self.queue,
             self.runs,
             self.leaving,
+            registry,
             self._changed,
         )
         self.load = load.LoadReporter(self)
@@ -105,7 +104,7 @@
             net_tls.server_context(settings.tls),
             revision=lambda: self.configuration.revision,
         )
-        self.configuration.on_change(self._on_configuration)
+        self.configuration.on_change(self.intake.adopt)
 
     @property
     def port(self) -> int:
@@ -212,30 +211,15 @@
             self._sessions.discard(one)
             logger.info('router_unlinked', router=link.peer.node)
 
-    def _on_configuration(self, cfg: model.Configuration) -> None:
-        self.queue.set_policies(
-            self._registry.get('fairness', cfg.policies.fairness)(),
-            self._registry.get('admission', cfg.policies.admission),
-        )
-        self.queue.headroom = cfg.policies.headroom
-        if self.leaving.draining:
-            self._refuse_waiting()
-        self._changed()
-
     def _say_leaving(self, reason: str) -> None:
         self.send_to_all(self._leaving_message(reason))
         self.send_to_all(message.GoAway(reason))
-        self._refuse_waiting()
+        self.intake.refuse_waiting()
         self._changed()
 
     def _leaving_message(self, reason: str) -> message.Leaving:
         return message.Leaving(self._settings.upstream.name, reason)
 
-    def _refuse_waiting(self) -> None:
-        for attempt in self.attempts:
-            if not attempt.started and not attempt.dispatch.recover:
-                self.intake.stop(attempt, 'upstream_leaving')
-
     def _changed(self) -> None:
         """Lets the queue move once this loop tick is over."""
         self.load.note_change()
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
@@ -68,9 +68,6 @@
     await conn.write(head)
     async for data in attempt.body.pieces():
         await conn.write_body(data)
-        if attempt.put is not None and attempt.body.is_open:
-            taken = attempt.body.taken + 1
-            attempt.put(message.Credit(attempt.id, taken, 1))
     if attempt.body.broken:
         conn.close()
         return
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/canceller.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/canceller.py
@@ -55,11 +55,7 @@
         while loop.time() < limit:
             try:
                 found = await self._engine.cancel(attempt)
-            except (
-                error.UpstreamConnectError,
-                error.AnswerLostError,
-                error.AnswerRejectedError,
-            ):
+            except error.ExchangeError:
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, MAX_PAUSE_S)
             else:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
@@ -73,23 +73,46 @@
 ) -> message.Message:
     """Attaches to a generation that an earlier sidecar started.
 
-    An engine that does not know it is first told never to start it: its
-    request may still be on the way, and "not run" would become untrue.
-
     Returns:
-      The terminal message; `Refused` once the start is forbidden.
+      The terminal message; `Refused` once it is proved that it did not run.
     """
     try:
         await progress.resume()
     except error.GenerationGoneError as exc:
-        return await _forbid(attempt, engine, exc)
+        return await _settle_lost(attempt, engine, exc.detail)
     except error.GenerationUnreachableError as exc:
-        return outcome.failed(
-            attempt.id, 'outcome_unknown', exc.detail, base.Ran.UNKNOWN
-        )
+        return _unknown(attempt, exc.detail)
     return message.Finished(attempt.id, attempt.tail.end)
 
 
+async def _settle_lost(
+    attempt: state.Attempt, engine: engine_lib.Engine, detail: str
+) -> message.Message:
+    """Terminal of a recovery for which the engine has no generation.
+
+    The engine is first told never to start it: the request of the earlier
+    sidecar may still be on the way, and "not run" would become untrue. An
+    engine that has restarted since the Dispatch was made may have run it
+    before, and knows nothing of that.
+    """
+    found = await _settle(attempt.id, engine)
+    if not found:
+        return _unknown(attempt, detail)
+    if found != FORBIDDEN or attempt.started:
+        return outcome.failed(attempt.id, 'upstream_failed', detail, gone=True)
+    if await _incarnation(engine) != attempt.dispatch.engine:
+        return _unknown(attempt, 'the engine was restarted', gone=True)
+    return message.Refused(attempt.id, 'not_found', detail, 0)
+
+
+def _unknown(
+    attempt: state.Attempt, detail: str, *, gone: bool = False
+) -> message.Failed:
+    return outcome.failed(
+        attempt.id, 'outcome_unknown', detail, base.Ran.UNKNOWN, gone=gone
+    )
+
+
 async def _read_first(
     conn: http.Connection,
     kind: str,
@@ -105,30 +128,18 @@
     return True
 
 
-async def _forbid(
-    attempt: state.Attempt,
-    engine: engine_lib.Engine,
-    exc: error.GenerationGoneError,
-) -> message.Message:
-    found = await _settle(attempt.id, engine)
-    if found == FORBIDDEN and not attempt.started:
-        return message.Refused(attempt.id, 'not_found', exc.detail, 0)
-    if found:
-        return outcome.failed(
-            attempt.id, 'upstream_failed', exc.detail, gone=True
-        )
-    return outcome.failed(
-        attempt.id, 'outcome_unknown', exc.detail, base.Ran.UNKNOWN
-    )
-
-
 async def _settle(attempt: str, engine: engine_lib.Engine) -> str:
     """Cancels or forbids the generation; empty if that stays unsettled."""
     try:
         return await engine.cancel(attempt)
-    except (
-        error.UpstreamConnectError,
-        error.AnswerLostError,
-        error.AnswerRejectedError,
-    ):
+    except error.ExchangeError:
         return ''
+
+
+async def _incarnation(engine: engine_lib.Engine) -> int:
+    """Incarnation of the engine; -1 if it can't be learnt."""
+    try:
+        report = await engine.report()
+    except error.ExchangeError:
+        return -1
+    return report.incarnation
--- /dev/null
+++ b/tests/quetzalsill_sidecar/attempt/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the state of attempts."""
--- /dev/null
+++ b/tests/quetzalsill_sidecar/queue/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of queue order, admission and lengths."""
--- a/tests/quetzalsill_sidecar/support.py
+++ b/tests/quetzalsill_sidecar/support.py
@@ -16,12 +16,14 @@
 from quetzalsill.plugin import registry as registry_lib
 from quetzalsill.settings import section
 from quetzalsill.wire import dial, message
+from quetzalsill_dev import relay as relay_lib
 from quetzalsill_dev.engine_standin import app as engine_app
 from quetzalsill_dev.engine_standin import engine as engine_lib
 from quetzalsill_dev.engine_standin import model as model_lib
 from quetzalsill_sidecar import plugin
 from quetzalsill_sidecar import settings as settings_lib
 from quetzalsill_sidecar import sidecar as sidecar_lib
+from quetzalsill_sidecar.upstream import http as upstream_http
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,6 +41,9 @@
     """A registry that holds the sidecar's plug-ins alone."""
     made = registry_lib.Registry()
     plugin.register(made)
+    made.add(
+        'admission', 'one', lambda view, _: not view.running, 'One at a time.'
+    )
     return made
 
 
@@ -78,11 +83,17 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_app(app: object, port: int = 0) -> AsyncIterator[str]:
+async def serve_app(
+    app: object, port: int = 0, http: object = 'auto'
+) -> AsyncIterator[str]:
     """Serves an ASGI application; gives its URL."""
     listener = socket.create_server(('127.0.0.1', port))
     cfg = uvicorn.Config(
-        app, loop='none', log_level='error', timeout_graceful_shutdown=0
+        app,
+        http=http,
+        loop='none',
+        log_level='critical',
+        timeout_graceful_shutdown=0,
     )
     server = uvicorn.Server(cfg)
     server.capture_signals = contextlib.nullcontext
@@ -95,12 +106,12 @@
 
 
 @contextlib.asynccontextmanager
-async def engine(**options: object):
+async def engine(port: int = 0, **options: object):
     """Serves an engine stand-in; gives it and its URL."""
     made = engine_lib.Engine(
         engine_lib.EngineOptions(models=[MODEL], **options)
     )
-    async with serve_app(engine_app.make_app(made)) as url:
+    async with serve_app(engine_app.make_app(made), port) as url:
         yield made, url
 
 
@@ -176,7 +187,7 @@
 
     def dispatch(self, **changes: object) -> str:
         """Sends a Dispatch; gives its attempt id."""
-        sent = make_dispatch(self.incarnation, **changes)
+        sent = make_dispatch(**({'incarnation': self.incarnation} | changes))
         self.send(sent)
         return sent.attempt
 
@@ -256,6 +267,29 @@
     }
 
 
-def fast() -> model_lib.Costs:
-    """Costs of an engine that makes a token in about a millisecond."""
-    return model_lib.Costs(base_s=0.001)
+def costs(token_s: float) -> model_lib.Costs:
+    """Costs of an engine that makes a token in about that time."""
+    return model_lib.Costs(base_s=token_s)
+
+
+def upstream(**changes: object) -> model.Upstream:
+    """The upstream of these tests as the configuration has it."""
+    spec = {
+        'kind': 'model',
+        'sidecar': '127.0.0.1:1',
+        'availability_zone': 'ikeja-hall',
+    }
+    return model.Upstream(**(spec | changes))
+
+
+async def start_relay(url: str) -> relay_lib.Relay:
+    """A relay to a URL; the caller stops it."""
+    origin = upstream_http.Origin.parse(url)
+    made = relay_lib.Relay(origin.host, origin.port)
+    await made.start()
+    return made
+
+
+def url_of(relay: relay_lib.Relay) -> str:
+    """URL at which a relay listens."""
+    return f'http://127.0.0.1:{relay.port}'
--- /dev/null
+++ b/tests/quetzalsill_sidecar/test_calls.py
@@ -0,0 +1,131 @@
+"""Calls of an app server: bodies stream, and nothing is sent twice."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from quetzalsill.wire import message
+from quetzalsill_dev import service_standin
+from tests.quetzalsill_sidecar import support
+
+MEBIBYTE = 1 << 20
+
+
+def call(**changes: object) -> dict[str, object]:
+    """Changes that make a Dispatch a call."""
+    made = {'kind': 'call', 'path': '/echo', 'payload': b''}
+    return made | changes
+
+
+def body(messages: list[message.Message]) -> bytes:
+    """The answer's body."""
+    chunks = [msg for msg in messages if isinstance(msg, message.Chunk)]
+    return b''.join(item for chunk in chunks for item in chunk.items)
+
+
+def names(headers: list[list[str]]) -> set[str]:
+    return {name.lower() for name, _ in headers}
+
+
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    """A plain service beside the sidecar."""
+
+    async def asyncSetUp(self):
+        self.service = service_standin.Service()
+        url = await self.enterAsyncContext(
+            support.serve_app(
+                service_standin.make_app(self.service),
+                http=service_standin._Protocol,
+            )
+        )
+        self.sidecar = await self.enterAsyncContext(
+            support.sidecar(url, kind='app')
+        )
+        self.router = await self.enterAsyncContext(
+            support.router(self.sidecar.port)
+        )
+
+    async def test_bodies_stream_both_ways(self):
+        attempt = self.router.dispatch(**call(payload=b'a', body_open=True))
+        for piece in (b'b' * 70_000, b'c'):
+            self.router.send(message.Body(attempt, piece, False))
+        self.router.send(message.Body(attempt, b'', True))
+        messages = await self.router.receive_all(attempt)
+        self.assertEqual(body(messages), b'a' + b'b' * 70_000 + b'c')
+        self.assertIsInstance(messages[-1], message.Finished)
+
+    async def test_hop_by_hop_headers_end_here(self):
+        headers = [
+            ['Connection', 'close, X-Hop'],
+            ['X-Hop', '1'],
+            ['Upgrade', 'h2c'],
+            ['Host', 'ordering.board.example'],
+            ['X-Kept', 'yes'],
+        ]
+        attempt = self.router.dispatch(**call(method='GET', headers=headers))
+        messages = await self.router.receive_all(attempt)
+        seen = {
+            name.lower() for name, _ in json.loads(body(messages))['headers']
+        }
+        self.assertIn('x-kept', seen)
+        self.assertFalse(seen & {'x-hop', 'upgrade'})
+        head = next(m for m in messages if isinstance(m, message.Head))
+        self.assertNotIn(
+            'connection', {name.lower() for name, _ in head.headers}
+        )
+
+    async def test_order_without_an_answer_is_unknown_and_sent_once(self):
+        """A shop gets the same order twice.
+
+        The service takes the order and closes the connection before it
+        answers; a client that resends by itself doubles the order.
+        """
+        self.service.close_orders = 1
+        order = json.dumps({'id': 'truck-7'}).encode()
+        attempt = self.router.dispatch(
+            **call(path='/orders', payload=order, idempotent=False)
+        )
+        messages = await self.router.receive_all(attempt)
+        failed = messages[-1]
+        self.assertEqual(
+            (failed.code, failed.ran, failed.gone),
+            ('outcome_unknown', 'unknown', False),
+        )
+        self.assertEqual(self.service.orders['truck-7'], 1)
+
+    async def test_slow_reader_holds_up_the_service_not_the_memory(self):
+        """One merchant on a bad line takes the sidecar's memory.
+
+        A large proof is fetched, and nobody reads it.
+        """
+        size = 64 * MEBIBYTE
+        attempt = self.router.dispatch(
+            **call(method='GET', path=f'/large?bytes={size}', credit=2)
+        )
+        received = 0
+        while not received:
+            received += len(body([await self.router.receive(attempt)]))
+        small = self.router.dispatch(**call(method='GET'))
+        await self.router.receive_all(small)
+        kept = self.sidecar.attempts.get(attempt).tail
+        self.assertLess(kept.end * 65536, 4 * MEBIBYTE)
+        self.router.send(message.Credit(attempt, 0, 1_000_000))
+        while received < size:
+            msg = await self.router.receive(attempt)
+            received += len(body([msg]))
+            seen = getattr(msg, 'seq', 0) + 1
+            self.router.send(message.Credit(attempt, seen, 0))
+        self.assertEqual(received, size)
+
+    async def test_header_that_cannot_be_sent_is_not_run(self):
+        headers = [['X-Bad', 'a\r\nX-Injected: 1']]
+        messages = await self.router.receive_all(
+            self.router.dispatch(**call(headers=headers))
+        )
+        self.assertEqual([type(m) for m in messages], [message.Refused])
+        self.assertEqual(messages[0].code, 'bad_request')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_sidecar/test_engine_faults.py
@@ -0,0 +1,123 @@
+"""The engine, or the connection to it, fails in mid-answer."""
+
+from __future__ import annotations
+
+import unittest
+
+from quetzalsill.wire import message
+from quetzalsill_sidecar.upstream import http
+from tests.quetzalsill_sidecar import support
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A relay stands between sidecar and engine."""
+
+    async def asyncSetUp(self):
+        self.engine, url = await self.enterAsyncContext(
+            support.engine(costs=support.costs(0.005))
+        )
+        self.relay = await support.start_relay(url)
+        self.addAsyncCleanup(self.relay.stop)
+        self.sidecar = await self.enterAsyncContext(
+            support.sidecar(
+                support.url_of(self.relay), stall_s=0.4, resume_s=0.6
+            )
+        )
+        self.router = await self.enterAsyncContext(
+            support.router(self.sidecar.port)
+        )
+
+    async def begun(self, **changes) -> tuple[str, list[int]]:
+        """Dispatches; gives the attempt and the first indexes received."""
+        attempt = self.router.dispatch(**changes)
+        received: list[int] = []
+        while not received:
+            received += support.indexes([await self.router.receive(attempt)])
+        return attempt, received
+
+    async def assert_goes_on(self, attempt, received, tokens):
+        messages = await self.router.receive_all(attempt)
+        received += support.indexes(messages)
+        self.assertEqual(received, list(range(tokens)))
+        self.assertIsInstance(messages[-1], message.Finished)
+        self.assertEqual(len(self.engine.audit()['runs']), 1)
+
+    async def test_cut_connection_is_resumed(self):
+        """A plan breaks off though its engine goes on making it.
+
+        The connection between sidecar and engine is reset in mid-answer,
+        and once more after the answer was resumed.
+        """
+        attempt, received = await self.begun(tokens=150)
+        for _ in range(2):
+            self.relay.cut()
+            goal = len(received) + 20
+            while len(received) < goal:
+                msg = await self.router.receive(attempt)
+                received += support.indexes([msg])
+        await self.assert_goes_on(attempt, received, 150)
+
+    async def test_silent_connection_is_replaced(self):
+        """An answer hangs for ever while others stream.
+
+        Something between the ends loses track of the connection: it stays
+        open, nothing arrives any more, and new connections work.
+        """
+        attempt, received = await self.begun(tokens=100)
+        self.relay.silence()
+        await self.assert_goes_on(attempt, received, 100)
+
+    async def test_request_lost_on_its_way_is_proved_gone(self):
+        """A plan is called lost, is begun elsewhere, and runs here too.
+
+        The request is written to a connection that has gone silent; it may
+        still arrive after the engine said that it knows nothing of it.
+        """
+        self.relay.up.silent = True
+        attempt = self.router.dispatch()
+        self.assertIsInstance(
+            await self.router.receive(attempt), message.Started
+        )
+        self.relay.up.silent = False
+        messages = await self.router.receive_all(attempt)
+        self.assertEqual(messages[-1].code, 'upstream_failed')
+        self.assertTrue(messages[-1].gone)
+        self.assertEqual(self.engine.cancel(attempt), 'forbidden')
+
+    async def test_engine_out_of_reach_is_given_up_and_cancelled_later(self):
+        """A clerk waits until the deadline for an engine that is gone."""
+        attempt, _ = await self.begun(tokens=3000)
+        self.relay.refusing = True
+        self.relay.cut()
+        messages = await self.router.receive_all(attempt)
+        self.assertEqual(messages[-1].code, 'upstream_failed')
+        self.assertFalse(messages[-1].gone)
+        self.relay.refusing = False
+        while self.sidecar.queue.running:
+            await self.router.receive_other(message.Load)
+        self.assertTrue(self.engine.audit()['runs'][0]['cancelled'])
+
+
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """The engine process is replaced by a new one at the same address."""
+
+    async def test_generation_of_a_dead_engine_is_gone(self):
+        """A plan ends in the tokens of another generation.
+
+        The engine dies in mid-answer and comes back at its address.
+        """
+        async with support.engine(costs=support.costs(0.005)) as (_, url):
+            port = http.Origin.parse(url).port
+            sidecar = await self.enterAsyncContext(support.sidecar(url))
+            router = await self.enterAsyncContext(support.router(sidecar.port))
+            attempt = router.dispatch(tokens=3000)
+            while not support.indexes([await router.receive(attempt)]):
+                pass
+        async with support.engine(port=port):
+            messages = await router.receive_all(attempt)
+        self.assertEqual(messages[-1].code, 'upstream_failed')
+        self.assertTrue(messages[-1].gone)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill_sidecar/test_path.py
+++ b/tests/quetzalsill_sidecar/test_path.py
@@ -13,7 +13,7 @@
 
     async def test_answer_streams_whole_and_in_order(self):
         async with (
-            support.engine(costs=support.fast()) as (engine, url),
+            support.engine(costs=support.costs(0.001)) as (engine, url),
             support.sidecar(url) as sidecar,
             support.router(sidecar.port) as router,
         ):
--- /dev/null
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -0,0 +1,115 @@
+"""A new sidecar takes up what the engine still runs."""
+
+from __future__ import annotations
+
+import unittest
+
+from quetzalsill.wire import message
+from tests.quetzalsill_sidecar import support
+
+
+class RecoverTest(unittest.IsolatedAsyncioTestCase):
+    """The sidecar process dies; its engine may live on."""
+
+    async def asyncSetUp(self):
+        self.engine, self.url = await self.enterAsyncContext(
+            support.engine(costs=support.costs(0.005))
+        )
+
+    async def started_then_lost(self) -> str:
+        """Gives an attempt that the engine runs and whose sidecar is gone."""
+        async with (
+            support.sidecar(self.url) as sidecar,
+            support.router(sidecar.port) as router,
+        ):
+            attempt = router.dispatch(tokens=80)
+            while not support.indexes([await router.receive(attempt)]):
+                pass
+        return attempt
+
+    async def recover(self, attempt: str, url: str, **changes):
+        """Dispatches a recovery to a new sidecar; gives the answer."""
+        changes = {'engine': self.engine.incarnation, **changes}
+        async with (
+            support.sidecar(url) as sidecar,
+            support.router(sidecar.port) as router,
+        ):
+            router.dispatch(attempt=attempt, recover=True, **changes)
+            return await router.receive_all(attempt)
+
+    async def test_running_generation_is_attached_to(self):
+        """A day's plan is lost, or begun a second time.
+
+        The sidecar is killed in mid-answer and restarted; the router asks
+        the new one for the same attempt.
+        """
+        attempt = await self.started_then_lost()
+        messages = await self.recover(attempt, self.url)
+        self.assertEqual(support.indexes(messages), list(range(80)))
+        self.assertEqual(len(support.generations(messages)), 1)
+        self.assertIsInstance(messages[-1], message.Finished)
+        self.assertEqual(len(self.engine.audit()['runs']), 1)
+
+    async def test_work_that_never_arrived_is_forbidden_and_not_run(self):
+        """A brief called "not run" is billed after all.
+
+        The old sidecar died with the request still in its socket; the new
+        one finds nothing, says "not run", and the request arrives then.
+        """
+        attempt = 'entry-1/7/lost-1'
+        messages = await self.recover(attempt, self.url)
+        self.assertIsInstance(messages[-1], message.Refused)
+        self.assertEqual(self.engine.cancel(attempt), 'forbidden')
+
+    async def test_restarted_engine_proves_nothing(self):
+        """A brief that ran on an engine that died is called "not run"."""
+        messages = await self.recover('entry-1/7/lost-2', self.url, engine=1)
+        self.assertIsInstance(messages[-1], message.Failed)
+        self.assertEqual(messages[-1].ran, 'unknown')
+
+    async def test_recovery_is_tried_anew_once_the_engine_is_back(self):
+        """A plan is given up though its engine made it to the end.
+
+        The engine can't be reached at the first recovery; the router asks
+        again, and must not be given the old answer.
+        """
+        attempt = await self.started_then_lost()
+        relay = await support.start_relay(self.url)
+        self.addAsyncCleanup(relay.stop)
+        relay.refusing = True
+        async with (
+            support.sidecar(support.url_of(relay), resume_s=0.3) as sidecar,
+            support.router(sidecar.port) as router,
+        ):
+            sent = {'attempt': attempt, 'recover': True}
+            router.dispatch(**sent)
+            first = await router.receive_all(attempt)
+            self.assertEqual(first[-1].ran, 'unknown')
+            relay.refusing = False
+            router.dispatch(**sent)
+            messages = await router.receive_all(attempt)
+        self.assertEqual(support.indexes(messages), list(range(80)))
+
+    async def test_other_router_takes_up_a_durable_answer_from_its_start(self):
+        """A clerk gets the second half of a plan.
+
+        The router that owned the request dies after it has acknowledged
+        some items; another takes over under a higher fence.
+        """
+        async with support.sidecar(self.url) as sidecar:
+            changes = {'profile': 'patient', 'request': 'plan'}
+            async with support.router(sidecar.port) as first:
+                attempt = first.dispatch(tokens=60, fence=1, **changes)
+                while not support.indexes([await first.receive(attempt)]):
+                    pass
+                first.send(message.Credit(attempt, 1, 1))
+            async with support.router(sidecar.port) as second:
+                second.dispatch(
+                    attempt=attempt, recover=True, fence=2, **changes
+                )
+                messages = await second.receive_all(attempt)
+        self.assertEqual(support.indexes(messages), list(range(60)))
+
+
+if __name__ == '__main__':
+    unittest.main()
