Run the router process

Cause: the role was not registered; its parts stood apart. The listener opens before the configuration is had, so that the first one can be applied through it; /readyz says no until then.

Request bodies over 1 MiB fail still: the sidecar sends Credit for them, which the peer takes for a breach of the protocol.

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/relay.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/relay.py
@@ -33,7 +33,13 @@
     'x-request-id',
     'x-quetzalsill-profile',
 }
-NOT_TO_CALLER = HOP_BY_HOP | {'content-length', 'content-type', 'x-request-id'}
+NOT_TO_CALLER = HOP_BY_HOP | {
+    'content-length',
+    'content-type',
+    'date',
+    'server',
+    'x-request-id',
+}
 NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}")
 UNSAFE_VALUE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+# Needed at run time: blacksheep reads the annotations of handlers.
+import blacksheep  # noqa: TC002
+
 from quetzalsill.error import request as request_error
 from quetzalsill_router.http import auth, stored
 from quetzalsill_router.request import ident
@@ -11,8 +14,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    import blacksheep
-
     from quetzalsill_router import context
 
     Handler = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/stored.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/stored.py
@@ -3,22 +3,18 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
 
 import blacksheep
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
+from quetzalsill_router.durable import answer as durable_answer
 from quetzalsill_router.http import answer, error, relay
 from quetzalsill_router.request import record
 
-if TYPE_CHECKING:
-    from quetzalsill_router.durable import answer as durable_answer
-
 __all__ = ['conflict', 'failure', 'pending', 'render']
 
 JSON_TYPE = b'application/json'
-DONE = 'done'
 PENDING_RETRY_S = 1
 
 
@@ -32,7 +28,7 @@
       stored: Its settled outcome.
       as_events: A generation is wanted as server-sent events.
     """
-    if stored.code != DONE:
+    if stored.code != durable_answer.DONE:
         return error.response(failure(stored), request)
     kind = _header(stored, record.KIND)
     if not kind:
--- a/packages/quetzalsill-router/src/quetzalsill_router/plugin.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/plugin.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from quetzalsill.plugin import role
+from quetzalsill_router import run, settings
 from quetzalsill_router.limit import shares
 from quetzalsill_router.routing import baseline, expected_wait
 
@@ -15,6 +17,12 @@
 
 def register(registry: registry.Registry) -> None:
     """Adds everything that this package brings."""
+    registry.add(
+        'role',
+        'router',
+        role.Role('router', settings.RouterSettings, run.run),
+        'Takes the requests of callers on an entry host.',
+    )
     registry.add(
         'routing',
         'expected-wait',
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/record.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/record.py
@@ -64,10 +64,7 @@
     error: request_error.RequestError,
 ) -> None:
     """Stores the failure that ends a journalled request."""
-    answer = durable_answer.Answer(
-        code=error.code, detail=error.detail, ran=error.ran, status=0
-    )
-    await settle(ctx, active, answer)
+    await settle(ctx, active, durable_answer.failure(error))
 
 
 async def settle(
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
@@ -61,10 +61,18 @@
 
 async def _run(ctx: context.Context, active: active_module.Active) -> None:
     """Serves the request, tells its end, and stores a failure."""
+    work = active.work
     try:
-        error = await _serve(ctx, active)
-        if error is not None and active.work.entry is not None:
-            await _settle_failure(ctx, active, error)
+        with trace.span(
+            'router.request',
+            parent=work.trace,
+            request=work.request,
+            account=work.account,
+        ):
+            work.trace = trace.traceparent()
+            error = await _serve(ctx, active)
+            if error is not None and work.entry is not None:
+                await _settle_failure(ctx, active, error)
     finally:
         ctx.active.remove(active)
 
@@ -79,14 +87,7 @@
     """
     error: request_error.RequestError | None = None
     try:
-        with trace.span(
-            'router.request',
-            parent=active.work.trace,
-            request=active.work.request,
-            account=active.work.account,
-        ):
-            active.work.trace = trace.traceparent()
-            await _deliver(ctx, active)
+        await _deliver(ctx, active)
     except request_error.RequestError as exc:
         error = exc
     except asyncio.CancelledError:
@@ -147,7 +148,10 @@
     work = active.work
     open_outcome = error.ran is base.Ran.UNKNOWN and active.cancelled is None
     if open_outcome and work.entry.run is not None and not work.recover_only:
-        start_unattended(ctx, _recovering(ctx, work))
+        later = active_module.Active(_recovering(ctx, work), task=active.task)
+        later.delivery.leave()
+        ctx.active.add(later)
+        await _run(ctx, later)
         return
     await record.failure(ctx, active, error)
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -18,6 +18,7 @@
 from quetzalsill.platform import error as platform_error
 from quetzalsill.plugin import error as plugin_error
 from quetzalsill.plugin import registry
+from quetzalsill.schema import error as schema_error
 from quetzalsill.telemetry import log
 from quetzalsill_router import context, membership
 from quetzalsill_router.admin import context as admin_context
@@ -42,17 +43,19 @@
 RESTART_S = 1.0
 CONFIG_RETRY_S = 0.5
 LAST_WORD_S = 5.0
+UNREADABLE = (
+    platform_error.PlatformError,
+    config_store.ConfigStoreError,
+    schema_error.InvalidDocumentError,
+)
 
 logger = log.get(__name__)
 
 
 async def run(settings: settings_module.RouterSettings) -> None:
     """Runs a router until SIGTERM or SIGINT; returns after a graceful stop."""
-    platform = settings.platform
     with net_stop.StopSignal() as stop:
-        async with clients.open_clients(
-            platform.table, platform.objects, platform.hosts, platform.timeout_s
-        ) as opened:
+        async with clients.open_clients(settings.platform) as opened:
             await _serve(settings, opened, stop)
 
 
@@ -80,7 +83,7 @@
     async with _background(ctx, state, platform, incarnation):
         await stop.wait()
         await _drain(ctx, listener)
-    await state.stop()
+    await state.stop(settings.platform.timeout_s)
     await ctx.peers.stop()
     logger.info('router_stopped')
 
@@ -99,7 +102,6 @@
         address='',
         availability_zone=settings.node.availability_zone,
         revision=0,
-        ttl_s=settings.durable.heartbeat_s * settings.durable.ttl_heartbeats,
     )
     state = durable_state.DurableState(
         platform.table,
@@ -122,7 +124,7 @@
     ctx = context.Context(
         settings=settings,
         holder=holder,
-        store=config_store.ConfigStore(platform.table),
+        store=config_store.ConfigStore(platform.table, platform.objects),
         peers=peers,
         journal=state.journal,
         claims=state.claims,
@@ -149,7 +151,7 @@
       UnknownPluginError: There is no such policy.
     """
     make = registry.REGISTRY.get('limits', name)
-    return make(lambda: len(state.registration.live_routers()))
+    return make(state.registration.count)
 
 
 def _reconfigure(
@@ -233,7 +235,7 @@
 
     state.start()
     tasks = [
-        asyncio.create_task(_load_configuration(ctx, incarnation)),
+        asyncio.create_task(_load_configuration(ctx, follower, incarnation)),
         asyncio.create_task(_keep_running('follower', follower.run)),
         asyncio.create_task(_keep_running('hosts', hosts)),
     ]
@@ -259,25 +261,23 @@
         await asyncio.sleep(RESTART_S)
 
 
-async def _load_configuration(ctx: context.Context, incarnation: int) -> None:
+async def _load_configuration(
+    ctx: context.Context, follower: config_follower.Follower, incarnation: int
+) -> None:
     """Gets the first configuration, then lets the balancer send callers."""
     tls = net_tls.client_context(ctx.settings.link_tls)
     while ctx.holder.revision == 0:
         try:
-            head = await ctx.store.head()
-            if head.revision > 0:
-                document = await ctx.store.load(head.revision)
-                ctx.holder.install(document, head.revision)
-                break
-        except platform_error.PlatformError as exc:
-            logger.warning('configuration_store_down', detail=exc.detail)
+            await follower.refresh()
+        except UNREADABLE as exc:
+            logger.warning('configuration_not_loaded', detail=str(exc))
             reply = await membership.newest_of_seeds(
                 ctx.settings, incarnation, tls
             )
             if reply is not None:
                 ctx.holder.install(reply.document, reply.revision)
-                break
-        await asyncio.sleep(CONFIG_RETRY_S)
+        if ctx.holder.revision == 0:
+            await asyncio.sleep(CONFIG_RETRY_S)
     ctx.ready = True
 
 
