Run the operators' command line in the demo

Cause: the demo's edit has to go the way that an operator goes, and its exit status already says whether the edit is in force everywhere.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -17,6 +17,7 @@
 from quetzalsill.config import document, model
 from quetzalsill.config import store as config_store
 from quetzalsill.platform import clients
+from quetzalsill.settings import section
 from quetzalsill_dev import board, caller, launch, layout, process_settings
 
 if TYPE_CHECKING:
@@ -28,7 +29,6 @@
 
 READY_BOUND_S = 30.0
 READY_POLL_S = 0.05
-PLATFORM_TIMEOUT_S = 2.0
 
 
 class NotReadyError(Exception):
@@ -48,8 +48,7 @@
       upstreams: Engine and service stand-ins by upstream name.
       sidecars: Sidecars by upstream name.
       routers: Routers by name.
-      configuration: What `publish` made of it last.
-      revision: Revision published last.
+      configuration: What `publish` stores.
       changes: Changes to the settings of every process started from now on,
         by section and key.
     """
@@ -79,7 +78,6 @@
         self.sidecars: dict[str, launch.Process] = {}
         self.routers: dict[str, launch.Process] = {}
         self.configuration = configuration or board.configuration()
-        self.revision = 0
         self.changes: dict[str, Any] = {}
         self._launcher = launcher
         self._spec = spec
@@ -145,17 +143,16 @@
         return self.routers[name]
 
     async def publish(self, note: str = 'by the launcher') -> int:
-        """Stores `configuration` as the next revision."""
+        """Stores `configuration` as the next revision, which it returns."""
         data = document.render(self.configuration)
-        url = self.store.url
-        async with clients.open_clients(
-            url, url, url, PLATFORM_TIMEOUT_S
-        ) as platform:
-            store = config_store.ConfigStore(platform.table)
-            self.revision = await store.publish(
-                data, self.revision, uuid.uuid4().hex, 'launcher', note
+        store, hosts = self.store.url, self.hosts.url
+        cfg = section.Platform(store, store, hosts)
+        async with clients.open_clients(cfg) as platform:
+            store = config_store.ConfigStore(platform.table, platform.objects)
+            newest = (await store.head()).revision
+            return await store.publish(
+                data, newest, uuid.uuid4().hex, 'launcher', note
             )
-        return self.revision
 
     async def set_hosts(
         self, leaving: tuple[str, ...] = (), gone: tuple[str, ...] = ()
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/demo/scenario.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/demo/scenario.py
@@ -7,15 +7,15 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from quetzalsill_dev import board
-from quetzalsill_dev.demo import ask, check, operator, table
+from quetzalsill_dev import board, operate
+from quetzalsill_dev.demo import ask, check, table
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from quetzalsill_dev import cluster, launch
 
-__all__ = ['Demo', 'StepFailedError']
+__all__ = ['Demo', 'StepFailedError', 'heading']
 
 PLAN_TOKENS = 700
 NOTE_TOKENS = 40
@@ -98,15 +98,22 @@
     async def _edit_profile(self) -> None:
         """Lets an operator edit a profile and waits until all obey."""
         self.tell(
-            f'an operator cuts the answers of profile prompt to {CUT_TOKENS} '
+            f'an operator cuts answers under profile prompt to {CUT_TOKENS} '
             'tokens'
         )
-        router = self._cluster.routers[next(self._routers)]
-        revision = await operator.edit_profile(
-            router, 'prompt', 'max_output_tokens', CUT_TOKENS
+        urls = [router.url for router in self._cluster.routers.values()]
+        change = f'--set=max_output_tokens={CUT_TOKENS}'
+        ended = await operate.operate(urls, 'profile', 'edit', 'prompt', change)
+        if ended.status:
+            raise StepFailedError(ended.complaint)
+        fleet = await operate.read(urls, 'config', 'status')
+        revisions = {node['revision'] for node in fleet['nodes']}
+        self.tell(
+            f'in force on {len(fleet["nodes"])} processes, revision '
+            f'{", ".join(map(str, revisions))}'
         )
-        nodes = await operator.wait_in_force(router, revision)
-        self.tell(f'revision {revision} is in force on {nodes} processes')
+        if len(revisions) != 1:
+            raise StepFailedError('the processes differ in their revision')
 
     async def _kill_engine_of_a_plan(self) -> None:
         """Kills the engine that is in the middle of a loading plan."""
