Keep a listener's refusals out of answers on their way

A client that pipelines what is no request had the refusal written into the answer before it: a status line in the middle of a body. Such a connection is cut now. A body followed by the start of the next head in one read counted as head and was refused with 431. The address is taken before the application starts, so that a taken port leaves no started application behind.

--- a/packages/quetzalsill/src/quetzalsill/net/protocol.py
+++ b/packages/quetzalsill/src/quetzalsill/net/protocol.py
@@ -72,6 +72,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
+        self._header_bytes = 0
+        self._has_completed = False
         self._refusal = http.HTTPStatus.BAD_REQUEST
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -99,13 +101,16 @@
         # so that the bound has to start with the first byte.
         if self._awaits is _Await.NOTHING and self._is_idle():
             self._expect_head()
+        self._has_completed = False
         super().data_received(data)
-        if self._awaits is _Await.HEAD:
+        # Behind the end of a request these bytes may be mostly its body.
+        if self._awaits is _Await.HEAD and not self._has_completed:
             self._count_head(len(data))
 
     def on_message_begin(self) -> None:
         """Starts a request."""
         super().on_message_begin()
+        self._header_bytes = 0
         if self._awaits is _Await.NOTHING:
             self._expect_head()
 
@@ -119,7 +124,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Takes the target."""
-        self._header_bytes = len(url)
+        self._header_bytes += len(url)
         if self._header_bytes > self.bounds.head_bytes:
             self._refusal = http.HTTPStatus.REQUEST_URI_TOO_LONG
             raise ValueError(self._refusal.phrase)
@@ -138,6 +143,7 @@
 
     def on_message_complete(self) -> None:
         """Ends a request: the client owes nothing more."""
+        self._has_completed = True
         self._settle()
         super().on_message_complete()
 
@@ -191,7 +197,7 @@
             self._extend(self.bounds.body_s)
         elif self.loop.time() < self._deadline:
             self._timer = self.loop.call_at(self._deadline, self._on_deadline)
-        elif self._awaits is _Await.HEAD and self._is_idle():
+        elif self._awaits is _Await.HEAD:
             self._refuse(http.HTTPStatus.REQUEST_TIMEOUT, 'head_slow')
         else:
             self._cut('body_stalled')
@@ -204,6 +210,10 @@
 
     def _refuse(self, status: http.HTTPStatus, reason: str) -> None:
         """Answers with a bare status and closes."""
+        # While an answer is on its way, the status would be spliced into it.
+        if not self._is_idle():
+            self._cut(reason)
+            return
         self._note(reason)
         self._settle()
         if not self.transport.is_closing():
--- a/packages/quetzalsill/src/quetzalsill/net/server.py
+++ b/packages/quetzalsill/src/quetzalsill/net/server.py
@@ -72,7 +72,7 @@
         self.port = 0
 
     async def start(self) -> None:
-        """Starts the application and then listens.
+        """Takes the address, starts the application and then listens.
 
         Raises:
           CertificateError: If the certificate files cannot be used.
@@ -80,10 +80,11 @@
             cannot be had.
         """
         context = net_tls.server_context(self._tls) if self._tls else None
+        sock = self._bind()
         await self._lifespan.startup()
         if self._lifespan.should_exit:
+            sock.close()
             raise error.ListenError('the application did not start')
-        sock = self._bind()
         self.port = sock.getsockname()[1]
         self._server = await asyncio.get_running_loop().create_server(
             self._make_protocol,
@@ -114,6 +115,7 @@
         await self._wait_until_empty(grace_s)
         cut = await self._cut_rest()
         self._date_task.cancel()
+        await asyncio.gather(self._date_task, return_exceptions=True)
         await self._lifespan.shutdown()
         return cut
 
--- a/tests/quetzalsill/net/test_server.py
+++ b/tests/quetzalsill/net/test_server.py
@@ -129,6 +129,26 @@
         self.assertTrue(said.startswith(b'HTTP/1.1 431'), said)
         await self.assert_serves()
 
+    async def test_refusal_is_not_spliced_into_an_answer(self):
+        """A clerk reads a status line in the middle of a loading plan.
+
+        Behind its request the client sends what is no request, while the
+        answer is on its way.
+        """
+        await self.serve()
+        said = await self.exchange(b'GET /wait HTTP/1.1\r\n\r\nnonsense\r\n')
+        self.assertEqual(said, b'')
+
+    async def test_body_before_a_next_head_counts_for_no_head(self):
+        await self.serve(head_bytes=1000)
+        reader, _ = await self.connect(
+            b'POST / HTTP/1.1\r\ncontent-length: 2000\r\n\r\n'
+            + b'x' * 2000
+            + b'GET / HT'
+        )
+        said = await asyncio.wait_for(reader.readuntil(b'ok'), peer.BOUND_S)
+        self.assertTrue(said.startswith(b'HTTP/1.1 200'), said)
+
     async def test_connections_are_bounded(self):
         await self.serve(connections=1)
         await self.connect(b'GET /wait HTTP/1.1\r\n\r\n')
