Release items only once the caller has taken them

An empty piece, which the server accepts only after its buffer has drained, now stands between the write and the grant. Also: a token bound over the profile names its field.

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
@@ -10,7 +10,7 @@
 import blacksheep
 
 from quetzalsill.error import request as request_error
-from quetzalsill_router.http import error
+from quetzalsill_router.http import drain, error
 from quetzalsill_router.request import piece, spec
 
 if TYPE_CHECKING:
@@ -63,7 +63,10 @@
 
 
 async def stream(
-    running: active.Active, keep_alive_s: float, usage: bool
+    running: active.Active,
+    drained: drain.Drain,
+    keep_alive_s: float,
+    usage: bool,
 ) -> blacksheep.Response:
     """Answers with server-sent events, from the first piece on.
 
@@ -79,7 +82,7 @@
         raise delivery.error
 
     async def produce() -> AsyncIterator[bytes]:
-        async for data in events(running, keep_alive_s, usage):
+        async for data in events(running, drained, keep_alive_s, usage):
             yield data
 
     content = blacksheep.StreamedContent(SSE_TYPE, produce)
@@ -88,13 +91,15 @@
 
 
 async def events(
-    running: active.Active, keep_alive_s: float, usage: bool
+    running: active.Active,
+    drained: drain.Drain,
+    keep_alive_s: float,
+    usage: bool,
 ) -> AsyncIterator[bytes]:
     """Yields the text of the event stream, coalesced by write.
 
-    Control comes back here only when the server has taken the last text,
-    which it does while its buffer towards the caller is below its bound;
-    the items are released then. A slow caller so slows its own attempt.
+    Items are released once the caller has taken them, so that a slow
+    caller slows its own attempt and nothing else.
     """
     delivery = running.delivery
     count = 0
@@ -111,6 +116,7 @@
             count += len(items)
             last = items[-1]
             yield sse(items)
+            await drained()
             for part in parts:
                 part.release()
         elif delivery.ended:
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/body.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/body.py
@@ -9,7 +9,7 @@
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
-from quetzalsill_router.http import error
+from quetzalsill_router.request import field
 
 if TYPE_CHECKING:
     import blacksheep
@@ -76,11 +76,11 @@
     try:
         plain = json.loads(data, parse_constant=_refuse_constant)
     except RecursionError as exc:
-        raise error.FieldError('body', 'JSON is nested too deep') from exc
+        raise field.FieldError('body', 'JSON is nested too deep') from exc
     except ValueError as exc:
-        raise error.FieldError('body', f'not JSON: {exc}') from exc
+        raise field.FieldError('body', f'not JSON: {exc}') from exc
     if not isinstance(plain, dict):
-        raise error.FieldError('body', 'must be a JSON object')
+        raise field.FieldError('body', 'must be a JSON object')
     return plain
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/caller.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/caller.py
@@ -6,7 +6,7 @@
 import re
 from typing import TYPE_CHECKING
 
-from quetzalsill_router.http import error
+from quetzalsill_router.request import field
 
 if TYPE_CHECKING:
     import blacksheep
@@ -92,5 +92,5 @@
         return ''
     text = found[0].decode('latin-1')
     if len(found) > 1 or not form.fullmatch(text):
-        raise error.FieldError(name, f'must come once and be {what}')
+        raise field.FieldError(name, f'must come once and be {what}')
     return text
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/completions.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/completions.py
@@ -14,6 +14,7 @@
     auth,
     body,
     caller,
+    drain,
     error,
     generation,
     stored,
@@ -68,20 +69,26 @@
         if later:
             return stored.pending(work.request)
         caller.watch(request, accepted)
-        return await _respond(ctx, accepted, asked)
+        drained = drain.drained(request.scope)
+        return await _respond(ctx, accepted, asked, drained)
 
     return handle
 
 
 async def _respond(
-    ctx: context.Context, running: active.Active, asked: generation.Generation
+    ctx: context.Context,
+    running: active.Active,
+    asked: generation.Generation,
+    drained: drain.Drain,
 ) -> blacksheep.Response:
     """Answers as the caller asked, with events or one document."""
     request = running.work.request
     keep_alive_s = ctx.settings.requests.keep_alive_s
     try:
         if asked.stream:
-            response = await answer.stream(running, keep_alive_s, asked.usage)
+            response = await answer.stream(
+                running, drained, keep_alive_s, asked.usage
+            )
         else:
             response = await answer.whole(running)
     except request_error.RequestError as exc:
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/error.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/error.py
@@ -10,7 +10,7 @@
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 
-__all__ = ['FieldError', 'document', 'headers', 'response']
+__all__ = ['document', 'headers', 'response']
 
 JSON_TYPE = b'application/json'
 MILLIS = 1000
@@ -26,18 +26,6 @@
 NOT_RUN = {base.Ran.NO: True, base.Ran.YES: False, base.Ran.UNKNOWN: None}
 
 
-class FieldError(request_error.BadRequestError):
-    """One field or header of the request does not fit.
-
-    Attributes:
-      param: Name of the field or header.
-    """
-
-    def __init__(self, param: str, detail: str) -> None:
-        super().__init__(f'{param}: {detail}')
-        self.param = param
-
-
 def document(error: request_error.RequestError, request: str = '') -> bytes:
     """Renders a failure as an OpenAI-shaped JSON document."""
     body = {
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/generation.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/generation.py
@@ -8,8 +8,7 @@
 
 import xxhash
 
-from quetzalsill_router.http import error
-from quetzalsill_router.request import spec
+from quetzalsill_router.request import field, spec
 
 __all__ = ['Generation', 'parse']
 
@@ -83,7 +82,7 @@
     _check_numbers(body)
     _check_stop(body)
     if body.get('n') not in (None, 1):
-        raise error.FieldError('n', 'only 1 is served; send n requests')
+        raise field.FieldError('n', 'only 1 is served; send n requests')
     text = prompt.encode('utf-8', 'replace')
     return Generation(
         kind=kind,
@@ -112,7 +111,7 @@
     if isinstance(prompt, list) and len(prompt) == 1:
         prompt = prompt[0]
     if not isinstance(prompt, str) or not prompt:
-        raise error.FieldError(
+        raise field.FieldError(
             'prompt', 'must be a string that is not empty, or a list of one'
         )
     return prompt
@@ -122,9 +121,9 @@
     """Returns the messages of a chat as one text."""
     messages = body.get('messages')
     if not isinstance(messages, list) or not messages:
-        raise error.FieldError('messages', 'must be a list of messages')
+        raise field.FieldError('messages', 'must be a list of messages')
     if len(messages) > MAX_MESSAGES:
-        raise error.FieldError('messages', f'more than {MAX_MESSAGES}')
+        raise field.FieldError('messages', f'more than {MAX_MESSAGES}')
     return '\n'.join(
         _message(f'messages[{index}]', item)
         for index, item in enumerate(messages)
@@ -134,10 +133,10 @@
 def _message(where: str, item: Any) -> str:
     """Returns one message of a chat as text."""
     if not isinstance(item, dict):
-        raise error.FieldError(where, 'must be an object')
+        raise field.FieldError(where, 'must be an object')
     role = item.get('role')
     if role not in ROLES:
-        raise error.FieldError(
+        raise field.FieldError(
             f'{where}.role', f'must be one of {", ".join(ROLES)}'
         )
     content = item.get('content')
@@ -147,7 +146,7 @@
         return f'{role}: {json.dumps(content)}'
     if content is None and role == 'assistant':
         return f'{role}:'
-    raise error.FieldError(f'{where}.content', 'must be a string or a list')
+    raise field.FieldError(f'{where}.content', 'must be a string or a list')
 
 
 def _string(body: dict[str, Any], name: str, required: bool = False) -> str:
@@ -156,7 +155,7 @@
     if found is None and not required:
         return ''
     if not isinstance(found, str) or not found or len(found) > 256:
-        raise error.FieldError(name, 'must be a string of 1 to 256 characters')
+        raise field.FieldError(name, 'must be a string of 1 to 256 characters')
     return found
 
 
@@ -166,7 +165,7 @@
     if found is None:
         return False
     if not isinstance(found, bool):
-        raise error.FieldError(name, 'must be true or false')
+        raise field.FieldError(name, 'must be true or false')
     return found
 
 
@@ -176,7 +175,7 @@
     if options is None:
         return False
     if not isinstance(options, dict):
-        raise error.FieldError('stream_options', 'must be an object')
+        raise field.FieldError('stream_options', 'must be an object')
     return _boolean(options, 'include_usage')
 
 
@@ -187,7 +186,7 @@
         if found is None:
             continue
         if isinstance(found, bool) or not isinstance(found, int) or found < 1:
-            raise error.FieldError(name, 'must be a whole number from 1')
+            raise field.FieldError(name, 'must be a whole number from 1')
         return found
     return 0
 
@@ -200,7 +199,7 @@
             continue
         fits = isinstance(found, int | float) and not isinstance(found, bool)
         if not fits or not low <= found <= high:
-            raise error.FieldError(
+            raise field.FieldError(
                 name, f'must be a number from {low} to {high}'
             )
     seed = body.get('seed')
@@ -208,7 +207,7 @@
         return
     fits = isinstance(seed, int) and not isinstance(seed, bool)
     if not fits or abs(seed) > MAX_SEED:
-        raise error.FieldError('seed', 'must be a whole number of 64 bits')
+        raise field.FieldError('seed', 'must be a whole number of 64 bits')
 
 
 def _check_stop(body: dict[str, Any]) -> None:
@@ -218,6 +217,6 @@
         return
     fits = isinstance(stop, list) and len(stop) <= MAX_STOPS
     if not fits or not all(isinstance(item, str) for item in stop):
-        raise error.FieldError(
+        raise field.FieldError(
             'stop', f'must be a string or a list of at most {MAX_STOPS}'
         )
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
@@ -9,8 +9,16 @@
 import blacksheep
 
 from quetzalsill.error import request as request_error
-from quetzalsill_router.http import auth, body, caller, error, relay, submit
-from quetzalsill_router.request import accept, piece, spec
+from quetzalsill_router.http import (
+    auth,
+    body,
+    caller,
+    drain,
+    error,
+    relay,
+    submit,
+)
+from quetzalsill_router.request import accept, field, piece, spec
 
 if TYPE_CHECKING:
     from quetzalsill.config import model
@@ -45,7 +53,7 @@
             return await submit.replay(ctx, accepted, as_events=False)
         caller.watch(request, accepted)
         try:
-            return await _respond(accepted)
+            return await _respond(accepted, drain.drained(request.scope))
         except request_error.RequestError as exc:
             return error.response(exc, accepted.work.request)
 
@@ -126,9 +134,9 @@
     name, slash, rest = raw[len(PREFIX) :].partition('/')
     path = f'/{rest}' + (f'?{query}' if query else '')
     if len(path) > MAX_PATH:
-        raise error.FieldError('path', f'longer than {MAX_PATH} characters')
+        raise field.FieldError('path', f'longer than {MAX_PATH} characters')
     if not path.isascii() or not path.isprintable() or ' ' in path:
-        raise error.FieldError('path', 'must be printable ASCII, encoded')
+        raise field.FieldError('path', 'must be printable ASCII, encoded')
     return name, path
 
 
@@ -155,7 +163,9 @@
     return bytes(first), pieces
 
 
-async def _respond(running: active.Active) -> blacksheep.Response:
+async def _respond(
+    running: active.Active, drained: drain.Drain
+) -> blacksheep.Response:
     """Answers with the upstream's head, then its body as it comes.
 
     Raises:
@@ -175,7 +185,7 @@
         return response
 
     async def produce() -> AsyncIterator[bytes]:
-        async for data in _pieces(running, early):
+        async for data in _pieces(running, early, drained):
             yield data
 
     response.content = blacksheep.StreamedContent(
@@ -193,7 +203,7 @@
 
 
 async def _pieces(
-    running: active.Active, early: list[piece.Piece]
+    running: active.Active, early: list[piece.Piece], drained: drain.Drain
 ) -> AsyncIterator[bytes]:
     """Yields the body as it comes.
 
@@ -207,6 +217,7 @@
         data = b''.join(item for part in parts for item in part.items)
         if data:
             yield data
+            await drained()
         for part in parts:
             part.release()
         if delivery.gone or (delivery.ended and not parts):
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import request as request_error
-from quetzalsill_router.request import spec
+from quetzalsill_router.request import field, spec
 
 if TYPE_CHECKING:
     from quetzalsill.config import model
@@ -81,8 +81,8 @@
     if target is None:
         raise request_error.UnknownModelError(f'no model {asked.model!r}')
     if asked.adapter and asked.adapter not in target.adapters:
-        raise request_error.BadRequestError(
-            f'adapter: model {asked.model} has no {asked.adapter!r}'
+        raise field.FieldError(
+            'adapter', f'model {asked.model} has no {asked.adapter!r}'
         )
     name, profile = pick_profile(cfg, caller, profile_name, target.profile)
     max_tokens = _max_tokens(asked, target, profile)
@@ -123,8 +123,9 @@
         )
     bound = min(room, profile.max_output_tokens)
     if asked.max_tokens > bound:
-        raise request_error.BadRequestError(
-            f'max_tokens: {asked.max_tokens} is over {bound}',
+        raise field.FieldError(
+            'max_tokens',
+            f'{asked.max_tokens} is over {bound}',
             advice=f'Ask for at most {bound} tokens with this profile.',
         )
     return asked.max_tokens or bound
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/field.py
@@ -0,0 +1,21 @@
+"""A field or header of a request that does not fit."""
+
+from __future__ import annotations
+
+from quetzalsill.error import request as request_error
+
+__all__ = ['FieldError']
+
+
+class FieldError(request_error.BadRequestError):
+    """One field or header of the request does not fit.
+
+    Attributes:
+      param: Name of the field or header.
+    """
+
+    def __init__(
+        self, param: str, detail: str, *, advice: str | None = None
+    ) -> None:
+        super().__init__(f'{param}: {detail}', advice=advice)
+        self.param = param
--- /dev/null
+++ b/tests/quetzalsill_router/http/test_completions.py
@@ -0,0 +1,384 @@
+"""Tests of the completions API."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+import openai
+
+from quetzalsill.error import request as request_error
+from quetzalsill_router.durable import lookup
+from tests.quetzalsill_router.http import served
+from tests.quetzalsill_router.request import fake
+
+PATH = '/v1/completions'
+BODY = {'model': fake.MODEL, 'prompt': 'slots for kiosk 7?'}
+STREAMED = {**BODY, 'stream': True}
+
+
+def openai_client(client):
+    """An unmodified OpenAI client of the same server."""
+    return openai.AsyncOpenAI(
+        api_key=served.TOKEN, base_url=f'{client.base_url}/v1'
+    )
+
+
+class OpenAiClientTest(unittest.IsolatedAsyncioTestCase):
+    """The API as an unmodified client sees it."""
+
+    async def test_whole_and_streamed(self):
+        peer = fake.Peer('one', served.whole('a', 'b'), served.whole('c', 'd'))
+        async with (
+            served.serve(fake.make_context(peer)) as client,
+            openai_client(client) as api,
+        ):
+            whole = await api.completions.create(**BODY)
+            self.assertEqual(whole.choices[0].text, 'ab')
+            self.assertEqual(whole.usage.completion_tokens, 2)
+            stream = await api.completions.create(
+                **BODY, stream=True, stream_options={'include_usage': True}
+            )
+            events = [event async for event in stream]
+        texts = [event.choices[0].text for event in events[:-1]]
+        self.assertEqual(texts, ['c', 'd'])
+        self.assertEqual(events[-1].usage.completion_tokens, 2)
+
+    async def test_chat(self):
+        items = [
+            json.dumps({'choices': [{'delta': {'content': text}}]}).encode()
+            for text in ('pass', ' or hold')
+        ]
+        script = (fake.chunk(0, *items), fake.finished(2))
+        async with (
+            served.serve(fake.make_context(fake.Peer('one', script))) as client,
+            openai_client(client) as api,
+        ):
+            answer = await api.chat.completions.create(
+                model=fake.MODEL, messages=[{'role': 'user', 'content': 'note'}]
+            )
+        self.assertEqual(answer.choices[0].message.content, 'pass or hold')
+
+    async def test_answer_that_breaks_off_is_not_taken_for_whole(self):
+        """An engine dies after the first token of a streamed answer.
+
+        The stream ends with an error event and no [DONE]: a client that
+        took the piece for the answer would load half a truck.
+        """
+        script = (
+            fake.chunk(0, fake.event('a')),
+            fake.failed('yes', gone=True),
+        )
+        async with (
+            served.serve(fake.make_context(fake.Peer('one', script))) as client,
+            openai_client(client) as api,
+        ):
+            stream = await api.completions.create(**BODY, stream=True)
+            with self.assertRaises(openai.APIError):
+                async for _ in stream:
+                    pass
+
+    async def test_unknown_outcome_is_not_resent_by_the_client(self):
+        """The link breaks after the Dispatch of work that must run once.
+
+        The library resends on a 504 by itself, which would run the work
+        twice; the answer tells it not to.
+        """
+        peer = fake.Peer(
+            'one', (fake.failed('unknown', code='outcome_unknown'),)
+        )
+        ctx = fake.make_context(peer, cfg=fake.configuration(idempotent=False))
+        async with (
+            served.serve(ctx) as client,
+            openai_client(client) as api,
+        ):
+            with self.assertRaises(openai.InternalServerError) as caught:
+                await api.completions.create(**BODY)
+        self.assertIsNone(caught.exception.body['not_run'])
+        self.assertEqual(len(peer.attempts), 1)
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that are not served."""
+
+    async def test_bad_requests_name_field_and_mend(self):
+        cases = [
+            ({'prompt': 'x'}, 400, 'model'),
+            ({'model': 7, 'prompt': 'x'}, 400, 'model'),
+            ({'model': 'none', 'prompt': 'x'}, 404, None),
+            ({**BODY, 'prompt': ''}, 400, 'prompt'),
+            ({**BODY, 'prompt': ['a', 'b']}, 400, 'prompt'),
+            ({**BODY, 'n': 2}, 400, 'n'),
+            ({**BODY, 'max_tokens': 0}, 400, 'max_tokens'),
+            ({**BODY, 'max_tokens': True}, 400, 'max_tokens'),
+            ({**BODY, 'max_tokens': 10**30}, 400, 'max_tokens'),
+            ({**BODY, 'temperature': '1'}, 400, 'temperature'),
+            ({**BODY, 'temperature': 1e300}, 400, 'temperature'),
+            ({**BODY, 'stream': 'yes'}, 400, 'stream'),
+            ({**BODY, 'stop': [1]}, 400, 'stop'),
+            ([], 400, 'body'),
+        ]
+        raw = [
+            (b'{"model":', 400, 'body'),
+            (b'\xff\xfe', 400, 'body'),
+            (b'{"prompt": NaN}', 400, 'body'),
+            (b'[' * 100_000, 400, 'body'),
+            (b'{"a":' + b'9' * 10_000 + b'}', 400, 'body'),
+            (b'x' * 4_100_000, 413, None),
+        ]
+        cases = [(json.dumps(body).encode(), *rest) for body, *rest in cases]
+        peer = fake.Peer('one', served.whole('alive'))
+        async with served.serve(fake.make_context(peer)) as client:
+            for data, status, param in cases + raw:
+                with self.subTest(data[:40]):
+                    found = await client.post(PATH, content=data)
+                    self.assertEqual(found.status_code, status, found.text)
+                    error = found.json()['error']
+                    self.assertEqual(error['param'], param)
+                    self.assertIs(error['not_run'], True)
+                    self.assertTrue(error['advice'])
+                    self.assertTrue(found.headers['x-request-id'])
+            found = await client.post(PATH, json=BODY)
+        self.assertEqual(found.json()['choices'][0]['text'], 'alive')
+
+    async def test_bad_headers(self):
+        cases = [
+            ({'authorization': 'Bearer nobody'}, 401),
+            ({'authorization': 'Basic x'}, 401),
+            ({'x-quetzalsill-profile': 'none'}, 400),
+            ({'x-quetzalsill-profile': 'a b'}, 400),
+            ({'idempotency-key': 'k' * 256}, 400),
+            ({'idempotency-key': 'a b'}, 400),
+        ]
+        async with served.serve(fake.make_context()) as client:
+            for headers, status in cases:
+                with self.subTest(headers):
+                    found = await client.post(PATH, json=BODY, headers=headers)
+                    self.assertEqual(found.status_code, status, found.text)
+
+    async def test_overload_says_when_to_come_back(self):
+        script = (fake.refused(retry_after_ms=2400),)
+        ctx = fake.make_context(fake.Peer('one', script))
+        async with served.serve(ctx) as client:
+            for stream in (False, True):
+                ctx.peers = fake.Peers(fake.Peer('one', script))
+                found = await client.post(PATH, json={**BODY, 'stream': stream})
+                self.assertEqual(found.status_code, 503)
+                self.assertEqual(found.headers['retry-after'], '3')
+                self.assertEqual(found.headers['retry-after-ms'], '2400')
+                self.assertEqual(found.headers['x-should-retry'], 'true')
+                self.assertIs(found.json()['error']['not_run'], True)
+
+    async def test_stopping_router_refuses_and_is_not_ready(self):
+        ctx = fake.make_context(fake.Peer('one'))
+        async with served.serve(ctx) as client:
+            self.assertEqual((await client.get('/readyz')).status_code, 200)
+            ctx.stopping = True
+            self.assertEqual((await client.get('/readyz')).status_code, 503)
+            self.assertEqual((await client.get('/healthz')).status_code, 200)
+            found = await client.post(PATH, json=BODY)
+        self.assertEqual(found.json()['error']['code'], 'shutting_down')
+
+
+class DeliveryTest(unittest.IsolatedAsyncioTestCase):
+    """Callers that are slow, wait, or leave."""
+
+    async def test_slow_caller_slows_only_its_own_attempt(self):
+        """One handset stops reading in mid-answer, another reads on.
+
+        Were credit given before the slow one had taken its tokens, the
+        router would gather the whole answer, or stall the link for both.
+        """
+        count = 400
+        items = [fake.event('x' * 65536)] * count
+        slow = fake.Peer('one', (fake.started(), fake.chunk(0, *items)))
+        ctx = fake.make_context(slow)
+        async with (
+            served.serve(ctx) as client,
+            client.stream('POST', PATH, json=STREAMED) as response,
+        ):
+            lines = response.aiter_lines()
+            await anext(lines)
+            fast = fake.Peer('two', served.whole(*'abc'))
+            ctx.peers = fake.Peers(fast)
+            found = await client.post(PATH, json=BODY)
+            self.assertEqual(found.json()['choices'][0]['text'], 'abc')
+            (attempt,) = slow.attempts
+            self.assertEqual(attempt.granted, [])
+            attempt.put(fake.finished(count))
+            rest = [line async for line in lines if line]
+        self.assertEqual(len(rest), count)
+        self.assertEqual(attempt.granted, [(count, count)])
+
+    async def test_caller_that_leaves_cancels_its_attempt(self):
+        peer = fake.Peer('one', (fake.started(),))
+        ctx = fake.make_context(peer)
+        async with served.serve(ctx) as client:
+            task = asyncio.create_task(client.post(PATH, json=BODY))
+            await peer.opened.wait()
+            task.cancel()
+            await peer.attempts[0].closed.wait()
+            await ctx.active.wait_idle(served.BOUND_S)
+        self.assertEqual(len(ctx.active), 0)
+
+    async def test_patient_request_outlives_its_caller(self):
+        """A clerk's laptop closes while the loading plan is written.
+
+        The plan was accepted, so it goes on and is stored.
+        """
+        peer = fake.Peer('one', (fake.started(),))
+        ctx = fake.make_context(peer, cfg=fake.configuration(durable=True))
+        async with served.serve(ctx) as client:
+            task = asyncio.create_task(client.post(PATH, json=BODY))
+            await peer.opened.wait()
+            task.cancel()
+            (running,) = ctx.active
+            await running.watcher
+            for msg in served.whole('plan'):
+                peer.attempts[0].put(msg)
+            await ctx.active.wait_idle(served.BOUND_S)
+        (answer,) = ctx.journal.settled.values()
+        self.assertEqual(answer.events, [fake.event('plan')])
+
+    async def test_silence_is_filled_with_comments(self):
+        peer = fake.Peer('one', (fake.started(),))
+        ctx = fake.make_context(peer, cfg=fake.configuration(delivery='whole'))
+        ctx.settings.requests.keep_alive_s = 0.01
+        async with (
+            served.serve(ctx) as client,
+            client.stream('POST', PATH, json=STREAMED) as response,
+        ):
+            lines = response.aiter_lines()
+            self.assertTrue((await anext(lines)).startswith(':'))
+            for msg in served.whole('a', 'b'):
+                peer.attempts[0].put(msg)
+            rest = [line async for line in lines if line[:1] == 'd']
+        self.assertEqual(len(rest), 3)
+        self.assertEqual(rest[-1], 'data: [DONE]')
+
+
+class KeyedTest(unittest.IsolatedAsyncioTestCase):
+    """Durable requests and idempotency keys."""
+
+    async def test_repeat_gets_the_stored_answer(self):
+        peer = fake.Peer('one', served.whole('a', 'b'))
+        ctx = fake.make_context(peer)
+        ctx.answers = Answers(ctx.journal)
+        headers = {'idempotency-key': 'order-1'}
+        async with served.serve(ctx) as client:
+            first = await client.post(PATH, json=BODY, headers=headers)
+            again = await client.post(PATH, json=BODY, headers=headers)
+            fetched = await client.get(
+                f'/v1/requests/{first.headers["x-request-id"]}'
+            )
+        for answer in (first, again, fetched):
+            self.assertEqual(answer.json()['choices'][0]['text'], 'ab')
+        self.assertEqual(len(peer.attempts), 1)
+
+    async def test_repeat_during_the_first_is_a_conflict(self):
+        peer = fake.Peer('one', (fake.started(),))
+        ctx = fake.make_context(peer)
+        ctx.answers = Answers(ctx.journal)
+        headers = {'idempotency-key': 'order-1'}
+        async with served.serve(ctx) as client:
+            task = asyncio.create_task(
+                client.post(PATH, json=BODY, headers=headers)
+            )
+            await peer.opened.wait()
+            again = await client.post(PATH, json=BODY, headers=headers)
+            self.assertEqual(again.status_code, 409)
+            self.assertIsNone(again.json()['error']['not_run'])
+            self.assertTrue(again.headers['retry-after'])
+            for msg in served.whole('a'):
+                peer.attempts[0].put(msg)
+            self.assertEqual((await task).status_code, 200)
+
+    async def test_patient_request_is_answered_later(self):
+        peer = fake.Peer('one', served.whole('plan'))
+        ctx = fake.make_context(peer, cfg=fake.configuration(durable=True))
+        ctx.answers = Answers(ctx.journal)
+        async with served.serve(ctx) as client:
+            found = await client.post(
+                PATH, json=BODY, headers={'prefer': 'respond-async'}
+            )
+            self.assertEqual(found.status_code, 202)
+            await ctx.active.wait_idle(served.BOUND_S)
+            found = await client.get(found.headers['location'])
+        self.assertEqual(found.json()['choices'][0]['text'], 'plan')
+
+    async def test_store_outage_refuses_patient_work_only(self):
+        """The platform's store is down when a plan and a query come.
+
+        The plan can't be kept, so it is refused at once as not run; the
+        query needs no store.
+        """
+        peer = fake.Peer('one', served.whole('slot'))
+        cfg = fake.configuration()
+        cfg.profiles['patient'] = fake.model.Profile(durable=True)
+        ctx = fake.make_context(peer, cfg=cfg)
+        ctx.journal.refusal = request_error.StoreUnavailableError(
+            retry_after_s=2.0
+        )
+        async with served.serve(ctx) as client:
+            plan = await client.post(
+                PATH, json=BODY, headers={'x-quetzalsill-profile': 'patient'}
+            )
+            query = await client.post(PATH, json=BODY)
+        self.assertEqual(plan.status_code, 503)
+        self.assertIs(plan.json()['error']['not_run'], True)
+        self.assertEqual(plan.headers['retry-after'], '2')
+        self.assertEqual(query.status_code, 200)
+
+    async def test_unknown_outcome_is_settled_later(self):
+        """The sidecar is lost while a keyed order runs, then comes back.
+
+        The caller is told "unknown" at once. What the upstream says later
+        becomes the stored outcome, which a repeat of the key gets.
+        """
+        peer = fake.Peer(
+            'one',
+            (fake.started(), fake.failed('unknown', code='outcome_unknown')),
+            served.whole('done'),
+        )
+        ctx = fake.make_context(peer, cfg=fake.configuration(idempotent=False))
+        ctx.answers = Answers(ctx.journal)
+        headers = {'idempotency-key': 'order-1'}
+        async with served.serve(ctx) as client:
+            first = await client.post(PATH, json=BODY, headers=headers)
+            self.assertEqual(first.status_code, 504)
+            await ctx.active.wait_idle(served.BOUND_S)
+            again = await client.post(PATH, json=BODY, headers=headers)
+        self.assertEqual(again.json()['choices'][0]['text'], 'done')
+        self.assertTrue(peer.attempts[1].dispatch.recover)
+
+    async def test_cancel(self):
+        peer = fake.Peer('one', (fake.started(),))
+        ctx = fake.make_context(peer, cfg=fake.configuration(durable=True))
+        ctx.answers = Answers(ctx.journal)
+        async with served.serve(ctx) as client:
+            found = await client.post(
+                PATH, json=BODY, headers={'prefer': 'respond-async'}
+            )
+            where = found.headers['location']
+            await peer.opened.wait()
+            self.assertEqual((await client.delete(where)).status_code, 202)
+            await ctx.active.wait_idle(served.BOUND_S)
+            found = await client.get(where)
+        self.assertEqual(found.json()['error']['code'], 'cancelled')
+        self.assertTrue(peer.attempts[0].closed.is_set())
+
+
+class Answers:
+    """Looks answers up in the fake journal."""
+
+    def __init__(self, journal):
+        self._journal = journal
+
+    async def get(self, _account, request):
+        if request not in [entry.request for entry in self._journal.accepted]:
+            raise request_error.NotFoundError(request)
+        return lookup.Stored(request, self._journal.settled.get(request))
+
+    async def wait(self, account, request, _within_s):
+        return await self.get(account, request)
