--- a/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
@@ -10,7 +10,7 @@
 import blacksheep
 
 from quetzalsill.error import request as request_error
-from quetzalsill_router.http import drain, error
+from quetzalsill_router.http import asgi, error
 from quetzalsill_router.request import piece, spec
 
 if TYPE_CHECKING:
@@ -64,7 +64,7 @@
 
 async def stream(
     running: active.Active,
-    drained: drain.Drain,
+    drained: asgi.Drain,
     keep_alive_s: float,
     usage: bool,
 ) -> blacksheep.Response:
@@ -92,7 +92,7 @@
 
 async def events(
     running: active.Active,
-    drained: drain.Drain,
+    drained: asgi.Drain,
     keep_alive_s: float,
     usage: bool,
 ) -> AsyncIterator[bytes]:
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/drain.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/asgi.py
@@ -1,11 +1,13 @@
-"""Tells when the caller has taken what was written to it."""
+"""What handlers need of the server beneath the application."""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-__all__ = ['Drain', 'drained', 'with_drain']
+from quetzalsill.error import request as request_error
+
+__all__ = ['AnswerCutError', 'Drain', 'drained', 'wrap']
 
 KEY = 'quetzalsill.drain'
 NOTHING = {'type': 'http.response.body', 'body': b'', 'more_body': True}
@@ -14,18 +16,30 @@
 Drain = Callable[[], Awaitable[None]]
 
 
-def with_drain(app: App) -> App:
-    """Lets handlers wait until the server's buffer has emptied.
+class AnswerCutError(request_error.RequestError):
+    """The answer of a call broke off after its head was delivered."""
+
+    code = 'answer_cut'
+
+
+def wrap(app: App) -> App:
+    """Lets handlers wait for the server's buffer, and cut an answer off.
 
     The server takes a piece of an answer at once and waits before the next
     one. A sender that goes by the first alone would run one whole piece
     ahead of a caller that reads nothing, however large the piece is.
+
+    An answer that is not ended makes the server close the connection, so
+    that nobody takes a part of it for the whole.
     """
 
     async def serve(scope: dict[str, Any], receive: Any, send: Any) -> None:
         if scope['type'] == 'http':
             scope[KEY] = lambda: send(NOTHING)
-        await app(scope, receive, send)
+        try:
+            await app(scope, receive, send)
+        except AnswerCutError:
+            return
 
     return serve
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/completions.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/completions.py
@@ -11,10 +11,10 @@
 from quetzalsill.error import request as request_error
 from quetzalsill_router.http import (
     answer,
+    asgi,
     auth,
     body,
     caller,
-    drain,
     error,
     generation,
     stored,
@@ -69,7 +69,7 @@
         if later:
             return stored.pending(work.request)
         caller.watch(request, accepted)
-        drained = drain.drained(request.scope)
+        drained = asgi.drained(request.scope)
         return await _respond(ctx, accepted, asked, drained)
 
     return handle
@@ -79,7 +79,7 @@
     ctx: context.Context,
     running: active.Active,
     asked: generation.Generation,
-    drained: drain.Drain,
+    drained: asgi.Drain,
 ) -> blacksheep.Response:
     """Answers as the caller asked, with events or one document."""
     request = running.work.request
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
@@ -10,10 +10,10 @@
 
 from quetzalsill.error import request as request_error
 from quetzalsill_router.http import (
+    asgi,
     auth,
     body,
     caller,
-    drain,
     error,
     relay,
     submit,
@@ -25,7 +25,7 @@
     from quetzalsill_router import context
     from quetzalsill_router.request import active
 
-__all__ = ['AnswerCutError', 'mount', 'pick_route']
+__all__ = ['mount', 'pick_route']
 
 PREFIX = '/services/'
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
@@ -33,12 +33,6 @@
 MAX_PATH = 8192
 
 
-class AnswerCutError(request_error.RequestError):
-    """The answer of a call broke off after its head was delivered."""
-
-    code = 'answer_cut'
-
-
 def mount(
     app: blacksheep.Application, ctx: context.Context, callers: auth.Callers
 ) -> None:
@@ -53,7 +47,7 @@
             return await submit.replay(ctx, accepted, as_events=False)
         caller.watch(request, accepted)
         try:
-            return await _respond(accepted, drain.drained(request.scope))
+            return await _respond(accepted, asgi.drained(request.scope))
         except request_error.RequestError as exc:
             return error.response(exc, accepted.work.request)
 
@@ -164,7 +158,7 @@
 
 
 async def _respond(
-    running: active.Active, drained: drain.Drain
+    running: active.Active, drained: asgi.Drain
 ) -> blacksheep.Response:
     """Answers with the upstream's head, then its body as it comes.
 
@@ -203,7 +197,7 @@
 
 
 async def _pieces(
-    running: active.Active, early: list[piece.Piece], drained: drain.Drain
+    running: active.Active, early: list[piece.Piece], drained: asgi.Drain
 ) -> AsyncIterator[bytes]:
     """Yields the body as it comes.
 
@@ -225,4 +219,4 @@
         await delivery.wait(None)
         parts = delivery.take()
     if delivery.error is not None and not delivery.gone:
-        raise AnswerCutError(delivery.error.detail, ran=delivery.error.ran)
+        raise asgi.AnswerCutError(delivery.error.detail, ran=delivery.error.ran)
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -26,7 +26,7 @@
 from quetzalsill_router.durable import registration as durable_registration
 from quetzalsill_router.durable import state as durable_state
 from quetzalsill_router.http import app as http_app
-from quetzalsill_router.http import drain
+from quetzalsill_router.http import asgi
 from quetzalsill_router.limit import length
 from quetzalsill_router.peer import peers as peers_module
 from quetzalsill_router.request import active, control, ident, retry, takeover
@@ -71,7 +71,7 @@
     app = http_app.build(ctx)
     _mount_admin(app, ctx)
     listener = server.HttpServer(
-        drain.with_drain(app),
+        asgi.wrap(app),
         settings.listen,
         settings.tls,
         protocol.Bounds(write_s=settings.requests.write_stall_s),
--- a/tests/quetzalsill_router/http/served.py
+++ b/tests/quetzalsill_router/http/served.py
@@ -10,7 +10,7 @@
 from quetzalsill.net import server
 from quetzalsill.settings import section
 from quetzalsill_dev import caller
-from quetzalsill_router.http import app, drain
+from quetzalsill_router.http import app, asgi
 from tests.quetzalsill_router.request import fake
 
 if TYPE_CHECKING:
@@ -27,9 +27,7 @@
     ctx: context.Context,
 ) -> AsyncIterator[httpx2.AsyncClient]:
     """Serves `ctx`; gives a client of the one account."""
-    listener = server.HttpServer(
-        drain.with_drain(app.build(ctx)), section.Listen()
-    )
+    listener = server.HttpServer(asgi.wrap(app.build(ctx)), section.Listen())
     await listener.start()
     url = f'http://127.0.0.1:{listener.port}'
     try:
--- a/tests/quetzalsill_router/request/fake.py
+++ b/tests/quetzalsill_router/request/fake.py
@@ -40,6 +40,8 @@
         self.id = dispatch.attempt
         self.dispatch = dispatch
         self.granted = []
+        self.body = []
+        self.body_ended = asyncio.Event()
         self.cancelled = False
         self.withdrawn = asyncio.Event()
         self.closed = asyncio.Event()
@@ -66,7 +68,9 @@
         self.closed.set()
 
     async def send_body(self, data, *, last):
-        self.granted.append((data, last))
+        self.body.append(data)
+        if last:
+            self.body_ended.set()
 
 
 class Peer:
