Let the list of nodes say whether the store confirms it

The registration remembers the other routers while the store is down, so the list alone never showed an outage and the status called the store available. One read of the head now tells.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/rollout.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/rollout.py
@@ -28,7 +28,7 @@
       kind: `router` or `sidecar`.
       state: `live`, `leaving` or `unlinked`.
       availability_zone: Where it runs.
-      address: URL of a router; IP:PORT of a sidecar.
+      address: IP:PORT where it listens.
       incarnation: Number of its present start; 0 if unknown.
       revision: Configuration in force there; 0 if unknown.
       load: Newest load of a sidecar, as JSON data; None if unknown.
@@ -58,7 +58,7 @@
 
     Attributes:
       nodes: By kind and name.
-      complete: Some router could read which routers are live.
+      complete: The store confirmed to some router which routers are live.
     """
 
     nodes: list[Node]
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/call.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/call.py
@@ -15,7 +15,7 @@
 from quetzalsill.error import request as request_error
 from quetzalsill.platform import error as platform_error
 from quetzalsill.schema import error as schema_error
-from quetzalsill.telemetry import log
+from quetzalsill.telemetry import log, metric
 from quetzalsill_router.admin import access, answer, check, edit, error
 from quetzalsill_router.http import body as http_body
 
@@ -25,6 +25,10 @@
 __all__ = ['Call', 'Handler', 'endpoint']
 
 _LOG = log.get(__name__)
+_CALLS = metric.counter(
+    'quetzalsill_router_admin_calls_total',
+    'Calls of the administration API, by code.',
+)
 _RETRY_AFTER_S = 2.0
 _EDIT_ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
 _REVISION = re.compile(r'(?:W/)?"?(\d{1,18})"?')
@@ -124,7 +128,9 @@
 
     async def serve(req: blacksheep.Request) -> blacksheep.Response:
         try:
-            return answer.success(await run(req))
+            reply = await run(req)
+            _CALLS.inc({'code': 'ok'})
+            return answer.success(reply)
         except request_error.RequestError as exc:
             failed = exc
         except platform_error.PlatformError as exc:
@@ -142,6 +148,7 @@
             failed = request_error.RequestError(
                 'internal error', ran=base.Ran.UNKNOWN
             )
+        _CALLS.inc({'code': failed.code})
         _LOG.info(
             'admin_call_refused',
             method=req.method,
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/fleet.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/fleet.py
@@ -64,26 +64,39 @@
         yield _sidecar(name, upstream, peers.get(name))
 
 
+async def _store_answers(context: admin_context.AdminContext) -> bool:
+    try:
+        await context.store.head()
+    except platform_error.PlatformError:
+        return False
+    return True
+
+
 async def _routers(
     context: admin_context.AdminContext,
 ) -> tuple[list[view.NodeView], bool]:
-    """Reads the routers; False beside them if the store is unavailable."""
+    """Gives the routers, and whether the store confirms them now.
+
+    What this router remembers of the others while the store is down may
+    name dead ones and miss new ones.
+    """
+    confirmed = await _store_answers(context)
     try:
         found = await context.routers()
-    except platform_error.PlatformUnavailableError:
+    except platform_error.PlatformError:
         return [], False
     return [
         dataclasses.replace(router, revision=context.holder.revision)
         if router.name == context.node
         else router
         for router in found
-    ], True
+    ], confirmed
 
 
 async def nodes(call: admin_call.Call) -> answer.Reply:
     """Gives every router and sidecar with its revision.
 
-    `complete` is false if the store did not tell which routers there are.
+    `complete` is false if the store does not confirm which routers there are.
     """
     context = call.context
     routers, complete = await _routers(context)
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/view.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/view.py
@@ -40,7 +40,7 @@
       state: `live`, `leaving` or `unlinked` (a sidecar that the answering
         router holds no link to; other routers may).
       availability_zone: Where it runs.
-      address: URL of a router; IP:PORT of a sidecar.
+      address: IP:PORT where it listens.
       incarnation: Number of its present start; 0 if unknown.
       revision: Configuration in force there; 0 if unknown.
       load: Newest load of a sidecar; None for routers and if unknown.
