Measure the configuration and the choice of links by size

First parts of make bench-capacity: what a document of the configuration costs by accounts and by upstreams, and how many links the routers' own choice gives at 480 nodes and 1,400 servers.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quetzalsill quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench-path clean
+.PHONY: install test lint format demo bench-path bench-capacity clean
 
 install: $(STAMP)
 
@@ -32,5 +32,8 @@
 bench-path: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.bench.path
 
+bench-capacity: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.bench.capacity
+
 clean:
 	rm -rf $(VENV) bench-results run-demo
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes from which docs/CAPACITY.md is worked out: `make bench-capacity`."""
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/size.py
@@ -0,0 +1,50 @@
+"""The size that the system is designed for, as its users give it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ['BUDGET', 'TARGET', 'Budget', 'Size']
+
+DAY_S = 86_400.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Size:
+    """Numbers of the users' letter."""
+
+    routers: int = 480
+    upstreams: int = 1400
+    zones: int = 7
+    regions: int = 3
+    models: int = 29
+    accounts: int = 3500
+    requests_per_s: float = 17_000.0
+    tokens_per_s: float = 5_300_000.0
+    edits_per_day: int = 2100
+    failures_per_day: int = 36
+    restarts_per_day: int = 540
+
+    @property
+    def edits_per_s(self) -> float:
+        """Mean rate of edits."""
+        return self.edits_per_day / DAY_S
+
+    @property
+    def tokens_per_request(self) -> float:
+        """Mean length of an answer."""
+        return self.tokens_per_s / self.requests_per_s
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Budget:
+    """What a node may spend on control, and the time for an edit."""
+
+    core: float = 0.027
+    memory_bytes: float = 256e6
+    bytes_per_s: float = 3000.0
+    edit_s: float = 14.0
+
+
+TARGET = Size()
+BUDGET = Budget()
