Give a dead engine up sooner than a lost one, and serve metrics

Cause: a plan whose engine was killed waited about 16 s for its second run, all of it the bound after which a path to the engine counts as lost. A host whose process is dead refuses at once, so refused connections alone now end the wait after refused_s (2 s by default). The failure still says that the generation is not proved gone: a listener may close before its work ends. A sidecar tells monitoring of itself where its settings give a port.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
@@ -23,6 +23,12 @@
 }
 
 logger = log.get(__name__)
+items_total = metric.counter(
+    'quetzalsill_sidecar_items_total', 'Tokens and body pieces received.'
+)
+waits = metric.histogram(
+    'quetzalsill_sidecar_queue_wait_seconds', 'Wait before the start.'
+)
 ended_total = metric.counter(
     'quetzalsill_sidecar_attempts_total', 'Attempts ended, by outcome.'
 )
@@ -114,6 +120,10 @@
     outcome = OUTCOMES[type(terminal)]
     code = getattr(terminal, 'code', '')
     ended_total.inc({'outcome': outcome, 'code': code})
+    profile = {'profile': attempt.dispatch.profile}
+    items_total.add(profile, attempt.tail.end)
+    if attempt.started:
+        waits.observe(profile, attempt.started - attempt.arrived)
     logger.info(
         f'attempt_{outcome}',
         attempt=attempt.id,
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
@@ -22,10 +22,18 @@
 
 
 class UpstreamConnectError(ExchangeError):
-    """No connection to the upstream could be opened; nothing was written."""
+    """No connection to the upstream could be opened; nothing was written.
+
+    Attributes:
+      refused: Nobody listens there, as when its process is dead.
+    """
 
     code = 'upstream_connect'
 
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
+
 
 class AnswerLostError(ExchangeError):
     """The connection ended, fell silent or broke the protocol mid-exchange."""
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/monitoring.py
@@ -0,0 +1,76 @@
+"""`/healthz`, `/readyz` and `/metrics` of a sidecar."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import blacksheep
+
+from quetzalsill.net import server
+from quetzalsill.settings import section
+from quetzalsill.telemetry import metric
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from quetzalsill_sidecar import sidecar as sidecar_lib
+
+__all__ = ['make_app', 'serve']
+
+TEXT_TYPE = b'text/plain; charset=utf-8'
+GRACE_S = 1.0
+
+
+def make_app(sidecar: sidecar_lib.Sidecar) -> blacksheep.Application:
+    """The application that tells of a sidecar."""
+    app = blacksheep.Application(router=blacksheep.Router())
+
+    async def healthz(request: blacksheep.Request) -> blacksheep.Response:
+        del request
+        return _text(200, 'ok')
+
+    async def readyz(request: blacksheep.Request) -> blacksheep.Response:
+        del request
+        reason = sidecar.leaving.refusal()
+        if not reason and not sidecar.load.healthy:
+            reason = 'the upstream does not answer'
+        if not reason and not sidecar.configuration.revision:
+            reason = 'no configuration'
+        return _text(503 if reason else 200, reason or 'ready')
+
+    async def metrics(request: blacksheep.Request) -> blacksheep.Response:
+        del request
+        kind = metric.CONTENT_TYPE.encode()
+        content = blacksheep.Content(kind, metric.render())
+        return blacksheep.Response(200, None, content)
+
+    app.router.add('GET', '/healthz', healthz)
+    app.router.add('GET', '/readyz', readyz)
+    app.router.add('GET', '/metrics', metrics)
+    return app
+
+
+@contextlib.asynccontextmanager
+async def serve(sidecar: sidecar_lib.Sidecar) -> AsyncIterator[None]:
+    """Serves the application if the settings give it a port.
+
+    Raises:
+      ListenError: The address can't be listened at.
+    """
+    wanted = sidecar.settings.monitoring
+    if not wanted.port:
+        yield
+        return
+    listen = section.Listen(wanted.host, wanted.port)
+    http = server.HttpServer(make_app(sidecar), listen)
+    await http.start()
+    try:
+        yield
+    finally:
+        await http.stop(GRACE_S)
+
+
+def _text(status: int, text: str) -> blacksheep.Response:
+    content = blacksheep.Content(TEXT_TYPE, f'{text}\n'.encode())
+    return blacksheep.Response(status, None, content)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/run.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/run.py
@@ -7,6 +7,7 @@
 
 from quetzalsill.net import stop as net_stop
 from quetzalsill.plugin import registry
+from quetzalsill_sidecar import monitoring
 from quetzalsill_sidecar import sidecar as sidecar_lib
 
 if TYPE_CHECKING:
@@ -21,15 +22,17 @@
     It leaves on SIGTERM and when the engine says that it is leaving.
 
     Raises:
-      OSError: The address can't be listened at.
+      OSError: The address of the links can't be listened at.
+      ListenError: That for monitoring can't.
     """
     sidecar = sidecar_lib.Sidecar(settings, registry.REGISTRY)
     with net_stop.StopSignal() as stop:
         await sidecar.start()
         try:
-            await _wait_for_either(stop, sidecar)
-            sidecar.leave('shutting down')
-            await sidecar.drained()
+            async with monitoring.serve(sidecar):
+                await _wait_for_either(stop, sidecar)
+                sidecar.leave('shutting down')
+                await sidecar.drained()
         finally:
             await sidecar.stop()
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -135,7 +135,10 @@
             attempt.deliver(items)
             await attempt.tail.room()
 
-        bounds = generation.Bounds(self._timing.stall_s, self._timing.resume_s)
+        timing = self._timing
+        bounds = generation.Bounds(
+            timing.stall_s, timing.resume_s, timing.refused_s
+        )
         return generation.Generation(self.engine, attempt.id, bounds, deliver)
 
     def _stopped(self, attempt: state.Attempt, code: str) -> message.Message:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
@@ -7,7 +7,13 @@
 from quetzalsill.schema import key as schema_key
 from quetzalsill.settings import section
 
-__all__ = ['Bounds', 'SidecarSettings', 'Timing', 'UpstreamTarget']
+__all__ = [
+    'Bounds',
+    'Monitoring',
+    'SidecarSettings',
+    'Timing',
+    'UpstreamTarget',
+]
 
 key = schema_key.key
 
@@ -63,6 +69,13 @@
         minimum=0.1,
         maximum=600,
     )
+    refused_s: float = key(
+        'The same while every connection is refused: the engine is dead.',
+        2.0,
+        unit='s',
+        minimum=0.1,
+        maximum=600,
+    )
     poll_s: float = key(
         'Interval of load reports fetched from the engine.',
         0.5,
@@ -114,6 +127,14 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Monitoring:
+    """Listener of `/healthz`, `/readyz` and `/metrics`."""
+
+    host: str = key('IP number to listen on.', '127.0.0.1', pattern=r'\S+')
+    port: int = key('Port; 0 for no listener.', 0, minimum=0, maximum=65535)
+
+
 @dataclasses.dataclass(slots=True)
 class Bounds:
     """Bounds of memory."""
@@ -174,5 +195,6 @@
     link: section.LinkTiming = key(
         'Timing of the links.', factory=section.LinkTiming
     )
+    monitoring: Monitoring = key('Listener for monitoring.', factory=Monitoring)
     timing: Timing = key('Bounds of waits.', factory=Timing)
     bounds: Bounds = key('Bounds of memory.', factory=Bounds)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generation.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generation.py
@@ -33,10 +33,12 @@
     Attributes:
       stall_s: Silence on a connection after which another is tried.
       resume_s: Time without any answer after which the engine is given up.
+      refused_s: The same if every connection is refused meanwhile.
     """
 
     stall_s: float
     resume_s: float
+    refused_s: float
 
 
 class Generation:
@@ -71,6 +73,7 @@
         self._bounds = bounds
         self._deliver = deliver
         self._last_answer = 0.0
+        self._last_reached = 0.0
         self._pause_s = BACKOFF_FIRST_S
 
     async def resume(self) -> None:
@@ -78,14 +81,12 @@
 
         Raises:
           GenerationGoneError: the engine does not know it and never will.
-          GenerationUnreachableError: no answer within `resume_s`.
+          GenerationUnreachableError: no answer within `resume_s`, or every
+            connection refused for `refused_s`.
         """
         self._note_answer()
         while not await self._try_resume():
-            if self._silence_s() >= self._bounds.resume_s:
-                raise error.GenerationUnreachableError(
-                    f'no answer in {self._bounds.resume_s} s'
-                )
+            self._check_reach()
             await asyncio.sleep(self._pause_s)
             self._pause_s = min(self._pause_s * 2, BACKOFF_MAX_S)
 
@@ -99,14 +100,27 @@
             if exc.status == NOT_FOUND:
                 raise error.GenerationGoneError(exc.detail) from exc
             return False
-        except (
-            error.UpstreamConnectError,
-            error.AnswerLostError,
-            TimeoutError,
-        ):
+        except error.UpstreamConnectError as exc:
+            if not exc.refused:
+                self._note_reached()
+            return False
+        except (error.AnswerLostError, TimeoutError):
+            self._note_reached()
             return False
         return True
 
+    def _check_reach(self) -> None:
+        # A dead process is told from a lost path: its host refuses at once.
+        # Waiting as long as for a path would leave the caller stalled.
+        now = asyncio.get_running_loop().time()
+        if now - self._last_answer >= self._bounds.resume_s:
+            bound_s = self._bounds.resume_s
+        elif now - self._last_reached >= self._bounds.refused_s:
+            bound_s = self._bounds.refused_s
+        else:
+            return
+        raise error.GenerationUnreachableError(f'no answer in {bound_s} s')
+
     async def read(self, conn: http.Connection) -> None:
         """Reads from a connection on which the request was written.
 
@@ -170,11 +184,13 @@
             raise error.AnswerLostError(f'event {index}, not {self.count}')
 
     def _note_answer(self) -> None:
-        self._last_answer = asyncio.get_running_loop().time()
+        self._note_reached()
+        self._last_answer = self._last_reached
         self._pause_s = BACKOFF_FIRST_S
 
-    def _silence_s(self) -> float:
-        return asyncio.get_running_loop().time() - self._last_answer
+    def _note_reached(self) -> None:
+        """Notes that connections are not simply refused."""
+        self._last_reached = asyncio.get_running_loop().time()
 
 
 def _fields(event: bytes) -> dict[str, object]:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/http.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/http.py
@@ -208,7 +208,8 @@
             )
     except (OSError, TimeoutError) as exc:
         raise error.UpstreamConnectError(
-            f'{origin.authority}: {exc or "connect timed out"}'
+            f'{origin.authority}: {exc or "connect timed out"}',
+            refused=isinstance(exc, ConnectionRefusedError),
         ) from exc
     keepalive.tune(writer.transport)
     return Connection(origin, reader, writer)
--- a/tests/quetzalsill_sidecar/test_engine_faults.py
+++ b/tests/quetzalsill_sidecar/test_engine_faults.py
@@ -100,26 +100,43 @@
         self.assertTrue(self.engine.audit()['runs'][0]['cancelled'])
 
 
-class RestartTest(unittest.IsolatedAsyncioTestCase):
-    """The engine process is replaced by a new one at the same address."""
+class DeadEngineTest(unittest.IsolatedAsyncioTestCase):
+    """The engine process ends in mid-answer."""
 
-    async def test_generation_of_a_dead_engine_is_gone(self):
+    async def begin(self, refused_s: float) -> None:
+        """Begins an answer and ends the engine behind it."""
+        async with support.engine(costs=support.costs(0.005)) as (_, url):
+            self.port = http.Origin.parse(url).port
+            sidecar = await self.enterAsyncContext(
+                support.sidecar(url, resume_s=60.0, refused_s=refused_s)
+            )
+            self.router = await self.enterAsyncContext(
+                support.router(sidecar.port)
+            )
+            self.attempt = self.router.dispatch(tokens=3000)
+            received: list[int] = []
+            while not received:
+                msg = await self.router.receive(self.attempt)
+                received += support.indexes([msg])
+
+    async def test_generation_of_a_replaced_engine_is_gone(self):
         """A plan ends in the tokens of another generation.
 
-        The engine dies in mid-answer and comes back at its address.
+        The engine dies in mid-answer and another takes its address.
         """
-        async with support.engine(costs=support.costs(0.005)) as (_, url):
-            port = http.Origin.parse(url).port
-            sidecar = await self.enterAsyncContext(support.sidecar(url))
-            router = await self.enterAsyncContext(support.router(sidecar.port))
-            attempt = router.dispatch(tokens=3000)
-            while not support.indexes([await router.receive(attempt)]):
-                pass
-        async with support.engine(port=port):
-            messages = await router.receive_all(attempt)
+        await self.begin(refused_s=60.0)
+        async with support.engine(port=self.port):
+            messages = await self.router.receive_all(self.attempt)
         self.assertEqual(messages[-1].code, 'upstream_failed')
         self.assertTrue(messages[-1].gone)
 
+    async def test_dead_engine_is_given_up_before_a_lost_one(self):
+        """A clerk waits a minute for an engine whose process is dead."""
+        await self.begin(refused_s=0.3)
+        messages = await self.router.receive_all(self.attempt)
+        self.assertEqual(messages[-1].code, 'upstream_failed')
+        self.assertFalse(messages[-1].gone)
+
 
 if __name__ == '__main__':
     unittest.main()
