Measure what an idle link costs a router and a sidecar

One real process at the measured end, many real ends in the bench.

Link.get_extra_info and Sidecar.links are new, for the bench's counts.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
@@ -10,7 +10,7 @@
 
 import click
 
-from quetzalsill_dev.bench.capacity import configuration, subsets
+from quetzalsill_dev.bench.capacity import configuration, links, subsets
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,6 +22,8 @@
 RESULT_FILE = pathlib.Path('bench-results/capacity.json')
 PARTS = {
     'configuration': configuration.measure,
+    'links-router': links.measure_router,
+    'links-sidecar': links.measure_sidecar,
     'subsets': subsets.measure,
 }
 
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/links.py
@@ -0,0 +1,227 @@
+"""What a link costs a router and a sidecar while no request runs.
+
+Router: one real process, linked to many real sidecars inside this process.
+Sidecar: one real process before an engine stand-in, with many links that this
+process dials. Each is watched while nothing changes and while the load of
+every sidecar changes all the time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from typing import TYPE_CHECKING
+
+from quetzalsill.settings import section
+from quetzalsill.telemetry import log
+from quetzalsill.wire import dial, message
+from quetzalsill_dev import board, cluster, launch, layout, process_settings
+from quetzalsill_dev.bench.capacity import series, sidecars, window
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterable
+
+    from quetzalsill.wire import link as link_lib
+
+__all__ = ['measure_router', 'measure_sidecar']
+
+SIZES = (8, 32, 64, 128, 256)
+ROUTER = 'entry-1'
+ENGINE = 'server-0000'
+ZONE = board.ZONES[0]
+STATES = ('idle', 'changing')
+FIGURES = {
+    'core': 'part of a core',
+    'payload': 'bytes/s',
+    'wire': 'bytes/s',
+    'resident': 'bytes',
+}
+PROMPT_TOKENS = 4000
+ANSWER_TOKENS = 3
+PAUSE_S = 0.05
+ATTEMPTS = itertools.count(1)
+
+
+def measure_router() -> Iterable[series.Series]:
+    """Measures a router by its links."""
+    return asyncio.run(_measure_router())
+
+
+def measure_sidecar() -> Iterable[series.Series]:
+    """Measures a sidecar by its links."""
+    return asyncio.run(_measure_sidecar())
+
+
+class _Record:
+    """Series of one role, by state and figure."""
+
+    def __init__(self, role: str) -> None:
+        self._series = {
+            (state, figure): series.Series(
+                f'links.{role} {state} {figure}', unit, 'links'
+            )
+            for state in STATES
+            for figure, unit in FIGURES.items()
+        }
+
+    def add(self, state: str, size: int, seen: window.Window) -> None:
+        """Adds what was seen at a number of links."""
+        for figure in FIGURES:
+            self._series[state, figure].add(size, getattr(seen, figure))
+
+    def all(self) -> list[series.Series]:
+        """Gives all series."""
+        return list(self._series.values())
+
+
+async def _measure_router() -> list[series.Series]:
+    log.configure('error')
+    record = _Record('router')
+    engine = layout.EngineSpec(ENGINE, ZONE, [board.MODEL])
+    spec = layout.Layout([], [], [layout.RouterSpec(ROUTER, ZONE)])
+    async with launch.Launcher() as launcher:
+        started = cluster.Cluster(launcher, spec)
+        await started.start()
+        process = await _start_engine(launcher, engine)
+        async with sidecars.Sidecars(process.url) as far:
+            for size in SIZES:
+                await far.grow(size)
+                await _publish(started, far)
+                pid = started.routers[ROUTER].pid
+                seen = await window.watch(pid, far.links())
+                record.add('idle', size, seen)
+                async with _running(far.swing()):
+                    seen = await window.watch(pid, far.links())
+                record.add('changing', size, seen)
+    return record.all()
+
+
+async def _publish(started: cluster.Cluster, far: sidecars.Sidecars) -> None:
+    started.configuration.upstreams = far.upstreams()
+    started.configuration.policies.subset = max(SIZES)
+    revision = await started.publish()
+    await far.wait_linked()
+    await far.wait_revision(revision)
+
+
+async def _start_engine(
+    launcher: launch.Launcher, spec: layout.EngineSpec
+) -> launch.Process:
+    return await launcher.start(
+        spec.name,
+        'quetzalsill_dev.engine_standin',
+        f'--models={",".join(spec.models)}',
+    )
+
+
+async def _measure_sidecar() -> list[series.Series]:
+    log.configure('error')
+    record = _Record('sidecar')
+    spec = layout.EngineSpec(ENGINE, ZONE, [board.MODEL])
+    async with launch.Launcher() as launcher:
+        engine = await _start_engine(launcher, spec)
+        process = await _start_sidecar(launcher, engine)
+        async with contextlib.AsyncExitStack() as stack:
+            near: list[link_lib.Link] = []
+            for size in SIZES:
+                for number in range(len(near), size):
+                    linked = _linked(process.port, number)
+                    near.append(await stack.enter_async_context(linked))
+                seen = await window.watch(process.pid, near)
+                record.add('idle', size, seen)
+                async with _running(_ask(process.port)):
+                    seen = await window.watch(process.pid, near)
+                record.add('changing', size, seen)
+    return record.all()
+
+
+async def _start_sidecar(
+    launcher: launch.Launcher, engine: launch.Process
+) -> launch.Process:
+    platform = dict.fromkeys(('table', 'objects', 'hosts'), engine.url)
+    path = launcher.folder / 'sidecar.json'
+    settings = process_settings.sidecar(
+        ENGINE, ZONE, 0, platform, engine.url, 'model'
+    )
+    process_settings.write(path, settings)
+    return await launcher.start(
+        'sidecar', 'quetzalsill.run', 'sidecar', f'--settings={path}'
+    )
+
+
+@contextlib.asynccontextmanager
+async def _linked(port: int, number: int) -> AsyncIterator[link_lib.Link]:
+    """A link whose messages are read and thrown away."""
+    link = await _dial(port, f'entry-{number:03d}')
+
+    async def read() -> None:
+        async for _ in link.messages():
+            pass
+
+    async with _running(read()):
+        yield link
+    link.close()
+
+
+async def _dial(port: int, node: str) -> link_lib.Link:
+    hello = message.Hello(
+        message.VERSION, node, 1, process_settings.CREDENTIAL, ZONE, 0
+    )
+    return await dial.dial('127.0.0.1', port, hello, section.LinkTiming())
+
+
+@contextlib.asynccontextmanager
+async def _running(work: object) -> AsyncIterator[None]:
+    task = asyncio.create_task(work)
+    try:
+        yield
+        if task.done():
+            await task
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def _ask(port: int) -> None:
+    """Has short answers to long prompts made, one after the other."""
+    link = await _dial(port, 'entry-asking')
+    messages = link.messages()
+    for number in ATTEMPTS:
+        attempt = f'entry-asking/1/{number}'
+        link.send_nowait(_dispatch(attempt, link.peer.incarnation))
+        async for msg in messages:
+            if isinstance(msg, message.Finished):
+                break
+        link.send_nowait(message.Ack(attempt))
+        await asyncio.sleep(PAUSE_S)
+
+
+def _dispatch(attempt: str, incarnation: int) -> message.Dispatch:
+    prompt = f'Delivery slots? [[tokens={ANSWER_TOKENS}]]'
+    body = f'{{"model": "{board.MODEL}", "prompt": "{prompt}"}}'
+    return message.Dispatch(
+        attempt=attempt,
+        request=attempt,
+        incarnation=incarnation,
+        revision=0,
+        fence=0,
+        account='retailers',
+        profile='prompt',
+        model=board.MODEL,
+        kind='completion',
+        method='POST',
+        path='',
+        headers=[],
+        payload=body.encode(),
+        body_open=False,
+        idempotent=True,
+        remaining_ms=60_000,
+        queue_ms=10_000,
+        prompt_tokens=PROMPT_TOKENS,
+        max_tokens=ANSWER_TOKENS,
+        prefix='',
+        recover=False,
+        credit=256,
+        trace='',
+    )
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/usage.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/usage.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import asyncio
+    from quetzalsill.wire import link as link_lib
 
 __all__ = ['core_s', 'resident_bytes', 'wire_bytes']
 
@@ -36,12 +36,12 @@
     return int(pages[RESIDENT_FIELD]) * os.sysconf('SC_PAGE_SIZE')
 
 
-def wire_bytes(writer: asyncio.StreamWriter) -> int:
-    """Bytes of a connection both ways, with the headers of its segments.
+def wire_bytes(link: link_lib.Link) -> int:
+    """Bytes of a link both ways, with the headers of its segments.
 
     Empty acknowledgements are counted; the link layer is not.
     """
-    sock = writer.get_extra_info('socket')
+    sock = link.get_extra_info('socket')
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     acked, received, out, into = TCP_INFO_COUNTS.unpack_from(
         info, TCP_INFO_COUNTS_AT
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -25,7 +25,11 @@
 
 
 class Session:
-    """Acts on the messages of one router."""
+    """Acts on the messages of one router.
+
+    Attributes:
+      link: The link that is served.
+    """
 
     def __init__(
         self,
@@ -35,7 +39,7 @@
         configuration: holder.Holder,
     ) -> None:
         """Takes a link whose handshake is done."""
-        self._link = link
+        self.link = link
         self._intake = intake
         self._attempts = attempts
         self._configuration = configuration
@@ -59,10 +63,10 @@
         Raises:
           WireError: The link ended or broke the protocol.
         """
-        self._link.on_revision = self.fetch_newer
-        self.fetch_newer(self._link.peer.revision)
+        self.link.on_revision = self.fetch_newer
+        self.fetch_newer(self.link.peer.revision)
         try:
-            async for msg in self._link.messages():
+            async for msg in self.link.messages():
                 self._handle(msg)
         finally:
             self._detach()
@@ -70,7 +74,7 @@
     def put(self, msg: message.Message) -> None:
         """Sends to the router; a link that is gone is noticed by `serve`."""
         with contextlib.suppress(wire_error.LinkClosedError):
-            self._link.send_nowait(msg)
+            self.link.send_nowait(msg)
 
     def fetch_newer(self, revision: int) -> None:
         """Asks for the configuration if the router has a newer one."""
@@ -83,7 +87,7 @@
         if handler is None:
             logger.warning(
                 'message_unexpected',
-                router=self._link.peer.node,
+                router=self.link.peer.node,
                 kind=type(msg).__name__,
             )
             return
@@ -139,12 +143,12 @@
         except schema_error.InvalidDocumentError as exc:
             logger.error(
                 'configuration_invalid',
-                router=self._link.peer.node,
+                router=self.link.peer.node,
                 revision=msg.revision,
                 detail=str(exc),
             )
 
     def _on_go_away(self, msg: message.GoAway) -> None:
         logger.info(
-            'router_leaving', router=self._link.peer.node, reason=msg.reason
+            'router_leaving', router=self.link.peer.node, reason=msg.reason
         )
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -111,6 +111,11 @@
         """Port that routers dial."""
         return self._server.port
 
+    @property
+    def links(self) -> list[link_lib.Link]:
+        """Links of the routers that are linked now."""
+        return [one.link for one in self._sessions]
+
     @property
     def settings(self) -> settings_lib.SidecarSettings:
         """Settings of this process."""
--- a/packages/quetzalsill/src/quetzalsill/wire/link.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from quetzalsill.wire import codec, error, frame, message
 
@@ -84,6 +84,10 @@
         """Whether nothing more can be sent."""
         return self._failure is not None
 
+    def get_extra_info(self, name: str) -> Any:
+        """Gives what the transport knows of itself, such as its `socket`."""
+        return self._writer.get_extra_info(name)
+
     def send_nowait(self, msg: message.Message) -> None:
         """Buffers a message; all of one loop tick leave in one write.
 
