Prove edits, races, lost answers and roles of the administration API

The race test did not see an update that undid another operator's until it compared each revision with the one before; it does now.

--- /dev/null
+++ b/tests/quetzalsill_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line."""
--- /dev/null
+++ b/tests/quetzalsill_cli/fixture.py
@@ -0,0 +1,175 @@
+"""Routers with the administration API, served to the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import socket
+import tempfile
+import threading
+import unittest
+
+from click import testing
+
+from quetzalsill.net import server
+from quetzalsill.plugin import registry
+from quetzalsill.settings import section
+from quetzalsill_cli import plugin, run
+from tests.quetzalsill_router.admin import fake
+
+BOUND_S = 30
+
+
+class Lossy:
+    """Serves an application and cuts some answers off after the effect.
+
+    Attributes:
+      lose: So many writes are carried out and their answers cut off.
+      seen: Method, path and edit id of each call.
+    """
+
+    def __init__(self, app):
+        self._app = app
+        self.lose = 0
+        self.seen = []
+
+    async def __call__(self, scope, receive, send):
+        if scope['type'] != 'http':
+            return await self._app(scope, receive, send)
+        headers = dict(scope['headers'])
+        edit = headers.get(b'x-edit-id', b'').decode()
+        self.seen.append((scope['method'], scope['path'], edit))
+        if scope['method'] == 'GET' or not self.lose:
+            return await self._app(scope, receive, send)
+        self.lose -= 1
+        await self._app(scope, receive, _ignore)
+        await send({
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': [(b'content-length', b'100')],
+        })  # fmt: skip
+        return None
+
+
+async def _ignore(message):
+    """Takes a message that the client must not see."""
+
+
+class Served:
+    """One router with its listener."""
+
+    def __init__(self, router):
+        self.router = router
+        self.lossy = Lossy(router.app)
+        self._server = server.HttpServer(
+            self.lossy, section.Listen('127.0.0.1', 0)
+        )
+
+    async def start(self):
+        await self._server.start()
+        self.url = f'http://127.0.0.1:{self._server.port}'
+
+    async def stop(self):
+        await self._server.stop(1)
+
+
+class Routers:
+    """Routers on an event loop in a thread of its own."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+        self._served = []
+
+    def run(self, coroutine):
+        fut = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return fut.result(BOUND_S)
+
+    def add(self, router):
+        return self.run(self._add(router))
+
+    async def _add(self, router):
+        served = Served(router)
+        await served.start()
+        self._served.append(served)
+        return served
+
+    def close(self):
+        for served in self._served:
+            self.run(served.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(BOUND_S)
+        self._loop.close()
+
+
+def unused_url():
+    """Gives a URL at which nothing listens."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'http://127.0.0.1:{sock.getsockname()[1]}'
+
+
+class FollowingPeer(fake.Peer):
+    """A sidecar that has in force what its router has, after a while."""
+
+    def __init__(self, router, looks=0):
+        super().__init__('ikeja-1')
+        self._router = router
+        self.looks_left = looks
+
+    @property
+    def load(self):
+        """Gives a load, for some looks at revision 1."""
+        if self.looks_left:
+            self.looks_left -= 1
+            return fake.load(1)
+        return fake.load(self._router.holder.revision)
+
+    @load.setter
+    def load(self, value):
+        """Ignores the default of the field."""
+
+
+class CommandCase(unittest.TestCase):
+    """Runs commands against one router with a first configuration."""
+
+    def setUp(self):
+        self.routers = Routers()
+        self.addCleanup(self.routers.close)
+        self.router = fake.Router()
+        self.router.install()
+        self.router.peers = [FollowingPeer(self.router)]
+        self.served = self.routers.add(self.router)
+        plugins = registry.Registry()
+        plugin.register(plugins)
+        self.command = run.build(plugins)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def add_router(self):
+        """Adds a second router on the same store."""
+        router = fake.Router(self.router.store, 'entry-2')
+        held = self.router.holder
+        router.holder.install(held.document, held.revision)
+        return self.routers.add(router)
+
+    def invoke(self, *arguments, urls=None, token=fake.OPERATOR, **options):
+        """Runs a command; gives its result."""
+        named = [
+            word for url in urls or [self.served.url]
+            for word in ('--router', url)
+        ]  # fmt: skip
+        return testing.CliRunner().invoke(
+            self.command,
+            [*named, '--timeout', '5', *arguments],
+            env={'QUETZALSILL_TOKEN': token, 'QUETZALSILL_ROUTER': None},
+            **options,
+        )
+
+    def file(self, text, name='configuration.json5'):
+        """Writes a file; gives its path."""
+        path = self.folder / name
+        path.write_text(text, encoding='utf-8')
+        return str(path)
--- /dev/null
+++ b/tests/quetzalsill_router/admin/fake.py
@@ -0,0 +1,228 @@
+"""Fakes of what the administration API needs of its router."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+import unittest
+
+import blacksheep
+from blacksheep import contents, testing
+from blacksheep.server import routing
+
+from quetzalsill.config import document, holder, revision, store
+from quetzalsill.platform import error as platform_error
+from quetzalsill.wire import message
+from quetzalsill_router.admin import context, routes, view
+
+OPERATOR = 'operator-token'
+VIEWER = 'viewer-token'
+BOOTSTRAP = 'bootstrap-token'
+
+
+def digest(token):
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def plain_configuration():
+    """Gives a small valid document."""
+    return {
+        'profiles': {'prompt': {}, 'patient': {'durable': True}},
+        'models': {'planner': {'profile': 'patient'}},
+        'upstreams': {
+            'ikeja-1': {
+                'kind': 'model',
+                'sidecar': '127.0.0.1:7201',
+                'availability_zone': 'ikeja-hall',
+                'models': ['planner'],
+            }
+        },
+        'accounts': {'lagos': {'token_sha256': [digest('lagos-token')]}},
+        'operators': {
+            'ada': {'token_sha256': digest(OPERATOR), 'role': 'operator'},
+            'obi': {'token_sha256': digest(VIEWER)},
+        },
+    }
+
+
+class MemoryStore:
+    """Revisions in memory, with the failures of the platform.
+
+    Attributes:
+      down: Every call fails.
+      lose: So many publications take effect without an answer.
+      before_publish: Called as each publication arrives.
+    """
+
+    def __init__(self):
+        self.down = False
+        self.lose = 0
+        self.before_publish = lambda: None
+        self._entries = []
+        self._documents = [b'{}']
+
+    def _reach(self):
+        if self.down:
+            raise platform_error.PlatformUnavailableError('down')
+
+    async def head(self):
+        self._reach()
+        if not self._entries:
+            return revision.Head()
+        entry = self._entries[-1]
+        return revision.Head(entry.revision, entry.edit, entry.author, entry.at)
+
+    async def load(self, number):
+        self._reach()
+        if number >= len(self._documents):
+            raise store.RevisionMissingError(f'no revision {number}')
+        return self._documents[number]
+
+    async def history(self, limit):
+        self._reach()
+        return self._entries[::-1][:limit]
+
+    async def publish(self, data, expected_revision, edit, author, note):
+        self._reach()
+        self.before_publish()
+        for entry in self._entries:
+            if entry.edit == edit and self._documents[entry.revision] == data:
+                return entry.revision
+            if entry.edit == edit:
+                raise store.EditReusedError(edit)
+        if expected_revision != len(self._entries):
+            raise store.RevisionConflictError(len(self._entries))
+        made = self._append(data, edit, author, note)
+        if self.lose:
+            self.lose -= 1
+            raise store.OutcomeUnknownEditError(edit, expected_revision)
+        return made
+
+    def _append(self, data, edit, author, note=''):
+        made = len(self._documents)
+        self._documents.append(data)
+        self._entries.append(
+            revision.Revision(made, edit, author, note, '2026-12-02', '', '')
+        )
+        return made
+
+    def put(self, plain, author='ada'):
+        """Publishes a document behind the back of the API."""
+        data = document.render(document.parse(json.dumps(plain).encode(), 0))
+        edit = f'edit-{len(self._documents)}'
+        return data, self._append(data, edit, author)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """A linked sidecar."""
+
+    upstream: str
+    availability_zone: str = 'ikeja-hall'
+    incarnation: int = 3
+    linked: bool = True
+    leaving: bool = False
+    load: message.Load | None = None
+
+
+def load(revision):
+    return message.Load(
+        1, 2, 30, 100, 40, 5.0, ['planner'], False, True, revision
+    )
+
+
+class Requests:
+    """Requests by id."""
+
+    def __init__(self):
+        self.found = {}
+
+    async def find(self, request):
+        return self.found.get(request)
+
+    async def cancel(self, request):
+        found = self.found.get(request)
+        if found is None:
+            return None
+        return dataclasses.replace(found, state='failed', code='cancelled')
+
+
+class Router:
+    """One router with the administration API, without a listener."""
+
+    def __init__(self, rows=None, name='entry-1'):
+        self.store = rows or MemoryStore()
+        self.holder = holder.Holder()
+        self.hints = []
+        self.peers = []
+        self.requests = Requests()
+        self.context = context.AdminContext(
+            node=name,
+            bootstrap_sha256=digest(BOOTSTRAP),
+            holder=self.holder,
+            store=self.store,
+            peers=lambda: self.peers,
+            routers=self.routers,
+            requests=self.requests,
+            hint=self.hints.append,
+        )
+        self.app = blacksheep.Application(router=routing.Router())
+        routes.mount(self.app, self.context)
+
+    async def routers(self):
+        return [
+            view.NodeView(
+                self.context.node,
+                'router',
+                'live',
+                'ikeja-hall',
+                '127.0.0.1:7100',
+                1,
+                0,
+            )
+        ]
+
+    def install(self, plain=None):
+        """Puts a first configuration in force."""
+        self.holder.install(*self.store.put(plain or plain_configuration()))
+
+    async def client(self):
+        await self.app.start()
+        return Client(testing.TestClient(self.app))
+
+
+class Client:
+    """Calls the API with a token and JSON bodies."""
+
+    def __init__(self, client):
+        self._client = client
+
+    async def __call__(
+        self, method, path, body=None, *, token=OPERATOR, raw=None, **headers
+    ):
+        sent = {k.replace('_', '-'): v for k, v in headers.items()}
+        if token:
+            sent['Authorization'] = f'Bearer {token}'
+        path, _, query = f'/admin/v1{path}'.partition('?')
+        if raw is None:
+            raw = b'' if body is None else json.dumps(body).encode()
+
+        async def receive():
+            return {'type': 'http.request', 'body': raw, 'more_body': False}
+
+        content = contents.ASGIContent(receive)
+        arguments = {'content': content} if method in ('put', 'post') else {}
+        resp = await getattr(self._client, method)(
+            path, headers=sent, query=query.encode(), **arguments
+        )
+        return resp.status, json.loads(await resp.read()), resp
+
+
+class ApiCase(unittest.IsolatedAsyncioTestCase):
+    """A router with a first configuration in force."""
+
+    async def asyncSetUp(self):
+        self.router = Router()
+        self.router.install()
+        self.call = await self.router.client()
--- /dev/null
+++ b/tests/quetzalsill_router/admin/test_race.py
@@ -0,0 +1,106 @@
+"""Operators who race through two routers, on the real store and stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill.config import store
+from quetzalsill.platform import clients
+from quetzalsill.settings import section
+from quetzalsill_dev.platform_standin import serve
+from tests.quetzalsill_router.admin import fake
+
+OPERATORS = 3
+EDITS = 4
+BOUND_S = 60
+REPEATABLE = (503, 504)
+
+
+async def edit(call, operator, number):
+    """Makes one edit as the command line does; gives its revision."""
+    edit_id = ''
+    while True:
+        _, read, _ = await call('get', f'/profiles/{operator}')
+        value = read['value'] | {'retries': number}
+        edit_id = f'{operator}-{number}-{read["revision"]}'
+        status = 503
+        while status in REPEATABLE:
+            status, body, _ = await call(
+                'put',
+                f'/profiles/{operator}',
+                value,
+                If_Match=str(read['revision']),
+                X_Edit_Id=edit_id,
+            )
+        if status == 200:
+            return edit_id, body['revision']
+
+
+class RacingOperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """Three operators, two routers, one store that loses answers."""
+
+    async def asyncSetUp(self):
+        self.platform = serve.StandIn('store')
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
+        url = self.platform.url
+        self.opened = await self.enterAsyncContext(
+            clients.open_clients(section.Platform(url, url, url))
+        )
+
+    async def client(self, name):
+        rows = store.ConfigStore(self.opened.table, self.opened.objects)
+        return await fake.Router(rows, name).client()
+
+    async def test_each_accepted_edit_is_one_revision_and_stays(self):
+        """Three operators edit at once and each is told "accepted".
+
+        Now and then the store loses an answer after the write, so a router
+        can't know what became of it. One operator's edit must neither undo
+        another's nor be made twice.
+        """
+        first, second = await self.client('a'), await self.client('b')
+        plain = fake.plain_configuration()
+        names = [f'profile-{n}' for n in range(OPERATORS)]
+        plain['profiles'] |= {name: {} for name in names}
+        status, _, _ = await first(
+            'put', '/config', plain, token=fake.BOOTSTRAP, If_Match='0'
+        )
+        self.assertEqual(200, status)
+        await second('get', '/config', token=fake.BOOTSTRAP)
+
+        async def work(call, name):
+            accepted = []
+            for number in range(EDITS):
+                self.platform.faults.switches.lose_answers = number % 2
+                accepted.append(await edit(call, name, number))
+            return accepted
+
+        async with asyncio.timeout(BOUND_S):
+            rounds = await asyncio.gather(
+                work(first, names[0]),
+                work(second, names[1]),
+                work(second, names[2]),
+            )
+        accepted = dict(pair for made in rounds for pair in made)
+        _, body, _ = await first('get', '/history?limit=100')
+        history = {e['edit']: e['revision'] for e in body['entries'][:-1]}
+        self.assertEqual(accepted, history)
+        self.assertEqual(OPERATORS * EDITS, len(set(accepted.values())))
+        for edit_id, revision in accepted.items():
+            _, body, _ = await first(
+                'get', f'/diff?from={revision - 1}&to={revision}'
+            )
+            name = edit_id.rsplit('-', 2)[0]
+            self.assertEqual(
+                [f'profiles.{name}.retries'],
+                [change['path'] for change in body['changes']],
+            )
+        _, body, _ = await second('get', '/profiles')
+        for name in names:
+            self.assertEqual(EDITS - 1, body['value'][name]['retries'])
+
+
+if __name__ == '__main__':
+    unittest.main()
