Name a node that loses its link while an edit is awaited

Cause: a trial with two routers, one sidecar and one engine as processes. With the sidecar stopped by SIGSTOP, profile edit ended after 3.3 s with "in force on 2 nodes" and exit code 0: the routers had dropped the silent link, and a node without a link counted as not live. It wakes with the old configuration. Sidecars never linked are named apart, as a dead host must not fail each edit.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/commands/request.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/request.py
@@ -71,4 +71,4 @@
 def cancel(request: str) -> None:
     """Cancel a request and stop its work on the upstream."""
     body = perform.run(lambda links: _ask(links, 'DELETE', request))
-    click.echo(f'request {request}: {body["state"]}')
+    click.echo(f'request {request}: {body["code"] or body["state"]}')
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
@@ -94,6 +94,7 @@
             metavar='URL',
             callback=_check_routers,
             envvar='QUETZALSILL_ROUTER',
+            show_envvar=True,
             help='Router to ask; repeat it to name others to try next.',
         ),
         click.option(
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/perform.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/perform.py
@@ -49,35 +49,40 @@
         if accepted.earlier
         else 'the edit had not taken effect and was made now'
     )
-    click.echo(
-        f'{accepted.lost} answers were lost; asked again: {found}', err=True
-    )
+    click.echo(f'answers lost: {accepted.lost}; asked again: {found}', err=True)
 
 
 async def _wait(links: routers.Routers, revision: int) -> None:
     try:
-        fleet = await rollout.wait(links, revision, rollout.BOUND_S)
+        fleet, behind = await rollout.wait(links, revision, rollout.BOUND_S)
     except failure.CommandError as exc:
         raise failure.NotInForceError(
             f'revision {revision} is accepted, but no router tells who has '
             f'it in force: {exc.message}'
         ) from exc
-    _check(fleet, revision)
-    unlinked = len(fleet.unlinked())
+    _check(fleet, behind, revision)
     click.echo(f'in force on {len(fleet.linked())} nodes')
+    unlinked = ', '.join(node.name for node in fleet.unlinked())
     if unlinked:
         click.echo(
-            f'{unlinked} sidecars have no link to the routers asked', err=True
+            f'not linked to the routers asked, so not known: {unlinked}',
+            err=True,
         )
 
 
-def _check(fleet: rollout.Fleet, revision: int) -> None:
-    behind = fleet.behind(revision)
-    lines = [
-        f'  {node.kind} {node.name} ({node.availability_zone}): '
-        f'revision {node.revision}'
-        for node in behind
-    ]
+def _line(node: rollout.Node) -> str:
+    shown = (
+        'lost its link'
+        if node.state == 'unlinked'
+        else f'revision {node.revision}'
+    )
+    return f'  {node.kind} {node.name} ({node.availability_zone}): {shown}'
+
+
+def _check(
+    fleet: rollout.Fleet, behind: list[rollout.Node], revision: int
+) -> None:
+    lines = [_line(node) for node in behind]
     if not fleet.complete:
         lines.append('  the store does not tell which routers are live')
     if lines:
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/rollout.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/rollout.py
@@ -47,6 +47,10 @@
         """Gives the node as JSON data."""
         return dataclasses.asdict(self)
 
+    def place(self) -> tuple[str, str]:
+        """Gives what tells the node from all others."""
+        return self.kind, self.name
+
     def age(self) -> tuple[bool, int, int]:
         """Orders views of the same node, the newest last."""
         return self.state != 'unlinked', self.incarnation, self.revision
@@ -81,7 +85,7 @@
     """Yields the nodes of one answer; a router knows itself best."""
     for plain in body['nodes']:
         node = Node(**plain)
-        if (node.kind, node.name) == ('router', body['node']):
+        if node.place() == ('router', body['node']):
             node = dataclasses.replace(node, revision=body['revision'])
         yield node
 
@@ -89,10 +93,9 @@
 def _merge(views: Iterable[Node]) -> list[Node]:
     newest: dict[tuple[str, str], Node] = {}
     for node in views:
-        place = (node.kind, node.name)
-        known = newest.get(place)
+        known = newest.get(node.place())
         if known is None or known.age() < node.age():
-            newest[place] = node
+            newest[node.place()] = node
     return [newest[place] for place in sorted(newest)]
 
 
@@ -112,12 +115,27 @@
 
 async def wait(
     links: cli_routers.Routers, revision: int, bound_s: float
-) -> Fleet:
-    """Looks until every linked node shows a revision, or the bound is up."""
+) -> tuple[Fleet, list[Node]]:
+    """Looks until every linked node shows a revision, or the bound is up.
+
+    A node that was linked at some look and lost its link before it showed
+    the revision still counts: a paused process is dropped from the links,
+    and wakes later with the old configuration.
+
+    Returns:
+      The fleet at the last look, and the nodes that do not show it.
+    """
     deadline = time.monotonic() + bound_s
+    seen: set[tuple[str, str]] = set()
     while True:
         fleet = await look(links)
-        done = fleet.complete and not fleet.behind(revision)
+        seen.update(node.place() for node in fleet.linked())
+        behind = [
+            node
+            for node in fleet.nodes
+            if node.place() in seen and node.revision < revision
+        ]
+        done = fleet.complete and not behind
         if done or time.monotonic() + _POLL_S > deadline:
-            return fleet
+            return fleet, behind
         await asyncio.sleep(_POLL_S)
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/context.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/context.py
@@ -26,10 +26,10 @@
 
 
 class RequestControl(Protocol):
-    """Requests that this router or the platform knows of."""
+    """Requests that this router knows of."""
 
     async def find(self, request: str) -> view.RequestView | None:
-        """Looks a request up; None if unknown here and in the platform."""
+        """Looks a request up; None if it is unknown here."""
 
     async def cancel(self, request: str) -> view.RequestView | None:
         """Cancels a request and tells its state; None if unknown."""
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/error.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/error.py
@@ -39,7 +39,7 @@
     advice = 'Correct every path listed under "faults"; nothing was changed.'
 
     def __init__(self, faults: list[Fault]) -> None:
-        super().__init__(f'{len(faults)} faults in the configuration')
+        super().__init__(f'faults in the configuration: {len(faults)}')
         self.faults = faults
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/inquiry.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/inquiry.py
@@ -21,8 +21,8 @@
 def _reply(found: view.RequestView | None, request: str) -> answer.Reply:
     if found is None:
         raise request_error.NotFoundError(
-            f'no request {request} here or in the platform',
-            advice='Ask the router that took it; it is in its log lines.',
+            f'no request {request} runs in this router',
+            advice='Ask the other routers too; only one runs it.',
         )
     return answer.Reply(dataclasses.asdict(found))
 
