--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -240,7 +240,7 @@
     # A recovery of a call would be a second call: no app server can say
     # what became of the first.
     if work.kind == spec.CALL:
-        limit = 0.0
+        raise _unknown('what became of a call that was cut off is not known')
     if work.idempotent and not work.recover_only:
         limit = min(limit, time.monotonic() + ctx.settings.requests.recover_s)
     while time.monotonic() < limit:
@@ -250,10 +250,13 @@
         if upstream not in ctx.holder.current.upstreams:
             break
         await _pace(active, MIN_PACE_S)
-    error = request_error.OutcomeUnknownError(
-        f'upstream {upstream} did not come back to say'
-    )
-    raise outcome.AttemptEndedError(outcome.Outcome(error, gone=True))
+    raise _unknown(f'upstream {upstream} did not come back to say')
+
+
+def _unknown(detail: str) -> outcome.AttemptEndedError:
+    """Makes the end of a recovery that nobody can answer any more."""
+    error = request_error.OutcomeUnknownError(detail)
+    return outcome.AttemptEndedError(outcome.Outcome(error, gone=True))
 
 
 def _query(ctx: context.Context, work: spec.Work) -> routing_query.Query:
--- /dev/null
+++ b/tests/quetzalsill_router/test_membership.py
@@ -0,0 +1,155 @@
+"""Tests of membership: configuration from peers, and the host list."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from quetzalsill.config import document
+from quetzalsill.config import holder as config_holder
+from quetzalsill.platform import error as platform_error
+from quetzalsill.settings import section
+from quetzalsill.wire import error as wire_error
+from quetzalsill.wire import listen, message
+from quetzalsill_router import membership
+from quetzalsill_router.peer import error as peer_error
+from tests.quetzalsill_router.request import fake
+
+BOUND_S = 20.0
+
+
+class Seed:
+    """A sidecar that answers for its configuration, or stays silent."""
+
+    def __init__(self, credential, reply):
+        self._reply = reply
+        self._server = listen.LinkServer(
+            section.Listen(),
+            credential,
+            lambda _hello: message.Welcome(1, 's', 1, 's', 'z', 0, False),
+            self._serve,
+            section.LinkTiming(),
+        )
+
+    async def __aenter__(self):
+        await self._server.start()
+        return f'127.0.0.1:{self._server.port}'
+
+    async def __aexit__(self, *_exc):
+        await self._server.stop()
+
+    async def _serve(self, link):
+        with contextlib.suppress(wire_error.WireError):
+            async for msg in link.messages():
+                if isinstance(msg, message.ConfigFetch) and self._reply:
+                    await link.send(self._reply)
+
+
+class SeedsTest(unittest.IsolatedAsyncioTestCase):
+    """Start of a router while the store is down."""
+
+    async def test_newest_of_those_that_answer_counts(self):
+        """The store is down when a router starts again.
+
+        One seed is dead, one has no configuration, one has an old one. The
+        old one in force would revert an accepted edit.
+        """
+        settings = fake.make_context().settings
+        credential = settings.credential
+        old = message.ConfigReply(3, b'old')
+        new = message.ConfigReply(7, b'new')
+        async with (
+            asyncio.timeout(BOUND_S),
+            Seed(credential, old) as one,
+            Seed(credential, new) as two,
+            Seed('another-credential-of-16', new) as three,
+        ):
+            settings.seeds = [one, '127.0.0.1:1', two, three]
+            found = await membership.newest_of_seeds(settings, 1, None)
+            self.assertEqual((found.revision, found.document), (7, b'new'))
+            settings.seeds = ['127.0.0.1:1', three]
+            self.assertIsNone(
+                await membership.newest_of_seeds(settings, 1, None)
+            )
+
+
+class PullerTest(unittest.IsolatedAsyncioTestCase):
+    """Newer configuration from a peer."""
+
+    async def test_installs_what_fits_and_survives_the_rest(self):
+        held = config_holder.Holder()
+        puller = membership.Puller(held)
+        fitting = document.render(fake.configuration())
+        for reply, revision in (
+            (peer_error.ConfigFetchError('link ended'), 0),
+            (message.ConfigReply(4, b'{"profiles": 7}'), 0),
+            (message.ConfigReply(4, fitting), 4),
+            (message.ConfigReply(2, fitting), 4),
+        ):
+            peer = Peer(reply)
+            puller.notice(4, peer)
+            puller.notice(4, peer)
+            await peer.asked.wait()
+            await asyncio.sleep(0)
+            self.assertEqual(held.revision, revision)
+            self.assertEqual(peer.count, 1)
+            await asyncio.sleep(0)
+
+
+class Peer:
+    """A peer that answers one fetch."""
+
+    upstream = 'one'
+
+    def __init__(self, reply):
+        self._reply = reply
+        self.asked = asyncio.Event()
+        self.count = 0
+
+    async def fetch_config(self, _revision):
+        self.count += 1
+        self.asked.set()
+        if isinstance(self._reply, Exception):
+            raise self._reply
+        return self._reply
+
+
+class HostsTest(unittest.IsolatedAsyncioTestCase):
+    """The host list and its outages."""
+
+    async def test_outage_of_the_list_changes_nothing(self):
+        hosts, peers = Hosts(), Peers()
+        task = asyncio.create_task(
+            membership.follow_hosts(hosts, config_holder.Holder(), peers, 0.0)
+        )
+        async with asyncio.timeout(BOUND_S):
+            await peers.thrice.wait()
+        task.cancel()
+        self.assertEqual(peers.given[:3], [['a'], None, ['b']])
+
+
+class Hosts:
+    """A list that fails the second time."""
+
+    def __init__(self):
+        self._answers = [['a'], None]
+
+    async def fetch(self):
+        found = self._answers.pop(0) if self._answers else ['b']
+        if found is None:
+            raise platform_error.PlatformUnavailableError('down')
+        return found
+
+
+class Peers:
+    """Keeps what it is given."""
+
+    def __init__(self):
+        self.given = []
+        self.thrice = asyncio.Event()
+
+    def reconcile(self, _cfg, hosts):
+        self.given.append(hosts)
+        if len(self.given) == 3:
+            self.thrice.set()
