Refuse malformed router URLs as usage

--router http://127.0.0.1:99999 and http://[:: passed the option's pattern and ended in a traceback and exit code 1. The library's own parser decides now, and a path is refused, since the calls bring theirs. A certificate authority that can't be read was tried too and was right already: exit 5.

Also proved: over TLS the token goes only to a router that the named authority signed.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/failure.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/failure.py
@@ -9,6 +9,7 @@
 import click
 
 __all__ = [
+    'BadArgumentError',
     'CommandError',
     'ConflictError',
     'ExitCode',
@@ -54,12 +55,16 @@
         return f'{self.message}\n{self.advice}' if self.advice else self.message
 
 
-class NotFoundError(CommandError):
-    """An argument names nothing that exists."""
+class BadArgumentError(CommandError):
+    """The router can't take an argument."""
 
     exit_code = ExitCode.USAGE
 
 
+class NotFoundError(BadArgumentError):
+    """An argument names nothing that exists."""
+
+
 class InvalidDocumentError(CommandError):
     """A document does not pass the check; nothing was changed."""
 
@@ -97,7 +102,7 @@
 
 
 _BY_STATUS: dict[int, type[CommandError]] = {
-    400: NotFoundError,
+    400: BadArgumentError,
     401: RefusedError,
     403: RefusedError,
     404: NotFoundError,
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+import blacksheep
 import click
 
 __all__ = [
@@ -58,11 +59,20 @@
     return text.strip()
 
 
+def _is_router(url: str) -> bool:
+    if not re.fullmatch(r'https?://[!-~]+', url):
+        return False
+    try:
+        return blacksheep.URL(url.encode()).path in (None, b'', b'/')
+    except blacksheep.InvalidURL:
+        return False
+
+
 def _check_routers(
     ctx: click.Context, param: click.Parameter, value: tuple[str, ...]
 ) -> tuple[str, ...]:
     for url in value:
-        if not re.fullmatch(r'https?://[^\s/]+/?', url):
+        if not _is_router(url):
             raise click.BadParameter(
                 f'{url!r} is not a URL such as {DEFAULT_ROUTER}', ctx, param
             )
--- a/tests/quetzalsill_cli/fixture.py
+++ b/tests/quetzalsill_cli/fixture.py
@@ -58,16 +58,17 @@
 class Served:
     """One router with its listener."""
 
-    def __init__(self, router):
+    def __init__(self, router, tls):
         self.router = router
         self.lossy = Lossy(router.app)
+        self._scheme = 'https' if tls else 'http'
         self._server = server.HttpServer(
-            self.lossy, section.Listen('127.0.0.1', 0)
+            self.lossy, section.Listen('127.0.0.1', 0), tls
         )
 
     async def start(self):
         await self._server.start()
-        self.url = f'http://127.0.0.1:{self._server.port}'
+        self.url = f'{self._scheme}://127.0.0.1:{self._server.port}'
 
     async def stop(self):
         await self._server.stop(1)
@@ -86,11 +87,11 @@
         fut = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
         return fut.result(BOUND_S)
 
-    def add(self, router):
-        return self.run(self._add(router))
+    def add(self, router, tls=None):
+        return self.run(self._add(router, tls))
 
-    async def _add(self, router):
-        served = Served(router)
+    async def _add(self, router, tls):
+        served = Served(router, tls)
         await served.start()
         self._served.append(served)
         return served
