--- a/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
@@ -16,8 +16,10 @@
     'DEFAULT_ROUTER',
     'Options',
     'TOKEN_VARIABLE',
+    'expect',
     'json_output',
     'make',
+    'note',
     'root',
     'wait',
 ]
@@ -153,6 +155,17 @@
     help='Refuse the edit unless this revision is current.',
 )
 
+
+def _check_note(ctx: click.Context, param: click.Parameter, value: str) -> str:
+    if not value.isprintable():
+        raise click.BadParameter('must be one line of text', ctx, param)
+    return value
+
+
 note = click.option(
-    '--note', default='', metavar='TEXT', help='Why, for the history.'
+    '--note',
+    default='',
+    metavar='TEXT',
+    callback=_check_note,
+    help='Why, for the history.',
 )
--- a/tests/quetzalsill_cli/test_edit.py
+++ b/tests/quetzalsill_cli/test_edit.py
@@ -19,14 +19,14 @@
     def test_a_profile_edit_is_in_force_when_the_command_ends(self):
         result = self.invoke(
             'profile', 'edit', 'prompt', '--set', 'deadline_s=5',
-            '--set', 'delivery=whole', '--note', 'shorter',
+            '--set', 'delivery=whole', '--note', 'kürzer',
         )  # fmt: skip
         self.assertEqual(0, result.exit_code, result.output)
         self.assertIn('revision 2 accepted', result.stdout)
         self.assertIn('in force on 2 nodes', result.stdout)
         profile = self.router.holder.current.profiles['prompt']
         self.assertEqual((5, 'whole'), (profile.deadline_s, profile.delivery))
-        self.assertIn('shorter', self.invoke('config', 'history').stdout)
+        self.assertIn('kürzer', self.invoke('config', 'history').stdout)
 
     def test_a_profile_is_edited_in_an_editor(self):
         def edit(text, **_):
@@ -57,6 +57,12 @@
         result = self.invoke(*words, '--create')
         self.assertEqual(0, result.exit_code, result.output)
 
+    def test_a_note_cannot_carry_a_header(self):
+        result = self.invoke(
+            'upstream', 'drain', 'ikeja-1', '--note', 'a\r\nIf-Match: 9'
+        )
+        self.assertEqual(failure.ExitCode.USAGE, result.exit_code)
+
     def test_limits_and_drains(self):
         for words in (
             ('account', 'limits', 'lagos', '--set', 'concurrency=7'),
