Take a burst at an idle engine

Cause: a Dispatch is judged as it is read, while queued ones start only at the end of the loop's turn, so all but the first of a burst saw a queue before an engine with nothing to do. Ruled out: engine capacity (500,000 tokens, 25 streams) and lagging reports (the queue's own count made the wait). What has room now starts before the next Dispatch is judged. The test failed before with Refused overloaded, expected wait 114 ms.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -214,6 +214,11 @@
     def _judge(self, attempt: state.Attempt) -> None:
         if attempt.stage is not state.Stage.JUDGED:
             return
+        # What came in the same turn of the loop starts only at its end. It
+        # would count as a queue until then, and a burst at an idle engine
+        # be refused as overload; so what has room starts first.
+        if self._queue.queued:
+            self.pump()
         dispatch = attempt.dispatch
         if dispatch.revision > self._configuration.revision:
             detail = f'revision {dispatch.revision} could not be had'
--- a/tests/quetzalsill_sidecar/test_not_run.py
+++ b/tests/quetzalsill_sidecar/test_not_run.py
@@ -58,6 +58,19 @@
         await self.barrier()
         self.assertNotIn(sent.attempt, ran(self.engine))
 
+    async def test_burst_at_an_idle_engine_is_taken(self):
+        """Handsets get "overloaded" from an engine that has nothing to do.
+
+        Two queries arrive in one read of the link. While the second is
+        judged the first still waits for the end of the loop's turn, and
+        counts as a queue before an engine that makes long answers.
+        """
+        await self.router.receive_all(self.router.dispatch())
+        burst = [self.router.dispatch(queue_ms=0) for _ in range(3)]
+        for attempt in burst:
+            messages = await self.router.receive_all(attempt)
+            self.assertIsInstance(messages[-1], message.Finished)
+
     async def test_repeated_dispatch_runs_once(self):
         """A plan is made twice.
 
