--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
@@ -10,7 +10,12 @@
 
 import click
 
-from quetzalsill_dev.bench.capacity import configuration, links, subsets
+from quetzalsill_dev.bench.capacity import (
+    configuration,
+    links,
+    subsets,
+    throughput,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,6 +30,7 @@
     'links-router': links.measure_router,
     'links-sidecar': links.measure_sidecar,
     'subsets': subsets.measure,
+    'throughput': throughput.measure,
 }
 
 
