Erase what has outlived its retention

Segments, index rows, claims and the rows of closed logs would grow for ever. The keeper of a log erases them by its own clock; what holds an unsettled request stays however old. Seals stay, so that an owner that was paused for longer still finds its log ended.

Ruled out: an expiry time in wall-clock ms (one wrong clock would erase answers early), deletion bound to the version of the claim alone (a row made anew can bear the same version).

Recovery also outlives the cancellation of the request that it recovers: that ended the task and left the entry to the next restart of the router.

--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/erase.py
@@ -0,0 +1,134 @@
+"""Erases expired segments with all that leads to them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import request as request_error
+from quetzalsill.platform import table as platform_table
+from quetzalsill_router.durable import claim as durable_claim
+from quetzalsill_router.durable import claim_writer as durable_claim_writer
+from quetzalsill_router.durable import index as durable_index
+from quetzalsill_router.durable import log as durable_log
+from quetzalsill_router.durable import row as durable_row
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Iterable
+
+    from quetzalsill.platform import objects as platform_objects
+    from quetzalsill_router.durable import entry as durable_entry
+    from quetzalsill_router.durable import pace as durable_pace
+
+__all__ = ['Eraser']
+
+ROWS_AT_ONCE = 50
+
+
+class Eraser:
+    """Erases for one router, as long as its own log is open.
+
+    A keeper that was paused may wake when another one has taken its place
+    and a key that it is about to free has been claimed anew. A row that was
+    deleted and made again can bear the same version, so the version of the
+    claim is no proof. Each transaction is therefore bound to the version of
+    the router's own row as well, read before: its taker has changed it.
+
+    Args:
+      table: Client of the table.
+      objects: Client of the object store.
+      pace: Spaces the deletions.
+      own_log: Gives the log of this router; empty while none is open.
+    """
+
+    def __init__(
+        self,
+        table: platform_table.Table,
+        objects: platform_objects.Objects,
+        pace: durable_pace.Pace,
+        own_log: Callable[[], str],
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._pace = pace
+        self._own_log = own_log
+
+    async def erase(
+        self, log: str, first: int, last: int
+    ) -> AsyncIterator[int]:
+        """Erases segments; yields the number of each once it is gone.
+
+        Seals stay: they are a few bytes, and a former owner that was paused
+        for longer than the retention must still find its log ended.
+
+        Raises:
+          PlatformError: To be repeated from the same segment on.
+          SupersededError: This router's log is not open.
+          MalformedSegmentError: The object is no segment; it stays.
+        """
+        for number in range(first, last + 1):
+            segment = await durable_log.read(self._objects, log, number)
+            if segment is not None and not segment.sealed_by:
+                await self._free_keys(segment.accepted)
+                await self._pace.turn()
+                await self._objects.delete(durable_log.key_of(log, number))
+            if (number + 1) % durable_index.SEGMENTS_PER_ROW == 0:
+                await self._drop_index_row(log, number)
+            yield number
+
+    async def drop_log(self, row: durable_row.LogRow) -> None:
+        """Deletes the row of a log whose segments are erased."""
+        await self._drop_index_row(row.log, row.last)
+        await self._drop(durable_row.TABLE, row.log)
+
+    async def _drop_index_row(self, log: str, number: int) -> None:
+        key = durable_index.row_key(log, number)
+        await self._drop(durable_index.TABLE, key)
+
+    async def _free_keys(self, entries: Iterable[durable_entry.Entry]) -> None:
+        keyed = [entry for entry in entries if entry.idempotency_key]
+        for start in range(0, len(keyed), ROWS_AT_ONCE):
+            await self._pace.turn()
+            own = await self._own_log_open()
+            held = [
+                condition
+                for entry in keyed[start : start + ROWS_AT_ONCE]
+                async for condition in self._held_key(entry)
+            ]
+            await self._delete(own, held)
+
+    async def _held_key(
+        self, entry: durable_entry.Entry
+    ) -> AsyncIterator[platform_table.Condition]:
+        """Gives the claim of an entry, if it still holds its key."""
+        table = durable_claim_writer.TABLE
+        key = durable_claim.key_of(entry.account, entry.idempotency_key)
+        row = await self._table.get(table, key)
+        if row is not None and row.value['request'] == entry.request:
+            yield platform_table.Condition(table, key, row.version)
+
+    async def _own_log_open(self) -> platform_table.Condition:
+        """Binds what is read after this to this router's log being open."""
+        log = self._own_log()
+        found = await durable_row.read(self._table, log)
+        if found is None or found.row.keeper:
+            raise request_error.SupersededError(f'log {log!r} is not open')
+        return platform_table.Condition(durable_row.TABLE, log, found.version)
+
+    async def _drop(self, table: str, key: str) -> None:
+        await self._pace.turn()
+        own = await self._own_log_open()
+        row = await self._table.get(table, key)
+        if row is not None:
+            found = platform_table.Condition(table, key, row.version)
+            await self._delete(own, [found])
+
+    async def _delete(
+        self,
+        own: platform_table.Condition,
+        rows: list[platform_table.Condition],
+    ) -> None:
+        if rows:
+            writes = [
+                platform_table.Write(row.table, row.key, None) for row in rows
+            ]
+            await self._table.transact([own, *rows], writes)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/recovery.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/recovery.py
@@ -73,6 +73,11 @@
                     await self._once(entry)
                 except request_error.SupersededError:
                     return
+                except asyncio.CancelledError:
+                    # A caller may cancel the request that is recovered; only
+                    # if this task is cancelled itself is that its end.
+                    if asyncio.current_task().cancelling():
+                        raise
                 except Exception as exc:  # A fault in one must not strand it.
                     LOG.error(
                         'recovery_failed', request=entry.request, exc_info=exc
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/setting.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/setting.py
@@ -36,8 +36,9 @@
     134_217_728, unit='bytes', minimum=1_048_576, maximum=1_099_511_627_776,
   )  # fmt: skip
     retention_s: float = key(
-    'Time that an answer can be fetched after it was settled.',
-    90_000.0, unit='s', minimum=1, maximum=2_592_000,
+    'Time that a request can be looked up and its idempotency key is held, '
+    'counted from its acceptance; more than the longest deadline.',
+    172_800.0, unit='s', minimum=1, maximum=2_592_000,
   )  # fmt: skip
     heartbeat_s: float = key(
     'Least time between two renewals of the router in the platform.',
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
@@ -10,6 +10,8 @@
 from quetzalsill_router.durable import adoption as durable_adoption
 from quetzalsill_router.durable import claim as durable_claim
 from quetzalsill_router.durable import claim_writer as durable_claim_writer
+from quetzalsill_router.durable import erase as durable_erase
+from quetzalsill_router.durable import expiry as durable_expiry
 from quetzalsill_router.durable import index as durable_index
 from quetzalsill_router.durable import journal as durable_journal
 from quetzalsill_router.durable import log_writer as durable_log_writer
@@ -80,7 +82,18 @@
             durable_recovery.Recovery(
                 self.journal, self.claims, recover, cfg.recoveries
             ),
-            lambda: self._writer.log,
+            self._own_log,
+        )
+        self._expiry = durable_expiry.Expiry(
+            self._writer,
+            self.registration.seen,
+            durable_erase.Eraser(
+                table,
+                objects,
+                durable_pace.journal_pace(cfg, count),
+                self._own_log,
+            ),
+            cfg.retention_s,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -92,6 +105,7 @@
         self._spawn(self._claim_writer.run())
         self._spawn(renewal)
         self._spawn(self._takeover.run())
+        self._spawn(self._expiry.run())
 
     async def stop(self, within_s: float) -> None:
         """Writes what is queued, hands the rest over and ends the tasks.
@@ -112,8 +126,11 @@
     def _suspect(self, log: str) -> None:
         self._takeover.suspect(log)
 
+    def _own_log(self) -> str:
+        return self._writer.log
+
     def _span(self) -> durable_registration.Span:
-        return durable_registration.Span(1, self._writer.last)
+        return durable_registration.Span(self._expiry.first, self._writer.last)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/unsettled.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/unsettled.py
@@ -6,11 +6,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from quetzalsill_router.durable import entry as durable_entry
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalsill_router.durable import entry as durable_entry
-
 __all__ = ['Unsettled']
 
 # A taker reads from the floor to the end of a log. An entry that holds the
@@ -97,6 +97,12 @@
             if held.number < following - CARRY_SPAN
         ]
 
+    def oldest(self, log: str, otherwise: int) -> int:
+        """Gives the least segment of a log in which an entry was accepted."""
+        places = map(durable_entry.place_of, self._held)
+        numbers = (place.segment for place in places if place.log == log)
+        return min(numbers, default=otherwise)
+
     def _unpin(self, number: int) -> None:
         self._pins[number] -= 1
         if not self._pins[number]:
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/watch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/watch.py
@@ -85,6 +85,15 @@
             if _order(row) < newest[row.node] or self._lapsed(row)
         ]
 
+    def kept_by(self, log: str) -> list[durable_row.LogRow]:
+        """Gives the closed logs that came to a log, also by way of others."""
+        rows = {name: s.versioned.row for name, s in self._sights.items()}
+        return [
+            row
+            for row in rows.values()
+            if row.keeper and _last_keeper(rows, row) == log
+        ]
+
     def unchanged_s(self, log: str) -> float:
         """Gives how long a row was seen unchanged."""
         return self._sights[log].unchanged_s
@@ -99,3 +108,11 @@
 
 def _order(row: durable_row.LogRow) -> tuple[int, int]:
     return row.incarnation, row.epoch
+
+
+def _last_keeper(
+    rows: dict[str, durable_row.LogRow], row: durable_row.LogRow
+) -> str:
+    while row.keeper in rows and rows[row.keeper].keeper:
+        row = rows[row.keeper]
+    return row.keeper
