Give each answer once over broken links, and pace the bodies of calls

Cause: answers have to survive cut, silent and replaced links and restarted sidecars without a gap, a repetition or an untrue "not run".

Found on the way: after an unanswered recover the sidecar counts credit from what was acknowledged, so that the full credit would overrun it and cut the link again and again; the smaller one is sent and set right by a Resume. A call is never sent to a new sidecar: no app server keeps what became of it. Running is given only when nothing has said yet that the attempt started. Request bodies go out as the sidecar's Credit takes them (64 KiB ahead). Ruled out: ids of attempts made here; the request part makes them.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
@@ -10,11 +10,14 @@
 from quetzalsill.error import request as request_error
 from quetzalsill.wire import error as wire_error
 from quetzalsill.wire import message
+from quetzalsill_router.peer import upload
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ['Attempt', 'Owner']
+__all__ = ['TAKE', 'Attempt', 'Owner']
+
+CALL = 'call'
 
 
 class Owner(Protocol):
@@ -71,8 +74,10 @@
         self._owner = owner
         self._recover_s = recover_s
         self._limit = dispatch.credit
+        self._acknowledged = 0
         self._recovering = dispatch.recover
-        self._body_cut = False
+        self._limit_uncertain = False
+        self._body = upload.Upload(dispatch)
         self._head_taken = False
         self._withdrawing = False
         self._cancelling = False
@@ -91,7 +96,8 @@
         """Gives the next message of the answer; the terminal one for ever.
 
         Started may be missing before the first item, if it was lost with a
-        link. Running comes only after `withdraw`.
+        link. Running answers `withdraw`, unless Started or an item came
+        first, which say the same.
         """
         if self._terminal is not None and self._inbox.empty():
             return self._terminal
@@ -100,19 +106,20 @@
     def grant(self, seq: int, items: int) -> None:
         """Acknowledges the items below `seq` and permits `items` more."""
         self._limit += items
+        self._acknowledged = max(self._acknowledged, seq)
         # A grant that is lost with its link is part of the next Resume.
         self._owner.send(message.Credit(self.id, seq, items))
 
-    async def send_body(self, data: bytes, *, last: bool) -> None:
-        """Sends a further piece of a call's body.
+    async def send_body(self, data: bytes, last: bool) -> None:
+        """Sends a further piece of a call's body, as the sidecar takes it.
 
         Raises:
           wire_error.LinkClosedError: The link that carries the body is
-            gone; the answer tells what became of the call.
+            gone, or the attempt has ended; the answer tells what became of
+            the call.
         """
-        if self._body_cut or self._terminal is not None:
-            raise wire_error.LinkClosedError('the body was cut off')
-        await self._owner.send_body(message.Body(self.id, data, last))
+        async for piece in self._body.pieces(data, last):
+            await self._owner.send_body(piece)
 
     def withdraw(self) -> None:
         """Asks that the attempt never start; gives Withdrawn or Running."""
@@ -172,16 +179,22 @@
         if same and not self._recovering:
             self._resume()
             return
-        again = same and self._recovering
+        if self.dispatch.kind == CALL:
+            self._lose_call()
+            return
+        # A sidecar that may have the Dispatch of the last link goes back to
+        # the first item not acknowledged and counts the credit from there;
+        # one that has not counts it from 0. The smaller credit is safe with
+        # both, and a Resume sets it right once an item shows where it is.
+        again = self._recovering and same
+        credit = self._limit - self._acknowledged if again else self._limit
+        self._limit_uncertain = again
         self._recovering = True
-        self._owner.send(self._recover_dispatch())
-        # A sidecar that has this Dispatch already need not answer it again.
-        if again:
-            self._owner.send(self._resume_message())
+        self._owner.send(self._recover_dispatch(credit))
 
     def link_lost(self) -> None:
         """Starts the time within which the attempt must be taken up."""
-        self._body_cut = True
+        self._body.cut()
         if self._terminal is None:
             self._start_timer()
 
@@ -202,23 +215,31 @@
     def _resume(self) -> None:
         if not self._closed:
             self._stop_timer()
-        self._owner.send(self._resume_message())
+        self._send_resume()
         if self._withdrawing:
             self._owner.send(message.Withdraw(self.id))
-        if self._cancelling:
+        # The rest of a body can't follow on another link.
+        if self._cancelling or self._body.incomplete:
             self._owner.send(message.Cancel(self.id))
 
-    def _resume_message(self) -> message.Resume:
+    def _send_resume(self) -> None:
         seq = self.next_seq
-        return message.Resume(self.id, seq, self._limit - seq)
+        self._owner.send(message.Resume(self.id, seq, self._limit - seq))
 
-    def _recover_dispatch(self) -> message.Dispatch:
+    def _lose_call(self) -> None:
+        """Ends a call whose sidecar is gone; nothing keeps its answer."""
+        if self.started:
+            self._fail('the sidecar was lost', gone=self.dispatch.idempotent)
+        else:
+            self.expire()
+
+    def _recover_dispatch(self, credit: int) -> message.Dispatch:
         return dataclasses.replace(
             self.dispatch,
             incarnation=self._owner.incarnation,
             recover=True,
             body_open=False,
-            credit=self._limit,
+            credit=credit,
         )
 
     def _settle_recovery(self) -> None:
@@ -230,9 +251,7 @@
             self._stop_timer()
         # Withdraw and Cancel wait for this moment: before, the sidecar could
         # take the attempt for one that is still queued, and answer "not run"
-        # while the engine runs it.
-        if self._withdrawing:
-            self._take_running(message.Running(self.id))
+        # while the engine runs it. What has started can't be withdrawn.
         if self._cancelling:
             self._owner.send(message.Cancel(self.id))
 
@@ -243,12 +262,15 @@
         return self._deliver(msg)
 
     def _take_running(self, msg: message.Running) -> bool:
-        self.started = True
-        if not self._withdrawing:
+        if self.started:
             return False
-        self._withdrawing = False
+        self.started = True
         return self._deliver(msg)
 
+    def _take_body_credit(self, msg: message.Credit) -> bool:
+        self._body.grant(msg.seq)
+        return True
+
     def _take_head(self, msg: message.Head) -> bool:
         if self._head_taken:
             return False
@@ -265,11 +287,13 @@
             raise wire_error.ProtocolError(
                 f'{self.id}: item {end - 1} beyond the credit of {self._limit}'
             )
-        if end <= self.next_seq:
-            return False
-        first = self.next_seq
+        first, self.next_seq = self.next_seq, max(self.next_seq, end)
         self.started = True
-        self.next_seq = end
+        if self._limit_uncertain:
+            self._limit_uncertain = False
+            self._owner.send(message.Resume(self.id, end, self._limit - end))
+        if end <= first:
+            return False
         items = msg.items[first - msg.seq :]
         return self._deliver(message.Chunk(self.id, first, items))
 
@@ -304,6 +328,7 @@
         self._terminal = msg
         self._to_acknowledge = acknowledge
         self._stop_timer()
+        self._body.cut()
         self._deliver(msg)
         if self._closed:
             self._leave()
@@ -336,6 +361,7 @@
     message.Withdrawn: Attempt._take_not_run,
     message.Started: Attempt._take_started,
     message.Running: Attempt._take_running,
+    message.Credit: Attempt._take_body_credit,
     message.Head: Attempt._take_head,
     message.Chunk: Attempt._take_chunk,
     message.Finished: Attempt._take_finished,
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -7,9 +7,8 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-import structlog
-
 from quetzalsill.error import request as request_error
+from quetzalsill.telemetry import log, metric
 from quetzalsill.wire import error as wire_error
 from quetzalsill.wire import message
 from quetzalsill_router.peer import attempt as peer_attempt
@@ -24,7 +23,15 @@
 
 __all__ = ['Peer']
 
-LOG = structlog.get_logger('router.peer')
+logger = log.get(__name__)
+
+dropped_total = metric.counter(
+    'quetzalsill_router_dropped_messages_total',
+    'Answers of unknown or superseded attempts, and repetitions.',
+)
+links_ended_total = metric.counter(
+    'quetzalsill_router_links_ended_total', 'Links that ended, by cause.'
+)
 
 MAX_DEFERRED = 10_000
 STABLE_S = 5.0
@@ -287,7 +294,7 @@
 
     def _log_unreachable(self, address: str, exc: wire_error.WireError) -> None:
         if not self._unreachable:
-            LOG.warning(
+            logger.warning(
                 'peer_unreachable',
                 upstream=self.upstream,
                 address=address,
@@ -310,7 +317,8 @@
                 self._take(msg)
         except wire_error.WireError as exc:
             conn.reject(exc)
-            LOG.info(
+            links_ended_total.inc({'code': exc.code})
+            logger.info(
                 'link_ended',
                 upstream=self.upstream,
                 code=exc.code,
@@ -332,7 +340,7 @@
             self.status = status.Status(welcome.incarnation)
             self._deferred.clear()
         self.status.leaving |= welcome.leaving
-        LOG.info(
+        logger.info(
             'linked',
             upstream=self.upstream,
             incarnation=welcome.incarnation,
@@ -354,10 +362,10 @@
             self._see(msg.revision)
         elif cls is message.Leaving:
             self.status.leaving = True
-            LOG.info('leaving', upstream=self.upstream, reason=msg.reason)
+            logger.info('leaving', upstream=self.upstream, reason=msg.reason)
         elif cls is message.GoAway:
             self.status.going_away = True
-            LOG.info('going_away', upstream=self.upstream, reason=msg.reason)
+            logger.info('going_away', upstream=self.upstream, reason=msg.reason)
         elif cls is message.ConfigFetch:
             self._give_config(msg.revision)
         elif cls is message.ConfigReply:
@@ -367,10 +375,12 @@
 
     def _take_answer(self, msg: message.Message) -> None:
         attempt = self._attempts.get(msg.attempt)
-        if attempt is not None:
-            self.dropped += not attempt.take(msg)
+        if attempt is not None and attempt.take(msg):
             return
         self.dropped += 1
+        dropped_total.inc({'upstream': self.upstream})
+        if attempt is not None:
+            return
         if type(msg) in (message.Finished, message.Failed):
             self.send(message.Ack(msg.attempt))
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import collections
-import itertools
 from typing import TYPE_CHECKING
 
-import structlog
-
+from quetzalsill.telemetry import log
 from quetzalsill.wire import dial, message
 from quetzalsill_router.peer import peer as peer_module
 from quetzalsill_router.peer import subset
@@ -25,7 +23,7 @@
 
 __all__ = ['RECOVER_S', 'Peers']
 
-LOG = structlog.get_logger('router.peers')
+logger = log.get(__name__)
 
 RECOVER_S = 15.0
 
@@ -76,11 +74,6 @@
         self._tasks: dict[peer_module.Peer, asyncio.Task[None]] = {}
         self._hosts: dict[str, platform_hosts.Host] = {}
         self._by_use: dict[str, list[peer_module.Peer]] = {}
-        self._counter = itertools.count(1)
-
-    def next_attempt_id(self) -> str:
-        """Gives an id that no attempt of any router has had."""
-        return f'{self._node.name}/{self._incarnation}/{next(self._counter)}'
 
     def reconcile(
         self,
@@ -200,7 +193,7 @@
         if self._peers.get(peer.upstream) is peer:
             del self._peers[peer.upstream]
         if task.exception() is not None:
-            LOG.error(
+            logger.error(
                 'peer_task_failed',
                 upstream=peer.upstream,
                 exc_info=task.exception(),
--- a/packages/quetzalsill/src/quetzalsill/wire/listen.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/listen.py
@@ -5,8 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import structlog
-
+from quetzalsill.telemetry import log
 from quetzalsill.wire import error, frame, handshake, link, message
 
 if TYPE_CHECKING:
@@ -19,7 +18,7 @@
 
 MAX_HANDSHAKES = 1024
 
-LOG = structlog.get_logger('wire.listen')
+logger = log.get(__name__)
 
 
 class LinkServer:
@@ -106,7 +105,7 @@
     def _end(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            LOG.error('link_task_failed', exc_info=task.exception())
+            logger.error('link_task_failed', exc_info=task.exception())
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -160,7 +159,7 @@
 
 
 def _refuse(writer: asyncio.StreamWriter, exc: error.WireError) -> None:
-    LOG.warning(
+    logger.warning(
         'link_refused',
         remote=link.remote_address(writer),
         code=exc.code,
@@ -175,7 +174,7 @@
 
 
 def _log_end(conn: link.Link, exc: error.WireError) -> None:
-    LOG.info(
+    logger.info(
         'link_ended',
         remote=conn.remote,
         node=conn.peer.node,
