--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import itertools
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import log
@@ -74,6 +75,11 @@
         self._tasks: dict[peer_module.Peer, asyncio.Task[None]] = {}
         self._hosts: dict[str, platform_hosts.Host] = {}
         self._by_use: dict[str, list[peer_module.Peer]] = {}
+        self._counter = itertools.count(1)
+
+    def next_attempt_id(self) -> str:
+        """Gives an id that no attempt of any router has had."""
+        return f'{self._node.name}/{self._incarnation}/{next(self._counter)}'
 
     def reconcile(
         self,
