--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/lengths.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/lengths.py
@@ -17,6 +17,9 @@
 
 MAX_TOKENS = 1_000_000
 SIGNIFICANT_FIGURES = 2
+# Building a curve takes milliseconds, so it is built anew only once this
+# part of its observations is newer than it.
+STALE_PART = 0.05
 ROTATE_COUNT = 512
 ROTATE_S = 900.0
 # Stands in until lengths were observed; each counts as one observation, so
@@ -44,6 +47,7 @@
         for tokens in PRIOR:
             self.earlier.record_value(tokens)
         self.began = now
+        self.unseen = 0
         self.curve: _Curve | None = None
 
     def record(self, tokens: int, now: float) -> None:
@@ -54,11 +58,16 @@
         if full or (old and self.recent.get_total_count()):
             self.earlier, self.recent = self.recent, _new_histogram()
             self.began = now
+            self.curve = None
         self.recent.record_value(min(max(tokens, 1), MAX_TOKENS))
-        self.curve = None
+        self.unseen += 1
 
     def curve_now(self) -> _Curve:
-        if self.curve is None:
+        if (
+            self.curve is None
+            or self.unseen > STALE_PART * self.curve.totals[-1]
+        ):
+            self.unseen = 0
             both = _new_histogram()
             both.add(self.recent)
             both.add(self.earlier)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -72,7 +72,7 @@
         attempt.stage = state.Stage.CONNECTING
         attempt.task = asyncio.create_task(self._run(attempt, demand))
         self._tasks.add(attempt.task)
-        attempt.task.add_done_callback(self._tasks.discard)
+        attempt.task.add_done_callback(lambda task: self._reap(attempt, task))
 
     def stop_attempt(self, attempt: state.Attempt, code: str) -> None:
         """Ends an attempt that was admitted, for the named cause."""
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -15,21 +15,26 @@
 __all__ = ['run', 'sweep']
 
 INTERVAL_S = 0.1
+EXPIRY_S = 5.0
 WAITING = (state.Stage.JUDGED, state.Stage.QUEUED)
 
 
 async def run(sidecar: sidecar_lib.Sidecar) -> None:
     """Sweeps for ever."""
+    clock = asyncio.get_running_loop().time
+    expiry = clock()
     while True:
         await asyncio.sleep(INTERVAL_S)
-        sweep(sidecar, asyncio.get_running_loop().time())
+        sweep(sidecar, clock())
+        if clock() >= expiry:
+            expiry = clock() + EXPIRY_S
+            sidecar.attempts.stones.expire()
 
 
 def sweep(sidecar: sidecar_lib.Sidecar, now: float) -> None:
     """Ends what is past its bound at `now`, and lets the queue move."""
     for attempt in sidecar.attempts:
         _sweep_attempt(sidecar, attempt, now)
-    sidecar.attempts.stones.expire()
     sidecar.intake.pump()
 
 
