--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -29,6 +29,7 @@
 
 READY_BOUND_S = 30.0
 READY_POLL_S = 0.05
+ROLES = ('router', 'sidecar')
 
 
 class NotReadyError(Exception):
@@ -50,7 +51,8 @@
       routers: Routers by name.
       configuration: What `publish` stores.
       changes: Changes to the settings of every process started from now on,
-        by section and key.
+        by section and key; those below `router` or `sidecar` apply to that
+        role alone.
     """
 
     store: launch.Process
@@ -142,6 +144,19 @@
         self.routers[name] = await self._start_role('router', name, settings)
         return self.routers[name]
 
+    async def restart_ended(self) -> None:
+        """Starts the sidecars and routers that have ended, where they were."""
+        starts = [
+            start(name)
+            for processes, start in (
+                (self.sidecars, self.start_sidecar),
+                (self.routers, self.start_router),
+            )
+            for name, process in processes.items()
+            if not process.running
+        ]
+        await asyncio.gather(*starts)
+
     async def publish(self, note: str = 'by the launcher') -> int:
         """Stores `configuration` as the next revision, which it returns."""
         data = document.render(self.configuration)
@@ -222,7 +237,11 @@
         self, role: str, name: str, settings: dict[str, Any]
     ) -> launch.Process:
         path = self._launcher.folder / f'{name}.json'
-        merged = process_settings.merge(settings, self.changes)
+        common = {k: v for k, v in self.changes.items() if k not in ROLES}
+        own = self.changes.get(role, {})
+        merged = process_settings.merge(
+            process_settings.merge(settings, common), own
+        )
         process_settings.write(path, merged)
         return await self._launcher.start(
             name, 'quetzalsill.run', role, f'--settings={path}'
--- a/tests/failure/fixture.py
+++ b/tests/failure/fixture.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 import unittest
 
 from quetzalsill_dev import board, cluster, launch
@@ -9,12 +11,23 @@
 LOG_TAIL = 6000
 
 
+def on_cluster(method):
+    """Makes a coroutine a test of `SharedClusterTestCase`."""
+
+    @functools.wraps(method)
+    def run(self):
+        self.runner.run(method(self))
+
+    return run
+
+
 class ClusterTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts a cluster before each test and ends it after.
 
     Attributes:
       LAYOUT: Processes of the cluster; a subclass may set its own.
-      CHANGES: Changes to the settings of routers and sidecars.
+      CHANGES: Changes to the settings of routers and sidecars; see
+        `cluster.Cluster.changes`.
     """
 
     LAYOUT = board.board_layout(engines=1, services=1, routers=1)
@@ -48,3 +61,58 @@
         for process in self.launcher.processes:
             tail = process.log_text()[-LOG_TAIL:]
             print(f'--- {process.log.name}\n{tail}')
+
+
+class SharedClusterTestCase(unittest.TestCase):
+    """Runs all tests of a class on one cluster, which starts but once.
+
+    Its tests are coroutines under `on_cluster`. One may leave processes
+    killed or paused and switches set: the next begins with `mend`.
+
+    Attributes:
+      LAYOUT: Processes of the cluster.
+      CHANGES: Changes to the settings; see `cluster.Cluster.changes`.
+    """
+
+    LAYOUT = board.board_layout(engines=1, services=1, routers=2)
+    CHANGES = {}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.runner = cls.enterClassContext(asyncio.Runner())
+        cls.launcher = launch.Launcher()
+        cls.addClassCleanup(lambda: cls.runner.run(cls.launcher.close()))
+        cls.cluster = cluster.Cluster(
+            cls.launcher,
+            cls.LAYOUT,
+            configuration=cls.configuration(),
+            via=cls.via,
+        )
+        cls.cluster.changes = dict(cls.CHANGES)
+        cls.runner.run(cls.cluster.start())
+
+    @classmethod
+    def configuration(cls):
+        """First configuration of the cluster."""
+        return board.configuration()
+
+    @classmethod
+    async def via(cls, hop, address):
+        """Address told to others for a hop; a subclass may put a relay in."""
+        return address
+
+    def setUp(self):
+        self.runner.run(self.mend())
+
+    async def mend(self):
+        """Brings every process back; a subclass resets its switches too."""
+        for process in self.launcher.processes:
+            process.cont()
+        await self.cluster.restart_ended()
+        await self.cluster.wait_ready()
+
+    def tearDown(self):
+        if not self._outcome.success:
+            for process in self.launcher.processes:
+                tail = process.log_text()[-LOG_TAIL:]
+                print(f'--- {process.log.name}\n{tail}')
