Count what routers ask of the platform

Reads, writes and bytes of routers at rest and under load, counted at the stand-ins and at relays, and the intervals that routers keep as they grow.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
@@ -13,6 +13,7 @@
 from quetzalsill_dev.bench.capacity import (
     configuration,
     links,
+    store,
     subsets,
     throughput,
 )
@@ -29,6 +30,7 @@
     'configuration': configuration.measure,
     'links-router': links.measure_router,
     'links-sidecar': links.measure_sidecar,
+    'store': store.measure,
     'subsets': subsets.measure,
     'throughput': throughput.measure,
 }
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/store.py
@@ -0,0 +1,233 @@
+"""What routers and sidecars ask of the platform, counted at its stand-ins.
+
+Bytes are counted by relays before the stand-ins, without segment headers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+from quetzalsill_dev import board, caller, cluster, launch, layout
+from quetzalsill_dev import relay as relay_lib
+from quetzalsill_dev.bench.capacity import fleet, series, size, usage
+from quetzalsill_router.durable import pace, setting
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    import httpx2
+
+__all__ = ['measure']
+
+ROUTERS = (1, 2, 4, 8)
+HOSTS = (10, 100, 500, size.TARGET.routers + size.TARGET.upstreams)
+PACED = (1, 10, 100, size.TARGET.routers)
+RATES = (5, 20, 40)
+ENGINE = 'server-0000'
+ZONE = board.ZONES[0]
+SETTLE_S = 5.0
+WINDOW_S = 8.0
+LOAD_S = 5.0
+TOKENS = 5
+READS = ('row_get', 'scan', 'object_get', 'object_list')
+WRITES = ('transact', 'object_put', 'object_delete')
+ACCOUNTS = {'prompt': 'retailers', 'durable': 'depot-clerks'}
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """Use of the platform, so far or for each second."""
+
+    reads: float
+    writes: float
+    store_bytes: float
+    host_bytes: float
+
+    def since(self, before: Counts, passed_s: float) -> Counts:
+        """Gives the use a second since `before`."""
+        then = dataclasses.astuple(before)
+        now = dataclasses.astuple(self)
+        return Counts(
+            *((b - a) / passed_s for a, b in zip(then, now, strict=True))
+        )
+
+
+UNITS = {
+    'reads': '1/s',
+    'writes': '1/s',
+    'store_bytes': 'bytes/s',
+    'host_bytes': 'bytes/s',
+}
+
+
+class _Watched:
+    """A cluster whose calls to the platform are counted."""
+
+    def __init__(self, launcher: launch.Launcher) -> None:
+        engine = layout.EngineSpec(
+            ENGINE, ZONE, models=[board.MODEL], capacity_tokens=200_000
+        )
+        self.spec = layout.Layout([engine], [], [_router(1)])
+        self.cluster = cluster.Cluster(launcher, self.spec, via=self._via)
+        self._relays: dict[str, relay_lib.Relay] = {}
+
+    async def start(self) -> None:
+        """Starts it with one router."""
+        await self.cluster.start()
+
+    async def grow(self, routers: int) -> None:
+        """Starts routers until there are so many."""
+        for number in range(len(self.spec.routers) + 1, routers + 1):
+            spec = _router(number)
+            self.spec.routers.append(spec)
+            await self.cluster.start_router(spec.name)
+        await self.cluster.wait_ready()
+
+    async def stop(self) -> None:
+        """Stops the relays."""
+        for each in self._relays.values():
+            await each.stop()
+
+    async def window(self, window_s: float) -> Counts:
+        """Gives the use a second over a while."""
+        before, began = await self._counts(), time.monotonic()
+        await asyncio.sleep(window_s)
+        after, ended = await self._counts(), time.monotonic()
+        return after.since(before, ended - began)
+
+    async def _via(self, hop: str, address: str) -> str:
+        if hop not in ('store', 'hosts'):
+            return address
+        host, _, port = address.rpartition(':')
+        made = self._relays[hop] = relay_lib.Relay(host, int(port))
+        await made.start()
+        return f'127.0.0.1:{made.port}'
+
+    async def _counts(self) -> Counts:
+        async with caller.open_client(self.cluster.store.url) as client:
+            counts = (await client.get('/stand-in/counts')).json()
+        return Counts(
+            sum(counts.get(name, 0) for name in READS),
+            sum(counts.get(name, 0) for name in WRITES),
+            self._relays['store'].forwarded,
+            self._relays['hosts'].forwarded,
+        )
+
+
+def measure() -> Iterable[series.Series]:
+    """Measures routers at rest, requests, and the host list by its length."""
+    return [*asyncio.run(_measure()), *_paced()]
+
+
+async def _measure() -> list[series.Series]:
+    async with launch.Launcher() as launcher:
+        watched = _Watched(launcher)
+        await watched.start()
+        try:
+            idle = _group('idle', 'routers')
+            found = list(idle.values())
+            for routers in ROUTERS:
+                await watched.grow(routers)
+                await asyncio.sleep(SETTLE_S)
+                _add(idle, routers, await watched.window(WINDOW_S))
+                if routers == ROUTERS[0]:
+                    found += await _load(watched)
+            found += await _hosts(watched)
+        finally:
+            await watched.stop()
+    return found
+
+
+async def _load(watched: _Watched) -> list[series.Series]:
+    """Measures prompt and durable requests at several rates."""
+    router = watched.cluster.routers[_router(1).name]
+    found = []
+    for kind, account in ACCOUNTS.items():
+        group = _group(f'{kind} requests', 'requests/s')
+        token = board.TOKENS[account]
+        async with caller.open_client(router.url, token) as client:
+            for rate in RATES:
+                async with asyncio.TaskGroup() as tasks:
+                    task = tasks.create_task(watched.window(LOAD_S))
+                    for _ in range(int(rate * LOAD_S)):
+                        tasks.create_task(_ask(client))
+                        await asyncio.sleep(1 / rate)
+                _add(group, rate, task.result())
+        found += [group['reads'], group['writes'], group['store_bytes']]
+    return found
+
+
+async def _ask(client: httpx2.AsyncClient) -> None:
+    prompt = f'Delivery slots? [[tokens={TOKENS}]]'
+    await caller.generate(client, {'model': board.MODEL, 'prompt': prompt})
+
+
+async def _hosts(watched: _Watched) -> list[series.Series]:
+    """Measures one router's reads of a host list that grows."""
+    name = _router(1).name
+    pid = watched.cluster.routers[name].pid
+    routers = len(watched.spec.routers)
+    wire = series.Series('store.host list bytes', 'bytes/s', 'hosts')
+    core = series.Series('store.host list core', 'part of a core', 'hosts')
+    for count in HOSTS:
+        hosts = [_host(number) for number in range(count)]
+        await watched.cluster.switch(watched.cluster.hosts, hosts=hosts)
+        await asyncio.sleep(SETTLE_S / 2)
+        before, began = usage.core_s(pid), time.monotonic()
+        seen = await watched.window(WINDOW_S)
+        used_s = usage.core_s(pid) - before
+        wire.add(count, seen.host_bytes / routers)
+        core.add(count, used_s / (time.monotonic() - began))
+    return [wire, core]
+
+
+def _host(number: int) -> dict[str, str]:
+    return {
+        'name': f'server-{number + 1:04d}',
+        'kind': 'upstream',
+        'address': f'10.0.{number // 250}.{number % 250}:7201',
+        'availability_zone': fleet.ZONES[number % len(fleet.ZONES)],
+        'state': 'live',
+    }
+
+
+def _paced() -> Iterable[series.Series]:
+    """Intervals that routers keep by themselves, as their code gives them."""
+    cfg = setting.Durable()
+    makers = {
+        'heartbeat': lambda count: pace.heartbeat_s(cfg, count),
+        'journal': lambda count: _interval(pace.journal_pace, cfg, count),
+        'claims': lambda count: _interval(pace.claim_pace, cfg, count),
+        'index': lambda count: _interval(pace.index_pace, cfg, count),
+    }
+    for name, make in makers.items():
+        found = series.Series(
+            f'store.{name} interval', 's', 'routers', linear=False
+        )
+        for count in PACED:
+            found.add(count, make(count))
+        yield found
+
+
+def _interval(make: object, cfg: setting.Durable, count: int) -> float:
+    return make(cfg, lambda: count).interval_s
+
+
+def _group(name: str, by: str) -> dict[str, series.Series]:
+    return {
+        figure: series.Series(f'store.{name} {figure}', unit, by)
+        for figure, unit in UNITS.items()
+    }
+
+
+def _add(group: dict[str, series.Series], count: float, seen: Counts) -> None:
+    for figure, found in group.items():
+        found.add(count, getattr(seen, figure))
+
+
+def _router(number: int) -> layout.RouterSpec:
+    zone = board.ZONES[number % len(board.ZONES)]
+    return layout.RouterSpec(f'entry-{number}', zone)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/relay.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/relay.py
@@ -26,10 +26,12 @@
     Attributes:
       silent: Nothing is forwarded; what arrives is thrown away.
       delay_s: Seconds that each piece of data is held back.
+      forwarded: Bytes forwarded so far.
     """
 
     silent: bool = False
     delay_s: float = 0.0
+    forwarded: int = 0
 
 
 class Connection:
@@ -40,6 +42,11 @@
         self.down = down
         self.writers: list[asyncio.StreamWriter] = []
 
+    @property
+    def forwarded(self) -> int:
+        """Bytes forwarded so far, both ways."""
+        return self.up.forwarded + self.down.forwarded
+
     async def run(
         self,
         reader: asyncio.StreamReader,
@@ -86,6 +93,7 @@
         self.accepted = 0
         self._target = (host, port)
         self._open: dict[Connection, asyncio.Task[None]] = {}
+        self._ended_bytes = 0
         self._server: asyncio.Server | None = None
 
     @property
@@ -93,6 +101,11 @@
         """Port that clients connect to."""
         return self._server.sockets[0].getsockname()[1]
 
+    @property
+    def forwarded(self) -> int:
+        """Bytes forwarded so far, both ways, on all connections."""
+        return self._ended_bytes + sum(conn.forwarded for conn in self._open)
+
     async def start(self, port: int = 0) -> None:
         """Opens the relay on the loopback address."""
         self._server = await asyncio.start_server(
@@ -139,7 +152,11 @@
             conn.run(reader, writer, *self._target)
         )
         self._open[conn] = task
-        task.add_done_callback(lambda _: self._open.pop(conn, None))
+        task.add_done_callback(lambda _: self._end(conn))
+
+    def _end(self, conn: Connection) -> None:
+        self._ended_bytes += conn.forwarded
+        self._open.pop(conn)
 
 
 async def _pump(
@@ -176,4 +193,5 @@
             writer.write_eof()
             return
         writer.write(data)
+        way.forwarded += len(data)
         await writer.drain()
