--- /dev/null
+++ b/tests/failure/test_restart.py
@@ -0,0 +1,56 @@
+"""Processes that are killed and come back at their address."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill_dev import board, caller
+from tests.failure import fixture
+
+BODY = {'model': board.MODEL, 'prompt': 'Slots? [[tokens=5]]'}
+TRIES = 200
+PAUSE_S = 0.1
+
+
+class RestartTest(fixture.ClusterTestCase):
+    """One engine with its sidecar, and one router."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        (self.name,) = (n for n in self.cluster.sidecars if 'model' in n)
+        (self.router,) = self.cluster.routers.values()
+
+    async def ask(self):
+        """An answer, asked for again while it is refused as not run."""
+        token = board.TOKENS['retailers']
+        async with caller.open_client(self.router.url, token) as client:
+            for _ in range(TRIES):
+                answer = await caller.generate(client, BODY)
+                if answer.status != 503:
+                    break
+                self.assertIs(answer.error['error']['not_run'], True)
+                await asyncio.sleep(PAUSE_S)
+        return answer
+
+    async def test_restarted_sidecar_serves_again(self):
+        """A sidecar is killed and its supervisor starts it again.
+
+        Callers are refused as not run until the router has a link to the
+        new process; then answers are whole again, and the engine has run
+        each answered request once and nothing else.
+        """
+        first = await self.ask()
+        self.cluster.sidecars[self.name].kill()
+        await self.cluster.sidecars[self.name].wait()
+        await self.cluster.start_sidecar(self.name)
+        second = await self.ask()
+        for answer in (first, second):
+            self.assertEqual(answer.status, 200, answer.error)
+            self.assertTrue(answer.is_whole)
+        runs = (await self.cluster.audit(self.name))['runs']
+        self.assertEqual([run['tokens'] for run in runs], [5, 5])
+
+
+if __name__ == '__main__':
+    unittest.main()
