Mend the end of attempts' tasks, and pace request bodies by Credit

Every attempt logged an AttributeError from the event loop and stayed in the set of running tasks; no test saw it, since asyncio only logs such a fault. The method is here now, tested by a crash put into an attempt, and the tests' sidecar fails a test on any fault that reaches the loop: with the method taken out again, the plainest test fails.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/body.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/body.py
@@ -16,6 +16,7 @@
     """Pieces that came and are not yet written to the upstream.
 
     Attributes:
+      taken: Pieces handed on so far, the one in the Dispatch among them.
       broken: The router sent more than was bounded.
     """
 
@@ -27,6 +28,7 @@
           is_open: More will come.
           max_bytes: Bytes that may wait.
         """
+        self.taken = 0
         self.broken = False
         self._pieces = collections.deque([first] if first else [])
         self._waiting = len(first)
@@ -42,9 +44,8 @@
     def feed(self, data: bytes, *, last: bool) -> None:
         """Takes a piece from the router.
 
-        Bodies have no credit of their own, and holding up the link for one
-        slow server would hold up all its attempts. Beyond the bound the body
-        is broken and the call fails, lest it fill this process's memory.
+        A router that runs ahead of its credit would fill this process's
+        memory; beyond the bound the body is broken and the call fails.
         """
         if not self._open:
             return
@@ -63,6 +64,7 @@
             while self._pieces:
                 data = self._pieces.popleft()
                 self._waiting -= len(data)
+                self.taken += 1
                 yield data
             if not self._open:
                 return
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tail.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tail.py
@@ -97,9 +97,9 @@
         return True
 
     def restart(self, credit: int) -> None:
-        """Goes back to the first item kept; `credit` counts from item 0."""
+        """Goes back to the first item kept; `credit` counts from there."""
         self.sent = self.start
-        self.limit = credit
+        self.limit = self.start + credit
 
     def send(self, put: Callable[[message.Message], None]) -> None:
         """Sends what credit allows as chunks of bounded size."""
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -67,6 +67,11 @@
         self._canceller = canceller.Canceller(self.engine)
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def busy(self) -> int:
+        """Number of attempts whose tasks still run."""
+        return len(self._tasks)
+
     def start(self, attempt: state.Attempt, demand: policy.Demand) -> None:
         """Runs an attempt in a task of its own."""
         attempt.stage = state.Stage.CONNECTING
@@ -88,6 +93,23 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._canceller.stop()
 
+    def _reap(self, attempt: state.Attempt, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # A fault of this program; without a terminal the caller would wait
+        # for its deadline, and the place on the engine stay taken.
+        logger.error(
+            'attempt_crashed', attempt=attempt.id, exc_info=task.exception()
+        )
+        detail = 'the sidecar failed'
+        self._end(
+            attempt,
+            outcome.failed(
+                attempt.id, 'request_failed', detail, base.Ran.UNKNOWN
+            ),
+        )
+
     async def _run(self, attempt: state.Attempt, demand: policy.Demand) -> None:
         dispatch = attempt.dispatch
         with trace.span(
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
@@ -161,9 +161,9 @@
         maximum=1_073_741_824,
     )
     body_bytes: int = key(
-        'Body of one call kept while the upstream takes it slowly; the call '
-        'fails beyond it.',
-        16_777_216,
+        'Body of one call that a router may send ahead of the upstream; the '
+        'call fails beyond it.',
+        262_144,
         unit='bytes',
         minimum=65536,
         maximum=1_073_741_824,
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
@@ -69,12 +69,19 @@
     await conn.write(head)
     async for data in attempt.body.pieces():
         await conn.write_body(data)
+        _acknowledge_body(attempt)
     if attempt.body.broken:
         conn.close()
         return
     await conn.write_end()
 
 
+def _acknowledge_body(attempt: state.Attempt) -> None:
+    """Lets the router send further pieces of the body."""
+    if attempt.put is not None and attempt.body.is_open:
+        attempt.put(message.Credit(attempt.id, attempt.body.taken, 1))
+
+
 async def _read(
     attempt: state.Attempt, conn: http.Connection
 ) -> message.Message:
--- a/tests/quetzalsill_sidecar/support.py
+++ b/tests/quetzalsill_sidecar/support.py
@@ -123,7 +123,14 @@
     policies: dict[str, object] | None = None,
     **timing: float,
 ) -> AsyncIterator[sidecar_lib.Sidecar]:
-    """Runs a sidecar inside this process."""
+    """Runs a sidecar inside this process.
+
+    A fault in a callback or a forgotten task, which asyncio only logs, fails
+    the test.
+    """
+    faults: list[dict[str, object]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: faults.append(context))
     made = sidecar_lib.Sidecar(settings(url, kind, **timing), registry())
     made.configuration.install(configuration(**(policies or {})), 1)
     await made.start()
@@ -131,6 +138,9 @@
         yield made
     finally:
         await made.stop()
+        loop.set_exception_handler(None)
+    if faults:
+        raise AssertionError(faults)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/quetzalsill_sidecar/test_calls.py
+++ b/tests/quetzalsill_sidecar/test_calls.py
@@ -24,6 +24,14 @@
     return b''.join(item for chunk in chunks for item in chunk.items)
 
 
+def credited(messages: list[message.Message], pieces: int) -> bool:
+    """Whether the sidecar has taken so many pieces of a body."""
+    return any(
+        isinstance(msg, message.Credit) and msg.seq >= pieces
+        for msg in messages
+    )
+
+
 def names(headers: list[list[str]]) -> set[str]:
     return {name.lower() for name, _ in headers}
 
@@ -46,15 +54,32 @@
             support.router(self.sidecar.port)
         )
 
-    async def test_bodies_stream_both_ways(self):
+    async def test_bodies_stream_both_ways_as_credit_allows(self):
         attempt = self.router.dispatch(**call(payload=b'a', body_open=True))
-        for piece in (b'b' * 70_000, b'c'):
+        expected = b'a'
+        messages: list[message.Message] = []
+        for number in range(1, 9):
+            # Piece `number` has reached the service before the next leaves.
+            while not credited(messages, number):
+                messages.append(await self.router.receive(attempt))
+            seen = sum(isinstance(msg, message.Chunk) for msg in messages)
+            self.router.send(message.Credit(attempt, seen, 0))
+            piece = b'%d' % number * 32_768
+            expected += piece
             self.router.send(message.Body(attempt, piece, False))
         self.router.send(message.Body(attempt, b'', True))
-        messages = await self.router.receive_all(attempt)
-        self.assertEqual(body(messages), b'a' + b'b' * 70_000 + b'c')
+        messages += await self.router.receive_all(attempt)
+        self.assertEqual(body(messages), expected)
         self.assertIsInstance(messages[-1], message.Finished)
 
+    async def test_body_that_outruns_its_credit_is_not_kept(self):
+        """One router's upload takes the sidecar's memory."""
+        attempt = self.router.dispatch(**call(body_open=True))
+        for _ in range(64):
+            self.router.send(message.Body(attempt, b'x' * 32_768, False))
+        messages = await self.router.receive_all(attempt)
+        self.assertEqual(messages[-1].code, 'outcome_unknown')
+
     async def test_hop_by_hop_headers_end_here(self):
         headers = [
             ['Connection', 'close, X-Hop'],
--- a/tests/quetzalsill_sidecar/test_engine_faults.py
+++ b/tests/quetzalsill_sidecar/test_engine_faults.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from quetzalsill.wire import message
 from quetzalsill_dev.engine_standin import engine as engine_standin
-from quetzalsill_sidecar.upstream import http
+from quetzalsill_sidecar.upstream import generate, http
 from tests.quetzalsill_sidecar import support
 
 
@@ -100,6 +101,27 @@
         self.assertTrue(self.engine.audit()['runs'][0]['cancelled'])
 
 
+class CrashTest(unittest.IsolatedAsyncioTestCase):
+    """A fault of the sidecar's own program."""
+
+    async def test_attempt_ends_and_leaves_its_place(self):
+        """A caller waits for its deadline, and the queue for ever."""
+        async with (
+            support.engine() as (_, url),
+            support.sidecar(url) as sidecar,
+            support.router(sidecar.port) as router,
+        ):
+            with mock.patch.object(generate, 'run', side_effect=KeyError):
+                messages = await router.receive_all(router.dispatch())
+            self.assertEqual(messages[-1].code, 'request_failed')
+            self.assertEqual(messages[-1].ran, 'unknown')
+            while sidecar.queue.running:
+                await router.receive_other(message.Load)
+            messages = await router.receive_all(router.dispatch())
+            self.assertIsInstance(messages[-1], message.Finished)
+            self.assertFalse(sidecar.runs.busy)
+
+
 class DeadEngineTest(unittest.IsolatedAsyncioTestCase):
     """The engine process ends in mid-answer."""
 
