--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/error.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/error.py
@@ -4,7 +4,12 @@
 
 from quetzalsill.error import base
 
-__all__ = ['LogDamagedError', 'MalformedRowError', 'MalformedSegmentError']
+__all__ = [
+    'LogDamagedError',
+    'MalformedRowError',
+    'MalformedSegmentError',
+    'UnstorableRecordError',
+]
 
 
 class MalformedRowError(base.QuetzalsillError):
@@ -24,3 +29,9 @@
 
     code = 'log_damaged'
     advice = 'Restore the named object; its requests cannot be recovered.'
+
+
+class UnstorableRecordError(base.QuetzalsillError):
+    """A record holds a value that has no form as bytes."""
+
+    code = 'unstorable_record'
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
@@ -7,6 +7,7 @@
 
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import metric
+from quetzalsill_router.durable import error
 from quetzalsill_router.durable import queue as durable_queue
 from quetzalsill_router.durable import segment as durable_segment
 
@@ -53,6 +54,7 @@
         Raises:
           StoreUnavailableError: Not accepted, will never run.
           OverloadedError: Too much is unsettled here; not accepted.
+          BadRequestError: The entry cannot be stored.
           OutcomeUnknownError: The platform's answer was lost and it stays
             silent; `entry.request` is set. This router will not run the
             entry: it settles it as not run once the platform is back, or
@@ -60,7 +62,7 @@
             dies before may a taker run it.
         """
         self._check_room(entry)
-        waiting = durable_queue.item(entry)
+        waiting = _item_of(entry)
         self._writer.queue.add(waiting)
         try:
             async with asyncio.timeout(self._bound_s()):
@@ -205,3 +207,10 @@
         if self._writer.held.owned(waiting.record):
             self._writer.withdraw(waiting.record)
         return self._writer.queue.remove(waiting)
+
+
+def _item_of(entry: durable_entry.Entry) -> durable_queue.Item:
+    try:
+        return durable_queue.item(entry)
+    except error.UnstorableRecordError as exc:
+        raise request_error.BadRequestError(exc.detail) from exc
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
@@ -12,6 +13,7 @@
 from quetzalsill.telemetry import metric
 from quetzalsill_router.durable import answer as durable_answer
 from quetzalsill_router.durable import entry as durable_entry
+from quetzalsill_router.durable import error
 from quetzalsill_router.durable import index as durable_index
 from quetzalsill_router.durable import queue as durable_queue
 from quetzalsill_router.durable import segment as durable_segment
@@ -109,9 +111,8 @@
           SupersededError: The entry is not held here, or has an outcome.
         """
         self.check_owned(entry)
+        waiting = _item_of(entry, answer)
         self.held.settling(entry.request)
-        record = durable_segment.Settled(entry.request, entry.account, answer)
-        waiting = durable_queue.item(record)
         self.queue.add(waiting)
         return waiting.done
 
@@ -272,3 +273,19 @@
             detail, retry_after_s=SEALED_RETRY_S
         )
     return request_error.SupersededError(detail, ran=base.Ran.UNKNOWN)
+
+
+def _item_of(
+    entry: durable_entry.Entry, answer: durable_answer.Answer
+) -> durable_queue.Item:
+    """Makes the item of an outcome, or of the failure to store it."""
+    settled = durable_segment.Settled(entry.request, entry.account, answer)
+    try:
+        return durable_queue.item(settled)
+    except error.UnstorableRecordError as exc:
+        LOG.error('answer_unstorable', request=entry.request, why=exc)
+        failure = request_error.UpstreamFailedError(exc.detail, ran=answer.ran)
+        settled = dataclasses.replace(
+            settled, answer=durable_answer.failure(failure)
+        )
+        return durable_queue.item(settled)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/queue.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/queue.py
@@ -16,7 +16,6 @@
 __all__ = ['Adoption', 'Item', 'Queue', 'assemble', 'item']
 
 MAX_SEGMENT_BYTES = 8_388_608
-RECORD_BYTES = 256
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -41,7 +40,7 @@
 
     Attributes:
       record: The record.
-      size: Its bytes, about.
+      size: Its bytes.
       done: Result None once the record is durable, or why it is not.
       abandoned: Nobody waits any more; an entry must not run.
     """
@@ -68,12 +67,17 @@
 
 
 def item(record: Record) -> Item:
-    """Makes the item of a record; needs a running event loop."""
+    """Makes the item of a record; needs a running event loop.
+
+    Raises:
+      UnstorableRecordError: The record holds a value that cannot be packed.
+    """
+    size = _size_of(record)
     done = asyncio.get_running_loop().create_future()
     # Not everybody waits for a record; a failure that nobody fetches is not
     # an error of the program.
     done.add_done_callback(lambda fut: fut.cancelled() or fut.exception())
-    return Item(record, RECORD_BYTES + _payload_bytes(record), done)
+    return Item(record, size, done)
 
 
 class Queue:
@@ -160,13 +164,7 @@
     return durable_segment.Dispatched(entry.request, entry.fence, entry.run)
 
 
-def _payload_bytes(record: Record) -> int:
-    match record:
-        case durable_entry.Entry():
-            return len(record.payload)
-        case durable_segment.Settled():
-            return record.answer.size
-        case Adoption():
-            return RECORD_BYTES * len(record.entries)
-        case _:
-            return 0
+def _size_of(record: Record) -> int:
+    if isinstance(record, Adoption):
+        return sum(durable_segment.size_of(_owned(e)) for e in record.entries)
+    return durable_segment.size_of(record)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/segment.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/segment.py
@@ -20,7 +20,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-__all__ = ['Adopted', 'Dispatched', 'Segment', 'Settled', 'decode', 'encode']
+__all__ = [
+    'Adopted',
+    'Dispatched',
+    'Segment',
+    'Settled',
+    'decode',
+    'encode',
+    'size_of',
+]
 
 FORM = 1
 NONCE_BYTES = 16
@@ -114,6 +122,22 @@
         return dataclasses.replace(self, nonce=nonce, accepted=[])
 
 
+def size_of(record: durable_entry.Entry | Dispatched | Settled) -> int:
+    """Gives the bytes of a record.
+
+    Records are packed once before they are queued, so that a value which
+    cannot be packed, such as half a surrogate pair in a caller's text, fails
+    its own request and not the segment of many.
+
+    Raises:
+      UnstorableRecordError: It holds a value that cannot be packed.
+    """
+    try:
+        return len(msgpack.packb(_from_record(record)))
+    except (OverflowError, TypeError, ValueError) as exc:
+        raise error.UnstorableRecordError(str(exc)) from exc
+
+
 def encode(segment: Segment) -> bytes:
     """Packs a segment."""
     plain = [
@@ -170,6 +194,18 @@
         yield entry
 
 
+def _from_record(
+    record: durable_entry.Entry | Dispatched | Settled,
+) -> list[Any]:
+    match record:
+        case durable_entry.Entry():
+            return _from_entry(record)
+        case Dispatched():
+            return _from_dispatched(record)
+        case Settled():
+            return _from_settled(record)
+
+
 def _from_entry(entry: durable_entry.Entry) -> list[Any]:
     fields = [getattr(entry, name) for name in ENTRY_FIELDS]
     return [fields, _from_run(entry.run)]
--- /dev/null
+++ b/tests/quetzalsill_router/durable/test_journal.py
@@ -0,0 +1,231 @@
+"""Tests of the journal while the platform fails."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
+from quetzalsill_router.durable import answer as durable_answer
+from tests.quetzalsill_router.durable import virtual, world
+
+
+async def one_router():
+    board = world.World(['a'])
+    await asyncio.sleep(1)
+    return board, board.routers['a']
+
+
+class AcceptTest(unittest.TestCase):
+    """Acceptance of requests."""
+
+    def test_platform_down(self):
+        """The store is down when a clerk sends a manifest.
+
+        The clerk is told at once that it did not run and when to come back,
+        instead of waiting; once the store is back the next one is accepted.
+        """
+
+        async def story():
+            board, router = await one_router()
+            board.platform.down = True
+            first = router.serve(world.make_entry('first'))
+            await asyncio.sleep(1)
+            self.assertIs(first.ran, base.Ran.NO)
+            begun = asyncio.get_running_loop().time()
+            with self.assertRaises(
+                request_error.StoreUnavailableError
+            ) as caught:
+                await router.state.journal.accept(world.make_entry('second'))
+            self.assertEqual(asyncio.get_running_loop().time(), begun)
+            self.assertGreater(caught.exception.retry_after_s, 0)
+            board.platform.down = False
+            await asyncio.sleep(10)
+            third = router.serve(world.make_entry('third'))
+            await asyncio.sleep(10)
+            self.assertIs(third.ran, base.Ran.YES)
+            self.assertEqual(board.runs('first') + board.runs('second'), 0)
+
+        virtual.run(story)
+
+    def test_answer_lost(self):
+        """The store takes a manifest and its answer to that is lost.
+
+        The router creates the same segment again, finds it taken, and knows
+        it by its nonce as its own: accepted, and run once.
+        """
+
+        async def story():
+            board, router = await one_router()
+            router.link.faults['journal'].append('lost')
+            told = router.serve(world.make_entry('plan'))
+            await asyncio.sleep(10)
+            self.assertIs(told.ran, base.Ran.YES)
+            self.assertEqual(board.runs('plan'), 1)
+
+        virtual.run(story)
+
+    def test_taken_then_silent(self):
+        """The store takes a manifest, then falls silent for a minute.
+
+        The clerk is told that the outcome is unknown, and its id. When the
+        store is back the id leads to the settled outcome: not run.
+        """
+
+        async def story():
+            board, router = await one_router()
+            router.link.faults['journal'].append('lost')
+            told = router.serve(world.make_entry('plan'))
+            await world.until(lambda: board.platform.objects)
+            board.platform.silent = True
+            await asyncio.sleep(60)
+            self.assertIs(told.ran, base.Ran.UNKNOWN)
+            board.platform.silent = False
+            await asyncio.sleep(10)
+            stored = await router.state.answers.get(world.ACCOUNT, 'a.1.1-1-0')
+            self.assertIs(stored.answer.ran, base.Ran.NO)
+            self.assertEqual(board.runs('plan'), 0)
+
+        virtual.run(story)
+
+    def test_late_write_after_refusal(self):
+        """A write is on its way for long, and the manifest is given up.
+
+        The router writes the same segment without the manifest. When the
+        late write arrives the number is taken, so nobody, a taker neither,
+        finds the manifest that the clerk has sent elsewhere meanwhile.
+        """
+
+        async def story():
+            board, router = await one_router()
+            router.link.faults['journal'].append('late')
+            entry = world.make_entry('plan')
+            accepting = asyncio.create_task(router.state.journal.accept(entry))
+            await world.until(lambda: entry.request)
+            accepting.cancel()
+            await asyncio.sleep(20)
+            router.kill()
+            board.start('b', 1)
+            await asyncio.sleep(60)
+            with self.assertRaises(request_error.NotFoundError):
+                await board.routers['b'].state.answers.get(
+                    world.ACCOUNT, entry.request
+                )
+            self.assertEqual(board.runs('plan'), 0)
+
+        virtual.run(story)
+
+    def test_unstorable(self):
+        """A caller's text holds half a surrogate pair.
+
+        It has no form as UTF-8. Its own request is refused; the segment in
+        which it would have stood, and the journal, go on.
+        """
+
+        async def story():
+            _, router = await one_router()
+            bad = world.make_entry('bad', key='\ud800')
+            good = router.serve(world.make_entry('good'))
+            with self.assertRaises(request_error.BadRequestError):
+                await router.state.journal.accept(bad)
+            await asyncio.sleep(10)
+            self.assertIs(good.ran, base.Ran.YES)
+
+        virtual.run(story)
+
+    def test_bound(self):
+        """More is not taken on than can be held."""
+
+        async def story():
+            cfg = world.CFG
+            journal = (await one_router())[1].state.journal
+            for n in range(3):
+                await journal.accept(world.make_entry(f'r{n}'))
+            huge = world.make_entry('huge')
+            huge.payload = bytes(cfg.max_unsettled_bytes)
+            with self.assertRaises(request_error.OverloadedError):
+                await journal.accept(huge)
+
+        virtual.run(story)
+
+
+class SettleTest(unittest.TestCase):
+    """Outcomes while the platform fails."""
+
+    def test_platform_down_for_minutes(self):
+        """The store is down when a plan is finished, for five minutes.
+
+        The outcome waits in the router. When the store is back it is
+        written, and the clerk who asks again gets the answer of that run.
+        """
+
+        async def story():
+            board, router = await one_router()
+            told = router.serve(world.make_entry('plan'))
+            await world.until(lambda: board.runs('plan'))
+            board.platform.down = True
+            await asyncio.sleep(300)
+            board.platform.down = False
+            stored = await router.state.answers.wait(
+                world.ACCOUNT, told.request, 60
+            )
+            self.assertEqual(stored.answer.events, [b'plan planner-0 1'])
+            self.assertEqual(board.runs('plan'), 1)
+
+        virtual.run(story)
+
+    def test_second_outcome(self):
+        """Only the first outcome of a request stands."""
+
+        async def story():
+            _, router = await one_router()
+            entry = world.make_entry('plan')
+            await router.state.journal.accept(entry)
+            done = durable_answer.Answer(events=[b'1'])
+            await router.state.journal.settle(entry, done)
+            with self.assertRaises(request_error.SupersededError):
+                await router.state.journal.settle(entry, done)
+
+        virtual.run(story)
+
+    def test_other_account(self):
+        """An answer is given to its own account alone."""
+
+        async def story():
+            _, router = await one_router()
+            told = router.serve(world.make_entry('plan'))
+            for pause_s in (1, 10):
+                await asyncio.sleep(pause_s)
+                with self.assertRaises(request_error.NotFoundError):
+                    await router.state.answers.get('other', told.request)
+
+        virtual.run(story)
+
+
+class StopTest(unittest.TestCase):
+    """A graceful stop."""
+
+    def test_hands_over(self):
+        """A router stops with a plan that has not begun.
+
+        Its row is released, so another one takes the plan without waiting
+        for the row to lapse.
+        """
+
+        async def story():
+            board = world.World(['a', 'b'])
+            await asyncio.sleep(1)
+            entry = world.make_entry('plan')
+            await board.routers['a'].state.journal.accept(entry)
+            begun = asyncio.get_running_loop().time()
+            await board.routers['a'].state.stop(5)
+            await world.until(lambda: board.runs('plan'))
+            took_s = asyncio.get_running_loop().time() - begun
+            self.assertLess(took_s, world.CFG.ttl_heartbeats - 1)
+
+        virtual.run(story)
+
+
+if __name__ == '__main__':
+    unittest.main()
