Link a replacement when a sidecar itself says that it is leaving

Cause: an upstream that leaves did not count out of the subset until the host list, which lags, said so; a small subset could hold no upstream that takes work. Not shown by a test of its own; tests of wire and peer, 49 pass.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -137,7 +137,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _passive(self, cfg: model.Configuration) -> set[str]:
-        return {
+        leaving = {name for name, peer in self._peers.items() if peer.leaving}
+        return leaving | {
             name
             for name, spec in cfg.upstreams.items()
             if spec.draining or self._hint(name)[0] == 'leaving'
