--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
@@ -12,7 +12,9 @@
 
 from quetzalsill_dev.bench.capacity import (
     configuration,
+    edits,
     links,
+    startup,
     store,
     subsets,
     throughput,
@@ -28,8 +30,10 @@
 RESULT_FILE = pathlib.Path('bench-results/capacity.json')
 PARTS = {
     'configuration': configuration.measure,
+    'edits': edits.measure,
     'links-router': links.measure_router,
     'links-sidecar': links.measure_sidecar,
+    'startup': startup.measure,
     'store': store.measure,
     'subsets': subsets.measure,
     'throughput': throughput.measure,
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/links.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/links.py
@@ -17,7 +17,7 @@
 from quetzalsill.telemetry import log
 from quetzalsill.wire import dial, message
 from quetzalsill_dev import board, cluster, launch, layout, process_settings
-from quetzalsill_dev.bench.capacity import series, sidecars, window
+from quetzalsill_dev.bench.capacity import engine, series, sidecars, window
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
@@ -28,7 +28,6 @@
 
 SIZES = (8, 32, 64, 128, 256)
 ROUTER = 'entry-1'
-ENGINE = 'server-0000'
 ZONE = board.ZONES[0]
 STATES = ('idle', 'changing')
 FIGURES = {
@@ -78,12 +77,11 @@
 async def _measure_router() -> list[series.Series]:
     log.configure('error')
     record = _Record('router')
-    engine = layout.EngineSpec(ENGINE, ZONE, [board.MODEL])
     spec = layout.Layout([], [], [layout.RouterSpec(ROUTER, ZONE)])
     async with launch.Launcher() as launcher:
         started = cluster.Cluster(launcher, spec)
         await started.start()
-        process = await _start_engine(launcher, engine)
+        process = await engine.start(launcher)
         async with sidecars.Sidecars(process.url) as far:
             for size in SIZES:
                 await far.grow(size)
@@ -105,23 +103,12 @@
     await far.wait_revision(revision)
 
 
-async def _start_engine(
-    launcher: launch.Launcher, spec: layout.EngineSpec
-) -> launch.Process:
-    return await launcher.start(
-        spec.name,
-        'quetzalsill_dev.engine_standin',
-        f'--models={",".join(spec.models)}',
-    )
-
-
 async def _measure_sidecar() -> list[series.Series]:
     log.configure('error')
     record = _Record('sidecar')
-    spec = layout.EngineSpec(ENGINE, ZONE, [board.MODEL])
     async with launch.Launcher() as launcher:
-        engine = await _start_engine(launcher, spec)
-        process = await _start_sidecar(launcher, engine)
+        upstream = await engine.start(launcher)
+        process = await _start_sidecar(launcher, upstream)
         async with contextlib.AsyncExitStack() as stack:
             near: list[link_lib.Link] = []
             for size in SIZES:
@@ -137,12 +124,12 @@
 
 
 async def _start_sidecar(
-    launcher: launch.Launcher, engine: launch.Process
+    launcher: launch.Launcher, upstream: launch.Process
 ) -> launch.Process:
-    platform = dict.fromkeys(('table', 'objects', 'hosts'), engine.url)
+    platform = dict.fromkeys(('table', 'objects', 'hosts'), upstream.url)
     path = launcher.folder / 'sidecar.json'
     settings = process_settings.sidecar(
-        ENGINE, ZONE, 0, platform, engine.url, 'model'
+        engine.NAME, ZONE, 0, platform, upstream.url, 'model'
     )
     process_settings.write(path, settings)
     return await launcher.start(
