--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/claim.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/claim.py
@@ -16,6 +16,8 @@
 from quetzalsill_router.durable import claim_writer as durable_claim_writer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quetzalsill_router.durable import entry as durable_entry
     from quetzalsill_router.durable import journal as durable_journal
     from quetzalsill_router.durable import lookup as durable_lookup
@@ -52,7 +54,7 @@
       writer: Writes the rows.
       journal: Journal of this router.
       answers: Tells whether the holder of a key was settled as not run.
-      bound_s: Longest wait for the platform, in s.
+      bound_s: Gives the longest wait for the platform, in s.
     """
 
     def __init__(
@@ -60,7 +62,7 @@
         writer: durable_claim_writer.ClaimWriter,
         journal: durable_journal.Journal,
         answers: durable_lookup.Answers,
-        bound_s: float,
+        bound_s: Callable[[], float],
     ) -> None:
         self._writer = writer
         self._journal = journal
@@ -83,7 +85,7 @@
           SupersededError: Another router has taken the entry over.
         """
         try:
-            async with asyncio.timeout(self._bound_s):
+            async with asyncio.timeout(self._bound_s()):
                 holder = await self._acquire(entry)
         except (
             TimeoutError,
@@ -164,7 +166,7 @@
         """
         exc = self._journal.unavailable('the key could not be claimed')
         try:
-            async with asyncio.timeout(self._bound_s):
+            async with asyncio.timeout(self._bound_s()):
                 await self._journal.settle(entry, durable_answer.failure(exc))
         except TimeoutError:
             return request_error.OutcomeUnknownError(
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/claim_writer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/claim_writer.py
@@ -16,7 +16,7 @@
 __all__ = ['ClaimWriter', 'Holder', 'TABLE']
 
 TABLE = 'claims'
-ROWS_AT_ONCE = 100
+ROWS_AT_ONCE = 500
 TRIES = 3
 
 LOG = telemetry_log.get(__name__)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/erase.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/erase.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import request as request_error
@@ -13,7 +14,7 @@
 from quetzalsill_router.durable import row as durable_row
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Iterable
+    from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
     from quetzalsill.platform import objects as platform_objects
     from quetzalsill_router.durable import entry as durable_entry
@@ -21,7 +22,20 @@
 
 __all__ = ['Eraser']
 
-ROWS_AT_ONCE = 50
+ROWS_AT_ONCE = 500
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _KeyHeld:
+    """The row of an idempotency key and the request that claimed it."""
+
+    key: str
+    request: str
+
+    @classmethod
+    def by(cls, entry: durable_entry.Entry) -> _KeyHeld:
+        key = durable_claim.key_of(entry.account, entry.idempotency_key)
+        return cls(key, entry.request)
 
 
 class Eraser:
@@ -65,46 +79,54 @@
           SupersededError: This router's log is not open.
           MalformedSegmentError: The object is no segment; it stays.
         """
-        for number in range(first, last + 1):
-            segment = await durable_log.read(self._objects, log, number)
-            if segment is not None and not segment.sealed_by:
-                await self._free_keys(segment.accepted)
-                await self._pace.turn()
-                await self._objects.delete(durable_log.key_of(log, number))
-            if (number + 1) % durable_index.SEGMENTS_PER_ROW == 0:
-                await self._drop_index_row(log, number)
-            yield number
+        for numbers in _by_index_row(first, last):
+            present = []
+            keyed = []
+            for number in numbers:
+                segment = await durable_log.read(self._objects, log, number)
+                if segment is not None and not segment.sealed_by:
+                    present.append(number)
+                    keyed += map(_KeyHeld.by, _with_key(segment.accepted))
+            await self._free_keys(keyed)
+            if numbers[-1] == durable_index.row_end(numbers[0]):
+                await self._drop_index_row(log, numbers[-1])
+            for number in numbers:
+                if number in present:
+                    await self._delete_segment(log, number)
+                yield number
 
     async def drop_log(self, row: durable_row.LogRow) -> None:
         """Deletes the row of a log whose segments are erased."""
         await self._drop_index_row(row.log, row.last)
         await self._drop(durable_row.TABLE, row.log)
 
+    async def _delete_segment(self, log: str, number: int) -> None:
+        await self._pace.turn()
+        await self._objects.delete(durable_log.key_of(log, number))
+
     async def _drop_index_row(self, log: str, number: int) -> None:
         key = durable_index.row_key(log, number)
         await self._drop(durable_index.TABLE, key)
 
-    async def _free_keys(self, entries: Iterable[durable_entry.Entry]) -> None:
-        keyed = [entry for entry in entries if entry.idempotency_key]
+    async def _free_keys(self, keyed: list[_KeyHeld]) -> None:
         for start in range(0, len(keyed), ROWS_AT_ONCE):
             await self._pace.turn()
             own = await self._own_log_open()
             held = [
                 condition
-                for entry in keyed[start : start + ROWS_AT_ONCE]
-                async for condition in self._held_key(entry)
+                for key in keyed[start : start + ROWS_AT_ONCE]
+                async for condition in self._still_held(key)
             ]
             await self._delete(own, held)
 
-    async def _held_key(
-        self, entry: durable_entry.Entry
+    async def _still_held(
+        self, held: _KeyHeld
     ) -> AsyncIterator[platform_table.Condition]:
-        """Gives the claim of an entry, if it still holds its key."""
+        """Gives the claim of a request, if it still holds its key."""
         table = durable_claim_writer.TABLE
-        key = durable_claim.key_of(entry.account, entry.idempotency_key)
-        row = await self._table.get(table, key)
-        if row is not None and row.value['request'] == entry.request:
-            yield platform_table.Condition(table, key, row.version)
+        row = await self._table.get(table, held.key)
+        if row is not None and row.value['request'] == held.request:
+            yield platform_table.Condition(table, held.key, row.version)
 
     async def _own_log_open(self) -> platform_table.Condition:
         """Binds what is read after this to this router's log being open."""
@@ -132,3 +154,17 @@
                 platform_table.Write(row.table, row.key, None) for row in rows
             ]
             await self._table.transact([own, *rows], writes)
+
+
+def _by_index_row(first: int, last: int) -> Iterator[range]:
+    """Cuts a span of segments where the rows of the index are cut."""
+    while first <= last:
+        end = min(last, durable_index.row_end(first))
+        yield range(first, end + 1)
+        first = end + 1
+
+
+def _with_key(
+    entries: Iterable[durable_entry.Entry],
+) -> Iterator[durable_entry.Entry]:
+    return (entry for entry in entries if entry.idempotency_key)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/index.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/index.py
@@ -23,12 +23,14 @@
 
     from quetzalsill_router.durable import pace as durable_pace
 
-__all__ = ['Index', 'Pointer', 'TABLE', 'find', 'row_key']
+__all__ = ['Index', 'Pointer', 'TABLE', 'find', 'row_end', 'row_key']
 
 TABLE = 'answers'
 SEGMENTS_PER_ROW = 16
 ROWS_AT_ONCE = 32
 RETRY_S = 0.5
+# Bounds the memory of what waits for the table while only that is down.
+MAX_QUEUED = 200_000
 
 LOG = telemetry_log.get(__name__)
 
@@ -62,6 +64,11 @@
         self._releases.append(release)
         self._wanted.set()
 
+    @property
+    def full(self) -> bool:
+        """Whether so much waits for the table that no more may come."""
+        return len(self._queued) >= MAX_QUEUED
+
     def queued(self, request: str) -> Pointer | None:
         """Finds a pointer that is not durable yet."""
         return self._queued.get(request)
@@ -144,6 +151,11 @@
     return f'{log}/{segment // SEGMENTS_PER_ROW:08d}'
 
 
+def row_end(segment: int) -> int:
+    """Gives the last segment that has the same row as this one."""
+    return segment | (SEGMENTS_PER_ROW - 1)
+
+
 def _row_of(pointer: Pointer) -> str:
     place = durable_entry.place_of(pointer.request)
     return row_key(place.log, place.segment)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
@@ -8,6 +8,7 @@
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import metric
 from quetzalsill_router.durable import error
+from quetzalsill_router.durable import pace as durable_pace
 from quetzalsill_router.durable import queue as durable_queue
 from quetzalsill_router.durable import segment as durable_segment
 
@@ -15,7 +16,6 @@
     from quetzalsill_router.durable import answer as durable_answer
     from quetzalsill_router.durable import entry as durable_entry
     from quetzalsill_router.durable import log_writer as durable_log_writer
-    from quetzalsill_router.durable import pace as durable_pace
     from quetzalsill_router.durable import setting
 
 __all__ = ['Journal']
@@ -64,8 +64,9 @@
         self._check_room(entry)
         waiting = _item_of(entry)
         self._writer.queue.add(waiting)
+        bound_s = durable_pace.bound_s(self._cfg, self._pace)
         try:
-            async with asyncio.timeout(self._bound_s()):
+            async with asyncio.timeout(bound_s):
                 await waiting.done
         except TimeoutError:
             return self._late(waiting)
@@ -101,8 +102,9 @@
         if entry.idempotent:
             entry.run = run
             return
+        bound_s = durable_pace.bound_s(self._cfg, self._pace)
         try:
-            async with asyncio.timeout(self._bound_s()):
+            async with asyncio.timeout(bound_s):
                 await asyncio.shield(waiting.done)
         except TimeoutError:
             self._writer.queue.remove(waiting)
@@ -163,9 +165,6 @@
         """Whether the entry has no outcome, and no takeover is known."""
         return self._writer.held.owned(entry)
 
-    def _bound_s(self) -> float:
-        return self._cfg.accept_s + 2 * self._pace.interval_s
-
     def _check_room(self, entry: durable_entry.Entry) -> None:
         writer = self._writer
         if not writer.available:
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/log.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/log.py
@@ -17,7 +17,7 @@
 from quetzalsill_router.durable import segment as durable_segment
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import AsyncIterator, Iterable
 
     from quetzalsill.platform import objects as platform_objects
 
@@ -32,7 +32,7 @@
     'seal',
 ]
 
-READS_AT_ONCE = 16
+READS_AT_ONCE = 8
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -156,16 +156,23 @@
     last, newest = await _newest_records(objects, log, end)
     if newest is None:
         return Remains({}, [], [])
-    numbers = range(newest.floor, last + 1)
-    segments = await _read_all(objects, log, numbers)
-    settled = [
-        (record.request, number)
-        for number, segment in zip(numbers, segments, strict=True)
-        for record in segment.settled
-    ]
-    adopted = [mark for segment in segments for mark in segment.adopted]
-    entries = await _unsettled(objects, segments)
-    return Remains(entries, settled, adopted)
+    remains = Remains([], [], [])
+    entries: dict[str, durable_entry.Entry] = {}
+    owners: dict[str, durable_segment.Dispatched] = {}
+    async for number, segment in _segments(objects, log, newest.floor, last):
+        entries.update((entry.request, entry) for entry in segment.accepted)
+        owners.update((record.request, record) for record in segment.dispatched)
+        for record in segment.settled:
+            entries.pop(record.request, None)
+            owners.pop(record.request, None)
+            remains.settled.append((record.request, number))
+        remains.adopted += segment.adopted
+    await _add_accepted_elsewhere(objects, entries, owners.keys())
+    for record in owners.values():
+        entries[record.request].run = record.run
+        entries[record.request].fence = record.fence
+    remains.entries += entries.values()
+    return remains
 
 
 async def _newest_records(
@@ -188,34 +195,15 @@
     return segment
 
 
-async def _read_all(
-    objects: platform_objects.Objects, log: str, numbers: Iterable[int]
-) -> list[durable_segment.Segment]:
-    slots = asyncio.Semaphore(READS_AT_ONCE)
-
-    async def one(number: int) -> durable_segment.Segment:
-        async with slots:
-            return await _needed(objects, log, number)
-
-    return await asyncio.gather(*(one(number) for number in numbers))
-
-
-async def _unsettled(
-    objects: platform_objects.Objects, segments: list[durable_segment.Segment]
-) -> list[durable_entry.Entry]:
-    entries: dict[str, durable_entry.Entry] = {}
-    newest: dict[str, durable_segment.Dispatched] = {}
-    for segment in segments:
-        entries.update((entry.request, entry) for entry in segment.accepted)
-        newest.update((record.request, record) for record in segment.dispatched)
-        for record in segment.settled:
-            entries.pop(record.request, None)
-            newest.pop(record.request, None)
-    await _add_accepted_elsewhere(objects, entries, newest.keys())
-    for record in newest.values():
-        entries[record.request].run = record.run
-        entries[record.request].fence = record.fence
-    return list(entries.values())
+async def _segments(
+    objects: platform_objects.Objects, log: str, first: int, last: int
+) -> AsyncIterator[tuple[int, durable_segment.Segment]]:
+    """Reads segments, a few at once: answers in them may be large."""
+    for start in range(first, last + 1, READS_AT_ONCE):
+        numbers = range(start, min(start + READS_AT_ONCE, last + 1))
+        reads = (_needed(objects, log, number) for number in numbers)
+        for found in zip(numbers, await asyncio.gather(*reads), strict=True):
+            yield found
 
 
 async def _add_accepted_elsewhere(
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
@@ -95,7 +95,7 @@
     @property
     def available(self) -> bool:
         """Whether the platform takes new entries, as far as is known."""
-        return bool(self.log) and self.health.up
+        return bool(self.log) and self.health.up and not self._index.full
 
     @property
     def floor(self) -> int:
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/registration.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/registration.py
@@ -105,9 +105,16 @@
     async def register(self) -> str:
         """Inserts the row of a new log; repeats until the platform took it.
 
+        A process that is replaced by a newer one of the same node loses its
+        log to a taker. It waits here while the newer one lives: with a new
+        log it would be taken over again at once.
+
         Returns:
           The name of the log.
         """
+        while self.seen.replaced(self.router.node, self.router.incarnation):
+            LOG.warning('node_replaced', node=self.router.node)
+            await asyncio.sleep(self.interval_s)
         self._epoch += 1
         row = self._row(Span(1, 0))
         condition = platform_table.Condition(durable_row.TABLE, row.log, 0)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
@@ -69,11 +69,13 @@
         self.answers = durable_lookup.Answers(
             table, objects, self._index, self._suspect
         )
-        self._claim_writer = durable_claim_writer.ClaimWriter(
-            table, durable_pace.claim_pace(cfg, count)
-        )
+        claim_pace = durable_pace.claim_pace(cfg, count)
+        self._claim_writer = durable_claim_writer.ClaimWriter(table, claim_pace)
         self.claims = durable_claim.Claims(
-            self._claim_writer, self.journal, self.answers, cfg.accept_s
+            self._claim_writer,
+            self.journal,
+            self.answers,
+            lambda: durable_pace.bound_s(cfg, claim_pace),
         )
         self._takeover = durable_takeover.Takeover(
             table,
@@ -90,7 +92,7 @@
             durable_erase.Eraser(
                 table,
                 objects,
-                durable_pace.journal_pace(cfg, count),
+                durable_pace.erase_pace(cfg, count),
                 self._own_log,
             ),
             cfg.retention_s,
@@ -134,10 +136,19 @@
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
-        task.add_done_callback(_report)
+        task.add_done_callback(self._check_ended)
         self._tasks.append(task)
 
+    def _check_ended(self, task: asyncio.Task[None]) -> None:
+        """Ends all tasks if one has failed.
 
-def _report(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        LOG.error('durable_task_died', exc_info=task.exception())
+        With the writer gone but the row renewed, what was accepted would
+        neither be settled here nor taken over. So new requests are refused,
+        the row lapses, and another router takes the log.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        LOG.error('durable_state_failed', exc_info=task.exception())
+        self._writer.log = ''
+        for other in self._tasks:
+            other.cancel()
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/takeover.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/takeover.py
@@ -64,7 +64,7 @@
         self._scan_at = 0.0
 
     def suspect(self, log: str) -> None:
-        """Watches a log closely: somebody waits for a request in it."""
+        """Looks at a log soon: somebody waits for a request in it."""
         self._suspects.add(log)
 
     async def run(self) -> None:
@@ -101,10 +101,9 @@
         )
 
     async def _read_suspects(self, asked_at: float) -> None:
-        for log in list(self._suspects):
+        suspects, self._suspects = self._suspects, set()
+        for log in suspects - {self._own_log()}:
             found = await durable_row.read(self._table, log)
-            if found is None or found.row.keeper:
-                self._suspects.discard(log)
             if found is not None:
                 self._routers.seen.saw([found], asked_at)
                 if found.row.keeper:
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/watch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/watch.py
@@ -94,6 +94,13 @@
             if row.keeper and _last_keeper(rows, row) == log
         ]
 
+    def replaced(self, node: str, incarnation: int) -> bool:
+        """Whether a newer process of a node has an open log."""
+        return any(
+            row.node == node and row.incarnation > incarnation
+            for row in self._open()
+        )
+
     def unchanged_s(self, log: str) -> float:
         """Gives how long a row was seen unchanged."""
         return self._sights[log].unchanged_s
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/write.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/write.py
@@ -8,6 +8,7 @@
 
 from quetzalsill.platform import error as platform_error
 from quetzalsill.telemetry import log as telemetry_log
+from quetzalsill_router.durable import error
 from quetzalsill_router.durable import log as durable_log
 from quetzalsill_router.durable import segment as durable_segment
 
@@ -82,6 +83,18 @@
     try:
         await objects.put(durable_log.key_of(*place), data, create_only=True)
     except platform_error.ObjectExistsError:
-        found = await durable_log.read(objects, *place)
-        return tried.get(found.nonce) if found else None
+        return await _read_back(objects, place, tried)
     return segment
+
+
+async def _read_back(
+    objects: platform_objects.Objects,
+    place: tuple[str, int],
+    tried: dict[bytes, durable_segment.Segment],
+) -> durable_segment.Segment | None:
+    try:
+        found = await durable_log.read(objects, *place)
+    except error.MalformedSegmentError as exc:
+        LOG.error('segment_malformed', log=place[0], why=exc)
+        return None
+    return tried.get(found.nonce) if found else None
--- /dev/null
+++ b/tests/quetzalsill_router/durable/test_cost.py
@@ -0,0 +1,60 @@
+"""Counts the calls to the platform, at the pace of 480 routers."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import unittest
+
+from tests.quetzalsill_router.durable import virtual, world
+
+ROUTERS = 480
+SPAN_S = 300.0
+TAIL_S = 60.0
+# One router on its part of the budget keeps the pace that each of 480 has.
+CFG = dataclasses.replace(
+    world.CFG,
+    heartbeat_s=3.0,
+    retention_s=60.0,
+    writes_per_s=world.CFG.writes_per_s / ROUTERS,
+)
+READS = ('get', 'scan', 'read')
+WRITES = ('put', 'delete', 'transact')
+
+
+async def calls_per_s(requests_per_s, keyed):
+    """Counts calls a second by kind while requests are served."""
+    board = world.World(['a'], cfg=CFG)
+    await asyncio.sleep(SPAN_S)
+    board.platform.counts.clear()
+    for n in range(int(SPAN_S * requests_per_s)):
+        key = f'k{n}' if keyed else ''
+        board.routers['a'].serve(world.make_entry(f'r{n}', key=key))
+        await asyncio.sleep(1 / requests_per_s)
+    counts = collections.Counter(
+        {kind: n / SPAN_S for kind, n in board.platform.counts.items()}
+    )
+    await asyncio.sleep(TAIL_S)
+    return counts, all(told.answer for told in board.told)
+
+
+def total(counts, kinds):
+    return sum(counts[kind] for kind in kinds)
+
+
+class CostTest(unittest.TestCase):
+    """Calls of one of 480 routers."""
+
+    def test_writes_grow_with_routers_alone(self):
+        """Ten times the requests cost no more writes, within the budget."""
+        few, few_answered = virtual.run(calls_per_s, 1, True)
+        many, many_answered = virtual.run(calls_per_s, 10, True)
+        self.assertTrue(few_answered and many_answered)
+        self.assertLess(total(many, WRITES), 1.3 * total(few, WRITES))
+        for counts in (few, many):
+            self.assertLess(total(counts, WRITES), CFG.writes_per_s)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill_router/durable/test_takeover.py
+++ b/tests/quetzalsill_router/durable/test_takeover.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from quetzalsill.error import base
-from quetzalsill_router.durable import segment
+from quetzalsill_router.durable import segment, state
 from tests.quetzalsill_router.durable import virtual, world
 
 SETTLE_S = 60.0
@@ -41,6 +42,30 @@
 
         virtual.run(story)
 
+    def test_writer_fails(self):
+        """A fault of the program ends the task that writes the journal.
+
+        The router lives on, and were its row renewed nobody would take its
+        requests. All its durable tasks end, so that another one does.
+        """
+
+        async def story():
+            board = world.World(['a', 'b'])
+            await asyncio.sleep(1)
+            broken = board.routers['a']
+            told = broken.serve(world.make_entry('manifest'))
+            await world.until(lambda: board.runs('manifest'))
+            board.platform.put = None
+            with mock.patch.object(state, 'LOG') as logger:
+                await world.until(lambda: not broken.state.journal.available)
+            logger.error.assert_called_once()
+            del board.platform.put
+            answer = await stored(board.routers['b'], told.request)
+            self.assertEqual(board.runs('manifest'), 1)
+            self.assertTrue(answer.events)
+
+        virtual.run(story)
+
     def test_taker_dies_in_the_middle(self):
         """A clerk's manifest outlives its router and the router's taker.
 
