Ask the sidecar of an order what became of it, and never repeat it there

Cause: a Dispatch with recover for a call ran the call. Routers did not send one, so that nothing was doubled yet, but the sidecar took their word for it; and as a call was never asked after, an order whose router died or whose link stayed away was "unknown" for ever though its sidecar had the answer.

Now the sidecar takes a known call up and otherwise says that no such call was made here; the router that knows its incarnation reads that as "not run", and asks no other sidecar. An order past its deadline is asked after too. A call counts as run from its answer on: Started only says that it was sent.

Ruled out: Refused as the sidecar's answer; a sidecar that was started anew would call "not run" what its predecessor had sent.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
@@ -121,6 +121,11 @@
         async for piece in self._body.pieces(data, last):
             await self._owner.send_body(piece)
 
+    @property
+    def gave_up(self) -> bool:
+        """It ended here, without a word of the sidecar on its outcome."""
+        return self._gave_up
+
     def withdraw(self) -> None:
         """Asks that the attempt never start; gives Withdrawn or Running."""
         if self._terminal is not None:
@@ -179,7 +184,7 @@
         if same and not self._recovering:
             self._resume()
             return
-        if self.dispatch.kind == CALL:
+        if self.dispatch.kind == CALL and not same:
             self._lose_call()
             return
         # A sidecar that may have the Dispatch of the last link goes back to
@@ -228,7 +233,7 @@
 
     def _lose_call(self) -> None:
         """Ends a call whose sidecar is gone; nothing keeps its answer."""
-        if self.started:
+        if self._head_taken:
             self._fail('the sidecar was lost', gone=self.dispatch.idempotent)
         else:
             self.expire()
@@ -319,10 +324,12 @@
         return self._end(msg)
 
     def _fail(self, detail: str, *, gone: bool = False) -> bool:
-        code = request_error.UpstreamFailedError.code
-        return self._end(
-            message.Failed(self.id, code, detail, base.Ran.YES, gone)
-        )
+        code, ran = request_error.UpstreamFailedError.code, base.Ran.YES
+        if self.dispatch.kind == CALL and not self._head_taken:
+            # Started says of a call that it was sent; that it was taken only
+            # its answer says.
+            code, ran = request_error.OutcomeUnknownError.code, base.Ran.UNKNOWN
+        return self._end(message.Failed(self.id, code, detail, ran, gone))
 
     def _end(self, msg: message.Message, *, acknowledge: bool = False) -> bool:
         self._terminal = msg
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -132,6 +132,10 @@
     """
     peer = await _find(ctx, active, run.upstream)
     same = peer.incarnation == run.incarnation
+    # No app server can be asked what became of a call; only the sidecar that
+    # made it knows.
+    if active.work.kind == spec.CALL and not same:
+        raise _unknown(f'the sidecar that called {run.upstream} is gone')
     stream = _open(ctx, active, peer, run.attempt, lambda: False, recover=True)
     try:
         async with contextlib.aclosing(stream):
@@ -234,10 +238,6 @@
     """
     work = active.work
     limit = work.deadline
-    # A recovery of a call would be a second call: no app server can say
-    # what became of the first.
-    if work.kind == spec.CALL:
-        raise _unknown('what became of a call that was cut off is not known')
     if work.idempotent and not work.recover_only:
         limit = min(limit, time.monotonic() + ctx.settings.requests.recover_s)
     while time.monotonic() < limit:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -88,10 +88,14 @@
         async for msg in _messages(attempt, should_move):
             match msg:
                 case message.Started():
-                    active.attempt_started()
+                    # That a call reached an app server proves nothing: only
+                    # its answer says that the order was taken.
+                    if work.kind != spec.CALL:
+                        active.attempt_started()
                     if work.body is not None and sender is None:
                         sender = asyncio.create_task(_send_body(attempt, work))
                 case message.Head():
+                    active.attempt_started()
                     yield piece.Head(msg.status, msg.headers)
                 case message.Chunk():
                     active.generated(len(msg.items))
@@ -122,6 +126,9 @@
     ended = failure(msg)
     if ended.ran is base.Ran.UNKNOWN and work.idempotent:
         attempt.cancel()
+    if work.kind == spec.CALL and not attempt.gave_up:
+        # Only its sidecar can say more of a call, and this was its word.
+        ended.gone = True
     return ended
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
@@ -84,11 +84,12 @@
       ended: How the recovery ended.
       same_sidecar: It was answered by the sidecar of the earlier run.
     """
+    final = ended.error.code == request.NotFoundError.code
+    if same_sidecar and final:
+        error = request.ShuttingDownError('its router was lost before it ran')
+        return Outcome(error)
     if ended.ran is not base.Ran.NO:
         return ended
-    if same_sidecar and ended.error.code == request.NotFoundError.code:
-        return ended
-    final = ended.error.code == request.NotFoundError.code
     error = request.OutcomeUnknownError(
         f'the earlier run is not known any more: {ended.error.detail}'
     )
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
@@ -153,8 +153,7 @@
     then what the upstream says once it can be asked.
     """
     work = active.work
-    open_outcome = error.ran is base.Ran.UNKNOWN and active.cancelled is None
-    if open_outcome and work.run is not None and not work.recover_only:
+    if _may_ask_later(active, error):
         later = active_module.Active(_recovering(ctx, work), task=active.task)
         later.delivery.leave()
         ctx.active.add(later)
@@ -164,10 +163,27 @@
         await record.failure(ctx, active, error)
 
 
+def _may_ask_later(
+    active: active_module.Active, error: request_error.RequestError
+) -> bool:
+    """Whether an outcome that is unknown now may be known later."""
+    work = active.work
+    if error.ran is not base.Ran.UNKNOWN or work.recover_only:
+        return False
+    if active.cancelled is None:
+        return work.run is not None
+    # Cancelled by its caller nobody asks for it, and what may be repeated
+    # after its deadline need not be asked for. An order has to be.
+    late = isinstance(active.cancelled, request_error.DeadlineError)
+    return late and work.run is not None and not work.idempotent
+
+
 def _recovering(ctx: context.Context, work: spec.Work) -> spec.Work:
     """Makes the work that only asks for the outcome of its latest run."""
     deadline = time.monotonic() + ctx.settings.requests.settle_s
-    return dataclasses.replace(work, deadline=deadline, recover_only=True)
+    return dataclasses.replace(
+        work, deadline=deadline, recover_only=True, body=None
+    )
 
 
 def _report(
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -155,7 +155,8 @@
             if attempt is not None
             else self._attempts.stones.find(dispatch.attempt)
         )
-        if dispatch.recover and _is_open(terminal):
+        is_call = dispatch.kind in CALL_KINDS
+        if dispatch.recover and not is_call and _is_open(terminal):
             # The engine could not be asked the last time; now it may.
             self._attempts.drop(dispatch.attempt)
             return False
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -139,6 +139,8 @@
             logger.info('attempt_started', attempt=attempt.id)
 
         if attempt.dispatch.kind == 'call':
+            if attempt.dispatch.recover:
+                return call.never_made(attempt.id)
             return await call.run(
                 attempt, self._origin, self._timing.connect_s, start
             )
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
@@ -17,11 +17,27 @@
     from quetzalsill.net import parser
     from quetzalsill_sidecar.attempt import state
 
-__all__ = ['run']
+__all__ = ['never_made', 'run']
 
 ITEM_BYTES = 65536
 
 
+def never_made(attempt: str) -> message.Failed:
+    """Terminal of a recovery that found no call of this process.
+
+    No app server can be asked what became of a call, and to make it would
+    double one that an earlier sidecar had made. Only the router knows whether
+    it was this sidecar that it sent the call to.
+    """
+    return outcome.failed(
+        attempt,
+        'not_found',
+        'no such call was made here',
+        base.Ran.UNKNOWN,
+        gone=True,
+    )
+
+
 async def run(
     attempt: state.Attempt,
     origin: http.Origin,
--- a/tests/quetzalsill_router/request/fake.py
+++ b/tests/quetzalsill_router/request/fake.py
@@ -43,6 +43,7 @@
         self.body = []
         self.body_ended = asyncio.Event()
         self.cancelled = False
+        self.gave_up = False
         self.withdrawn = asyncio.Event()
         self.closed = asyncio.Event()
         self.messages = asyncio.Queue()
--- a/tests/quetzalsill_sidecar/test_calls.py
+++ b/tests/quetzalsill_sidecar/test_calls.py
@@ -119,6 +119,29 @@
         )
         self.assertEqual(self.service.orders['truck-7'], 1)
 
+    async def test_recovery_takes_up_a_call_and_never_makes_one(self):
+        """A second truck is sent by asking what became of the first order.
+
+        A router dies; the one that takes its requests over asks the sidecar
+        for two orders, of which one had reached it and one had not.
+        """
+        order = json.dumps({'id': 'truck-8'}).encode()
+        changes = call(path='/orders', payload=order, idempotent=False)
+        attempt = self.router.dispatch(**changes)
+        await self.router.receive_all(attempt)
+        async with support.router(self.sidecar.port) as taker:
+            taker.dispatch(**changes, attempt=attempt, recover=True)
+            messages = await taker.receive_all(attempt)
+            self.assertEqual(json.loads(body(messages))['id'], 'truck-8')
+            lost = taker.dispatch(**changes, recover=True)
+            for _ in range(2):
+                failed = (await taker.receive_all(lost))[-1]
+                taker.dispatch(**changes, attempt=lost)
+                self.assertEqual(
+                    (failed.code, failed.ran), ('not_found', 'unknown')
+                )
+        self.assertEqual(self.service.orders['truck-8'], 1)
+
     async def test_slow_reader_holds_up_the_service_not_the_memory(self):
         """One merchant on a bad line takes the sidecar's memory.
 
