Tell the id of a request whose acceptance is unknown

Cause: a failure before the request started was answered under a fresh id, so that a caller who was told "unknown" asked in vain for what became of it.

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/app.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/app.py
@@ -46,7 +46,7 @@
     def answer(
         request: blacksheep.Request, exc: request_error.RequestError
     ) -> blacksheep.Response:
-        ident = ctx.request_ids.next()
+        ident = exc.request or ctx.request_ids.next()
         logger.info(
             'request_refused',
             request=ident,
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/stored.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/stored.py
@@ -66,12 +66,14 @@
 
 def conflict(request: str) -> request_error.ConflictError:
     """Makes the failure of a repeat whose first request still runs."""
-    return request_error.ConflictError(
+    error = request_error.ConflictError(
         f'request {request} with this idempotency key has not ended',
         ran=base.Ran.UNKNOWN,
         retry_after_s=PENDING_RETRY_S,
         advice=f'Repeat it later, or ask GET /v1/requests/{request}.',
     )
+    error.request = request
+    return error
 
 
 def _call(request: str, stored: durable_answer.Answer) -> blacksheep.Response:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/keep.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/keep.py
@@ -40,11 +40,16 @@
       RequestError: It is not accepted.
     """
     entry = _entry(work)
-    work.request = await ctx.journal.accept(entry)
-    work.entry = entry
-    if not work.key:
-        return work.request
-    claim = await ctx.claims.claim(entry)
+    try:
+        work.request = await ctx.journal.accept(entry)
+        work.entry = entry
+        if not work.key:
+            return work.request
+        claim = await ctx.claims.claim(entry)
+    except request_error.RequestError as exc:
+        # A caller who is told "unknown" asks by this id what became of it.
+        exc.request = entry.request
+        raise
     return claim.request
 
 
--- a/packages/quetzalsill/src/quetzalsill/error/request.py
+++ b/packages/quetzalsill/src/quetzalsill/error/request.py
@@ -39,11 +39,13 @@
       ran: Whether the work ran; only `Ran.NO` permits another dispatch.
       retry_after_s: Seconds after which coming back helps; None if it
         does not.
+      request: Id of the request; empty if it was given none.
     """
 
     code = 'request_failed'
     status = 500
     ran = base.Ran.NO
+    request = ''
 
     def __init__(
         self,
