Prove at most once with real processes

Two routers, a service and an engine; orders, briefs and durable briefs. A router is paused or killed at a step that the slow store or the stalled upstream holds open, the claim's answer is lost after its write, sidecars are killed under work, the service closes the connection under an order, the store falls silent under an acceptance. The stand-ins count 1 of each, never 2. The store's stand-in can lose the answers of writes to one table alone, and counts rows by table.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/app.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/app.py
@@ -77,6 +77,7 @@
             )
             return _json({'failed': exc.failed} | answer, 409)
         count(row_written=len(writes))
+        count(f'row_written:{write.table}' for write in writes)
         return _json({'versions': versions})
 
     @app.router.get('/table/{name}/{path:key}')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
@@ -30,6 +30,7 @@
       slow_s: Wait before a call takes effect.
       lose_answers: Number of writes to come that take effect and whose
         connection is then reset.
+      lose_only: Answers are lost only of writes whose body holds this text.
       mute_open: Connections open now are never answered again while new ones
         work; an action, not a state.
       writes_per_s: Bound on writes; 0 for none.
@@ -42,6 +43,7 @@
     silent: bool = False
     slow_s: float = 0.0
     lose_answers: int = 0
+    lose_only: str = ''
     mute_open: bool = False
     writes_per_s: float = 0.0
     reads_per_s: float = 0.0
@@ -83,11 +85,11 @@
             await self._serve(scope, receive, send)
 
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
-        if self.switches.slow_s:
-            # Read first: a caller who gives up must not stop the effect.
-            receive = await _read_ahead(receive)
-            await asyncio.sleep(self.switches.slow_s)
-        if scope['method'] in WRITE_METHODS and self.switches.lose_answers:
+        # Read first: a caller who gives up must not stop the effect.
+        events = await _read_all(receive)
+        receive = _replay(events, receive)
+        await asyncio.sleep(self.switches.slow_s)
+        if self._loses(scope, events):
             self.switches.lose_answers -= 1
             self.counts['lost'] += 1
             await self._inner(scope, receive, _discard)
@@ -95,6 +97,13 @@
             return
         await self._inner(scope, receive, send)
 
+    def _loses(self, scope: Any, events: list[Any]) -> bool:
+        if scope['method'] not in WRITE_METHODS:
+            return False
+        body = b''.join(event.get('body', b'') for event in events)
+        wanted = self.switches.lose_only.encode() in body
+        return wanted and self.switches.lose_answers > 0
+
     async def _take_turn(self, scope: Any) -> bool:
         kind = 'write' if scope['method'] in WRITE_METHODS else 'read'
         rate = getattr(self.switches, f'{kind}s_per_s')
@@ -113,10 +122,14 @@
     del event
 
 
-async def _read_ahead(receive: Any) -> Callable[[], Awaitable[Any]]:
+async def _read_all(receive: Any) -> list[Any]:
     events = [await receive()]
     while events[-1].get('more_body'):
         events.append(await receive())
+    return events
+
+
+def _replay(events: list[Any], receive: Any) -> Callable[[], Awaitable[Any]]:
     read = iter(events)
 
     async def again() -> Any:
--- /dev/null
+++ b/tests/failure/asking.py
@@ -0,0 +1,169 @@
+"""Callers that repeat what they are told did not run, and the upstreams' word.
+
+An order goes to the plain service, a brief to the model engine; neither may
+run twice. The stand-ins count what reached them under each name.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+
+import httpx2
+
+from quetzalsill_dev import board, caller
+
+APP = 'app-ikeja-hall-1'
+ENGINE = 'model-ikeja-hall-1'
+BOUND_S = 30.0
+POLL_S = 0.02
+DIGEST_LENGTH = 16
+PENDING = 202
+
+
+@dataclasses.dataclass
+class Told:
+    """What a caller was told.
+
+    Attributes:
+      status: HTTP status; 0 if the connection broke.
+      code: Code of the failure; empty for an answer.
+      not_run: As the failure says; None if it was not told.
+      request: Id of the request, if it was told.
+      body: The answer.
+    """
+
+    status: int = 0
+    code: str = ''
+    not_run: bool | None = None
+    request: str = ''
+    body: object = None
+
+    @property
+    def answered(self):
+        """The whole answer came."""
+        return self.status == httpx2.codes.OK
+
+
+async def order(router, name, key=''):
+    """Orders from the plain service."""
+    return await _ask(router, '/services/ordering/orders', {'id': name}, key)
+
+
+async def brief(router, name, key='', profile='brief'):
+    """Asks for a generation that may not run twice."""
+    body = {'model': board.MODEL, 'prompt': _prompt(name)}
+    return await _ask(router, '/v1/completions', body, key, profile)
+
+
+async def scene(router, name, key=''):
+    """Asks for a durable generation that may not run twice."""
+    return await brief(router, name, key, 'scene')
+
+
+async def _ask(router, path, body, key, profile=''):
+    headers = {'x-quetzalsill-profile': profile} if profile else {}
+    if key:
+        headers['idempotency-key'] = key
+    return await _send(router, 'POST', path, json=body, headers=headers)
+
+
+async def settled(router, told=None, key=''):
+    """The settled outcome of a request, by its id or by its key."""
+    path = f'/v1/requests?idempotency_key={key}'
+    if told is not None:
+        path = f'/v1/requests/{told.request}'
+    async with asyncio.timeout(BOUND_S):
+        while True:
+            found = await _send(router, 'GET', path)
+            if found.status != PENDING:
+                return found
+            await asyncio.sleep(POLL_S)
+
+
+async def repeat(ask, router, name, key):
+    """Repeats a request under its key until its outcome is told.
+
+    A caller may do so whatever it was told before: the key makes it safe.
+    """
+    async with asyncio.timeout(BOUND_S):
+        while True:
+            told = await ask(router, name, key)
+            if not (told.not_run or told.code == 'conflict'):
+                return told
+            await asyncio.sleep(POLL_S)
+
+
+async def _send(router, method, path, **content):
+    token = board.TOKENS['retailers']
+    try:
+        async with caller.open_client(router.url, token) as client:
+            response = await client.request(method, path, **content)
+    except httpx2.TransportError:
+        return Told()
+    told = Told(
+        response.status_code,
+        request=response.headers.get('x-request-id', ''),
+        body=response.json(),
+    )
+    if 'error' in told.body:
+        told.code = told.body['error']['code']
+        told.not_run = told.body['error']['not_run']
+    return told
+
+
+def _prompt(name):
+    return f'{name} [[tokens=5]]'
+
+
+async def ran(cluster):
+    """How often each order and brief reached its upstream, by name."""
+    return Ran(await cluster.audit(APP), await cluster.audit(ENGINE))
+
+
+class Ran:
+    """The word of the upstreams on what ran."""
+
+    def __init__(self, app, engine):
+        self._orders = app['orders']
+        self._briefs = collections.Counter(
+            run['prompt_digest'] for run in engine['runs']
+        )
+
+    def count(self, name):
+        """How often an order or brief of this name reached its upstream."""
+        digest = hashlib.sha256(_prompt(name).encode()).hexdigest()
+        return self._orders.get(name, 0) + self._briefs[digest[:DIGEST_LENGTH]]
+
+
+async def until(check):
+    """Waits until the coroutine `check()` gives a true value, and gives it."""
+    async with asyncio.timeout(BOUND_S):
+        while True:
+            found = await check()
+            if found:
+                return found
+            await asyncio.sleep(POLL_S)
+
+
+async def until_ran(cluster, *names):
+    """Waits until each of these has reached its upstream."""
+
+    async def all_ran():
+        found = await ran(cluster)
+        return all(map(found.count, names))
+
+    await until(all_ran)
+
+
+async def until_served(cluster):
+    """Waits until every router serves both upstreams."""
+
+    async def served(router, ask, name):
+        return (await ask(router, name)).answered
+
+    for router in cluster.routers.values():
+        for ask in (order, brief):
+            await until(lambda r=router, a=ask: served(r, a, 'test'))
--- /dev/null
+++ b/tests/failure/test_at_most_once.py
@@ -0,0 +1,244 @@
+"""Orders and briefs reach their upstream once at most, whatever fails."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill.config import model
+from quetzalsill_dev import board, caller
+from tests.failure import asking, fixture
+
+# A way to ask by each kind of work that may not run twice.
+ASKS = {
+    'order': asking.order,
+    'brief': asking.brief,
+    'scene': asking.scene,
+}
+CLAIMS = '"claims"'
+CLAIMED = 'row_written:claims'
+
+
+class AtMostOnceTest(fixture.SharedClusterTestCase):
+    """Two routers, a plain service and an engine."""
+
+    CHANGES = {
+        'router': {
+            'durable': {'heartbeat_s': 0.25, 'accept_s': 3.0},
+            'requests': {'conflict_wait_s': 1.0, 'recover_s': 3.0},
+        }
+    }
+
+    @classmethod
+    def configuration(cls):
+        cfg = board.configuration()
+        cfg.profiles['brief'] = model.Profile(idempotent=False)
+        cfg.profiles['scene'] = model.Profile(
+            idempotent=False, durable=True, delivery='whole'
+        )
+        return cfg
+
+    async def mend(self):
+        await self.slow_down(store_s=0, app_s=0, stall=False)
+        await self.cluster.switch(
+            self.cluster.store, lose_answers=0, lose_only='', silent=False
+        )
+        await self.cluster.switch(self.app, close_orders=0)
+        await super().mend()
+        await asking.until_served(self.cluster)
+        self.first, self.second = self.cluster.routers.values()
+
+    @property
+    def app(self):
+        return self.cluster.upstreams[asking.APP]
+
+    async def slow_down(self, store_s=0.0, app_s=0.0, stall=False):
+        """Sets how slow the store, the service and the engine are."""
+        engine = self.cluster.upstreams[asking.ENGINE]
+        await self.cluster.switch(self.cluster.store, slow_s=store_s)
+        await self.cluster.switch(self.app, delay_s=app_s)
+        await self.cluster.switch(engine, stall=stall)
+
+    @fixture.on_cluster
+    async def test_repeat_while_the_first_router_is_paused(self):
+        """Two trucks of melting product come to one door.
+
+        A router is paused with a shop's order in hand: not yet read, its key
+        claimed, or dispatched. The shop gives up and repeats it through
+        another router. The first wakes and goes on where it stood.
+        """
+        for step in ('unread', 'claimed', 'dispatched'):
+            await self.strike_at(step, 'pause', lambda: self.first.stop())
+
+    @fixture.on_cluster
+    async def test_repeat_after_the_first_router_was_killed(self):
+        """A brief is billed twice.
+
+        A router dies with it in hand: its key claimed but nothing sent, or
+        sent and not answered. The retoucher repeats it through another one.
+        """
+        for step in ('claimed', 'dispatched'):
+            await self.strike_at(step, 'kill', lambda: self.first.kill())
+
+    async def strike_at(self, step, fault, strike):
+        """Lets a fault strike the first router; its callers repeat."""
+        await self.mend()
+        names = {kind: f'{kind}-{fault}-{step}' for kind in ASKS}
+        if step == 'unread':
+            strike()
+        if step == 'claimed':
+            await self.slow_down(store_s=0.4)
+        if step == 'dispatched':
+            await self.slow_down(app_s=1.0, stall=True)
+        claims = await self.count(CLAIMED)
+        asked = [
+            asyncio.create_task(ASKS[kind](self.first, name, name))
+            for kind, name in names.items()
+        ]
+        if step == 'claimed':
+            await self.until_counted(CLAIMED, claims + len(names))
+        if step == 'dispatched':
+            await asking.until_ran(self.cluster, *names.values())
+        strike()
+        await self.slow_down()
+        repeated = await asyncio.gather(
+            *(
+                asking.repeat(ASKS[kind], self.second, name, name)
+                for kind, name in names.items()
+            )
+        )
+        self.first.cont()
+        await asyncio.gather(*asked)
+        ran = await asking.ran(self.cluster)
+        for told, name in zip(repeated, names.values(), strict=True):
+            with self.subTest(name):
+                self.assertEqual(ran.count(name), 1)
+                self.assertTrue(told.answered, told)
+
+    async def count(self, name):
+        """A count of the store's stand-in."""
+        async with caller.open_client(self.cluster.store.url) as client:
+            counts = (await client.get('/stand-in/counts')).json()
+        return counts.get(name, 0)
+
+    async def until_counted(self, name, count):
+        """Waits until the store has counted so many."""
+
+        async def reached():
+            return await self.count(name) >= count
+
+        await asking.until(reached)
+
+    @fixture.on_cluster
+    async def test_lost_answer_to_the_write_of_a_claim(self):
+        """An order is refused for ever, or doubled by its repeat.
+
+        The store takes the claim of a key and its answer is lost, once or
+        again and again, so that the router can't know who holds the key.
+        """
+        for losses in (1, 2, 20):
+            names = {kind: f'{kind}-lost-{losses}' for kind in ASKS}
+            lost = await self.count('lost')
+            await self.cluster.switch(
+                self.cluster.store, lose_answers=losses, lose_only=CLAIMS
+            )
+            told = await asyncio.gather(
+                *(ASKS[kind](self.first, n, n) for kind, n in names.items())
+            )
+            self.assertGreater(await self.count('lost'), lost)
+            before = await asking.ran(self.cluster)
+            await self.cluster.switch(self.cluster.store, lose_answers=0)
+            again = await asyncio.gather(
+                *(
+                    asking.repeat(ASKS[kind], self.second, n, n)
+                    for kind, n in names.items()
+                )
+            )
+            ran = await asking.ran(self.cluster)
+            for name, one, two in zip(names.values(), told, again, strict=True):
+                with self.subTest(name, told=one):
+                    self.assertEqual(before.count(name), one.answered)
+                    self.assertTrue(two.answered, two)
+                    self.assertEqual(ran.count(name), 1)
+
+    @fixture.on_cluster
+    async def test_sidecar_is_killed_while_its_upstream_works(self):
+        """A new sidecar repeats what the old one had sent.
+
+        Both sidecars are killed and started anew while service and engine
+        still work at what they were sent. Callers with and without a key
+        wait; a brief is taken up, of an order nobody can tell.
+        """
+        await self.slow_down(app_s=1.0, stall=True)
+        names = {
+            f'{kind}-sidecar-{key}': (ask, key * f'{kind}-sidecar')
+            for kind, ask in ASKS.items()
+            for key in (0, 1)
+        }
+        asked = [
+            asyncio.create_task(ask(self.first, name, key))
+            for name, (ask, key) in names.items()
+        ]
+        await asking.until_ran(self.cluster, *names)
+        for sidecar in self.cluster.sidecars.values():
+            sidecar.kill()
+            await sidecar.wait()
+        await self.cluster.restart_ended()
+        await self.slow_down()
+        told = await asyncio.gather(*asked)
+        ran = await asking.ran(self.cluster)
+        for name, one in zip(names, told, strict=True):
+            with self.subTest(name):
+                self.assertEqual(ran.count(name), 1)
+                if not name.startswith('order'):
+                    self.assertTrue(one.answered, one)
+                    continue
+                await self.assert_settles(one)
+
+    async def assert_settles(self, told, code='outcome_unknown'):
+        """The caller was told "unknown", and is told so again later."""
+        self.assertEqual((told.code, told.not_run), ('outcome_unknown', None))
+        later = await asking.settled(self.first, told)
+        self.assertEqual(later.request, told.request)
+        self.assertEqual(later.code, code)
+
+    @fixture.on_cluster
+    async def test_service_closes_the_connection_under_an_order(self):
+        """An HTTP client doubles an order by itself.
+
+        The service takes the order and closes the connection instead of
+        answering. Its outcome is unknown; a repeat of the key is told the
+        same, and nothing is sent again.
+        """
+        await self.cluster.switch(self.app, close_orders=2)
+        names = {'order-closed': '', 'order-closed-key': 'closed'}
+        for name, key in names.items():
+            await self.assert_settles(await asking.order(self.first, name, key))
+        again = await asking.order(self.second, 'order-closed-key', 'closed')
+        self.assertEqual(again.code, 'outcome_unknown')
+        ran = await asking.ran(self.cluster)
+        self.assertEqual([ran.count(name) for name in names], [1, 1])
+
+    @fixture.on_cluster
+    async def test_unknown_acceptance_can_be_asked_after(self):
+        """A clerk is told "unknown" under an id that nobody knows.
+
+        The store takes the acceptance, its answer is lost, and the store
+        falls silent. Once it is back the outcome can be had.
+        """
+        await self.cluster.switch(
+            self.cluster.store, lose_answers=1, silent=False
+        )
+        lost = await self.count('lost')
+        asked = asyncio.create_task(asking.order(self.first, 'late', 'late'))
+        await self.until_counted('lost', lost + 1)
+        await self.cluster.switch(self.cluster.store, silent=True)
+        told = await asked
+        await self.cluster.switch(self.cluster.store, silent=False)
+        later = await asking.settled(self.second, told)
+        self.assertEqual((later.request, later.not_run), (told.request, True))
+        self.assertEqual((await asking.ran(self.cluster)).count('late'), 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
