--- /dev/null
+++ b/tests/quetzalsill/platform/test_lease.py
@@ -0,0 +1,291 @@
+"""Tests of `quetzalsill.platform.lease`."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from quetzalsill.platform import clients, error, lease
+from quetzalsill.settings import section
+from quetzalsill_dev.platform_standin import serve, table
+from tests.quetzalsill.platform import gated
+
+TTL_S = 1.0
+HOLDERS = 2
+ALL_EVENTS = 1000
+INDEXES = st.integers(0, HOLDERS - 1)
+NAME = 'upstream/ikeja-1'
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Holders that are paused anywhere, over a store that loses answers.
+
+    Time passes only by `advance`, and each call's effect and answer come when
+    a rule says so: to the lease that is a pause of any length at any point.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.now = 0.0
+        self.gates = [gated.Gate() for _ in range(HOLDERS)]
+        rows = table.Rows()
+        self.leases = [
+            lease.Lease(
+                gated.GatedTable(gate, rows),
+                NAME,
+                f'{i}',
+                TTL_S,
+                self._clock(i),
+            )
+            for i, gate in enumerate(self.gates)
+        ]
+        self.running = {}
+        self.fences = {}
+
+    def _clock(self, index):
+        return lambda: self.now + 1000.0 * index
+
+    def _settle(self):
+        self.loop.run_until_complete(gated.settle())
+        for gate in self.gates:
+            gate.drop_done()
+        for index in [i for i, task in self.running.items() if task.done()]:
+            exc = self.running.pop(index).exception()
+            assert exc is None or isinstance(exc, error.PlatformError), exc
+
+    def _unanswered(self, index):
+        calls = self.gates[index].calls
+        return next((call for call in calls if not call.answer.done()), None)
+
+    def _work(self, index, events):
+        """Lets calls of one holder through, up to a number of events."""
+        for _ in range(events):
+            call = self._unanswered(index)
+            if call is None:
+                return
+            if call.effected:
+                call.deliver()
+            else:
+                call.effect()
+            self._settle()
+
+    @stateful.rule(
+        after_s=st.sampled_from([0.0, 0.0, 0.1, 0.85]),
+        index=INDEXES,
+        name=st.sampled_from(['acquire', 'acquire', 'renew', 'release']),
+        events=st.sampled_from([ALL_EVENTS] * 4 + [1, 2, 3]),
+    )
+    def start(self, after_s, index, name, events):
+        self.now += after_s
+        if index not in self.running:
+            call = getattr(self.leases[index], name)
+            self.running[index] = self.loop.create_task(call())
+            self._settle()
+            self._work(index, events)
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(
+        after_s=st.sampled_from([0.0, 0.1, 0.85]),
+        index=INDEXES,
+        event=st.sampled_from(['work', 'work', 'lose', 'refuse']),
+    )
+    def go_on(self, after_s, index, event):
+        self.now += after_s
+        call = self._unanswered(index)
+        if event == 'work':
+            self._work(index, ALL_EVENTS)
+        elif call is not None and event == 'lose':
+            call.lose()
+        elif call is not None and not call.effected:
+            call.refuse()
+        self._settle()
+
+    @stateful.precondition(lambda self: any(g.calls for g in self.gates))
+    @stateful.rule(index=INDEXES)
+    def late_effect(self, index):
+        for call in self.gates[index].calls:
+            if call.answer.done():
+                call.effect()
+                break
+        self._settle()
+
+    @stateful.invariant()
+    def one_holder_at_a_time(self):
+        valid = [i for i in range(HOLDERS) if self.leases[i].valid()]
+        assert len(valid) <= 1, valid
+        for index in valid:
+            fence = self.leases[index].fence
+            newest = max(self.fences, default=0)
+            assert fence >= newest
+            assert self.fences.setdefault(fence, index) == index
+
+    def teardown(self):
+        for index in range(HOLDERS):
+            self._work(index, ALL_EVENTS)
+        assert not self.running
+        self.loop.close()
+
+
+LeaseMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=50,
+)
+LeaseMachineTest = LeaseMachine.TestCase
+
+
+class TimingTest(unittest.IsolatedAsyncioTestCase):
+    """Two holders whose calls the test lets through one by one."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.gate = gated.Gate()
+        rows = gated.GatedTable(self.gate)
+        self.first, self.second = (
+            lease.Lease(rows, NAME, owner, TTL_S, lambda: self.now)
+            for owner in ('first', 'second')
+        )
+
+    async def next_call(self):
+        await gated.settle()
+        self.gate.drop_done()
+        return next(c for c in self.gate.calls if not c.answer.done())
+
+    async def let_through(self, count):
+        for _ in range(count):
+            call = await self.next_call()
+            call.effect()
+            call.deliver()
+        await gated.settle()
+
+    async def run_through(self, lease_call, count):
+        task = asyncio.create_task(lease_call)
+        await self.let_through(count)
+        return await task
+
+    async def test_answer_that_comes_late(self):
+        """A holder's acquisition takes effect, its answer comes 0.85 s later.
+
+        Others judge from when they saw the write. A holder that counted from
+        the answer would believe in its lease after they have taken it.
+        """
+        task = asyncio.create_task(self.first.acquire())
+        await self.let_through(1)
+        write = await self.next_call()
+        write.effect()
+        seen = asyncio.create_task(self.second.acquire())
+        await gated.settle()
+        read = self.gate.calls[-1]
+        read.effect()
+        read.deliver()
+        self.assertFalse(await seen)
+        self.now += 0.85 * TTL_S
+        write.deliver()
+        self.assertTrue(await task)
+        self.assertTrue(self.first.valid())
+        self.now += 0.2 * TTL_S
+        self.assertTrue(await self.run_through(self.second.acquire(), 2))
+        self.assertFalse(self.first.valid())
+
+    async def test_renewal_without_effect_extends_nothing(self):
+        """A renewal is lost on its way; reading back shows the write before.
+
+        That row is the holder's own, yet others count from when it was
+        written. To take it for the renewal would leave two holders.
+        """
+        self.assertTrue(await self.run_through(self.first.acquire(), 2))
+        self.assertFalse(await self.run_through(self.second.acquire(), 1))
+        self.now += 0.85 * TTL_S
+        task = asyncio.create_task(self.first.renew())
+        write = await self.next_call()
+        write.lose()
+        await self.let_through(1)
+        self.assertTrue(await task)
+        self.now += 0.2 * TTL_S
+        self.assertTrue(await self.run_through(self.second.acquire(), 2))
+        self.assertFalse(self.first.valid())
+        write.effect()
+        self.assertTrue(await self.run_through(self.second.renew(), 1))
+
+
+class LeaseTest(unittest.IsolatedAsyncioTestCase):
+    """Leases over the stand-in; only their clock is the test's."""
+
+    async def asyncSetUp(self):
+        self.now = 0.0
+        self.standin = serve.StandIn('store')
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        url = self.standin.url
+        cfg = section.Platform(url, url, url, 1.0)
+        opened = await self.enterAsyncContext(clients.open_clients(cfg))
+        self.first, self.second = (
+            lease.Lease(opened.table, NAME, owner, TTL_S, lambda: self.now)
+            for owner in ('first', 'second')
+        )
+
+    async def test_renewed_lease_is_not_taken(self):
+        self.assertTrue(await self.first.acquire())
+        for _ in range(4):
+            self.assertFalse(await self.second.acquire())
+            self.now += 0.6 * TTL_S
+            self.assertTrue(await self.first.renew())
+        self.assertTrue(self.first.valid())
+
+    async def test_released_lease_is_free_at_once(self):
+        await self.first.acquire()
+        await self.first.release()
+        self.assertFalse(self.first.valid())
+        self.assertTrue(await self.second.acquire())
+        self.assertEqual(self.second.fence, 2)
+
+    async def test_paused_holder_wakes(self):
+        """A sidecar is paused, its lease lapses and another one takes over.
+
+        The engine would get orders from both if the first went on where it
+        stopped. It wakes with its own clock past its deadline, so it stops
+        itself, and its fence is below the new one's.
+        """
+        await self.first.acquire()
+        self.assertFalse(await self.second.acquire())
+        self.now += TTL_S
+        self.assertTrue(await self.second.acquire())
+        self.assertFalse(self.first.valid())
+        self.assertGreater(self.second.fence, self.first.fence)
+        self.assertFalse(await self.first.renew())
+
+    async def test_answer_of_acquire_lost(self):
+        """The store takes the acquisition and loses its answer.
+
+        A holder that did not find its own write would wait a whole TTL for
+        itself to lapse, and its upstream would get no orders meanwhile.
+        """
+        self.standin.faults.switches.lose_answers = 1
+        self.assertTrue(await self.first.acquire())
+        self.assertTrue(self.first.valid())
+        self.assertEqual(self.standin.faults.counts['lost'], 1)
+        self.assertTrue(await self.first.renew())
+
+    async def test_store_down_lets_the_lease_lapse(self):
+        """The store falls and the holder can't renew.
+
+        Its lease stays valid until its deadline, which lies before the time
+        at which others may take it, and not a moment longer.
+        """
+        await self.first.acquire()
+        self.standin.faults.switches.down = True
+        with self.assertRaises(error.PlatformUnavailableError):
+            await self.first.renew()
+        self.assertTrue(self.first.valid())
+        self.now += TTL_S * (1 - lease.MARGIN)
+        self.assertFalse(self.first.valid())
+
+
+if __name__ == '__main__':
+    unittest.main()
