Leave a call's body to its sender, and never end one that breaks off

Cause: the watch for the caller's leaving began while the rest of a large body was unread, and took pieces of it; a test whose body comes in two parts shows it. The watch now begins after the body. A body that breaks off or grows over its bound fails the call and is not ended towards the upstream.

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/app.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/app.py
@@ -12,7 +12,6 @@
 from quetzalsill.telemetry import log
 from quetzalsill_router.http import (
     auth,
-    body,
     completions,
     error,
     health,
@@ -65,13 +64,6 @@
     ) -> blacksheep.Response:
         return answer(request, exc)
 
-    async def left(
-        app: blacksheep.Application,
-        request: blacksheep.Request,
-        exc: body.CallerLeftError,
-    ) -> blacksheep.Response:
-        return answer(request, request_error.BadRequestError('left early'))
-
     async def not_found(
         app: blacksheep.Application,
         request: blacksheep.Request,
@@ -93,6 +85,5 @@
         )
 
     app.exceptions_handlers[request_error.RequestError] = refused
-    app.exceptions_handlers[body.CallerLeftError] = left
     app.exceptions_handlers[404] = not_found
     app.exceptions_handlers[Exception] = fault
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/body.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/body.py
@@ -7,7 +7,6 @@
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any
 
-from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill_router.request import field
 
@@ -19,11 +18,9 @@
 READ_TIMEOUT_S = 60.0
 
 
-class CallerLeftError(base.QuetzalsillError):
+class CallerLeftError(request_error.CancelledError):
     """The caller closed its connection before its request was whole."""
 
-    code = 'caller_left'
-
 
 async def chunks(
     request: blacksheep.Request, max_bytes: int
@@ -46,7 +43,7 @@
                 f'the body stopped for {READ_TIMEOUT_S:.0f} s'
             ) from exc
         if event['type'] == 'http.disconnect':
-            raise CallerLeftError
+            raise CallerLeftError('the caller left before its body ended')
         data = event.get('body', b'')
         more = event.get('more_body', False)
         seen += len(data)
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
@@ -45,7 +45,8 @@
         accepted = await submit.submit(ctx, identity, work, attend=True)
         if isinstance(accepted, submit.Repeated):
             return await submit.replay(ctx, accepted, as_events=False)
-        caller.watch(request, accepted)
+        if work.body is None:
+            caller.watch(request, accepted)
         try:
             return await _respond(accepted, asgi.drained(request.scope))
         except request_error.RequestError as exc:
@@ -97,7 +98,7 @@
     )
     key = caller.idempotency_key(request)
     first, rest = await _body(request, route, whole=bool(key))
-    return spec.Work(
+    work = spec.Work(
         request='',
         account=identity.name,
         profile_name=profile_name,
@@ -111,10 +112,29 @@
         method=request.method,
         path=path,
         headers=relay.request_headers(request.headers),
-        body=rest,
         trace=caller.traceparent(request),
         key=key,
     )
+    if rest is not None:
+        work.body = _then_watch(ctx, request, work, rest)
+    return work
+
+
+async def _then_watch(
+    ctx: context.Context,
+    request: blacksheep.Request,
+    work: spec.Work,
+    rest: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    """Yields the rest of the body, then watches for the caller's leaving.
+
+    A watch that began earlier would receive pieces of the body itself.
+    """
+    async for data in rest:
+        yield data
+    running = ctx.active.get(work.request)
+    if running is not None:
+        caller.watch(request, running)
 
 
 def _target(request: blacksheep.Request) -> tuple[str, str]:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
@@ -92,18 +92,19 @@
 
     def cancel(self, reason: str) -> None:
         """Ends the request; its attempt is cancelled on the upstream."""
-        self._end_with(request_error.CancelledError(reason))
+        self.fail(request_error.CancelledError(reason))
 
     def expire(self) -> None:
         """Ends the request at its deadline, unless its answer is there."""
         if not self.answered:
-            self._end_with(
+            self.fail(
                 request_error.DeadlineError(
                     'the answer was not complete by the deadline'
                 )
             )
 
-    def _end_with(self, error: request_error.RequestError) -> None:
+    def fail(self, error: request_error.RequestError) -> None:
+        """Ends the request with a failure; its attempt is cancelled."""
         # The task may go on after the end, to learn what became of the work;
         # the caller whose answer is complete must not end that by leaving.
         if self.task is None or self.delivery.ended or self.cancelled:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import TYPE_CHECKING
 
@@ -93,7 +92,9 @@
                     if work.kind != spec.CALL:
                         active.attempt_started()
                     if work.body is not None and sender is None:
-                        sender = asyncio.create_task(_send_body(attempt, work))
+                        sender = asyncio.create_task(
+                            _send_body(attempt, active)
+                        )
                 case message.Head():
                     active.attempt_started()
                     yield piece.Head(msg.status, msg.headers)
@@ -212,14 +213,22 @@
         receiver.cancel()
 
 
-async def _send_body(attempt: peer_attempt.Attempt, work: spec.Work) -> None:
+async def _send_body(
+    attempt: peer_attempt.Attempt, active: active_module.Active
+) -> None:
     """Passes the rest of a call's body on, each piece as it comes.
 
     A link that is lost meanwhile cuts the body; what became of the call is
-    then told by the attempt's terminal message.
+    then told by the attempt's terminal message. A body that breaks off or
+    is too large is never ended, so that the upstream can't take it for
+    whole; the call fails.
     """
-    work.body_taken = True
-    with contextlib.suppress(wire_error.LinkClosedError):
-        async for data in work.body:
+    active.work.body_taken = True
+    try:
+        async for data in active.work.body:
             await attempt.send_body(data, last=False)
         await attempt.send_body(b'', last=True)
+    except wire_error.LinkClosedError:
+        return
+    except request_error.RequestError as exc:
+        active.fail(exc)
--- a/tests/quetzalsill_router/http/test_services.py
+++ b/tests/quetzalsill_router/http/test_services.py
@@ -84,7 +84,10 @@
         ctx = fake.make_context(one, two, cfg=cfg)
         ctx.routing = lambda _query, candidates: candidates[0]
         async with served.serve(ctx) as client:
-            task = asyncio.create_task(client.post(ORDERS, content=b'x' * size))
+            content = then(
+                b'x' * services.FIRST_BYTES, two.opened, b'x' * 100_000
+            )
+            task = asyncio.create_task(client.post(ORDERS, content=content))
             await two.opened.wait()
             attempt = two.attempts[0]
             await attempt.body_ended.wait()
@@ -136,6 +139,45 @@
                 self.assertEqual(found.json()['error']['code'], 'not_found')
 
 
+class BodyTest(unittest.IsolatedAsyncioTestCase):
+    """Request bodies that do not come whole."""
+
+    async def test_body_that_breaks_off_is_not_ended(self):
+        """A shop's upload breaks off midway, another grows over its bound.
+
+        Ended at that place, the half of an order list would be taken for
+        all of it.
+        """
+        size = services.FIRST_BYTES
+        cfg = fake.configuration()
+        cfg.services['ordering'].routes[1].max_body_bytes = 2 * size
+        for rest in (b'x' * 1000, b'x' * 2 * size):
+            peer = fake.Peer('one', (fake.started(),))
+            async with served.serve(fake.make_context(peer, cfg=cfg)) as client:
+                parts = [b'x' * size, peer.opened, rest]
+                if len(rest) < size:
+                    parts.append(asyncio.Event())
+                content = then(*parts)
+                task = asyncio.create_task(client.post(ORDERS, content=content))
+                await peer.opened.wait()
+                if len(rest) > size:
+                    found = await task
+                    self.assertEqual(found.status_code, 413)
+                    self.assertIs(found.json()['error']['not_run'], False)
+                task.cancel()
+                await peer.attempts[0].closed.wait()
+            self.assertFalse(peer.attempts[0].body_ended.is_set())
+
+
+async def then(*parts):
+    """A body in parts; events among them are waited for."""
+    for part in parts:
+        if isinstance(part, bytes):
+            yield part
+        else:
+            await part.wait()
+
+
 async def chunked(data):
     """A body without a Content-Length."""
     for start in range(0, len(data), 1000):
