--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -215,11 +215,6 @@
     def _judge(self, attempt: state.Attempt) -> None:
         if attempt.stage is not state.Stage.JUDGED:
             return
-        # What came in the same turn of the loop starts only at its end. It
-        # would count as a queue until then, and a burst at an idle engine
-        # be refused as overload; so what has room starts first.
-        if self._queue.queued:
-            self.pump()
         dispatch = attempt.dispatch
         if dispatch.revision > self._configuration.revision:
             detail = f'revision {dispatch.revision} could not be had'
@@ -237,6 +232,10 @@
         else:
             attempt.stage = state.Stage.QUEUED
             self._queue.push(demand)
+            # At once, not at the end of the loop's turn: until then it would
+            # count as a queue before an idle engine, by which the rest of a
+            # burst is judged, and could be swept for having waited too long.
+            self.pump()
         self._on_change()
 
     def _circumstances(self, demand: policy.Demand) -> judge.Circumstances:
--- a/tests/quetzalsill_sidecar/support.py
+++ b/tests/quetzalsill_sidecar/support.py
@@ -27,7 +27,7 @@
 from quetzalsill_sidecar.upstream import http as upstream_http
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from quetzalsill.wire import link as link_lib
 
@@ -310,3 +310,12 @@
     """Lets the request of an attempt arrive at an engine."""
     body = {'request_id': attempt, 'model': MODEL, 'prompt': 'late'}
     engine.start(completion.parse(body, chat=False))
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Waits for a condition that no message tells of."""
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
--- a/tests/quetzalsill_sidecar/test_intake.py
+++ b/tests/quetzalsill_sidecar/test_intake.py
@@ -18,7 +18,7 @@
 from tests.quetzalsill_sidecar import support
 
 INCARNATION = 3
-NUMBERS = range(6)
+NUMBERS = range(8)
 NUMBER = strategies.sampled_from(NUMBERS)
 LINK = strategies.sampled_from(('a link', 'another link'))
 NOT_RUN = (message.Refused, message.Withdrawn)
@@ -52,6 +52,7 @@
     def __init__(self):
         super().__init__()
         self.loop = asyncio.new_event_loop()
+        self.has_room = False
         self.told: list[message.Message] = []
         self.runs: collections.Counter[str] = collections.Counter()
         self.sent = [support.make_dispatch(INCARNATION) for _ in NUMBERS]
@@ -60,7 +61,10 @@
         configuration.install(support.configuration(), 1)
         self.attempts = table.Attempts(100, self.loop.time)
         self.queue = schedule.Schedule(
-            order_fifo.FifoOrder(), lambda *_: True, 9, self.loop.time
+            order_fifo.FifoOrder(),
+            lambda *_: self.has_room,
+            9,
+            self.loop.time,
         )
         self.upstream = _Upstream(self.attempts)
         self.intake = intake.Intake(
@@ -82,6 +86,17 @@
 
         self.loop.run_until_complete(inside())
 
+    @stateful.initialize()
+    def some_are_on_their_way(self):
+        """Attempts 0 to 2 have started, 3 is connecting, and 4 waits."""
+        for number in (0, 1, 2):
+            self.dispatch_arrives(number, 'a link')
+        self.queue_moves()
+        self.upstream_connects()
+        self.dispatch_arrives(3, 'a link')
+        self.queue_moves()
+        self.dispatch_arrives(4, 'a link')
+
     @stateful.rule(number=NUMBER, link=LINK)
     def dispatch_arrives(self, number, link):
         dispatch = self.sent[number]
@@ -108,7 +123,9 @@
 
     @stateful.rule()
     def queue_moves(self):
+        self.has_room = True
         self.call(self.intake.pump)
+        self.has_room = False
 
     @stateful.rule()
     def upstream_connects(self):
@@ -118,6 +135,11 @@
             self.upstream.started.append(attempt)
         self.upstream.connecting.clear()
 
+    @stateful.rule()
+    def all_that_waits_starts(self):
+        self.queue_moves()
+        self.upstream_connects()
+
     @stateful.rule()
     def answers_end(self):
         for attempt in self.upstream.started:
@@ -142,7 +164,7 @@
 
 
 IntakeMachine.TestCase.settings = hypothesis.settings(
-    derandomize=True, deadline=None, max_examples=200
+    derandomize=True, deadline=None, max_examples=150
 )
 IntakeTest = IntakeMachine.TestCase
 
