Let a sidecar ask one router at a time for the configuration

Each link asked by itself for a revision that its router named, so that every edit brought one document for nearly every link, and a sidecar that started before many routers held all their documents in memory at once.

Ruled out: buffers of the links (they were empty before the documents came). Now one router is asked, another after a second of silence, after a useless answer or when the link of the first ends; each is asked once for a revision.

--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/fetch.py
@@ -0,0 +1,88 @@
+"""Fetches newer configurations, from one router at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from quetzalsill.config import holder
+
+__all__ = ['ANSWER_S', 'ConfigFetch', 'Source']
+
+# Less than a Dispatch of the newer revision waits, so that a second router
+# is asked in time.
+ANSWER_S = 1.0
+
+
+class Source(Protocol):
+    """A router that may be asked."""
+
+    def put(self, msg: message.Message) -> None:
+        """Sends to the router."""
+
+
+class ConfigFetch:
+    """Asks one of the routers that named a newer revision.
+
+    All routers name it at about the same time. Were each of them asked, every
+    edit would bring one document for each link, and a sidecar that starts
+    would take hundreds of them at once into its memory.
+    """
+
+    def __init__(self, held: holder.Holder) -> None:
+        self._holder = held
+        self._offers: dict[Source, int] = {}
+        self._tried: dict[Source, int] = {}
+        self._asked: Source | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def offer(self, source: Source, revision: int) -> None:
+        """Notes that a router has a revision, and asks it if need be.
+
+        A router is asked once for a revision: its document is on the way, or
+        its link will be given up.
+        """
+        if revision > max(self._holder.revision, self._tried.get(source, 0)):
+            self._offers[source] = revision
+            self._ask()
+
+    def answered(self, source: Source) -> None:
+        """Notes that a router has answered; its document was tried."""
+        self._offers.pop(source, None)
+        if source is self._asked:
+            self._settle()
+
+    def forget(self, source: Source) -> None:
+        """Notes that the link of a router has ended."""
+        self._tried.pop(source, None)
+        self.answered(source)
+
+    def _ask(self) -> None:
+        if self._asked is not None:
+            return
+        self._offers = {
+            source: revision
+            for source, revision in self._offers.items()
+            if revision > self._holder.revision
+        }
+        if not self._offers:
+            return
+        self._asked = max(self._offers, key=self._offers.__getitem__)
+        self._tried[self._asked] = self._offers[self._asked]
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(ANSWER_S, self._expire)
+        self._asked.put(message.ConfigFetch(self._holder.revision))
+
+    def _expire(self) -> None:
+        # It may be paused or its link silent; another one is asked, and
+        # whichever document comes first is installed.
+        del self._offers[self._asked]
+        self._settle()
+
+    def _settle(self) -> None:
+        self._timer.cancel()
+        self._asked = None
+        self._ask()
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -16,6 +16,7 @@
 
     from quetzalsill.config import holder
     from quetzalsill.wire import link as link_lib
+    from quetzalsill_sidecar import fetch as fetch_lib
     from quetzalsill_sidecar import intake
     from quetzalsill_sidecar.attempt import table
 
@@ -37,13 +38,14 @@
         intake: intake.Intake,
         attempts: table.Attempts,
         configuration: holder.Holder,
+        fetch: fetch_lib.ConfigFetch,
     ) -> None:
         """Takes a link whose handshake is done."""
         self.link = link
         self._intake = intake
         self._attempts = attempts
         self._configuration = configuration
-        self._fetched = 0
+        self._fetch = fetch
         self._handlers: dict[type, Callable[..., None]] = {
             message.Dispatch: self._on_dispatch,
             message.Body: self._on_body,
@@ -63,8 +65,8 @@
         Raises:
           WireError: The link ended or broke the protocol.
         """
-        self.link.on_revision = self.fetch_newer
-        self.fetch_newer(self.link.peer.revision)
+        self.link.on_revision = self._see
+        self._see(self.link.peer.revision)
         try:
             async for msg in self.link.messages():
                 self._handle(msg)
@@ -76,12 +78,6 @@
         with contextlib.suppress(wire_error.LinkClosedError):
             self.link.send_nowait(msg)
 
-    def fetch_newer(self, revision: int) -> None:
-        """Asks for the configuration if the router has a newer one."""
-        if revision > max(self._fetched, self._configuration.revision):
-            self._fetched = revision
-            self.put(message.ConfigFetch(self._configuration.revision))
-
     def _handle(self, msg: message.Message) -> None:
         handler = self._handlers.get(type(msg))
         if handler is None:
@@ -93,13 +89,17 @@
             return
         handler(msg)
 
+    def _see(self, revision: int) -> None:
+        self._fetch.offer(self, revision)
+
     def _detach(self) -> None:
+        self._fetch.forget(self)
         now = asyncio.get_running_loop().time()
         for attempt in self._attempts.of_link(self):
             attempt.detach(now)
 
     def _on_dispatch(self, msg: message.Dispatch) -> None:
-        self.fetch_newer(msg.revision)
+        self._see(msg.revision)
         self._intake.dispatch(msg, self, self.put)
 
     def _on_body(self, msg: message.Body) -> None:
@@ -147,6 +147,7 @@
                 revision=msg.revision,
                 detail=str(exc),
             )
+        self._fetch.answered(self)
 
     def _on_go_away(self, msg: message.GoAway) -> None:
         logger.info(
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -12,6 +12,7 @@
 from quetzalsill.telemetry import log
 from quetzalsill.wire import listen, message
 from quetzalsill_sidecar import (
+    fetch,
     intake,
     leave,
     load,
@@ -93,6 +94,7 @@
             self._changed,
         )
         self.load = load.LoadReporter(self)
+        self._fetch = fetch.ConfigFetch(self.configuration)
         self._pump_due = False
         self._background: set[asyncio.Task[None]] = set()
         self._server = listen.LinkServer(
@@ -202,7 +204,11 @@
 
     async def _on_link(self, link: link_lib.Link) -> None:
         one = session.Session(
-            link, self.intake, self.attempts, self.configuration
+            link,
+            self.intake,
+            self.attempts,
+            self.configuration,
+            self._fetch,
         )
         self._sessions.add(one)
         logger.info('router_linked', router=link.peer.node)
--- /dev/null
+++ b/tests/quetzalsill_sidecar/test_fetch.py
@@ -0,0 +1,75 @@
+"""Configurations are fetched from one router at a time."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from quetzalsill.config import holder
+from quetzalsill.wire import message
+from quetzalsill_sidecar import fetch
+from tests.quetzalsill_sidecar import support
+
+
+class FakeRouter:
+    """Notes what it is asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    def put(self, msg):
+        self.asked.append(msg)
+
+
+class ConfigFetchTest(unittest.IsolatedAsyncioTestCase):
+    """A sidecar that starts runs out of memory.
+
+    Hundreds of routers link to it at once and name their revision. Were each
+    asked for it, all documents would arrive together.
+    """
+
+    async def asyncSetUp(self):
+        self.held = holder.Holder()
+        self.fetch = fetch.ConfigFetch(self.held)
+        self.routers = [FakeRouter() for _ in range(3)]
+
+    def asked(self):
+        return [len(router.asked) for router in self.routers]
+
+    def offer_all(self, revision):
+        for router in self.routers:
+            self.fetch.offer(router, revision)
+
+    async def test_one_of_many_is_asked_and_each_only_once(self):
+        self.offer_all(2)
+        self.offer_all(2)
+        self.assertEqual(self.asked(), [1, 0, 0])
+        self.held.install(support.configuration(), 2)
+        self.fetch.answered(self.routers[0])
+        self.assertEqual(self.asked(), [1, 0, 0])
+        self.offer_all(3)
+        self.assertEqual(sum(self.asked()), 2)
+        self.assertIn(message.ConfigFetch(2), self.routers[0].asked)
+
+    async def test_the_next_is_asked_if_an_answer_is_no_use_or_a_link_ends(
+        self,
+    ):
+        self.offer_all(2)
+        self.fetch.answered(self.routers[0])
+        self.assertEqual(self.asked(), [1, 1, 0])
+        self.fetch.offer(self.routers[0], 2)
+        self.fetch.forget(self.routers[1])
+        self.assertEqual(self.asked(), [1, 1, 1])
+
+    async def test_the_next_is_asked_if_a_router_stays_silent(self):
+        """An edit is not in force because one router is paused."""
+        loop = mock.Mock()
+        with mock.patch('asyncio.get_running_loop', return_value=loop):
+            self.offer_all(2)
+            (_, expire), _ = loop.call_later.call_args
+            expire()
+            self.assertEqual(self.asked(), [1, 1, 0])
+
+
+if __name__ == '__main__':
+    unittest.main()
