Test the platform's clients and health under failure

Answer lost after the write, store down, refusing and silent, open connections that go silent while new ones work, an answer cut in the middle. The stand-in's host list takes its clock, so that its lag is tested without waiting.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/app.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/app.py
@@ -21,17 +21,17 @@
 )
 
 
-def build(part: str) -> fault.Faults:
+def build(part: str, board: host.HostBoard) -> fault.Faults:
     """Builds the application of a part.
 
     Args:
       part: `store` (table and objects), `hosts` or `all`.
+      board: The host list served.
     """
     # Without a router of its own each application would share the library's
     # global one, and answer from the state of the first.
     app = blacksheep.Application(router=blacksheep.Router())
     faults = fault.Faults(app)
-    board = host.HostBoard()
     if part in ('store', 'all'):
         _add_table(app, faults.counts.update)
         _add_objects(app, faults.counts.update)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/serve.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/serve.py
@@ -8,7 +8,7 @@
 
 import uvicorn
 
-from quetzalsill_dev.platform_standin import app
+from quetzalsill_dev.platform_standin import app, host
 
 if TYPE_CHECKING:
     from quetzalsill_dev.platform_standin import fault
@@ -23,11 +23,13 @@
 
     Attributes:
       faults: Switches and counts, for tests in the same process.
+      board: The host list.
       port: Port in use.
     """
 
     def __init__(self, part: str, port: int = 0) -> None:
-        self.faults: fault.Faults = app.build(part)
+        self.board = host.HostBoard()
+        self.faults: fault.Faults = app.build(part, self.board)
         self._socket = _listen(port)
         self.port: int = self._socket.getsockname()[1]
         cfg = uvicorn.Config(
--- /dev/null
+++ b/tests/quetzalsill/platform/test_exchange.py
@@ -0,0 +1,181 @@
+"""Tests of `quetzalsill.platform.exchange` through the clients."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill.platform import clients, error, table
+from quetzalsill.settings import section
+from quetzalsill_dev.platform_standin import serve
+
+TIMEOUT_S = 0.5
+BOUND_S = 10.0
+CREATE = [table.Condition('t', 'row', 0)]
+WRITE = [table.Write('t', 'row', {'n': 1})]
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Clients over the stand-in, through real connections."""
+
+    async def asyncSetUp(self):
+        self.standin = serve.StandIn('all')
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        await self.open_clients(self.standin.url)
+        self.switches = self.standin.faults.switches
+        self.counts = self.standin.faults.counts
+
+    async def open_clients(self, url):
+        cfg = section.Platform(url, url, url, TIMEOUT_S)
+        opened = clients.open_clients(cfg)
+        self.clients = await self.enterAsyncContext(opened)
+        self.table = self.clients.table
+
+    async def until_health(self, up):
+        async with asyncio.timeout(BOUND_S):
+            while self.clients.health.up is not up:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def test_rows(self):
+        key = 'a/b c%?é'
+        self.assertIsNone(await self.table.get('t', key))
+        conditions = [table.Condition('t', key, 0)]
+        writes = [table.Write('t', key, 1), table.Write('t', 'b', 2)]
+        self.assertEqual(await self.table.transact(conditions, writes), [1, 1])
+        self.assertEqual(await self.table.get('t', key), table.Row(1, 1))
+        with self.assertRaises(error.ConditionFailedError) as caught:
+            await self.table.transact(
+                conditions, [table.Write('t', 'c', 3), *writes]
+            )
+        failed = caught.exception
+        self.assertEqual(
+            (failed.index, failed.version, failed.value), (0, 1, 1)
+        )
+        self.assertEqual(
+            await self.table.scan('t'),
+            [table.KeyedRow(key, 1, 1), table.KeyedRow('b', 1, 2)],
+        )
+        self.assertEqual(len(await self.table.page('t', '', key, 5)), 1)
+
+    async def test_objects(self):
+        objects = self.clients.objects
+        large = bytes(1_000_000)
+        await objects.put('a/ü', large, create_only=True)
+        with self.assertRaises(error.ObjectExistsError):
+            await objects.put('a/ü', b'', create_only=True)
+        self.assertEqual(await objects.get('a/ü'), large)
+        await objects.put('a/ü', b'')
+        self.assertEqual(await objects.get('a/ü'), b'')
+        self.assertEqual(await objects.list('a/'), ['a/ü'])
+        await objects.delete('a/ü')
+        self.assertIsNone(await objects.get('a/ü'))
+
+    async def test_answer_lost_after_the_write(self):
+        """The store takes a write and the connection drops unanswered.
+
+        The caller must not be told that nothing was written: it would write
+        again, or refuse as not run what is journalled. Nor may the client
+        send it again by itself.
+        """
+        self.switches.lose_answers = 1
+        with self.assertRaises(error.PlatformAnswerLostError):
+            await self.table.transact(CREATE, WRITE)
+        self.assertEqual(self.counts['transact'], 1)
+        row = await self.table.get('t', 'row')
+        self.assertEqual(row, table.Row(1, {'n': 1}))
+        self.assertTrue(self.clients.health.up)
+
+    async def test_store_down(self):
+        """The store refuses every call for a while.
+
+        Writes are known to have no effect, patient requests can be refused
+        at once by the store's health without a call of their own, and the
+        health recovers with the store, without traffic.
+        """
+        self.switches.down = True
+        with self.assertRaises(error.PlatformUnavailableError):
+            await self.table.transact(CREATE, WRITE)
+        await self.until_health(up=False)
+        self.assertGreaterEqual(self.clients.health.retry_after_s(), 1.0)
+        self.switches.down = False
+        await self.until_health(up=True)
+        self.assertIsNone(await self.table.get('t', 'row'))
+
+    async def test_store_refuses_connections(self):
+        """The store's process is gone; its port refuses.
+
+        Nothing can have been written, so a write is not in doubt.
+        """
+        await self.standin.stop()
+        with self.assertRaises(error.PlatformUnavailableError):
+            await self.table.transact(CREATE, WRITE)
+        await self.until_health(up=False)
+
+    async def test_silent_connections(self):
+        """Open connections to the store go silent; new ones work.
+
+        The kept-alive connections of a busy client are all dead at once, and
+        nothing closes them. One read finds out by its timeout and is answered
+        by its second attempt; no later call meets one of the dead ones.
+        """
+        reads = [self.table.get('t', str(i)) for i in range(8)]
+        await asyncio.gather(*reads)
+        self.standin.faults.mute_open()
+        self.assertIsNone(await self.table.get('t', 'row'))
+        self.assertEqual(self.counts['silent'], 1)
+        self.assertEqual(await self.table.transact(CREATE, WRITE), [1])
+        await asyncio.gather(*(self.table.get('t', str(i)) for i in range(8)))
+        self.assertEqual(self.counts['silent'], 1)
+        self.assertTrue(self.clients.health.up)
+
+    async def test_write_on_a_silent_connection(self):
+        """A write meets a connection that went silent.
+
+        Whether it arrived can't be known here, so it is reported as in doubt
+        within its timeout, and the next call dials anew.
+        """
+        await self.table.get('t', 'row')
+        self.standin.faults.mute_open()
+        with self.assertRaises(error.PlatformAnswerLostError):
+            await self.table.transact(CREATE, WRITE)
+        self.assertEqual(await self.table.transact(CREATE, WRITE), [1])
+
+    async def test_store_silent(self):
+        """The store accepts connections and never answers.
+
+        Every call ends within its timeout, the probes keep trying, and the
+        health turns down and up again.
+        """
+        self.switches.silent = True
+        with self.assertRaises(error.PlatformUnavailableError):
+            await self.table.get('t', 'row')
+        await self.until_health(up=False)
+        self.switches.silent = False
+        await self.until_health(up=True)
+
+    async def test_answer_cut_in_the_middle(self):
+        """A server says 100 bytes, sends half of them and closes.
+
+        Half a journal must not be read as a whole one; half an answer to a
+        write tells nothing of its effect.
+        """
+
+        async def cut(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n')
+            writer.write(b'content-type: application/json\r\n\r\n{"versions":')
+            writer.close()
+
+        server = await asyncio.start_server(cut, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        await self.open_clients(f'http://127.0.0.1:{port}')
+        with self.assertRaises(error.PlatformUnavailableError):
+            await self.clients.objects.get('journal')
+        with self.assertRaises(error.PlatformAnswerLostError):
+            await self.table.transact(CREATE, WRITE)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill/platform/test_hosts.py
@@ -0,0 +1,59 @@
+"""Tests of `quetzalsill.platform.hosts`."""
+
+from __future__ import annotations
+
+import unittest
+
+from quetzalsill.platform import clients, error, hosts
+from quetzalsill.settings import section
+from quetzalsill_dev.platform_standin import host, serve
+
+PLAIN = {
+    'name': 'planner-1',
+    'kind': 'upstream',
+    'address': '127.0.0.1:7201',
+    'availability_zone': 'ikeja-hall',
+    'state': 'live',
+}
+
+
+class HostListTest(unittest.IsolatedAsyncioTestCase):
+    """The client over the stand-in; the lag on a clock of the test."""
+
+    async def asyncSetUp(self):
+        self.standin = serve.StandIn('hosts')
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        url = self.standin.url
+        cfg = section.Platform(url, url, url, 0.5)
+        opened = await self.enterAsyncContext(clients.open_clients(cfg))
+        self.list = opened.hosts
+
+    async def test_fetch(self):
+        self.assertEqual(await self.list.fetch(), [])
+        self.standin.board.set([PLAIN], 0.0)
+        [found] = await self.list.fetch()
+        self.assertEqual(found.kind, hosts.HostKind.UPSTREAM)
+        self.assertEqual(found.state, hosts.HostState.LIVE)
+        self.assertEqual(found.address, '127.0.0.1:7201')
+
+    async def test_malformed(self):
+        for wrong in ({'name': 'x'}, PLAIN | {'state': 'fine'}, 'text'):
+            with self.subTest(wrong):
+                self.standin.board.set([wrong], 0.0)
+                with self.assertRaises(error.PlatformProtocolError):
+                    await self.list.fetch()
+
+    def test_lag_of_the_stand_in(self):
+        now = 0.0
+        board = host.HostBoard(lambda: now)
+        board.set(['old'], 0.0)
+        board.set(['new'], 30.0)
+        now = 29.0
+        self.assertEqual(board.seen(), ['old'])
+        now = 30.0
+        self.assertEqual(board.seen(), ['new'])
+
+
+if __name__ == '__main__':
+    unittest.main()
