Never begin a taken over answer in mid-stream

Cause: the items that a dead router had acknowledged are dropped unless the request is durable. The router that asks what became of a keyed request was sent the rest, which it takes for a broken protocol: it drops the link with all that runs on it, and asks again, until the search ends ten minutes later. Now the sidecar says that the items are no longer kept (ran: yes). How it failed before: test_answer_that_is_partly_dropped_is_not_begun_in_mid_ stream got the items 1 to 59. Ruled out: telling by the number of items dropped alone; the router that had them re-attaches in the same way and goes on rightly.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -174,16 +174,19 @@
         put: Put,
     ) -> None:
         fences = self._attempts.fences
-        if fences.admit(dispatch.request, dispatch.fence):
+        if not fences.admit(dispatch.request, dispatch.fence):
+            # Not Refused: the attempt may have run for its new owner.
+            put(
+                message.Failed(
+                    attempt.id, 'superseded', 'fence is old', 'unknown', False
+                )
+            )
+        elif dispatch.fence > attempt.dispatch.fence and attempt.tail.start:
+            # Its new owner has none of the items that the last one took.
+            put(_not_kept(attempt))
+        else:
             attempt.tail.restart(dispatch.credit)
             attempt.attach(link, put)
-            return
-        # Not Refused: the attempt may have run for its new owner.
-        put(
-            message.Failed(
-                attempt.id, 'superseded', 'fence is old', 'unknown', False
-            )
-        )
 
     def _answer_lost(self, attempt_id: str) -> message.Message:
         stone = self._attempts.stones.find(attempt_id)
--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -112,6 +112,29 @@
                 messages = await second.receive_all(attempt)
         self.assertEqual(support.indexes(messages), list(range(60)))
 
+    async def test_answer_that_is_partly_dropped_is_not_begun_in_mid_stream(
+        self,
+    ):
+        """Every request on a link stalls, again and again.
+
+        A router dies after its caller took part of a streamed brief; the one
+        that asks what became of it gets items from the middle, takes that
+        for a broken protocol and drops the link, each time it asks.
+        """
+        async with support.sidecar(self.url) as sidecar:
+            async with support.router(sidecar.port) as first:
+                attempt = first.dispatch(tokens=60, fence=1, request='brief')
+                while not support.indexes([await first.receive(attempt)]):
+                    pass
+                first.send(message.Credit(attempt, 1, 1))
+            async with support.router(sidecar.port) as second:
+                second.dispatch(
+                    attempt=attempt, recover=True, fence=2, request='brief'
+                )
+                messages = await second.receive_all(attempt)
+        self.assertEqual(support.indexes(messages), [])
+        self.assertEqual(messages[-1].ran, 'yes')
+
 
 if __name__ == '__main__':
     unittest.main()
