Keep "not run" true for what is asked after long after it ended

Cause: a sidecar forgets an attempt a minute after its deadline. A router that asks what became of it later, since all routers were gone meanwhile, was told that it never came, although it may have run; for a brief this took an engine that was restarted too, for the taker named the engine of the present and not that of the run. How it failed before: test_dropped_attempt_is_not_taken_for_one_never_seen found nothing for the expired one (AttributeError); the recovered Dispatch named engine 0 instead of 4.

--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/entry.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/entry.py
@@ -47,11 +47,13 @@
       attempt: Id of the attempt.
       upstream: Name of the upstream.
       incarnation: Incarnation of the upstream's sidecar.
+      engine: Incarnation of the engine there; 0 if unknown.
     """
 
     attempt: str
     upstream: str
     incarnation: int
+    engine: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/segment.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/segment.py
@@ -212,7 +212,7 @@
 
 
 def _from_run(run: durable_entry.Run | None) -> list[Any] | None:
-    return run and [run.attempt, run.upstream, run.incarnation]
+    return run and [run.attempt, run.upstream, run.incarnation, run.engine]
 
 
 def _to_run(plain: list[Any] | None) -> durable_entry.Run | None:
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -107,6 +107,11 @@
         """Incarnation of the sidecar; 0 before the first link."""
         return self.status.incarnation
 
+    @property
+    def engine(self) -> int:
+        """Incarnation of the engine; 0 if unknown."""
+        return self.status.engine
+
     @property
     def load(self) -> message.Load | None:
         """Newest Load of this incarnation; None before the first."""
@@ -154,7 +159,6 @@
         If it can't be written to a link, the attempt answers Refused at
         once: it has not run and never will.
         """
-        dispatch.engine = self.status.engine
         attempt = peer_attempt.Attempt(dispatch, self, self._recover_s)
         self._attempts[attempt.id] = attempt
         try:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -160,6 +160,7 @@
     msg = dispatch.build(
         work, peer, ident, ctx.holder.revision, credit, recover
     )
+    msg.engine = work.run.engine
     with trace.span(
         'router.dispatch',
         parent=work.trace,
@@ -185,7 +186,7 @@
     Raises:
       RequestError: It is not recorded, so it must not be dispatched.
     """
-    run = durable_entry.Run(ident, peer.upstream, peer.incarnation)
+    run = durable_entry.Run(ident, peer.upstream, peer.incarnation, peer.engine)
     entry = active.work.entry
     if entry is None:
         active.work.run = run
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tombstone.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tombstone.py
@@ -19,6 +19,9 @@
 __all__ = ['Tombstones']
 
 
+MAX_SOURCES = 65536
+
+
 @dataclasses.dataclass(slots=True)
 class _Stone:
     terminal: message.Message
@@ -28,19 +31,35 @@
 class Tombstones:
     """Terminals of attempts that are over, bounded by number and time.
 
-    An attempt whose stone was dropped for want of space must not look like
-    one never seen. Attempt ids of one router incarnation count upwards, so
-    one number per incarnation remembers all that were dropped.
+    An attempt whose stone was dropped must not look like one never seen: a
+    router that asks for it late, perhaps long after the one that sent it
+    died, would be told that it did not run. Attempt ids of one router
+    incarnation count upwards, so one number per incarnation remembers all
+    that were dropped.
     """
 
-    def __init__(self, limit: int, clock: Callable[[], float]) -> None:
-        """Makes an empty record of at most `limit` stones."""
+    def __init__(
+        self,
+        limit: int,
+        clock: Callable[[], float],
+        max_sources: int = MAX_SOURCES,
+    ) -> None:
+        """Makes an empty record of at most `limit` stones.
+
+        Args:
+          limit: Stones kept.
+          clock: Gives the time in seconds.
+          max_sources: Router incarnations whose numbers are remembered.
+        """
         self._limit = limit
         self._clock = clock
         self._stones: collections.OrderedDict[str, _Stone] = (
             collections.OrderedDict()
         )
-        self._floors: dict[str, int] = {}
+        self._max_sources = max_sources
+        self._floors: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._stones)
@@ -57,8 +76,8 @@
     def find(self, attempt: str) -> message.Message | None:
         """Returns the terminal of an attempt that is over, if known.
 
-        For one that may have been dropped for want of space it is a failure
-        of unknown outcome.
+        For one that may have been dropped it is a failure of unknown
+        outcome.
         """
         stone = self._stones.get(attempt)
         if stone is not None:
@@ -80,10 +99,14 @@
         expired = [k for k, s in self._stones.items() if s.expires <= now]
         for attempt in expired:
             del self._stones[attempt]
+            self._raise_floor(attempt)
 
     def _raise_floor(self, attempt: str) -> None:
         source, counter = _split(attempt)
-        self._floors[source] = max(counter, self._floors.get(source, -1))
+        floor = max(counter, self._floors.pop(source, -1))
+        self._floors[source] = floor
+        if len(self._floors) > self._max_sources:
+            self._floors.popitem(last=False)
 
 
 def _split(attempt: str) -> tuple[str, int]:
--- a/tests/quetzalsill_router/request/fake.py
+++ b/tests/quetzalsill_router/request/fake.py
@@ -81,6 +81,7 @@
         self.upstream = upstream
         self.availability_zone = zone
         self.incarnation = 7
+        self.engine = 5
         self.linked = True
         self.leaving = False
         self.load = load
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -292,7 +292,7 @@
 
     def _taken_over(self, ctx, idempotent):
         entry = fake.make_entry(idempotent=idempotent)
-        entry.run = fake.durable_entry.Run('old/1/1', 'one', 7)
+        entry.run = fake.durable_entry.Run('old/1/1', 'one', 7, 4)
         return fake.make_work(
             ctx,
             entry=entry,
@@ -308,6 +308,8 @@
         self.assertEqual(found, [b'a'])
         sent = peer.attempts[0].dispatch
         self.assertEqual((sent.attempt, sent.recover), ('old/1/1', True))
+        # An engine that was restarted since can't prove that it never ran.
+        self.assertEqual(sent.engine, 4)
 
     async def test_brief_is_not_run_anew_on_the_word_of_a_new_sidecar(self):
         """A router dies with a scene brief running; so does its sidecar.
