Give each attempt its whole timeout, whatever it waited for

300 writes at once to a stand-in bounded to 100 writes a second (trial, 2 s timeout): many ended in doubt, because the wait for one of the 64 open calls was counted into the attempt's timeout and a write was sent with little of it left; the timeouts also made healthy connections suspect. The stand-in reads a call whole before it makes it wait its turn, so that a caller who gives up doesn't stop the effect.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
@@ -78,9 +78,6 @@
         elif self.switches.reset:
             self.counts['reset'] += 1
             await _abort(transport, receive)
-        elif self.switches.down or not await self._take_turn(scope):
-            self.counts['refused'] += 1
-            await _unavailable(send)
         else:
             await self._serve(scope, receive, send)
 
@@ -88,6 +85,10 @@
         # Read first: a caller who gives up must not stop the effect.
         events = await _read_all(receive)
         receive = _replay(events, receive)
+        if self.switches.down or not await self._take_turn(scope):
+            self.counts['refused'] += 1
+            await _unavailable(send)
+            return
         await asyncio.sleep(self.switches.slow_s)
         if self._loses(scope, events):
             self.switches.lose_answers -= 1
--- a/packages/quetzalsill/src/quetzalsill/platform/exchange.py
+++ b/packages/quetzalsill/src/quetzalsill/platform/exchange.py
@@ -58,8 +58,9 @@
 
     An attempt lasts `timeout_s` at most, its body included. A read has a
     second attempt after a jittered wait unless the store is known to be down;
-    a write has none. At most `OPEN_CALLS` calls are open; others wait within
-    their own timeout.
+    a write has none. At most `OPEN_CALLS` calls are open; others wait for one
+    to end, `timeout_s` at most before each attempt. That wait is not part of
+    the attempt: cut short by it, a write would be sent only to be in doubt.
 
     Attributes:
       health: Told of the outcome of every attempt.
@@ -131,9 +132,20 @@
         return reply
 
     async def _send(self, req: messages.Request) -> Reply:
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                await self._slots.acquire()
+        except TimeoutError as exc:
+            raise error.PlatformUnavailableError('too many calls') from exc
+        try:
+            return await self._exchange(req)
+        finally:
+            self._slots.release()
+
+    async def _exchange(self, req: messages.Request) -> Reply:
         sent = False
         try:
-            async with asyncio.timeout(self._timeout_s), self._slots:
+            async with asyncio.timeout(self._timeout_s):
                 conn = await self._connection(req.url)
                 sent = True
                 reply = await _answer(conn, req)
