--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -5,21 +5,20 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quetzalsill.config import model
 from quetzalsill.telemetry import log
 from quetzalsill.wire import message
-from quetzalsill_sidecar.attempt import body, judge, state, tail
-from quetzalsill_sidecar.queue import policy
+from quetzalsill_sidecar import make
+from quetzalsill_sidecar.attempt import judge, state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalsill.config import holder
+    from quetzalsill.config import holder, model
     from quetzalsill.plugin import registry as registry_lib
     from quetzalsill_sidecar import leave, runner
     from quetzalsill_sidecar import settings as settings_lib
     from quetzalsill_sidecar.attempt import table
-    from quetzalsill_sidecar.queue import schedule
+    from quetzalsill_sidecar.queue import policy, schedule
 
     Put = Callable[[message.Message], None]
 
@@ -64,7 +63,12 @@
         """Takes a Dispatch; one of a known attempt only re-attaches it."""
         if self._answer_known(dispatch, link, put):
             return
-        attempt = self._new_attempt(dispatch)
+        attempt = make.attempt(
+            dispatch,
+            self._settings,
+            self._configuration.current,
+            asyncio.get_running_loop().time(),
+        )
         self._attempts.add(attempt)
         attempt.attach(link, put)
         if dispatch.revision > self._configuration.revision:
@@ -121,7 +125,9 @@
         """Starts what the admission policy lets start."""
         for attempt_id in self._queue.start_admitted():
             attempt = self._attempts.get(attempt_id)
-            self._runs.start(attempt, self._demand(attempt))
+            self._runs.start(
+                attempt, make.demand(attempt, self._configuration.current)
+            )
 
     def adopt(self, cfg: model.Configuration) -> None:
         """Lets a new configuration apply to what waits and what runs."""
@@ -145,6 +151,9 @@
         attempt = self._attempts.get(attempt_id)
         return self._demand(attempt) if attempt is not None else None
 
+    def _demand(self, attempt: state.Attempt) -> policy.Demand:
+        return make.demand(attempt, self._configuration.current)
+
     def _answer_known(
         self, dispatch: message.Dispatch, link: object, put: Put
     ) -> bool:
@@ -255,54 +264,6 @@
             expected_wait_ms=round(wait_s * 1000),
         )
 
-    def _new_attempt(self, dispatch: message.Dispatch) -> state.Attempt:
-        now = asyncio.get_running_loop().time()
-        bounds, timing = self._settings.bounds, self._settings.timing
-        durable = self._profile(dispatch).durable
-        is_call = dispatch.kind == 'call'
-        return state.Attempt(
-            dispatch=dispatch,
-            arrived=now,
-            deadline=now + dispatch.remaining_ms / 1000,
-            queue_deadline=now + dispatch.queue_ms / 1000,
-            tail=tail.Tail(
-                dispatch.attempt,
-                dispatch.credit,
-                bounds.call_bytes if is_call else bounds.tail_bytes,
-                keep_all=durable and not is_call,
-            ),
-            body=body.RequestBody(
-                dispatch.payload,
-                is_open=dispatch.body_open,
-                max_bytes=bounds.body_bytes,
-            ),
-            orphan_s=timing.durable_orphan_s if durable else timing.orphan_s,
-        )
-
-    def _demand(self, attempt: state.Attempt) -> policy.Demand:
-        dispatch = attempt.dispatch
-        cfg = self._configuration.current
-        profile = self._profile(dispatch)
-        account = cfg.accounts.get(dispatch.account)
-        return policy.Demand(
-            attempt=attempt.id,
-            account=dispatch.account,
-            profile=dispatch.profile,
-            model=dispatch.model,
-            arrived=attempt.arrived,
-            weight=account.weight if account else 1.0,
-            priority=profile.priority,
-            ageing_s=profile.ageing_s,
-            uses_headroom=profile.uses_headroom,
-            quantile=profile.memory_quantile,
-            prompt_tokens=dispatch.prompt_tokens,
-            max_tokens=dispatch.max_tokens,
-        )
-
-    def _profile(self, dispatch: message.Dispatch) -> model.Profile:
-        profiles = self._configuration.current.profiles
-        return profiles.get(dispatch.profile) or model.Profile()
-
 
 def _is_open(terminal: message.Message | None) -> bool:
     """Whether an attempt ended with nothing proved about its work."""
