Tell of a new revision on busy links too

Cause: only heartbeats, Hello and Dispatch carry the revision, and a link that always has something to send never sends a heartbeat.

Now a router sends a Ping with its revision on every link at once when its holder installs one.

Ruled out: a heartbeat every idle_s however busy the link is. It costs traffic all the time and takes up to idle_s longer. No new message: Ping carries what is needed.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -80,6 +80,7 @@
         self._hosts: dict[str, platform_hosts.Host] = {}
         self._by_use: dict[str, list[peer_module.Peer]] = {}
         self._counter = itertools.count(1)
+        holder.on_change(self._announce)
 
     def next_attempt_id(self) -> str:
         """Gives an id that no attempt of any router has had."""
@@ -136,6 +137,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _announce(self, cfg: model.Configuration) -> None:
+        """Tells every sidecar of a new revision at once.
+
+        A link that is never idle sends no heartbeat of its own, so that a
+        sidecar under steady load would go on under the old revision.
+        """
+        for peer in (*self._peers.values(), *self._retiring.values()):
+            peer.send(message.Ping(0, cfg.revision))
+
     def _passive(self, cfg: model.Configuration) -> set[str]:
         leaving = {name for name, peer in self._peers.items() if peer.leaving}
         return leaving | {
--- a/tests/quetzalsill_router/peer/test_peers.py
+++ b/tests/quetzalsill_router/peer/test_peers.py
@@ -29,6 +29,7 @@
         self.sidecar = fake.FakeSidecar(1, self.engine)
         self.upstream = 'engine-1'
         self.received = []
+        self.announced = set()
         self.server = listen.LinkServer(
             section.Listen(),
             CREDENTIAL,
@@ -51,6 +52,7 @@
                 conn.send_nowait(msg)
 
         self.sidecar.put = put
+        conn.on_revision = self.announced.add
         put(fake.load())
         async for msg in conn.messages():
             self.received.append(msg)
@@ -267,6 +269,25 @@
         with self.assertRaises(error.ConfigFetchError):
             await waiting
 
+    async def test_a_busy_link_tells_of_a_new_revision(self):
+        """An edit is not in force on an upstream as long as it has work.
+
+        Tokens one way and credits the other leave no link idle, so that
+        neither end sends a heartbeat, which would carry the revision.
+        """
+        peer = await self.linked()
+
+        async def stay_busy():
+            while True:
+                peer.send(message.Credit('r/1/1', 0, 0))
+                self.sidecar.put(fake.load())
+                await asyncio.sleep(TIMING.idle_s / 10)
+
+        busy = asyncio.create_task(stay_busy())
+        self.addCleanup(busy.cancel)
+        self.holder.install(document.render(self.cfg), 2)
+        await self.until(lambda: 2 in self.announced)
+
     async def test_another_upstream_at_the_address_is_not_linked(self):
         """Requests for one engine reach another.
 
