--- /dev/null
+++ b/tests/failure/relayed.py
@@ -0,0 +1,157 @@
+"""A shared cluster with relays on its hops, and callers that are watched."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import httpx2
+
+from quetzalsill_dev import board, caller, relay
+from tests.failure import fixture
+
+__all__ = ['RelayedTestCase', 'body']
+
+BOUND_S = 30.0
+POLL_S = 0.01
+ACCOUNTS = {'patient': 'depot-clerks'}
+
+
+def body(tokens: int, name: str = 'plan') -> dict[str, str]:
+    """Request of an answer of that many tokens."""
+    return {'model': board.MODEL, 'prompt': f'{name} [[tokens={tokens}]]'}
+
+
+class RelayedTestCase(fixture.SharedClusterTestCase):
+    """Puts a relay into the hops whose names begin as `RELAYED` says.
+
+    Attributes:
+      relays: Relays by hop.
+    """
+
+    RELAYED = ('sidecar:',)
+
+    @classmethod
+    def setUpClass(cls):
+        cls.relays = {}
+        super().setUpClass()
+        cls.addClassCleanup(lambda: cls.runner.run(cls._stop_relays()))
+
+    @classmethod
+    def configuration(cls):
+        cfg = board.configuration()
+        for profile in cfg.profiles.values():
+            profile.max_output_tokens = 5000
+            profile.queue_wait_s = profile.deadline_s = 60.0
+        return cfg
+
+    @classmethod
+    async def via(cls, hop, address):
+        if not hop.startswith(cls.RELAYED):
+            return address
+        host, _, port = address.rpartition(':')
+        if hop not in cls.relays:
+            cls.relays[hop] = relay.Relay(host, int(port))
+            await cls.relays[hop].start()
+        return f'127.0.0.1:{cls.relays[hop].port}'
+
+    @classmethod
+    async def _stop_relays(cls):
+        for middle in cls.relays.values():
+            await middle.stop()
+
+    async def mend(self):
+        for middle in self.relays.values():
+            middle.refusing = False
+            middle.delay(0.0)
+        await super().mend()
+        await self.until(self._is_served)
+        self.seen_runs = {
+            name: await self._run_ids(name) for name in self.engines
+        }
+
+    @property
+    def engines(self):
+        """Names of the engines."""
+        return [name for name in self.cluster.upstreams if 'model' in name]
+
+    def url(self, router=0):
+        """Base URL of a router."""
+        return [*self.cluster.routers.values()][router].url
+
+    def ask(self, tokens, name='plan', profile='prompt', router=0, **headers):
+        """Asks in the background; gives the answer as it grows, and a task."""
+        answer = caller.Answer()
+        token = board.TOKENS[ACCOUNTS.get(profile, 'retailers')]
+        sent = {k.replace('_', '-'): v for k, v in headers.items()}
+
+        async def run():
+            async with caller.open_client(self.url(router), token) as client:
+                with contextlib.suppress(httpx2.TransportError):
+                    await caller.generate(
+                        client, body(tokens, name), sent, answer=answer
+                    )
+            return answer
+
+        return answer, asyncio.create_task(run())
+
+    async def until(self, condition):
+        """Waits for a condition, which may be a coroutine function."""
+        async with asyncio.timeout(BOUND_S):
+            while True:
+                found = condition()
+                if asyncio.iscoroutine(found):
+                    found = await found
+                if found:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def until_tokens(self, least, *answers):
+        """Waits until each answer has that many tokens."""
+        await self.until(lambda: min(len(a.texts) for a in answers) >= least)
+
+    async def new_runs(self):
+        """Runs on all engines since the test began."""
+        return [
+            run
+            for name in self.engines
+            for run in (await self.cluster.audit(name))['runs']
+            if run['request_id'] not in self.seen_runs[name]
+        ]
+
+    async def running_engine(self):
+        """Name of an engine that runs something now."""
+        for name in self.engines:
+            for run in (await self.cluster.audit(name))['runs']:
+                if not run['finished'] and not run['cancelled']:
+                    return name
+        return ''
+
+    async def _is_served(self):
+        answers = [await self.ask(1, router=i)[1] for i in self._routers()]
+        return all(answer.is_whole for answer in answers)
+
+    def _routers(self):
+        return range(len(self.cluster.routers))
+
+    async def _run_ids(self, name):
+        runs = (await self.cluster.audit(name))['runs']
+        return {run['request_id'] for run in runs}
+
+    async def restart_engine(self, name):
+        """Kills an engine and starts it at its address."""
+        self.cluster.upstreams[name].kill()
+        await self.cluster.upstreams[name].wait()
+        await self.cluster.start_upstream(name)
+
+    async def restart_sidecar(self, name):
+        """Kills a sidecar and starts it at its address."""
+        self.cluster.sidecars[name].kill()
+        await self.cluster.sidecars[name].wait()
+        await self.cluster.start_sidecar(name)
+
+    def assert_whole(self, answer, tokens):
+        """The answer is whole, from one generation, and as long as asked."""
+        self.assertEqual(answer.status, 200, answer.error)
+        self.assertTrue(answer.is_whole, (answer.error, answer.texts[-3:]))
+        self.assertEqual(len(answer.texts), tokens)
