End a call at once whose body can't be completed

A call whose body was still open when its link was lost waited on for the rest, which can't follow on another link: the app server and the caller waited up to the orphan bound or the deadline. It now ends at once, as unknown if it had started, as not run if it had not. A Resume on a new link ends it too, for a link whose loss this end has not noticed.

Ruled out: to wait for queued_orphan_s first. Nothing can come of the wait, as the router drops the upload with its link.

After: both cases give Failed, outcome_unknown, ran unknown.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -118,9 +118,22 @@
             put(self._answer_lost(msg.attempt))
         elif attempt.tail.rewind(msg.seq, msg.credit):
             attempt.attach(link, put)
+            self.cut_body(attempt)
         else:
             put(_not_kept(attempt))
 
+    def cut_body(self, attempt: state.Attempt) -> None:
+        """Ends a call whose body can't be completed: its link is gone.
+
+        The rest of a body can't follow on another link. The app server would
+        wait for it, and the caller for its answer, until the deadline.
+        """
+        if attempt.body.is_open:
+            self.stop(
+                attempt,
+                'outcome_unknown' if attempt.started else 'no_upstream',
+            )
+
     def pump(self) -> None:
         """Starts what the admission policy lets start."""
         for attempt_id in self._queue.start_admitted():
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -97,6 +97,7 @@
         now = asyncio.get_running_loop().time()
         for attempt in self._attempts.of_link(self):
             attempt.detach(now)
+            self._intake.cut_body(attempt)
 
     def _on_dispatch(self, msg: message.Dispatch) -> None:
         self._see(msg.revision)
--- a/tests/quetzalsill_sidecar/test_calls.py
+++ b/tests/quetzalsill_sidecar/test_calls.py
@@ -142,6 +142,28 @@
                 )
         self.assertEqual(self.service.orders['truck-8'], 1)
 
+    async def test_body_that_lost_its_link_ends_the_call(self):
+        """A shop waits for its deadline, and an app server with it.
+
+        The link is lost, or replaced before its loss is noticed, while the
+        rest of an order's body is to come; it can't follow on another link.
+        """
+        for closes in (True, False):
+            async with support.router(self.sidecar.port) as lost:
+                attempt = lost.dispatch(
+                    **call(path='/orders', payload=b'{', body_open=True)
+                )
+                while not credited([await lost.receive(attempt)], 1):
+                    pass
+                if closes:
+                    lost.link.close()
+                self.router.send(message.Resume(attempt, 0, 100))
+                messages = await self.router.receive_all(attempt)
+            self.assertEqual(
+                (messages[-1].code, messages[-1].ran),
+                ('outcome_unknown', 'unknown'),
+            )
+
     async def test_slow_reader_holds_up_the_service_not_the_memory(self):
         """One merchant on a bad line takes the sidecar's memory.
 
