Forget the revision of a replaced sidecar

Peer.revision kept the highest revision that any incarnation had named, so that operators saw a new process at a revision that it did not have yet.

Before: the test found 9 where the new incarnation said 1.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -50,7 +50,7 @@
         does not name the upstream.
       hint_address: IP:PORT that the host list gives; empty if none.
       status: What this incarnation of the sidecar has said.
-      revision: Highest revision that this sidecar has named.
+      revision: Highest revision that this incarnation has named.
       dropped: Messages thrown away because their attempt was unknown,
         superseded, or had them already.
     """
@@ -92,8 +92,7 @@
         self._on_revision = on_revision
         self._link: link.Link | None = None
         self._attempts: dict[str, peer_attempt.Attempt] = {}
-        # For a link that stays away for long; the sidecar forgets tails by
-        # itself, so that the oldest may be lost.
+        # Sidecars forget tails by themselves, so that the oldest may be lost.
         self._deferred: collections.deque[message.Message] = collections.deque(
             maxlen=MAX_DEFERRED
         )
@@ -344,6 +343,7 @@
         if not same:
             # Nothing that is known of the old one holds for the new one.
             self.status = status.Status(welcome.incarnation)
+            self.revision = 0
             self._deferred.clear()
         self.status.leaving |= welcome.leaving
         logger.info(
--- a/tests/quetzalsill_router/peer/test_peers.py
+++ b/tests/quetzalsill_router/peer/test_peers.py
@@ -240,6 +240,16 @@
         await self.until(lambda: self.peers.candidates(fake.MODEL))
         self.assertEqual((peer.incarnation, peer.load.queued), (2, 0))
 
+    async def test_revision_of_a_replaced_sidecar_is_forgotten(self):
+        """Operators see a revision in force that the new process lacks."""
+        peer = await self.linked()
+        self.sidecar.put(fake.load(revision=9))
+        await self.until(lambda: peer.revision == 9)
+        self.sidecar = fake.FakeSidecar(2, self.engine)
+        self.relay.cut()
+        await self.until(lambda: peer.incarnation == 2)
+        self.assertEqual(peer.revision, 1)
+
     async def test_unhealthy_or_without_the_model_is_no_candidate(self):
         peer = await self.linked()
         for change in ({'healthy': False}, {'models': []}):
