--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
@@ -103,6 +104,10 @@
 ) -> tuple[context.Context, durable_state.DurableState]:
     """Makes the parts of a router that is not serving yet."""
     holder = config_holder.Holder()
+    # Asked for at each dial, as the files are replaced before they expire.
+    link_tls = functools.partial(net_tls.client_context, settings.link_tls)
+    # Files that cannot be used end the start instead of each dial.
+    link_tls()
     policies = holder.current.policies
     me = durable_registration.Router(
         node=settings.node.name,
@@ -125,7 +130,7 @@
         settings.credential,
         holder,
         settings.links,
-        net_tls.client_context(settings.link_tls),
+        link_tls,
         recover_s=settings.requests.recover_s,
         on_revision=puller.notice,
     )
@@ -264,12 +269,12 @@
     ctx: context.Context, follower: config_follower.Follower, incarnation: int
 ) -> None:
     """Gets the first configuration, then lets the balancer send callers."""
-    tls = net_tls.client_context(ctx.settings.link_tls)
     while ctx.holder.revision == 0:
         try:
             await follower.refresh()
         except UNREADABLE as exc:
             logger.warning('configuration_not_loaded', detail=str(exc))
+            tls = net_tls.client_context(ctx.settings.link_tls)
             reply = await membership.newest_of_seeds(
                 ctx.settings, incarnation, tls
             )
