Log refused TLS handshakes

asyncio drops a connection whose handshake fails without a line, so a router with an expired certificate looked like one that never dialled. The listeners' contexts make connections that log the failure, for links and for HTTP alike. The remote address is not known at that place.

Ruled out: the loop's exception handler, which is not called for OSError, and the listener's protocol, which is told nothing before the handshake.

--- a/packages/quetzalsill/src/quetzalsill/net/tls.py
+++ b/packages/quetzalsill/src/quetzalsill/net/tls.py
@@ -57,6 +57,24 @@
         return self._loaded.context
 
 
+class _Logged(ssl.SSLObject):
+    """A listener's end of a connection that tells of a refused handshake.
+
+    The event loop drops such a connection without a word, so that a router
+    with an expired certificate looks like one that never dialled.
+    """
+
+    def do_handshake(self) -> None:
+        """Goes on with the handshake; logs its failure."""
+        try:
+            super().do_handshake()
+        except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
+            raise
+        except ssl.SSLError as exc:
+            logger.warning('handshake_refused', reason=str(exc))
+            raise
+
+
 _clients: dict[tuple[str, str, str], _Reloading] = {}
 
 
@@ -103,6 +121,7 @@
 
 def _build_server(tls: section.Tls) -> ssl.SSLContext:
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.sslobject_class = _Logged
     # A resumed session skips the check of the client's certificate, so that
     # one that has expired since would still be let in.
     context.num_tickets = 0
