Tell routers of a load when it has changed, and the rarer the more they are

A sidecar sent its load to every router twice a second at rest and four times a second under load.

Ruled out: batching reports of several sidecars, since each has its own link.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
@@ -7,7 +7,7 @@
 
 from quetzalsill.telemetry import log, metric
 from quetzalsill.wire import message
-from quetzalsill_sidecar import error
+from quetzalsill_sidecar import error, load_change
 from quetzalsill_sidecar.upstream import engine
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
 
 __all__ = ['LoadReporter']
 
-LEAST_INTERVAL_S = 0.25
+LOOK_INTERVAL_S = 0.1
 CORRECTION = 0.2
 PROMPT_RANK = 0
 
@@ -73,15 +73,23 @@
         )
 
     async def run(self) -> None:
-        """Reports on change, at most every `LEAST_INTERVAL_S`."""
-        idle_s = self._sidecar.settings.link.idle_s
+        """Reports changes, the more of them the larger they are."""
+        clock = asyncio.get_running_loop().time
+        told, told_at = self.message(), clock()
         while True:
-            await self._wait_for_change(idle_s)
+            await self._changed.wait()
             self._changed.clear()
             msg = self.message()
             self._set_gauges(msg)
-            self._sidecar.send_to_all(msg)
-            await asyncio.sleep(LEAST_INTERVAL_S)
+            kind = load_change.change(told, msg)
+            links = len(self._sidecar.links)
+            wait_s = told_at + load_change.interval_s(kind, links) - clock()
+            if kind is not load_change.Change.NONE and wait_s <= 0:
+                self._sidecar.send_to_all(msg)
+                told, told_at = msg, clock()
+            elif kind is not load_change.Change.NONE:
+                self._changed.set()
+            await asyncio.sleep(LOOK_INTERVAL_S)
 
     async def poll(self) -> None:
         """Fetches the engine's report again and again."""
@@ -117,13 +125,6 @@
             )
             self.note_change()
 
-    async def _wait_for_change(self, idle_s: float) -> None:
-        try:
-            async with asyncio.timeout(idle_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
-
     def _set_gauges(self, msg: message.Load) -> None:
         queued_gauge.set({}, msg.queued)
         running_gauge.set({}, msg.running)
