Refuse at once what queues behind a segment that the store refuses

Cause: a segment's writer asked whether new entries are given up only while the segment itself held some. After the first refusal it held none, so entries that came between the first failure of the store and the second, which shows it to be down, stayed queued until the bound on an acceptance.

Ruled out: the store's client and the health's probe, which refuse at once as soon as the store counts as down (0.02 to 0.05 s with real processes).

Real processes, store down, accept_s 0.5: four callers right after the first refusal waited 0.585 s before, 0.033 s after. The new test waited 2.02 s of virtual time before, and passes after.

--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/write.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/write.py
@@ -66,7 +66,9 @@
         else:
             health.succeeded()
             return stored
-        if segment.accepted and drop_accepted(lost):
+        # Asked after each failure: entries that queue behind this segment
+        # have to be refused too, once the platform shows to be down.
+        if drop_accepted(lost) and segment.accepted:
             segment = segment.without_accepted()
             tried[segment.nonce] = segment
         await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
--- a/tests/quetzalsill_router/durable/test_journal.py
+++ b/tests/quetzalsill_router/durable/test_journal.py
@@ -49,6 +49,27 @@
 
         virtual.run(story)
 
+    def test_platform_down_for_those_next_in_line(self):
+        """Clerks wait two seconds for a refusal that was certain before.
+
+        The store refuses the first clerk's manifest; the others come before
+        its second failure shows that the store is down. They queued, and
+        only the bound on an acceptance ended their wait.
+        """
+
+        async def story():
+            board, router = await one_router()
+            board.platform.down = True
+            told = router.serve(world.make_entry('first'))
+            await world.until(lambda: told.ran is base.Ran.NO)
+            begun = asyncio.get_running_loop().time()
+            with self.assertRaises(request_error.StoreUnavailableError):
+                await router.state.journal.accept(world.make_entry('next'))
+            waited_s = asyncio.get_running_loop().time() - begun
+            self.assertLess(waited_s, 0.2)
+
+        virtual.run(story)
+
     def test_answer_lost(self):
         """The store takes a manifest and its answer to that is lost.
 
