Let a model's profile count

An account's default_profile defaulted to 'prompt', so that the profile of a model was reached for no account whose operator had not set it to ''; and '' was refused by the check of references, so that nobody could. It now defaults to '' and the order is: named by the caller, the account's default, the model's, then 'prompt', which keeps calls of plain services (they have no model) under the profile that they had.

The check no longer refuses a configuration without a profile 'prompt'; a request that is left without any is refused as unknown_profile, by name.

--- a/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
@@ -16,6 +16,7 @@
 __all__ = ['check_open', 'generation_work', 'pick_profile']
 
 STOPPING_RETRY_AFTER_S = 1.0
+LAST_RESORT = 'prompt'
 
 
 def check_open(ctx: context.Context) -> None:
@@ -42,13 +43,17 @@
     asked: str,
     model_default: str = '',
 ) -> tuple[str, model.Profile]:
-    """Returns name and profile: the caller's, else the account's default.
+    """Returns name and profile.
+
+    The name is the first one given of: the caller's, the account's default,
+    the model's, and `prompt`.
 
     Raises:
       UnknownProfileError: No such profile.
       ForbiddenError: The account may not use it.
     """
-    name = asked or caller.account.default_profile or model_default
+    account_default = caller.account.default_profile
+    name = asked or account_default or model_default or LAST_RESORT
     profile = cfg.profiles.get(name)
     if profile is None:
         raise request_error.UnknownProfileError(
--- a/packages/quetzalsill/src/quetzalsill/config/model.py
+++ b/packages/quetzalsill/src/quetzalsill/config/model.py
@@ -82,7 +82,7 @@
 class Model:
     """A model that callers name in their requests."""
 
-    profile: str = key('Profile used if caller and account name none.', '')
+    profile: str = key('Profile if caller and account name none.', '')
     adapters: list[str] = key('Adapters that may be asked for.', factory=list)
     context_tokens: int = key(
     'Bound on prompt and answer together.',
@@ -171,7 +171,9 @@
         pattern=SHA256,
         secret=True,
     )
-    default_profile: str = key('Profile if the caller names none.', 'prompt')
+    default_profile: str = key(
+        "Profile if the caller names none; empty for the model's.", ''
+    )
     profiles: list[str] = key('Profiles allowed; empty for all.', factory=list)
     weight: float = key(
     'Share under contention, relative to other accounts.',
--- a/packages/quetzalsill/src/quetzalsill/config/reference.py
+++ b/packages/quetzalsill/src/quetzalsill/config/reference.py
@@ -84,9 +84,10 @@
 def _of_accounts(cfg: model.Configuration) -> Iterator[_Reference]:
     for name, item in cfg.accounts.items():
         path = f'accounts.{name}'
-        yield _Reference(
-            f'{path}.default_profile', item.default_profile, cfg.profiles
-        )
+        if item.default_profile:
+            yield _Reference(
+                f'{path}.default_profile', item.default_profile, cfg.profiles
+            )
         yield from _each(f'{path}.profiles', item.profiles, cfg.profiles)
 
 
--- /dev/null
+++ b/tests/quetzalsill_router/request/test_accept.py
@@ -0,0 +1,45 @@
+"""Which profile a request is served under."""
+
+from __future__ import annotations
+
+import unittest
+
+from quetzalsill.config import model
+from quetzalsill.error import request as request_error
+from quetzalsill_router.http import auth
+from quetzalsill_router.request import accept
+
+NAMES = ('asked', 'account', 'model', 'prompt')
+
+
+class PickProfileTest(unittest.TestCase):
+    """The order stands in docs/PROFILES.md."""
+
+    def pick(self, asked='', account='', by_model='', allowed=(), names=NAMES):
+        cfg = model.Configuration(
+            profiles={name: model.Profile() for name in names}
+        )
+        caller = auth.Caller(
+            'retailers',
+            model.Account(default_profile=account, profiles=list(allowed)),
+        )
+        return accept.pick_profile(cfg, caller, asked, by_model)[0]
+
+    def test_the_first_name_given_counts(self):
+        for names in (NAMES[:3], ('', *NAMES[1:3]), ('', '', 'model'), ()):
+            expected = next(filter(None, names), 'prompt')
+            self.assertEqual(self.pick(*names), expected)
+
+    def test_a_name_that_is_missing_or_not_allowed_is_refused(self):
+        with self.assertRaisesRegex(request_error.UnknownProfileError, 'none'):
+            self.pick('none')
+        with self.assertRaisesRegex(
+            request_error.UnknownProfileError, 'prompt'
+        ):
+            self.pick(names=())
+        with self.assertRaisesRegex(request_error.ForbiddenError, 'account'):
+            self.pick('asked', allowed=['account'])
+
+
+if __name__ == '__main__':
+    unittest.main()
