Find and cancel a request through any router

The administration API looked at the requests of the answering router only, and a caller's DELETE was passed on only for journalled requests: the lookup in the store raised not_found first.

Both now ask the other live routers, the accepting one first. If one of those asked is silent and none has the request, an operator is told outcome_unknown with their names, not that no router runs it.

Failed before, on real processes: show ended with 'no request ... runs in this router', the caller's DELETE with 404, the paused router with 404.

The context's hint, which did nothing, is taken away: Peers tells sidecars of a revision when the holder installs it.

--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/context.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/context.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    import blacksheep
+
     from quetzalsill.config import holder, store
     from quetzalsill.wire import message
     from quetzalsill_router.admin import view
+    from quetzalsill_router.http import forward
 
 __all__ = ['AdminContext', 'LinkedPeer', 'RequestControl']
 
@@ -43,14 +46,14 @@
       node: Name of this router.
       bootstrap_sha256: Digest of the credential that may apply the first
         configuration; empty if there is none.
-      holder: The configuration in force in this process.
+      holder: The configuration in force in this process; it tells the peers
+        of each revision that is installed.
       store: The revisions in the platform.
       peers: Gives the present peers, one for each sidecar.
       routers: Reads the live routers from their registration rows; raises
         `PlatformUnavailableError`.
       requests: Requests by id.
-      hint: Called with each revision accepted here, after its installation,
-        so that peers fetch it at once.
+      elsewhere: Sends a call about a request to the other routers.
     """
 
     node: str
@@ -60,4 +63,4 @@
     peers: Callable[[], Iterable[LinkedPeer]]
     routers: Callable[[], Awaitable[list[view.NodeView]]]
     requests: RequestControl
-    hint: Callable[[int], None]
+    elsewhere: Callable[[blacksheep.Request, str], Awaitable[forward.Elsewhere]]
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/edit.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/edit.py
@@ -93,7 +93,6 @@
             before.author,
         ) from exc
     context.holder.install(document, revision)
-    context.hint(revision)
     return Accepted(revision, edit.id, earlier=before.revision >= revision)
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/admin/inquiry.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/admin/inquiry.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log
 from quetzalsill_router.admin import answer
+from quetzalsill_router.http import forward
+from quetzalsill_router.request import ident
 
 if TYPE_CHECKING:
     from quetzalsill_router.admin import call as admin_call
@@ -18,19 +21,36 @@
 _LOG = log.get(__name__)
 
 
-def _reply(found: view.RequestView | None, request: str) -> answer.Reply:
-    if found is None:
-        raise request_error.NotFoundError(
-            f'no request {request} runs in this router',
-            advice='Ask the other routers too; only one runs it.',
+async def _reply(
+    call: admin_call.Call, found: view.RequestView | None, request: str
+) -> answer.Reply:
+    """Tells of a request that runs here, or in another router.
+
+    Raises:
+      NotFoundError: No router runs it.
+      OutcomeUnknownError: None that answers runs it, and some don't answer.
+    """
+    if found is not None:
+        return answer.Reply(dataclasses.asdict(found))
+    elsewhere = forward.Elsewhere()
+    if ident.is_request_id(request) and not forward.was_forwarded(call.req):
+        elsewhere = await call.context.elsewhere(call.req, request)
+    if elsewhere.body is not None:
+        return answer.Reply(json.loads(elsewhere.body))
+    if elsewhere.silent:
+        raise request_error.OutcomeUnknownError(
+            f'no router that answers runs request {request}; silent: '
+            f'{", ".join(elsewhere.silent)}',
+            advice='Repeat the call; a request is cancelled once at most.',
         )
-    return answer.Reply(dataclasses.asdict(found))
+    raise request_error.NotFoundError(f'no router runs a request {request}')
 
 
 async def show(call: admin_call.Call) -> answer.Reply:
     """Gives the state of a request."""
     request = call.name()
-    return _reply(await call.context.requests.find(request), request)
+    found = await call.context.requests.find(request)
+    return await _reply(call, found, request)
 
 
 async def cancel(call: admin_call.Call) -> answer.Reply:
@@ -43,4 +63,4 @@
         operator=call.operator.name,
         known=found is not None,
     )
-    return _reply(found, request)
+    return await _reply(call, found, request)
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/forward.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/forward.py
@@ -1,7 +1,8 @@
-"""Passes a cancellation on to the router that runs the request."""
+"""Passes calls about a request on to the router that runs it."""
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 import blacksheep
@@ -9,40 +10,69 @@
 from quetzalsill.net import client
 from quetzalsill.net import error as net_error
 from quetzalsill.telemetry import log
+from quetzalsill_router.request import ident as request_ident
 
 if TYPE_CHECKING:
     from quetzalsill_router import context
     from quetzalsill_router.durable import registration
 
-__all__ = ['cancel', 'was_forwarded']
+__all__ = ['Elsewhere', 'ask', 'was_forwarded']
 
 HEADER = b'x-quetzalsill-forwarded'
 TIMEOUT_S = 3.0
 MAX_ASKED = 8
-ACCEPTED = 202
 
 logger = log.get(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class Elsewhere:
+    """What other routers said of a request.
+
+    Attributes:
+      body: Body of the answer of the one that runs it; None if none does.
+      silent: Names of those asked that did not answer.
+    """
+
+    body: bytes | None = None
+    silent: list[str] = dataclasses.field(default_factory=list)
+
+
 def was_forwarded(request: blacksheep.Request) -> bool:
     """Whether another router sent this; it is not passed on again."""
     return request.has_header(HEADER)
 
 
-async def cancel(
-    ctx: context.Context, request: blacksheep.Request, ident: str
-) -> bool:
-    """Asks other routers to cancel a request; True if one runs it.
+async def ask(
+    ctx: context.Context,
+    request: blacksheep.Request,
+    prefix: str,
+    ident: str,
+    accepted: int,
+) -> Elsewhere:
+    """Sends a call about a request to other routers until one runs it.
 
     The id names the router that accepted it. After a takeover another one
     runs it, and a few of the rest are asked.
+
+    Args:
+      ctx: This router.
+      request: The call; its method and credential are passed on.
+      prefix: Path of the call before the id.
+      ident: Id of the request.
+      accepted: Status by which a router says that it runs the request.
     """
-    token = request.get_first_header(b'authorization') or b''
-    headers = [(b'authorization', token), (HEADER, b'1')]
+    found = Elsewhere()
     for router in _in_order(ctx, ident)[:MAX_ASKED]:
-        if await _ask(ctx, router, headers, ident):
-            return True
-    return False
+        try:
+            answer = await _send(ctx, router, request, f'{prefix}/{ident}')
+            if answer.status == accepted:
+                found.body = await answer.read() or b''
+                break
+        except net_error.NetError as exc:
+            logger.info('forward_failed', router=router.node, detail=str(exc))
+            found.silent.append(router.node)
+    return found
 
 
 def _in_order(ctx: context.Context, ident: str) -> list[registration.Router]:
@@ -54,27 +84,26 @@
     ]
 
     def is_other(router: registration.Router) -> bool:
-        return not ident.startswith(f'{router.node}.{router.incarnation}.')
+        return not request_ident.was_accepted_by(
+            ident, router.node, router.incarnation
+        )
 
     return sorted(others, key=is_other)
 
 
-async def _ask(
+async def _send(
     ctx: context.Context,
     router: registration.Router,
-    headers: list[tuple[bytes, bytes]],
-    ident: str,
-) -> bool:
-    """Asks one router; False also if it does not answer."""
+    request: blacksheep.Request,
+    path: str,
+) -> blacksheep.Response:
+    """Sends the call to one router."""
     tls = ctx.settings.tls
     scheme = 'https' if tls.certificate else 'http'
-    url = f'{scheme}://{router.address}/v1/requests/{ident}'
+    url = f'{scheme}://{router.address}{path}'
+    token = request.get_first_header(b'authorization') or b''
+    headers = [(b'authorization', token), (HEADER, b'1')]
     async with client.session(timeout_s=TIMEOUT_S, tls=tls) as session:
-        try:
-            response = await session.send(
-                blacksheep.Request('DELETE', url.encode(), headers)
-            )
-        except net_error.NetError as exc:
-            logger.info('forward_failed', router=router.node, detail=str(exc))
-            return False
-        return response.status == ACCEPTED
+        return await session.send(
+            blacksheep.Request(request.method, url.encode(), headers)
+        )
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
@@ -21,7 +21,9 @@
 
 __all__ = ['mount']
 
-PATH = '/v1/requests/:request'
+PREFIX = '/v1/requests'
+PATH = f'{PREFIX}/:request'
+ACCEPTED = 202
 CANCELLED = 'cancelled by the caller'
 
 
@@ -29,7 +31,7 @@
     app: blacksheep.Application, ctx: context.Context, callers: auth.Callers
 ) -> None:
     """Adds the routes of stored requests to the application."""
-    app.router.add('GET', '/v1/requests', _find(ctx, callers))
+    app.router.add('GET', PREFIX, _find(ctx, callers))
     app.router.add('GET', PATH, _fetch(ctx, callers))
     app.router.add('DELETE', PATH, _cancel(ctx, callers))
 
@@ -84,21 +86,41 @@
         if _runs_here(ctx, account, ident_):
             ctx.active.get(ident_).cancel(CANCELLED)
             return stored.pending(ident_)
-        found = await ctx.answers.get(account, ident_)
-        if found.answer is not None:
-            return stored.render(ident_, found.answer, as_events=False)
-        forwarded = forward.was_forwarded(request)
-        if not forwarded and await forward.cancel(ctx, request, ident_):
+        failed = _not_running(ident_)
+        try:
+            found = await ctx.answers.get(account, ident_)
+        except request_error.NotFoundError as exc:
+            # Nothing is stored of a request that isn't durable; only the
+            # router that runs it knows it.
+            failed = exc
+        else:
+            if found.answer is not None:
+                return stored.render(ident_, found.answer, as_events=False)
+        if await _cancel_elsewhere(ctx, request, ident_):
             return stored.pending(ident_)
-        raise request_error.ConflictError(
-            f'request {ident_} is not running at any router that answers',
-            ran=base.Ran.UNKNOWN,
-            retry_after_s=1.0,
-        )
+        raise failed
 
     return handle
 
 
+async def _cancel_elsewhere(
+    ctx: context.Context, request: blacksheep.Request, ident_: str
+) -> bool:
+    """Whether another router runs the request and has cancelled it."""
+    if forward.was_forwarded(request):
+        return False
+    found = await forward.ask(ctx, request, PREFIX, ident_, ACCEPTED)
+    return found.body is not None
+
+
+def _not_running(ident_: str) -> request_error.ConflictError:
+    return request_error.ConflictError(
+        f'request {ident_} is not running at any router that answers',
+        ran=base.Ran.UNKNOWN,
+        retry_after_s=1.0,
+    )
+
+
 def _runs_here(ctx: context.Context, account: str, request: str) -> bool:
     """Whether the account's request runs in this router."""
     running = ctx.active.get(request)
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/ident.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/ident.py
@@ -7,7 +7,12 @@
 import secrets
 import time
 
-__all__ = ['RequestIds', 'is_request_id', 'new_incarnation']
+__all__ = [
+    'RequestIds',
+    'is_request_id',
+    'new_incarnation',
+    'was_accepted_by',
+]
 
 RANDOM_BITS = 12
 REQUEST_ID = re.compile(r'[a-z0-9][a-z0-9._-]{0,127}')
@@ -28,14 +33,23 @@
     return REQUEST_ID.fullmatch(text) is not None
 
 
+def was_accepted_by(request: str, node: str, incarnation: int) -> bool:
+    """Whether a request id was given by that start of that router."""
+    journalled = f'{node}.{incarnation}.'
+    return request.startswith((journalled, _prefix(node, incarnation)))
+
+
+def _prefix(node: str, incarnation: int) -> str:
+    return f'req-{node}-{incarnation}-'
+
+
 class RequestIds:
     """Source of the ids of requests that no journal names."""
 
     def __init__(self, node: str, incarnation: int) -> None:
-        self._node = node
-        self._incarnation = incarnation
+        self._prefix = _prefix(node, incarnation)
         self._requests = itertools.count(1)
 
     def next(self) -> str:
         """Returns a fresh request id, fit for a URL path."""
-        return f'req-{self._node}-{self._incarnation}-{next(self._requests)}'
+        return f'{self._prefix}{next(self._requests)}'
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -27,7 +27,7 @@
 from quetzalsill_router.durable import registration as durable_registration
 from quetzalsill_router.durable import state as durable_state
 from quetzalsill_router.http import app as http_app
-from quetzalsill_router.http import asgi
+from quetzalsill_router.http import asgi, forward
 from quetzalsill_router.limit import length
 from quetzalsill_router.peer import peers as peers_module
 from quetzalsill_router.request import (
@@ -52,6 +52,7 @@
 RESTART_S = 1.0
 CONFIG_RETRY_S = 0.5
 LAST_WORD_S = 5.0
+ADMIN_ANSWERED = 200
 UNREADABLE = (
     platform_error.PlatformError,
     config_store.ConfigStoreError,
@@ -204,6 +205,12 @@
     async def routers() -> list[view.NodeView]:
         return await membership.routers(ctx.registration, ctx.table)
 
+    async def elsewhere(
+        req: blacksheep.Request, request: str
+    ) -> forward.Elsewhere:
+        prefix = f'{routes.PREFIX}/requests'
+        return await forward.ask(ctx, req, prefix, request, ADMIN_ANSWERED)
+
     routes.mount(
         app,
         admin_context.AdminContext(
@@ -214,7 +221,7 @@
             peers=ctx.peers.peers,
             routers=routers,
             requests=control.Control(ctx.active),
-            hint=lambda revision: None,
+            elsewhere=elsewhere,
         ),
     )
 
--- a/tests/quetzalsill_router/admin/fake.py
+++ b/tests/quetzalsill_router/admin/fake.py
@@ -15,6 +15,7 @@
 from quetzalsill.platform import error as platform_error
 from quetzalsill.wire import message
 from quetzalsill_router.admin import context, routes, view
+from quetzalsill_router.http import forward
 
 OPERATOR = 'operator-token'
 VIEWER = 'viewer-token'
@@ -154,9 +155,9 @@
     def __init__(self, rows=None, name='entry-1'):
         self.store = rows or MemoryStore()
         self.holder = holder.Holder()
-        self.hints = []
         self.peers = []
         self.requests = Requests()
+        self.others = forward.Elsewhere()
         self.context = context.AdminContext(
             node=name,
             bootstrap_sha256=digest(BOOTSTRAP),
@@ -165,11 +166,14 @@
             peers=lambda: self.peers,
             routers=self.routers,
             requests=self.requests,
-            hint=self.hints.append,
+            elsewhere=self.elsewhere,
         )
         self.app = blacksheep.Application(router=routing.Router())
         routes.mount(self.app, self.context)
 
+    async def elsewhere(self, req, request):
+        return self.others
+
     async def routers(self):
         return [
             view.NodeView(
--- a/tests/quetzalsill_router/admin/test_write.py
+++ b/tests/quetzalsill_router/admin/test_write.py
@@ -37,7 +37,9 @@
 class EditTest(fake.ApiCase):
     """Edits, good and bad."""
 
-    async def test_an_accepted_edit_is_in_force_and_hinted_at_once(self):
+    async def test_an_accepted_edit_is_in_force_and_told_at_once(self):
+        told = []
+        self.router.holder.on_change(lambda cfg: told.append(cfg.revision))
         status, body, resp = await self.call(
             'put',
             '/profiles/prompt',
@@ -52,7 +54,7 @@
         self.assertEqual(2, self.router.holder.revision)
         profile = self.router.holder.current.profiles['prompt']
         self.assertEqual(5, profile.deadline_s)
-        self.assertEqual([2], self.router.hints)
+        self.assertEqual([2], told)
 
     async def test_each_kind_of_edit(self):
         edits = (
