--- a/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
@@ -41,12 +41,16 @@
       token: Bearer token of the operator; empty if none was given.
       timeout_s: Longest wait for one answer of one router.
       authority: File of the certificate authority; empty for the system's.
+      certificate: File of the own certificate chain; empty for none.
+      key: File of its private key.
     """
 
     routers: tuple[str, ...]
     token: str
     timeout_s: float
     authority: str
+    certificate: str
+    key: str
 
 
 def _read_token(
@@ -86,12 +90,18 @@
     file_token: str,
     timeout_s: float,
     authority: str | None,
+    certificate: str | None,
+    key: str | None,
 ) -> Options:
     """Checks and joins the options of the root command."""
     token = file_token or os.environ.get(TOKEN_VARIABLE, '').strip()
     if token and not _TOKEN.fullmatch(token):
         raise click.UsageError('the token holds characters that none may have')
-    return Options(routers, token, timeout_s, authority or '')
+    if bool(certificate) != bool(key):
+        raise click.UsageError('--certificate and --key go together')
+    return Options(
+        routers, token, timeout_s, authority or '', certificate or '', key or ''
+    )
 
 
 def root(command: F) -> F:
@@ -131,6 +141,18 @@
             type=click.Path(exists=True, dir_okay=False),
             help='Certificate authority that signed the routers.',
         ),
+        click.option(
+            '--certificate',
+            metavar='FILE',
+            type=click.Path(exists=True, dir_okay=False),
+            help='Own certificate, where routers demand one.',
+        ),
+        click.option(
+            '--key',
+            metavar='FILE',
+            type=click.Path(exists=True, dir_okay=False),
+            help='Private key of the own certificate.',
+        ),
     )
     for decorate in reversed(decorators):
         command = decorate(command)
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/routers.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/routers.py
@@ -113,7 +113,7 @@
     """
     if not options.token:
         raise failure.RefusedError(_NO_TOKEN)
-    tls = section.Tls(authority=options.authority)
+    tls = section.Tls(options.certificate, options.key, options.authority)
     async with contextlib.AsyncExitStack() as stack:
         sessions = {
             url: await stack.enter_async_context(
--- a/tests/quetzalsill_cli/test_read.py
+++ b/tests/quetzalsill_cli/test_read.py
@@ -101,6 +101,28 @@
             )
             served.lossy.seen.clear()
 
+    def test_routers_that_demand_a_certificate(self):
+        """The routers' TLS names an authority, so operators must show theirs.
+
+        The command line had no way to.
+        """
+        own, other = (
+            certificate.Authority(self.folder, name) for name in ('a', 'b')
+        )
+        served = self.routers.add(self.router, own.issue('router'))
+        shown = [(own.issue('ada'), 0), (other.issue('eve'), 5), (None, 5)]
+        for tls, code in shown:
+            files = tls and [
+                '--certificate', tls.certificate, '--key', tls.key,
+            ]  # fmt: skip
+            result = self.invoke(
+                '--authority', str(own.path), *(files or ()), 'status',
+                urls=[served.url],
+            )  # fmt: skip
+            self.assertEqual(code, result.exit_code, result.output)
+        half = self.invoke('--certificate', shown[0][0].certificate, 'status')
+        self.assertEqual(failure.ExitCode.USAGE, half.exit_code)
+
     def test_malformed_urls(self):
         for url in ('x', 'http://a b', 'http://[::', 'http://h:99999',
                     'http://h/path', 'ftp://h'):  # fmt: skip
