--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/monitoring.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/monitoring.py
@@ -63,7 +63,7 @@
         yield
         return
     listen = section.Listen(wanted.host, wanted.port)
-    http = server.HttpServer(make_app(sidecar), listen)
+    http = server.HttpServer(make_app(sidecar), listen, wanted.tls)
     await http.start()
     try:
         yield
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
@@ -133,6 +133,7 @@
 
     host: str = key('IP number to listen on.', '127.0.0.1', pattern=r'\S+')
     port: int = key('Port; 0 for no listener.', 0, minimum=0, maximum=65535)
+    tls: section.Tls = key('TLS of the listener.', factory=section.Tls)
 
 
 @dataclasses.dataclass(slots=True)
