--- a/packages/quetzalsill-cli/src/quetzalsill_cli/commands/config.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/config.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from importlib import resources
 from typing import Any
 
 import click
 
+import quetzalsill_cli
 from quetzalsill.config import difference, model
 from quetzalsill.schema import check as schema_check
 from quetzalsill.schema import error as schema_error
@@ -25,6 +27,7 @@
 
 __all__ = ['group']
 
+EXAMPLE = 'example.json5'
 _FILE = click.Path(exists=True, dir_okay=False)
 
 
@@ -41,6 +44,13 @@
     click.echo(f'{file} is valid')
 
 
+@group.command()
+def example() -> None:
+    """Print a commented first configuration, with the shipped profiles."""
+    file = resources.files(quetzalsill_cli) / EXAMPLE
+    click.echo(file.read_text(encoding='utf-8'), nl=False)
+
+
 @group.command()
 @option.json_output
 def show(as_json: bool) -> None:
--- a/tests/quetzalsill_cli/test_read.py
+++ b/tests/quetzalsill_cli/test_read.py
@@ -123,6 +123,14 @@
         half = self.invoke('--certificate', shown[0][0].certificate, 'status')
         self.assertEqual(failure.ExitCode.USAGE, half.exit_code)
 
+    def test_the_example_passes_the_check(self):
+        text = self.invoke('config', 'example').stdout
+        self.assertIn('//', text)
+        for name in ('patient', 'prompt'):
+            self.assertIn(f'"{name}": {{', text)
+        result = self.invoke('config', 'check', self.file(text))
+        self.assertEqual(0, result.exit_code, result.output)
+
     def test_malformed_urls(self):
         for url in ('x', 'http://a b', 'http://[::', 'http://h:99999',
                     'http://h/path', 'ftp://h'):  # fmt: skip
