--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -21,6 +21,7 @@
 from quetzalsill_dev import board, caller, launch, layout, process_settings
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Awaitable, Callable
 
     Via = Callable[[str, str], Awaitable[str]]
@@ -53,6 +54,7 @@
       changes: Changes to the settings of every process started from now on,
         by section and key; those below `router` or `sidecar` apply to that
         role alone.
+      tls: Context of this process towards routers that listen with TLS.
     """
 
     store: launch.Process
@@ -81,6 +83,7 @@
         self.routers: dict[str, launch.Process] = {}
         self.configuration = configuration or board.configuration()
         self.changes: dict[str, Any] = {}
+        self.tls: ssl.SSLContext | None = None
         self._launcher = launcher
         self._spec = spec
         self._via = via
@@ -141,8 +144,11 @@
             _port_of(self.routers.get(name)),
             self._platform(),
         )
-        self.routers[name] = await self._start_role('router', name, settings)
-        return self.routers[name]
+        started = await self._start_role('router', name, settings)
+        if self.changes.get('router', {}).get('tls'):
+            started.scheme = 'https'
+        self.routers[name] = started
+        return started
 
     async def restart_ended(self) -> None:
         """Starts the sidecars and routers that have ended, where they were."""
@@ -206,7 +212,7 @@
         """
         for process in self.routers.values():
             if process.running:
-                await _wait_ready(process)
+                await _wait_ready(process, self.tls)
 
     async def _start_platform(self, part: str) -> launch.Process:
         started = await self._launcher.start(
@@ -293,9 +299,11 @@
     }
 
 
-async def _wait_ready(process: launch.Process) -> None:
+async def _wait_ready(
+    process: launch.Process, tls: ssl.SSLContext | None
+) -> None:
     deadline = time.monotonic() + READY_BOUND_S
-    async with caller.open_client(process.url) as client:
+    async with caller.open_client(process.url, tls=tls) as client:
         while time.monotonic() < deadline:
             response = await client.get('/readyz')
             if response.status_code == httpx2.codes.OK:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -41,12 +41,14 @@
       name: Name given by the launcher's user.
       log: File with everything that it printed.
       port: Port that it said it listens on; 0 if it said none.
+      scheme: `https` if it listens with TLS.
     """
 
     name: str
     log: pathlib.Path
     _inner: asyncio.subprocess.Process
     port: int = 0
+    scheme: str = 'http'
 
     @property
     def pid(self) -> int:
@@ -61,7 +63,7 @@
     @property
     def url(self) -> str:
         """Base URL, if it speaks HTTP."""
-        return f'http://{self.address}'
+        return f'{self.scheme}://{self.address}'
 
     @property
     def running(self) -> bool:
--- a/tests/failure/fixture.py
+++ b/tests/failure/fixture.py
@@ -72,10 +72,12 @@
     Attributes:
       LAYOUT: Processes of the cluster.
       CHANGES: Changes to the settings; see `cluster.Cluster.changes`.
+      TLS: Context towards the routers, if they listen with TLS.
     """
 
     LAYOUT = board.board_layout(engines=1, services=1, routers=2)
     CHANGES = {}
+    TLS = None
 
     @classmethod
     def setUpClass(cls):
@@ -89,6 +91,7 @@
             via=cls.via,
         )
         cls.cluster.changes = dict(cls.CHANGES)
+        cls.cluster.tls = cls.TLS
         cls.runner.run(cls.cluster.start())
 
     @classmethod
