--- a/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/services.py
@@ -19,13 +19,14 @@
     submit,
 )
 from quetzalsill_router.request import accept, field, piece, spec
+from quetzalsill_router.request import route as route_module
 
 if TYPE_CHECKING:
     from quetzalsill.config import model
     from quetzalsill_router import context
     from quetzalsill_router.request import active
 
-__all__ = ['mount', 'pick_route']
+__all__ = ['mount']
 
 PREFIX = '/services/'
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
@@ -56,26 +57,6 @@
         app.router.add(method, f'{PREFIX}*', handle)
 
 
-def pick_route(
-    service: model.Service, method: str, path: str
-) -> model.Route | None:
-    """Returns the route with the longest path that takes the call."""
-    plain = path.partition('?')[0]
-    fitting = [
-        route
-        for route in service.routes
-        if _is_below(plain, route.path)
-        and (not route.methods or method in route.methods)
-    ]
-    return max(fitting, key=lambda route: len(route.path), default=None)
-
-
-def _is_below(path: str, prefix: str) -> bool:
-    """Whether `path` is `prefix` or stands below it."""
-    stem = prefix.rstrip('/')
-    return path in (prefix, stem) or path.startswith(f'{stem}/')
-
-
 async def _work(
     ctx: context.Context, identity: auth.Caller, request: blacksheep.Request
 ) -> spec.Work:
@@ -85,16 +66,17 @@
       RequestError: It does not fit the configuration.
     """
     name, path = _target(request)
-    service = ctx.holder.current.services.get(name)
+    cfg = ctx.holder.current
+    service = cfg.services.get(name)
     if service is None:
         raise request_error.NotFoundError(f'no service {name!r}')
-    route = pick_route(service, request.method, path)
+    route = route_module.pick_route(service, request.method, path)
     if route is None:
         raise request_error.NotFoundError(
             f'service {name} has no route for {request.method} {path}'
         )
     profile_name, profile = accept.pick_profile(
-        ctx.holder.current, identity, caller.profile_name(request)
+        cfg, identity, caller.profile_name(request)
     )
     key = caller.idempotency_key(request)
     first, rest = await _body(request, route, whole=bool(key))
@@ -108,6 +90,7 @@
         payload=first,
         deadline=time.monotonic() + route.timeout_s,
         idempotent=route.idempotent,
+        revision=cfg.revision,
         stream=True,
         method=request.method,
         path=path,
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/accept.py
@@ -13,7 +13,7 @@
     from quetzalsill_router import context
     from quetzalsill_router.http import auth, generation
 
-__all__ = ['check_open', 'generation_work', 'pick_profile']
+__all__ = ['bound_tokens', 'check_open', 'generation_work', 'pick_profile']
 
 STOPPING_RETRY_AFTER_S = 1.0
 LAST_RESORT = 'prompt'
@@ -90,7 +90,10 @@
             'adapter', f'model {asked.model} has no {asked.adapter!r}'
         )
     name, profile = pick_profile(cfg, caller, profile_name, target.profile)
-    max_tokens = _max_tokens(asked, target, profile)
+    _check_size(asked, target, profile)
+    max_tokens = bound_tokens(
+        asked.max_tokens, asked.prompt_tokens, target, profile
+    )
     return spec.Work(
         request='',
         account=caller.name,
@@ -101,8 +104,10 @@
         payload=asked.payload(max_tokens),
         deadline=time.monotonic() + profile.deadline_s,
         idempotent=profile.idempotent,
+        revision=cfg.revision,
         stream=asked.stream,
         prompt_tokens=asked.prompt_tokens,
+        asked_tokens=asked.max_tokens,
         max_tokens=max_tokens,
         prefix=asked.prefix,
         adapter=asked.adapter,
@@ -110,10 +115,19 @@
     )
 
 
-def _max_tokens(
-    asked: generation.Generation, target: model.Model, profile: model.Profile
+def bound_tokens(
+    asked: int, prompt_tokens: int, target: model.Model, profile: model.Profile
 ) -> int:
-    """Returns the bound on generated tokens.
+    """Returns the bound on generated tokens; 0 asks for all there may be."""
+    room = max(1, target.context_tokens - prompt_tokens)
+    bound = min(room, profile.max_output_tokens)
+    return min(asked or bound, bound)
+
+
+def _check_size(
+    asked: generation.Generation, target: model.Model, profile: model.Profile
+) -> None:
+    """Checks that prompt and answer fit.
 
     Raises:
       TooLargeError: The prompt leaves no room in the context.
@@ -133,4 +147,3 @@
             f'{asked.max_tokens} is over {bound}',
             advice=f'Ask for at most {bound} tokens with this profile.',
         )
-    return asked.max_tokens or bound
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -18,6 +18,7 @@
     hold,
     outcome,
     piece,
+    renew,
     retry,
     spec,
 )
@@ -105,7 +106,7 @@
     work = active.work
     peer = await _choose(ctx, active, tries)
     ident = ctx.peers.next_attempt_id()
-    tries.revision = ctx.holder.revision
+    tries.revision = renew.renew(work, ctx.holder.current)
     await _record_run(ctx, active, peer, ident)
 
     def should_move() -> bool:
@@ -157,9 +158,7 @@
     """Sends the Dispatch; yields what may be handed on."""
     work = active.work
     credit = ctx.settings.requests.credit_items
-    msg = dispatch.build(
-        work, peer, ident, ctx.holder.revision, credit, recover
-    )
+    msg = dispatch.build(work, peer, ident, work.revision, credit, recover)
     msg.engine = work.run.engine
     with trace.span(
         'router.dispatch',
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/route.py
@@ -0,0 +1,30 @@
+"""Choice of the route of a call to a plain service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill.config import model
+
+__all__ = ['pick_route']
+
+
+def pick_route(
+    service: model.Service, method: str, path: str
+) -> model.Route | None:
+    """Returns the route with the longest path that takes the call."""
+    plain = path.partition('?')[0]
+    fitting = [
+        route
+        for route in service.routes
+        if _is_below(plain, route.path)
+        and (not route.methods or method in route.methods)
+    ]
+    return max(fitting, key=lambda route: len(route.path), default=None)
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    """Whether `path` is `prefix` or stands below it."""
+    stem = prefix.rstrip('/')
+    return path in (prefix, stem) or path.startswith(f'{stem}/')
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/spec.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/spec.py
@@ -26,14 +26,16 @@
       request: Id of the request, the same over its attempts.
       account: Client account that pays for it.
       profile_name: Profile picked for it.
-      profile: The profile as it stood at acceptance.
+      profile: The profile that bounds it; `renew` keeps it up to date.
       target: Model or service name.
       kind: `completion`, `chat` or `call`.
       payload: JSON of a generation, or first bytes of a call's body.
       deadline: Monotonic time by which the whole answer is due.
       idempotent: The work may run again while nothing was delivered.
       stream: The caller wants the answer as it comes.
+      revision: Configuration under which all this was decided.
       prompt_tokens: Estimated tokens of the prompt.
+      asked_tokens: Bound on the answer that the caller gave; 0 for none.
       max_tokens: Bound on generated tokens.
       prefix: Digest of the prompt prefix; empty if too short to matter.
       adapter: Adapter asked for; empty for none.
@@ -60,7 +62,9 @@
     deadline: float
     idempotent: bool
     stream: bool = False
+    revision: int = 0
     prompt_tokens: int = 0
+    asked_tokens: int = 0
     max_tokens: int = 0
     prefix: str = ''
     adapter: str = ''
--- a/tests/quetzalsill_router/http/test_services.py
+++ b/tests/quetzalsill_router/http/test_services.py
@@ -13,6 +13,7 @@
 from quetzalsill.wire import message
 from quetzalsill_router.http import relay, services
 from quetzalsill_router.request import ident
+from quetzalsill_router.request import route as route_module
 from tests.quetzalsill_router.http import served
 from tests.quetzalsill_router.request import fake
 
@@ -196,7 +197,9 @@
     )
     def test_longest_fitting_prefix_wins(self, paths, path):
         routes = [model.Route(path=f'/{text}') for text in paths]
-        found = services.pick_route(model.Service(routes), 'GET', f'/{path}')
+        found = route_module.pick_route(
+            model.Service(routes), 'GET', f'/{path}'
+        )
         parts = f'/{path}/'
         fitting = [
             route.path
@@ -208,7 +211,7 @@
 
     def test_method_is_looked_at(self):
         service = model.Service([model.Route(path='/', methods=['GET'])])
-        self.assertIsNone(services.pick_route(service, 'POST', '/x'))
+        self.assertIsNone(route_module.pick_route(service, 'POST', '/x'))
 
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(strategies.text(), strategies.text())
--- a/tests/quetzalsill_router/request/fake.py
+++ b/tests/quetzalsill_router/request/fake.py
@@ -234,6 +234,7 @@
         'payload': b'{}',
         'deadline': time.monotonic() + deadline_s,
         'idempotent': profile.idempotent,
+        'revision': ctx.holder.revision,
         'stream': True,
     }
     return spec.Work(**(given | fields))
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import unittest
 import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
 
+from quetzalsill.config import document, model
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill.wire import message
@@ -54,6 +56,33 @@
         self.assertEqual(attempt.granted, [(2, 2), (4, 2)])
         self.assertTrue(attempt.closed.is_set())
 
+    async def test_edit_between_acceptance_and_dispatch(self):
+        """A request is served under a revision that was edited before it ran.
+
+        A router that was behind accepts it, a sidecar refuses it as stale,
+        and the router sends it again with the newer number but the old
+        bounds; or for an account that is gone by then.
+        """
+        for account, revision in (('retailers', 4), ('nobody', 5)):
+            peer = fake.Peer('one', whole(b'a'))
+            ctx = fake.make_context(peer)
+            work = fake.make_work(ctx, asked_tokens=70, max_tokens=70)
+            cfg = copy.deepcopy(ctx.holder.current)
+            cfg.profiles['prompt'].max_output_tokens = 30
+            cfg.profiles['prompt'].delivery = 'whole'
+            cfg.accounts = {account: model.Account()}
+            ctx.holder.install(document.render(cfg), revision)
+            if account != work.account:
+                with self.assertRaises(request_error.UnauthorizedError):
+                    await collect(ctx, work)
+                self.assertEqual(peer.attempts, [])
+                continue
+            self.assertEqual(await collect(ctx, work), [b'a'])
+            (attempt,) = peer.attempts
+            self.assertEqual(attempt.dispatch.revision, revision)
+            self.assertEqual(attempt.dispatch.max_tokens, 30)
+            self.assertEqual(work.profile.delivery, 'stream')
+
     async def test_refused_attempt_goes_to_another_upstream(self):
         one = fake.Peer('one', (fake.refused(),))
         two = fake.Peer('two', whole(b'a'))
