Prove patient and never lost with real processes

Each plan must have its whole answer, of one generation that an engine finished; each brief must have run once at most, and be answered if engine and sidecar lived.

--- a/tests/failure/asking.py
+++ b/tests/failure/asking.py
@@ -33,6 +33,7 @@
       not_run: As the failure says; None if it was not told.
       request: Id of the request, if it was told.
       body: The answer.
+      retry_after: Value of that header; empty if there was none.
     """
 
     status: int = 0
@@ -40,6 +41,7 @@
     not_run: bool | None = None
     request: str = ''
     body: object = None
+    retry_after: str = ''
 
     @property
     def answered(self):
@@ -58,6 +60,15 @@
     return await _ask(router, '/v1/completions', body, key, profile)
 
 
+async def long_brief(router, name, tokens, profile):
+    """Has a generation of a length accepted, to be fetched later."""
+    body = {'model': board.MODEL, 'prompt': _prompt(name, tokens)}
+    headers = {'x-quetzalsill-profile': profile, 'prefer': 'respond-async'}
+    return await _send(
+        router, 'POST', '/v1/completions', json=body, headers=headers
+    )
+
+
 async def scene(router, name, key=''):
     """Asks for a durable generation that may not run twice."""
     return await brief(router, name, key, 'scene')
@@ -107,6 +118,7 @@
         response.status_code,
         request=response.headers.get('x-request-id', ''),
         body=response.json(),
+        retry_after=response.headers.get('retry-after', ''),
     )
     if 'error' in told.body:
         told.code = told.body['error']['code']
@@ -114,8 +126,14 @@
     return told
 
 
-def _prompt(name):
-    return f'{name} [[tokens=5]]'
+def _prompt(name, tokens=5):
+    return f'{name} [[tokens={tokens}]]'
+
+
+def digest(name, tokens=5):
+    """Digest of a prompt, as the engine's audit tells it."""
+    whole = hashlib.sha256(_prompt(name, tokens).encode()).hexdigest()
+    return whole[:DIGEST_LENGTH]
 
 
 async def ran(cluster):
@@ -134,8 +152,7 @@
 
     def count(self, name):
         """How often an order or brief of this name reached its upstream."""
-        digest = hashlib.sha256(_prompt(name).encode()).hexdigest()
-        return self._orders.get(name, 0) + self._briefs[digest[:DIGEST_LENGTH]]
+        return self._orders.get(name, 0) + self._briefs[digest(name)]
 
 
 async def until(check):
--- /dev/null
+++ b/tests/failure/test_patient.py
@@ -0,0 +1,66 @@
+"""Patient work that was accepted is answered whole, whatever fails."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.failure import asking, fixture, patient
+
+AT_ONCE = 'the platform does not answer'
+
+
+class PatientTest(patient.PatientTestCase):
+    """One failure at a time, and work that comes meanwhile."""
+
+    @fixture.on_cluster
+    async def test_one_failure(self):
+        """A plan is lost, and trucks stand idle at the gate.
+
+        Plans and briefs are accepted and run. A router, sidecar or engine
+        dies, a router sleeps, or the store is down, silent, slow or loses
+        answers for longer than any bound of ours.
+        """
+        for fault in self.faults():
+            await self.run_case(fault, (fault,))
+
+    @fixture.on_cluster
+    async def test_new_work_while_the_store_is_away(self):
+        """A clerk waits on a plan that nobody took; handsets wait as well.
+
+        The store fails in each way. New patient work is refused as not run,
+        with a time to come back and not by the bound on an acceptance; slot
+        queries are answered all the while.
+        """
+        for fault in patient.BROKEN_STORE:
+            await self.mend()
+            await self.set_store(**{fault: True})
+            # The first may have to find out; from then on it is known.
+            await asking.long_brief(
+                self.first, fault, patient.TOKENS, 'patient'
+            )
+            names = [f'{fault}-{number}' for number in range(patient.PLANS)]
+            refused = await asyncio.gather(
+                *(
+                    asking.long_brief(
+                        self.first, name, patient.TOKENS, 'patient'
+                    )
+                    for name in names
+                )
+            )
+            prompt = await asking.brief(self.first, 'test', profile='prompt')
+            await self.set_store()
+            runs = await self.runs()
+            with self.subTest(fault):
+                self.assertTrue(prompt.answered, prompt)
+                for name, told in zip(names, refused, strict=True):
+                    self.assertEqual(told.code, 'store_unavailable', told)
+                    self.assertIs(told.not_run, True)
+                    # Not what ends a wait at its bound: "is slow".
+                    self.assertIn(AT_ONCE, told.body['error']['message'])
+                    self.assertTrue(told.retry_after)
+                    self.assertFalse(runs[asking.digest(name, patient.TOKENS)])
+
+
+if __name__ == '__main__':
+    unittest.main()
