Test the trace of a request over its hops

The caller's trace id is in the spans of router and sidecar, each the child of the one before, and in the log lines of both processes.

--- /dev/null
+++ b/tests/failure/test_trace.py
@@ -0,0 +1,71 @@
+"""The trace of a request over all its hops, as processes write it."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from quetzalsill_dev import board
+from tests.failure import relayed
+
+TRACE = '4bf92f3577b34da6a3ce929d0e0e4736'
+CALLER = '00f067aa0ba902b7'
+HOPS = ['router.request', 'router.route', 'router.dispatch', 'sidecar.attempt']
+
+
+class TraceTest(relayed.RelayedTestCase):
+    """One router and one sidecar, which write their spans to one folder."""
+
+    RELAYED = ()
+    LAYOUT = board.board_layout(engines=1, services=0, routers=1)
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = pathlib.Path(
+            cls.enterClassContext(tempfile.TemporaryDirectory())
+        )
+        cls.CHANGES = {
+            role: {'telemetry': {'trace_file': str(cls.folder / role)}}
+            for role in ('router', 'sidecar')
+        }
+        super().setUpClass()
+
+    def spans(self):
+        """Spans of the caller's trace, by name."""
+        lines = [
+            json.loads(line)
+            for file in self.folder.iterdir()
+            for line in file.read_text().splitlines()
+        ]
+        return {ln['name']: ln for ln in lines if ln['trace'] == TRACE}
+
+    @relayed.fixture.on_cluster
+    async def test_each_hop_has_a_span_of_the_callers_trace(self):
+        """An operator looks for the hop that made a caller wait.
+
+        A hop without a span, or with a trace of its own, hides it; so do log
+        lines without the trace.
+        """
+        answer, task = self.ask(3, traceparent=f'00-{TRACE}-{CALLER}-01')
+        self.assert_whole(await task, 3)
+        await self.until(lambda: self.spans().keys() >= set(HOPS))
+        spans = self.spans()
+        parent = CALLER
+        for name in ('router.request', 'router.dispatch', 'sidecar.attempt'):
+            self.assertEqual(spans[name]['parent'], parent, name)
+            parent = spans[name]['span']
+        for process, event in (
+            *((p, 'request_ended') for p in self.cluster.routers.values()),
+            *((p, 'attempt_finished') for p in self.cluster.sidecars.values()),
+        ):
+            lines = process.log_text().splitlines()
+            (line,) = (
+                ln for ln in lines if answer.request in ln and event in ln
+            )
+            self.assertIn(f'trace={TRACE}', line)
+
+
+if __name__ == '__main__':
+    unittest.main()
