Keep a sidecar until routers know that it leaves

A sidecar that got SIGTERM with nothing running ended at once. An order that a router had sent meanwhile was lost with the link, and its caller was told "outcome unknown" although nothing failed; seen as one order in the load of test_nothing_new_after_the_notice, and each time in test_orders_on_their_way_while_the_sidecar_ends (link delayed by 1 s). Ruled out: the sidecar's refusal (it never read the Dispatch) and the router's retry (it may not repeat what may have run).

Now a ping follows GoAway on each link and the sidecar stays until its echo is there or the link has ended. A router dispatches nothing to a sidecar whose GoAway it has taken, even if it chose it before, so that all that it sent was read before the echo.

An ended answer was kept for 3 s only. A router paused for longer, or whose link fell silent, found nobody to take the rest from: test_sidecar_waits_for_a_paused_router ended with "outcome unknown" after 10 of 30 tokens. The sidecar now waits as long as a router needs to find that and to dial anew, within its grace.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/relay.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/relay.py
@@ -26,11 +26,13 @@
     Attributes:
       silent: Nothing is forwarded; what arrives is thrown away.
       delay_s: Seconds that each piece of data is held back.
+      received: Bytes taken so far, also those held back or thrown away.
       forwarded: Bytes forwarded so far.
     """
 
     silent: bool = False
     delay_s: float = 0.0
+    received: int = 0
     forwarded: int = 0
 
 
@@ -95,6 +97,7 @@
         self.target = (host, port)
         self._open: dict[Connection, asyncio.Task[None]] = {}
         self._ended_bytes = 0
+        self._ended_received = 0
         self._server: asyncio.Server | None = None
 
     @property
@@ -107,6 +110,12 @@
         """Bytes forwarded so far, both ways, on all connections."""
         return self._ended_bytes + sum(conn.forwarded for conn in self._open)
 
+    @property
+    def received_up(self) -> int:
+        """Bytes taken for the target so far, on all connections."""
+        open_now = sum(conn.up.received for conn in self._open)
+        return self._ended_received + open_now
+
     async def start(self, port: int = 0) -> None:
         """Opens the relay on the loopback address."""
         self._server = await asyncio.start_server(
@@ -157,6 +166,7 @@
 
     def _end(self, conn: Connection) -> None:
         self._ended_bytes += conn.forwarded
+        self._ended_received += conn.up.received
         self._open.pop(conn)
 
 
@@ -172,6 +182,7 @@
         data = b'start'
         while data:
             data = await reader.read(READ_BYTES)
+            way.received += len(data)
             await delayed.put((loop.time() + way.delay_s, data))
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -160,6 +160,13 @@
         """
         attempt = peer_attempt.Attempt(dispatch, self, self._recover_s)
         self._attempts[attempt.id] = attempt
+        if self.status.going_away and not dispatch.recover:
+            # Chosen before the sidecar's word came; it exits once it knows
+            # that nothing new is under way to it.
+            attempt.refuse(
+                request_error.UpstreamLeavingError.code, 'going away'
+            )
+            return attempt
         try:
             written = self.send(dispatch)
         except wire_error.OversizeFrameError as exc:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -29,13 +29,14 @@
     from quetzalsill.plugin import registry as registry_lib
     from quetzalsill.wire import link as link_lib
     from quetzalsill_sidecar import settings as settings_lib
+    from quetzalsill_sidecar.attempt import state
 
 __all__ = ['Sidecar', 'new_incarnation']
 
 RANDOM_BITS = 16
 DRAIN_TICK_S = 0.05
-# After the last answer has ended: time for routers to acknowledge it.
-ACK_GRACE_S = 3.0
+# Time beyond the bounds of a link in which a router dials it anew.
+REDIAL_S = 3.0
 
 logger = log.get(__name__)
 
@@ -69,6 +70,7 @@
         self.attempts = table.Attempts(settings.bounds.tombstones, clock)
         self._settings = settings
         self._sessions: set[session.Session] = set()
+        self._told: list[tuple[link_lib.Link, int]] = []
         policies = self.configuration.current.policies
         self.queue = schedule.Schedule(
             registry.get('fairness', policies.fairness)(),
@@ -149,17 +151,14 @@
         """Waits until nothing runs and all answers are acknowledged.
 
         Returns:
-          False if work still ran after `grace_s`.
+          False if something was left after `grace_s`.
         """
         ended = await self._wait_until(
-            lambda: all(a.terminal is not None for a in self.attempts),
-            self._settings.timing.grace_s,
+            self._is_drained, self._settings.timing.grace_s
         )
         if not ended:
             self._log_unfinished()
-            return False
-        await self._wait_until(lambda: not len(self.attempts), ACK_GRACE_S)
-        return True
+        return ended
 
     async def stop(self) -> None:
         """Closes everything at once."""
@@ -174,6 +173,30 @@
         for one in self._sessions:
             one.put(msg)
 
+    def _is_drained(self) -> bool:
+        """Whether routers know of the leaving and have all their answers.
+
+        A Dispatch that was under way when this process ended would leave its
+        caller with an unknown outcome. Routers send none once they have taken
+        GoAway, and by their echo all that they sent before has been read.
+        """
+        told = all(
+            link.closed or link.echoed >= echo for link, echo in self._told
+        )
+        return told and all(map(self._is_given_up, self.attempts))
+
+    def _is_given_up(self, attempt: state.Attempt) -> bool:
+        """Whether an ended attempt's router had time to come back for it.
+
+        A router that was paused, or whose link fell silent, finds that after
+        `silence_s` and dials anew; its caller would lose the answer.
+        """
+        if attempt.terminal is None or attempt.link is not None:
+            return False
+        timing = self._settings.link
+        lost_s = asyncio.get_running_loop().time() - attempt.detached
+        return lost_s >= timing.silence_s + timing.connect_s + REDIAL_S
+
     async def _wait_until(
         self, condition: Callable[[], bool], timeout_s: float
     ) -> bool:
@@ -225,6 +248,7 @@
     def _say_leaving(self, reason: str) -> None:
         self.send_to_all(self._leaving_message(reason))
         self.send_to_all(message.GoAway(reason))
+        self._told = [(link, link.ping()) for link in self.links]
         self.intake.refuse_waiting()
         self._changed()
 
--- a/packages/quetzalsill/src/quetzalsill/wire/link.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/link.py
@@ -74,6 +74,7 @@
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
         self._failure: error.WireError | None = None
+        self.echoed = 0
         self._nonce = 0
         self._sent_at = self._loop.time()
         self._reading_since: float | None = None
@@ -149,6 +150,15 @@
                 self.send_nowait(message.Reject(exc.code, exc.detail))
         self.close(exc)
 
+    def ping(self) -> int:
+        """Asks for an echo and gives its number.
+
+        Once `echoed` reaches it, the other end has taken all that was sent
+        before, and all that it had sent by then has been read here.
+        """
+        self._ping()
+        return self._nonce
+
     def close(self, exc: error.WireError | None = None) -> None:
         """Closes the link after what is buffered has left."""
         if self._failure is not None:
@@ -169,6 +179,7 @@
                 self.send_nowait(message.Pong(msg.nonce, self._revision()))
             self.on_revision(msg.revision)
         elif cls is message.Pong:
+            self.echoed = max(self.echoed, msg.nonce)
             self.on_revision(msg.revision)
         elif cls is message.Reject:
             raise error.RejectedError(msg.code, msg.detail)
--- /dev/null
+++ b/tests/failure/test_leaving.py
@@ -0,0 +1,212 @@
+"""An upstream that is leaving gets nothing new, and loses nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import unittest
+
+from quetzalsill_dev import board
+from tests.failure import asking, fixture, relayed, traffic
+
+RECLAIMED = 'model-ikeja-hall-1'
+LOST = 'model-lekki-hall-3'
+APP = 'app-ikeja-hall-1'
+LEFT = 'model-apapa-hall-2'
+LEAVING = (RECLAIMED, LOST, APP)
+HOST_LIST_LAG_S = 30.0
+LINK_DELAY_S = 0.2
+SLOW_LINK_S = 1.0
+LONG = 1000
+ORDERS = 6
+PLANS = 12
+PLAN_TOKENS = 100
+
+
+class LeavingTest(relayed.RelayedTestCase):
+    """Two routers; three engines and two services, of which three leave.
+
+    The host list lags by 30 s, longer than any of the tests, and what is
+    said on the leaving upstreams' links is 0.2 s under way, so that work is
+    sent to them after their notice.
+    """
+
+    LAYOUT = board.board_layout(engines=3, services=2, routers=2)
+    CHANGES = {
+        'router': {'requests': {'recover_s': 1.0}},
+        'sidecar': {'bounds': {'running': 3}, 'timing': {'refused_s': 0.5}},
+    }
+
+    RELAYED = tuple(f'sidecar:{name}' for name in LEAVING)
+
+    async def mend(self):
+        for name, process in self.cluster.upstreams.items():
+            if not process.running:
+                await self.cluster.start_upstream(name)
+        engine = self.cluster.upstreams[RECLAIMED]
+        await self.cluster.switch(engine, leaving=False)
+        await self.cluster.switch(self.cluster.hosts, lag_s=HOST_LIST_LAG_S)
+        await super().mend()
+        for between in self.relays.values():
+            between.delay(LINK_DELAY_S)
+        self.routers = list(self.cluster.routers.values())
+        await traffic.until_state(self.routers, 'live')
+
+    async def engine_says(self, name=RECLAIMED):
+        """The notice comes by the engine's load report."""
+        await self.cluster.switch(self.cluster.upstreams[name], leaving=True)
+        return await self.acknowledged(name)
+
+    async def sidecar_is_told(self, name):
+        """The notice comes as a signal to the sidecar."""
+        self.cluster.sidecars[name].terminate()
+        return await self.acknowledged(name)
+
+    async def acknowledged(self, name):
+        """Gives the place of the sidecar's word in its log."""
+        return await traffic.logged(
+            self.cluster.sidecars[name], 'event=leaving'
+        )
+
+    async def operator_drains(self, name):
+        """An operator drains the upstream; gives where its log stood then."""
+        revision = await traffic.drain(self.routers[1], name)
+        return await traffic.logged(
+            self.cluster.sidecars[name],
+            'event=configuration_installed',
+            f'revision={revision}',
+        )
+
+    @fixture.on_cluster
+    async def test_nothing_new_after_the_notice(self):
+        """A shop's query starts on a host that is about to go.
+
+        Both routers are under load. Engines and a service leave by their own
+        word or by a signal to their sidecar, while the host list still calls
+        them live. From the acknowledgement on nothing is begun there, and no
+        caller notices.
+        """
+        async with traffic.Traffic(self.routers) as load:
+            places = await asyncio.gather(
+                self.engine_says(RECLAIMED),
+                self.sidecar_is_told(LOST),
+                self.sidecar_is_told(APP),
+            )
+            await load.go_on()
+        load.assert_served(self)
+        await self.assert_nothing_new(LEAVING, places)
+        for name in LEAVING:
+            self.assertEqual(await self.cluster.sidecars[name].wait(), 0)
+
+    @fixture.on_cluster
+    async def test_orders_on_their_way_while_the_sidecar_ends(self):
+        """Orders are lost between a router and a sidecar that has ended.
+
+        Nothing runs beside the service when its sidecar gets SIGTERM, while
+        orders are on the link's way. The sidecar stays until it has read
+        them and refused them; another service takes them.
+        """
+        between = self.relays[f'sidecar:{APP}']
+        between.delay(SLOW_LINK_S)
+        before = between.received_up
+        asked = [
+            asyncio.create_task(
+                asking.order(router, f'{number}{"order" * LONG}')
+            )
+            for number, router in enumerate(self.routers * ORDERS)
+        ]
+
+        async def sent():
+            return between.received_up > before + LONG
+
+        await asking.until(sent)
+        self.cluster.sidecars[APP].terminate()
+        for told in await asyncio.gather(*asked):
+            self.assertTrue(told.answered, told.code)
+        self.assertEqual(await self.cluster.sidecars[APP].wait(), 0)
+
+    @fixture.on_cluster
+    async def test_nothing_new_after_a_drain(self):
+        """A host is worked on while it still gets orders.
+
+        An operator drains an engine and a service under load. From where
+        their sidecars have the edit in force nothing is begun there.
+        """
+        drained = (RECLAIMED, APP)
+        async with traffic.Traffic(self.routers) as load:
+            places = [await self.operator_drains(name) for name in drained]
+            await load.go_on()
+        load.assert_served(self)
+        await self.assert_nothing_new(drained, places)
+        for name in drained:
+            await traffic.drain(self.routers[1], name, undo=True)
+
+    async def assert_nothing_new(self, names, places):
+        """Compares each log and audit with the place of the notice."""
+        for name, place in zip(names, places, strict=True):
+            with self.subTest(name):
+                sidecar = self.cluster.sidecars[name]
+                self.assertTrue(traffic.started(sidecar))
+                self.assertEqual(traffic.started(sidecar, place), [])
+                await self.assert_ran_only_what_was_started(name)
+
+    async def assert_ran_only_what_was_started(self, name):
+        """Compares the upstream's audit with what its sidecars started."""
+        said = [
+            ident
+            for process in self.launcher.processes
+            if process.name == f'sidecar-{name}'
+            for ident in traffic.started(process)
+        ]
+        audit = await self.cluster.audit(name)
+        if name == APP:
+            self.assertLessEqual(sum(audit['orders'].values()), len(said))
+            return
+        ran = {run['request_id'] for run in audit['runs']}
+        self.assertLessEqual(ran, set(said))
+
+    @fixture.on_cluster
+    async def test_reclaimed_at_short_notice(self):
+        """A loading plan is lost with the engine that wrote it.
+
+        Two engines give notice with plans running and queued, and are killed
+        before these end, one of them together with its sidecar. Each plan
+        comes whole from the engine that is left; none is finished twice.
+        """
+        names = [f'plan-{number}' for number in range(PLANS)]
+        asked = [
+            asyncio.create_task(
+                traffic.generate(router, name, PLAN_TOKENS, 'patient')
+            )
+            for router, name in zip(self.routers * PLANS, names, strict=False)
+        ]
+        reclaimed = (RECLAIMED, LOST)
+        for name in reclaimed:
+            await traffic.until_running(self.cluster, name, 3)
+        await asyncio.gather(*map(self.engine_says, reclaimed))
+        found = [await self.cluster.audit(name) for name in reclaimed]
+        for name in reclaimed:
+            self.cluster.upstreams[name].kill()
+            await self.cluster.upstreams[name].wait()
+        self.cluster.sidecars[LOST].kill()
+        answers = await asyncio.gather(*asked)
+        for name in reclaimed:
+            await self.cluster.sidecars[name].wait()
+        found.append(await self.cluster.audit(LEFT))
+        finished = collections.Counter(
+            run['prompt_digest']
+            for audit in found
+            for run in audit['runs']
+            if run['finished']
+        )
+        for name, answer in zip(names, answers, strict=True):
+            with self.subTest(name):
+                self.assertEqual(answer.status, 200, answer.error)
+                self.assertTrue(answer.is_whole, answer)
+                self.assertEqual(len(answer.texts), PLAN_TOKENS)
+                ran = finished[traffic.digest(name, PLAN_TOKENS)]
+                self.assertEqual(ran, 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/failure/test_shutdown.py
@@ -0,0 +1,189 @@
+"""A graceful shutdown cuts nothing, and says what it waits for."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill_dev import board
+from tests.failure import asking, fixture, traffic
+
+ENGINE = 'model-ikeja-hall-1'
+APP = 'app-ikeja-hall-1'
+TOKENS = 150
+SHORT = 30
+PLANS = 12
+GRACE_S = 1.0
+REFUSED = 503
+
+
+class ShutdownTest(fixture.SharedClusterTestCase):
+    """Two routers, two engines and one service."""
+
+    LAYOUT = board.board_layout(engines=2, services=1, routers=2)
+    CHANGES = {
+        'router': {'requests': {'credit_items': 8}},
+        'sidecar': {'bounds': {'running': 4}, 'link': {'silence_s': 4.0}},
+    }
+
+    async def mend(self):
+        for name in self.cluster.upstreams:
+            slow = {'delay_s': 0} if name == APP else {'stall': False}
+            await self.cluster.switch(self.cluster.upstreams[name], **slow)
+        await super().mend()
+        self.first, self.second = self.cluster.routers.values()
+        await traffic.until_state([self.first, self.second], 'live')
+
+    @fixture.on_cluster
+    async def test_nothing_is_cut(self):
+        """A deployment cuts plans, shop queries and orders in the middle.
+
+        A router with streams, an order and a queue of plans, a sidecar that
+        has half of these, and the service's sidecar get SIGTERM at once, and
+        again. All is answered whole, and then all three end.
+        """
+        service = self.cluster.upstreams[APP]
+        await self.cluster.switch(service, delay_s=1.5)
+        order = asyncio.create_task(asking.order(self.first, 'in-flight'))
+        streams = [
+            traffic.ask(self.first, f'stream-{number}', TOKENS)
+            for number in range(4)
+        ]
+        plans = [
+            traffic.ask(self.first, f'plan-{number}', TOKENS, 'patient')
+            for number in range(PLANS)
+        ]
+        await traffic.until_running(self.cluster, ENGINE, 4)
+        await asking.until_ran(self.cluster, 'in-flight')
+        ending = [
+            self.first,
+            self.cluster.sidecars[ENGINE],
+            self.cluster.sidecars[APP],
+        ]
+        for process in ending * 2:
+            process.terminate()
+        await traffic.logged(ending[0], 'event=router_stopping')
+        place = await traffic.logged(ending[1], 'event=leaving')
+        await traffic.logged(ending[2], 'event=leaving')
+        await asking.until(self.is_refusing)
+        for process in ending:
+            process.terminate()
+        self.assertTrue((await order).answered)
+        for task, answer in streams + plans:
+            await task
+            self.assertEqual(answer.status, 200, answer.error)
+            self.assertTrue(answer.is_whole, answer)
+            self.assertEqual(len(answer.texts), TOKENS)
+        for process in ending:
+            self.assertEqual(await process.wait(), 0)
+        self.assertEqual(traffic.started(ending[1], place), [])
+        self.assertNotIn('connections_cut', self.first.log_text())
+        ran = await asking.ran(self.cluster)
+        self.assertEqual((ran.count('in-flight'), ran.count('late')), (1, 0))
+
+    async def is_refusing(self):
+        """The first router takes nothing new, and says that it did not run.
+
+        Before, the order is refused as its only service is leaving.
+        """
+        self.assertEqual(await traffic.readiness(self.first), REFUSED)
+        told = await asking.order(self.first, 'late')
+        self.assertTrue(told.not_run, told)
+        return told.code == 'shutting_down'
+
+    @fixture.on_cluster
+    async def test_sidecar_waits_for_a_paused_router(self):
+        """An answer that is complete is lost on its last hop.
+
+        A router that takes 8 tokens at a time is paused in mid-answer until
+        its link is dropped as silent. The engine ends the answer meanwhile
+        and the sidecar gets SIGTERM; it stays until the router has woken and
+        taken the rest.
+        """
+        task, answer = traffic.ask(self.first, 'paused', SHORT)
+        await asking.until(lambda: self.has_tokens(answer))
+        self.first.stop()
+        sidecar = await self.sidecar_of_the_run('paused')
+        sidecar.terminate()
+        place = await traffic.logged(sidecar, 'event=leaving')
+        await asking.until(
+            lambda: self.holds(sidecar, place, 'event=attempt_finished')
+        )
+        await asking.until(
+            lambda: self.holds(
+                sidecar, place, f'event=router_unlinked router={self.name()}'
+            )
+        )
+        self.first.cont()
+        await task
+        self.assertTrue(answer.is_whole, (answer.error, len(answer.texts)))
+        self.assertEqual(len(answer.texts), SHORT)
+        self.assertEqual(await sidecar.wait(), 0)
+
+    def name(self):
+        """Name of the first router."""
+        return self.first.name
+
+    async def has_tokens(self, answer):
+        """The answer has begun."""
+        return len(answer.texts) > 1
+
+    async def holds(self, process, place, words):
+        """The log holds these words after the place."""
+        wanted = words.split()
+        lines = process.log_text()[place:].splitlines()
+        return any(all(word in line for word in wanted) for line in lines)
+
+    async def sidecar_of_the_run(self, name):
+        """The sidecar whose engine runs the prompt of this name."""
+        wanted = traffic.digest(name, SHORT)
+        for upstream, runs in (await traffic.runs(self.cluster)).items():
+            if any(run['prompt_digest'] == wanted for run in runs):
+                return self.cluster.sidecars[upstream]
+        raise AssertionError(name)
+
+    @fixture.on_cluster
+    async def test_bound_of_the_wait(self):
+        """A host that should go hangs for ever, and nobody knows why.
+
+        Engines stall with a query and a plan in hand; a router and then the
+        sidecars get SIGTERM. At the end of their grace they name what still
+        runs and end; the plan is answered through the other router.
+        """
+        await self.restart_with_grace()
+        for name in self.cluster.upstreams.keys() - {APP}:
+            await self.cluster.switch(self.cluster.upstreams[name], stall=True)
+        query, told = traffic.ask(self.first, 'hangs', TOKENS)
+        plan, _ = traffic.ask(
+            self.first, 'plan', TOKENS, 'patient', key='hanging-plan'
+        )
+        await traffic.until_sent(self.cluster, TOKENS, 'hangs', 'plan')
+        self.first.terminate()
+        self.assertEqual(await self.first.wait(), 0)
+        await asyncio.gather(query, plan, return_exceptions=True)
+        self.assertTrue(
+            told.error is None or told.error['error']['not_run'] is not True
+        )
+        lines = [
+            line
+            for line in self.first.log_text().splitlines()
+            if 'event=request_unfinished' in line
+        ]
+        self.assertEqual(len(lines), 2)
+        self.assertTrue(all('upstream=model-' in line for line in lines))
+        for name in self.cluster.upstreams.keys() - {APP}:
+            await self.cluster.switch(self.cluster.upstreams[name], stall=False)
+        later = await asking.settled(self.second, key='hanging-plan')
+        self.assertTrue(later.answered, later)
+
+    async def restart_with_grace(self):
+        """Starts the first router anew, with a short grace."""
+        self.cluster.changes['router'] = {'stop': {'grace_s': GRACE_S}}
+        self.addCleanup(self.cluster.changes.update, self.CHANGES)
+        self.first.kill()
+        await self.first.wait()
+        await self.mend()
+
+
+if __name__ == '__main__':
+    unittest.main()
