Admit by the peak of memory while a newcomer is on the engine

Short answers end before the long ones are large, and a peak after the newcomer's end comes with or without it, so only memory until its end speaks against it.

--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of routing, admission and fairness on crowded engines."""
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/__main__.py
@@ -0,0 +1,205 @@
+"""Compares routing, admission and fairness on crowded engines.
+
+Real processes: routers, sidecars and engine stand-ins. Load 1.0 is what the
+fleet finishes when the `fewest` baseline is kept saturated in the same run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+
+import click
+
+from quetzalsill_dev import cluster as cluster_lib
+from quetzalsill_dev import launch
+from quetzalsill_dev.bench.crowd import figures, fleet, mix, report, trial
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+WARM_UP_S = 6.0
+SATURATION_WIDTH = 150
+SATURATION_RATE = 1000.0
+SLOW_FACTOR = 3.0
+LAG_S = 5.0
+CONDITIONS = ('calm', 'lost', 'slow', 'lag')
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """What a run of the bench does.
+
+    Attributes:
+      engines: Engines of the fleet.
+      routers: Routers of the fleet.
+      length_s: Length of a trial, in seconds.
+      seeds: Trials per cell.
+    """
+
+    engines: int
+    routers: int
+    length_s: float
+    seeds: int
+
+
+@contextlib.asynccontextmanager
+async def _cluster(
+    plan: Plan, traffic: mix.Mix, contender: fleet.Contender
+) -> AsyncIterator[cluster_lib.Cluster]:
+    async with launch.Launcher() as launcher:
+        started = cluster_lib.Cluster(
+            launcher,
+            fleet.fleet(plan.engines, plan.routers),
+            fleet.configuration(traffic, contender),
+        )
+        await started.start()
+        yield started
+
+
+async def _capacity(plan: Plan, traffic: mix.Mix) -> float:
+    """Requests a second that the fleet finishes when saturated."""
+    contender = fleet.CONTENDERS['fewest']
+    asks = mix.arrivals(traffic, SATURATION_RATE, plan.length_s, seed=0)
+    async with (
+        _cluster(plan, traffic, contender) as cluster,
+        trial.Player(cluster, traffic, contender) as player,
+    ):
+        outcomes = await player.saturate(asks, SATURATION_WIDTH, plan.length_s)
+    ended = [
+        o
+        for o in outcomes
+        if o.whole and WARM_UP_S <= o.ended_s < plan.length_s
+    ]
+    # By tokens, since requests that end early are the short ones.
+    tokens_s = sum(o.tokens for o in ended) / (plan.length_s - WARM_UP_S)
+    sample = list(mix.arrivals(traffic, SATURATION_RATE, 20.0, seed=0))
+    return tokens_s * len(sample) / sum(ask.tokens for ask in sample)
+
+
+async def _disturb(
+    cluster: cluster_lib.Cluster, condition: str, after_s: float
+) -> None:
+    """Does what the condition says to the first engine, in mid-run."""
+    name = next(iter(cluster.upstreams))
+    engine = cluster.upstreams[name]
+    if condition == 'lag':
+        for process in cluster.upstreams.values():
+            await cluster.switch(
+                process, lag_s=LAG_S, cache_lag_s=LAG_S, cache_gap=2
+            )
+        return
+    await asyncio.sleep(after_s)
+    if condition == 'lost':
+        engine.kill()
+    elif condition == 'slow':
+        await cluster.switch(engine, slow=SLOW_FACTOR)
+
+
+async def _trial(
+    plan: Plan,
+    traffic: mix.Mix,
+    contender: fleet.Contender,
+    rate: float,
+    seed: int,
+    condition: str,
+) -> figures.Figures:
+    asks = mix.arrivals(traffic, rate, plan.length_s, seed)
+    async with (
+        _cluster(plan, traffic, contender) as cluster,
+        trial.Player(cluster, traffic, contender) as player,
+    ):
+        _, outcomes = await asyncio.gather(
+            _disturb(cluster, condition, plan.length_s / 3), player.play(asks)
+        )
+        if condition == 'lost':
+            cluster.upstreams.pop(next(iter(cluster.upstreams)))
+        pushed = await trial.preemptions(cluster)
+    return figures.figures(outcomes, pushed, WARM_UP_S, plan.length_s)
+
+
+async def _cell(
+    plan: Plan,
+    traffic: mix.Mix,
+    load: float,
+    capacity: float,
+    condition: str,
+    names: list[str],
+) -> report.Cell:
+    trials: dict[str, list[figures.Figures]] = {name: [] for name in names}
+    for seed in range(plan.seeds):
+        for name in names:
+            found = await _trial(
+                plan,
+                traffic,
+                fleet.CONTENDERS[name],
+                load * capacity,
+                seed,
+                condition,
+            )
+            trials[name].append(found)
+    by_contender = {name: figures.mean(rows) for name, rows in trials.items()}
+    return report.Cell(traffic.name, load, condition, plan.seeds, by_contender)
+
+
+async def _run(
+    plan: Plan,
+    mixes: list[str],
+    loads: list[float],
+    conditions: list[str],
+    names: list[str],
+    capacity: float,
+) -> list[report.Cell]:
+    cells = []
+    for mix_name in mixes:
+        traffic = mix.MIXES[mix_name]
+        full = capacity or await _capacity(plan, traffic)
+        click.echo(f'{mix_name}: load 1.0 is {full:.1f} requests/s')
+        for condition in conditions:
+            for load in loads:
+                cell = await _cell(plan, traffic, load, full, condition, names)
+                cells.append(cell)
+                click.echo('\n'.join(report.lines(cell)))
+    return cells
+
+
+@click.command()
+@click.option('--mix', 'mixes', multiple=True, default=tuple(mix.MIXES))
+@click.option('--load', 'loads', multiple=True, type=float,
+              default=(0.7, 0.9, 1.1, 1.5))  # fmt: skip
+@click.option('--condition', 'conditions', multiple=True, default=('calm',),
+              type=click.Choice(CONDITIONS))  # fmt: skip
+@click.option('--contender', 'names', multiple=True,
+              default=tuple(fleet.CONTENDERS))  # fmt: skip
+@click.option('--engines', default=2)
+@click.option('--routers', default=1)
+@click.option('--seconds', default=30.0, help='Length of a trial.')
+@click.option('--seeds', default=5, help='Trials per cell.')
+@click.option('--capacity', default=0.0, help='Requests/s; 0 measures it.')
+@click.option('--name', default='crowd', help='Name of the result files.')
+def main(
+    mixes: tuple[str, ...],
+    loads: tuple[float, ...],
+    conditions: tuple[str, ...],
+    names: tuple[str, ...],
+    engines: int,
+    routers: int,
+    seconds: float,
+    seeds: int,
+    capacity: float,
+    name: str,
+) -> None:
+    """Runs the bench, prints its tables, writes JSON and a plot."""
+    plan = Plan(engines, routers, seconds, seeds)
+    cells = asyncio.run(
+        _run(plan, list(mixes), list(loads), list(conditions), list(names),
+             capacity)
+    )  # fmt: skip
+    click.echo(f'wrote {report.write_json(cells, name)}')
+    click.echo(f'wrote {report.plot(cells, name)}')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/fleet.py
@@ -0,0 +1,91 @@
+"""The fleet that the bench loads, and its configuration by policy."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from typing import TYPE_CHECKING
+
+from quetzalsill.config import model
+from quetzalsill_dev import board, layout
+
+if TYPE_CHECKING:
+    from quetzalsill_dev.bench.crowd import mix
+
+__all__ = ['CONTENDERS', 'Contender', 'configuration', 'fleet', 'token_of']
+
+CAPACITY_TOKENS = 4000
+MAX_BATCH = 64
+TOKEN_S = 0.01
+MODEL = board.MODEL
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Contender:
+    """A set of policies that is compared.
+
+    Attributes:
+      name: Name in the results.
+      routing: Routing plug-in.
+      admission: Admission plug-in.
+      fairness: Fairness plug-in.
+      knows_lengths: Callers declare the true length of each answer, which no
+        real caller can: the bound of what a scheduler could reach.
+    """
+
+    name: str
+    routing: str
+    admission: str
+    fairness: str
+    knows_lengths: bool = False
+
+
+CONTENDERS = {
+    contender.name: contender
+    for contender in (
+        Contender('rotate', 'rotate', 'admit-all', 'fifo'),
+        Contender('fewest', 'fewest-outstanding', 'admit-all', 'fifo'),
+        Contender('ours', 'expected-wait', 'predicted', 'weighted'),
+        Contender('oracle', 'expected-wait', 'declared', 'weighted', True),
+    )
+}
+
+
+def fleet(engines: int, routers: int) -> layout.Layout:
+    """Engines over the availability zones, all with the same model."""
+    spec = board.board_layout(engines, 0, routers)
+    for engine in spec.engines:
+        engine.capacity_tokens = CAPACITY_TOKENS
+        engine.max_batch = MAX_BATCH
+        engine.token_s = TOKEN_S
+    return spec
+
+
+def configuration(
+    traffic: mix.Mix, contender: Contender
+) -> model.Configuration:
+    """Configuration with the contender's policies in force."""
+    cfg = board.configuration()
+    cfg.profiles = _profiles()
+    cfg.accounts = {
+        name: model.Account(
+            token_sha256=[hashlib.sha256(token_of(name).encode()).hexdigest()]
+        )
+        for name in traffic.accounts
+    }
+    cfg.policies.routing = contender.routing
+    cfg.policies.admission = contender.admission
+    cfg.policies.fairness = contender.fairness
+    return cfg
+
+
+def token_of(account: str) -> str:
+    """Bearer token of a client account."""
+    return f'{account}-token-of-bench'
+
+
+def _profiles() -> dict[str, model.Profile]:
+    profiles = board.configuration().profiles
+    for profile in profiles.values():
+        profile.deadline_s = 300.0
+    return profiles
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/trial.py
@@ -0,0 +1,147 @@
+"""One trial: plays arrivals against a cluster and notes what came back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import time
+from typing import TYPE_CHECKING, Any
+
+import httpx2
+
+from quetzalsill_dev import caller
+from quetzalsill_dev.bench.crowd import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalsill_dev import cluster as cluster_lib
+    from quetzalsill_dev.bench.crowd import mix
+
+__all__ = ['Outcome', 'Player', 'preemptions']
+
+PROFILE_HEADER = 'X-Quetzalsill-Profile'
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What became of one request.
+
+    Attributes:
+      ask: The request.
+      status: HTTP status; 0 if the connection failed.
+      whole: The whole answer came.
+      stall_s: Longest time with nothing arriving.
+      first_s: Time to the first token.
+      gap_s: Longest time between two tokens.
+      took_s: Time to the end.
+      ended_s: When it ended, in seconds from the start of the run.
+      tokens: Tokens that came.
+      retry_after: The refusal said when to come back.
+    """
+
+    ask: mix.Ask
+    status: int
+    whole: bool
+    stall_s: float
+    first_s: float
+    gap_s: float
+    took_s: float
+    ended_s: float
+    tokens: int
+    retry_after: bool
+
+
+class Player:
+    """Callers of a cluster, one client per router and account."""
+
+    def __init__(
+        self,
+        cluster: cluster_lib.Cluster,
+        traffic: mix.Mix,
+        contender: fleet.Contender,
+    ) -> None:
+        self._contender = contender
+        self._stack = contextlib.AsyncExitStack()
+        self._turns = itertools.count()
+        self._routers = [process.url for process in cluster.routers.values()]
+        self._accounts = sorted(traffic.accounts)
+        self._clients: dict[tuple[str, str], httpx2.AsyncClient] = {}
+
+    async def __aenter__(self) -> Player:
+        """Opens the clients."""
+        for url, account in itertools.product(self._routers, self._accounts):
+            client = caller.open_client(url, fleet.token_of(account))
+            self._clients[url, account] = client
+            await self._stack.enter_async_context(client)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Closes the clients."""
+        await self._stack.aclose()
+
+    async def play(self, asks: Iterable[mix.Ask]) -> list[Outcome]:
+        """Sends each request at its time, whatever became of the others."""
+        began = time.monotonic()
+        tasks = []
+        for ask in asks:
+            await asyncio.sleep(began + ask.at_s - time.monotonic())
+            tasks.append(asyncio.create_task(self._send(ask, began)))
+        return list(await asyncio.gather(*tasks))
+
+    async def saturate(
+        self, asks: Iterable[mix.Ask], width: int, length_s: float
+    ) -> list[Outcome]:
+        """Keeps `width` requests going for a time."""
+        began = time.monotonic()
+        source = iter(asks)
+        outcomes: list[Outcome] = []
+
+        async def one_caller() -> None:
+            for ask in source:
+                if time.monotonic() - began >= length_s:
+                    return
+                outcomes.append(await self._send(ask, began))
+
+        await asyncio.gather(*(one_caller() for _ in range(width)))
+        return outcomes
+
+    async def _send(self, ask: mix.Ask, began: float) -> Outcome:
+        url = self._routers[next(self._turns) % len(self._routers)]
+        client = self._clients[url, ask.account]
+        body: dict[str, Any] = {'model': fleet.MODEL, 'prompt': ask.prompt}
+        if self._contender.knows_lengths:
+            body['max_tokens'] = ask.tokens
+        headers = {PROFILE_HEADER: ask.kind.profile}
+        answer = caller.Answer()
+        try:
+            await caller.generate(client, body, headers, answer=answer)
+        except httpx2.HTTPError:
+            answer.status = 0
+            answer.ended = time.monotonic()
+        return Outcome(
+            ask=ask,
+            status=answer.status,
+            whole=answer.is_whole and len(answer.texts) == ask.tokens,
+            stall_s=answer.stall_s,
+            first_s=answer.first_token_s,
+            gap_s=answer.worst_gap_s,
+            took_s=answer.ended - answer.asked,
+            ended_s=answer.ended - began,
+            tokens=len(answer.texts),
+            retry_after=_names_return(answer),
+        )
+
+
+def _names_return(answer: caller.Answer) -> bool:
+    error = answer.error or {}
+    inner = error.get('error', {}) if isinstance(error, dict) else {}
+    return bool(inner.get('retry_after_ms') or inner.get('advice'))
+
+
+async def preemptions(cluster: cluster_lib.Cluster) -> int:
+    """Preemptions of all engines since their start."""
+    audits = [await cluster.audit(name) for name in cluster.upstreams]
+    return sum(audit['preemptions'] for audit in audits)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/plugin.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/plugin.py
@@ -42,6 +42,12 @@
         admission_predicted.admit,
         'Starts what fits the predicted key-value memory.',
     )
+    registry.add(
+        'admission',
+        'declared',
+        admission_predicted.admit_declared,
+        'Starts what fits if every answer is as long as its bound.',
+    )
     registry.add(
         'admission',
         'admit-all',
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/admission_predicted.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/admission_predicted.py
@@ -1,21 +1,86 @@
-"""Admission by predicted key-value memory."""
+"""Admission by predicted key-value memory.
+
+Each attempt holds its prompt and what it made so far, grows by a token a
+step, and gives all of it back at its end. With a guess of what each has still
+to make, the memory at each coming end is known, and its peak must fit. That
+is less than the sum of all final sizes, since the short ones are gone before
+the long ones are large.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from quetzalsill_sidecar.queue import policy
 
-__all__ = ['admit', 'planned_tokens']
+    Remaining = Callable[[policy.Demand, int], int]
+
+__all__ = ['admit', 'admit_declared', 'peak_tokens']
 
 
 def admit(view: policy.View, demand: policy.Demand) -> bool:
-    """Starts a demand if the memory planned for all stays under capacity.
+    """Starts a demand if the predicted peak of memory stays under capacity.
 
     Each attempt is planned at its profile's quantile of the length still to
     come. Demands that may not use the headroom leave it free for prompt work.
     """
+
+    def remaining(planned: policy.Demand, produced: int) -> int:
+        expected = view.remaining(
+            planned.model, planned.profile, produced, planned.quantile
+        )
+        return max(1, min(expected, planned.max_tokens - produced))
+
+    return _admit(view, demand, remaining)
+
+
+def admit_declared(view: policy.View, demand: policy.Demand) -> bool:
+    """Starts a demand if all answers may grow to their declared bound.
+
+    Never overcommits, and wastes what bounds exceed lengths by. Where callers
+    declare true lengths it is the best that admission by memory can do.
+    """
+
+    def remaining(planned: policy.Demand, produced: int) -> int:
+        return max(1, planned.max_tokens - produced)
+
+    return _admit(view, demand, remaining)
+
+
+def peak_tokens(
+    sizes: Iterable[tuple[int, int]], newcomer: tuple[int, int]
+) -> int:
+    """Highest memory while a newcomer is on the engine.
+
+    Later peaks come with or without the newcomer, so they don't speak against
+    it: a short answer fits in beside long ones that will be large later.
+
+    Args:
+      sizes: For each running attempt the tokens held and those to come.
+      newcomer: The same for the attempt that may start.
+    """
+    peak = 0
+    held = 0
+    # From the last to end to the first: at an end, those that end later (or
+    # then) hold what they have now and as many tokens as steps went by.
+    ordered = sorted([*sizes, newcomer], key=_to_come, reverse=True)
+    for count, (now, to_come) in enumerate(ordered, start=1):
+        held += now
+        if to_come <= newcomer[1]:
+            peak = max(peak, held + count * to_come)
+    return peak
+
+
+def _to_come(size: tuple[int, int]) -> int:
+    return size[1]
+
+
+def _admit(
+    view: policy.View, demand: policy.Demand, remaining: Remaining
+) -> bool:
     if len(view.running) >= view.max_running:
         return False
     if view.capacity_tokens <= 0:
@@ -25,18 +90,8 @@
         return True
     kept = 0.0 if demand.uses_headroom else view.headroom
     budget = view.capacity_tokens * (1.0 - kept) - view.foreign_tokens
-    planned = sum(
-        planned_tokens(view, o.demand, o.produced) for o in view.running
-    )
-    return planned + planned_tokens(view, demand, 0) <= budget
-
-
-def planned_tokens(
-    view: policy.View, demand: policy.Demand, produced: int
-) -> int:
-    """Memory that an attempt will hold at its end, by its quantile."""
-    remaining = view.remaining(
-        demand.model, demand.profile, produced, demand.quantile
-    )
-    answer = min(demand.max_tokens, produced + remaining)
-    return demand.prompt_tokens + max(answer, produced)
+    sizes = [
+        (o.held_tokens, remaining(o.demand, o.produced)) for o in view.running
+    ]
+    newcomer = (demand.prompt_tokens, remaining(demand, 0))
+    return peak_tokens(sizes, newcomer) <= budget
