--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
@@ -47,6 +47,7 @@
         self._waiting: dict[str, policy.Demand] = {}
         self._running: dict[str, policy.Occupant] = {}
         self._service_s = 0.0
+        self._blocked = False
 
     @property
     def queued(self) -> int:
@@ -140,7 +141,14 @@
             )
 
     def expected_wait_s(self, rank: int) -> float:
-        """Wait that a demand arriving now at this rank would see."""
+        """Wait that a demand arriving now at this rank would see.
+
+        By Little's law places come free at running / service time. That is
+        no measure of a burst which hasn't been tried on the engine yet: with
+        one answer running it would promise a long wait where none is.
+        """
+        if not self._blocked:
+            return 0.0
         now = self._clock()
         ahead = sum(d.rank(now) <= rank for d in self._waiting.values())
         if not ahead:
@@ -150,6 +158,7 @@
     def _next(self) -> policy.Demand | None:
         now = self._clock()
         view = self._view(now)
+        self._blocked = False
         blocked = False
         for demand in self._order.heads(now):
             # A head that doesn't fit holds back what is behind it, lest
@@ -160,6 +169,7 @@
             if self._admit(view, demand):
                 return demand
             blocked = True
+        self._blocked = blocked
         return None
 
     def _view(self, now: float) -> policy.View:
