--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/figures.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/figures.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from quetzalsill_dev.bench.crowd import trial
+    from quetzalsill_dev.bench.crowd import mix, trial
 
 __all__ = ['BARS', 'Figures', 'figures', 'mean', 'ratios']
 
@@ -32,14 +32,16 @@
     Goodput counts the tokens of whole answers that ended within the run.
     """
 
-    requests: int
+    asked: int
     whole: int
     refused: int
     broken: int
+    unfinished: int
     prompt_stall_p50_s: float
     prompt_stall_p95_s: float
     prompt_stall_p99_s: float
     prompt_stall_max_s: float
+    small_stall_p99_s: float
     first_p95_s: float
     gap_p99_s: float
     gap_max_s: float
@@ -50,12 +52,14 @@
 
 
 def figures(
+    asks: Sequence[mix.Ask],
     outcomes: Sequence[trial.Outcome],
     preemptions: int,
     warm_up_s: float,
     length_s: float,
 ) -> Figures:
     """Computes the measures of what was asked after the warm-up."""
+    asked = sum(ask.at_s >= warm_up_s for ask in asks)
     kept = [o for o in outcomes if o.ask.at_s >= warm_up_s]
     whole = [o for o in kept if o.whole]
     prompt = [o for o in whole if o.ask.kind.profile == 'prompt']
@@ -70,24 +74,33 @@
     ]
     refused = sum(o.status not in (0, OK) for o in kept)
     return Figures(
-        requests=len(kept),
+        asked=asked,
         whole=len(whole),
         refused=refused,
         broken=len(kept) - len(whole) - refused,
+        unfinished=asked - len(kept),
         prompt_stall_p50_s=_quantile(stalls, 0.5),
         prompt_stall_p95_s=_quantile(stalls, 0.95),
         prompt_stall_p99_s=_quantile(stalls, 0.99),
         prompt_stall_max_s=max(stalls, default=0.0),
+        small_stall_p99_s=_quantile(
+            [o.stall_s for o in prompt if o.ask.account == _small(o)], 0.99
+        ),
         first_p95_s=_quantile([o.first_s for o in prompt], 0.95),
         gap_p99_s=_quantile(gaps, 0.99),
         gap_max_s=max(gaps, default=0.0),
         patient_p50_s=_quantile(patient, 0.5),
         patient_p99_s=_quantile(patient, 0.99),
-        preemptions_per_1000=1000 * preemptions / max(1, len(outcomes)),
+        preemptions_per_1000=1000 * preemptions / max(1, len(asks)),
         goodput_tokens_s=sum(in_time) / (length_s - warm_up_s),
     )
 
 
+def _small(outcome: trial.Outcome) -> str:
+    """The account of the same kind that asks no more than its share."""
+    return outcome.ask.kind.accounts[-1]
+
+
 def mean(trials: Sequence[Figures]) -> Figures:
     """Mean over seeds of each figure."""
     return Figures(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/mix.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/mix.py
@@ -10,9 +10,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-__all__ = ['MIXES', 'Ask', 'Kind', 'Mix', 'arrivals']
+__all__ = ['MIXES', 'Ask', 'Kind', 'Mix', 'arrivals', 'greedy']
 
 CHARACTERS_PER_TOKEN = 4
+GREED = 10
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -78,7 +79,7 @@
     'board': Mix(
         'board',
         (
-            Kind('slot query', 0.70, ('retailers',), 'prompt',
+            Kind('slot query', 0.70, ('retailers', 'canteens'), 'prompt',
                  16, 24, 0.6, 256),
             Kind('audit note', 0.18, DEPOTS, 'verdict', 32, 40, 0.7, 400),
             Kind('loading plan', 0.12, DEPOTS, 'patient',
@@ -88,7 +89,7 @@
     'noorani': Mix(
         'noorani',
         (
-            Kind('proof', 0.55, ('portals',), 'prompt', 12, 16, 0.5, 128),
+            Kind('proof', 0.55, ('portals', 'small-portal'), 'prompt', 12, 16, 0.5, 128),
             Kind('tag check', 0.25, STUDIOS, 'verdict', 48, 24, 0.6, 200),
             Kind('scene brief', 0.20, STUDIOS, 'patient',
                  80, 220, 1.1, 1500),
@@ -97,6 +98,17 @@
 }  # fmt: skip
 
 
+def greedy(mix: Mix, rate: float, length_s: float, seed: int) -> list[Ask]:
+    """Arrivals in which one account asks ten times its share of prompt work."""
+    asks = list(arrivals(mix, rate, length_s, seed))
+    prompt = mix.kinds[0]
+    large = dataclasses.replace(prompt, accounts=prompt.accounts[:1])
+    extra = Mix(mix.name, (large,))
+    added = rate * prompt.share / len(prompt.accounts) * (GREED - 1)
+    asks += arrivals(extra, added, length_s, seed + 1000)
+    return sorted(asks, key=lambda ask: ask.at_s)
+
+
 def arrivals(
     mix: Mix, rate: float, length_s: float, seed: int
 ) -> Iterator[Ask]:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/report.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/report.py
@@ -18,6 +18,7 @@
 SHOWN = (
     ('prompt_stall_p99_s', 'stall p99'),
     ('prompt_stall_max_s', 'stall max'),
+    ('small_stall_p99_s', 'small p99'),
     ('first_p95_s', 'first p95'),
     ('gap_p99_s', 'gap p99'),
     ('gap_max_s', 'gap max'),
@@ -27,6 +28,7 @@
     ('patient_p99_s', 'patient p99'),
     ('refused', 'refused'),
     ('broken', 'broken'),
+    ('unfinished', 'unfinished'),
 )
 
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/trial.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/trial.py
@@ -82,14 +82,24 @@
         """Closes the clients."""
         await self._stack.aclose()
 
-    async def play(self, asks: Iterable[mix.Ask]) -> list[Outcome]:
-        """Sends each request at its time, whatever became of the others."""
+    async def play(
+        self, asks: Iterable[mix.Ask], until_s: float
+    ) -> list[Outcome]:
+        """Sends each request at its time, whatever became of the others.
+
+        What has not ended at `until_s` is left out and counts as unfinished.
+        """
         began = time.monotonic()
         tasks = []
         for ask in asks:
             await asyncio.sleep(began + ask.at_s - time.monotonic())
             tasks.append(asyncio.create_task(self._send(ask, began)))
-        return list(await asyncio.gather(*tasks))
+        left_s = max(0.0, began + until_s - time.monotonic())
+        done, unfinished = await asyncio.wait(tasks, timeout=left_s)
+        for task in unfinished:
+            task.cancel()
+        await asyncio.gather(*unfinished, return_exceptions=True)
+        return [task.result() for task in done]
 
     async def saturate(
         self, asks: Iterable[mix.Ask], width: int, length_s: float
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
@@ -16,7 +16,7 @@
 __all__ = ['LoadReporter']
 
 LOOK_INTERVAL_S = 0.1
-CORRECTION = 0.2
+CORRECTION = 0.1
 PROMPT_RANK = 0
 
 logger = log.get(__name__)
@@ -48,6 +48,7 @@
         self.healthy = True
         self._sidecar = sidecar
         self._changed = asyncio.Event()
+        self._beyond = 0.0
 
     def note_change(self) -> None:
         """Something that routers should know has changed."""
@@ -107,11 +108,12 @@
         queue = self._sidecar.queue
         queue.capacity_tokens = report.capacity_tokens
         # The report lags: what was just started is not in it yet and what
-        # just ended still is. A slow correction keeps only what stays.
+        # just ended still is. Both signs cancel out in the mean; cut off at
+        # zero before that, the lag would pass for memory held by others.
         own = queue.used_tokens - queue.foreign_tokens
         beyond = report.used_tokens - own
-        step = (beyond - queue.foreign_tokens) * CORRECTION
-        queue.foreign_tokens = max(0, round(queue.foreign_tokens + step))
+        self._beyond += (beyond - self._beyond) * CORRECTION
+        queue.foreign_tokens = max(0, round(self._beyond))
         preemptions_gauge.set({}, report.preemptions)
         if report.leaving:
             self._sidecar.leave('engine is leaving')
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/admission_predicted.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/admission_predicted.py
@@ -25,7 +25,7 @@
     """Starts a demand if the predicted peak of memory stays under capacity.
 
     Each attempt is planned at its profile's quantile of the length still to
-    come. Demands that may not use the headroom leave it free for prompt work.
+    come. Demands that may not use the headroom leave it free.
     """
 
     def remaining(planned: policy.Demand, produced: int) -> int:
@@ -88,8 +88,8 @@
     if not view.running:
         # Alone on the engine: waiting would not make more memory free.
         return True
-    kept = 0.0 if demand.uses_headroom else view.headroom
-    budget = view.capacity_tokens * (1.0 - kept) - view.foreign_tokens
+    kept = 0.0 if demand.uses_headroom else view.kept_tokens
+    budget = view.capacity_tokens - kept - view.foreign_tokens
     sizes = [
         (o.held_tokens, remaining(o.demand, o.produced)) for o in view.running
     ]
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/order_weighted.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/order_weighted.py
@@ -69,9 +69,8 @@
         self._virtual = min(
             self._start(f.account) for f in self._flows.values()
         )
-        cost = max(1, demand.prompt_tokens + expected_tokens(demand))
         start = self._start(demand.account)
-        self._served[demand.account] = start + cost / demand.weight
+        self._served[demand.account] = start + demand.cost / demand.weight
         self.remove(demand)
 
     def remove(self, demand: policy.Demand) -> None:
@@ -91,8 +90,3 @@
 
     def _start(self, account: str) -> float:
         return max(self._virtual, self._served.get(account, 0.0))
-
-
-def expected_tokens(demand: policy.Demand) -> int:
-    """Tokens that an answer is charged for before its length is known."""
-    return min(demand.max_tokens, 512)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/policy.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/policy.py
@@ -28,6 +28,7 @@
       quantile: Quantile of the length that memory is planned for.
       prompt_tokens: Tokens of its prompt.
       max_tokens: Bound on its generated tokens.
+      cost: Tokens that its account is charged; set when it is queued.
     """
 
     attempt: str
@@ -42,6 +43,7 @@
     quantile: float = 0.8
     prompt_tokens: int = 0
     max_tokens: int = 1
+    cost: int = 1
 
     def rank(self, now: float) -> int:
         """Priority once ageing is counted in."""
@@ -77,7 +79,7 @@
       now: Monotonic seconds.
       capacity_tokens: Key-value memory in all; 0 if unknown.
       foreign_tokens: Memory in use that the sidecar can't account for.
-      headroom: Part of the memory kept for prompt work.
+      kept_tokens: Memory to be left free for prompt work.
       max_running: Bound on attempts at once.
       running: What is on the upstream.
       remaining: Quantile of the tokens still to come, given model, profile,
@@ -87,7 +89,7 @@
     now: float
     capacity_tokens: int
     foreign_tokens: int
-    headroom: float
+    kept_tokens: float
     max_running: int
     running: Sequence[Occupant]
     remaining: Callable[[str, str, int, float], int]
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/schedule.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from quetzalsill_sidecar.queue import headroom as headroom_lib
 from quetzalsill_sidecar.queue import lengths as lengths_lib
 from quetzalsill_sidecar.queue import policy
 
@@ -14,6 +15,7 @@
 __all__ = ['Schedule']
 
 SMOOTHING = 0.1
+MEDIAN = 0.5
 
 
 class Schedule:
@@ -25,7 +27,7 @@
     Attributes:
       capacity_tokens: Key-value memory in all; 0 if unknown.
       foreign_tokens: Memory in use that is not of our attempts.
-      headroom: Part of the memory kept for prompt work.
+      headroom: Least part of the memory that is kept free for prompt work.
       lengths: Observed output lengths.
     """
 
@@ -48,6 +50,7 @@
         self._running: dict[str, policy.Occupant] = {}
         self._service_s = 0.0
         self._blocked = False
+        self._prompt_work = headroom_lib.Headroom()
 
     @property
     def queued(self) -> int:
@@ -89,6 +92,7 @@
 
     def push(self, demand: policy.Demand) -> None:
         """Queues a demand."""
+        demand.cost = self._cost(demand)
         self._waiting[demand.attempt] = demand
         self._order.push(demand)
 
@@ -172,12 +176,26 @@
         self._blocked = blocked
         return None
 
+    def _cost(self, demand: policy.Demand) -> int:
+        """Tokens that the demand is expected to hold at its end."""
+        expected = self.lengths.remaining(
+            demand.model, demand.profile, 0, MEDIAN
+        )
+        return demand.prompt_tokens + min(expected, demand.max_tokens)
+
     def _view(self, now: float) -> policy.View:
+        held = sum(
+            o.held_tokens
+            for o in self._running.values()
+            if o.demand.uses_headroom
+        )
+        self._prompt_work.note(held, now)
+        least = self.headroom * self.capacity_tokens
         return policy.View(
             now=now,
             capacity_tokens=self.capacity_tokens,
             foreign_tokens=self.foreign_tokens,
-            headroom=self.headroom,
+            kept_tokens=max(least, self._prompt_work.reserve() - held),
             max_running=self._max_running,
             running=list(self._running.values()),
             remaining=self.lengths.remaining,
