--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quetzalsill quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench-path bench-capacity clean
+.PHONY: bench install test lint format demo bench-path bench-capacity clean
 
 install: $(STAMP)
 
@@ -35,5 +35,8 @@
 bench-capacity: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.bench.capacity
 
+bench: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.bench.crowd
+
 clean:
 	rm -rf $(VENV) bench-results run-demo
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/mix.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/mix.py
@@ -89,7 +89,8 @@
     'noorani': Mix(
         'noorani',
         (
-            Kind('proof', 0.55, ('portals', 'small-portal'), 'prompt', 12, 16, 0.5, 128),
+            Kind('proof', 0.55, ('portals', 'small-portal'), 'prompt',
+                 12, 16, 0.5, 128),
             Kind('tag check', 0.25, STUDIOS, 'verdict', 48, 24, 0.6, 200),
             Kind('scene brief', 0.20, STUDIOS, 'patient',
                  80, 220, 1.1, 1500),
