--- a/packages/quetzalsill-dev/src/quetzalsill_dev/relay.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/relay.py
@@ -142,6 +142,15 @@
         for conn in (self, *self._open):
             conn.up.delay_s = conn.down.delay_s = seconds
 
+    def hold_back(self, seconds: float) -> None:
+        """Delays data to the target on the open connections alone.
+
+        A client that gives such a connection up and opens another has its
+        data arrive out of order: the old behind the new.
+        """
+        for conn in self._open:
+            conn.up.delay_s = seconds
+
     def cut(self) -> None:
         """Resets the open connections."""
         for conn in list(self._open):
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -116,9 +116,13 @@
         return routing_query.is_better_elsewhere(peer, others)
 
     stream = _open(ctx, active, peer, ident, should_move, recover=False)
-    async with contextlib.aclosing(stream):
-        async for part in stream:
-            yield part
+    try:
+        async with contextlib.aclosing(stream):
+            async for part in stream:
+                yield part
+    except outcome.AttemptEndedError as exc:
+        ended = outcome.of_dispatch(exc.outcome)
+        raise outcome.AttemptEndedError(ended) from exc
 
 
 async def _recover(
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
@@ -11,6 +11,7 @@
     'Outcome',
     'is_final',
     'may_dispatch_again',
+    'of_dispatch',
     'of_recovery',
     'strongest',
 ]
@@ -73,6 +74,17 @@
     return outcome.error.code in FINAL_CODES
 
 
+def of_dispatch(ended: Outcome) -> Outcome:
+    """Reads the end of a new run, which its sidecar may never have got.
+
+    "Not found" is the word of a sidecar on an attempt that was lost with a
+    link. To a caller it would say that what it asks for does not exist.
+    """
+    if ended.error.code != request.NotFoundError.code:
+        return ended
+    return Outcome(request.NoUpstreamError('the dispatch was lost on its way'))
+
+
 def of_recovery(ended: Outcome, same_sidecar: bool) -> Outcome:
     """Reads the end of a recovery, which is about an earlier run.
 
--- a/tests/failure/asking.py
+++ b/tests/failure/asking.py
@@ -136,19 +136,29 @@
     return whole[:DIGEST_LENGTH]
 
 
-async def ran(cluster):
+async def query(router, name, key=''):
+    """Asks for a generation that may be repeated."""
+    return await brief(router, name, key, 'prompt')
+
+
+async def ran(cluster, engines=(ENGINE,)):
     """How often each order and brief reached its upstream, by name."""
-    return Ran(await cluster.audit(APP), await cluster.audit(ENGINE))
+    audits = [await cluster.audit(name) for name in engines]
+    runs = [run for audit in audits for run in audit['runs']]
+    return Ran((await cluster.audit(APP))['orders'], runs)
 
 
 class Ran:
-    """The word of the upstreams on what ran."""
+    """The word of the upstreams on what ran.
+
+    Attributes:
+      attempts: Ids of the attempts that reached an engine.
+    """
 
-    def __init__(self, app, engine):
-        self._orders = app['orders']
-        self._briefs = collections.Counter(
-            run['prompt_digest'] for run in engine['runs']
-        )
+    def __init__(self, orders, runs):
+        self.attempts = {run['request_id'] for run in runs}
+        self._orders = orders
+        self._briefs = collections.Counter(run['prompt_digest'] for run in runs)
 
     def count(self, name):
         """How often an order or brief of this name reached its upstream."""
--- a/tests/failure/fixture.py
+++ b/tests/failure/fixture.py
@@ -21,7 +21,23 @@
     return run
 
 
-class ClusterTestCase(unittest.IsolatedAsyncioTestCase):
+class _LogShowingTestCase(unittest.TestCase):
+    """Prints the end of each process's log if a test has failed."""
+
+    def run(self, result=None):
+        self.result = result or self.defaultTestResult()
+        return super().run(self.result)
+
+    def show_logs(self):
+        found = [*self.result.failures, *self.result.errors]
+        failed = [getattr(case, 'test_case', case) for case, _ in found]
+        if self in failed:
+            for process in self.launcher.processes:
+                tail = process.log_text()[-LOG_TAIL:]
+                print(f'--- {process.log.name}\n{tail}')
+
+
+class ClusterTestCase(_LogShowingTestCase, unittest.IsolatedAsyncioTestCase):
     """Starts a cluster before each test and ends it after.
 
     Attributes:
@@ -36,7 +52,7 @@
     async def asyncSetUp(self):
         self.launcher = launch.Launcher()
         self.addAsyncCleanup(self.launcher.close)
-        self.addCleanup(self._show_logs)
+        self.addCleanup(self.show_logs)
         self.cluster = cluster.Cluster(
             self.launcher,
             self.LAYOUT,
@@ -54,16 +70,8 @@
         """Address told to others for a hop; a subclass may put a relay in."""
         return address
 
-    def _show_logs(self):
-        """Prints the end of each log if the test has failed."""
-        if self._outcome.success:
-            return
-        for process in self.launcher.processes:
-            tail = process.log_text()[-LOG_TAIL:]
-            print(f'--- {process.log.name}\n{tail}')
-
 
-class SharedClusterTestCase(unittest.TestCase):
+class SharedClusterTestCase(_LogShowingTestCase):
     """Runs all tests of a class on one cluster, which starts but once.
 
     Its tests are coroutines under `on_cluster`. One may leave processes
@@ -105,6 +113,7 @@
         return address
 
     def setUp(self):
+        self.addCleanup(self.show_logs)
         self.runner.run(self.mend())
 
     async def mend(self):
@@ -113,9 +122,3 @@
             process.cont()
         await self.cluster.restart_ended()
         await self.cluster.wait_ready()
-
-    def tearDown(self):
-        if not self._outcome.success:
-            for process in self.launcher.processes:
-                tail = process.log_text()[-LOG_TAIL:]
-                print(f'--- {process.log.name}\n{tail}')
