--- a/tests/failure/test_tls.py
+++ b/tests/failure/test_tls.py
@@ -144,7 +144,7 @@
         for name in NAMES:
             self.other.issue(name)
         middle.cut()
-        await self.until(self._is_served)
+        await self.until(self.is_served)
         with self.assertRaises(httpx2.TransportError):
             await self.stream(caller.Answer(), 3, old)
 
