Give streamed events the id of their request

They carried the id that the engine knows, made of the attempt, while whole answers and the usage event carried the request's; a caller that asked for it at /v1/requests/{id} found nothing. Found with README's curl example.

The test failed with both ids in the set.

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/answer.py
@@ -10,7 +10,7 @@
 import blacksheep
 
 from quetzalsill.error import request as request_error
-from quetzalsill_router.http import asgi, error
+from quetzalsill_router.http import asgi, error, label
 from quetzalsill_router.request import piece, spec
 
 if TYPE_CHECKING:
@@ -104,6 +104,7 @@
     wait of their own: the server waits before the next one.
     """
     delivery = running.delivery
+    labelled = label.labeller(running.work.request)
     count = 0
     last = b''
     while not delivery.gone:
@@ -116,7 +117,7 @@
             items = [item for part in parts for item in part.items]
             count += len(items)
             last = items[-1]
-            data = sse(items)
+            data = sse(labelled(items))
             yield data
             if len(data) > SMALL_BYTES:
                 await drained()
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/stored.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/stored.py
@@ -9,7 +9,7 @@
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill_router.durable import answer as durable_answer
-from quetzalsill_router.http import answer, error, relay
+from quetzalsill_router.http import answer, error, label, relay
 from quetzalsill_router.request import record
 
 __all__ = ['conflict', 'failure', 'pending', 'render']
@@ -34,7 +34,8 @@
     if not kind:
         return _call(request, stored)
     if as_events:
-        data = answer.sse(stored.events) + answer.DONE
+        events = label.labeller(request)(stored.events)
+        data = answer.sse(events) + answer.DONE
         content = blacksheep.Content(answer.SSE_TYPE, data)
     else:
         model = _header(stored, record.MODEL)
--- a/tests/quetzalsill_router/http/test_completions.py
+++ b/tests/quetzalsill_router/http/test_completions.py
@@ -62,6 +62,26 @@
             )
         self.assertEqual(answer.choices[0].message.content, 'pass or hold')
 
+    async def test_events_carry_the_id_of_the_request(self):
+        """A caller cancels by the id of the events that it got.
+
+        They carried the engine's id, which names nothing here; the event of
+        the usage carried another.
+        """
+        texts = ('a', '"entry-1/7/1"', 'b')
+        items = [fake.event(text, id='entry-1/7/1') for text in texts]
+        script = (fake.started(), fake.chunk(0, *items), fake.finished(3))
+        body = {**STREAMED, 'stream_options': {'include_usage': True}}
+        peer = fake.Peer('one', script)
+        async with served.serve(fake.make_context(peer)) as client:
+            found = await client.post(PATH, json=body)
+        lines = [line[6:] for line in found.text.split('\n') if '{' in line]
+        events = [json.loads(line) for line in lines]
+        ids = {event['id'] for event in events}
+        self.assertEqual(ids, {found.headers['x-request-id']})
+        told = [c['text'] for event in events for c in event['choices']]
+        self.assertEqual(tuple(told), texts)
+
     async def test_answer_that_breaks_off_is_not_taken_for_whole(self):
         """An engine dies after the first token of a streamed answer.
 
