--- a/packages/quetzalsill-router/src/quetzalsill_router/http/label.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/label.py
@@ -27,9 +27,12 @@
         nonlocal quoted
         labelled = []
         for item in items:
-            if quoted is None or (quoted and quoted not in item):
+            # Cheaper than to look for the id first.
+            done = item.replace(quoted, wanted, 1) if quoted else item
+            if done == item and quoted != b'':
                 quoted = _quoted_id(item)
-            labelled.append(item.replace(quoted, wanted, 1) if quoted else item)
+                done = item.replace(quoted, wanted, 1) if quoted else item
+            labelled.append(done)
         return labelled
 
     return label
