Believe the host list that a host leaves

Once a sidecar was linked only its own word counted, so that an upstream whose host the platform takes away, while neither engine nor sidecar knows of it, got work to its end: test_host_list_says_leaving waited in vain for the router to see it leaving. The list was left out because it lags and may still speak of a host that was replaced; that is now told apart by time. What it said before the present incarnation was linked does not count, and any change of its word does.

Also proved: removal and addition by an edit, a replaced host at another address, a paused sidecar that wakes beside its successor.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -12,7 +12,7 @@
 from quetzalsill.wire import error as wire_error
 from quetzalsill.wire import message
 from quetzalsill_router.peer import attempt as peer_attempt
-from quetzalsill_router.peer import backoff, error, fetch, status
+from quetzalsill_router.peer import backoff, error, fetch, listing, status
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -33,6 +33,7 @@
     'quetzalsill_router_links_ended_total', 'Links that ended, by cause.'
 )
 
+LEAVING = request_error.UpstreamLeavingError.code
 MAX_DEFERRED = 10_000
 # A link that lasted this long was no fault of the dial, so that the next one
 # follows at once: callers wait with nothing arriving meanwhile.
@@ -46,9 +47,6 @@
       upstream: Name of the upstream.
       availability_zone: Its availability zone.
       address: IP:PORT of the sidecar after the configuration.
-      hint: State that the host list gives, `live` or `leaving`; empty if it
-        does not name the upstream.
-      hint_address: IP:PORT that the host list gives; empty if none.
       status: What this incarnation of the sidecar has said.
       revision: Highest revision that this incarnation has named.
       dropped: Messages thrown away because their attempt was unknown,
@@ -80,12 +78,11 @@
         self.upstream = upstream
         self.availability_zone = spec.availability_zone
         self.address = spec.sidecar
-        self.hint = ''
-        self.hint_address = ''
         self.status = status.Status()
         self.revision = 0
         self.dropped = 0
         self._spec = spec
+        self._listing = listing.Listing()
         self._connect = connect
         self._holder = holder
         self._recover_s = recover_s
@@ -125,14 +122,12 @@
     def leaving(self) -> bool:
         """Whether the upstream takes no new work.
 
-        What the sidecar says goes before the host list, which lags; the list
-        counts only while nothing was heard from the sidecar.
+        A host may leave without a word of its sidecar, when only the host
+        list says so.
         """
         if self._retired or self._spec.draining or self.status.going_away:
             return True
-        if self.status.incarnation:
-            return self.status.leaving
-        return self.hint == 'leaving'
+        return self.status.leaving or self._listing.leaving
 
     @property
     def outstanding(self) -> int:
@@ -161,11 +156,8 @@
         attempt = peer_attempt.Attempt(dispatch, self, self._recover_s)
         self._attempts[attempt.id] = attempt
         if self.status.going_away and not dispatch.recover:
-            # Chosen before the sidecar's word came; it exits once it knows
-            # that nothing new is under way to it.
-            attempt.refuse(
-                request_error.UpstreamLeavingError.code, 'going away'
-            )
+            # Chosen before its word came, by whose echo it may exit.
+            attempt.refuse(LEAVING, 'going away')
             return attempt
         try:
             written = self.send(dispatch)
@@ -192,16 +184,12 @@
             raise error.ConfigFetchError(f'no link to {self.upstream}')
         return await self._fetches.wait()
 
-    def update(
-        self, spec: model.Upstream, hint: str, hint_address: str
-    ) -> None:
-        """Takes what the configuration and the host list say now."""
-        if hint != self.hint or hint_address != self.hint_address:
+    def update(self, spec: model.Upstream, state: str, address: str) -> None:
+        """Takes what the configuration says now, and the host list."""
+        if self._listing.take(state, address):
             self._wake.set()
         self._spec = spec
         self.availability_zone = spec.availability_zone
-        self.hint = hint
-        self.hint_address = hint_address
 
     def retire(self) -> None:
         """Takes no new work; the link is closed with the last attempt."""
@@ -284,8 +272,8 @@
         """
         while True:
             yield self.address
-            if self.hint_address and self.hint_address != self.address:
-                yield self.hint_address
+            if self._listing.address not in ('', self.address):
+                yield self._listing.address
 
     async def _dial(self, address: str) -> link.Link | None:
         host, _, port = address.rpartition(':')
@@ -352,6 +340,7 @@
             self.status = status.Status(welcome.incarnation)
             self.revision = 0
             self._deferred.clear()
+            self._listing.outdate()
         self.status.leaving |= welcome.leaving
         logger.info(
             'linked',
--- /dev/null
+++ b/tests/failure/test_membership.py
@@ -0,0 +1,206 @@
+"""A router keeps up with upstreams that come, go, die and return."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from quetzalsill.settings import section
+from quetzalsill.wire import dial, message
+from quetzalsill_dev import board, process_settings
+from tests.failure import asking, fixture, traffic
+from tests.quetzalsill_sidecar import support
+
+MOVING = 'model-apapa-hall-2'
+LAG_S = 1.0
+LINKS = {'silence_s': 1.0, 'idle_s': 0.3, 'connect_s': 0.5}
+TOKENS = 200
+
+
+class MembershipTest(fixture.SharedClusterTestCase):
+    """One router, two engines and a service; the host list lags by 1 s."""
+
+    LAYOUT = board.board_layout(engines=2, services=1, routers=1)
+    CHANGES = {
+        'router': {'links': LINKS, 'hosts_interval_s': 0.2},
+        'sidecar': {'link': LINKS},
+    }
+
+    async def mend(self):
+        await self.cluster.switch(self.cluster.hosts, down=False, lag_s=LAG_S)
+        await super().mend()
+        await self.cluster.set_hosts()
+        (self.router,) = self.cluster.routers.values()
+        await traffic.until_state([self.router], 'live')
+
+    async def until(self, state):
+        """Waits until the router sees the moving upstream in a state."""
+        await traffic.until_state([self.router], state, [MOVING])
+
+    @contextlib.asynccontextmanager
+    async def serving(self):
+        """Callers ask without pause, and each gets its whole answer."""
+        async with traffic.Traffic([self.router]) as load:
+            yield load
+        load.assert_served(self)
+
+    def started(self):
+        """How many attempts the present sidecar has started."""
+        return len(traffic.started(self.cluster.sidecars[MOVING]))
+
+    async def assert_unused(self, load):
+        """The moving upstream gets nothing while callers are served."""
+        before = self.started()
+        await load.go_on()
+        self.assertEqual(self.started(), before)
+
+    async def until_used(self):
+        """Waits until the moving upstream gets work again."""
+        before = self.started()
+
+        async def more():
+            return self.started() > before
+
+        await asking.until(more)
+
+    @fixture.on_cluster
+    async def test_removed_and_added_by_an_edit(self):
+        """An edit cuts what runs on an upstream, or is never noticed.
+
+        An operator removes an engine that is in the middle of an answer,
+        under load, and adds it again.
+        """
+        asked = [
+            traffic.ask(self.router, f'long-{number}', TOKENS)
+            for number in range(6)
+        ]
+        await traffic.until_running(self.cluster, MOVING, 1)
+        removed = self.cluster.configuration.upstreams.pop(MOVING)
+        async with self.serving() as load:
+            await self.cluster.publish('removed')
+            await self.until(None)
+            await self.assert_unused(load)
+            self.cluster.configuration.upstreams[MOVING] = removed
+            await self.cluster.publish('added')
+            await self.until_used()
+        for task, answer in asked:
+            await task
+            self.assertTrue(answer.is_whole, answer.error)
+
+    @fixture.on_cluster
+    async def test_host_list_says_leaving(self):
+        """A host that only the host list calls leaving gets work to its end.
+
+        Its sidecar knows of nothing. The list then fails, and what it said
+        last goes on; it comes back and calls the host live.
+        """
+        async with self.serving() as load:
+            await self.cluster.set_hosts(leaving=(MOVING,))
+            await self.until('leaving')
+            await self.assert_unused(load)
+            await self.cluster.switch(self.cluster.hosts, down=True)
+            await traffic.logged(self.router, 'event=host_list_down')
+            await self.assert_unused(load)
+            await self.cluster.switch(self.cluster.hosts, down=False)
+            await self.cluster.set_hosts()
+            await self.until_used()
+
+    @fixture.on_cluster
+    async def test_replaced_host_is_found_by_the_host_list(self):
+        """A new host stands idle until an operator edits its address.
+
+        A sidecar dies with the host list down, which names the old host
+        leaving as it comes back; the new sidecar has another address than
+        the configuration says. The list tells it, and its old word about the
+        old host does not hold for the new one.
+        """
+        async with self.serving() as load:
+            await self.cluster.switch(self.cluster.hosts, down=True)
+            old = self.cluster.sidecars.pop(MOVING)
+            old.kill()
+            await self.until('unlinked')
+            await load.go_on()
+            await self.cluster.start_sidecar(MOVING)
+            await self.assert_unused(load)
+            await self.cluster.set_hosts(leaving=(MOVING,))
+            await self.cluster.switch(self.cluster.hosts, down=False)
+            await self.until('live')
+            await self.until_used()
+        self.assertNotEqual(self.cluster.sidecars[MOVING].port, old.port)
+
+    @fixture.on_cluster
+    async def test_new_incarnation_is_never_the_old_one(self):
+        """Work meant for a sidecar that died reaches its successor.
+
+        A sidecar is paused in mid-answer and replaced; the router takes the
+        answers up with the new one. The old one wakes and is not listened
+        to. What still names the old incarnation is refused by the new one.
+        """
+        asked = [
+            traffic.ask(self.router, f'taken-up-{number}', TOKENS)
+            for number in range(6)
+        ]
+        await traffic.until_running(self.cluster, MOVING, 1)
+        old = self.cluster.sidecars.pop(MOVING)
+        before = await self.incarnation()
+        self.addCleanup(old.kill)
+        old.stop()
+        await self.cluster.start_sidecar(MOVING)
+        await self.cluster.set_hosts()
+
+        async def replaced():
+            return await self.incarnation() not in (0, before)
+
+        await asking.until(replaced)
+        old.cont()
+        for task, answer in asked:
+            await task
+            self.assertTrue(answer.is_whole, answer.error)
+            self.assertEqual(len(answer.texts), TOKENS)
+        self.assertEqual(await self.late_dispatch(before), 'superseded')
+        ran = [run['request_id'] for run in await self.runs()]
+        self.assertNotIn('late', ran)
+        said = traffic.started(old)
+        async with self.serving():
+            await self.until_used()
+        self.assertEqual(traffic.started(old), said)
+
+    async def incarnation(self):
+        """Incarnation of the moving sidecar that the router knows."""
+        return (await traffic.nodes(self.router))[MOVING]['incarnation']
+
+    async def runs(self):
+        """Runs of the moving engine."""
+        return (await self.cluster.audit(MOVING))['runs']
+
+    async def late_dispatch(self, incarnation):
+        """Sends what a router had for the old sidecar; gives the refusal."""
+        node = (await traffic.nodes(self.router))[MOVING]
+        hello = message.Hello(
+            message.VERSION,
+            'late',
+            1,
+            process_settings.CREDENTIAL,
+            'ikeja-hall',
+            node['revision'],
+        )
+        late = support.make_dispatch(
+            incarnation,
+            attempt='late',
+            model=board.MODEL,
+            revision=node['revision'],
+        )
+        port = self.cluster.sidecars[MOVING].port
+        link = await dial.dial('127.0.0.1', port, hello, section.LinkTiming())
+        link.send_nowait(late)
+        async with asyncio.timeout(asking.BOUND_S):
+            async for msg in link.messages():
+                if isinstance(msg, message.Started | message.Refused):
+                    break
+        link.close()
+        return getattr(msg, 'code', 'started')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/failure/traffic.py
+++ b/tests/failure/traffic.py
@@ -162,12 +162,12 @@
     return run['tokens'] and not (run['finished'] or run['cancelled'])
 
 
-async def states(router):
-    """State of each upstream as a router sees it; `unhealthy` is one."""
+async def nodes(router):
+    """What a router tells of each upstream's sidecar."""
     async with caller.open_client(router.url, board.OPERATOR_TOKEN) as client:
         found = (await client.get('/admin/v1/nodes')).json()
     return {
-        node['name']: _state(node)
+        node['name']: node
         for node in found['nodes']
         if node['kind'] == 'sidecar'
     }
@@ -188,8 +188,9 @@
 
     async def seen():
         for router in routers:
-            found = await states(router)
-            if {found.get(name) for name in names or found} != {wanted}:
+            found = await nodes(router)
+            states = {name: _state(node) for name, node in found.items()}
+            if {states.get(name) for name in names or found} != {wanted}:
                 return False
         return True
 
