Test that a stalled sidecar names what it still runs

test_bound_of_the_wait tried only the router's grace. It now ends a sidecar with stalled work too, and takes the work up with the next one. Not seen to fail, but for its own fault: the restart left the short grace in force, which cut the order of the next test.

--- a/tests/failure/test_shutdown.py
+++ b/tests/failure/test_shutdown.py
@@ -146,8 +146,8 @@
     async def test_bound_of_the_wait(self):
         """A host that should go hangs for ever, and nobody knows why.
 
-        Engines stall with a query and a plan in hand; a router and then the
-        sidecars get SIGTERM. At the end of their grace they name what still
+        Engines stall with queries and a plan in hand; a router and then a
+        sidecar get SIGTERM. At the end of their grace they name what still
         runs and end; the plan is answered through the other router.
         """
         await self.restart_with_grace()
@@ -171,17 +171,36 @@
         ]
         self.assertEqual(len(lines), 2)
         self.assertTrue(all('upstream=model-' in line for line in lines))
+        held = [
+            traffic.ask(self.second, f'held-{number}', TOKENS)
+            for number in range(4)
+        ]
+        sidecar = self.cluster.sidecars[ENGINE]
+
+        async def has_some():
+            return traffic.started(sidecar)
+
+        await asking.until(has_some)
+        sidecar.terminate()
+        self.assertEqual(await sidecar.wait(), 0)
+        self.assertIn('event=attempt_unfinished', sidecar.log_text())
+        self.cluster.changes.update(self.CHANGES)
+        await self.cluster.restart_ended()
         for name in self.cluster.upstreams.keys() - {APP}:
             await self.cluster.switch(self.cluster.upstreams[name], stall=False)
+        for task, answer in held:
+            await task
+            self.assertTrue(answer.is_whole, answer.error)
         later = await asking.settled(self.second, key='hanging-plan')
         self.assertTrue(later.answered, later)
 
     async def restart_with_grace(self):
-        """Starts the first router anew, with a short grace."""
+        """Starts the first router and a sidecar anew, with a short grace."""
         self.cluster.changes['router'] = {'stop': {'grace_s': GRACE_S}}
-        self.addCleanup(self.cluster.changes.update, self.CHANGES)
-        self.first.kill()
-        await self.first.wait()
+        self.cluster.changes['sidecar'] = {'timing': {'grace_s': GRACE_S}}
+        for process in (self.first, self.cluster.sidecars[ENGINE]):
+            process.kill()
+            await process.wait()
         await self.mend()
 
 
