Bring engines to their desired models, adapters and role

Each sidecar drives its own engine there by orders, one at a time, reading back. Fence: the configuration's revision. Guards: the upstream's lease, the head row read under it, and a look at lease and revision once the connection is open. Loads hold one of policies.load_slots lease rows.

Guards removed on a scratch copy, each seen to fail: the condition on the other's row (Hypothesis finds both engines unloaded), the question to it (process test: no engine has the model), the change of its version (a dead upstream counts), the slot's lease (3 load under 2), the lease's deadline and the revision before the write (the order is given), the look at the head (a woken predecessor orders under the old revision, to both kinds of engine).

Ruled out: the lease alone. A successor that is done gives it back, and the predecessor then takes it and orders under its old configuration.

Found on the way: an engine's report that lags behind an unload would be told to the others as loaded; what was taken out is left out of the row until the report drops it. No test of that alone.

Not tested: renewal of a lease or slot during a load longer than its TTL.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/error.py
@@ -10,6 +10,7 @@
     'ExchangeError',
     'GenerationGoneError',
     'GenerationUnreachableError',
+    'OrderWithheldError',
     'RequestMalformedError',
     'UpstreamConnectError',
 ]
@@ -58,6 +59,12 @@
         self.body = body
 
 
+class OrderWithheldError(ExchangeError):
+    """An order was not sent: this process may not give it any more."""
+
+    code = 'order_withheld'
+
+
 class GenerationGoneError(base.QuetzalsillError):
     """The engine proved that it no longer has the generation."""
 
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Orders that bring the engine to what the configuration wants."""
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/placement/loaded.py
@@ -0,0 +1,106 @@
+"""Which upstream has which models loaded, by one row for each."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from quetzalsill.platform import error, table
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = ['TABLE', 'LoadedRows']
+
+TABLE = 'placement'
+
+
+@dataclasses.dataclass(slots=True)
+class _Own:
+    """The own row as it was last written or read."""
+
+    version: int
+    models: list[str]
+    written_at: float
+
+
+class LoadedRows:
+    """Tells others what is loaded here, and asks what is loaded there.
+
+    The own row is written on each change and every `confirm_s`, so that its
+    version tells others that this sidecar lives and still reads it back.
+    """
+
+    def __init__(
+        self,
+        rows: table.Table,
+        upstream: str,
+        confirm_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._rows = rows
+        self._upstream = upstream
+        self._confirm_s = confirm_s
+        self._clock = clock
+        self._own: _Own | None = None
+        self._seen: dict[str, int] = {}
+
+    async def confirm(self, models: list[str]) -> None:
+        """Writes what is loaded here if it has changed or is due.
+
+        Raises:
+          PlatformError: The store does not answer as it should.
+        """
+        if self._own is None:
+            row = await self._rows.get(TABLE, self._upstream)
+            version = row.version if row else 0
+            self._own = _Own(version, _models(row), float('-inf'))
+        due = self._own.written_at + self._confirm_s
+        if models != self._own.models or self._clock() >= due:
+            await self._write(models, [])
+
+    async def take_out(self, model: str, others: Iterable[str]) -> bool:
+        """Takes a model off the own row if another upstream has it loaded.
+
+        Two sidecars that unload the same model at once would each see it
+        loaded at the other. The write is therefore conditional on the very
+        row that was seen, and the table lets one of the two through. A row
+        counts only once its version has changed under our eyes: that of a
+        dead upstream stands still.
+
+        Returns:
+          Whether the model may be unloaded now.
+
+        Raises:
+          PlatformError: The store does not answer as it should.
+        """
+        if self._own is None:
+            return False
+        models = [name for name in self._own.models if name != model]
+        for name in others:
+            row = await self._rows.get(TABLE, name)
+            if row is None or model not in _models(row):
+                self._seen.pop(name, None)
+            elif self._seen.setdefault(name, row.version) != row.version:
+                seen = table.Condition(TABLE, name, row.version)
+                self._seen.clear()
+                return await self._write(models, [seen])
+        return False
+
+    async def _write(
+        self, models: list[str], seen: list[table.Condition]
+    ) -> bool:
+        """Writes the own row; False if it or a row that was seen changed."""
+        own, self._own = self._own, None
+        mine = table.Condition(TABLE, self._upstream, own.version)
+        write = table.Write(TABLE, self._upstream, {'models': models})
+        try:
+            versions = await self._rows.transact([mine, *seen], [write])
+        except error.ConditionFailedError:
+            return False
+        self._own = _Own(versions[0], models, self._clock())
+        return True
+
+
+def _models(row: Any) -> list[str]:
+    return list(row.value['models']) if row else []
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/placement/plan.py
@@ -0,0 +1,54 @@
+"""What to order next so that an engine becomes as it is wanted."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill.config import model
+    from quetzalsill_sidecar.upstream import engine
+
+__all__ = ['Order', 'orders']
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Order:
+    """One order to the engine.
+
+    Attributes:
+      kind: `load_model`, `unload_model`, `load_adapter`, `unload_adapter` or
+        `set_role`.
+      name: Model, adapter or role.
+    """
+
+    kind: str
+    name: str
+
+    @property
+    def loads(self) -> bool:
+        """Whether weights are fetched from the weight store."""
+        return self.kind in ('load_model', 'load_adapter')
+
+    @property
+    def takes_model_out(self) -> bool:
+        """Whether the engine stops serving a model."""
+        return self.kind == 'unload_model'
+
+
+def orders(
+    wanted: model.Upstream, report: engine.EngineReport
+) -> Iterator[Order]:
+    """Yields what differs, loads first, by the engine's own word."""
+    yield from _each('load_model', wanted.models, report.models)
+    yield from _each('load_adapter', wanted.adapters, report.adapters)
+    if report.role and report.role != wanted.role:
+        yield Order('set_role', wanted.role)
+    yield from _each('unload_adapter', report.adapters, wanted.adapters)
+    yield from _each('unload_model', report.models, wanted.models)
+
+
+def _each(kind: str, these: list[str], without: list[str]) -> Iterator[Order]:
+    for name in sorted(set(these) - set(without)):
+        yield Order(kind, name)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/run.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/run.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from quetzalsill.net import stop as net_stop
+from quetzalsill.platform import clients
 from quetzalsill.plugin import registry
+from quetzalsill.telemetry import log
 from quetzalsill_sidecar import monitoring
 from quetzalsill_sidecar import sidecar as sidecar_lib
+from quetzalsill_sidecar.placement import placer
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from quetzalsill_sidecar import settings as settings_lib
 
 __all__ = ['run']
 
+RESTART_S = 1.0
+
+logger = log.get(__name__)
+
 
 async def run(settings: settings_lib.SidecarSettings) -> None:
     """Runs the sidecar; returns after a graceful stop.
@@ -29,7 +39,7 @@
     with net_stop.StopSignal() as stop:
         await sidecar.start()
         try:
-            async with monitoring.serve(sidecar):
+            async with monitoring.serve(sidecar), _placing(sidecar):
                 await _wait_for_either(stop, sidecar)
                 sidecar.leave('shutting down')
                 await sidecar.drained()
@@ -37,6 +47,33 @@
             await sidecar.stop()
 
 
+@contextlib.asynccontextmanager
+async def _placing(sidecar: sidecar_lib.Sidecar) -> AsyncIterator[None]:
+    """Keeps a model engine at its desired state meanwhile."""
+    if sidecar.settings.upstream.kind != 'model':
+        yield
+        return
+    async with clients.open_clients(sidecar.settings.platform) as platform:
+        task = asyncio.create_task(_place(sidecar, platform))
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+async def _place(
+    sidecar: sidecar_lib.Sidecar, platform: clients.Clients
+) -> None:
+    """Places until cancelled, and again should that ever fail."""
+    while True:
+        try:
+            await placer.Placer(sidecar, platform).run()
+        except Exception:
+            logger.exception('background_failed', task='placement')
+        await asyncio.sleep(RESTART_S)
+
+
 async def _wait_for_either(
     stop: net_stop.StopSignal, sidecar: sidecar_lib.Sidecar
 ) -> None:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/settings.py
@@ -10,6 +10,7 @@
 __all__ = [
     'Bounds',
     'Monitoring',
+    'Placement',
     'SidecarSettings',
     'Timing',
     'UpstreamTarget',
@@ -136,6 +137,47 @@
     tls: section.Tls = key('TLS of the listener.', factory=section.Tls)
 
 
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """Timing of orders to the engine."""
+
+    interval_s: float = key(
+        'Interval of looks at what the engine has loaded.',
+        2.0,
+        unit='s',
+        minimum=0.05,
+        maximum=600,
+    )
+    confirm_s: float = key(
+        'Interval at which the platform is told what is loaded here.',
+        60.0,
+        unit='s',
+        minimum=0.1,
+        maximum=3600,
+    )
+    lease_s: float = key(
+        'TTL of the lease under which orders are given, and of load slots.',
+        20.0,
+        unit='s',
+        minimum=2.0,
+        maximum=600,
+    )
+    order_s: float = key(
+        'Longest time that the engine may take over an order.',
+        600.0,
+        unit='s',
+        minimum=0.1,
+        maximum=7200,
+    )
+    read_back_s: float = key(
+        'Longest wait until the engine shows an order that it has done.',
+        10.0,
+        unit='s',
+        minimum=0.1,
+        maximum=600,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Bounds:
     """Bounds of memory."""
@@ -197,5 +239,6 @@
         'Timing of the links.', factory=section.LinkTiming
     )
     monitoring: Monitoring = key('Listener for monitoring.', factory=Monitoring)
+    placement: Placement = key('Orders to the engine.', factory=Placement)
     timing: Timing = key('Bounds of waits.', factory=Timing)
     bounds: Bounds = key('Bounds of memory.', factory=Bounds)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
@@ -12,6 +12,7 @@
 from quetzalsill_sidecar.upstream import http
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from contextlib import AbstractAsyncContextManager
 
     from quetzalsill.wire import message
@@ -108,13 +109,46 @@
         known = {field.name for field in dataclasses.fields(EngineReport)}
         return EngineReport(**{k: v for k, v in answer.items() if k in known})
 
-    async def _ask(self, method: str, target: str) -> dict[str, object]:
+    async def order(
+        self,
+        kind: str,
+        name: str,
+        fence: int,
+        timeout_s: float,
+        check: Callable[[], None],
+    ) -> None:
+        """Gives an order and waits until it is carried out.
+
+        Args:
+          kind: Such as `load_model`.
+          name: Model, adapter or role.
+          fence: Fencing number.
+          timeout_s: Longest time that it may take.
+          check: Called when the connection is open, right before the order
+            is written; what it raises keeps the order back.
+
+        Raises:
+          ExchangeError: As of `cancel`; or what `check` raises.
+        """
+        body = json.dumps({'kind': kind, 'name': name, 'fence': fence})
+        await self._ask('POST', '/orders', body.encode(), timeout_s, check)
+
+    async def _ask(
+        self,
+        method: str,
+        target: str,
+        content: bytes = b'',
+        timeout_s: float = 0.0,
+        check: Callable[[], None] = lambda: None,
+    ) -> dict[str, object]:
+        headers = JSON_HEADERS if content else []
         try:
             async with (
-                asyncio.timeout(self._answer_s),
+                asyncio.timeout(timeout_s or self._answer_s),
                 http.exchange(self._origin, self._connect_s) as conn,
             ):
-                await conn.ask(method, target, [])
+                check()
+                await conn.ask(method, target, headers, content)
                 head = await conn.read_head()
                 body = await conn.read_all(MAX_ANSWER_BYTES)
         except TimeoutError as exc:
--- a/packages/quetzalsill/src/quetzalsill/config/model.py
+++ b/packages/quetzalsill/src/quetzalsill/config/model.py
@@ -207,6 +207,10 @@
     'Part of engine memory kept free for prompt work.',
     0.1, minimum=0.0, maximum=0.9,
   )  # fmt: skip
+    load_slots: int = key(
+        'Engines that may load from the weight store at once.',
+        2, minimum=1, maximum=1024,
+    )  # fmt: skip
     subset: int = key(
     'Upstreams of a model that one router keeps links to.',
     16, minimum=1, maximum=4096,
--- /dev/null
+++ b/tests/failure/test_orders.py
@@ -0,0 +1,212 @@
+"""Engines are brought to their desired state, and kept there."""
+
+from __future__ import annotations
+
+import unittest
+
+from quetzalsill.config import model
+from quetzalsill_dev import board, caller
+from tests.failure import asking, fixture
+
+IGNORES, CHECKS = 'model-ikeja-hall-1', 'model-apapa-hall-2'
+OTHER = 'scene-writer'
+CONFIRMS = 6
+
+
+def layout():
+    """Two engines, of which the second checks fences, and a router."""
+    found = board.board_layout(engines=2, services=0, routers=1)
+    found.engines[1].checks_fence = True
+    return found
+
+
+class OrdersTest(fixture.SharedClusterTestCase):
+    """One router, and two engines with their sidecars."""
+
+    LAYOUT = layout()
+    CHANGES = {
+        'sidecar': {
+            'placement': {
+                'interval_s': 0.1,
+                'confirm_s': 0.2,
+                'lease_s': 2.0,
+                'read_back_s': 1.0,
+            }
+        }
+    }
+
+    @classmethod
+    def configuration(cls):
+        cfg = board.configuration()
+        cfg.models[OTHER] = model.Model(adapters=['x1', 'x2', 'x3'])
+        return cfg
+
+    async def mend(self):
+        await self.cluster.switch(self.cluster.store, down=False)
+        await super().mend()
+        for name in (IGNORES, CHECKS):
+            await self.cluster.switch(self.cluster.upstreams[name], order_s=0)
+            self.wanted(name).models = [board.MODEL]
+            self.wanted(name).adapters = []
+        await self.cluster.publish()
+        for name in (IGNORES, CHECKS):
+            await self.until_shown(name, [board.MODEL], [])
+
+    def wanted(self, name):
+        """Desired state of an upstream, to be changed and published."""
+        return self.cluster.configuration.upstreams[name]
+
+    async def read(self, url, path):
+        async with caller.open_client(url) as client:
+            return (await client.get(path)).json()
+
+    async def orders(self, name):
+        """Orders that an engine has had, with their fences."""
+        history = (await self.cluster.audit(name))['orders']
+        return [(o['kind'], o['name'], o['fence']) for o in history]
+
+    async def until_shown(self, name, models, adapters):
+        """Waits until an engine has just these loaded."""
+
+        async def shown():
+            load = await self.read(self.cluster.upstreams[name].url, '/load')
+            return (load['models'], load['adapters']) == (models, adapters)
+
+        await asking.until(shown)
+
+    async def confirms(self, name):
+        """How often a sidecar has told what is loaded."""
+        path = f'/table/placement/{name}'
+        return (await self.read(self.cluster.store.url, path))['version']
+
+    async def until_looked(self, *names):
+        """Waits until each sidecar has looked at its engine some times."""
+        for name in names:
+            before = await self.confirms(name)
+
+            async def looked(name=name, before=before):
+                return await self.confirms(name) >= before + CONFIRMS
+
+            await asking.until(looked)
+
+    @fixture.on_cluster
+    async def test_the_last_engine_of_a_model_stays(self):
+        """All planning stops: an edit took the model off every engine.
+
+        Both engines are to change to another model at once. Both load it;
+        one gives the first model up, and the other, now its last, may not.
+        """
+        for name in (IGNORES, CHECKS):
+            self.wanted(name).models = [OTHER]
+        await self.cluster.publish()
+
+        async def one_is_left():
+            loads = [
+                await self.read(self.cluster.upstreams[name].url, '/load')
+                for name in (IGNORES, CHECKS)
+            ]
+            with_it = [board.MODEL in load['models'] for load in loads]
+            self.assertTrue(any(with_it))
+            both = all(OTHER in load['models'] for load in loads)
+            return both and not all(with_it)
+
+        await asking.until(one_is_left)
+        await self.until_looked(IGNORES, CHECKS)
+        unloads = [
+            order
+            for name in (IGNORES, CHECKS)
+            for order in await self.orders(name)
+            if order[:2] == ('unload_model', board.MODEL)
+        ]
+        self.assertEqual(len(unloads), 1)
+
+    @fixture.on_cluster
+    async def test_no_orders_while_the_store_is_down(self):
+        """An outage of the store stops the planning, or unloads engines.
+
+        The newest revision wants an adapter; orders need lease and slot.
+        Answers go on meanwhile, and the order follows the outage.
+        """
+        router = next(iter(self.cluster.routers.values()))
+        await self.cluster.switch(self.cluster.upstreams[IGNORES], order_s=1.0)
+        self.wanted(IGNORES).adapters = ['x1', 'x2']
+        await self.cluster.publish()
+        before = len(await self.orders(IGNORES))
+        await self.until_ordered(IGNORES, before + 1)
+        await self.cluster.switch(self.cluster.store, down=True)
+        sidecar = self.cluster.sidecars[IGNORES]
+        await self.until_logged(sidecar, 'failing=platform_unavailable')
+        body = {'model': board.MODEL, 'prompt': 'Slots? [[tokens=5]]'}
+        token = board.TOKENS['retailers']
+        async with caller.open_client(router.url, token) as client:
+            answer = await caller.generate(client, body)
+        self.assertTrue(answer.is_whole, answer.error)
+        self.assertEqual(len(await self.orders(IGNORES)), before + 1)
+        await self.cluster.switch(self.cluster.store, down=False)
+        await self.until_shown(IGNORES, [board.MODEL], ['x1', 'x2'])
+
+    async def until_ordered(self, name, count):
+        """Waits until an engine has had so many orders."""
+
+        async def ordered():
+            return len(await self.orders(name)) >= count
+
+        await asking.until(ordered)
+
+    async def until_logged(self, process, text):
+        """Waits until a process has logged a text."""
+
+        async def logged():
+            return text in process.log_text()
+
+        await asking.until(logged)
+
+    @fixture.on_cluster
+    async def test_paused_sidecar_wakes_beside_its_successor(self):
+        """An engine ends with what nobody wants any more.
+
+        A sidecar is paused with orders left to give, past its lease. Its
+        successor, at another address, orders otherwise under a newer
+        revision and gives the lease back. The first wakes with its old
+        configuration, to a free lease and no link.
+        """
+        for name in (IGNORES, CHECKS):
+            with self.subTest(name):
+                await self.replace_while_paused(name)
+
+    async def replace_while_paused(self, name):
+        engine, first = (
+            self.cluster.upstreams[name],
+            self.cluster.sidecars[name],
+        )
+        await self.cluster.switch(engine, order_s=0.5)
+        before = len(await self.orders(name))
+        self.wanted(name).adapters = ['x1', 'x3']
+        await self.cluster.publish()
+        await self.until_ordered(name, before + 1)
+        first.stop()
+        await self.cluster.switch(engine, order_s=0)
+        del self.cluster.sidecars[name]
+        second = await self.cluster.start_sidecar(name)
+        self.wanted(name).sidecar = second.address
+        self.wanted(name).adapters = ['x2']
+        revision = await self.cluster.publish()
+        await self.until_shown(name, [board.MODEL], ['x2'])
+        await self.until_looked(name)
+        given = await self.orders(name)
+        first.cont()
+
+        async def withheld_or_given():
+            withheld = 'failing=order_withheld' in first.log_text()
+            return withheld or await self.orders(name) != given
+
+        await asking.until(withheld_or_given)
+        await self.until_looked(name)
+        self.assertEqual(await self.orders(name), given)
+        self.assertEqual(given[-1][2], revision)
+        await self.until_shown(name, [board.MODEL], ['x2'])
+        first.kill()
+
+
+if __name__ == '__main__':
+    unittest.main()
