--- /dev/null
+++ b/tests/test_failures_page.py
@@ -0,0 +1,32 @@
+"""docs/FAILURES.md names log events, metrics and settings that exist."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import unittest
+
+ROOT = pathlib.Path(__file__).parents[1]
+PAGE = ROOT / 'docs' / 'FAILURES.md'
+NAME = re.compile(r'`([a-z]+(?:_[a-z]+)+)\b')
+SETTING = re.compile(r'\(`[a-z]+\.([a-z_]+)`')
+# Written from parts in the code.
+COMPOSED = {'attempt_failed'}
+
+
+class FailuresPageTest(unittest.TestCase):
+    """An operator searches the logs for a line that was renamed."""
+
+    def test_each_name_stands_in_the_code(self):
+        files = (ROOT / 'packages').glob('*/src/**/*.py')
+        code = '\n'.join(path.read_text() for path in files)
+        page = PAGE.read_text()
+        names = {*NAME.findall(page), *SETTING.findall(page)} - COMPOSED
+        self.assertGreater(len(names), 50)
+        for name in sorted(names):
+            with self.subTest(name):
+                self.assertRegex(code, rf'\b{name}\b')
+
+
+if __name__ == '__main__':
+    unittest.main()
