Don't take a router without configuration for one that knows no caller

Cause: a router that starts while the store is away has no configuration and so no account. Its completions said so (503), but whoever fetched an answer or listed models there was told "unauthorized", and a fetch told so with "not run": true, which its caller takes for the request it asks after.

Ruled out: the takeover and the store's rows; the same ids were answered whole by the other router.

The test failed with 401 for 503. A fetch whose caller is not known now tells nothing about the request (not_run null).

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/auth.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/auth.py
@@ -18,6 +18,7 @@
 
 SCHEME = 'bearer '
 MAX_TOKEN = 512
+NO_CONFIGURATION_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,7 +45,14 @@
 
         Raises:
           UnauthorizedError: The token is missing or unknown.
+          StoreUnavailableError: No configuration was had yet, so that no
+            account is known.
         """
+        if self._holder.revision == 0:
+            raise request_error.StoreUnavailableError(
+                'this router has no configuration yet',
+                retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
+            )
         raw = request.get_first_header(b'authorization') or b''
         text = raw.decode('latin-1')
         if not text.lower().startswith(SCHEME) or len(text) > MAX_TOKEN:
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
@@ -40,7 +40,7 @@
     """Makes the handler that fetches an answer."""
 
     async def handle(request: blacksheep.Request) -> blacksheep.Response:
-        account = callers.identify(request).name
+        account = _account(callers, request)
         ident_ = _ident(request)
         return await _answer(ctx, account, ident_, _wants_events(request))
 
@@ -51,7 +51,7 @@
     """Makes the handler that fetches an answer by its idempotency key."""
 
     async def handle(request: blacksheep.Request) -> blacksheep.Response:
-        account = callers.identify(request).name
+        account = _account(callers, request)
         keys = request.query.get('idempotency_key', [])
         if len(keys) != 1 or not caller.KEY.fullmatch(keys[0]):
             raise field.FieldError(
@@ -81,7 +81,7 @@
     """Makes the handler that cancels a request."""
 
     async def handle(request: blacksheep.Request) -> blacksheep.Response:
-        account = callers.identify(request).name
+        account = _account(callers, request)
         ident_ = _ident(request)
         if _runs_here(ctx, account, ident_):
             ctx.active.get(ident_).cancel(CANCELLED)
@@ -121,6 +121,20 @@
     )
 
 
+def _account(callers: auth.Callers, request: blacksheep.Request) -> str:
+    """Returns the account that asks.
+
+    Raises:
+      RequestError: It is not known. That proves nothing about the request
+        that is asked after, which may have run: "not run" would be untrue.
+    """
+    try:
+        return callers.identify(request).name
+    except request_error.RequestError as exc:
+        exc.ran = base.Ran.UNKNOWN
+        raise
+
+
 def _runs_here(ctx: context.Context, account: str, request: str) -> bool:
     """Whether the account's request runs in this router."""
     running = ctx.active.get(request)
--- a/tests/quetzalsill_router/http/test_completions.py
+++ b/tests/quetzalsill_router/http/test_completions.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import unittest
 
 import openai
 
+from quetzalsill.config import model
 from quetzalsill.error import request as request_error
 from quetzalsill.platform import table as platform_table
 from quetzalsill.settings import section
@@ -436,6 +438,24 @@
             found = await two.get(where)
         self.assertEqual(found.json()['error']['code'], 'cancelled')
 
+    async def test_fetch_from_a_router_that_knows_nobody_yet(self):
+        """A retoucher is told that an accepted brief did not run.
+
+        A router starts while the store is away. It has no configuration, so
+        it knows no account; it refused the fetch as unauthorized, and as
+        "not run", which the brief's caller takes for the brief.
+        """
+        ctx = fake.make_context()
+        cfg, ctx.holder.current = ctx.holder.current, model.Configuration()
+        for status, headers in ((503, {}), (401, {'authorization': 'x'})):
+            async with served.serve(ctx) as client:
+                found = await client.get('/v1/requests/a-1-0', headers=headers)
+                self.assertEqual(found.status_code, status, found.text)
+                self.assertIsNone(found.json()['error']['not_run'])
+                models = await client.get('/v1/models', headers=headers)
+                self.assertEqual(models.status_code, status, found.text)
+            ctx.holder.current = dataclasses.replace(cfg, revision=1)
+
     async def test_unreachable_owner_is_told(self):
         ctx = fake.make_context()
         await ctx.journal.accept(fake.make_entry(request=''))
