--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quetzalsill quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
-.PHONY: bench install test lint format demo bench-path bench-capacity clean
+.PHONY: bench install test lint format demo bench-path bench-capacity bench-faults clean
 
 install: $(STAMP)
 
@@ -38,5 +38,8 @@
 bench: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.bench.crowd
 
+bench-faults: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.bench.faults
+
 clean:
 	rm -rf $(VENV) bench-results run-demo
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of what callers see while parts fail on a seeded schedule."""
