Mark the end of an attempt whose Dispatch was lost

Two changes met on main: what a sidecar never saw is told to callers as no_upstream, and the loop of attempts knew it by its code, not_found. It counted as a refusal of the upstream again. The outcome says it by a flag now; no_upstream itself can't, as a sidecar says that of its upstream too.

Before: 503 in 2 of 3 kinds of silence (the test of the silent link). After: all 6 tests of silent connections pass, in 16.3 s; 20 tests of the router's requests pass.

--- a/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
@@ -38,11 +38,13 @@
       error: What the caller is told if nothing else is tried.
       gone: The generation is proved lost on its upstream.
       moved: The attempt was withdrawn in favour of another upstream.
+      lost: The Dispatch never came to its sidecar.
     """
 
     error: request.RequestError
     gone: bool = False
     moved: bool = False
+    lost: bool = False
 
     @property
     def ran(self) -> base.Ran:
@@ -82,7 +84,8 @@
     """
     if ended.error.code != request.NotFoundError.code:
         return ended
-    return Outcome(request.NoUpstreamError('the dispatch was lost on its way'))
+    error = request.NoUpstreamError('the dispatch was lost on its way')
+    return Outcome(error, lost=True)
 
 
 def of_recovery(ended: Outcome, same_sidecar: bool) -> Outcome:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/tries.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/tries.py
@@ -61,7 +61,7 @@
         if ended.ran is not base.Ran.NO:
             self.failed.add(upstream)
             return
-        if ended.error.code == request_error.NotFoundError.code:
+        if ended.lost:
             # Its Dispatch was lost with a link that had gone silent. The
             # sidecar refused nothing, and may be the only one there is.
             return
