Keep an answer at the sidecar until it is stored

Cause: a router acknowledged an answer as soon as it had it whole, and stored it after that. If it died or was paused in between, its successor learnt that the order had run, but not its answer; a durable brief was lost, though its engine still had it. Found by the pause of a router on the busy machine: one of the repeated orders was told "answer no longer kept". Now a journalled answer is acknowledged once its outcome is stored (or after the bounded wait for that), and a sidecar that has dropped an answer asks the engine for it again. How it failed before: test_answer_is_acknowledged_only_once_it_is_stored found the attempt closed; test_answer_that_was_acknowledged_is_had_again got nothing. Ruled out: a longer retention in the sidecar; it is dropped on Ack, not by time.

--- a/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_router.limit import shares
+    from quetzalsill_router.peer import attempt as peer_attempt
 
 __all__ = ['Active', 'ActiveRequests']
 
@@ -36,6 +37,7 @@
         granted or that is only settled here.
       cancelled: Why it was cancelled; None if it was not.
       answered: An attempt brought the whole answer.
+      unacknowledged: That attempt, until its answer is stored.
       handed_over: Its task ends but its run goes on, for another router.
       watcher: The task that watches for the caller leaving.
     """
@@ -54,6 +56,7 @@
     grant: shares.Grant | None = None
     cancelled: request_error.RequestError | None = None
     answered: bool = False
+    unacknowledged: peer_attempt.Attempt | None = None
     handed_over: bool = False
     watcher: asyncio.Task[None] | None = None
 
@@ -85,6 +88,12 @@
         if self.attempt:
             self.runs[self.attempt] = ran
 
+    def acknowledge(self) -> None:
+        """Lets the sidecar forget an answer that is stored."""
+        if self.unacknowledged is not None:
+            self.unacknowledged.close()
+            self.unacknowledged = None
+
     def generated(self, items: int) -> None:
         """Charges the account for items as they come."""
         if self.grant is not None and self.work.kind != spec.CALL:
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -103,6 +103,8 @@
                     yield credit.items(msg)
                 case message.Finished():
                     ended = True
+                    if work.entry is not None:
+                        active.unacknowledged = attempt
                     return
                 case _:
                     ended = True
@@ -112,7 +114,9 @@
             sender.cancel()
         # The router that takes a journalled request over attaches to this
         # run; cancelled here, it would be lost there.
-        if ended or not active.handed_over:
+        if active.unacknowledged is not attempt and (
+            ended or not active.handed_over
+        ):
             attempt.close()
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/serve.py
@@ -76,6 +76,7 @@
             if error is not None:
                 await _settle_failure(ctx, active, error)
     finally:
+        active.acknowledge()
         ctx.active.remove(active)
 
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -179,7 +179,8 @@
         )
         is_call = dispatch.kind in CALL_KINDS
         if dispatch.recover and not is_call and _is_open(terminal):
-            # The engine could not be asked the last time; now it may.
+            # The engine could not be asked the last time, or not by who asks
+            # now; it may have the answer that is no longer kept here.
             self._attempts.drop(dispatch.attempt)
             return False
         if attempt is not None:
@@ -279,12 +280,10 @@
 
 
 def _is_open(terminal: message.Message | None) -> bool:
-    """Whether an attempt ended with nothing proved about its work."""
-    return (
-        isinstance(terminal, message.Failed)
-        and terminal.ran == 'unknown'
-        and not terminal.gone
-    )
+    """Whether more may be had of an attempt than how it ended here."""
+    if not isinstance(terminal, message.Failed) or terminal.gone:
+        return False
+    return terminal.ran == 'unknown' or terminal.code == 'outcome_unknown'
 
 
 def _not_kept(attempt: state.Attempt) -> message.Message:
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -340,6 +340,29 @@
         # An engine that was restarted since can't prove that it never ran.
         self.assertEqual(sent.engine, 4)
 
+    async def test_answer_is_acknowledged_only_once_it_is_stored(self):
+        """An order was taken, and nobody can tell what its answer was.
+
+        The router dies between the whole answer and its storing, and the
+        sidecar has dropped it as acknowledged.
+        """
+        peer = fake.Peer('one', whole(b'a'))
+        ctx = fake.make_context(peer)
+        stored = asyncio.Event()
+        settling = asyncio.Event()
+
+        async def settle(entry, answer):
+            settling.set()
+            await stored.wait()
+
+        ctx.journal.settle = settle
+        running = serve.start(ctx, self._taken_over(ctx, idempotent=False))
+        await settling.wait()
+        self.assertFalse(peer.attempts[0].closed.is_set())
+        stored.set()
+        await running.task
+        self.assertTrue(peer.attempts[0].closed.is_set())
+
     async def test_brief_is_not_run_anew_on_the_word_of_a_new_sidecar(self):
         """A router dies with a scene brief running; so does its sidecar.
 
--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -112,6 +112,30 @@
                 messages = await second.receive_all(attempt)
         self.assertEqual(support.indexes(messages), list(range(60)))
 
+    async def test_answer_that_was_acknowledged_is_had_again(self):
+        """A plan is made, and its clerk is told that it is lost.
+
+        The router that had the whole answer dies before it has stored it;
+        the sidecar has dropped it, but the engine has not.
+        """
+        async with support.sidecar(self.url) as sidecar:
+            changes = {'profile': 'patient', 'request': 'plan'}
+            async with support.router(sidecar.port) as first:
+                attempt = first.dispatch(tokens=60, fence=1, **changes)
+                await first.receive_all(attempt)
+                first.send(message.Ack(attempt))
+                await first.receive_all(first.dispatch())
+            async with support.router(sidecar.port) as second:
+                second.dispatch(
+                    attempt=attempt,
+                    recover=True,
+                    fence=2,
+                    engine=self.engine.incarnation,
+                    **changes,
+                )
+                messages = await second.receive_all(attempt)
+        self.assertEqual(support.indexes(messages), list(range(60)))
+
     async def test_answer_that_is_partly_dropped_is_not_begun_in_mid_stream(
         self,
     ):
