--- a/tests/failure/asking.py
+++ b/tests/failure/asking.py
@@ -175,6 +175,21 @@
             await asyncio.sleep(POLL_S)
 
 
+async def count(standin, name):
+    """A count of a platform stand-in."""
+    async with caller.open_client(standin.url) as client:
+        return (await client.get('/stand-in/counts')).json().get(name, 0)
+
+
+async def until_counted(standin, name, least):
+    """Waits until a platform stand-in has counted so many."""
+
+    async def reached():
+        return await count(standin, name) >= least
+
+    await until(reached)
+
+
 async def until_ran(cluster, *names):
     """Waits until each of these has reached its upstream."""
 
