Spread the first looks of placement; test that long loads keep their slot

Cause: all sidecars of a fleet that starts at once would read and write their rows within one interval (1,400 of them: 700 writes a second by calculation, above what the table takes). Now spread over five intervals.

The renewal of leases during a load had no test; without it the new test fails (the slot's row stands still). docs/OPERATORS.md tells how models move.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/placement/placer.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/placement/placer.py
@@ -29,6 +29,8 @@
 # Time for an order to reach the engine once the lease was looked at.
 ORDER_MARGIN_S = 1.0
 RENEW_PART = 3
+# Intervals over which the first looks of a fleet are spread.
+START_SPREAD = 5
 
 logger = log.get(__name__)
 orders_total = metric.counter(
@@ -74,6 +76,10 @@
 
     async def run(self) -> None:
         """Works until cancelled."""
+        # A whole fleet that starts at once, as after a cut of power, would
+        # read and write all its rows within one interval.
+        spread_s = START_SPREAD * self._timing.interval_s
+        await asyncio.sleep(spread_s * random.random())
         while True:
             try:
                 await self._step()
--- a/tests/quetzalsill_sidecar/placement/test_placement.py
+++ b/tests/quetzalsill_sidecar/placement/test_placement.py
@@ -22,6 +22,7 @@
 
 NAMES = ('ikeja-1', 'apapa-1')
 MODEL = 'plan'
+TTL_S = 2.0
 INDEXES = st.integers(0, len(NAMES) - 1)
 
 
@@ -180,6 +181,17 @@
                 given.append((kind, name, fence))
                 raise error.AnswerLostError('not read back here')
 
+        tested = self.placer(Engine())
+        head = {'revision': 4, 'edit': 'e', 'author': 'a', 'at': 'now'}
+        self.rows.rows.transact(
+            [], [standin_table.Write('config', 'head', head)]
+        )
+        with self.assertRaises(error.ExchangeError) as caught:
+            await tested._step()
+        return given, caught.exception
+
+    def placer(self, served):
+        """A placer of an engine that is to change its role."""
         cfg = model.Configuration(revision=4)
         cfg.upstreams[NAMES[0]] = model.Upstream(
             'model', 'x:1', 'z', role='decode'
@@ -189,22 +201,30 @@
             settings=types.SimpleNamespace(
                 upstream=types.SimpleNamespace(name=NAMES[0]),
                 node=types.SimpleNamespace(name=NAMES[0]),
-                placement=settings.Placement(),
+                placement=settings.Placement(lease_s=TTL_S),
             ),
             incarnation=1,
-            runs=types.SimpleNamespace(engine=Engine()),
+            runs=types.SimpleNamespace(engine=served),
             leaving=types.SimpleNamespace(refusal=lambda: ''),
             configuration=self.holder,
         )
         platform = types.SimpleNamespace(table=self.rows, objects=None)
-        tested = placer.Placer(sidecar, platform)
-        head = {'revision': 4, 'edit': 'e', 'author': 'a', 'at': 'now'}
-        self.rows.rows.transact(
-            [], [standin_table.Write('config', 'head', head)]
-        )
-        with self.assertRaises(error.ExchangeError) as caught:
-            await tested._step()
-        return given, caught.exception
+        return placer.Placer(sidecar, platform)
+
+    def slot_version(self):
+        return self.rows.rows.get('lease', 'load-slot/0').version
+
+    async def test_a_long_load_keeps_its_slot(self):
+        """Loads that outlast the slots' TTL flood the weight store."""
+        slots = slot.Slots(self.rows, NAMES[0], TTL_S)
+        taken = await slots.take(1)
+        async with (
+            asyncio.timeout(20 * TTL_S),
+            self.placer(None)._kept([taken]),
+        ):
+            while self.slot_version() < 4:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        self.assertTrue(taken.valid())
 
     async def test_order_after_a_pause_is_withheld(self):
         """An engine takes the role that a sidecar wanted before its pause.
