Do not call "not run" what nobody knows

Cause: GET /v1/requests/{id} answers 404 for an id that is not kept, with not_run true like every other refusal before acceptance. A caller who was told "unknown", and whose router had died, then sent its order again, as the interface says it may. Besides, behind a balancer the question goes to any router, and an unkeyed request is known only to the one that took it. Now a lookup that finds nothing leaves not_run open (null), and a router passes the question on to the one whose id it bears, if that lives. How it failed before: test_request_that_nobody_knows_any_more got (404, True); test_link_that_is_lost_for_long got 404 from the second router. test_bad_input expected not_run true of /v1/requests/r-1-1 too; it now expects null there, for the reason above, and true of all the rest as before. Ruled out: a further code; programs that branch on not_found go on working.

--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/entry.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/entry.py
@@ -35,7 +35,7 @@
     """
     parts = request.rsplit('-', 2)
     if len(parts) != 3 or not (parts[1].isdecimal() and parts[2].isdecimal()):
-        raise request_error.NotFoundError(f'no request {request!r}')
+        raise request_error.UnknownRequestError(f'no request {request!r}')
     return Place(parts[0], int(parts[1]), int(parts[2]))
 
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/lookup.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/lookup.py
@@ -123,11 +123,13 @@
         for record in segment.settled if segment else ():
             if (record.account, record.request) == (account, pointer.request):
                 return Stored(record.request, record.answer)
-        raise request_error.NotFoundError(f'no request {pointer.request!r}')
+        raise request_error.UnknownRequestError(
+            f'no request {pointer.request!r}'
+        )
 
     async def _pending(self, account: str, request: str) -> Stored:
         place = durable_entry.place_of(request)
         entry = await durable_log.read_entry(self._objects, place)
         if entry is None or entry.account != account:
-            raise request_error.NotFoundError(f'no request {request!r}')
+            raise request_error.UnknownRequestError(f'no request {request!r}')
         return Stored(request, None)
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/forward.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/forward.py
@@ -16,11 +16,14 @@
     from quetzalsill_router import context
     from quetzalsill_router.durable import registration
 
-__all__ = ['Elsewhere', 'ask', 'was_forwarded']
+__all__ = ['Elsewhere', 'ask', 'fetch', 'was_forwarded']
 
 HEADER = b'x-quetzalsill-forwarded'
 TIMEOUT_S = 3.0
 MAX_ASKED = 8
+COPIED = frozenset(
+    (b'x-request-id', b'x-should-retry', b'retry-after', b'location')
+)
 
 logger = log.get(__name__)
 
@@ -75,6 +78,43 @@
     return found
 
 
+async def fetch(
+    ctx: context.Context, request: blacksheep.Request, prefix: str, ident: str
+) -> blacksheep.Response | None:
+    """Gives what the router that accepted a request answers to the call.
+
+    Returns:
+      Its answer; None if it does not live, or is this one.
+    """
+    if was_forwarded(request):
+        return None
+    for router in _in_order(ctx, ident)[:1]:
+        if request_ident.was_accepted_by(
+            ident, router.node, router.incarnation
+        ):
+            return await _fetch(ctx, router, request, f'{prefix}/{ident}')
+    return None
+
+
+async def _fetch(
+    ctx: context.Context,
+    router: registration.Router,
+    request: blacksheep.Request,
+    path: str,
+) -> blacksheep.Response | None:
+    """Copies the answer of a router; None if it gives none."""
+    try:
+        answer = await _send(ctx, router, request, path)
+        data = await answer.read() or b''
+    except net_error.NetError as exc:
+        logger.info('forward_failed', router=router.node, detail=str(exc))
+        return None
+    kind = answer.get_first_header(b'content-type') or b''
+    headers = [pair for pair in answer.headers if pair[0].lower() in COPIED]
+    content = blacksheep.Content(kind, data)
+    return blacksheep.Response(answer.status, headers, content)
+
+
 def _in_order(ctx: context.Context, ident: str) -> list[registration.Router]:
     """Returns the other live routers, the accepting one first."""
     others = [
@@ -103,6 +143,8 @@
     url = f'{scheme}://{router.address}{path}'
     token = request.get_first_header(b'authorization') or b''
     headers = [(b'authorization', token), (HEADER, b'1')]
+    if accept := request.get_first_header(b'accept'):
+        headers.append((b'accept', accept))
     async with client.session(timeout_s=TIMEOUT_S, tls=tls) as session:
         return await session.send(
             blacksheep.Request(request.method, url.encode(), headers)
--- a/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/requests.py
@@ -42,7 +42,14 @@
     async def handle(request: blacksheep.Request) -> blacksheep.Response:
         account = _account(callers, request)
         ident_ = _ident(request)
-        return await _answer(ctx, account, ident_, _wants_events(request))
+        try:
+            return await _answer(ctx, account, ident_, _wants_events(request))
+        except request_error.UnknownRequestError:
+            # What is not journalled only the router knows that took it.
+            answer = await forward.fetch(ctx, request, PREFIX, ident_)
+            if answer is None:
+                raise
+            return answer
 
     return handle
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/keep.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/keep.py
@@ -70,7 +70,7 @@
             retry_after_s=STORE_RETRY_AFTER_S,
         ) from exc
     if row is None:
-        raise request_error.NotFoundError('no request has this key')
+        raise request_error.UnknownRequestError('no request has this key')
     return row.value['request']
 
 
--- a/packages/quetzalsill/src/quetzalsill/error/request.py
+++ b/packages/quetzalsill/src/quetzalsill/error/request.py
@@ -25,6 +25,7 @@
     'UnauthorizedError',
     'UnknownModelError',
     'UnknownProfileError',
+    'UnknownRequestError',
     'UpstreamFailedError',
     'UpstreamLeavingError',
     'from_code',
@@ -93,6 +94,13 @@
     advice = 'Check the path and the names in it.'
 
 
+class UnknownRequestError(NotFoundError):
+    """No such request is kept: there never was one, or it is forgotten."""
+
+    ran = base.Ran.UNKNOWN
+    advice = 'This says nothing of whether it ran.'
+
+
 class UnknownModelError(NotFoundError):
     """The configuration holds no such model."""
 
