Cut a reader that leaves less than a buffer unread

test_reader_that_stops_is_cut failed in one of four runs of all tests (1 request cut at the end of the stop's bound, not by its own): the bound on writing runs while writing is paused, and asyncio resumes below 16 KiB and pauses above 64. What the kernel left below that was waited for by nobody, so that a client that stopped reading held its connection for good, and the stop for its whole grace.

The listener's connections now pause with any byte unsent. Ruled out: a bound on the whole answer (a slow reader may take its time), and marks of 0, with which a TLS connection pauses at once and for good (test_read of the command line hung).

The new test leaves at most 16 KiB: before, 1 cut after 10 s; after, none.

--- a/packages/quetzalsill/src/quetzalsill/net/protocol.py
+++ b/packages/quetzalsill/src/quetzalsill/net/protocol.py
@@ -80,6 +80,11 @@
         """Starts to wait for the first head."""
         super().connection_made(transport)
         keepalive.tune(transport)
+        # The bound on writing runs while writing is paused. With the usual
+        # marks a client that stops reading with less than 64 KiB left pauses
+        # nothing, and its connection stays for good. (A mark of 0 would pause a
+        # TLS connection that has nothing to write.)
+        transport.set_write_buffer_limits(high=1, low=0)
         if len(self.connections) > self.bounds.connections:
             self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, 'connections')
             return
--- a/tests/quetzalsill/net/test_server.py
+++ b/tests/quetzalsill/net/test_server.py
@@ -35,6 +35,9 @@
                 break
         if scope['path'] == '/wait':
             await self.go_on.wait()
+        if scope['path'] == '/rest':
+            await self.leave_rest(send)
+            return
         body = LARGE if scope['path'] == '/large' else b'ok'
         length = b'%d' % len(body)
         headers = [(b'content-length', length)]
@@ -44,6 +47,16 @@
         await send({'type': 'http.response.body', 'body': body})
         self.sent.set()
 
+    async def leave_rest(self, send):
+        """Answers until a little is left that the kernel does not take."""
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        part = {'type': 'http.response.body', 'body': LARGE[:16384]}
+        while not self.unsent():
+            await send({**part, 'more_body': True})
+        await send({**part, 'body': b''})
+
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     """One client's faults and slowness stay its own."""
@@ -131,6 +144,23 @@
         await asyncio.wait_for(self.app.entered.wait(), peer.BOUND_S)
         self.assertEqual(await self.server.stop(peer.BOUND_S), 0)
 
+    async def test_reader_that_leaves_a_little_is_cut(self):
+        """Connections stay for good after clients stopped reading.
+
+        What is left is less than the buffer that stops the sender, so that
+        nothing was waited for and no bound ran.
+        """
+        await self.serve(write_s=0.1)
+        self.app.unsent = lambda: any(
+            conn.transport.get_write_buffer_size()
+            for conn in self.server._connections
+        )
+        _, writer = await self.connect()
+        writer.transport.pause_reading()
+        writer.write(b'GET /rest HTTP/1.1\r\nhost: a\r\n\r\n')
+        await asyncio.wait_for(self.app.entered.wait(), peer.BOUND_S)
+        self.assertEqual(await self.server.stop(peer.BOUND_S), 0)
+
     async def test_malformed_and_large_heads_are_refused(self):
         await self.serve(head_bytes=1000)
         for head, status in (
