Go on with a recovery whose link is cut again

A request ended in outcome_unknown although its generation lived: its sidecar was replaced, and the link to the new one was cut before that had read from the engine what the router already had. Its Resume asked for an item that the new sidecar had not read yet, and was answered as if the item were lost. A recovering attempt now goes on from what it has; the router drops doubles.

The new test failed before with no items at all. The machine's other failure was of its fake, which forgot what it had read from an engine that restarted; the fake keeps it now, as the real tail does.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -116,7 +116,7 @@
         attempt = self._attempts.get(msg.attempt)
         if attempt is None:
             put(self._answer_lost(msg.attempt))
-        elif attempt.tail.rewind(msg.seq, msg.credit):
+        elif _rewind(attempt, msg):
             attempt.attach(link, put)
             self.cut_body(attempt)
         else:
@@ -286,6 +286,18 @@
     return terminal.ran == 'unknown' or terminal.code == 'outcome_unknown'
 
 
+def _rewind(attempt: state.Attempt, msg: message.Resume) -> bool:
+    """Goes back to the item asked for; False if it is not kept."""
+    seq = msg.seq
+    if attempt.dispatch.recover:
+        # The router has items of the sidecar before this one, which this one
+        # may not have read from the engine yet. It goes on from what it has,
+        # and the router drops what comes twice; to call them lost would end
+        # a request whose generation lives.
+        seq = min(seq, attempt.tail.end)
+    return attempt.tail.rewind(seq, msg.credit + msg.seq - seq)
+
+
 def _not_kept(attempt: state.Attempt) -> message.Message:
     return message.Failed(
         attempt.id, 'outcome_unknown', 'items no longer kept', 'yes', False
--- a/tests/quetzalsill_router/peer/fake.py
+++ b/tests/quetzalsill_router/peer/fake.py
@@ -59,6 +59,7 @@
     def start(self, attempt):
         self.runs.append(attempt)
         self.work[attempt] = Work(next(self._generations), self.total)
+        return self.work[attempt]
 
     def restart(self):
         self.incarnation += 1
@@ -71,6 +72,7 @@
 
     limit: int
     asked_engine: int = -1
+    work: Work | None = None
     started: bool = False
     start: int = 0
     sent: int = 0
@@ -105,7 +107,7 @@
                 self._recover(attempt, held)
             elif not held.started and held.terminal is None:
                 held.started = True
-                self.engine.start(attempt)
+                held.work = self.engine.start(attempt)
                 self.put(message.Started(attempt, 0))
 
     def pump(self):
@@ -169,6 +171,7 @@
     def _recover(self, attempt, held):
         if attempt in self.engine.work:
             held.started = True
+            held.work = self.engine.work[attempt]
             self.put(message.Started(attempt, 0))
         elif held.asked_engine == self.engine.incarnation:
             self._refuse(attempt, 'not_found')
@@ -186,8 +189,9 @@
         self.put(stone)
 
     def _rewind(self, attempt, held, seq, credit):
-        work = self.engine.work.get(attempt)
-        made = work.made if work and held.started else held.sent
+        made = held.work.made if held.work else held.sent
+        if held.asked_engine >= 0:
+            seq, credit = min(seq, made), credit + max(0, seq - made)
         if not held.start <= seq <= made:
             self.put(
                 message.Failed(attempt, 'outcome_unknown', '', 'yes', False)
@@ -200,8 +204,11 @@
             self.put(message.Started(attempt, 0))
 
     def _pump(self, attempt, held):
-        work = self.engine.work.get(attempt)
-        if held.started and work is None and held.terminal is None:
+        work = held.work
+        # What the sidecar has read it keeps; the rest goes with the engine.
+        lost = attempt not in self.engine.work
+        cut = lost and work is not None and work.made < work.total
+        if cut and held.terminal is None:
             held.terminal = message.Failed(
                 attempt, 'upstream_failed', '', 'yes', True
             )
--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -51,6 +51,24 @@
         self.assertIsInstance(messages[-1], message.Finished)
         self.assertEqual(len(self.engine.audit()['runs']), 1)
 
+    async def test_link_cut_again_before_the_engine_is_read(self):
+        """A plan fails though its engine goes on with it.
+
+        The sidecar was replaced, and the link to the new one is cut before
+        it has read from the engine what the router had from the old one.
+        """
+        attempt = await self.started_then_lost()
+        async with (
+            support.sidecar(self.url) as sidecar,
+            support.router(sidecar.port) as router,
+        ):
+            engine = self.engine.incarnation
+            router.dispatch(attempt=attempt, recover=True, engine=engine)
+            router.send(message.Resume(attempt, 1, 500))
+            messages = await router.receive_all(attempt)
+        self.assertEqual(support.indexes(messages), list(range(80)))
+        self.assertIsInstance(messages[-1], message.Finished)
+
     async def test_work_that_never_arrived_is_forbidden_and_not_run(self):
         """A brief called "not run" is billed after all.
 
