Ask idle links for heartbeats the rarer the more there are

Each end sent a Ping on each link that it had not sent on for a second. Now an end pings when it has heard nothing, so that a stream of tokens needs none; an idle link of a router with more than 8 links is asked every links/8 seconds, 20 at most, and the dialled end of more than 8 links leaves the asking to the router. A link that carries work is asked each idle_s as before, and at once when work is put on it, so work on a dead link still learns of it within silence_s. With up to 8 links nothing changes. Ruled out: agreeing on an interval in the handshake (each end's own pings prove both ways already), and TCP keepalive (proves the kernel, not the process).

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -7,6 +7,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from quetzalsill.config import share
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log, metric
 from quetzalsill.wire import error as wire_error
@@ -57,9 +58,7 @@
         self,
         upstream: str,
         spec: model.Upstream,
-        connect: Callable[
-            [str, int, Callable[[int], None]], Awaitable[link.Link]
-        ],
+        connect: Callable[[str, int, Peer], Awaitable[link.Link]],
         holder: config_holder.Holder,
         recover_s: float,
         on_revision: Callable[[int, Peer], None],
@@ -69,8 +68,7 @@
         Args:
           upstream: Name of the upstream.
           spec: What the configuration says of it.
-          connect: Dials host and port, and reports revisions by the given
-            function.
+          connect: Dials host and port for this peer.
           holder: Configuration in force.
           recover_s: See `Attempt`.
           on_revision: Called with a revision higher than the one in force.
@@ -171,6 +169,8 @@
                     request_error.NoUpstreamError.code,
                     f'no link to {self.upstream}',
                 )
+            else:
+                self._link.probe()
         return attempt
 
     async def fetch_config(self, revision: int) -> message.ConfigReply:
@@ -278,7 +278,7 @@
     async def _dial(self, address: str) -> link.Link | None:
         host, _, port = address.rpartition(':')
         try:
-            conn = await self._connect(host, int(port), self._see)
+            conn = await self._connect(host, int(port), self)
             # An IP number goes to another host when a host is replaced.
             if conn.peer.upstream != self.upstream:
                 exc = wire_error.ProtocolError(
@@ -353,7 +353,7 @@
             self.send(self._deferred.popleft())
         for attempt in list(self._attempts.values()):
             attempt.link_up(same=same)
-        self._see(welcome.revision)
+        self.see(welcome.revision)
 
     def _take(self, msg: message.Message) -> None:
         cls = type(msg)
@@ -361,7 +361,7 @@
             self._take_answer(msg)
         elif cls is message.Load:
             self.status.take_load(msg)
-            self._see(msg.revision)
+            self.see(msg.revision)
         elif cls is message.Leaving:
             self.status.leaving = True
             logger.info('leaving', upstream=self.upstream, reason=msg.reason)
@@ -369,7 +369,7 @@
             self.status.going_away = True
             logger.info('going_away', upstream=self.upstream, reason=msg.reason)
         elif cls is message.ConfigFetch:
-            self._give_config(msg.revision)
+            self._give_config(msg)
         elif cls is message.ConfigReply:
             self._fetches.settle(msg)
         else:
@@ -386,15 +386,13 @@
         if type(msg) in (message.Finished, message.Failed):
             self.send(message.Ack(msg.attempt))
 
-    def _see(self, revision: int) -> None:
+    def see(self, revision: int) -> None:
+        """Takes a revision that the sidecar has named."""
         self.revision = max(self.revision, revision)
         if revision > self._holder.revision:
             self._on_revision(revision, self)
 
-    def _give_config(self, revision: int) -> None:
-        if self._holder.revision > revision:
-            self.send(
-                message.ConfigReply(
-                    self._holder.revision, self._holder.document
-                )
-            )
+    def _give_config(self, msg: message.ConfigFetch) -> None:
+        reply = share.answer(self._holder, msg)
+        if reply is not None:
+            self.send(reply)
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import log
-from quetzalsill.wire import dial, message
+from quetzalsill.wire import dial, message, pace
 from quetzalsill_router.peer import peer as peer_module
 from quetzalsill_router.peer import subset
 
@@ -231,7 +231,7 @@
         return dict(by_use)
 
     async def _connect(
-        self, host: str, port: int, on_revision: Callable[[int], None]
+        self, host: str, port: int, peer: peer_module.Peer
     ) -> link.Link:
         hello = message.Hello(
             message.VERSION,
@@ -248,5 +248,10 @@
             self._timing,
             self._tls() if callable(self._tls) else self._tls,
             revision=lambda: self._holder.revision,
-            on_revision=on_revision,
+            on_revision=peer.see,
+            stretch=lambda: self._stretch(peer),
         )
+
+    def _stretch(self, peer: peer_module.Peer) -> float:
+        """Factor of the heartbeats of a link; none while it carries work."""
+        return 1.0 if peer.outstanding else pace.dialled(len(self._peers))
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from quetzalsill.config import share
 from quetzalsill.schema import error as schema_error
 from quetzalsill.telemetry import log
 from quetzalsill.wire import error as wire_error
@@ -131,12 +132,9 @@
         self._intake.resume(msg, self, self.put)
 
     def _on_config_fetch(self, msg: message.ConfigFetch) -> None:
-        if self._configuration.revision > msg.revision:
-            self.put(
-                message.ConfigReply(
-                    self._configuration.revision, self._configuration.document
-                )
-            )
+        reply = share.answer(self._configuration, msg)
+        if reply is not None:
+            self.put(reply)
 
     def _on_config_reply(self, msg: message.ConfigReply) -> None:
         try:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -10,7 +10,7 @@
 from quetzalsill.config import holder
 from quetzalsill.net import tls as net_tls
 from quetzalsill.telemetry import log
-from quetzalsill.wire import listen, message
+from quetzalsill.wire import listen, message, pace
 from quetzalsill_sidecar import (
     fetch,
     intake,
@@ -107,6 +107,7 @@
             settings.link,
             net_tls.server_context(settings.tls),
             revision=lambda: self.configuration.revision,
+            stretch=lambda: pace.listened(len(self._sessions)),
         )
         self.configuration.on_change(self.intake.adopt)
 
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/config/share.py
@@ -0,0 +1,21 @@
+"""Hands the configuration in force to a process that asks for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.wire import message
+
+if TYPE_CHECKING:
+    from quetzalsill.config import holder
+
+__all__ = ['answer']
+
+
+def answer(
+    held: holder.Holder, fetch: message.ConfigFetch
+) -> message.ConfigReply | None:
+    """Gives the answer to a fetch; None if nothing newer is in force here."""
+    if held.revision <= fetch.revision:
+        return None
+    return message.ConfigReply(held.revision, held.document)
--- a/packages/quetzalsill/src/quetzalsill/wire/dial.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/dial.py
@@ -26,6 +26,7 @@
     *,
     revision: Callable[[], int] | None = None,
     on_revision: Callable[[int], None] | None = None,
+    stretch: Callable[[], float] | None = None,
 ) -> link.Link:
     """Connects and completes the handshake within `timing.connect_s`.
 
@@ -38,6 +39,7 @@
       revision: Gives the revision in force here, for heartbeats; that of
         the Hello if there is none.
       on_revision: Called with each revision that heartbeats bring.
+      stretch: Factor of the time to the first heartbeat; see `link.Link`.
 
     Raises:
       error.DialError: No connection could be made.
@@ -50,7 +52,13 @@
             reader, writer = await asyncio.open_connection(host, port, ssl=tls)
             try:
                 return await _shake_hands(
-                    reader, writer, hello, timing, revision, on_revision
+                    reader,
+                    writer,
+                    hello,
+                    timing,
+                    revision,
+                    on_revision,
+                    stretch,
                 )
             except BaseException:
                 writer.transport.abort()
@@ -70,6 +78,7 @@
     timing: section.LinkTiming,
     revision: Callable[[], int] | None,
     on_revision: Callable[[int], None] | None,
+    stretch: Callable[[], float] | None,
 ) -> link.Link:
     handshake.write_first(writer, hello)
     splitter = frame.Splitter(frame.MAX_HANDSHAKE_BODY)
@@ -82,4 +91,5 @@
         timing,
         revision or (lambda: hello.revision),
         on_revision,
+        stretch,
     )
--- a/packages/quetzalsill/src/quetzalsill/wire/link.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/link.py
@@ -24,6 +24,11 @@
     """Default of `Link.on_revision`."""
 
 
+def _unstretched() -> float:
+    """Default of `stretch`."""
+    return 1.0
+
+
 class Link:
     """Sends and receives messages over one connection.
 
@@ -48,6 +53,7 @@
         timing: section.LinkTiming,
         revision: Callable[[], int],
         on_revision: Callable[[int], None] | None = None,
+        stretch: Callable[[], float] | None = None,
     ) -> None:
         """Takes over a connection whose handshake is done.
 
@@ -59,6 +65,8 @@
           timing: Bounds of idleness and silence.
           revision: Gives the revision in force here, for heartbeats.
           on_revision: See the attribute.
+          stretch: Gives the factor by which the first heartbeat on an idle
+            link comes later than `idle_s`; 1 if there is none.
         """
         self.peer = peer
         self.remote = remote_address(writer)
@@ -70,13 +78,14 @@
         self._splitter = splitter
         self._timing = timing
         self._revision = revision
+        self._stretch = stretch or _unstretched
         self._loop = asyncio.get_running_loop()
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
         self._failure: error.WireError | None = None
         self.echoed = 0
         self._nonce = 0
-        self._sent_at = self._loop.time()
+        self._sent_at = self._pinged_at = self._loop.time()
         self._reading_since: float | None = None
         self._timer = self._loop.call_later(timing.idle_s, self._beat)
 
@@ -159,6 +168,24 @@
         self._ping()
         return self._nonce
 
+    def probe(self) -> None:
+        """Asks for a sign of life now if nothing came for `idle_s`.
+
+        For a sender that puts work on an idle link whose heartbeats were
+        stretched, and are not any more: if the link is dead, that shows
+        within `silence_s`.
+        """
+        now = self._loop.time()
+        since = self._reading_since
+        if self.closed or since is None:
+            return
+        if now - since >= self._timing.idle_s:
+            self._reading_since = now
+            self._ping()
+        if not self.closed:
+            self._timer.cancel()
+            self._timer = self._loop.call_at(self._next_beat(), self._beat)
+
     def close(self, exc: error.WireError | None = None) -> None:
         """Closes the link after what is buffered has left."""
         if self._failure is not None:
@@ -236,17 +263,18 @@
         if self._is_silent(now):
             self._drop(
                 error.LinkSilentError(
-                    f'nothing for {self._timing.silence_s} s from {self.remote}'
+                    f'nothing for {self._silence_s()} s from {self.remote}'
                 )
             )
             return
-        if now - self._sent_at >= self._timing.idle_s:
+        if now >= self._next_ping():
             self._ping()
         if self._failure is None:
             self._timer = self._loop.call_at(self._next_beat(), self._beat)
 
     def _ping(self) -> None:
         self._nonce += 1
+        self._pinged_at = self._loop.time()
         # An overflow has dropped the link; its reader is told by `messages`.
         with contextlib.suppress(error.LinkClosedError):
             self.send_nowait(message.Ping(self._nonce, self._revision()))
@@ -254,21 +282,39 @@
 
     def _is_silent(self, now: float) -> bool:
         # Something between the ends can lose track of the connection: both
-        # ends see it open and nothing ever arrives. Both ends send something
-        # every idle_s, so silence for several times that is proof enough.
+        # ends see it open and nothing ever arrives. Each end asks when it
+        # has heard nothing, and again and again; an end that is alive
+        # answers at once, so that no answer to several is proof enough.
         if self._reading_since is None:
             return False
         # A process that was paused wakes to a late timer and to data that
         # waits unread; that silence was its own, so it starts anew.
         if now - self._timer.when() > self._timing.idle_s:
             self._reading_since = now
-        return now - self._reading_since >= self._timing.silence_s
+        return now >= self._reading_since + self._silence_s()
+
+    def _silence_s(self) -> float:
+        timing = self._timing
+        return self._first_beat_s() - timing.idle_s + timing.silence_s
+
+    def _first_beat_s(self) -> float:
+        return self._timing.idle_s * self._stretch()
+
+    def _next_ping(self) -> float:
+        # While nothing is read, nothing can be heard; the other end must
+        # still hear of this one.
+        if self._reading_since is None:
+            return self._sent_at + self._timing.idle_s
+        return max(
+            self._reading_since + self._first_beat_s(),
+            self._pinged_at + self._timing.idle_s,
+        )
 
     def _next_beat(self) -> float:
-        due = self._sent_at + self._timing.idle_s
+        due = self._next_ping()
         if self._reading_since is None:
             return due
-        return min(due, self._reading_since + self._timing.silence_s)
+        return min(due, self._reading_since + self._silence_s())
 
 
 def remote_address(writer: asyncio.StreamWriter) -> str:
--- a/packages/quetzalsill/src/quetzalsill/wire/listen.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/listen.py
@@ -34,6 +34,7 @@
         tls: ssl.SSLContext | None = None,
         *,
         revision: Callable[[], int] | None = None,
+        stretch: Callable[[], float] | None = None,
     ) -> None:
         """Prepares a server; `start` opens it.
 
@@ -48,6 +49,8 @@
           tls: Context of encrypted links; None for plain ones.
           revision: Gives the revision in force here, for heartbeats; that
             of the Welcome if there is none.
+          stretch: Factor of the time to the first heartbeat; see
+            `link.Link`.
         """
         self._listen = listen
         self._credential = credential
@@ -56,6 +59,7 @@
         self._timing = timing
         self._tls = tls
         self._revision = revision
+        self._stretch = stretch
         self._tasks: set[asyncio.Task[None]] = set()
         self._handshakes = 0
         self._server: asyncio.Server | None = None
@@ -155,6 +159,7 @@
             splitter,
             self._timing,
             self._revision or (lambda: welcome.revision),
+            stretch=self._stretch,
         )
 
 
