List hop-by-hop headers once

The list stood in the router and in the sidecar, word for word. It is in quetzalsill.net.header now; which further headers each end drops stays with that end. Behaviour is unchanged: tests.quetzalsill_router.http.test_services and tests.quetzalsill_sidecar.test_calls pass.

--- a/packages/quetzalsill-router/src/quetzalsill_router/http/relay.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/http/relay.py
@@ -7,24 +7,13 @@
 
 import blacksheep
 
+from quetzalsill.net import header
+
 __all__ = ['WITHOUT_BODY', 'content_type', 'request_headers', 'response']
 
 WITHOUT_BODY = (204, 304)
 DEFAULT_TYPE = b'application/octet-stream'
-HOP_BY_HOP = frozenset(
-    {
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
-NOT_TO_UPSTREAM = HOP_BY_HOP | {
+NOT_TO_UPSTREAM = header.HOP_BY_HOP | {
     'authorization',
     'expect',
     'host',
@@ -33,7 +22,7 @@
     'x-request-id',
     'x-quetzalsill-profile',
 }
-NOT_TO_CALLER = HOP_BY_HOP | {
+NOT_TO_CALLER = header.HOP_BY_HOP | {
     'content-length',
     'content-type',
     'date',
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/headers.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/headers.py
@@ -4,24 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import header
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 __all__ = ['end_to_end', 'framing']
 
-HOP_BY_HOP = frozenset(
-    {
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
 REQUEST_ONLY = frozenset({'host', 'expect', 'content-length'})
 WITH_BODY = frozenset({'POST', 'PUT', 'PATCH'})
 
@@ -36,7 +25,9 @@
         if name.lower() == 'connection'
         for token in value.split(',')
     }
-    dropped = HOP_BY_HOP | named | (REQUEST_ONLY if request else frozenset())
+    dropped = header.HOP_BY_HOP | named
+    if request:
+        dropped |= REQUEST_ONLY
     return [
         (name, value) for name, value in pairs if name.lower() not in dropped
     ]
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/net/header.py
@@ -0,0 +1,19 @@
+"""Names of HTTP headers that both ends of a link treat alike."""
+
+from __future__ import annotations
+
+__all__ = ['HOP_BY_HOP']
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
