Share what commands of the command line repeat

`account show` and `profile show` had one body, and `--set` was declared twice. perform.show and option.assignments serve both; output and options are unchanged: the modules of tests.quetzalsill_cli pass as they stand.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/commands/account.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/account.py
@@ -56,23 +56,13 @@
 @option.json_output
 def show(name: str, as_json: bool) -> None:
     """Show every key of one client account."""
-    body = perform.run(
-        lambda links: links.read(exchange.path('accounts', name))
-    )
-    if as_json:
-        output.print_json(body)
-    else:
-        output.pairs(body['value'])
+    perform.show('accounts', name, as_json=as_json)
 
 
 @group.command()
 @click.argument('name')
-@click.option(
-    '--set',
-    'assignments',
-    multiple=True,
-    metavar='KEY=VALUE',
-    help='Change one limit; repeatable. Without it the limits are shown.',
+@option.assignments(
+    'Change one limit; repeatable. Without it the limits are shown.'
 )
 @option.expect
 @option.note
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/commands/profile.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/commands/profile.py
@@ -56,13 +56,7 @@
 @option.json_output
 def show(name: str, as_json: bool) -> None:
     """Show every key of one profile."""
-    body = perform.run(
-        lambda links: links.read(exchange.path('profiles', name))
-    )
-    if as_json:
-        output.print_json(body)
-    else:
-        output.pairs(body['value'])
+    perform.show('profiles', name, as_json=as_json)
 
 
 @group.command(name='history')
@@ -90,13 +84,7 @@
 
 @group.command(name='edit')
 @click.argument('name')
-@click.option(
-    '--set',
-    'assignments',
-    multiple=True,
-    metavar='KEY=VALUE',
-    help='Change one key; repeatable. Without it $EDITOR opens.',
-)
+@option.assignments('Change one key; repeatable. Without it $EDITOR opens.')
 @click.option('--create', is_flag=True, help='Add the profile if it is new.')
 @option.expect
 @option.note
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/option.py
@@ -16,6 +16,7 @@
     'DEFAULT_ROUTER',
     'Options',
     'TOKEN_VARIABLE',
+    'assignments',
     'expect',
     'json_output',
     'make',
@@ -170,6 +171,18 @@
     help='Wait until every live node shows the new revision.',
 )
 
+
+def assignments(text: str) -> Callable[[F], F]:
+    """Adds the repeatable `--set KEY=VALUE`, with a help text of its own."""
+    return click.option(
+        '--set',
+        'assignments',
+        multiple=True,
+        metavar='KEY=VALUE',
+        help=text,
+    )
+
+
 expect = click.option(
     '--expect',
     type=click.IntRange(min=0),
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/perform.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/perform.py
@@ -8,9 +8,17 @@
 
 import click
 
-from quetzalsill_cli import edit, failure, option, rollout, routers
-
-__all__ = ['carry_out', 'run']
+from quetzalsill_cli import (
+    edit,
+    exchange,
+    failure,
+    option,
+    output,
+    rollout,
+    routers,
+)
+
+__all__ = ['carry_out', 'run', 'show']
 
 T = TypeVar('T')
 
@@ -26,6 +34,20 @@
     return asyncio.run(connected())
 
 
+def show(*parts: str, as_json: bool) -> None:
+    """Prints every key of one part of the configuration.
+
+    Args:
+      *parts: Path of the part below the configuration API.
+      as_json: Print the whole answer as JSON.
+    """
+    body = run(lambda links: links.read(exchange.path(*parts)))
+    if as_json:
+        output.print_json(body)
+    else:
+        output.pairs(body['value'])
+
+
 async def carry_out(
     links: routers.Routers, wanted: edit.Edit, wait: bool
 ) -> None:
