Restart failed background loops by one function

Router and sidecar each had the loop that starts background work again after a fault, with its own restart interval. quetzalsill.daemon.background keeps it now; the log event is unchanged, and the sidecar still makes a new Placer for each run. It had no test of its own: the new one was seen to fail with the guard narrowed to KeyError (TimeoutError, the third run never came). tests.quetzalsill_sidecar.test_leaving, test_monitoring and tests.failure.test_configuration pass.

--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -6,12 +6,12 @@
 import contextlib
 import functools
 import time
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill.config import follower as config_follower
 from quetzalsill.config import holder as config_holder
 from quetzalsill.config import store as config_store
+from quetzalsill.daemon import background
 from quetzalsill.net import protocol, server
 from quetzalsill.net import stop as net_stop
 from quetzalsill.net import tls as net_tls
@@ -49,7 +49,6 @@
 
 __all__ = ['run']
 
-RESTART_S = 1.0
 CONFIG_RETRY_S = 0.5
 LAST_WORD_S = 5.0
 ADMIN_ANSWERED = 200
@@ -247,8 +246,8 @@
     state.start()
     tasks = [
         asyncio.create_task(_load_configuration(ctx, follower, incarnation)),
-        asyncio.create_task(_keep_running('follower', follower.run)),
-        asyncio.create_task(_keep_running('hosts', hosts)),
+        asyncio.create_task(background.keep_running('follower', follower.run)),
+        asyncio.create_task(background.keep_running('hosts', hosts)),
     ]
     try:
         yield
@@ -258,20 +257,6 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
-    """Runs a loop of the background again should it ever fail.
-
-    A fault in one of them would else show much later, as a router that
-    goes on with an old configuration or old peers.
-    """
-    while True:
-        try:
-            await work()
-        except Exception:
-            logger.exception('background_failed', task=name)
-        await asyncio.sleep(RESTART_S)
-
-
 async def _load_configuration(
     ctx: context.Context, follower: config_follower.Follower, incarnation: int
 ) -> None:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/run.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/run.py
@@ -6,10 +6,10 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from quetzalsill.daemon import background
 from quetzalsill.net import stop as net_stop
 from quetzalsill.platform import clients
 from quetzalsill.plugin import registry
-from quetzalsill.telemetry import log
 from quetzalsill_sidecar import monitoring
 from quetzalsill_sidecar import sidecar as sidecar_lib
 from quetzalsill_sidecar.placement import placer
@@ -21,10 +21,6 @@
 
 __all__ = ['run']
 
-RESTART_S = 1.0
-
-logger = log.get(__name__)
-
 
 async def run(settings: settings_lib.SidecarSettings) -> None:
     """Runs the sidecar; returns after a graceful stop.
@@ -54,7 +50,11 @@
         yield
         return
     async with clients.open_clients(sidecar.settings.platform) as platform:
-        task = asyncio.create_task(_place(sidecar, platform))
+
+        async def place() -> None:
+            await placer.Placer(sidecar, platform).run()
+
+        task = asyncio.create_task(background.keep_running('placement', place))
         try:
             yield
         finally:
@@ -62,18 +62,6 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
-async def _place(
-    sidecar: sidecar_lib.Sidecar, platform: clients.Clients
-) -> None:
-    """Places until cancelled, and again should that ever fail."""
-    while True:
-        try:
-            await placer.Placer(sidecar, platform).run()
-        except Exception:
-            logger.exception('background_failed', task='placement')
-        await asyncio.sleep(RESTART_S)
-
-
 async def _wait_for_either(
     stop: net_stop.StopSignal, sidecar: sidecar_lib.Sidecar
 ) -> None:
--- /dev/null
+++ b/tests/quetzalsill/daemon/test_background.py
@@ -0,0 +1,41 @@
+"""Tests of work in the background."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from quetzalsill.daemon import background
+
+
+class KeepRunningTest(unittest.IsolatedAsyncioTestCase):
+    """A loop that fails must not end for good."""
+
+    async def test_runs_again_after_a_fault_until_cancelled(self):
+        """A router goes on with its old configuration for ever.
+
+        Its follower meets a fault of our own and its task ends; nobody looks
+        at the task before the process stops.
+        """
+        third = asyncio.Event()
+
+        async def work() -> None:
+            if runs.call_count == 1:
+                raise ValueError('a fault of our own')
+            if runs.call_count == 3:
+                third.set()
+                await asyncio.Event().wait()
+
+        runs = mock.Mock(side_effect=work)
+        with (
+            mock.patch.object(background, 'RESTART_S', 0),
+            mock.patch.object(background.logger, 'exception') as logged,
+        ):
+            task = asyncio.create_task(background.keep_running('loop', runs))
+            async with asyncio.timeout(10):
+                await third.wait()
+            task.cancel()
+            await asyncio.wait([task])
+        self.assertTrue(task.cancelled())
+        logged.assert_called_once_with('background_failed', task='loop')
