Take the choice of a peer out of the loop of attempts

Behaviour is unchanged: tests.quetzalsill_router.request.test_attempts (19), tests.failure.test_at_most_once (5) and test_unknown (4) pass as they stand.

--- a/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/attempts.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import random
-import time
 from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from quetzalsill.telemetry import log, metric, trace
 from quetzalsill_router.durable import entry as durable_entry
 from quetzalsill_router.request import (
+    choice,
     dispatch,
     hold,
     outcome,
@@ -34,8 +34,6 @@
 
 STALE_WAIT_S = 2.0
 MAX_MOVES = 3
-MIN_PACE_S = 0.2
-MAX_PACE_S = 5.0
 
 logger = log.get(__name__)
 rng = random.Random()
@@ -76,7 +74,7 @@
         _log_end(active, ended, delivered)
         if _must_recover(work, ended, delivered):
             run = work.run
-            await _pace(active, tries_module.DEFAULT_RETRY_AFTER_S)
+            await choice.pace(active, tries_module.DEFAULT_RETRY_AFTER_S)
             continue
         run = None
         await _before_next(ctx, active, tries, ended, delivered)
@@ -104,7 +102,7 @@
 ) -> AsyncGenerator[piece.Piece, None]:
     """Dispatches to the peer that the routing policy chooses."""
     work = active.work
-    peer = await _choose(ctx, active, tries)
+    peer = await choice.choose(ctx, active, tries)
     ident = ctx.peers.next_attempt_id()
     tries.revision = renew.renew(work, ctx.holder.current)
     await _record_run(ctx, active, peer, ident)
@@ -135,12 +133,12 @@
     Raises:
       AttemptEndedError: It can't be attached to, or failed.
     """
-    peer = await _find(ctx, active, run.upstream)
+    peer = await choice.find(ctx, active, run.upstream)
     same = peer.incarnation == run.incarnation
     # No app server can be asked what became of a call; only the sidecar that
     # made it knows.
     if active.work.kind == spec.CALL and not same:
-        raise _unknown(f'the sidecar that called {run.upstream} is gone')
+        raise outcome.unknown(f'the sidecar that called {run.upstream} is gone')
     stream = _open(ctx, active, peer, run.attempt, lambda: False, recover=True)
     try:
         async with contextlib.aclosing(stream):
@@ -200,77 +198,12 @@
         except request_error.StoreUnavailableError:
             if not active.work.durable:
                 raise
-            await _pace(active, tries_module.DEFAULT_RETRY_AFTER_S)
+            await choice.pace(active, tries_module.DEFAULT_RETRY_AFTER_S)
         else:
             entry.run = active.work.run = run
             return
 
 
-async def _choose(
-    ctx: context.Context,
-    active: active_module.Active,
-    tries: tries_module.Tries,
-) -> peer_module.Peer:
-    """Returns the peer of the next attempt.
-
-    Raises:
-      RequestError: No peer is left; a durable request waits instead,
-        since a refusal by all is no answer to what was accepted.
-    """
-    work = active.work
-    while True:
-        _check_deadline(work)
-        usable = tries.usable(ctx.peers.candidates(work.target))
-        with trace.span('router.route', parent=work.trace):
-            peer = ctx.routing(_query(ctx, work), usable)
-        if peer is not None:
-            return peer
-        error = tries.exhausted()
-        if not work.durable:
-            raise error
-        await _pace(active, error.retry_after_s)
-        tries.next_round()
-
-
-async def _find(
-    ctx: context.Context, active: active_module.Active, upstream: str
-) -> peer_module.Peer:
-    """Returns the linked peer of an upstream, waiting for its link.
-
-    Raises:
-      AttemptEndedError: It did not come back in time, or is gone for good.
-    """
-    work = active.work
-    limit = work.deadline
-    if work.idempotent and not work.recover_only:
-        limit = min(limit, time.monotonic() + ctx.settings.requests.recover_s)
-    while time.monotonic() < limit:
-        peer = ctx.peers.get(upstream)
-        if peer is not None and peer.linked:
-            return peer
-        if upstream not in ctx.holder.current.upstreams:
-            break
-        await _pace(active, MIN_PACE_S)
-    raise _unknown(f'upstream {upstream} did not come back to say')
-
-
-def _unknown(detail: str) -> outcome.AttemptEndedError:
-    """Makes the end of a recovery that nobody can answer any more."""
-    error = request_error.OutcomeUnknownError(detail)
-    return outcome.AttemptEndedError(outcome.Outcome(error, gone=True))
-
-
-def _query(ctx: context.Context, work: spec.Work) -> routing_query.Query:
-    """Builds the question that the routing policy is asked."""
-    return routing_query.Query(
-        target=work.target,
-        is_call=work.kind == spec.CALL,
-        availability_zone=ctx.settings.node.availability_zone,
-        prefix=work.prefix,
-        prompt_tokens=work.prompt_tokens,
-    )
-
-
 async def _before_next(
     ctx: context.Context,
     active: active_module.Active,
@@ -346,18 +279,6 @@
         tries.refused.discard(upstream)
 
 
-async def _pace(active: active_module.Active, hint_s: float) -> None:
-    """Waits before a durable request asks again, as long as was hinted."""
-    wait_s = min(max(hint_s, MIN_PACE_S), MAX_PACE_S) * rng.uniform(0.75, 1.25)
-    await asyncio.sleep(min(wait_s, max(0.0, active.work.remaining_s())))
-
-
-def _check_deadline(work: spec.Work) -> None:
-    """Raises `DeadlineError` once the deadline is past."""
-    if work.remaining_s() <= 0:
-        raise request_error.DeadlineError('no upstream took it in time')
-
-
 def _log_end(
     active: active_module.Active, ended: outcome.Outcome, delivered: bool
 ) -> None:
--- /dev/null
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/choice.py
@@ -0,0 +1,97 @@
+"""Which peer serves the next attempt of a request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+from quetzalsill.error import request as request_error
+from quetzalsill.telemetry import trace
+from quetzalsill_router.request import outcome, spec
+from quetzalsill_router.routing import query as routing_query
+
+if TYPE_CHECKING:
+    from quetzalsill_router import context
+    from quetzalsill_router.peer import peer as peer_module
+    from quetzalsill_router.request import active as active_module
+    from quetzalsill_router.request import tries as tries_module
+
+__all__ = ['choose', 'find', 'pace']
+
+MIN_PACE_S = 0.2
+MAX_PACE_S = 5.0
+
+rng = random.Random()
+
+
+async def choose(
+    ctx: context.Context,
+    active: active_module.Active,
+    tries: tries_module.Tries,
+) -> peer_module.Peer:
+    """Returns the peer of the next attempt.
+
+    Raises:
+      RequestError: No peer is left; a durable request waits instead,
+        since a refusal by all is no answer to what was accepted.
+    """
+    work = active.work
+    while True:
+        _check_deadline(work)
+        usable = tries.usable(ctx.peers.candidates(work.target))
+        with trace.span('router.route', parent=work.trace):
+            peer = ctx.routing(_query(ctx, work), usable)
+        if peer is not None:
+            return peer
+        error = tries.exhausted()
+        if not work.durable:
+            raise error
+        await pace(active, error.retry_after_s)
+        tries.next_round()
+
+
+async def find(
+    ctx: context.Context, active: active_module.Active, upstream: str
+) -> peer_module.Peer:
+    """Returns the linked peer of an upstream, waiting for its link.
+
+    Raises:
+      AttemptEndedError: It did not come back in time, or is gone for good.
+    """
+    work = active.work
+    limit = work.deadline
+    if work.idempotent and not work.recover_only:
+        limit = min(limit, time.monotonic() + ctx.settings.requests.recover_s)
+    while time.monotonic() < limit:
+        peer = ctx.peers.get(upstream)
+        if peer is not None and peer.linked:
+            return peer
+        if upstream not in ctx.holder.current.upstreams:
+            break
+        await pace(active, MIN_PACE_S)
+    raise outcome.unknown(f'upstream {upstream} did not come back to say')
+
+
+async def pace(active: active_module.Active, hint_s: float) -> None:
+    """Waits before a durable request asks again, as long as was hinted."""
+    wait_s = min(max(hint_s, MIN_PACE_S), MAX_PACE_S) * rng.uniform(0.75, 1.25)
+    await asyncio.sleep(min(wait_s, max(0.0, active.work.remaining_s())))
+
+
+def _query(ctx: context.Context, work: spec.Work) -> routing_query.Query:
+    """Builds the question that the routing policy is asked."""
+    return routing_query.Query(
+        target=work.target,
+        is_call=work.kind == spec.CALL,
+        availability_zone=ctx.settings.node.availability_zone,
+        prefix=work.prefix,
+        prompt_tokens=work.prompt_tokens,
+    )
+
+
+def _check_deadline(work: spec.Work) -> None:
+    """Raises `DeadlineError` once the deadline is past."""
+    if work.remaining_s() <= 0:
+        raise request_error.DeadlineError('no upstream took it in time')
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/outcome.py
@@ -14,6 +14,7 @@
     'of_dispatch',
     'of_recovery',
     'strongest',
+    'unknown',
 ]
 
 FINAL_CODES = frozenset(
@@ -130,3 +131,9 @@
     if delivered:
         return False
     return outcome.ran is base.Ran.NO or idempotent
+
+
+def unknown(detail: str) -> AttemptEndedError:
+    """Makes the end of a recovery that nobody can answer any more."""
+    error = request.OutcomeUnknownError(detail)
+    return AttemptEndedError(Outcome(error, gone=True))
