--- a/tests/quetzalsill/config/test_store.py
+++ b/tests/quetzalsill/config/test_store.py
@@ -10,10 +10,8 @@
 from hypothesis import strategies as st
 
 from quetzalsill.config import revision, store
-from quetzalsill.platform import clients, error
-from quetzalsill.settings import section
-from quetzalsill_dev.platform_standin import serve
-from tests.quetzalsill.platform import gated
+from quetzalsill.platform import error
+from tests.quetzalsill.platform import gated, standin
 
 TIMEOUT_S = 0.4
 OPERATORS = 3
@@ -193,12 +191,10 @@
     """The store over the stand-in, through real connections."""
 
     async def asyncSetUp(self):
-        self.standin = serve.StandIn('all')
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.stop)
-        url = self.standin.url
-        cfg = section.Platform(url, url, url, TIMEOUT_S)
-        self.clients = await self.enterAsyncContext(clients.open_clients(cfg))
+        self.standin = await standin.start(self, 'all')
+        self.clients = await standin.open_clients(
+            self, self.standin.url, TIMEOUT_S
+        )
         self.store = store.ConfigStore(self.clients.table, self.clients.objects)
         self.switches = self.standin.faults.switches
         self.counts = self.standin.faults.counts
--- a/tests/quetzalsill/platform/gated.py
+++ b/tests/quetzalsill/platform/gated.py
@@ -6,6 +6,7 @@
 
 from quetzalsill.platform import error
 from quetzalsill_dev.platform_standin import table as standin_table
+from tests.quetzalsill.platform import standin
 
 __all__ = ['Call', 'Gate', 'GatedObjects', 'GatedTable', 'settle']
 
@@ -88,17 +89,9 @@
 
     async def transact(self, conditions, writes):
         return await self._gate.call(
-            lambda: self._transact(conditions, writes), True
+            lambda: standin.transact(self.rows, conditions, writes), True
         )
 
-    def _transact(self, conditions, writes):
-        try:
-            return self.rows.transact(conditions, writes)
-        except standin_table.ConflictError as exc:
-            raise error.ConditionFailedError(
-                exc.failed, exc.version, exc.value
-            ) from exc
-
 
 class GatedObjects:
     """Has the methods of `platform.objects.Objects`."""
--- a/tests/quetzalsill/platform/test_exchange.py
+++ b/tests/quetzalsill/platform/test_exchange.py
@@ -5,9 +5,8 @@
 import asyncio
 import unittest
 
-from quetzalsill.platform import clients, error, table
-from quetzalsill.settings import section
-from quetzalsill_dev.platform_standin import serve
+from quetzalsill.platform import error, table
+from tests.quetzalsill.platform import standin
 
 TIMEOUT_S = 0.5
 BOUND_S = 10.0
@@ -19,17 +18,13 @@
     """Clients over the stand-in, through real connections."""
 
     async def asyncSetUp(self):
-        self.standin = serve.StandIn('all')
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.stop)
+        self.standin = await standin.start(self, 'all')
         await self.open_clients(self.standin.url)
         self.switches = self.standin.faults.switches
         self.counts = self.standin.faults.counts
 
     async def open_clients(self, url):
-        cfg = section.Platform(url, url, url, TIMEOUT_S)
-        opened = clients.open_clients(cfg)
-        self.clients = await self.enterAsyncContext(opened)
+        self.clients = await standin.open_clients(self, url, TIMEOUT_S)
         self.table = self.clients.table
 
     async def until_health(self, up):
--- a/tests/quetzalsill/platform/test_hosts.py
+++ b/tests/quetzalsill/platform/test_hosts.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from quetzalsill.platform import clients, error, hosts
-from quetzalsill.settings import section
-from quetzalsill_dev.platform_standin import host, serve
+from quetzalsill.platform import error, hosts
+from quetzalsill_dev.platform_standin import host
+from tests.quetzalsill.platform import standin
 
 PLAIN = {
     'name': 'planner-1',
@@ -21,12 +21,8 @@
     """The client over the stand-in; the lag on a clock of the test."""
 
     async def asyncSetUp(self):
-        self.standin = serve.StandIn('hosts')
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.stop)
-        url = self.standin.url
-        cfg = section.Platform(url, url, url, 0.5)
-        opened = await self.enterAsyncContext(clients.open_clients(cfg))
+        self.standin = await standin.start(self, 'hosts')
+        opened = await standin.open_clients(self, self.standin.url, 0.5)
         self.list = opened.hosts
 
     async def test_fetch(self):
--- a/tests/quetzalsill/platform/test_lease.py
+++ b/tests/quetzalsill/platform/test_lease.py
@@ -9,10 +9,9 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from quetzalsill.platform import clients, error, lease
-from quetzalsill.settings import section
-from quetzalsill_dev.platform_standin import serve, table
-from tests.quetzalsill.platform import gated
+from quetzalsill.platform import error, lease
+from quetzalsill_dev.platform_standin import table
+from tests.quetzalsill.platform import gated, standin
 
 TTL_S = 1.0
 HOLDERS = 2
@@ -219,12 +218,8 @@
 
     async def asyncSetUp(self):
         self.now = 0.0
-        self.standin = serve.StandIn('store')
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.stop)
-        url = self.standin.url
-        cfg = section.Platform(url, url, url, 1.0)
-        opened = await self.enterAsyncContext(clients.open_clients(cfg))
+        self.standin = await standin.start(self, 'store')
+        opened = await standin.open_clients(self, self.standin.url, 1.0)
         self.first, self.second = (
             lease.Lease(opened.table, NAME, owner, TTL_S, lambda: self.now)
             for owner in ('first', 'second')
--- a/tests/quetzalsill_router/admin/test_race.py
+++ b/tests/quetzalsill_router/admin/test_race.py
@@ -6,9 +6,7 @@
 import unittest
 
 from quetzalsill.config import store
-from quetzalsill.platform import clients
-from quetzalsill.settings import section
-from quetzalsill_dev.platform_standin import serve
+from tests.quetzalsill.platform import standin
 from tests.quetzalsill_router.admin import fake
 
 OPERATORS = 3
@@ -41,13 +39,8 @@
     """Three operators, two routers, one store that loses answers."""
 
     async def asyncSetUp(self):
-        self.platform = serve.StandIn('store')
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        url = self.platform.url
-        self.opened = await self.enterAsyncContext(
-            clients.open_clients(section.Platform(url, url, url))
-        )
+        self.platform = await standin.start(self, 'store')
+        self.opened = await standin.open_clients(self, self.platform.url, 2.0)
 
     async def client(self, name):
         rows = store.ConfigStore(self.opened.table, self.opened.objects)
--- a/tests/quetzalsill_router/durable/fakes.py
+++ b/tests/quetzalsill_router/durable/fakes.py
@@ -9,6 +9,7 @@
 from quetzalsill.platform import error as platform_error
 from quetzalsill.platform import table as platform_table
 from quetzalsill_dev.platform_standin import table as standin_table
+from tests.quetzalsill.platform import standin
 
 __all__ = ['Link', 'Objects', 'Platform', 'Table']
 
@@ -35,12 +36,7 @@
 
     def transact(self, conditions, writes):
         """Runs a transaction as the stand-in does."""
-        try:
-            return self.rows.transact(conditions, writes)
-        except standin_table.ConflictError as exc:
-            raise platform_error.ConditionFailedError(
-                exc.failed, exc.version, exc.value
-            ) from exc
+        return standin.transact(self.rows, conditions, writes)
 
     def put(self, key, data, create_only):
         """Writes an object."""
