Name the failures of the sidecar by their classes

Some thirty codes stood in the sidecar as bare strings, which a change of quetzalsill.error.request would not have reached: the router compares them with the classes there. They are taken from the classes now, and what ran from base.Ran. The values on the wire are the same; the 76 tests of tests.quetzalsill_sidecar but for placement, which this does not touch, pass as they stand.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/judge.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/judge.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import request as request_error
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -75,7 +77,10 @@
 ) -> Verdict | None:
     if dispatch.incarnation == known.incarnation:
         return None
-    return Verdict('superseded', f'this is incarnation {known.incarnation}')
+    return Verdict(
+        request_error.SupersededError.code,
+        f'this is incarnation {known.incarnation}',
+    )
 
 
 def _check_kind(
@@ -83,7 +88,10 @@
 ) -> Verdict | None:
     if dispatch.kind in known.kinds:
         return None
-    return Verdict('bad_request', f'kind {dispatch.kind!r} is not served here')
+    return Verdict(
+        request_error.BadRequestError.code,
+        f'kind {dispatch.kind!r} is not served here',
+    )
 
 
 def _check_numbers(
@@ -95,7 +103,10 @@
     for name in NOT_NEGATIVE:
         value = getattr(dispatch, name)
         if value < 0:
-            return Verdict('bad_request', f'{name} is {value}, below 0')
+            return Verdict(
+                request_error.BadRequestError.code,
+                f'{name} is {value}, below 0',
+            )
     return None
 
 
@@ -104,7 +115,9 @@
 ) -> Verdict | None:
     if known.fences.admit(dispatch.request, dispatch.fence):
         return None
-    return Verdict('superseded', f'fence {dispatch.fence} is old')
+    return Verdict(
+        request_error.SupersededError.code, f'fence {dispatch.fence} is old'
+    )
 
 
 def _check_leaving(
@@ -113,7 +126,7 @@
     del dispatch
     if not known.leaving:
         return None
-    return Verdict('upstream_leaving', known.leaving)
+    return Verdict(request_error.UpstreamLeavingError.code, known.leaving)
 
 
 def _check_revision(
@@ -121,7 +134,10 @@
 ) -> Verdict | None:
     if dispatch.revision >= known.revision:
         return None
-    return Verdict('stale_revision', f'revision {known.revision} is in force')
+    return Verdict(
+        request_error.StaleRevisionError.code,
+        f'revision {known.revision} is in force',
+    )
 
 
 def _check_queue(
@@ -129,12 +145,20 @@
 ) -> Verdict | None:
     wait_ms = known.expected_wait_ms
     if known.queued >= known.max_queued:
-        return Verdict('overloaded', 'queue full', max(wait_ms, LEAST_RETRY_MS))
+        return Verdict(
+            request_error.OverloadedError.code,
+            'queue full',
+            max(wait_ms, LEAST_RETRY_MS),
+        )
     allowed_ms = min(dispatch.queue_ms, dispatch.remaining_ms)
     if wait_ms <= allowed_ms:
         return None
     retry_ms = max(wait_ms - allowed_ms, LEAST_RETRY_MS)
-    return Verdict('overloaded', f'expected wait {wait_ms} ms', retry_ms)
+    return Verdict(
+        request_error.OverloadedError.code,
+        f'expected wait {wait_ms} ms',
+        retry_ms,
+    )
 
 
 if TYPE_CHECKING:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/table.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log, metric
 from quetzalsill.wire import message
 from quetzalsill_sidecar.attempt import fence, state, tombstone
@@ -112,7 +114,11 @@
     if not isinstance(attempt.terminal, message.Finished):
         return attempt.terminal
     return message.Failed(
-        attempt.id, 'outcome_unknown', 'answer no longer kept', 'yes', False
+        attempt.id,
+        request_error.OutcomeUnknownError.code,
+        'answer no longer kept',
+        base.Ran.YES.value,
+        False,
     )
 
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tombstone.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/tombstone.py
@@ -11,6 +11,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.wire import message
 
 if TYPE_CHECKING:
@@ -86,7 +88,11 @@
         if counter > self._floors.get(source, -1):
             return None
         return message.Failed(
-            attempt, 'outcome_unknown', 'no longer remembered', 'unknown', False
+            attempt,
+            request_error.OutcomeUnknownError.code,
+            'no longer remembered',
+            base.Ran.UNKNOWN.value,
+            False,
         )
 
     def remove(self, attempt: str) -> None:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log
 from quetzalsill.wire import message
 from quetzalsill_sidecar import make
@@ -98,7 +100,7 @@
         """Ends an attempt that is no longer wanted."""
         attempt = self._attempts.get(attempt_id)
         if attempt is not None:
-            self.stop(attempt, 'cancelled')
+            self.stop(attempt, request_error.CancelledError.code)
 
     def stop(
         self, attempt: state.Attempt, code: str, retry_after_ms: int = 0
@@ -131,7 +133,9 @@
         if attempt.body.is_open:
             self.stop(
                 attempt,
-                'outcome_unknown' if attempt.started else 'no_upstream',
+                request_error.OutcomeUnknownError.code
+                if attempt.started
+                else request_error.NoUpstreamError.code,
             )
 
     def pump(self) -> None:
@@ -158,7 +162,7 @@
         """Gives back all that has not started; nothing new is taken."""
         for attempt in self._attempts:
             if not attempt.started and not attempt.dispatch.recover:
-                self.stop(attempt, 'upstream_leaving')
+                self.stop(attempt, request_error.UpstreamLeavingError.code)
 
     def _demand_of(self, attempt_id: str) -> policy.Demand | None:
         attempt = self._attempts.get(attempt_id)
@@ -201,7 +205,11 @@
             # Not Refused: the attempt may have run for its new owner.
             put(
                 message.Failed(
-                    attempt.id, 'superseded', 'fence is old', 'unknown', False
+                    attempt.id,
+                    request_error.SupersededError.code,
+                    'fence is old',
+                    base.Ran.UNKNOWN.value,
+                    False,
                 )
             )
         elif dispatch.fence > attempt.dispatch.fence and attempt.tail.start:
@@ -214,7 +222,9 @@
     def _answer_lost(self, attempt_id: str) -> message.Message:
         stone = self._attempts.stones.find(attempt_id)
         if stone is None:
-            stone = message.Refused(attempt_id, 'not_found', 'never seen', 0)
+            stone = message.Refused(
+                attempt_id, request_error.NotFoundError.code, 'never seen', 0
+            )
             self._attempts.stones.lay(attempt_id, stone, NEVER_SEEN_KEEP_S)
         return stone
 
@@ -244,7 +254,9 @@
         dispatch = attempt.dispatch
         if dispatch.revision > self._configuration.revision:
             detail = f'revision {dispatch.revision} could not be had'
-            self._attempts.refuse(attempt, 'stale_revision', detail)
+            self._attempts.refuse(
+                attempt, request_error.StaleRevisionError.code, detail
+            )
             return
         demand = self._demand(attempt)
         verdict = judge.judge(dispatch, self._circumstances(demand))
@@ -283,7 +295,10 @@
     """Whether more may be had of an attempt than how it ended here."""
     if not isinstance(terminal, message.Failed) or terminal.gone:
         return False
-    return terminal.ran == 'unknown' or terminal.code == 'outcome_unknown'
+    return (
+        terminal.ran == base.Ran.UNKNOWN
+        or terminal.code == request_error.OutcomeUnknownError.code
+    )
 
 
 def _rewind(attempt: state.Attempt, msg: message.Resume) -> bool:
@@ -300,5 +315,9 @@
 
 def _not_kept(attempt: state.Attempt) -> message.Message:
     return message.Failed(
-        attempt.id, 'outcome_unknown', 'items no longer kept', 'yes', False
+        attempt.id,
+        request_error.OutcomeUnknownError.code,
+        'items no longer kept',
+        base.Ran.YES.value,
+        False,
     )
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log, trace
 from quetzalsill.wire import message
 from quetzalsill_sidecar import error
@@ -106,7 +107,10 @@
         self._end(
             attempt,
             outcome.failed(
-                attempt.id, 'request_failed', detail, base.Ran.UNKNOWN
+                attempt.id,
+                request_error.RequestError.code,
+                detail,
+                base.Ran.UNKNOWN,
             ),
         )
 
@@ -119,7 +123,9 @@
                 async with asyncio.timeout_at(attempt.deadline):
                     terminal = await self._serve(attempt, demand)
             except TimeoutError:
-                terminal = self._stopped(attempt, 'deadline_exceeded')
+                terminal = self._stopped(
+                    attempt, request_error.DeadlineError.code
+                )
             except asyncio.CancelledError:
                 if not attempt.stopping:
                     raise
@@ -203,9 +209,9 @@
         terminal, message.Failed
     ):
         return False
-    if terminal.code == 'outcome_unknown':
+    if terminal.code == request_error.OutcomeUnknownError.code:
         return False
-    return terminal.ran != 'no' and not terminal.gone
+    return terminal.ran != base.Ran.NO and not terminal.gone
 
 
 def _not_written(
@@ -213,7 +219,13 @@
     exc: error.UpstreamConnectError | error.RequestMalformedError,
 ) -> message.Message:
     if attempt.started:
-        return outcome.failed(attempt.id, 'upstream_failed', exc.detail)
+        return outcome.failed(
+            attempt.id, request_error.UpstreamFailedError.code, exc.detail
+        )
     if isinstance(exc, error.RequestMalformedError):
-        return message.Refused(attempt.id, 'bad_request', exc.detail, 0)
-    return message.Refused(attempt.id, 'no_upstream', exc.detail, RETRY_MS)
+        return message.Refused(
+            attempt.id, request_error.BadRequestError.code, exc.detail, 0
+        )
+    return message.Refused(
+        attempt.id, request_error.NoUpstreamError.code, exc.detail, RETRY_MS
+    )
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quetzalsill.error import request as request_error
 from quetzalsill.wire import message
 from quetzalsill_sidecar.attempt import state
 
@@ -53,7 +54,7 @@
     elif attempt.link is None and now - attempt.detached >= attempt.orphan_s:
         # Its router is gone or has given it up; nobody would take the
         # answer, and its memory on the engine is needed.
-        sidecar.intake.stop(attempt, 'cancelled')
+        sidecar.intake.stop(attempt, request_error.CancelledError.code)
 
 
 def _sweep_waiting(
@@ -64,7 +65,9 @@
 ) -> None:
     if now >= min(attempt.deadline, attempt.queue_deadline):
         wait_s = sidecar.queue.expected_wait_s(0)
-        sidecar.intake.stop(attempt, 'overloaded', round(wait_s * 1000))
+        sidecar.intake.stop(
+            attempt, request_error.OverloadedError.code, round(wait_s * 1000)
+        )
         return
     lost_s = now - attempt.detached if attempt.link is None else 0.0
     if lost_s >= timing.queued_orphan_s:
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/call.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.wire import message
 from quetzalsill_sidecar import error
 from quetzalsill_sidecar.upstream import headers, http, outcome
@@ -31,7 +32,7 @@
     """
     return outcome.failed(
         attempt,
-        'not_found',
+        request_error.NotFoundError.code,
         'no such call was made here',
         base.Ran.UNKNOWN,
         gone=True,
@@ -107,7 +108,7 @@
     except error.AnswerLostError as exc:
         return outcome.failed(
             attempt.id,
-            'outcome_unknown',
+            request_error.OutcomeUnknownError.code,
             exc.detail,
             base.Ran.UNKNOWN,
             gone=again,
@@ -119,7 +120,10 @@
             await attempt.tail.room()
     except error.AnswerLostError as exc:
         return outcome.failed(
-            attempt.id, 'upstream_failed', exc.detail, gone=again
+            attempt.id,
+            request_error.UpstreamFailedError.code,
+            exc.detail,
+            gone=again,
         )
     return message.Finished(attempt.id, attempt.tail.end)
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.wire import message
 from quetzalsill_sidecar import error
 from quetzalsill_sidecar.upstream import engine as engine_lib
@@ -59,10 +60,15 @@
         # know it yet; the loss is proved once its start is forbidden.
         gone = bool(await _settle(attempt.id, engine))
         return outcome.failed(
-            attempt.id, 'upstream_failed', exc.detail, gone=gone
+            attempt.id,
+            request_error.UpstreamFailedError.code,
+            exc.detail,
+            gone=gone,
         )
     except error.GenerationUnreachableError as exc:
-        return outcome.failed(attempt.id, 'upstream_failed', exc.detail)
+        return outcome.failed(
+            attempt.id, request_error.UpstreamFailedError.code, exc.detail
+        )
     return message.Finished(attempt.id, attempt.tail.end)
 
 
@@ -99,17 +105,28 @@
     if not found:
         return _unknown(attempt, detail)
     if found != FORBIDDEN or attempt.started:
-        return outcome.failed(attempt.id, 'upstream_failed', detail, gone=True)
+        return outcome.failed(
+            attempt.id,
+            request_error.UpstreamFailedError.code,
+            detail,
+            gone=True,
+        )
     if await _incarnation(engine) != attempt.dispatch.engine:
         return _unknown(attempt, 'the engine was restarted', gone=True)
-    return message.Refused(attempt.id, 'not_found', detail, 0)
+    return message.Refused(
+        attempt.id, request_error.NotFoundError.code, detail, 0
+    )
 
 
 def _unknown(
     attempt: state.Attempt, detail: str, *, gone: bool = False
 ) -> message.Failed:
     return outcome.failed(
-        attempt.id, 'outcome_unknown', detail, base.Ran.UNKNOWN, gone=gone
+        attempt.id,
+        request_error.OutcomeUnknownError.code,
+        detail,
+        base.Ran.UNKNOWN,
+        gone=gone,
     )
 
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/outcome.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/outcome.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
+from quetzalsill.error import request as request_error
 from quetzalsill.wire import message
 
 if TYPE_CHECKING:
@@ -12,7 +13,11 @@
 
 __all__ = ['failed', 'rejected']
 
-REFUSING = {429: 'overloaded', 503: 'overloaded', 404: 'no_upstream'}
+REFUSING = {
+    429: request_error.OverloadedError.code,
+    503: request_error.OverloadedError.code,
+    404: request_error.NoUpstreamError.code,
+}
 FORBIDDEN = b'"forbidden"'
 
 
@@ -32,9 +37,13 @@
     """Terminal for an engine that answered a start with an error status."""
     status = exc.status
     if status == 409 and FORBIDDEN in exc.body:
-        return failed(attempt, 'cancelled', exc.detail, base.Ran.NO)
+        return failed(
+            attempt, request_error.CancelledError.code, exc.detail, base.Ran.NO
+        )
     if status in REFUSING:
         return failed(attempt, REFUSING[status], exc.detail, base.Ran.NO)
     if status in (400, 413, 422):
-        return failed(attempt, 'bad_request', exc.detail, base.Ran.NO)
-    return failed(attempt, 'upstream_failed', exc.detail)
+        return failed(
+            attempt, request_error.BadRequestError.code, exc.detail, base.Ran.NO
+        )
+    return failed(attempt, request_error.UpstreamFailedError.code, exc.detail)
