Name the kinds of work once, beside the messages

Router, its peers and sidecar each had the names of the kinds that a Dispatch carries, six places in all. wire.kind has them; request.spec keeps its names for the router and takes the values from there. The values are the same. test_calls, test_intake, test_recover, test_path, test_peers, test_with_sidecar, test_attempts, test_accept and test_codec pass as they stand.

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
@@ -9,7 +9,7 @@
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill.wire import error as wire_error
-from quetzalsill.wire import message
+from quetzalsill.wire import kind, message
 from quetzalsill_router.peer import upload
 
 if TYPE_CHECKING:
@@ -17,8 +17,6 @@
 
 __all__ = ['TAKE', 'Attempt', 'Owner']
 
-CALL = 'call'
-
 
 class Owner(Protocol):
     """What an attempt needs of its peer.
@@ -184,7 +182,7 @@
         if same and not self._recovering:
             self._resume()
             return
-        if self.dispatch.kind == CALL and not same:
+        if self.dispatch.kind == kind.CALL and not same:
             self._lose_call()
             return
         # A sidecar that may have the Dispatch of the last link goes back to
@@ -325,7 +323,7 @@
 
     def _fail(self, detail: str, *, gone: bool = False) -> bool:
         code, ran = request_error.UpstreamFailedError.code, base.Ran.YES
-        if self.dispatch.kind == CALL and not self._head_taken:
+        if self.dispatch.kind == kind.CALL and not self._head_taken:
             # Started says of a call that it was sent; that it was taken only
             # its answer says.
             code, ran = request_error.OutcomeUnknownError.code, base.Ran.UNKNOWN
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/spec.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/spec.py
@@ -7,15 +7,17 @@
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
 
+from quetzalsill.wire import kind as wire_kind
+
 if TYPE_CHECKING:
     from quetzalsill.config import model
     from quetzalsill_router.durable import entry as durable_entry
 
 __all__ = ['CALL', 'CHAT', 'COMPLETION', 'Work']
 
-COMPLETION = 'completion'
-CHAT = 'chat'
-CALL = 'call'
+COMPLETION = wire_kind.COMPLETION
+CHAT = wire_kind.CHAT
+CALL = wire_kind.CALL
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -8,7 +8,7 @@
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log
-from quetzalsill.wire import message
+from quetzalsill.wire import kind, message
 from quetzalsill_sidecar import make
 from quetzalsill_sidecar.attempt import judge, state
 
@@ -27,8 +27,6 @@
 __all__ = ['Intake']
 
 NEVER_SEEN_KEEP_S = 3600.0
-GENERATION_KINDS = ('completion', 'chat')
-CALL_KINDS = ('call',)
 
 logger = log.get(__name__)
 
@@ -181,7 +179,7 @@
             if attempt is not None
             else self._attempts.stones.find(dispatch.attempt)
         )
-        is_call = dispatch.kind in CALL_KINDS
+        is_call = dispatch.kind == kind.CALL
         if dispatch.recover and not is_call and _is_open(terminal):
             # The engine could not be asked the last time, or not by who asks
             # now; it may have the answer that is no longer kept here.
@@ -283,7 +281,7 @@
             incarnation=self._incarnation,
             revision=self._configuration.revision,
             leaving=self._leaving.refusal(),
-            kinds=GENERATION_KINDS if is_model else CALL_KINDS,
+            kinds=kind.GENERATIONS if is_model else (kind.CALL,),
             fences=self._attempts.fences,
             queued=self._queue.queued,
             max_queued=self._settings.bounds.queue,
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/make.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/make.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.config import model
+from quetzalsill.wire import kind
 from quetzalsill_sidecar.attempt import body, state, tail
 from quetzalsill_sidecar.queue import policy
 
@@ -28,7 +29,7 @@
     """
     bounds, timing = settings.bounds, settings.timing
     durable = _profile(dispatch, cfg).durable
-    is_call = dispatch.kind == 'call'
+    is_call = dispatch.kind == kind.CALL
     return state.Attempt(
         dispatch=dispatch,
         arrived=now,
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -8,7 +8,7 @@
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
 from quetzalsill.telemetry import log, trace
-from quetzalsill.wire import message
+from quetzalsill.wire import kind, message
 from quetzalsill_sidecar import error
 from quetzalsill_sidecar.attempt import state
 from quetzalsill_sidecar.upstream import (
@@ -144,7 +144,7 @@
             attempt.start(asyncio.get_running_loop().time())
             logger.info('attempt_started', attempt=attempt.id)
 
-        if attempt.dispatch.kind == 'call':
+        if attempt.dispatch.kind == kind.CALL:
             if attempt.dispatch.recover:
                 return call.never_made(attempt.id)
             return await call.run(
@@ -195,7 +195,7 @@
 
 def _ran(attempt: state.Attempt) -> base.Ran:
     """Whether a started attempt ran: of a call only its answer proves it."""
-    unanswered = attempt.dispatch.kind == 'call' and attempt.head is None
+    unanswered = attempt.dispatch.kind == kind.CALL and attempt.head is None
     return base.Ran.UNKNOWN if unanswered else base.Ran.YES
 
 
@@ -205,7 +205,7 @@
     A recovery that could not reach the engine may be tried again, and the
     work that it is after must live on until then.
     """
-    if attempt.dispatch.kind == 'call' or not isinstance(
+    if attempt.dispatch.kind == kind.CALL or not isinstance(
         terminal, message.Failed
     ):
         return False
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
@@ -8,6 +8,7 @@
 import urllib.parse
 from typing import TYPE_CHECKING
 
+from quetzalsill.wire import kind as wire_kind
 from quetzalsill_sidecar import error
 from quetzalsill_sidecar.upstream import http
 
@@ -26,7 +27,10 @@
     'write_start',
 ]
 
-PATHS = {'completion': '/v1/completions', 'chat': '/v1/chat/completions'}
+PATHS = {
+    wire_kind.COMPLETION: '/v1/completions',
+    wire_kind.CHAT: '/v1/chat/completions',
+}
 MAX_ANSWER_BYTES = 1_048_576
 JSON_HEADERS: http.Headers = [(b'content-type', b'application/json')]
 
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/wire/kind.py
@@ -0,0 +1,10 @@
+"""Kinds of work that a Dispatch names."""
+
+from __future__ import annotations
+
+__all__ = ['CALL', 'CHAT', 'COMPLETION', 'GENERATIONS']
+
+COMPLETION = 'completion'
+CHAT = 'chat'
+CALL = 'call'
+GENERATIONS = (COMPLETION, CHAT)
--- a/packages/quetzalsill/src/quetzalsill/wire/message.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/message.py
@@ -73,7 +73,7 @@
       account: Client account.
       profile: Profile name.
       model: Model or service name.
-      kind: `completion`, `chat` or `call`.
+      kind: One of those in `wire.kind`.
       method: HTTP method of a call; `POST` otherwise.
       path: Path of a call below its service; empty otherwise.
       headers: Header pairs of a call, in order.
