--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/fleet.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/fleet.py
@@ -29,6 +29,8 @@
       routing: Routing plug-in.
       admission: Admission plug-in.
       fairness: Fairness plug-in.
+      headroom: Least part of memory kept for prompt work.
+      prompt_quantile: Quantile by which prompt work is planned.
       knows_lengths: Callers declare the true length of each answer, which no
         real caller can: the bound of what a scheduler could reach.
     """
@@ -37,17 +39,22 @@
     routing: str
     admission: str
     fairness: str
+    headroom: float = 0.02
+    prompt_quantile: float = 0.5
     knows_lengths: bool = False
 
 
+BASELINES = (
+    Contender('rotate', 'rotate', 'admit-all', 'fifo'),
+    Contender('fewest', 'fewest-outstanding', 'admit-all', 'fifo'),
+)
+OURS = Contender('ours', 'expected-wait', 'predicted', 'weighted')
+WIDE = dataclasses.replace(OURS, name='wide', headroom=0.1, prompt_quantile=0.8)
+ORACLE = dataclasses.replace(
+    OURS, name='oracle', admission='declared', knows_lengths=True
+)
 CONTENDERS = {
-    contender.name: contender
-    for contender in (
-        Contender('rotate', 'rotate', 'admit-all', 'fifo'),
-        Contender('fewest', 'fewest-outstanding', 'admit-all', 'fifo'),
-        Contender('ours', 'expected-wait', 'predicted', 'weighted'),
-        Contender('oracle', 'expected-wait', 'declared', 'weighted', True),
-    )
+    contender.name: contender for contender in (*BASELINES, OURS, WIDE, ORACLE)
 }
 
 
@@ -76,6 +83,8 @@
     cfg.policies.routing = contender.routing
     cfg.policies.admission = contender.admission
     cfg.policies.fairness = contender.fairness
+    cfg.policies.headroom = contender.headroom
+    cfg.profiles['prompt'].memory_quantile = contender.prompt_quantile
     return cfg
 
 
