Let prompt work start beside patient work that outgrew its plan

A plan that runs longer than guessed fills the memory; the engine pushes it off unseen, but the sidecar went on counting its memory and held prompt work until its queue wait ran out. Prompt work now goes by the memory of prompt work alone; the engine's preemption by priority is the last relief.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/__main__.py
@@ -182,7 +182,7 @@
 @click.option('--condition', 'conditions', multiple=True, default=('calm',),
               type=click.Choice(CONDITIONS))  # fmt: skip
 @click.option('--contender', 'names', multiple=True,
-              default=tuple(fleet.CONTENDERS))  # fmt: skip
+              default=('rotate', 'fewest', 'ours', 'oracle'))  # fmt: skip
 @click.option('--engines', default=2)
 @click.option('--routers', default=1)
 @click.option('--seconds', default=60.0, help='Length of a trial.')
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/admission_predicted.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/queue/admission_predicted.py
@@ -88,10 +88,16 @@
     if not view.running:
         # Alone on the engine: waiting would not make more memory free.
         return True
-    kept = 0.0 if demand.uses_headroom else view.kept_tokens
-    budget = view.capacity_tokens - kept - view.foreign_tokens
-    sizes = [
-        (o.held_tokens, remaining(o.demand, o.produced)) for o in view.running
-    ]
+    beside = view.running
+    budget = view.capacity_tokens - view.foreign_tokens
+    if demand.uses_headroom:
+        # Patient work can outgrow its plan, and the engine then pushes it off
+        # unseen; counted here it would hold prompt work back for as long as
+        # it lasts. Prompt work goes by the memory of prompt work alone, and
+        # the engine's preemption by priority is the last relief.
+        beside = [o for o in beside if o.demand.uses_headroom]
+    else:
+        budget -= view.kept_tokens
+    sizes = [(o.held_tokens, remaining(o.demand, o.produced)) for o in beside]
     newcomer = (demand.prompt_tokens, remaining(demand, 0))
     return peak_tokens(sizes, newcomer) <= budget
