--- a/packages/quetzalsill-dev/src/quetzalsill_dev/board.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/board.py
@@ -81,7 +81,6 @@
         deadline_s=3600.0,
         queue_wait_s=1800.0,
         priority=7,
-        memory_quantile=0.6,
         retries=10,
     )
     verdict = model.Profile(deadline_s=60.0, priority=4)
--- a/packages/quetzalsill/src/quetzalsill/config/model.py
+++ b/packages/quetzalsill/src/quetzalsill/config/model.py
@@ -59,7 +59,7 @@
   )  # fmt: skip
     memory_quantile: float = key(
     'Quantile of the remaining length that admission reserves memory for.',
-    0.8, minimum=0.05, maximum=0.999,
+    0.5, minimum=0.05, maximum=0.999,
   )  # fmt: skip
     uses_headroom: bool = key(
         'May use the engine memory that is kept free for prompt work.', False
@@ -204,8 +204,8 @@
     fairness: str = key('Order of the queue.', 'weighted')
     limits: str = key('Sharing of account limits by routers.', 'shares')
     headroom: float = key(
-    'Part of engine memory kept free for prompt work.',
-    0.1, minimum=0.0, maximum=0.9,
+    'Least part of engine memory kept free for prompt work.',
+    0.02, minimum=0.0, maximum=0.9,
   )  # fmt: skip
     load_slots: int = key(
         'Engines that may load from the weight store at once.',
