--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/__main__.py
@@ -6,7 +6,7 @@
 import json
 import pathlib
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -14,16 +14,16 @@
     configuration,
     edits,
     links,
+    series,
     startup,
     store,
     subsets,
     throughput,
+    worksheet,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from quetzalsill_dev.bench.capacity import series
+    from collections.abc import Iterable, Iterator
 
 __all__ = ['main']
 
@@ -42,15 +42,21 @@
 
 @click.command()
 @click.argument('parts', nargs=-1, type=click.Choice(list(PARTS)))
-def main(parts: tuple[str, ...]) -> None:
-    """Measures PARTS; all of them if none is named."""
-    for part in parts or PARTS:
+@click.option('--table', is_flag=True, help='Measure nothing.')
+def main(parts: tuple[str, ...], table: bool) -> None:
+    """Measures PARTS, all if none is named, and works them out."""
+    for part in () if table else parts or PARTS:
         began = time.monotonic()
         found = list(PARTS[part]())
         for each in found:
             _print(each)
         _store(part, found)
         print(f'# {part}: {time.monotonic() - began:.0f} s of wall time\n')
+    stored = _load()
+    if stored.keys() >= PARTS.keys():
+        found = {each.name: each for each in _series(stored)}
+        for line in worksheet.lines(worksheet.work_out(found)):
+            print(line)
 
 
 def _print(found: series.Series) -> None:
@@ -63,9 +69,7 @@
 def _store(part: str, found: Iterable[series.Series]) -> None:
     """Puts the series of a part in place of its former ones."""
     RESULT_FILE.parent.mkdir(exist_ok=True)
-    stored = {}
-    if RESULT_FILE.exists():
-        stored = json.loads(RESULT_FILE.read_text())
+    stored = _load()
     now = datetime.datetime.now(datetime.UTC)
     stored[part] = {
         'at': now.isoformat(timespec='seconds'),
@@ -74,6 +78,21 @@
     RESULT_FILE.write_text(json.dumps(stored, indent=2))
 
 
+def _load() -> dict[str, Any]:
+    return json.loads(RESULT_FILE.read_text()) if RESULT_FILE.exists() else {}
+
+
+def _series(stored: dict[str, Any]) -> Iterator[series.Series]:
+    for part in stored.values():
+        for plain in part['series']:
+            yield series.Series(
+                plain['name'],
+                plain['unit'],
+                plain['by'],
+                points=[tuple(point) for point in plain['points']],
+            )
+
+
 def _plain(found: series.Series) -> dict[str, object]:
     return {
         'name': found.name,
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/configuration.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/capacity/configuration.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.config import document, holder, reference
+from quetzalsill.telemetry import log
 from quetzalsill_dev.bench.capacity import fleet, series, size
 from quetzalsill_router.peer import subset
 
@@ -34,6 +35,7 @@
 
 def measure() -> Iterator[series.Series]:
     """Measures documents that grow by accounts, then by upstreams."""
+    log.configure('error')
     for by, sizes in (('accounts', ACCOUNTS), ('upstreams', UPSTREAMS)):
         found = {
             name: series.Series(f'configuration.{name} by {by}', unit, by)
