--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/__main__.py
@@ -69,10 +69,14 @@
         _cluster(plan, traffic, contender) as cluster,
         trial.Player(cluster, traffic, contender) as player,
     ):
-        times = await player.saturate(asks, SATURATION_WIDTH, plan.length_s)
+        outcomes = await player.saturate(asks, SATURATION_WIDTH, plan.length_s)
+    ended = [
+        o
+        for o in outcomes
+        if o.whole and WARM_UP_S <= o.ended_s < plan.length_s
+    ]
     # By tokens, since requests that end early are the short ones.
-    kept = sum(WARM_UP_S <= at_s < plan.length_s for at_s in times)
-    tokens_s = kept / (plan.length_s - WARM_UP_S)
+    tokens_s = sum(o.tokens for o in ended) / (plan.length_s - WARM_UP_S)
     sample = list(mix.arrivals(traffic, SATURATION_RATE, 20.0, seed=0))
     return tokens_s * len(sample) / sum(ask.tokens for ask in sample)
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/trial.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/crowd/trial.py
@@ -23,7 +23,6 @@
 __all__ = ['Outcome', 'Player', 'preemptions']
 
 PROFILE_HEADER = 'X-Quetzalsill-Profile'
-STREAMED = 'verdict'
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,41 +103,29 @@
 
     async def saturate(
         self, asks: Iterable[mix.Ask], width: int, length_s: float
-    ) -> list[float]:
-        """Keeps `width` requests going for a time.
-
-        All are streamed: few of the long answers end within the time, and
-        their tokens count as well.
-
-        Returns:
-          When each token came, in seconds from the start.
-        """
+    ) -> list[Outcome]:
+        """Keeps `width` requests going for a time."""
         began = time.monotonic()
         source = iter(asks)
-        answers: list[caller.Answer] = []
+        outcomes: list[Outcome] = []
 
         async def one_caller() -> None:
             for ask in source:
-                kind = dataclasses.replace(ask.kind, profile=STREAMED)
-                answers.append(caller.Answer())
-                streamed = dataclasses.replace(ask, kind=kind)
-                await self._send(streamed, began, answers[-1])
+                outcomes.append(await self._send(ask, began))
 
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(length_s):
                 await asyncio.gather(*(one_caller() for _ in range(width)))
-        return [at - began for each in answers for at in each.arrivals]
+        return outcomes
 
-    async def _send(
-        self, ask: mix.Ask, began: float, answer: caller.Answer | None = None
-    ) -> Outcome:
+    async def _send(self, ask: mix.Ask, began: float) -> Outcome:
         url = self._routers[next(self._turns) % len(self._routers)]
         client = self._clients[url, ask.account]
         body: dict[str, Any] = {'model': fleet.MODEL, 'prompt': ask.prompt}
         if self._contender.knows_lengths:
             body['max_tokens'] = ask.tokens
         headers = {PROFILE_HEADER: ask.kind.profile}
-        answer = answer or caller.Answer()
+        answer = caller.Answer()
         try:
             await caller.generate(client, body, headers, answer=answer)
         except httpx2.HTTPError:
