Let answers wait as long as the test of a replaced host needs

An answer under way when the sidecar is killed waits recover_s (10 s) for the new one, but the test holds the new one's address back through four more steps, which took longer than that. Ruled out: the router missing the new address (the answer ended at 10.01 s both times, the others were whole). The assertion stays as it was; the bound is a setting of the test's router now.

--- a/tests/failure/test_membership.py
+++ b/tests/failure/test_membership.py
@@ -24,7 +24,13 @@
 
     LAYOUT = board.board_layout(engines=2, services=1, routers=1)
     CHANGES = {
-        'router': {'links': LINKS, 'hosts_interval_s': 0.2},
+        # An answer under way when the sidecar dies waits for the new one,
+        # which the test holds back for as long as its other steps last.
+        'router': {
+            'links': LINKS,
+            'hosts_interval_s': 0.2,
+            'requests': {'recover_s': 60.0},
+        },
         'sidecar': {'link': LINKS},
     }
 
