--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := quetzalsill quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
+PACKAGES := quetzalsill quetzalsill-gateway quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
 .PHONY: bench install test lint format demo bench-path bench-capacity bench-faults clean
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: forwards callers' HTTP requests straight to upstreams."""
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream takes a request, and what is known of each."""
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -0,0 +1,107 @@
+"""What a gateway has learned of each upstream by its own calls."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import upstream as upstream_lib
+
+__all__ = ['Book', 'Page', 'Reservation']
+
+# Weight of the newest time in the running mean: follows a server that turns
+# slow within about ten calls.
+NEWEST = 0.2
+# Failures are forgotten within a few seconds, so that a server that recovers
+# is tried again by the traffic itself.
+FAILURE_HALF_LIFE_S = 3.0
+FIRST_GUESS_S = 0.02
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Reservation:
+    """What one request is expected to hold at an engine.
+
+    Attributes:
+      prompt_tokens: Tokens to read before the first event.
+      memory_tokens: Memory that it is expected to need at its end.
+      is_reading: No event has come yet.
+    """
+
+    prompt_tokens: int = 0
+    memory_tokens: int = 0
+    is_reading: bool = True
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Page:
+    """One upstream, as seen from here.
+
+    Attributes:
+      outstanding: Own calls that have not ended.
+      mean_s: Running mean of the time of a call.
+      failures: Recent failures, fading.
+      failed_at_s: Loop time of the newest failure.
+      shut_until_s: Loop time until which nothing new is sent.
+      reservations: What own generations hold there.
+      others_tokens: Memory that others' generations hold, as reported.
+      others_reading: Prompt tokens of others that wait, as reported.
+    """
+
+    outstanding: int = 0
+    mean_s: float = FIRST_GUESS_S
+    failures: float = 0.0
+    failed_at_s: float = 0.0
+    shut_until_s: float = 0.0
+    reservations: set[Reservation] = dataclasses.field(default_factory=set)
+    others_tokens: int = 0
+    others_reading: int = 0
+
+    @property
+    def reserved_tokens(self) -> int:
+        """Memory that generations are expected to need."""
+        own = sum(held.memory_tokens for held in self.reservations)
+        return own + self.others_tokens
+
+    @property
+    def reading_tokens(self) -> int:
+        """Prompt tokens that wait to be read."""
+        own = sum(
+            held.prompt_tokens for held in self.reservations if held.is_reading
+        )
+        return own + self.others_reading
+
+    def recent_failures(self, now: float) -> float:
+        """Returns the failures, faded to now."""
+        age_s = now - self.failed_at_s
+        return self.failures * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def note_failure(self, weight: float = 1.0) -> None:
+        """Counts a failure of the upstream."""
+        now = asyncio.get_running_loop().time()
+        self.failures = self.recent_failures(now) + weight
+        self.failed_at_s = now
+
+    def note_time(self, took_s: float) -> None:
+        """Takes the time of a call that was answered."""
+        self.mean_s += NEWEST * (took_s - self.mean_s)
+
+
+class Book:
+    """Pages by upstream."""
+
+    def __init__(self) -> None:
+        self._pages: dict[str, Page] = {}
+
+    def page(self, upstream: upstream_lib.Upstream) -> Page:
+        """Returns the page of an upstream, a new one at first."""
+        found = self._pages.get(upstream.id)
+        if found is None:
+            found = self._pages[upstream.id] = Page()
+        return found
+
+    def forget(self, upstream: upstream_lib.Upstream) -> None:
+        """Drops the page of an upstream that is gone."""
+        self._pages.pop(upstream.id, None)
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -0,0 +1,125 @@
+"""Choice of the upstream for a request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import routing_table, upstream
+    from quetzalsill_gateway.balance import book
+
+__all__ = ['choose_engine', 'choose_plain', 'destinations']
+
+# Tokens of a prompt that an engine reads in a second while it also generates;
+# only the order of engines depends on it.
+READ_TOKENS_S = 7000.0
+# What a running generation adds to the time of everybody's next event.
+RUNNING_S = 0.02
+# Crossing into another availability zone costs bytes and a little time; worth
+# as much as this much waiting.
+OTHER_ZONE_S = 0.04
+OTHER_ZONE_PLAIN_S = 0.002
+# Above this share of the memory the engine is about to push work off.
+FULL_SHARE = 0.9
+FULL_S = 30.0
+FAILURE_S = 0.5
+PLAIN_FAILURE_SHARE = 2.0
+JITTER = 0.05
+
+
+def choose_plain(
+    found: Iterable[upstream.Upstream],
+    pages: book.Book,
+    zone: str,
+    avoid: frozenset[str] = frozenset(),
+) -> upstream.Upstream | None:
+    """Returns the upstream with the least expected time for a short call."""
+    now = asyncio.get_running_loop().time()
+
+    def cost(candidate: upstream.Upstream) -> float:
+        page = pages.page(candidate)
+        waves = 1.0 + page.outstanding / max(1, candidate.slots)
+        time_s = page.mean_s * waves
+        time_s *= 1.0 + PLAIN_FAILURE_SHARE * page.recent_failures(now)
+        if candidate.availability_zone != zone:
+            time_s += OTHER_ZONE_PLAIN_S
+        if page.shut_until_s > now:
+            time_s += FULL_S
+        return time_s * (1.0 + JITTER * random.random())
+
+    return min(_open(found, avoid), key=cost, default=None)
+
+
+def choose_engine(
+    found: Iterable[upstream.Upstream],
+    pages: book.Book,
+    zone: str,
+    engine: routing_table.Engine,
+    needs_tokens: int,
+    avoid: frozenset[str] = frozenset(),
+) -> upstream.Upstream | None:
+    """Returns the engine with the least expected wait that has the memory."""
+    now = asyncio.get_running_loop().time()
+
+    def cost(candidate: upstream.Upstream) -> float:
+        page = pages.page(candidate)
+        wait_s = page.reading_tokens / READ_TOKENS_S
+        wait_s += len(page.reservations) * RUNNING_S
+        wait_s += FAILURE_S * page.recent_failures(now)
+        share = (page.reserved_tokens + needs_tokens) / max(
+            1, engine.memory_tokens
+        )
+        wait_s += share
+        if share > FULL_SHARE:
+            wait_s += FULL_S * (share - FULL_SHARE)
+        if candidate.availability_zone != zone:
+            wait_s += OTHER_ZONE_S
+        if page.shut_until_s > now:
+            wait_s += FULL_S
+        return wait_s * (1.0 + JITTER * random.random())
+
+    return min(_open(found, avoid), key=cost, default=None)
+
+
+def destinations(
+    found: Iterable[upstream.Upstream],
+    pages: book.Book,
+    source: upstream.Upstream,
+    engine: routing_table.Engine,
+    needs_tokens: int,
+) -> list[upstream.Upstream]:
+    """Returns engines that a run may move to, the best first.
+
+    Within the availability zone of the source memory moves twice as fast.
+    """
+    now = asyncio.get_running_loop().time()
+
+    def cost(candidate: upstream.Upstream) -> float:
+        page = pages.page(candidate)
+        share = (page.reserved_tokens + needs_tokens) / max(
+            1, engine.memory_tokens
+        )
+        crossing = candidate.availability_zone != source.availability_zone
+        penalty = FULL_S if share > FULL_SHARE else 0.0
+        return (
+            share
+            + penalty
+            + 0.3 * crossing
+            + page.recent_failures(now)
+            + JITTER * random.random()
+        )
+
+    return sorted(_open(found, frozenset((source.id,))), key=cost)
+
+
+def _open(
+    found: Iterable[upstream.Upstream], avoid: frozenset[str]
+) -> Iterator[upstream.Upstream]:
+    return (
+        candidate
+        for candidate in found
+        if not candidate.leaving and candidate.id not in avoid
+    )
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
@@ -0,0 +1,19 @@
+"""Failures of what a gateway learns from outside."""
+
+from __future__ import annotations
+
+from quetzalsill.error import base
+
+__all__ = ['ConfigurationError', 'SourceError']
+
+
+class SourceError(base.QuetzalsillError):
+    """The store of configuration and membership did not tell."""
+
+    code = 'source_failed'
+
+
+class ConfigurationError(base.QuetzalsillError):
+    """A configuration cannot be held; the one before stays in force."""
+
+    code = 'configuration_invalid'
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -0,0 +1,117 @@
+"""One request of a caller on its way, and what any answer to it needs."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway.http import message
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import dialect as dialect_lib
+    from quetzalsill_gateway import routing_table
+    from quetzalsill_gateway.http import listener
+
+__all__ = ['Exchange', 'RETRY_AFTER_S', 'refuse']
+
+MS_PER_S = 1000
+# Short against the time limits of the promptest callers, and long enough for
+# another gateway, or the next report of an engine, to tell another story.
+RETRY_AFTER_S = 0.1
+BODILESS = (b'GET', b'HEAD')
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """A request with all that was decided about it.
+
+    Attributes:
+      request: The caller's request.
+      responder: Writes its answer.
+      route: Route taken.
+      service: Service chosen among the route's targets.
+      account: Name of the client account; None if callers need no key.
+      request_id: Id that the caller gave it.
+      priority: Rank; 0 is the most urgent.
+      deadline_s: Loop time at which nobody waits any longer.
+      version: Version of the configuration that decided.
+      sends: Upstreams to which it was sent so far.
+    """
+
+    request: message.Request
+    responder: listener.Responder
+    route: routing_table.Route
+    service: routing_table.Service
+    account: bytes | None
+    request_id: bytes
+    priority: int
+    deadline_s: float
+    version: int
+    sends: int = 0
+
+    @property
+    def left_s(self) -> float:
+        """Time until the deadline, in seconds."""
+        return self.deadline_s - asyncio.get_running_loop().time()
+
+    @property
+    def id_text(self) -> str:
+        """Id of the request, for logs."""
+        return self.request_id.decode('latin-1')
+
+    def head(
+        self,
+        dialect: dialect_lib.Dialect,
+        upstream_id: str,
+        extra: message.Headers,
+    ) -> bytes:
+        """Returns the head of this request for an upstream.
+
+        What only the system may set is dropped from what the caller sent, and
+        so is the caller's key.
+        """
+        req = self.request
+        dropped = dialect.reserved | {
+            dialect.deadline_ms,
+            b'content-length',
+            b'expect',
+        }
+        if self.account is not None or self.route.public:
+            dropped |= {b'authorization'}
+        replaced = {name for name, _ in extra}
+        lines = [b'%s %s HTTP/1.1' % (req.method, req.target)]
+        lines.extend(
+            b'%s: %s' % pair
+            for pair in message.end_to_end(req.headers)
+            if pair[0] not in dropped and pair[0] not in replaced
+        )
+        left_ms = max(1, int(self.left_s * MS_PER_S))
+        lines.append(b'%s: %d' % (dialect.deadline_ms, left_ms))
+        lines.append(
+            b'%s: %s' % (dialect.expected_upstream, upstream_id.encode())
+        )
+        if self.account is not None:
+            lines.append(b'%s: %s' % (dialect.account, self.account))
+        lines.extend(b'%s: %s' % pair for pair in extra)
+        if req.body or req.method not in BODILESS:
+            lines.append(b'content-length: %d' % len(req.body))
+        lines.append(b'\r\n')
+        return b'\r\n'.join(lines)
+
+
+def refuse(
+    responder: listener.Responder, status: int, why: str, *, again: bool = False
+) -> None:
+    """Answers with a failure of the gateway's own.
+
+    Args:
+      responder: Writes the answer.
+      status: Its status.
+      why: Code of the reason, for the caller to read.
+      again: Whether to say when to come back; only for what has not run.
+    """
+    headers = [(b'content-type', b'text/plain')]
+    if again:
+        headers.append((b'retry-after', b'%.2f' % RETRY_AFTER_S))
+    responder.reply(status, headers, why.encode() + b'\n')
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -0,0 +1,212 @@
+"""Takes callers' requests and brings each to an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log, metric
+from quetzalsill_gateway import exchange as exchange_lib
+from quetzalsill_gateway import plain, source
+from quetzalsill_gateway import routing_table as routing_lib
+from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.http import message, pool
+from quetzalsill_gateway.stream import evacuation, live, relay
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import dialect as dialect_lib
+    from quetzalsill_gateway import retry_budget, upstream
+    from quetzalsill_gateway.http import listener
+
+__all__ = ['Core', 'Gateway']
+
+BEARER = b'bearer '
+NOT_FOUND = 404
+UNAUTHORIZED = 401
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+# A deadline is acted on this much early, so that the answer is with the caller
+# when its own time is over.
+ANSWER_S = 0.02
+
+logger = log.get(__name__)
+requests = metric.counter(
+    'quetzalsill_gateway_requests_total',
+    'Requests of callers, by kind of route and outcome.',
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Core:
+    """What the parts of a gateway share.
+
+    Attributes:
+      zone: Availability zone of this process.
+      dialect: Names of headers.
+      calls: Orders to engines.
+      holder: Configuration in force.
+      upstreams: Membership.
+      pages: What was learned of each upstream.
+      conns: Kept connections.
+      budget: Retries that may be sent.
+      live: Streams being relayed.
+    """
+
+    zone: str
+    dialect: dialect_lib.Dialect
+    calls: dialect_lib.EngineCalls
+    holder: source.Holder
+    upstreams: upstream.Upstreams
+    pages: book.Book
+    conns: pool.Pool
+    budget: retry_budget.RetryBudget
+    live: live.Live
+
+
+class Gateway:
+    """Decides what becomes of each request."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._evacuation = evacuation.Evacuation(core)
+        core.upstreams.on_leaving(self._evacuation.start)
+
+    async def handle(
+        self, req: message.Request, responder: listener.Responder
+    ) -> None:
+        """Serves one request to its end."""
+        exchange = self._admit(req, responder)
+        if exchange is None:
+            return
+        bound_s = exchange.deadline_s - ANSWER_S
+        try:
+            async with asyncio.timeout_at(bound_s):
+                outcome = await self._forward(exchange)
+        except TimeoutError:
+            outcome = _answer_timeout(exchange)
+        except asyncio.CancelledError:
+            self._note(exchange, 'caller_left')
+            raise
+        self._note(exchange, outcome)
+
+    async def _forward(self, exchange: exchange_lib.Exchange) -> str:
+        if exchange.route.kind.is_stream:
+            return await relay.forward(self._core, exchange)
+        return await plain.forward(self._core, exchange)
+
+    def _admit(
+        self, req: message.Request, responder: listener.Responder
+    ) -> exchange_lib.Exchange | None:
+        """Returns the request with what was decided, or None if refused."""
+        table = self._core.holder.current
+        if table is None:
+            _refuse(req, responder, UNAVAILABLE, 'no_configuration', 0)
+            return None
+        host = message.first(req.headers, b'host') or b''
+        route = table.match(host, req.path)
+        if route is None:
+            _refuse(req, responder, NOT_FOUND, 'no_route', table.version)
+            return None
+        account = _account(table, route, req)
+        if table.accounts is not None and not route.public and account is None:
+            _refuse(req, responder, UNAUTHORIZED, 'unknown_key', table.version)
+            return None
+        request_id = message.first(req.headers, self._core.dialect.request_id)
+        if not request_id:
+            _refuse(req, responder, BAD_REQUEST, 'no_id', table.version)
+            return None
+        service = _service(table, route, self._core.upstreams)
+        ranked = account is not None and account.priority is not None
+        return exchange_lib.Exchange(
+            request=req,
+            responder=responder,
+            route=route,
+            service=service,
+            account=account.name.encode() if account else None,
+            request_id=request_id,
+            priority=account.priority if ranked else route.priority,
+            deadline_s=self._deadline_s(req, route),
+            version=table.version,
+        )
+
+    def _deadline_s(
+        self, req: message.Request, route: routing_lib.Route
+    ) -> float:
+        text = message.first(req.headers, self._core.dialect.deadline_ms)
+        wait_s = route.timeout_s
+        if text and text.isdigit():
+            wait_s = min(wait_s, int(text) / exchange_lib.MS_PER_S)
+        return req.received_s + wait_s
+
+    def _note(self, exchange: exchange_lib.Exchange, outcome: str) -> None:
+        now = asyncio.get_running_loop().time()
+        took_ms = round((now - exchange.request.received_s) * 1000, 1)
+        kind = exchange.route.kind.value
+        requests.inc({'kind': kind, 'outcome': outcome})
+        logger.info(
+            'request_ended',
+            request=exchange.id_text,
+            route=exchange.route.name,
+            kind=kind,
+            service=exchange.service.name,
+            outcome=outcome,
+            sends=exchange.sends,
+            took_ms=took_ms,
+            configuration=exchange.version,
+            membership=self._core.upstreams.version,
+        )
+
+
+def _refuse(
+    req: message.Request,
+    responder: listener.Responder,
+    status: int,
+    why: str,
+    version: int,
+) -> None:
+    logger.info(
+        'request_refused', target=req.target, reason=why, configuration=version
+    )
+    requests.inc({'kind': 'none', 'outcome': why})
+    exchange_lib.refuse(responder, status, why, again=status == UNAVAILABLE)
+
+
+def _answer_timeout(exchange: exchange_lib.Exchange) -> str:
+    responder = exchange.responder
+    if responder.started:
+        responder.abort()
+        return 'cut_at_deadline'
+    if exchange.sends:
+        exchange_lib.refuse(responder, GATEWAY_TIMEOUT, 'timeout')
+        return 'timeout'
+    exchange_lib.refuse(responder, UNAVAILABLE, 'not_sent', again=True)
+    return 'not_sent'
+
+
+def _account(
+    table: routing_lib.RoutingTable,
+    route: routing_lib.Route,
+    req: message.Request,
+) -> routing_lib.ClientAccount | None:
+    if table.accounts is None or route.public:
+        return None
+    value = message.first(req.headers, b'authorization') or b''
+    if not value.lower().startswith(BEARER):
+        return None
+    return table.accounts.get(value[len(BEARER) :].strip())
+
+
+def _service(
+    table: routing_lib.RoutingTable,
+    route: routing_lib.Route,
+    upstreams: upstream.Upstreams,
+) -> routing_lib.Service:
+    """Draws one of the route's services by weight, one with upstreams first."""
+    able = [t for t in route.targets if t.weight and upstreams.of(t.service)]
+    targets = able or list(route.targets)
+    weights = [target.weight or 1e-9 for target in targets]
+    name = random.choices(targets, weights)[0].service
+    return table.services.get(name) or routing_lib.Service(name)
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -0,0 +1,241 @@
+"""One HTTP/1.1 connection to an upstream, for one call at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import re
+
+import httptools
+
+from quetzalsill_gateway.http import error, message, socket_option
+
+__all__ = ['Conn', 'connect']
+
+KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+NO_BODY = (204, 304)
+END = object()
+
+
+class Conn(asyncio.Protocol):
+    """A connection that carries one call at a time and repeats none.
+
+    Attributes:
+      address: Address of the upstream, as (IP number, port).
+      calls: Calls that it has carried.
+      idle_since_s: Loop time at which the last call ended.
+      idle_limit_s: How long the upstream keeps it idle; None if not said.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.calls = 0
+        self.idle_since_s = 0.0
+        self.idle_limit_s: float | None = None
+        self._transport: asyncio.Transport | None = None
+        self._items: collections.deque[object] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._error: error.CallError | None = None
+        self._until_close = False
+        self._reusable = False
+        self._is_head_request = False
+        self._awaits = False
+        self._skipping = False
+        self._echo: tuple[bytes, bytes] | None = None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a new call may be sent on it."""
+        return (
+            self._reusable
+            and self._error is None
+            and not self._transport.is_closing()
+        )
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Tunes the socket."""
+        self._transport = transport
+        socket_option.tune(transport)
+        self._reusable = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the answer: as whole only if it had no length and no reset."""
+        if self._awaits and self._until_close and not self._skipping and not exc:
+            self._add(END)
+        self._fail(error.TruncatedError('the connection ended'))
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the upstream."""
+        if not self._awaits:
+            # Bytes behind a whole answer belong to no request; the next
+            # caller would take them for the answer to its own.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self._fail(error.MalformedAnswerError(str(exc)))
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        """Starts an answer."""
+        self._headers: message.Headers = []
+        if not self._awaits:
+            self._reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Hands on the head, unless it is an interim one."""
+        status = self._parser.get_status_code()
+        if not self._awaits or status < 200:
+            return
+        self._skipping = self._is_foreign()
+        if self._skipping:
+            return
+        length = message.first(self._headers, b'content-length')
+        coding = message.first(self._headers, b'transfer-encoding')
+        self._until_close = (
+            length is None and coding is None and status not in NO_BODY
+        )
+        self._reusable = (
+            self._parser.should_keep_alive() and not self._until_close
+        )
+        self._note_idle_limit()
+        known = int(length) if length is not None and length.isdigit() else None
+        self._add(message.ResponseHead(status, self._headers, known))
+        if self._is_head_request:
+            self._reusable = False
+            self._end()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        if self._awaits and not self._skipping:
+            self._add(body)
+
+    def on_message_complete(self) -> None:
+        """Ends the answer as whole."""
+        if self._skipping:
+            self._skipping = False
+        elif self._parser.get_status_code() >= 200 and self._awaits:
+            self._end()
+
+    def send(
+        self,
+        head: bytes,
+        body: bytes,
+        method: bytes = b'',
+        echo: tuple[bytes, bytes] | None = None,
+    ) -> None:
+        """Writes a request, once.
+
+        Args:
+          head: Request line and headers with the empty line.
+          body: The whole body.
+          method: Its method, as the answer to HEAD has no body.
+          echo: Header, and its value, that the upstream repeats in its
+            answer; an answer with another value is left out.
+
+        Raises:
+          error.ConnectError: The connection has ended; nothing was sent.
+        """
+        if not self.is_usable:
+            raise error.ConnectError('the connection has ended')
+        self._items.clear()
+        self._parser = httptools.HttpResponseParser(self)
+        self._echo = echo
+        self._skipping = False
+        self._until_close = False
+        self._is_head_request = method == b'HEAD'
+        self._awaits = True
+        self._reusable = False
+        self.calls += 1
+        self._transport.write(head + body)
+
+    async def head(self) -> message.ResponseHead:
+        """Returns the head of the answer.
+
+        Raises:
+          error.CallError: None came.
+        """
+        return await self._take()
+
+    async def read(self) -> bytes:
+        """Returns the next bytes of the body, empty at its end.
+
+        Raises:
+          error.CallError: The answer was cut off.
+        """
+        item = await self._take()
+        if item is END:
+            return b''
+        while self._items and isinstance(self._items[0], bytes):
+            item += self._items.popleft()
+        return item
+
+    def abort(self) -> None:
+        """Closes at once."""
+        self._reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _is_foreign(self) -> bool:
+        # A server may answer an earlier request twice; the second answer
+        # stands where the answer to this request is due.
+        if self._echo is None:
+            return False
+        name, wanted = self._echo
+        found = message.first(self._headers, name)
+        return found is not None and found != wanted
+
+    def _end(self) -> None:
+        self._awaits = False
+        self.idle_since_s = asyncio.get_running_loop().time()
+        self._add(END)
+
+    def _note_idle_limit(self) -> None:
+        value = message.first(self._headers, b'keep-alive')
+        found = KEEP_ALIVE_TIMEOUT.search(value) if value else None
+        if found:
+            self.idle_limit_s = float(found.group(1))
+
+    def _add(self, item: object) -> None:
+        self._items.append(item)
+        self._wake()
+
+    def _fail(self, exc: error.CallError) -> None:
+        if self._error is None:
+            self._error = exc
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _take(self) -> object:
+        while not self._items:
+            if self._error is not None:
+                raise self._error
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._items.popleft()
+
+
+async def connect(address: tuple[str, int], timeout_s: float) -> Conn:
+    """Opens a connection.
+
+    Raises:
+      error.ConnectError: It did not come about in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, conn = await loop.create_connection(
+                lambda: Conn(address), address[0], address[1]
+            )
+    except (TimeoutError, OSError) as exc:
+        raise error.ConnectError(f'{address[0]}:{address[1]}: {exc}') from exc
+    return conn
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -0,0 +1,49 @@
+"""Failures of calls to upstreams."""
+
+from __future__ import annotations
+
+from quetzalsill.error import base
+
+__all__ = [
+    'CallError',
+    'ConnectError',
+    'MalformedAnswerError',
+    'SilentError',
+    'TruncatedError',
+]
+
+
+class CallError(base.QuetzalsillError):
+    """A call to an upstream brought no whole answer.
+
+    Attributes:
+      ran: Whether the upstream may have acted on the request.
+    """
+
+    code = 'upstream_failed'
+    ran = base.Ran.UNKNOWN
+
+
+class ConnectError(CallError):
+    """No connection came about, so nothing of the request was sent."""
+
+    code = 'upstream_unreachable'
+    ran = base.Ran.NO
+
+
+class TruncatedError(CallError):
+    """The connection ended before the answer was whole."""
+
+    code = 'answer_truncated'
+
+
+class MalformedAnswerError(CallError):
+    """The upstream sent bytes that are no HTTP answer."""
+
+    code = 'answer_malformed'
+
+
+class SilentError(CallError):
+    """Nothing came within the time given."""
+
+    code = 'upstream_silent'
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
@@ -0,0 +1,90 @@
+"""Small calls of the gateway's own, such as orders to engines."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+
+from quetzalsill_gateway.http import error, message
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway.http import pool
+
+__all__ = ['Answer', 'fetch']
+
+MOST_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """A whole answer.
+
+    Attributes:
+      status: Status code.
+      headers: Names in lower case.
+      body: The whole body.
+    """
+
+    status: int
+    headers: message.Headers
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the body as JSON.
+
+        Raises:
+          error.MalformedAnswerError: It is none.
+        """
+        try:
+            return json.loads(self.body)
+        except ValueError as exc:
+            raise error.MalformedAnswerError(f'no JSON: {exc}') from exc
+
+
+async def fetch(
+    conns: pool.Pool,
+    address: tuple[str, int],
+    method: str,
+    target: str,
+    *,
+    body: Any = None,
+    timeout_s: float,
+) -> Answer:
+    """Makes one call and returns its whole answer.
+
+    Args:
+      conns: Kept connections.
+      address: IP number and port.
+      method: Method in capitals.
+      target: Path and query.
+      body: Sent as JSON unless it is None.
+      timeout_s: Longest time for all of it, in seconds.
+
+    Raises:
+      error.CallError: There is no whole answer.
+    """
+    lines = [f'{method} {target} HTTP/1.1', f'host: {address[0]}:{address[1]}']
+    data = b'' if body is None else json.dumps(body).encode()
+    if body is not None:
+        lines.append('content-type: application/json')
+        lines.append(f'content-length: {len(data)}')
+    head = '\r\n'.join([*lines, '\r\n']).encode()
+    conn = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            conn = await conns.take(address, timeout_s)
+            conn.send(head, data)
+            found = await conn.head()
+            pieces = bytearray()
+            while piece := await conn.read():
+                pieces += piece
+                if len(pieces) > MOST_BYTES:
+                    raise error.MalformedAnswerError('the answer is too large')
+            return Answer(found.status, found.headers, bytes(pieces))
+    except TimeoutError as exc:
+        raise error.SilentError(f'{address[0]}:{address[1]}') from exc
+    finally:
+        if conn is not None:
+            conns.give_back(conn)
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/socket_option.py
@@ -0,0 +1,35 @@
+"""Socket options by which a lost connection is found in seconds."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+__all__ = ['KEEPALIVE_IDLE_S', 'tune']
+
+# Connections may go silent for good without a reset. The kernel's probes find
+# an idle one after `KEEPALIVE_IDLE_S + PROBES * INTERVAL_S` seconds, and the
+# user timeout finds one whose bytes are not acknowledged; both then fail the
+# connection as a reset would. Shorter bounds than the kernel's own minutes are
+# needed because a watch of the configuration must not hang for long.
+KEEPALIVE_IDLE_S = 1
+INTERVAL_S = 1
+PROBES = 2
+LOST_MS = 2500
+
+
+def tune(transport: asyncio.BaseTransport) -> None:
+    """Sets the options on the socket of a TCP transport."""
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    options = (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, INTERVAL_S),
+        (socket.TCP_KEEPCNT, PROBES),
+        (socket.TCP_USER_TIMEOUT, LOST_MS),
+        (socket.TCP_NODELAY, 1),
+    )
+    for option, value in options:
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plugin.py
@@ -0,0 +1,19 @@
+"""Registers the role `gateway`."""
+
+from __future__ import annotations
+
+from quetzalsill.plugin import registry as plugin_registry
+from quetzalsill.plugin import role
+from quetzalsill_gateway import run, settings
+
+__all__ = ['register']
+
+
+def register(registry: plugin_registry.Registry) -> None:
+    """Adds the role."""
+    registry.add(
+        'role',
+        'gateway',
+        role.Role('gateway', settings.Settings, run.run),
+        "Forwards callers' requests straight to upstreams.",
+    )
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
@@ -0,0 +1,41 @@
+"""Answers the balancer's question whether this gateway takes callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import metric
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway.http import listener, message
+
+__all__ = ['METRICS_PATH', 'handler']
+
+METRICS_PATH = b'/metrics'
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+def handler(path: str, is_ready: Callable[[], bool]) -> listener.Handler:
+    """Returns what serves readiness and metrics.
+
+    Args:
+      path: Path of the question.
+      is_ready: Whether callers are taken.
+    """
+    asked = path.encode()
+
+    async def handle(
+        req: message.Request, responder: listener.Responder
+    ) -> None:
+        if req.path == asked:
+            responder.reply(OK if is_ready() else UNAVAILABLE, [])
+        elif req.path == METRICS_PATH:
+            kind = (b'content-type', metric.CONTENT_TYPE.encode())
+            responder.reply(OK, [kind], metric.render())
+        else:
+            responder.reply(NOT_FOUND, [])
+
+    return handle
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/retry_budget.py
@@ -0,0 +1,64 @@
+"""Share of the retries that all gateways together may send."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+__all__ = ['RetryBudget']
+
+# Other gateways may see fewer requests than this one and spend their whole
+# share of the allowance all the same; half of both keeps the sum below the
+# bound although nobody counts it.
+SAFE_SHARE = 0.5
+
+
+class RetryBudget:
+    """Bounds retries per service, over a sliding window.
+
+    The bound holds for the sum over all gateways. Each spends within a ratio
+    of the requests that it has seen itself, which adds up by itself, and its
+    share of a fixed allowance.
+    """
+
+    def __init__(
+        self, ratio: float, allowance: float, window_s: float, gateways: int
+    ) -> None:
+        """Starts an empty budget.
+
+        Args:
+          ratio: Retries allowed per request.
+          allowance: Retries allowed besides, by all gateways together.
+          window_s: Length of the window, in seconds.
+          gateways: Gateways that share the allowance.
+        """
+        self._ratio = ratio * SAFE_SHARE
+        self._share = allowance * SAFE_SHARE / max(1, gateways)
+        self._window_s = window_s
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._retries: dict[str, collections.deque[float]] = {}
+
+    def note_request(self, service: str) -> None:
+        """Counts a request of a caller."""
+        self._recent(self._requests, service).append(self._now())
+
+    def spend(self, service: str) -> bool:
+        """Takes one retry out of the budget; False if none is left."""
+        requests = len(self._recent(self._requests, service))
+        retries = self._recent(self._retries, service)
+        if len(retries) + 1 > requests * self._ratio + self._share:
+            return False
+        retries.append(self._now())
+        return True
+
+    def _recent(
+        self, counts: dict[str, collections.deque[float]], service: str
+    ) -> collections.deque[float]:
+        times = counts.setdefault(service, collections.deque())
+        oldest = self._now() - self._window_s
+        while times and times[0] < oldest:
+            times.popleft()
+        return times
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -0,0 +1,146 @@
+"""Runs a gateway from its start to its graceful end."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.daemon import background
+from quetzalsill.net import stop as net_stop
+from quetzalsill.plugin import registry
+from quetzalsill.telemetry import log
+from quetzalsill_gateway import (
+    gateway,
+    readiness,
+    retry_budget,
+    source,
+    upstream,
+)
+from quetzalsill_gateway import settings as settings_lib
+from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.http import listener, pool
+from quetzalsill_gateway.stream import live
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import deployment as deployment_lib
+
+__all__ = ['Process', 'run']
+
+TICK_S = 0.05
+# Left of the grace period for closing connections and ending the process.
+END_S = 0.3
+
+logger = log.get(__name__)
+
+
+class Process:
+    """A gateway with its listeners and loops."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        deployment: deployment_lib.Deployment,
+    ) -> None:
+        self._settings = settings
+        conns = pool.Pool()
+        pages = book.Book()
+        self.core = gateway.Core(
+            zone=settings.node.availability_zone,
+            dialect=deployment.dialect,
+            calls=deployment.calls(conns),
+            holder=source.Holder(),
+            upstreams=upstream.Upstreams(),
+            pages=pages,
+            conns=conns,
+            budget=_budget(settings.retry),
+            live=live.Live(pages),
+        )
+        self._sources = deployment.sources(settings, conns)
+        self._gateway = gateway.Gateway(self.core)
+        self.callers = listener.Listener(self._gateway.handle, self._limits)
+        self.asked = listener.Listener(
+            readiness.handler(settings.ready_path, self.is_ready),
+            listener.Limits,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """Whether callers should come here."""
+        core = self.core
+        known = core.holder.current is not None and core.upstreams.version > 0
+        return known and not self.callers.stopping
+
+    async def start(self) -> None:
+        """Opens the listeners and starts to follow the sources."""
+        loops = {
+            'configuration': lambda: self._sources.follow_configuration(
+                self.core.holder
+            ),
+            'membership': lambda: self._sources.follow_membership(
+                self.core.upstreams
+            ),
+            'callers': self.callers.watch,
+            'readiness': self.asked.watch,
+        }
+        self._tasks = [
+            asyncio.create_task(background.keep_running(name, work))
+            for name, work in loops.items()
+        ]
+        cfg = self._settings
+        await self.callers.start(*settings_lib.address(cfg.listen))
+        await self.asked.start(*settings_lib.address(cfg.ready))
+
+    async def stop(self) -> None:
+        """Takes no more callers and lets requests in flight end.
+
+        The balancer sends new connections until it has asked twice, so they
+        are taken and served for that long.
+        """
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        self.callers.stopping = True
+        bounds = self._settings.stop
+        await asyncio.sleep(min(bounds.leave_s, bounds.grace_s))
+        self.callers.stop()
+        end_s = begun_s + bounds.grace_s - END_S
+        while self.callers.connections and loop.time() < end_s:
+            self.callers.close_idle()
+            await asyncio.sleep(TICK_S)
+        logger.info(
+            'stopped',
+            cut=len(self.callers.connections),
+            took_s=round(loop.time() - begun_s, 2),
+        )
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends listeners and loops at once."""
+        self.callers.stop()
+        self.asked.stop()
+        for conn in [*self.callers.connections, *self.asked.connections]:
+            conn.abort()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _limits(self) -> listener.Limits:
+        table = self.core.holder.current
+        return table.limits if table else listener.Limits()
+
+
+def _budget(cfg: settings_lib.Retry) -> retry_budget.RetryBudget:
+    return retry_budget.RetryBudget(
+        cfg.ratio, cfg.allowance, cfg.window_s, cfg.gateways
+    )
+
+
+async def run(settings: settings_lib.Settings) -> None:
+    """Runs until a signal asks for a stop, and then to its end."""
+    plugin = registry.REGISTRY.get('deployment', settings.deployment)
+    with net_stop.StopSignal() as stop_signal:
+        process = Process(settings, plugin)
+        await process.start()
+        logger.info('listening', port=process.callers.port)
+        await stop_signal.wait()
+        logger.info('stopping', open=len(process.callers.connections))
+        await process.stop()
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -0,0 +1,88 @@
+"""Settings of a gateway process."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from quetzalsill.schema import key as schema_key
+from quetzalsill.settings import section
+
+__all__ = ['Retry', 'Settings', 'Stop', 'address']
+
+key = schema_key.key
+ADDRESS = r'[0-9A-Fa-f.:]+:[0-9]{1,5}'
+
+
+def address(text: str) -> tuple[str, int]:
+    """Returns IP number and port of an address that fits `ADDRESS`."""
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
+@dataclasses.dataclass(slots=True)
+class Retry:
+    """Bounds of what all gateways together send again."""
+
+    ratio: float = key(
+        'Retries per request of a caller.', 0.1, minimum=0, maximum=1
+    )
+    allowance: float = key(
+        'Retries besides, of all gateways together.', 10.0, minimum=0
+    )
+    window_s: float = key(
+        'Window in which both hold.', 10.0, unit='s', minimum=0.1
+    )
+    gateways: int = key(
+        'Gateways that share the allowance.', 16, minimum=1, maximum=100_000
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """How a gateway stops."""
+
+    grace_s: float = key(
+        'Time from the signal to the end of the process.',
+        8.0,
+        unit='s',
+        minimum=0,
+        maximum=3600,
+    )
+    leave_s: float = key(
+        'Time in which the balancer takes the gateway out.',
+        2.6,
+        unit='s',
+        minimum=0,
+        maximum=60,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """Settings of a gateway."""
+
+    node: section.Node = key('Identity.')
+    listen: str = key(
+        'IP number and port for callers; port 0 lets the kernel choose.',
+        pattern=ADDRESS,
+        example='127.0.0.1:7600',
+    )
+    ready: str = key(
+        'IP number and port at which readiness and metrics are asked for.',
+        pattern=ADDRESS,
+        example='127.0.0.1:7601',
+    )
+    store: str = key(
+        'IP number and port of the store of configuration and membership.',
+        pattern=ADDRESS,
+        example='127.0.0.1:7602',
+    )
+    deployment: str = key(
+        'Plug-in that speaks with this deployment.', 'platform'
+    )
+    ready_path: str = key('Path of the readiness question.', '/ready')
+    retry: Retry = key('Bounds of retries.', factory=Retry)
+    stop: Stop = key('How it stops.', factory=Stop)
+    telemetry: section.Telemetry = key(
+        'Logs and traces.', factory=section.Telemetry
+    )
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of events: their pieces, their moves and their resumption."""
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -0,0 +1,111 @@
+"""Streams that this gateway relays, by the upstream that makes them."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway.balance import book
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import dialect as dialect_lib
+    from quetzalsill_gateway import exchange as exchange_lib
+    from quetzalsill_gateway import upstream as upstream_lib
+
+__all__ = ['Live', 'Stream', 'Switch']
+
+# The caller's guess is right at the median; one run in a few is longer.
+HINT_MARGIN = 1.3
+UNHINTED_SHARE = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Switch:
+    """Where a run goes on after it was stopped at its source.
+
+    Attributes:
+      source: Upstream that it ran on.
+      target: Upstream to go on at: the destination, or the source again.
+      handle: Names the copy.
+    """
+
+    source: upstream_lib.Upstream
+    target: upstream_lib.Upstream
+    handle: str
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Stream:
+    """One stream on its way to a caller.
+
+    Attributes:
+      exchange: The request.
+      prompt: What the caller says of the generation.
+      reservation: What it holds at its upstream.
+      upstream: Where it runs; None before the first send.
+      last_id: Number of the last event written to the caller; None at first.
+      switch: Set while its run is being stopped in order to go on elsewhere.
+      ended: Nothing of it is relayed any more.
+    """
+
+    exchange: exchange_lib.Exchange
+    prompt: dialect_lib.Prompt
+    reservation: book.Reservation
+    upstream: upstream_lib.Upstream | None = None
+    last_id: int | None = None
+    switch: asyncio.Future[Switch | None] | None = None
+    ended: bool = False
+
+
+class Live:
+    """Streams by upstream, with what they hold there."""
+
+    def __init__(self, pages: book.Book) -> None:
+        self._pages = pages
+        self._streams: dict[str, set[Stream]] = {}
+        self._on_leaving: Callable[[upstream_lib.Upstream], None] | None = None
+
+    def on_placed_while_leaving(
+        self, callback: Callable[[upstream_lib.Upstream], None]
+    ) -> None:
+        """Calls back when a stream begins at an upstream that leaves."""
+        self._on_leaving = callback
+
+    def of(self, upstream: upstream_lib.Upstream) -> list[Stream]:
+        """Returns the streams of an upstream."""
+        return list(self._streams.get(upstream.id, ()))
+
+    def place(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
+        """Notes that a stream runs at an upstream from now on."""
+        self.remove(stream)
+        stream.upstream = upstream
+        self._streams.setdefault(upstream.id, set()).add(stream)
+        self._pages.page(upstream).reservations.add(stream.reservation)
+        if upstream.leaving and self._on_leaving is not None:
+            self._on_leaving(upstream)
+
+    def remove(self, stream: Stream) -> None:
+        """Notes that a stream runs nowhere."""
+        if stream.upstream is None:
+            return
+        streams = self._streams.get(stream.upstream.id, set())
+        streams.discard(stream)
+        if not streams:
+            self._streams.pop(stream.upstream.id, None)
+        page = self._pages.page(stream.upstream)
+        page.reservations.discard(stream.reservation)
+        if stream.upstream.gone and not streams:
+            self._pages.forget(stream.upstream)
+        stream.upstream = None
+
+
+def reserve(prompt: dialect_lib.Prompt) -> book.Reservation:
+    """Returns what a generation is expected to hold at its end."""
+    guess = prompt.output_hint * HINT_MARGIN
+    output = guess or prompt.output_limit * UNHINTED_SHARE
+    output = min(output, prompt.output_limit) if prompt.output_limit else output
+    return book.Reservation(
+        prompt.input_tokens, prompt.input_tokens + int(output)
+    )
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -0,0 +1,328 @@
+"""Streams of events from upstreams to callers.
+
+A run may go on at another upstream in the middle of its stream. The caller
+sees one answer all the same: each event once, in order, and an end only behind
+the last.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log
+from quetzalsill_gateway import attempt, exchange, routing_table
+from quetzalsill_gateway.balance import choose
+from quetzalsill_gateway.http import error, message
+from quetzalsill_gateway.stream import events, live
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.http import call
+
+__all__ = ['forward']
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+HELD_BYTES = 65_536
+UNREACHABLE_TRIES = 3
+# A run that was stopped is resumed within a pause that callers hardly notice,
+# or not at all.
+SWITCH_S = 1.5
+MOST_SWITCHES = 8
+URGENT = 2
+LEAST_URGENT = 9
+
+logger = log.get(__name__)
+
+
+class OutOfOrderError(error.CallError):
+    """An upstream left out events of a stream."""
+
+    code = 'events_missing'
+
+
+@dataclasses.dataclass(slots=True)
+class _Leg:
+    """One upstream's part of a stream.
+
+    Attributes:
+      upstream: Who makes the events.
+      extra: Headers that the gateway sets.
+      continues: The run goes on from memory.
+    """
+
+    upstream: upstream_lib.Upstream
+    extra: message.Headers
+    continues: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Refusal:
+    """An answer that is no stream."""
+
+    head: message.ResponseHead
+    body: bytes
+    verdict: attempt.Verdict
+
+
+WHOLE = 'whole'
+_End = _Refusal | error.CallError | str
+
+
+async def forward(core: gateway.Core, req: exchange.Exchange) -> str:
+    """Relays a stream; returns its outcome for the log."""
+    core.budget.note_request(req.service.name)
+    prompt = core.dialect.prompt(req.request.headers)
+    stream = live.Stream(req, prompt, live.reserve(prompt))
+    try:
+        return await _Relay(core, stream).run()
+    finally:
+        stream.ended = True
+        core.live.remove(stream)
+
+
+class _Relay:
+    """One stream, leg by leg."""
+
+    def __init__(self, core: gateway.Core, stream: live.Stream) -> None:
+        self._core = core
+        self._stream = stream
+        self._req = stream.exchange
+        self._avoid: frozenset[str] = frozenset()
+        self._unreachable = 0
+        self._switches = 0
+        self._ran = False
+        self._source: upstream_lib.Upstream | None = None
+        self._handle = ''
+
+    async def run(self) -> str:
+        """Relays to the end of the stream."""
+        leg = self._first_leg()
+        end: _End | None = None
+        while leg is not None:
+            end = await self._run_leg(leg)
+            if end is not WHOLE and not self._is_not_run(end):
+                self._ran = True
+            switch = await self._switched()
+            next_leg = self._next_leg(leg, end, switch)
+            self._log_leg(leg, end, next_leg)
+            leg = next_leg
+            if end is WHOLE and leg is None:
+                self._req.responder.end()
+                return 'served'
+        return self._answer(end)
+
+    def _first_leg(self) -> _Leg | None:
+        req = self._req
+        upstream = choose.choose_engine(
+            self._core.upstreams.of(req.service.name),
+            self._core.pages,
+            self._core.zone,
+            req.service.engine or _no_engine(),
+            self._stream.reservation.memory_tokens,
+            self._avoid,
+        )
+        if upstream is None:
+            return None
+        self._avoid |= {upstream.id}
+        return _Leg(upstream, [self._priority()])
+
+    def _priority(self) -> tuple[bytes, bytes]:
+        rank = min(LEAST_URGENT, URGENT + 2 * self._req.priority)
+        return self._core.dialect.priority, b'%d' % rank
+
+    async def _run_leg(self, leg: _Leg) -> _End:
+        core, stream, req = self._core, self._stream, self._req
+        page = core.pages.page(leg.upstream)
+        core.live.place(stream, leg.upstream)
+        try:
+            async with attempt.opened(
+                req,
+                leg.upstream,
+                core.dialect,
+                core.conns,
+                leg.extra,
+                continues=leg.continues,
+            ) as sent:
+                if sent.verdict is not attempt.Verdict.SUCCESS:
+                    body, _ = await attempt.read_body(sent.conn, HELD_BYTES)
+                    return _Refusal(sent.head, body, sent.verdict)
+                self._start(sent.head)
+                await self._pump(sent.conn)
+                return WHOLE
+        except error.CallError as exc:
+            if stream.switch is None:
+                page.note_failure()
+            return exc
+
+    def _start(self, head: message.ResponseHead) -> None:
+        if self._req.responder.started:
+            return
+        headers = [
+            pair
+            for pair in message.end_to_end(head.headers)
+            if pair[0] != b'content-length'
+        ]
+        self._req.responder.start(head.status, headers, None)
+
+    async def _pump(self, conn: call.Conn) -> None:
+        splitter = events.Splitter()
+        stream, responder = self._stream, self._req.responder
+        while data := await conn.read():
+            stream.reservation.is_reading = False
+            ready = b''.join(self._fresh(splitter.feed(data)))
+            if ready:
+                responder.write(ready)
+                await responder.drain()
+        if splitter.rest and stream.switch is None:
+            raise error.TruncatedError('the stream ended within an event')
+
+    def _fresh(self, found: Iterator[events.Event]) -> Iterator[bytes]:
+        stream = self._stream
+        for event in found:
+            if event.id is not None:
+                if stream.last_id is not None:
+                    if event.id <= stream.last_id:
+                        continue
+                    if event.id != stream.last_id + 1:
+                        raise OutOfOrderError(
+                            f'event {event.id} came after {stream.last_id}'
+                        )
+                stream.last_id = event.id
+            yield event.raw
+
+    async def _switched(self) -> live.Switch | None:
+        """Returns how to go on if the run was stopped in order to move."""
+        pending = self._stream.switch
+        if pending is None:
+            return None
+        try:
+            async with asyncio.timeout(SWITCH_S):
+                return await asyncio.shield(pending)
+        except TimeoutError:
+            return None
+        finally:
+            self._stream.switch = None
+
+    def _next_leg(
+        self, leg: _Leg, end: _End, switch: live.Switch | None
+    ) -> _Leg | None:
+        if switch is not None and self._switches < MOST_SWITCHES:
+            self._switches += 1
+            return self._continued(switch.target, switch.source, switch.handle)
+        if end is WHOLE:
+            return None
+        if leg.continues and self._is_not_run(end):
+            return self._back_to_source(leg)
+        if self._may_send_again(end):
+            return self._again()
+        return None
+
+    def _continued(
+        self,
+        target: upstream_lib.Upstream,
+        holder: upstream_lib.Upstream,
+        handle: str,
+    ) -> _Leg:
+        dialect = self._core.dialect
+        extra = [
+            self._priority(),
+            (dialect.memory_from, dialect.memory_source(holder, handle)),
+            *self._resume_after(),
+        ]
+        self._source = holder
+        self._handle = handle
+        return _Leg(target, extra, continues=True)
+
+    def _back_to_source(self, leg: _Leg) -> _Leg | None:
+        """The destination did not take the run: it goes on where it was."""
+        if leg.upstream is self._source or self._switches >= MOST_SWITCHES:
+            return None
+        self._switches += 1
+        return self._continued(self._source, self._source, self._handle)
+
+    def _resume_after(self) -> message.Headers:
+        last = self._stream.last_id
+        if last is None:
+            return []
+        return [(self._core.dialect.resume_after, b'%d' % last)]
+
+    def _again(self) -> _Leg | None:
+        leg = self._first_leg()
+        if leg is not None and self._stream.last_id is not None:
+            leg.extra.extend(self._resume_after())
+        return leg
+
+    def _may_send_again(self, end: _End) -> bool:
+        req = self._req
+        if isinstance(end, error.CallError) and not attempt.may_have_run(end):
+            self._unreachable += 1
+            return self._unreachable <= UNREACHABLE_TRIES and not self._ran
+        if isinstance(end, _Refusal):
+            if end.verdict is attempt.Verdict.WRONG_UPSTREAM:
+                self._unreachable += 1
+                return self._unreachable <= UNREACHABLE_TRIES
+            if end.verdict is attempt.Verdict.NOT_RUN:
+                return self._has_budget()
+        return req.route.kind.may_repeat and self._has_budget()
+
+    def _has_budget(self) -> bool:
+        if self._req.sends >= self._req.route.attempts:
+            return False
+        return self._core.budget.spend(self._req.service.name)
+
+    def _is_not_run(self, end: _End | None) -> bool:
+        if isinstance(end, error.CallError):
+            return not attempt.may_have_run(end)
+        return isinstance(end, _Refusal) and end.verdict in (
+            attempt.Verdict.NOT_RUN,
+            attempt.Verdict.WRONG_UPSTREAM,
+        )
+
+    def _answer(self, end: _End | None) -> str:
+        responder = self._req.responder
+        if responder.started:
+            responder.abort()
+            return 'cut'
+        if not self._ran:
+            exchange.refuse(responder, UNAVAILABLE, 'not_run', again=True)
+            return 'refused'
+        if (
+            isinstance(end, _Refusal)
+            and end.verdict is attempt.Verdict.FAILED
+            and self._req.sends <= 1
+        ):
+            headers = message.end_to_end(end.head.headers)
+            headers = [p for p in headers if p[0] != b'content-length']
+            responder.reply(end.head.status, headers, end.body)
+            return 'upstream_failed'
+        exchange.refuse(responder, BAD_GATEWAY, 'upstream_failed')
+        return 'failed'
+
+    def _log_leg(self, leg: _Leg, end: _End, next_leg: _Leg | None) -> None:
+        logger.info(
+            'leg_ended',
+            request=self._req.id_text,
+            upstream=leg.upstream.id,
+            leaving=leg.upstream.leaving,
+            continued=leg.continues,
+            result=_describe(end),
+            last_event=self._stream.last_id,
+            next=next_leg.upstream.id if next_leg else None,
+        )
+
+
+def _describe(end: _End) -> str:
+    if isinstance(end, error.CallError):
+        return end.code
+    if isinstance(end, _Refusal):
+        return f'{end.verdict.value}_{end.head.status}'
+    return end
+
+
+def _no_engine() -> routing_table.Engine:
+    return routing_table.Engine()
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -0,0 +1,158 @@
+"""The upstreams that a gateway knows of, by service."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from quetzalsill.telemetry import log
+
+__all__ = ['Upstream', 'Upstreams']
+
+logger = log.get(__name__)
+
+# While its store is away a source may let the entries of upstreams lapse that
+# live. They are entered again within two seconds of its return; acted on at
+# once, the lapse would take away every upstream.
+LAPSE_S = 2.2
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Upstream:
+    """One incarnation of an upstream process.
+
+    Attributes:
+      id: Names this incarnation; a restarted upstream has another.
+      service: Service that it answers for.
+      address: IP number and port.
+      availability_zone: Where it runs.
+      slots: Requests that it works on at once.
+      leaving: Takes no new work.
+      gone: No longer known; what still runs there is at its end.
+    """
+
+    id: str
+    service: str
+    address: tuple[str, int]
+    availability_zone: str
+    slots: int = 1
+    leaving: bool = False
+    gone: bool = False
+
+    @property
+    def address_text(self) -> str:
+        """IP number and port with a colon."""
+        return f'{self.address[0]}:{self.address[1]}'
+
+
+class Upstreams:
+    """Keeps what the membership source tells, and tells of upstreams leaving.
+
+    Attributes:
+      version: Version of the newest change taken in.
+    """
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._on_leaving: list[Callable[[Upstream], None]] = []
+        self.version = 0
+        self._lapsed: dict[str, int] = {}
+        self._is_source_down = False
+        self._lapses_until_s = 0.0
+
+    def note_source(self, is_down: bool) -> None:
+        """Notes that the membership source went away or is back."""
+        self._is_source_down = is_down
+        if is_down:
+            return
+        loop = asyncio.get_running_loop()
+        self._lapses_until_s = loop.time() + LAPSE_S
+        loop.call_later(LAPSE_S, self._drop_lapsed)
+
+    def on_leaving(self, callback: Callable[[Upstream], None]) -> None:
+        """Calls back with each upstream that starts to leave or is gone."""
+        self._on_leaving.append(callback)
+
+    def of(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that may get new work."""
+        found = self._by_service.get(service, ())
+        return [upstream for upstream in found if not upstream.leaving]
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Returns an upstream by its id, None if it is not known."""
+        return self._by_id.get(upstream_id)
+
+    def all(self) -> list[Upstream]:
+        """Returns every upstream known."""
+        return list(self._by_id.values())
+
+    def replace(self, found: Iterable[Upstream], version: int) -> None:
+        """Takes a whole list; upstreams that are not in it are gone."""
+        listed = {upstream.id: upstream for upstream in found}
+        for missing in self._by_id.keys() - listed.keys():
+            self.remove(missing, version)
+        for upstream in listed.values():
+            self.put(upstream, version)
+
+    def put(self, found: Upstream, version: int) -> None:
+        """Takes one entry, new or changed."""
+        self.version = max(self.version, version)
+        self._lapsed.pop(found.id, None)
+        known = self._by_id.get(found.id)
+        if known is None or known.address != found.address:
+            if known is not None:
+                self.remove(found.id, version)
+            self._by_id[found.id] = found
+            self._by_service.setdefault(found.service, []).append(found)
+            logger.info(
+                'upstream_added',
+                upstream=found.id,
+                service=found.service,
+                address=found.address_text,
+                leaving=found.leaving,
+                version=version,
+            )
+            return
+        if found.leaving:
+            self.leave(known, 'membership')
+
+    def leave(self, upstream: Upstream, source: str) -> None:
+        """Notes that an upstream takes no new work, whoever said so."""
+        if upstream.leaving:
+            return
+        upstream.leaving = True
+        logger.info(
+            'upstream_leaving',
+            upstream=upstream.id,
+            source=source,
+            version=self.version,
+        )
+        for callback in self._on_leaving:
+            callback(upstream)
+
+    def remove(self, upstream_id: str, version: int) -> None:
+        """Forgets an upstream whose entry is gone."""
+        self.version = max(self.version, version)
+        if asyncio.get_running_loop().time() < self._lapses_until_s:
+            if upstream_id in self._by_id:
+                self._lapsed[upstream_id] = version
+            return
+        upstream = self._by_id.pop(upstream_id, None)
+        if upstream is None:
+            return
+        self._by_service[upstream.service].remove(upstream)
+        self.leave(upstream, 'removed')
+        upstream.gone = True
+        logger.info('upstream_removed', upstream=upstream_id, version=version)
+
+    def _drop_lapsed(self) -> None:
+        if self._is_source_down:
+            return
+        if asyncio.get_running_loop().time() < self._lapses_until_s - 0.01:
+            return
+        self._lapses_until_s = 0.0
+        lapsed, self._lapsed = self._lapsed, {}
+        for upstream_id, version in lapsed.items():
+            self.remove(upstream_id, version)
--- a/packages/quetzalsill/src/quetzalsill/plugin/registry.py
+++ b/packages/quetzalsill/src/quetzalsill/plugin/registry.py
@@ -11,7 +11,15 @@
 __all__ = ['GROUP', 'KINDS', 'REGISTRY', 'Plugin', 'Registry']
 
 GROUP = 'quetzalsill.plugins'
-KINDS = ('role', 'routing', 'admission', 'fairness', 'limits', 'command')
+KINDS = (
+    'role',
+    'routing',
+    'admission',
+    'fairness',
+    'limits',
+    'command',
+    'deployment',
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
