--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plugin.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plugin.py
@@ -14,6 +14,6 @@
     registry.add(
         'role',
         'gateway',
-        role.Role('gateway', settings.Settings, run.run),
+        role.Role('gateway', settings.Settings, run.run, reloads=True),
         "Forwards callers' requests straight to upstreams.",
     )
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
@@ -0,0 +1,72 @@
+"""Takes changed settings into a gateway that runs."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import signal
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from quetzalsill.schema import error as schema_error
+from quetzalsill.telemetry import log
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import settings as settings_lib
+
+__all__ = ['FIXED', 'on_hangup']
+
+# These take effect at the next start: a listener that moved would drop its
+# callers, and a node that changed its name would be two in the logs.
+FIXED = ('node', 'listen', 'ready', 'store', 'deployment', 'telemetry')
+
+logger = log.get(__name__)
+
+
+def on_hangup(
+    settings: settings_lib.Settings,
+    read: Callable[[], settings_lib.Settings],
+    apply: Callable[[settings_lib.Settings], None],
+) -> None:
+    """Reads the settings again on each SIGHUP and applies what may change.
+
+    Without a handler the signal ends the process, and with it every request
+    in flight. Settings that do not fit are logged and left out.
+
+    Args:
+      settings: Those in force; what may change is changed in them.
+      read: Reads the file again.
+      apply: Called with the settings after a change.
+    """
+
+    def reload() -> None:
+        try:
+            found = read()
+        except schema_error.InvalidDocumentError as exc:
+            logger.error('settings_invalid', faults='; '.join(exc.lines()))
+            return
+        changed, waiting = _take(settings, found)
+        apply(settings)
+        logger.info(
+            'settings_reloaded',
+            changed=','.join(changed),
+            at_next_start=','.join(waiting),
+        )
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
+
+def _take(
+    settings: settings_lib.Settings, found: settings_lib.Settings
+) -> tuple[list[str], list[str]]:
+    changed, waiting = [], []
+    for field in dataclasses.fields(found):
+        value = getattr(found, field.name)
+        if value == getattr(settings, field.name):
+            continue
+        if field.name in FIXED:
+            waiting.append(field.name)
+        else:
+            setattr(settings, field.name, value)
+            changed.append(field.name)
+    return changed, waiting
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/retry_budget.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/retry_budget.py
@@ -32,11 +32,17 @@
           window_s: Length of the window, in seconds.
           gateways: Gateways that share the allowance.
         """
+        self.change(ratio, allowance, window_s, gateways)
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._retries: dict[str, collections.deque[float]] = {}
+
+    def change(
+        self, ratio: float, allowance: float, window_s: float, gateways: int
+    ) -> None:
+        """Sets the bounds; what was counted stays counted."""
         self._ratio = ratio * SAFE_SHARE
         self._share = allowance * SAFE_SHARE / max(1, gateways)
         self._window_s = window_s
-        self._requests: dict[str, collections.deque[float]] = {}
-        self._retries: dict[str, collections.deque[float]] = {}
 
     def note_request(self, service: str) -> None:
         """Counts a request of a caller."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill.daemon import background
@@ -12,6 +13,7 @@
 from quetzalsill_gateway import (
     gateway,
     readiness,
+    reload,
     retry_budget,
     source,
     upstream,
@@ -70,6 +72,13 @@
         known = core.holder.current is not None and core.upstreams.version > 0
         return known and not self.callers.stopping
 
+    def apply(self, settings: settings_lib.Settings) -> None:
+        """Takes settings that were changed while the process runs."""
+        cfg = settings.retry
+        self.core.budget.change(
+            cfg.ratio, cfg.allowance, cfg.window_s, cfg.gateways
+        )
+
     async def start(self) -> None:
         """Opens the listeners and starts to follow the sources."""
         loops = {
@@ -134,11 +143,20 @@
     )
 
 
-async def run(settings: settings_lib.Settings) -> None:
-    """Runs until a signal asks for a stop, and then to its end."""
+async def run(
+    settings: settings_lib.Settings,
+    read: Callable[[], settings_lib.Settings],
+) -> None:
+    """Runs until a signal asks for a stop, and then to its end.
+
+    Args:
+      settings: Settings of the process.
+      read: Reads them again after a change.
+    """
     plugin = registry.REGISTRY.get('deployment', settings.deployment)
     with net_stop.StopSignal() as stop_signal:
         process = Process(settings, plugin)
+        reload.on_hangup(settings, read, process.apply)
         await process.start()
         logger.info('listening', port=process.callers.port)
         await stop_signal.wait()
--- a/packages/quetzalsill/src/quetzalsill/daemon/command.py
+++ b/packages/quetzalsill/src/quetzalsill/daemon/command.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import NoReturn
+from typing import Any, NoReturn
 
 import click
 
@@ -116,11 +116,14 @@
     @click.command(role.name, help=f'Runs the role {role.name}.')
     @settings_option
     def run_command(path: str) -> None:
+        def read() -> Any:
+            return load.load_file(role.settings_class, path)
+
         try:
-            settings = load.load_file(role.settings_class, path)
+            settings = read()
         except schema_error.InvalidDocumentError as exc:
             _refuse(exc)
-        sys.exit(start.run_role(role, settings))
+        sys.exit(start.run_role(role, settings, read))
 
     return run_command
 
--- a/packages/quetzalsill/src/quetzalsill/daemon/start.py
+++ b/packages/quetzalsill/src/quetzalsill/daemon/start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from quetzalsill.daemon import exit_code
@@ -17,9 +18,16 @@
 logger = log.get(__name__)
 
 
-def run_role(role: plugin_role.Role, settings: Any) -> exit_code.ExitCode:
+def run_role(
+    role: plugin_role.Role, settings: Any, read: Callable[[], Any]
+) -> exit_code.ExitCode:
     """Runs a role to its end.
 
+    Args:
+      role: What to run.
+      settings: Its settings.
+      read: Reads the settings again, for a role that reloads them.
+
     Returns:
       `OK` after a graceful stop, `CANNOT_START` for a typed failure and
       `INTERNAL` for any other; the failures are logged.
@@ -28,7 +36,8 @@
     try:
         trace.setup(settings.node.name, settings.telemetry.trace_file)
         logger.info('process_started')
-        asyncio.run(role.run(settings))
+        arguments = (settings, read) if role.reloads else (settings,)
+        asyncio.run(role.run(*arguments))
     except* (base.QuetzalsillError, OSError) as group:
         for exc in _flat(group):
             logger.error(
--- a/packages/quetzalsill/src/quetzalsill/plugin/role.py
+++ b/packages/quetzalsill/src/quetzalsill/plugin/role.py
@@ -19,8 +19,12 @@
         the keys `node` of `settings.section.Node` and `telemetry` of
         `settings.section.Telemetry`, from which logs and traces are set up.
       run: Runs the role with its settings; returns after a graceful stop.
+      reloads: The role reads its settings again while it runs: `run` takes,
+        as second argument, a function that returns the settings as they
+        stand now, or raises `InvalidDocumentError`.
     """
 
     name: str
     settings_class: type
-    run: Callable[[Any], Awaitable[None]]
+    run: Callable[..., Awaitable[None]]
+    reloads: bool = False
