Move runs by when their engine goes; ask engines while the store is away

Now a second report, half a second after the notice, says when the engine goes; last copies wait until all copies are through or 0.3 s before that. The request's own id draws the destination among engines with room.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -46,8 +46,7 @@
       failed_at_s: Loop time of the newest failure.
       shut_until_s: Loop time until which nothing new is sent.
       reservations: What own generations hold there.
-      others_tokens: Memory that others' generations hold, as reported.
-      others_reading: Prompt tokens of others that wait, as reported.
+      leaves_at_s: Loop time at which it goes; None if not known.
     """
 
     outstanding: int = 0
@@ -56,22 +55,19 @@
     failed_at_s: float = 0.0
     shut_until_s: float = 0.0
     reservations: set[Reservation] = dataclasses.field(default_factory=set)
-    others_tokens: int = 0
-    others_reading: int = 0
+    leaves_at_s: float | None = None
 
     @property
     def reserved_tokens(self) -> int:
         """Memory that generations are expected to need."""
-        own = sum(held.memory_tokens for held in self.reservations)
-        return own + self.others_tokens
+        return sum(held.memory_tokens for held in self.reservations)
 
     @property
     def reading_tokens(self) -> int:
         """Prompt tokens that wait to be read."""
-        own = sum(
+        return sum(
             held.prompt_tokens for held in self.reservations if held.is_reading
         )
-        return own + self.others_reading
 
     def recent_failures(self, now: float) -> float:
         """Returns the failures, faded to now."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
+import xxhash
+
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table, upstream
     from quetzalsill_gateway.balance import book
@@ -28,6 +30,8 @@
 FAILURE_S = 0.5
 PLAIN_FAILURE_SHARE = 2.0
 JITTER = 0.05
+# A run or its backup goes where it leaves room for what comes meanwhile.
+ROOM_SHARE = 0.75
 
 
 def choose_plain(
@@ -89,30 +93,26 @@
     pages: book.Book,
     source: upstream.Upstream,
     engine: routing_table.Engine,
+    request_id: bytes,
     needs_tokens: int,
 ) -> list[upstream.Upstream]:
-    """Returns engines that a run may move to, the best first.
+    """Returns engines that a run may go on at, the best first.
 
     Within the availability zone of the source memory moves twice as fast.
+    Among engines with room the request's own id decides: all gateways know
+    the same figures, and each taking the emptiest engine would send every run
+    of a source through one link.
     """
-    now = asyncio.get_running_loop().time()
 
-    def cost(candidate: upstream.Upstream) -> float:
+    def rank(candidate: upstream.Upstream) -> tuple[bool, bool, int]:
         page = pages.page(candidate)
-        share = (page.reserved_tokens + needs_tokens) / max(
-            1, engine.memory_tokens
-        )
+        tokens = page.reserved_tokens + needs_tokens
+        is_full = tokens > ROOM_SHARE * engine.memory_tokens
         crossing = candidate.availability_zone != source.availability_zone
-        penalty = FULL_S if share > FULL_SHARE else 0.0
-        return (
-            share
-            + penalty
-            + 0.3 * crossing
-            + page.recent_failures(now)
-            + JITTER * random.random()
-        )
+        drawn = xxhash.xxh32_intdigest(request_id + candidate.id.encode())
+        return is_full, crossing, drawn
 
-    return sorted(_open(found, frozenset((source.id,))), key=cost)
+    return sorted(_open(found, frozenset((source.id,))), key=rank)
 
 
 def _open(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -120,7 +120,6 @@
       priority: Urgency at the engine.
       resume_after: Id of the last event that the caller has.
       memory_from: Copy of a run's memory from which to go on.
-      backup_at: Upstream that keeps a copy as the run grows.
       reserved: Headers that callers must not set.
       prompt: Reads what a caller says of its generation.
       memory_source: Value of `memory_from` for an upstream and a handle.
@@ -135,7 +134,6 @@
     priority: bytes
     resume_after: bytes
     memory_from: bytes
-    backup_at: bytes
     reserved: frozenset[bytes]
     prompt: Callable[[message.Headers], Prompt]
     memory_source: Callable[[Upstream, str], bytes]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
@@ -18,7 +18,14 @@
 
 # These take effect at the next start: a listener that moved would drop its
 # callers, and a node that changed its name would be two in the logs.
-FIXED = ('node', 'listen', 'ready', 'store', 'deployment', 'telemetry')
+FIXED = (
+    'node',
+    'listen',
+    'ready',
+    'store',
+    'deployment',
+    'telemetry',
+)
 
 logger = log.get(__name__)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -21,7 +21,7 @@
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import book
 from quetzalsill_gateway.http import listener, pool
-from quetzalsill_gateway.stream import live
+from quetzalsill_gateway.stream import live, lookout
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import deployment as deployment_lib
@@ -90,6 +90,7 @@
             ),
             'callers': self.callers.watch,
             'readiness': self.asked.watch,
+            'lookout': lambda: lookout.watch(self.core),
         }
         self._tasks = [
             asyncio.create_task(background.keep_running(name, work))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -29,14 +29,16 @@
 SEARCH_S = 2.5
 SEARCH_EVERY_S = 0.1
 REPORT_S = 0.3
+# A report tells what was so this long ago.
+REPORT_LAG_S = 0.55
 # Shortest notice seen is 1.5 s; with the time to learn of it, this much is
-# left for the copies.
-COPY_S = 0.9
+# left for the copies of an engine that does not say when it goes.
+COPY_S = 1.1
 # What the last copy and the start at the destination take at most.
-LAST_S = 0.35
+LAST_S = 0.3
 SLACK_S = 0.05
 # Some copies cross into another availability zone, which takes twice as long.
-CROSSING = 1.4
+CROSSING = 1.5
 RETRY_S = 0.08
 BITS = 8
 MBPS = 1e6
@@ -86,6 +88,7 @@
             if not self._core.live.of(source):
                 return
             last_at_s = begun_s + await self._copy_time(source, engine)
+            self._spawn(self._ask_again(source))
             while loop.time() < begun_s + SEARCH_S:
                 for stream in self._waiting(source):
                     self._moving.add(stream)
@@ -105,19 +108,12 @@
         self, source: upstream_lib.Upstream, engine: routing_table.Engine
     ) -> float:
         """Returns how long the copies of all gateways take, in seconds."""
-        try:
-            async with asyncio.timeout(REPORT_S):
-                report = await self._core.calls.report(source)
-        except (error.CallError, TimeoutError) as exc:
-            logger.info('report_failed', upstream=source.id, reason=repr(exc))
+        report = await self._report(source)
+        if report is None:
             return COPY_S
         tokens = sum(run.tokens for run in report.runs)
         bits = tokens * engine.token_bytes * BITS
         copy_s = CROSSING * bits / (engine.link_mbps * MBPS) + SLACK_S
-        if report.leaves_s is not None:
-            copy_s = min(copy_s, max(0.0, report.leaves_s - LAST_S))
-        else:
-            copy_s = min(copy_s, COPY_S)
         logger.info(
             'evacuation_started',
             upstream=source.id,
@@ -140,12 +136,46 @@
             target = await self._copy(stream, source, engine)
             if target is None:
                 return
-            loop = asyncio.get_running_loop()
-            await asyncio.sleep(max(0.0, last_at_s - loop.time()))
+            await self._until_last(source, last_at_s)
             await self._stop(stream, source, target)
         finally:
             self._moving.discard(stream)
 
+    async def _ask_again(self, source: upstream_lib.Upstream) -> None:
+        """Asks when the engine goes, once its report has caught up."""
+        await asyncio.sleep(REPORT_LAG_S)
+        await self._report(source)
+
+    async def _report(
+        self, source: upstream_lib.Upstream
+    ) -> dialect_lib.Report | None:
+        try:
+            async with asyncio.timeout(REPORT_S):
+                report = await self._core.calls.report(source)
+        except (error.CallError, TimeoutError) as exc:
+            logger.info('report_failed', upstream=source.id, reason=repr(exc))
+            return None
+        if report.leaves_s is not None:
+            now = asyncio.get_running_loop().time()
+            self._core.pages.page(source).leaves_at_s = now + report.leaves_s
+        return report
+
+    async def _until_last(
+        self, source: upstream_lib.Upstream, last_at_s: float
+    ) -> None:
+        """Waits until the copies are through, or the engine is about to go."""
+        loop = asyncio.get_running_loop()
+        page = self._core.pages.page(source)
+        while True:
+            until_s = last_at_s
+            if page.leaves_at_s is not None:
+                until_s = min(until_s, page.leaves_at_s - LAST_S)
+            left_s = until_s - loop.time()
+            if left_s <= 0:
+                return
+            # The time at which it goes may become known meanwhile.
+            await asyncio.sleep(min(left_s, SEARCH_EVERY_S))
+
     async def _copy(
         self,
         stream: live.Stream,
@@ -158,6 +188,7 @@
             self._core.pages,
             source,
             engine,
+            stream.exchange.request_id,
             stream.reservation.memory_tokens,
         )
         for target in targets[:DESTINATIONS]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -107,5 +107,6 @@
     output = guess or prompt.output_limit * UNHINTED_SHARE
     output = min(output, prompt.output_limit) if prompt.output_limit else output
     return book.Reservation(
-        prompt.input_tokens, prompt.input_tokens + int(output)
+        prompt.input_tokens,
+        prompt.input_tokens + int(output),
     )
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -0,0 +1,51 @@
+"""Asks engines themselves while nobody else tells which of them leave.
+
+An engine that is taken away says so to the membership source, and to whoever
+asks it. While the source is away its notice reaches nobody, and all runs on it
+would be lost when it goes. Each question has its price, so that they are asked
+only then, and only of engines that work for this gateway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import log
+from quetzalsill_gateway.http import error
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import upstream as upstream_lib
+
+__all__ = ['watch']
+
+# An engine goes 1.5 s after its notice at the soonest, and its report is half
+# a second old; asked this often, a second is left to move its runs.
+EVERY_S = 0.25
+
+logger = log.get(__name__)
+
+
+async def watch(core: gateway.Core) -> None:
+    """Asks while the membership source is away; runs until cancelled."""
+    while True:
+        await core.upstreams.until_source_down()
+        engines = [found for found in core.upstreams.all() if core.live.of(found)]
+        await asyncio.gather(*(_ask(core, engine) for engine in engines))
+        await asyncio.sleep(EVERY_S)
+
+
+async def _ask(core: gateway.Core, engine: upstream_lib.Upstream) -> None:
+    if engine.leaving:
+        return
+    try:
+        report = await core.calls.report(engine)
+    except error.CallError as exc:
+        logger.info('report_failed', upstream=engine.id, reason=exc.code)
+        return
+    if report.leaves_s is not None:
+        now = asyncio.get_running_loop().time()
+        core.pages.page(engine).leaves_at_s = now + report.leaves_s
+    if report.leaving:
+        core.upstreams.leave(engine, 'report')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -59,18 +59,23 @@
         self._on_leaving: list[Callable[[Upstream], None]] = []
         self.version = 0
         self._lapsed: dict[str, int] = {}
-        self._is_source_down = False
+        self._source_down = asyncio.Event()
         self._lapses_until_s = 0.0
 
     def note_source(self, is_down: bool) -> None:
         """Notes that the membership source went away or is back."""
-        self._is_source_down = is_down
         if is_down:
+            self._source_down.set()
             return
+        self._source_down.clear()
         loop = asyncio.get_running_loop()
         self._lapses_until_s = loop.time() + LAPSE_S
         loop.call_later(LAPSE_S, self._drop_lapsed)
 
+    async def until_source_down(self) -> None:
+        """Returns while the membership source is away."""
+        await self._source_down.wait()
+
     def on_leaving(self, callback: Callable[[Upstream], None]) -> None:
         """Calls back with each upstream that starts to leave or is gone."""
         self._on_leaving.append(callback)
@@ -148,7 +153,7 @@
         logger.info('upstream_removed', upstream=upstream_id, version=version)
 
     def _drop_lapsed(self) -> None:
-        if self._is_source_down:
+        if self._source_down.is_set():
             return
         if asyncio.get_running_loop().time() < self._lapses_until_s - 0.01:
             return
