--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import upstream as upstream_lib
 
-__all__ = ['Book', 'Page', 'Reservation']
+__all__ = ['REPORT_AGE_S', 'Book', 'Page', 'Reservation']
 
 # Weight of the newest time in the running mean: follows a server that turns
 # slow within about ten calls.
@@ -18,6 +18,8 @@
 # is tried again by the traffic itself.
 FAILURE_HALF_LIFE_S = 3.0
 FIRST_GUESS_S = 0.02
+# A report may be this old when it arrives; times in it count from then.
+REPORT_AGE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -80,6 +82,13 @@
         self.failures = self.recent_failures(now) + weight
         self.failed_at_s = now
 
+    def note_leaving(self, leaves_s: float | None) -> None:
+        """Takes the time that an engine says it has left, if it does."""
+        if leaves_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self.leaves_at_s = now + leaves_s - REPORT_AGE_S
+
     def note_time(self, took_s: float) -> None:
         """Takes the time of a call that was answered."""
         self.mean_s += NEWEST * (took_s - self.mean_s)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -15,7 +15,7 @@
 
 from quetzalsill.telemetry import log
 from quetzalsill_gateway import dialect as dialect_lib
-from quetzalsill_gateway.balance import choose
+from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import live
 
@@ -29,11 +29,12 @@
 SEARCH_S = 2.5
 SEARCH_EVERY_S = 0.1
 REPORT_S = 0.3
-# A report tells what was so this long ago.
-REPORT_LAG_S = 0.55
-# Shortest notice seen is 1.5 s; with the time to learn of it, this much is
-# left for the copies of an engine that does not say when it goes.
-COPY_S = 1.1
+# A notice is in an engine's report this long after it was given.
+NOTICE_S = book.REPORT_AGE_S + 0.05
+# Shortest notice given; an engine that does not say when it goes is taken to
+# go then.
+LEAST_NOTICE_S = 1.45
+COPY_S = 1.0
 # What the last copy and the start at the destination take at most.
 LAST_S = 0.3
 SLACK_S = 0.05
@@ -92,7 +93,9 @@
             while loop.time() < begun_s + SEARCH_S:
                 for stream in self._waiting(source):
                     self._moving.add(stream)
-                    self._spawn(self._move(stream, source, engine, last_at_s))
+                    self._spawn(
+                        self._move(stream, source, engine, begun_s, last_at_s)
+                    )
                 await asyncio.sleep(SEARCH_EVERY_S)
                 if not self._core.live.of(source):
                     return
@@ -130,20 +133,21 @@
         stream: live.Stream,
         source: upstream_lib.Upstream,
         engine: routing_table.Engine,
+        begun_s: float,
         last_at_s: float,
     ) -> None:
         try:
             target = await self._copy(stream, source, engine)
             if target is None:
                 return
-            await self._until_last(source, last_at_s)
+            await self._until_last(source, begun_s, last_at_s)
             await self._stop(stream, source, target)
         finally:
             self._moving.discard(stream)
 
     async def _ask_again(self, source: upstream_lib.Upstream) -> None:
         """Asks when the engine goes, once its report has caught up."""
-        await asyncio.sleep(REPORT_LAG_S)
+        await asyncio.sleep(NOTICE_S)
         await self._report(source)
 
     async def _report(
@@ -155,21 +159,29 @@
         except (error.CallError, TimeoutError) as exc:
             logger.info('report_failed', upstream=source.id, reason=repr(exc))
             return None
-        if report.leaves_s is not None:
-            now = asyncio.get_running_loop().time()
-            self._core.pages.page(source).leaves_at_s = now + report.leaves_s
+        logger.info(
+            'report_read',
+            upstream=source.id,
+            leaving=report.leaving,
+            leaves_s=report.leaves_s,
+            runs=len(report.runs),
+        )
+        self._core.pages.page(source).note_leaving(report.leaves_s)
         return report
 
     async def _until_last(
-        self, source: upstream_lib.Upstream, last_at_s: float
+        self,
+        source: upstream_lib.Upstream,
+        begun_s: float,
+        last_at_s: float,
     ) -> None:
         """Waits until the copies are through, or the engine is about to go."""
         loop = asyncio.get_running_loop()
         page = self._core.pages.page(source)
         while True:
             until_s = last_at_s
-            if page.leaves_at_s is not None:
-                until_s = min(until_s, page.leaves_at_s - LAST_S)
+            leaves_at_s = page.leaves_at_s or begun_s + LEAST_NOTICE_S
+            until_s = min(until_s, leaves_at_s - LAST_S)
             left_s = until_s - loop.time()
             if left_s <= 0:
                 return
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -44,8 +44,6 @@
     except error.CallError as exc:
         logger.info('report_failed', upstream=engine.id, reason=exc.code)
         return
-    if report.leaves_s is not None:
-        now = asyncio.get_running_loop().time()
-        core.pages.page(engine).leaves_at_s = now + report.leaves_s
+    core.pages.page(engine).note_leaving(report.leaves_s)
     if report.leaving:
         core.upstreams.leave(engine, 'report')
