--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/caller.py
@@ -0,0 +1,138 @@
+"""A caller of the platform: one connection, requests down to the byte."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+
+import h11
+
+__all__ = ['Answer', 'Caller']
+
+PREFIX = 'X-Quetzalsill-'
+READ_BYTES = 65536
+_numbers = itertools.count(1)
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What came back.
+
+    Attributes:
+      status: Status code; 0 if none came.
+      headers: Names in lower case.
+      body: What came of the body.
+      whole: Whether the answer ended as complete.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    whole: bool = False
+
+
+class Caller:
+    """One connection to a gateway."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._address = (host, port)
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def open(self) -> None:
+        """Connects."""
+        self._reader, self._writer = await asyncio.open_connection(
+            *self._address
+        )
+
+    def leave(self) -> None:
+        """Closes the connection at once."""
+        self._writer.transport.abort()
+
+    def send_raw(self, data: bytes) -> None:
+        """Writes bytes as they are."""
+        self._writer.write(data)
+
+    async def ask(
+        self,
+        target: str,
+        *,
+        host: str = 'shop.example',
+        method: str = 'GET',
+        body: bytes = b'',
+        key: str = 'key-1',
+        deadline_ms: int = 5000,
+        request_id: str = '',
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Sends one request and reads its answer."""
+        if self._writer is None or self._writer.transport.is_closing():
+            await self.open()
+        self.send(
+            target,
+            host=host,
+            method=method,
+            body=body,
+            key=key,
+            deadline_ms=deadline_ms,
+            request_id=request_id,
+            headers=headers,
+        )
+        return await self.read(method)
+
+    def send(
+        self,
+        target: str,
+        *,
+        host: str = 'shop.example',
+        method: str = 'GET',
+        body: bytes = b'',
+        key: str = 'key-1',
+        deadline_ms: int = 5000,
+        request_id: str = '',
+        headers: dict[str, str] | None = None,
+    ) -> str:
+        """Writes one request; returns its id."""
+        request_id = request_id or f'{next(_numbers):016x}'
+        lines = [
+            f'{method} {target} HTTP/1.1',
+            f'Host: {host}',
+            f'{PREFIX}Attempt-Id: {request_id}',
+            f'{PREFIX}Deadline-Ms: {deadline_ms}',
+        ]
+        if key:
+            lines.append(f'Authorization: Bearer {key}')
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
+        lines += [f'{k}: {v}' for k, v in (headers or {}).items()]
+        self._writer.write('\r\n'.join([*lines, '\r\n']).encode() + body)
+        return request_id
+
+    async def read(self, method: str = 'GET') -> Answer:
+        """Reads one answer, as far as it comes."""
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(
+            h11.Request(method=method, target='/', headers=[('host', 'h')])
+        )
+        parser.send(h11.EndOfMessage())
+        answer = Answer()
+        try:
+            while not answer.whole:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await self._reader.read(READ_BYTES))
+                elif isinstance(event, h11.Response):
+                    answer.status = event.status_code
+                    answer.headers = {
+                        k.decode(): v.decode() for k, v in event.headers
+                    }
+                elif isinstance(event, h11.Data):
+                    answer.body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    answer.whole = True
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+        except (ConnectionError, h11.RemoteProtocolError):
+            return answer
+        return answer
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -0,0 +1,229 @@
+"""Stand-in of the platform's model engines, with moves and misbehaviours."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import json
+from typing import Any
+
+from quetzalsill_dev.users_platform import scripted
+
+__all__ = ['Engine', 'Fleet', 'event']
+
+PREFIX = 'x-quetzalsill-'
+EVENT_S = 0.02
+TOKENS_PER_EVENT = 4
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Returns one event of the only stream that a request may get."""
+    return f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """A generation and the events that it has made."""
+
+    request_id: str
+    made: int = 0
+    running: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """Engines that know each other, and what was seen of all runs.
+
+    Attributes:
+      engines: By address.
+      started: Engines on which each request began anew.
+      at_work: Engines that work on each request now.
+      doubled: Requests on which two engines worked at once.
+      reading: Events of each request that were generated a second time.
+    """
+
+    engines: dict[str, Engine] = dataclasses.field(default_factory=dict)
+    started: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    at_work: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    doubled: set[str] = dataclasses.field(default_factory=set)
+
+    def begin(self, request_id: str, engine: str, *, anew: bool) -> None:
+        """Notes that an engine works on a request."""
+        if anew:
+            self.started.setdefault(request_id, []).append(engine)
+        busy = self.at_work.setdefault(request_id, set())
+        busy.add(engine)
+        if len(busy) > 1:
+            self.doubled.add(request_id)
+
+    def end(self, request_id: str, engine: str) -> None:
+        """Notes that an engine works on a request no more."""
+        self.at_work.get(request_id, set()).discard(engine)
+
+
+class Engine:
+    """One engine.
+
+    Attributes:
+      id: Names this incarnation.
+      length: Events of a whole stream.
+      leaving: Whether it says that it leaves.
+      leaves_ms: Time left that it tells; None if it tells none.
+      full: Takes no copies.
+      copy_s: Time that a copy takes.
+      break_after: Breaks a stream off behind this event; None for never.
+      refuse: Status with which new runs are refused as not run; 0 for none.
+      requests: Headers of each request that came.
+    """
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.server = scripted.ScriptedServer(self._handle)
+        self.id = name
+        self.length = 10
+        self.event_s = EVENT_S
+        self.leaving = False
+        self.leaves_ms: int | None = None
+        self.full = False
+        self.copy_s = 0.01
+        self.break_after: int | None = None
+        self.refuse = 0
+        self.requests: list[dict[str, str]] = []
+        self.reports = 0
+        self._fleet = fleet
+        self._runs: dict[str, _Run] = {}
+        self._copies: dict[str, _Run] = {}
+        self._numbers = itertools.count(1)
+
+    async def start(self) -> None:
+        """Starts to serve."""
+        await self.server.start()
+        self._fleet.engines[self.server.address_text] = self
+
+    async def crash(self) -> None:
+        """Breaks every connection off and forgets all runs."""
+        await self.server.stop()
+        for run in self._runs.values():
+            run.running = False
+            self._fleet.end(run.request_id, self.id)
+        self._runs.clear()
+
+    def entry(self, service: str, zone: str) -> dict[str, Any]:
+        """Returns its row in the table of servers."""
+        return {
+            'service': service,
+            'address': self.server.address_text,
+            'zone': zone,
+            'slots': 24,
+            'state': 'draining' if self.leaving else 'ready',
+        }
+
+    async def _handle(self, call: scripted.Exchange) -> None:
+        if call.path == '/-/report':
+            self._report(call)
+        elif call.path == '/-/kv-move':
+            await self._move(call)
+        elif call.path.startswith('/-/kv-handle/'):
+            self._copies.pop(call.path.rpartition('/')[2], None)
+            call.answer(200)
+        else:
+            await self._generate(call)
+
+    def _report(self, call: scripted.Exchange) -> None:
+        self.reports += 1
+        runs = [
+            [run.request_id, 100 + run.made * TOKENS_PER_EVENT, run.made, 5]
+            for run in self._runs.values()
+            if run.running
+        ]
+        body = {
+            'queued': 0,
+            'active': len(runs),
+            'kvUsed': sum(run[1] for run in runs),
+            'kvTotal': 30000,
+            'state': 'draining' if self.leaving else 'ready',
+            'runs': runs,
+        }
+        if self.leaves_ms is not None:
+            body['leaves_ms'] = self.leaves_ms
+        call.answer(200, json.dumps(body).encode())
+
+    async def _move(self, call: scripted.Exchange) -> None:
+        order = json.loads(call.body)
+        run = self._runs.get(order['id'])
+        if run is None or not run.running:
+            call.answer(404)
+            return
+        if order.get('last'):
+            run.running = False
+            self._fleet.end(run.request_id, self.id)
+        await asyncio.sleep(self.copy_s)
+        target = self._fleet.engines.get(order['target'])
+        handle = f'h{next(self._numbers)}-{self.id}'
+        body = {'handle': handle, 'created': run.made}
+        copy = _Run(run.request_id, run.made)
+        has_room = target is not None and not target.full
+        if order.get('last'):
+            self._copies[handle] = copy
+        if has_room:
+            target._copies[handle] = copy
+        call.answer(200 if has_room else 503, json.dumps(body).encode())
+
+    async def _generate(self, call: scripted.Exchange) -> None:
+        self.requests.append(call.headers)
+        request_id = call.headers[PREFIX + 'attempt-id']
+        echo = {PREFIX + 'attempt-id': request_id}
+        if call.headers.get(PREFIX + 'expect-instance') != self.id:
+            call.answer(421, headers={PREFIX + 'instance-id': self.id})
+            return
+        if self.refuse:
+            call.answer(
+                self.refuse, headers=echo | {PREFIX + 'not-executed': '1'}
+            )
+            return
+        source = call.headers.get('kv-from')
+        after = int(call.headers.get('last-event-id', 0))
+        if source is not None:
+            copy = self._copies.pop(source.rpartition('/')[2], None)
+            if copy is None or copy.request_id != request_id:
+                call.answer(503, headers=echo | {PREFIX + 'not-executed': '1'})
+                return
+        await self._stream(call, request_id, after, anew=source is None)
+
+    async def _stream(
+        self,
+        call: scripted.Exchange,
+        request_id: str,
+        after: int,
+        *,
+        anew: bool,
+    ) -> None:
+        run = self._runs[request_id] = _Run(request_id, after)
+        self._fleet.begin(request_id, self.id, anew=anew)
+        head = {
+            PREFIX + 'attempt-id': request_id,
+            PREFIX + 'server-stamp': f'{self.id}.{request_id}',
+            'Content-Type': 'text/event-stream',
+            'Transfer-Encoding': 'chunked',
+        }
+        call.head(200, head)
+        try:
+            while run.running and run.made < self.length and call.is_open:
+                await asyncio.sleep(self.event_s)
+                if not run.running:
+                    break
+                run.made += 1
+                call.chunk(event(request_id, run.made))
+                if run.made == self.break_after:
+                    call.writer.write(b'10\r\nid: 999\nda')
+                    await call.writer.drain()
+                    call.abort()
+                    return
+            if run.running:
+                call.chunk(b'')
+            else:
+                await call.writer.drain()
+                call.writer.close()
+        finally:
+            run.running = False
+            self._fleet.end(request_id, self.id)
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/plain_server.py
@@ -0,0 +1,109 @@
+"""Stand-in of the platform's plain servers, with their misbehaviours."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from quetzalsill_dev.users_platform import scripted
+
+__all__ = ['PlainServer']
+
+PREFIX = 'x-quetzalsill-'
+
+
+class PlainServer:
+    """Answers as the next script says, and well where there is none.
+
+    Scripts: `ok`, `fail` (its own 500), `shed` (503, not run), `moved` (421),
+    `false_503` (ran, and says 503 without saying that it has not), `reset`
+    (ran, no answer), `truncate`, `garbage`, `extra` (a second answer behind
+    the first), `stale` (another request's answer first), `unframed` (no
+    length, ends with its connection), `no_receipt`, `hang`, `early` (answers
+    and keeps the connection).
+
+    Attributes:
+      id: Names this incarnation.
+      scripts: What to do with the next requests.
+      runs: Requests that ran: id, target, headers and body.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.server = scripted.ScriptedServer(self._handle)
+        self.id = name
+        self.scripts: list[str] = []
+        self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
+
+    async def start(self) -> None:
+        """Starts to serve."""
+        await self.server.start()
+
+    def entry(
+        self, service: str, zone: str, state: str = 'ready'
+    ) -> dict[str, Any]:
+        """Returns its row in the table of servers."""
+        return {
+            'service': service,
+            'address': self.server.address_text,
+            'zone': zone,
+            'slots': 6,
+            'state': state,
+        }
+
+    async def _handle(self, call: scripted.Exchange) -> None:
+        script = self.scripts.pop(0) if self.scripts else 'ok'
+        request_id = call.headers.get(PREFIX + 'attempt-id', '')
+        echo = {PREFIX + 'attempt-id': request_id}
+        expected = call.headers.get(PREFIX + 'expect-instance')
+        if script == 'moved' or expected != self.id:
+            call.answer(421, headers={PREFIX + 'instance-id': 'another'})
+            return
+        if script == 'shed':
+            call.answer(503, headers=echo | {PREFIX + 'not-executed': '1'})
+            return
+        self.runs.append((request_id, call.target, call.headers, call.body))
+        receipt = echo | {PREFIX + 'server-stamp': f'{self.id}.{request_id}'}
+        await self._answer(call, script, receipt, f'{self.id}:{request_id}')
+
+    async def _answer(
+        self,
+        call: scripted.Exchange,
+        script: str,
+        receipt: dict[str, str],
+        text: str,
+    ) -> None:
+        body = text.encode()
+        match script:
+            case 'fail':
+                call.answer(500, body, receipt)
+            case 'false_503':
+                call.answer(503, body, receipt)
+            case 'no_receipt':
+                name = PREFIX + 'attempt-id'
+                call.answer(200, body, {name: receipt[name]})
+            case 'reset':
+                call.abort()
+            case 'hang':
+                await asyncio.Event().wait()
+            case 'truncate':
+                call.head(200, receipt | {'Content-Length': str(len(body) + 9)})
+                call.writer.write(body)
+                await call.writer.drain()
+                call.writer.close()
+            case 'garbage':
+                call.writer.write(b'\x16\x03\x01 this is no answer\r\n\r\n')
+            case 'unframed':
+                call.head(200, receipt | {'Connection': 'close'})
+                call.writer.write(body)
+                await call.writer.drain()
+                call.writer.close()
+            case 'extra':
+                call.answer(200, body, receipt)
+                other = receipt | {PREFIX + 'attempt-id': 'another'}
+                call.answer(200, b'not yours', other)
+            case 'stale':
+                other = receipt | {PREFIX + 'attempt-id': 'another'}
+                call.answer(200, b'not yours', other)
+                call.answer(200, body, receipt)
+            case _:
+                call.answer(200, body, receipt)
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -0,0 +1,179 @@
+"""An HTTP server whose answers are scripted down to the byte."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import h11
+
+__all__ = ['Exchange', 'ScriptedServer']
+
+READ_BYTES = 65536
+REASONS = {200: 'OK', 412: 'Precondition Failed', 421: 'Misdirected Request'}
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request, and the connection to answer it on.
+
+    Attributes:
+      method: Method in capitals.
+      target: Path and query.
+      headers: Names in lower case.
+      body: The whole body.
+      writer: The raw connection.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Writes a head."""
+        lines = [f'HTTP/1.1 {status} {REASONS.get(status, "Status")}']
+        lines += [f'{name}: {value}' for name, value in headers.items()]
+        self.writer.write('\r\n'.join([*lines, '\r\n']).encode())
+
+    def answer(
+        self,
+        status: int,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Writes a whole answer."""
+        length = {'Content-Length': str(len(body))}
+        self.head(status, (headers or {}) | length)
+        self.writer.write(body)
+
+    def chunk(self, data: bytes) -> None:
+        """Writes one chunk of a chunked body; an empty one ends it."""
+        self.writer.write(b'%x\r\n%s\r\n' % (len(data), data))
+
+    def abort(self) -> None:
+        """Resets the connection."""
+        self.writer.transport.abort()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the other end still holds the connection."""
+        return not self.writer.transport.is_closing()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ScriptedServer:
+    """Reads requests and leaves the answers to a handler.
+
+    Attributes:
+      connections: Connections accepted so far.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.connections = 0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    @property
+    def address_text(self) -> str:
+        """IP number and port with a colon."""
+        return '{}:{}'.format(*self.address)
+
+    async def start(self) -> None:
+        """Listens on a port that the kernel chooses."""
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+
+    async def stop(self) -> None:
+        """Stops listening and resets every connection."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while not writer.transport.is_closing():
+            parser = h11.Connection(h11.SERVER)
+            request = await _event(parser, reader)
+            if not isinstance(request, h11.Request):
+                return
+            body = b''
+            while isinstance(part := await _event(parser, reader), h11.Data):
+                body += part.data
+            exchange = Exchange(
+                request.method.decode(),
+                request.target.decode(),
+                {k.decode(): v.decode('latin-1') for k, v in request.headers},
+                body,
+                writer,
+            )
+            working = asyncio.create_task(self._handler(exchange))
+            await self._until_done(working, reader, writer)
+
+    async def _until_done(
+        self,
+        working: asyncio.Task[None],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Waits for the handler, and ends it when the other end leaves."""
+        leaving = asyncio.create_task(_until_eof(reader))
+        done, _ = await asyncio.wait(
+            (working, leaving), return_when=asyncio.FIRST_COMPLETED
+        )
+        if working not in done:
+            working.cancel()
+            writer.transport.abort()
+        leaving.cancel()
+        await asyncio.gather(working, leaving, return_exceptions=True)
+        if not working.cancelled() and working.exception() is not None:
+            raise working.exception()
+        if not writer.transport.is_closing():
+            await writer.drain()
+
+
+async def _until_eof(reader: asyncio.StreamReader) -> None:
+    # Bytes of a further request stay in the reader's buffer.
+    while not reader.at_eof():  # noqa: ASYNC110
+        await asyncio.sleep(0.005)
+
+
+async def _event(
+    parser: h11.Connection, reader: asyncio.StreamReader
+) -> h11.Event | type[h11.PAUSED]:
+    while True:
+        event = parser.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        parser.receive_data(await reader.read(READ_BYTES))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -11,13 +11,13 @@
 from quetzalsill_gateway import exchange as exchange_lib
 from quetzalsill_gateway import plain, source
 from quetzalsill_gateway import routing_table as routing_lib
-from quetzalsill_gateway.balance import book
 from quetzalsill_gateway.http import message, pool
 from quetzalsill_gateway.stream import evacuation, live, relay
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import retry_budget, upstream
+    from quetzalsill_gateway.balance import book
     from quetzalsill_gateway.http import listener
 
 __all__ = ['Core', 'Gateway']
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -61,7 +61,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the answer: as whole only if it had no length and no reset."""
-        if self._awaits and self._until_close and not self._skipping and not exc:
+        if (
+            self._awaits
+            and self._until_close
+            and not self._skipping
+            and not exc
+        ):
             self._add(END)
         self._fail(error.TruncatedError('the connection ended'))
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -4,7 +4,14 @@
 
 import dataclasses
 
-__all__ = ['Headers', 'Request', 'ResponseHead', 'end_to_end', 'first', 'reason']
+__all__ = [
+    'Headers',
+    'Request',
+    'ResponseHead',
+    'end_to_end',
+    'first',
+    'reason',
+]
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -20,13 +20,14 @@
 # Larger bodies are passed on as they come, since a few of them would fill the
 # memory of an entry host; an answer so begun cannot be replaced by another.
 HELD_BYTES = 1_048_576
-UNREACHABLE_TRIES = 3
+MISDIRECTED_TRIES = 3
 # A call that may be repeated is given up at one upstream after this many times
 # the mean time there, when it is more likely to hang than to be slow.
 HANG_MEANS = 6.0
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 SERVER_ERROR = 500
+ANSWERS = (attempt.Verdict.SUCCESS, attempt.Verdict.FAILED)
 NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 
 logger = log.get(__name__)
@@ -39,43 +40,78 @@
     verdict: attempt.Verdict
 
 
-class _PassedOn(Exception):
-    """The answer was too large to hold and has been written already."""
+@dataclasses.dataclass(slots=True)
+class _Story:
+    """What came of the sends of one call so far.
+
+    Attributes:
+      tried: Ids of the upstreams that were tried.
+      newest: Result of the newest one.
+      best: The answer of a server to hand on: the newest, as a server's own
+        failure tells the caller more than one of ours.
+      ran: Whether any of them may have run the request.
+      misdirected: Sends that reached nobody, or another than was meant.
+    """
+
+    tried: frozenset[str] = frozenset()
+    newest: _Answer | error.CallError | None = None
+    best: _Answer | None = None
+    ran: bool = False
+    misdirected: int = 0
+
+    def note(self, result: _Answer | error.CallError) -> None:
+        """Takes the result of a send."""
+        self.newest = result
+        if isinstance(result, error.CallError):
+            self.ran |= attempt.may_have_run(result)
+        else:
+            self.ran |= result.verdict not in NOT_RUN
+            if result.verdict in ANSWERS:
+                self.best = result
+        self.misdirected += self.is_misdirected
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether the newest send reached nobody, or another than meant."""
+        if isinstance(self.newest, error.CallError):
+            return not attempt.may_have_run(self.newest)
+        return self.newest.verdict is attempt.Verdict.WRONG_UPSTREAM
+
+
+class _PassedOnError(Exception):
+    """Ends the sends: an answer too large to hold has been written already."""
 
 
 async def forward(core: gateway.Core, req: exchange.Exchange) -> str:
     """Brings a call to an upstream; returns its outcome for the log."""
     core.budget.note_request(req.service.name)
-    avoid: frozenset[str] = frozenset()
-    unreachable = 0
-    held: _Answer | error.CallError | None = None
-    ran = False
+    story = _Story()
     while True:
         upstream = choose.choose_plain(
-            core.upstreams.of(req.service.name), core.pages, core.zone, avoid
+            core.upstreams.of(req.service.name),
+            core.pages,
+            core.zone,
+            story.tried,
         )
         if upstream is None:
-            return _answer(req, held, ran)
-        avoid |= {upstream.id}
+            return _answer(req, story)
+        story.tried |= {upstream.id}
         try:
-            held = await _call(core, req, upstream)
-        except _PassedOn:
+            story.note(await _call(core, req, upstream))
+        except _PassedOnError:
             return 'served'
         except error.CallError as exc:
-            held = exc
-            if not attempt.may_have_run(exc):
-                unreachable += 1
-        ran = ran or _may_have_run(held)
-        again = _may_send_again(core, req, held, unreachable)
+            story.note(exc)
+        again = _may_send_again(core, req, story)
         logger.info(
             'attempt_ended',
             request=req.id_text,
             upstream=upstream.id,
-            result=_describe(held),
+            result=_describe(story.newest),
             again=again,
         )
         if not again:
-            return _answer(req, held, ran)
+            return _answer(req, story)
 
 
 async def _call(
@@ -121,7 +157,7 @@
         if sent.verdict is not attempt.Verdict.SUCCESS:
             raise error.MalformedAnswerError('a failure with a large body')
         await _pass_on(req, sent, body)
-    raise _PassedOn
+    raise _PassedOnError
 
 
 async def _pass_on(
@@ -137,25 +173,21 @@
 
 
 def _may_send_again(
-    core: gateway.Core,
-    req: exchange.Exchange,
-    result: _Answer | error.CallError,
-    unreachable: int,
+    core: gateway.Core, req: exchange.Exchange, story: _Story
 ) -> bool:
+    newest = story.newest
     if req.responder.started:
         return False
-    if isinstance(result, error.CallError):
-        if not attempt.may_have_run(result):
-            return unreachable < UNREACHABLE_TRIES
+    if story.is_misdirected:
+        return story.misdirected < MISDIRECTED_TRIES
+    if isinstance(newest, error.CallError):
         allowed = req.route.kind.may_repeat
-    elif result.verdict is attempt.Verdict.WRONG_UPSTREAM:
-        return unreachable < UNREACHABLE_TRIES
-    elif result.verdict is attempt.Verdict.NOT_RUN:
+    elif newest.verdict is attempt.Verdict.NOT_RUN:
         allowed = True
-    elif result.verdict is attempt.Verdict.SUCCESS:
+    elif newest.verdict is attempt.Verdict.SUCCESS:
         return False
     else:
-        allowed = req.route.kind.may_repeat and _is_fault(result)
+        allowed = req.route.kind.may_repeat and _is_fault(newest)
     if not allowed or req.sends >= req.route.attempts:
         return False
     return core.budget.spend(req.service.name)
@@ -168,26 +200,17 @@
     )
 
 
-def _may_have_run(result: _Answer | error.CallError) -> bool:
-    if isinstance(result, error.CallError):
-        return attempt.may_have_run(result)
-    return result.verdict not in NOT_RUN
-
-
-def _answer(
-    req: exchange.Exchange, held: _Answer | error.CallError | None, ran: bool
-) -> str:
+def _answer(req: exchange.Exchange, story: _Story) -> str:
     responder = req.responder
     if responder.started:
         responder.abort()
         return 'cut'
-    if isinstance(held, _Answer):
-        if held.verdict in (attempt.Verdict.SUCCESS, attempt.Verdict.FAILED):
-            responder.reply(held.head.status, _headers(held.head), held.body)
-            if held.verdict is attempt.Verdict.SUCCESS:
-                return 'served'
-            return 'upstream_failed'
-    if not ran:
+    best = story.best
+    if best is not None:
+        responder.reply(best.head.status, _headers(best.head), best.body)
+        served = best.verdict is attempt.Verdict.SUCCESS
+        return 'served' if served else 'upstream_failed'
+    if not story.ran:
         exchange.refuse(responder, UNAVAILABLE, 'not_run', again=True)
         return 'refused'
     exchange.refuse(responder, BAD_GATEWAY, 'upstream_failed')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/routing_table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/routing_table.py
@@ -4,8 +4,10 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
 
-from quetzalsill_gateway.http import listener
+if TYPE_CHECKING:
+    from quetzalsill_gateway.http import listener
 
 __all__ = [
     'ClientAccount',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -14,12 +14,12 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import log
-from quetzalsill_gateway import dialect as dialect_lib
 from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import live
 
 if TYPE_CHECKING:
+    from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import gateway, routing_table
     from quetzalsill_gateway import upstream as upstream_lib
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -31,7 +31,9 @@
     """Asks while the membership source is away; runs until cancelled."""
     while True:
         await core.upstreams.until_source_down()
-        engines = [found for found in core.upstreams.all() if core.live.of(found)]
+        engines = [
+            found for found in core.upstreams.all() if core.live.of(found)
+        ]
         await asyncio.gather(*(_ask(core, engine) for engine in engines))
         await asyncio.sleep(EVERY_S)
 
--- a/packages/quetzalsill/src/quetzalsill/plugin/role.py
+++ b/packages/quetzalsill/src/quetzalsill/plugin/role.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 __all__ = ['Role']
 
