Never keep a connection in the middle of an answer

Cause: a connection counted as usable from the head of its answer on. One that its caller had left was kept, so that the run went on at the engine, and what was still to come of its answer could be taken for the next one's. Tests of the path through the adapter land with it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -47,8 +47,11 @@
     @property
     def is_usable(self) -> bool:
         """Whether a new call may be sent on it."""
+        # In the middle of an answer it is not: what is still to come of it
+        # would be taken for the answer to the next call.
         return (
             self._reusable
+            and not self._awaits
             and self._error is None
             and not self._transport.is_closing()
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -72,6 +72,11 @@
         self._lapses_until_s = loop.time() + LAPSE_S
         loop.call_later(LAPSE_S, self._drop_lapsed)
 
+    @property
+    def is_source_down(self) -> bool:
+        """Whether the membership source is away."""
+        return self._source_down.is_set()
+
     async def until_source_down(self) -> None:
         """Returns while the membership source is away."""
         await self._source_down.wait()
@@ -153,7 +158,7 @@
         logger.info('upstream_removed', upstream=upstream_id, version=version)
 
     def _drop_lapsed(self) -> None:
-        if self._source_down.is_set():
+        if self.is_source_down:
             return
         if asyncio.get_running_loop().time() < self._lapses_until_s - 0.01:
             return
--- /dev/null
+++ b/tests/quetzalsill_platform/fixture.py
@@ -0,0 +1,169 @@
+"""A gateway over the adapter, with stand-ins of the platform around it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill_platform import engine as engine_calls
+from quetzalsill_platform import follow, headers
+from quetzalsill_platform import store as platform_store
+
+from quetzalsill.settings import section
+from quetzalsill_dev.users_platform import caller, engine, plain_server, store
+from quetzalsill_gateway import deployment, run, settings, source
+
+__all__ = ['PathTest', 'configuration', 'route']
+
+BOUND_S = 10.0
+ANYWHERE = '127.0.0.1:0'
+
+
+def route(name, prefix, kind, service, **more):
+    """Returns a route of the operators' configuration."""
+    return {
+        'name': name,
+        'host': 'shop.example',
+        'prefix': prefix,
+        'routeType': kind,
+        'timeoutMs': 4000,
+        'targetLatencyMs': 300,
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+        'public': False,
+    } | more
+
+
+ROUTES = [
+    route('safe', '/safe/', 'safe', 'desk'),
+    route('unsafe', '/unsafe/', 'unsafe', 'desk', maxAttempts=1),
+    route('plan', '/plan/', 'streaming', 'writers', maxAttempts=1),
+    route('verdict', '/verdict/', 'streaming', 'writers', streamResume=True),
+    route('public', '/public/', 'safe', 'desk', public=True),
+]
+SERVICES = [
+    {'name': 'desk', 'maxConnections': 100},
+    {
+        'name': 'writers',
+        'maxConnections': 100,
+        'engine': {
+            'slots': 24,
+            'kvCapacity': 30000,
+            'kvBytes': 18432,
+            'linkMbps': 100000.0,
+            'moves': True,
+        },
+    },
+]
+ACCOUNTS = [
+    {'name': 'first', 'apiKeys': ['key-1', 'key-2']},
+    {'name': 'second', 'apiKeys': ['key-3'], 'priority': 0},
+]
+
+
+def configuration(version, routes=ROUTES, accounts=ACCOUNTS, **limits):
+    """Returns a configuration as operators write it."""
+    return {
+        'version': version,
+        'routes': routes,
+        'services': SERVICES,
+        'tenants': accounts,
+        'limits': limits,
+    }
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """Store, two plain servers, three engines and one gateway."""
+
+    async def asyncSetUp(self):
+        self.store = store.Store()
+        await self.serve(self.store.server)
+        self.desks = [plain_server.PlainServer(f'desk-{n}') for n in (1, 2)]
+        self.fleet = engine.Fleet()
+        self.engines = [
+            engine.Engine(self.fleet, f'engine-{n}') for n in (1, 2, 3)
+        ]
+        for upstream in (*self.desks, *self.engines):
+            await upstream.start()
+            self.addAsyncCleanup(upstream.server.stop)
+        self.store.put('op', 'config', configuration(5))
+        for desk in self.desks:
+            self.store.put('servers', desk.id, desk.entry('desk', 'zone-a'))
+        for writer in self.engines:
+            self.enter(writer)
+        self.process = await self.start_gateway()
+
+    def enter(self, writer):
+        """Writes an engine's row."""
+        self.store.put('servers', writer.id, writer.entry('writers', 'zone-a'))
+
+    async def serve(self, server):
+        """Starts a server for the time of the test."""
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+
+    async def start_gateway(self, *, wait=True):
+        """Starts a gateway and waits until it is ready."""
+        cfg = settings.Settings(
+            node=section.Node('entry-1', 'zone-a'),
+            listen=ANYWHERE,
+            ready=ANYWHERE,
+            store=self.store.server.address_text,
+            ready_path='/-/readyz',
+            retry=settings.Retry(ratio=1.0, allowance=100, gateways=1),
+            stop=settings.Stop(grace_s=2.0, leave_s=0.1),
+        )
+
+        def sources(cfg, conns):
+            of_store = platform_store.Store(conns, settings.address(cfg.store))
+            return source.Sources(
+                lambda holder: follow.follow_configuration(of_store, holder),
+                lambda found: follow.follow_membership(of_store, found),
+            )
+
+        process = run.Process(
+            cfg,
+            deployment.Deployment(headers.DIALECT, sources, engine_calls.calls),
+        )
+        await process.start()
+        self.addAsyncCleanup(process.close)
+        if wait:
+            await self.until(process.is_ready)
+            upstreams = process.core.upstreams
+            await self.until(lambda: len(upstreams.all()) == 5)
+        return process
+
+    async def until(self, condition):
+        """Waits until something holds."""
+        async with asyncio.timeout(BOUND_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    def caller(self):
+        """Returns a caller of the gateway."""
+        found = caller.Caller('127.0.0.1', self.process.callers.port)
+        self.addCleanup(lambda: found._writer and found.leave())
+        return found
+
+    async def ask(self, target, **more):
+        """Asks on a connection of its own."""
+        async with asyncio.timeout(BOUND_S):
+            return await self.caller().ask(target, **more)
+
+    def script(self, *scripts):
+        """Says what becomes of the next requests, whoever gets them."""
+        shared = list(scripts)
+        for desk in self.desks:
+            desk.scripts = shared
+
+    @property
+    def runs(self):
+        """Every run at a plain server."""
+        return [seen for desk in self.desks for seen in desk.runs]
+
+    def whole(self, request_id, length=10):
+        """Returns the stream that a request should get."""
+        return b''.join(
+            engine.event(request_id, n) for n in range(1, length + 1)
+        )
--- /dev/null
+++ b/tests/quetzalsill_platform/test_plain_calls.py
@@ -0,0 +1,198 @@
+"""Calls of plain services, from a caller to a server and back."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.quetzalsill_platform import fixture
+
+PREFIX = 'x-quetzalsill-'
+
+
+class ForwardTest(fixture.PathTest):
+    """What reaches a server, and what comes back."""
+
+    async def test_method_path_query_and_body_arrive_unchanged(self):
+        target = '/safe/a%2Fb/?x=1&y=%20&empty='
+        answer = await self.ask(
+            target, method='POST', body=b'\x00\xff body', request_id='r1'
+        )
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        [(request_id, seen, headers, body)] = self.runs
+        self.assertEqual((request_id, seen), ('r1', target))
+        self.assertEqual(body, b'\x00\xff body')
+        self.assertEqual(headers['host'], 'shop.example')
+        self.assertIn(PREFIX + 'server-stamp', answer.headers)
+
+    async def test_only_the_system_sets_what_is_its_own(self):
+        """A caller names itself another account and asks for favours.
+
+        It sends the account, the expected server, a hold, a pin, a backup and
+        a copy to start from. A gateway that passed them on would bill another
+        account or hand it another request's memory.
+        """
+        forged = {
+            'X-Quetzalsill-Tenant': 'second',
+            'X-Quetzalsill-Expect-Instance': 'desk-9',
+            'X-Quetzalsill-Hold': 'h',
+            'X-Quetzalsill-Pin-Ms': '100',
+            'X-Quetzalsill-Kv-Backup': '1.2.3.4:5',
+            'X-Quetzalsill-Request-Priority': '0',
+            'Kv-From': '1.2.3.4:5/x',
+            'Kv-Fetch': '1.2.3.4:5',
+            'Connection': 'X-Secret',
+            'X-Secret': 'hop',
+            'X-Kept': 'kept',
+        }
+        answer = await self.ask('/safe/', headers=forged)
+        self.assertEqual(answer.status, 200)
+        [(_, _, headers, _)] = self.runs
+        self.assertEqual(headers[PREFIX + 'tenant'], 'first')
+        self.assertIn(headers[PREFIX + 'expect-instance'], ('desk-1', 'desk-2'))
+        self.assertEqual(headers['x-kept'], 'kept')
+        for name in ('hold', 'pin-ms', 'kv-backup', 'request-priority'):
+            self.assertNotIn(PREFIX + name, headers)
+        for name in ('kv-from', 'kv-fetch', 'authorization', 'x-secret'):
+            self.assertNotIn(name, headers)
+
+    async def test_the_deadline_is_what_is_left(self):
+        await self.ask('/safe/', deadline_ms=900)
+        await self.ask('/safe/', deadline_ms=60_000)
+        lefts = [int(seen[2][PREFIX + 'deadline-ms']) for seen in self.runs]
+        self.assertLessEqual(min(lefts), 900)
+        self.assertLessEqual(max(lefts), 4000, "the route's own timeout")
+
+    async def test_unknown_route_key_and_id_are_told(self):
+        for target, more, status in (
+            ('/none/', {}, 404),
+            ('/safe/', {'host': 'other.example'}, 404),
+            ('/safe/', {'key': ''}, 401),
+            ('/safe/', {'key': 'key-9'}, 401),
+            ('/public/', {'key': ''}, 200),
+        ):
+            with self.subTest(target=target, more=more):
+                answer = await self.ask(target, **more)
+                self.assertEqual((answer.status, answer.whole), (status, True))
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        caller = self.caller()
+        await caller.open()
+        ids = [caller.send('/safe/') for _ in range(4)]
+        bodies = [(await caller.read()).body for _ in ids]
+        for request_id, body in zip(ids, bodies, strict=True):
+            self.assertTrue(body.endswith(request_id.encode()), body)
+
+
+class MisbehaviourTest(fixture.PathTest):
+    """What a caller gets when a server misbehaves."""
+
+    async def test_idempotent_work_is_sent_once_more(self):
+        """A server fails, breaks off or answers rubbish; another is well.
+
+        The caller of idempotent work sees the good answer, whole.
+        """
+        for script in (
+            'fail',
+            'false_503',
+            'reset',
+            'truncate',
+            'garbage',
+            'no_receipt',
+            'moved',
+            'shed',
+            'hang',
+        ):
+            with self.subTest(script):
+                self.script(script)
+                answer = await self.ask('/safe/')
+                self.assertEqual((answer.status, answer.whole), (200, True))
+
+    async def test_work_at_most_once_runs_once(self):
+        """A server runs an order and its answer is lost, or says a false 503.
+
+        Sent again, the order would bring a second truck; told "not run", the
+        caller would send it again itself.
+        """
+        for script in ('reset', 'truncate', 'garbage', 'false_503'):
+            with self.subTest(script):
+                self.script(script)
+                before = len(self.runs)
+                answer = await self.ask('/unsafe/', method='POST', body=b'1')
+                self.assertEqual(answer.status, 502)
+                self.assertEqual(len(self.runs), before + 1)
+                self.script()
+
+    async def test_a_true_refusal_says_when_to_come_back(self):
+        self.script('shed')
+        answer = await self.ask('/unsafe/')
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers['retry-after']), 0)
+        self.assertEqual(self.runs, [])
+        self.assertNotIn(PREFIX + 'server-stamp', answer.headers)
+
+    async def test_a_servers_own_failure_is_handed_on_unchanged(self):
+        self.script('fail')
+        answer = await self.ask('/unsafe/', request_id='r7')
+        self.assertEqual((answer.status, answer.whole), (500, True))
+        self.assertIn(PREFIX + 'server-stamp', answer.headers)
+        self.assertTrue(answer.body.endswith(b':r7'))
+
+    async def test_a_failure_is_handed_on_though_the_second_send_is_refused(
+        self,
+    ):
+        """One server fails the call, the other is full.
+
+        The first server's own answer stands; a 503 would say "not run".
+        """
+        self.script('fail', 'shed')
+        answer = await self.ask('/safe/')
+        self.assertEqual(answer.status, 500)
+
+    async def test_extra_answers_belong_to_no_request(self):
+        """A server answers an earlier request twice.
+
+        The second answer stands where the next one is due; a gateway that
+        took it would hand one caller's answer to another.
+        """
+        for script in ('extra', 'stale'):
+            with self.subTest(script):
+                self.script(script)
+                for number in range(6):
+                    request_id = f'{script}-{number}'
+                    answer = await self.ask('/safe/', request_id=request_id)
+                    self.assertEqual(answer.status, 200)
+                    self.assertTrue(
+                        answer.body.endswith(request_id.encode()), answer.body
+                    )
+
+    async def test_an_answer_without_length_is_whole_at_its_end(self):
+        self.script('unframed')
+        answer = await self.ask('/unsafe/')
+        self.assertEqual((answer.status, answer.whole), (200, True))
+
+    async def test_silence_ends_at_the_deadline(self):
+        self.script('hang', 'hang', 'hang')
+        answer = await self.ask('/unsafe/', deadline_ms=200)
+        self.assertEqual((answer.status, answer.whole), (504, True))
+        self.assertEqual(len(self.runs), 1)
+
+    async def test_a_caller_that_leaves_ends_the_work(self):
+        """A caller gives up while its request hangs at a server.
+
+        The server sees its connection close, and can stop.
+        """
+        self.script('hang')
+        caller = self.caller()
+        await caller.open()
+        caller.send('/unsafe/')
+        await self.until(lambda: self.runs)
+        pages = self.process.core.pages
+        found = self.process.core.upstreams.of('desk')
+        caller.leave()
+        await self.until(
+            lambda: not any(pages.page(desk).outstanding for desk in found)
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_platform/test_store_faults.py
@@ -0,0 +1,154 @@
+"""What a gateway believes while the platform's store misbehaves."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from quetzalsill_dev.users_platform import plain_server
+from quetzalsill_gateway import upstream as upstream_lib
+from tests.quetzalsill_platform import fixture
+
+
+class ConfigurationTest(fixture.PathTest):
+    """Versions of the configuration."""
+
+    def version(self):
+        return self.process.core.holder.current.version
+
+    async def until_version(self, version):
+        await self.until(lambda: self.version() == version)
+
+    async def test_a_change_is_in_force_soon_and_never_reverts(self):
+        """An old version is written behind a newer one.
+
+        Going back would serve a route and a key that operators withdrew.
+        """
+        routes = [fixture.route('new', '/new/', 'safe', 'desk')]
+        accounts = [{'name': 'first', 'apiKeys': ['key-2']}]
+        self.store.put(
+            'op', 'config', fixture.configuration(9, routes, accounts)
+        )
+        await self.until_version(9)
+        self.store.put('op', 'config', fixture.configuration(6))
+        self.store.put('op', 'other', {'not': 'a configuration'})
+        answer = await self.ask('/new/', key='key-2')
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((await self.ask('/safe/', key='key-2')).status, 404)
+        self.assertEqual((await self.ask('/new/', key='key-1')).status, 401)
+        self.assertEqual(self.version(), 9)
+
+    async def test_one_that_cannot_be_held_is_left_out(self):
+        """A configuration lacks a field: the one before stays in force."""
+        broken = fixture.configuration(7)
+        del broken['routes'][0]['routeType']
+        self.addCleanup(broken['routes'][0].update, {'routeType': 'safe'})
+        with mock.patch('quetzalsill_platform.follow.logger') as logger:
+            self.store.put('op', 'config', broken)
+            await self.until(lambda: logger.error.called)
+        event, details = logger.error.call_args
+        self.assertEqual(event, ('configuration_invalid',))
+        self.assertIn('routeType', details['reason'])
+        self.assertIn('stays in force', details['advice'])
+        self.assertEqual(self.version(), 5)
+
+    async def test_dropped_history_is_recovered_from(self):
+        self.store.lose_history()
+        self.store.put('op', 'config', fixture.configuration(11))
+        await self.until_version(11)
+
+    async def test_the_newest_state_serves_through_an_outage(self):
+        for down in ('busy', 'silent'):
+            with self.subTest(down):
+                self.store.down = down
+                self.assertEqual((await self.ask('/safe/')).status, 200)
+                self.assertTrue(self.process.is_ready())
+                self.store.down = ''
+
+    async def test_a_gateway_without_configuration_refuses_truly(self):
+        """A gateway starts while the store is down.
+
+        It is not ready; whoever reaches it all the same is told that nothing
+        ran, and when to come back. Then the store is back, and it serves.
+        """
+        self.store.down = 'busy'
+        self.process = await self.start_gateway(wait=False)
+        answer = await self.ask('/unsafe/')
+        self.assertEqual(answer.status, 503)
+        self.assertIn('retry-after', answer.headers)
+        self.assertFalse(self.process.is_ready())
+        self.store.down = ''
+        await self.until(self.process.is_ready)
+
+
+class MembershipTest(fixture.PathTest):
+    """Entries of upstreams."""
+
+    def ids(self, service='desk'):
+        found = self.process.core.upstreams.of(service)
+        return {upstream.id for upstream in found}
+
+    async def test_a_draining_upstream_gets_nothing_new(self):
+        desk = self.desks[0]
+        self.store.put(
+            'servers', desk.id, desk.entry('desk', 'zone-a', 'draining')
+        )
+        await self.until(lambda: self.ids() == {'desk-2'})
+        for _ in range(8):
+            self.assertEqual((await self.ask('/safe/')).status, 200)
+        self.assertEqual(desk.runs, [])
+
+    async def test_a_removed_upstream_gets_nothing_new(self):
+        self.store.remove('servers', 'desk-2')
+        await self.until(lambda: self.ids() == {'desk-1'})
+
+    async def test_lapsed_entries_that_come_back_are_kept(self):
+        """The store lets every entry lapse while it is away.
+
+        The servers live and enter themselves again within two seconds of its
+        return. Taken at its word, the lapse would leave nobody to serve.
+        """
+        self.store.down = 'busy'
+        await self.until(
+            lambda: self.process.core.upstreams._source_down.is_set()
+        )
+        for desk in self.desks:
+            self.store.remove('servers', desk.id)
+        self.store.down = ''
+        await self.until(lambda: not self.process.core.upstreams.is_source_down)
+        self.assertEqual((await self.ask('/safe/')).status, 200)
+        desk = self.desks[0]
+        self.store.put('servers', desk.id, desk.entry('desk', 'zone-a'))
+        await self.until(lambda: self.ids() == {'desk-1'})
+
+    async def test_an_address_used_again_runs_nothing(self):
+        """A server ends; its address goes to one of another service.
+
+        The gateway still has the old entry. The new server sees an id that is
+        not its own and runs nothing, and the caller is served elsewhere.
+        """
+        stranger = plain_server.PlainServer('stranger')
+        await stranger.start()
+        self.addAsyncCleanup(stranger.server.stop)
+        entry = stranger.entry('desk', 'zone-a')
+        self.store.remove('servers', 'desk-1')
+        self.store.put('servers', 'desk-old', entry)
+        await self.until(lambda: self.ids() == {'desk-2', 'desk-old'})
+        for _ in range(8):
+            self.assertEqual((await self.ask('/unsafe/')).status, 200)
+        self.assertEqual(stranger.runs, [])
+
+    async def test_an_entry_that_makes_no_sense_is_left_out(self):
+        self.store.put('servers', 'odd', {'service': 'desk'})
+        self.store.put('servers', 'odd-2', {'service': 'desk', 'address': 'x'})
+        desk = self.desks[0]
+        self.store.put('servers', 'desk-3', desk.entry('desk', 'zone-a'))
+        await self.until(lambda: 'desk-3' in self.ids())
+        self.assertNotIn('odd', self.ids())
+
+    def test_the_wait_for_lapsed_entries_fits_the_platforms_two_seconds(self):
+        self.assertGreater(upstream_lib.LAPSE_S, 2.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_platform/test_streams.py
@@ -0,0 +1,176 @@
+"""Streams of engines, from a caller to an engine and on to others."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.quetzalsill_platform import fixture
+
+PROMPT = {
+    'X-Quetzalsill-Token-Usage': '1000,400',
+    'X-Quetzalsill-Length-Hint': '40',
+}
+
+
+class StreamTest(fixture.PathTest):
+    """Whole streams, and those of engines that break, refuse or leave."""
+
+    async def stream(self, target='/plan/', **more):
+        return await self.ask(target, method='POST', headers=PROMPT, **more)
+
+    def assert_whole(self, answer, request_id, length=10):
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body, self.whole(request_id, length))
+
+    def working(self):
+        """Returns the engine with a run."""
+        return next(
+            (
+                e
+                for e in self.engines
+                if any(self.fleet.at_work.values())
+                and any(e.id in busy for busy in self.fleet.at_work.values())
+            ),
+            None,
+        )
+
+    async def until_working(self):
+        await self.until(self.working)
+        return self.working()
+
+    async def test_a_stream_arrives_whole(self):
+        answer = await self.stream(request_id='s1')
+        self.assert_whole(answer, 's1')
+        self.assertEqual(self.fleet.started['s1'], [self.engines_of('s1')])
+
+    def engines_of(self, request_id):
+        return self.fleet.started[request_id][0]
+
+    async def test_a_broken_stream_never_looks_whole(self):
+        """An engine breaks a plan off in the middle of an event.
+
+        The plan may run once only, so nothing takes its place. The caller
+        gets the whole events, and an end that is no end.
+        """
+        for writer in self.engines:
+            writer.break_after = 4
+        answer = await self.stream(request_id='s2')
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, self.whole('s2', 4))
+        self.assertEqual(len(self.fleet.started['s2']), 1)
+
+    async def test_a_resumable_stream_goes_on_elsewhere(self):
+        """An engine breaks a verdict off; the route lets it run again.
+
+        The caller sees one answer, each event once and in order.
+        """
+        for writer in self.engines:
+            writer.break_after = 4
+        asked = asyncio.create_task(self.stream('/verdict/', request_id='s3'))
+        await self.until(lambda: self.fleet.started.get('s3'))
+        for writer in self.engines:
+            if writer.id != self.engines_of('s3'):
+                writer.break_after = None
+        answer = await asked
+        self.assert_whole(answer, 's3')
+        self.assertEqual(len(self.fleet.started['s3']), 2)
+
+    async def test_a_refusal_is_true_and_says_when_to_come_back(self):
+        for writer in self.engines:
+            writer.refuse = 503
+        answer = await self.stream(request_id='s4')
+        self.assertEqual(answer.status, 503)
+        self.assertIn('retry-after', answer.headers)
+        self.assertNotIn('s4', self.fleet.started)
+
+    async def test_runs_of_a_leaving_engine_go_on_with_their_memory(self):
+        """An engine is taken away 1.5 s after its notice, a plan runs longer.
+
+        The plan's memory goes to another engine; the caller sees one answer,
+        no event missing or doubled, and no two engines work on it at once.
+        """
+        for writer in self.engines:
+            writer.length = 150
+        asked = asyncio.create_task(self.stream(request_id='s5'))
+        source = await self.until_working()
+        source.leaving, source.leaves_ms = True, 1500
+        self.enter(source)
+        answer = await asked
+        self.assert_whole(answer, 's5', 150)
+        self.assertEqual(self.fleet.started['s5'], [source.id])
+        self.assertEqual(self.fleet.doubled, set())
+        continued = [
+            e.id
+            for e in self.engines
+            if any('kv-from' in headers for headers in e.requests)
+        ]
+        self.assertEqual(len(continued), 1)
+        self.assertNotEqual(continued, [source.id])
+
+    async def test_a_full_destination_sends_the_run_back(self):
+        """No engine has room for a copy when its source leaves.
+
+        The run is not stopped in vain: it goes on where it is, and ends whole
+        if the engine stays long enough.
+        """
+        for writer in self.engines:
+            writer.length = 60
+            writer.full = True
+        asked = asyncio.create_task(self.stream(request_id='s6'))
+        source = await self.until_working()
+        source.leaving = True
+        self.enter(source)
+        answer = await asked
+        self.assert_whole(answer, 's6', 60)
+
+    async def test_engines_are_asked_while_the_store_is_away(self):
+        """The store is down when an engine gets its notice.
+
+        The notice reaches nobody but the engine; its report tells it to the
+        gateway that has a run there, and the run is moved in time.
+        """
+        for writer in self.engines:
+            writer.length = 150
+        asked = asyncio.create_task(self.stream(request_id='s7'))
+        source = await self.until_working()
+        self.store.down = 'busy'
+        source.leaving, source.leaves_ms = True, 1900
+        upstreams = self.process.core.upstreams
+        await self.until(lambda: upstreams.get(source.id).leaving)
+        answer = await asked
+        self.assert_whole(answer, 's7', 150)
+        self.assertEqual(self.fleet.started['s7'], [source.id])
+        self.assertEqual(self.fleet.doubled, set())
+
+    async def test_no_engine_is_asked_while_the_store_answers(self):
+        answer = await self.stream(request_id='s8')
+        self.assert_whole(answer, 's8')
+        self.assertEqual(sum(e.reports for e in self.engines), 0)
+
+    async def test_a_caller_that_leaves_ends_the_run(self):
+        """A caller gives a long plan up; its engine must not go on."""
+        for writer in self.engines:
+            writer.length = 10_000
+        caller = self.caller()
+        await caller.open()
+        caller.send('/plan/', method='POST', body=b'x', headers=PROMPT)
+        await self.until_working()
+        caller.leave()
+        await self.until(lambda: self.working() is None)
+        live = self.process.core.live
+        await self.until(
+            lambda: (
+                not any(live.of(e) for e in self.process.core.upstreams.all())
+            )
+        )
+
+    async def test_what_a_stream_held_is_given_back(self):
+        await self.stream(request_id='s9')
+        pages = self.process.core.pages
+        for found in self.process.core.upstreams.of('writers'):
+            self.assertEqual(pages.page(found).reserved_tokens, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
