Let gateways tell each other what they hold at engines; copy only what fits

Gateways send each other their reservations and the upstreams that they know to leave, all of it in each datagram. Copies of a leaving engine begin at once, but for runs that cannot be copied before it goes, which would hold up the last copies of the others; streams that may be resumed are left where they are.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -15,6 +15,8 @@
 __all__ = ['Store']
 
 MOST_ROWS = 500
+# Tables that the system must not write.
+OPERATED = ('op', 'servers')
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +92,8 @@
             self._get(call, query)
         elif call.path == '/-/rows-feed':
             await self._feed(call, query)
+        elif call.path == '/-/rows-tx':
+            self._write(call)
         else:
             call.answer(404)
 
@@ -103,6 +107,17 @@
         rows = [self._rows[query['table'], key] for key in keys[:limit]]
         self._answer(call, rows, truncated=len(keys) > limit)
 
+    def _write(self, call: scripted.Exchange) -> None:
+        order = json.loads(call.body)
+        rows = [(row['table'], row['key']) for row in order['writes']]
+        if any(table in OPERATED for table, _ in rows):
+            call.answer(403)
+            return
+        for row in order['writes']:
+            value = base64.b64decode(row['value'])
+            self._note(row['table'], row['key'], value)
+        self._answer(call, [])
+
     async def _feed(
         self, call: scripted.Exchange, query: dict[str, str]
     ) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -7,7 +7,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import ItemsView
+
     from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.peers import state as peer_state
 
 __all__ = ['REPORT_AGE_S', 'Book', 'Page', 'Reservation']
 
@@ -48,6 +51,7 @@
       failed_at_s: Loop time of the newest failure.
       shut_until_s: Loop time until which nothing new is sent.
       reservations: What own generations hold there.
+      others: What generations of other gateways hold there, by gateway.
       leaves_at_s: Loop time at which it goes; None if not known.
     """
 
@@ -57,20 +61,42 @@
     failed_at_s: float = 0.0
     shut_until_s: float = 0.0
     reservations: set[Reservation] = dataclasses.field(default_factory=set)
+    others: dict[str, peer_state.Held] = dataclasses.field(default_factory=dict)
     leaves_at_s: float | None = None
 
     @property
-    def reserved_tokens(self) -> int:
-        """Memory that generations are expected to need."""
+    def own_tokens(self) -> int:
+        """Memory that own generations are expected to need."""
         return sum(held.memory_tokens for held in self.reservations)
 
     @property
-    def reading_tokens(self) -> int:
-        """Prompt tokens that wait to be read."""
+    def own_reading(self) -> int:
+        """Prompt tokens of own generations that wait to be read."""
         return sum(
             held.prompt_tokens for held in self.reservations if held.is_reading
         )
 
+    @property
+    def reserved_tokens(self) -> int:
+        """Memory that all generations are expected to need."""
+        return self.own_tokens + sum(
+            held.memory_tokens for held in self.others.values()
+        )
+
+    @property
+    def reading_tokens(self) -> int:
+        """Prompt tokens of all gateways that wait to be read."""
+        return self.own_reading + sum(
+            held.reading_tokens for held in self.others.values()
+        )
+
+    @property
+    def runs(self) -> int:
+        """Generations of all gateways."""
+        return len(self.reservations) + sum(
+            held.runs for held in self.others.values()
+        )
+
     def recent_failures(self, now: float) -> float:
         """Returns the failures, faded to now."""
         age_s = now - self.failed_at_s
@@ -102,11 +128,26 @@
 
     def page(self, upstream: upstream_lib.Upstream) -> Page:
         """Returns the page of an upstream, a new one at first."""
-        found = self._pages.get(upstream.id)
-        if found is None:
-            found = self._pages[upstream.id] = Page()
-        return found
+        return self._page(upstream.id)
+
+    def items(self) -> ItemsView[str, Page]:
+        """Returns all pages by the ids of their upstreams."""
+        return self._pages.items()
+
+    def hear(self, node: str, held: dict[str, peer_state.Held]) -> None:
+        """Takes all that another gateway holds, in place of what it held."""
+        for upstream_id, page in self._pages.items():
+            if upstream_id not in held:
+                page.others.pop(node, None)
+        for upstream_id, entry in held.items():
+            self._page(upstream_id).others[node] = entry
 
     def forget(self, upstream: upstream_lib.Upstream) -> None:
         """Drops the page of an upstream that is gone."""
         self._pages.pop(upstream.id, None)
+
+    def _page(self, upstream_id: str) -> Page:
+        found = self._pages.get(upstream_id)
+        if found is None:
+            found = self._pages[upstream_id] = Page()
+        return found
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -30,8 +30,9 @@
 FAILURE_S = 0.5
 PLAIN_FAILURE_SHARE = 2.0
 JITTER = 0.05
-# A run or its backup goes where it leaves room for what comes meanwhile.
-ROOM_SHARE = 0.75
+# A run goes where it is not expected to push others off. A full engine of the
+# same availability zone is left out for one of another: slow, but no loss.
+ROOM_SHARE = 0.95
 
 
 def choose_plain(
@@ -71,7 +72,7 @@
     def cost(candidate: upstream.Upstream) -> float:
         page = pages.page(candidate)
         wait_s = page.reading_tokens / READ_TOKENS_S
-        wait_s += len(page.reservations) * RUNNING_S
+        wait_s += page.runs * RUNNING_S
         wait_s += FAILURE_S * page.recent_failures(now)
         share = (page.reserved_tokens + needs_tokens) / max(
             1, engine.memory_tokens
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -82,12 +82,14 @@
       events: Events that the run has made.
       copied: Whether the copy is complete at the destination.
       unknown_run: The engine knows no such run.
+      code: What the engine answered, for logs.
     """
 
     handle: str = ''
     events: int = 0
     copied: bool = False
     unknown_run: bool = False
+    code: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
@@ -4,7 +4,7 @@
 
 from quetzalsill.error import base
 
-__all__ = ['ConfigurationError', 'SourceError']
+__all__ = ['ConfigurationError', 'PeerError', 'SourceError']
 
 
 class SourceError(base.QuetzalsillError):
@@ -17,3 +17,9 @@
     """A configuration cannot be held; the one before stays in force."""
 
     code = 'configuration_invalid'
+
+
+class PeerError(base.QuetzalsillError):
+    """A datagram holds no state of another gateway; it is left out."""
+
+    code = 'peer_malformed'
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -37,6 +37,9 @@
       deadline_s: Loop time at which nobody waits any longer.
       version: Version of the configuration that decided.
       sends: Upstreams to which it was sent so far.
+      first_s: Time from the request to the first event; None before it.
+      widest_gap_s: Longest pause between events so far.
+      newest_s: Loop time of the newest event.
     """
 
     request: message.Request
@@ -49,6 +52,18 @@
     deadline_s: float
     version: int
     sends: int = 0
+    first_s: float | None = None
+    widest_gap_s: float = 0.0
+    newest_s: float = 0.0
+
+    def note_event(self) -> None:
+        """Takes the time of events that go to the caller now."""
+        now = asyncio.get_running_loop().time()
+        if self.first_s is None:
+            self.first_s = now - self.request.received_s
+        else:
+            self.widest_gap_s = max(self.widest_gap_s, now - self.newest_s)
+        self.newest_s = now
 
     @property
     def left_s(self) -> float:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -155,11 +155,21 @@
             outcome=outcome,
             sends=exchange.sends,
             took_ms=took_ms,
+            **_stream_times(exchange),
             configuration=exchange.version,
             membership=self._core.upstreams.version,
         )
 
 
+def _stream_times(exchange: exchange_lib.Exchange) -> dict[str, float]:
+    if exchange.first_s is None:
+        return {}
+    return {
+        'first_ms': round(exchange.first_s * 1000, 1),
+        'widest_gap_ms': round(exchange.widest_gap_s * 1000, 1),
+    }
+
+
 def _refuse(
     req: message.Request,
     responder: listener.Responder,
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Gateways tell each other what they hold at engines."""
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -0,0 +1,91 @@
+"""What one gateway tells the others, and its form in a datagram."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgpack
+
+from quetzalsill_gateway import error
+
+__all__ = ['Held', 'State', 'decode', 'encode']
+
+VERSION = 1
+MALFORMED = (ValueError, TypeError, AttributeError, msgpack.UnpackException)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Held:
+    """What the generations of one gateway hold at one engine.
+
+    Attributes:
+      memory_tokens: Memory that they are expected to need at their ends.
+      reading_tokens: Prompt tokens that are not read yet.
+      runs: How many they are.
+    """
+
+    memory_tokens: int
+    reading_tokens: int
+    runs: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class State:
+    """Everything that a gateway tells; each datagram holds all of it.
+
+    Attributes:
+      node: Name of the gateway.
+      incarnation: Drawn by each process anew.
+      number: Grows with each datagram of a process.
+      held: By upstream id.
+      leaving: Ids of upstreams that it knows to leave.
+    """
+
+    node: str
+    incarnation: int
+    number: int
+    held: dict[str, Held]
+    leaving: tuple[str, ...] = ()
+
+
+def encode(state: State) -> bytes:
+    """Returns the datagram of a state."""
+    held = {
+        upstream: (entry.memory_tokens, entry.reading_tokens, entry.runs)
+        for upstream, entry in state.held.items()
+    }
+    head = (VERSION, state.node, state.incarnation, state.number)
+    return msgpack.packb((*head, held, state.leaving))
+
+
+def decode(data: bytes) -> State:
+    """Returns the state in a datagram.
+
+    Raises:
+      error.PeerError: It is none, or of another version.
+    """
+    try:
+        version, node, incarnation, number, held, leaving = msgpack.unpackb(
+            data
+        )
+        if version != VERSION:
+            raise error.PeerError(f'version {version}, not {VERSION}')
+        return State(
+            str(node),
+            int(incarnation),
+            int(number),
+            {str(name): _held(entry) for name, entry in held.items()},
+            tuple(str(name) for name in leaving),
+        )
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        msgpack.UnpackException,
+    ) as exc:
+        raise error.PeerError(f'no state: {exc!r}') from exc
+
+
+def _held(entry: list[int]) -> Held:
+    memory, reading, runs = entry
+    return Held(max(0, int(memory)), max(0, int(reading)), max(0, int(runs)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
@@ -24,6 +24,7 @@
     'ready',
     'store',
     'deployment',
+    'peers',
     'telemetry',
 )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -21,6 +21,7 @@
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import book
 from quetzalsill_gateway.http import listener, pool
+from quetzalsill_gateway.peers import exchange as peer_exchange
 from quetzalsill_gateway.stream import live, lookout
 
 if TYPE_CHECKING:
@@ -64,6 +65,9 @@
             readiness.handler(settings.ready_path, self.is_ready),
             listener.Limits,
         )
+        self.peers = peer_exchange.Exchange(
+            self.core, settings.node.name, self._sources.join
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -92,6 +96,10 @@
             'readiness': self.asked.watch,
             'lookout': lambda: lookout.watch(self.core),
         }
+        if self._settings.peers:
+            await self.peers.open(settings_lib.address(self._settings.peers))
+            loops['directory'] = self.peers.find
+            loops['peers'] = self.peers.tell
         self._tasks = [
             asyncio.create_task(background.keep_running(name, work))
             for name, work in loops.items()
@@ -127,6 +135,7 @@
         """Ends listeners and loops at once."""
         self.callers.stop()
         self.asked.stop()
+        self.peers.close()
         for conn in [*self.callers.connections, *self.asked.connections]:
             conn.abort()
         for task in self._tasks:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -81,6 +81,11 @@
         'Plug-in that speaks with this deployment.', 'platform'
     )
     ready_path: str = key('Path of the readiness question.', '/ready')
+    peers: str = key(
+        'IP number and UDP port for the other gateways; empty for none.',
+        '',
+        pattern=f'({ADDRESS})?',
+    )
     retry: Retry = key('Bounds of retries.', factory=Retry)
     stop: Stop = key('How it stops.', factory=Stop)
     telemetry: section.Telemetry = key(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -54,7 +54,10 @@
     Attributes:
       follow_configuration: Installs each new routing table.
       follow_membership: Keeps the upstreams.
+      join: Enters a gateway, by name and address, in the directory of
+        gateways, and returns the addresses of all that are in it.
     """
 
     follow_configuration: Callable[[Holder], Awaitable[None]]
     follow_membership: Callable[[upstream.Upstreams], Awaitable[None]]
+    join: Callable[[str, str], Awaitable[list[str]]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -6,17 +6,22 @@
 run is stopped, the little that is new is copied, and the run goes on at its
 destination. Stopped before the link is free, it would wait behind the copies
 of others, which its caller sees as a pause.
+
+Streams that may be resumed are left where they are: they are short, and
+whatever breaks off is sent again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+from collections.abc import Coroutine
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import log
 from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
-from quetzalsill_gateway.stream import live
+from quetzalsill_gateway.stream import live, schedule
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
@@ -34,20 +39,55 @@
 # Shortest notice given; an engine that does not say when it goes is taken to
 # go then.
 LEAST_NOTICE_S = 1.45
-COPY_S = 1.0
-# What the last copy and the start at the destination take at most.
+# What the last copies and the starts at the destinations take at most.
 LAST_S = 0.3
-SLACK_S = 0.05
+# A run that could not be copied ahead is stopped after those that were.
+UNFIT_S = 0.1
 # Some copies cross into another availability zone, which takes twice as long.
-CROSSING = 1.5
+CROSSING = 1.4
+SLACK_S = 0.05
 RETRY_S = 0.08
-BITS = 8
-MBPS = 1e6
 DESTINATIONS = 3
 
 logger = log.get(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class _Departure:
+    """An engine that leaves.
+
+    Attributes:
+      source: The engine.
+      engine: What engines of its service have.
+      begun_s: Loop time at which its leaving was learned.
+      ends_s: How long from then on until each run is copied, by request.
+      page: What is known of the engine.
+    """
+
+    source: upstream_lib.Upstream
+    engine: routing_table.Engine
+    begun_s: float
+    ends_s: dict[str, float]
+    page: book.Page
+
+    @property
+    def last_at_s(self) -> float:
+        """Loop time at which runs are stopped."""
+        copied_s = CROSSING * max(self.ends_s.values(), default=0.0) + SLACK_S
+        return min(self.begun_s + copied_s, self.bound_s)
+
+    @property
+    def bound_s(self) -> float:
+        """Loop time at which runs are stopped at the latest."""
+        leaves_at_s = self.page.leaves_at_s or self.begun_s + LEAST_NOTICE_S
+        return leaves_at_s - LAST_S
+
+    def fits(self, request_id: str) -> bool:
+        """Whether a run can be copied before the engine goes."""
+        end_s = self.ends_s.get(request_id, 0.0)
+        return self.begun_s + end_s <= self.bound_s
+
+
 class Evacuation:
     """Moves runs away from engines that leave."""
 
@@ -63,7 +103,7 @@
         engine = self._engine(source)
         if engine is None or not engine.moves or source.id in self._running:
             return
-        if source.gone and not self._core.live.of(source):
+        if not self._core.live.of(source):
             return
         self._running.add(source.id)
         self._spawn(self._evacuate(source, engine))
@@ -75,7 +115,7 @@
         service = table.services.get(source.service) if table else None
         return service.engine if service else None
 
-    def _spawn(self, work: asyncio.coroutines.Coroutine) -> None:
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -86,64 +126,38 @@
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
         try:
-            if not self._core.live.of(source):
-                return
-            last_at_s = begun_s + await self._copy_time(source, engine)
+            report = await self._report(source)
+            ends_s = schedule.ends(report.runs, engine) if report else {}
+            page = self._core.pages.page(source)
+            departure = _Departure(source, engine, begun_s, ends_s, page)
+            self._note_start(departure)
             self._spawn(self._ask_again(source))
             while loop.time() < begun_s + SEARCH_S:
                 for stream in self._waiting(source):
                     self._moving.add(stream)
-                    self._spawn(
-                        self._move(stream, source, engine, begun_s, last_at_s)
-                    )
+                    self._spawn(self._move(stream, departure))
                 await asyncio.sleep(SEARCH_EVERY_S)
                 if not self._core.live.of(source):
                     return
         finally:
             self._running.discard(source.id)
 
-    def _waiting(self, source: upstream_lib.Upstream) -> list[live.Stream]:
-        streams = self._core.live.of(source)
-        streams = [s for s in streams if s not in self._moving]
-        return sorted(streams, key=lambda s: -s.reservation.memory_tokens)
-
-    async def _copy_time(
-        self, source: upstream_lib.Upstream, engine: routing_table.Engine
-    ) -> float:
-        """Returns how long the copies of all gateways take, in seconds."""
-        report = await self._report(source)
-        if report is None:
-            return COPY_S
-        tokens = sum(run.tokens for run in report.runs)
-        bits = tokens * engine.token_bytes * BITS
-        copy_s = CROSSING * bits / (engine.link_mbps * MBPS) + SLACK_S
+    def _note_start(self, departure: _Departure) -> None:
         logger.info(
             'evacuation_started',
-            upstream=source.id,
-            runs=len(report.runs),
-            own=len(self._core.live.of(source)),
-            tokens=tokens,
-            leaves_s=report.leaves_s,
-            last_after_s=round(copy_s, 3),
+            upstream=departure.source.id,
+            runs=len(departure.ends_s),
+            own=len(self._core.live.of(departure.source)),
+            last_after_s=round(departure.last_at_s - departure.begun_s, 3),
         )
-        return copy_s
 
-    async def _move(
-        self,
-        stream: live.Stream,
-        source: upstream_lib.Upstream,
-        engine: routing_table.Engine,
-        begun_s: float,
-        last_at_s: float,
-    ) -> None:
-        try:
-            target = await self._copy(stream, source, engine)
-            if target is None:
-                return
-            await self._until_last(source, begun_s, last_at_s)
-            await self._stop(stream, source, target)
-        finally:
-            self._moving.discard(stream)
+    def _waiting(self, source: upstream_lib.Upstream) -> list[live.Stream]:
+        return [
+            stream
+            for stream in self._core.live.of(source)
+            if stream not in self._moving
+            and not stream.exchange.route.kind.may_repeat
+        ]
 
     async def _ask_again(self, source: upstream_lib.Upstream) -> None:
         """Asks when the engine goes, once its report has caught up."""
@@ -159,51 +173,56 @@
         except (error.CallError, TimeoutError) as exc:
             logger.info('report_failed', upstream=source.id, reason=repr(exc))
             return None
-        logger.info(
-            'report_read',
-            upstream=source.id,
-            leaving=report.leaving,
-            leaves_s=report.leaves_s,
-            runs=len(report.runs),
-        )
         self._core.pages.page(source).note_leaving(report.leaves_s)
         return report
 
-    async def _until_last(
-        self,
-        source: upstream_lib.Upstream,
-        begun_s: float,
-        last_at_s: float,
-    ) -> None:
-        """Waits until the copies are through, or the engine is about to go."""
-        loop = asyncio.get_running_loop()
-        page = self._core.pages.page(source)
-        while True:
-            until_s = last_at_s
-            leaves_at_s = page.leaves_at_s or begun_s + LEAST_NOTICE_S
-            until_s = min(until_s, leaves_at_s - LAST_S)
-            left_s = until_s - loop.time()
-            if left_s <= 0:
-                return
-            # The time at which it goes may become known meanwhile.
-            await asyncio.sleep(min(left_s, SEARCH_EVERY_S))
+    async def _move(self, stream: live.Stream, departure: _Departure) -> None:
+        try:
+            target = await self._copy_ahead(stream, departure)
+            if target is not None:
+                await self._stop(stream, departure.source, target)
+        finally:
+            self._moving.discard(stream)
 
-    async def _copy(
-        self,
-        stream: live.Stream,
-        source: upstream_lib.Upstream,
-        engine: routing_table.Engine,
+    async def _copy_ahead(
+        self, stream: live.Stream, departure: _Departure
     ) -> upstream_lib.Upstream | None:
-        """Copies a run while it goes on; returns where it is now."""
-        targets = choose.destinations(
-            self._core.upstreams.of(source.service),
+        """Copies a run as long as time is left; returns where it goes on."""
+        request = stream.exchange.id_text
+        if not departure.fits(request):
+            # When the engine goes may become known, and leave it time yet.
+            await _until(departure.begun_s + NOTICE_S + SLACK_S)
+        if not departure.fits(request):
+            await _until(departure.bound_s + UNFIT_S)
+            return next(iter(self._targets(stream, departure)), None)
+        target = await self._copy(stream, departure)
+        while target is not None and _now() < departure.last_at_s:
+            # The time at which the engine goes may become known meanwhile.
+            left_s = departure.last_at_s - _now()
+            await asyncio.sleep(min(left_s, SEARCH_EVERY_S))
+        return target
+
+    def _targets(
+        self, stream: live.Stream, departure: _Departure
+    ) -> list[upstream_lib.Upstream]:
+        found = choose.destinations(
+            self._core.upstreams.of(departure.source.service),
             self._core.pages,
-            source,
-            engine,
+            departure.source,
+            departure.engine,
             stream.exchange.request_id,
             stream.reservation.memory_tokens,
         )
-        for target in targets[:DESTINATIONS]:
+        return found[:DESTINATIONS]
+
+    async def _copy(
+        self, stream: live.Stream, departure: _Departure
+    ) -> upstream_lib.Upstream | None:
+        """Copies a run while it goes on; returns where it is now."""
+        source = departure.source
+        for target in self._targets(stream, departure):
+            if stream.ended or stream.upstream is not source:
+                return None
             held = self._core.pages.page(target).reservations
             held.add(stream.reservation)
             move = await self._order(stream, source, target, last=False)
@@ -211,8 +230,8 @@
                 return target
             if stream.upstream is not target:
                 held.discard(stream.reservation)
-            if move is None or move.unknown_run or stream.ended:
-                # It waits for its turn still, or has just ended.
+            if move is None or move.unknown_run:
+                # It waits for its turn at the engine, or has just ended.
                 await asyncio.sleep(RETRY_S)
                 return None
         return None
@@ -250,8 +269,7 @@
         *,
         last: bool,
     ) -> dialect_lib.Move | None:
-        loop = asyncio.get_running_loop()
-        begun_s = loop.time()
+        begun_s = _now()
         request = stream.exchange.id_text
         move = None
         failure = ''
@@ -268,7 +286,15 @@
             unknown_run=move.unknown_run if move else False,
             events=move.events if move else 0,
             last_event=stream.last_id,
-            failure=failure,
-            took_ms=round((loop.time() - begun_s) * 1000, 1),
+            answer=failure or (move.code if move else ''),
+            took_ms=round((_now() - begun_s) * 1000, 1),
         )
         return move
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def _until(at_s: float) -> None:
+    await asyncio.sleep(max(0.0, at_s - _now()))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -176,6 +176,7 @@
             stream.reservation.is_reading = False
             ready = b''.join(self._fresh(splitter.feed(data)))
             if ready:
+                self._req.note_event()
                 responder.write(ready)
                 await responder.drain()
         if splitter.rest and stream.switch is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -142,6 +142,21 @@
         for callback in self._on_leaving:
             callback(upstream)
 
+    def leaving_ids(self) -> tuple[str, ...]:
+        """Returns the ids of upstreams that are known and leave."""
+        return tuple(u.id for u in self._by_id.values() if u.leaving)
+
+    def hear_leaving(self, ids: Iterable[str], node: str) -> None:
+        """Takes what another gateway knows of upstreams leaving.
+
+        The store turns some machines away and serves others; those it serves
+        hear a notice for all.
+        """
+        for upstream_id in ids:
+            upstream = self._by_id.get(upstream_id)
+            if upstream is not None:
+                self.leave(upstream, f'peer {node}')
+
     def remove(self, upstream_id: str, version: int) -> None:
         """Forgets an upstream whose entry is gone."""
         self.version = max(self.version, version)
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -5,8 +5,8 @@
 import asyncio
 import unittest
 
+from quetzalsill_platform import directory, follow, headers
 from quetzalsill_platform import engine as engine_calls
-from quetzalsill_platform import follow, headers
 from quetzalsill_platform import store as platform_store
 
 from quetzalsill.settings import section
@@ -120,6 +120,7 @@
             return source.Sources(
                 lambda holder: follow.follow_configuration(of_store, holder),
                 lambda found: follow.follow_membership(of_store, found),
+                lambda node, address: directory.join(of_store, node, address),
             )
 
         process = run.Process(
