Refuse requests without a version; reset what would look whole

Found by tests of the listener, seen to fail first: a request line without a version was served as HTTP/0.9, and an answer cut short to an HTTP/1.0 caller ended like a whole one. Tests of the gateway's parts and of the adapter land with it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -5,6 +5,8 @@
 import asyncio
 import collections
 import dataclasses
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -17,6 +19,9 @@
 PIPELINED = 16
 WRITE_HIGH_BYTES = 262_144
 TICK_S = 0.5
+# On, for no time: closing resets.
+LINGER_NONE = struct.pack('ii', 1, 0)
+VERSIONS = ('1.0', '1.1')
 
 logger = log.get(__name__)
 
@@ -50,13 +55,22 @@
       ended: Whether the answer is whole.
     """
 
-    __slots__ = ('_chunked', '_conn', '_keep', '_request', 'ended', 'started')
+    __slots__ = (
+        '_chunked',
+        '_conn',
+        '_keep',
+        '_request',
+        '_until_close',
+        'ended',
+        'started',
+    )
 
     def __init__(self, conn: Connection, request: message.Request) -> None:
         self._conn = conn
         self._request = request
         self._chunked = False
         self._keep = False
+        self._until_close = False
         self.started = False
         self.ended = False
 
@@ -74,6 +88,7 @@
             lines.append(b'transfer-encoding: chunked')
         else:
             self._keep = False
+            self._until_close = True
         if not self._keep:
             lines.append(b'connection: close')
         lines.append(b'\r\n')
@@ -99,9 +114,13 @@
             self._conn.close()
 
     def abort(self) -> None:
-        """Cuts the connection, so that the answer cannot look whole."""
+        """Cuts the connection, so that the answer cannot look whole.
+
+        A body that ends with its connection would look whole at an ordinary
+        end, so that one is reset.
+        """
         self.ended = True
-        self._conn.abort()
+        self._conn.abort(reset=self._until_close)
 
     def reply(
         self, status: int, headers: message.Headers, body: bytes = b''
@@ -197,7 +216,9 @@
         self._count(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
-        """Checks how the body is framed."""
+        """Checks the version, and how the body is framed."""
+        if self._parser.get_http_version() not in VERSIONS:
+            self._fail(400)
         framed = [
             value.strip().lower()
             for name, value in self._headers
@@ -249,8 +270,11 @@
         """Closes after what was written is sent."""
         self._transport.close()
 
-    def abort(self) -> None:
-        """Closes at once with a reset."""
+    def abort(self, *, reset: bool = False) -> None:
+        """Closes at once; with `reset`, what was written may be lost too."""
+        sock = self._transport.get_extra_info('socket')
+        if reset and sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
         self._transport.abort()
 
     def closing_soon(self) -> bool:
--- /dev/null
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -0,0 +1,104 @@
+"""Which upstream gets a request."""
+
+from __future__ import annotations
+
+import collections
+import unittest
+
+from quetzalsill_gateway import routing_table, upstream
+from quetzalsill_gateway.balance import book, choose
+from quetzalsill_gateway.peers import state
+
+ENGINE = routing_table.Engine(24, 30_000, 18432.0, 2700.0, moves=True)
+
+
+class ChooseTest(unittest.IsolatedAsyncioTestCase):
+    """Six upstreams in two availability zones."""
+
+    async def asyncSetUp(self):
+        self.found = [
+            upstream.Upstream(f'u-{n}', 's', ('10.0.0.1', n), zone, 6)
+            for n, zone in enumerate('aaabbb')
+        ]
+        self.pages = book.Book()
+
+    def hold(self, number, tokens, count=1):
+        page = self.pages.page(self.found[number])
+        for _ in range(count):
+            page.reservations.add(book.Reservation(0, tokens, False))
+
+    def engine(self, **more):
+        return choose.choose_engine(
+            self.found, self.pages, 'a', ENGINE, 4000, **more
+        )
+
+    async def test_a_full_engine_is_left_out(self):
+        for number in range(5):
+            self.hold(number, 7000, 4)
+        for _ in range(20):
+            self.assertIs(self.engine(), self.found[5])
+
+    async def test_what_other_gateways_hold_counts(self):
+        """Each gateway sees its own work only; an engine looks idle to one.
+
+        With word of the others' work the engine is known to be full.
+        """
+        for number in range(5):
+            self.pages.hear(
+                'entry-2',
+                {f'u-{n}': state.Held(28_000, 0, 7) for n in range(number + 1)},
+            )
+        for _ in range(20):
+            self.assertIs(self.engine(), self.found[5])
+
+    async def test_leaving_and_tried_ones_are_left_out(self):
+        self.found[0].leaving = True
+        tried = frozenset(('u-1', 'u-2', 'u-3', 'u-4'))
+        self.assertIs(self.engine(avoid=tried), self.found[5])
+        self.assertIsNone(self.engine(avoid=tried | {'u-5'}))
+
+    async def test_work_spreads(self):
+        counts = collections.Counter()
+        for _ in range(60):
+            chosen = self.engine()
+            counts[chosen.id] += 1
+            page = self.pages.page(chosen)
+            page.reservations.add(book.Reservation(3000, 4000, True))
+        self.assertLessEqual(max(counts.values()), 13)
+
+    async def test_a_failing_server_gets_less(self):
+        failing = self.pages.page(self.found[0])
+        for _ in range(5):
+            failing.note_failure()
+        chosen = {
+            choose.choose_plain(self.found, self.pages, 'a').id
+            for _ in range(50)
+        }
+        self.assertNotIn('u-0', chosen)
+
+    async def test_runs_of_one_engine_spread_over_destinations(self):
+        """All gateways choose from the same figures at the same moment.
+
+        Each taking the emptiest engine, every run would go through one link.
+        """
+        chosen = collections.Counter(
+            choose.destinations(
+                self.found, self.pages, self.found[0], ENGINE, b'%d' % n, 4000
+            )[0].id
+            for n in range(60)
+        )
+        self.assertEqual(set(chosen), {'u-1', 'u-2'}, 'within the zone')
+        self.assertGreater(min(chosen.values()), 15)
+
+    async def test_a_run_leaves_its_zone_only_if_there_is_no_room(self):
+        self.hold(1, 9000, 3)
+        self.hold(2, 9000, 3)
+        order = choose.destinations(
+            self.found, self.pages, self.found[0], ENGINE, b'r', 4000
+        )
+        self.assertEqual(order[0].availability_zone, 'b')
+        self.assertNotIn(self.found[0], order)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/http/test_listener.py
@@ -0,0 +1,239 @@
+"""Requests as callers may send them, down to the byte."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_gateway.http import listener
+
+BOUND_S = 10.0
+HEAD = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    """A listener whose handler notes requests and echoes their bodies."""
+
+    async def asyncSetUp(self):
+        self.seen = []
+        self.limits = listener.Limits(
+            header_bytes=2000, body_bytes=1000, header_s=0.3, idle_s=0.3
+        )
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.cancelled = 0
+        self.listener = listener.Listener(self.handle, lambda: self.limits)
+        await self.listener.start('127.0.0.1', 0)
+        watching = asyncio.create_task(self.listener.watch())
+        self.addCleanup(watching.cancel)
+        self.addCleanup(self.listener.stop)
+
+    async def handle(self, req, responder):
+        self.seen.append(req)
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if req.path == b'/fault':
+            raise LookupError('a fault of the program')
+        if req.path == b'/cut':
+            responder.start(200, [], None)
+            responder.write(b'half')
+            return
+        responder.reply(200, [], req.body)
+
+    async def send(self, *pieces):
+        """Returns all that comes back until the connection ends or rests."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.listener.port
+        )
+        self.addCleanup(writer.transport.abort)
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0)
+        back = b''
+        try:
+            async with asyncio.timeout(BOUND_S):
+                while data := await reader.read(65536):
+                    back += data
+        except ConnectionError:
+            back += b'<reset>'
+        return back
+
+    async def test_requests_that_hide_another_are_refused(self):
+        """A request is framed in two ways, or in one that nobody knows.
+
+        What follows it would be read as a further request by one program and
+        as its body by the next.
+        """
+        for head in (
+            b'Content-Length: 3\r\nTransfer-Encoding: chunked',
+            b'Transfer-Encoding: chunked\r\nContent-Length: 3',
+            b'Content-Length: 3\r\nContent-Length: 4',
+            b'Content-Length: 3\r\nContent-Length: 3',
+            b'Transfer-Encoding: gzip, chunked',
+            b'Transfer-Encoding: xchunked',
+            b'Content-Length: +3',
+            b'Content-Length: 3x',
+            b'Content-Length : 3',
+        ):
+            with self.subTest(head):
+                hidden = b'0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n'
+                back = await self.send(
+                    b'POST /a HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n%s'
+                    % (head, hidden)
+                )
+                self.assertTrue(back.startswith(b'HTTP/1.1 400 '), back)
+                self.assertIn(b'connection: close', back)
+                self.assertEqual(self.seen, [])
+
+    async def test_malformed_requests_are_refused(self):
+        for data in (
+            b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n',
+            b'GET /a\r\n\r\n',
+            b'GET /a HTTP/9.9\r\n\r\n',
+            b'GET  HTTP/1.1\r\nHost h\r\n\r\n',
+            b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+        ):
+            with self.subTest(data):
+                back = await self.send(data)
+                self.assertTrue(back.startswith(b'HTTP/1.1 400 '), back)
+
+    async def test_bounds_of_head_and_body(self):
+        long = b'GET /a HTTP/1.1\r\nX: %s\r\n\r\n' % (b'x' * 3000)
+        self.assertIn(b' 431 ', await self.send(long))
+        head = b'POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n'
+        self.assertIn(b' 413 ', await self.send(head))
+        head = b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        chunk = b'1f4\r\n%s\r\n' % (b'x' * 500)
+        self.assertIn(b' 413 ', await self.send(head, chunk, chunk, chunk))
+        self.assertEqual(self.seen, [])
+
+    async def test_a_slow_head_and_an_idle_connection_end(self):
+        self.assertIn(b' 408 ', await self.send(b'GET /a HTTP/1.1\r\nHo'))
+        back = await self.send(HEAD)
+        self.assertEqual(back.count(b'HTTP/1.1 200 '), 1)
+
+    async def test_a_chunked_body_arrives_whole(self):
+        head = b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+        close = b'Connection: close\r\n\r\n'
+        body = b'3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n'
+        back = await self.send(head + close, body)
+        self.assertTrue(back.endswith(b'abcdefg'))
+
+    async def test_continue_is_told_to_who_waits_for_it(self):
+        head = b'POST /a HTTP/1.1\r\nContent-Length: 2\r\n'
+        back = await self.send(
+            head + b'Expect: 100-continue\r\nConnection: close\r\n\r\n', b'ab'
+        )
+        self.assertTrue(back.startswith(b'HTTP/1.1 100 '))
+        self.assertTrue(back.endswith(b'ab'))
+
+    async def test_a_fault_of_the_program_is_answered(self):
+        back = await self.send(b'GET /fault HTTP/1.0\r\n\r\n')
+        self.assertIn(b' 502 ', back)
+
+    async def test_an_answer_cut_short_never_looks_whole(self):
+        """A body that ends with its connection looks whole at its end.
+
+        It is reset instead; a chunked one lacks its last chunk.
+        """
+        back = await self.send(b'GET /cut HTTP/1.1\r\nHost: h\r\n\r\n')
+        self.assertTrue(back.endswith(b'4\r\nhalf\r\n'), back)
+        back = await self.send(b'GET /cut HTTP/1.0\r\nHost: h\r\n\r\n')
+        self.assertTrue(back.endswith(b'<reset>'), back)
+
+    async def test_a_caller_that_leaves_ends_its_request(self):
+        self.gate.clear()
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.listener.port
+        )
+        writer.write(HEAD)
+        async with asyncio.timeout(BOUND_S):
+            while not self.seen:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+            writer.close()
+            while not self.cancelled:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        self.assertEqual(await reader.read(), b'')
+
+    async def test_a_stopping_listener_says_close(self):
+        self.listener.stopping = True
+        back = await self.send(HEAD)
+        self.assertIn(b'connection: close', back)
+
+    async def test_requests_come_in_any_pieces(self):
+        """A network cuts requests wherever it likes."""
+        data = (
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody'
+            b'GET /b?x=%20 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        )
+        for cut in range(1, len(data)):
+            self.seen.clear()
+            await self.send(data[:cut], data[cut:])
+            found = [(req.target, req.body) for req in self.seen]
+            self.assertEqual(found, [(b'/a', b'body'), (b'/b?x=%20', b'')])
+
+
+class FuzzTest(unittest.TestCase):
+    """Bytes of no sense never reach a handler half read."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(
+        st.lists(
+            st.sampled_from(
+                [
+                    b'GET /a HTTP/1.1\r\n',
+                    b'POST /b HTTP/1.1\r\n',
+                    b'Host: h\r\n',
+                    b'Content-Length: 3\r\n',
+                    b'Content-Length: 0\r\n',
+                    b'Transfer-Encoding: chunked\r\n',
+                    b'Connection: close\r\n',
+                    b'\r\n',
+                    b'abc',
+                    b'0\r\n\r\n',
+                    b'\x00\xff',
+                ]
+            ),
+            max_size=12,
+        )
+    )
+    def test_any_bytes(self, pieces):
+        seen = []
+
+        async def handle(req, responder):
+            seen.append(req)
+            responder.reply(200, [], b'')
+
+        async def play():
+            found = listener.Listener(handle, listener.Limits)
+            await found.start('127.0.0.1', 0)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', found.port
+            )
+            writer.write(b''.join(pieces))
+            writer.write_eof()
+            async with asyncio.timeout(BOUND_S):
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()
+            writer.transport.abort()
+            found.stop()
+
+        asyncio.run(play())
+        for req in seen:
+            names = [name for name, _ in req.headers]
+            framings = [n for n in names if n in FRAMINGS]
+            self.assertLessEqual(len(framings), 1)
+            self.assertIn(req.target, (b'/a', b'/b'))
+
+
+FRAMINGS = (b'content-length', b'transfer-encoding')
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package quetzalsill_gateway."""
--- /dev/null
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -0,0 +1,160 @@
+"""Gateways that tell each other what they hold."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_gateway import error, upstream
+from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.peers import exchange, state
+
+BOUND_S = 10.0
+COUNT = st.integers(0, 2**40)
+STATES = st.builds(
+    state.State,
+    st.text(max_size=10),
+    COUNT,
+    COUNT,
+    st.dictionaries(
+        st.text(max_size=8), st.builds(state.Held, COUNT, COUNT, COUNT)
+    ),
+    st.lists(st.text(max_size=8)).map(tuple),
+)
+
+
+class StateTest(unittest.TestCase):
+    """The form of a datagram."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(STATES)
+    def test_what_is_told_is_what_is_heard(self, told):
+        self.assertEqual(state.decode(state.encode(told)), told)
+
+    @settings(derandomize=True, deadline=None, max_examples=400)
+    @given(st.binary(max_size=40))
+    def test_any_other_bytes_are_a_typed_failure(self, data):
+        with self.assertRaises(error.PeerError):
+            state.decode(data)
+
+    @settings(derandomize=True, deadline=None)
+    @given(STATES, st.data())
+    def test_a_damaged_datagram_never_breaks_the_hearer(self, told, data):
+        raw = bytearray(state.encode(told))
+        raw[data.draw(st.integers(0, len(raw) - 1))] ^= data.draw(
+            st.integers(1, 255)
+        )
+        try:
+            found = state.decode(bytes(raw))
+        except error.PeerError:
+            return
+        self.assertIsInstance(found, state.State)
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Three gateways and a directory."""
+
+    async def asyncSetUp(self):
+        self.directory = {}
+        self.down = False
+        self.gateways = [await self.start(f'entry-{n}') for n in (1, 2, 3)]
+
+    async def start(self, node):
+        core = types.SimpleNamespace(
+            pages=book.Book(), upstreams=upstream.Upstreams()
+        )
+        found = exchange.Exchange(core, node, self.join)
+        await found.open(('127.0.0.1', 0))
+        tasks = [
+            asyncio.create_task(work()) for work in (found.find, found.tell)
+        ]
+        self.addCleanup(found.close)
+        for task in tasks:
+            self.addCleanup(task.cancel)
+        found.core, found.tasks = core, tasks
+        return found
+
+    async def join(self, node, address):
+        if self.down:
+            raise error.SourceError('down')
+        others = [a for n, a in self.directory.items() if n != node]
+        self.directory[node] = address
+        return others
+
+    async def until(self, condition):
+        async with asyncio.timeout(BOUND_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def hold(self, gateway, tokens):
+        page = gateway.core.pages._page('u-1')
+        page.reservations = {book.Reservation(10, tokens)}
+
+    def heard(self, gateway):
+        return gateway.core.pages._page('u-1').reserved_tokens
+
+    async def test_all_hear_what_each_holds_and_gives_back(self):
+        await self.until(lambda: all(g.peers == 2 for g in self.gateways))
+        self.hold(self.gateways[0], 100)
+        self.hold(self.gateways[1], 20)
+        await self.until(
+            lambda: [self.heard(g) for g in self.gateways] == [120] * 3
+        )
+        self.gateways[0].core.pages._page('u-1').reservations = set()
+        await self.until(
+            lambda: [self.heard(g) for g in self.gateways] == [20] * 3
+        )
+
+    async def test_a_silent_gateway_is_forgotten(self):
+        """A gateway is killed; what it held is free again at the engines.
+
+        Counted on, it would keep work away from engines that are idle.
+        """
+        self.hold(self.gateways[0], 100)
+        await self.until(lambda: self.heard(self.gateways[2]) == 100)
+        for task in self.gateways[0].tasks:
+            task.cancel()
+        await self.until(lambda: self.heard(self.gateways[2]) == 0)
+
+    async def test_a_restarted_gateway_is_heard_at_once(self):
+        """A gateway restarts at its address; its datagrams count from 1 anew.
+
+        Taken for old ones, they would be left out for as long as its first
+        process lived.
+        """
+        first = self.gateways[0]
+        await self.until(lambda: first.peers == 2)
+        for _ in range(50):
+            first._send(('127.0.0.1', self.gateways[1].port))
+        await asyncio.sleep(0.05)
+        first._incarnation += 1
+        first._number = 0
+        self.hold(first, 77)
+        await self.until(lambda: self.heard(self.gateways[1]) == 77)
+
+    async def test_an_overtaken_datagram_is_left_out(self):
+        hearer = self.gateways[1]
+        held = {'u-1': state.Held(5, 0, 1)}
+        for number, tokens in ((7, 50), (6, 40)):
+            told = state.State(
+                'entry-9', 1, number, {'u-1': state.Held(tokens, 0, 1)}
+            )
+            hearer.datagram_received(state.encode(told), ('127.0.0.1', 9))
+        self.assertEqual(self.heard(hearer), 50)
+        self.assertIn('u-1', held)
+
+    async def test_a_directory_that_is_away_is_asked_again(self):
+        self.down = True
+        late = await self.start('entry-4')
+        await asyncio.sleep(0.1)
+        self.assertEqual(late.peers, 0)
+        self.down = False
+        await self.until(lambda: late.peers == 3)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/stream/test_events.py
@@ -0,0 +1,50 @@
+"""Events out of bytes, however they are cut."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_gateway.stream import events
+
+EVENT = st.builds(
+    lambda number, text, end: (
+        number,
+        b'id: %d%sdata: %s' % (number, end[:-1][: len(end) // 2], text) + end,
+    ),
+    st.integers(0, 9999),
+    st.binary(max_size=20).map(
+        lambda b: b.replace(b'\n', b'').replace(b'\r', b'')
+    ),
+    st.sampled_from([b'\n\n', b'\r\n\r\n']),
+)
+
+
+class SplitterTest(unittest.TestCase):
+    """Half an event must never go out."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(EVENT, max_size=8), st.binary(max_size=9), st.data())
+    def test_whole_events_only_whatever_the_pieces(self, made, tail, data):
+        tail = tail.translate(None, b'\r\n')
+        whole = b''.join(raw for _, raw in made)
+        stream = whole + tail
+        splitter = events.Splitter()
+        found = []
+        while stream:
+            size = data.draw(st.integers(1, len(stream)))
+            found += splitter.feed(stream[:size])
+            stream = stream[size:]
+        self.assertEqual(b''.join(event.raw for event in found), whole)
+        self.assertEqual([event.id for event in found], [n for n, _ in made])
+        self.assertEqual(splitter.rest, tail)
+
+    def test_events_without_a_number(self):
+        found = list(events.Splitter().feed(b': hello\n\nid: x\n\nid:\n\n'))
+        self.assertEqual([event.id for event in found], [None, None, None])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/test_retry_budget.py
@@ -0,0 +1,66 @@
+"""The sum of all gateways' retries stays within what they share."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_gateway import retry_budget
+
+RATIO, ALLOWANCE, WINDOW_S = 0.2, 50, 10.0
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 4), st.sampled_from('qqqrrr'), st.floats(0.0, 2.0)
+    ),
+    max_size=300,
+)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Five gateways, any order of requests and retries."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(STEPS)
+    def test_the_sum_over_gateways_holds_in_every_window(self, steps):
+        """Servers fail a burst of work at all gateways at once.
+
+        If each gateway spent the whole allowance, the servers would get five
+        times the retries that they are promised at most.
+        """
+        clock = [0.0]
+        requests, retries = [], []
+        with mock.patch.object(
+            retry_budget.RetryBudget, '_now', lambda _self: clock[0]
+        ):
+            budgets = [
+                retry_budget.RetryBudget(RATIO, ALLOWANCE, WINDOW_S, 5)
+                for _ in range(5)
+            ]
+            for node, step, pause_s in steps:
+                clock[0] += pause_s
+                if step == 'q':
+                    budgets[node].note_request('s')
+                    requests.append(clock[0])
+                elif budgets[node].spend('s'):
+                    retries.append(clock[0])
+        for end in retries:
+            sent = sum(end - WINDOW_S < at <= end for at in retries)
+            # Requests count that came in this window or the one before.
+            seen = sum(end - 2 * WINDOW_S < at <= end for at in requests)
+            self.assertLessEqual(sent, RATIO * seen + ALLOWANCE)
+
+    def test_services_do_not_share(self):
+        with mock.patch.object(
+            retry_budget.RetryBudget, '_now', lambda _self: 0.0
+        ):
+            budget = retry_budget.RetryBudget(0.0, 2, WINDOW_S, 1)
+            self.assertTrue(budget.spend('a'))
+            self.assertFalse(budget.spend('a'))
+            self.assertTrue(budget.spend('b'))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/test_upstream.py
@@ -0,0 +1,69 @@
+"""What membership means for new work."""
+
+from __future__ import annotations
+
+import unittest
+
+from quetzalsill_gateway import upstream
+
+
+def entry(name='u-1', port=80, **more):
+    return upstream.Upstream(name, 's', ('10.0.0.1', port), 'z', **more)
+
+
+class UpstreamsTest(unittest.IsolatedAsyncioTestCase):
+    """Entries come, change and go."""
+
+    async def asyncSetUp(self):
+        self.upstreams = upstream.Upstreams()
+        self.left = []
+        self.upstreams.on_leaving(lambda found: self.left.append(found.id))
+
+    def ids(self):
+        return [found.id for found in self.upstreams.of('s')]
+
+    async def test_leaving_is_told_once_and_never_taken_back(self):
+        self.upstreams.put(entry(), 1)
+        self.upstreams.put(entry(leaving=True), 2)
+        self.upstreams.put(entry(leaving=True), 3)
+        self.upstreams.put(entry(), 4)
+        self.assertEqual((self.ids(), self.left), ([], ['u-1']))
+        self.upstreams.remove('u-1', 5)
+        self.assertEqual(self.left, ['u-1'])
+
+    async def test_a_whole_list_drops_what_is_not_in_it(self):
+        self.upstreams.replace([entry('u-1'), entry('u-2', 81)], 1)
+        self.upstreams.replace([entry('u-2', 81)], 2)
+        self.assertEqual((self.ids(), self.left), (['u-2'], ['u-1']))
+
+    async def test_another_address_is_another_upstream(self):
+        self.upstreams.put(entry(), 1)
+        old = self.upstreams.get('u-1')
+        self.upstreams.put(entry(port=81), 2)
+        self.assertTrue(old.gone)
+        self.assertEqual(self.upstreams.of('s')[0].address[1], 81)
+
+    async def test_a_notice_of_a_peer_counts(self):
+        """The store turns this machine away, and serves another.
+
+        An upstream's notice reaches only the other machine, which tells it.
+        """
+        self.upstreams.put(entry(), 1)
+        self.upstreams.hear_leaving(['u-1', 'u-unknown'], 'entry-2')
+        self.assertEqual((self.ids(), self.left), ([], ['u-1']))
+
+    async def test_entries_that_lapsed_in_an_outage_wait(self):
+        self.upstreams.put(entry(), 1)
+        self.upstreams.note_source(True)
+        self.upstreams.note_source(False)
+        self.upstreams.remove('u-1', 2)
+        self.assertEqual(self.ids(), ['u-1'])
+        self.upstreams._drop_lapsed()
+        self.assertEqual(self.ids(), ['u-1'], 'too early')
+        self.upstreams._lapses_until_s = 0.001
+        self.upstreams._drop_lapsed()
+        self.assertEqual(self.ids(), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_platform/test_names.py
@@ -0,0 +1,41 @@
+"""The platform's names stay in its folder."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import unittest
+
+ROOT = pathlib.Path(__file__).parents[2]
+FOLDER = ROOT / 'platform'
+MOST_LINES = 1500
+# Names of calls, headers, tables and fields that only the platform uses.
+NAMES = re.compile(
+    r'x-quetzalsill|kv-(from|move|fetch|handle|backup)|rows-(get|feed|tx)'
+    r'|server-stamp|not-executed|expect-instance|attempt-id|length-hint'
+    r'|expectedRevision|routeType|streamResume|maxAttempts|kvCapacity'
+    r'|leaves_ms|draining',
+    re.IGNORECASE,
+)
+
+
+class NamesTest(unittest.TestCase):
+    """A name of the platform in the product ties it to one deployment."""
+
+    def test_the_gateway_knows_none(self):
+        package = ROOT / 'packages' / 'quetzalsill-gateway' / 'src'
+        for path in sorted(package.rglob('*.py')):
+            found = NAMES.findall(path.read_text())
+            with self.subTest(path.name):
+                self.assertEqual(found, [])
+
+    def test_the_folder_is_no_package_and_small(self):
+        self.assertFalse((FOLDER / '__init__.py').exists())
+        lines = sum(
+            len(path.read_text().splitlines()) for path in FOLDER.rglob('*.py')
+        )
+        self.assertLess(lines, MOST_LINES)
+
+
+if __name__ == '__main__':
+    unittest.main()
