Explain a request from the logs; let either watch speak for the store

Events of the gateway are typed and stand in one module; lines go to standard output, bounded by event, and never wait for their reader. 'quetzalsill explain' tells one request's story and cause, or the causes of all that failed. Metrics are served at the address of the settings.

--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
@@ -0,0 +1,42 @@
+"""Writes down why an upstream was chosen."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway import event
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import upstream as upstream_lib
+
+__all__ = ['chosen']
+
+MS_PER_S = 1000
+
+
+def chosen(
+    core: gateway.Core,
+    request: str,
+    upstream: upstream_lib.Upstream,
+    needs_tokens: int = 0,
+) -> None:
+    """Logs a choice with what decided it, and how old that was."""
+    page = core.pages.page(upstream)
+    now = asyncio.get_running_loop().time()
+    event.note(
+        event.UpstreamChosen(
+            request=request,
+            upstream=upstream.id,
+            able=len(core.upstreams.of(upstream.service)),
+            outstanding=page.outstanding,
+            mean_ms=round(page.mean_s * MS_PER_S, 1),
+            runs=page.runs,
+            reserved_tokens=page.reserved_tokens,
+            needs_tokens=needs_tokens,
+            failures=round(page.recent_failures(now), 2),
+            configuration_age_ms=int(core.holder.age_s * MS_PER_S),
+            membership_age_ms=int(core.upstreams.age_s * MS_PER_S),
+        )
+    )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -7,9 +7,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill.telemetry import log, metric
+from quetzalsill_gateway import event, meter, plain, source
 from quetzalsill_gateway import exchange as exchange_lib
-from quetzalsill_gateway import plain, source
 from quetzalsill_gateway import routing_table as routing_lib
 from quetzalsill_gateway.http import message, pool
 from quetzalsill_gateway.stream import evacuation, live, relay
@@ -32,12 +31,6 @@
 # when its own time is over.
 ANSWER_S = 0.02
 
-logger = log.get(__name__)
-requests = metric.counter(
-    'quetzalsill_gateway_requests_total',
-    'Requests of callers, by kind of route and outcome.',
-)
-
 
 @dataclasses.dataclass(slots=True)
 class Core:
@@ -48,6 +41,7 @@
       dialect: Names of headers.
       calls: Orders to engines.
       holder: Configuration in force.
+      health: Whether the sources answer.
       upstreams: Membership.
       pages: What was learned of each upstream.
       conns: Kept connections.
@@ -59,6 +53,7 @@
     dialect: dialect_lib.Dialect
     calls: dialect_lib.EngineCalls
     holder: source.Holder
+    health: source.Health
     upstreams: upstream.Upstreams
     pages: book.Book
     conns: pool.Pool
@@ -101,22 +96,24 @@
         self, req: message.Request, responder: listener.Responder
     ) -> exchange_lib.Exchange | None:
         """Returns the request with what was decided, or None if refused."""
+        request_id = message.first(req.headers, self._core.dialect.request_id)
+        name = request_id or b''
         table = self._core.holder.current
         if table is None:
-            _refuse(req, responder, UNAVAILABLE, 'no_configuration', 0)
+            _refuse(req, name, responder, UNAVAILABLE, 'no_configuration', 0)
             return None
         host = message.first(req.headers, b'host') or b''
         route = table.match(host, req.path)
         if route is None:
-            _refuse(req, responder, NOT_FOUND, 'no_route', table.version)
+            _refuse(req, name, responder, NOT_FOUND, 'no_route', table.version)
             return None
         account = _account(table, route, req)
         if table.accounts is not None and not route.public and account is None:
-            _refuse(req, responder, UNAUTHORIZED, 'unknown_key', table.version)
+            version = table.version
+            _refuse(req, name, responder, UNAUTHORIZED, 'unknown_key', version)
             return None
-        request_id = message.first(req.headers, self._core.dialect.request_id)
         if not request_id:
-            _refuse(req, responder, BAD_REQUEST, 'no_id', table.version)
+            _refuse(req, name, responder, BAD_REQUEST, 'no_id', table.version)
             return None
         service = _service(table, route, self._core.upstreams)
         ranked = account is not None and account.priority is not None
@@ -145,42 +142,46 @@
         now = asyncio.get_running_loop().time()
         took_ms = round((now - exchange.request.received_s) * 1000, 1)
         kind = exchange.route.kind.value
-        requests.inc({'kind': kind, 'outcome': outcome})
-        logger.info(
-            'request_ended',
-            request=exchange.id_text,
-            route=exchange.route.name,
-            kind=kind,
-            service=exchange.service.name,
-            outcome=outcome,
-            sends=exchange.sends,
-            took_ms=took_ms,
-            **_stream_times(exchange),
-            configuration=exchange.version,
-            membership=self._core.upstreams.version,
+        meter.note_request(exchange, outcome, took_ms / 1000)
+        event.note(
+            event.RequestEnded(
+                request=exchange.id_text,
+                route=exchange.route.name,
+                kind=kind,
+                service=exchange.service.name,
+                outcome=outcome,
+                sends=exchange.sends,
+                took_ms=took_ms,
+                first_ms=_ms(exchange.first_s),
+                widest_gap_ms=_ms(exchange.widest_gap_s or None),
+                configuration=exchange.version,
+                membership=self._core.upstreams.version,
+            )
         )
 
 
-def _stream_times(exchange: exchange_lib.Exchange) -> dict[str, float]:
-    if exchange.first_s is None:
-        return {}
-    return {
-        'first_ms': round(exchange.first_s * 1000, 1),
-        'widest_gap_ms': round(exchange.widest_gap_s * 1000, 1),
-    }
+def _ms(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds * 1000, 1)
 
 
 def _refuse(
     req: message.Request,
+    request_id: bytes,
     responder: listener.Responder,
     status: int,
     why: str,
     version: int,
 ) -> None:
-    logger.info(
-        'request_refused', target=req.target, reason=why, configuration=version
+    event.note(
+        event.RequestRefused(
+            request=request_id.decode('latin-1'),
+            target=req.target.decode('latin-1'),
+            reason=why,
+            status=status,
+            configuration=version,
+        )
     )
-    requests.inc({'kind': 'none', 'outcome': why})
+    meter.refused.inc({'reason': why})
     exchange_lib.refuse(responder, status, why, again=status == UNAVAILABLE)
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -12,6 +12,7 @@
 import httptools
 
 from quetzalsill.telemetry import log
+from quetzalsill_gateway import event
 from quetzalsill_gateway.http import message, socket_option
 
 __all__ = ['Connection', 'Handler', 'Limits', 'Listener', 'Responder']
@@ -353,7 +354,7 @@
             responder.reply(502, [])
 
     def _answer_refusal(self, status: int) -> None:
-        logger.info('request_malformed', status=status)
+        event.note(event.RequestMalformed(status))
         line = b'HTTP/1.1 %d %s\r\n' % (status, message.reason(status))
         self.write(line + b'content-length: 0\r\nconnection: close\r\n\r\n')
         self.close()
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -0,0 +1,104 @@
+"""Counters, histograms and gauges of a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalsill.telemetry import metric
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import exchange as exchange_lib
+    from quetzalsill_gateway import run
+
+__all__ = [
+    'attempts',
+    'moves',
+    'note_request',
+    'observe',
+    'refused',
+    'store_calls',
+]
+
+# Finer than the defaults around the times that callers notice.
+SECONDS = (
+    *(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15, 40),
+    float('inf'),
+)
+
+requests = metric.counter(
+    'quetzalsill_gateway_requests_total',
+    'Requests of callers, by kind of route and outcome.',
+)
+refused = metric.counter(
+    'quetzalsill_gateway_refused_total',
+    'Requests refused before an upstream was chosen, by reason.',
+)
+attempts = metric.counter(
+    'quetzalsill_gateway_attempts_total',
+    'Sends to upstreams, by what came of them.',
+)
+moves = metric.histogram(
+    'quetzalsill_gateway_move_seconds',
+    'Time of an order to copy a run, by whether it was the last.',
+    SECONDS,
+)
+store_calls = metric.histogram(
+    'quetzalsill_gateway_store_call_seconds',
+    'Time of a call to the store, by call; a watch lasts until a change.',
+    SECONDS,
+)
+answers = metric.histogram(
+    'quetzalsill_gateway_answer_seconds',
+    'Time from a request to its whole answer, by kind of route.',
+    SECONDS,
+)
+first_events = metric.histogram(
+    'quetzalsill_gateway_first_event_seconds',
+    'Time from a request to the first event of its stream, by kind of route.',
+    SECONDS,
+)
+gaps = metric.histogram(
+    'quetzalsill_gateway_widest_gap_seconds',
+    'Longest pause between two events of a stream, by kind of route.',
+    SECONDS,
+)
+upstreams = metric.gauge(
+    'quetzalsill_gateway_upstreams',
+    'Upstreams known, by whether they take new work.',
+)
+ages = metric.gauge(
+    'quetzalsill_gateway_age_seconds',
+    'Time since configuration and membership were last confirmed.',
+)
+beliefs = metric.gauge(
+    'quetzalsill_gateway_state',
+    'Version in force, connections of callers, streams, gateways heard.',
+)
+
+
+def note_request(
+    exchange: exchange_lib.Exchange, outcome: str, took_s: float
+) -> None:
+    """Counts a request that has ended."""
+    kind = {'kind': exchange.route.kind.value}
+    requests.inc(kind | {'outcome': outcome})
+    answers.observe(kind, took_s)
+    if exchange.first_s is not None:
+        first_events.observe(kind, exchange.first_s)
+        gaps.observe(kind, exchange.widest_gap_s)
+
+
+def observe(process: run.Process) -> None:
+    """Sets the gauges to what the process believes now."""
+    core = process.core
+    known = core.upstreams.all()
+    leaving = sum(found.leaving for found in known)
+    upstreams.set({'state': 'leaving'}, leaving)
+    upstreams.set({'state': 'live'}, len(known) - leaving)
+    ages.set({'of': 'configuration'}, core.holder.age_s)
+    ages.set({'of': 'membership'}, core.upstreams.age_s)
+    table = core.holder.current
+    beliefs.set({'of': 'configuration'}, table.version if table else 0)
+    beliefs.set({'of': 'connections'}, len(process.callers.connections))
+    beliefs.set({'of': 'streams'}, sum(len(core.live.of(u)) for u in known))
+    beliefs.set({'of': 'peers'}, process.peers.peers)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import log
-from quetzalsill_gateway import error
+from quetzalsill_gateway import error, event
 from quetzalsill_gateway.peers import state as state_lib
 
 if TYPE_CHECKING:
@@ -115,10 +115,10 @@
             try:
                 found = await self._join(self._node, f'{host}:{port}')
             except error.SourceError as exc:
-                logger.info('directory_unreachable', reason=str(exc))
+                event.note(event.DirectoryUnreachable(str(exc)))
                 await asyncio.sleep(JOIN_S)
                 continue
-            logger.info('peers_found', listed=len(found))
+            event.note(event.PeersListed(len(found)))
             return found
 
     async def tell(self) -> None:
@@ -139,7 +139,7 @@
         try:
             state = state_lib.decode(data)
         except error.PeerError as exc:
-            logger.info('datagram_malformed', source=addr[0], reason=str(exc))
+            event.note(event.DatagramMalformed(addr[0], str(exc)))
             return
         if state.node == self._node:
             return
@@ -147,7 +147,7 @@
         peer = self._peers.get(state.node)
         if peer is None or peer.address != addr:
             peer = self._peers[state.node] = _Peer(addr, now)
-            logger.info('peer_found', peer=state.node, peers=len(self._peers))
+            event.note(event.PeerFound(state.node, len(self._peers)))
             self._send(addr)
         same = state.incarnation == peer.incarnation
         if same and state.number <= peer.number:
@@ -191,4 +191,4 @@
         for node in silent:
             del self._peers[node]
             self._core.pages.hear(node, {})
-            logger.info('peer_lost', peer=node, peers=len(self._peers))
+            event.note(event.PeerLost(node, len(self._peers)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -6,9 +6,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from quetzalsill.telemetry import log
-from quetzalsill_gateway import attempt, exchange
-from quetzalsill_gateway.balance import choose
+from quetzalsill_gateway import attempt, event, exchange, meter
+from quetzalsill_gateway.balance import choose, note
 from quetzalsill_gateway.http import error, message
 
 if TYPE_CHECKING:
@@ -30,8 +29,6 @@
 ANSWERS = (attempt.Verdict.SUCCESS, attempt.Verdict.FAILED)
 NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 
-logger = log.get(__name__)
-
 
 @dataclasses.dataclass(slots=True)
 class _Answer:
@@ -96,6 +93,7 @@
         if upstream is None:
             return _answer(req, story)
         story.tried |= {upstream.id}
+        note.chosen(core, req.id_text, upstream)
         try:
             story.note(await _call(core, req, upstream))
         except _PassedOnError:
@@ -103,12 +101,14 @@
         except error.CallError as exc:
             story.note(exc)
         again = _may_send_again(core, req, story)
-        logger.info(
-            'attempt_ended',
-            request=req.id_text,
-            upstream=upstream.id,
-            result=_describe(story.newest),
-            again=again,
+        meter.attempts.inc({'result': _describe(story.newest)})
+        event.note(
+            event.AttemptEnded(
+                request=req.id_text,
+                upstream=upstream.id,
+                result=_describe(story.newest),
+                again=again,
+            )
         )
         if not again:
             return _answer(req, story)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
@@ -18,12 +18,15 @@
 UNAVAILABLE = 503
 
 
-def handler(path: str, is_ready: Callable[[], bool]) -> listener.Handler:
+def handler(
+    path: str, is_ready: Callable[[], bool], observe: Callable[[], None]
+) -> listener.Handler:
     """Returns what serves readiness and metrics.
 
     Args:
       path: Path of the question.
       is_ready: Whether callers are taken.
+      observe: Sets the gauges before they are read.
     """
     asked = path.encode()
 
@@ -33,6 +36,7 @@
         if req.path == asked:
             responder.reply(OK if is_ready() else UNAVAILABLE, [])
         elif req.path == METRICS_PATH:
+            observe()
             kind = (b'content-type', metric.CONTENT_TYPE.encode())
             responder.reply(OK, [kind], metric.render())
         else:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.schema import error as schema_error
-from quetzalsill.telemetry import log
+from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import settings as settings_lib
@@ -22,14 +22,13 @@
     'node',
     'listen',
     'ready',
+    'metrics',
     'store',
     'deployment',
     'peers',
     'telemetry',
 )
 
-logger = log.get(__name__)
-
 
 def on_hangup(
     settings: settings_lib.Settings,
@@ -51,15 +50,11 @@
         try:
             found = read()
         except schema_error.InvalidDocumentError as exc:
-            logger.error('settings_invalid', faults='; '.join(exc.lines()))
+            event.note(event.SettingsInvalid('; '.join(exc.lines())))
             return
         changed, waiting = _take(settings, found)
         apply(settings)
-        logger.info(
-            'settings_reloaded',
-            changed=','.join(changed),
-            at_next_start=','.join(waiting),
-        )
+        event.note(event.SettingsReloaded(','.join(changed), ','.join(waiting)))
 
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -9,9 +9,10 @@
 from quetzalsill.daemon import background
 from quetzalsill.net import stop as net_stop
 from quetzalsill.plugin import registry
-from quetzalsill.telemetry import log
 from quetzalsill_gateway import (
+    event,
     gateway,
+    meter,
     readiness,
     reload,
     retry_budget,
@@ -33,8 +34,6 @@
 # Left of the grace period for closing connections and ending the process.
 END_S = 0.3
 
-logger = log.get(__name__)
-
 
 class Process:
     """A gateway with its listeners and loops."""
@@ -52,19 +51,22 @@
             dialect=deployment.dialect,
             calls=deployment.calls(conns),
             holder=source.Holder(),
+            health=source.Health(),
             upstreams=upstream.Upstreams(),
             pages=pages,
             conns=conns,
             budget=_budget(settings.retry),
             live=live.Live(pages),
         )
+        self.core.health.on_regained(self.core.upstreams.expect_lapsed)
         self._sources = deployment.sources(settings, conns)
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
-        self.asked = listener.Listener(
-            readiness.handler(settings.ready_path, self.is_ready),
-            listener.Limits,
+        asked = readiness.handler(
+            settings.ready_path, self.is_ready, lambda: meter.observe(self)
         )
+        self.asked = listener.Listener(asked, listener.Limits)
+        self.metrics = listener.Listener(asked, listener.Limits)
         self.peers = peer_exchange.Exchange(
             self.core, settings.node.name, self._sources.join
         )
@@ -87,10 +89,10 @@
         """Opens the listeners and starts to follow the sources."""
         loops = {
             'configuration': lambda: self._sources.follow_configuration(
-                self.core.holder
+                self.core.holder, self.core.health
             ),
             'membership': lambda: self._sources.follow_membership(
-                self.core.upstreams
+                self.core.upstreams, self.core.health
             ),
             'callers': self.callers.watch,
             'readiness': self.asked.watch,
@@ -107,6 +109,8 @@
         cfg = self._settings
         await self.callers.start(*settings_lib.address(cfg.listen))
         await self.asked.start(*settings_lib.address(cfg.ready))
+        if cfg.metrics:
+            await self.metrics.start(*settings_lib.address(cfg.metrics))
 
     async def stop(self) -> None:
         """Takes no more callers and lets requests in flight end.
@@ -124,17 +128,15 @@
         while self.callers.connections and loop.time() < end_s:
             self.callers.close_idle()
             await asyncio.sleep(TICK_S)
-        logger.info(
-            'stopped',
-            cut=len(self.callers.connections),
-            took_s=round(loop.time() - begun_s, 2),
-        )
+        took_s = round(loop.time() - begun_s, 2)
+        event.note(event.Stopped(len(self.callers.connections), took_s))
         await self.close()
 
     async def close(self) -> None:
         """Ends listeners and loops at once."""
         self.callers.stop()
         self.asked.stop()
+        self.metrics.stop()
         self.peers.close()
         for conn in [*self.callers.connections, *self.asked.connections]:
             conn.abort()
@@ -168,7 +170,7 @@
         process = Process(settings, plugin)
         reload.on_hangup(settings, read, process.apply)
         await process.start()
-        logger.info('listening', port=process.callers.port)
+        event.note(event.Listening(process.callers.port))
         await stop_signal.wait()
-        logger.info('stopping', open=len(process.callers.connections))
+        event.note(event.Stopping(len(process.callers.connections)))
         await process.stop()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -68,7 +68,7 @@
         example='127.0.0.1:7600',
     )
     ready: str = key(
-        'IP number and port at which readiness and metrics are asked for.',
+        'IP number and port for the question of readiness, and for metrics.',
         pattern=ADDRESS,
         example='127.0.0.1:7601',
     )
@@ -81,6 +81,11 @@
         'Plug-in that speaks with this deployment.', 'platform'
     )
     ready_path: str = key('Path of the readiness question.', '/ready')
+    metrics: str = key(
+        'IP number and port of metrics besides; empty for none.',
+        '',
+        pattern=f'({ADDRESS})?',
+    )
     peers: str = key(
         'IP number and UDP port for the other gateways; empty for none.',
         '',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-from quetzalsill.telemetry import log
+from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table, upstream
 
-__all__ = ['Holder', 'Sources']
+__all__ = ['Health', 'Holder', 'Sources']
 
-logger = log.get(__name__)
+
+# Loop time before anything was heard.
+NEVER_S = 0.0
 
 
 class Holder:
@@ -25,6 +28,16 @@
 
     def __init__(self) -> None:
         self.current: routing_table.RoutingTable | None = None
+        self._confirmed_s = NEVER_S
+
+    @property
+    def age_s(self) -> float:
+        """Time since the source last said that this is the newest."""
+        return asyncio.get_running_loop().time() - self._confirmed_s
+
+    def confirm(self) -> None:
+        """Notes that the source answered."""
+        self._confirmed_s = asyncio.get_running_loop().time()
 
     def install(self, table: routing_table.RoutingTable) -> bool:
         """Takes a newer table; an older one is left out.
@@ -37,16 +50,62 @@
         if before is not None and table.version <= before.version:
             return False
         self.current = table
-        logger.info(
-            'configuration_installed',
-            version=table.version,
-            before=before.version if before else 0,
-            hosts=len(table.routes),
-            services=len(table.services),
+        event.note(
+            event.ConfigurationInstalled(
+                version=table.version,
+                before=before.version if before else 0,
+                hosts=len(table.routes),
+                services=len(table.services),
+            )
         )
         return True
 
 
+class Health:
+    """Whether the sources answer.
+
+    Each is watched by itself and notices an outage only at the end of a watch;
+    whichever does so first speaks for all, since they are usually one store.
+    """
+
+    def __init__(self) -> None:
+        self._lost: set[str] = set()
+        self._down = asyncio.Event()
+        self._on_regained: list[Callable[[], None]] = []
+
+    @property
+    def is_down(self) -> bool:
+        """Whether any source does not answer."""
+        return self._down.is_set()
+
+    async def until_down(self) -> None:
+        """Returns while any source does not answer."""
+        await self._down.wait()
+
+    def on_regained(self, callback: Callable[[], None]) -> None:
+        """Calls back whenever a source answers again."""
+        self._on_regained.append(callback)
+
+    def lose(self, name: str, reason: str) -> None:
+        """Notes that a source did not answer."""
+        if name not in self._lost:
+            self._lost.add(name)
+            event.note(event.StoreLost(name, reason))
+        self._down.set()
+
+    def regain(self, name: str) -> None:
+        """Notes that a source answered."""
+        if name not in self._lost:
+            return
+        self._lost.discard(name)
+        event.note(event.StoreRegained(name))
+        if not self._lost:
+            self._down.clear()
+        # Before what it tells is taken in, although another may still be away.
+        for callback in self._on_regained:
+            callback()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Sources:
     """Loops that keep a gateway up to date; each runs until cancelled.
@@ -58,6 +117,6 @@
         gateways, and returns the addresses of all that are in it.
     """
 
-    follow_configuration: Callable[[Holder], Awaitable[None]]
-    follow_membership: Callable[[upstream.Upstreams], Awaitable[None]]
+    follow_configuration: Callable[[Holder, Health], Awaitable[None]]
+    follow_membership: Callable[[upstream.Upstreams, Health], Awaitable[None]]
     join: Callable[[str, str], Awaitable[list[str]]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -18,7 +18,7 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING
 
-from quetzalsill.telemetry import log
+from quetzalsill_gateway import event, meter
 from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import live, schedule
@@ -49,8 +49,6 @@
 RETRY_S = 0.08
 DESTINATIONS = 3
 
-logger = log.get(__name__)
-
 
 @dataclasses.dataclass(slots=True)
 class _Departure:
@@ -143,12 +141,14 @@
             self._running.discard(source.id)
 
     def _note_start(self, departure: _Departure) -> None:
-        logger.info(
-            'evacuation_started',
-            upstream=departure.source.id,
-            runs=len(departure.ends_s),
-            own=len(self._core.live.of(departure.source)),
-            last_after_s=round(departure.last_at_s - departure.begun_s, 3),
+        last_after_s = departure.last_at_s - departure.begun_s
+        event.note(
+            event.EvacuationStarted(
+                upstream=departure.source.id,
+                runs=len(departure.ends_s),
+                own=len(self._core.live.of(departure.source)),
+                last_after_ms=round(last_after_s * 1000, 1),
+            )
         )
 
     def _waiting(self, source: upstream_lib.Upstream) -> list[live.Stream]:
@@ -171,7 +171,7 @@
             async with asyncio.timeout(REPORT_S):
                 report = await self._core.calls.report(source)
         except (error.CallError, TimeoutError) as exc:
-            logger.info('report_failed', upstream=source.id, reason=repr(exc))
+            event.note(event.ReportFailed(source.id, repr(exc)))
             return None
         self._core.pages.page(source).note_leaving(report.leaves_s)
         return report
@@ -277,17 +277,21 @@
             move = await self._core.calls.move(source, request, target, last)
         except error.CallError as exc:
             failure = exc.code
-        logger.info(
-            'run_moved' if last else 'run_copied',
-            request=request,
-            source=source.id,
-            target=target.id,
-            copied=move.copied if move else False,
-            unknown_run=move.unknown_run if move else False,
-            events=move.events if move else 0,
-            last_event=stream.last_id,
-            answer=failure or (move.code if move else ''),
-            took_ms=round((_now() - begun_s) * 1000, 1),
+        took_s = _now() - begun_s
+        meter.moves.observe({'last': str(last).lower()}, took_s)
+        event.note(
+            event.RunOrdered(
+                request=request,
+                source=source.id,
+                target=target.id,
+                last=last,
+                copied=move.copied if move else False,
+                unknown_run=move.unknown_run if move else False,
+                events=move.events if move else 0,
+                last_event=stream.last_id,
+                answer=failure or (move.code if move else ''),
+                took_ms=round(took_s * 1000, 1),
+            )
         )
         return move
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -11,7 +11,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quetzalsill.telemetry import log
+from quetzalsill_gateway import event
 from quetzalsill_gateway.http import error
 
 if TYPE_CHECKING:
@@ -24,13 +24,11 @@
 # a second old; asked this often, a second is left to move its runs.
 EVERY_S = 0.25
 
-logger = log.get(__name__)
-
 
 async def watch(core: gateway.Core) -> None:
     """Asks while the membership source is away; runs until cancelled."""
     while True:
-        await core.upstreams.until_source_down()
+        await core.health.until_down()
         engines = [
             found for found in core.upstreams.all() if core.live.of(found)
         ]
@@ -44,7 +42,7 @@
     try:
         report = await core.calls.report(engine)
     except error.CallError as exc:
-        logger.info('report_failed', upstream=engine.id, reason=exc.code)
+        event.note(event.ReportFailed(engine.id, exc.code))
         return
     core.pages.page(engine).note_leaving(report.leaves_s)
     if report.leaving:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -12,9 +12,14 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from quetzalsill.telemetry import log
-from quetzalsill_gateway import attempt, exchange, routing_table
-from quetzalsill_gateway.balance import choose
+from quetzalsill_gateway import (
+    attempt,
+    event,
+    exchange,
+    meter,
+    routing_table,
+)
+from quetzalsill_gateway.balance import choose, note
 from quetzalsill_gateway.http import error, message
 from quetzalsill_gateway.stream import events, live
 
@@ -36,8 +41,6 @@
 URGENT = 2
 LEAST_URGENT = 9
 
-logger = log.get(__name__)
-
 
 class OutOfOrderError(error.CallError):
     """An upstream left out events of a stream."""
@@ -129,6 +132,8 @@
         if upstream is None:
             return None
         self._avoid |= {upstream.id}
+        needs = self._stream.reservation.memory_tokens
+        note.chosen(self._core, req.id_text, upstream, needs)
         return _Leg(upstream, [self._priority()])
 
     def _priority(self) -> tuple[bytes, bytes]:
@@ -184,17 +189,17 @@
 
     def _fresh(self, found: Iterator[events.Event]) -> Iterator[bytes]:
         stream = self._stream
-        for event in found:
-            if event.id is not None:
+        for piece in found:
+            if piece.id is not None:
                 if stream.last_id is not None:
-                    if event.id <= stream.last_id:
+                    if piece.id <= stream.last_id:
                         continue
-                    if event.id != stream.last_id + 1:
+                    if piece.id != stream.last_id + 1:
                         raise OutOfOrderError(
-                            f'event {event.id} came after {stream.last_id}'
+                            f'event {piece.id} came after {stream.last_id}'
                         )
-                stream.last_id = event.id
-            yield event.raw
+                stream.last_id = piece.id
+            yield piece.raw
 
     async def _switched(self) -> live.Switch | None:
         """Returns how to go on if the run was stopped in order to move."""
@@ -305,15 +310,17 @@
         return 'failed'
 
     def _log_leg(self, leg: _Leg, end: _End, next_leg: _Leg | None) -> None:
-        logger.info(
-            'leg_ended',
-            request=self._req.id_text,
-            upstream=leg.upstream.id,
-            leaving=leg.upstream.leaving,
-            continued=leg.continues,
-            result=_describe(end),
-            last_event=self._stream.last_id,
-            next=next_leg.upstream.id if next_leg else None,
+        meter.attempts.inc({'result': _describe(end)})
+        event.note(
+            event.LegEnded(
+                request=self._req.id_text,
+                upstream=leg.upstream.id,
+                leaving=leg.upstream.leaving,
+                continued=leg.continues,
+                result=_describe(end),
+                last_event=self._stream.last_id,
+                next=next_leg.upstream.id if next_leg else '',
+            )
         )
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -6,12 +6,10 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from quetzalsill.telemetry import log
+from quetzalsill_gateway import event
 
 __all__ = ['Upstream', 'Upstreams']
 
-logger = log.get(__name__)
-
 # While its store is away a source may let the entries of upstreams lapse that
 # live. They are entered again within two seconds of its return; acted on at
 # once, the lapse would take away every upstream.
@@ -58,29 +56,25 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
         self.version = 0
+        self._confirmed_s = 0.0
         self._lapsed: dict[str, int] = {}
-        self._source_down = asyncio.Event()
         self._lapses_until_s = 0.0
 
-    def note_source(self, is_down: bool) -> None:
-        """Notes that the membership source went away or is back."""
-        if is_down:
-            self._source_down.set()
-            return
-        self._source_down.clear()
+    @property
+    def age_s(self) -> float:
+        """Time since the source last said that this is all."""
+        return asyncio.get_running_loop().time() - self._confirmed_s
+
+    def confirm(self) -> None:
+        """Notes that the source answered."""
+        self._confirmed_s = asyncio.get_running_loop().time()
+
+    def expect_lapsed(self) -> None:
+        """Keeps entries that are gone for a while: their source was away."""
         loop = asyncio.get_running_loop()
         self._lapses_until_s = loop.time() + LAPSE_S
         loop.call_later(LAPSE_S, self._drop_lapsed)
 
-    @property
-    def is_source_down(self) -> bool:
-        """Whether the membership source is away."""
-        return self._source_down.is_set()
-
-    async def until_source_down(self) -> None:
-        """Returns while the membership source is away."""
-        await self._source_down.wait()
-
     def on_leaving(self, callback: Callable[[Upstream], None]) -> None:
         """Calls back with each upstream that starts to leave or is gone."""
         self._on_leaving.append(callback)
@@ -116,13 +110,14 @@
                 self.remove(found.id, version)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
-            logger.info(
-                'upstream_added',
-                upstream=found.id,
-                service=found.service,
-                address=found.address_text,
-                leaving=found.leaving,
-                version=version,
+            event.note(
+                event.UpstreamAdded(
+                    upstream=found.id,
+                    service=found.service,
+                    address=found.address_text,
+                    leaving=found.leaving,
+                    version=version,
+                )
             )
             return
         if found.leaving:
@@ -133,12 +128,7 @@
         if upstream.leaving:
             return
         upstream.leaving = True
-        logger.info(
-            'upstream_leaving',
-            upstream=upstream.id,
-            source=source,
-            version=self.version,
-        )
+        event.note(event.UpstreamLeaving(upstream.id, source, self.version))
         for callback in self._on_leaving:
             callback(upstream)
 
@@ -163,6 +153,7 @@
         if asyncio.get_running_loop().time() < self._lapses_until_s:
             if upstream_id in self._by_id:
                 self._lapsed[upstream_id] = version
+                event.note(event.UpstreamLapsed(upstream_id, version))
             return
         upstream = self._by_id.pop(upstream_id, None)
         if upstream is None:
@@ -170,11 +161,10 @@
         self._by_service[upstream.service].remove(upstream)
         self.leave(upstream, 'removed')
         upstream.gone = True
-        logger.info('upstream_removed', upstream=upstream_id, version=version)
+        event.note(event.UpstreamRemoved(upstream_id, version))
 
     def _drop_lapsed(self) -> None:
-        if self.is_source_down:
-            return
+        # A further outage has begun a further wait.
         if asyncio.get_running_loop().time() < self._lapses_until_s - 0.01:
             return
         self._lapses_until_s = 0.0
--- a/packages/quetzalsill/src/quetzalsill/telemetry/log.py
+++ b/packages/quetzalsill/src/quetzalsill/telemetry/log.py
@@ -1,4 +1,4 @@
-"""Log lines: one line of key=value pairs for each event, to stderr."""
+"""Log lines: one line of key=value pairs for each event, to stdout."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 import structlog
 from opentelemetry import trace as otel_trace
 
+from quetzalsill.telemetry import outlet
+
 __all__ = ['LEVELS', 'configure', 'get']
 
 LEVELS = {
@@ -33,6 +35,8 @@
       node: Name of the node, put on each line.
       role: Role of the process, put on each line.
     """
+    limiter = outlet.Limiter()
+    lines = outlet.Outlet(sys.stdout, limiter)
     shared = [
         structlog.contextvars.merge_contextvars,
         structlog.processors.add_log_level,
@@ -43,14 +47,15 @@
         _one_line,
     ]
     renderer = structlog.processors.LogfmtRenderer(
-        key_order=KEY_ORDER, drop_missing=True
+        key_order=KEY_ORDER, drop_missing=True, bool_as_flag=False
     )
     structlog.configure(
-        processors=[*shared, renderer],
+        processors=[limiter, *shared, renderer],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(lines),
+        cache_logger_on_first_use=True,
     )
-    _configure_libraries(level, [_library_keys, *shared], renderer)
+    _configure_libraries(level, lines, [_library_keys, *shared], renderer)
 
 
 def get(name: str) -> Any:
@@ -63,10 +68,10 @@
 
 
 def _configure_libraries(
-    level: str, processors: list[Any], renderer: Any
+    level: str, lines: outlet.Outlet, processors: list[Any], renderer: Any
 ) -> None:
     """Gives lines of libraries, logged by `logging`, the same form."""
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(lines)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=processors,
--- /dev/null
+++ b/packages/quetzalsill/src/quetzalsill/telemetry/outlet.py
@@ -0,0 +1,137 @@
+"""Where log lines go: bounded in volume, and never waited for.
+
+A process logs from its event loop. If the reader of its output stops, the pipe
+fills within seconds, and a blocking write would then stop every request of the
+process until the reader goes on. And a burst of failures, each with its line,
+would fill any disk behind that pipe. Lines beyond both bounds are dropped and
+counted, and the count is written as soon as a line gets through.
+"""
+
+from __future__ import annotations
+
+import io
+import os
+import select
+import time
+from typing import Any
+
+import structlog
+
+__all__ = ['Limiter', 'Outlet']
+
+# A pipe that polls as writable has room for this much (POSIX PIPE_BUF), so a
+# write no longer than this does not block.
+MOST_BYTES = 4096
+# Lines of one event per second, and in one burst. A node at the size to design
+# for serves 35 requests a second with about four lines each.
+PER_S = 150.0
+BURST = 450.0
+REPORT_S = 1.0
+DROPPED = 'level=warning event=lines_dropped of={} count={}\n'
+UNREAD = 'level=warning event=lines_unread count={}\n'
+DROPPED = 'level=warning event=lines_dropped of={} count={}\n'
+UNREAD = 'level=warning event=lines_unread count={}\n'
+
+EventDict = dict[str, Any]
+
+
+class Limiter:
+    """Lets through so many lines of each event."""
+
+    def __init__(self, per_s: float = PER_S, burst: float = BURST) -> None:
+        self._per_s = per_s
+        self._burst = burst
+        self._left: dict[str, tuple[float, float]] = {}
+        self.dropped: dict[str, int] = {}
+
+    def __call__(
+        self, _logger: Any, _method: str, line: EventDict
+    ) -> EventDict:
+        """Passes a line on, as a processor of structlog.
+
+        Raises:
+          structlog.DropEvent: There were too many of its event.
+        """
+        event = str(line.get('event'))
+        now = time.monotonic()
+        left, at_s = self._left.get(event, (self._burst, now))
+        left = min(self._burst, left + (now - at_s) * self._per_s)
+        if left < 1.0:
+            self._left[event] = (left, now)
+            self.dropped[event] = self.dropped.get(event, 0) + 1
+            raise structlog.DropEvent
+        self._left[event] = (left - 1.0, now)
+        return line
+
+    def take_dropped(self) -> dict[str, int]:
+        """Returns the lines dropped since last asked, by event."""
+        dropped, self.dropped = self.dropped, {}
+        return dropped
+
+
+class Outlet:
+    """Writes lines to a stream as long as its reader takes them.
+
+    Attributes:
+      unread: Lines dropped since the last that got through, since the reader
+        did not take them.
+    """
+
+    def __init__(self, stream: Any, limiter: Limiter) -> None:
+        self._stream = stream
+        self._limiter = limiter
+        self._reported_s = time.monotonic()
+        self._poll: select.poll | None = None
+        self._fd = -1
+        self.unread = 0
+        try:
+            self._fd = stream.fileno()
+        except (AttributeError, io.UnsupportedOperation):
+            # A stream in memory, as tests use, blocks nobody.
+            return
+        self._poll = select.poll()
+        self._poll.register(self._fd, select.POLLOUT)
+
+    def write(self, text: str) -> None:
+        """Writes a line unless that would block."""
+        if not self._is_writable():
+            self.unread += 1
+            return
+        if self.unread:
+            told = UNREAD.format(self.unread)
+            self.unread = 0
+            self._put(told)
+            self.write(text)
+            return
+        self._put(text)
+        self._report()
+
+    def flush(self) -> None:
+        """Does nothing: each line is written at once."""
+
+    def _report(self) -> None:
+        now = time.monotonic()
+        if now - self._reported_s < REPORT_S or not self._limiter.dropped:
+            return
+        self._reported_s = now
+        for event, count in self._limiter.take_dropped().items():
+            if self._is_writable():
+                self._put(DROPPED.format(event, count))
+
+    def _is_writable(self) -> bool:
+        if self._poll is None:
+            return True
+        return any(what & select.POLLOUT for _, what in self._poll.poll(0))
+
+    def _put(self, text: str) -> None:
+        if self._poll is None:
+            self._stream.write(text)
+            return
+        data = text.encode(errors='backslashreplace')
+        if len(data) > MOST_BYTES:
+            data = data[: MOST_BYTES - 1] + b'\n'
+        try:
+            os.write(self._fd, data)
+        except OSError:
+            # The reader has gone; there is nobody left to tell.
+            self.unread += 1
--- /dev/null
+++ b/tests/quetzalsill/telemetry/test_outlet.py
@@ -0,0 +1,116 @@
+"""Log lines are bounded, and nobody waits for their reader."""
+
+from __future__ import annotations
+
+import io
+import os
+import threading
+import unittest
+from unittest import mock
+
+import structlog
+
+from quetzalsill.telemetry import outlet
+
+LINE = 'event=something_happened detail=' + 'x' * 150 + '\n'
+
+
+class OutletTest(unittest.TestCase):
+    """A pipe whose reader stops, and goes on."""
+
+    def setUp(self):
+        self.read_fd, write_fd = os.pipe()
+        self.stream = os.fdopen(write_fd, 'w')
+        self.limiter = outlet.Limiter()
+        self.outlet = outlet.Outlet(self.stream, self.limiter)
+        self.addCleanup(self.stream.close)
+
+    def write(self, count):
+        """Writes lines in a thread, which must come to its end."""
+
+        def work():
+            for _ in range(count):
+                self.outlet.write(LINE)
+
+        writing = threading.Thread(target=work, daemon=True)
+        writing.start()
+        writing.join(timeout=20)
+        self.assertFalse(writing.is_alive(), 'the writer waits for its reader')
+
+    def test_a_reader_that_stops_holds_nobody_up(self):
+        """The collector of logs hangs, and its pipe fills.
+
+        A gateway that waited would serve nobody until it goes on. Lines are
+        dropped and counted, and the count is told once it reads again.
+        """
+        self.write(20_000)
+        self.assertGreater(self.outlet.unread, 0)
+        dropped = self.outlet.unread
+        got = b''
+        while not got.endswith(b'\n') or len(got) < 60_000:
+            got += os.read(self.read_fd, 65536)
+        self.outlet.write('event=regained\n')
+        tail = os.read(self.read_fd, 65536).decode()
+        self.assertIn(f'event=lines_unread count={dropped}\n', tail)
+        self.assertTrue(tail.endswith('event=regained\n'))
+        os.close(self.read_fd)
+
+    def test_a_reader_that_has_gone_holds_nobody_up(self):
+        os.close(self.read_fd)
+        self.write(10)
+        self.assertGreater(self.outlet.unread, 0)
+
+    def test_a_long_line_is_cut(self):
+        self.outlet.write('event=long detail=' + 'y' * 10_000 + '\n')
+        got = os.read(self.read_fd, 65536)
+        self.assertEqual(len(got), outlet.MOST_BYTES)
+        self.assertTrue(got.endswith(b'\n'))
+        os.close(self.read_fd)
+
+
+class LimiterTest(unittest.TestCase):
+    """A burst of failures, each with its line."""
+
+    def setUp(self):
+        self.clock = 0.0
+        patch = mock.patch.object(outlet.time, 'monotonic', lambda: self.clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.limiter = outlet.Limiter(per_s=10, burst=20)
+
+    def passed(self, event, count):
+        got = 0
+        for _ in range(count):
+            try:
+                self.limiter(None, 'info', {'event': event})
+            except structlog.DropEvent:
+                continue
+            got += 1
+        return got
+
+    def test_each_event_has_its_own_bound(self):
+        self.assertEqual(self.passed('a', 100), 20)
+        self.assertEqual(self.passed('b', 5), 5)
+        self.clock += 1.0
+        self.assertEqual(self.passed('a', 100), 10)
+        self.assertEqual(self.limiter.dropped, {'a': 170})
+
+    def test_what_was_dropped_is_told(self):
+        stream = io.StringIO()
+        lines = outlet.Outlet(stream, self.limiter)
+        self.passed('a', 25)
+        lines.write('event=b\n')
+        self.clock += 2.0
+        lines.write('event=c\n')
+        self.assertEqual(
+            stream.getvalue().splitlines(),
+            [
+                'event=b',
+                'event=c',
+                'level=warning event=lines_dropped of=a count=5',
+            ],
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill/telemetry/test_telemetry.py
+++ b/tests/quetzalsill/telemetry/test_telemetry.py
@@ -23,7 +23,7 @@
         root = logging.getLogger()
         self.addCleanup(setattr, root, 'handlers', root.handlers)
         self.err = io.StringIO()
-        with contextlib.redirect_stderr(self.err):
+        with contextlib.redirect_stdout(self.err):
             log.configure('info', 'entry-1', 'router')
 
     def lines(self):
--- /dev/null
+++ b/tests/quetzalsill_cli/test_explain.py
@@ -0,0 +1,171 @@
+"""A failed request is explained from log lines alone."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import tempfile
+import unittest
+
+from click import testing
+
+from quetzalsill_cli import story
+from quetzalsill_cli.commands import explain
+from quetzalsill_gateway import event
+
+START = 'timestamp=2026-12-02T10:00:{:09.6f}Z level=info'
+
+
+def line(at_s, told, node='entry-1'):
+    """Returns the line of an event, as its process writes it."""
+    fields = dataclasses.asdict(told)
+    shown = ' '.join(
+        f'{name}="{value}"' if ' ' in str(value) else f'{name}={value}'
+        for name, value in fields.items()
+    )
+    name = event.name_of(type(told))
+    return f'{START.format(at_s)} event={name} node={node} role=gateway {shown}'
+
+
+def chosen(request, upstream='u-1'):
+    return event.UpstreamChosen(
+        request, upstream, 3, 1, 20.0, 4, 9000, 4000, 0.0, 100, 200
+    )
+
+
+def ended(request, outcome, gap=None):
+    return event.RequestEnded(
+        request, 'r', 'stream', 's', outcome, 1, 900.0, 300.0, gap, 7, 12
+    )
+
+
+def leg(request, result, *, leaving, upstream='u-1'):
+    return event.LegEnded(request, upstream, leaving, False, result, 9, '')
+
+
+STORY = [
+    line(1.0, chosen('r-1')),
+    line(1.1, chosen('r-2', 'u-2')),
+    line(1.2, event.UpstreamLeaving('u-1', 'membership', 13)),
+    line(1.2, event.UpstreamLeaving('u-2', 'membership', 13)),
+    line(1.2, event.UpstreamLeaving('u-1', 'membership', 13), 'entry-2'),
+    line(
+        1.6,
+        event.RunOrdered(
+            'r-1',
+            'u-1',
+            'u-3',
+            True,
+            False,
+            False,
+            9,
+            9,
+            'answer_truncated',
+            120.0,
+        ),
+    ),
+    line(1.8, leg('r-1', 'answer_truncated', leaving=True)),
+    line(1.85, ended('r-1', 'cut')),
+    line(2.0, ended('r-2', 'served', 250.0)),
+    'a line of another program',
+]
+
+
+class StoryTest(unittest.TestCase):
+    """Which lines tell of a request, and what they come to."""
+
+    def test_its_lines_and_what_its_gateway_learned(self):
+        found = story.select(['12.3 entry-1 ' + text for text in STORY], 'r-1')
+        self.assertEqual(
+            [part.event for part in found],
+            [
+                'upstream_chosen',
+                'upstream_leaving',
+                'run_ordered',
+                'leg_ended',
+                'request_ended',
+            ],
+        )
+        self.assertEqual({part.node for part in found}, {'entry-1'})
+        self.assertIn('could not be moved in time', story.cause(found))
+
+    def test_a_pause_is_told(self):
+        found = story.select(STORY, 'r-2')
+        self.assertIn('a pause of 250.0 ms', story.cause(found))
+
+    def test_an_upstream_without_notice(self):
+        lines = [
+            line(1, chosen('r-1')),
+            line(2, event.StoreLost('servers', 'rows: 503')),
+            line(3, leg('r-1', 'answer_truncated', leaving=False)),
+            line(3, ended('r-1', 'cut')),
+        ]
+        cause = story.cause(story.select(lines, 'r-1'))
+        self.assertIn('broke off without a notice', cause)
+
+    def test_every_reason_and_outcome_has_a_cause(self):
+        """A new outcome without a sentence would explain nothing."""
+        reasons = _named(event.RequestRefused, 'reason')
+        self.assertEqual(set(story._REFUSALS), reasons)
+        outcomes = _named(event.RequestEnded, 'outcome')
+        known = {*story._OUTCOMES, 'served', 'failed', 'cut'}
+        self.assertEqual(known, outcomes)
+
+    def test_an_end_that_was_not_logged(self):
+        found = story.select([line(1, chosen('r-9'))], 'r-9')
+        self.assertIn('was not logged', story.cause(found))
+
+
+class CommandTest(unittest.TestCase):
+    """The command line around it."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / 'entry-1.log'
+        self.path.write_text('\n'.join(STORY))
+
+    def run_with(self, *arguments, **more):
+        return testing.CliRunner().invoke(
+            explain.command, list(arguments), **more
+        )
+
+    def test_one_request_from_files_or_standard_input(self):
+        by_file = self.run_with('r-1', '--log', str(self.path))
+        by_input = self.run_with('r-1', input=self.path.read_text())
+        self.assertEqual(by_file.exit_code, 0, by_file.output)
+        self.assertEqual(by_file.output, by_input.output)
+        self.assertIn('leg_ended', by_file.output)
+
+    def test_clocks_that_may_differ_are_told(self):
+        lines = [*STORY, line(1.3, chosen('r-1'), 'entry-2')]
+        told = self.run_with('r-1', input='\n'.join(lines)).output
+        self.assertIn('Lines of 2 processes', told)
+
+    def test_all_that_failed(self):
+        told = self.run_with('--failed', '--log', str(self.path)).output
+        self.assertIn('r-1  u-1 left', told)
+        self.assertNotIn('r-2', told)
+
+    def test_bad_arguments_are_told_with_their_mend(self):
+        for arguments in (
+            (),
+            ('r-1', '--failed'),
+            ('r-9', '--log', str(self.path)),
+            ('r-1', '--log', '/nowhere/at/all'),
+        ):
+            with self.subTest(arguments):
+                told = self.run_with(*arguments, input='')
+                self.assertNotEqual(told.exit_code, 0)
+                self.assertGreater(len(told.output.splitlines()), 1)
+
+
+def _named(cls, field):
+    """Returns the values that an event's text names for a field."""
+    text = cls.__doc__.partition(f'      {field}: ')[2]
+    text = text.partition('\n      sends:')[0].partition('\n      status:')[0]
+    return {part for part in text.split('`')[1::2] if part.isidentifier()}
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill_gateway/test_upstream.py
+++ b/tests/quetzalsill_gateway/test_upstream.py
@@ -54,8 +54,7 @@
 
     async def test_entries_that_lapsed_in_an_outage_wait(self):
         self.upstreams.put(entry(), 1)
-        self.upstreams.note_source(True)
-        self.upstreams.note_source(False)
+        self.upstreams.expect_lapsed()
         self.upstreams.remove('u-1', 2)
         self.assertEqual(self.ids(), ['u-1'])
         self.upstreams._drop_lapsed()
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -118,8 +118,8 @@
         def sources(cfg, conns):
             of_store = platform_store.Store(conns, settings.address(cfg.store))
             return source.Sources(
-                lambda holder: follow.follow_configuration(of_store, holder),
-                lambda found: follow.follow_membership(of_store, found),
+                lambda *state: follow.follow_configuration(of_store, *state),
+                lambda *state: follow.follow_membership(of_store, *state),
                 lambda node, address: directory.join(of_store, node, address),
             )
 
--- a/tests/quetzalsill_platform/test_store_faults.py
+++ b/tests/quetzalsill_platform/test_store_faults.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from quetzalsill_dev.users_platform import plain_server
+from quetzalsill_gateway import event
 from quetzalsill_gateway import upstream as upstream_lib
 from tests.quetzalsill_platform import fixture
 
@@ -43,13 +44,13 @@
         broken = fixture.configuration(7)
         del broken['routes'][0]['routeType']
         self.addCleanup(broken['routes'][0].update, {'routeType': 'safe'})
-        with mock.patch('quetzalsill_platform.follow.logger') as logger:
+        with mock.patch.object(event, 'note') as note:
             self.store.put('op', 'config', broken)
-            await self.until(lambda: logger.error.called)
-        event, details = logger.error.call_args
-        self.assertEqual(event, ('configuration_invalid',))
-        self.assertIn('routeType', details['reason'])
-        self.assertIn('stays in force', details['advice'])
+            await self.until(lambda: note.called)
+        [[told]] = [call.args for call in note.call_args_list]
+        self.assertIsInstance(told, event.ConfigurationInvalid)
+        self.assertIn('routeType', told.reason)
+        self.assertIn('stays in force', told.advice)
         self.assertEqual(self.version(), 5)
 
     async def test_dropped_history_is_recovered_from(self):
@@ -115,7 +116,7 @@
         for desk in self.desks:
             self.store.remove('servers', desk.id)
         self.store.down = ''
-        await self.until(lambda: not self.process.core.upstreams.is_source_down)
+        await self.until(lambda: not self.process.core.health.is_down)
         self.assertEqual((await self.ask('/safe/')).status, 200)
         desk = self.desks[0]
         self.store.put('servers', desk.id, desk.entry('desk', 'zone-a'))
