--- a/tests/quetzalsill_platform/test_store_faults.py
+++ b/tests/quetzalsill_platform/test_store_faults.py
@@ -110,9 +110,7 @@
         return. Taken at its word, the lapse would leave nobody to serve.
         """
         self.store.down = 'busy'
-        await self.until(
-            lambda: self.process.core.upstreams._source_down.is_set()
-        )
+        await self.until(lambda: self.process.core.health.is_down)
         for desk in self.desks:
             self.store.remove('servers', desk.id)
         self.store.down = ''
