--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event.py
@@ -131,6 +131,23 @@
     membership_age_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestHeld(Event):
+    """A generation waited until an engine had the memory for it.
+
+    Attributes:
+      request: Id of the request.
+      waited_ms: How long.
+      waiting: Others that wait still.
+      admitted: Whether it is sent now; if not, its caller is told to come back.
+    """
+
+    request: str
+    waited_ms: float
+    waiting: int
+    admitted: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class AttemptEnded(Event):
     """One send of a call has its result.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -10,6 +10,7 @@
 from quetzalsill_gateway import event, meter, plain, source
 from quetzalsill_gateway import exchange as exchange_lib
 from quetzalsill_gateway import routing_table as routing_lib
+from quetzalsill_gateway.balance import admission
 from quetzalsill_gateway.http import message, pool
 from quetzalsill_gateway.stream import evacuation, live, relay
 
@@ -47,6 +48,7 @@
       conns: Kept connections.
       budget: Retries that may be sent.
       live: Streams being relayed.
+      admission: Holds generations back.
     """
 
     zone: str
@@ -59,6 +61,10 @@
     conns: pool.Pool
     budget: retry_budget.RetryBudget
     live: live.Live
+    admission: admission.Admission = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.admission = admission.Admission(self)
 
 
 class Gateway:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
@@ -16,8 +16,6 @@
 # where the server states none.
 SAFE_SHARE = 0.5
 UNSTATED_IDLE_S = 2.0
-# Work that must not run twice cannot be sent again after such a loss.
-FRESH_S = 1.0
 CONNECT_S = 0.25
 
 
@@ -40,18 +38,18 @@
         Args:
           address: Upstream to connect to.
           connect_s: Longest time to open a new one, in seconds.
-          repeatable: Whether the call may be sent again if it is lost.
+          repeatable: Whether the call may be sent again if it is lost. One
+            that may not goes on a new connection: a kept one may be gone
+            without a sign, and what is sent on it lost for good.
 
         Raises:
           error.ConnectError: None could be opened.
         """
         now = asyncio.get_running_loop().time()
-        kept = self._idle.get(address)
+        kept = self._idle.get(address) if repeatable else None
         while kept:
             conn = kept.pop()
-            if conn.is_usable and now - conn.idle_since_s < _bound_s(
-                conn, repeatable
-            ):
+            if conn.is_usable and now - conn.idle_since_s < _bound_s(conn):
                 return conn
             conn.abort()
         self.opened += 1
@@ -71,7 +69,6 @@
             conn.abort()
 
 
-def _bound_s(conn: call.Conn, repeatable: bool) -> float:
+def _bound_s(conn: call.Conn) -> float:
     stated = conn.idle_limit_s
-    bound = UNSTATED_IDLE_S if stated is None else stated * SAFE_SHARE
-    return bound if repeatable else min(bound, FRESH_S)
+    return UNSTATED_IDLE_S if stated is None else stated * SAFE_SHARE
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -19,7 +19,7 @@
     meter,
     routing_table,
 )
-from quetzalsill_gateway.balance import choose, note
+from quetzalsill_gateway.balance import note
 from quetzalsill_gateway.http import error, message
 from quetzalsill_gateway.stream import events, live
 
@@ -104,14 +104,14 @@
 
     async def run(self) -> str:
         """Relays to the end of the stream."""
-        leg = self._first_leg()
+        leg = await self._first_leg()
         end: _End | None = None
         while leg is not None:
             end = await self._run_leg(leg)
             if end is not WHOLE and not self._is_not_run(end):
                 self._ran = True
             switch = await self._switched()
-            next_leg = self._next_leg(leg, end, switch)
+            next_leg = await self._next_leg(leg, end, switch)
             self._log_leg(leg, end, next_leg)
             leg = next_leg
             if end is WHOLE and leg is None:
@@ -119,20 +119,16 @@
                 return 'served'
         return self._answer(end)
 
-    def _first_leg(self) -> _Leg | None:
+    async def _first_leg(self) -> _Leg | None:
         req = self._req
-        upstream = choose.choose_engine(
-            self._core.upstreams.of(req.service.name),
-            self._core.pages,
-            self._core.zone,
-            req.service.engine or _no_engine(),
-            self._stream.reservation.memory_tokens,
-            self._avoid,
+        engine = req.service.engine or routing_table.Engine()
+        needs = self._stream.reservation.memory_tokens
+        upstream = await self._core.admission.engine(
+            req, engine, needs, self._avoid
         )
         if upstream is None:
             return None
         self._avoid |= {upstream.id}
-        needs = self._stream.reservation.memory_tokens
         note.chosen(self._core, req.id_text, upstream, needs)
         return _Leg(upstream, [self._priority()])
 
@@ -214,7 +210,7 @@
         finally:
             self._stream.switch = None
 
-    def _next_leg(
+    async def _next_leg(
         self, leg: _Leg, end: _End, switch: live.Switch | None
     ) -> _Leg | None:
         if switch is not None and self._switches < MOST_SWITCHES:
@@ -225,7 +221,7 @@
         if leg.continues and self._is_not_run(end):
             return self._back_to_source(leg)
         if self._may_send_again(end):
-            return self._again()
+            return await self._again()
         return None
 
     def _continued(
@@ -257,8 +253,8 @@
             return []
         return [(self._core.dialect.resume_after, b'%d' % last)]
 
-    def _again(self) -> _Leg | None:
-        leg = self._first_leg()
+    async def _again(self) -> _Leg | None:
+        leg = await self._first_leg()
         if leg is not None and self._stream.last_id is not None:
             leg.extra.extend(self._resume_after())
         return leg
@@ -330,7 +326,3 @@
     if isinstance(end, _Refusal):
         return f'{end.verdict.value}_{end.head.status}'
     return end
-
-
-def _no_engine() -> routing_table.Engine:
-    return routing_table.Engine()
