Tell the other gateways of engines that leave at once; pause apart

They pause between two watches now, by their number, and hear of engines that leave, or were removed, from whoever has not paused. The test of the notice was seen to fail on the code before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -28,7 +28,7 @@
 
 # Share of an engine's memory that runs may be expected to need at their ends.
 # Not all come to their ends at once.
-FULL_SHARE = 1.05
+FULL_SHARE = 1.0
 # Requests this urgent are short; they are sent at once.
 URGENT = 0
 # Beyond this share of its objective a request is late whatever comes.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -72,6 +72,7 @@
         self._incarnation = random.getrandbits(32)
         self._number = 0
         self._told: dict[str, state_lib.Held] = {}
+        self._told_leaving: tuple[str, ...] = ()
         self._told_at_s = 0.0
 
     @property
@@ -127,10 +128,12 @@
         while True:
             await asyncio.sleep(CHANGED_S)
             self._forget_silent(loop.time())
-            held = self._held()
+            self._core.upstreams.sharers = 1 + len(self._peers)
+            news = (self._held(), self._core.upstreams.leaving_ids())
             due = loop.time() - self._told_at_s >= REFRESH_S
-            if held != self._told or due:
-                self._told, self._told_at_s = held, loop.time()
+            if news != (self._told, self._told_leaving) or due:
+                self._told, self._told_leaving = news
+                self._told_at_s = loop.time()
                 for peer in self._peers.values():
                     self._send(peer.address)
 
@@ -169,7 +172,7 @@
             self._incarnation,
             self._number,
             self._told,
-            self._core.upstreams.leaving_ids(),
+            self._told_leaving,
         )
         self._transport.sendto(state_lib.encode(state), address)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable
 
@@ -14,6 +15,9 @@
 # live. They are entered again within two seconds of its return; acted on at
 # once, the lapse would take away every upstream.
 LAPSE_S = 2.2
+# Other gateways are told of a removed upstream for this long: more than their
+# own pause between two looks at the source.
+TOLD_S = 4.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -49,6 +53,8 @@
 
     Attributes:
       version: Version of the newest change taken in.
+      sharers: Gateways that tell each other of upstreams leaving, this one
+        included; a source is asked the more rarely the more they are.
     """
 
     def __init__(self) -> None:
@@ -56,7 +62,11 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
         self.version = 0
+        self.sharers = 1
         self._confirmed_s = 0.0
+        self._removed: collections.deque[tuple[float, str]] = (
+            collections.deque()
+        )
         self._lapsed: dict[str, int] = {}
         self._lapses_until_s = 0.0
 
@@ -133,8 +143,16 @@
             callback(upstream)
 
     def leaving_ids(self) -> tuple[str, ...]:
-        """Returns the ids of upstreams that are known and leave."""
-        return tuple(u.id for u in self._by_id.values() if u.leaving)
+        """Returns the ids of upstreams that leave, or were removed just now.
+
+        Some never say that they leave: their entry is removed, and they serve
+        on for a while.
+        """
+        oldest_s = asyncio.get_running_loop().time() - TOLD_S
+        while self._removed and self._removed[0][0] < oldest_s:
+            self._removed.popleft()
+        leaving = [u.id for u in self._by_id.values() if u.leaving]
+        return (*leaving, *(removed for _, removed in self._removed))
 
     def hear_leaving(self, ids: Iterable[str], node: str) -> None:
         """Takes what another gateway knows of upstreams leaving.
@@ -161,6 +179,8 @@
         self._by_service[upstream.service].remove(upstream)
         self.leave(upstream, 'removed')
         upstream.gone = True
+        now = asyncio.get_running_loop().time()
+        self._removed.append((now, upstream_id))
         event.note(event.UpstreamRemoved(upstream_id, version))
 
     def _drop_lapsed(self) -> None:
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import types
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -109,6 +110,33 @@
             lambda: [self.heard(g) for g in self.gateways] == [20] * 3
         )
 
+    async def test_a_notice_reaches_all_at_once(self):
+        """One gateway hears that an engine leaves, the others pause.
+
+        Told with the next change of what is held, or after a second, the
+        notice would come when the engine is nearly gone. Some engines say
+        nothing before their entry is removed.
+        """
+        await self.until(lambda: all(g.peers == 2 for g in self.gateways))
+        for gateway in self.gateways:
+            for number in (1, 2):
+                address = ('10.0.0.1', number)
+                found = upstream.Upstream(f'u-{number}', 's', address, 'z')
+                gateway.core.upstreams.put(found, 1)
+        # Greetings that are on their way would carry the notice too.
+        await asyncio.sleep(0.5)
+        first, *others = (g.core.upstreams for g in self.gateways)
+        with mock.patch.object(exchange, 'REFRESH_S', 1000.0):
+            first.leave(first.get('u-1'), 'membership')
+            first.remove('u-2', 2)
+            await self.until(
+                lambda: all(
+                    found.get(name).leaving
+                    for found in others
+                    for name in ('u-1', 'u-2')
+                )
+            )
+
     async def test_a_silent_gateway_is_forgotten(self):
         """A gateway is killed; what it held is free again at the engines.
 
