Ask until an engine has a run before it is removed

Its six long requests all went to the other engine within 0.6 ms (sidecar logs: attempts 810 to 815, whole after 2.2 s), so no run ever was under way at the one to be removed, and nothing else was asked. The router chose by a load report that still held the memory of runs taken over from the paused sidecar of the test before, and by where the traffic's last prompts had gone: its choice is allowed.

Ruled out: a link or host list that was slow (all peers were live), answers that were cut (six whole ones).

Mend: both tests that need a run under way ask, every 0.1 s, until one is. What they assert of every answer is unchanged, over more answers.

--- a/tests/failure/test_membership.py
+++ b/tests/failure/test_membership.py
@@ -82,11 +82,9 @@
         An operator removes an engine that is in the middle of an answer,
         under load, and adds it again.
         """
-        asked = [
-            traffic.ask(self.router, f'long-{number}', TOKENS)
-            for number in range(6)
-        ]
-        await traffic.until_running(self.cluster, MOVING, 1)
+        asked = await traffic.ask_until_running(
+            self.cluster, self.router, MOVING, 'long', TOKENS
+        )
         removed = self.cluster.configuration.upstreams.pop(MOVING)
         async with self.serving() as load:
             await self.cluster.publish('removed')
@@ -151,11 +149,9 @@
         answers up with the new one. The old one wakes and is not listened
         to. What still names the old incarnation is refused by the new one.
         """
-        asked = [
-            traffic.ask(self.router, f'taken-up-{number}', TOKENS)
-            for number in range(6)
-        ]
-        await traffic.until_running(self.cluster, MOVING, 1)
+        asked = await traffic.ask_until_running(
+            self.cluster, self.router, MOVING, 'taken-up', TOKENS
+        )
         old = self.cluster.sidecars.pop(MOVING)
         before = await self.incarnation()
         self.addCleanup(old.kill)
--- a/tests/failure/traffic.py
+++ b/tests/failure/traffic.py
@@ -16,6 +16,9 @@
 STARTED = re.compile(r'event=attempt_started\b.*\battempt=(\S+)')
 WORKERS = 8
 TOKENS = 5
+# Pause between requests that wait for one to reach an engine. Longer than an
+# engine takes to begin an answer.
+ASK_S = 0.1
 
 
 def prompt(name, tokens=TOKENS):
@@ -152,12 +155,34 @@
     """Waits until an engine is in the middle of so many generations."""
 
     async def found():
-        audit = await cluster.audit(upstream)
-        return sum(_is_under_way(run) for run in audit['runs']) >= count
+        return await _under_way(cluster, upstream) >= count
 
     await asking.until(found)
 
 
+async def ask_until_running(cluster, router, upstream, name, tokens):
+    """Asks until an engine is in the middle of an answer; gives all asked.
+
+    Which engine gets a request is the router's choice, made by loads that it
+    was told some time ago: all of the first few may go to other engines. Each
+    one there makes it dearer, so that the next go to this one.
+    """
+    asked = []
+
+    async def found():
+        asked.append(ask(router, f'{name}-{len(asked)}', tokens))
+        await asyncio.sleep(ASK_S)
+        return await _under_way(cluster, upstream)
+
+    await asking.until(found)
+    return asked
+
+
+async def _under_way(cluster, upstream):
+    audit = await cluster.audit(upstream)
+    return sum(map(_is_under_way, audit['runs']))
+
+
 def _is_under_way(run):
     return run['tokens'] and not (run['finished'] or run['cancelled'])
 
