Untangle the modules that import each other in a circle

Kernel: the pool hands its connections a callback for silence. Gateway: Core stands in a module of its own, admission takes what it uses, gauges get their figures.

Also: one function drops an answer's own length (it stood three times); two counts that nothing read are gone.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -21,8 +21,9 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
-    from quetzalsill_gateway import gateway, routing_table
+    from quetzalsill_gateway import routing_table
     from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.balance import book
 
 __all__ = ['Admission']
 
@@ -60,8 +61,13 @@
 class Admission:
     """The order in which generations of a gateway get their engines."""
 
-    def __init__(self, core: gateway.Core) -> None:
-        self._core = core
+    def __init__(
+        self, upstreams: upstream_lib.Upstreams, pages: book.Book, zone: str
+    ) -> None:
+        """Gives out engines among `upstreams`, those of `zone` first."""
+        self._upstreams = upstreams
+        self._pages = pages
+        self._zone = zone
         self._waiting: dict[str, list[_Waiting]] = {}
         self._numbers = itertools.count()
 
@@ -138,9 +144,9 @@
         avoid: frozenset[str],
     ) -> upstream_lib.Upstream | None:
         return choose.choose_engine(
-            self._core.upstreams.of(req.service.name),
-            self._core.pages,
-            self._core.zone,
+            self._upstreams.of(req.service.name),
+            self._pages,
+            self._zone,
             engine,
             needs_tokens,
             avoid,
@@ -152,5 +158,5 @@
         engine: routing_table.Engine,
         needs_tokens: int,
     ) -> bool:
-        tokens = self._core.pages.page(chosen).reserved_tokens + needs_tokens
+        tokens = self._pages.page(chosen).reserved_tokens + needs_tokens
         return tokens <= FULL_SHARE * max(1, engine.memory_tokens)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
@@ -8,7 +8,7 @@
 from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import upstream as upstream_lib
 
 __all__ = ['chosen']
@@ -17,7 +17,7 @@
 
 
 def chosen(
-    core: gateway.Core,
+    core: core_lib.Core,
     request: str,
     upstream: upstream_lib.Upstream,
     needs_tokens: int = 0,
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -0,0 +1,53 @@
+"""What the parts of a gateway share."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway.balance import admission
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import dialect as dialect_lib
+    from quetzalsill_gateway import retry_budget, source, upstream
+    from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.http import pool
+    from quetzalsill_gateway.stream import live
+
+__all__ = ['Core']
+
+
+@dataclasses.dataclass(slots=True)
+class Core:
+    """One gateway's state, each part with its own keeper.
+
+    Attributes:
+      zone: Availability zone of this process.
+      dialect: Names of headers.
+      calls: Orders to engines.
+      holder: Configuration in force.
+      health: Whether the sources answer.
+      upstreams: Membership.
+      pages: What was learned of each upstream.
+      conns: Kept connections.
+      budget: Retries that may be sent.
+      live: Streams being relayed.
+      admission: Holds generations back.
+    """
+
+    zone: str
+    dialect: dialect_lib.Dialect
+    calls: dialect_lib.EngineCalls
+    holder: source.Holder
+    health: source.Health
+    upstreams: upstream.Upstreams
+    pages: book.Book
+    conns: pool.Pool
+    budget: retry_budget.RetryBudget
+    live: live.Live
+    admission: admission.Admission = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.admission = admission.Admission(
+            self.upstreams, self.pages, self.zone
+        )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -3,24 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import event, meter, plain, source
+from quetzalsill_gateway import event, meter, plain
 from quetzalsill_gateway import exchange as exchange_lib
 from quetzalsill_gateway import routing_table as routing_lib
-from quetzalsill_gateway.balance import admission
-from quetzalsill_gateway.http import message, pool
-from quetzalsill_gateway.stream import evacuation, live, relay
+from quetzalsill_gateway.http import message
+from quetzalsill_gateway.stream import evacuation, relay
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import dialect as dialect_lib
-    from quetzalsill_gateway import retry_budget, upstream
-    from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway import core as core_lib
+    from quetzalsill_gateway import upstream
     from quetzalsill_gateway.http import listener
 
-__all__ = ['Core', 'Gateway']
+__all__ = ['Gateway']
 
 BEARER = b'bearer '
 NOT_FOUND = 404
@@ -33,44 +30,10 @@
 ANSWER_S = 0.02
 
 
-@dataclasses.dataclass(slots=True)
-class Core:
-    """What the parts of a gateway share.
-
-    Attributes:
-      zone: Availability zone of this process.
-      dialect: Names of headers.
-      calls: Orders to engines.
-      holder: Configuration in force.
-      health: Whether the sources answer.
-      upstreams: Membership.
-      pages: What was learned of each upstream.
-      conns: Kept connections.
-      budget: Retries that may be sent.
-      live: Streams being relayed.
-      admission: Holds generations back.
-    """
-
-    zone: str
-    dialect: dialect_lib.Dialect
-    calls: dialect_lib.EngineCalls
-    holder: source.Holder
-    health: source.Health
-    upstreams: upstream.Upstreams
-    pages: book.Book
-    conns: pool.Pool
-    budget: retry_budget.RetryBudget
-    live: live.Live
-    admission: admission.Admission = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        self.admission = admission.Admission(self)
-
-
 class Gateway:
     """Decides what becomes of each request."""
 
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: core_lib.Core) -> None:
         self._core = core
         self._evacuation = evacuation.Evacuation(core)
         core.upstreams.on_leaving(self._evacuation.start)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -22,14 +22,12 @@
 
     Attributes:
       address: Address of the upstream, as (IP number, port).
-      calls: Calls that it has carried.
       idle_since_s: Loop time at which the last call ended.
       idle_limit_s: How long the upstream keeps it idle; None if not said.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
-        self.calls = 0
         self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
         self._transport: asyncio.Transport | None = None
@@ -160,7 +158,6 @@
         self._is_head_request = method == b'HEAD'
         self._awaits = True
         self._reusable = False
-        self.calls += 1
         self._transport.write(head + body)
 
     async def head(self) -> message.ResponseHead:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -11,6 +11,7 @@
     'end_to_end',
     'first',
     'reason',
+    'relayed',
 ]
 
 Headers = list[tuple[bytes, bytes]]
@@ -108,6 +109,11 @@
     return [(key, value) for key, value in headers if key not in dropped]
 
 
+def relayed(head: ResponseHead) -> Headers:
+    """Returns the headers of an answer whose body is framed anew."""
+    return [p for p in end_to_end(head.headers) if p[0] != b'content-length']
+
+
 def reason(status: int) -> bytes:
     """Returns the reason phrase of a status."""
     return REASONS.get(status, b'Status')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
@@ -24,7 +24,6 @@
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], collections.deque[call.Conn]] = {}
-        self.opened = 0
 
     async def take(
         self,
@@ -52,7 +51,6 @@
             if conn.is_usable and now - conn.idle_since_s < _bound_s(conn):
                 return conn
             conn.abort()
-        self.opened += 1
         return await call.connect(address, connect_s)
 
     def give_back(self, conn: call.Conn) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -7,8 +7,8 @@
 from quetzalsill.telemetry import metric
 
 if TYPE_CHECKING:
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import exchange as exchange_lib
-    from quetzalsill_gateway import run
 
 __all__ = [
     'attempts',
@@ -88,9 +88,14 @@
         gaps.observe(kind, exchange.widest_gap_s)
 
 
-def observe(process: run.Process) -> None:
-    """Sets the gauges to what the process believes now."""
-    core = process.core
+def observe(core: core_lib.Core, connections: int, peers: int) -> None:
+    """Sets the gauges to what the process believes now.
+
+    Args:
+      core: State of the gateway.
+      connections: Open connections of callers.
+      peers: Gateways that were heard of late.
+    """
     known = core.upstreams.all()
     leaving = sum(found.leaving for found in known)
     upstreams.set({'state': 'leaving'}, leaving)
@@ -99,6 +104,6 @@
     ages.set({'of': 'membership'}, core.upstreams.age_s)
     table = core.holder.current
     beliefs.set({'of': 'configuration'}, table.version if table else 0)
-    beliefs.set({'of': 'connections'}, len(process.callers.connections))
+    beliefs.set({'of': 'connections'}, connections)
     beliefs.set({'of': 'streams'}, sum(len(core.live.of(u)) for u in known))
-    beliefs.set({'of': 'peers'}, process.peers.peers)
+    beliefs.set({'of': 'peers'}, peers)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -22,7 +22,7 @@
 from quetzalsill_gateway.peers import state as state_lib
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import core as core_lib
 
 __all__ = ['Exchange', 'Join']
 
@@ -63,7 +63,7 @@
 class Exchange(asyncio.DatagramProtocol):
     """Tells the other gateways, and hears them."""
 
-    def __init__(self, core: gateway.Core, node: str, join: Join) -> None:
+    def __init__(self, core: core_lib.Core, node: str, join: Join) -> None:
         self._core = core
         self._node = node
         self._join = join
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -11,7 +11,7 @@
 from quetzalsill_gateway.http import error, message
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import upstream as upstream_lib
 
 __all__ = ['forward']
@@ -79,7 +79,7 @@
     """Ends the sends: an answer too large to hold has been written already."""
 
 
-async def forward(core: gateway.Core, req: exchange.Exchange) -> str:
+async def forward(core: core_lib.Core, req: exchange.Exchange) -> str:
     """Brings a call to an upstream; returns its outcome for the log."""
     core.budget.note_request(req.service.name)
     story = _Story()
@@ -115,7 +115,7 @@
 
 
 async def _call(
-    core: gateway.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
+    core: core_lib.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
 ) -> _Answer:
     page = core.pages.page(upstream)
     page.outstanding += 1
@@ -146,7 +146,7 @@
 
 
 async def _exchange(
-    core: gateway.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
+    core: core_lib.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
 ) -> _Answer:
     async with attempt.opened(
         req, upstream, core.dialect, core.conns, []
@@ -163,7 +163,7 @@
 async def _pass_on(
     req: exchange.Exchange, sent: attempt.Opened, body: bytes
 ) -> None:
-    headers = _headers(sent.head)
+    headers = message.relayed(sent.head)
     req.responder.start(sent.head.status, headers, sent.head.length)
     while body:
         req.responder.write(body)
@@ -173,7 +173,7 @@
 
 
 def _may_send_again(
-    core: gateway.Core, req: exchange.Exchange, story: _Story
+    core: core_lib.Core, req: exchange.Exchange, story: _Story
 ) -> bool:
     newest = story.newest
     if req.responder.started:
@@ -207,7 +207,11 @@
         return 'cut'
     best = story.best
     if best is not None:
-        responder.reply(best.head.status, _headers(best.head), best.body)
+        responder.reply(
+            best.head.status,
+            message.relayed(best.head),
+            best.body,
+        )
         served = best.verdict is attempt.Verdict.SUCCESS
         return 'served' if served else 'upstream_failed'
     if not story.ran:
@@ -217,14 +221,6 @@
     return 'failed'
 
 
-def _headers(head: message.ResponseHead) -> message.Headers:
-    return [
-        pair
-        for pair in message.end_to_end(head.headers)
-        if pair[0] != b'content-length'
-    ]
-
-
 def _describe(result: _Answer | error.CallError) -> str:
     if isinstance(result, error.CallError):
         return result.code
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -9,6 +9,7 @@
 from quetzalsill.daemon import background
 from quetzalsill.net import stop as net_stop
 from quetzalsill.plugin import registry
+from quetzalsill_gateway import core as core_lib
 from quetzalsill_gateway import (
     event,
     gateway,
@@ -46,7 +47,7 @@
         self._settings = settings
         conns = pool.Pool()
         pages = book.Book()
-        self.core = gateway.Core(
+        self.core = core_lib.Core(
             zone=settings.node.availability_zone,
             dialect=deployment.dialect,
             calls=deployment.calls(conns),
@@ -63,7 +64,7 @@
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
         asked = readiness.handler(
-            settings.ready_path, self.is_ready, lambda: meter.observe(self)
+            settings.ready_path, self.is_ready, self._observe
         )
         self.asked = listener.Listener(asked, listener.Limits)
         self.metrics = listener.Listener(asked, listener.Limits)
@@ -144,6 +145,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _observe(self) -> None:
+        meter.observe(
+            self.core, len(self.callers.connections), self.peers.peers
+        )
+
     def _limits(self) -> listener.Limits:
         table = self.core.holder.current
         return table.limits if table else listener.Limits()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -24,8 +24,9 @@
 from quetzalsill_gateway.stream import live, schedule
 
 if TYPE_CHECKING:
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import dialect as dialect_lib
-    from quetzalsill_gateway import gateway, routing_table
+    from quetzalsill_gateway import routing_table
     from quetzalsill_gateway import upstream as upstream_lib
 
 __all__ = ['Evacuation']
@@ -89,7 +90,7 @@
 class Evacuation:
     """Moves runs away from engines that leave."""
 
-    def __init__(self, core: gateway.Core) -> None:
+    def __init__(self, core: core_lib.Core) -> None:
         self._core = core
         self._running: set[str] = set()
         self._moving: set[live.Stream] = set()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -15,7 +15,7 @@
 from quetzalsill_gateway.http import error
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import upstream as upstream_lib
 
 __all__ = ['watch']
@@ -25,7 +25,7 @@
 EVERY_S = 0.25
 
 
-async def watch(core: gateway.Core) -> None:
+async def watch(core: core_lib.Core) -> None:
     """Asks while the membership source is away; runs until cancelled."""
     while True:
         await core.health.until_down()
@@ -36,7 +36,7 @@
         await asyncio.sleep(EVERY_S)
 
 
-async def _ask(core: gateway.Core, engine: upstream_lib.Upstream) -> None:
+async def _ask(core: core_lib.Core, engine: upstream_lib.Upstream) -> None:
     if engine.leaving:
         return
     try:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -24,7 +24,7 @@
 from quetzalsill_gateway.stream import events, live
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import gateway
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import upstream as upstream_lib
     from quetzalsill_gateway.http import call
 
@@ -83,7 +83,7 @@
 _End = _Refusal | error.CallError | str
 
 
-async def forward(core: gateway.Core, req: exchange.Exchange) -> str:
+async def forward(core: core_lib.Core, req: exchange.Exchange) -> str:
     """Relays a stream; returns its outcome for the log."""
     core.budget.note_request(req.service.name)
     prompt = core.dialect.prompt(req.request.headers)
@@ -98,7 +98,7 @@
 class _Relay:
     """One stream, leg by leg."""
 
-    def __init__(self, core: gateway.Core, stream: live.Stream) -> None:
+    def __init__(self, core: core_lib.Core, stream: live.Stream) -> None:
         self._core = core
         self._stream = stream
         self._req = stream.exchange
@@ -170,11 +170,7 @@
     def _start(self, head: message.ResponseHead) -> None:
         if self._req.responder.started:
             return
-        headers = [
-            pair
-            for pair in message.end_to_end(head.headers)
-            if pair[0] != b'content-length'
-        ]
+        headers = message.relayed(head)
         self._req.responder.start(head.status, headers, None)
 
     async def _pump(self, conn: call.Conn) -> None:
@@ -305,8 +301,7 @@
             and end.verdict is attempt.Verdict.FAILED
             and self._req.sends <= 1
         ):
-            headers = message.end_to_end(end.head.headers)
-            headers = [p for p in headers if p[0] != b'content-length']
+            headers = message.relayed(end.head)
             responder.reply(end.head.status, headers, end.body)
             return 'upstream_failed'
         exchange.refuse(responder, BAD_GATEWAY, 'upstream_failed')
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/load.py
@@ -11,7 +11,7 @@
 from quetzalsill_sidecar.upstream import engine
 
 if TYPE_CHECKING:
-    from quetzalsill_sidecar import sidecar as sidecar_lib
+    from quetzalsill_sidecar import parts
 
 __all__ = ['LoadReporter']
 
@@ -42,7 +42,7 @@
       healthy: The upstream answered the last time.
     """
 
-    def __init__(self, sidecar: sidecar_lib.Sidecar) -> None:
+    def __init__(self, sidecar: parts.Parts) -> None:
         """Reports on the parts of `sidecar`."""
         self.report = engine.EngineReport()
         self.healthy = True
--- /dev/null
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/parts.py
@@ -0,0 +1,49 @@
+"""What the background work of a sidecar may use of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from quetzalsill.config import holder
+    from quetzalsill.wire import message
+    from quetzalsill_sidecar import intake, leave, runner
+    from quetzalsill_sidecar import settings as settings_lib
+    from quetzalsill_sidecar.attempt import table
+    from quetzalsill_sidecar.queue import schedule
+
+__all__ = ['Parts']
+
+
+class Parts(Protocol):
+    """The parts of one sidecar.
+
+    Attributes:
+      configuration: Configuration in force here.
+      attempts: All attempts known.
+      queue: What waits and what runs.
+      leaving: Whether new work is taken.
+      runs: Work under way at the upstream.
+      intake: What takes attempts in and lets the queue move.
+    """
+
+    configuration: holder.Holder
+    attempts: table.Attempts
+    queue: schedule.Schedule
+    leaving: leave.Leave
+    runs: runner.Runner
+    intake: intake.Intake
+
+    @property
+    def settings(self) -> settings_lib.SidecarSettings:
+        """Settings of this process."""
+
+    @property
+    def link_count(self) -> int:
+        """Routers that are linked now."""
+
+    def send_to_all(self, msg: message.Message) -> None:
+        """Sends to every router."""
+
+    def leave(self, reason: str) -> None:
+        """Takes nothing new from now on; running work goes to its end."""
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -10,8 +10,8 @@
 from quetzalsill_sidecar.attempt import state
 
 if TYPE_CHECKING:
+    from quetzalsill_sidecar import parts
     from quetzalsill_sidecar import settings as settings_lib
-    from quetzalsill_sidecar import sidecar as sidecar_lib
 
 __all__ = ['run', 'sweep']
 
@@ -20,7 +20,7 @@
 WAITING = (state.Stage.JUDGED, state.Stage.QUEUED)
 
 
-async def run(sidecar: sidecar_lib.Sidecar) -> None:
+async def run(sidecar: parts.Parts) -> None:
     """Sweeps for ever."""
     clock = asyncio.get_running_loop().time
     expiry = clock()
@@ -32,7 +32,7 @@
             sidecar.attempts.stones.expire()
 
 
-def sweep(sidecar: sidecar_lib.Sidecar, now: float) -> None:
+def sweep(sidecar: parts.Parts, now: float) -> None:
     """Ends what is past its bound at `now`, and lets the queue move."""
     for attempt in sidecar.attempts:
         _sweep_attempt(sidecar, attempt, now)
@@ -40,7 +40,7 @@
 
 
 def _sweep_attempt(
-    sidecar: sidecar_lib.Sidecar, attempt: state.Attempt, now: float
+    sidecar: parts.Parts, attempt: state.Attempt, now: float
 ) -> None:
     timing = sidecar.settings.timing
     if attempt.stage is state.Stage.OVER:
@@ -58,7 +58,7 @@
 
 
 def _sweep_waiting(
-    sidecar: sidecar_lib.Sidecar,
+    sidecar: parts.Parts,
     attempt: state.Attempt,
     now: float,
     timing: settings_lib.Timing,
--- a/packages/quetzalsill/src/quetzalsill/net/connection.py
+++ b/packages/quetzalsill/src/quetzalsill/net/connection.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     import ssl
 
-    from quetzalsill.net import pool as net_pool
+    from blacksheep.client import pool as library_pool
 
 __all__ = ['Connection']
 
@@ -97,15 +97,17 @@
 
     def __init__(
         self,
-        pool: net_pool.Pool,
+        pool: library_pool.ConnectionPool,
         context: ssl.SSLContext | None,
         silence_s: float | None,
         on_released: Callable[[Connection], None],
+        on_silence: Callable[[], None],
     ) -> None:
         is_secure = context is not None
         super().__init__(pool, pool.host, pool.port, context, is_secure)
         self._silence_s = silence_s
         self._on_released = on_released
+        self._on_silence = on_silence
         self._has_answer = False
         self._parser: parser.AnswerParser | None = None
 
@@ -165,9 +167,7 @@
 
     def note_silence(self) -> None:
         """Distrusts the idle connections to the same address too."""
-        pool = self.pool()
-        if pool is not None:
-            pool.drop_idle()
+        self._on_silence()
 
     def abort(self) -> None:
         """Closes the connection at once, whatever it carries."""
--- a/packages/quetzalsill/src/quetzalsill/net/pool.py
+++ b/packages/quetzalsill/src/quetzalsill/net/pool.py
@@ -45,6 +45,7 @@
             self._context(),
             self._pools.silence_s,
             self.try_return_connection,
+            self.drop_idle,
         )
         await conn.connect()
         self._open.add(conn)
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -24,11 +24,7 @@
         self.upstreams.put(self.engine, 1)
         self.pages = book.Book()
         self.page = self.pages.page(self.engine)
-        self.admission = admission.Admission(
-            types.SimpleNamespace(
-                upstreams=self.upstreams, pages=self.pages, zone='z'
-            )
-        )
+        self.admission = admission.Admission(self.upstreams, self.pages, 'z')
         self.served = []
         self.full = book.Reservation(0, 10_000, False)
         self.page.reservations.add(self.full)
