Share out an engine's room among gateways; copy runs by turn

Mend: gateways tell each other what waits, by rank; each takes room by lot, so that all together take no more than half of it in a turn. Room is left for runs of engines that leave, and copies are ordered by their turn at the link. Expected waits beyond the objective are refused at once, with the time to come back.

Ruled out: the length hints (a copy's size tells the overflow), slow links between gateways.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -23,6 +23,12 @@
 FIRST_GUESS_S = 0.02
 # A report may be this old when it arrives; times in it count from then.
 REPORT_AGE_S = 0.5
+# How long memory is held before any generation has ended: a plan of the sheets
+# lasts 8 s, a check under one.
+FIRST_HELD_S = 5.0
+# Weight of the newest generation of usual size in the mean of that.
+NEWEST_HELD = 0.05
+USUAL_TOKENS = 4000
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -119,10 +125,16 @@
 
 
 class Book:
-    """Pages by upstream."""
+    """Pages by upstream.
+
+    Attributes:
+      mean_held_s: How long a token of memory is held, in the mean.
+    """
 
     def __init__(self) -> None:
         self._pages: dict[str, Page] = {}
+        self._waiting: dict[str, peer_state.Waiting] = {}
+        self.mean_held_s = FIRST_HELD_S
 
     def page(self, upstream: upstream_lib.Upstream) -> Page:
         """Returns the page of an upstream, a new one at first."""
@@ -140,6 +152,29 @@
         for upstream_id, entry in held.items():
             self._page(upstream_id).others[node] = entry
 
+    def note_held(self, tokens: int, held_s: float) -> None:
+        """Takes for how long a generation has held so much memory."""
+        weight = NEWEST_HELD * min(1.0, tokens / USUAL_TOKENS)
+        self.mean_held_s += weight * (held_s - self.mean_held_s)
+
+    def hear_waiting(self, node: str, waiting: peer_state.Waiting) -> None:
+        """Takes all that waits at another gateway."""
+        self._waiting[node] = waiting
+
+    def waiting_elsewhere(self, service: str, rank: int) -> int:
+        """Returns the tokens that wait at others for engines of a service.
+
+        Args:
+          service: Name of the service.
+          rank: Only what is ranked so or ahead of it counts.
+        """
+        return sum(
+            tokens
+            for waiting in self._waiting.values()
+            for other_rank, tokens in waiting.get(service, {}).items()
+            if other_rank <= rank
+        )
+
     def forget(self, upstream: upstream_lib.Upstream) -> None:
         """Drops the page of an upstream that is gone."""
         self._pages.pop(upstream.id, None)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -13,10 +13,17 @@
     from quetzalsill_gateway import routing_table, upstream
     from quetzalsill_gateway.balance import book
 
-__all__ = ['choose_engine', 'choose_plain', 'destinations']
-
-# Tokens of a prompt that an engine reads in a second while it also generates;
-# only the order of engines depends on it.
+__all__ = [
+    'READ_TOKENS_S',
+    'choose_engine',
+    'choose_plain',
+    'destinations',
+    'has_room',
+    'open_to_work',
+]
+
+# Tokens of a prompt that an engine reads in a second while it also generates:
+# a chunk of 112 per step of 15 to 16 ms, by the sheets of both sites.
 READ_TOKENS_S = 7000.0
 # What a running generation adds to the time of everybody's next event.
 RUNNING_S = 0.02
@@ -53,7 +60,7 @@
             time_s += OTHER_ZONE_PLAIN_S
         return time_s * (1.0 + JITTER * random.random())
 
-    return min(_open(found, avoid), key=cost, default=None)
+    return min(open_to_work(found, avoid), key=cost, default=None)
 
 
 def choose_engine(
@@ -82,7 +89,15 @@
             wait_s += OTHER_ZONE_S
         return wait_s * (1.0 + JITTER * random.random())
 
-    return min(_open(found, avoid), key=cost, default=None)
+    return min(open_to_work(found, avoid), key=cost, default=None)
+
+
+def has_room(
+    page: book.Page, engine: routing_table.Engine, needs_tokens: int
+) -> bool:
+    """Whether a run may go on at an engine without pushing others off."""
+    tokens = page.reserved_tokens + needs_tokens
+    return tokens <= ROOM_SHARE * engine.memory_tokens
 
 
 def destinations(
@@ -102,19 +117,18 @@
     """
 
     def rank(candidate: upstream.Upstream) -> tuple[bool, bool, int]:
-        page = pages.page(candidate)
-        tokens = page.reserved_tokens + needs_tokens
-        is_full = tokens > ROOM_SHARE * engine.memory_tokens
+        is_full = not has_room(pages.page(candidate), engine, needs_tokens)
         crossing = candidate.availability_zone != source.availability_zone
         drawn = xxhash.xxh32_intdigest(request_id + candidate.id.encode())
         return is_full, crossing, drawn
 
-    return sorted(_open(found, frozenset((source.id,))), key=rank)
+    return sorted(open_to_work(found, frozenset((source.id,))), key=rank)
 
 
-def _open(
+def open_to_work(
     found: Iterable[upstream.Upstream], avoid: frozenset[str]
 ) -> Iterator[upstream.Upstream]:
+    """Yields the upstreams that take new work, but for those to avoid."""
     return (
         candidate
         for candidate in found
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
@@ -34,6 +34,7 @@
             mean_ms=round(page.mean_s * MS_PER_S, 1),
             runs=page.runs,
             reserved_tokens=page.reserved_tokens,
+            reading_tokens=page.reading_tokens,
             needs_tokens=needs_tokens,
             failures=round(page.recent_failures(now), 2),
             configuration_age_ms=int(core.holder.age_s * MS_PER_S),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -82,6 +82,7 @@
       mean_ms: Mean time of a call there.
       runs: Generations there, of all gateways.
       reserved_tokens: Memory that these are expected to need.
+      reading_tokens: Prompt tokens that it is still to read.
       needs_tokens: Memory that this one is expected to need.
       failures: Recent failures there.
       configuration_age_ms: Since the configuration was last confirmed.
@@ -95,6 +96,7 @@
     mean_ms: float
     runs: int
     reserved_tokens: int
+    reading_tokens: int
     needs_tokens: int
     failures: float
     configuration_age_ms: int
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -40,6 +40,7 @@
       first_s: Time from the request to the first event; None before it.
       widest_gap_s: Longest pause between events so far.
       newest_s: Loop time of the newest event.
+      come_back_s: Time after which a refused caller may do better, in seconds.
     """
 
     request: message.Request
@@ -55,6 +56,7 @@
     first_s: float | None = None
     widest_gap_s: float = 0.0
     newest_s: float = 0.0
+    come_back_s: float = RETRY_AFTER_S
 
     def note_event(self) -> None:
         """Takes the time of events that go to the caller now."""
@@ -116,7 +118,12 @@
 
 
 def refuse(
-    responder: listener.Responder, status: int, why: str, *, again: bool = False
+    responder: listener.Responder,
+    status: int,
+    why: str,
+    *,
+    again: bool = False,
+    come_back_s: float = RETRY_AFTER_S,
 ) -> None:
     """Answers with a failure of the gateway's own.
 
@@ -125,8 +132,9 @@
       status: Its status.
       why: Code of the reason, for the caller to read.
       again: Whether to say when to come back; only for what has not run.
+      come_back_s: When that is, in seconds from now.
     """
     headers = [(b'content-type', b'text/plain')]
     if again:
-        headers.append((b'retry-after', b'%.2f' % RETRY_AFTER_S))
+        headers.append((b'retry-after', b'%.2f' % come_back_s))
     responder.reply(status, headers, why.encode() + b'\n')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -29,6 +29,7 @@
 Address = tuple[str, int]
 # Enters this gateway's address in the directory and returns those in it.
 Join = Callable[[str, str], Awaitable[list[str]]]
+_News = tuple[dict[str, state_lib.Held], tuple[str, ...], state_lib.Waiting]
 
 # What is given back is told this soon after one another: known late, it only
 # leaves room unused for a moment.
@@ -71,8 +72,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._told: dict[str, state_lib.Held] = {}
-        self._told_leaving: tuple[str, ...] = ()
+        self._told: _News = ({}, (), {})
         self._told_at_s = 0.0
         self._is_telling = False
         core.live.on_placed(self._tell_soon)
@@ -147,12 +147,16 @@
     def _tell_news(self) -> None:
         self._is_telling = False
         now = asyncio.get_running_loop().time()
-        news = (self._held(), self._core.upstreams.leaving_ids())
+        news = (
+            self._held(),
+            self._core.upstreams.leaving_ids(),
+            self._core.admission.waiting(),
+        )
         due = now - self._told_at_s >= REFRESH_S
         if self._transport.is_closing():
             return
-        if news != (self._told, self._told_leaving) or due:
-            self._told, self._told_leaving = news
+        if news != self._told or due:
+            self._told = news
             self._told_at_s = now
             for peer in self._peers.values():
                 self._send(peer.address)
@@ -179,6 +183,7 @@
         peer.incarnation = state.incarnation
         peer.heard_s, peer.number = now, state.number
         self._core.pages.hear(state.node, state.held)
+        self._core.pages.hear_waiting(state.node, state.waiting)
         self._core.upstreams.hear_leaving(state.leaving, state.node)
 
     def error_received(self, exc: OSError) -> None:
@@ -191,8 +196,7 @@
             self._node,
             self._incarnation,
             self._number,
-            self._told,
-            self._told_leaving,
+            *self._told,
         )
         self._transport.sendto(state_lib.encode(state), address)
 
@@ -214,4 +218,5 @@
         for node in silent:
             del self._peers[node]
             self._core.pages.hear(node, {})
+            self._core.pages.hear_waiting(node, {})
             event.note(event.PeerLost(node, len(self._peers)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -8,9 +8,12 @@
 
 from quetzalsill_gateway import error
 
-__all__ = ['Held', 'State', 'decode', 'encode']
+__all__ = ['Held', 'State', 'Waiting', 'decode', 'encode']
 
-VERSION = 1
+# Tokens that wait for engines, by service and rank.
+Waiting = dict[str, dict[int, int]]
+
+VERSION = 2
 MALFORMED = (ValueError, TypeError, AttributeError, msgpack.UnpackException)
 
 
@@ -39,6 +42,7 @@
       number: Grows with each datagram of a process.
       held: By upstream id.
       leaving: Ids of upstreams that it knows to leave.
+      waiting: Tokens that wait there, by service and rank.
     """
 
     node: str
@@ -46,6 +50,7 @@
     number: int
     held: dict[str, Held]
     leaving: tuple[str, ...] = ()
+    waiting: Waiting = dataclasses.field(default_factory=dict)
 
 
 def encode(state: State) -> bytes:
@@ -55,7 +60,7 @@
         for upstream, entry in state.held.items()
     }
     head = (VERSION, state.node, state.incarnation, state.number)
-    return msgpack.packb((*head, held, state.leaving))
+    return msgpack.packb((*head, held, state.leaving, state.waiting))
 
 
 def decode(data: bytes) -> State:
@@ -65,8 +70,8 @@
       error.PeerError: It is none, or of another version.
     """
     try:
-        version, node, incarnation, number, held, leaving = msgpack.unpackb(
-            data
+        version, node, incarnation, number, held, leaving, waiting = (
+            msgpack.unpackb(data, strict_map_key=False)
         )
         if version != VERSION:
             raise error.PeerError(f'version {version}, not {VERSION}')
@@ -76,6 +81,7 @@
             int(number),
             {str(name): _held(entry) for name, entry in held.items()},
             tuple(str(name) for name in leaving),
+            {str(name): _ranks(entry) for name, entry in waiting.items()},
         )
     except (
         ValueError,
@@ -89,3 +95,7 @@
 def _held(entry: list[int]) -> Held:
     memory, reading, runs = entry
     return Held(max(0, int(memory)), max(0, int(reading)), max(0, int(runs)))
+
+
+def _ranks(entry: dict[int, int]) -> dict[int, int]:
+    return {int(rank): max(0, int(tokens)) for rank, tokens in entry.items()}
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -49,6 +49,11 @@
 SLACK_S = 0.05
 RETRY_S = 0.08
 DESTINATIONS = 3
+# Copies are ordered this much ahead of their turn at the link, which must not
+# run dry; ordered all at once, they would choose by the same figures and meet
+# at the same destination.
+EARLY_SHARE = 0.7
+ROOM_EVERY_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,20 +64,21 @@
       source: The engine.
       engine: What engines of its service have.
       begun_s: Loop time at which its leaving was learned.
-      ends_s: How long from then on until each run is copied, by request.
+      turns: When from then on each run is copied, by request.
       page: What is known of the engine.
     """
 
     source: upstream_lib.Upstream
     engine: routing_table.Engine
     begun_s: float
-    ends_s: dict[str, float]
+    turns: dict[str, schedule.Turn]
     page: book.Page
 
     @property
     def last_at_s(self) -> float:
         """Loop time at which runs are stopped."""
-        copied_s = CROSSING * max(self.ends_s.values(), default=0.0) + SLACK_S
+        ends_s = (turn.end_s for turn in self.turns.values())
+        copied_s = CROSSING * max(ends_s, default=0.0) + SLACK_S
         return min(self.begun_s + copied_s, self.bound_s)
 
     @property
@@ -83,8 +89,11 @@
 
     def fits(self, request_id: str) -> bool:
         """Whether a run can be copied before the engine goes."""
-        end_s = self.ends_s.get(request_id, 0.0)
-        return self.begun_s + end_s <= self.bound_s
+        return self.begun_s + self.turn(request_id).end_s <= self.bound_s
+
+    def turn(self, request_id: str) -> schedule.Turn:
+        """Returns the turn of a run; it is at once if it began of late."""
+        return self.turns.get(request_id, schedule.Turn())
 
 
 class Evacuation:
@@ -126,9 +135,9 @@
         begun_s = loop.time()
         try:
             report = await self._report(source)
-            ends_s = schedule.ends(report.runs, engine) if report else {}
+            turns = schedule.turns(report.runs, engine) if report else {}
             page = self._core.pages.page(source)
-            departure = _Departure(source, engine, begun_s, ends_s, page)
+            departure = _Departure(source, engine, begun_s, turns, page)
             self._note_start(departure)
             self._spawn(self._ask_again(source))
             while loop.time() < begun_s + SEARCH_S:
@@ -146,7 +155,7 @@
         event.note(
             event.EvacuationStarted(
                 upstream=departure.source.id,
-                runs=len(departure.ends_s),
+                runs=len(departure.turns),
                 own=len(self._core.live.of(departure.source)),
                 last_after_ms=round(last_after_s * 1000, 1),
             )
@@ -196,6 +205,9 @@
         if not departure.fits(request):
             await _until(departure.bound_s + UNFIT_S)
             return next(iter(self._targets(stream, departure)), None)
+        start_s = departure.turn(request).start_s
+        await _until(departure.begun_s + EARLY_SHARE * start_s)
+        await self._wait_for_room(stream, departure)
         target = await self._copy(stream, departure)
         while target is not None and _now() < departure.last_at_s:
             # The time at which the engine goes may become known meanwhile.
@@ -203,6 +215,24 @@
             await asyncio.sleep(min(left_s, SEARCH_EVERY_S))
         return target
 
+    async def _wait_for_room(
+        self, stream: live.Stream, departure: _Departure
+    ) -> None:
+        """Waits until an engine has room, while time is left for the copy.
+
+        Engines that are full to the last run will push one off for it, and
+        most runs end within seconds.
+        """
+        turn = departure.turn(stream.exchange.id_text)
+        copy_s = CROSSING * (turn.end_s - turn.start_s)
+        needs = stream.reservation.memory_tokens
+        while _now() < departure.bound_s - copy_s and not stream.ended:
+            for target in self._targets(stream, departure)[:1]:
+                page = self._core.pages.page(target)
+                if choose.has_room(page, departure.engine, needs):
+                    return
+            await asyncio.sleep(ROOM_EVERY_S)
+
     def _targets(
         self, stream: live.Stream, departure: _Departure
     ) -> list[upstream_lib.Upstream]:
@@ -224,13 +254,11 @@
         for target in self._targets(stream, departure):
             if stream.ended or stream.upstream is not source:
                 return None
-            held = self._core.pages.page(target).reservations
-            held.add(stream.reservation)
+            self._core.live.hold(stream, target)
             move = await self._order(stream, source, target, last=False)
             if move is not None and move.copied:
                 return target
-            if stream.upstream is not target:
-                held.discard(stream.reservation)
+            self._core.live.release(stream, target)
             if move is None or move.unknown_run:
                 # It waits for its turn at the engine, or has just ended.
                 await asyncio.sleep(RETRY_S)
@@ -244,9 +272,8 @@
         target: upstream_lib.Upstream,
     ) -> None:
         """Stops a run at its source so that it goes on at the target."""
-        held = self._core.pages.page(target).reservations
         if stream.ended or stream.upstream is not source:
-            held.discard(stream.reservation)
+            self._core.live.release(stream, target)
             return
         switched = asyncio.get_running_loop().create_future()
         stream.switch = switched
@@ -260,7 +287,7 @@
         if result is None and stream.switch is switched:
             stream.switch = None
         if result is None or result.target is not target:
-            held.discard(stream.reservation)
+            self._core.live.release(stream, target)
 
     async def _order(
         self,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -47,6 +47,7 @@
       upstream: Where it runs; None before the first send.
       last_id: Number of the last event written to the caller; None at first.
       switch: Set while its run is being stopped in order to go on elsewhere.
+      placed_at_s: Loop time at which it was first sent; None before.
       ended: Nothing of it is relayed any more.
     """
 
@@ -56,6 +57,7 @@
     upstream: upstream_lib.Upstream | None = None
     last_id: int | None = None
     switch: asyncio.Future[Switch | None] | None = None
+    placed_at_s: float | None = None
     ended: bool = False
 
 
@@ -75,24 +77,45 @@
         self._on_leaving = callback
 
     def on_placed(self, callback: Callable[[], None]) -> None:
-        """Calls back when a stream begins anywhere."""
+        """Calls back when a stream takes memory anywhere."""
         self._on_placed = callback
 
     def of(self, upstream: upstream_lib.Upstream) -> list[Stream]:
         """Returns the streams of an upstream."""
         return list(self._streams.get(upstream.id, ()))
 
+    def hold(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
+        """Notes that a stream will need its memory at an upstream too."""
+        self._pages.page(upstream).reservations.add(stream.reservation)
+        if self._on_placed is not None:
+            self._on_placed()
+
+    def release(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
+        """Takes `hold` back, unless the stream has gone there."""
+        if stream.upstream is not upstream:
+            page = self._pages.page(upstream)
+            page.reservations.discard(stream.reservation)
+
     def place(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
         """Notes that a stream runs at an upstream from now on."""
         self.remove(stream)
         stream.upstream = upstream
+        if stream.placed_at_s is None:
+            stream.placed_at_s = asyncio.get_running_loop().time()
         self._streams.setdefault(upstream.id, set()).add(stream)
-        self._pages.page(upstream).reservations.add(stream.reservation)
-        if self._on_placed is not None:
-            self._on_placed()
+        self.hold(stream, upstream)
         if upstream.leaving and self._on_leaving is not None:
             self._on_leaving(upstream)
 
+    def end(self, stream: Stream) -> None:
+        """Notes that a stream has ended, and for how long it held memory."""
+        stream.ended = True
+        self.remove(stream)
+        if stream.placed_at_s is not None:
+            held_s = asyncio.get_running_loop().time() - stream.placed_at_s
+            tokens = stream.reservation.memory_tokens
+            self._pages.note_held(tokens, held_s)
+
     def remove(self, stream: Stream) -> None:
         """Notes that a stream runs nowhere."""
         if stream.upstream is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -91,8 +91,7 @@
     try:
         return await _Relay(core, stream).run()
     finally:
-        stream.ended = True
-        core.live.remove(stream)
+        core.live.end(stream)
 
 
 class _Relay:
@@ -129,13 +128,14 @@
     async def _first_leg(self) -> _Leg | None:
         req = self._req
         engine = req.service.engine or routing_table.Engine()
-        needs = self._stream.reservation.memory_tokens
+        reservation = self._stream.reservation
         upstream = await self._core.admission.engine(
-            req, engine, needs, self._avoid
+            req, engine, reservation, self._avoid
         )
         if upstream is None:
             return None
         self._avoid |= {upstream.id}
+        needs = reservation.memory_tokens
         note.chosen(self._core, req.id_text, upstream, needs)
         return _Leg(upstream, [self._priority()])
 
@@ -294,7 +294,13 @@
             responder.abort()
             return 'cut'
         if not self._ran:
-            exchange.refuse(responder, UNAVAILABLE, 'not_run', again=True)
+            exchange.refuse(
+                responder,
+                UNAVAILABLE,
+                'not_run',
+                again=True,
+                come_back_s=self._req.come_back_s,
+            )
             return 'refused'
         if (
             isinstance(end, _Refusal)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/schedule.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/schedule.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -15,7 +16,7 @@
 
     from quetzalsill_gateway import dialect, routing_table
 
-__all__ = ['ends']
+__all__ = ['Turn', 'turns']
 
 BITS = 8
 MBPS = 1e6
@@ -23,22 +24,32 @@
 GROWTH = 1.1
 
 
-def ends(
+@dataclasses.dataclass(slots=True, frozen=True)
+class Turn:
+    """When a run is copied, if no copy crosses into another zone.
+
+    Attributes:
+      start_s: Time until the copies before it are through, in seconds.
+      end_s: Time until it is copied, in seconds.
+    """
+
+    start_s: float = 0.0
+    end_s: float = 0.0
+
+
+def turns(
     runs: Iterable[dialect.Run], engine: routing_table.Engine
-) -> dict[str, float]:
-    """Returns by request id how long it takes until a run is copied.
+) -> dict[str, Turn]:
+    """Returns the turn of each run by request id.
 
     The smallest run comes first, since most are saved in that order where the
     time does not suffice for all.
-
-    Returns:
-      Seconds from the start of the copies, if none of them crosses into
-      another availability zone.
     """
-    found: dict[str, float] = {}
+    found: dict[str, Turn] = {}
     end_s = 0.0
     for run in sorted(runs, key=lambda run: (run.tokens, run.request_id)):
         bits = run.tokens * engine.token_bytes * BITS
+        start_s = end_s
         end_s += GROWTH * bits / (engine.link_mbps * MBPS)
-        found[run.request_id] = end_s
+        found[run.request_id] = Turn(start_s, end_s)
     return found
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from quetzalsill_gateway import error, upstream
-from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.balance import admission, book
 from quetzalsill_gateway.peers import exchange, state
 from quetzalsill_gateway.stream import live
 
@@ -26,6 +26,9 @@
         st.text(max_size=8), st.builds(state.Held, COUNT, COUNT, COUNT)
     ),
     st.lists(st.text(max_size=8)).map(tuple),
+    st.dictionaries(
+        st.text(max_size=8), st.dictionaries(st.integers(0, 20), COUNT)
+    ),
 )
 
 
@@ -70,6 +73,7 @@
             pages=book.Book(), upstreams=upstream.Upstreams()
         )
         core.live = live.Live(core.pages)
+        core.admission = admission.Admission(core.upstreams, core.pages, 'z')
         found = exchange.Exchange(core, node, self.join)
         await found.open(('127.0.0.1', 0))
         tasks = [
