Name the host that died with a request; split admission by its nouns

A request that no engine had room for says how long it was held.

Admission: a stream of a service without engines has no memory to wait for; it was held for 5 s and refused (found by reading; the test was seen to fail). A guess of the length beyond any engine's memory goes to an empty engine.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/story.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/story.py
@@ -86,7 +86,25 @@
         and 'request' not in line.fields
         and _concerns(line, upstreams)
     ]
-    return sorted([*own, *around], key=lambda line: line.at)
+    found = [*own, *around]
+    if not any(line.event == 'request_ended' for line in own):
+        found += _next_starts(parsed, nodes, last)
+    return sorted(found, key=lambda line: line.at)
+
+
+def _next_starts(
+    parsed: list[Line], nodes: set[str], since: datetime.datetime
+) -> Iterator[Line]:
+    """Yields when the gateways of a request without an end started anew."""
+    for node in nodes:
+        starts = [
+            line
+            for line in parsed
+            if line.node == node
+            and line.event == 'process_started'
+            and line.at > since
+        ]
+        yield from sorted(starts, key=lambda line: line.at)[:1]
 
 
 def cause(lines: list[Line]) -> str:
@@ -98,6 +116,12 @@
             refusals[-1].fields.get('reason', ''),
             'It was refused; the reason is in its line.',
         )
+    starts = [line for line in lines if line.event == 'process_started']
+    if not ends and starts:
+        return (
+            f'Its gateway {starts[0].node} died with it; it started anew at '
+            f'{starts[0].at:%H:%M:%S}.'
+        )
     if not ends:
         return (
             'Its end was not logged: its gateway died with it, the log is '
@@ -111,11 +135,21 @@
     away = any(line.event == 'store_lost' for line in lines)
     if outcome == 'served':
         return _served(ends[-1])
+    held = [line for line in lines if line.event == 'request_held']
+    if outcome == 'refused' and held and _is_false(held[-1], 'admitted'):
+        return (
+            'No engine had room for it: it was held for '
+            f'{held[-1].fields["waited_ms"]} ms and told to come back.'
+        )
     if outcome in ('cut', 'failed'):
         return _broken(newest, lines, away)
     return _OUTCOMES.get(outcome, f'It ended as {outcome}.')
 
 
+def _is_false(line: Line, field: str) -> bool:
+    return line.fields.get(field, '').lower() == 'false'
+
+
 def _served(end: Line) -> str:
     gap = end.fields.get('widest_gap_ms')
     if gap and gap != 'None' and float(gap) > 180:
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -0,0 +1,156 @@
+"""Finds an engine with room for one generation."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway.balance import choose
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import exchange as exchange_lib
+    from quetzalsill_gateway import routing_table
+    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.balance import waiting as waiting_lib
+
+__all__ = ['Search']
+
+# Share of an engine's memory that runs may be expected to need at their ends.
+# Not all come to their ends at once: five runs at random stages of plans hold
+# about nine tenths of that at their common peak.
+FULL_SHARE = 1.1
+# Urgent requests are short, and gone before the runs beside them have grown.
+URGENT_SHARE = 1.2
+URGENT = 0
+# Prompts of this reading time may be ahead of one that is late anyway.
+LATE_AHEAD_S = 0.3
+# Gateways hear of each other's choices about one turn of the poll later. With
+# half of the room given out in a turn, what all take meanwhile fits.
+RACE_SHARE = 0.5
+
+
+class Search:
+    """One request's search for an engine.
+
+    Attributes:
+      req: The request.
+      waiting: Its place among those that wait.
+    """
+
+    def __init__(
+        self,
+        upstreams: upstream_lib.Upstreams,
+        pages: book.Book,
+        zone: str,
+        req: exchange_lib.Exchange,
+        engine: routing_table.Engine,
+        reservation: book.Reservation,
+        avoid: frozenset[str],
+        waiting: waiting_lib.Waiting,
+    ) -> None:
+        self._upstreams = upstreams
+        self._pages = pages
+        self._zone = zone
+        self.req = req
+        self._engine = engine
+        self._reservation = reservation
+        self._avoid = avoid
+        self.waiting = waiting
+
+    @property
+    def has_engine(self) -> bool:
+        """Whether there is any engine left to send to."""
+        return any(self._open())
+
+    def take(self, now: float) -> upstream_lib.Upstream | None:
+        """Returns an engine with room, unless another's turn comes first.
+
+        Gateways see room at the same time. While others wait for it too, each
+        takes it with the chance that all together take no more than there is.
+        """
+        able = [one for one in self._open() if self._fits(one, now)]
+        rank = self.waiting.rank(now)
+        service = self.req.service.name
+        upto = self._pages.waiting_elsewhere(service, rank)
+        ahead = self._pages.waiting_elsewhere(service, rank - 1)
+        before = ahead + self._homeless()
+        if not upto and not before:
+            return self._cheapest(able)
+        rooms = [self._room(one) for one in able]
+        left = sum(rooms) - before
+        if left < self.waiting.tokens:
+            return None
+        share = RACE_SHARE * left / (upto - ahead + self.waiting.tokens)
+        if random.random() >= share:
+            return None
+        return random.choices(able, rooms)[0]
+
+    def cheapest(self) -> upstream_lib.Upstream | None:
+        """Returns the engine with the least expected wait, full or not."""
+        return self._cheapest(self._open())
+
+    def expected_wait_s(self, rank: int, ahead_tokens: int) -> float:
+        """Returns how long a request of a rank will wait for memory.
+
+        Memory becomes free as fast as what is held is given back.
+
+        Args:
+          rank: Waits behind all that is ranked so or ahead of it.
+          ahead_tokens: What of that waits at this gateway.
+        """
+        open_now = self._open()
+        service = self.req.service.name
+        wanted = self.waiting.tokens + ahead_tokens + self._homeless()
+        wanted += self._pages.waiting_elsewhere(service, rank)
+        short = wanted - sum(self._usable(one) for one in open_now)
+        held = sum(self._pages.page(one).reserved_tokens for one in open_now)
+        if short <= 0 or not held:
+            return 0.0
+        return short * self._pages.mean_held_s / held
+
+    def _cheapest(
+        self, able: list[upstream_lib.Upstream]
+    ) -> upstream_lib.Upstream | None:
+        return choose.choose_engine(
+            able,
+            self._pages,
+            self._zone,
+            self._engine,
+            self.waiting.tokens,
+        )
+
+    def _homeless(self) -> int:
+        """Tokens of runs whose engines leave, and that will need room soon.
+
+        They come first: a run that finds no room is lost.
+        """
+        return sum(
+            self._pages.page(one).reserved_tokens
+            for one in self._upstreams.all()
+            if one.leaving and one.service == self.req.service.name
+        )
+
+    def _open(self) -> list[upstream_lib.Upstream]:
+        found = self._upstreams.of(self.req.service.name)
+        return list(choose.open_to_work(found, self._avoid))
+
+    def _room(self, candidate: upstream_lib.Upstream) -> float:
+        urgent = self.waiting.priority <= URGENT
+        share = URGENT_SHARE if urgent else FULL_SHARE
+        used = self._pages.page(candidate).reserved_tokens
+        return share * self._engine.memory_tokens - used
+
+    def _usable(self, candidate: upstream_lib.Upstream) -> float:
+        """Room in pieces that are large enough for a request like this."""
+        piece = max(1, self.waiting.tokens)
+        return max(0.0, self._room(candidate) // piece * piece)
+
+    def _fits(self, candidate: upstream_lib.Upstream, now: float) -> bool:
+        if self.waiting.tokens > self._room(candidate):
+            return False
+        own_s = self._reservation.prompt_tokens / choose.READ_TOKENS_S
+        ahead = self._pages.page(candidate).reading_tokens
+        left_s = self.waiting.late_at_s - now
+        bound_s = max(left_s - own_s, LATE_AHEAD_S)
+        return ahead / choose.READ_TOKENS_S <= bound_s
--- a/tests/quetzalsill_cli/test_explain.py
+++ b/tests/quetzalsill_cli/test_explain.py
@@ -115,6 +115,21 @@
         found = story.select([line(1, chosen('r-9'))], 'r-9')
         self.assertIn('was not logged', story.cause(found))
 
+    def test_a_gateway_that_died_with_it_is_named(self):
+        """Its log just ends; the next line of that host is a new start."""
+        start = f'{START.format(4)} event=process_started node=entry-1'
+        other = f'{START.format(3)} event=process_started node=entry-2'
+        lines = [line(1, chosen('r-9')), other, start]
+        cause = story.cause(story.select(lines, 'r-9'))
+        self.assertIn('entry-1 died with it', cause)
+        self.assertIn('10:00:04', cause)
+
+    def test_a_request_that_no_engine_had_room_for(self):
+        held = event.RequestHeld('r-9', 812.5, 3, admitted=False)
+        lines = [line(1, held), line(1, ended('r-9', 'refused'))]
+        cause = story.cause(story.select(lines, 'r-9'))
+        self.assertIn('held for 812.5 ms', cause)
+
 
 class CommandTest(unittest.TestCase):
     """The command line around it."""
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -7,7 +7,7 @@
 import unittest
 
 from quetzalsill_gateway import routing_table, upstream
-from quetzalsill_gateway.balance import admission, book
+from quetzalsill_gateway.balance import admission, book, waiting
 from quetzalsill_gateway.http import message
 
 BOUND_S = 10.0
@@ -39,6 +39,7 @@
         age_s=0.0,
         tokens=5000,
         left_s=60.0,
+        engine=ENGINE,
     ):
         """Starts a request that needs half of the engine."""
         now = asyncio.get_running_loop().time()
@@ -61,14 +62,14 @@
             id_text=name,
             come_back_s=None,
         )
-        task = asyncio.create_task(self.serve(name, req, tokens))
+        task = asyncio.create_task(self.serve(name, req, tokens, engine))
         self.addCleanup(task.cancel)
         task.req = req
         return task
 
-    async def serve(self, name, req, tokens):
+    async def serve(self, name, req, tokens, engine):
         held = book.Reservation(1000, tokens, is_reading=False)
-        found = await self.admission.engine(req, ENGINE, held, frozenset())
+        found = await self.admission.engine(req, engine, held, frozenset())
         if found is not None:
             self.served.append(name)
             self.page.reservations.add(held)
@@ -148,7 +149,7 @@
 
     async def test_what_is_late_elsewhere_is_no_rival(self):
         self.page.reservations.discard(self.full)
-        late = admission.LATE_RANK
+        late = waiting.LATE_RANK
         self.pages.hear_waiting('entry-2', {'s': {late: 10**9}})
         self.assertIs(await self.ask('a'), self.engine)
 
@@ -211,6 +212,22 @@
         runs.clear()
         self.assertIs(await waiting, self.engine)
 
+    async def test_streams_without_known_memory_do_not_wait(self):
+        """A stream route leads to a plain service, which tells no memory.
+
+        Its requests are held until they are refused, with servers idle.
+        """
+        found = self.ask('a', engine=routing_table.Engine())
+        self.assertIs(await found, self.engine)
+
+    async def test_one_too_large_by_its_hint_goes_to_an_empty_engine(self):
+        """A guess of the length is beyond the memory of any engine.
+
+        Held for more room than there is, it would always be refused.
+        """
+        self.page.reservations.discard(self.full)
+        self.assertIs(await self.ask('a', tokens=50_000), self.engine)
+
     async def test_none_without_an_engine(self):
         self.engine.leaving = True
         self.assertIsNone(await self.ask('a'))
