--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -115,14 +115,14 @@
             if chosen is not None:
                 return chosen
         if self._is_hopeless(search, queue):
-            self._note(req, now, queue, None)
+            self._note(search, now, queue, None)
             return None
         queue.append(waiting)
         try:
             chosen = await self._wait(search, queue)
         finally:
             queue.remove(waiting)
-        self._note(req, now, queue, chosen)
+        self._note(search, now, queue, chosen)
         return chosen
 
     def _is_hopeless(
@@ -138,7 +138,8 @@
         ahead = sum(one.tokens for one in others if one.rank(now) <= rank)
         bound_s = max(waiting.late_at_s - now, LATE_WAIT_S)
         bound_s = min(bound_s, req.left_s * LEFT_SHARE)
-        if search.expected_wait_s(rank, ahead) <= bound_s:
+        waiting.expected_s = search.expected_wait_s(rank, ahead)
+        if waiting.expected_s <= bound_s:
             return False
         ahead = sum(one.tokens for one in others)
         req.come_back_s = max(
@@ -149,7 +150,7 @@
 
     def _note(
         self,
-        req: exchange_lib.Exchange,
+        search: search_lib.Search,
         since_s: float,
         queue: list[waiting_lib.Waiting],
         chosen: upstream_lib.Upstream | None,
@@ -157,10 +158,12 @@
         waited_s = asyncio.get_running_loop().time() - since_s
         event.note(
             event.RequestHeld(
-                request=req.id_text,
+                request=search.req.id_text,
                 waited_ms=round(waited_s * 1000, 1),
+                expected_ms=round(search.waiting.expected_s * 1000, 1),
                 waiting=len(queue),
                 admitted=chosen is not None,
+                come_back_ms=round(search.req.come_back_s * 1000, 1),
             )
         )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/waiting.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/waiting.py
@@ -26,6 +26,7 @@
       number: Grows with each request.
       late_at_s: Loop time from which it is late.
       tokens: Memory that it needs.
+      expected_s: How long it was expected to wait when it came, in seconds.
     """
 
     priority: int
@@ -33,6 +34,7 @@
     number: int
     late_at_s: float
     tokens: int
+    expected_s: float = 0.0
 
     def rank(self, now: float) -> int:
         """Returns its rank among all that wait; the lowest comes first."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -106,19 +106,23 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestHeld(base.Event):
-    """A generation waited until an engine had the memory for it.
+    """A generation waited for an engine with room, or was told to come back.
 
     Attributes:
       request: Id of the request.
       waited_ms: How long.
+      expected_ms: How long it was expected to wait when it came.
       waiting: Others that wait still.
       admitted: Whether it is sent now; if not, its caller is told to come back.
+      come_back_ms: When its caller is told to come back, if it is.
     """
 
     request: str
     waited_ms: float
+    expected_ms: float
     waiting: int
     admitted: bool
+    come_back_ms: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
