Move runs one after another; open the socket of callers before loading

Cause: all last copies of a leaving engine waited for all first ones. One played: notice 1.96 s, eight runs, five first copies through after 1.5 s, and every run lost, since their last copies were ordered behind two more first ones. Change: one run at a time is moved to its end. Gateways tell each other which runs they have still to move (stream.link_queue); the smallest comes first, what is on the link stays first, and a run that cannot be through before the engine goes is left alone.

Cause: the program loads for 0.5 s; until it listened, connections were refused, and all callers of that time lost.

Ruled out by reckoning: engines set apart for reading prompts. An engine that reads makes a step of 15 ms for 112 tokens whether it generates or not, so that three of six would read and the others could not hold the drafts; mixed, a chunk costs 8 ms.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import admission
+from quetzalsill_gateway.stream import link_queue
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
@@ -32,6 +33,7 @@
       conns: Kept connections.
       budget: Retries that may be sent.
       live: Streams being relayed.
+      link_queue: Order of the moves away from engines that leave.
       admission: Holds generations back.
     """
 
@@ -45,6 +47,9 @@
     conns: pool.Pool
     budget: retry_budget.RetryBudget
     live: live.Live
+    link_queue: link_queue.LinkQueue = dataclasses.field(
+        default_factory=link_queue.LinkQueue
+    )
     admission: admission.Admission = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -26,13 +26,15 @@
       upstream: The engine.
       runs: What it works on, by its own report.
       own: Streams of this gateway there.
-      last_after_ms: When they are to be stopped, from now on.
+      unprotected: Own runs without a backup, which have to be moved.
+      left_ms: Time until it is expected to go.
     """
 
     upstream: str
     runs: int
     own: int
-    last_after_ms: float
+    unprotected: int
+    left_ms: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -12,7 +12,7 @@
 import httptools
 
 from quetzalsill_gateway import event
-from quetzalsill_gateway.http import message, socket_option
+from quetzalsill_gateway.http import early_socket, message, socket_option
 
 __all__ = ['Connection', 'Handler', 'Limits', 'Listener', 'Responder']
 
@@ -396,8 +396,10 @@
     async def start(self, host: str, port: int) -> None:
         """Opens the listener; port 0 lets the kernel choose."""
         loop = asyncio.get_running_loop()
+        sock = early_socket.take(host, port)
+        where = {'host': host, 'port': port} if sock is None else {'sock': sock}
         self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=1024
+            lambda: Connection(self), backlog=early_socket.BACKLOG, **where
         )
 
     async def watch(self) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -19,6 +19,7 @@
 
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.peers import state as state_lib
+from quetzalsill_gateway.stream import link_queue
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -28,7 +29,12 @@
 Address = tuple[str, int]
 # Enters this gateway's address in the directory and returns those in it.
 Join = Callable[[str, str], Awaitable[list[str]]]
-_News = tuple[dict[str, state_lib.Held], tuple[str, ...], state_lib.Waiting]
+_News = tuple[
+    dict[str, state_lib.Held],
+    tuple[str, ...],
+    state_lib.Waiting,
+    link_queue.Moving,
+]
 
 # What is given back is told this soon after one another: known late, it only
 # leaves room unused for a moment.
@@ -69,7 +75,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._told: _News = ({}, (), {})
+        self._told: _News = ({}, (), {}, {})
         self._told_at_s = 0.0
         self._is_telling = False
         core.live.on_placed(self._tell_soon)
@@ -148,6 +154,7 @@
             self._held(),
             self._core.upstreams.leaving_ids(),
             self._core.admission.waiting(),
+            self._core.link_queue.own(),
         )
         due = now - self._told_at_s >= REFRESH_S
         if self._transport.is_closing():
@@ -181,6 +188,7 @@
         peer.heard_s, peer.number = now, state.number
         self._core.pages.hear(state.node, state.held)
         self._core.pages.hear_waiting(state.node, state.waiting)
+        self._core.link_queue.hear(state.node, state.moving)
         self._core.upstreams.hear_leaving(state.leaving, state.node)
 
     def error_received(self, exc: OSError) -> None:
@@ -219,4 +227,5 @@
             del self._peers[node]
             self._core.pages.hear(node, {})
             self._core.pages.hear_waiting(node, {})
+            self._core.link_queue.hear(node, {})
             event.note(event.PeerLost(node, len(self._peers)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 import msgpack
 
 from quetzalsill_gateway import error
 
+if TYPE_CHECKING:
+    from quetzalsill_gateway.stream import link_queue
+
 __all__ = ['Held', 'State', 'Waiting', 'decode', 'encode']
 
 # Tokens that wait for engines, by service and rank.
 Waiting = dict[str, dict[int, int]]
 
-VERSION = 3
+VERSION = 4
 MALFORMED = (ValueError, TypeError, AttributeError, msgpack.UnpackException)
 
 
@@ -45,6 +49,7 @@
       held: By upstream id.
       leaving: Ids of upstreams that it knows to leave.
       waiting: Tokens that wait there, by service and rank.
+      moving: Runs of leaving engines that it has still to move.
     """
 
     node: str
@@ -53,6 +58,7 @@
     held: dict[str, Held]
     leaving: tuple[str, ...] = ()
     waiting: Waiting = dataclasses.field(default_factory=dict)
+    moving: link_queue.Moving = dataclasses.field(default_factory=dict)
 
 
 def encode(state: State) -> bytes:
@@ -67,7 +73,9 @@
         for upstream, entry in state.held.items()
     }
     head = (VERSION, state.node, state.incarnation, state.number)
-    return msgpack.packb((*head, held, state.leaving, state.waiting))
+    return msgpack.packb(
+        (*head, held, state.leaving, state.waiting, state.moving)
+    )
 
 
 def decode(data: bytes) -> State:
@@ -77,8 +85,9 @@
       error.PeerError: It is none, or of another version.
     """
     try:
-        version, node, incarnation, number, held, leaving, waiting = (
-            msgpack.unpackb(data, strict_map_key=False)
+        fields = msgpack.unpackb(data, strict_map_key=False)
+        version, node, incarnation, number, held, leaving, waiting, moving = (
+            fields
         )
         if version != VERSION:
             raise error.PeerError(f'version {version}, not {VERSION}')
@@ -89,6 +98,7 @@
             {str(name): _held(entry) for name, entry in held.items()},
             tuple(str(name) for name in leaving),
             {str(name): _ranks(entry) for name, entry in waiting.items()},
+            {str(name): _sizes(entry) for name, entry in moving.items()},
         )
     except (
         ValueError,
@@ -104,5 +114,9 @@
     return Held(memory, reading, runs, copied)
 
 
+def _sizes(entry: dict[str, int]) -> dict[str, int]:
+    return {str(name): max(0, int(tokens)) for name, tokens in entry.items()}
+
+
 def _ranks(entry: dict[int, int]) -> dict[int, int]:
     return {int(rank): max(0, int(tokens)) for rank, tokens in entry.items()}
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -32,6 +32,10 @@
 __all__ = ['Process', 'run']
 
 TICK_S = 0.05
+# A store that answers has told both tables within a few round trips; without
+# one, callers are told so after this time.
+FIRST_READ_S = 0.5
+FIRST_READ_EVERY_S = 0.005
 # Left of the grace period for closing connections and ending the process.
 END_S = 0.3
 
@@ -108,11 +112,24 @@
             for name, work in loops.items()
         ]
         cfg = self._settings
-        await self.callers.start(*settings_lib.address(cfg.listen))
         await self.asked.start(*settings_lib.address(cfg.ready))
+        await self._until_known()
+        await self.callers.start(*settings_lib.address(cfg.listen))
         if cfg.metrics:
             await self.metrics.start(*settings_lib.address(cfg.metrics))
 
+    async def _until_known(self) -> None:
+        """Waits for the first configuration and membership, but not for long.
+
+        Callers that come meanwhile wait to be accepted. Taken at once, they
+        would be refused for want of a configuration that is there within a few
+        round trips.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FIRST_READ_S
+        while not self.is_ready() and loop.time() < end_s:  # noqa: ASYNC110
+            await asyncio.sleep(FIRST_READ_EVERY_S)
+
     async def stop(self) -> None:
         """Takes no more callers and lets requests in flight end.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -1,14 +1,14 @@
 """Moves the runs of an engine that leaves to others, with their memory.
 
 An engine that is taken away serves on for a second or two after its notice,
-and runs last longer. Each run is first copied while it goes on; once all
-copies are through the engine's link, which they share one after another, each
-run is stopped, the little that is new is copied, and the run goes on at its
-destination. Stopped before the link is free, it would wait behind the copies
-of others, which its caller sees as a pause.
-
-Streams that may be resumed are left where they are: they are short, and
-whatever breaks off is sent again.
+and runs last longer. One run after another is copied while it goes on, then
+stopped, the little that is new is copied, and it goes on at its destination;
+`stream.link_queue` gives the order. A run that cannot be through before the
+engine goes is left alone: its copy would only hold up others.
+
+Runs whose memory is kept at a second engine anyway go on from there when their
+engine goes (`balance.backup`). Streams that may be resumed are left where they
+are: they are short, and whatever breaks off is sent again.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from quetzalsill_gateway import event, meter
 from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
-from quetzalsill_gateway.stream import live, schedule
+from quetzalsill_gateway.stream import live
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -33,27 +33,28 @@
 
 # How long after its notice an engine is searched for runs to move.
 SEARCH_S = 2.5
-SEARCH_EVERY_S = 0.1
+SEARCH_EVERY_S = 0.05
 REPORT_S = 0.3
 # A notice is in an engine's report this long after it was given.
 NOTICE_S = book.REPORT_AGE_S + 0.05
 # Shortest notice given; an engine that does not say when it goes is taken to
 # go then.
 LEAST_NOTICE_S = 1.45
-# What the last copies and the starts at the destinations take at most.
-LAST_S = 0.3
-# A run that could not be copied ahead is stopped after those that were.
-UNFIT_S = 0.1
-# Some copies cross into another availability zone, which takes twice as long.
-CROSSING = 1.4
-SLACK_S = 0.05
+# The order to stop, the copy of what is new by then, and their round trips.
+LAST_S = 0.06
+# A run grows while it is copied, and the link carries backups besides.
+GROWTH = 1.1
+# Between availability zones memory moves at half the rate.
+CROSSING = 2.0
+# A move that takes this much longer than reckoned holds nobody up any longer.
+PATIENCE_S = 0.15
+# Gateways learn of a leaving engine, and of each other's runs there, within a
+# few round trips.
+SETTLE_S = 0.02
+# How often a run asks whether it is its turn: small against a copy.
+TURN_EVERY_S = 0.005
 RETRY_S = 0.08
 DESTINATIONS = 3
-# Copies are ordered this much ahead of their turn at the link, which must not
-# run dry; ordered all at once, they would choose by the same figures and meet
-# at the same destination.
-EARLY_SHARE = 0.7
-ROOM_EVERY_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,36 +65,30 @@
       source: The engine.
       engine: What engines of its service have.
       begun_s: Loop time at which its leaving was learned.
-      turns: When from then on each run is copied, by request.
       page: What is known of the engine.
+      tokens: Tokens in memory of its runs, by request, as it reported.
     """
 
     source: upstream_lib.Upstream
     engine: routing_table.Engine
     begun_s: float
-    turns: dict[str, schedule.Turn]
     page: book.Page
+    tokens: dict[str, int]
 
     @property
-    def last_at_s(self) -> float:
-        """Loop time at which runs are stopped."""
-        ends_s = (turn.end_s for turn in self.turns.values())
-        copied_s = CROSSING * max(ends_s, default=0.0) + SLACK_S
-        return min(self.begun_s + copied_s, self.bound_s)
+    def leaves_at_s(self) -> float:
+        """Loop time at which it goes."""
+        return self.page.leaves_at_s or self.begun_s + LEAST_NOTICE_S
 
-    @property
-    def bound_s(self) -> float:
-        """Loop time at which runs are stopped at the latest."""
-        leaves_at_s = self.page.leaves_at_s or self.begun_s + LEAST_NOTICE_S
-        return leaves_at_s - LAST_S
-
-    def fits(self, request_id: str) -> bool:
-        """Whether a run can be copied before the engine goes."""
-        return self.begun_s + self.turn(request_id).end_s <= self.bound_s
+    def held(self, stream: live.Stream) -> int:
+        """Returns a run's tokens in memory, of late."""
+        reported = self.tokens.get(stream.exchange.id_text, 0)
+        return max(reported, stream.prompt.input_tokens)
 
-    def turn(self, request_id: str) -> schedule.Turn:
-        """Returns the turn of a run; it is at once if it began of late."""
-        return self.turns.get(request_id, schedule.Turn())
+    def move_s(self, stream: live.Stream, *, crossing: bool = True) -> float:
+        """Returns how long a move takes on a free link, in seconds."""
+        copy_s = GROWTH * self.engine.copy_s(self.held(stream))
+        return copy_s * (CROSSING if crossing else 1.0) + LAST_S
 
 
 class Evacuation:
@@ -131,17 +126,17 @@
     async def _evacuate(
         self, source: upstream_lib.Upstream, engine: routing_table.Engine
     ) -> None:
-        loop = asyncio.get_running_loop()
-        begun_s = loop.time()
+        begun_s = _now()
         try:
             report = await self._report(source)
-            turns = schedule.turns(report.runs, engine) if report else {}
+            runs = report.runs if report else ()
+            tokens = {run.request_id: run.tokens for run in runs}
             page = self._core.pages.page(source)
-            departure = _Departure(source, engine, begun_s, turns, page)
+            departure = _Departure(source, engine, begun_s, page, tokens)
             self._note_start(departure)
             self._spawn(self._ask_again(source))
-            while loop.time() < begun_s + SEARCH_S:
-                for stream in self._waiting(source):
+            while _now() < begun_s + SEARCH_S:
+                for stream in self._unprotected(source):
                     self._moving.add(stream)
                     self._spawn(self._move(stream, departure))
                 await asyncio.sleep(SEARCH_EVERY_S)
@@ -149,25 +144,33 @@
                     return
         finally:
             self._running.discard(source.id)
+            self._core.link_queue.forget(source.id)
 
     def _note_start(self, departure: _Departure) -> None:
-        last_after_s = departure.last_at_s - departure.begun_s
+        left_s = departure.leaves_at_s - departure.begun_s
+        source = departure.source
         event.note(
             event.EvacuationStarted(
-                upstream=departure.source.id,
-                runs=len(departure.turns),
-                own=len(self._core.live.of(departure.source)),
-                last_after_ms=round(last_after_s * 1000, 1),
+                upstream=source.id,
+                runs=len(departure.tokens),
+                own=len(self._core.live.of(source)),
+                unprotected=len(self._unprotected(source)),
+                left_ms=round(left_s * 1000, 1),
             )
         )
 
-    def _waiting(self, source: upstream_lib.Upstream) -> list[live.Stream]:
-        """Returns the runs to move: those that no backup protects."""
+    def _unprotected(self, source: upstream_lib.Upstream) -> list[live.Stream]:
+        """Returns the runs that are lost unless they are moved.
+
+        What has made no event yet may still wait to be admitted, and has no
+        memory to move.
+        """
         return [
             stream
             for stream in self._core.live.of(source)
             if stream not in self._moving
             and not stream.exchange.route.kind.may_repeat
+            and stream.last_id is not None
             and (stream.backup is None or stream.backup.leaving)
         ]
 
@@ -189,64 +192,68 @@
         return report
 
     async def _move(self, stream: live.Stream, departure: _Departure) -> None:
+        """Moves a run when its turn comes, if there is time for it."""
+        source, request = departure.source, stream.exchange.id_text
+        queue = self._core.link_queue
+        queue.add(source.id, request, departure.held(stream))
+        self._core.live.changed()
         try:
-            target = await self._copy_ahead(stream, departure)
+            if not await self._turn(stream, departure):
+                return
+            queue.begin(source.id, request)
+            self._core.live.changed()
+            target = await self._copy(stream, departure)
             if target is not None:
-                await self._stop(stream, departure.source, target)
+                await self._stop(stream, source, target)
         finally:
+            queue.remove(source.id, request)
+            self._core.live.changed()
+            # Full destinations may have room a little later.
+            await asyncio.sleep(RETRY_S)
             self._moving.discard(stream)
 
-    async def _copy_ahead(
-        self, stream: live.Stream, departure: _Departure
-    ) -> upstream_lib.Upstream | None:
-        """Copies a run as long as time is left; returns where it goes on."""
-        request = stream.exchange.id_text
-        if not departure.fits(request):
-            # When the engine goes may become known, and leave it time yet.
-            await _until(departure.begun_s + NOTICE_S + SLACK_S)
-        if not departure.fits(request):
-            await _until(departure.bound_s + UNFIT_S)
-            return next(iter(self._targets(stream, departure)), None)
-        start_s = departure.turn(request).start_s
-        await _until(departure.begun_s + EARLY_SHARE * start_s)
-        await self._wait_for_room(stream, departure)
-        target = await self._copy(stream, departure)
-        while target is not None and _now() < departure.last_at_s:
-            # The time at which the engine goes may become known meanwhile.
-            left_s = departure.last_at_s - _now()
-            await asyncio.sleep(min(left_s, SEARCH_EVERY_S))
-        return target
-
-    async def _wait_for_room(
-        self, stream: live.Stream, departure: _Departure
-    ) -> None:
-        """Waits until an engine has room, while time is left for the copy.
-
-        Engines that are full to the last run will push one off for it, and
-        most runs end within seconds.
-        """
-        turn = departure.turn(stream.exchange.id_text)
-        copy_s = CROSSING * (turn.end_s - turn.start_s)
-        needs = stream.reservation.memory_tokens
-        while _now() < departure.bound_s - copy_s and not stream.ended:
-            for target in self._targets(stream, departure)[:1]:
-                page = self._core.pages.page(target)
-                if choose.has_room(page, departure.engine, needs):
-                    return
-            await asyncio.sleep(ROOM_EVERY_S)
+    async def _turn(self, stream: live.Stream, departure: _Departure) -> bool:
+        """Waits for a run's turn; returns whether to move it."""
+        source, request = departure.source, stream.exchange.id_text
+        queue = self._core.link_queue
+        patience_s = departure.move_s(stream) + PATIENCE_S
+        await asyncio.sleep(SETTLE_S)
+        while not queue.is_next(source.id, request, _now(), patience_s):
+            if self._is_elsewhere(stream, source):
+                return False
+            if _now() > departure.leaves_at_s:
+                return False
+            await asyncio.sleep(TURN_EVERY_S)
+        return not self._is_elsewhere(stream, source)
+
+    def _is_elsewhere(
+        self, stream: live.Stream, source: upstream_lib.Upstream
+    ) -> bool:
+        return stream.ended or stream.upstream is not source
 
     def _targets(
         self, stream: live.Stream, departure: _Departure
     ) -> list[upstream_lib.Upstream]:
+        """Returns destinations to which a run can be moved in time."""
+        source = departure.source
         found = choose.destinations(
-            self._core.upstreams.of(departure.source.service),
+            self._core.upstreams.of(source.service),
             self._core.pages,
-            departure.source,
+            source,
             departure.engine,
             stream.exchange.request_id,
             stream.reservation.memory_tokens,
         )
-        return found[:DESTINATIONS]
+        left_s = departure.leaves_at_s - _now()
+        zone = source.availability_zone
+        return [
+            target
+            for target in found[:DESTINATIONS]
+            if left_s
+            >= departure.move_s(
+                stream, crossing=target.availability_zone != zone
+            )
+        ]
 
     async def _copy(
         self, stream: live.Stream, departure: _Departure
@@ -254,16 +261,15 @@
         """Copies a run while it goes on; returns where it is now."""
         source = departure.source
         for target in self._targets(stream, departure):
-            if stream.ended or stream.upstream is not source:
+            if self._is_elsewhere(stream, source):
                 return None
             self._core.live.hold(stream, target)
             move = await self._order(stream, source, target, last=False)
             if move is not None and move.copied:
+                stream.copied = live.Switch(source, target, move.handle)
                 return target
             self._core.live.release(stream, target)
             if move is None or move.unknown_run:
-                # It waits for its turn at the engine, or has just ended.
-                await asyncio.sleep(RETRY_S)
                 return None
         return None
 
@@ -328,7 +334,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-async def _until(at_s: float) -> None:
-    await asyncio.sleep(max(0.0, at_s - _now()))
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/link_queue.py
@@ -0,0 +1,127 @@
+"""The order in which the runs of leaving engines are moved.
+
+All copies go through the link of the engine that leaves, one after another,
+whichever gateway orders them. A run is copied while it goes on, then stopped
+and its last tokens copied. Ordered all at once, the last copies of the first
+runs wait behind the first copies of the last ones: callers see pauses, and
+when the engine goes before the link is through, even runs that were copied in
+time are lost.
+
+So one run at a time is moved to its end. Each gateway tells the others which
+of its runs are still to be moved, and all take them in the same order.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ['LinkQueue', 'Moving', 'Place']
+
+# Runs that a gateway has still to move, with their tokens in memory: by
+# upstream id and request id.
+Moving = dict[str, dict[str, int]]
+
+# Told in place of its tokens for a run that is on the link.
+BEGUN = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Place:
+    """A run's place in the order.
+
+    The smallest comes first, since most are saved in that order where the time
+    does not suffice for all.
+
+    Attributes:
+      tokens: Its tokens in memory; `BEGUN` if it is on the link.
+      request: Its request id, which decides between equals.
+    """
+
+    tokens: int
+    request: str
+
+
+class LinkQueue:
+    """Runs that are still to be moved, of this gateway and of the others."""
+
+    def __init__(self) -> None:
+        self._own: Moving = {}
+        self._others: dict[str, Moving] = {}
+        self._heads: dict[str, tuple[Place, float]] = {}
+        self._skipped: dict[str, set[str]] = {}
+
+    def add(self, upstream_id: str, request: str, tokens: int) -> None:
+        """Enters a run of this gateway."""
+        self._own.setdefault(upstream_id, {})[request] = tokens
+
+    def begin(self, upstream_id: str, request: str) -> None:
+        """Notes that a run of this gateway is on the link now.
+
+        It stays ahead of smaller ones that are entered meanwhile.
+        """
+        self._own.setdefault(upstream_id, {})[request] = BEGUN
+
+    def remove(self, upstream_id: str, request: str) -> None:
+        """Takes a run of this gateway out: it was moved, or given up."""
+        own = self._own.get(upstream_id, {})
+        own.pop(request, None)
+        if not own:
+            self._own.pop(upstream_id, None)
+
+    def own(self) -> Moving:
+        """Returns what the other gateways are told."""
+        return {upstream: dict(runs) for upstream, runs in self._own.items()}
+
+    def hear(self, node: str, moving: Moving) -> None:
+        """Takes all that another gateway has to move."""
+        if moving:
+            self._others[node] = moving
+        else:
+            self._others.pop(node, None)
+
+    def forget(self, upstream_id: str) -> None:
+        """Drops what was noted of an engine that is gone."""
+        self._own.pop(upstream_id, None)
+        self._heads.pop(upstream_id, None)
+        self._skipped.pop(upstream_id, None)
+
+    def is_next(
+        self, upstream_id: str, request: str, now: float, patience_s: float
+    ) -> bool:
+        """Whether it is a run's turn at its engine's link.
+
+        A gateway may die or be cut off while its run is the first, and would
+        hold up the others until it is taken for silent. Its run is passed over
+        once it has been the first for longer than a move takes.
+
+        Args:
+          upstream_id: The engine that leaves.
+          request: A run of this gateway.
+          now: Loop time, in seconds.
+          patience_s: Longest time that a move takes.
+        """
+        skipped = self._skipped.setdefault(upstream_id, set())
+        places = [
+            place
+            for place in self._places(upstream_id)
+            if place.request not in skipped
+        ]
+        if not places:
+            return True
+        head = min(places)
+        if head.request == request:
+            return True
+        known, since_s = self._heads.get(upstream_id, (None, now))
+        if known != head:
+            self._heads[upstream_id] = (head, now)
+        elif now - since_s > patience_s:
+            skipped.add(head.request)
+        return False
+
+    def _places(self, upstream_id: str) -> list[Place]:
+        every = [self._own, *self._others.values()]
+        return [
+            Place(tokens, request)
+            for moving in every
+            for request, tokens in moving.get(upstream_id, {}).items()
+        ]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -48,6 +48,7 @@
       backup: Upstream that gets a copy of its memory as it grows.
       last_id: Number of the last event written to the caller; None at first.
       switch: Set while its run is being stopped in order to go on elsewhere.
+      copied: Where it can go on, less a few tokens, once it has stopped.
       placed_at_s: Loop time at which it was first sent; None before.
       ended: Nothing of it is relayed any more.
     """
@@ -59,6 +60,7 @@
     backup: upstream_lib.Upstream | None = None
     last_id: int | None = None
     switch: asyncio.Future[Switch | None] | None = None
+    copied: Switch | None = None
     placed_at_s: float | None = None
     ended: bool = False
 
@@ -89,8 +91,7 @@
     def hold(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
         """Notes that a stream will need its memory at an upstream too."""
         self._pages.page(upstream).reservations.add(stream.reservation)
-        if self._on_placed is not None:
-            self._on_placed()
+        self.changed()
 
     def release(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
         """Takes `hold` back, unless the stream has gone there."""
@@ -109,6 +110,11 @@
         if upstream is not None:
             self._pages.page(upstream).copies.add(stream.reservation)
 
+    def changed(self) -> None:
+        """Lets the other gateways be told soon."""
+        if self._on_placed is not None:
+            self._on_placed()
+
     def place(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
         """Notes that a stream runs at an upstream from now on."""
         self.remove(stream)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -39,6 +39,10 @@
 # A run that was stopped is resumed within a pause that callers hardly notice,
 # or not at all.
 SWITCH_S = 1.5
+# A last copy on a free link takes a few round trips. Once the run has stopped,
+# its first copy lacks the tokens of one copy's time, which are read again in a
+# few steps; waiting for a busy link takes longer.
+LAST_COPY_S = 0.04
 # An engine that is there answers an order to stop within a few round trips.
 STOP_S = 0.12
 # An engine leaves every few seconds; a run that meets more of them than this
@@ -113,6 +117,7 @@
         self._ran = False
         self._source: upstream_lib.Upstream | None = None
         self._handle = ''
+        self._late_switch: asyncio.Future[live.Switch | None] | None = None
 
     async def run(self) -> str:
         """Relays to the end of the stream."""
@@ -237,16 +242,27 @@
 
     async def _switched(self) -> live.Switch | None:
         """Returns how to go on if the run was stopped in order to move."""
-        pending = self._stream.switch
+        stream = self._stream
+        pending, copied = stream.switch, stream.copied
         if pending is None:
             return None
+        stream.switch = stream.copied = None
+        patience_s = LAST_COPY_S if copied else SWITCH_S
+        switch = await self._settled(pending, patience_s)
+        if switch is None and copied is not None and not pending.done():
+            # The last copy waits for a link that is busy with others.
+            self._late_switch = pending
+            return copied
+        return switch
+
+    async def _settled(
+        self, pending: asyncio.Future[live.Switch | None], patience_s: float
+    ) -> live.Switch | None:
         try:
-            async with asyncio.timeout(SWITCH_S):
+            async with asyncio.timeout(patience_s):
                 return await asyncio.shield(pending)
         except TimeoutError:
             return None
-        finally:
-            self._stream.switch = None
 
     async def _next_leg(
         self, leg: _Leg, end: _End, switch: live.Switch | None
@@ -258,7 +274,7 @@
         if end is WHOLE:
             return None
         if leg.continues and self._is_not_run(end):
-            return self._back_to_source(leg)
+            return await self._after_refused(leg)
         if isinstance(end, error.CallError) and not self._is_not_run(end):
             recovered = await self._recovered(leg)
             if recovered is not None:
@@ -310,6 +326,17 @@
             return self._continued(where, leg.upstream, move.handle)
         return self._continued(target, target, request)
 
+    async def _after_refused(self, leg: _Leg) -> _Leg | None:
+        """Goes on elsewhere when the destination did not take the run."""
+        pending, self._late_switch = self._late_switch, None
+        if pending is not None:
+            switch = await self._settled(pending, SWITCH_S)
+            if switch is not None:
+                return self._continued(
+                    switch.target, switch.source, switch.handle
+                )
+        return self._back_to_source(leg)
+
     def _back_to_source(self, leg: _Leg) -> _Leg | None:
         """The destination did not take the run: it goes on where it was."""
         if leg.upstream is self._source or self._switches >= MOST_SWITCHES:
