Let backups take up to half of an engine's memory

Backups pay by crashes, which nothing else saves; since moves take their turns, they add little at notices.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
@@ -29,7 +29,7 @@
 # Share of an engine's memory up to which runs and copies together are expected
 # to need it. The rest is for runs that arrive, and for those that outgrow
 # their callers' guesses.
-ROOM_SHARE = 0.7
+ROOM_SHARE = 0.5
 # A copy is made as the run goes on. One that needs a quarter of the run's time
 # to arrive protects little of it.
 LEAST_COPIES_PER_RUN = 4.0
