--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -72,6 +72,7 @@
       leaves_ms: Time left that it tells; None if it tells none.
       full: Takes no copies.
       copy_s: Time that a copy takes.
+      last_copy_s: Time that the copy of a stopped run takes.
       break_after: Breaks a stream off behind this event; None for never.
       works_on_s: Works on for this long behind a connection that it broke.
       refuse: Status with which new runs are refused as not run; 0 for none.
@@ -87,6 +88,7 @@
         self.leaves_ms: int | None = None
         self.full = False
         self.copy_s = 0.01
+        self.last_copy_s = 0.01
         self.break_after: int | None = None
         self.works_on_s = 0.0
         self.refuse = 0
@@ -160,7 +162,9 @@
         if order.get('last'):
             run.running = False
             self._fleet.end(run.request_id, self.id)
-        await asyncio.sleep(self.copy_s)
+        await asyncio.sleep(
+            self.last_copy_s if order.get('last') else self.copy_s
+        )
         target = self._fleet.engines.get(order['target'])
         handle = f'h{next(self._numbers)}-{self.id}'
         body = {'handle': handle, 'created': run.made}
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
@@ -33,17 +33,16 @@
 # A copy is made as the run goes on. One that needs a quarter of the run's time
 # to arrive protects little of it.
 LEAST_COPIES_PER_RUN = 4.0
-# Time that a token takes: a step of an engine with a few runs.
-TOKEN_S = 0.008
 
 
 def is_worthwhile(
-    engine: routing_table.Engine, reservation: book.Reservation
+    engine: routing_table.Engine,
+    pages: book.Book,
+    reservation: book.Reservation,
 ) -> bool:
     """Whether a run outlasts the copying of its prompt by far."""
-    output = reservation.memory_tokens - reservation.prompt_tokens
     copy_s = engine.copy_s(reservation.prompt_tokens)
-    return output * TOKEN_S >= LEAST_COPIES_PER_RUN * copy_s
+    return pages.run_s(reservation) >= LEAST_COPIES_PER_RUN * copy_s
 
 
 def destination(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -29,6 +29,10 @@
 # Weight of the newest generation of usual size in the mean of that.
 NEWEST_HELD = 0.05
 USUAL_TOKENS = 4000
+USUAL_OUTPUT = 800
+# Time of a token before any generation has ended: a step of an engine with a
+# few runs, some of which reads a prompt besides.
+FIRST_TOKEN_S = 0.01
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -45,6 +49,11 @@
     memory_tokens: int = 0
     is_reading: bool = True
 
+    @property
+    def output_tokens(self) -> int:
+        """Tokens that it is expected to make."""
+        return self.memory_tokens - self.prompt_tokens
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Page:
@@ -148,12 +157,15 @@
 
     Attributes:
       mean_held_s: How long a token of memory is held, in the mean.
+      mean_token_s: Time that a generation takes per token of output that was
+        expected of it, in the mean.
     """
 
     def __init__(self) -> None:
         self._pages: dict[str, Page] = {}
         self._waiting: dict[str, peer_state.Waiting] = {}
         self.mean_held_s = FIRST_HELD_S
+        self.mean_token_s = FIRST_TOKEN_S
 
     def page(self, upstream: upstream_lib.Upstream) -> Page:
         """Returns the page of an upstream, a new one at first."""
@@ -171,10 +183,23 @@
         for upstream_id, entry in held.items():
             self._page(upstream_id).others[node] = entry
 
-    def note_held(self, tokens: int, held_s: float) -> None:
-        """Takes for how long a generation has held so much memory."""
-        weight = NEWEST_HELD * min(1.0, tokens / USUAL_TOKENS)
+    def note_run(self, reservation: Reservation, held_s: float) -> None:
+        """Takes for how long a generation has held its memory."""
+        weight = NEWEST_HELD * min(
+            1.0, reservation.memory_tokens / USUAL_TOKENS
+        )
         self.mean_held_s += weight * (held_s - self.mean_held_s)
+        if reservation.output_tokens:
+            token_s = held_s / reservation.output_tokens
+            # One of a few tokens says more of its prompt than of its pace.
+            weight = NEWEST_HELD * min(
+                1.0, reservation.output_tokens / USUAL_OUTPUT
+            )
+            self.mean_token_s += weight * (token_s - self.mean_token_s)
+
+    def run_s(self, reservation: Reservation) -> float:
+        """Returns how long a generation is expected to take."""
+        return reservation.output_tokens * self.mean_token_s
 
     def hear_waiting(self, node: str, waiting: peer_state.Waiting) -> None:
         """Takes all that waits at another gateway."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -33,6 +33,8 @@
       conns: Kept connections.
       budget: Retries that may be sent.
       live: Streams being relayed.
+      ends_at_s: Loop time at which the process ends, once it stops; None
+        before.
       link_queue: Order of the moves away from engines that leave.
       admission: Holds generations back.
     """
@@ -47,6 +49,7 @@
     conns: pool.Pool
     budget: retry_budget.RetryBudget
     live: live.Live
+    ends_at_s: float | None = None
     link_queue: link_queue.LinkQueue = dataclasses.field(
         default_factory=link_queue.LinkQueue
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/early_socket.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/early_socket.py
@@ -23,6 +23,9 @@
 # busy entry host.
 BACKLOG = 1024
 
+# What reading settings of an unexpected shape, or a taken address, raises.
+UNFIT = (OSError, ValueError, LookupError, TypeError, AttributeError)
+
 _opened: dict[tuple[str, int], socket.socket] = {}
 
 
@@ -33,7 +36,7 @@
     opened, are left to the start of the program, whose errors say what to
     mend.
     """
-    with contextlib.suppress(OSError, ValueError, LookupError, TypeError):
+    with contextlib.suppress(*UNFIT):
         found = json5.loads(pathlib.Path(path).read_text(encoding='utf-8'))
         host, _, port = found['listen'].rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -34,6 +34,7 @@
     tuple[str, ...],
     state_lib.Waiting,
     link_queue.Moving,
+    bool,
 ]
 
 # What is given back is told this soon after one another: known late, it only
@@ -75,7 +76,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._told: _News = ({}, (), {}, {})
+        self._told: _News = ({}, (), {}, {}, False)
         self._told_at_s = 0.0
         self._is_telling = False
         core.live.on_placed(self._tell_soon)
@@ -155,6 +156,7 @@
             self._core.upstreams.leaving_ids(),
             self._core.admission.waiting(),
             self._core.link_queue.own(),
+            self._core.health.is_down,
         )
         due = now - self._told_at_s >= REFRESH_S
         if self._transport.is_closing():
@@ -189,6 +191,7 @@
         self._core.pages.hear(state.node, state.held)
         self._core.pages.hear_waiting(state.node, state.waiting)
         self._core.link_queue.hear(state.node, state.moving)
+        self._core.health.hear(state.node, is_down=state.is_store_away)
         self._core.upstreams.hear_leaving(state.leaving, state.node)
 
     def error_received(self, exc: OSError) -> None:
@@ -228,4 +231,5 @@
             self._core.pages.hear(node, {})
             self._core.pages.hear_waiting(node, {})
             self._core.link_queue.hear(node, {})
+            self._core.health.hear(node, is_down=False)
             event.note(event.PeerLost(node, len(self._peers)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -50,6 +50,7 @@
       leaving: Ids of upstreams that it knows to leave.
       waiting: Tokens that wait there, by service and rank.
       moving: Runs of leaving engines that it has still to move.
+      is_store_away: Whether the store does not answer it.
     """
 
     node: str
@@ -59,6 +60,7 @@
     leaving: tuple[str, ...] = ()
     waiting: Waiting = dataclasses.field(default_factory=dict)
     moving: link_queue.Moving = dataclasses.field(default_factory=dict)
+    is_store_away: bool = False
 
 
 def encode(state: State) -> bytes:
@@ -74,7 +76,14 @@
     }
     head = (VERSION, state.node, state.incarnation, state.number)
     return msgpack.packb(
-        (*head, held, state.leaving, state.waiting, state.moving)
+        (
+            *head,
+            held,
+            state.leaving,
+            state.waiting,
+            state.moving,
+            state.is_store_away,
+        )
     )
 
 
@@ -86,9 +95,10 @@
     """
     try:
         fields = msgpack.unpackb(data, strict_map_key=False)
-        version, node, incarnation, number, held, leaving, waiting, moving = (
+        version, node, incarnation, number, held, leaving, waiting, *rest = (
             fields
         )
+        moving, is_store_away = rest
         if version != VERSION:
             raise error.PeerError(f'version {version}, not {VERSION}')
         return State(
@@ -99,6 +109,7 @@
             tuple(str(name) for name in leaving),
             {str(name): _ranks(entry) for name, entry in waiting.items()},
             {str(name): _sizes(entry) for name, entry in moving.items()},
+            bool(is_store_away),
         )
     except (
         ValueError,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -138,11 +138,12 @@
         """
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
-        self.callers.stopping = True
         bounds = self._settings.stop
+        end_s = begun_s + bounds.grace_s - END_S
+        self.core.ends_at_s = end_s
+        self.callers.stopping = True
         await asyncio.sleep(min(bounds.leave_s, bounds.grace_s))
         self.callers.stop()
-        end_s = begun_s + bounds.grace_s - END_S
         while self.callers.connections and loop.time() < end_s:
             self.callers.close_idle()
             await asyncio.sleep(TICK_S)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -70,28 +70,47 @@
 
     def __init__(self) -> None:
         self._lost: set[str] = set()
+        self._told: set[str] = set()
         self._down = asyncio.Event()
         self._on_regained: list[Callable[[], None]] = []
 
     @property
     def is_down(self) -> bool:
-        """Whether any source does not answer."""
-        return self._down.is_set()
+        """Whether any source does not answer this process."""
+        return bool(self._lost)
 
     async def until_down(self) -> None:
-        """Returns while any source does not answer."""
+        """Returns while any source does not answer, here or elsewhere."""
         await self._down.wait()
 
     def on_regained(self, callback: Callable[[], None]) -> None:
         """Calls back whenever a source answers again."""
         self._on_regained.append(callback)
 
+    def hear(self, node: str, *, is_down: bool) -> None:
+        """Takes what another gateway says of its sources.
+
+        Each notices an outage at the end of a watch, which lasts seconds; one
+        of many does so soon.
+        """
+        if is_down:
+            self._told.add(node)
+        else:
+            self._told.discard(node)
+        self._update()
+
+    def _update(self) -> None:
+        if self._lost or self._told:
+            self._down.set()
+        else:
+            self._down.clear()
+
     def lose(self, name: str, reason: str) -> None:
         """Notes that a source did not answer."""
         if name not in self._lost:
             self._lost.add(name)
             event.note(event.StoreLost(name, reason))
-        self._down.set()
+        self._update()
 
     def regain(self, name: str) -> None:
         """Notes that a source answered."""
@@ -99,8 +118,7 @@
             return
         self._lost.discard(name)
         event.note(event.StoreRegained(name))
-        if not self._lost:
-            self._down.clear()
+        self._update()
         # Before what it tells is taken in, although another may still be away.
         for callback in self._on_regained:
             callback()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -133,8 +133,7 @@
         self.remove(stream)
         if stream.placed_at_s is not None:
             held_s = asyncio.get_running_loop().time() - stream.placed_at_s
-            tokens = stream.reservation.memory_tokens
-            self._pages.note_held(tokens, held_s)
+            self._pages.note_run(stream.reservation, held_s)
 
     def remove(self, stream: Stream) -> None:
         """Notes that a stream runs nowhere."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.balance import book
     from quetzalsill_gateway.http import call
 
 __all__ = ['forward']
@@ -98,12 +99,29 @@
     prompt = core.dialect.prompt(req.request.headers)
     stream = live.Stream(req, prompt, live.reserve(prompt))
     req.tokens = stream.reservation.memory_tokens
+    if _outlasts_process(core, stream.reservation):
+        exchange.refuse(req.responder, UNAVAILABLE, 'stopping', again=True)
+        return 'refused'
     try:
         return await _Relay(core, stream).run()
     finally:
         core.live.end(stream)
 
 
+def _outlasts_process(
+    core: core_lib.Core, reservation: book.Reservation
+) -> bool:
+    """Whether a generation would be cut off by the stop of this gateway.
+
+    Connections come until the balancer has asked twice, and open ones are in
+    use until the end. What is refused now begins at another gateway at once.
+    """
+    if core.ends_at_s is None:
+        return False
+    now = asyncio.get_running_loop().time()
+    return now + core.pages.run_s(reservation) > core.ends_at_s
+
+
 class _Relay:
     """One stream, leg by leg."""
 
@@ -163,11 +181,12 @@
         engine = req.service.engine
         if engine is None or not engine.backups or req.route.kind.may_repeat:
             return leg
-        if not backup.is_worthwhile(engine, stream.reservation):
+        pages = self._core.pages
+        if not backup.is_worthwhile(engine, pages, stream.reservation):
             return leg
         leg.backup = backup.destination(
             self._core.upstreams.of(upstream.service),
-            self._core.pages,
+            pages,
             upstream,
             engine,
             req.request_id,
@@ -308,7 +327,7 @@
         cannot be reached, works on it no more as far as anyone can tell.
         """
         target = self._stream.backup
-        if target is None or self._switches >= MOST_SWITCHES:
+        if target is None or target.gone or self._switches >= MOST_SWITCHES:
             return None
         self._switches += 1
         self._req.switch_cause = 'recovery'
--- a/tests/failure/test_tokens_once.py
+++ b/tests/failure/test_tokens_once.py
@@ -75,9 +75,13 @@
         port; the engine runs on, and its one generation is taken up.
         """
         answer, task = self.ask(LONG)
+        engine = ''
         for _ in range(2):
             await self.until_tokens(len(answer.texts) + 10, answer)
-            await self.restart_sidecar(await self.running_engine())
+            # The engine may be through before the second kill, and the rest of
+            # the answer still with the sidecar; the run stays where it is.
+            engine = engine or await self.running_engine()
+            await self.restart_sidecar(engine)
         await task
         self.assert_whole(answer, LONG)
         self.assertEqual(len(await self.new_runs()), 1)
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -10,10 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_gateway import error, upstream
+from quetzalsill_gateway import error, source, upstream
 from quetzalsill_gateway.balance import admission, book
 from quetzalsill_gateway.peers import exchange, state
-from quetzalsill_gateway.stream import live
+from quetzalsill_gateway.stream import link_queue, live
 
 BOUND_S = 10.0
 COUNT = st.integers(0, 2**40)
@@ -23,12 +23,16 @@
     COUNT,
     COUNT,
     st.dictionaries(
-        st.text(max_size=8), st.builds(state.Held, COUNT, COUNT, COUNT)
+        st.text(max_size=8), st.builds(state.Held, COUNT, COUNT, COUNT, COUNT)
     ),
     st.lists(st.text(max_size=8)).map(tuple),
     st.dictionaries(
         st.text(max_size=8), st.dictionaries(st.integers(0, 20), COUNT)
     ),
+    st.dictionaries(
+        st.text(max_size=8), st.dictionaries(st.text(max_size=8), COUNT)
+    ),
+    st.booleans(),
 )
 
 
@@ -70,7 +74,10 @@
 
     async def start(self, node):
         core = types.SimpleNamespace(
-            pages=book.Book(), upstreams=upstream.Upstreams()
+            pages=book.Book(),
+            upstreams=upstream.Upstreams(),
+            link_queue=link_queue.LinkQueue(),
+            health=source.Health(),
         )
         core.live = live.Live(core.pages)
         core.admission = admission.Admission(core.upstreams, core.pages, 'z')
@@ -198,6 +205,30 @@
         self.assertEqual(self.heard(hearer), 50)
         self.assertIn('u-1', held)
 
+    async def test_an_outage_of_the_store_is_told(self):
+        """The store is away while an engine gets its notice.
+
+        Each gateway sees that at the end of its own watch, up to two seconds
+        later; the notice is over by then. Whoever sees it first tells all.
+        """
+        first, second, _ = self.gateways
+        first._core.health.lose('servers', 'silent')
+        async with asyncio.timeout(BOUND_S):
+            await second._core.health.until_down()
+        self.assertFalse(second._core.health.is_down, 'its own store answers')
+        first._core.health.regain('servers')
+        down = second._core.health._down
+        await self.until(lambda: not down.is_set())
+
+    async def test_runs_to_move_are_told(self):
+        first, second, _ = self.gateways
+        first._core.link_queue.add('u-1', 'r-1', 10)
+        second._core.link_queue.add('u-1', 'r-2', 20)
+        queue = second._core.link_queue
+        await self.until(lambda: not queue.is_next('u-1', 'r-2', 0.0, 9.0))
+        first._core.link_queue.remove('u-1', 'r-1')
+        await self.until(lambda: queue.is_next('u-1', 'r-2', 0.0, 9.0))
+
     async def test_a_directory_that_is_away_is_asked_again(self):
         self.down = True
         late = await self.start('entry-4')
--- a/tests/quetzalsill_platform/test_process.py
+++ b/tests/quetzalsill_platform/test_process.py
@@ -58,6 +58,28 @@
             await stopping
         self.assertEqual((await idle.read()).status, 0)
 
+    async def test_a_stopping_gateway_takes_no_run_that_outlasts_it(self):
+        """A long plan comes just before its gateway ends.
+
+        Taken, it would be cut off in the middle, and may not run again. It is
+        refused truly and at once, so that its caller asks another gateway.
+        """
+        prompt = {
+            'X-Quetzalsill-Token-Usage': '1000,4000',
+            'X-Quetzalsill-Length-Hint': '4000',
+        }
+        stopping = asyncio.create_task(self.process.stop())
+        await asyncio.sleep(0.02)
+        long = await self.ask(
+            '/plan/', method='POST', request_id='p3', headers=prompt
+        )
+        self.assertEqual(long.status, 503)
+        self.assertIn('retry-after', long.headers)
+        self.assertNotIn('p3', self.fleet.started)
+        short = await self.ask('/plan/', method='POST', request_id='p4')
+        self.assertEqual((short.status, short.whole), (200, True))
+        await stopping
+
     async def test_a_stop_ends_within_its_grace(self):
         for writer in self.engines:
             writer.length = 100_000
--- a/tests/quetzalsill_platform/test_streams.py
+++ b/tests/quetzalsill_platform/test_streams.py
@@ -112,6 +112,22 @@
         self.assertEqual(len(continued), 1)
         self.assertNotEqual(continued, [source.id])
 
+    async def test_a_busy_link_makes_no_pause(self):
+        """A run has stopped, and its last tokens wait for a busy link.
+
+        Its first copy is at the destination. The run goes on from that one,
+        which lacks a few tokens, in place of pausing until the link is free.
+        """
+        for writer in self.engines:
+            writer.length, writer.last_copy_s = 150, 60.0
+        asked = asyncio.create_task(self.stream(request_id='m1'))
+        source = await self.until_working()
+        source.leaving, source.leaves_ms = True, 1900
+        self.enter(source)
+        self.assert_whole(await asked, 'm1', 150)
+        self.assertEqual(self.fleet.started['m1'], [source.id])
+        self.assertEqual(self.fleet.doubled, set())
+
     async def test_a_full_destination_sends_the_run_back(self):
         """No engine has room for a copy when its source leaves.
 
