Tell incarnations apart under one id; let bad entries name no server

Here a notice to leave stuck to the id, so that the new incarnation never got work; learned pages, streams and the other gateways' words were kept by id; and one row with bytes that are no document made every answer about servers fail for as long as it stood. Change: `Upstream.incarnation` (`born` on the users' platform) is part of the key by which gateways keep and tell everything; an older one told late changes nothing. An entry with a field missing, of another type, or of an unknown state names no server, also where a good one stood; unreadable bytes are a row of their own. Impossible figures in reports are bounded or refused. Where a deployment tells no `born`, the id alone counts as before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -169,19 +169,19 @@
 
     def page(self, upstream: upstream_lib.Upstream) -> Page:
         """Returns the page of an upstream, a new one at first."""
-        return self._page(upstream.id)
+        return self._page(upstream.key)
 
     def items(self) -> ItemsView[str, Page]:
-        """Returns all pages by the ids of their upstreams."""
+        """Returns all pages by the keys of their upstreams."""
         return self._pages.items()
 
     def hear(self, node: str, held: dict[str, peer_state.Held]) -> None:
         """Takes all that another gateway holds, in place of what it held."""
-        for upstream_id, page in self._pages.items():
-            if upstream_id not in held:
+        for key, page in self._pages.items():
+            if key not in held:
                 page.others.pop(node, None)
-        for upstream_id, entry in held.items():
-            self._page(upstream_id).others[node] = entry
+        for key, entry in held.items():
+            self._page(key).others[node] = entry
 
     def note_run(self, reservation: Reservation, held_s: float) -> None:
         """Takes for how long a generation has held its memory."""
@@ -221,10 +221,10 @@
 
     def forget(self, upstream: upstream_lib.Upstream) -> None:
         """Drops the page of an upstream that is gone."""
-        self._pages.pop(upstream.id, None)
+        self._pages.pop(upstream.key, None)
 
-    def _page(self, upstream_id: str) -> Page:
-        found = self._pages.get(upstream_id)
+    def _page(self, key: str) -> Page:
+        found = self._pages.get(key)
         if found is None:
-            found = self._pages[upstream_id] = Page()
+            found = self._pages[key] = Page()
         return found
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -59,6 +59,7 @@
       leaving: It takes no new work.
       leaves_s: Time until it goes; None if not known.
       runs: What it works on.
+      incarnation: Start of the engine that reports; 0 if not told.
     """
 
     queued: int
@@ -68,6 +69,7 @@
     leaving: bool
     leaves_s: float | None
     runs: tuple[Run, ...]
+    incarnation: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -45,6 +45,7 @@
     UpstreamLapsed,
     UpstreamLeaving,
     UpstreamRemoved,
+    UpstreamStale,
 )
 
 __all__ = [
@@ -81,6 +82,7 @@
     'UpstreamLapsed',
     'UpstreamLeaving',
     'UpstreamRemoved',
+    'UpstreamStale',
     'name_of',
     'note',
 ]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -15,6 +15,7 @@
     'UpstreamLapsed',
     'UpstreamLeaving',
     'UpstreamRemoved',
+    'UpstreamStale',
 ]
 
 
@@ -150,3 +151,16 @@
 
     upstream: str
     reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamStale(base.Event):
+    """An entry of an earlier start of an upstream came late; it was left out.
+
+    Attributes:
+      upstream: Its id.
+      version: Version of the membership.
+    """
+
+    upstream: str
+    version: int
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -153,7 +153,7 @@
         now = asyncio.get_running_loop().time()
         news = (
             self._held(),
-            self._core.upstreams.leaving_ids(),
+            self._core.upstreams.leaving_keys(),
             self._core.admission.waiting(),
             self._core.link_queue.own(),
             self._core.health.is_down,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -104,11 +104,11 @@
     def start(self, source: upstream_lib.Upstream) -> None:
         """Starts to move the runs of an engine, unless that goes on already."""
         engine = self._engine(source)
-        if engine is None or not engine.moves or source.id in self._running:
+        if engine is None or not engine.moves or source.key in self._running:
             return
         if not self._core.live.of(source):
             return
-        self._running.add(source.id)
+        self._running.add(source.key)
         self._spawn(self._evacuate(source, engine))
 
     def _engine(
@@ -143,8 +143,8 @@
                 if not self._core.live.of(source):
                     return
         finally:
-            self._running.discard(source.id)
-            self._core.link_queue.forget(source.id)
+            self._running.discard(source.key)
+            self._core.link_queue.forget(source.key)
 
     def _note_start(self, departure: _Departure) -> None:
         left_s = departure.leaves_at_s - departure.begun_s
@@ -195,18 +195,18 @@
         """Moves a run when its turn comes, if there is time for it."""
         source, request = departure.source, stream.exchange.id_text
         queue = self._core.link_queue
-        queue.add(source.id, request, departure.held(stream))
+        queue.add(source.key, request, departure.held(stream))
         self._core.live.changed()
         try:
             if not await self._turn(stream, departure):
                 return
-            queue.begin(source.id, request)
+            queue.begin(source.key, request)
             self._core.live.changed()
             target = await self._copy(stream, departure)
             if target is not None:
                 await self._stop(stream, source, target)
         finally:
-            queue.remove(source.id, request)
+            queue.remove(source.key, request)
             self._core.live.changed()
             # Full destinations may have room a little later.
             await asyncio.sleep(RETRY_S)
@@ -218,7 +218,7 @@
         queue = self._core.link_queue
         patience_s = departure.move_s(stream) + PATIENCE_S
         await asyncio.sleep(SETTLE_S)
-        while not queue.is_next(source.id, request, _now(), patience_s):
+        while not queue.is_next(source.key, request, _now(), patience_s):
             if self._is_elsewhere(stream, source):
                 return False
             if _now() > departure.leaves_at_s:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/link_queue.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/link_queue.py
@@ -18,7 +18,7 @@
 __all__ = ['LinkQueue', 'Moving', 'Place']
 
 # Runs that a gateway has still to move, with their tokens in memory: by
-# upstream id and request id.
+# upstream key and request id.
 Moving = dict[str, dict[str, int]]
 
 # Told in place of its tokens for a run that is on the link.
@@ -50,23 +50,23 @@
         self._heads: dict[str, tuple[Place, float]] = {}
         self._skipped: dict[str, set[str]] = {}
 
-    def add(self, upstream_id: str, request: str, tokens: int) -> None:
+    def add(self, key: str, request: str, tokens: int) -> None:
         """Enters a run of this gateway."""
-        self._own.setdefault(upstream_id, {})[request] = tokens
+        self._own.setdefault(key, {})[request] = tokens
 
-    def begin(self, upstream_id: str, request: str) -> None:
+    def begin(self, key: str, request: str) -> None:
         """Notes that a run of this gateway is on the link now.
 
         It stays ahead of smaller ones that are entered meanwhile.
         """
-        self._own.setdefault(upstream_id, {})[request] = BEGUN
+        self._own.setdefault(key, {})[request] = BEGUN
 
-    def remove(self, upstream_id: str, request: str) -> None:
+    def remove(self, key: str, request: str) -> None:
         """Takes a run of this gateway out: it was moved, or given up."""
-        own = self._own.get(upstream_id, {})
+        own = self._own.get(key, {})
         own.pop(request, None)
         if not own:
-            self._own.pop(upstream_id, None)
+            self._own.pop(key, None)
 
     def own(self) -> Moving:
         """Returns what the other gateways are told."""
@@ -79,14 +79,14 @@
         else:
             self._others.pop(node, None)
 
-    def forget(self, upstream_id: str) -> None:
+    def forget(self, key: str) -> None:
         """Drops what was noted of an engine that is gone."""
-        self._own.pop(upstream_id, None)
-        self._heads.pop(upstream_id, None)
-        self._skipped.pop(upstream_id, None)
+        self._own.pop(key, None)
+        self._heads.pop(key, None)
+        self._skipped.pop(key, None)
 
     def is_next(
-        self, upstream_id: str, request: str, now: float, patience_s: float
+        self, key: str, request: str, now: float, patience_s: float
     ) -> bool:
         """Whether it is a run's turn at its engine's link.
 
@@ -95,33 +95,31 @@
         once it has been the first for longer than a move takes.
 
         Args:
-          upstream_id: The engine that leaves.
+          key: The engine that leaves.
           request: A run of this gateway.
           now: Loop time, in seconds.
           patience_s: Longest time that a move takes.
         """
-        skipped = self._skipped.setdefault(upstream_id, set())
+        skipped = self._skipped.setdefault(key, set())
         places = [
-            place
-            for place in self._places(upstream_id)
-            if place.request not in skipped
+            place for place in self._places(key) if place.request not in skipped
         ]
         if not places:
             return True
         head = min(places)
         if head.request == request:
             return True
-        known, since_s = self._heads.get(upstream_id, (None, now))
+        known, since_s = self._heads.get(key, (None, now))
         if known != head:
-            self._heads[upstream_id] = (head, now)
+            self._heads[key] = (head, now)
         elif now - since_s > patience_s:
             skipped.add(head.request)
         return False
 
-    def _places(self, upstream_id: str) -> list[Place]:
+    def _places(self, key: str) -> list[Place]:
         every = [self._own, *self._others.values()]
         return [
             Place(tokens, request)
             for moving in every
-            for request, tokens in moving.get(upstream_id, {}).items()
+            for request, tokens in moving.get(key, {}).items()
         ]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -86,7 +86,7 @@
 
     def of(self, upstream: upstream_lib.Upstream) -> list[Stream]:
         """Returns the streams of an upstream."""
-        return list(self._streams.get(upstream.id, ()))
+        return list(self._streams.get(upstream.key, ()))
 
     def hold(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
         """Notes that a stream will need its memory at an upstream too."""
@@ -121,7 +121,7 @@
         stream.upstream = upstream
         if stream.placed_at_s is None:
             stream.placed_at_s = asyncio.get_running_loop().time()
-        self._streams.setdefault(upstream.id, set()).add(stream)
+        self._streams.setdefault(upstream.key, set()).add(stream)
         self.hold(stream, upstream)
         if upstream.leaving and self._on_leaving is not None:
             self._on_leaving(upstream)
@@ -139,10 +139,10 @@
         """Notes that a stream runs nowhere."""
         if stream.upstream is None:
             return
-        streams = self._streams.get(stream.upstream.id, set())
+        streams = self._streams.get(stream.upstream.key, set())
         streams.discard(stream)
         if not streams:
-            self._streams.pop(stream.upstream.id, None)
+            self._streams.pop(stream.upstream.key, None)
         page = self._pages.page(stream.upstream)
         page.reservations.discard(stream.reservation)
         if stream.upstream.gone and not streams:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -18,6 +18,8 @@
 # Other gateways are told of a removed upstream for this long: more than their
 # own pause between two looks at the source.
 TOLD_S = 4.0
+# Stands in no id that a platform gives.
+KEY_SEPARATOR = '\n'
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -25,13 +27,14 @@
     """One incarnation of an upstream process.
 
     Attributes:
-      id: Names this incarnation; a restarted upstream has another.
+      id: Its name; one that starts again may have the same.
       service: Service that it answers for.
       address: IP number and port.
       availability_zone: Where it runs.
       slots: Requests that it works on at once.
       leaving: Takes no new work.
       gone: No longer known; what still runs there is at its end.
+      incarnation: Grows with each start under the same id; 0 if not told.
     """
 
     id: str
@@ -41,6 +44,18 @@
     slots: int = 1
     leaving: bool = False
     gone: bool = False
+    incarnation: int = 0
+
+    @property
+    def key(self) -> str:
+        """Names this incarnation, in memory and to other gateways.
+
+        What is held, learned or told of one incarnation says nothing of the
+        next, which holds and knows nothing of before.
+        """
+        if not self.incarnation:
+            return self.id
+        return f'{self.id}{KEY_SEPARATOR}{self.incarnation}'
 
     @property
     def address_text(self) -> str:
@@ -115,9 +130,13 @@
         self.version = max(self.version, version)
         self._lapsed.pop(found.id, None)
         known = self._by_id.get(found.id)
-        if known is None or known.address != found.address:
+        if known is not None and found.incarnation < known.incarnation:
+            # Told late, of a start before the one that is known.
+            event.note(event.UpstreamStale(found.id, version))
+            return
+        if known is None or _is_another(known, found):
             if known is not None:
-                self.remove(found.id, version)
+                self.remove(found.id, version, lapses=False)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
             event.note(
@@ -142,8 +161,8 @@
         for callback in self._on_leaving:
             callback(upstream)
 
-    def leaving_ids(self) -> tuple[str, ...]:
-        """Returns the ids of upstreams that leave, or were removed just now.
+    def leaving_keys(self) -> tuple[str, ...]:
+        """Returns the keys of upstreams that leave, or were removed just now.
 
         Some never say that they leave: their entry is removed, and they serve
         on for a while.
@@ -151,24 +170,34 @@
         oldest_s = asyncio.get_running_loop().time() - TOLD_S
         while self._removed and self._removed[0][0] < oldest_s:
             self._removed.popleft()
-        leaving = [u.id for u in self._by_id.values() if u.leaving]
+        leaving = [u.key for u in self._by_id.values() if u.leaving]
         return (*leaving, *(removed for _, removed in self._removed))
 
-    def hear_leaving(self, ids: Iterable[str], node: str) -> None:
+    def hear_leaving(self, keys: Iterable[str], node: str) -> None:
         """Takes what another gateway knows of upstreams leaving.
 
         The store turns some machines away and serves others; those it serves
         hear a notice for all.
         """
-        for upstream_id in ids:
-            upstream = self._by_id.get(upstream_id)
-            if upstream is not None:
+        for key in keys:
+            upstream = self._by_id.get(key.partition(KEY_SEPARATOR)[0])
+            if upstream is not None and upstream.key == key:
                 self.leave(upstream, f'peer {node}')
 
-    def remove(self, upstream_id: str, version: int) -> None:
-        """Forgets an upstream whose entry is gone."""
+    def remove(
+        self, upstream_id: str, version: int, *, lapses: bool = True
+    ) -> None:
+        """Forgets an upstream whose entry is gone.
+
+        Args:
+          upstream_id: Its id.
+          version: Version of the membership.
+          lapses: Whether the entry may have lapsed in an outage; not if
+            something else is known to stand in its place.
+        """
         self.version = max(self.version, version)
-        if asyncio.get_running_loop().time() < self._lapses_until_s:
+        now = asyncio.get_running_loop().time()
+        if lapses and now < self._lapses_until_s:
             if upstream_id in self._by_id:
                 self._lapsed[upstream_id] = version
                 event.note(event.UpstreamLapsed(upstream_id, version))
@@ -179,8 +208,7 @@
         self._by_service[upstream.service].remove(upstream)
         self.leave(upstream, 'removed')
         upstream.gone = True
-        now = asyncio.get_running_loop().time()
-        self._removed.append((now, upstream_id))
+        self._removed.append((now, upstream.key))
         event.note(event.UpstreamRemoved(upstream_id, version))
 
     def _drop_lapsed(self) -> None:
@@ -191,3 +219,12 @@
         lapsed, self._lapsed = self._lapsed, {}
         for upstream_id, version in lapsed.items():
             self.remove(upstream_id, version)
+
+
+def _is_another(known: Upstream, found: Upstream) -> bool:
+    """Whether an entry is of another process than the one that is known."""
+    return (known.incarnation, known.service, known.address) != (
+        found.incarnation,
+        found.service,
+        found.address,
+    )
--- a/tests/quetzalsill_gateway/test_upstream.py
+++ b/tests/quetzalsill_gateway/test_upstream.py
@@ -5,6 +5,7 @@
 import unittest
 
 from quetzalsill_gateway import upstream
+from quetzalsill_gateway.balance import book
 
 
 def entry(name='u-1', port=80, **more):
@@ -43,6 +44,41 @@
         self.assertTrue(old.gone)
         self.assertEqual(self.upstreams.of('s')[0].address[1], 81)
 
+    async def test_one_that_starts_again_is_another_upstream(self):
+        """An engine crashes and starts again under its id and address.
+
+        What was held, learned or told of it before is not true of it now: its
+        memory is empty, and a notice that it leaves was of the one before.
+        """
+        self.upstreams.put(entry(incarnation=10), 1)
+        old = self.upstreams.get('u-1')
+        pages = book.Book()
+        pages.page(old).note_failure()
+        self.upstreams.put(entry(incarnation=20), 2)
+        new = self.upstreams.get('u-1')
+        self.assertTrue(old.gone)
+        self.assertFalse(new.leaving)
+        self.assertEqual(pages.page(new).failures, 0.0)
+        self.upstreams.hear_leaving((old.key,), 'entry-2')
+        self.assertFalse(new.leaving)
+        self.upstreams.hear_leaving((new.key,), 'entry-2')
+        self.assertTrue(new.leaving)
+
+    async def test_an_older_start_told_late_changes_nothing(self):
+        self.upstreams.put(entry(incarnation=20), 2)
+        new = self.upstreams.get('u-1')
+        self.upstreams.put(entry(incarnation=10, leaving=True), 3)
+        self.assertIs(self.upstreams.get('u-1'), new)
+        self.assertFalse(new.leaving)
+
+    async def test_another_service_under_an_id_is_another_upstream(self):
+        self.upstreams.put(entry(), 1)
+        other = entry()
+        other.service = 't'
+        self.upstreams.put(other, 2)
+        self.assertEqual(self.ids(), [])
+        self.assertEqual(self.upstreams.of('t'), [other])
+
     async def test_a_notice_of_a_peer_counts(self):
         """The store turns this machine away, and serves another.
 
--- a/tests/quetzalsill_platform/test_adapter.py
+++ b/tests/quetzalsill_platform/test_adapter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import base64
 import contextlib
 import io
 import json
@@ -11,19 +13,24 @@
 import unittest
 from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from quetzalsill_platform import (
     adapter,
     configuration,
     engine,
+    follow,
     headers,
     membership,
+    store,
 )
 
 from quetzalsill.daemon import command, exit_code
 from quetzalsill.plugin import registry as plugin_registry
 from quetzalsill.schema import load
-from quetzalsill_gateway import error, plugin, routing_table
+from quetzalsill_gateway import error, event, plugin, routing_table
 from quetzalsill_gateway import settings as settings_lib
+from quetzalsill_gateway import upstream as upstream_lib
 from quetzalsill_gateway.http import error as http_error
 from tests.quetzalsill_platform import fixture
 
@@ -43,6 +50,41 @@
     'bounds.graceS|json': '8',
 }
 
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'zone-a',
+    'version': 'v1',
+    'slots': 24,
+    'state': 'ready',
+    'warmupLeftMs': 0,
+    'sequence': 4,
+    'born': 1_760_000_000_000,
+}
+
+DOCUMENTS = st.recursive(
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(),
+        st.floats(),
+        st.text(max_size=8),
+    ),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(
+            st.one_of(st.sampled_from(sorted(ENTRY)), st.text(max_size=4)),
+            inner,
+            max_size=9,
+        ),
+    ),
+    max_leaves=12,
+)
+
+
+def dumped(document):
+    return json.dumps(document).encode()
+
 
 def filled(**changed):
     """Returns the settings file as the platform lays it."""
@@ -157,13 +199,69 @@
     """Entries, reports and headers."""
 
     def test_entries(self):
-        raw = {'service': 's', 'address': '10.0.0.1:80', 'state': 'draining'}
-        found = membership.decode('i-1', raw)
+        found = membership.decode('i-1', ENTRY | {'state': 'draining'})
         self.assertEqual(found.address, ('10.0.0.1', 80))
         self.assertTrue(found.leaving)
-        for broken in ({}, {'service': 's', 'address': 7}, 7, None):
-            with self.subTest(broken), self.assertRaises(error.SourceError):
-                membership.decode('i-1', broken)
+        self.assertEqual(found.incarnation, 1_760_000_000_000)
+        old = {name: ENTRY[name] for name in ENTRY if name != 'born'}
+        self.assertEqual(membership.decode('i-1', old).incarnation, 0)
+
+    def test_what_no_server_writes_names_no_server(self):
+        """Another writer leaves an entry under a server's id.
+
+        Taken for a server, it would get requests of a service that it does not
+        answer for, or none of those that the server could have served.
+        """
+        odd = [{}, 7, None, [], 'text', (), {'service': 's', 'address': 7}]
+        odd += [
+            {name: value for name, value in ENTRY.items() if name != missing}
+            for missing in ('service', 'address', 'zone', 'slots', 'state')
+        ]
+        odd += [
+            ENTRY | {name: value}
+            for name, values in (
+                ('service', ('', 7, None, True)),
+                ('address', ('', '10.0.0.1', '10.0.0.1:0', 'host:80', 80)),
+                ('zone', ('', None, 3)),
+                ('slots', (0, -1, True, '24', 2.5, None)),
+                ('state', ('gone', 'Ready', '', None, True)),
+                ('born', (0, -5, True, '17', 1.5, None)),
+            )
+            for value in values
+        ]
+        for raw in odd:
+            with self.subTest(raw), self.assertRaises(error.SourceError):
+                membership.decode('i-1', raw)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.one_of(st.binary(max_size=60), DOCUMENTS.map(dumped)))
+    def test_whatever_the_bytes_no_exception_leaves_the_adapter(self, data):
+        known = upstream_lib.Upstream('good', 's', ('10.0.0.9', 80), 'zone-a')
+        found = asyncio.run(self.followed(data, known))
+        self.assertEqual(found.get('good'), known)
+        self.assertFalse(known.leaving)
+
+    async def followed(self, data, known):
+        """Returns the upstreams after an answer with a row of some bytes."""
+        upstreams = upstream_lib.Upstreams()
+        upstreams.put(known, 1)
+        text = base64.b64encode(data).decode()
+        raw = {'key': 'i-1', 'ver': 2, 'value': text}
+        answer = store.Changes([store._row(raw)], 2)
+        with mock.patch.object(event, 'note'):
+            follow.membership_taker(upstreams)(answer, False)
+        return upstreams
+
+    def test_impossible_figures_of_a_report_are_bounded(self):
+        raw = {'queued': -1, 'active': 2, 'kvUsed': 99, 'kvTotal': 4}
+        report = engine.decode_report(raw | {'leaves_ms': -3})
+        self.assertEqual((report.queued, report.used_tokens), (0, 4))
+        self.assertEqual(report.leaves_s, 0.0)
+        late = engine.decode_report(raw | {'leaves_ms': 1e300})
+        self.assertEqual(late.leaves_s, engine.MOST_LEFT_S)
+        for figure in (float('inf'), float('nan'), 'x', None):
+            with self.assertRaises(http_error.MalformedAnswerError):
+                engine.decode_report(raw | {'queued': figure})
 
     def test_reports(self):
         raw = {'queued': 1, 'active': 2, 'kvUsed': 3, 'kvTotal': 4}
--- a/tests/quetzalsill_platform/test_store_faults.py
+++ b/tests/quetzalsill_platform/test_store_faults.py
@@ -99,6 +99,39 @@
             self.assertEqual((await self.ask('/safe/')).status, 200)
         self.assertEqual(desk.runs, [])
 
+    async def test_bytes_that_cannot_be_read_hide_no_other_entry(self):
+        """Another writer leaves bytes under the id of a good server.
+
+        Read as a failure of the whole answer, they would hide every change of
+        every other server for as long as they stand.
+        """
+        for raw in (b'\xff\x00', b'{', b'7', b'[' * 5000, b'null'):
+            self.store._note('servers', 'desk-1', raw)
+            await self.until(lambda: self.ids() == {'desk-2'})
+            self.assertEqual((await self.ask('/safe/')).status, 200)
+            desk = self.desks[0]
+            self.store.put('servers', desk.id, desk.entry('desk', 'zone-a'))
+            await self.until(lambda: self.ids() == {'desk-1', 'desk-2'})
+
+    async def test_a_server_that_starts_again_under_its_id_serves(self):
+        """A server leaves, and starts again under its id and address.
+
+        Its notice to leave was of the start before; kept in mind, the new one
+        would never get a request.
+        """
+        desk = self.desks[0]
+        first = desk.entry('desk', 'zone-a', 'draining') | {'born': 1000}
+        self.store.put('servers', desk.id, first)
+        await self.until(lambda: self.ids() == {'desk-2'})
+        again = desk.entry('desk', 'zone-a') | {'born': 2000}
+        self.store.put('servers', desk.id, again)
+        await self.until(lambda: self.ids() == {'desk-1', 'desk-2'})
+        self.store.put('servers', desk.id, first)
+        self.store.put('servers', 'marker', first | {'born': 1})
+        upstreams = self.process.core.upstreams
+        await self.until(lambda: upstreams.get('marker') is not None)
+        self.assertEqual(self.ids(), {'desk-1', 'desk-2'})
+
     async def test_a_removed_upstream_gets_nothing_new(self):
         self.store.remove('servers', 'desk-2')
         await self.until(lambda: self.ids() == {'desk-1'})
