--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -188,6 +188,9 @@
         except (error.CallError, TimeoutError) as exc:
             event.note(event.ReportFailed(source.id, repr(exc)))
             return None
+        upstreams = self._core.upstreams
+        if not upstreams.confirm_incarnation(source, report.incarnation):
+            return None
         self._core.pages.page(source).note_leaving(report.leaves_s)
         return report
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -211,6 +211,21 @@
         self._removed.append((now, upstream.key))
         event.note(event.UpstreamRemoved(upstream_id, version))
 
+    def confirm_incarnation(self, upstream: Upstream, told: int) -> bool:
+        """Takes which start of an upstream has answered a question.
+
+        Where it has started again, what it says is not of the one that was
+        asked for, which is gone; its new entry comes by the membership.
+
+        Returns:
+          Whether the answer is of the start that is known.
+        """
+        if not told or not upstream.incarnation:
+            return True
+        if told > upstream.incarnation and not upstream.gone:
+            self.remove(upstream.id, self.version, lapses=False)
+        return told == upstream.incarnation
+
     def _drop_lapsed(self) -> None:
         # A further outage has begun a further wait.
         if asyncio.get_running_loop().time() < self._lapses_until_s - 0.01:
--- a/tests/quetzalsill_gateway/test_upstream.py
+++ b/tests/quetzalsill_gateway/test_upstream.py
@@ -64,6 +64,19 @@
         self.upstreams.hear_leaving((new.key,), 'entry-2')
         self.assertTrue(new.leaving)
 
+    async def test_an_answer_of_another_start_is_not_taken(self):
+        """The store is away; an engine that is asked has started again."""
+        self.upstreams.put(entry(incarnation=20), 1)
+        known = self.upstreams.get('u-1')
+        confirm = self.upstreams.confirm_incarnation
+        self.assertTrue(confirm(known, 0), 'one that tells none')
+        self.assertTrue(confirm(known, 20))
+        self.assertFalse(confirm(known, 10))
+        self.assertFalse(known.gone)
+        self.assertFalse(confirm(known, 30))
+        self.assertTrue(known.gone)
+        self.assertEqual(self.ids(), [])
+
     async def test_an_older_start_told_late_changes_nothing(self):
         self.upstreams.put(entry(incarnation=20), 2)
         new = self.upstreams.get('u-1')
