Back up only where the whole fleet has room; put runs beside copies last

New engines come empty, draw backups, and are filled by runs a second later; a copy makes way for nobody. And copies of runs that ended before they were stopped held memory at their destinations for seconds. Change: a backup needs room in the fleet (0.6 of all memory, as expected at the ends) as well as at its engine (0.7); a run goes beside copies only where no other engine has room, and is never held for them; a copy that is not needed is freed.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
@@ -29,7 +29,10 @@
 # Share of an engine's memory up to which runs and copies together are expected
 # to need it. The rest is for runs that arrive, and for those that outgrow
 # their callers' guesses.
-ROOM_SHARE = 0.5
+ROOM_SHARE = 0.7
+# And up to which all engines of the service together are expected to need it:
+# an engine that has just come is empty, and will not be for long.
+FLEET_SHARE = 0.6
 # A copy is made as the run goes on. One that needs a quarter of the run's time
 # to arrive protects little of it.
 LEAST_COPIES_PER_RUN = 4.0
@@ -70,9 +73,14 @@
             drawn,
         )
 
+    engines = list(choose.open_to_work(found, frozenset()))
+    held = sum(pages.page(candidate).held_tokens for candidate in engines)
+    if held + needs_tokens > FLEET_SHARE * engine.memory_tokens * len(engines):
+        return None
     able = [
         candidate
-        for candidate in choose.open_to_work(found, frozenset((source.id,)))
-        if pages.page(candidate).held_tokens + needs_tokens <= bound
+        for candidate in engines
+        if candidate is not source
+        and pages.page(candidate).held_tokens + needs_tokens <= bound
     ]
     return min(able, key=rank, default=None)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -69,7 +69,7 @@
         Gateways see room at the same time. While others wait for it too, each
         takes it with the chance that all together take no more than there is.
         """
-        able = [one for one in self._open() if self._fits(one, now)]
+        able = self._able(now)
         rank = self.waiting.rank(now)
         service = self.req.service.name
         upto = self._pages.waiting_elsewhere(service, rank)
@@ -109,6 +109,21 @@
             return 0.0
         return short * self._pages.mean_held_s / held
 
+    def _able(self, now: float) -> list[upstream_lib.Upstream]:
+        """Returns engines with room: beside backups, or else without them.
+
+        A backup makes way for nobody, so that a run beside one may push others
+        off. But no run waits for the sake of copies.
+        """
+        fitting = [one for one in self._open() if self._fits(one, now)]
+        beside = [
+            one
+            for one in fitting
+            if self.waiting.tokens + self._pages.page(one).copied_tokens
+            <= self._room(one)
+        ]
+        return beside or fitting
+
     def _cheapest(
         self, able: list[upstream_lib.Upstream]
     ) -> upstream_lib.Upstream | None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -100,10 +100,13 @@
       report: Asks an engine how it does.
       move: Copies a run, by request id, to a destination; with `last` the
         run stops first. Raises `http.error.CallError`.
+      release: Frees a copy, by the engine it was made at and its handle.
+        Raises `http.error.CallError`.
     """
 
     report: Callable[[Upstream], Awaitable[Report]]
     move: Callable[[Upstream, str, Upstream, bool], Awaitable[Move]]
+    release: Callable[[Upstream, str], Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -37,6 +37,7 @@
     UpstreamChosen,
 )
 from quetzalsill_gateway.event.upstream import (
+    CopyNotFreed,
     EntryInvalid,
     EvacuationStarted,
     ReportFailed,
@@ -56,6 +57,7 @@
     'DatagramMalformed',
     'DirectoryUnreachable',
     'EntryInvalid',
+    'CopyNotFreed',
     'EvacuationStarted',
     'Event',
     'LegEnded',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'EntryInvalid',
+    'CopyNotFreed',
     'EvacuationStarted',
     'ReportFailed',
     'RunOrdered',
@@ -19,6 +20,21 @@
 ]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CopyNotFreed(base.Event):
+    """A copy that is not needed could not be freed; it ends by itself.
+
+    Attributes:
+      upstream: Engine that it was made at.
+      handle: Its name.
+      reason: Code of the failure.
+    """
+
+    upstream: str
+    handle: str
+    reason: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EvacuationStarted(base.Event):
     """An engine leaves and its runs are moved.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -283,8 +283,9 @@
         target: upstream_lib.Upstream,
     ) -> None:
         """Stops a run at its source so that it goes on at the target."""
-        if stream.ended or stream.upstream is not source:
+        if self._is_elsewhere(stream, source):
             self._core.live.release(stream, target)
+            await self._free(source, stream)
             return
         switched = asyncio.get_running_loop().create_future()
         stream.switch = switched
@@ -300,6 +301,21 @@
         if result is None or result.target is not target:
             self._core.live.release(stream, target)
 
+    async def _free(
+        self, source: upstream_lib.Upstream, stream: live.Stream
+    ) -> None:
+        """Frees the copy of a run that ended before it was moved.
+
+        Left alone, it holds memory at its destination for some seconds.
+        """
+        copied, stream.copied = stream.copied, None
+        if copied is None or not copied.handle:
+            return
+        try:
+            await self._core.calls.release(source, copied.handle)
+        except error.CallError as exc:
+            event.note(event.CopyNotFreed(source.id, copied.handle, exc.code))
+
     async def _order(
         self,
         stream: live.Stream,
