Add up the failures that all gateways see of an engine

It was always empty, refusals and failed answers of engines counted for nothing, and each of 26 gateways learned alone. Change: every failed send to an engine counts, gateways tell each other, and two within a few seconds take it out; the more in a row, the longer; then one request at a time tries it. Never more than a third of a service is out.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -6,6 +6,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from quetzalsill_gateway.balance import faults as faults_lib
+
 if TYPE_CHECKING:
     from collections.abc import ItemsView
 
@@ -17,9 +19,6 @@
 # Weight of the newest time in the running mean: follows a server that turns
 # slow within about ten calls.
 NEWEST = 0.2
-# Failures are forgotten within a few seconds, so that a server that recovers
-# is tried again by the traffic itself.
-FAILURE_HALF_LIFE_S = 3.0
 FIRST_GUESS_S = 0.02
 # A report may be this old when it arrives; times in it count from then.
 REPORT_AGE_S = 0.5
@@ -62,8 +61,8 @@
     Attributes:
       outstanding: Own calls that have not ended.
       mean_s: Running mean of the time of a call.
-      failures: Recent failures, fading.
-      failed_at_s: Loop time of the newest failure.
+      faults: Failures of own calls, fading.
+      makes_streams: Own generations were sent there.
       reservations: What own generations hold there.
       copies: What backups of own generations hold there.
       others: What generations of other gateways hold there, by gateway.
@@ -72,8 +71,10 @@
 
     outstanding: int = 0
     mean_s: float = FIRST_GUESS_S
-    failures: float = 0.0
-    failed_at_s: float = 0.0
+    faults: faults_lib.Faults = dataclasses.field(
+        default_factory=faults_lib.Faults
+    )
+    makes_streams: bool = False
     reservations: set[Reservation] = dataclasses.field(default_factory=set)
     copies: set[Reservation] = dataclasses.field(default_factory=set)
     others: dict[str, peer_state.Held] = dataclasses.field(default_factory=dict)
@@ -130,15 +131,18 @@
         )
 
     def recent_failures(self, now: float) -> float:
-        """Returns the failures, faded to now."""
-        age_s = now - self.failed_at_s
-        return self.failures * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+        """Returns the failures of own calls, faded to now."""
+        return self.faults.recent(now)
+
+    def told_failures(self, now: float) -> float:
+        """Returns the failures that all gateways have seen of late."""
+        return self.faults.recent(now) + sum(
+            held.failures for held in self.others.values()
+        )
 
     def note_failure(self, weight: float = 1.0) -> None:
         """Counts a failure of the upstream."""
-        now = asyncio.get_running_loop().time()
-        self.failures = self.recent_failures(now) + weight
-        self.failed_at_s = now
+        self.faults.fail(asyncio.get_running_loop().time(), weight)
 
     def note_leaving(self, leaves_s: float | None) -> None:
         """Takes the time that an engine says it has left, if it does."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -9,6 +9,8 @@
 
 import xxhash
 
+from quetzalsill_gateway.balance import faults
+
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table, upstream
     from quetzalsill_gateway.balance import book
@@ -20,6 +22,7 @@
     'destinations',
     'has_room',
     'open_to_work',
+    'sound',
 ]
 
 # Tokens of a prompt that an engine reads in a second while it also generates:
@@ -37,6 +40,8 @@
 FAILURE_S = 0.5
 PLAIN_FAILURE_SHARE = 2.0
 JITTER = 0.05
+# Share of the engines of a service that are left out at once for failures.
+MOST_OUT = 0.34
 # A run goes where it is not expected to push others off. A full engine of the
 # same availability zone is left out for one of another: slow, but no loss.
 ROOM_SHARE = 0.95
@@ -78,7 +83,7 @@
         page = pages.page(candidate)
         wait_s = page.reading_tokens / READ_TOKENS_S
         wait_s += page.runs * RUNNING_S
-        wait_s += FAILURE_S * page.recent_failures(now)
+        wait_s += FAILURE_S * page.told_failures(now)
         share = (page.held_tokens + needs_tokens) / max(1, engine.memory_tokens)
         wait_s += share
         if share > FULL_SHARE:
@@ -90,6 +95,33 @@
     return min(open_to_work(found, avoid), key=cost, default=None)
 
 
+def sound(
+    found: Iterable[upstream.Upstream], pages: book.Book, sharers: int
+) -> list[upstream.Upstream]:
+    """Returns the engines without those that failed of late.
+
+    One that is on trial gets one request at a time, whichever gateway draws
+    it. Where more than a share of the engines has failed, the cause is rather
+    the requests' own or the network's, and none is left out.
+    """
+    now = asyncio.get_running_loop().time()
+    every = list(found)
+    able = []
+    out = 0
+    for candidate in every:
+        page = pages.page(candidate)
+        state = faults.standing(page.told_failures(now))
+        if state is faults.Standing.ON_TRIAL:
+            if page.runs or random.random() * sharers >= 1.0:
+                out += 1
+                continue
+        elif state is faults.Standing.FAULTY:
+            out += 1
+            continue
+        able.append(candidate)
+    return able if out <= MOST_OUT * len(every) else every
+
+
 def has_room(
     page: book.Page, engine: routing_table.Engine, needs_tokens: int
 ) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -148,7 +148,8 @@
 
     def _open(self) -> list[upstream_lib.Upstream]:
         found = self._upstreams.of(self.req.service.name)
-        return list(choose.open_to_work(found, self._avoid))
+        able = choose.open_to_work(found, self._avoid)
+        return choose.sound(able, self._pages, self._upstreams.sharers)
 
     def _room(self, candidate: upstream_lib.Upstream) -> float:
         urgent = self.waiting.priority <= URGENT
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -210,13 +210,19 @@
 
     def _held(self) -> dict[str, state_lib.Held]:
         held = {}
-        for upstream_id, page in self._core.pages.items():
-            if page.reservations or page.copies:
-                held[upstream_id] = state_lib.Held(
+        now = asyncio.get_running_loop().time()
+        for key, page in self._core.pages.items():
+            failures = 0.0
+            if page.makes_streams:
+                # In steps, so that fading alone is no news.
+                failures = round(page.recent_failures(now) * 2) / 2
+            if page.reservations or page.copies or failures:
+                held[key] = state_lib.Held(
                     page.own_tokens,
                     page.own_reading,
                     len(page.reservations),
                     page.own_copied,
+                    failures,
                 )
         return held
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -17,7 +17,9 @@
 # Tokens that wait for engines, by service and rank.
 Waiting = dict[str, dict[int, int]]
 
-VERSION = 4
+VERSION = 5
+# A greater figure is a fault of its sender's.
+MOST_FAILURES = 1000.0
 MALFORMED = (ValueError, TypeError, AttributeError, msgpack.UnpackException)
 
 
@@ -30,12 +32,14 @@
       reading_tokens: Prompt tokens that are not read yet.
       runs: How many they are.
       copied_tokens: Memory that backups are expected to need.
+      failures: Failures of its calls of late.
     """
 
     memory_tokens: int
     reading_tokens: int
     runs: int
     copied_tokens: int = 0
+    failures: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,6 +75,7 @@
             entry.reading_tokens,
             entry.runs,
             entry.copied_tokens,
+            entry.failures,
         )
         for upstream, entry in state.held.items()
     }
@@ -121,8 +126,10 @@
 
 
 def _held(entry: list[int]) -> Held:
-    memory, reading, runs, copied = (max(0, int(figure)) for figure in entry)
-    return Held(memory, reading, runs, copied)
+    *counts, failures = entry
+    memory, reading, runs, copied = (max(0, int(count)) for count in counts)
+    failures = min(MOST_FAILURES, max(0.0, float(failures)))
+    return Held(memory, reading, runs, copied, failures)
 
 
 def _sizes(entry: dict[str, int]) -> dict[str, int]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -90,7 +90,9 @@
 
     def hold(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
         """Notes that a stream will need its memory at an upstream too."""
-        self._pages.page(upstream).reservations.add(stream.reservation)
+        page = self._pages.page(upstream)
+        page.makes_streams = True
+        page.reservations.add(stream.reservation)
         self.changed()
 
     def release(self, stream: Stream, upstream: upstream_lib.Upstream) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -37,6 +37,7 @@
 # An answer that is no stream is a short refusal.
 HELD_BYTES = 65_536
 UNREACHABLE_TRIES = 3
+NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 # A run that was stopped is resumed within a pause that callers hardly notice,
 # or not at all.
 SWITCH_S = 1.5
@@ -216,13 +217,16 @@
                 continues=leg.continues,
             ) as sent:
                 if sent.verdict is not attempt.Verdict.SUCCESS:
+                    if sent.verdict not in NOT_RUN:
+                        page.note_failure()
                     body, _ = await attempt.read_body(sent.conn, HELD_BYTES)
                     return _Refusal(sent.head, body, sent.verdict)
                 self._start(sent.head)
                 await self._pump(sent.conn)
+                page.faults.succeed()
                 return WHOLE
         except error.CallError as exc:
-            if stream.switch is None:
+            if stream.switch is None and not leg.upstream.leaving:
                 page.note_failure()
             return exc
 
@@ -396,10 +400,7 @@
     def _is_not_run(self, end: _End | None) -> bool:
         if isinstance(end, error.CallError):
             return not attempt.may_have_run(end)
-        return isinstance(end, _Refusal) and end.verdict in (
-            attempt.Verdict.NOT_RUN,
-            attempt.Verdict.WRONG_UPSTREAM,
-        )
+        return isinstance(end, _Refusal) and end.verdict in NOT_RUN
 
     def _answer(self, end: _End | None) -> str:
         responder = self._req.responder
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -23,7 +23,8 @@
     COUNT,
     COUNT,
     st.dictionaries(
-        st.text(max_size=8), st.builds(state.Held, COUNT, COUNT, COUNT, COUNT)
+        st.text(max_size=8),
+        st.builds(state.Held, COUNT, COUNT, COUNT, COUNT, st.floats(0, 1000)),
     ),
     st.lists(st.text(max_size=8)).map(tuple),
     st.dictionaries(
--- a/tests/quetzalsill_gateway/test_upstream.py
+++ b/tests/quetzalsill_gateway/test_upstream.py
@@ -58,7 +58,7 @@
         new = self.upstreams.get('u-1')
         self.assertTrue(old.gone)
         self.assertFalse(new.leaving)
-        self.assertEqual(pages.page(new).failures, 0.0)
+        self.assertEqual(pages.page(new).faults.score, 0.0)
         self.upstreams.hear_leaving((old.key,), 'entry-2')
         self.assertFalse(new.leaving)
         self.upstreams.hear_leaving((new.key,), 'entry-2')
