Look at once when requests wait and others know more; switch mechanisms off

A gateway with requests that wait for room ends its pause between two looks at the membership when another gateway tells of a newer version.

--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -0,0 +1,183 @@
+"""Copies of the checkout with one deciding mechanism switched off.
+
+Usage: `python -m quetzalsill_dev.ablation NAME FOLDER`; `list` as the name
+prints all. Measured against the whole, such a copy shows what its mechanism is
+worth (docs/DECISIONS.md). The switches stand here, as edits of the sources, so
+that no process in use can be started without a mechanism.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import shutil
+import sys
+
+__all__ = ['MECHANISMS', 'Edit', 'EditError', 'apply']
+
+ROOT = pathlib.Path(__file__).resolve().parents[4]
+# What the users' platform builds and starts.
+COPIED = ('packages', 'platform', 'deploy')
+CONSTRAINTS = 'constraints.txt'
+IGNORED = shutil.ignore_patterns('__pycache__', '*.egg-info')
+GATEWAY = 'packages/quetzalsill-gateway/src/quetzalsill_gateway/'
+
+
+class EditError(Exception):
+    """The text to edit does not stand in its module exactly once."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Edit:
+    """One replacement that switches a mechanism off.
+
+    Attributes:
+      module: Path of the module below the checkout.
+      old: Text that stands there once.
+      new: Text in its place.
+    """
+
+    module: str
+    old: str
+    new: str
+
+
+def _gateway(module: str, old: str, new: str) -> Edit:
+    return Edit(GATEWAY + module, old, new)
+
+
+MECHANISMS: dict[str, Edit] = {
+    'backups': _gateway(
+        'balance/backup.py',
+        'return pages.run_s(reservation) >= LEAST',
+        'return False and LEAST',
+    ),
+    'moves': _gateway(
+        'stream/evacuation.py',
+        'if engine is None or not engine.moves',
+        'if True or not engine.moves',
+    ),
+    'one-move-at-a-time': _gateway(
+        'stream/link_queue.py',
+        '        if not places:\n            return True',
+        '        if places or not places:\n            return True',
+    ),
+    'first-copy-in-need': _gateway(
+        'stream/relay.py',
+        'patience_s = LAST_COPY_S if copied else SWITCH_S',
+        'patience_s = SWITCH_S',
+    ),
+    'only-what-is-in-time': _gateway(
+        'stream/evacuation.py',
+        'if left_s\n            >=',
+        'if 60.0\n            >=',
+    ),
+    'destinations-in-the-zone': _gateway(
+        'balance/choose.py',
+        'return is_full, crossing, drawn',
+        'return is_full, False, drawn',
+    ),
+    'failures-of-all': _gateway(
+        'balance/book.py',
+        '            held.failures for held in',
+        '            0.0 for held in',
+    ),
+    'faulty-engines-out': _gateway(
+        'balance/faults.py', 'FAULTY = 1.5', 'FAULTY = 1e9'
+    ),
+    'telling-each-other': _gateway(
+        'peers/exchange.py',
+        '        if news != self._told or due:',
+        '        if False:',
+    ),
+    'holding-for-memory': _gateway(
+        'balance/admission.py',
+        'if not engine.memory_tokens:',
+        'if True or not engine.memory_tokens:',
+    ),
+    'ranks-by-size': _gateway(
+        'balance/waiting.py', 'SIZES = (0.7, 1.4)', 'SIZES = ()'
+    ),
+    'lots-for-room': _gateway(
+        'balance/search.py',
+        'if random.random() >= share:',
+        'if False:',
+    ),
+    'room-for-runs-that-move': _gateway(
+        'balance/search.py',
+        'if one.leaving and one.service',
+        'if False and one.service',
+    ),
+    'runs-beside-copies-last': _gateway(
+        'balance/search.py', 'return beside or fitting', 'return fitting'
+    ),
+    'engine-priorities': _gateway(
+        'stream/relay.py', 'RANK_STEP = 2', 'RANK_STEP = 0'
+    ),
+    'asking-in-an-outage': _gateway(
+        'stream/lookout.py',
+        'await core.health.until_down()',
+        'await asyncio.Event().wait()',
+    ),
+    'telling-of-an-outage': _gateway(
+        'source.py', 'if self._lost or self._told:', 'if self._lost:'
+    ),
+    'grace-for-lapsed': _gateway(
+        'upstream.py', 'LAPSE_S = 2.2', 'LAPSE_S = 0.0'
+    ),
+    'early-socket': Edit(
+        'platform/run.py',
+        '    if path:\n        early',
+        '    if not path:\n        early',
+    ),
+    'no-run-that-outlasts': _gateway(
+        'stream/relay.py', 'if core.ends_at_s is None:', 'if True:'
+    ),
+}
+
+
+def apply(edit: Edit, root: pathlib.Path) -> None:
+    """Switches a mechanism off in a checkout.
+
+    Raises:
+      EditError: The module has changed; the edit has to be mended.
+    """
+    path = root / edit.module
+    text = path.read_text(encoding='utf-8')
+    if text.count(edit.old) != 1:
+        raise EditError(
+            f'{edit.module}: {edit.old!r} stands there {text.count(edit.old)} '
+            'times; mend the edit in quetzalsill_dev.ablation'
+        )
+    path.write_text(text.replace(edit.old, edit.new), encoding='utf-8')
+
+
+def _copy(folder: pathlib.Path) -> None:
+    for part in COPIED:
+        shutil.copytree(ROOT / part, folder / part, ignore=IGNORED)
+    shutil.copyfile(ROOT / CONSTRAINTS, folder / CONSTRAINTS)
+
+
+def main(args: list[str]) -> int:
+    """Lists the mechanisms, or makes a copy without one of them."""
+    if args == ['list']:
+        print('\n'.join(MECHANISMS))
+        return 0
+    if len(args) != 2 or args[0] not in MECHANISMS:
+        print(
+            'Usage: python -m quetzalsill_dev.ablation NAME FOLDER, where NAME '
+            f'is one of {", ".join(MECHANISMS)}',
+            file=sys.stderr,
+        )
+        return 2
+    folder = pathlib.Path(args[1])
+    if folder.exists():
+        print(f'{folder} exists; name a new folder', file=sys.stderr)
+        return 2
+    _copy(folder)
+    apply(MECHANISMS[args[0]], folder)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -35,6 +35,7 @@
     state_lib.Waiting,
     link_queue.Moving,
     bool,
+    int,
 ]
 
 # What is given back is told this soon after one another: known late, it only
@@ -76,7 +77,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._told: _News = ({}, (), {}, {}, False)
+        self._told: _News = ({}, (), {}, {}, False, 0)
         self._told_at_s = 0.0
         self._is_telling = False
         core.live.on_placed(self._tell_soon)
@@ -157,6 +158,7 @@
             self._core.admission.waiting(),
             self._core.link_queue.own(),
             self._core.health.is_down,
+            self._core.upstreams.version,
         )
         due = now - self._told_at_s >= REFRESH_S
         if self._transport.is_closing():
@@ -193,6 +195,7 @@
         self._core.link_queue.hear(state.node, state.moving)
         self._core.health.hear(state.node, is_down=state.is_store_away)
         self._core.upstreams.hear_leaving(state.leaving, state.node)
+        self._core.upstreams.hear_version(state.membership)
 
     def error_received(self, exc: OSError) -> None:
         """Notes what the kernel tells of a datagram; silence decides."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -17,7 +17,7 @@
 # Tokens that wait for engines, by service and rank.
 Waiting = dict[str, dict[int, int]]
 
-VERSION = 5
+VERSION = 6
 # A greater figure is a fault of its sender's.
 MOST_FAILURES = 1000.0
 MALFORMED = (ValueError, TypeError, AttributeError, msgpack.UnpackException)
@@ -55,6 +55,7 @@
       waiting: Tokens that wait there, by service and rank.
       moving: Runs of leaving engines that it has still to move.
       is_store_away: Whether the store does not answer it.
+      membership: Version up to which it knows the upstreams.
     """
 
     node: str
@@ -65,6 +66,7 @@
     waiting: Waiting = dataclasses.field(default_factory=dict)
     moving: link_queue.Moving = dataclasses.field(default_factory=dict)
     is_store_away: bool = False
+    membership: int = 0
 
 
 def encode(state: State) -> bytes:
@@ -88,6 +90,7 @@
             state.waiting,
             state.moving,
             state.is_store_away,
+            state.membership,
         )
     )
 
@@ -103,7 +106,7 @@
         version, node, incarnation, number, held, leaving, waiting, *rest = (
             fields
         )
-        moving, is_store_away = rest
+        moving, is_store_away, membership = rest
         if version != VERSION:
             raise error.PeerError(f'version {version}, not {VERSION}')
         return State(
@@ -115,6 +118,7 @@
             {str(name): _ranks(entry) for name, entry in waiting.items()},
             {str(name): _sizes(entry) for name, entry in moving.items()},
             bool(is_store_away),
+            int(membership),
         )
     except (
         ValueError,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -68,6 +68,7 @@
 
     Attributes:
       version: Version of the newest change taken in.
+      wanting: Requests of this gateway that wait for an upstream with room.
       sharers: Gateways that tell each other of upstreams leaving, this one
         included; a source is asked the more rarely the more they are.
     """
@@ -77,7 +78,9 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
         self.version = 0
+        self.wanting = 0
         self.sharers = 1
+        self._told_version = 0
         self._confirmed_s = 0.0
         self._removed: collections.deque[tuple[float, str]] = (
             collections.deque()
@@ -90,6 +93,15 @@
         """Time since the source last said that this is all."""
         return asyncio.get_running_loop().time() - self._confirmed_s
 
+    @property
+    def is_look_due(self) -> bool:
+        """Whether requests wait, and others know what is not known here."""
+        return self.wanting > 0 and self._told_version > self.version
+
+    def hear_version(self, version: int) -> None:
+        """Takes up to which version another gateway knows the upstreams."""
+        self._told_version = max(self._told_version, version)
+
     def confirm(self) -> None:
         """Notes that the source answered."""
         self._confirmed_s = asyncio.get_running_loop().time()
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -34,6 +34,7 @@
         st.text(max_size=8), st.dictionaries(st.text(max_size=8), COUNT)
     ),
     st.booleans(),
+    COUNT,
 )
 
 
@@ -221,6 +222,24 @@
         down = second._core.health._down
         await self.until(lambda: not down.is_set())
 
+    async def test_a_gateway_with_waiting_requests_looks_when_others_know_more(
+        self,
+    ):
+        """An engine has come; one gateway has looked, another pauses.
+
+        Requests wait there for room that is to be had already.
+        """
+        first, second, _ = self.gateways
+        ours = second._core.upstreams
+        engine = upstream.Upstream('u-1', 's', ('10.0.0.1', 80), 'z')
+        first._core.upstreams.put(engine, 8)
+        await self.until(lambda: ours._told_version == 8)
+        self.assertFalse(ours.is_look_due, 'nobody waits')
+        ours.wanting += 1
+        self.assertTrue(ours.is_look_due)
+        ours.put(engine, 8)
+        self.assertFalse(ours.is_look_due)
+
     async def test_runs_to_move_are_told(self):
         first, second, _ = self.gateways
         first._core.link_queue.add('u-1', 'r-1', 10)
