--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -100,8 +100,9 @@
       report: Asks an engine how it does.
       move: Copies a run, by request id, to a destination; with `last` the
         run stops first. Raises `http.error.CallError`.
-      release: Frees a copy, by the engine it was made at and its handle.
-        Raises `http.error.CallError`.
+      release: Frees a copy by its handle, at the engine it was made at (and
+        where it lies) or at the one where it lies. Raises
+        `http.error.CallError`.
     """
 
     report: Callable[[Upstream], Awaitable[Report]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -285,7 +285,9 @@
         """Stops a run at its source so that it goes on at the target."""
         if self._is_elsewhere(stream, source):
             self._core.live.release(stream, target)
-            await self._free(source, stream)
+            copied, stream.copied = stream.copied, None
+            if copied is not None:
+                await self._free(source, copied.handle)
             return
         switched = asyncio.get_running_loop().create_future()
         stream.switch = switched
@@ -301,20 +303,17 @@
         if result is None or result.target is not target:
             self._core.live.release(stream, target)
 
-    async def _free(
-        self, source: upstream_lib.Upstream, stream: live.Stream
-    ) -> None:
-        """Frees the copy of a run that ended before it was moved.
+    async def _free(self, engine: upstream_lib.Upstream, handle: str) -> None:
+        """Frees a copy that nobody will go on from.
 
         Left alone, it holds memory at its destination for some seconds.
         """
-        copied, stream.copied = stream.copied, None
-        if copied is None or not copied.handle:
+        if not handle:
             return
         try:
-            await self._core.calls.release(source, copied.handle)
+            await self._core.calls.release(engine, handle)
         except error.CallError as exc:
-            event.note(event.CopyNotFreed(source.id, copied.handle, exc.code))
+            event.note(event.CopyNotFreed(engine.id, handle, exc.code))
 
     async def _order(
         self,
