Split the relay of streams by what it decides

A run that is recovered is logged with what the order to stop it came to, which was swallowed before.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -63,7 +63,7 @@
         '        if places or not places:\n            return True',
     ),
     'first-copy-in-need': _gateway(
-        'stream/relay.py',
+        'stream/continuation.py',
         'patience_s = LAST_COPY_S if copied else SWITCH_S',
         'patience_s = SWITCH_S',
     ),
@@ -112,7 +112,7 @@
         'balance/search.py', 'return beside or fitting', 'return fitting'
     ),
     'engine-priorities': _gateway(
-        'stream/relay.py', 'RANK_STEP = 2', 'RANK_STEP = 0'
+        'stream/continuation.py', 'RANK_STEP = 2', 'RANK_STEP = 0'
     ),
     'asking-in-an-outage': _gateway(
         'stream/lookout.py',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -12,6 +12,7 @@
     'EvacuationStarted',
     'ReportFailed',
     'RunOrdered',
+    'RunRecovered',
     'UpstreamAdded',
     'UpstreamLapsed',
     'UpstreamLeaving',
@@ -96,6 +97,24 @@
     reason: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunRecovered(base.Event):
+    """A stream broke off, and its run goes on from its backup.
+
+    Attributes:
+      request: Id of the request.
+      source: Engine that made the events.
+      target: Engine that keeps the copy.
+      stop: What the order to stop it came to: an answer, `unknown_run`, or why
+        there was none.
+    """
+
+    request: str
+    source: str
+    target: str
+    stop: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamAdded(base.Event):
     """An upstream is known from now on.
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -0,0 +1,219 @@
+"""Where a run goes on when its upstream's part of the stream has ended.
+
+It may have been stopped in order to move, its engine may have crashed or left,
+or a destination may not have taken it. A run goes on elsewhere only once it has
+surely ended where it was: at work in two places, its work would be done twice,
+and its caller might get events of both.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway import dialect as dialect_lib
+from quetzalsill_gateway import event
+from quetzalsill_gateway.balance import backup
+from quetzalsill_gateway.http import error
+from quetzalsill_gateway.stream import leg as leg_lib
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import core as core_lib
+    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.http import message
+    from quetzalsill_gateway.stream import live
+
+__all__ = ['Continuation']
+
+# A run that was stopped is resumed within a pause that callers hardly notice,
+# or not at all.
+SWITCH_S = 1.5
+# A last copy on a free link takes a few round trips. Once the run has stopped,
+# its first copy lacks the tokens of one copy's time, which are read again in a
+# few steps; waiting for a busy link takes longer.
+LAST_COPY_S = 0.04
+# An engine that is there answers an order to stop within a few round trips.
+STOP_S = 0.12
+# An engine leaves every few seconds; a run that meets more of them than this
+# goes round in circles.
+MOST_SWITCHES = 8
+# Ranks at the engine, where 0 is the first: the most urgent route gets the
+# first of these, and each further rank a step of two, so that 5, which applies
+# to who sends none, stands between.
+FIRST_RANK = 2
+RANK_STEP = 2
+LAST_RANK = 9
+
+
+class Continuation:
+    """Decides where one stream's run goes on, and prepares its legs."""
+
+    def __init__(self, core: core_lib.Core, stream: live.Stream) -> None:
+        self._core = core
+        self._stream = stream
+        self._req = stream.exchange
+        self._switches = 0
+        self._source: upstream_lib.Upstream | None = None
+        self._handle = ''
+        self._late_switch: asyncio.Future[live.Switch | None] | None = None
+
+    def begin(self, upstream: upstream_lib.Upstream) -> leg_lib.Leg:
+        """Returns the leg of a run that begins."""
+        return self._leg(upstream, [self._priority()])
+
+    async def after(
+        self, leg: leg_lib.Leg, end: leg_lib.End
+    ) -> leg_lib.Leg | None:
+        """Returns the leg in which the run goes on; None if it does not."""
+        switch = await self._switched()
+        if switch is not None and self._take_switch('move'):
+            return self._continued(switch.target, switch.source, switch.handle)
+        if end is leg_lib.WHOLE:
+            return None
+        if leg_lib.is_not_run(end):
+            return await self._after_refused() if leg.continues else None
+        if isinstance(end, error.CallError):
+            return await self._recovered(leg)
+        return None
+
+    def resume_after(self) -> message.Headers:
+        """Returns the headers that name the last event the caller has."""
+        last = self._stream.last_id
+        if last is None:
+            return []
+        return [(self._core.dialect.resume_after, b'%d' % last)]
+
+    def _take_switch(self, cause: str) -> bool:
+        if self._switches >= MOST_SWITCHES:
+            return False
+        self._switches += 1
+        self._req.switch_cause = cause
+        return True
+
+    async def _switched(self) -> live.Switch | None:
+        """Returns how to go on if the run was stopped in order to move."""
+        stream = self._stream
+        pending, copied = stream.switch, stream.copied
+        if pending is None:
+            return None
+        stream.switch = stream.copied = None
+        patience_s = LAST_COPY_S if copied else SWITCH_S
+        switch = await _settled(pending, patience_s)
+        if switch is None and copied is not None and not pending.done():
+            # The last copy waits for a link that is busy with others.
+            self._late_switch = pending
+            return copied
+        return switch
+
+    async def _recovered(self, leg: leg_lib.Leg) -> leg_lib.Leg | None:
+        """Goes on from the backup of a run whose stream broke off.
+
+        The connection may have broken although the engine lives and works on:
+        going on elsewhere, the run would be at work twice. So the engine is
+        ordered to stop it first. An engine that does not know the run, or that
+        cannot be reached, works on it no more as far as anyone can tell.
+        """
+        target = self._stream.backup
+        if target is None or target.gone or not self._take_switch('recovery'):
+            return None
+        request = self._req.id_text
+        move, answer = await self._stop(leg.upstream, target)
+        event.note(
+            event.RunRecovered(request, leg.upstream.id, target.id, answer)
+        )
+        if move.handle:
+            where = target if move.copied else leg.upstream
+            return self._continued(where, leg.upstream, move.handle)
+        return self._continued(target, target, request)
+
+    async def _stop(
+        self, source: upstream_lib.Upstream, target: upstream_lib.Upstream
+    ) -> tuple[dialect_lib.Move, str]:
+        """Orders an engine to stop the run; returns what came of it."""
+        request = self._req.id_text
+        try:
+            async with asyncio.timeout(STOP_S):
+                move = await self._core.calls.move(
+                    source, request, target, True
+                )
+        except error.CallError as exc:
+            return dialect_lib.Move(), exc.code
+        except TimeoutError:
+            return dialect_lib.Move(), 'silent'
+        return move, move.code or 'unknown_run'
+
+    async def _after_refused(self) -> leg_lib.Leg | None:
+        """Goes on elsewhere when the destination did not take the run."""
+        pending, self._late_switch = self._late_switch, None
+        if pending is not None:
+            switch = await _settled(pending, SWITCH_S)
+            if switch is not None:
+                return self._continued(
+                    switch.target, switch.source, switch.handle
+                )
+        return self._back_to_source()
+
+    def _back_to_source(self) -> leg_lib.Leg | None:
+        """The destination did not take the run: it goes on where it was."""
+        source = self._source
+        if self._stream.upstream is source or not self._take_switch('move'):
+            return None
+        return self._continued(source, source, self._handle)
+
+    def _continued(
+        self,
+        target: upstream_lib.Upstream,
+        holder: upstream_lib.Upstream,
+        handle: str,
+    ) -> leg_lib.Leg:
+        dialect = self._core.dialect
+        extra = [
+            self._priority(),
+            (dialect.memory_from, dialect.memory_source(holder, handle)),
+            *self.resume_after(),
+        ]
+        self._source = holder
+        self._handle = handle
+        return self._leg(target, extra, continues=True)
+
+    def _leg(
+        self,
+        upstream: upstream_lib.Upstream,
+        extra: message.Headers,
+        *,
+        continues: bool = False,
+    ) -> leg_lib.Leg:
+        """Returns a leg, with a backup if one is worth it."""
+        leg = leg_lib.Leg(upstream, extra, continues)
+        stream, req, pages = self._stream, self._req, self._core.pages
+        engine = req.service.engine
+        if engine is None or not engine.backups or req.route.kind.may_repeat:
+            return leg
+        if not backup.is_worthwhile(engine, pages, stream.reservation):
+            return leg
+        leg.backup = backup.destination(
+            self._core.upstreams.of(upstream.service),
+            pages,
+            upstream,
+            engine,
+            req.request_id,
+            stream.reservation.memory_tokens,
+        )
+        if leg.backup is not None:
+            address = leg.backup.address_text.encode()
+            extra.append((self._core.dialect.backup, address))
+        return leg
+
+    def _priority(self) -> tuple[bytes, bytes]:
+        rank = FIRST_RANK + RANK_STEP * self._req.priority
+        return self._core.dialect.priority, b'%d' % min(LAST_RANK, rank)
+
+
+async def _settled(
+    pending: asyncio.Future[live.Switch | None], patience_s: float
+) -> live.Switch | None:
+    try:
+        async with asyncio.timeout(patience_s):
+            return await asyncio.shield(pending)
+    except TimeoutError:
+        return None
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -0,0 +1,78 @@
+"""One upstream's part of a stream, and how it ended."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway import attempt
+from quetzalsill_gateway.http import error
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.http import message
+
+__all__ = [
+    'NOT_RUN',
+    'WHOLE',
+    'End',
+    'Leg',
+    'Refusal',
+    'describe',
+    'is_not_run',
+]
+
+WHOLE = 'whole'
+# Verdicts by which an answer says that the request has not run there.
+NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
+
+
+@dataclasses.dataclass(slots=True)
+class Leg:
+    """One upstream's part of a stream.
+
+    Attributes:
+      upstream: Who makes the events.
+      extra: Headers that the gateway sets.
+      continues: The run goes on from memory.
+      backup: Upstream that gets a copy of the run's memory as it grows.
+    """
+
+    upstream: upstream_lib.Upstream
+    extra: message.Headers
+    continues: bool = False
+    backup: upstream_lib.Upstream | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """An answer that is no stream.
+
+    Attributes:
+      head: Its head.
+      body: Its body.
+      verdict: What it means.
+    """
+
+    head: message.ResponseHead
+    body: bytes
+    verdict: attempt.Verdict
+
+
+End = Refusal | error.CallError | str
+
+
+def is_not_run(end: End | None) -> bool:
+    """Whether a leg ended without its request having run there."""
+    if isinstance(end, error.CallError):
+        return not attempt.may_have_run(end)
+    return isinstance(end, Refusal) and end.verdict in NOT_RUN
+
+
+def describe(end: End) -> str:
+    """Returns how a leg ended, for logs and metrics."""
+    if isinstance(end, error.CallError):
+        return end.code
+    if isinstance(end, Refusal):
+        return f'{end.verdict.value}_{end.head.status}'
+    return end
