--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import routing_table
-    from quetzalsill_gateway.http import listener
+    from quetzalsill_gateway.http import responder as responder_lib
 
 __all__ = ['Exchange', 'RETRY_AFTER_S', 'refuse']
 
@@ -49,7 +49,7 @@
     """
 
     request: message.Request
-    responder: listener.Responder
+    responder: responder_lib.Responder
     route: routing_table.Route
     service: routing_table.Service
     account: bytes | None
@@ -129,7 +129,7 @@
 
 
 def refuse(
-    responder: listener.Responder,
+    responder: responder_lib.Responder,
     status: int,
     why: str,
     *,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import upstream
-    from quetzalsill_gateway.http import listener
+    from quetzalsill_gateway.http import responder as responder_lib
 
 __all__ = ['Gateway']
 
@@ -39,7 +39,7 @@
         core.upstreams.on_leaving(self._evacuation.start)
 
     async def handle(
-        self, req: message.Request, responder: listener.Responder
+        self, req: message.Request, responder: responder_lib.Responder
     ) -> None:
         """Serves one request to its end."""
         exchange = self._admit(req, responder)
@@ -62,7 +62,7 @@
         return await plain.forward(self._core, exchange)
 
     def _admit(
-        self, req: message.Request, responder: listener.Responder
+        self, req: message.Request, responder: responder_lib.Responder
     ) -> exchange_lib.Exchange | None:
         """Returns the request with what was decided, or None if refused."""
         request_id = message.first(req.headers, self._core.dialect.request_id)
@@ -141,7 +141,7 @@
 def _refuse(
     req: message.Request,
     request_id: bytes,
-    responder: listener.Responder,
+    responder: responder_lib.Responder,
     status: int,
     why: str,
     version: int,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -13,8 +13,9 @@
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.http import early_socket, message, socket_option
+from quetzalsill_gateway.http import responder as responder_lib
 
-__all__ = ['Connection', 'Handler', 'Limits', 'Listener', 'Responder']
+__all__ = ['Connection', 'Handler', 'Limits', 'Listener']
 
 PIPELINED = 16
 WRITE_HIGH_BYTES = 262_144
@@ -42,92 +43,7 @@
     idle_s: float = 15.0
 
 
-Handler = Callable[[message.Request, 'Responder'], Awaitable[None]]
-
-
-class Responder:
-    """Writes the answer to one request.
-
-    Attributes:
-      started: Whether the head was written.
-      ended: Whether the answer is whole.
-    """
-
-    __slots__ = (
-        '_chunked',
-        '_conn',
-        '_keep',
-        '_request',
-        '_until_close',
-        'ended',
-        'started',
-    )
-
-    def __init__(self, conn: Connection, request: message.Request) -> None:
-        self._conn = conn
-        self._request = request
-        self._chunked = False
-        self._keep = False
-        self._until_close = False
-        self.started = False
-        self.ended = False
-
-    def start(
-        self, status: int, headers: message.Headers, length: int | None
-    ) -> None:
-        """Writes the head; without a length the body is sent in chunks."""
-        self._keep = self._request.keep_alive and not self._conn.closing_soon()
-        lines = [b'HTTP/1.1 %d %s' % (status, message.reason(status))]
-        lines.extend(b'%s: %s' % pair for pair in headers)
-        if length is not None:
-            lines.append(b'content-length: %d' % length)
-        elif self._request.version == '1.1':
-            self._chunked = True
-            lines.append(b'transfer-encoding: chunked')
-        else:
-            self._keep = False
-            self._until_close = True
-        if not self._keep:
-            lines.append(b'connection: close')
-        lines.append(b'\r\n')
-        self.started = True
-        self._conn.write(b'\r\n'.join(lines))
-
-    def write(self, data: bytes) -> None:
-        """Writes a piece of the body."""
-        if self._chunked:
-            data = b'%x\r\n%s\r\n' % (len(data), data)
-        self._conn.write(data)
-
-    async def drain(self) -> None:
-        """Waits while the caller reads too slowly."""
-        await self._conn.writable()
-
-    def end(self) -> None:
-        """Ends the body as whole."""
-        if self._chunked:
-            self._conn.write(b'0\r\n\r\n')
-        self.ended = True
-        if not self._keep:
-            self._conn.close()
-
-    def abort(self) -> None:
-        """Cuts the connection, so that the answer cannot look whole.
-
-        A body that ends with its connection would look whole at an ordinary
-        end, so that one is reset.
-        """
-        self.ended = True
-        self._conn.abort(reset=self._until_close)
-
-    def reply(
-        self, status: int, headers: message.Headers, body: bytes = b''
-    ) -> None:
-        """Writes a whole answer."""
-        self.start(status, headers, len(body))
-        if body:
-            self._conn.write(body)
-        self.end()
+Handler = Callable[[message.Request, responder_lib.Responder], Awaitable[None]]
 
 
 class Connection(asyncio.Protocol):
@@ -331,7 +247,7 @@
             if isinstance(item, int):
                 self._answer_refusal(item)
                 return
-            responder = Responder(self, item)
+            responder = responder_lib.Responder(self, item)
             self._busy = True
             try:
                 await self._listener.handler(item, responder)
@@ -345,7 +261,7 @@
             if not responder.ended:
                 self._finish(responder)
 
-    def _finish(self, responder: Responder) -> None:
+    def _finish(self, responder: responder_lib.Responder) -> None:
         if responder.started:
             responder.abort()
         else:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.http import listener, message
+    from quetzalsill_gateway.http import responder as responder_lib
 
 __all__ = ['METRICS_PATH', 'handler']
 
@@ -31,7 +32,7 @@
     asked = path.encode()
 
     async def handle(
-        req: message.Request, responder: listener.Responder
+        req: message.Request, responder: responder_lib.Responder
     ) -> None:
         if req.path == asked:
             responder.reply(OK if is_ready() else UNAVAILABLE, [])
