--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/responder.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/responder.py
@@ -46,9 +46,7 @@
         'started',
     )
 
-    def __init__(
-        self, conn: listener.Connection, request: message.Request
-    ) -> None:
+    def __init__(self, conn: Channel, request: message.Request) -> None:
         self._conn = conn
         self._request = request
         self._chunked = False
