--- a/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
@@ -163,6 +163,7 @@
     'timeout': 'no answer before its deadline',
     'cut_at_deadline': 'still going on at its deadline',
     'caller_left': 'its caller left',
+    'stopped': 'its gateway stopped',
 }
 
 
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/story.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/story.py
@@ -236,6 +236,9 @@
         'The stream was still going on at the deadline of the caller or the '
         'timeout of the route.'
     ),
+    'stopped': (
+        'Its gateway was stopped and came to the end of its grace period first.'
+    ),
     'caller_left': 'The caller closed its connection before the end.',
 }
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -30,7 +30,7 @@
       outcome: `served`; `upstream_failed`, a server's own failure handed on;
         `refused`, not run; `failed`, may have run; `cut`, broken off in the
         middle; `timeout` and `cut_at_deadline`; `not_sent`, no upstream took
-        it in time; `caller_left`.
+        it in time; `caller_left`; `stopped`, its gateway came to its end.
       sends: Upstreams to which it was sent.
       took_ms: Time from its first byte.
       first_ms: Time to the first event of a stream.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -52,10 +52,16 @@
         except TimeoutError:
             outcome = _answer_timeout(exchange)
         except asyncio.CancelledError:
-            self._note(exchange, 'caller_left')
+            self._note(exchange, self._cut_by())
             raise
         self._note(exchange, outcome)
 
+    def _cut_by(self) -> str:
+        """Returns who cut a request off: its caller, or the process's end."""
+        ends_at_s = self._core.ends_at_s
+        now = asyncio.get_running_loop().time()
+        return 'stopped' if ends_at_s and now >= ends_at_s else 'caller_left'
+
     async def _forward(self, exchange: exchange_lib.Exchange) -> str:
         if exchange.route.kind.is_stream:
             return await relay.forward(self._core, exchange)
--- a/tests/quetzalsill_platform/test_process.py
+++ b/tests/quetzalsill_platform/test_process.py
@@ -87,10 +87,14 @@
             self.ask('/plan/', method='POST', request_id='p2')
         )
         await self.until(lambda: self.fleet.started.get('p2'))
-        async with asyncio.timeout(fixture.BOUND_S):
-            await self.process.stop()
-            answer = await streaming
+        with mock.patch.object(event, 'note') as note:
+            async with asyncio.timeout(fixture.BOUND_S):
+                await self.process.stop()
+                answer = await streaming
         self.assertFalse(answer.whole)
+        told = [call.args[0] for call in note.call_args_list]
+        ends = [one for one in told if isinstance(one, event.RequestEnded)]
+        self.assertEqual([one.outcome for one in ends], ['stopped'])
 
 
 class ReloadTest(unittest.IsolatedAsyncioTestCase):
