Take out a server whose entry tells no start; name what gateways tell

An entry under the id of a server that tells its starts, and that tells none, is of another writer: it names no server (test, seen to fail: the entry was left out and the server stayed). What a gateway tells is compared as the State that it sends, in place of a tuple of six. Pages of gone upstreams that held backups only are dropped.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -190,7 +190,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamStale(base.Event):
-    """An entry of an earlier start of an upstream came late; it was left out.
+    """An entry is of an earlier start of an upstream, or of none; left out.
 
     Attributes:
       upstream: Its id.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -19,7 +19,6 @@
 
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.peers import state as state_lib
-from quetzalsill_gateway.stream import link_queue
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -29,14 +28,6 @@
 Address = tuple[str, int]
 # Enters this gateway's address in the directory and returns those in it.
 Join = Callable[[str, str], Awaitable[list[str]]]
-_News = tuple[
-    dict[str, state_lib.Held],
-    tuple[str, ...],
-    state_lib.Waiting,
-    link_queue.Moving,
-    bool,
-    int,
-]
 
 # What is given back is told this soon after one another: known late, it only
 # leaves room unused for a moment.
@@ -77,7 +68,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._told: _News = ({}, (), {}, {}, False, 0)
+        self._told = state_lib.State(node, self._incarnation, 0, {})
         self._told_at_s = 0.0
         self._is_telling = False
         core.live.on_placed(self._tell_soon)
@@ -152,13 +143,17 @@
     def _tell_news(self) -> None:
         self._is_telling = False
         now = asyncio.get_running_loop().time()
-        news = (
+        core = self._core
+        news = state_lib.State(
+            self._node,
+            self._incarnation,
+            0,
             self._held(),
-            self._core.upstreams.leaving_keys(),
-            self._core.admission.waiting(),
-            self._core.link_queue.own(),
-            self._core.health.is_down,
-            self._core.upstreams.version,
+            core.upstreams.leaving_keys(),
+            core.admission.waiting(),
+            core.link_queue.own(),
+            core.health.is_down,
+            core.upstreams.version,
         )
         due = now - self._told_at_s >= REFRESH_S
         if self._transport.is_closing():
@@ -203,12 +198,7 @@
 
     def _send(self, address: Address) -> None:
         self._number += 1
-        state = state_lib.State(
-            self._node,
-            self._incarnation,
-            self._number,
-            *self._told,
-        )
+        state = dataclasses.replace(self._told, number=self._number)
         self._transport.sendto(state_lib.encode(state), address)
 
     def _held(self) -> dict[str, state_lib.Held]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -111,6 +111,7 @@
         if stream.backup is not None:
             page = self._pages.page(stream.backup)
             page.copies.discard(stream.reservation)
+            self._forget_gone(stream.backup)
         stream.backup = upstream
         if upstream is not None:
             self._pages.page(upstream).copies.add(stream.reservation)
@@ -162,10 +163,13 @@
             self._streams.pop(stream.upstream.key, None)
         page = self._pages.page(stream.upstream)
         page.reservations.discard(stream.reservation)
-        if stream.upstream.gone and not streams:
-            self._pages.forget(stream.upstream)
+        self._forget_gone(stream.upstream)
         stream.upstream = None
 
+    def _forget_gone(self, upstream: upstream_lib.Upstream) -> None:
+        if upstream.gone and not self._streams.get(upstream.key):
+            self._pages.forget(upstream)
+
 
 def reserve(prompt: dialect_lib.Prompt) -> book.Reservation:
     """Returns what a generation is expected to hold at its end."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -142,6 +142,11 @@
         self.version = max(self.version, version)
         self._lapsed.pop(found.id, None)
         known = self._by_id.get(found.id)
+        if known is not None and known.incarnation and not found.incarnation:
+            # Of another writer than the server, which has told its start.
+            event.note(event.UpstreamStale(found.id, version))
+            self.remove(found.id, version, lapses=False)
+            return
         if known is not None and found.incarnation < known.incarnation:
             # Told late, of a start before the one that is known.
             event.note(event.UpstreamStale(found.id, version))
--- a/tests/quetzalsill_gateway/test_upstream.py
+++ b/tests/quetzalsill_gateway/test_upstream.py
@@ -84,6 +84,14 @@
         self.assertIs(self.upstreams.get('u-1'), new)
         self.assertFalse(new.leaving)
 
+    async def test_an_entry_without_a_start_is_not_the_servers(self):
+        """A server that tells its starts has an entry that tells none."""
+        self.upstreams.put(entry(incarnation=20), 1)
+        self.upstreams.put(entry(), 2)
+        self.assertEqual(self.ids(), [])
+        self.upstreams.put(entry(incarnation=20), 3)
+        self.assertEqual(self.ids(), ['u-1'])
+
     async def test_another_service_under_an_id_is_another_upstream(self):
         self.upstreams.put(entry(), 1)
         other = entry()
