--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -47,6 +47,11 @@
 
 
 MECHANISMS: dict[str, Edit] = {
+    'watching-together': _gateway(
+        'peers/exchange.py',
+        'if hear is not None and node',
+        'if False and node',
+    ),
     'backups': _gateway(
         'balance/backup.py',
         'return pages.run_s(reservation) >= LEAST',
@@ -79,15 +84,15 @@
     ),
     'failures-of-all': _gateway(
         'balance/book.py',
-        '            held.failures for held in',
-        '            0.0 for held in',
+        'sum(one.failures for one in told)',
+        '0.0',
     ),
     'faulty-engines-out': _gateway(
         'balance/faults.py', 'FAULTY = 1.5', 'FAULTY = 1e9'
     ),
     'telling-each-other': _gateway(
         'peers/exchange.py',
-        '        if news != self._told or due:',
+        '        if told is not None:',
         '        if False:',
     ),
     'holding-for-memory': _gateway(
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
@@ -0,0 +1,171 @@
+"""What gateways that tell each other cost: `make bench-telling`.
+
+The real exchange of a fleet's gateways on virtual time: generations begin, are
+read and end at the rates given, and whatever is told of them is counted, with
+the processor time of all of it. Datagrams are handed over in memory, so that
+the system calls of sending and receiving are not in it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import types
+
+import click
+
+from quetzalsill.telemetry import log
+from quetzalsill_dev.simulation import clock
+from quetzalsill_gateway import source, upstream
+from quetzalsill_gateway.balance import admission, book
+from quetzalsill_gateway.peers import exchange
+from quetzalsill_gateway.stream import link_queue, live
+
+__all__ = ['main']
+
+ENGINES_PER_GATEWAY = 0.45
+# Of long generations, with a backup, and of short ones: how many begin in a
+# second at each gateway, and how long they take.
+LONG_PER_S, LONG_S = 0.17, 8.0
+SHORT_PER_S, SHORT_S = 0.24, 0.3
+READ_S = 0.2
+SECONDS = 20.0
+DELAY_S = (0.0005, 0.002)
+HEADERS_BYTES = 28
+MS_PER_S = 1000
+SEED = 1
+
+
+class _Wire:
+    """Takes the place of a socket, and counts."""
+
+    def __init__(self, fleet: Fleet, address: tuple[str, int]) -> None:
+        self._fleet = fleet
+        self._address = address
+
+    def is_closing(self) -> bool:
+        """It never is."""
+        return False
+
+    def get_extra_info(self, _: str) -> tuple[str, int]:
+        """Returns the address."""
+        return self._address
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Hands a datagram over, a little later."""
+        fleet = self._fleet
+        fleet.datagrams += 1
+        fleet.sent_bytes += len(data) + HEADERS_BYTES
+        delay_s = fleet.rng.uniform(*DELAY_S)
+        asyncio.get_running_loop().call_later(
+            delay_s, fleet.deliver, data, address, self._address
+        )
+
+
+class Fleet:
+    """Gateways with work."""
+
+    def __init__(self, gateways: int) -> None:
+        self.rng = random.Random(SEED)
+        self.datagrams = 0
+        self.sent_bytes = 0
+        self._hearers: dict[tuple[str, int], exchange.Exchange] = {}
+        engines = max(1, int(gateways * ENGINES_PER_GATEWAY))
+        self._engines = [
+            upstream.Upstream(f'i-{n:08x}', 's', ('10.0.0.1', n), 'z', 24)
+            for n in range(engines)
+        ]
+        self._nodes = [f'edge-some-hall-{n}' for n in range(gateways)]
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def deliver(
+        self, data: bytes, to: tuple[str, int], sender: tuple[str, int]
+    ) -> None:
+        """Gives a datagram to its receiver."""
+        self._hearers[to].datagram_received(data, sender)
+
+    async def play(self) -> None:
+        """Starts all and lets them work for a while."""
+        for number, node in enumerate(self._nodes):
+            self._start(('10.1.0.1', number + 1), node)
+        await asyncio.sleep(2 * LONG_S)
+        self.datagrams = self.sent_bytes = 0
+        await asyncio.sleep(SECONDS)
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(self, address: tuple[str, int], node: str) -> None:
+        core = types.SimpleNamespace(
+            pages=book.Book(),
+            upstreams=upstream.Upstreams(),
+            link_queue=link_queue.LinkQueue(),
+            health=source.Health(),
+        )
+        core.live = live.Live(core.pages)
+        core.admission = admission.Admission(core.upstreams, core.pages, 'z')
+
+        async def join(_: str, __: str) -> list[str]:
+            return [f'{host}:{port}' for host, port in self._hearers]
+
+        found = exchange.Exchange(core, node, join)
+        found._transport = _Wire(self, address)
+        self._hearers[address] = found
+        self._spawn(found.find())
+        self._spawn(found.tell())
+        self._spawn(self._begin(core.live, LONG_PER_S, LONG_S, True))
+        self._spawn(self._begin(core.live, SHORT_PER_S, SHORT_S, False))
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _begin(
+        self, found: live.Live, per_s: float, lasts_s: float, backed_up: bool
+    ) -> None:
+        while True:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            self._spawn(self._generation(found, lasts_s, backed_up))
+
+    async def _generation(
+        self, found: live.Live, lasts_s: float, backed_up: bool
+    ) -> None:
+        stream = live.Stream(None, None, book.Reservation(2000, 3000))
+        engine, other = self.rng.choices(self._engines, k=2)
+        found.place(stream, engine)
+        found.back_up(stream, other if backed_up else None)
+        await asyncio.sleep(READ_S)
+        found.note_read(stream)
+        await asyncio.sleep(lasts_s * self.rng.uniform(0.5, 1.5))
+        found.end(stream)
+
+
+@click.command()
+@click.option(
+    '--gateways',
+    multiple=True,
+    type=int,
+    default=(26, 68, 128),
+    help='Size of the fleet; may be given more than once.',
+)
+def main(gateways: tuple[int, ...]) -> None:
+    """Prints what telling costs each gateway, by size of the fleet."""
+    log.configure('error')
+    for count in gateways:
+        fleet = Fleet(count)
+        begun_s = time.process_time()
+        clock.run(fleet.play)
+        took_s = time.process_time() - begun_s
+        each = count * SECONDS
+        share = took_s / count / (SECONDS + 2 * LONG_S)
+        click.echo(
+            f'{count} gateways: each takes in '
+            f'{fleet.datagrams / each:.0f} datagrams and '
+            f'{fleet.sent_bytes / each / MS_PER_S:.1f} KB a second, '
+            f'{share:.4f} of a core'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -118,11 +118,9 @@
             self._note(search, now, queue, None)
             return None
         queue.append(waiting)
-        self._upstreams.wanting += 1
         try:
             chosen = await self._wait(search, queue)
         finally:
-            self._upstreams.wanting -= 1
             queue.remove(waiting)
         self._note(search, now, queue, chosen)
         return chosen
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import faults as faults_lib
+from quetzalsill_gateway.peers import state as peer_state
 
 if TYPE_CHECKING:
     from collections.abc import ItemsView
 
     from quetzalsill_gateway import upstream as upstream_lib
-    from quetzalsill_gateway.peers import state as peer_state
 
 __all__ = ['REPORT_AGE_S', 'Book', 'Page', 'Reservation']
 
@@ -38,6 +38,9 @@
 # A prompt that the engine has kept in part is not read at a rate.
 MOST_READ_TOKENS_S = 50_000.0
 NEWEST_READ = 0.03
+# Pages kept, several times the upstreams of the largest fleet planned for:
+# others may tell of names that no upstream has.
+MOST_PAGES = 8192
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -71,7 +74,7 @@
       makes_streams: Own generations were sent there.
       reservations: What own generations hold there.
       copies: What backups of own generations hold there.
-      others: What generations of other gateways hold there, by gateway.
+      others: What generations of all other gateways hold there.
       leaves_at_s: Loop time at which it goes; None if not known.
     """
 
@@ -83,8 +86,9 @@
     makes_streams: bool = False
     reservations: set[Reservation] = dataclasses.field(default_factory=set)
     copies: set[Reservation] = dataclasses.field(default_factory=set)
-    others: dict[str, peer_state.Held] = dataclasses.field(default_factory=dict)
     leaves_at_s: float | None = None
+    others: peer_state.Held = peer_state.NOTHING
+    _told: dict[str, peer_state.Held] = dataclasses.field(default_factory=dict)
 
     @property
     def own_tokens(self) -> int:
@@ -106,16 +110,12 @@
     @property
     def reserved_tokens(self) -> int:
         """Memory that all generations are expected to need."""
-        return self.own_tokens + sum(
-            held.memory_tokens for held in self.others.values()
-        )
+        return self.own_tokens + self.others.memory_tokens
 
     @property
     def copied_tokens(self) -> int:
         """Memory that all backups are expected to need."""
-        return self.own_copied + sum(
-            held.copied_tokens for held in self.others.values()
-        )
+        return self.own_copied + self.others.copied_tokens
 
     @property
     def held_tokens(self) -> int:
@@ -125,16 +125,12 @@
     @property
     def reading_tokens(self) -> int:
         """Prompt tokens of all gateways that wait to be read."""
-        return self.own_reading + sum(
-            held.reading_tokens for held in self.others.values()
-        )
+        return self.own_reading + self.others.reading_tokens
 
     @property
     def runs(self) -> int:
         """Generations of all gateways."""
-        return len(self.reservations) + sum(
-            held.runs for held in self.others.values()
-        )
+        return len(self.reservations) + self.others.runs
 
     def recent_failures(self, now: float) -> float:
         """Returns the failures of own calls, faded to now."""
@@ -142,8 +138,27 @@
 
     def told_failures(self, now: float) -> float:
         """Returns the failures that all gateways have seen of late."""
-        return self.faults.recent(now) + sum(
-            held.failures for held in self.others.values()
+        return self.faults.recent(now) + self.others.failures
+
+    def hear(self, node: str, held: peer_state.Held) -> None:
+        """Takes what another gateway holds here, in place of what it held.
+
+        Looked at for every candidate of every choice and summed up there, what
+        68 gateways hold would take a thin host's time.
+        """
+        if self._told.get(node, peer_state.NOTHING) == held:
+            return
+        if held == peer_state.NOTHING:
+            del self._told[node]
+        else:
+            self._told[node] = held
+        told = self._told.values()
+        self.others = peer_state.Held(
+            sum(one.memory_tokens for one in told),
+            sum(one.reading_tokens for one in told),
+            sum(one.runs for one in told),
+            sum(one.copied_tokens for one in told),
+            sum(one.failures for one in told),
         )
 
     def note_failure(self, weight: float = 1.0) -> None:
@@ -175,6 +190,7 @@
 
     def __init__(self) -> None:
         self._pages: dict[str, Page] = {}
+        self._told_by: dict[str, set[str]] = {}
         self._waiting: dict[str, peer_state.Waiting] = {}
         self.mean_held_s = FIRST_HELD_S
         self.mean_token_s = FIRST_TOKEN_S
@@ -190,11 +206,17 @@
 
     def hear(self, node: str, held: dict[str, peer_state.Held]) -> None:
         """Takes all that another gateway holds, in place of what it held."""
-        for key, page in self._pages.items():
-            if key not in held:
-                page.others.pop(node, None)
+        for key in self._told_by.pop(node, set()) - held.keys():
+            if key in self._pages:
+                self._pages[key].hear(node, peer_state.NOTHING)
+        self.hear_changes(node, held)
+
+    def hear_changes(self, node: str, held: dict[str, peer_state.Held]) -> None:
+        """Takes what has changed in what another gateway holds."""
         for key, entry in held.items():
-            self._page(key).others[node] = entry
+            if key in self._pages or len(self._pages) < MOST_PAGES:
+                self._page(key).hear(node, entry)
+                self._told_by.setdefault(node, set()).add(key)
 
     def note_run(self, reservation: Reservation, held_s: float) -> None:
         """Takes for how long a generation has held its memory."""
@@ -232,7 +254,10 @@
 
     def hear_waiting(self, node: str, waiting: peer_state.Waiting) -> None:
         """Takes all that waits at another gateway."""
-        self._waiting[node] = waiting
+        if waiting:
+            self._waiting[node] = waiting
+        else:
+            self._waiting.pop(node, None)
 
     def waiting_elsewhere(self, service: str, rank: int) -> int:
         """Returns the tokens that wait at others for engines of a service.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
@@ -4,7 +4,7 @@
 
 from quetzalsill.error import base
 
-__all__ = ['ConfigurationError', 'PeerError', 'SourceError']
+__all__ = ['ConfigurationError', 'PatchError', 'PeerError', 'SourceError']
 
 
 class SourceError(base.QuetzalsillError):
@@ -23,3 +23,9 @@
     """A datagram holds no state of another gateway; it is left out."""
 
     code = 'peer_malformed'
+
+
+class PatchError(base.QuetzalsillError):
+    """A patch does not make a document; the source is asked for it."""
+
+    code = 'patch_unfit'
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -25,6 +25,7 @@
     StoreHistoryLost,
     StoreLost,
     StoreRegained,
+    VersionAhead,
 )
 from quetzalsill_gateway.event.request import (
     AttemptEnded,
@@ -87,6 +88,7 @@
     'UpstreamLeaving',
     'UpstreamRemoved',
     'UpstreamStale',
+    'VersionAhead',
     'name_of',
     'note',
 ]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
@@ -23,6 +23,7 @@
     'StoreHistoryLost',
     'StoreLost',
     'StoreRegained',
+    'VersionAhead',
 ]
 
 
@@ -93,6 +94,21 @@
     after: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class VersionAhead(base.Event, level='warning'):
+    """A version above that of the store was told; the table is read anew.
+
+    Attributes:
+      table: Which of its tables.
+      known: Version that was told.
+      found: Version of the store.
+    """
+
+    table: str
+    known: int
+    found: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeersListed(base.Event):
     """The directory of gateways was read.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
@@ -15,6 +15,9 @@
 __all__ = ['Answer', 'fetch']
 
 MOST_BYTES = 16 * 1024 * 1024
+# A large answer takes its time on a thin link; it is given up only when nothing
+# of it has come for so long.
+STALL_S = 0.6
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +63,7 @@
       method: Method in capitals.
       target: Path and query.
       body: Sent as JSON unless it is None.
-      timeout_s: Longest time for all of it, in seconds.
+      timeout_s: Longest time to the first of the answer's body, in seconds.
 
     Raises:
       error.CallError: There is no whole answer.
@@ -73,13 +76,14 @@
     head = '\r\n'.join([*lines, '\r\n']).encode()
     conn = None
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(timeout_s) as bound:
             conn = await conns.take(address, timeout_s)
             conn.send(head, data)
             found = await conn.head()
             pieces = bytearray()
             while piece := await conn.read():
                 pieces += piece
+                bound.reschedule(max(bound.when(), _now() + STALL_S))
                 if len(pieces) > MOST_BYTES:
                     raise error.MalformedAnswerError('the answer is too large')
             return Answer(found.status, found.headers, bytes(pieces))
@@ -88,3 +92,7 @@
     finally:
         if conn is not None:
             conns.give_back(conn)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -9,10 +9,13 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import exchange as exchange_lib
+    from quetzalsill_gateway.peers import exchange
 
 __all__ = [
     'attempts',
+    'datagrams',
     'moves',
+    'news',
     'note_request',
     'observe',
     'refused',
@@ -47,6 +50,14 @@
     'Time of a call to the store, by call; a watch lasts until a change.',
     SECONDS,
 )
+datagrams = metric.gauge(
+    'quetzalsill_gateway_datagrams',
+    'Datagrams of other gateways since the start, by what became of them.',
+)
+news = metric.counter(
+    'quetzalsill_gateway_news_total',
+    'News of the sources that other gateways told, by source and use.',
+)
 answers = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
     'Time from a request to its whole answer, by kind of route.',
@@ -88,13 +99,15 @@
         gaps.observe(kind, exchange.widest_gap_s)
 
 
-def observe(core: core_lib.Core, connections: int, peers: int) -> None:
+def observe(
+    core: core_lib.Core, connections: int, peers: exchange.Exchange
+) -> None:
     """Sets the gauges to what the process believes now.
 
     Args:
       core: State of the gateway.
       connections: Open connections of callers.
-      peers: Gateways that were heard of late.
+      peers: The other gateways.
     """
     known = core.upstreams.all()
     leaving = sum(found.leaving for found in known)
@@ -106,4 +119,6 @@
     beliefs.set({'of': 'configuration'}, table.version if table else 0)
     beliefs.set({'of': 'connections'}, connections)
     beliefs.set({'of': 'streams'}, sum(len(core.live.of(u)) for u in known))
-    beliefs.set({'of': 'peers'}, peers)
+    beliefs.set({'of': 'peers'}, peers.peers)
+    datagrams.set({'result': 'taken'}, peers.taken)
+    datagrams.set({'result': 'left_out'}, peers.left_out)
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
@@ -0,0 +1,84 @@
+"""News of the sources, and its form in a datagram."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from quetzalsill_gateway import error, upstream
+from quetzalsill_gateway.peers import frame
+from quetzalsill_gateway.watch import news as news_lib
+
+__all__ = ['decode', 'encode']
+
+PORTS = range(1, 65536)
+MOST_LAPSE_S = 60.0
+
+
+def encode(node: str, told: news_lib.News) -> bytes:
+    """Returns the datagram in which a gateway tells news."""
+    if isinstance(told, news_lib.ConfigurationNews):
+        fields = (node, told.version, told.configuration, told.patch)
+        return frame.pack(frame.Kind.CONFIGURATION, fields)
+    changes = [_plain(change) for change in told.changes]
+    fields = (node, told.since, told.version, told.lapses_s, changes)
+    return frame.pack(frame.Kind.MEMBERSHIP, fields)
+
+
+def decode(kind: frame.Kind, fields: list[Any]) -> tuple[str, news_lib.News]:
+    """Returns the gateway that tells, and its news.
+
+    Raises:
+      error.PeerError: The fields hold none.
+    """
+    try:
+        if kind is frame.Kind.CONFIGURATION:
+            node, version, number, patch = fields
+            if not isinstance(patch, bytes):
+                raise TypeError(f'patch {type(patch)}')
+            return str(node), news_lib.ConfigurationNews(
+                frame.count(version), frame.count(number), patch
+            )
+        node, since, version, lapses_s, changes = fields
+        return str(node), news_lib.MembershipNews(
+            frame.count(since),
+            frame.count(version),
+            tuple(_change(*change) for change in changes),
+            min(MOST_LAPSE_S, max(0.0, float(lapses_s))),
+        )
+    except frame.MALFORMED as exc:
+        raise error.PeerError(f'no news: {exc!r}') from exc
+
+
+def _plain(change: upstream.Change) -> tuple[Any, ...]:
+    head = (change.id, change.version)
+    found = change.upstream
+    if found is None:
+        return (*head, change.lapses)
+    return (
+        *head,
+        found.service,
+        *found.address,
+        found.availability_zone,
+        found.slots,
+        found.leaving,
+        found.incarnation,
+    )
+
+
+def _change(name: str, version: int, *rest: Any) -> upstream.Change:
+    if len(rest) == 1:
+        [lapses] = rest
+        return upstream.Change(name, frame.count(version), None, bool(lapses))
+    service, host, port, zone, slots, leaving, incarnation = rest
+    if port not in PORTS:
+        raise ValueError(f'port {port!r}')
+    found = upstream.Upstream(
+        id=str(name),
+        service=str(service),
+        address=(str(host), port),
+        availability_zone=str(zone),
+        slots=max(1, frame.count(slots)),
+        leaving=bool(leaving),
+        incarnation=frame.count(incarnation),
+    )
+    return upstream.Change(str(name), frame.count(version), found)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -12,71 +12,69 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import random
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event
+from quetzalsill_gateway.peers import bulletin, frame, roster, teller
 from quetzalsill_gateway.peers import state as state_lib
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
+    from quetzalsill_gateway.watch import news as news_lib
 
 __all__ = ['Exchange', 'Join']
 
-Address = tuple[str, int]
+Address = roster.Address
 # Enters this gateway's address in the directory and returns those in it.
 Join = Callable[[str, str], Awaitable[list[str]]]
 
 # What is given back is told this soon after one another: known late, it only
 # leaves room unused for a moment.
 CHANGED_S = 0.1
-# Told without a change too, so that a peer's silence means something.
-REFRESH_S = 1.0
-SILENT_S = 3.5
 # Members of a directory that has aged are asked this often until they answer.
 JOIN_TRIES = 5
 JOIN_S = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
-    """Another gateway.
+class Exchange(asyncio.DatagramProtocol):
+    """Tells the other gateways, and hears them.
 
     Attributes:
-      address: Where its datagrams come from.
-      heard_s: Loop time of the newest.
-      incarnation: Process that sent it.
-      number: Its number.
+      taken: States of others that were taken in.
+      left_out: Datagrams that were malformed, or of no use any more.
     """
 
-    address: Address
-    heard_s: float
-    incarnation: int = 0
-    number: int = 0
-
-
-class Exchange(asyncio.DatagramProtocol):
-    """Tells the other gateways, and hears them."""
-
     def __init__(self, core: core_lib.Core, node: str, join: Join) -> None:
         self._core = core
         self._node = node
         self._join = join
-        self._peers: dict[str, _Peer] = {}
+        self._roster = roster.Roster()
         self._transport: asyncio.DatagramTransport | None = None
-        self._incarnation = random.getrandbits(32)
-        self._number = 0
-        self._told = state_lib.State(node, self._incarnation, 0, {})
-        self._told_at_s = 0.0
+        self._teller = teller.Teller(node, random.getrandbits(32))
         self._is_telling = False
+        self.taken = 0
+        self.left_out = 0
+        self._hearers: dict[frame.Kind, Callable[[news_lib.News], None]] = {}
         core.live.on_placed(self._tell_soon)
 
+    def on_news(
+        self, kind: frame.Kind, hear: Callable[[news_lib.News], None]
+    ) -> None:
+        """Sets what takes the other gateways' news of a source."""
+        self._hearers[kind] = hear
+
+    def announce(self, told: news_lib.News) -> None:
+        """Tells the others news of a source."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._send_all(bulletin.encode(self._node, told))
+
     @property
     def peers(self) -> int:
         """How many others are heard."""
-        return len(self._peers)
+        return len(self._roster)
 
     @property
     def port(self) -> int:
@@ -99,12 +97,12 @@
         """Finds the others in the directory and greets them; then waits."""
         found = await self._listed()
         for _ in range(JOIN_TRIES):
-            heard = {peer.address for peer in self._peers.values()}
+            heard = set(self._roster.addresses)
             for text in found:
                 host, _, port = text.rpartition(':')
                 address = (host, int(port))
                 if address not in heard:
-                    self._send(address)
+                    self._greet(address)
             await asyncio.sleep(JOIN_S)
         await asyncio.Event().wait()
 
@@ -126,7 +124,7 @@
         while True:
             await asyncio.sleep(CHANGED_S)
             self._forget_silent(loop.time())
-            self._core.upstreams.sharers = 1 + len(self._peers)
+            self._core.upstreams.sharers = 1 + len(self._roster)
             self._tell_news()
 
     def _tell_soon(self) -> None:
@@ -142,64 +140,85 @@
 
     def _tell_news(self) -> None:
         self._is_telling = False
+        if self._transport.is_closing():
+            return
         now = asyncio.get_running_loop().time()
+        told = self._teller.news(now, self._current())
+        if told is not None:
+            self._send_all(state_lib.encode(told))
+
+    def _current(self) -> state_lib.State:
         core = self._core
-        news = state_lib.State(
+        return state_lib.State(
             self._node,
-            self._incarnation,
+            0,
             0,
             self._held(),
             core.upstreams.leaving_keys(),
             core.admission.waiting(),
             core.link_queue.own(),
             core.health.is_down,
-            core.upstreams.version,
         )
-        due = now - self._told_at_s >= REFRESH_S
-        if self._transport.is_closing():
-            return
-        if news != self._told or due:
-            self._told = news
-            self._told_at_s = now
-            for peer in self._peers.values():
-                self._send(peer.address)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Takes what another gateway tells."""
         try:
-            state = state_lib.decode(data)
+            kind, fields = frame.unpack(data)
+            if kind is frame.Kind.STATE:
+                self._hear_state(state_lib.decode(fields), addr)
+            else:
+                self._hear_news(kind, *bulletin.decode(kind, fields))
         except error.PeerError as exc:
-            event.note(event.DatagramMalformed(addr[0], str(exc)))
-            return
-        if state.node == self._node:
+            self._leave_out(addr, str(exc))
+
+    def _leave_out(self, addr: Address, reason: str) -> None:
+        self.left_out += 1
+        now = asyncio.get_running_loop().time()
+        if self._roster.may_complain(addr[0], now):
+            event.note(event.DatagramMalformed(addr[0], reason))
+
+    def _hear_news(
+        self, kind: frame.Kind, node: str, told: news_lib.News
+    ) -> None:
+        hear = self._hearers.get(kind)
+        if hear is not None and node != self._node:
+            hear(told)
+
+    def _hear_state(self, told: state_lib.State, addr: Address) -> None:
+        node = told.node
+        if node == self._node:
             return
+        is_new = not self._roster.is_known(node)
         now = asyncio.get_running_loop().time()
-        peer = self._peers.get(state.node)
-        if peer is None or peer.address != addr:
-            peer = self._peers[state.node] = _Peer(addr, now)
-            event.note(event.PeerFound(state.node, len(self._peers)))
-            self._send(addr)
-        same = state.incarnation == peer.incarnation
-        if same and state.number <= peer.number:
-            # Overtaken on its way by a newer one.
+        if not self._roster.take(told, addr, now):
+            self.left_out += 1
             return
-        peer.incarnation = state.incarnation
-        peer.heard_s, peer.number = now, state.number
-        self._core.pages.hear(state.node, state.held)
-        self._core.pages.hear_waiting(state.node, state.waiting)
-        self._core.link_queue.hear(state.node, state.moving)
-        self._core.health.hear(state.node, is_down=state.is_store_away)
-        self._core.upstreams.hear_leaving(state.leaving, state.node)
-        self._core.upstreams.hear_version(state.membership)
+        self.taken += 1
+        if is_new:
+            event.note(event.PeerFound(node, len(self._roster)))
+            self._greet(addr)
+        core = self._core
+        if told.is_whole:
+            core.pages.hear(node, told.held)
+        else:
+            core.pages.hear_changes(node, told.held)
+        core.pages.hear_waiting(node, told.waiting)
+        core.link_queue.hear(node, told.moving)
+        core.health.hear(node, is_down=told.is_store_away)
+        core.upstreams.hear_leaving(told.leaving, node)
 
     def error_received(self, exc: OSError) -> None:
         """Notes what the kernel tells of a datagram; silence decides."""
         event.note(event.DatagramFailed(str(exc)))
 
-    def _send(self, address: Address) -> None:
-        self._number += 1
-        state = dataclasses.replace(self._told, number=self._number)
-        self._transport.sendto(state_lib.encode(state), address)
+    def _greet(self, address: Address) -> None:
+        """Tells one gateway everything."""
+        whole = self._teller.whole()
+        self._transport.sendto(state_lib.encode(whole), address)
+
+    def _send_all(self, data: bytes) -> None:
+        for address in self._roster.addresses:
+            self._transport.sendto(data, address)
 
     def _held(self) -> dict[str, state_lib.Held]:
         held = {}
@@ -220,15 +239,10 @@
         return held
 
     def _forget_silent(self, now: float) -> None:
-        silent = [
-            node
-            for node, peer in self._peers.items()
-            if now - peer.heard_s > SILENT_S
-        ]
-        for node in silent:
-            del self._peers[node]
-            self._core.pages.hear(node, {})
-            self._core.pages.hear_waiting(node, {})
-            self._core.link_queue.hear(node, {})
-            self._core.health.hear(node, is_down=False)
-            event.note(event.PeerLost(node, len(self._peers)))
+        core = self._core
+        for node in self._roster.forget_silent(now):
+            core.pages.hear(node, {})
+            core.pages.hear_waiting(node, {})
+            core.link_queue.hear(node, {})
+            core.health.hear(node, is_down=False)
+            event.note(event.PeerLost(node, len(self._roster)))
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -0,0 +1,58 @@
+"""The form that all datagrams between gateways have."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgpack
+
+from quetzalsill_gateway import error
+
+__all__ = ['MALFORMED', 'Kind', 'count', 'pack', 'unpack']
+
+VERSION = 7
+# No count that is told comes near it; a greater one is a fault of its sender's.
+MOST_COUNT = 2**53
+# What reading fields of unexpected number, type or size raises.
+MALFORMED = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    LookupError,
+    OverflowError,
+    msgpack.UnpackException,
+)
+
+
+class Kind(enum.IntEnum):
+    """What a datagram tells."""
+
+    STATE = 1
+    MEMBERSHIP = 2
+    CONFIGURATION = 3
+
+
+def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
+    """Returns a datagram."""
+    return msgpack.packb((VERSION, int(kind), *fields))
+
+
+def unpack(data: bytes) -> tuple[Kind, list[Any]]:
+    """Returns kind and fields of a datagram.
+
+    Raises:
+      error.PeerError: It is none, or of another version.
+    """
+    try:
+        version, kind, *fields = msgpack.unpackb(data, strict_map_key=False)
+        if version != VERSION:
+            raise error.PeerError(f'version {version}, not {VERSION}')
+        return Kind(kind), fields
+    except MALFORMED as exc:
+        raise error.PeerError(f'no datagram of a gateway: {exc!r}') from exc
+
+
+def count(figure: Any) -> int:
+    """Returns a figure that is told, within what is possible."""
+    return min(MOST_COUNT, max(0, int(figure)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -1,26 +1,25 @@
-"""What one gateway tells the others, and its form in a datagram."""
+"""What one gateway tells the others of itself, and its form in a datagram."""
 
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
-
-import msgpack
+from typing import TYPE_CHECKING, Any
 
 from quetzalsill_gateway import error
+from quetzalsill_gateway.peers import frame
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.stream import link_queue
 
-__all__ = ['Held', 'State', 'Waiting', 'decode', 'encode']
+__all__ = ['NOTHING', 'Held', 'State', 'Waiting', 'decode', 'encode']
 
 # Tokens that wait for engines, by service and rank.
 Waiting = dict[str, dict[int, int]]
 
-VERSION = 6
 # A greater figure is a fault of its sender's.
 MOST_FAILURES = 1000.0
-MALFORMED = (ValueError, TypeError, AttributeError, msgpack.UnpackException)
+# Names in one datagram; more than a gateway works with.
+MOST_NAMES = 4096
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -42,9 +41,12 @@
     failures: float = 0.0
 
 
+NOTHING = Held(0, 0, 0)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class State:
-    """Everything that a gateway tells; each datagram holds all of it.
+    """What a gateway tells: all of it, or what has changed.
 
     Attributes:
       node: Name of the gateway.
@@ -55,7 +57,8 @@
       waiting: Tokens that wait there, by service and rank.
       moving: Runs of leaving engines that it has still to move.
       is_store_away: Whether the store does not answer it.
-      membership: Version up to which it knows the upstreams.
+      is_whole: Whether an upstream that `held` does not name holds nothing of
+        it; else it holds what was told before. The rest is always whole.
     """
 
     node: str
@@ -66,7 +69,7 @@
     waiting: Waiting = dataclasses.field(default_factory=dict)
     moving: link_queue.Moving = dataclasses.field(default_factory=dict)
     is_store_away: bool = False
-    membership: int = 0
+    is_whole: bool = True
 
 
 def encode(state: State) -> bytes:
@@ -81,64 +84,58 @@
         )
         for upstream, entry in state.held.items()
     }
-    head = (VERSION, state.node, state.incarnation, state.number)
-    return msgpack.packb(
+    return frame.pack(
+        frame.Kind.STATE,
         (
-            *head,
+            state.node,
+            state.incarnation,
+            state.number,
             held,
             state.leaving,
             state.waiting,
             state.moving,
             state.is_store_away,
-            state.membership,
-        )
+            state.is_whole,
+        ),
     )
 
 
-def decode(data: bytes) -> State:
-    """Returns the state in a datagram.
+def decode(fields: list[Any]) -> State:
+    """Returns the state in the fields of a datagram.
 
     Raises:
-      error.PeerError: It is none, or of another version.
+      error.PeerError: They hold none.
     """
     try:
-        fields = msgpack.unpackb(data, strict_map_key=False)
-        version, node, incarnation, number, held, leaving, waiting, *rest = (
-            fields
-        )
-        moving, is_store_away, membership = rest
-        if version != VERSION:
-            raise error.PeerError(f'version {version}, not {VERSION}')
+        node, incarnation, number, held, leaving, waiting, *rest = fields
+        moving, is_store_away, is_whole = rest
+        if len(held) + len(leaving) + len(moving) > MOST_NAMES:
+            raise ValueError('too many names')
         return State(
             str(node),
-            int(incarnation),
-            int(number),
+            frame.count(incarnation),
+            frame.count(number),
             {str(name): _held(entry) for name, entry in held.items()},
             tuple(str(name) for name in leaving),
             {str(name): _ranks(entry) for name, entry in waiting.items()},
             {str(name): _sizes(entry) for name, entry in moving.items()},
             bool(is_store_away),
-            int(membership),
+            bool(is_whole),
         )
-    except (
-        ValueError,
-        TypeError,
-        AttributeError,
-        msgpack.UnpackException,
-    ) as exc:
+    except frame.MALFORMED as exc:
         raise error.PeerError(f'no state: {exc!r}') from exc
 
 
-def _held(entry: list[int]) -> Held:
+def _held(entry: list[Any]) -> Held:
     *counts, failures = entry
-    memory, reading, runs, copied = (max(0, int(count)) for count in counts)
+    memory, reading, runs, copied = (frame.count(figure) for figure in counts)
     failures = min(MOST_FAILURES, max(0.0, float(failures)))
     return Held(memory, reading, runs, copied, failures)
 
 
-def _sizes(entry: dict[str, int]) -> dict[str, int]:
-    return {str(name): max(0, int(tokens)) for name, tokens in entry.items()}
+def _sizes(entry: dict[str, Any]) -> dict[str, int]:
+    return {str(name): frame.count(tokens) for name, tokens in entry.items()}
 
 
-def _ranks(entry: dict[int, int]) -> dict[int, int]:
-    return {int(rank): max(0, int(tokens)) for rank, tokens in entry.items()}
+def _ranks(entry: dict[int, Any]) -> dict[int, int]:
+    return {int(rank): frame.count(tokens) for rank, tokens in entry.items()}
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
@@ -26,6 +26,7 @@
     'store',
     'deployment',
     'peers',
+    'watch',
     'telemetry',
 )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -24,13 +24,16 @@
 from quetzalsill_gateway.balance import book
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
+from quetzalsill_gateway.peers import frame
 from quetzalsill_gateway.stream import live, lookout
+from quetzalsill_gateway.watch import configuration, membership
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import deployment as deployment_lib
 
 __all__ = ['Process', 'run']
 
+MS_PER_S = 1000
 TICK_S = 0.05
 # A store that answers has told both tables within a few round trips; without
 # one, callers are told so after this time.
@@ -63,8 +66,22 @@
             budget=_budget(settings.retry),
             live=live.Live(pages),
         )
-        self.core.health.on_regained(self.core.upstreams.expect_lapsed)
-        self._sources = deployment.sources(settings, conns)
+        self.core.health.on_regained(self.core.upstreams.regained)
+        sources = deployment.sources(settings, conns)
+        self.membership = membership.Membership(
+            sources.ask_membership,
+            self.core.upstreams,
+            self.core.health,
+            settings.watch.leaving_ms / MS_PER_S,
+        )
+        self.configuration = configuration.Configuration(
+            sources.ask_configuration,
+            sources.read_configuration,
+            self.core.holder,
+            self.core.health,
+            lambda: self.core.upstreams.sharers,
+            settings.watch.configuration_ms / MS_PER_S,
+        )
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
         asked = readiness.handler(
@@ -73,8 +90,15 @@
         self.asked = listener.Listener(asked, listener.Limits)
         self.metrics = listener.Listener(asked, listener.Limits)
         self.peers = peer_exchange.Exchange(
-            self.core, settings.node.name, self._sources.join
+            self.core, settings.node.name, sources.join
         )
+        kinds = {
+            frame.Kind.MEMBERSHIP: self.membership,
+            frame.Kind.CONFIGURATION: self.configuration,
+        }
+        for kind, follower in kinds.items():
+            follower.on_look(self.peers.announce)
+            self.peers.on_news(kind, follower.hear)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -93,12 +117,8 @@
     async def start(self) -> None:
         """Opens the listeners and starts to follow the sources."""
         loops = {
-            'configuration': lambda: self._sources.follow_configuration(
-                self.core.holder, self.core.health
-            ),
-            'membership': lambda: self._sources.follow_membership(
-                self.core.upstreams, self.core.health
-            ),
+            'configuration': self.configuration.run,
+            'membership': self.membership.run,
             'callers': self.callers.watch,
             'readiness': self.asked.watch,
             'lookout': lambda: lookout.watch(self.core),
@@ -164,9 +184,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _observe(self) -> None:
-        meter.observe(
-            self.core, len(self.callers.connections), self.peers.peers
-        )
+        meter.observe(self.core, len(self.callers.connections), self.peers)
 
     def _limits(self) -> listener.Limits:
         table = self.core.holder.current
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -7,7 +7,7 @@
 from quetzalsill.schema import key as schema_key
 from quetzalsill.settings import section
 
-__all__ = ['Retry', 'Settings', 'Stop', 'address']
+__all__ = ['Retry', 'Settings', 'Stop', 'Watch', 'address']
 
 key = schema_key.key
 ADDRESS = r'[0-9A-Fa-f.:]+:[0-9]{1,5}'
@@ -37,6 +37,26 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """How soon a gateway knows what changes at the store."""
+
+    configuration_ms: float = key(
+        'Time in which a change of the configuration must be in force.',
+        2000.0,
+        unit='ms',
+        minimum=200,
+        maximum=60_000,
+    )
+    leaving_ms: float = key(
+        'Time in which an upstream that leaves must get nothing new.',
+        2000.0,
+        unit='ms',
+        minimum=200,
+        maximum=60_000,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Stop:
     """How a gateway stops."""
@@ -92,6 +112,9 @@
         pattern=f'({ADDRESS})?',
     )
     retry: Retry = key('Bounds of retries.', factory=Retry)
+    watch: Watch = key(
+        'How soon changes at the store are known.', factory=Watch
+    )
     stop: Stop = key('How it stops.', factory=Stop)
     telemetry: section.Telemetry = key(
         'Logs and traces.', factory=section.Telemetry
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -5,15 +5,16 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table, upstream
 
-__all__ = ['Health', 'Holder', 'Sources']
+__all__ = ['Ask', 'Found', 'Health', 'Holder', 'ReadDocument', 'Sources']
 
+Item = TypeVar('Item')
 
 # Loop time before anything was heard.
 NEVER_S = 0.0
@@ -69,10 +70,10 @@
     """
 
     def __init__(self) -> None:
-        self._lost: set[str] = set()
+        self._lost: dict[str, float] = {}
         self._told: set[str] = set()
         self._down = asyncio.Event()
-        self._on_regained: list[Callable[[], None]] = []
+        self._on_regained: list[Callable[[float], None]] = []
 
     @property
     def is_down(self) -> bool:
@@ -83,8 +84,12 @@
         """Returns while any source does not answer, here or elsewhere."""
         await self._down.wait()
 
-    def on_regained(self, callback: Callable[[], None]) -> None:
-        """Calls back whenever a source answers again."""
+    def on_regained(self, callback: Callable[[float], None]) -> None:
+        """Calls back whenever a source answers again.
+
+        Args:
+          callback: Gets the loop time at which it was lost.
+        """
         self._on_regained.append(callback)
 
     def hear(self, node: str, *, is_down: bool) -> None:
@@ -108,7 +113,7 @@
     def lose(self, name: str, reason: str) -> None:
         """Notes that a source did not answer."""
         if name not in self._lost:
-            self._lost.add(name)
+            self._lost[name] = asyncio.get_running_loop().time()
             event.note(event.StoreLost(name, reason))
         self._update()
 
@@ -116,25 +121,50 @@
         """Notes that a source answered."""
         if name not in self._lost:
             return
-        self._lost.discard(name)
+        lost_s = self._lost.pop(name)
         event.note(event.StoreRegained(name))
         self._update()
         # Before what it tells is taken in, although another may still be away.
         for callback in self._on_regained:
-            callback()
+            callback(lost_s)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Found(Generic[Item]):
+    """What a source answers.
+
+    Attributes:
+      items: What changed, in order, or all there is.
+      version: Version of the source up to which they are told.
+      is_whole: Whether they are all there is.
+    """
+
+    items: list[Item]
+    version: int
+    is_whole: bool
+
+
+# Asks for what changed behind a version, or for all if there is none, and waits
+# for a change for so many seconds at most. None is answered if the source has
+# forgotten that far back. Raises `error.SourceError`.
+Ask = Callable[[int | None, float], Awaitable[Found[Item] | None]]
+# Makes a routing table of a document. Raises `error.ConfigurationError`.
+ReadDocument = Callable[[bytes], 'routing_table.RoutingTable']
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Sources:
-    """Loops that keep a gateway up to date; each runs until cancelled.
+    """How a gateway is kept up to date.
 
     Attributes:
-      follow_configuration: Installs each new routing table.
-      follow_membership: Keeps the upstreams.
+      ask_configuration: Asks for documents of the configuration.
+      read_configuration: Reads one.
+      ask_membership: Asks for entries of upstreams.
       join: Enters a gateway, by name and address, in the directory of
         gateways, and returns the addresses of all that are in it.
     """
 
-    follow_configuration: Callable[[Holder, Health], Awaitable[None]]
-    follow_membership: Callable[[upstream.Upstreams, Health], Awaitable[None]]
+    ask_configuration: Ask[bytes]
+    read_configuration: ReadDocument
+    ask_membership: Ask[upstream.Change]
     join: Callable[[str, str], Awaitable[list[str]]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -3,7 +3,8 @@
 An engine that is taken away says so to the membership source, and to whoever
 asks it. While the source is away its notice reaches nobody, and all runs on it
 would be lost when it goes. Each question has its price, so that they are asked
-only then, and only of engines that work for this gateway.
+only then, and only of engines that work for this gateway. Where the source is
+away for some gateways only, those that it serves tell the rest.
 """
 
 from __future__ import annotations
@@ -23,16 +24,19 @@
 # An engine goes 1.5 s after its notice at the soonest, and its report is half
 # a second old; asked this often, a second is left to move its runs.
 EVERY_S = 0.25
+# Nobody has told anything of the source for this long: some looks of the fleet.
+UNTOLD_S = 0.6
 
 
 async def watch(core: core_lib.Core) -> None:
     """Asks while the membership source is away; runs until cancelled."""
     while True:
         await core.health.until_down()
-        engines = [
-            found for found in core.upstreams.all() if core.live.of(found)
-        ]
-        await asyncio.gather(*(_ask(core, engine) for engine in engines))
+        if core.upstreams.age_s > UNTOLD_S:
+            engines = [
+                found for found in core.upstreams.all() if core.live.of(found)
+            ]
+            await asyncio.gather(*(_ask(core, engine) for engine in engines))
         await asyncio.sleep(EVERY_S)
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/upstream.py
@@ -9,7 +9,7 @@
 
 from quetzalsill_gateway import event
 
-__all__ = ['Upstream', 'Upstreams']
+__all__ = ['Change', 'Upstream', 'Upstreams']
 
 # While its store is away a source may let the entries of upstreams lapse that
 # live. They are entered again within two seconds of its return; acted on at
@@ -62,15 +62,43 @@
         """IP number and port with a colon."""
         return f'{self.address[0]}:{self.address[1]}'
 
+    def says_the_same(self, other: Upstream) -> bool:
+        """Whether an entry read as this one and another tell the same."""
+        return (
+            self.key == other.key
+            and self.service == other.service
+            and self.address == other.address
+            and self.availability_zone == other.availability_zone
+            and self.slots == other.slots
+            and self.leaving == other.leaving
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Change:
+    """One entry of the membership that was written or dropped.
+
+    Attributes:
+      id: Id of the upstream.
+      version: Version of the source at which it was.
+      upstream: What the entry says, never changed afterwards; None if it was
+        dropped, or names no upstream to use.
+      lapses: Whether a dropped entry may have lapsed in an outage of the
+        source.
+    """
+
+    id: str
+    version: int
+    upstream: Upstream | None
+    lapses: bool = True
+
 
 class Upstreams:
     """Keeps what the membership source tells, and tells of upstreams leaving.
 
     Attributes:
       version: Version of the newest change taken in.
-      wanting: Requests of this gateway that wait for an upstream with room.
-      sharers: Gateways that tell each other of upstreams leaving, this one
-        included; a source is asked the more rarely the more they are.
+      sharers: Gateways that tell each other of upstreams, this one included.
     """
 
     def __init__(self) -> None:
@@ -78,9 +106,7 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
         self.version = 0
-        self.wanting = 0
         self.sharers = 1
-        self._told_version = 0
         self._confirmed_s = 0.0
         self._removed: collections.deque[tuple[float, str]] = (
             collections.deque()
@@ -93,24 +119,40 @@
         """Time since the source last said that this is all."""
         return asyncio.get_running_loop().time() - self._confirmed_s
 
-    @property
-    def is_look_due(self) -> bool:
-        """Whether requests wait, and others know what is not known here."""
-        return self.wanting > 0 and self._told_version > self.version
-
-    def hear_version(self, version: int) -> None:
-        """Takes up to which version another gateway knows the upstreams."""
-        self._told_version = max(self._told_version, version)
-
     def confirm(self) -> None:
         """Notes that the source answered."""
         self._confirmed_s = asyncio.get_running_loop().time()
 
-    def expect_lapsed(self) -> None:
-        """Keeps entries that are gone for a while: their source was away."""
+    @property
+    def lapses_left_s(self) -> float:
+        """For how long entries that are gone are kept yet, in seconds."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self._lapses_until_s - now)
+
+    def expect_lapsed(self, for_s: float = LAPSE_S) -> None:
+        """Keeps entries that are gone for a while: their source was away.
+
+        Args:
+          for_s: How long; no longer than `LAPSE_S` counts.
+        """
         loop = asyncio.get_running_loop()
-        self._lapses_until_s = loop.time() + LAPSE_S
-        loop.call_later(LAPSE_S, self._drop_lapsed)
+        for_s = min(for_s, LAPSE_S)
+        until_s = loop.time() + for_s
+        if until_s <= self._lapses_until_s:
+            return
+        self._lapses_until_s = until_s
+        loop.call_later(for_s, self._drop_lapsed)
+
+    def regained(self, lost_s: float) -> None:
+        """Notes that the source answers again.
+
+        Args:
+          lost_s: Loop time at which it fell silent here. Where other gateways
+            were served meanwhile and told what changed, it was not away, and
+            an entry that is gone has not lapsed.
+        """
+        if self._confirmed_s <= lost_s:
+            self.expect_lapsed()
 
     def on_leaving(self, callback: Callable[[Upstream], None]) -> None:
         """Calls back with each upstream that starts to leave or is gone."""
@@ -129,13 +171,22 @@
         """Returns every upstream known."""
         return list(self._by_id.values())
 
-    def replace(self, found: Iterable[Upstream], version: int) -> None:
-        """Takes a whole list; upstreams that are not in it are gone."""
-        listed = {upstream.id: upstream for upstream in found}
+    def replace(self, found: Iterable[Change], version: int) -> None:
+        """Takes all entries; upstreams that are not among them are gone."""
+        listed = {change.id: change for change in found}
         for missing in self._by_id.keys() - listed.keys():
             self.remove(missing, version)
-        for upstream in listed.values():
-            self.put(upstream, version)
+        for change in listed.values():
+            self.apply(change)
+
+    def apply(self, change: Change) -> None:
+        """Takes one entry, written or dropped."""
+        if change.upstream is None:
+            self.remove(change.id, change.version, lapses=change.lapses)
+        else:
+            # Changed later on here, by others' notices; the entry is not.
+            found = dataclasses.replace(change.upstream)
+            self.put(found, change.version)
 
     def put(self, found: Upstream, version: int) -> None:
         """Takes one entry, new or changed."""
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -0,0 +1,170 @@
+"""Keeps the configuration in force up to date.
+
+One gateway at a time has a call at the source that waits for a change. Whoever
+it is tells the others the number of the newest configuration, and for a while
+after a change what is new in it. Who cannot make the newest of that reads it
+from the source.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalsill_gateway import error, event, meter
+from quetzalsill_gateway.watch import news as news_lib
+from quetzalsill_gateway.watch import patch as patch_lib
+from quetzalsill_gateway.watch import turn as turn_lib
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from quetzalsill_gateway import source
+
+__all__ = ['Configuration']
+
+NAME = 'configuration'
+# Shares of the time in which a change must be in force. A call waits for
+# `WAIT`, so that one whose connection has fallen silent is noticed; who has
+# heard nothing asks itself between `LEAST` and `LEAST` + `SPREAD`, which leaves
+# time to read.
+WAIT = 0.3
+LEAST = 0.5
+SPREAD = 0.25
+# A patch is told as often as it takes to reach those that missed a datagram.
+PATCH_S = 3.0
+
+
+class Configuration:
+    """Follows the source of configuration; one task runs `run`."""
+
+    def __init__(
+        self,
+        ask: source.Ask[bytes],
+        read: source.ReadDocument,
+        holder: source.Holder,
+        health: source.Health,
+        sharers: Callable[[], int],
+        bound_s: float,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Prepares to follow.
+
+        Args:
+          ask: Asks the source for documents.
+          read: Makes a routing table of a document.
+          holder: Takes each newer one.
+          health: Told whether the source answers.
+          sharers: Returns how many gateways tell each other.
+          bound_s: Time in which a change must be in force, in seconds.
+          rng: Draws the times of calls.
+        """
+        self._ask = ask
+        self._read = read
+        self._holder = holder
+        self._health = health
+        self._wait_s = WAIT * bound_s
+        self._version: int | None = None
+        self._document = b''
+        self._patch = b''
+        self._patched_s = 0.0
+        pace = turn_lib.Pace(LEAST * bound_s, SPREAD * bound_s)
+        self._turn = turn_lib.Turn(pace, sharers, rng)
+        self._announce: Callable[[news_lib.News], None] | None = None
+
+    def on_look(self, announce: Callable[[news_lib.News], None]) -> None:
+        """Sets what tells the other gateways."""
+        self._announce = announce
+
+    async def run(self) -> None:
+        """Asks whenever it is this gateway's turn; runs until cancelled."""
+        while True:
+            await self._turn.wait()
+            await self._look()
+
+    def hear(self, told: news_lib.ConfigurationNews) -> None:
+        """Takes what another gateway was told."""
+        known = self._version
+        if known is None or told.configuration < self._number():
+            meter.news.inc({'of': NAME, 'result': 'old'})
+            return
+        if told.configuration > self._number() and not self._is_patched(told):
+            # The version known here stays: a call behind it gets the document.
+            meter.news.inc({'of': NAME, 'result': 'newer'})
+            self._turn.hurry()
+            return
+        if told.version < known:
+            meter.news.inc({'of': NAME, 'result': 'old'})
+            return
+        meter.news.inc({'of': NAME, 'result': 'taken'})
+        self._version = told.version
+        self._holder.confirm()
+        self._turn.heard(asyncio.get_running_loop().time())
+
+    async def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        known = self._version
+        # Behind it may lie many edits, each told with its whole document, and
+        # only the newest counts.
+        after = None if self._turn.is_behind else known
+        try:
+            found = await self._ask(after, self._wait_s)
+        except error.SourceError as exc:
+            self._health.lose(NAME, str(exc))
+            self._turn.failed(loop.time())
+            return
+        self._health.regain(NAME)
+        if found is None:
+            event.note(event.StoreHistoryLost(NAME, known))
+            self._version = None
+            return
+        if known is not None and found.version < known:
+            event.note(event.VersionAhead(NAME, known, found.version))
+            self._version = None
+            return
+        self._holder.confirm()
+        for document in found.items:
+            self._install(document)
+        self._version = max(found.version, self._version or 0)
+        if self._turn.answered(loop.time()):
+            self._tell()
+
+    def _tell(self) -> None:
+        if self._announce is None:
+            return
+        now = asyncio.get_running_loop().time()
+        is_new = now - self._patched_s < PATCH_S
+        self._announce(
+            news_lib.ConfigurationNews(
+                self._version, self._number(), self._patch if is_new else b''
+            )
+        )
+
+    def _is_patched(self, told: news_lib.ConfigurationNews) -> bool:
+        """Whether what is told has made the newest configuration here."""
+        if not told.patch:
+            return False
+        try:
+            document = patch_lib.apply(self._document, told.patch)
+        except error.PatchError:
+            return False
+        self._install(document)
+        return self._number() == told.configuration
+
+    def _number(self) -> int:
+        table = self._holder.current
+        return table.version if table else 0
+
+    def _install(self, document: bytes) -> None:
+        try:
+            table = self._read(document)
+        except error.ConfigurationError as exc:
+            event.note(event.ConfigurationInvalid(str(exc), exc.advice))
+            return
+        if not self._holder.install(table):
+            return
+        if self._document:
+            self._patch = patch_lib.make(self._document, document) or b''
+            self._patched_s = asyncio.get_running_loop().time()
+        self._document = document
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
@@ -0,0 +1,48 @@
+"""What a gateway that was answered by a source tells the others of it."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import upstream
+
+__all__ = ['ConfigurationNews', 'MembershipNews', 'News']
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MembershipNews:
+    """The membership, as far as it changed between two versions.
+
+    Attributes:
+      since: Version behind which every change is told.
+      version: Version up to which it is.
+      changes: The changes, in the order of their versions.
+      lapses_s: For how long yet an entry that is gone may come back, because
+        the source has been away; 0 if it has not.
+    """
+
+    since: int
+    version: int
+    changes: tuple[upstream.Change, ...] = ()
+    lapses_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationNews:
+    """The newest configuration.
+
+    Attributes:
+      version: Version of the source up to which there is no newer one.
+      configuration: Number of the configuration.
+      patch: For a while after a change, what makes the document of the one
+        before it; empty if that is too much for a datagram.
+    """
+
+    version: int
+    configuration: int
+    patch: bytes = b''
+
+
+News = MembershipNews | ConfigurationNews
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
@@ -0,0 +1,91 @@
+"""Changes of the membership of late, as one gateway tells them to others.
+
+A datagram may be lost, so each tells again what the last few told. Whoever has
+missed more than that sees the gap, and asks the source itself.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quetzalsill_gateway import upstream
+
+__all__ = ['Recent']
+
+# How far back a datagram reaches: a few looks of the fleet.
+KEPT_S = 1.0
+# Entries in a datagram; some 100 bytes each. More come only if a good part of
+# a large fleet changes at once, and then each gateway asks for itself.
+MOST_CHANGES = 80
+
+
+class Recent:
+    """Changes behind a version, in the order of their versions.
+
+    What means nothing is left out: upstreams write their entries every second
+    although nothing but a count in them has changed. Every gateway goes through
+    the same versions, and so takes the same changes for meaningful.
+    """
+
+    def __init__(self) -> None:
+        self._steps: collections.deque[tuple[float, int]] = collections.deque()
+        self._changes: collections.deque[upstream.Change] = collections.deque()
+        self._since = 0
+        self._entries: dict[str, upstream.Upstream] = {}
+
+    @property
+    def since(self) -> int:
+        """Version behind which every change is in `changes`."""
+        return self._since
+
+    @property
+    def changes(self) -> tuple[upstream.Change, ...]:
+        """Changes behind `since`, the oldest first."""
+        return tuple(self._changes)
+
+    def restart(self, found: list[upstream.Change], version: int) -> None:
+        """Begins anew with all entries as of a version."""
+        self._steps.clear()
+        self._changes.clear()
+        self._since = version
+        self._entries.clear()
+        for change in found:
+            self._enter(change)
+
+    def step(
+        self, now: float, before: int, found: list[upstream.Change]
+    ) -> list[upstream.Change]:
+        """Takes all changes behind a version; returns those that mean anything.
+
+        Args:
+          now: Loop time, in seconds.
+          before: Version behind which they came.
+          found: The changes, in order.
+        """
+        changes = [change for change in found if self._enter(change)]
+        if not self._steps:
+            self._since = before
+        self._steps.append((now, before))
+        self._changes.extend(changes)
+        while len(self._steps) > 1 and now - self._steps[0][0] > KEPT_S:
+            self._steps.popleft()
+        self._drop_until(self._steps[0][1])
+        if len(self._changes) > MOST_CHANGES:
+            self._drop_until(self._changes[-MOST_CHANGES - 1].version)
+        return changes
+
+    def _enter(self, change: upstream.Change) -> bool:
+        """Takes an entry; returns whether it is another than before."""
+        before = self._entries.get(change.id)
+        if change.upstream is None:
+            self._entries.pop(change.id, None)
+            return before is not None
+        self._entries[change.id] = change.upstream
+        return before is None or not before.says_the_same(change.upstream)
+
+    def _drop_until(self, version: int) -> None:
+        self._since = max(self._since, version)
+        while self._changes and self._changes[0].version <= self._since:
+            self._changes.popleft()
--- /dev/null
+++ b/tests/quetzalsill_gateway/peers/test_teller.py
@@ -0,0 +1,78 @@
+"""What is told: the whole, what has changed, or nothing."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.peers import state, teller
+
+
+def current(**held):
+    """Returns a state in which so many tokens are held at engines."""
+    return state.State(
+        'entry-1',
+        0,
+        0,
+        {key: state.Held(tokens, 0, 1) for key, tokens in held.items()},
+    )
+
+
+class TellerTest(unittest.TestCase):
+    """One process that tells, and one that hears."""
+
+    def setUp(self):
+        self.teller = teller.Teller('entry-1', 7)
+        self.first = self.teller.news(5.0, current(a=1, b=2))
+
+    def test_the_whole_comes_first_and_then_at_intervals(self):
+        self.assertTrue(self.first.is_whole)
+        self.assertIsNone(self.teller.news(5.1, current(a=1, b=2)))
+        again = self.teller.news(5.0 + teller.WHOLE_S, current(a=1, b=2))
+        self.assertTrue(again.is_whole)
+        self.assertEqual(again.held, self.first.held)
+
+    def test_a_change_tells_only_what_is_new(self):
+        told = self.teller.news(5.1, current(a=1, b=3, c=4))
+        self.assertFalse(told.is_whole)
+        self.assertEqual(set(told.held), {'b', 'c'})
+        told = self.teller.news(5.2, current(a=1, c=4))
+        self.assertEqual(told.held, {'b': state.NOTHING})
+
+    def test_numbers_grow_with_all_that_is_told(self):
+        numbers = [self.first.number]
+        numbers.append(self.teller.whole().number)
+        numbers.append(self.teller.news(5.1, current(a=9)).number)
+        numbers.append(self.teller.whole().number)
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+    def test_who_hears_every_change_knows_the_whole(self):
+        """Runs begin and end at random; some datagrams are lost.
+
+        With every whole, at the latest, the hearer knows what the teller holds.
+        """
+        rng = random.Random(3)
+        heard = book.Book()
+        held = {}
+        now = 5.0
+        for _ in range(400):
+            now += 0.05
+            key = rng.choice('abcdef')
+            held[key] = rng.randrange(0, 5)
+            there = {name: tokens for name, tokens in held.items() if tokens}
+            told = self.teller.news(now, current(**there))
+            if told is None or (not told.is_whole and rng.random() < 0.2):
+                continue
+            if told.is_whole:
+                heard.hear('entry-1', told.held)
+                for name in 'abcdef':
+                    self.assertEqual(
+                        heard._page(name).reserved_tokens, there.get(name, 0)
+                    )
+            else:
+                heard.hear_changes('entry-1', told.held)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/watch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how gateways keep up with their sources."""
