Share the retry budget among the gateways heard; tell all to who restarts

Causes: the allowance of retries was shared among the gateways of the settings, 16 by default; 68 would spend twice of it (shown by the test, which failed). And a gateway that restarts while the store is away refuses every caller until it is back, beside others that know all it needs (shown by the test, the same).

Change: shares by the gateways that are heard, or by the settings where those name more; a gateway that knows nothing and gets no answer asks two others, which tell it configuration and entries whole, if they hear it as a gateway.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
@@ -17,7 +17,7 @@
 
 from quetzalsill.telemetry import log
 from quetzalsill_dev.simulation import clock
-from quetzalsill_gateway import source, upstream
+from quetzalsill_gateway import retry_budget, source, upstream
 from quetzalsill_gateway.balance import admission, book
 from quetzalsill_gateway.peers import exchange
 from quetzalsill_gateway.stream import link_queue, live
@@ -101,6 +101,7 @@
             upstreams=upstream.Upstreams(),
             link_queue=link_queue.LinkQueue(),
             health=source.Health(),
+            budget=retry_budget.RetryBudget(0.2, 10.0, 10.0, 16),
         )
         core.live = live.Live(core.pages)
         core.admission = admission.Admission(core.upstreams, core.pages, 'z')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/net.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/net.py
@@ -46,16 +46,18 @@
 
     def tell_all(self, node: str, data: bytes) -> None:
         """Sends a datagram to every other gateway."""
-        loop = asyncio.get_running_loop()
-        others = [other for other in self._hearers if other != node]
-        count = self.datagrams.get(node, 0) + len(others)
-        self.datagrams[node] = count
-        size = self.sent_bytes.get(node, 0) + len(data) * len(others)
-        self.sent_bytes[node] = size
-        for other in others:
-            if self._rng.random() >= self.loss:
-                delay_s = self._rng.uniform(*self.delay_s)
-                loop.call_later(delay_s, self._deliver, node, other, data)
+        for other in list(self._hearers):
+            if other != node:
+                self.tell(node, other, data)
+
+    def tell(self, node: str, other: str, data: bytes) -> None:
+        """Sends a datagram to one gateway."""
+        self.datagrams[node] = self.datagrams.get(node, 0) + 1
+        self.sent_bytes[node] = self.sent_bytes.get(node, 0) + len(data)
+        if self._rng.random() >= self.loss:
+            delay_s = self._rng.uniform(*self.delay_s)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._deliver, node, other, data)
 
     def _deliver(self, node: str, other: str, data: bytes) -> None:
         hear = self._hearers.get(other)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
@@ -167,6 +167,7 @@
                     name, bulletin.encode(name, told)
                 )
             )
+            each.on_lack(lambda: self._ask_whole(name))
         self.net.join(name, hear)
         loop = asyncio.get_running_loop()
         tasks = [
@@ -178,6 +179,15 @@
         self.gateways[name] = found
         return found
 
+    def _ask_whole(self, name: str) -> None:
+        others = [one for one in self.all if one.node != name]
+        for other in self._rng.sample(others, min(2, len(others))):
+            for follower in (other.membership, other.configuration):
+                told = follower.whole()
+                if told is not None:
+                    data = bulletin.encode(other.node, told)
+                    self.net.tell(other.node, name, data)
+
     def kill(self, name: str) -> None:
         """Ends a gateway at once."""
         for task in self.gateways.pop(name).tasks:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -33,6 +33,8 @@
 # What is given back is told this soon after one another: known late, it only
 # leaves room unused for a moment.
 CHANGED_S = 0.1
+# How many others a gateway asks that knows nothing: one may not hear it.
+ASKED = 2
 # Members of a directory that has aged are asked this often until they answer.
 JOIN_TRIES = 5
 JOIN_S = 1.0
@@ -57,6 +59,7 @@
         self.taken = 0
         self.left_out = 0
         self._hearers: dict[frame.Kind, Callable[[news_lib.News], None]] = {}
+        self._wholes: list[Callable[[], news_lib.News | None]] = []
         core.live.on_placed(self._tell_soon)
 
     def on_news(
@@ -65,6 +68,22 @@
         """Sets what takes the other gateways' news of a source."""
         self._hearers[kind] = hear
 
+    def on_asked(self, whole: Callable[[], news_lib.News | None]) -> None:
+        """Adds what answers a gateway that knows nothing of a source."""
+        self._wholes.append(whole)
+
+    def ask_whole(self) -> None:
+        """Asks some others for all that they know of the sources.
+
+        A gateway that restarts while the source is away would refuse every
+        caller for as long as that lasts, beside others that serve. Others tell
+        it of themselves at its address, so that it knows of them by then.
+        """
+        found = self._roster.addresses
+        data = frame.pack(frame.Kind.ASK_WHOLE, (self._node,))
+        for address in random.sample(found, min(ASKED, len(found))):
+            self._transport.sendto(data, address)
+
     def announce(self, told: news_lib.News) -> None:
         """Tells the others news of a source."""
         if self._transport is None or self._transport.is_closing():
@@ -124,7 +143,9 @@
         while True:
             await asyncio.sleep(CHANGED_S)
             self._forget_silent(loop.time())
-            self._core.upstreams.sharers = 1 + len(self._roster)
+            gateways = 1 + len(self._roster)
+            self._core.upstreams.sharers = gateways
+            self._core.budget.share_among(gateways)
             self._tell_news()
 
     def _tell_soon(self) -> None:
@@ -166,6 +187,8 @@
             kind, fields = frame.unpack(data)
             if kind is frame.Kind.STATE:
                 self._hear_state(state_lib.decode(fields), addr)
+            elif kind is frame.Kind.ASK_WHOLE:
+                self._answer_whole(addr)
             else:
                 self._hear_news(kind, *bulletin.decode(kind, fields))
         except error.PeerError as exc:
@@ -177,6 +200,16 @@
         if self._roster.may_complain(addr[0], now):
             event.note(event.DatagramMalformed(addr[0], reason))
 
+    def _answer_whole(self, addr: Address) -> None:
+        # To nobody but a gateway: it holds the keys of callers.
+        if addr not in self._roster.addresses:
+            return
+        for whole in self._wholes:
+            told = whole()
+            if told is not None:
+                data = bulletin.encode(self._node, told)
+                self._transport.sendto(data, addr)
+
     def _hear_news(
         self, kind: frame.Kind, node: str, told: news_lib.News
     ) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -31,6 +31,7 @@
     STATE = 1
     MEMBERSHIP = 2
     CONFIGURATION = 3
+    ASK_WHOLE = 4
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/retry_budget.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/retry_budget.py
@@ -32,6 +32,7 @@
           window_s: Length of the window, in seconds.
           gateways: Gateways that share the allowance.
         """
+        self._heard = 1
         self.change(ratio, allowance, window_s, gateways)
         self._requests: dict[str, collections.deque[float]] = {}
         self._retries: dict[str, collections.deque[float]] = {}
@@ -41,9 +42,19 @@
     ) -> None:
         """Sets the bounds; what was counted stays counted."""
         self._ratio = ratio * SAFE_SHARE
-        self._share = allowance * SAFE_SHARE / max(1, gateways)
+        self._allowance = allowance * SAFE_SHARE
+        self._gateways = gateways
         self._window_s = window_s
 
+    def share_among(self, gateways: int) -> None:
+        """Takes how many gateways there are, this one included.
+
+        A fleet that has grown beyond its settings would otherwise spend the
+        allowance several times over: with shares for 16, 68 gateways spend
+        twice of what all may.
+        """
+        self._heard = gateways
+
     def note_request(self, service: str) -> None:
         """Counts a request of a caller."""
         self._recent(self._requests, service).append(self._now())
@@ -52,7 +63,8 @@
         """Takes one retry out of the budget; False if none is left."""
         requests = len(self._recent(self._requests, service))
         retries = self._recent(self._retries, service)
-        if len(retries) + 1 > requests * self._ratio + self._share:
+        share = self._allowance / max(1, self._gateways, self._heard)
+        if len(retries) + 1 > requests * self._ratio + share:
             return False
         retries.append(self._now())
         return True
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -34,6 +34,9 @@
 SPREAD = 0.25
 # A patch is told as often as it takes to reach those that missed a datagram.
 PATCH_S = 3.0
+# A document whole fits a datagram up to this size; packed, it is some tenth of
+# what operators write.
+MOST_WHOLE_BYTES = 49_152
 
 
 class Configuration:
@@ -72,11 +75,27 @@
         pace = turn_lib.Pace(LEAST * bound_s, SPREAD * bound_s)
         self._turn = turn_lib.Turn(pace, sharers, rng)
         self._announce: Callable[[news_lib.News], None] | None = None
+        self._on_lack: Callable[[], None] | None = None
 
     def on_look(self, announce: Callable[[news_lib.News], None]) -> None:
         """Sets what tells the other gateways."""
         self._announce = announce
 
+    def on_lack(self, callback: Callable[[], None]) -> None:
+        """Calls back when nothing is known and the source does not answer."""
+        self._on_lack = callback
+
+    def whole(self) -> news_lib.ConfigurationNews | None:
+        """Returns the configuration, for a gateway that knows none."""
+        if self._version is None or not self._document:
+            return None
+        document = patch_lib.make(b'', self._document, MOST_WHOLE_BYTES)
+        if document is None:
+            return None
+        return news_lib.ConfigurationNews(
+            self._version, self._number(), document
+        )
+
     async def run(self) -> None:
         """Asks whenever it is this gateway's turn; runs until cancelled."""
         while True:
@@ -86,6 +105,10 @@
     def hear(self, told: news_lib.ConfigurationNews) -> None:
         """Takes what another gateway was told."""
         known = self._version
+        if known is None and self._is_patched(told):
+            self._version = told.version
+            self._holder.confirm()
+            return
         if known is None or told.configuration < self._number():
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
@@ -113,6 +136,8 @@
         except error.SourceError as exc:
             self._health.lose(NAME, str(exc))
             self._turn.failed(loop.time())
+            if self._version is None and self._on_lack is not None:
+                self._on_lack()
             return
         self._health.regain(NAME)
         if found is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -69,16 +69,27 @@
         pace = turn_lib.Pace(scale * LEAST_S, scale * SPREAD_S, ASK_ON_S)
         self._turn = turn_lib.Turn(pace, lambda: upstreams.sharers, rng)
         self._announce: Callable[[news_lib.News], None] | None = None
-
-    @property
-    def version(self) -> int | None:
-        """Version up to which the membership is known; None before any."""
-        return self._version
+        self._on_lack: Callable[[], None] | None = None
 
     def on_look(self, announce: Callable[[news_lib.News], None]) -> None:
         """Sets what tells the other gateways."""
         self._announce = announce
 
+    def on_lack(self, callback: Callable[[], None]) -> None:
+        """Calls back when nothing is known and the source does not answer."""
+        self._on_lack = callback
+
+    def whole(self) -> news_lib.MembershipNews | None:
+        """Returns all that is known, for a gateway that knows nothing."""
+        if self._version is None:
+            return None
+        return news_lib.MembershipNews(
+            news_lib.EVERYTHING,
+            self._version,
+            self._recent.all(self._version),
+            self._upstreams.lapses_left_s,
+        )
+
     async def run(self) -> None:
         """Looks whenever it is this gateway's turn; runs until cancelled."""
         while True:
@@ -88,6 +99,10 @@
     def hear(self, told: news_lib.MembershipNews) -> None:
         """Takes what another gateway was told."""
         known = self._version
+        if known is None and told.since == news_lib.EVERYTHING:
+            self._restart(list(told.changes), told.version)
+            self._turn.heard(asyncio.get_running_loop().time())
+            return
         if known is None or told.version < known:
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
@@ -111,6 +126,8 @@
         except error.SourceError as exc:
             self._health.lose(NAME, str(exc))
             self._turn.failed(loop.time())
+            if self._version is None and self._on_lack is not None:
+                self._on_lack()
             return
         self._health.regain(NAME)
         if found is None:
@@ -119,13 +136,10 @@
             return
         newest = self._version
         if newest is not None and found.version < newest:
-            self._correct(known, newest, found.version)
+            self._correct(known, found.version)
             return
         if found.is_whole:
-            self._upstreams.confirm()
-            self._upstreams.replace(found.items, found.version)
-            self._recent.restart(found.items, found.version)
-            self._version = found.version
+            self._restart(found.items, found.version)
         else:
             # Told by others meanwhile, if it is not behind `newest`.
             fresh = [one for one in found.items if one.version > newest]
@@ -133,7 +147,7 @@
         if self._turn.answered(loop.time()):
             self._tell()
 
-    def _correct(self, known: int, newest: int, told: int) -> None:
+    def _correct(self, known: int | None, told: int) -> None:
         """Meets an answer from before what is known here.
 
         Others may have told more while the call was under way. But what was
@@ -145,6 +159,12 @@
             event.note(event.VersionAhead(NAME, known, told))
             self._version = None
 
+    def _restart(self, found: list[upstream.Change], version: int) -> None:
+        self._upstreams.confirm()
+        self._upstreams.replace(found, version)
+        self._recent.restart(found, version)
+        self._version = version
+
     def _take(
         self, changes: list[upstream.Change], before: int, version: int
     ) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
@@ -8,7 +8,10 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import upstream
 
-__all__ = ['ConfigurationNews', 'MembershipNews', 'News']
+__all__ = ['EVERYTHING', 'ConfigurationNews', 'MembershipNews', 'News']
+
+# Below every version of a source.
+EVERYTHING = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -16,7 +19,8 @@
     """The membership, as far as it changed between two versions.
 
     Attributes:
-      since: Version behind which every change is told.
+      since: Version behind which every change is told; 0 if these are all
+        entries that there are.
       version: Version up to which it is.
       changes: The changes, in the order of their versions.
       lapses_s: For how long yet an entry that is gone may come back, because
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/patch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/patch.py
@@ -38,8 +38,10 @@
 )
 
 
-def make(base: bytes, document: bytes) -> bytes | None:
-    """Returns what makes a document of its base; None if that is large."""
+def make(
+    base: bytes, document: bytes, most_bytes: int = MOST_PATCH_BYTES
+) -> bytes | None:
+    """Returns what makes a document of its base; None if that is larger."""
     where = {piece: n for n, piece in enumerate(base.split(SEPARATOR))}
     steps: list[Any] = []
     for piece in document.split(SEPARATOR):
@@ -51,7 +53,7 @@
         else:
             steps.append([found, 1])
     patch = xxhash.xxh64_digest(base) + zlib.compress(msgpack.packb(steps))
-    return patch if len(patch) <= MOST_PATCH_BYTES else None
+    return patch if len(patch) <= most_bytes else None
 
 
 def apply(base: bytes, patch: bytes) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from quetzalsill_gateway import upstream
+from quetzalsill_gateway import upstream
 
 __all__ = ['Recent']
 
@@ -45,6 +43,13 @@
         """Changes behind `since`, the oldest first."""
         return tuple(self._changes)
 
+    def all(self, version: int) -> tuple[upstream.Change, ...]:
+        """Returns every entry, as of a version."""
+        return tuple(
+            upstream.Change(name, version, found)
+            for name, found in self._entries.items()
+        )
+
     def restart(self, found: list[upstream.Change], version: int) -> None:
         """Begins anew with all entries as of a version."""
         self._steps.clear()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/turn.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/turn.py
@@ -76,11 +76,6 @@
         self._is_hurried = False
         self._hurried = asyncio.Event()
 
-    @property
-    def due_s(self) -> float:
-        """Loop time of the next call."""
-        return self._due_s
-
     @property
     def is_behind(self) -> bool:
         """Whether others know more, or the source has not answered of late."""
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_gateway import error, source, upstream
+from quetzalsill_gateway import error, retry_budget, source, upstream
 from quetzalsill_gateway.balance import admission, book
 from quetzalsill_gateway.peers import (
     bulletin,
@@ -166,6 +166,7 @@
             upstreams=upstream.Upstreams(),
             link_queue=link_queue.LinkQueue(),
             health=source.Health(),
+            budget=retry_budget.RetryBudget(0.2, 10.0, 10.0, 16),
         )
         core.live = live.Live(core.pages)
         core.admission = admission.Admission(core.upstreams, core.pages, 'z')
--- a/tests/quetzalsill_gateway/peers/test_roster.py
+++ b/tests/quetzalsill_gateway/peers/test_roster.py
@@ -11,10 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_gateway import event, source, upstream
+from quetzalsill_gateway import event, retry_budget, source, upstream
 from quetzalsill_gateway.balance import admission, book
 from quetzalsill_gateway.peers import exchange, frame, roster, state
 from quetzalsill_gateway.stream import link_queue, live
+from quetzalsill_gateway.watch import news
 
 HERE = ('10.0.0.1', 7000)
 THERE = ('10.0.0.2', 7000)
@@ -81,6 +82,7 @@
             upstreams=upstream.Upstreams(),
             link_queue=link_queue.LinkQueue(),
             health=source.Health(),
+            budget=retry_budget.RetryBudget(0.2, 10.0, 10.0, 16),
         )
         core.live = live.Live(core.pages)
         core.admission = admission.Admission(core.upstreams, core.pages, 'z')
@@ -107,6 +109,20 @@
         ]
         self.assertEqual(len(malformed), 1)
 
+    async def test_only_a_gateway_that_is_heard_is_told_all(self):
+        """Whoever asks for the configuration would get the callers' keys."""
+        self.hearer.on_asked(lambda: news.ConfigurationNews(7, 3, b'keys'))
+        asked = frame.pack(frame.Kind.ASK_WHOLE, ('stranger',))
+        with mock.patch.object(event, 'note'):
+            self.hearer.datagram_received(asked, THERE)
+            self.hearer._transport.sendto.assert_not_called()
+            self.hearer.datagram_received(state.encode(told(1)), HERE)
+        self.hearer._transport.reset_mock()
+        self.hearer.datagram_received(asked, HERE)
+        [sent] = self.hearer._transport.sendto.call_args_list
+        self.assertIn(b'keys', sent.args[0])
+        self.assertEqual(sent.args[1], HERE)
+
     async def test_another_version_is_left_out(self):
         good = state.encode(told(1))
         with mock.patch.object(frame, 'VERSION', frame.VERSION + 1):
--- a/tests/quetzalsill_gateway/test_retry_budget.py
+++ b/tests/quetzalsill_gateway/test_retry_budget.py
@@ -52,6 +52,23 @@
             seen = sum(end - 2 * WINDOW_S < at <= end for at in requests)
             self.assertLessEqual(sent, RATIO * seen + ALLOWANCE)
 
+    def test_a_fleet_larger_than_its_settings_shares_the_same(self):
+        """68 gateways, set for 16, and servers that fail all they get.
+
+        Each spent its sixteenth, and the servers got twice of what they are
+        promised at most.
+        """
+        with mock.patch.object(
+            retry_budget.RetryBudget, '_now', lambda _self: 0.0
+        ):
+            spent = 0
+            for _ in range(68):
+                budget = retry_budget.RetryBudget(0.0, 176, WINDOW_S, 16)
+                budget.share_among(68)
+                while budget.spend('s'):
+                    spent += 1
+        self.assertLessEqual(spent, 176)
+
     def test_services_do_not_share(self):
         with mock.patch.object(
             retry_budget.RetryBudget, '_now', lambda _self: 0.0
--- a/tests/quetzalsill_gateway/watch/test_fleet.py
+++ b/tests/quetzalsill_gateway/watch/test_fleet.py
@@ -304,6 +304,33 @@
 
         self.play(story)
 
+    def test_a_gateway_that_restarts_in_an_outage_serves(self):
+        """The store is away, and a gateway is killed and starts again.
+
+        It would refuse every caller until the store is back, with others
+        beside it that know all it needs.
+        """
+
+        async def story():
+            await self.edit_is_known(2)
+            self.fleet.store.treat = lambda _: Away.REFUSES
+            await asyncio.sleep(3.0)
+            self.fleet.kill('entry-7')
+            known = self.fleet.all[0].ids()
+            again = self.fleet.add_gateway('entry-7')
+            await asyncio.sleep(1.0)
+            self.assertEqual(again.number, 2)
+            self.assertEqual(again.ids(), known)
+            self.fleet.configure(3)
+            self.fleet.drain('server-2')
+            self.fleet.store.treat = lambda _: Away.SERVES
+            await self.within(
+                2.9,
+                lambda one: one.number == 3 and 'server-2' not in one.ids(),
+            )
+
+        self.play(story)
+
     def test_the_same_seed_gives_the_same_run(self):
         totals = []
         for _ in range(2):
