--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -143,8 +143,8 @@
     def hear(self, node: str, held: peer_state.Held) -> None:
         """Takes what another gateway holds here, in place of what it held.
 
-        Looked at for every candidate of every choice and summed up there, what
-        68 gateways hold would take a thin host's time.
+        The sum is kept, since each choice asks for it for each candidate: at
+        70 gateways and 30 engines some 10,000 additions.
         """
         if self._told.get(node, peer_state.NOTHING) == held:
             return
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -1,9 +1,10 @@
 """Datagrams between gateways.
 
 Each gateway sees only its own generations, and many share an engine. Without
-word of the others' each would fill the engine that looks empty to itself. A
-datagram holds all that its sender has to tell, so that a lost one is made good
-by the next, and a gateway that falls silent is forgotten.
+word of the others' each would fill the engine that looks empty to itself. So
+each tells what it holds (`peers.teller` says how much of it, `peers.roster`
+whose word is taken), and a gateway that falls silent is forgotten. By the same
+way go news of configuration and membership (`watch`).
 
 A gateway finds the others once, at its start, in a directory; whoever hears a
 new one answers it from then on.
@@ -68,7 +69,7 @@
         """Sets what takes the other gateways' news of a source."""
         self._hearers[kind] = hear
 
-    def on_asked(self, whole: Callable[[], news_lib.News | None]) -> None:
+    def on_ask(self, whole: Callable[[], news_lib.News | None]) -> None:
         """Adds what answers a gateway that knows nothing of a source."""
         self._wholes.append(whole)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -100,7 +100,7 @@
             follower.on_look(self.peers.announce)
             follower.on_lack(self.peers.ask_whole)
             self.peers.on_news(kind, follower.hear)
-            self.peers.on_asked(follower.whole)
+            self.peers.on_ask(follower.whole)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/lookout.py
@@ -24,7 +24,8 @@
 # An engine goes 1.5 s after its notice at the soonest, and its report is half
 # a second old; asked this often, a second is left to move its runs.
 EVERY_S = 0.25
-# Nobody has told anything of the source for this long: some looks of the fleet.
+# With nothing told for this long the source is away for all: a call that waits
+# for a change is answered sooner (`watch.membership.WAIT_S`).
 UNTOLD_S = 0.6
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -86,7 +86,7 @@
         self._on_lack = callback
 
     def whole(self) -> news_lib.ConfigurationNews | None:
-        """Returns the configuration, for a gateway that knows none."""
+        """Returns all that is known, for a gateway that knows nothing."""
         if self._version is None or not self._document:
             return None
         document = patch_lib.make(b'', self._document, MOST_WHOLE_BYTES)
@@ -113,7 +113,7 @@
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
         if told.configuration > self._number() and not self._is_patched(told):
-            # The version known here stays: a call behind it gets the document.
+            # The version known here stays, so that no edit is passed over.
             meter.news.inc({'of': NAME, 'result': 'newer'})
             self._turn.hurry()
             return
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -24,8 +24,8 @@
 __all__ = ['Membership']
 
 NAME = 'membership'
-# A call waits so long for a change. One whose connection is silent shows
-# by not ending.
+# A call waits so long for a change at the source; it ends late if its
+# connection is silent.
 WAIT_S = 0.4
 # Who has heard nothing for so long asks itself: `WAIT_S` and the time of a call
 # to a slow source, and a draw. Upstreams that leave serve on for 1.5 s after
@@ -35,7 +35,8 @@
 # Whoever watches asks on after so long, which takes in what changes with what
 # was told, and bounds its calls where entries change without end.
 ASK_ON_S = 0.03
-# Share of the time in which a notice must be known that may pass unheard.
+# Share of the time in which a notice must be known, after which a gateway that
+# hears nothing asks at the latest.
 BOUND_SHARE = 0.75
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
@@ -12,7 +12,7 @@
 
 __all__ = ['Recent']
 
-# How far back a datagram reaches: a few looks of the fleet.
+# How far back a datagram reaches, in seconds: a few calls at the source.
 KEPT_S = 1.0
 # Entries in a datagram; some 100 bytes each. More come only if a good part of
 # a large fleet changes at once, and then each gateway asks for itself.
@@ -22,9 +22,9 @@
 class Recent:
     """Changes behind a version, in the order of their versions.
 
-    What means nothing is left out: upstreams write their entries every second
-    although nothing but a count in them has changed. Every gateway goes through
-    the same versions, and so takes the same changes for meaningful.
+    What means nothing is left out: an upstream may write its entry anew with
+    nothing but a count in it changed. Every gateway goes through the same
+    versions, and so takes the same changes for meaningful.
     """
 
     def __init__(self) -> None:
--- a/tests/quetzalsill_gateway/peers/test_roster.py
+++ b/tests/quetzalsill_gateway/peers/test_roster.py
@@ -111,7 +111,7 @@
 
     async def test_only_a_gateway_that_is_heard_is_told_all(self):
         """Whoever asks for the configuration would get the callers' keys."""
-        self.hearer.on_asked(lambda: news.ConfigurationNews(7, 3, b'keys'))
+        self.hearer.on_ask(lambda: news.ConfigurationNews(7, 3, b'keys'))
         asked = frame.pack(frame.Kind.ASK_WHOLE, ('stranger',))
         with mock.patch.object(event, 'note'):
             self.hearer.datagram_received(asked, THERE)
