--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quetzalsill quetzalsill-gateway quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
-.PHONY: bench install test lint format demo bench-path bench-capacity bench-faults bench-gateway soak clean
+.PHONY: bench install test lint format demo bench-path bench-capacity bench-faults bench-gateway bench-telling soak clean
 
 install: $(STAMP)
 
@@ -41,6 +41,9 @@
 bench-gateway: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.bench.gateway
 
+bench-telling: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.bench.telling
+
 soak: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.soak --seeds 5
 
