--- /dev/null
+++ b/tests/quetzalsill_dev/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the simulation."""
