Mend a test that had been weakened; test two guards that no test saw removed

The test of a notice that reaches all at once had its refresh frozen. When the refresh was split into the whole and a sign of life, only the whole was frozen, and a gateway that tells a notice with the next sign of life passed. Both are frozen again: on code that leaves the notice out of what is news it passed as it had landed, and fails now.

No code but one comment is changed.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -22,8 +22,8 @@
 FIRST_GUESS_S = 0.02
 # A report may be this old when it arrives; times in it count from then.
 REPORT_AGE_S = 0.5
-# How long memory is held before any generation has ended: a plan of the sheets
-# lasts 8 s, a check under one.
+# How long memory is held before any generation has ended: a long
+# one lasts some 8 s, a short one under one.
 FIRST_HELD_S = 5.0
 # Weight of the newest generation of usual size in the mean of that.
 NEWEST_HELD = 0.05
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -228,7 +228,7 @@
         # Greetings that are on their way would carry the notice too.
         await asyncio.sleep(0.5)
         first, *others = (g.core.upstreams for g in self.gateways)
-        with mock.patch.object(teller, 'WHOLE_S', 1000.0):
+        with mock.patch.multiple(teller, WHOLE_S=1000.0, ALIVE_S=1000.0):
             first.leave(first.get('u-1'), 'membership')
             first.remove('u-2', 2)
             await self.until(
--- a/tests/quetzalsill_gateway/watch/test_fleet.py
+++ b/tests/quetzalsill_gateway/watch/test_fleet.py
@@ -238,6 +238,48 @@
 
         self.play(story)
 
+    def test_what_was_missed_is_asked_for(self):
+        """A gateway hears nobody and gets no answer while a notice is told.
+
+        Later news reach it again. Taken for all that it lacks, they would
+        hide the notice for good: the store is asked only for what is newer.
+        """
+
+        async def story():
+            self.fleet.store.treat = lambda node: (
+                Away.REFUSES if node == 'entry-3' else Away.SERVES
+            )
+            self.fleet.net.is_cut = lambda _, other: other == 'entry-3'
+            await asyncio.sleep(1.0)
+            self.fleet.drain('server-1')
+            await asyncio.sleep(3.0)
+            self.fleet.net.is_cut = lambda _, __: False
+            self.fleet.drain('server-2')
+            await asyncio.sleep(0.5)
+            self.fleet.store.treat = lambda _: Away.SERVES
+            await self.within(
+                2.9, lambda one: not {'server-1', 'server-2'} & one.ids()
+            )
+
+        self.play(story)
+
+    def test_each_finds_the_store_again_where_nobody_tells(self):
+        """The store is back after an outage, and no gateway hears another."""
+
+        async def story():
+            self.fleet.net.is_cut = lambda _, __: True
+            self.fleet.store.treat = lambda _: Away.REFUSES
+            await asyncio.sleep(12.0)
+            self.fleet.configure(2)
+            self.fleet.drain('server-1')
+            self.fleet.store.treat = lambda _: Away.SERVES
+            await self.within(
+                2.9,
+                lambda one: one.number == 2 and 'server-1' not in one.ids(),
+            )
+
+        self.play(story)
+
     def test_forgotten_history_is_met_by_reading_anew(self):
         async def story():
             self.fleet.store.forget_history()
