Put what is known of the fleet into one folder; compare ways by one command

Cause: what gateways know of the fleet lay in upstream.py, peers/state.py and balance/book.py; two more kinds of it are to come (closed zones, warm-up). Change: fleet/ holds upstreams and what gateways hold; it imports no transport.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quetzalsill quetzalsill-gateway quetzalsill-router quetzalsill-sidecar quetzalsill-cli quetzalsill-dev
 STAMP := $(VENV)/.installed
 
-.PHONY: bench install test lint format demo bench-path bench-capacity bench-faults bench-gateway bench-telling soak clean
+.PHONY: bench install test lint format demo bench-path bench-capacity bench-faults bench-gateway bench-telling compare soak clean
 
 install: $(STAMP)
 
@@ -44,6 +44,12 @@
 bench-telling: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.bench.telling
 
+# WAYS, SITES, DAYS, SEEDS: lists; BENCH: the users' bench.
+compare: $(STAMP)
+	$(BIN)/python -m quetzalsill_dev.compare --bench $(BENCH) \
+	  $(WAYS:%=--way %) $(SITES:%=--site %) $(DAYS:%=--day %) \
+	  $(SEEDS:%=--seed %) $(COMPARE_OPTIONS)
+
 soak: $(STAMP)
 	$(BIN)/python -m quetzalsill_dev.soak --seeds 5
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
@@ -17,8 +17,9 @@
 
 from quetzalsill.telemetry import log
 from quetzalsill_dev.simulation import clock
-from quetzalsill_gateway import retry_budget, source, upstream
+from quetzalsill_gateway import retry_budget, source
 from quetzalsill_gateway.balance import admission, book
+from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.peers import exchange
 from quetzalsill_gateway.stream import link_queue, live
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/store.py
@@ -8,7 +8,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import error, source, upstream
+from quetzalsill_gateway import error, source
+from quetzalsill_gateway.fleet import upstream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
@@ -9,7 +9,8 @@
 
 from quetzalsill_dev.simulation import net as net_lib
 from quetzalsill_dev.simulation import store as store_lib
-from quetzalsill_gateway import routing_table, source, upstream
+from quetzalsill_gateway import routing_table, source
+from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import listener
 from quetzalsill_gateway.peers import bulletin, frame
 from quetzalsill_gateway.watch import configuration, membership
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import exchange as exchange_lib
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.http import call, pool
 
 __all__ = ['Verdict', 'judge', 'opened', 'read_body']
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -26,8 +26,8 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway import routing_table
-    from quetzalsill_gateway import upstream as upstream_lib
     from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Admission']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
@@ -21,8 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from quetzalsill_gateway import routing_table, upstream
+    from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.fleet import upstream
 
 __all__ = ['destination', 'is_worthwhile']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import faults as faults_lib
-from quetzalsill_gateway.peers import state as peer_state
+from quetzalsill_gateway.fleet import held as held_lib
 
 if TYPE_CHECKING:
     from collections.abc import ItemsView
 
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['REPORT_AGE_S', 'Book', 'Page', 'Reservation']
 
@@ -87,8 +87,8 @@
     reservations: set[Reservation] = dataclasses.field(default_factory=set)
     copies: set[Reservation] = dataclasses.field(default_factory=set)
     leaves_at_s: float | None = None
-    others: peer_state.Held = peer_state.NOTHING
-    _told: dict[str, peer_state.Held] = dataclasses.field(default_factory=dict)
+    others: held_lib.Held = held_lib.NOTHING
+    _told: dict[str, held_lib.Held] = dataclasses.field(default_factory=dict)
 
     @property
     def own_tokens(self) -> int:
@@ -140,20 +140,20 @@
         """Returns the failures that all gateways have seen of late."""
         return self.faults.recent(now) + self.others.failures
 
-    def hear(self, node: str, held: peer_state.Held) -> None:
+    def hear(self, node: str, held: held_lib.Held) -> None:
         """Takes what another gateway holds here, in place of what it held.
 
         The sum is kept, since each choice asks for it for each candidate: at
         70 gateways and 30 engines some 10,000 additions.
         """
-        if self._told.get(node, peer_state.NOTHING) == held:
+        if self._told.get(node, held_lib.NOTHING) == held:
             return
-        if held == peer_state.NOTHING:
+        if held == held_lib.NOTHING:
             del self._told[node]
         else:
             self._told[node] = held
         told = self._told.values()
-        self.others = peer_state.Held(
+        self.others = held_lib.Held(
             sum(one.memory_tokens for one in told),
             sum(one.reading_tokens for one in told),
             sum(one.runs for one in told),
@@ -191,7 +191,7 @@
     def __init__(self) -> None:
         self._pages: dict[str, Page] = {}
         self._told_by: dict[str, set[str]] = {}
-        self._waiting: dict[str, peer_state.Waiting] = {}
+        self._waiting: dict[str, held_lib.Waiting] = {}
         self.mean_held_s = FIRST_HELD_S
         self.mean_token_s = FIRST_TOKEN_S
         self.read_tokens_s = FIRST_READ_TOKENS_S
@@ -204,14 +204,14 @@
         """Returns all pages by the keys of their upstreams."""
         return self._pages.items()
 
-    def hear(self, node: str, held: dict[str, peer_state.Held]) -> None:
+    def hear(self, node: str, held: dict[str, held_lib.Held]) -> None:
         """Takes all that another gateway holds, in place of what it held."""
         for key in self._told_by.pop(node, set()) - held.keys():
             if key in self._pages:
-                self._pages[key].hear(node, peer_state.NOTHING)
+                self._pages[key].hear(node, held_lib.NOTHING)
         self.hear_changes(node, held)
 
-    def hear_changes(self, node: str, held: dict[str, peer_state.Held]) -> None:
+    def hear_changes(self, node: str, held: dict[str, held_lib.Held]) -> None:
         """Takes what has changed in what another gateway holds."""
         for key, entry in held.items():
             if key in self._pages or len(self._pages) < MOST_PAGES:
@@ -252,7 +252,7 @@
         """Returns how long a generation is expected to take."""
         return reservation.output_tokens * self.mean_token_s
 
-    def hear_waiting(self, node: str, waiting: peer_state.Waiting) -> None:
+    def hear_waiting(self, node: str, waiting: held_lib.Waiting) -> None:
         """Takes all that waits at another gateway."""
         if waiting:
             self._waiting[node] = waiting
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -12,8 +12,9 @@
 from quetzalsill_gateway.balance import faults
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import routing_table, upstream
+    from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.fleet import upstream
 
 __all__ = [
     'choose_engine',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/note.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import exchange
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['chosen']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -10,8 +10,9 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
-    from quetzalsill_gateway import retry_budget, source, upstream
+    from quetzalsill_gateway import retry_budget, source
     from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.fleet import upstream
     from quetzalsill_gateway.http import pool
     from quetzalsill_gateway.stream import live
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from quetzalsill_gateway.fleet.upstream import Upstream
     from quetzalsill_gateway.http import message
-    from quetzalsill_gateway.upstream import Upstream
 
 __all__ = ['Dialect', 'EngineCalls', 'Move', 'Prompt', 'Report', 'Run']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
-    from quetzalsill_gateway import upstream
+    from quetzalsill_gateway.fleet import upstream
     from quetzalsill_gateway.http import responder as responder_lib
 
 __all__ = ['Gateway']
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from quetzalsill_gateway import error, upstream
+from quetzalsill_gateway import error
+from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.peers import frame
 from quetzalsill_gateway.watch import news as news_lib
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -18,6 +18,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event
+from quetzalsill_gateway.fleet import held as held_lib
 from quetzalsill_gateway.peers import bulletin, frame, roster, teller
 from quetzalsill_gateway.peers import state as state_lib
 
@@ -254,7 +255,7 @@
         for address in self._roster.addresses:
             self._transport.sendto(data, address)
 
-    def _held(self) -> dict[str, state_lib.Held]:
+    def _held(self) -> dict[str, held_lib.Held]:
         held = {}
         now = asyncio.get_running_loop().time()
         for key, page in self._core.pages.items():
@@ -263,7 +264,7 @@
                 # In steps, so that fading alone is no news.
                 failures = round(page.recent_failures(now) * 2) / 2
             if page.reservations or page.copies or failures:
-                held[key] = state_lib.Held(
+                held[key] = held_lib.Held(
                     page.own_tokens,
                     page.own_reading,
                     len(page.reservations),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/state.py
@@ -6,15 +6,13 @@
 from typing import TYPE_CHECKING, Any
 
 from quetzalsill_gateway import error
+from quetzalsill_gateway.fleet import held as held_lib
 from quetzalsill_gateway.peers import frame
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.stream import link_queue
 
-__all__ = ['NOTHING', 'Held', 'State', 'Waiting', 'decode', 'encode']
-
-# Tokens that wait for engines, by service and rank.
-Waiting = dict[str, dict[int, int]]
+__all__ = ['State', 'decode', 'encode']
 
 # A greater figure is a fault of its sender's.
 MOST_FAILURES = 1000.0
@@ -22,28 +20,6 @@
 MOST_NAMES = 4096
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Held:
-    """What the generations of one gateway hold at one engine.
-
-    Attributes:
-      memory_tokens: Memory that they are expected to need at their ends.
-      reading_tokens: Prompt tokens that are not read yet.
-      runs: How many they are.
-      copied_tokens: Memory that backups are expected to need.
-      failures: Failures of its calls of late.
-    """
-
-    memory_tokens: int
-    reading_tokens: int
-    runs: int
-    copied_tokens: int = 0
-    failures: float = 0.0
-
-
-NOTHING = Held(0, 0, 0)
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class State:
     """What a gateway tells: all of it, or what has changed.
@@ -64,9 +40,9 @@
     node: str
     incarnation: int
     number: int
-    held: dict[str, Held]
+    held: dict[str, held_lib.Held]
     leaving: tuple[str, ...] = ()
-    waiting: Waiting = dataclasses.field(default_factory=dict)
+    waiting: held_lib.Waiting = dataclasses.field(default_factory=dict)
     moving: link_queue.Moving = dataclasses.field(default_factory=dict)
     is_store_away: bool = False
     is_whole: bool = True
@@ -126,11 +102,11 @@
         raise error.PeerError(f'no state: {exc!r}') from exc
 
 
-def _held(entry: list[Any]) -> Held:
+def _held(entry: list[Any]) -> held_lib.Held:
     *counts, failures = entry
     memory, reading, runs, copied = (frame.count(figure) for figure in counts)
     failures = min(MOST_FAILURES, max(0.0, float(failures)))
-    return Held(memory, reading, runs, copied, failures)
+    return held_lib.Held(memory, reading, runs, copied, failures)
 
 
 def _sizes(entry: dict[str, Any]) -> dict[str, int]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/teller.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/teller.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 
+from quetzalsill_gateway.fleet import held as held_lib
 from quetzalsill_gateway.peers import state as state_lib
 
 __all__ = ['Teller']
@@ -64,5 +65,5 @@
             if before.held.get(key) != entry
         }
         given_back = before.held.keys() - current.held.keys()
-        held |= dict.fromkeys(given_back, state_lib.NOTHING)
+        held |= dict.fromkeys(given_back, held_lib.NOTHING)
         return dataclasses.replace(self._told, held=held, is_whole=False)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['forward']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -18,10 +18,10 @@
     reload,
     retry_budget,
     source,
-    upstream,
 )
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
 from quetzalsill_gateway.peers import frame
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -10,7 +10,8 @@
 from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import routing_table, upstream
+    from quetzalsill_gateway import routing_table
+    from quetzalsill_gateway.fleet import upstream
 
 __all__ = ['Ask', 'Found', 'Health', 'Holder', 'ReadDocument', 'Sources']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.http import message
     from quetzalsill_gateway.stream import live
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -27,7 +27,7 @@
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import routing_table
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Evacuation']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -9,7 +9,7 @@
 from quetzalsill_gateway.http import error
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.http import message
 
 __all__ = [
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import exchange as exchange_lib
-    from quetzalsill_gateway import upstream as upstream_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Live', 'Stream', 'Switch']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -19,7 +19,8 @@
     import random
     from collections.abc import Callable
 
-    from quetzalsill_gateway import source, upstream
+    from quetzalsill_gateway import source
+    from quetzalsill_gateway.fleet import upstream
 
 __all__ = ['Membership']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway import upstream
+    from quetzalsill_gateway.fleet import upstream
 
 __all__ = ['EVERYTHING', 'ConfigurationNews', 'MembershipNews', 'News']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
@@ -8,7 +8,7 @@
 
 import collections
 
-from quetzalsill_gateway import upstream
+from quetzalsill_gateway.fleet import upstream
 
 __all__ = ['Recent']
 
--- /dev/null
+++ b/tests/quetzalsill_dev/compare/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of comparing ways."""
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -6,8 +6,9 @@
 import types
 import unittest
 
-from quetzalsill_gateway import routing_table, upstream
+from quetzalsill_gateway import routing_table
 from quetzalsill_gateway.balance import admission, book, waiting
+from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import message
 
 BOUND_S = 10.0
--- a/tests/quetzalsill_gateway/balance/test_choose.py
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -5,9 +5,9 @@
 import collections
 import unittest
 
-from quetzalsill_gateway import routing_table, upstream
+from quetzalsill_gateway import routing_table
 from quetzalsill_gateway.balance import book, choose
-from quetzalsill_gateway.peers import state
+from quetzalsill_gateway.fleet import held, upstream
 
 ENGINE = routing_table.Engine(24, 30_000, 18432.0, 2700.0, moves=True)
 
@@ -46,7 +46,7 @@
         for number in range(5):
             self.pages.hear(
                 'entry-2',
-                {f'u-{n}': state.Held(28_000, 0, 7) for n in range(number + 1)},
+                {f'u-{n}': held.Held(28_000, 0, 7) for n in range(number + 1)},
             )
         for _ in range(20):
             self.assertIs(self.engine(), self.found[5])
--- a/tests/quetzalsill_gateway/balance/test_faults.py
+++ b/tests/quetzalsill_gateway/balance/test_faults.py
@@ -10,9 +10,8 @@
 import random
 import unittest
 
-from quetzalsill_gateway import upstream
 from quetzalsill_gateway.balance import book, choose, faults
-from quetzalsill_gateway.peers import state
+from quetzalsill_gateway.fleet import held, upstream
 
 GATEWAYS = 26
 
@@ -76,7 +75,7 @@
     def told(self, number, failures, *, by=1, runs=0):
         for gateway in range(by):
             page = self.pages.page(self.found[number])
-            page.hear(f'g-{gateway}', state.Held(0, 0, runs, failures=failures))
+            page.hear(f'g-{gateway}', held.Held(0, 0, runs, failures=failures))
 
     def sound(self):
         return choose.sound(self.found, self.pages, GATEWAYS)
--- /dev/null
+++ b/tests/quetzalsill_gateway/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a gateway knows of the fleet."""
--- a/tests/quetzalsill_gateway/test_upstream.py
+++ b/tests/quetzalsill_gateway/fleet/test_upstream.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from quetzalsill_gateway import upstream
 from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.fleet import upstream
 
 
 def entry(name='u-1', port=80, **more):
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -10,8 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_gateway import error, retry_budget, source, upstream
+from quetzalsill_gateway import error, retry_budget, source
 from quetzalsill_gateway.balance import admission, book
+from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet.held import Held
 from quetzalsill_gateway.peers import (
     bulletin,
     exchange,
@@ -32,7 +34,7 @@
     COUNT,
     st.dictionaries(
         st.text(max_size=8),
-        st.builds(state.Held, COUNT, COUNT, COUNT, COUNT, st.floats(0, 1000)),
+        st.builds(Held, COUNT, COUNT, COUNT, COUNT, st.floats(0, 1000)),
     ),
     st.lists(st.text(max_size=8)).map(tuple),
     st.dictionaries(
@@ -284,10 +286,10 @@
 
     async def test_an_overtaken_datagram_is_left_out(self):
         hearer = self.gateways[1]
-        held = {'u-1': state.Held(5, 0, 1)}
+        held = {'u-1': Held(5, 0, 1)}
         for number, tokens in ((7, 50), (6, 40)):
             told = state.State(
-                'entry-9', 1, number, {'u-1': state.Held(tokens, 0, 1)}
+                'entry-9', 1, number, {'u-1': Held(tokens, 0, 1)}
             )
             hearer.datagram_received(state.encode(told), ('127.0.0.1', 9))
         self.assertEqual(self.heard(hearer), 50)
--- a/tests/quetzalsill_gateway/peers/test_roster.py
+++ b/tests/quetzalsill_gateway/peers/test_roster.py
@@ -11,8 +11,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_gateway import event, retry_budget, source, upstream
+from quetzalsill_gateway import event, retry_budget, source
 from quetzalsill_gateway.balance import admission, book
+from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet.held import Held
 from quetzalsill_gateway.peers import exchange, frame, roster, state
 from quetzalsill_gateway.stream import link_queue, live
 from quetzalsill_gateway.watch import news
@@ -96,9 +98,7 @@
             for number in range(3000):
                 data = rng.randbytes(rng.choice((1, 20, 65_000)))
                 self.hearer.datagram_received(data, HERE)
-                held = {
-                    f'u-{number}-{n}': state.Held(2**60, 1, 1) for n in range(4)
-                }
+                held = {f'u-{number}-{n}': Held(2**60, 1, 1) for n in range(4)}
                 flood = state.State(f'g-{number % 7}', 1, number, held)
                 self.hearer.datagram_received(state.encode(flood), THERE)
         self.assertLessEqual(len(self.core.pages.items()), book.MOST_PAGES)
@@ -134,7 +134,7 @@
         self.assertEqual(self.hearer.peers, 1)
 
     def test_figures_that_cannot_be_are_bounded(self):
-        held = {'u': state.Held(2**63, -5, 2**60, failures=1e9)}
+        held = {'u': Held(2**63, -5, 2**60, failures=1e9)}
         raw = state.encode(state.State('a', 1, 1, held))
         _, fields = frame.unpack(raw)
         found = state.decode(fields).held['u']
@@ -163,7 +163,7 @@
             await self.asyncSetUp()
             pages = self.core.pages
             for node, incarnation, number, tokens, is_whole in states:
-                held = {key: state.Held(n, n, n) for key, n in tokens.items()}
+                held = {key: Held(n, n, n) for key, n in tokens.items()}
                 one = state.State(
                     node, incarnation, number, held, is_whole=is_whole
                 )
--- a/tests/quetzalsill_gateway/peers/test_teller.py
+++ b/tests/quetzalsill_gateway/peers/test_teller.py
@@ -6,6 +6,7 @@
 import unittest
 
 from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.fleet import held as held_lib
 from quetzalsill_gateway.peers import state, teller
 
 
@@ -15,7 +16,7 @@
         'entry-1',
         0,
         0,
-        {key: state.Held(tokens, 0, 1) for key, tokens in held.items()},
+        {key: held_lib.Held(tokens, 0, 1) for key, tokens in held.items()},
     )
 
 
@@ -38,7 +39,7 @@
         self.assertFalse(told.is_whole)
         self.assertEqual(set(told.held), {'b', 'c'})
         told = self.teller.news(5.2, current(a=1, c=4))
-        self.assertEqual(told.held, {'b': state.NOTHING})
+        self.assertEqual(told.held, {'b': held_lib.NOTHING})
 
     def test_numbers_grow_with_all_that_is_told(self):
         numbers = [self.first.number]
--- a/tests/quetzalsill_platform/test_adapter.py
+++ b/tests/quetzalsill_platform/test_adapter.py
@@ -30,7 +30,7 @@
 from quetzalsill.schema import load
 from quetzalsill_gateway import error, event, plugin, routing_table
 from quetzalsill_gateway import settings as settings_lib
-from quetzalsill_gateway import upstream as upstream_lib
+from quetzalsill_gateway.fleet import upstream as upstream_lib
 from quetzalsill_gateway.http import error as http_error
 from tests.quetzalsill_platform import fixture
 
--- a/tests/quetzalsill_platform/test_store_faults.py
+++ b/tests/quetzalsill_platform/test_store_faults.py
@@ -7,7 +7,7 @@
 
 from quetzalsill_dev.users_platform import plain_server
 from quetzalsill_gateway import event
-from quetzalsill_gateway import upstream as upstream_lib
+from quetzalsill_gateway.fleet import upstream as upstream_lib
 from tests.quetzalsill_platform import fixture
 
 
