--- a/packages/quetzalsill-dev/src/quetzalsill_dev/compare/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/compare/__main__.py
@@ -53,7 +53,6 @@
     type=click.Path(path_type=pathlib.Path),
     help='Where reports are kept.',
 )
-@click.option('--same', is_flag=True, help='Fail if any figure differs at all.')
 def main(
     bench: pathlib.Path,
     ways: tuple[pathlib.Path, ...],
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
@@ -148,6 +148,7 @@
             self.store.ask_configuration(name),
             _read,
             holder,
+            upstreams.zones,
             health,
             lambda: upstreams.sharers,
             self._bound_s,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -13,10 +13,11 @@
 from quetzalsill_gateway.http import error, message
 
 if TYPE_CHECKING:
+    from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
-    from quetzalsill_gateway.http import call, pool
+    from quetzalsill_gateway.http import call
 
 __all__ = ['Verdict', 'judge', 'opened', 'read_body']
 
@@ -75,10 +76,9 @@
 
 @contextlib.asynccontextmanager
 async def opened(
+    core: core_lib.Core,
     exchange: exchange_lib.Exchange,
     upstream: upstream_lib.Upstream,
-    dialect: dialect_lib.Dialect,
-    conns: pool.Pool,
     extra: message.Headers,
     *,
     continues: bool = False,
@@ -89,22 +89,25 @@
     closed, which ends the work at the upstream.
 
     Args:
+      core: Names of headers, kept connections, and where work may go.
       exchange: The request.
       upstream: Where to.
-      dialect: Names of headers.
-      conns: Kept connections.
       extra: Headers that the gateway sets besides the usual ones.
       continues: The run goes on from memory, so this is no further send.
 
     Raises:
       error.CallError: There is no answer; `ran` says whether it may have run.
     """
-    conn = await conns.take(
-        upstream.address, repeatable=exchange.route.kind.may_repeat
+    dialect = core.dialect
+    conn = await core.conns.take(
+        upstream.address,
+        repeatable=exchange.route.kind.may_repeat,
+        # A run that was stopped to go on there would be lost for want of one.
+        most=None if continues else core.quota.most_connections(upstream),
     )
     try:
-        if upstream.leaving and not continues:
-            raise error.ConnectError('the upstream began to leave')
+        if not _takes(core.upstreams, upstream, continues=continues):
+            raise error.ClosedError(upstream.address_text)
         head = exchange.head(dialect, upstream.id, extra)
         conn.send(
             head,
@@ -117,7 +120,19 @@
         verdict = judge(answer, dialect, exchange.request_id)
         yield Opened(conn, answer, verdict)
     finally:
-        conns.give_back(conn)
+        core.conns.give_back(conn)
+
+
+def _takes(
+    upstreams: upstream_lib.Upstreams,
+    upstream: upstream_lib.Upstream,
+    *,
+    continues: bool,
+) -> bool:
+    """Whether work may go to an upstream, once the connection is there."""
+    if continues:
+        return upstreams.zones.takes_runs(upstream.availability_zone)
+    return upstreams.takes_new(upstream)
 
 
 async def read_body(conn: call.Conn, limit: int) -> tuple[bytes, bool]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -27,6 +27,7 @@
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import book
+    from quetzalsill_gateway.fleet import quota as quota_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Admission']
@@ -49,12 +50,24 @@
     """The order in which generations of a gateway get their engines."""
 
     def __init__(
-        self, upstreams: upstream_lib.Upstreams, pages: book.Book, zone: str
+        self,
+        upstreams: upstream_lib.Upstreams,
+        pages: book.Book,
+        zone: str,
+        quota: quota_lib.Quota,
     ) -> None:
-        """Gives out engines among `upstreams`, those of `zone` first."""
+        """Gives out engines among `upstreams`, those of `zone` first.
+
+        Args:
+          upstreams: Engines known.
+          pages: What is known of each.
+          zone: Availability zone of this gateway.
+          quota: Which of them may be sent to now.
+        """
         self._upstreams = upstreams
         self._pages = pages
         self._zone = zone
+        self._quota = quota
         self._waiting: dict[str, list[waiting_lib.Waiting]] = {}
         self._numbers = itertools.count()
         self._mean_output: dict[str, float] = {}
@@ -99,6 +112,7 @@
             self._upstreams,
             self._pages,
             self._zone,
+            self._quota,
             req,
             engine,
             reservation,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -12,6 +12,7 @@
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import book
     from quetzalsill_gateway.balance import waiting as waiting_lib
+    from quetzalsill_gateway.fleet import quota as quota_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Search']
@@ -43,6 +44,7 @@
         upstreams: upstream_lib.Upstreams,
         pages: book.Book,
         zone: str,
+        quota: quota_lib.Quota,
         req: exchange_lib.Exchange,
         engine: routing_table.Engine,
         reservation: book.Reservation,
@@ -52,6 +54,7 @@
         self._upstreams = upstreams
         self._pages = pages
         self._zone = zone
+        self._quota = quota
         self.req = req
         self._engine = engine
         self._reservation = reservation
@@ -88,7 +91,7 @@
 
     def cheapest(self) -> upstream_lib.Upstream | None:
         """Returns the engine with the least expected wait, full or not."""
-        return self._cheapest(self._open())
+        return self._cheapest(self._allowed())
 
     def expected_wait_s(self, rank: int, ahead_tokens: int) -> float:
         """Returns how long a request of a rank will wait for memory.
@@ -115,7 +118,7 @@
         A backup makes way for nobody, so that a run beside one may push others
         off. But no run waits for the sake of copies.
         """
-        fitting = [one for one in self._open() if self._fits(one, now)]
+        fitting = [one for one in self._allowed() if self._fits(one, now)]
         beside = [
             one
             for one in fitting
@@ -147,10 +150,14 @@
         )
 
     def _open(self) -> list[upstream_lib.Upstream]:
-        found = self._upstreams.of(self.req.service.name)
+        found = self._upstreams.of(self.req.service.name, self.req.regions)
         able = choose.open_to_work(found, self._avoid)
         return choose.sound(able, self._pages, self._upstreams.sharers)
 
+    def _allowed(self) -> list[upstream_lib.Upstream]:
+        """Returns those open ones that this gateway may send to just now."""
+        return [one for one in self._open() if self._quota.allows(one)]
+
     def _room(self, candidate: upstream_lib.Upstream) -> float:
         urgent = self.waiting.priority <= URGENT
         share = URGENT_SHARE if urgent else FULL_SHARE
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -12,7 +12,7 @@
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import retry_budget, source
     from quetzalsill_gateway.balance import book
-    from quetzalsill_gateway.fleet import upstream
+    from quetzalsill_gateway.fleet import members, quota, upstream
     from quetzalsill_gateway.http import pool
     from quetzalsill_gateway.stream import live
 
@@ -34,6 +34,8 @@
       conns: Kept connections.
       budget: Retries that may be sent.
       live: Streams being relayed.
+      members: Gateways that send to the same upstreams.
+      quota: What may be sent to each upstream now.
       ends_at_s: Loop time at which the process ends, once it stops; None
         before.
       link_queue: Order of the moves away from engines that leave.
@@ -50,6 +52,8 @@
     conns: pool.Pool
     budget: retry_budget.RetryBudget
     live: live.Live
+    members: members.Members
+    quota: quota.Quota
     ends_at_s: float | None = None
     link_queue: link_queue.LinkQueue = dataclasses.field(
         default_factory=link_queue.LinkQueue
@@ -58,5 +62,5 @@
 
     def __post_init__(self) -> None:
         self.admission = admission.Admission(
-            self.upstreams, self.pages, self.zone
+            self.upstreams, self.pages, self.zone, self.quota
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -26,6 +26,8 @@
     StoreLost,
     StoreRegained,
     VersionAhead,
+    ZoneDrain,
+    ZoneDrainInvalid,
 )
 from quetzalsill_gateway.event.request import (
     AttemptEnded,
@@ -89,6 +91,8 @@
     'UpstreamRemoved',
     'UpstreamStale',
     'VersionAhead',
+    'ZoneDrain',
+    'ZoneDrainInvalid',
     'name_of',
     'note',
 ]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
@@ -22,6 +22,8 @@
     'StoreLost',
     'StoreRegained',
     'VersionAhead',
+    'ZoneDrain',
+    'ZoneDrainInvalid',
 ]
 
 
@@ -236,3 +238,33 @@
     """
 
     faults: str
+
+
+@base.define
+class ZoneDrain(base.Event):
+    """Operators drain an availability zone, or have taken it back.
+
+    Attributes:
+      zone: Its name.
+      is_on: Whether nothing new may go to its upstreams from now on.
+      version: Version of the source at which the order was written or dropped.
+    """
+
+    zone: str
+    is_on: bool
+    version: int
+
+
+@base.define
+class ZoneDrainInvalid(base.Event, level='error'):
+    """An order names no availability zone and is left out.
+
+    Attributes:
+      key: Key of its entry, shortened.
+      reason: What is wrong.
+      advice: What to do.
+    """
+
+    key: str
+    reason: str
+    advice: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -34,6 +34,7 @@
       account: Name of the client account; None if callers need no key.
       request_id: Id that the caller gave it.
       priority: Rank; 0 is the most urgent.
+      regions: Regions in which it may be served; None for any.
       deadline_s: Loop time at which nobody waits any longer.
       version: Version of the configuration that decided.
       sends: Upstreams to which it was sent so far.
@@ -66,6 +67,7 @@
     gap_cause: str = ''
     tokens: int = 0
     come_back_s: float = RETRY_AFTER_S
+    regions: frozenset[str] | None = None
 
     def note_event(self) -> None:
         """Takes the time of events that go to the caller now."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -5,11 +5,12 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import zones
 
-__all__ = ['Change', 'Upstream', 'Upstreams']
+__all__ = ['Change', 'Upstream', 'Upstreams', 'bounded_warmup_s']
 
 # While its store is away a source may let the entries of upstreams lapse that
 # live. They are entered again within two seconds of its return; acted on at
@@ -18,6 +19,9 @@
 # Other gateways are told of a removed upstream for this long: more than their
 # own pause between two looks at the source.
 TOLD_S = 4.0
+# No upstream stays cold for longer; a greater figure is a fault of its
+# writer's, and the next entry corrects it.
+MOST_WARMUP_S = 60.0
 # Stands in no id that a platform gives.
 KEY_SEPARATOR = '\n'
 
@@ -35,6 +39,8 @@
       leaving: Takes no new work.
       gone: No longer known; what still runs there is at its end.
       incarnation: Grows with each start under the same id; 0 if not told.
+      warmup_s: For how long it stays cold, as its entry said, in seconds.
+      cold_until_s: Loop time at which it is warm; set when the entry is taken.
     """
 
     id: str
@@ -45,6 +51,8 @@
     leaving: bool = False
     gone: bool = False
     incarnation: int = 0
+    warmup_s: float = 0.0
+    cold_until_s: float = 0.0
 
     @property
     def key(self) -> str:
@@ -71,6 +79,7 @@
             and self.availability_zone == other.availability_zone
             and self.slots == other.slots
             and self.leaving == other.leaving
+            and self.warmup_s == other.warmup_s
         )
 
 
@@ -99,9 +108,17 @@
     Attributes:
       version: Version of the newest change taken in.
       sharers: Gateways that tell each other of upstreams, this one included.
+      zones: Which availability zones operators drain.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, regions: Mapping[str, str] | None = None) -> None:
+        """Knows no upstream yet.
+
+        Args:
+          regions: Region of each availability zone.
+        """
+        self._regions = regions or {}
+        self.zones = zones.Zones()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
@@ -158,10 +175,37 @@
         """Calls back with each upstream that starts to leave or is gone."""
         self._on_leaving.append(callback)
 
-    def of(self, service: str) -> list[Upstream]:
-        """Returns the upstreams of a service that may get new work."""
-        found = self._by_service.get(service, ())
-        return [upstream for upstream in found if not upstream.leaving]
+    def of(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> list[Upstream]:
+        """Returns the upstreams of a service that may get new work.
+
+        Args:
+          service: Name of the service.
+          regions: Those in which it may be done; None for any.
+        """
+        return [
+            upstream
+            for upstream in self._by_service.get(service, ())
+            if self.takes_new(upstream)
+            and (regions is None or self._region(upstream) in regions)
+        ]
+
+    def warm_of(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> list[Upstream]:
+        """Returns those of them that are not cold."""
+        now = asyncio.get_running_loop().time()
+        found = self.of(service, regions)
+        return [upstream for upstream in found if upstream.cold_until_s <= now]
+
+    def takes_new(self, upstream: Upstream) -> bool:
+        """Whether new work may go to an upstream."""
+        zone = upstream.availability_zone
+        return not upstream.leaving and not self.zones.is_drained(zone)
+
+    def _region(self, upstream: Upstream) -> str | None:
+        return self._regions.get(upstream.availability_zone)
 
     def get(self, upstream_id: str) -> Upstream | None:
         """Returns an upstream by its id, None if it is not known."""
@@ -205,6 +249,7 @@
         if known is None or _is_another(known, found):
             if known is not None:
                 self.remove(found.id, version, lapses=False)
+            found.cold_until_s = _cold_until_s(found)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
             event.note(
@@ -217,6 +262,7 @@
                 )
             )
             return
+        known.cold_until_s = _cold_until_s(found)
         if found.leaving:
             self.leave(known, 'membership')
 
@@ -304,6 +350,17 @@
             self.remove(upstream_id, version)
 
 
+def bounded_warmup_s(told_s: float) -> float:
+    """Returns a time to stay cold, within what is possible."""
+    return min(MOST_WARMUP_S, max(0.0, float(told_s)))
+
+
+def _cold_until_s(found: Upstream) -> float:
+    if not found.warmup_s:
+        return 0.0
+    return asyncio.get_running_loop().time() + found.warmup_s
+
+
 def _is_another(known: Upstream, found: Upstream) -> bool:
     """Whether an entry is of another process than the one that is known."""
     return (known.incarnation, known.service, known.address) != (
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/zones.py
@@ -0,0 +1,127 @@
+"""Availability zones that operators drain.
+
+Operators take a zone out for a while: nothing new may go to its upstreams until
+they take it back. What runs there goes on. The order for one zone is written
+and dropped like any entry of the source, so that each is known by the version
+of the source at which it last changed; the newest of them counts, whoever tells
+it. An order that was taken back cannot come again by an answer or a datagram
+that was overtaken, and one that stands cannot be lost by it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Iterable
+
+from quetzalsill_gateway import event
+
+__all__ = ['MOST_NAME', 'Drain', 'Zones']
+
+# Orders kept; several times the zones of the largest fleet planned for.
+MOST_DRAINS = 256
+# Characters in the name of a zone; longer ones are no names.
+MOST_NAME = 200
+# A run whose memory has been copied to a zone may still go on there for this
+# long after its drain was learned: stopped at its source, it would be lost.
+# With the time to learn of it this is well within what operators allow.
+CONTINUE_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Drain:
+    """An operators' order for one zone.
+
+    Attributes:
+      zone: Name of the availability zone.
+      version: Version of the source at which the order was written or dropped.
+      is_on: Whether it stands.
+    """
+
+    zone: str
+    version: int
+    is_on: bool
+
+
+class Zones:
+    """The newest order for each zone."""
+
+    def __init__(self) -> None:
+        self._drains: dict[str, Drain] = {}
+        self._since_s: dict[str, float] = {}
+
+    @property
+    def drains(self) -> tuple[Drain, ...]:
+        """Returns every order known, those that were taken back included."""
+        return tuple(self._drains.values())
+
+    @property
+    def newest(self) -> int:
+        """Version of the newest order; 0 if there is none."""
+        return max((one.version for one in self._drains.values()), default=0)
+
+    def is_drained(self, zone: str) -> bool:
+        """Whether nothing new may go to a zone."""
+        return zone in self._since_s
+
+    def takes_runs(self, zone: str) -> bool:
+        """Whether a run that has been stopped to move there may go on there."""
+        since_s = self._since_s.get(zone)
+        return since_s is None or _now() - since_s < CONTINUE_S
+
+    def hear(self, found: Iterable[Drain]) -> None:
+        """Takes each order that is newer than the one known."""
+        for drain in found:
+            known = self._drains.get(drain.zone)
+            if known is None or drain.version > known.version:
+                self._take(drain)
+
+    def replace(self, found: Iterable[Drain], version: int) -> None:
+        """Takes all orders that stand as of a version of the source.
+
+        What is known and not among them was taken back, unless it is newer.
+        """
+        listed = {drain.zone: drain for drain in found}
+        self.hear(listed.values())
+        for drain in self.drains:
+            if drain.zone not in listed and drain.version <= version:
+                self._take(Drain(drain.zone, version, is_on=False))
+
+    def forget_newer(self, version: int) -> None:
+        """Drops orders above a version that the source has not come to.
+
+        They can only come from a faulty sender, and nothing that the source
+        says of their zones would count until it has come so far.
+        """
+        for drain in self.drains:
+            if drain.version > version:
+                self._take(Drain(drain.zone, 0, is_on=False))
+                del self._drains[drain.zone]
+
+    def _take(self, drain: Drain) -> None:
+        if drain.zone not in self._drains and not self._make_place(drain):
+            return
+        self._drains[drain.zone] = drain
+        was_on = drain.zone in self._since_s
+        if drain.is_on == was_on:
+            return
+        if drain.is_on:
+            self._since_s[drain.zone] = _now()
+        else:
+            del self._since_s[drain.zone]
+        event.note(event.ZoneDrain(drain.zone, drain.is_on, drain.version))
+
+    def _make_place(self, drain: Drain) -> bool:
+        """Returns whether there is a place for an order of a further zone."""
+        if len(self._drains) < MOST_DRAINS:
+            return True
+        ended = [one for one in self._drains.values() if not one.is_on]
+        if not drain.is_on or not ended:
+            return False
+        oldest = min(ended, key=lambda one: one.version)
+        del self._drains[oldest.zone]
+        return True
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -90,7 +90,8 @@
         if not request_id:
             _refuse(req, name, responder, BAD_REQUEST, 'no_id', table.version)
             return None
-        service = _service(table, route, self._core.upstreams)
+        regions = _regions(route, account)
+        service = _service(table, route, self._core.upstreams, regions)
         ranked = account is not None and account.priority is not None
         return exchange_lib.Exchange(
             request=req,
@@ -102,6 +103,7 @@
             priority=account.priority if ranked else route.priority,
             deadline_s=self._deadline_s(req, route),
             version=table.version,
+            regions=regions,
         )
 
     def _deadline_s(
@@ -190,13 +192,28 @@
     return table.accounts.get(value[len(BEARER) :].strip())
 
 
+def _regions(
+    route: routing_lib.Route, account: routing_lib.ClientAccount | None
+) -> frozenset[str] | None:
+    """Returns the regions that route and account both allow; None for any."""
+    of_account = account.regions if account else None
+    if route.regions is None or of_account is None:
+        return route.regions or of_account
+    return route.regions & of_account
+
+
 def _service(
     table: routing_lib.RoutingTable,
     route: routing_lib.Route,
     upstreams: upstream.Upstreams,
+    regions: frozenset[str] | None,
 ) -> routing_lib.Service:
     """Draws one of the route's services by weight, one with upstreams first."""
-    able = [t for t in route.targets if t.weight and upstreams.of(t.service)]
+    able = [
+        target
+        for target in route.targets
+        if target.weight and upstreams.of(target.service, regions)
+    ]
     targets = able or list(route.targets)
     weights = [target.weight or 1e-9 for target in targets]
     name = random.choices(targets, weights)[0].service
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import re
+from collections.abc import Callable
 
 import httptools
 
@@ -15,6 +16,8 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 NO_BODY = (204, 304)
 END = object()
+# Keeps the number of open connections to an address.
+Count = Callable[[tuple[str, int], int], None]
 
 
 class Conn(asyncio.Protocol):
@@ -26,8 +29,18 @@
       idle_limit_s: How long the upstream keeps it idle; None if not said.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], count: Count | None = None
+    ) -> None:
+        """Prepares a connection.
+
+        Args:
+          address: Address of the upstream.
+          count: Called with the address and 1 when it is open, and with -1
+            once it has ended.
+        """
         self.address = address
+        self._count = count
         self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
         self._transport: asyncio.Transport | None = None
@@ -57,11 +70,15 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Tunes the socket."""
         self._transport = transport
+        if self._count is not None:
+            self._count(self.address, 1)
         socket_option.tune(transport)
         self._reusable = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the answer: as whole only if it had no length and no reset."""
+        if self._count is not None:
+            self._count(self.address, -1)
         if (
             self._awaits
             and self._until_close
@@ -229,7 +246,9 @@
         return self._items.popleft()
 
 
-async def connect(address: tuple[str, int], timeout_s: float) -> Conn:
+async def connect(
+    address: tuple[str, int], timeout_s: float, count: Count | None = None
+) -> Conn:
     """Opens a connection.
 
     Raises:
@@ -239,7 +258,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, conn = await loop.create_connection(
-                lambda: Conn(address), address[0], address[1]
+                lambda: Conn(address, count), address[0], address[1]
             )
     except (TimeoutError, OSError) as exc:
         raise error.ConnectError(f'{address[0]}:{address[1]}: {exc}') from exc
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -6,8 +6,11 @@
 
 __all__ = [
     'CallError',
+    'ClosedError',
     'ConnectError',
     'MalformedAnswerError',
+    'NoPlaceError',
+    'NotSentError',
     'SilentError',
     'TruncatedError',
 ]
@@ -31,6 +34,24 @@
     ran = base.Ran.NO
 
 
+class NotSentError(ConnectError):
+    """This gateway has not sent the request; the upstream is not at fault."""
+
+    code = 'not_sent'
+
+
+class ClosedError(NotSentError):
+    """The upstream takes no more work since it was chosen."""
+
+    code = 'upstream_closed'
+
+
+class NoPlaceError(NotSentError):
+    """This gateway has all the connections to the upstream that it may have."""
+
+    code = 'no_connection_left'
+
+
 class TruncatedError(CallError):
     """The connection ended before the answer was whole."""
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
@@ -5,7 +5,8 @@
 import asyncio
 import collections
 
-from quetzalsill_gateway.http import call
+from quetzalsill_gateway.fleet import quota
+from quetzalsill_gateway.http import call, error
 
 __all__ = ['Pool']
 
@@ -18,19 +19,30 @@
 UNSTATED_IDLE_S = 2.0
 CONNECT_S = 0.25
 
+Address = tuple[str, int]
+
 
 class Pool:
-    """Idle connections by address."""
+    """Connections by address: those that carry a call, and idle ones."""
 
     def __init__(self) -> None:
-        self._idle: dict[tuple[str, int], collections.deque[call.Conn]] = {}
+        self._idle: dict[Address, collections.deque[call.Conn]] = {}
+        # Open ones, and those that are being opened.
+        self._count: collections.Counter[Address] = collections.Counter()
+
+    def connections(self, address: Address) -> quota.Connections:
+        """Returns how many there are to an address."""
+        kept = self._idle.get(address, ())
+        idle = sum(conn.is_usable for conn in kept)
+        return quota.Connections(self._count[address], idle)
 
     async def take(
         self,
-        address: tuple[str, int],
+        address: Address,
         connect_s: float = CONNECT_S,
         *,
         repeatable: bool = True,
+        most: int | None = None,
     ) -> call.Conn:
         """Returns a connection that no other call uses.
 
@@ -40,8 +52,11 @@
           repeatable: Whether the call may be sent again if it is lost. One
             that may not goes on a new connection: a kept one may be gone
             without a sign, and what is sent on it lost for good.
+          most: Connections that there may be to the address; None for any
+            number. An idle one is closed for a new one.
 
         Raises:
+          error.NoPlaceError: All that there may be carry a call.
           error.ConnectError: None could be opened.
         """
         now = asyncio.get_running_loop().time()
@@ -51,7 +66,13 @@
             if conn.is_usable and now - conn.idle_since_s < _bound_s(conn):
                 return conn
             conn.abort()
-        return await call.connect(address, connect_s)
+        if (
+            most is not None
+            and self._count[address] >= most
+            and not self._close_idle(address)
+        ):
+            raise error.NoPlaceError(f'{address[0]}:{address[1]}: {most} open')
+        return await self._open(address, connect_s)
 
     def give_back(self, conn: call.Conn) -> None:
         """Keeps a connection whose call has ended, or closes it."""
@@ -61,11 +82,34 @@
         else:
             conn.abort()
 
-    def drop(self, address: tuple[str, int]) -> None:
+    def drop(self, address: Address) -> None:
         """Closes the idle connections to an address."""
         for conn in self._idle.pop(address, ()):
             conn.abort()
 
+    async def _open(self, address: Address, connect_s: float) -> call.Conn:
+        self._add(address, 1)
+        try:
+            return await call.connect(address, connect_s, self._add)
+        finally:
+            self._add(address, -1)
+
+    def _add(self, address: Address, number: int) -> None:
+        self._count[address] += number
+        if not self._count[address]:
+            del self._count[address]
+
+    def _close_idle(self, address: Address) -> bool:
+        """Closes the connection that rested longest; whether there was one."""
+        kept = self._idle.get(address)
+        while kept:
+            conn = kept.popleft()
+            was_usable = conn.is_usable
+            conn.abort()
+            if was_usable:
+                return True
+        return False
+
 
 def _bound_s(conn: call.Conn) -> float:
     stated = conn.idle_limit_s
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from quetzalsill_gateway import error
-from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet import upstream, zones
 from quetzalsill_gateway.peers import frame
 from quetzalsill_gateway.watch import news as news_lib
 
@@ -18,7 +18,14 @@
 def encode(node: str, told: news_lib.News) -> bytes:
     """Returns the datagram in which a gateway tells news."""
     if isinstance(told, news_lib.ConfigurationNews):
-        fields = (node, told.version, told.configuration, told.patch)
+        drains = [(one.zone, one.version, one.is_on) for one in told.drains]
+        fields = (
+            node,
+            told.version,
+            told.configuration,
+            told.patch,
+            drains,
+        )
         return frame.pack(frame.Kind.CONFIGURATION, fields)
     changes = [_plain(change) for change in told.changes]
     fields = (node, told.since, told.version, told.lapses_s, changes)
@@ -33,11 +40,15 @@
     """
     try:
         if kind is frame.Kind.CONFIGURATION:
-            node, version, number, patch = fields
+            node, version, number, patch, drains = fields
+            version = frame.count(version)
             if not isinstance(patch, bytes):
                 raise TypeError(f'patch {type(patch)}')
             return str(node), news_lib.ConfigurationNews(
-                frame.count(version), frame.count(number), patch
+                version,
+                frame.count(number),
+                patch,
+                tuple(_drain(version, *entry) for entry in drains),
             )
         node, since, version, lapses_s, changes = fields
         return str(node), news_lib.MembershipNews(
@@ -50,6 +61,15 @@
         raise error.PeerError(f'no news: {exc!r}') from exc
 
 
+def _drain(newest: int, zone: str, version: int, is_on: bool) -> zones.Drain:
+    name, version = str(zone), frame.count(version)
+    if version > newest:
+        raise ValueError(f'drain at {version}, news at {newest}')
+    if not name or len(name) > zones.MOST_NAME:
+        raise ValueError('no name of a zone')
+    return zones.Drain(name, version, bool(is_on))
+
+
 def _plain(change: upstream.Change) -> tuple[Any, ...]:
     head = (change.id, change.version)
     found = change.upstream
@@ -63,6 +83,7 @@
         found.slots,
         found.leaving,
         found.incarnation,
+        found.warmup_s,
     )
 
 
@@ -70,7 +91,7 @@
     if len(rest) == 1:
         [lapses] = rest
         return upstream.Change(name, frame.count(version), None, bool(lapses))
-    service, host, port, zone, slots, leaving, incarnation = rest
+    service, host, port, zone, slots, leaving, incarnation, warmup_s = rest
     if port not in PORTS:
         raise ValueError(f'port {port!r}')
     found = upstream.Upstream(
@@ -81,5 +102,6 @@
         slots=max(1, frame.count(slots)),
         leaving=bool(leaving),
         incarnation=frame.count(incarnation),
+        warmup_s=upstream.bounded_warmup_s(warmup_s),
     )
     return upstream.Change(str(name), frame.count(version), found)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -29,8 +29,9 @@
 __all__ = ['Exchange', 'Join']
 
 Address = roster.Address
-# Enters this gateway's address in the directory and returns those in it.
-Join = Callable[[str, str], Awaitable[list[str]]]
+# Enters this gateway's address in the directory and returns those of the others
+# by name.
+Join = Callable[[str, str], Awaitable[dict[str, str]]]
 
 # What is given back is told this soon after one another: known late, it only
 # leaves room unused for a moment.
@@ -119,7 +120,7 @@
         found = await self._listed()
         for _ in range(JOIN_TRIES):
             heard = set(self._roster.addresses)
-            for text in found:
+            for text in found.values():
                 host, _, port = text.rpartition(':')
                 address = (host, int(port))
                 if address not in heard:
@@ -127,7 +128,7 @@
             await asyncio.sleep(JOIN_S)
         await asyncio.Event().wait()
 
-    async def _listed(self) -> list[str]:
+    async def _listed(self) -> dict[str, str]:
         host, port = self._transport.get_extra_info('sockname')[:2]
         while True:
             try:
@@ -136,6 +137,8 @@
                 event.note(event.DirectoryUnreachable(str(exc)))
                 await asyncio.sleep(JOIN_S)
                 continue
+            now = asyncio.get_running_loop().time()
+            self._core.members.list(found, now)
             event.note(event.PeersListed(len(found)))
             return found
 
@@ -233,6 +236,7 @@
             event.note(event.PeerFound(node, len(self._roster)))
             self._greet(addr)
         core = self._core
+        core.members.hear((node,), now)
         if told.is_whole:
             core.pages.hear(node, told.held)
         else:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -11,7 +11,7 @@
 
 __all__ = ['MALFORMED', 'Kind', 'count', 'pack', 'unpack']
 
-VERSION = 7
+VERSION = 8
 # No count that is told comes near it; a greater one is a fault of its sender's.
 MOST_COUNT = 2**53
 # What reading fields of unexpected number, type or size raises.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -23,6 +23,10 @@
 # A call that may be repeated is given up at one upstream after this many times
 # the mean time there, when it is more likely to hang than to be slow.
 HANG_MEANS = 6.0
+# A call waits for a connection for this share of its objective: told after it,
+# its caller still has time to ask another gateway.
+PLACE_SHARE = 0.5
+PLACE_POLL_S = 0.005
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 SERVER_ERROR = 500
@@ -84,15 +88,11 @@
     core.budget.note_request(req.service.name)
     story = _Story()
     while True:
-        upstream = choose.choose_plain(
-            core.upstreams.of(req.service.name),
-            core.pages,
-            core.zone,
-            story.tried,
-        )
+        upstream = await _choose(core, req, story)
         if upstream is None:
             return _answer(req, story)
         story.tried |= {upstream.id}
+        core.quota.spend(upstream)
         note.chosen(core, req, upstream)
         try:
             story.note(await _call(core, req, upstream))
@@ -114,6 +114,28 @@
             return _answer(req, story)
 
 
+async def _choose(
+    core: core_lib.Core, req: exchange.Exchange, story: _Story
+) -> upstream_lib.Upstream | None:
+    """Returns where to send a call, None if nothing takes it in time.
+
+    An upstream that hangs holds the connections that this gateway may have to
+    it, and gets nothing more; where all are taken a call waits for a moment.
+    """
+    end_s = req.request.received_s + PLACE_SHARE * req.route.objective_s
+    while True:
+        found = core.upstreams.of(req.service.name, req.regions)
+        allowed = [one for one in found if core.quota.allows(one)]
+        upstream = choose.choose_plain(
+            allowed, core.pages, core.zone, story.tried
+        )
+        if upstream is not None or attempt.now() >= end_s:
+            return upstream
+        if not any(choose.open_to_work(found, story.tried)):
+            return None
+        await asyncio.sleep(PLACE_POLL_S)
+
+
 async def _call(
     core: core_lib.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
 ) -> _Answer:
@@ -123,6 +145,8 @@
     try:
         async with asyncio.timeout(_patience_s(req, page.mean_s)):
             answer = await _exchange(core, req, upstream)
+    except error.NotSentError:
+        raise
     except error.CallError:
         page.note_failure()
         raise
@@ -148,9 +172,7 @@
 async def _exchange(
     core: core_lib.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
 ) -> _Answer:
-    async with attempt.opened(
-        req, upstream, core.dialect, core.conns, []
-    ) as sent:
+    async with attempt.opened(core, req, upstream, []) as sent:
         body, whole = await attempt.read_body(sent.conn, HELD_BYTES)
         if whole:
             return _Answer(sent.head, body, sent.verdict)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/reload.py
@@ -27,6 +27,8 @@
     'deployment',
     'peers',
     'watch',
+    'warmup',
+    'regions',
     'telemetry',
 )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/routing_table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/routing_table.py
@@ -69,6 +69,7 @@
         still on time; None for no bound.
       priority: Rank; 0 is the most urgent.
       public: Whether callers need no key.
+      regions: Regions in which its requests may be served; None for any.
     """
 
     name: str
@@ -82,6 +83,7 @@
     most_gap_s: float | None = None
     priority: int = 5
     public: bool = False
+    regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -119,18 +121,31 @@
     Attributes:
       name: Name of the service.
       engine: Set if the upstreams are model engines.
+      most_connections: Connections that an upstream takes from all gateways
+        together; 0 if not told.
+      cold_per_s: Requests a second that a cold upstream takes from all
+        gateways together; 0 for no bound.
     """
 
     name: str
     engine: Engine | None = None
+    most_connections: int = 0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ClientAccount:
-    """Who calls, known by any of its keys."""
+    """Who calls, known by any of its keys.
+
+    Attributes:
+      name: Name of the account.
+      priority: Rank of its requests; None for that of their routes.
+      regions: Regions in which its requests may be served; None for any.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -21,7 +21,7 @@
 )
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import book
-from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet import members, quota, upstream
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
 from quetzalsill_gateway.peers import frame
@@ -54,17 +54,31 @@
         self._settings = settings
         conns = pool.Pool()
         pages = book.Book()
+        holder = source.Holder()
+        gateways = members.Members(settings.node.name)
+        if not settings.peers:
+            gateways.list((), 0.0)
         self.core = core_lib.Core(
             zone=settings.node.availability_zone,
             dialect=deployment.dialect,
             calls=deployment.calls(conns),
-            holder=source.Holder(),
+            holder=holder,
             health=source.Health(),
-            upstreams=upstream.Upstreams(),
+            upstreams=upstream.Upstreams(settings.regions),
             pages=pages,
             conns=conns,
             budget=_budget(settings.retry),
             live=live.Live(pages),
+            members=gateways,
+            quota=quota.Quota(
+                holder,
+                gateways,
+                quota.Warmup(
+                    settings.warmup.overage, settings.warmup.allowance
+                ),
+                conns.connections,
+                settings.retry.gateways,
+            ),
         )
         self.core.health.on_regained(self.core.upstreams.regained)
         sources = deployment.sources(settings, conns)
@@ -78,6 +92,7 @@
             sources.ask_configuration,
             sources.read_configuration,
             self.core.holder,
+            self.core.upstreams.zones,
             self.core.health,
             lambda: self.core.upstreams.sharers,
             settings.watch.configuration_ms / MS_PER_S,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -7,7 +7,7 @@
 from quetzalsill.schema import key as schema_key
 from quetzalsill.settings import section
 
-__all__ = ['Retry', 'Settings', 'Stop', 'Watch', 'address']
+__all__ = ['Retry', 'Settings', 'Stop', 'Warmup', 'Watch', 'address']
 
 key = schema_key.key
 ADDRESS = r'[0-9A-Fa-f.:]+:[0-9]{1,5}'
@@ -37,6 +37,21 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Warmup:
+    """By how much all gateways may exceed the rate of a cold upstream."""
+
+    overage: float = key(
+        'Multiple of its rate that a cold upstream takes in one second.',
+        1.0,
+        minimum=1,
+        maximum=100,
+    )
+    allowance: float = key(
+        'Requests that it takes in one second besides.', 0.0, minimum=0
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Watch:
     """How soon a gateway knows what changes at the store."""
@@ -112,6 +127,12 @@
         pattern=f'({ADDRESS})?',
     )
     retry: Retry = key('Bounds of retries.', factory=Retry)
+    warmup: Warmup = key('Bounds of cold upstreams.', factory=Warmup)
+    regions: dict[str, str] = key(
+        'Region of each availability zone; for requests that are bound to'
+        ' regions.',
+        factory=dict,
+    )
     watch: Watch = key(
         'How soon changes at the store are known.', factory=Watch
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -8,12 +8,21 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import zones
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.fleet import upstream
 
-__all__ = ['Ask', 'Found', 'Health', 'Holder', 'ReadDocument', 'Sources']
+__all__ = [
+    'Ask',
+    'Found',
+    'Health',
+    'Holder',
+    'OperatorItem',
+    'ReadDocument',
+    'Sources',
+]
 
 Item = TypeVar('Item')
 
@@ -149,6 +158,8 @@
 # for a change for so many seconds at most. None is answered if the source has
 # forgotten that far back. Raises `error.SourceError`.
 Ask = Callable[[int | None, float], Awaitable[Found[Item] | None]]
+# What operators write: a document of the configuration, or an order for a zone.
+OperatorItem = bytes | zones.Drain
 # Makes a routing table of a document. Raises `error.ConfigurationError`.
 ReadDocument = Callable[[bytes], 'routing_table.RoutingTable']
 
@@ -158,14 +169,15 @@
     """How a gateway is kept up to date.
 
     Attributes:
-      ask_configuration: Asks for documents of the configuration.
+      ask_configuration: Asks for documents of the configuration, and for
+        orders to drain availability zones.
       read_configuration: Reads one.
       ask_membership: Asks for entries of upstreams.
       join: Enters a gateway, by name and address, in the directory of
-        gateways, and returns the addresses of all that are in it.
+        gateways, and returns the addresses of all others in it by name.
     """
 
-    ask_configuration: Ask[bytes]
+    ask_configuration: Ask[OperatorItem]
     read_configuration: ReadDocument
     ask_membership: Ask[upstream.Change]
-    join: Callable[[str, str], Awaitable[list[str]]]
+    join: Callable[[str, str], Awaitable[dict[str, str]]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -240,7 +240,9 @@
         """Returns destinations to which a run can be moved in time."""
         source = departure.source
         found = choose.destinations(
-            self._core.upstreams.of(source.service),
+            self._core.upstreams.warm_of(
+                source.service, stream.exchange.regions
+            ),
             self._core.pages,
             source,
             departure.engine,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -110,6 +110,7 @@
         if upstream is None:
             return None
         self._avoid |= {upstream.id}
+        self._core.quota.spend(upstream)
         needs = reservation.memory_tokens
         note.chosen(self._core, req, upstream, needs)
         return self._continuation.begin(upstream)
@@ -121,10 +122,9 @@
         core.live.back_up(stream, leg.backup)
         try:
             async with attempt.opened(
+                core,
                 req,
                 leg.upstream,
-                core.dialect,
-                core.conns,
                 leg.extra,
                 continues=leg.continues,
             ) as sent:
@@ -137,6 +137,8 @@
                 await self._pump(sent.conn)
                 page.faults.succeed()
                 return leg_lib.WHOLE
+        except error.NotSentError as exc:
+            return exc
         except error.CallError as exc:
             if stream.switch is None and not leg.upstream.leaving:
                 page.note_failure()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -1,4 +1,4 @@
-"""Keeps the configuration in force up to date.
+"""Keeps the configuration in force, and the zones that are drained, up to date.
 
 One gateway at a time has a call at the source that waits for a change. Whoever
 it is tells the others the number of the newest configuration, and for a while
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event, meter
+from quetzalsill_gateway.fleet import zones
 from quetzalsill_gateway.watch import news as news_lib
 from quetzalsill_gateway.watch import patch as patch_lib
 from quetzalsill_gateway.watch import turn as turn_lib
@@ -34,6 +35,9 @@
 SPREAD = 0.25
 # A patch is told as often as it takes to reach those that missed a datagram.
 PATCH_S = 3.0
+# An order to drain a zone that is newer than what the source has come to for
+# this long is a sender's fault: the source is never behind itself for longer.
+AHEAD_S = 5.0
 # A document whole fits a datagram up to this size; packed, it is some tenth of
 # what operators write.
 MOST_WHOLE_BYTES = 49_152
@@ -44,9 +48,10 @@
 
     def __init__(
         self,
-        ask: source.Ask[bytes],
+        ask: source.Ask[source.OperatorItem],
         read: source.ReadDocument,
         holder: source.Holder,
+        drained: zones.Zones,
         health: source.Health,
         sharers: Callable[[], int],
         bound_s: float,
@@ -55,9 +60,10 @@
         """Prepares to follow.
 
         Args:
-          ask: Asks the source for documents.
+          ask: Asks the source for documents and for orders to drain zones.
           read: Makes a routing table of a document.
           holder: Takes each newer one.
+          drained: Takes the orders.
           health: Told whether the source answers.
           sharers: Returns how many gateways tell each other.
           bound_s: Time in which a change must be in force, in seconds.
@@ -66,6 +72,8 @@
         self._ask = ask
         self._read = read
         self._holder = holder
+        self._drained = drained
+        self._ahead_s: float | None = None
         self._health = health
         self._wait_s = WAIT * bound_s
         self._version: int | None = None
@@ -93,7 +101,7 @@
         if document is None:
             return None
         return news_lib.ConfigurationNews(
-            self._version, self._number(), document
+            self._version, self._number(), document, self._drained.drains
         )
 
     async def run(self) -> None:
@@ -104,6 +112,9 @@
 
     def hear(self, told: news_lib.ConfigurationNews) -> None:
         """Takes what another gateway was told."""
+        # Each order by its own version, whatever else is told.
+        self._drained.hear(told.drains)
+        self._correct_drains(self._drained.newest, told.version)
         known = self._version
         if known is None and self._is_patched(told):
             self._version = told.version
@@ -131,6 +142,7 @@
         # Behind it may lie many edits, each told with its whole document, and
         # only the newest counts.
         after = None if self._turn.is_behind else known
+        newest_drain = self._drained.newest
         try:
             found = await self._ask(after, self._wait_s)
         except error.SourceError as exc:
@@ -149,12 +161,39 @@
             self._version = None
             return
         self._holder.confirm()
-        for document in found.items:
-            self._install(document)
+        self._take(found)
+        self._correct_drains(newest_drain, found.version)
         self._version = max(found.version, self._version or 0)
         if self._turn.answered(loop.time()):
             self._tell()
 
+    def _take(self, found: source.Found[source.OperatorItem]) -> None:
+        drains = []
+        for item in found.items:
+            if isinstance(item, zones.Drain):
+                drains.append(item)
+            else:
+                self._install(item)
+        if found.is_whole:
+            self._drained.replace(drains, found.version)
+        else:
+            self._drained.hear(drains)
+
+    def _correct_drains(self, known: int, told: int) -> None:
+        """Drops an order that the source does not come to: it is faulty.
+
+        Not at the first answer, which may be one that is told late.
+        """
+        now = asyncio.get_running_loop().time()
+        if known <= told:
+            self._ahead_s = None
+        elif self._ahead_s is None:
+            self._ahead_s = now
+        elif now - self._ahead_s > AHEAD_S:
+            event.note(event.VersionAhead('zones', known, told))
+            self._drained.forget_newer(told)
+            self._ahead_s = self._version = None
+
     def _tell(self) -> None:
         if self._announce is None:
             return
@@ -162,7 +201,10 @@
         is_new = now - self._patched_s < PATCH_S
         self._announce(
             news_lib.ConfigurationNews(
-                self._version, self._number(), self._patch if is_new else b''
+                self._version,
+                self._number(),
+                self._patch if is_new else b'',
+                self._drained.drains,
             )
         )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/news.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway.fleet import upstream
+    from quetzalsill_gateway.fleet import upstream, zones
 
 __all__ = ['EVERYTHING', 'ConfigurationNews', 'MembershipNews', 'News']
 
@@ -42,11 +42,13 @@
       configuration: Number of the configuration.
       patch: For a while after a change, what makes the document of the one
         before it; empty if that is too much for a datagram.
+      drains: The operators' orders for availability zones, all of them.
     """
 
     version: int
     configuration: int
     patch: bytes = b''
+    drains: tuple[zones.Drain, ...] = ()
 
 
 News = MembershipNews | ConfigurationNews
--- /dev/null
+++ b/tests/quetzalsill_gateway/fleet/test_zones.py
@@ -0,0 +1,191 @@
+"""Availability zones that operators drain."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_dev.simulation import clock
+from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import upstream, zones
+
+NAMES = ('a', 'b')
+HISTORY = st.lists(
+    st.tuples(st.sampled_from(NAMES), st.booleans()), min_size=1, max_size=8
+)
+
+
+class ZonesTest(unittest.IsolatedAsyncioTestCase):
+    """Orders come late, twice, and out of order."""
+
+    async def asyncSetUp(self):
+        quiet = mock.patch.object(event, 'note')
+        self.note = quiet.start()
+        self.addCleanup(quiet.stop)
+        self.zones = zones.Zones()
+
+    async def test_an_order_that_was_taken_back_does_not_come_again(self):
+        """Operators take a zone back; a datagram from before arrives after.
+
+        Taken in, it would keep a third of the upstreams idle for good.
+        """
+        on, off = zones.Drain('a', 5, True), zones.Drain('a', 9, False)
+        self.zones.hear([on])
+        self.zones.hear([off])
+        self.zones.hear([on])
+        self.assertFalse(self.zones.is_drained('a'))
+
+    async def test_an_order_that_stands_is_not_lost_by_an_old_answer(self):
+        """A read of all orders was sent before one, and is answered after.
+
+        The order isn't in it. Forgotten, the zone would get new work.
+        """
+        self.zones.hear([zones.Drain('a', 9, True)])
+        self.zones.replace([], 7)
+        self.assertTrue(self.zones.is_drained('a'))
+        self.zones.replace([], 9)
+        self.assertFalse(self.zones.is_drained('a'))
+
+    async def test_a_run_may_still_go_on_where_it_was_copied_to(self):
+        """A run has been stopped to move to a zone, and that zone is drained.
+
+        Sent nowhere, it would be lost, though its memory is there already.
+        """
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, 'time') as time:
+            time.return_value = 100.0
+            self.zones.hear([zones.Drain('a', 1, True)])
+            time.return_value += zones.CONTINUE_S / 2
+            self.assertTrue(self.zones.takes_runs('a'))
+            time.return_value += zones.CONTINUE_S
+            self.assertFalse(self.zones.takes_runs('a'))
+        self.assertTrue(self.zones.takes_runs('b'))
+
+    async def test_orders_stay_bounded(self):
+        """A writer leaves orders for ten thousand names."""
+        for number in range(10_000):
+            self.zones.hear([zones.Drain(f'z{number}', number + 1, True)])
+        self.assertEqual(len(self.zones.drains), zones.MOST_DRAINS)
+        self.zones.replace([], 10_001)
+        self.zones.hear([zones.Drain('a', 10_002, True)])
+        self.assertTrue(self.zones.is_drained('a'))
+        self.assertEqual(len(self.zones.drains), zones.MOST_DRAINS)
+
+    async def test_a_version_that_never_was_can_be_dropped(self):
+        self.zones.hear([zones.Drain('a', 2**50, True)])
+        self.zones.forget_newer(10)
+        self.assertFalse(self.zones.is_drained('a'))
+        self.zones.hear([zones.Drain('a', 11, True)])
+        self.assertTrue(self.zones.is_drained('a'))
+
+    async def test_it_is_logged_once_a_change(self):
+        for _ in range(3):
+            self.zones.hear([zones.Drain('a', 5, True)])
+        self.zones.hear([zones.Drain('a', 6, True)])
+        self.zones.replace([], 7)
+        told = [call.args[0] for call in self.note.call_args_list]
+        self.assertEqual([one.is_on for one in told], [True, False])
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(HISTORY, st.randoms(use_true_random=False), st.data())
+    def test_whatever_the_order_the_newest_counts(self, history, rng, data):
+        """Each change by datagram or by a whole read, shuffled, some lost.
+
+        What the last change says is told in the end, as each gateway does.
+        """
+        steps = [
+            zones.Drain(name, version, is_on)
+            for version, (name, is_on) in enumerate(history, 1)
+        ]
+        told = [data.draw(st.sampled_from(steps)) for _ in range(8)]
+        rng.shuffle(told)
+
+        async def work():
+            known = zones.Zones()
+            for step in told:
+                if data.draw(st.booleans()):
+                    known.hear([step])
+                else:
+                    known.replace(stands(steps, step.version), step.version)
+            known.hear(newest(steps, len(steps)))
+            return {name for name in NAMES if known.is_drained(name)}
+
+        wanted = {step.zone for step in stands(steps, len(steps))}
+        self.assertEqual(clock.run(work), wanted)
+
+
+class UpstreamsOfZonesTest(unittest.IsolatedAsyncioTestCase):
+    """Upstreams in two zones of two regions."""
+
+    async def asyncSetUp(self):
+        quiet = mock.patch.object(event, 'note')
+        quiet.start()
+        self.addCleanup(quiet.stop)
+        self.upstreams = upstream.Upstreams({'a': 'north', 'b': 'south'})
+        for number, zone in enumerate('aab'):
+            found = upstream.Upstream(
+                f'u-{number}', 's', ('10.0.0.1', number + 1), zone
+            )
+            self.upstreams.put(found, 1)
+
+    def ids(self, regions=None):
+        return [found.id for found in self.upstreams.of('s', regions)]
+
+    async def test_a_drained_zone_gets_nothing_until_it_is_taken_back(self):
+        self.upstreams.zones.hear([zones.Drain('a', 2, True)])
+        self.assertEqual(self.ids(), ['u-2'])
+        self.upstreams.zones.hear([zones.Drain('b', 3, True)])
+        self.assertEqual(self.ids(), [])
+        self.upstreams.zones.hear([zones.Drain('a', 4, False)])
+        self.assertEqual(self.ids(), ['u-0', 'u-1'])
+
+    async def test_work_that_is_bound_to_regions_stays_there(self):
+        self.assertEqual(self.ids(frozenset(('south',))), ['u-2'])
+        self.assertEqual(self.ids(frozenset(('west',))), [])
+        stray = upstream.Upstream('u-9', 's', ('10.0.0.9', 1), 'unlisted')
+        self.upstreams.put(stray, 2)
+        self.assertNotIn('u-9', self.ids(frozenset(('north', 'south'))))
+        self.assertIn('u-9', self.ids())
+
+    async def test_an_upstream_is_cold_for_as_long_as_it_says(self):
+        """It starts, and may grow cold again at any moment."""
+
+        def entry(warmup_s):
+            address = ('10.0.0.1', 1)
+            return upstream.Upstream(
+                'u-0', 's', address, 'a', warmup_s=warmup_s
+            )
+
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, 'time') as time:
+            time.return_value = 100.0
+            self.upstreams.put(entry(2.0), 2)
+            self.assertNotIn('u-0', self.warm())
+            time.return_value = 102.0
+            self.assertIn('u-0', self.warm())
+            self.upstreams.put(entry(5.0), 3)
+            self.assertNotIn('u-0', self.warm())
+            self.upstreams.put(entry(0.0), 4)
+            self.assertIn('u-0', self.warm())
+
+    def warm(self):
+        return [found.id for found in self.upstreams.warm_of('s')]
+
+
+def stands(steps, version):
+    """Returns the orders that stand at a version."""
+    return [step for step in newest(steps, version) if step.is_on]
+
+
+def newest(steps, version):
+    """Returns the newest order for each zone at a version."""
+    found = {step.zone: step for step in steps if step.version <= version}
+    return list(found.values())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/quetzalsill_gateway/quotas.py
@@ -0,0 +1,18 @@
+"""Quotas for tests of other things."""
+
+from __future__ import annotations
+
+from quetzalsill_gateway import source
+from quetzalsill_gateway.fleet import members, quota
+
+__all__ = ['unbounded']
+
+
+def unbounded():
+    """Returns a quota that allows everything."""
+    return quota.Quota(
+        source.Holder(),
+        members.Members('entry-1'),
+        quota.Warmup(),
+        lambda _: quota.Connections(0, 0),
+    )
--- a/tests/quetzalsill_platform/test_plain_calls.py
+++ b/tests/quetzalsill_platform/test_plain_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from tests.quetzalsill_platform import fixture
@@ -194,5 +195,40 @@
         )
 
 
+class HangingTest(fixture.PathTest):
+    """Servers that hang, and take few connections from all callers together."""
+
+    services = {'desk': {'maxConnections': 3}}
+
+    async def test_what_has_no_connection_left_is_refused_as_not_run(self):
+        """Both servers hang, and each call opens a connection of its own.
+
+        Those over the servers' bound are reset: the orders on them may have
+        run for all that anybody knows, so their callers may not ask again.
+        """
+        self.script(*['hang'] * 20)
+        callers = [self.caller() for _ in range(4)]
+        for caller in callers:
+            await caller.open()
+            caller.send('/unsafe/', deadline_ms=3000)
+        await self.until(lambda: len(self.runs) == 4)
+        answer = await self.ask('/unsafe/', deadline_ms=3000)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers['retry-after']), 0)
+        self.assertEqual(len(self.runs), 4)
+
+    async def test_a_call_waits_for_a_moment_for_a_connection(self):
+        self.script(*['hang'] * 4)
+        callers = [self.caller() for _ in range(4)]
+        for caller in callers:
+            await caller.open()
+            caller.send('/unsafe/', deadline_ms=3000)
+        await self.until(lambda: len(self.runs) == 4)
+        waiting = asyncio.create_task(self.ask('/unsafe/'))
+        await asyncio.sleep(0.02)
+        callers[0].leave()
+        self.assertEqual((await waiting).status, 200)
+
+
 if __name__ == '__main__':
     unittest.main()
