Tell the other gateways of plain servers that let calls hang

Change: a call unanswered for six mean times is told to all while it hangs, and orders go elsewhere.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/book.py
@@ -71,6 +71,7 @@
       outstanding: Own calls that have not ended.
       mean_s: Running mean of the time of a call.
       faults: Failures of own calls, fading.
+      hangs: Own calls that went unanswered for long, fading.
       makes_streams: Own generations were sent there.
       reservations: What own generations hold there.
       copies: What backups of own generations hold there.
@@ -83,6 +84,9 @@
     faults: faults_lib.Faults = dataclasses.field(
         default_factory=faults_lib.Faults
     )
+    hangs: faults_lib.Faults = dataclasses.field(
+        default_factory=faults_lib.Faults
+    )
     makes_streams: bool = False
     reservations: set[Reservation] = dataclasses.field(default_factory=set)
     copies: set[Reservation] = dataclasses.field(default_factory=set)
@@ -140,6 +144,22 @@
         """Returns the failures that all gateways have seen of late."""
         return self.faults.recent(now) + self.others.failures
 
+    def told_hangs(self, now: float) -> float:
+        """Returns the calls of all gateways that went unanswered of late.
+
+        Only meant for plain upstreams: of them gateways tell nothing else.
+        """
+        return self.hangs.recent(now) + self.others.failures
+
+    def shown_failures(self, now: float) -> float:
+        """Returns what to tell other gateways of failures here, in steps.
+
+        Fading alone is then no news. A plain server's own failures go with the
+        request; told, they would change with every other call.
+        """
+        faults = self.faults if self.makes_streams else self.hangs
+        return round(faults.recent(now) * 2) / 2
+
     def hear(self, node: str, held: held_lib.Held) -> None:
         """Takes what another gateway holds here, in place of what it held.
 
@@ -165,6 +185,10 @@
         """Counts a failure of the upstream."""
         self.faults.fail(asyncio.get_running_loop().time(), weight)
 
+    def note_hang(self) -> None:
+        """Counts a call that has gone unanswered for long."""
+        self.hangs.fail(asyncio.get_running_loop().time())
+
     def note_leaving(self, leaves_s: float | None) -> None:
         """Takes the time that an engine says it has left, if it does."""
         if leaves_s is None:
@@ -174,6 +198,7 @@
 
     def note_time(self, took_s: float) -> None:
         """Takes the time of a call that was answered."""
+        self.hangs.succeed()
         self.mean_s += NEWEST * (took_s - self.mean_s)
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -263,10 +263,7 @@
         held = {}
         now = asyncio.get_running_loop().time()
         for key, page in self._core.pages.items():
-            failures = 0.0
-            if page.makes_streams:
-                # In steps, so that fading alone is no news.
-                failures = round(page.recent_failures(now) * 2) / 2
+            failures = page.shown_failures(now)
             if page.reservations or page.copies or failures:
                 held[key] = held_lib.Held(
                     page.own_tokens,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -20,8 +20,8 @@
 # memory of an entry host; an answer so begun cannot be replaced by another.
 HELD_BYTES = 1_048_576
 MISDIRECTED_TRIES = 3
-# A call that may be repeated is given up at one upstream after this many times
-# the mean time there, when it is more likely to hang than to be slow.
+# After this many times the mean time at an upstream a call there is more likely
+# to hang than to be slow. One that may be repeated is then given up.
 HANG_MEANS = 6.0
 # A call waits for a connection for this share of its objective: told after it,
 # its caller still has time to ask another gateway.
@@ -127,7 +127,11 @@
         found = core.upstreams.of(req.service.name, req.regions)
         allowed = [one for one in found if core.quota.allows(one)]
         upstream = choose.choose_plain(
-            allowed, core.pages, core.zone, story.tried
+            allowed,
+            core.pages,
+            core.zone,
+            story.tried,
+            may_repeat=req.route.kind.may_repeat,
         )
         if upstream is not None or attempt.now() >= end_s:
             return upstream
@@ -142,8 +146,11 @@
     page = core.pages.page(upstream)
     page.outstanding += 1
     begun_s = attempt.now()
+    hang_s = max(req.route.objective_s, HANG_MEANS * page.mean_s)
+    # Told while it hangs: its deadline is far, and all gateways send there.
+    hanging = asyncio.get_running_loop().call_later(hang_s, page.note_hang)
     try:
-        async with asyncio.timeout(_patience_s(req, page.mean_s)):
+        async with asyncio.timeout(hang_s if _may_leave(req) else None):
             answer = await _exchange(core, req, upstream)
     except error.NotSentError:
         raise
@@ -155,6 +162,7 @@
         core.conns.drop(upstream.address)
         raise error.SilentError(upstream.address_text) from exc
     finally:
+        hanging.cancel()
         page.outstanding -= 1
     page.note_time(attempt.now() - begun_s)
     if answer.verdict is not attempt.Verdict.SUCCESS:
@@ -162,11 +170,10 @@
     return answer
 
 
-def _patience_s(req: exchange.Exchange, mean_s: float) -> float | None:
+def _may_leave(req: exchange.Exchange) -> bool:
+    """Whether a call may be given up where it hangs, and sent elsewhere."""
     is_last = req.sends + 1 >= req.route.attempts
-    if is_last or not req.route.kind.may_repeat:
-        return None
-    return max(req.route.objective_s, HANG_MEANS * mean_s)
+    return req.route.kind.may_repeat and not is_last
 
 
 async def _exchange(
--- a/tests/quetzalsill_gateway/balance/test_choose.py
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import unittest
 
 from quetzalsill_gateway import routing_table
 from quetzalsill_gateway.balance import book, choose
-from quetzalsill_gateway.fleet import held, upstream
+from quetzalsill_gateway.fleet import held as held_lib
+from quetzalsill_gateway.fleet import upstream
 
 ENGINE = routing_table.Engine(24, 30_000, 18432.0, 2700.0, moves=True)
 
@@ -46,7 +48,10 @@
         for number in range(5):
             self.pages.hear(
                 'entry-2',
-                {f'u-{n}': held.Held(28_000, 0, 7) for n in range(number + 1)},
+                {
+                    f'u-{n}': held_lib.Held(28_000, 0, 7)
+                    for n in range(number + 1)
+                },
             )
         for _ in range(20):
             self.assertIs(self.engine(), self.found[5])
@@ -90,6 +95,48 @@
         }
         self.assertNotIn('u-0', chosen)
 
+    async def test_orders_stay_away_from_one_that_hangs(self):
+        """One of three plain servers hangs; 24 gateways send to it.
+
+        Each learned of it by orders of its own, which were lost: 45 in six
+        seconds. One gateway's word is enough for all, and what tries it again
+        may be repeated.
+        """
+        told = {'u-0': held_lib.Held(0, 0, 0, failures=1.0)}
+        self.pages.hear('entry-2', told)
+        near = [self.found[0], self.found[5]]
+
+        def chosen(may_repeat):
+            return {
+                choose.choose_plain(
+                    near, self.pages, 'a', may_repeat=may_repeat
+                ).id
+                for _ in range(50)
+            }
+
+        self.assertEqual(chosen(False), {'u-5'})
+        busy = self.pages.page(self.found[5])
+        busy.outstanding = 6 * 15
+        self.assertEqual(chosen(True), {'u-0'})
+        self.assertEqual(chosen(False), {'u-5'})
+        self.pages.hear('entry-2', {})
+        self.assertEqual(chosen(False), {'u-0'})
+
+    async def test_failures_of_a_plain_servers_own_are_not_told(self):
+        """A seventh of all answers of one service are failures of its own.
+
+        Told, each of them would be a datagram to every gateway.
+        """
+        page = self.pages.page(self.found[0])
+        now = asyncio.get_running_loop().time()
+        for _ in range(5):
+            page.note_failure()
+        self.assertEqual(page.shown_failures(now), 0.0)
+        page.note_hang()
+        self.assertGreater(page.shown_failures(now), 0.0)
+        page.makes_streams = True
+        self.assertGreater(page.shown_failures(now), 3.0)
+
     async def test_runs_of_one_engine_spread_over_destinations(self):
         """All gateways choose from the same figures at the same moment.
 
--- a/tests/quetzalsill_platform/test_plain_calls.py
+++ b/tests/quetzalsill_platform/test_plain_calls.py
@@ -217,6 +217,26 @@
         self.assertGreater(float(answer.headers['retry-after']), 0)
         self.assertEqual(len(self.runs), 4)
 
+    async def test_a_call_that_hangs_is_known_before_its_deadline(self):
+        """An order hangs for all of its caller's time, seconds.
+
+        Until it ended nothing was known, and the next ones went there too.
+        """
+        self.script('hang')
+        caller = self.caller()
+        await caller.open()
+        caller.send('/unsafe/', deadline_ms=3000)
+        await self.until(lambda: self.runs)
+        pages = self.process.core.pages
+        [hung] = [
+            desk
+            for desk in self.process.core.upstreams.of('desk')
+            if pages.page(desk).outstanding
+        ]
+        page = pages.page(hung)
+        await self.until(lambda: page.hangs.in_a_row)
+        self.assertEqual(page.outstanding, 1)
+
     async def test_a_call_waits_for_a_moment_for_a_connection(self):
         self.script(*['hang'] * 4)
         callers = [self.caller() for _ in range(4)]
