Reckon waits by what goes ahead, and look again at failed promises

Change: what comes later and goes first, and engines that leave while nobody can enter, are taken off; a wait whose promise fails is looked at again.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -20,6 +20,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event, exchange
+from quetzalsill_gateway.balance import forecast
 from quetzalsill_gateway.balance import search as search_lib
 from quetzalsill_gateway.balance import waiting as waiting_lib
 
@@ -42,6 +43,10 @@
 # One that is late has time: its caller waits for as long as it is told to, but
 # longer than this it is better told to come back.
 LATE_WAIT_S = 2.0
+# One whose promise has failed looks again, but no sooner than this.
+LOOK_S = 0.25
+# Callers wait for so much of the time that they have left, if told to.
+COME_BACK_SHARE = 0.33
 # A caller that has little time left is told while it can still come back.
 LEFT_SHARE = 0.5
 
@@ -72,6 +77,7 @@
         self._numbers = itertools.count()
         self._mean_output: dict[str, float] = {}
         self._most_s: dict[tuple[str, float], float] = {}
+        self._demand: dict[str, forecast.Demand] = {}
 
     def waiting(self) -> dict[str, dict[int, int]]:
         """Returns the tokens that wait here, by service and rank."""
@@ -106,7 +112,10 @@
             next(self._numbers),
             self._first_asked_s(req) + late_s,
             min(reservation.memory_tokens, engine.memory_tokens),
+            now,
         )
+        demand = self._demand.setdefault(req.service.name, forecast.Demand())
+        demand.note(now, waiting.priority, waiting.size, waiting.tokens)
         queue = self._waiting.setdefault(req.service.name, [])
         search = search_lib.Search(
             self._upstreams,
@@ -150,16 +159,19 @@
         rank = waiting.rank(now)
         others = [one for one in queue if one is not waiting]
         ahead = sum(one.tokens for one in others if one.rank(now) <= rank)
-        bound_s = max(waiting.late_at_s - now, LATE_WAIT_S)
-        bound_s = min(bound_s, req.left_s * LEFT_SHARE)
-        waiting.expected_s = search.expected_wait_s(rank, ahead)
+        until_s = max(waiting.late_at_s, waiting.came_s + LATE_WAIT_S)
+        bound_s = min(until_s - now, req.left_s * LEFT_SHARE)
+        demand = self._demand[req.service.name]
+        ahead_per_s = self._upstreams.sharers * demand.ahead_per_s(
+            now, waiting.priority, waiting.size
+        )
+        waiting.expected_s = search.expected_wait_s(rank, ahead, ahead_per_s)
         if waiting.expected_s <= bound_s:
             return False
         ahead = sum(one.tokens for one in others)
-        req.come_back_s = max(
-            exchange.RETRY_AFTER_S,
-            search.expected_wait_s(waiting_lib.LAST_RANK, ahead),
-        )
+        come_back_s = search.expected_wait_s(waiting_lib.LAST_RANK, ahead)
+        come_back_s = min(come_back_s, req.left_s * COME_BACK_SHARE)
+        req.come_back_s = max(exchange.RETRY_AFTER_S, come_back_s)
         return True
 
     def _note(
@@ -202,6 +214,11 @@
         self._most_s[key] = most_s
         return req.request.received_s - (most_s - left_s)
 
+    def _next_look_s(self, search: search_lib.Search) -> float:
+        """Returns when a request that was promised room looks again."""
+        now = asyncio.get_running_loop().time()
+        return now + max(LOOK_S, search.waiting.expected_s)
+
     async def _wait(
         self,
         search: search_lib.Search,
@@ -209,11 +226,16 @@
     ) -> upstream_lib.Upstream | None:
         loop = asyncio.get_running_loop()
         end_s = min(loop.time() + MOST_WAIT_S, search.req.deadline_s)
+        look_s = self._next_look_s(search)
         while loop.time() < end_s:
             await asyncio.sleep(POLL_S)
             now = loop.time()
             if not search.has_engine:
                 return None
+            if now >= look_s:
+                if self._is_hopeless(search, queue):
+                    return None
+                look_s = self._next_look_s(search)
             ahead = min(queue, key=lambda one: (one.rank(now), one.number))
             chosen = search.take(now) if ahead is search.waiting else None
             if chosen is not None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway.balance import choose
+from quetzalsill_gateway.balance import choose, forecast
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
@@ -93,14 +94,19 @@
         """Returns the engine with the least expected wait, full or not."""
         return self._cheapest(self._allowed())
 
-    def expected_wait_s(self, rank: int, ahead_tokens: int) -> float:
+    def expected_wait_s(
+        self, rank: int, ahead_tokens: int, ahead_per_s: float = 0.0
+    ) -> float:
         """Returns how long a request of a rank will wait for memory.
 
-        Memory becomes free as fast as what is held is given back.
-
         Args:
           rank: Waits behind all that is ranked so or ahead of it.
           ahead_tokens: What of that waits at this gateway.
+          ahead_per_s: Tokens a second that come later and go ahead of it, at
+            all gateways.
+
+        Returns:
+          The time in seconds, infinite if it will not get any.
         """
         open_now = self._open()
         service = self.req.service.name
@@ -110,7 +116,14 @@
         held = sum(self._pages.page(one).reserved_tokens for one in open_now)
         if short <= 0 or not held:
             return 0.0
-        return short * self._pages.mean_held_s / held
+        leaves_per_s = self._upstreams.leaves_per_s(service)
+        per_s = forecast.free_per_s(
+            held,
+            self._pages.mean_held_s,
+            ahead_per_s,
+            leaves_per_s * self._engine.memory_tokens,
+        )
+        return short / per_s if per_s else math.inf
 
     def _able(self, now: float) -> list[upstream_lib.Upstream]:
         """Returns engines with room: beside backups, or else without them.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/waiting.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/waiting.py
@@ -26,7 +26,9 @@
       number: Grows with each request.
       late_at_s: Loop time from which it is late.
       tokens: Memory that it needs.
-      expected_s: How long it was expected to wait when it came, in seconds.
+      came_s: Loop time at which it came.
+      expected_s: How long it was expected to wait when that was last asked, in
+        seconds.
     """
 
     priority: int
@@ -34,6 +36,7 @@
     number: int
     late_at_s: float
     tokens: int
+    came_s: float = 0.0
     expected_s: float = 0.0
 
     def rank(self, now: float) -> int:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -22,6 +22,12 @@
 # No upstream stays cold for longer; a greater figure is a fault of its
 # writer's, and the next entry corrects it.
 MOST_WARMUP_S = 60.0
+# With nothing told for this long the source is away for all gateways: a call
+# that waits for a change is answered sooner.
+UNTOLD_S = 0.8
+# Engines are taken away every few seconds; the rate is that of so long.
+LEFT_S = 8.0
+MOST_LEFT = 4096
 # Stands in no id that a platform gives.
 KEY_SEPARATOR = '\n'
 
@@ -130,6 +136,9 @@
         )
         self._lapsed: dict[str, int] = {}
         self._lapses_until_s = 0.0
+        self._left: collections.deque[tuple[float, str]] = collections.deque(
+            maxlen=MOST_LEFT
+        )
 
     @property
     def age_s(self) -> float:
@@ -271,10 +280,26 @@
         if upstream.leaving:
             return
         upstream.leaving = True
+        now = asyncio.get_running_loop().time()
+        self._left.append((now, upstream.service))
         event.note(event.UpstreamLeaving(upstream.id, source, self.version))
         for callback in self._on_leaving:
             callback(upstream)
 
+    def leaves_per_s(self, service: str) -> float:
+        """Returns how many upstreams of a service go, and are not replaced.
+
+        While the source tells, others come in their place. While it does not,
+        nobody can enter, and the engines that are taken away go on leaving.
+        """
+        if self.age_s < UNTOLD_S:
+            return 0.0
+        since_s = asyncio.get_running_loop().time() - LEFT_S
+        left = sum(
+            name == service and left_s > since_s for left_s, name in self._left
+        )
+        return left / LEFT_S
+
     def leaving_keys(self) -> tuple[str, ...]:
         """Returns the keys of upstreams that leave, or were removed just now.
 
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -7,7 +7,7 @@
 import unittest
 
 from quetzalsill_gateway import routing_table
-from quetzalsill_gateway.balance import admission, book, waiting
+from quetzalsill_gateway.balance import admission, book, forecast, waiting
 from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import message
 from tests.quetzalsill_gateway import quotas
@@ -170,6 +170,55 @@
         self.assertIsNone(await asyncio.wait_for(refused, 1.0))
         self.assertGreater(refused.req.come_back_s, 10.0)
 
+    async def test_what_goes_first_takes_what_is_given_back(self):
+        """Short generations come all the time, and go ahead of a long one.
+
+        Memory is given back, but never to it: it was held for five seconds,
+        refused, and came back late. A short one still gets its turn.
+        """
+        self.pages.mean_held_s = 1.0
+        admission = self.admission
+        admission._size('r', book.Reservation(1000, 3000))
+        now = asyncio.get_running_loop().time()
+        demand = admission._demand.setdefault('s', forecast.Demand())
+        for _ in range(40):
+            demand.note(now, 1, 0, 10_000)
+        long = self.ask('long', tokens=6000, objective_s=10.0)
+        self.assertIsNone(await asyncio.wait_for(long, 1.0))
+        self.assertLess(long.req.held_s, 0.1)
+        short = self.ask('short', tokens=1500)
+        await asyncio.sleep(0.1)
+        self.assertFalse(short.done())
+
+    async def test_engines_that_leave_while_nobody_can_enter(self):
+        """The store is away: engines go on leaving, and none can come.
+
+        What they would have given back was promised, and 84 generations
+        waited for it to no end. With the store there, others come.
+        """
+        self.pages.mean_held_s = 1.0
+        for number in range(8):
+            gone = upstream.Upstream(f'g-{number}', 's', ('10.0.0.9', 1), 'z')
+            self.upstreams.put(gone, 2)
+            self.upstreams.remove(gone.id, 3)
+        self.upstreams.confirm()
+        patient = self.ask('patient', tokens=2000, objective_s=10.0)
+        await asyncio.sleep(0.1)
+        self.assertFalse(patient.done())
+        self.upstreams._confirmed_s -= 10.0
+        refused = self.ask('refused', tokens=2000, objective_s=10.0)
+        self.assertIsNone(await asyncio.wait_for(refused, 1.0))
+        self.assertGreater(refused.req.come_back_s, 1.0)
+
+    async def test_a_promise_that_fails_is_looked_at_again(self):
+        """Room was expected soon, and then nothing is given back any more."""
+        self.pages.mean_held_s = 0.3
+        waiting = self.ask('a', objective_s=10.0)
+        await asyncio.sleep(0.1)
+        self.assertFalse(waiting.done())
+        self.pages.mean_held_s = 300.0
+        self.assertIsNone(await asyncio.wait_for(waiting, 2.0))
+
     async def test_one_that_comes_back_is_behind_the_timely(self):
         """A caller was refused and comes back when its objective is past.
 
