--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
@@ -32,7 +32,7 @@
 PORTS = range(1, 65536)
 # When news is told again. A datagram in ten may be lost on each of two legs,
 # and a gateway in twenty be paused: one telling misses a quarter of all.
-REPEATS_S = (0.08, 0.16, 0.24, 0.32)
+REPEATS_S = (0.15, 0.3, 0.4)
 
 
 class Broadcast:
@@ -58,6 +58,7 @@
         self._send = send
         self._rng = rng
         self._newest: dict[type, object] = {}
+        self._repeats: dict[type, list[asyncio.TimerHandle]] = {}
 
     def announce(self, told: news_lib.News) -> None:
         """Tells news; in a large fleet a few times, if it is new."""
@@ -66,12 +67,17 @@
         if self._newest.get(type(told)) == substance:
             return
         self._newest[type(told)] = substance
+        # What is told now says what was told just before, too.
+        for repeat in self._repeats.pop(type(told), ()):
+            repeat.cancel()
         if len(self._addresses()) >= pace.NEAR:
             echo = dataclasses.replace(told, is_echo=True)
             data = bulletin.encode(self._node, echo)
             loop = asyncio.get_running_loop()
-            for delay_s in REPEATS_S:
+            self._repeats[type(told)] = [
                 loop.call_later(delay_s, self._spread, data)
+                for delay_s in REPEATS_S
+            ]
 
     def _spread(self, data: bytes) -> None:
         for address, datagram in spread(data, self._addresses(), self._rng):
