Choose engines by memory three times as much

Hypothesis: plans are late and pushed off where long ones meet; spread by memory given out rather than by prompts that wait, fewer do.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -31,6 +31,12 @@
 # as much as this much waiting.
 OTHER_ZONE_S = 0.04
 OTHER_ZONE_PLAIN_S = 0.002
+# An engine whose memory is all given out is worth this much waiting less than
+# an empty one. Runs outgrow their callers' guesses, and where they meet one is
+# pushed off: its caller sees a pause, and its prompt is read twice. Spread by
+# memory rather than by what waits to be read, fewer meet. With a third of it a
+# fifth more plans were late; with twice of it prompts waited for each other.
+MEMORY_S = 3.0
 # Above this share of the memory the engine is about to push work off.
 FULL_SHARE = 0.9
 FULL_S = 30.0
@@ -95,7 +101,7 @@
         wait_s += page.runs * RUNNING_S
         wait_s += FAILURE_S * page.told_failures(now)
         share = (page.held_tokens + needs_tokens) / max(1, engine.memory_tokens)
-        wait_s += share
+        wait_s += MEMORY_S * share
         if share > FULL_SHARE:
             wait_s += FULL_S * (share - FULL_SHARE)
         if candidate.availability_zone != zone:
--- a/tests/quetzalsill_gateway/balance/test_choose.py
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -62,6 +62,21 @@
         self.assertIs(self.engine(avoid=tried), self.found[5])
         self.assertIsNone(self.engine(avoid=tried | {'u-5'}))
 
+    async def test_memory_counts_for_more_than_a_short_queue(self):
+        """Long generations gather where few prompts wait to be read.
+
+        Their memory grows, one is pushed off, and its prompt is read twice:
+        98,000 tokens on a day with a zone drained. A prompt that waits a
+        quarter of a second elsewhere is in time all the same.
+        """
+        for number in range(1, 6):
+            self.hold(number, 5000, 4)
+        self.hold(0, 4000, 3)
+        page = self.pages.page(self.found[0])
+        page.reservations.add(book.Reservation(1500, 1500, True))
+        for _ in range(20):
+            self.assertIs(self.engine(), self.found[0])
+
     async def test_work_spreads(self):
         counts = collections.Counter()
         for _ in range(60):
