--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -43,7 +43,8 @@
 # One that is late has time: its caller waits for as long as it is told to, but
 # longer than this it is better told to come back.
 LATE_WAIT_S = 2.0
-# One whose promise has failed looks again, but no sooner than this.
+# While no engine can enter, one whose promise has failed looks again, but no
+# sooner than this.
 LOOK_S = 0.25
 # Callers wait for so much of the time that they have left, if told to.
 COME_BACK_SHARE = 0.33
@@ -233,7 +234,7 @@
             now = loop.time()
             if not search.has_engine:
                 return None
-            if now >= look_s:
+            if now >= look_s and not self._upstreams.may_grow:
                 if self._is_hopeless(search, queue):
                     return None
                 look_s = self._next_look_s(search)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -107,7 +107,9 @@
           rank: Waits behind all that is ranked so or ahead of it.
           ahead_tokens: What of that waits at this gateway.
           ahead_per_s: Tokens a second that come later and go ahead of it, at
-            all gateways.
+            all gateways. They count while no engine can enter: a crowd before
+            a fleet that is made good passes, and a wait that lasts a little
+            longer than expected is better than a refusal.
 
         Returns:
           The time in seconds, infinite if it will not get any.
@@ -120,6 +122,8 @@
         held = sum(self._pages.page(one).reserved_tokens for one in open_now)
         if short <= 0 or not held:
             return 0.0
+        if self._upstreams.may_grow:
+            return short * self._pages.mean_held_s / held
         leaves_per_s = self._upstreams.leaves_per_s(service)
         per_s = forecast.free_per_s(
             held,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -286,14 +286,17 @@
         for callback in self._on_leaving:
             callback(upstream)
 
+    @property
+    def may_grow(self) -> bool:
+        """Whether upstreams can enter: the source tells, to any gateway."""
+        return self.age_s < UNTOLD_S
+
     def leaves_per_s(self, service: str) -> float:
-        """Returns how many upstreams of a service go, and are not replaced.
+        """Returns how many upstreams of a service have gone a second, of late.
 
         While the source tells, others come in their place. While it does not,
         nobody can enter, and the engines that are taken away go on leaving.
         """
-        if self.age_s < UNTOLD_S:
-            return 0.0
         since_s = asyncio.get_running_loop().time() - LEFT_S
         left = sum(
             name == service and left_s > since_s for left_s, name in self._left
