Let more gateways send to a cold upstream, and moves go there within its rate

Change: half of what a cold upstream stands with certainty may be sent in the same moment, by as many gateways; moves and backups go there too, moves within the rate.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
@@ -33,12 +33,15 @@
 # gateways when they are back. Their callers all come back at once then.
 USED_SHARE = 0.7
 IDLE_SHARE = 0.2
-# Shares of the rate of a cold upstream, and of what it takes above that, which
-# are given out as requests of the same moment. The rest covers gateways that
-# are new, lost or cut off, so that not all draw among the same for a while:
-# then some four tenths more are sent in a second at the worst.
+# Share of what a cold upstream stands in one second that is given out. The rest
+# covers gateways that are new, lost or cut off, so that not all draw among the
+# same for a while: then some four tenths more are sent at the worst.
+SAFE_SHARE = 0.7
+# Share of that which may be sent in the same moment, by as many gateways; an
+# upstream that has just come is of use to few callers if few may send there.
+BURST_SHARE = 0.5
+# What goes on coming stays below the rate that the upstream names.
 RATE_SHARE = 0.9
-BURST_SHARE = 0.4
 # Cold upstreams whose rate is kept; one that was not asked for longest makes
 # way.
 MOST_BUCKETS = 4096
@@ -198,13 +201,15 @@
         now: float,
     ) -> _Bucket:
         per_s = self._service(upstream).cold_per_s
-        burst = (self._warmup.overage - 1.0) * per_s + self._warmup.allowance
-        burst = max(1, int(BURST_SHARE * burst))
+        bound = self._warmup.overage * per_s + self._warmup.allowance
+        burst = max(1, int(BURST_SHARE * SAFE_SHARE * bound))
         chosen = owners(upstream.key, names, burst)
         if self._members.node not in chosen:
             return _Bucket(names, 0.0, 0.0, 0.0, now)
         most = max(1, burst // len(chosen))
-        own_per_s = RATE_SHARE * per_s / len(chosen)
+        all_per_s = SAFE_SHARE * bound - most * len(chosen)
+        all_per_s = max(0.0, min(RATE_SHARE * per_s, all_per_s))
+        own_per_s = all_per_s / len(chosen)
         return _Bucket(names, own_per_s, most, most, now)
 
     def _keep(self, key: str, bucket: _Bucket) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -200,14 +200,6 @@
             and (regions is None or self._region(upstream) in regions)
         ]
 
-    def warm_of(
-        self, service: str, regions: frozenset[str] | None = None
-    ) -> list[Upstream]:
-        """Returns those of them that are not cold."""
-        now = asyncio.get_running_loop().time()
-        found = self.of(service, regions)
-        return [upstream for upstream in found if upstream.cold_until_s <= now]
-
     def takes_new(self, upstream: Upstream) -> bool:
         """Whether new work may go to an upstream."""
         zone = upstream.availability_zone
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -192,7 +192,7 @@
         if not backup.is_worthwhile(engine, pages, stream.reservation):
             return leg
         leg.backup = backup.destination(
-            self._core.upstreams.warm_of(upstream.service, req.regions),
+            self._core.upstreams.of(upstream.service, req.regions),
             pages,
             upstream,
             engine,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -239,10 +239,11 @@
     ) -> list[upstream_lib.Upstream]:
         """Returns destinations to which a run can be moved in time."""
         source = departure.source
+        upstreams = self._core.upstreams.of(
+            source.service, stream.exchange.regions
+        )
         found = choose.destinations(
-            self._core.upstreams.warm_of(
-                source.service, stream.exchange.regions
-            ),
+            filter(self._core.quota.allows, upstreams),
             self._core.pages,
             source,
             departure.engine,
@@ -268,6 +269,7 @@
         for target in self._targets(stream, departure):
             if self._is_elsewhere(stream, source):
                 return None
+            self._core.quota.spend(target)
             self._core.live.hold(stream, target)
             move = await self._order(stream, source, target, last=False)
             if move is not None and move.copied:
