Count another start at an address as a failure of the engine

Cause: an engine that started again behind a cut is always empty, and choice by memory sent it request after request; what it turned away counted as no failure.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -129,7 +129,9 @@
                 continues=leg.continues,
             ) as sent:
                 if sent.verdict is not attempt.Verdict.SUCCESS:
-                    if sent.verdict not in leg_lib.NOT_RUN:
+                    # Another start at the address is always empty, and would
+                    # get request after request that it turns away.
+                    if sent.verdict is not attempt.Verdict.NOT_RUN:
                         page.note_failure()
                     body, _ = await attempt.read_body(sent.conn, HELD_BYTES)
                     return leg_lib.Refusal(sent.head, body, sent.verdict)
--- a/tests/quetzalsill_platform/test_streams.py
+++ b/tests/quetzalsill_platform/test_streams.py
@@ -90,6 +90,22 @@
         self.assertIn('retry-after', answer.headers)
         self.assertNotIn('s4', self.fleet.started)
 
+    async def test_another_start_at_an_address_is_sent_little(self):
+        """An engine starts again behind a cut; its old entry still stands.
+
+        It is always empty, and was sent request after request, each of which
+        it turned away: 234 of them, and the bound on repeats was broken.
+        """
+        reborn = self.engines[0]
+        entered, reborn.id = reborn.id, 'another-start'
+        found = self.process.core.upstreams.get(entered)
+        page = self.process.core.pages.page(found)
+        for number in range(8):
+            answer = await self.stream(request_id=f's{number}')
+            self.assertEqual(answer.status, 200)
+        self.assertGreater(page.faults.score, 0.0)
+        self.assertLessEqual(page.faults.in_a_row, 3)
+
     async def test_runs_of_a_leaving_engine_go_on_with_their_memory(self):
         """An engine is taken away 1.5 s after its notice, a plan runs longer.
 
