Log how the copy came about that a run goes on from, and what each part made

Cause: from the lines of a request one could not tell whether it was sent on to a backup of which nobody had said that it is there, to a copy that an engine had made by order, or anew; nor whether the part before had made anything.

Change: leg_ended tells copied_by and events. No logic changes.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -124,7 +124,7 @@
         if move.handle:
             where = target if move.copied else leg.upstream
             return self._continued(where, leg.upstream, move.handle)
-        return self._continued(target, target, request)
+        return self._continued(target, target, request, leg_lib.CopiedBy.BACKUP)
 
     async def _stop(
         self, source: upstream_lib.Upstream, target: upstream_lib.Upstream
@@ -165,6 +165,7 @@
         target: upstream_lib.Upstream,
         holder: upstream_lib.Upstream,
         handle: str,
+        copied_by: leg_lib.CopiedBy = leg_lib.CopiedBy.ORDER,
     ) -> leg_lib.Leg:
         dialect = self._core.dialect
         extra = [
@@ -174,7 +175,9 @@
         ]
         self._source = holder
         self._handle = handle
-        return self._leg(target, extra, continues=True)
+        leg = self._leg(target, extra, continues=True)
+        leg.copied_by = copied_by
+        return leg
 
     def _leg(
         self,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import attempt
@@ -15,6 +16,7 @@
 __all__ = [
     'NOT_RUN',
     'WHOLE',
+    'CopiedBy',
     'End',
     'Leg',
     'Refusal',
@@ -27,6 +29,13 @@
 NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 
 
+class CopiedBy(enum.Enum):
+    """How the copy of a run's memory came about from which it goes on."""
+
+    ORDER = 'order'
+    BACKUP = 'backup'
+
+
 @dataclasses.dataclass(slots=True)
 class Leg:
     """One upstream's part of a stream.
@@ -36,12 +45,17 @@
       extra: Headers that the gateway sets.
       continues: The run goes on from memory.
       backup: Upstream that gets a copy of the run's memory as it grows.
+      copied_by: How the copy came about from which the run goes on; None if
+        it begins here.
+      events: Events that have come of it.
     """
 
     upstream: upstream_lib.Upstream
     extra: message.Headers
     continues: bool = False
     backup: upstream_lib.Upstream | None = None
+    copied_by: CopiedBy | None = None
+    events: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -136,7 +136,7 @@
                     body, _ = await attempt.read_body(sent.conn, HELD_BYTES)
                     return leg_lib.Refusal(sent.head, body, sent.verdict)
                 self._start(sent.head)
-                await self._pump(sent.conn)
+                await self._pump(leg, sent.conn)
                 page.faults.succeed()
                 return leg_lib.WHOLE
         except error.NotSentError as exc:
@@ -152,13 +152,13 @@
         headers = message.relayed(head)
         self._req.responder.start(head.status, headers, None)
 
-    async def _pump(self, conn: call.Conn) -> None:
+    async def _pump(self, leg: leg_lib.Leg, conn: call.Conn) -> None:
         splitter = events.Splitter()
         stream, responder = self._stream, self._req.responder
         while data := await conn.read():
             if stream.reservation.is_reading:
                 self._core.live.note_read(stream)
-            ready = b''.join(self._fresh(splitter.feed(data)))
+            ready = b''.join(self._fresh(leg, splitter.feed(data)))
             if ready:
                 self._req.note_event()
                 responder.write(ready)
@@ -166,9 +166,12 @@
         if splitter.rest and stream.switch is None:
             raise error.TruncatedError('the stream ended within an event')
 
-    def _fresh(self, found: Iterator[events.Event]) -> Iterator[bytes]:
+    def _fresh(
+        self, leg: leg_lib.Leg, found: Iterator[events.Event]
+    ) -> Iterator[bytes]:
         stream = self._stream
         for piece in found:
+            leg.events += 1
             if piece.id is not None:
                 if stream.last_id is not None:
                     if piece.id <= stream.last_id:
@@ -259,5 +262,7 @@
                 last_event=self._stream.last_id,
                 next=next_leg.upstream.id if next_leg else '',
                 backup=leg.backup.id if leg.backup else '',
+                copied_by=leg.copied_by.value if leg.copied_by else '',
+                events=leg.events,
             )
         )
