Ask for grounds before a request is sent on: a run that made nothing ends

What callers saw: 502 for a plan that may run once, which had begun at two engines.

Cause: a run whose stream broke off was sent on wherever it had a backup that had been asked for. That no sign spoke against a copy was taken for a copy. An engine that ends what it has begun before its first event has sent no memory, and one that fails, or begins, before it looks for the copy runs the plan a second time. Class: absence of evidence taken for evidence.

Change: at_most_once is the one place that says on which grounds a request is sent: it has not run, it may be repeated, an engine has named the copy, or the run made events and is at work nowhere. Calls, streams that begin anew, moves, recoveries and ways back all ask there, and leg_ended and run_broke_off say the answer.

Ruled out: a fresh send behind an end taken for 'not run' (none in the lines; the grounds forbid it all the same); two gateways or a move beside a recovery (the record names one gateway, and the run ended as it began).

--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
@@ -0,0 +1,101 @@
+"""Keeps work that may be done once only from beginning a second time.
+
+Every way in which a request goes on after a send needs grounds from here: a
+further send of a call, a stream that begins anew, a run that goes on elsewhere
+by a move, at its backup, or back at its source.
+
+Grounds are what somebody has said or what has been seen. That nothing speaks
+against it is none: a copy that was asked for may never have been made, and an
+engine that did not carry out an order to stop may work on.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+__all__ = ['Grounds', 'Sends', 'Source', 'to_go_on']
+
+
+class Grounds(enum.Enum):
+    """Why a request may be sent to an upstream.
+
+    Attributes:
+      NOT_RUN: None of its sends has begun its work, by the word of whoever got
+        it or because nothing was sent.
+      REPEATABLE: Its work may be done more than once.
+      COPY: The run was ordered to stop, its part of the stream has ended, and
+        an engine has named the copy of its memory.
+      BACKUP: The run is at work nowhere, and made events where it was: an
+        engine that makes events has sent memory to the backup as it read and
+        generated.
+    """
+
+    NOT_RUN = 'not_run'
+    REPEATABLE = 'repeatable'
+    COPY = 'copy'
+    BACKUP = 'backup'
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether a run goes on from its memory rather than begins."""
+        return self in (Grounds.COPY, Grounds.BACKUP)
+
+
+class Source(enum.Enum):
+    """What is known of a run at the engine that worked on it last.
+
+    Attributes:
+      STOPPED: It was stopped by order, and its engine names what it kept.
+      ENDED: Whoever answers at the engine's address knows no such run.
+      SILENT: Nobody answers there. A run may go on behind a cut, but nothing
+        that it makes reaches anyone, and its engine drops it with the
+        connection.
+      AT_WORK: The engine did not carry out the order.
+    """
+
+    STOPPED = 'stopped'
+    ENDED = 'ended'
+    SILENT = 'silent'
+    AT_WORK = 'at_work'
+
+
+@dataclasses.dataclass(slots=True)
+class Sends:
+    """What is known of the sends of one request.
+
+    Attributes:
+      may_repeat: Whether its work may be done more than once.
+      may_have_run: Whether any of them may have begun its work.
+    """
+
+    may_repeat: bool
+    may_have_run: bool = False
+
+    def note(self, *, may_have_run: bool) -> None:
+        """Takes how a send ended; what may have run stays so."""
+        self.may_have_run |= may_have_run
+
+    def to_begin(self) -> Grounds | None:
+        """Returns the grounds on which the work may begin; None for none."""
+        if not self.may_have_run:
+            return Grounds.NOT_RUN
+        return Grounds.REPEATABLE if self.may_repeat else None
+
+
+def to_go_on(source: Source, events: int) -> Grounds | None:
+    """Returns the grounds on which a run goes on that broke off.
+
+    An engine may end a run as it begins it. No memory has gone to the backup by
+    then, and an engine there that looks for the copy late, or fails before it
+    does, would begin the run a second time.
+
+    Args:
+      source: What is known of it where it broke off.
+      events: Events that came of it from there.
+    """
+    if source is Source.STOPPED:
+        return Grounds.COPY
+    if source is Source.AT_WORK or not events:
+        return None
+    return Grounds.BACKUP
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -167,9 +167,9 @@
       last_event: Number of the last event that the caller has.
       next: Upstream where it goes on; empty if nowhere.
       backup: Upstream that had a copy of its memory; empty if none.
-      copied_by: How the copy came about that it named: `order`, an engine
-        made it and said so; `backup`, it was asked for with an earlier send,
-        and nobody has said that it is there; empty if the part began anew.
+      grounds: Why the request might be sent there: `not_run` before,
+        `repeatable`, or going on from a `copy` that an engine has named or
+        from its `backup`.
       events: Events that came of the part.
     """
 
@@ -181,7 +181,7 @@
     last_event: int | None
     next: str
     backup: str
-    copied_by: str = ''
+    grounds: str = ''
     events: int = 0
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -9,8 +9,8 @@
     'CopyNotFreed',
     'EvacuationStarted',
     'ReportFailed',
+    'RunBrokeOff',
     'RunOrdered',
-    'RunRecovered',
     'UpstreamAdded',
     'UpstreamLapsed',
     'UpstreamLeaving',
@@ -96,21 +96,28 @@
 
 
 @base.define
-class RunRecovered(base.Event):
-    """A stream broke off, and its run goes on from its backup.
+class RunBrokeOff(base.Event):
+    """A stream broke off whose run had a backup; says if it goes on.
 
     Attributes:
       request: Id of the request.
-      source: Engine that made the events.
-      target: Engine that keeps the copy.
-      stop: What the order to stop it came to: an answer, `unknown_run`, or why
-        there was none.
+      source: Engine that had the run.
+      target: Engine that was to keep the copy.
+      stop: What is known of the run at its source after an order to stop it:
+        `stopped`, `ended`, `silent` or `at_work`.
+      events: Events that came of it from there.
+      grounds: Why it goes on: from a `copy` that its source has named, or
+        from its `backup`; empty if it does not.
+      answer: What the source answered to the order, or why it did not.
     """
 
     request: str
     source: str
     target: str
     stop: str
+    events: int
+    grounds: str
+    answer: str
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -6,7 +6,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import attempt, event, exchange, meter
+from quetzalsill_gateway import (
+    at_most_once,
+    attempt,
+    event,
+    exchange,
+    meter,
+)
 from quetzalsill_gateway.balance import choose, note
 from quetzalsill_gateway.http import error, message
 
@@ -49,27 +55,27 @@
     """What came of the sends of one call so far.
 
     Attributes:
+      sends: Whether any of them may have run the request.
       tried: Ids of the upstreams that were tried.
       newest: Result of the newest one.
       best: The answer of a server to hand on: the newest, as a server's own
         failure tells the caller more than one of ours.
-      ran: Whether any of them may have run the request.
       misdirected: Sends that reached nobody, or another than was meant.
     """
 
+    sends: at_most_once.Sends
     tried: frozenset[str] = frozenset()
     newest: _Answer | error.CallError | None = None
     best: _Answer | None = None
-    ran: bool = False
     misdirected: int = 0
 
     def note(self, result: _Answer | error.CallError) -> None:
         """Takes the result of a send."""
         self.newest = result
         if isinstance(result, error.CallError):
-            self.ran |= attempt.may_have_run(result)
+            self.sends.note(may_have_run=attempt.may_have_run(result))
         else:
-            self.ran |= result.verdict not in NOT_RUN
+            self.sends.note(may_have_run=result.verdict not in NOT_RUN)
             if result.verdict in ANSWERS:
                 self.best = result
         self.misdirected += self.is_misdirected
@@ -89,7 +95,7 @@
 async def forward(core: core_lib.Core, req: exchange.Exchange) -> str:
     """Brings a call to an upstream; returns its outcome for the log."""
     core.budget.note_request(req.service.name)
-    story = _Story()
+    story = _Story(at_most_once.Sends(req.route.kind.may_repeat))
     while True:
         upstream = await _choose(core, req, story)
         if upstream is None:
@@ -211,7 +217,7 @@
     core: core_lib.Core, req: exchange.Exchange, story: _Story
 ) -> bool:
     newest = story.newest
-    if req.responder.started:
+    if req.responder.started or story.sends.to_begin() is None:
         return False
     if story.is_misdirected:
         if story.misdirected >= MISDIRECTED_TRIES:
@@ -219,19 +225,18 @@
         if not isinstance(newest, error.CallError):
             core.budget.note_retry(req.service.name)
         return True
-    if isinstance(newest, error.CallError):
-        allowed = req.route.kind.may_repeat
-    elif newest.verdict is attempt.Verdict.NOT_RUN:
-        allowed = True
-    elif newest.verdict is attempt.Verdict.SUCCESS:
-        return False
-    else:
-        allowed = req.route.kind.may_repeat and _is_fault(newest)
-    if not allowed or req.sends >= req.route.attempts:
+    if not _is_worthwhile(newest) or req.sends >= req.route.attempts:
         return False
     return core.budget.spend(req.service.name)
 
 
+def _is_worthwhile(newest: _Answer | error.CallError) -> bool:
+    """Whether another upstream may do better than the newest one."""
+    if isinstance(newest, error.CallError):
+        return True
+    return newest.verdict is attempt.Verdict.NOT_RUN or _is_fault(newest)
+
+
 def _is_fault(result: _Answer) -> bool:
     return (
         result.head.status >= SERVER_ERROR
@@ -253,7 +258,7 @@
         )
         served = best.verdict is attempt.Verdict.SUCCESS
         return 'served' if served else 'upstream_failed'
-    if not story.ran:
+    if not story.sends.may_have_run:
         exchange.refuse(responder, UNAVAILABLE, 'not_run', again=True)
         return 'refused'
     exchange.refuse(responder, BAD_GATEWAY, 'upstream_failed')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -11,8 +11,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quetzalsill_gateway import at_most_once, event
 from quetzalsill_gateway import dialect as dialect_lib
-from quetzalsill_gateway import event
 from quetzalsill_gateway.balance import backup
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import leg as leg_lib
@@ -57,9 +57,11 @@
         self._handle = ''
         self._late_switch: asyncio.Future[live.Switch | None] | None = None
 
-    def begin(self, upstream: upstream_lib.Upstream) -> leg_lib.Leg:
+    def begin(
+        self, upstream: upstream_lib.Upstream, grounds: at_most_once.Grounds
+    ) -> leg_lib.Leg:
         """Returns the leg of a run that begins."""
-        return self._leg(upstream, [self._priority()])
+        return self._leg(upstream, [self._priority()], grounds)
 
     async def after(
         self, leg: leg_lib.Leg, end: leg_lib.End
@@ -106,41 +108,55 @@
         return switch
 
     async def _recovered(self, leg: leg_lib.Leg) -> leg_lib.Leg | None:
-        """Goes on from the backup of a run whose stream broke off.
+        """Goes on with a run whose stream broke off, where it surely may.
 
         The connection may have broken although the engine lives and works on:
         going on elsewhere, the run would be at work twice. So the engine is
-        ordered to stop it first. An engine that does not know the run, or that
-        cannot be reached, works on it no more as far as anyone can tell.
+        ordered to stop it first.
         """
         target = self._stream.backup
-        if target is None or target.gone or not self._take_switch('recovery'):
+        if target is None or target.gone:
             return None
-        request = self._req.id_text
-        move, answer = await self._stop(leg.upstream, target)
+        source, move = await self._stop(leg.upstream, target)
+        grounds = at_most_once.to_go_on(source, leg.events)
+        is_in_time = grounds is not None and self._take_switch('recovery')
         event.note(
-            event.RunRecovered(request, leg.upstream.id, target.id, answer)
+            event.RunBrokeOff(
+                request=self._req.id_text,
+                source=leg.upstream.id,
+                target=target.id,
+                stop=source.value,
+                events=leg.events,
+                grounds=grounds.value if is_in_time else '',
+                answer=move.code,
+            )
         )
-        if move.handle:
-            where = target if move.copied else leg.upstream
-            return self._continued(where, leg.upstream, move.handle)
-        return self._continued(target, target, request, leg_lib.CopiedBy.BACKUP)
+        if not is_in_time:
+            return None
+        if grounds is at_most_once.Grounds.BACKUP:
+            request = self._req.id_text
+            return self._continued(target, target, request, grounds)
+        where = target if move.copied else leg.upstream
+        return self._continued(where, leg.upstream, move.handle)
 
     async def _stop(
         self, source: upstream_lib.Upstream, target: upstream_lib.Upstream
-    ) -> tuple[dialect_lib.Move, str]:
+    ) -> tuple[at_most_once.Source, dialect_lib.Move]:
         """Orders an engine to stop the run; returns what came of it."""
-        request = self._req.id_text
+        move = dialect_lib.Move()
         try:
             async with asyncio.timeout(STOP_S):
                 move = await self._core.calls.move(
-                    source, request, target, True
+                    source, self._req.id_text, target, True
                 )
         except error.CallError as exc:
-            return dialect_lib.Move(), exc.code
+            move = dialect_lib.Move(code=exc.code)
+            return at_most_once.Source.SILENT, move
         except TimeoutError:
-            return dialect_lib.Move(), 'silent'
-        return move, move.code or 'unknown_run'
+            return at_most_once.Source.SILENT, move
+        if move.handle:
+            return at_most_once.Source.STOPPED, move
+        return at_most_once.Source.ENDED, move
 
     async def _after_refused(self) -> leg_lib.Leg | None:
         """Goes on elsewhere when the destination did not take the run."""
@@ -165,7 +181,7 @@
         target: upstream_lib.Upstream,
         holder: upstream_lib.Upstream,
         handle: str,
-        copied_by: leg_lib.CopiedBy = leg_lib.CopiedBy.ORDER,
+        grounds: at_most_once.Grounds = at_most_once.Grounds.COPY,
     ) -> leg_lib.Leg:
         dialect = self._core.dialect
         extra = [
@@ -175,19 +191,16 @@
         ]
         self._source = holder
         self._handle = handle
-        leg = self._leg(target, extra, continues=True)
-        leg.copied_by = copied_by
-        return leg
+        return self._leg(target, extra, grounds)
 
     def _leg(
         self,
         upstream: upstream_lib.Upstream,
         extra: message.Headers,
-        *,
-        continues: bool = False,
+        grounds: at_most_once.Grounds,
     ) -> leg_lib.Leg:
         """Returns a leg, with a backup if one is worth it."""
-        leg = leg_lib.Leg(upstream, extra, continues)
+        leg = leg_lib.Leg(upstream, extra, grounds)
         stream, req, pages = self._stream, self._req, self._core.pages
         engine = req.service.engine
         if engine is None or not engine.backups or req.route.kind.may_repeat:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import attempt
+from quetzalsill_gateway import at_most_once, attempt
 from quetzalsill_gateway.http import error
 
 if TYPE_CHECKING:
@@ -16,7 +15,6 @@
 __all__ = [
     'NOT_RUN',
     'WHOLE',
-    'CopiedBy',
     'End',
     'Leg',
     'Refusal',
@@ -29,13 +27,6 @@
 NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 
 
-class CopiedBy(enum.Enum):
-    """How the copy of a run's memory came about from which it goes on."""
-
-    ORDER = 'order'
-    BACKUP = 'backup'
-
-
 @dataclasses.dataclass(slots=True)
 class Leg:
     """One upstream's part of a stream.
@@ -43,20 +34,22 @@
     Attributes:
       upstream: Who makes the events.
       extra: Headers that the gateway sets.
-      continues: The run goes on from memory.
+      grounds: Why the request may be sent there.
       backup: Upstream that gets a copy of the run's memory as it grows.
-      copied_by: How the copy came about from which the run goes on; None if
-        it begins here.
       events: Events that have come of it.
     """
 
     upstream: upstream_lib.Upstream
     extra: message.Headers
-    continues: bool = False
+    grounds: at_most_once.Grounds
     backup: upstream_lib.Upstream | None = None
-    copied_by: CopiedBy | None = None
     events: int = 0
 
+    @property
+    def continues(self) -> bool:
+        """Whether the run goes on from memory."""
+        return self.grounds.goes_on
+
 
 @dataclasses.dataclass(slots=True)
 class Refusal:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import (
+    at_most_once,
     attempt,
     event,
     exchange,
@@ -81,7 +82,8 @@
         self._req = stream.exchange
         self._avoid: frozenset[str] = frozenset()
         self._unreachable = 0
-        self._ran = False
+        kind = stream.exchange.route.kind
+        self._sends = at_most_once.Sends(kind.may_repeat)
         self._continuation = continuation.Continuation(core, stream)
 
     async def run(self) -> str:
@@ -90,8 +92,7 @@
         end: leg_lib.End | None = None
         while leg is not None:
             end = await self._run_leg(leg)
-            if end is not leg_lib.WHOLE and not leg_lib.is_not_run(end):
-                self._ran = True
+            self._sends.note(may_have_run=not leg_lib.is_not_run(end))
             next_leg = await self._next_leg(leg, end)
             self._log_leg(leg, end, next_leg)
             leg = next_leg
@@ -101,6 +102,9 @@
         return self._answer(end)
 
     async def _first_leg(self) -> leg_lib.Leg | None:
+        grounds = self._sends.to_begin()
+        if grounds is None:
+            return None
         req = self._req
         engine = req.service.engine or routing_table.Engine()
         reservation = self._stream.reservation
@@ -113,7 +117,7 @@
         self._core.quota.spend(upstream)
         needs = reservation.memory_tokens
         note.chosen(self._core, req, upstream, needs)
-        return self._continuation.begin(upstream)
+        return self._continuation.begin(upstream, grounds)
 
     async def _run_leg(self, leg: leg_lib.Leg) -> leg_lib.End:
         core, stream, req = self._core, self._stream, self._req
@@ -200,10 +204,13 @@
         return leg
 
     def _may_send_again(self, end: leg_lib.End) -> bool:
-        req = self._req
+        req, sends = self._req, self._sends
+        if sends.to_begin() is None:
+            return False
         if isinstance(end, error.CallError) and not attempt.may_have_run(end):
             self._unreachable += 1
-            return self._unreachable <= UNREACHABLE_TRIES and not self._ran
+            is_in_time = self._unreachable <= UNREACHABLE_TRIES
+            return is_in_time and not sends.may_have_run
         if isinstance(end, leg_lib.Refusal):
             if end.verdict is attempt.Verdict.WRONG_UPSTREAM:
                 self._unreachable += 1
@@ -213,7 +220,7 @@
                 return True
             if end.verdict is attempt.Verdict.NOT_RUN:
                 return self._has_budget()
-        return req.route.kind.may_repeat and self._has_budget()
+        return self._has_budget()
 
     def _has_budget(self) -> bool:
         if self._req.sends >= self._req.route.attempts:
@@ -225,7 +232,7 @@
         if responder.started:
             responder.abort()
             return 'cut'
-        if not self._ran:
+        if not self._sends.may_have_run:
             exchange.refuse(
                 responder,
                 UNAVAILABLE,
@@ -262,7 +269,7 @@
                 last_event=self._stream.last_id,
                 next=next_leg.upstream.id if next_leg else '',
                 backup=leg.backup.id if leg.backup else '',
-                copied_by=leg.copied_by.value if leg.copied_by else '',
+                grounds=leg.grounds.value,
                 events=leg.events,
             )
         )
--- /dev/null
+++ b/tests/quetzalsill_gateway/test_at_most_once.py
@@ -0,0 +1,70 @@
+"""Grounds on which requests are sent, and runs go on."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from quetzalsill_gateway import at_most_once
+
+Grounds = at_most_once.Grounds
+Source = at_most_once.Source
+
+
+class SendsTest(unittest.TestCase):
+    """Whether work begins at a further upstream."""
+
+    def test_what_has_not_run_begins(self):
+        sends = at_most_once.Sends(may_repeat=False)
+        self.assertIs(sends.to_begin(), Grounds.NOT_RUN)
+        sends.note(may_have_run=False)
+        self.assertIs(sends.to_begin(), Grounds.NOT_RUN)
+
+    def test_what_may_have_run_never_begins_again(self):
+        """An order gets no answer, and a later send of it is turned away.
+
+        That the later one has not run says nothing of the first; taken for the
+        whole story, the order would be sent a third time, and done twice.
+        """
+        sends = at_most_once.Sends(may_repeat=False)
+        sends.note(may_have_run=True)
+        sends.note(may_have_run=False)
+        self.assertIsNone(sends.to_begin())
+
+    def test_what_may_be_repeated_begins_again(self):
+        sends = at_most_once.Sends(may_repeat=True)
+        sends.note(may_have_run=True)
+        self.assertIs(sends.to_begin(), Grounds.REPEATABLE)
+
+
+class GoOnTest(unittest.TestCase):
+    """Whether a run that broke off goes on elsewhere."""
+
+    def test_a_run_that_its_engine_stopped_goes_on_from_the_copy(self):
+        for events in (0, 1, 80):
+            found = at_most_once.to_go_on(Source.STOPPED, events)
+            self.assertIs(found, Grounds.COPY)
+
+    def test_a_run_that_made_nothing_does_not_go_on_from_its_backup(self):
+        """An engine resets a plan as it begins it.
+
+        No memory has gone to the backup. Sent there, the plan began again.
+        """
+        for source in (Source.ENDED, Source.SILENT, Source.AT_WORK):
+            self.assertIsNone(at_most_once.to_go_on(source, 0))
+
+    def test_a_run_that_was_not_stopped_does_not_go_on(self):
+        for events in (0, 1, 80):
+            found = at_most_once.to_go_on(Source.AT_WORK, events)
+            self.assertIsNone(found)
+
+    def test_a_run_that_made_events_goes_on_from_its_backup(self):
+        for source, events in itertools.product(
+            (Source.ENDED, Source.SILENT), (1, 80)
+        ):
+            found = at_most_once.to_go_on(source, events)
+            self.assertIs(found, Grounds.BACKUP)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill_platform/test_run_once.py
+++ b/tests/quetzalsill_platform/test_run_once.py
@@ -13,11 +13,13 @@
     engine = {'backups': True, 'linkMbps': 2700.0}
 
     async def test_a_run_that_made_nothing_is_not_sent_to_its_backup(self):
-        """Engines reset a plan as they begin it; it began at two of them.
+        """Engines reset a plan as they begin it; it began at nine of them.
 
-        The first engine ends the run before its first event. The gateway sends
-        it on to the backup that it had asked for, which was never sent any
-        memory, and begins the plan a second time. The caller gets 502.
+        The first ends the run before its first event. The gateway sent it on
+        to the backup that it had asked for, and from there to the next. None
+        was ever sent memory of it: what had been asked for was taken for what
+        exists. Each of these sends named a backup and followed a part without
+        an event; none went on to an end. The caller gets 502.
         """
         for writer in self.engines:
             writer.reset_as_begun, writer.ignores_copies = 9, True
