An engine that did not stop a run has it: ask again, or end there

What callers saw: nothing; two engines worked on one plan that may run once.

Any answer to an order to stop without a handle was taken for 'works on it no more', also 409, by which an engine says that another order for the run is under way, and so that it has the run.

The order is repeated within its time; without success the run ends.

Left as it is: an engine that does not answer at all is taken for gone.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -80,6 +80,8 @@
         their run began: nothing of an answer is sent, and the run is over.
       ignores_copies: Runs a request that names a copy which is not held from
         the beginning, where it should refuse it as not run.
+      busy_orders: How many of the next orders to copy a run are answered 409,
+        as if another one were under way.
       requests: Headers of each request that came.
     """
 
@@ -98,6 +100,7 @@
         self.refuse = 0
         self.reset_as_begun = 0
         self.ignores_copies = False
+        self.busy_orders = 0
         self.requests: list[dict[str, str]] = []
         self.reports = 0
         self._fleet = fleet
@@ -165,6 +168,10 @@
         if run is None or not run.running:
             call.answer(404)
             return
+        if self.busy_orders:
+            self.busy_orders -= 1
+            call.answer(409)
+            return
         if order.get('last'):
             run.running = False
             self._fleet.end(run.request_id, self.id)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -82,6 +82,7 @@
       events: Events that the run has made.
       copied: Whether the copy is complete at the destination.
       unknown_run: The engine knows no such run.
+      refused: The engine did not carry the order out, and may have the run.
       code: What the engine answered, for logs.
     """
 
@@ -89,6 +90,7 @@
     events: int = 0
     copied: bool = False
     unknown_run: bool = False
+    refused: bool = False
     code: str = ''
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -34,6 +34,8 @@
 LAST_COPY_S = 0.04
 # An engine that is there answers an order to stop within a few round trips.
 STOP_S = 0.12
+# Small against the time of a copy, which is what it waits for.
+STOP_AGAIN_S = 0.01
 # An engine leaves every few seconds; a run that meets more of them than this
 # goes round in circles.
 MOST_SWITCHES = 8
@@ -140,20 +142,29 @@
         return self._continued(where, leg.upstream, move.handle)
 
     async def _stop(
-        self, source: upstream_lib.Upstream, target: upstream_lib.Upstream
+        self, engine: upstream_lib.Upstream, target: upstream_lib.Upstream
     ) -> tuple[at_most_once.Source, dialect_lib.Move]:
-        """Orders an engine to stop the run; returns what came of it."""
+        """Orders an engine to stop the run; returns what came of it.
+
+        An engine with another order for the run under way refuses: it has the
+        run, and works on. It is asked again until there is no time left.
+        """
         move = dialect_lib.Move()
         try:
             async with asyncio.timeout(STOP_S):
-                move = await self._core.calls.move(
-                    source, self._req.id_text, target, True
-                )
+                while True:
+                    move = await self._core.calls.move(
+                        engine, self._req.id_text, target, True
+                    )
+                    if not move.refused:
+                        break
+                    await asyncio.sleep(STOP_AGAIN_S)
         except error.CallError as exc:
             move = dialect_lib.Move(code=exc.code)
             return at_most_once.Source.SILENT, move
         except TimeoutError:
-            return at_most_once.Source.SILENT, move
+            source = at_most_once.Source
+            return source.AT_WORK if move.refused else source.SILENT, move
         if move.handle:
             return at_most_once.Source.STOPPED, move
         return at_most_once.Source.ENDED, move
--- a/tests/quetzalsill_platform/test_run_once.py
+++ b/tests/quetzalsill_platform/test_run_once.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from tests.quetzalsill_platform import test_backups, test_streams
@@ -27,6 +28,43 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(len(self.fleet.started['o1']), 1)
 
+    async def break_off(self, request_id, busy_orders):
+        """Breaks a plan off while its engine works on; returns the answer.
+
+        Args:
+          request_id: Id of the request.
+          busy_orders: How many orders to stop its engine does not carry out.
+        """
+        for writer in self.engines:
+            writer.length, writer.break_after = 80, 20
+            writer.works_on_s, writer.busy_orders = 5.0, busy_orders
+        asked = asyncio.create_task(
+            self.stream(request_id=request_id, headers=test_backups.LONG)
+        )
+        source = await self.until_working()
+        for writer in self.engines:
+            if writer is not source:
+                writer.break_after = None
+        return await asked
+
+    async def test_a_run_that_was_not_stopped_does_not_go_on(self):
+        """An engine works on behind a broken connection, and says 409.
+
+        It has the run, and another order for it under way, so that it does not
+        stop it. The gateway went on at the backup all the same, and two engines
+        worked on the plan. Its answer says that the run is there: the caller's
+        stream ends, and looks like it.
+        """
+        answer = await self.break_off('o2', busy_orders=1_000_000)
+        self.assertFalse(answer.whole)
+        self.assertEqual(self.fleet.doubled, set())
+
+    async def test_an_engine_is_told_again_to_stop_a_run(self):
+        """The order under way ends, and a later one is carried out."""
+        answer = await self.break_off('o3', busy_orders=2)
+        self.assert_whole(answer, 'o3', 80)
+        self.assertEqual(self.fleet.doubled, set())
+
 
 if __name__ == '__main__':
     unittest.main()
