An order to an engine that the run has left counts no more

What callers would have seen: a plan whose answer had come to its end was sent to a further engine, or went on there from an older copy of itself.

Cause: the answer to an order to stop a run belongs to one engine's part of it, and was taken at the end of whatever part came next. A connection that breaks while the order is under way lets the run go on at its backup in between.

Change: it counts only if it is of the engine whose part has ended.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -69,7 +69,7 @@
         self, leg: leg_lib.Leg, end: leg_lib.End
     ) -> leg_lib.Leg | None:
         """Returns the leg in which the run goes on; None if it does not."""
-        switch = await self._switched()
+        switch = await self._switched(leg.upstream)
         if switch is not None and self._take_switch('move'):
             return self._continued(switch.target, switch.source, switch.handle)
         if end is leg_lib.WHOLE:
@@ -94,8 +94,15 @@
         self._req.switch_cause = cause
         return True
 
-    async def _switched(self) -> live.Switch | None:
-        """Returns how to go on if the run was stopped in order to move."""
+    async def _switched(
+        self, source: upstream_lib.Upstream
+    ) -> live.Switch | None:
+        """Returns how to go on if the run was stopped in order to move.
+
+        An order to an engine from which the run has gone since, to its backup
+        as its connection broke, may be answered late. The run went on without
+        that copy: going on from it would do work again that is done.
+        """
         stream = self._stream
         pending, copied = stream.switch, stream.copied
         if pending is None:
@@ -103,10 +110,13 @@
         stream.switch = stream.copied = None
         patience_s = LAST_COPY_S if copied else SWITCH_S
         switch = await _settled(pending, patience_s)
+        late = None
         if switch is None and copied is not None and not pending.done():
             # The last copy waits for a link that is busy with others.
-            self._late_switch = pending
-            return copied
+            switch, late = copied, pending
+        if switch is None or switch.source is not source:
+            return None
+        self._late_switch = late
         return switch
 
     async def _recovered(self, leg: leg_lib.Leg) -> leg_lib.Leg | None:
--- /dev/null
+++ b/tests/quetzalsill_gateway/stream/test_continuation.py
@@ -0,0 +1,88 @@
+"""Where a run goes on when its upstream's part of the stream has ended."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+import unittest
+
+from quetzalsill_gateway import at_most_once, routing_table
+from quetzalsill_gateway.balance import book
+from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.http import error
+from quetzalsill_gateway.stream import continuation, leg, live
+
+
+def _exchange():
+    return types.SimpleNamespace(
+        id_text='r',
+        priority=1,
+        switch_cause='',
+        service=routing_table.Service('writers'),
+        route=types.SimpleNamespace(kind=routing_table.Kind.STREAM),
+    )
+
+
+class ContinuationTest(unittest.IsolatedAsyncioTestCase):
+    """One run, three engines."""
+
+    async def asyncSetUp(self):
+        self.engines = [
+            upstream.Upstream(f'e-{n}', 'writers', ('10.0.0.1', n), 'z')
+            for n in range(3)
+        ]
+        self.stream = live.Stream(_exchange(), None, book.Reservation(0, 100))
+        self.stream.last_id = 80
+        core = types.SimpleNamespace(
+            pages=book.Book(),
+            dialect=types.SimpleNamespace(
+                priority=b'priority',
+                memory_from=b'from',
+                resume_after=b'after',
+                memory_source=lambda holder, handle: handle.encode(),
+            ),
+        )
+        self.continuation = continuation.Continuation(core, self.stream)
+
+    def stopped(self, source, target):
+        """Has the run stopped at its source by an order to move."""
+        switched = asyncio.get_running_loop().create_future()
+        switched.set_result(live.Switch(source, target, 'handle'))
+        self.stream.switch = switched
+
+    def part(self, engine, grounds=at_most_once.Grounds.NOT_RUN):
+        """Returns a part of the stream that has made events."""
+        return leg.Leg(engine, [], grounds, events=80)
+
+    async def test_a_stopped_run_goes_on_at_its_destination(self):
+        source, target, _ = self.engines
+        self.stopped(source, target)
+        broken = error.TruncatedError('the connection ended')
+        found = await self.continuation.after(self.part(source), broken)
+        self.assertIs(found.upstream, target)
+        self.assertIs(found.grounds, at_most_once.Grounds.COPY)
+
+    async def test_an_order_to_an_engine_before_counts_no_more(self):
+        """A plan has come to its end, and is sent to a further engine.
+
+        Its engine left, and its connection broke while it was being stopped
+        in order to move. It went on at its backup. The answer to that order
+        came only then, and was taken for one to the backup's part.
+        """
+        source, backup, target = self.engines
+        self.stopped(source, target)
+        part = self.part(backup, at_most_once.Grounds.BACKUP)
+        found = await self.continuation.after(part, leg.WHOLE)
+        self.assertIsNone(found)
+
+    async def test_nor_does_its_copy_when_a_later_part_breaks_off(self):
+        """The copy is of the run as it was; the backup's part went further."""
+        source, backup, target = self.engines
+        self.stopped(source, target)
+        part = self.part(backup, at_most_once.Grounds.BACKUP)
+        broken = error.TruncatedError('the connection ended')
+        self.assertIsNone(await self.continuation.after(part, broken))
+
+
+if __name__ == '__main__':
+    unittest.main()
