A test that a late last copy is of its own move only

What callers would have seen: a plan that moved twice went on from a copy made in its first move, before all that it had made since. Cause: the last copy that a move had not waited for was kept until some later destination refused the run.

--- a/tests/quetzalsill_gateway/stream/test_continuation.py
+++ b/tests/quetzalsill_gateway/stream/test_continuation.py
@@ -83,6 +83,32 @@
         broken = error.TruncatedError('the connection ended')
         self.assertIsNone(await self.continuation.after(part, broken))
 
+    async def test_a_last_copy_that_came_late_is_of_its_own_move_only(self):
+        """A plan moves twice, and goes on from the copy of the first move.
+
+        Its first destination took the copy that was there before the last one,
+        which came late and stayed unused. The second destination was full; the
+        plan went on from that unused copy, made before all that it had made
+        since, in place of where it had just been stopped.
+        """
+        first, second, third = self.engines
+        slow = asyncio.get_running_loop().create_future()
+        self.stream.switch = slow
+        self.stream.copied = live.Switch(first, second, 'early')
+        broken = error.TruncatedError('the connection ended')
+        part = await self.continuation.after(self.part(first), broken)
+        self.assertIs(part.upstream, second)
+        slow.set_result(live.Switch(first, second, 'late'))
+
+        part.events = 20
+        self.stopped(second, third)
+        part = await self.continuation.after(part, broken)
+        self.assertIs(part.upstream, third)
+        self.stream.upstream = third
+        back = await self.continuation.after(part, error.ConnectError())
+        self.assertIs(back.upstream, second)
+        self.assertIn((b'from', b'handle'), back.extra)
+
 
 if __name__ == '__main__':
     unittest.main()
