An answer that comes as the patience for it ends is not lost

What callers saw: a plan was cut off (200, not whole) when its engine left, although the engine had stopped it and its memory lay at another one.

Cause: a process that is paused wakes to the answer of an order and to the end of its patience in one turn of its loop. The wait was given up, and then the answer was there: neither the last copy was taken, as the wait had failed, nor the first one, as no answer was missing any more.

Change: what is there when the wait ends is taken, however it ended.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import at_most_once, event
@@ -249,8 +250,13 @@
 async def _settled(
     pending: asyncio.Future[live.Switch | None], patience_s: float
 ) -> live.Switch | None:
-    try:
+    """Returns what an order came to; None if there is no word of it in time.
+
+    A process that is paused wakes to the answer and to the end of its patience
+    in the same turn of its loop. The wait is then given up although the answer
+    is there, by which a run that was stopped is not lost.
+    """
+    with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(patience_s):
-            return await asyncio.shield(pending)
-    except TimeoutError:
-        return None
+            await asyncio.shield(pending)
+    return pending.result() if pending.done() else None
