An answer that tells its end is whole, whatever order is under way

What callers would have seen: a plan that came to its last event was cut off when its engine left at that moment.

Cause: a run that ends while the order to stop it is on a slow way was taken for a stopped one: sent on to the destination, which had dropped the copy, and back to the source, which had too. The switch was asked for before the end of the stream, since an answer without length or chunks ends alike when it is whole and when it was stopped.

Change: an answer that tells where it ends is whole; only of one that does not is the order asked.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -67,6 +67,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer tells where it ends, by a length or by chunks."""
+        return not self._until_close
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Tunes the socket."""
         self._transport = transport
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -69,7 +69,14 @@
     async def after(
         self, leg: leg_lib.Leg, end: leg_lib.End
     ) -> leg_lib.Leg | None:
-        """Returns the leg in which the run goes on; None if it does not."""
+        """Returns the leg in which the run goes on; None if it does not.
+
+        A run may end while an order to stop it is still under way. Taken for
+        stopped, it would be sent to a destination that has dropped the copy
+        by then, and a caller who has the whole answer would be cut off.
+        """
+        if end is leg_lib.WHOLE and leg.is_framed:
+            return None
         switch = await self._switched(leg.upstream)
         if switch is not None and self._take_switch('move'):
             return self._continued(switch.target, switch.source, switch.handle)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -37,6 +37,8 @@
       grounds: Why the request may be sent there.
       backup: Upstream that gets a copy of the run's memory as it grows.
       events: Events that have come of it.
+      is_framed: Whether its stream tells where it ends. One that ends with
+        its connection ends alike whether the run is whole or was stopped.
     """
 
     upstream: upstream_lib.Upstream
@@ -44,6 +46,7 @@
     grounds: at_most_once.Grounds
     backup: upstream_lib.Upstream | None = None
     events: int = 0
+    is_framed: bool = False
 
     @property
     def continues(self) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -139,6 +139,7 @@
                         page.note_failure()
                     body, _ = await attempt.read_body(sent.conn, HELD_BYTES)
                     return leg_lib.Refusal(sent.head, body, sent.verdict)
+                leg.is_framed = sent.conn.is_framed
                 self._start(sent.head)
                 await self._pump(leg, sent.conn)
                 page.faults.succeed()
--- a/tests/quetzalsill_platform/test_moves.py
+++ b/tests/quetzalsill_platform/test_moves.py
@@ -79,6 +79,23 @@
         self.assertEqual(self.fleet.started['p1'], [source.id])
         self.assertEqual(self.fleet.doubled, set())
 
+    async def test_a_run_that_ends_before_the_order_to_stop_it(self):
+        """A plan comes to its last event, and its answer is cut off.
+
+        Its engine leaves; the run was copied once, and ends while the order
+        to stop it is on a slow way. It is taken for a stopped one all the
+        same: sent on to the destination, which has dropped the copy by then.
+        """
+        for writer in self.engines:
+            writer.order_s = ORDER_S
+        source, asked = await self.leave_with_a_run('p2', SHORT)
+        for writer in self.engines:
+            if writer is not source:
+                writer.refuse = 503
+        self.assert_whole(await asked, 'p2', SHORT)
+        requests = [sent for writer in self.engines for sent in writer.requests]
+        self.assertEqual(len(requests), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
