--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -37,6 +37,11 @@
     UNTRUE_PROMISE = 'untrue_promise'
     UNPROVED = 'unproved'
 
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the answer says that the request has not run there."""
+        return self in (Verdict.NOT_RUN, Verdict.WRONG_UPSTREAM)
+
 
 def judge(
     head: message.ResponseHead,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -40,7 +40,6 @@
 UNAVAILABLE = 503
 SERVER_ERROR = 500
 ANSWERS = (attempt.Verdict.SUCCESS, attempt.Verdict.FAILED)
-NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,7 +74,7 @@
         if isinstance(result, error.CallError):
             self.sends.note(may_have_run=attempt.may_have_run(result))
         else:
-            self.sends.note(may_have_run=result.verdict not in NOT_RUN)
+            self.sends.note(may_have_run=not result.verdict.is_not_run)
             if result.verdict in ANSWERS:
                 self.best = result
         self.misdirected += self.is_misdirected
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -18,7 +18,7 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import event, meter
+from quetzalsill_gateway import attempt, event, meter
 from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import live
@@ -126,7 +126,7 @@
     async def _evacuate(
         self, source: upstream_lib.Upstream, engine: routing_table.Engine
     ) -> None:
-        begun_s = _now()
+        begun_s = attempt.now()
         try:
             report = await self._report(source)
             runs = report.runs if report else ()
@@ -135,7 +135,7 @@
             departure = _Departure(source, engine, begun_s, page, tokens)
             self._note_start(departure)
             self._spawn(self._ask_again(source))
-            while _now() < begun_s + SEARCH_S:
+            while attempt.now() < begun_s + SEARCH_S:
                 for stream in self._unprotected(source):
                     self._moving.add(stream)
                     self._spawn(self._move(stream, departure))
@@ -221,10 +221,10 @@
         queue = self._core.link_queue
         patience_s = departure.move_s(stream) + PATIENCE_S
         await asyncio.sleep(SETTLE_S)
-        while not queue.is_next(source.key, request, _now(), patience_s):
+        while not queue.is_next(source.key, request, attempt.now(), patience_s):
             if self._is_elsewhere(stream, source):
                 return False
-            if _now() > departure.leaves_at_s:
+            if attempt.now() > departure.leaves_at_s:
                 return False
             await asyncio.sleep(TURN_EVERY_S)
         return not self._is_elsewhere(stream, source)
@@ -250,7 +250,7 @@
             stream.exchange.request_id,
             stream.reservation.memory_tokens,
         )
-        left_s = departure.leaves_at_s - _now()
+        left_s = departure.leaves_at_s - attempt.now()
         zone = source.availability_zone
         return [
             target
@@ -327,7 +327,7 @@
         *,
         last: bool,
     ) -> dialect_lib.Move | None:
-        begun_s = _now()
+        begun_s = attempt.now()
         request = stream.exchange.id_text
         move = None
         failure = ''
@@ -335,7 +335,7 @@
             move = await self._core.calls.move(source, request, target, last)
         except error.CallError as exc:
             failure = exc.code
-        took_s = _now() - begun_s
+        took_s = attempt.now() - begun_s
         meter.moves.observe({'last': str(last).lower()}, took_s)
         event.note(
             event.RunOrdered(
@@ -352,7 +352,3 @@
             )
         )
         return move
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -13,7 +13,6 @@
     from quetzalsill_gateway.http import message
 
 __all__ = [
-    'NOT_RUN',
     'WHOLE',
     'End',
     'Leg',
@@ -23,8 +22,6 @@
 ]
 
 WHOLE = 'whole'
-# Verdicts by which an answer says that the request has not run there.
-NOT_RUN = (attempt.Verdict.NOT_RUN, attempt.Verdict.WRONG_UPSTREAM)
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,7 +73,7 @@
     """Whether a leg ended without its request having run there."""
     if isinstance(end, error.CallError):
         return not attempt.may_have_run(end)
-    return isinstance(end, Refusal) and end.verdict in NOT_RUN
+    return isinstance(end, Refusal) and end.verdict.is_not_run
 
 
 def describe(end: End) -> str:
