A failing test: the end of a stream is taken for the stop of its run

What was seen: two engines at work on a plan that may run once.

Cause: once a first copy is there, a stream that ends while the order to stop is under way counts as stopped after the patience for the last copy. Its connection may have broken, and the engine may refuse the order or never get it. Nobody looks at the answer that comes later.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -125,5 +125,34 @@
         return await asked
 
 
+class MovedTest(_Fixture):
+    """Runs that are moved as their engine leaves."""
+
+    async def leave_with_a_run(self, request_id):
+        """Has a plan's engine leave; returns the answer."""
+        for writer in self.engines:
+            writer.length = LENGTH
+        asked = asyncio.create_task(self.stream(request_id=request_id))
+        source = await self.until_working()
+        source.leaving, source.leaves_ms = True, 1900
+        self.enter(source)
+        return await asked
+
+    async def test_a_run_that_broke_off_before_the_order_to_stop_it(self):
+        """A plan breaks off while the order to stop it is under way.
+
+        A first copy was made while it went on. Its connection breaks, the
+        engine works on, and refuses the order when it comes. The end of the
+        stream was taken for the stop: the plan went on from the first copy,
+        and two engines worked on it.
+        """
+        for writer in self.engines:
+            writer.breaks_off, writer.works_on_s = True, WORKS_ON_S
+            writer.order_s, writer.works_on = ORDER_S, True
+        answer = await self.leave_with_a_run('n5')
+        self.assertEqual(self.fleet.doubled, set())
+        self.assertFalse(answer.whole)
+
+
 if __name__ == '__main__':
     unittest.main()
