A failing test: a refusal whose body is no JSON counts as silence

What was seen: two engines at work on a plan that may run once; the first had answered 409 to the order to stop it.

Cause: the body is read before the status, and a body that is no JSON ends as MalformedAnswerError, a CallError, which `_stop` reads as nobody there. Fails each time.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -124,6 +124,19 @@
                 writer.break_after = None
         return await asked
 
+    async def test_a_refusal_in_plain_text_is_one(self):
+        """An engine works on behind a broken connection, and says so in text.
+
+        It answers 409 to the order to stop, with a line of text for a body.
+        Read as JSON first, the answer was taken for none, the engine for one
+        that is gone, and two engines worked on the plan.
+        """
+        for writer in self.engines:
+            writer.refusal = b'another order is under way\n'
+        answer = await self.break_off('n2')
+        self.assertEqual(self.fleet.doubled, set())
+        self.assertFalse(answer.whole)
+
 
 class MovedTest(_Fixture):
     """Runs that are moved as their engine leaves."""
