A failing test: a refusal that comes as the patience ends is lost

What was seen: two engines at work on a plan that may run once, after a pause of the gateway.

Cause: the answer to the order and the end of STOP_S come in one turn of the loop; the answer is thrown away and the engine counts as silent.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -137,6 +137,19 @@
         self.assertEqual(self.fleet.doubled, set())
         self.assertFalse(answer.whole)
 
+    async def test_a_refusal_that_comes_as_the_patience_ends(self):
+        """The gateway wakes from a pause to a refusal and to its patience.
+
+        Both come in one turn of its loop. The order was given up although its
+        answer was there, the engine taken for one that is gone, and two
+        engines worked on the plan.
+        """
+        for writer in self.engines:
+            writer.pause_s = PAUSE_S
+        answer = await self.break_off('n3')
+        self.assertEqual(self.fleet.doubled, set())
+        self.assertFalse(answer.whole)
+
 
 class MovedTest(_Fixture):
     """Runs that are moved as their engine leaves."""
