A failing test: an engine that is slow to refuse counts as gone

What was seen: two engines at work on a plan that may run once. The source could be reached and would have answered 409 later than STOP_S.

Cause: no answer within STOP_S is taken for an engine that is not there, also where the connection was open and the order was taken. Known to whoever left silence as it is; this is the case in which the engine is there.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -150,6 +150,19 @@
         self.assertEqual(self.fleet.doubled, set())
         self.assertFalse(answer.whole)
 
+    async def test_a_refusal_that_comes_late(self):
+        """An engine works on behind a broken connection, and is slow to answer.
+
+        It can be reached, takes the order, and would say later that it does
+        not carry it out. Silence for a moment was taken for an engine that is
+        gone, and two engines worked on the plan.
+        """
+        for writer in self.engines:
+            writer.order_s = ORDER_S
+        answer = await self.break_off('n4')
+        self.assertEqual(self.fleet.doubled, set())
+        self.assertFalse(answer.whole)
+
 
 class MovedTest(_Fixture):
     """Runs that are moved as their engine leaves."""
