A failing test: a stopped run whose order got no answer looks whole

What was seen: a caller got 3 of 60 events of a plan, as a whole answer (200).

Cause: a stream without length or chunks ends alike when it is whole and when it was stopped. With the answer to the order lost, it is taken for whole.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -192,6 +192,19 @@
         self.assertEqual(self.fleet.doubled, set())
         self.assertFalse(answer.whole)
 
+    async def test_a_stopped_run_whose_answer_was_lost_is_not_whole(self):
+        """A plan is stopped by order, and the answer to the order is lost.
+
+        Its stream tells no end of its own, and ends with its connection. That
+        nothing came of the order was taken for a run that was not stopped:
+        its caller got a part of the plan as the whole.
+        """
+        for writer in self.engines:
+            writer.is_framed, writer.loses_answers = False, True
+        answer = await self.leave_with_a_run('n6')
+        if answer.whole:
+            self.assertEqual(answer.body, self.whole('n6', LENGTH))
+
 
 if __name__ == '__main__':
     unittest.main()
