A failing test: a stopped run that may not switch looks whole

What was seen: a caller got 3 of 60 events of a plan, as a whole answer (200).

Cause: with MOST_SWITCHES used up, `after` forgets that the run was stopped and goes by the end of the stream alone, which tells no end of its own.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -205,6 +205,21 @@
         if answer.whole:
             self.assertEqual(answer.body, self.whole('n6', LENGTH))
 
+    async def test_a_stopped_run_that_may_not_switch_is_not_whole(self):
+        """A plan is stopped by order after as many switches as it may make.
+
+        Its stream ends with its connection, and nothing goes on; its caller
+        got a part of the plan as the whole.
+        """
+        bound = mock.patch.object(continuation, 'MOST_SWITCHES', 0)
+        bound.start()
+        self.addCleanup(bound.stop)
+        for writer in self.engines:
+            writer.is_framed = False
+        answer = await self.leave_with_a_run('n7')
+        if answer.whole:
+            self.assertEqual(answer.body, self.whole('n7', LENGTH))
+
 
 if __name__ == '__main__':
     unittest.main()
