A failing test: room kept for a move stays taken when its caller leaves

What was seen: 1,052 tokens reserved at an engine with no run, for good.

Cause: `Evacuation._stop` gives the room at the destination back only if the order failed. One that succeeds after the stream has ended leaves it taken, and the copy lying there. Fails each time.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -220,6 +220,34 @@
         if answer.whole:
             self.assertEqual(answer.body, self.whole('n7', LENGTH))
 
+    async def test_room_kept_for_a_move_is_given_back(self):
+        """A caller leaves while its plan's last copy is under way.
+
+        The order succeeds, and nobody goes on from the copy. The room that
+        was kept for the plan at its destination stays taken for good: the
+        engine looks fuller with each such caller.
+        """
+        bound = mock.patch.object(continuation, 'LAST_COPY_S', ORDER_S)
+        bound.start()
+        self.addCleanup(bound.stop)
+        for writer in self.engines:
+            writer.length, writer.last_copy_s = LENGTH, PAUSE_S
+        caller = self.caller()
+        await caller.open()
+        headers = test_streams.PROMPT
+        caller.send('/plan/', method='POST', body=b'x', headers=headers)
+        source = await self.until_working()
+        source.leaving, source.leaves_ms = True, 1900
+        self.enter(source)
+        await self.until(lambda: self.working() is None)
+        caller.leave()
+        await self.until(lambda: any(e._copies for e in self.engines))
+        core = self.process.core
+        moving = self.process._gateway._evacuation._moving
+        await self.until(lambda: not moving)
+        for found in core.upstreams.all():
+            self.assertEqual(core.pages.page(found).reserved_tokens, 0)
+
 
 if __name__ == '__main__':
     unittest.main()
