A failing test: what a sidecar knows to have run is called "not run"

What was seen: a generation that had ended at a sidecar was answered Refused, not run, to a recovery by the same sidecar; its router may dispatch it again.

Cause: for a recovery the sidecar drops its own record (ran yes, answer no longer kept) and believes the engine, which has forgotten the generation: 404, forbidden, same start. Nothing known is taken for nothing run. Needs an engine that forgets ids sooner than the sidecar does.

--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -6,6 +6,7 @@
 
 from quetzalsill.wire import message
 from quetzalsill_dev.engine_standin import engine as engine_standin
+from quetzalsill_dev.engine_standin import generation
 from tests.quetzalsill_sidecar import support
 
 
@@ -87,6 +88,28 @@
         self.assertIsInstance(messages[-1], message.Failed)
         self.assertEqual(messages[-1].ran, 'unknown')
 
+    async def test_what_ended_here_is_not_called_not_run(self):
+        """A plan is made twice.
+
+        It ended at this sidecar, which remembers that. Another router takes it
+        over and asks for it; the engine has forgotten what it made. That the
+        engine knows nothing was believed over the sidecar's own memory.
+        """
+        async with (
+            support.sidecar(self.url) as sidecar,
+            support.router(sidecar.port) as router,
+        ):
+            attempt = router.dispatch()
+            messages = await router.receive_all(attempt)
+            self.assertIsInstance(messages[-1], message.Finished)
+            router.send(message.Ack(attempt))
+            self.engine._generations = generation.Generations()
+            engine = self.engine.incarnation
+            router.dispatch(attempt=attempt, recover=True, engine=engine)
+            messages = await router.receive_all(attempt)
+        self.assertIsInstance(messages[-1], message.Failed)
+        self.assertNotEqual(messages[-1].ran, 'no')
+
     async def test_recovery_is_tried_anew_once_the_engine_is_back(self):
         """A plan is given up though its engine made it to the end.
 
