A failing test: two unknown starts of an engine are taken for the same

What was seen: Refused, not run, for a generation at an engine that tells no start.

Cause: `_settle_lost` compares the start in the Dispatch with the one reported; 0 is "unknown" in both, and equal. Needs an engine that leaves the field out, which the interface does not allow.

--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -88,6 +88,18 @@
         self.assertIsInstance(messages[-1], message.Failed)
         self.assertEqual(messages[-1].ran, 'unknown')
 
+    async def test_an_engine_that_tells_no_start_proves_nothing(self):
+        """A brief is made twice.
+
+        Its engine was restarted, and tells no start of its own. Neither start
+        is known, the one at the Dispatch nor the one now; that both are
+        unknown was taken for one and the same, and the brief for not run.
+        """
+        self.engine.incarnation = 0
+        messages = await self.recover('entry-1/7/lost-3', self.url, engine=0)
+        self.assertIsInstance(messages[-1], message.Failed)
+        self.assertEqual(messages[-1].ran, 'unknown')
+
     async def test_what_ended_here_is_not_called_not_run(self):
         """A plan is made twice.
 
