Only an engine that lets nobody connect is taken for gone

What callers would have seen: nothing; two engines worked on one plan, in two ways: the engine refused the order to stop it, and the refusal came as the patience for it ended; or it was there and slow to answer.

Cause: no answer within 0.12 s was taken for an engine that is gone, and so was a reset of the order's own connection, by which a busy engine turns one away.

Change: stream.stop orders until there is word, within a pause that callers bear, and takes an answer that is there when the wait ends. A connection that does not come about within 0.12 s is the one sign by which an engine is gone; one that ends as it opens is none (EndedError).

Ruled out: waiting for a dark engine as well; each of its runs would have a pause of 1.5 s in place of 0.12 and no other end.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -168,10 +168,10 @@
             answer; an answer with another value is left out.
 
         Raises:
-          error.ConnectError: The connection has ended; nothing was sent.
+          error.EndedError: The connection has ended; nothing was sent.
         """
         if not self.is_usable:
-            raise error.ConnectError('the connection has ended')
+            raise error.EndedError('the connection has ended')
         self._items.clear()
         self._parser = httptools.HttpResponseParser(self)
         self._echo = echo
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -8,6 +8,7 @@
     'CallError',
     'ClosedError',
     'ConnectError',
+    'EndedError',
     'MalformedAnswerError',
     'NoPlaceError',
     'NotSentError',
@@ -34,6 +35,15 @@
     ran = base.Ran.NO
 
 
+class EndedError(ConnectError):
+    """The connection ended before anything was sent on it.
+
+    The upstream had taken it, so that it is there.
+    """
+
+    code = 'connection_ended'
+
+
 class NotSentError(ConnectError):
     """This gateway has not sent the request; the upstream is not at fault."""
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
@@ -54,6 +54,7 @@
     *,
     body: Any = None,
     timeout_s: float,
+    connect_s: float | None = None,
 ) -> Answer:
     """Makes one call and returns its whole answer.
 
@@ -64,6 +65,8 @@
       target: Path and query.
       body: Sent as JSON unless it is None.
       timeout_s: Longest time to the first of the answer's body, in seconds.
+      connect_s: Longest time to open a connection, in seconds; None for
+        `timeout_s`.
 
     Raises:
       error.CallError: There is no whole answer.
@@ -77,7 +80,7 @@
     conn = None
     try:
         async with asyncio.timeout(timeout_s) as bound:
-            conn = await conns.take(address, timeout_s)
+            conn = await conns.take(address, connect_s or timeout_s)
             conn.send(head, data)
             found = await conn.head()
             pieces = bytearray()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -13,10 +13,10 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import at_most_once, event
-from quetzalsill_gateway import dialect as dialect_lib
 from quetzalsill_gateway.balance import backup
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import leg as leg_lib
+from quetzalsill_gateway.stream import stop
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -33,10 +33,6 @@
 # its first copy lacks the tokens of one copy's time, which are read again in a
 # few steps; waiting for a busy link takes longer.
 LAST_COPY_S = 0.04
-# An engine that is there answers an order to stop within a few round trips.
-STOP_S = 0.12
-# Small against the time of a copy, which is what it waits for.
-STOP_AGAIN_S = 0.01
 # An engine leaves every few seconds; a run that meets more of them than this
 # goes round in circles.
 MOST_SWITCHES = 8
@@ -137,55 +133,28 @@
         target = self._stream.backup
         if target is None or target.gone:
             return None
-        source, move = await self._stop(leg.upstream, target)
-        grounds = at_most_once.to_go_on(source, leg.events)
+        request = self._req.id_text
+        calls = self._core.calls
+        stopped = await stop.stop(calls, leg.upstream, request, target)
+        grounds = at_most_once.to_go_on(stopped.source, leg.events)
         is_in_time = grounds is not None and self._take_switch('recovery')
         event.note(
             event.RunBrokeOff(
-                request=self._req.id_text,
+                request=request,
                 source=leg.upstream.id,
                 target=target.id,
-                stop=source.value,
+                stop=stopped.source.value,
                 events=leg.events,
                 grounds=grounds.value if is_in_time else '',
-                answer=move.code,
+                answer=stopped.move.code,
             )
         )
         if not is_in_time:
             return None
         if grounds is at_most_once.Grounds.BACKUP:
-            request = self._req.id_text
             return self._continued(target, target, request, grounds)
-        where = target if move.copied else leg.upstream
-        return self._continued(where, leg.upstream, move.handle)
-
-    async def _stop(
-        self, engine: upstream_lib.Upstream, target: upstream_lib.Upstream
-    ) -> tuple[at_most_once.Source, dialect_lib.Move]:
-        """Orders an engine to stop the run; returns what came of it.
-
-        An engine with another order for the run under way refuses: it has the
-        run, and works on. It is asked again until there is no time left.
-        """
-        move = dialect_lib.Move()
-        try:
-            async with asyncio.timeout(STOP_S):
-                while True:
-                    move = await self._core.calls.move(
-                        engine, self._req.id_text, target, True
-                    )
-                    if not move.refused:
-                        break
-                    await asyncio.sleep(STOP_AGAIN_S)
-        except error.CallError as exc:
-            move = dialect_lib.Move(code=exc.code)
-            return at_most_once.Source.SILENT, move
-        except TimeoutError:
-            source = at_most_once.Source
-            return source.AT_WORK if move.refused else source.SILENT, move
-        if move.handle:
-            return at_most_once.Source.STOPPED, move
-        return at_most_once.Source.ENDED, move
+        where = target if stopped.move.copied else leg.upstream
+        return self._continued(where, leg.upstream, stopped.move.handle)
 
     async def _after_refused(self) -> leg_lib.Leg | None:
         """Goes on elsewhere when the destination did not take the run."""
