The stand-in resets a connection where it says so

Exchange.abort closed the connection as if the answer had ended: the kernel sends a reset only with unread bytes or with the option set. So no test met a stream that was reset, and all those that say 'reset' played an engine that closed the stream and worked on.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -12,6 +14,9 @@
 __all__ = ['Exchange', 'ScriptedServer']
 
 READ_BYTES = 65536
+# Linger for no time: what is not sent by then is dropped, and so is the
+# connection.
+RESET = struct.pack('ii', 1, 0)
 REASONS = {200: 'OK', 412: 'Precondition Failed', 421: 'Misdirected Request'}
 
 
@@ -60,7 +65,12 @@
         self.writer.write(b'%x\r\n%s\r\n' % (len(data), data))
 
     def abort(self) -> None:
-        """Resets the connection."""
+        """Resets the connection.
+
+        Without the option the kernel closes it as if the answer had ended.
+        """
+        sock = self.writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.writer.transport.abort()
 
     @property
