A stream that was reset says nothing of the order to stop its run

What callers would have seen: nothing; two engines worked on one plan. Cause: once a first copy was there, any end of the stream while the order to stop was under way was taken for the stop. A connection that breaks is none: the engine may refuse the order, or never get it. Change: an engine closes a stream that it stops; behind a reset only its answer counts. Result: test_a_run_that_broke_off_before_the_order_to_stop_it red before and with the guard out, green after. Left: an engine that closes a stream itself and works on all the same.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -91,7 +91,8 @@
             and not exc
         ):
             self._add(END)
-        self._fail(error.TruncatedError('the connection ended'))
+        detail = 'the connection ended'
+        self._fail(error.TruncatedError(detail, was_reset=exc is not None))
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the upstream."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -63,10 +63,18 @@
 
 
 class TruncatedError(CallError):
-    """The connection ended before the answer was whole."""
+    """The connection ended before the answer was whole.
+
+    Attributes:
+      was_reset: It broke; if not, the upstream closed it.
+    """
 
     code = 'answer_truncated'
 
+    def __init__(self, detail: str = '', *, was_reset: bool = False) -> None:
+        super().__init__(detail)
+        self.was_reset = was_reset
+
 
 class MalformedAnswerError(CallError):
     """The upstream sent bytes that are no HTTP answer."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -73,7 +73,7 @@
         """
         if end is leg_lib.WHOLE and leg.is_framed:
             return None
-        switch = await self._switched(leg.upstream)
+        switch = await self._switched(leg, end)
         if switch is not None and self._take_switch('move'):
             return self._continued(switch.target, switch.source, switch.handle)
         if end is leg_lib.WHOLE:
@@ -99,26 +99,32 @@
         return True
 
     async def _switched(
-        self, source: upstream_lib.Upstream
+        self, leg: leg_lib.Leg, end: leg_lib.End
     ) -> live.Switch | None:
         """Returns how to go on if the run was stopped in order to move.
 
         An order to an engine from which the run has gone since, to its backup
         as its connection broke, may be answered late. The run went on without
         that copy: going on from it would do work again that is done.
+
+        The engine closes a stream that it stops. One that is reset broke for
+        another reason: its engine may be at work still, and refuse the order
+        or never get it, so that only its answer counts.
         """
         stream = self._stream
         pending, copied = stream.switch, stream.copied
         if pending is None:
             return None
         stream.switch = stream.copied = None
+        if isinstance(end, error.TruncatedError) and end.was_reset:
+            copied = None
         patience_s = LAST_COPY_S if copied else SWITCH_S
         switch = await _settled(pending, patience_s)
         late = None
         if switch is None and copied is not None and not pending.done():
             # The last copy waits for a link that is busy with others.
             switch, late = copied, pending
-        if switch is None or switch.source is not source:
+        if switch is None or switch.source is not leg.upstream:
             return None
         self._late_switch = late
         return switch
