A stream that may have been stopped is not handed on as whole

What callers would have seen: 3 of 60 events of a plan as a whole answer (200). Cause: an answer without length or chunks ends alike when it is whole and when its run was stopped. Where the answer to the order was lost, and where the run could not switch any more, the end alone was believed. Change: an order comes to a place to go on, to 'not stopped' by the word of whoever answers, or to no word; only 'not stopped' leaves such an end its meaning.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -16,13 +16,12 @@
 from quetzalsill_gateway.balance import backup
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import leg as leg_lib
-from quetzalsill_gateway.stream import stop
+from quetzalsill_gateway.stream import live, stop
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.http import message
-    from quetzalsill_gateway.stream import live
 
 __all__ = ['Continuation']
 
@@ -54,7 +53,7 @@
         self._switches = 0
         self._source: upstream_lib.Upstream | None = None
         self._handle = ''
-        self._late_switch: asyncio.Future[live.Switch | None] | None = None
+        self._late_switch: asyncio.Future[live.Ordered] | None = None
 
     def begin(
         self, upstream: upstream_lib.Upstream, grounds: at_most_once.Grounds
@@ -73,9 +72,13 @@
         """
         if end is leg_lib.WHOLE and leg.is_framed:
             return None
-        switch = await self._switched(leg, end)
-        if switch is not None and self._take_switch('move'):
-            return self._continued(switch.target, switch.source, switch.handle)
+        ordered = await self._ordered(leg, end)
+        # Its stream may end with its connection, and then tells nothing.
+        leg.may_be_stopped = ordered not in (None, live.NoSwitch.NOT_STOPPED)
+        if isinstance(ordered, live.Switch) and self._take_switch('move'):
+            return self._continued(
+                ordered.target, ordered.source, ordered.handle
+            )
         if end is leg_lib.WHOLE:
             return None
         if leg_lib.is_not_run(end):
@@ -98,10 +101,10 @@
         self._req.switch_cause = cause
         return True
 
-    async def _switched(
+    async def _ordered(
         self, leg: leg_lib.Leg, end: leg_lib.End
-    ) -> live.Switch | None:
-        """Returns how to go on if the run was stopped in order to move.
+    ) -> live.Ordered | None:
+        """Returns what an order to stop the run there came to, if there is one.
 
         An order to an engine from which the run has gone since, to its backup
         as its connection broke, may be answered late. The run went on without
@@ -119,15 +122,19 @@
         if isinstance(end, error.TruncatedError) and end.was_reset:
             copied = None
         patience_s = LAST_COPY_S if copied else SWITCH_S
-        switch = await _settled(pending, patience_s)
+        ordered = await _settled(pending, patience_s)
         late = None
-        if switch is None and copied is not None and not pending.done():
+        if copied is not None and not pending.done():
             # The last copy waits for a link that is busy with others.
-            switch, late = copied, pending
-        if switch is None or switch.source is not leg.upstream:
+            ordered, late = copied, pending
+        is_other = (
+            isinstance(ordered, live.Switch)
+            and ordered.source is not leg.upstream
+        )
+        if is_other:
             return None
         self._late_switch = late
-        return switch
+        return ordered
 
     async def _recovered(self, leg: leg_lib.Leg) -> leg_lib.Leg | None:
         """Goes on with a run whose stream broke off, where it surely may.
@@ -167,7 +174,7 @@
         pending, self._late_switch = self._late_switch, None
         if pending is not None:
             switch = await _settled(pending, SWITCH_S)
-            if switch is not None:
+            if isinstance(switch, live.Switch):
                 return self._continued(
                     switch.target, switch.source, switch.handle
                 )
@@ -230,9 +237,9 @@
 
 
 async def _settled(
-    pending: asyncio.Future[live.Switch | None], patience_s: float
-) -> live.Switch | None:
-    """Returns what an order came to; None if there is no word of it in time.
+    pending: asyncio.Future[live.Ordered], patience_s: float
+) -> live.Ordered:
+    """Returns what an order came to, if there is word of it in time.
 
     A process that is paused wakes to the answer and to the end of its patience
     in the same turn of its loop. The wait is then given up although the answer
@@ -241,4 +248,4 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(patience_s):
             await asyncio.shield(pending)
-    return pending.result() if pending.done() else None
+    return pending.result() if pending.done() else live.NoSwitch.NO_WORD
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -296,15 +296,13 @@
         switched = asyncio.get_running_loop().create_future()
         stream.switch = switched
         move = await self._order(stream, source, target, last=True)
-        result = None
-        if move is not None and move.handle:
-            where = target if move.copied else source
-            result = live.Switch(source, where, move.handle)
+        result = _outcome(source, target, move)
         if not switched.done():
             switched.set_result(result)
-        if result is None and stream.switch is switched:
+        if result is live.NoSwitch.NOT_STOPPED and stream.switch is switched:
             stream.switch = None
-        if result is None or result.target is not target:
+        goes_there = isinstance(result, live.Switch) and result.target is target
+        if not goes_there:
             self._core.live.release(stream, target)
 
     async def _free(self, engine: upstream_lib.Upstream, handle: str) -> None:
@@ -352,3 +350,17 @@
             )
         )
         return move
+
+
+def _outcome(
+    source: upstream_lib.Upstream,
+    target: upstream_lib.Upstream,
+    move: dialect_lib.Move | None,
+) -> live.Ordered:
+    """Returns what an order to stop a run at its source came to."""
+    if move is None:
+        return live.NoSwitch.NO_WORD
+    if not move.handle:
+        return live.NoSwitch.NOT_STOPPED
+    where = target if move.copied else source
+    return live.Switch(source, where, move.handle)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -36,6 +36,7 @@
       events: Events that have come of it.
       is_framed: Whether its stream tells where it ends. One that ends with
         its connection ends alike whether the run is whole or was stopped.
+      may_be_stopped: Whether an order may have stopped the run there.
     """
 
     upstream: upstream_lib.Upstream
@@ -44,6 +45,7 @@
     backup: upstream_lib.Upstream | None = None
     events: int = 0
     is_framed: bool = False
+    may_be_stopped: bool = False
 
     @property
     def continues(self) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -14,13 +15,25 @@
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['Live', 'Stream', 'Switch']
+__all__ = ['Live', 'NoSwitch', 'Ordered', 'Stream', 'Switch']
 
 # The caller's guess is right at the median; one run in a few is longer.
 HINT_MARGIN = 1.3
 UNHINTED_SHARE = 0.5
 
 
+class NoSwitch(enum.Enum):
+    """What an order to stop a run came to that gives it no place to go on.
+
+    Attributes:
+      NOT_STOPPED: Whoever answers at the source has not stopped it.
+      NO_WORD: Nobody knows: there was no answer.
+    """
+
+    NOT_STOPPED = 'not_stopped'
+    NO_WORD = 'no_word'
+
+
 @dataclasses.dataclass(slots=True)
 class Switch:
     """Where a run goes on after it was stopped at its source.
@@ -36,6 +49,10 @@
     handle: str
 
 
+# What an order to stop a run comes to.
+Ordered = Switch | NoSwitch
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Stream:
     """One stream on its way to a caller.
@@ -61,7 +78,7 @@
     upstream: upstream_lib.Upstream | None = None
     backup: upstream_lib.Upstream | None = None
     last_id: int | None = None
-    switch: asyncio.Future[Switch | None] | None = None
+    switch: asyncio.Future[Ordered] | None = None
     copied: Switch | None = None
     placed_at_s: float | None = None
     reading_since: tuple[int, float] = (0, 0.0)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -95,10 +95,12 @@
             self._sends.note(may_have_run=not leg_lib.is_not_run(end))
             next_leg = await self._next_leg(leg, end)
             self._log_leg(leg, end, next_leg)
-            leg = next_leg
-            if end is leg_lib.WHOLE and leg is None:
+            if end is leg_lib.WHOLE and next_leg is None:
+                if leg.may_be_stopped:
+                    break
                 self._req.responder.end()
                 return 'served'
+            leg = next_leg
         return self._answer(end)
 
     async def _first_leg(self) -> leg_lib.Leg | None:
