Give the room of a move back when its caller has left

What operators would have seen: an engine that looked fuller with each caller that left while its plan's last copy was under way: 1,052 tokens kept for nobody, for good. Cause: the room at the destination was given back only if the order failed. Change: also if the stream has ended by then; the copy is freed with it. Result: test_room_kept_for_a_move_is_given_back red before, green after.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
@@ -302,8 +302,11 @@
         if result is live.NoSwitch.NOT_STOPPED and stream.switch is switched:
             stream.switch = None
         goes_there = isinstance(result, live.Switch) and result.target is target
-        if not goes_there:
+        if not goes_there or stream.ended:
             self._core.live.release(stream, target)
+        if stream.ended and isinstance(result, live.Switch):
+            # Its caller has left meanwhile, and nobody goes on from the copy.
+            await self._free(source, result.handle)
 
     async def _free(self, engine: upstream_lib.Upstream, handle: str) -> None:
         """Frees a copy that nobody will go on from.
