An engine is no backup of its own run under a new entry

What callers would have seen: a plan lost with its engine although it was to have a copy. Cause: the source was left out by identity; an entry that lapsed and was written again is another object of the same engine. Change: by its id, as for the destinations of moves.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
@@ -81,7 +81,7 @@
     able = [
         candidate
         for candidate in engines
-        if candidate is not source
+        if candidate.id != source.id
         and pages.page(candidate).held_tokens + needs_tokens <= bound
     ]
     return min(able, key=rank, default=None)
