A sidecar's own memory of a run outlasts its engine's

What callers would have seen: a plan made twice, by the project's own interface: 'not run' for a generation that had ended at the same sidecar, and its router dispatched it again. Cause: for a recovery the sidecar dropped its record and asked the engine, which had forgotten what it made. That nothing is known was taken for nothing run. Change: the record 'ran' goes along with the recovery.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/state.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/attempt/state.py
@@ -42,6 +42,8 @@
       orphan_s: How long it runs on without a link.
       stage: How far it is.
       started: When it was handed to the upstream; 0 if it was not.
+      has_run: A generation of this id is known to have run, whatever the
+        engine remembers of it.
       link: Identity of the link of its router; None while there is none.
       put: Sends to that link.
       detached: When the link was lost.
@@ -61,6 +63,7 @@
     orphan_s: float
     stage: Stage = Stage.JUDGED
     started: float = 0.0
+    has_run: bool = False
     link: object = None
     put: Callable[[message.Message], None] | None = None
     detached: float = 0.0
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/intake.py
@@ -58,6 +58,7 @@
         self, dispatch: message.Dispatch, link: object, put: Put
     ) -> None:
         """Takes a Dispatch; one of a known attempt only re-attaches it."""
+        has_run = _has_run(self._terminal(dispatch.attempt))
         if self._answer_known(dispatch, link, put):
             return
         attempt = make.attempt(
@@ -66,6 +67,7 @@
             self._configuration.current,
             asyncio.get_running_loop().time(),
         )
+        attempt.has_run = has_run
         self._attempts.add(attempt)
         attempt.attach(link, put)
         if dispatch.revision > self._configuration.revision:
@@ -171,11 +173,7 @@
     ) -> bool:
         """Answers for an attempt seen before; False if it is to be run."""
         attempt = self._attempts.get(dispatch.attempt)
-        terminal = (
-            attempt.terminal
-            if attempt is not None
-            else self._attempts.stones.find(dispatch.attempt)
-        )
+        terminal = self._terminal(dispatch.attempt)
         is_call = dispatch.kind == kind.CALL
         if dispatch.recover and not is_call and _is_open(terminal):
             # The engine could not be asked the last time, or not by who asks
@@ -188,6 +186,13 @@
             put(terminal)
         return attempt is not None or terminal is not None
 
+    def _terminal(self, attempt_id: str) -> message.Message | None:
+        """Returns how an attempt ended here; None if that is not known."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None:
+            return attempt.terminal
+        return self._attempts.stones.find(attempt_id)
+
     def _take_up(
         self,
         attempt: state.Attempt,
@@ -296,6 +301,17 @@
     )
 
 
+def _has_run(terminal: message.Message | None) -> bool:
+    """Whether an attempt that ended here surely ran.
+
+    An engine forgets what it made. Asked then by a recovery, it knows no such
+    generation, which is no word of one that never ran.
+    """
+    if isinstance(terminal, message.Failed):
+        return terminal.ran == base.Ran.YES
+    return isinstance(terminal, message.Finished)
+
+
 def _rewind(attempt: state.Attempt, msg: message.Resume) -> bool:
     """Goes back to the item asked for; False if it is not kept."""
     seq = msg.seq
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
@@ -104,7 +104,7 @@
     found = await _settle(attempt.id, engine)
     if not found:
         return _unknown(attempt, detail)
-    if found != FORBIDDEN or attempt.started:
+    if found != FORBIDDEN or attempt.started or attempt.has_run:
         return outcome.failed(
             attempt.id,
             request_error.UpstreamFailedError.code,
