Two unknown starts of an engine are not the same start

What callers would have seen: a brief made twice, where an engine tells no start of its own. Cause: the start in the Dispatch was compared with the one reported; 0 is 'unknown' in both. Change: only a start that is told proves anything. Result: test_an_engine_that_tells_no_start_proves_nothing red before, green after; sidecar and peers: 113 passed, 0 failed.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generate.py
@@ -111,7 +111,7 @@
             detail,
             gone=True,
         )
-    if await _incarnation(engine) != attempt.dispatch.engine:
+    if not await _is_same_start(engine, attempt.dispatch.engine):
         return _unknown(attempt, 'the engine was restarted', gone=True)
     return message.Refused(
         attempt.id, request_error.NotFoundError.code, detail, 0
@@ -153,6 +153,14 @@
         return ''
 
 
+async def _is_same_start(engine: engine_lib.Engine, known: int) -> bool:
+    """Whether an engine has surely not started anew.
+
+    One that tells no start looks the same after it.
+    """
+    return known > 0 and await _incarnation(engine) == known
+
+
 async def _incarnation(engine: engine_lib.Engine) -> int:
     """Incarnation of the engine; -1 if it can't be learnt."""
     try:
