A backup counts only once memory of the run has surely been sent

Cause: that an engine made an event was taken for a copy. Memory goes to a backup several times a second, so the first event says nothing of it. Change: a run goes on from its backup once it has made events for a third of a second. Left: a backup that had no room, and an engine there that runs what it holds no copy of.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
@@ -14,7 +14,10 @@
 import dataclasses
 import enum
 
-__all__ = ['Grounds', 'Sends', 'Source', 'to_go_on']
+__all__ = ['MEMORY_SENT_S', 'Grounds', 'Sends', 'Source', 'to_go_on']
+
+# An engine sends the memory of a run to its backup several times a second.
+MEMORY_SENT_S = 1 / 3
 
 
 class Grounds(enum.Enum):
@@ -26,9 +29,8 @@
       REPEATABLE: Its work may be done more than once.
       COPY: The run was ordered to stop, its part of the stream has ended, and
         an engine has named the copy of its memory.
-      BACKUP: The run is at work nowhere, and made events where it was: an
-        engine that makes events has sent memory to the backup as it read and
-        generated.
+      BACKUP: The run is at work nowhere, and made events where it was for so
+        long that memory of it has been sent to its backup.
     """
 
     NOT_RUN = 'not_run'
@@ -83,19 +85,20 @@
         return Grounds.REPEATABLE if self.may_repeat else None
 
 
-def to_go_on(source: Source, events: int) -> Grounds | None:
+def to_go_on(source: Source, made_s: float) -> Grounds | None:
     """Returns the grounds on which a run goes on that broke off.
 
-    An engine may end a run as it begins it. No memory has gone to the backup by
-    then, and an engine there that looks for the copy late, or fails before it
-    does, would begin the run a second time.
+    An engine may end a run as it begins it, or soon after. No memory has gone
+    to the backup by then, and an engine there that looks for the copy late, or
+    fails before it does, would begin the run a second time.
 
     Args:
       source: What is known of it where it broke off.
-      events: Events that came of it from there.
+      made_s: For how long events came of it from there, in seconds; 0 if none
+        did, or one.
     """
     if source is Source.STOPPED:
         return Grounds.COPY
-    if source is Source.AT_WORK or not events:
+    if source is Source.AT_WORK or made_s < MEMORY_SENT_S:
         return None
     return Grounds.BACKUP
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -106,6 +106,7 @@
       stop: What is known of the run at its source after an order to stop it:
         `stopped`, `ended`, `silent` or `at_work`.
       events: Events that came of it from there.
+      made_ms: For how long they came.
       grounds: Why it goes on: from a `copy` that its source has named, or
         from its `backup`; empty if it does not.
       answer: What the source answered to the order, or why it did not.
@@ -116,6 +117,7 @@
     target: str
     stop: str
     events: int
+    made_ms: float
     grounds: str
     answer: str
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -25,6 +25,7 @@
 
 __all__ = ['Continuation']
 
+MS_PER_S = 1000
 # A run that was stopped is resumed within a pause that callers hardly notice,
 # or not at all.
 SWITCH_S = 1.5
@@ -149,7 +150,7 @@
         request = self._req.id_text
         calls = self._core.calls
         stopped = await stop.stop(calls, leg.upstream, request, target)
-        grounds = at_most_once.to_go_on(stopped.source, leg.events)
+        grounds = at_most_once.to_go_on(stopped.source, leg.made_s)
         is_in_time = grounds is not None and self._take_switch('recovery')
         event.note(
             event.RunBrokeOff(
@@ -158,6 +159,7 @@
                 target=target.id,
                 stop=stopped.source.value,
                 events=leg.events,
+                made_ms=round(leg.made_s * MS_PER_S, 1),
                 grounds=grounds.value if is_in_time else '',
                 answer=stopped.move.code,
             )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/leg.py
@@ -34,6 +34,8 @@
       grounds: Why the request may be sent there.
       backup: Upstream that gets a copy of the run's memory as it grows.
       events: Events that have come of it.
+      first_s: Loop time of the first of them; 0 before it.
+      newest_s: Loop time of the newest.
       is_framed: Whether its stream tells where it ends. One that ends with
         its connection ends alike whether the run is whole or was stopped.
       may_be_stopped: Whether an order may have stopped the run there.
@@ -44,6 +46,8 @@
     grounds: at_most_once.Grounds
     backup: upstream_lib.Upstream | None = None
     events: int = 0
+    first_s: float = 0.0
+    newest_s: float = 0.0
     is_framed: bool = False
     may_be_stopped: bool = False
 
@@ -52,6 +56,18 @@
         """Whether the run goes on from memory."""
         return self.grounds.goes_on
 
+    @property
+    def made_s(self) -> float:
+        """For how long events have come of it, in seconds."""
+        return self.newest_s - self.first_s
+
+    def note_event(self, now: float) -> None:
+        """Takes an event that came at a loop time."""
+        if not self.events:
+            self.first_s = now
+        self.newest_s = now
+        self.events += 1
+
 
 @dataclasses.dataclass(slots=True)
 class Refusal:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -178,7 +178,7 @@
     ) -> Iterator[bytes]:
         stream = self._stream
         for piece in found:
-            leg.events += 1
+            leg.note_event(attempt.now())
             if piece.id is not None:
                 if stream.last_id is not None:
                     if piece.id <= stream.last_id:
--- a/tests/quetzalsill_gateway/test_at_most_once.py
+++ b/tests/quetzalsill_gateway/test_at_most_once.py
@@ -41,28 +41,31 @@
     """Whether a run that broke off goes on elsewhere."""
 
     def test_a_run_that_its_engine_stopped_goes_on_from_the_copy(self):
-        for events in (0, 1, 80):
-            found = at_most_once.to_go_on(Source.STOPPED, events)
+        for made_s in (0.0, 0.02, 8.0):
+            found = at_most_once.to_go_on(Source.STOPPED, made_s)
             self.assertIs(found, Grounds.COPY)
 
-    def test_a_run_that_made_nothing_does_not_go_on_from_its_backup(self):
-        """An engine resets a plan as it begins it.
+    def test_a_run_that_has_hardly_begun_does_not_go_on(self):
+        """An engine resets a plan as it begins it, or soon after.
 
         No memory has gone to the backup. Sent there, the plan began again.
         """
-        for source in (Source.ENDED, Source.SILENT, Source.AT_WORK):
-            self.assertIsNone(at_most_once.to_go_on(source, 0))
+        for source, made_s in itertools.product(
+            (Source.ENDED, Source.SILENT, Source.AT_WORK), (0.0, 0.3)
+        ):
+            self.assertIsNone(at_most_once.to_go_on(source, made_s))
 
     def test_a_run_that_was_not_stopped_does_not_go_on(self):
-        for events in (0, 1, 80):
-            found = at_most_once.to_go_on(Source.AT_WORK, events)
+        for made_s in (0.0, 0.02, 8.0):
+            found = at_most_once.to_go_on(Source.AT_WORK, made_s)
             self.assertIsNone(found)
 
-    def test_a_run_that_made_events_goes_on_from_its_backup(self):
-        for source, events in itertools.product(
-            (Source.ENDED, Source.SILENT), (1, 80)
+    def test_a_run_that_made_events_for_a_while_goes_on_from_its_backup(self):
+        for source, made_s in itertools.product(
+            (Source.ENDED, Source.SILENT),
+            (at_most_once.MEMORY_SENT_S, 8.0),
         ):
-            found = at_most_once.to_go_on(source, events)
+            found = at_most_once.to_go_on(source, made_s)
             self.assertIs(found, Grounds.BACKUP)
 
 
