--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -34,7 +34,7 @@
             self.writer.close()
 
 
-class _Engine(engine.Engine):
+class Engine(engine.Engine):
     """An engine that is hard to read.
 
     Attributes:
@@ -87,7 +87,7 @@
     """Engines that are hard to read."""
 
     async def asyncSetUp(self):
-        with mock.patch.object(engine, 'Engine', _Engine):
+        with mock.patch.object(engine, 'Engine', Engine):
             await super().asyncSetUp()
 
 
@@ -164,19 +164,20 @@
         self.assertFalse(answer.whole)
 
 
+async def leave_with_a_run(test, request_id):
+    """Has the engine of a plan leave; returns the plan's answer."""
+    for writer in test.engines:
+        writer.length = LENGTH
+    asked = asyncio.create_task(test.stream(request_id=request_id))
+    source = await test.until_working()
+    source.leaving, source.leaves_ms = True, 1900
+    test.enter(source)
+    return await asked
+
+
 class MovedTest(_Fixture):
     """Runs that are moved as their engine leaves."""
 
-    async def leave_with_a_run(self, request_id):
-        """Has a plan's engine leave; returns the answer."""
-        for writer in self.engines:
-            writer.length = LENGTH
-        asked = asyncio.create_task(self.stream(request_id=request_id))
-        source = await self.until_working()
-        source.leaving, source.leaves_ms = True, 1900
-        self.enter(source)
-        return await asked
-
     async def test_a_run_that_broke_off_before_the_order_to_stop_it(self):
         """A plan breaks off while the order to stop it is under way.
 
@@ -188,7 +189,7 @@
         for writer in self.engines:
             writer.breaks_off, writer.works_on_s = True, WORKS_ON_S
             writer.order_s, writer.works_on = ORDER_S, True
-        answer = await self.leave_with_a_run('n5')
+        answer = await leave_with_a_run(self, 'n5')
         self.assertEqual(self.fleet.doubled, set())
         self.assertFalse(answer.whole)
 
@@ -201,7 +202,7 @@
         """
         for writer in self.engines:
             writer.is_framed, writer.loses_answers = False, True
-        answer = await self.leave_with_a_run('n6')
+        answer = await leave_with_a_run(self, 'n6')
         if answer.whole:
             self.assertEqual(answer.body, self.whole('n6', LENGTH))
 
@@ -216,7 +217,7 @@
         self.addCleanup(bound.stop)
         for writer in self.engines:
             writer.is_framed = False
-        answer = await self.leave_with_a_run('n7')
+        answer = await leave_with_a_run(self, 'n7')
         if answer.whole:
             self.assertEqual(answer.body, self.whole('n7', LENGTH))
 
