A failing test: a refused order counts as silence once the next is lost

What was seen: two engines at work on a plan that may run once; the first had said 409 to an order to stop it, and reset the order after that.

Cause: `_stop` lets a CallError of a later order replace the refusal that came, and returns silent. Fails each time.

--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -40,6 +40,7 @@
     Attributes:
       works_on: Carries no order to stop a run out, and answers 409.
       refusal: Body of that answer.
+      refusals: How many such answers it gives; it resets further orders.
       pause_s: The process is paused so long behind such an answer.
       order_s: Time that an order to stop a run is under way.
       breaks_off: An order to stop finds the stream broken off, and the engine
@@ -50,6 +51,7 @@
 
     works_on = False
     refusal = b''
+    refusals = 1_000_000
     pause_s = 0.0
     order_s = 0.0
     breaks_off = False
@@ -69,7 +71,11 @@
                 self._fleet.end(run.request_id, self.id)
                 call.abort()
                 return
+            if self.works_on and not self.refusals:
+                call.abort()
+                return
             if self.works_on:
+                self.refusals -= 1
                 call.answer(409, self.refusal)
                 time.sleep(self.pause_s)
                 return
@@ -150,6 +156,18 @@
         self.assertEqual(self.fleet.doubled, set())
         self.assertFalse(answer.whole)
 
+    async def test_a_refusal_counts_though_the_next_order_is_lost(self):
+        """An engine says that it works on, and resets the order after that.
+
+        The lost answer was believed over the one that had come: the engine was
+        taken for one that is gone, and two engines worked on the plan.
+        """
+        for writer in self.engines:
+            writer.refusals = 1
+        answer = await self.break_off('n8')
+        self.assertEqual(self.fleet.doubled, set())
+        self.assertFalse(answer.whole)
+
     async def test_a_refusal_that_comes_late(self):
         """An engine works on behind a broken connection, and is slow to answer.
 
