--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
@@ -14,7 +14,7 @@
 import dataclasses
 import enum
 
-__all__ = ['MEMORY_SENT_S', 'Grounds', 'Sends', 'Source', 'to_go_on']
+__all__ = ['MEMORY_SENT_S', 'Grounds', 'RunState', 'Sends', 'to_go_on']
 
 # An engine sends the memory of a run to its backup several times a second.
 MEMORY_SENT_S = 1 / 3
@@ -27,8 +27,8 @@
       NOT_RUN: None of its sends has begun its work, by the word of whoever got
         it or because nothing was sent.
       REPEATABLE: Its work may be done more than once.
-      COPY: The run was ordered to stop, its part of the stream has ended, and
-        an engine has named the copy of its memory.
+      COPY: An engine has named a copy of its memory. It has stopped the run by
+        order, or closed its stream behind the order to stop it.
       BACKUP: The run is at work nowhere, and made events where it was for so
         long that memory of it has been sent to its backup.
     """
@@ -44,21 +44,21 @@
         return self in (Grounds.COPY, Grounds.BACKUP)
 
 
-class Source(enum.Enum):
+class RunState(enum.Enum):
     """What is known of a run at the engine that worked on it last.
 
     Attributes:
       STOPPED: It was stopped by order, and its engine names what it kept.
       ENDED: Whoever answers at the engine's address knows no such run.
-      SILENT: Nobody answers there. A run may go on behind a cut, but nothing
-        that it makes reaches anyone, and its engine drops it with the
-        connection.
-      AT_WORK: The engine did not carry out the order.
+      UNREACHED: Nobody takes a connection there. A run may go on behind a
+        cut until its engine notices that its connection has ended, but nothing
+        that it makes reaches anyone.
+      AT_WORK: The engine is there, and nobody says that the run has ended.
     """
 
     STOPPED = 'stopped'
     ENDED = 'ended'
-    SILENT = 'silent'
+    UNREACHED = 'unreached'
     AT_WORK = 'at_work'
 
 
@@ -85,7 +85,7 @@
         return Grounds.REPEATABLE if self.may_repeat else None
 
 
-def to_go_on(source: Source, made_s: float) -> Grounds | None:
+def to_go_on(state: RunState, made_s: float) -> Grounds | None:
     """Returns the grounds on which a run goes on that broke off.
 
     An engine may end a run as it begins it, or soon after. No memory has gone
@@ -93,12 +93,12 @@
     fails before it does, would begin the run a second time.
 
     Args:
-      source: What is known of it where it broke off.
+      state: What is known of it where it broke off.
       made_s: For how long events came of it from there, in seconds; 0 if none
         did, or one.
     """
-    if source is Source.STOPPED:
+    if state is RunState.STOPPED:
         return Grounds.COPY
-    if source is Source.AT_WORK or made_s < MEMORY_SENT_S:
+    if state is RunState.AT_WORK or made_s < MEMORY_SENT_S:
         return None
     return Grounds.BACKUP
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -104,7 +104,7 @@
       source: Engine that had the run.
       target: Engine that was to keep the copy.
       stop: What is known of the run at its source after an order to stop it:
-        `stopped`, `ended`, `silent` or `at_work`.
+        `stopped`, `ended`, `unreached` or `at_work`.
       events: Events that came of it from there.
       made_ms: For how long they came.
       grounds: Why it goes on: from a `copy` that its source has named, or
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -69,7 +69,7 @@
 
     @property
     def is_framed(self) -> bool:
-        """Whether the answer tells where it ends, by a length or by chunks."""
+        """Whether the answer whose head came tells where it ends."""
         return not self._until_close
 
     def connection_made(self, transport: asyncio.Transport) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -77,9 +77,7 @@
         # Its stream may end with its connection, and then tells nothing.
         leg.may_be_stopped = ordered not in (None, live.NoSwitch.NOT_STOPPED)
         if isinstance(ordered, live.Switch) and self._take_switch('move'):
-            return self._continued(
-                ordered.target, ordered.source, ordered.handle
-            )
+            return self._from_copy(ordered)
         if end is leg_lib.WHOLE:
             return None
         if leg_lib.is_not_run(end):
@@ -150,26 +148,28 @@
         request = self._req.id_text
         calls = self._core.calls
         stopped = await stop.stop(calls, leg.upstream, request, target)
-        grounds = at_most_once.to_go_on(stopped.source, leg.made_s)
-        is_in_time = grounds is not None and self._take_switch('recovery')
+        grounds = at_most_once.to_go_on(stopped.state, leg.made_s)
+        may_switch = grounds is not None and self._take_switch('recovery')
         event.note(
             event.RunBrokeOff(
                 request=request,
                 source=leg.upstream.id,
                 target=target.id,
-                stop=stopped.source.value,
+                stop=stopped.state.value,
                 events=leg.events,
                 made_ms=round(leg.made_s * MS_PER_S, 1),
-                grounds=grounds.value if is_in_time else '',
+                grounds=grounds.value if may_switch else '',
                 answer=stopped.move.code,
             )
         )
-        if not is_in_time:
+        if not may_switch:
             return None
         if grounds is at_most_once.Grounds.BACKUP:
             return self._continued(target, target, request, grounds)
         where = target if stopped.move.copied else leg.upstream
-        return self._continued(where, leg.upstream, stopped.move.handle)
+        return self._from_copy(
+            live.Switch(leg.upstream, where, stopped.move.handle)
+        )
 
     async def _after_refused(self) -> leg_lib.Leg | None:
         """Goes on elsewhere when the destination did not take the run."""
@@ -177,9 +177,7 @@
         if pending is not None:
             switch = await _settled(pending, SWITCH_S)
             if isinstance(switch, live.Switch):
-                return self._continued(
-                    switch.target, switch.source, switch.handle
-                )
+                return self._from_copy(switch)
         return self._back_to_source()
 
     def _back_to_source(self) -> leg_lib.Leg | None:
@@ -187,14 +185,23 @@
         source = self._source
         if self._stream.upstream is source or not self._take_switch('move'):
             return None
-        return self._continued(source, source, self._handle)
+        return self._from_copy(live.Switch(source, source, self._handle))
+
+    def _from_copy(self, switch: live.Switch) -> leg_lib.Leg:
+        """Goes on from a copy that an engine has named."""
+        return self._continued(
+            switch.target,
+            switch.source,
+            switch.handle,
+            at_most_once.Grounds.COPY,
+        )
 
     def _continued(
         self,
         target: upstream_lib.Upstream,
         holder: upstream_lib.Upstream,
         handle: str,
-        grounds: at_most_once.Grounds = at_most_once.Grounds.COPY,
+        grounds: at_most_once.Grounds,
     ) -> leg_lib.Leg:
         dialect = self._core.dialect
         extra = [
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -212,17 +212,14 @@
             return False
         if isinstance(end, error.CallError) and not attempt.may_have_run(end):
             self._unreachable += 1
-            is_in_time = self._unreachable <= UNREACHABLE_TRIES
-            return is_in_time and not sends.may_have_run
-        if isinstance(end, leg_lib.Refusal):
-            if end.verdict is attempt.Verdict.WRONG_UPSTREAM:
-                self._unreachable += 1
-                if self._unreachable > UNREACHABLE_TRIES:
-                    return False
-                self._core.budget.note_retry(req.service.name)
-                return True
-            if end.verdict is attempt.Verdict.NOT_RUN:
-                return self._has_budget()
+            has_tries = self._unreachable <= UNREACHABLE_TRIES
+            return has_tries and not sends.may_have_run
+        if _is_misdirected(end):
+            self._unreachable += 1
+            if self._unreachable > UNREACHABLE_TRIES:
+                return False
+            self._core.budget.note_retry(req.service.name)
+            return True
         return self._has_budget()
 
     def _has_budget(self) -> bool:
@@ -276,3 +273,9 @@
                 events=leg.events,
             )
         )
+
+
+def _is_misdirected(end: leg_lib.End) -> bool:
+    """Whether another upstream answered than the one that was meant."""
+    wrong = attempt.Verdict.WRONG_UPSTREAM
+    return isinstance(end, leg_lib.Refusal) and end.verdict is wrong
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/stop.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/stop.py
@@ -28,11 +28,11 @@
     """What came of an order to stop a run.
 
     Attributes:
-      source: What is known of the run at its engine.
+      state: What is known of the run at its engine.
       move: The newest answer; empty if there was none.
     """
 
-    source: at_most_once.Source
+    state: at_most_once.RunState
     move: dialect_lib.Move
 
 
@@ -47,7 +47,7 @@
     An engine with another order for the run under way refuses, and one with
     too many connections resets this one: both are there, and may have the run.
     So does one that takes the order and is slow to answer. Only an engine that
-    lets nobody connect is taken for gone.
+    lets nobody connect is taken for gone, unless it has refused just before.
 
     Args:
       calls: Orders to engines.
@@ -58,6 +58,7 @@
     end_s = attempt.now() + ANSWER_S
     pause_s = FIRST_PAUSE_S
     move = dialect_lib.Move()
+    has_refused = False
     while (left_s := end_s - attempt.now()) > 0:
         order = asyncio.ensure_future(calls.move(engine, request, target, True))
         try:
@@ -67,19 +68,21 @@
             if not order.done():
                 break
             move = order.result()
+            has_refused |= move.refused
         except error.EndedError as exc:
             move = dialect_lib.Move(refused=True, code=exc.code)
         except error.ConnectError as exc:
-            move = dialect_lib.Move(code=exc.code)
-            return Stopped(at_most_once.Source.SILENT, move)
+            move = dialect_lib.Move(refused=has_refused, code=exc.code)
+            if not has_refused:
+                return Stopped(at_most_once.RunState.UNREACHED, move)
         except error.CallError as exc:
             move = dialect_lib.Move(refused=True, code=exc.code)
         finally:
             order.cancel()
         if move.handle:
-            return Stopped(at_most_once.Source.STOPPED, move)
+            return Stopped(at_most_once.RunState.STOPPED, move)
         if not move.refused:
-            return Stopped(at_most_once.Source.ENDED, move)
+            return Stopped(at_most_once.RunState.ENDED, move)
         await asyncio.sleep(pause_s)
         pause_s *= 2
-    return Stopped(at_most_once.Source.AT_WORK, move)
+    return Stopped(at_most_once.RunState.AT_WORK, move)
--- a/tests/quetzalsill_gateway/test_at_most_once.py
+++ b/tests/quetzalsill_gateway/test_at_most_once.py
@@ -8,7 +8,7 @@
 from quetzalsill_gateway import at_most_once
 
 Grounds = at_most_once.Grounds
-Source = at_most_once.Source
+RunState = at_most_once.RunState
 
 
 class SendsTest(unittest.TestCase):
@@ -42,7 +42,7 @@
 
     def test_a_run_that_its_engine_stopped_goes_on_from_the_copy(self):
         for made_s in (0.0, 0.02, 8.0):
-            found = at_most_once.to_go_on(Source.STOPPED, made_s)
+            found = at_most_once.to_go_on(RunState.STOPPED, made_s)
             self.assertIs(found, Grounds.COPY)
 
     def test_a_run_that_has_hardly_begun_does_not_go_on(self):
@@ -50,22 +50,22 @@
 
         No memory has gone to the backup. Sent there, the plan began again.
         """
-        for source, made_s in itertools.product(
-            (Source.ENDED, Source.SILENT, Source.AT_WORK), (0.0, 0.3)
+        for state, made_s in itertools.product(
+            (RunState.ENDED, RunState.UNREACHED, RunState.AT_WORK), (0.0, 0.3)
         ):
-            self.assertIsNone(at_most_once.to_go_on(source, made_s))
+            self.assertIsNone(at_most_once.to_go_on(state, made_s))
 
     def test_a_run_that_was_not_stopped_does_not_go_on(self):
         for made_s in (0.0, 0.02, 8.0):
-            found = at_most_once.to_go_on(Source.AT_WORK, made_s)
+            found = at_most_once.to_go_on(RunState.AT_WORK, made_s)
             self.assertIsNone(found)
 
     def test_a_run_that_made_events_for_a_while_goes_on_from_its_backup(self):
-        for source, made_s in itertools.product(
-            (Source.ENDED, Source.SILENT),
+        for state, made_s in itertools.product(
+            (RunState.ENDED, RunState.UNREACHED),
             (at_most_once.MEMORY_SENT_S, 8.0),
         ):
-            found = at_most_once.to_go_on(source, made_s)
+            found = at_most_once.to_go_on(state, made_s)
             self.assertIs(found, Grounds.BACKUP)
 
 
