--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/store.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import copy as copy_lib
 import dataclasses
 import enum
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from quetzalsill_gateway import error, source
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import upstream, zones
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ['Away', 'Store']
+    from quetzalsill_gateway.watch import epoch as epoch_lib
+
+__all__ = ['Away', 'Copy', 'Store']
+
+Item = TypeVar('Item')
 
 CALL_S = 0.6
 
@@ -35,6 +41,23 @@
     value: object
 
 
+@dataclasses.dataclass(slots=True)
+class Copy:
+    """All that the store held at one moment.
+
+    Attributes:
+      version: Its version then.
+      entries: Entries of servers, by name.
+      documents: What operators had written, in order.
+      history: What had changed in the entries, in order.
+    """
+
+    version: int
+    entries: dict[str, _Change]
+    documents: list[_Change]
+    history: list[_Change]
+
+
 class Store:
     """Two tables with their history.
 
@@ -42,12 +65,18 @@
       calls: How often each gateway has asked.
       answer_s: Time of an answer.
       treat: How each gateway is treated.
+      epoch: Told in every answer; 0 is not told.
+      hides_epoch: Whether a gateway doesn't look at it.
+      is_past: Whether it tells a gateway that its history is lost, each time.
     """
 
     def __init__(self, rng: random.Random, answer_s: float = 0.004) -> None:
         self.calls: dict[str, int] = {}
         self.answer_s = answer_s
         self.treat: Callable[[str], Away] = lambda _: Away.SERVES
+        self.epoch = 0
+        self.hides_epoch: Callable[[str], bool] = lambda _: False
+        self.is_past: Callable[[str], bool] = lambda _: False
         self._rng = rng
         self._version = 1
         self._entries: dict[str, _Change] = {}
@@ -81,9 +110,7 @@
 
     def drain_zone(self, zone: str, *, is_on: bool) -> None:
         """Writes an order to drain a zone, or drops it."""
-        version = self._next()
-        drain = zones.Drain(zone, version, is_on)
-        self._documents.append(_Change(version, zone, drain))
+        self._documents.append(_Change(self._next(), zone, is_on))
         self._wake()
 
     def forget_history(self) -> None:
@@ -91,57 +118,127 @@
         self._history.clear()
         self._oldest = self._version
 
-    def ask_membership(self, node: str) -> source.Ask[upstream.Change]:
+    def copy(self) -> Copy:
+        """Returns a copy of all that it holds now."""
+        return Copy(
+            self._version,
+            copy_lib.copy(self._entries),
+            copy_lib.copy(self._documents),
+            copy_lib.copy(self._history),
+        )
+
+    def restore(self, copy: Copy, epochs: int = 1) -> None:
+        """Comes back from a copy: versions go back and are given out again.
+
+        Args:
+          copy: The copy; what was written since is lost.
+          epochs: By how much its epoch rises.
+        """
+        self.epoch += epochs
+        self._version = copy.version
+        self._entries = copy_lib.copy(copy.entries)
+        self._documents = copy_lib.copy(copy.documents)
+        self._history = copy_lib.copy(copy.history)
+        self._oldest = min(self._oldest, copy.version)
+        self._wake()
+
+    def ask_membership(
+        self, node: str, epochs: epoch_lib.Epochs
+    ) -> source.Ask[upstream.Change]:
         """Returns what a gateway asks for entries with."""
 
         async def ask(
-            after: int | None, wait_s: float
+            after: revision_lib.Revision | None, wait_s: float
         ) -> source.Found[upstream.Change] | None:
-            async with self._call(node, wait_s):
-                if after is None:
-                    rows = list(self._entries.values())
-                    return self._found(rows, is_whole=True)
-                if after < self._oldest:
-                    return None
-                rows = await self._behind(self._history, after, wait_s)
-                return self._found(rows, is_whole=False)
+            told = await self._told(node, epochs, after, wait_s, self._servers)
+            return told and told.found(
+                upstream.Change(row.key, told.at(row), row.value)
+                for row in told.rows
+            )
 
         return ask
 
-    def ask_configuration(self, node: str) -> source.Ask[source.OperatorItem]:
+    def ask_configuration(
+        self, node: str, epochs: epoch_lib.Epochs
+    ) -> source.Ask[source.OperatorItem]:
         """Returns what a gateway asks for all that operators write with."""
 
         async def ask(
-            after: int | None, wait_s: float
+            after: revision_lib.Revision | None, wait_s: float
         ) -> source.Found[source.OperatorItem] | None:
-            async with self._call(node, wait_s):
-                rows = self._documents
-                if after is not None:
-                    rows = await self._behind(rows, after, wait_s)
-                newest = {row.key: row.value for row in rows}
-                items = [
-                    item
-                    for item in newest.values()
-                    if after is not None or _stands(item)
-                ]
-                return source.Found(items, self._version, after is None)
+            told = await self._told(
+                node, epochs, after, wait_s, self._operators
+            )
+            return told and told.found(_items(told))
 
         return ask
 
+    def _servers(self, after: int | None) -> list[_Change]:
+        if after is None:
+            return list(self._entries.values())
+        return [row for row in self._history if row.version > after]
+
+    def _operators(self, after: int | None) -> list[_Change]:
+        rows = self._documents
+        if after is not None:
+            rows = [row for row in rows if row.version > after]
+        return list({row.key: row for row in rows}.values())
+
+    async def _told(
+        self,
+        node: str,
+        epochs: epoch_lib.Epochs,
+        after: revision_lib.Revision | None,
+        wait_s: float,
+        rows: Callable[[int | None], list[_Change]],
+    ) -> _Told | None:
+        """Returns an answer; None if it says that there is none from there."""
+        asked = epochs.newest
+        told: _Told | None = None
+        try:
+            async with self._call(node, wait_s):
+                found = await self._behind(rows, after, wait_s)
+                epoch = self._epoch_for(node)
+                told = _Told(found, epoch, self._version, after is None)
+                is_gone = after is not None and self._is_gone(node, after)
+        except _RefusedError as exc:
+            epochs.answered('refusal', self._epoch_for(node), asked)
+            raise error.SourceError('refused') from exc
+        epochs.answered('answer', told.epoch, asked)
+        if is_gone or (after is not None and after.epoch != told.epoch):
+            return None
+        return told
+
+    def _epoch_for(self, node: str) -> int:
+        return 0 if self.hides_epoch(node) else self.epoch
+
+    def _is_gone(self, node: str, after: revision_lib.Revision) -> bool:
+        if self.is_past(node) or after.version < self._oldest:
+            return True
+        # A version that it doesn't have, in the epoch that it is in.
+        return self.epoch > 0 and after.version > self._version
+
     def _call(self, node: str, wait_s: float) -> _Call:
         self.calls[node] = self.calls.get(node, 0) + 1
         answer_s = self.answer_s * self._rng.uniform(0.8, 1.2)
         return _Call(self.treat(node), answer_s, wait_s + CALL_S)
 
     async def _behind(
-        self, rows: list[_Change], after: int, wait_s: float
+        self,
+        rows: Callable[[int | None], list[_Change]],
+        after: revision_lib.Revision | None,
+        wait_s: float,
     ) -> list[_Change]:
+        """Returns rows as soon as there are any, or the store has gone back."""
+        if after is None:
+            return rows(None)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_s
+        epoch = self.epoch
         while True:
-            found = [row for row in rows if row.version > after]
+            found = rows(after.version)
             left_s = end_s - loop.time()
-            if found or left_s <= 0:
+            if found or left_s <= 0 or epoch != self.epoch:
                 return found
             try:
                 async with asyncio.timeout(left_s):
@@ -149,14 +246,6 @@
             except TimeoutError:
                 return []
 
-    def _found(
-        self, rows: list[_Change], *, is_whole: bool
-    ) -> source.Found[upstream.Change]:
-        changes = [
-            upstream.Change(row.key, row.version, row.value) for row in rows
-        ]
-        return source.Found(changes, self._version, is_whole)
-
     def _next(self) -> int:
         self._version += self._rng.randint(1, 3)
         return self._version
@@ -166,8 +255,35 @@
         self._changed = asyncio.Event()
 
 
-def _stands(item: source.OperatorItem) -> bool:
-    return not isinstance(item, zones.Drain) or item.is_on
+@dataclasses.dataclass(slots=True)
+class _Told:
+    """An answer of the store."""
+
+    rows: list[_Change]
+    epoch: int
+    version: int
+    is_whole: bool
+
+    def at(self, row: _Change) -> revision_lib.Revision:
+        """Returns the revision at which a row changed."""
+        return revision_lib.Revision(self.epoch, row.version)
+
+    def found(self, items: Iterable[Item]) -> source.Found[Item]:
+        """Returns the answer as a gateway takes it."""
+        revision = revision_lib.Revision(self.epoch, self.version)
+        return source.Found(list(items), revision, self.is_whole)
+
+
+def _items(told: _Told) -> Iterator[source.OperatorItem]:
+    for row in told.rows:
+        if isinstance(row.value, bytes):
+            yield source.Document(row.value, told.at(row))
+        elif row.value or not told.is_whole:
+            yield zones.Drain(row.key, told.at(row), bool(row.value))
+
+
+class _RefusedError(Exception):
+    """The store refuses, and says its epoch in that answer, too."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -181,7 +297,7 @@
     async def __aenter__(self) -> None:
         await asyncio.sleep(self.answer_s / 2)
         if self.away is Away.REFUSES:
-            raise error.SourceError('refused')
+            raise _RefusedError
         if self.away is Away.SILENT:
             await asyncio.sleep(self.most_s)
             raise error.SourceError('silent')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
@@ -8,12 +8,14 @@
 import random
 
 from quetzalsill_dev.simulation import net as net_lib
+from quetzalsill_dev.simulation import plain
 from quetzalsill_dev.simulation import store as store_lib
 from quetzalsill_gateway import routing_table, source
 from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import listener
 from quetzalsill_gateway.peers import bulletin, frame, relay
-from quetzalsill_gateway.watch import configuration, membership
+from quetzalsill_gateway.watch import configuration, epoch, membership
+from quetzalsill_gateway.watch import news as news_lib
 
 __all__ = ['Fleet', 'Watcher']
 
@@ -36,6 +38,7 @@
     health: source.Health
     membership: membership.Membership
     configuration: configuration.Configuration
+    epochs: epoch.Epochs
     tasks: list[asyncio.Task[None]]
 
     @property
@@ -85,7 +88,13 @@
         self._names = [f'entry-{n}' for n in range(gateways)]
         self._servers = [f'server-{n}' for n in range(servers)]
         self._beats: dict[str, asyncio.Task[None]] = {}
+        self._written: dict[str, upstream.Upstream | None] = {}
+        self._document = b''
+        self._orders: dict[str, bool] = {}
+        self._plain: set[str] = set()
+        self._rewriting: list[asyncio.Task[None]] = []
         self._at: dict[tuple[str, int], str] = {}
+        self.store.hides_epoch = self._plain.__contains__
 
     @property
     def all(self) -> list[Watcher]:
@@ -103,7 +112,53 @@
 
     def configure(self, version: int) -> None:
         """Publishes a configuration."""
-        self.store.configure(json.dumps({'version': version}).encode())
+        self._document = json.dumps({'version': version}).encode()
+        self.store.configure(self._document)
+
+    def drain_zone(self, zone: str, *, is_on: bool) -> None:
+        """Writes operators' order to drain a zone, or takes it back."""
+        self._orders[zone] = is_on
+        self.store.drain_zone(zone, is_on=is_on)
+
+    async def drill(
+        self,
+        copy: store_lib.Copy,
+        away_s: float = 0.5,
+        rewrite_s: float = 2.0,
+        epochs: int = 1,
+    ) -> None:
+        """Has the store be away and come back from a copy; returns by then.
+
+        Args:
+          copy: The copy.
+          away_s: How long it refuses everyone, in seconds.
+          rewrite_s: Within how long servers and operators have written again
+            what stands now, in any order.
+          epochs: By how much its epoch rises.
+        """
+        treat = self.store.treat
+        self.store.treat = lambda _: store_lib.Away.REFUSES
+        await asyncio.sleep(away_s)
+        self.store.restore(copy, epochs)
+        self.store.treat = treat
+        if rewrite_s:
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._write_again(rewrite_s))
+            self._rewriting.append(task)
+
+    async def _write_again(self, within_s: float) -> None:
+        writes = [*self._written, *self._orders, None]
+        self._rng.shuffle(writes)
+        for name in writes:
+            await asyncio.sleep(within_s / len(writes))
+            if name is None:
+                self.store.configure(self._document)
+            elif name in self._orders:
+                self.store.drain_zone(name, is_on=self._orders[name])
+            elif self._written[name] is None:
+                self.store.drop(name)
+            else:
+                self.store.enter(self._written[name])
 
     def add_server(self, name: str, incarnation: int = 1) -> None:
         """Starts a server, which writes its entry."""
@@ -115,7 +170,7 @@
             'z',
             incarnation=incarnation,
         )
-        self.store.enter(found)
+        self._enter(found)
         task = asyncio.get_running_loop().create_task(self._beat(found))
         self._beats[name] = task
 
@@ -125,30 +180,47 @@
             name, SERVICE, ('10.0.0.1', 1), 'z', leaving=True, incarnation=1
         )
         self._beats.pop(name).cancel()
-        self.store.enter(found)
+        self._enter(found)
 
     def drop(self, name: str) -> None:
         """Removes a server and its entry."""
         self._beats.pop(name).cancel()
+        self._written[name] = None
         self.store.drop(name)
 
-    def add_gateway(self, name: str) -> Watcher:
-        """Starts a gateway."""
+    def entry(self, name: str) -> upstream.Upstream:
+        """Returns what a server has written last."""
+        return self._written[name]
+
+    def _enter(self, found: upstream.Upstream) -> None:
+        self._written[found.id] = found
+        self.store.enter(found)
+
+    def add_gateway(self, name: str, *, is_plain: bool = False) -> Watcher:
+        """Starts a gateway.
+
+        Args:
+          name: Its name.
+          is_plain: Whether it is of the release before, which knows versions
+            only.
+        """
         number = len(self._at) + 1
         self._at[f'10.1.{number // 256}.{number % 256}', 7000] = name
         upstreams = upstream.Upstreams()
         upstreams.sharers = len(self._names)
         holder, health = source.Holder(), source.Health()
         health.on_regained(upstreams.regained)
+        epochs = epoch.Epochs()
         follower = membership.Membership(
-            self.store.ask_membership(name),
+            self.store.ask_membership(name, epochs),
             upstreams,
             health,
             self._bound_s,
             random.Random(self._rng.random()),
+            epochs,
         )
         configured = configuration.Configuration(
-            self.store.ask_configuration(name),
+            self.store.ask_configuration(name, epochs),
             _read,
             holder,
             upstreams.zones,
@@ -156,20 +228,26 @@
             lambda: upstreams.sharers,
             self._bound_s,
             random.Random(self._rng.random()),
+            epochs,
         )
         hearers = {
-            frame.Kind.MEMBERSHIP: follower.hear,
-            frame.Kind.CONFIGURATION: configured.hear,
+            news_lib.MembershipNews: follower.hear,
+            news_lib.ConfigurationNews: configured.hear,
         }
 
         def hear(data: bytes, _: str) -> None:
             kind, fields = frame.unpack(data)
+            if is_plain and kind in plain.KINDS:
+                return
             if kind is frame.Kind.RELAY:
                 data, addresses = relay.decode(fields)
                 for address in addresses:
                     self.net.tell(name, self._at[address], data)
                 kind, fields = frame.unpack(data)
-            hearers[kind](bulletin.decode(kind, fields)[1])
+                if is_plain and kind in plain.KINDS:
+                    return
+            _, told = bulletin.decode(kind, fields)
+            hearers[type(told)](told)
 
         broadcast = relay.Broadcast(
             name,
@@ -177,8 +255,21 @@
             lambda data, at: self.net.tell(name, self._at[at], data),
             self._rng,
         )
+
+        def announce(told: news_lib.News) -> None:
+            if not is_plain:
+                broadcast.announce(told)
+                return
+            for other in self._others(name):
+                data = plain.flatten(name, told)
+                self.net.tell(name, self._at[other], data)
+
+        if is_plain:
+            self._plain.add(name)
+        else:
+            self._plain.discard(name)
         for each in (follower, configured):
-            each.on_look(broadcast.announce)
+            each.on_look(announce)
             each.on_lack(lambda: self._ask_whole(name))
         self.net.join(name, hear)
         loop = asyncio.get_running_loop()
@@ -186,7 +277,14 @@
             loop.create_task(each.run()) for each in (follower, configured)
         ]
         found = Watcher(
-            name, upstreams, holder, health, follower, configured, tasks
+            name,
+            upstreams,
+            holder,
+            health,
+            follower,
+            configured,
+            epochs,
+            tasks,
         )
         self.gateways[name] = found
         return found
@@ -204,7 +302,10 @@
             for follower in (other.membership, other.configuration):
                 told = follower.whole()
                 if told is not None:
-                    data = bulletin.encode(other.node, told)
+                    encode = bulletin.encode
+                    if other.node in self._plain:
+                        encode = plain.flatten
+                    data = encode(other.node, told)
                     self.net.tell(other.node, name, data)
 
     def kill(self, name: str) -> None:
@@ -217,7 +318,7 @@
         """Ends all of it."""
         for name in list(self.gateways):
             self.kill(name)
-        for task in self._beats.values():
+        for task in (*self._beats.values(), *self._rewriting):
             task.cancel()
 
     async def _beat(self, found: upstream.Upstream) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/error.py
@@ -4,7 +4,14 @@
 
 from quetzalsill.error import base
 
-__all__ = ['ConfigurationError', 'PatchError', 'PeerError', 'SourceError']
+__all__ = [
+    'ConfigurationError',
+    'MalformedSourceError',
+    'PatchError',
+    'PeerError',
+    'SourceError',
+    'StaleAnswerError',
+]
 
 
 class SourceError(base.QuetzalsillError):
@@ -13,6 +20,22 @@
     code = 'source_failed'
 
 
+class MalformedSourceError(SourceError):
+    """An answer of the store lacks a field or holds none; it is left out."""
+
+    code = 'source_malformed'
+    advice = (
+        'See which proxy or release of the store answers; what is known stays '
+        'in use until it tells again.'
+    )
+
+
+class StaleAnswerError(SourceError):
+    """An answer is of an epoch of the store that has ended; it is left out."""
+
+    code = 'source_stale'
+
+
 class ConfigurationError(base.QuetzalsillError):
     """A configuration cannot be held; the one before stays in force."""
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -9,11 +9,17 @@
 
 from quetzalsill.telemetry.event import Event, name_of, note
 from quetzalsill_gateway.event.process import (
+    AnswerMalformed,
+    AnswerStale,
     ConfigurationInstalled,
     ConfigurationInvalid,
+    ConfigurationKept,
+    ConfigurationReplaced,
     DatagramFailed,
     DatagramMalformed,
     DirectoryUnreachable,
+    EpochEntered,
+    EpochTold,
     Listening,
     PeerFound,
     PeerLost,
@@ -25,6 +31,7 @@
     StoreHistoryLost,
     StoreLost,
     StoreRegained,
+    TableListed,
     VersionAhead,
     ZoneDrain,
     ZoneDrainInvalid,
@@ -54,13 +61,19 @@
 )
 
 __all__ = [
+    'AnswerMalformed',
+    'AnswerStale',
     'AttemptEnded',
     'ConfigurationInstalled',
     'ConfigurationInvalid',
+    'ConfigurationKept',
+    'ConfigurationReplaced',
     'DatagramFailed',
     'DatagramMalformed',
     'DirectoryUnreachable',
     'EntryInvalid',
+    'EpochEntered',
+    'EpochTold',
     'CopyNotFreed',
     'EvacuationStarted',
     'Event',
@@ -84,6 +97,7 @@
     'StoreHistoryLost',
     'StoreLost',
     'StoreRegained',
+    'TableListed',
     'UpstreamAdded',
     'UpstreamChosen',
     'UpstreamLapsed',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
@@ -5,11 +5,17 @@
 from quetzalsill.telemetry import event as base
 
 __all__ = [
+    'AnswerMalformed',
+    'AnswerStale',
     'ConfigurationInstalled',
     'ConfigurationInvalid',
+    'ConfigurationKept',
+    'ConfigurationReplaced',
     'DatagramFailed',
     'DatagramMalformed',
     'DirectoryUnreachable',
+    'EpochEntered',
+    'EpochTold',
     'Listening',
     'PeerFound',
     'PeerLost',
@@ -21,6 +27,7 @@
     'StoreHistoryLost',
     'StoreLost',
     'StoreRegained',
+    'TableListed',
     'VersionAhead',
     'ZoneDrain',
     'ZoneDrainInvalid',
@@ -91,7 +98,7 @@
     """
 
     table: str
-    after: int
+    after: str
 
 
 @base.define
@@ -105,10 +112,121 @@
     """
 
     table: str
+    known: str
+    found: str
+
+
+@base.define
+class EpochEntered(base.Event, level='warning'):
+    """The store has lost its newest changes, and says so; all is listed anew.
+
+    Attributes:
+      call: Call whose answer told of it.
+      before: Epoch of the store before.
+      epoch: Epoch from now on; a lower one shows that `before` was a fault.
+    """
+
+    call: str
+    before: int
+    epoch: int
+
+
+@base.define
+class EpochTold(base.Event):
+    """Another gateway tells of a newer epoch than the store has told here.
+
+    Attributes:
+      table: Which of the store's tables the news is of.
+      peer: The other gateway.
+      known: Revision known here.
+      told: Revision that was told.
+    """
+
+    table: str
+    peer: str
+    known: str
+    told: str
+
+
+@base.define
+class TableListed(base.Event):
+    """A table was taken whole, for an epoch that is new here.
+
+    Attributes:
+      table: Which of the store's tables.
+      source: `store`, or the gateway that told it.
+      known: Revision known before.
+      found: Revision from now on.
+      entries: How many entries there are.
+    """
+
+    table: str
+    source: str
+    known: str
+    found: str
+    entries: int
+
+
+@base.define
+class AnswerStale(base.Event):
+    """An answer is of an epoch that has ended; told once a minute at most.
+
+    Attributes:
+      call: The call.
+      known: Epoch that the store has told before.
+      told: Epoch of the answer.
+    """
+
+    call: str
     known: int
+    told: int
+
+
+@base.define
+class AnswerMalformed(base.Event, level='error'):
+    """An answer of the store was left out; told once a minute at most.
+
+    Attributes:
+      call: The call.
+      reason: Which field is wrong, and how.
+      advice: What to do.
+    """
+
+    call: str
+    reason: str
+    advice: str
+
+
+@base.define
+class ConfigurationKept(base.Event, level='warning'):
+    """The store holds an older configuration than the one in force.
+
+    Attributes:
+      version: The one in force, which stays.
+      found: The one in the store.
+    """
+
+    version: int
     found: int
 
 
+@base.define
+class ConfigurationReplaced(base.Event, level='error'):
+    """Two configurations bear one number; the one written last is in force.
+
+    Attributes:
+      version: The number of both.
+      before: Revision at which the one before was written.
+      written: Revision at which the one in force from now on was written.
+      advice: What to do.
+    """
+
+    version: int
+    before: str
+    written: str
+    advice: str
+
+
 @base.define
 class PeersListed(base.Event):
     """The directory of gateways was read.
@@ -252,7 +370,7 @@
 
     zone: str
     is_on: bool
-    version: int
+    version: str
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -34,7 +34,7 @@
       first_ms: Time to the first event of a stream.
       widest_gap_ms: Longest pause between two events of a stream.
       configuration: Version that decided.
-      membership: Version known at the end.
+      membership: Revision of the membership known at the end.
       objective_ms: Time within which an answer, or the first event, is wanted.
       most_gap_ms: Longest pause that the route allows; None for no bound.
       held_ms: Time that it waited for an engine with room.
@@ -53,7 +53,7 @@
     first_ms: float | None
     widest_gap_ms: float | None
     configuration: int
-    membership: int
+    membership: str
     objective_ms: float = 0.0
     most_gap_ms: float | None = None
     held_ms: float = 0.0
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -129,7 +129,7 @@
     service: str
     address: str
     leaving: bool
-    version: int
+    version: str
 
 
 @base.define
@@ -144,7 +144,7 @@
 
     upstream: str
     source: str
-    version: int
+    version: str
 
 
 @base.define
@@ -157,7 +157,7 @@
     """
 
     upstream: str
-    version: int
+    version: str
 
 
 @base.define
@@ -170,7 +170,7 @@
     """
 
     upstream: str
-    version: int
+    version: str
 
 
 @base.define
@@ -196,4 +196,4 @@
     """
 
     upstream: str
-    version: int
+    version: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import zones
 
 __all__ = ['Change', 'Upstream', 'Upstreams', 'bounded_warmup_s']
@@ -95,7 +96,7 @@
 
     Attributes:
       id: Id of the upstream.
-      version: Version of the source at which it was.
+      revision: Revision of the source at which it was.
       upstream: What the entry says, never changed afterwards; None if it was
         dropped, or names no upstream to use.
       lapses: Whether a dropped entry may have lapsed in an outage of the
@@ -103,7 +104,7 @@
     """
 
     id: str
-    version: int
+    revision: revision_lib.Revision
     upstream: Upstream | None
     lapses: bool = True
 
@@ -112,7 +113,7 @@
     """Keeps what the membership source tells, and tells of upstreams leaving.
 
     Attributes:
-      version: Version of the newest change taken in.
+      revision: Revision of the newest change taken in.
       sharers: Gateways that tell each other of upstreams, this one included.
       zones: Which availability zones operators drain.
     """
@@ -128,13 +129,13 @@
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
-        self.version = 0
+        self.revision = revision_lib.NONE
         self.sharers = 1
         self._confirmed_s = 0.0
         self._removed: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
-        self._lapsed: dict[str, int] = {}
+        self._lapsed: dict[str, revision_lib.Revision] = {}
         self._lapses_until_s = 0.0
         self._left: collections.deque[tuple[float, str]] = collections.deque(
             maxlen=MOST_LEFT
@@ -216,40 +217,44 @@
         """Returns every upstream known."""
         return list(self._by_id.values())
 
-    def replace(self, found: Iterable[Change], version: int) -> None:
+    def replace(
+        self, found: Iterable[Change], revision: revision_lib.Revision
+    ) -> None:
         """Takes all entries; upstreams that are not among them are gone."""
         listed = {change.id: change for change in found}
         for missing in self._by_id.keys() - listed.keys():
-            self.remove(missing, version)
+            self.remove(missing, revision)
         for change in listed.values():
             self.apply(change)
+        # Also if it is less: what was known was then a faulty sender's.
+        self.revision = revision
 
     def apply(self, change: Change) -> None:
         """Takes one entry, written or dropped."""
         if change.upstream is None:
-            self.remove(change.id, change.version, lapses=change.lapses)
+            self.remove(change.id, change.revision, lapses=change.lapses)
         else:
             # Changed later on here, by others' notices; the entry is not.
             found = dataclasses.replace(change.upstream)
-            self.put(found, change.version)
+            self.put(found, change.revision)
 
-    def put(self, found: Upstream, version: int) -> None:
+    def put(self, found: Upstream, revision: revision_lib.Revision) -> None:
         """Takes one entry, new or changed."""
-        self.version = max(self.version, version)
+        self.revision = max(self.revision, revision)
         self._lapsed.pop(found.id, None)
         known = self._by_id.get(found.id)
         if known is not None and known.incarnation and not found.incarnation:
             # Of another writer than the server, which has told its start.
-            event.note(event.UpstreamStale(found.id, version))
-            self.remove(found.id, version, lapses=False)
+            event.note(event.UpstreamStale(found.id, str(revision)))
+            self.remove(found.id, revision, lapses=False)
             return
         if known is not None and found.incarnation < known.incarnation:
             # Told late, of a start before the one that is known.
-            event.note(event.UpstreamStale(found.id, version))
+            event.note(event.UpstreamStale(found.id, str(revision)))
             return
         if known is None or _is_another(known, found):
             if known is not None:
-                self.remove(found.id, version, lapses=False)
+                self.remove(found.id, revision, lapses=False)
             found.cold_until_s = _cold_until_s(found)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
@@ -259,7 +264,7 @@
                     service=found.service,
                     address=found.address_text,
                     leaving=found.leaving,
-                    version=version,
+                    version=str(revision),
                 )
             )
             return
@@ -274,7 +279,9 @@
         upstream.leaving = True
         now = asyncio.get_running_loop().time()
         self._left.append((now, upstream.service))
-        event.note(event.UpstreamLeaving(upstream.id, source, self.version))
+        event.note(
+            event.UpstreamLeaving(upstream.id, source, str(self.revision))
+        )
         for callback in self._on_leaving:
             callback(upstream)
 
@@ -319,22 +326,26 @@
                 self.leave(upstream, f'peer {node}')
 
     def remove(
-        self, upstream_id: str, version: int, *, lapses: bool = True
+        self,
+        upstream_id: str,
+        revision: revision_lib.Revision,
+        *,
+        lapses: bool = True,
     ) -> None:
         """Forgets an upstream whose entry is gone.
 
         Args:
           upstream_id: Its id.
-          version: Version of the membership.
+          revision: Revision of the membership.
           lapses: Whether the entry may have lapsed in an outage; not if
             something else is known to stand in its place.
         """
-        self.version = max(self.version, version)
+        self.revision = max(self.revision, revision)
         now = asyncio.get_running_loop().time()
         if lapses and now < self._lapses_until_s:
             if upstream_id in self._by_id:
-                self._lapsed[upstream_id] = version
-                event.note(event.UpstreamLapsed(upstream_id, version))
+                self._lapsed[upstream_id] = revision
+                event.note(event.UpstreamLapsed(upstream_id, str(revision)))
             return
         upstream = self._by_id.pop(upstream_id, None)
         if upstream is None:
@@ -343,7 +354,7 @@
         self.leave(upstream, 'removed')
         upstream.gone = True
         self._removed.append((now, upstream.key))
-        event.note(event.UpstreamRemoved(upstream_id, version))
+        event.note(event.UpstreamRemoved(upstream_id, str(revision)))
 
     def confirm_incarnation(self, upstream: Upstream, told: int) -> bool:
         """Takes which start of an upstream has answered a question.
@@ -357,7 +368,7 @@
         if not told or not upstream.incarnation:
             return True
         if told > upstream.incarnation and not upstream.gone:
-            self.remove(upstream.id, self.version, lapses=False)
+            self.remove(upstream.id, self.revision, lapses=False)
         return told == upstream.incarnation
 
     def _drop_lapsed(self) -> None:
@@ -366,8 +377,8 @@
             return
         self._lapses_until_s = 0.0
         lapsed, self._lapsed = self._lapsed, {}
-        for upstream_id, version in lapsed.items():
-            self.remove(upstream_id, version)
+        for upstream_id, revision in lapsed.items():
+            self.remove(upstream_id, revision)
 
 
 def bounded_warmup_s(told_s: float) -> float:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/zones.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/zones.py
@@ -2,7 +2,7 @@
 
 Operators take a zone out for a while: nothing new may go to its upstreams until
 they take it back. What runs there goes on. The order for one zone is written
-and dropped like any entry of the source, so that each is known by the version
+and dropped like any entry of the source, so that each is known by the revision
 of the source at which it last changed; the newest of them counts, whoever tells
 it. An order that was taken back cannot come again by an answer or a datagram
 that was overtaken, and one that stands cannot be lost by it.
@@ -15,6 +15,7 @@
 from collections.abc import Iterable
 
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import revision as revision_lib
 
 __all__ = ['MOST_NAME', 'Drain', 'Zones']
 
@@ -22,6 +23,11 @@
 MOST_DRAINS = 256
 # Characters in the name of a zone; longer ones are no names.
 MOST_NAME = 200
+# A copy from which the source has come back may lack an order, which operators
+# write again. Kept for so long, an order that they have taken back leaves a
+# zone idle for a few seconds; dropped sooner, work would go where they have
+# been promised that none does.
+LAPSE_S = 10.0
 # A run whose memory has been copied to a zone may still go on there for this
 # long after its drain was learned: stopped at its source, it would be lost.
 # With the time to learn of it this is well within what operators allow.
@@ -34,12 +40,13 @@
 
     Attributes:
       zone: Name of the availability zone.
-      version: Version of the source at which the order was written or dropped.
+      revision: Revision of the source at which the order was written or
+        dropped.
       is_on: Whether it stands.
     """
 
     zone: str
-    version: int
+    revision: revision_lib.Revision
     is_on: bool
 
 
@@ -49,6 +56,8 @@
     def __init__(self) -> None:
         self._drains: dict[str, Drain] = {}
         self._since_s: dict[str, float] = {}
+        self._epoch = 0
+        self._lapses_at_s = 0.0
 
     @property
     def drains(self) -> tuple[Drain, ...]:
@@ -56,9 +65,10 @@
         return tuple(self._drains.values())
 
     @property
-    def newest(self) -> int:
-        """Version of the newest order; 0 if there is none."""
-        return max((one.version for one in self._drains.values()), default=0)
+    def newest(self) -> revision_lib.Revision:
+        """Revision of the newest order; `NONE` if there is none."""
+        found = (one.revision for one in self._drains.values())
+        return max(found, default=revision_lib.NONE)
 
     def is_drained(self, zone: str) -> bool:
         """Whether nothing new may go to a zone."""
@@ -69,33 +79,68 @@
         since_s = self._since_s.get(zone)
         return since_s is None or _now() - since_s < CONTINUE_S
 
+    def enter(self, revision: revision_lib.Revision) -> None:
+        """Notes at which revision the source is.
+
+        Orders of the epochs before stand for a while, and then no longer: what
+        the source says of all zones is of this one.
+        """
+        if revision.epoch == self._epoch:
+            return
+        self._epoch = revision.epoch
+        self._lapses_at_s = _now() + LAPSE_S
+        asyncio.get_running_loop().call_later(
+            LAPSE_S, self._drop_lapsed, revision
+        )
+
+    def _drop_lapsed(self, revision: revision_lib.Revision) -> None:
+        # A further epoch has begun a further wait.
+        if revision.epoch != self._epoch:
+            return
+        for drain in self.drains:
+            if drain.is_on and drain.revision.epoch < revision.epoch:
+                self._take(Drain(drain.zone, revision, is_on=False))
+
+    def _has_lapsed(self, drain: Drain) -> bool:
+        """Whether an order can only be told late: its epoch is long over."""
+        is_over = _now() >= self._lapses_at_s
+        return is_over and drain.revision.epoch < self._epoch
+
     def hear(self, found: Iterable[Drain]) -> None:
         """Takes each order that is newer than the one known."""
         for drain in found:
+            if self._has_lapsed(drain):
+                continue
             known = self._drains.get(drain.zone)
-            if known is None or drain.version > known.version:
+            if known is None or drain.revision > known.revision:
                 self._take(drain)
 
-    def replace(self, found: Iterable[Drain], version: int) -> None:
-        """Takes all orders that stand as of a version of the source.
+    def replace(
+        self, found: Iterable[Drain], revision: revision_lib.Revision
+    ) -> None:
+        """Takes all orders that stand as of a revision of the source.
 
-        What is known and not among them was taken back, unless it is newer.
+        What is known and not among them was taken back, unless it is newer, or
+        of an epoch before and has not lapsed yet.
         """
         listed = {drain.zone: drain for drain in found}
         self.hear(listed.values())
         for drain in self.drains:
-            if drain.zone not in listed and drain.version <= version:
-                self._take(Drain(drain.zone, version, is_on=False))
+            if drain.zone in listed or drain.revision > revision:
+                continue
+            is_current = drain.revision.epoch == revision.epoch
+            if is_current or self._has_lapsed(drain):
+                self._take(Drain(drain.zone, revision, is_on=False))
 
-    def forget_newer(self, version: int) -> None:
-        """Drops orders above a version that the source has not come to.
+    def forget_newer(self, revision: revision_lib.Revision) -> None:
+        """Drops orders above a revision that the source has not come to.
 
         They can only come from a faulty sender, and nothing that the source
         says of their zones would count until it has come so far.
         """
         for drain in self.drains:
-            if drain.version > version:
-                self._take(Drain(drain.zone, 0, is_on=False))
+            if drain.revision > revision:
+                self._take(Drain(drain.zone, revision_lib.NONE, is_on=False))
                 del self._drains[drain.zone]
 
     def _take(self, drain: Drain) -> None:
@@ -109,7 +154,9 @@
             self._since_s[drain.zone] = _now()
         else:
             del self._since_s[drain.zone]
-        event.note(event.ZoneDrain(drain.zone, drain.is_on, drain.version))
+        event.note(
+            event.ZoneDrain(drain.zone, drain.is_on, str(drain.revision))
+        )
 
     def _make_place(self, drain: Drain) -> bool:
         """Returns whether there is a place for an order of a further zone."""
@@ -118,7 +165,7 @@
         ended = [one for one in self._drains.values() if not one.is_on]
         if not drain.is_on or not ended:
             return False
-        oldest = min(ended, key=lambda one: one.version)
+        oldest = min(ended, key=lambda one: one.revision)
         del self._drains[oldest.zone]
         return True
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -132,7 +132,7 @@
                 first_ms=_ms(exchange.first_s),
                 widest_gap_ms=_ms(exchange.widest_gap_s or None),
                 configuration=exchange.version,
-                membership=self._core.upstreams.version,
+                membership=str(self._core.upstreams.revision),
                 objective_ms=_ms(exchange.route.objective_s),
                 most_gap_ms=_ms(exchange.route.most_gap_s),
                 held_ms=_ms(exchange.held_s),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -14,6 +14,7 @@
 __all__ = [
     'attempts',
     'datagrams',
+    'epochs',
     'moves',
     'news',
     'note_request',
@@ -58,6 +59,10 @@
     'quetzalsill_gateway_news_total',
     'News of the sources that other gateways told, by source and use.',
 )
+epochs = metric.counter(
+    'quetzalsill_gateway_store_epochs_total',
+    'Epochs of the store: entered, tables listed for it, answers left out.',
+)
 answers = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
     'Time from a request to its whole answer, by kind of route.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/bulletin.py
@@ -1,10 +1,16 @@
-"""News of the sources, and its form in a datagram."""
+"""News of the sources, and its form in a datagram.
+
+Revisions go as epoch and version. Gateways of the release before tell bare
+versions; they are of epoch 0, so that in a later one their news is older than
+all that is known.
+"""
 
 from __future__ import annotations
 
 from typing import Any
 
 from quetzalsill_gateway import error
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import upstream, zones
 from quetzalsill_gateway.peers import frame
 from quetzalsill_gateway.watch import news as news_lib
@@ -13,26 +19,32 @@
 
 PORTS = range(1, 65536)
 MOST_LAPSE_S = 60.0
+# Of a document, in bytes; longer ones are none.
+MOST_DIGEST = 16
 
 
 def encode(node: str, told: news_lib.News) -> bytes:
     """Returns the datagram in which a gateway tells news."""
     if isinstance(told, news_lib.ConfigurationNews):
-        drains = [(one.zone, one.version, one.is_on) for one in told.drains]
+        drains = [
+            (one.zone, _pair(one.revision), one.is_on) for one in told.drains
+        ]
         fields = (
             node,
-            told.version,
+            _pair(told.revision),
             told.configuration,
             told.patch,
             drains,
             told.is_echo,
+            _pair(told.written),
+            told.digest,
         )
         return frame.pack(frame.Kind.CONFIGURATION, fields)
-    changes = [_plain(change) for change in told.changes]
+    changes = [_fields(change) for change in told.changes]
     fields = (
         node,
-        told.since,
-        told.version,
+        _pair(told.since),
+        _pair(told.revision),
         told.lapses_s,
         changes,
         told.is_echo,
@@ -47,41 +59,107 @@
       error.PeerError: The fields hold none.
     """
     try:
-        if kind is frame.Kind.CONFIGURATION:
-            node, version, number, patch, drains, is_echo = fields
-            version = frame.count(version)
-            if not isinstance(patch, bytes):
-                raise TypeError(f'patch {type(patch)}')
-            return str(node), news_lib.ConfigurationNews(
-                version,
-                frame.count(number),
-                patch,
-                tuple(_drain(version, *entry) for entry in drains),
-                bool(is_echo),
-            )
-        node, since, version, lapses_s, changes, is_echo = fields
-        return str(node), news_lib.MembershipNews(
-            frame.count(since),
-            frame.count(version),
-            tuple(_change(*change) for change in changes),
-            min(MOST_LAPSE_S, max(0.0, float(lapses_s))),
-            bool(is_echo),
-        )
+        if kind is frame.Kind.PLAIN_CONFIGURATION:
+            found = _plain_configuration(*fields)
+        elif kind is frame.Kind.CONFIGURATION:
+            found = _configuration(*fields)
+        elif kind is frame.Kind.PLAIN_MEMBERSHIP:
+            found = _plain_membership(*fields)
+        else:
+            found = _membership(*fields)
     except frame.MALFORMED as exc:
         raise error.PeerError(f'no news: {exc!r}') from exc
+    return found.teller, found
+
+
+def _configuration(
+    node: Any,
+    revision: Any,
+    number: Any,
+    patch: Any,
+    drains: Any,
+    is_echo: Any,
+    written: Any = (0, 0),
+    digest: Any = b'',
+) -> news_lib.ConfigurationNews:
+    newest = frame.revision(revision)
+    if not isinstance(patch, bytes):
+        raise TypeError(f'patch {type(patch)}')
+    if not isinstance(digest, bytes) or len(digest) > MOST_DIGEST:
+        raise TypeError(f'digest {type(digest)}')
+    return news_lib.ConfigurationNews(
+        newest,
+        frame.count(number),
+        patch,
+        tuple(_drain(newest, *entry) for entry in drains),
+        bool(is_echo),
+        min(newest, frame.revision(written)),
+        digest,
+        str(node),
+    )
+
+
+def _membership(
+    node: Any,
+    since: Any,
+    revision: Any,
+    lapses_s: Any,
+    changes: Any,
+    is_echo: Any,
+) -> news_lib.MembershipNews:
+    return news_lib.MembershipNews(
+        frame.revision(since),
+        frame.revision(revision),
+        tuple(_change(*change) for change in changes),
+        min(MOST_LAPSE_S, max(0.0, float(lapses_s))),
+        bool(is_echo),
+        str(node),
+    )
+
+
+def _plain_configuration(
+    node: Any,
+    version: Any,
+    number: Any,
+    patch: Any,
+    drains: Any,
+    is_echo: Any,
+) -> news_lib.ConfigurationNews:
+    orders = [(zone, (0, told), is_on) for zone, told, is_on in drains]
+    return _configuration(node, (0, version), number, patch, orders, is_echo)
+
+
+def _plain_membership(
+    node: Any,
+    since: Any,
+    version: Any,
+    lapses_s: Any,
+    changes: Any,
+    is_echo: Any,
+) -> news_lib.MembershipNews:
+    entries = [(name, (0, told), *rest) for name, told, *rest in changes]
+    return _membership(
+        node, (0, since), (0, version), lapses_s, entries, is_echo
+    )
+
+
+def _pair(revision: revision_lib.Revision) -> tuple[int, int]:
+    return revision.epoch, revision.version
 
 
-def _drain(newest: int, zone: str, version: int, is_on: bool) -> zones.Drain:
-    name, version = str(zone), frame.count(version)
-    if version > newest:
-        raise ValueError(f'drain at {version}, news at {newest}')
+def _drain(
+    newest: revision_lib.Revision, zone: Any, told: Any, is_on: Any
+) -> zones.Drain:
+    name, revision = str(zone), frame.revision(told)
+    if revision > newest:
+        raise ValueError(f'drain at {revision}, news at {newest}')
     if not name or len(name) > zones.MOST_NAME:
         raise ValueError('no name of a zone')
-    return zones.Drain(name, version, bool(is_on))
+    return zones.Drain(name, revision, bool(is_on))
 
 
-def _plain(change: upstream.Change) -> tuple[Any, ...]:
-    head = (change.id, change.version)
+def _fields(change: upstream.Change) -> tuple[Any, ...]:
+    head = (change.id, _pair(change.revision))
     found = change.upstream
     if found is None:
         return (*head, change.lapses)
@@ -97,10 +175,11 @@
     )
 
 
-def _change(name: str, version: int, *rest: Any) -> upstream.Change:
+def _change(name: Any, told: Any, *rest: Any) -> upstream.Change:
+    revision = frame.revision(told)
     if len(rest) == 1:
         [lapses] = rest
-        return upstream.Change(name, frame.count(version), None, bool(lapses))
+        return upstream.Change(str(name), revision, None, bool(lapses))
     service, host, port, zone, slots, leaving, incarnation, warmup_s = rest
     if port not in PORTS:
         raise ValueError(f'port {port!r}')
@@ -114,4 +193,4 @@
         incarnation=frame.count(incarnation),
         warmup_s=upstream.bounded_warmup_s(warmup_s),
     )
-    return upstream.Change(str(name), frame.count(version), found)
+    return upstream.Change(str(name), revision, found)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -62,7 +62,9 @@
         self._is_telling = False
         self.taken = 0
         self.left_out = 0
-        self._hearers: dict[frame.Kind, Callable[[news_lib.News], None]] = {}
+        self._hearers: dict[
+            type[news_lib.News], Callable[[news_lib.News], None]
+        ] = {}
         self._wholes: list[Callable[[], news_lib.News | None]] = []
         self._told_s = 0.0
         self._broadcast = relay.Broadcast(
@@ -71,7 +73,9 @@
         core.live.on_changed(self._tell_soon)
 
     def on_news(
-        self, kind: frame.Kind, hear: Callable[[news_lib.News], None]
+        self,
+        kind: type[news_lib.News],
+        hear: Callable[[news_lib.News], None],
     ) -> None:
         """Sets what takes the other gateways' news of a source."""
         self._hearers[kind] = hear
@@ -211,7 +215,7 @@
             elif kind is frame.Kind.RELAY:
                 self._relay(*relay.decode(fields), addr)
             else:
-                self._hear_news(kind, *bulletin.decode(kind, fields))
+                self._hear_news(*bulletin.decode(kind, fields))
         except error.PeerError as exc:
             self._leave_out(addr, str(exc))
 
@@ -229,7 +233,7 @@
             if address in known:
                 self._transport.sendto(data, address)
         kind, fields = frame.unpack(data)
-        self._hear_news(kind, *bulletin.decode(kind, fields))
+        self._hear_news(*bulletin.decode(kind, fields))
 
     def _leave_out(self, addr: Address, reason: str) -> None:
         self.left_out += 1
@@ -247,10 +251,8 @@
                 data = bulletin.encode(self._node, told)
                 self._transport.sendto(data, addr)
 
-    def _hear_news(
-        self, kind: frame.Kind, node: str, told: news_lib.News
-    ) -> None:
-        hear = self._hearers.get(kind)
+    def _hear_news(self, node: str, told: news_lib.News) -> None:
+        hear = self._hearers.get(type(told))
         if hear is not None and node != self._node:
             hear(told)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -8,12 +8,13 @@
 import msgpack
 
 from quetzalsill_gateway import error
+from quetzalsill_gateway.fleet import revision as revision_lib
 
-__all__ = ['MALFORMED', 'Kind', 'count', 'pack', 'unpack']
+__all__ = ['MALFORMED', 'Kind', 'count', 'pack', 'revision', 'unpack']
 
 VERSION = 8
 # No count that is told comes near it; a greater one is a fault of its sender's.
-MOST_COUNT = 2**53
+MOST_COUNT = revision_lib.MOST
 # What reading fields of unexpected number, type or size raises.
 MALFORMED = (
     ValueError,
@@ -26,13 +27,20 @@
 
 
 class Kind(enum.IntEnum):
-    """What a datagram tells."""
+    """What a datagram tells.
+
+    News of a kind with `PLAIN` tells versions without epochs. Gateways of the
+    release before send them, in a rolling restart, and leave out the kinds that
+    they don't know; the others are alike in both.
+    """
 
     STATE = 1
-    MEMBERSHIP = 2
-    CONFIGURATION = 3
+    PLAIN_MEMBERSHIP = 2
+    PLAIN_CONFIGURATION = 3
     ASK_WHOLE = 4
     RELAY = 5
+    MEMBERSHIP = 6
+    CONFIGURATION = 7
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
@@ -58,3 +66,9 @@
 def count(figure: Any) -> int:
     """Returns a figure that is told, within what is possible."""
     return min(MOST_COUNT, max(0, int(figure)))
+
+
+def revision(figures: Any) -> revision_lib.Revision:
+    """Returns a revision that is told, within what is possible."""
+    epoch, version = figures
+    return revision_lib.Revision(count(epoch), count(version))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -21,12 +21,11 @@
 )
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import book
-from quetzalsill_gateway.fleet import members, quota, upstream
+from quetzalsill_gateway.fleet import members, quota, revision, upstream
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
-from quetzalsill_gateway.peers import frame
 from quetzalsill_gateway.stream import live, lookout
-from quetzalsill_gateway.watch import configuration, membership
+from quetzalsill_gateway.watch import configuration, membership, news
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import deployment as deployment_lib
@@ -87,6 +86,7 @@
             self.core.upstreams,
             self.core.health,
             settings.watch.leaving_ms / MS_PER_S,
+            epochs=sources.epochs,
         )
         self.configuration = configuration.Configuration(
             sources.ask_configuration,
@@ -96,6 +96,7 @@
             self.core.health,
             lambda: self.core.upstreams.sharers,
             settings.watch.configuration_ms / MS_PER_S,
+            epochs=sources.epochs,
         )
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
@@ -108,8 +109,8 @@
             self.core, settings.node.name, sources.join
         )
         kinds = {
-            frame.Kind.MEMBERSHIP: self.membership,
-            frame.Kind.CONFIGURATION: self.configuration,
+            news.MembershipNews: self.membership,
+            news.ConfigurationNews: self.configuration,
         }
         for kind, follower in kinds.items():
             follower.on_look(self.peers.announce)
@@ -121,7 +122,10 @@
     def is_ready(self) -> bool:
         """Whether callers should come here."""
         core = self.core
-        known = core.holder.current is not None and core.upstreams.version > 0
+        known = (
+            core.holder.current is not None
+            and core.upstreams.revision > revision.NONE
+        )
         return known and not self.callers.stopping
 
     def apply(self, settings: settings_lib.Settings) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -8,7 +8,9 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import zones
+from quetzalsill_gateway.watch import epoch
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table
@@ -16,6 +18,7 @@
 
 __all__ = [
     'Ask',
+    'Document',
     'Found',
     'Health',
     'Holder',
@@ -71,6 +74,10 @@
         )
         return True
 
+    def replace(self, table: routing_table.RoutingTable) -> None:
+        """Takes another table of the same version, which was written later."""
+        self.current = table
+
 
 class Health:
     """Whether the sources answer.
@@ -145,21 +152,37 @@
 
     Attributes:
       items: What changed, in order, or all there is.
-      version: Version of the source up to which they are told.
+      revision: Revision of the source up to which they are told.
       is_whole: Whether they are all there is.
     """
 
     items: list[Item]
-    version: int
+    revision: revision_lib.Revision
     is_whole: bool
 
 
-# Asks for what changed behind a version, or for all if there is none, and waits
-# for a change for so many seconds at most. None is answered if the source has
-# forgotten that far back. Raises `error.SourceError`.
-Ask = Callable[[int | None, float], Awaitable[Found[Item] | None]]
+@dataclasses.dataclass(slots=True, frozen=True)
+class Document:
+    """A document of the configuration.
+
+    Attributes:
+      data: Its bytes, the same for what says the same.
+      written: Revision of the source at which it was written.
+    """
+
+    data: bytes
+    written: revision_lib.Revision
+
+
+# Asks for what changed behind a revision, or for all if there is none, and
+# waits for a change for so many seconds at most. None is answered if the source
+# cannot tell on from there: it has forgotten that far back, or is in another
+# epoch. Raises `error.SourceError`.
+Ask = Callable[
+    [revision_lib.Revision | None, float], Awaitable[Found[Item] | None]
+]
 # What operators write: a document of the configuration, or an order for a zone.
-OperatorItem = bytes | zones.Drain
+OperatorItem = Document | zones.Drain
 # Makes a routing table of a document. Raises `error.ConfigurationError`.
 ReadDocument = Callable[[bytes], 'routing_table.RoutingTable']
 
@@ -175,9 +198,11 @@
       ask_membership: Asks for entries of upstreams.
       join: Enters a gateway, by name and address, in the directory of
         gateways, and returns the addresses of all others in it by name.
+      epochs: The epoch that the source has told.
     """
 
     ask_configuration: Ask[OperatorItem]
     read_configuration: ReadDocument
     ask_membership: Ask[upstream.Change]
     join: Callable[[str, str], Awaitable[dict[str, str]]]
+    epochs: epoch.Epochs = dataclasses.field(default_factory=epoch.Epochs)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -11,8 +11,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import error, event, meter
+from quetzalsill_gateway import error, event, meter, source
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import zones
+from quetzalsill_gateway.watch import epoch
 from quetzalsill_gateway.watch import news as news_lib
 from quetzalsill_gateway.watch import patch as patch_lib
 from quetzalsill_gateway.watch import turn as turn_lib
@@ -21,7 +23,7 @@
     import random
     from collections.abc import Callable
 
-    from quetzalsill_gateway import source
+    from quetzalsill_gateway import routing_table
 
 __all__ = ['Configuration']
 
@@ -42,6 +44,9 @@
 # An order to drain a zone that is newer than what the source has come to for
 # this long is a sender's fault: the source is never behind itself for longer.
 AHEAD_S = 5.0
+# Draw of the time at which a gateway asks in a new epoch of the source, unless
+# another has told by then.
+ANEW_S = 1.0
 # A document whole fits a datagram up to this size; packed, it is some tenth of
 # what operators write.
 MOST_WHOLE_BYTES = 49_152
@@ -60,6 +65,7 @@
         sharers: Callable[[], int],
         bound_s: float,
         rng: random.Random | None = None,
+        epochs: epoch.Epochs | None = None,
     ) -> None:
         """Prepares to follow.
 
@@ -72,6 +78,7 @@
           sharers: Returns how many gateways tell each other.
           bound_s: Time in which a change must be in force, in seconds.
           rng: Draws the times of calls.
+          epochs: The epoch that the source has told; None if it tells none.
         """
         self._ask = ask
         self._read = read
@@ -80,8 +87,14 @@
         self._ahead_s: float | None = None
         self._health = health
         self._wait_s = WAIT * bound_s
-        self._version: int | None = None
+        self._epochs = epochs or epoch.Epochs()
+        self._epochs.on_new(lambda: self._turn.within(ANEW_S))
+        self._revision: revision_lib.Revision | None = None
+        self._listed: revision_lib.Revision | None = None
         self._document = b''
+        self._digest = b''
+        self._written = revision_lib.NONE
+        self._wanted = self._lacking = 0
         self._patch = b''
         self._patched_s = 0.0
         pace = turn_lib.Pace(LEAST * bound_s, SPREAD * bound_s, ASK_ON_S)
@@ -99,13 +112,23 @@
 
     def whole(self) -> news_lib.ConfigurationNews | None:
         """Returns all that is known, for a gateway that knows nothing."""
-        if self._version is None or not self._document:
+        if self._revision is None or not self._document:
             return None
         document = patch_lib.make(b'', self._document, MOST_WHOLE_BYTES)
         if document is None:
             return None
+        return self._news(document)
+
+    def _news(self, patch: bytes) -> news_lib.ConfigurationNews:
+        drains = self._drained.drains
         return news_lib.ConfigurationNews(
-            self._version, self._number(), document, self._drained.drains
+            self._revision,
+            self._number(),
+            patch,
+            # One that is newer than the rest would make all of it malformed.
+            tuple(one for one in drains if one.revision <= self._revision),
+            written=self._written,
+            digest=self._digest,
         )
 
     async def run(self) -> None:
@@ -116,75 +139,172 @@
 
     def hear(self, told: news_lib.ConfigurationNews) -> None:
         """Takes what another gateway was told."""
-        # Each order by its own version, whatever else is told.
+        # Each order by its own revision, whatever else is told.
         self._drained.hear(told.drains)
-        self._correct_drains(self._drained.newest, told.version)
-        known = self._version
+        newest_drain = self._drained.newest
+        if told.revision.epoch >= newest_drain.epoch:
+            self._correct_drains(newest_drain, told.revision)
+        else:
+            # Told late, or the order is faulty: the source has to say.
+            self._turn.within(ANEW_S)
+        known = self._revision
         if known is None and self._is_patched(told):
-            self._version = told.version
+            self._enter(told.revision, told.teller)
             self._holder.confirm()
             return
         if known is None or told.configuration < self._number():
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
-        if told.configuration > self._number() and not self._is_patched(told):
-            # The version known here stays, so that no edit is passed over.
+        if self._is_other(told) and not self._is_patched(told):
+            # The revision known here stays, so that no edit is passed over.
             meter.news.inc({'of': NAME, 'result': 'newer'})
-            self._turn.hurry()
+            self._fetch(told)
             return
-        if told.version < known:
+        if told.revision < known:
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
         meter.news.inc({'of': NAME, 'result': 'taken'})
-        self._version = told.version
+        self._follow(told)
+
+    def _is_other(self, told: news_lib.ConfigurationNews) -> bool:
+        """Whether a configuration that counts more than the one here is told.
+
+        A greater number does; of two with the same, the one written last.
+        """
+        if told.configuration != self._number():
+            return told.configuration > self._number()
+        is_same = told.digest in (b'', self._digest)
+        if is_same:
+            self._written = max(self._written, told.written)
+        return not is_same and told.written > self._written
+
+    def _fetch(self, told: news_lib.ConfigurationNews) -> None:
+        """Asks for a configuration that another gateway has.
+
+        Of the source, or of the other gateways if the source has lost it and
+        lists an older one, however often it is asked.
+        """
+        if told.configuration <= self._lacking and self._on_lack is not None:
+            self._on_lack()
+            return
+        self._wanted = told.configuration
+        self._turn.hurry()
+
+    def _follow(self, told: news_lib.ConfigurationNews) -> None:
+        """Takes how far the source has come, from another gateway."""
+        known = self._revision
+        self._enter(told.revision, told.teller)
         self._holder.confirm()
-        if not told.is_echo:
+        newest = self._epochs.newest
+        if told.revision.epoch > newest:
+            # Its word counts; but whether the source is there, only the source
+            # can say.
+            if known is not None and told.revision.epoch > known.epoch:
+                event.note(
+                    event.EpochTold(
+                        NAME, told.teller, str(known), str(told.revision)
+                    )
+                )
+            self._turn.within(ANEW_S)
+        elif told.revision.epoch < self._drained.newest.epoch:
+            # The source has to say of the newer order; the call is due already.
+            return
+        elif told.revision.epoch == newest and not told.is_echo:
             self._turn.heard(asyncio.get_running_loop().time())
 
     async def _look(self) -> None:
         loop = asyncio.get_running_loop()
-        known = self._version
+        known = self._revision
+        is_ended = known is not None and known.epoch < self._epochs.newest
         # Behind it may lie many edits, each told with its whole document, and
         # only the newest counts.
-        after = None if self._turn.is_behind else known
+        after = None if is_ended or self._turn.is_behind else known
         newest_drain = self._drained.newest
         try:
             found = await self._ask(after, self._wait_s)
+        except error.StaleAnswerError:
+            self._turn.failed(loop.time())
+            return
         except error.SourceError as exc:
             self._health.lose(NAME, str(exc))
             self._turn.failed(loop.time())
-            if self._version is None and self._on_lack is not None:
+            if self._revision is None and self._on_lack is not None:
                 self._on_lack()
             return
         self._health.regain(NAME)
         if found is None:
-            event.note(event.StoreHistoryLost(NAME, known))
-            self._version = None
+            self._end_feed(known)
+            return
+        if found.revision.epoch < self._epochs.newest:
+            # Told of a newer one by another call meanwhile.
             return
-        if known is not None and found.version < known:
-            event.note(event.VersionAhead(NAME, known, found.version))
-            self._version = None
+        if known is not None and found.revision < known:
+            self._note_ahead(known, found.revision)
+            self._revision = None
             return
         self._holder.confirm()
         self._take(found)
-        self._correct_drains(newest_drain, found.version)
-        self._version = max(found.version, self._version or 0)
+        self._correct_drains(newest_drain, found.revision)
+        if self._revision is None or found.revision > self._revision:
+            self._enter(found.revision, 'store')
         if self._turn.answered(loop.time()):
             self._tell()
 
+    def _end_feed(self, known: revision_lib.Revision | None) -> None:
+        """Meets a source that doesn't tell on from what was known."""
+        if self._revision != known:
+            # Another gateway has told of a newer epoch meanwhile.
+            return
+        newest = self._epochs.newest
+        if known is not None and known.epoch == newest:
+            event.note(event.StoreHistoryLost(NAME, str(known)))
+        elif known is not None and known.epoch > newest:
+            self._note_ahead(known, revision_lib.Revision(newest, 0))
+        self._turn.ended(asyncio.get_running_loop().time())
+        self._revision = None
+
+    def _note_ahead(
+        self, known: revision_lib.Revision, found: revision_lib.Revision
+    ) -> None:
+        event.note(event.VersionAhead(NAME, str(known), str(found)))
+
+    def _enter(self, revision: revision_lib.Revision, source: str) -> None:
+        """Takes up to which revision everything is known."""
+        before, self._listed = self._listed, revision
+        self._revision = revision
+        if before is None or before.epoch == revision.epoch:
+            return
+        meter.epochs.inc({'what': 'listed'})
+        event.note(
+            event.TableListed(
+                NAME,
+                source,
+                str(before),
+                str(revision),
+                len(self._drained.drains),
+            )
+        )
+
     def _take(self, found: source.Found[source.OperatorItem]) -> None:
-        drains = []
+        drains, held = [], 0
         for item in found.items:
             if isinstance(item, zones.Drain):
                 drains.append(item)
             else:
-                self._install(item)
+                held = max(held, self._install(item))
+        self._drained.enter(found.revision)
         if found.is_whole:
-            self._drained.replace(drains, found.version)
+            self._drained.replace(drains, found.revision)
+            self._lacking = self._wanted if held < self._wanted else 0
         else:
+            self._turn.told_on()
             self._drained.hear(drains)
+        if 0 < held < self._number():
+            event.note(event.ConfigurationKept(self._number(), held))
 
-    def _correct_drains(self, known: int, told: int) -> None:
+    def _correct_drains(
+        self, known: revision_lib.Revision, told: revision_lib.Revision
+    ) -> None:
         """Drops an order that the source does not come to: it is faulty.
 
         Not at the first answer, which may be one that is told late.
@@ -195,48 +315,86 @@
         elif self._ahead_s is None:
             self._ahead_s = now
         elif now - self._ahead_s > AHEAD_S:
-            event.note(event.VersionAhead('zones', known, told))
+            event.note(event.VersionAhead('zones', str(known), str(told)))
             self._drained.forget_newer(told)
-            self._ahead_s = self._version = None
+            self._ahead_s = self._revision = None
 
     def _tell(self) -> None:
         if self._announce is None:
             return
         now = asyncio.get_running_loop().time()
         is_new = now - self._patched_s < PATCH_S
-        self._announce(
-            news_lib.ConfigurationNews(
-                self._version,
-                self._number(),
-                self._patch if is_new else b'',
-                self._drained.drains,
-            )
-        )
+        self._announce(self._news(self._patch if is_new else b''))
 
     def _is_patched(self, told: news_lib.ConfigurationNews) -> bool:
         """Whether what is told has made the newest configuration here."""
         if not told.patch:
             return False
-        try:
-            document = patch_lib.apply(self._document, told.patch)
-        except error.PatchError:
+        document = self._patched(told.patch)
+        if document is None:
             return False
-        self._install(document)
-        return self._number() == told.configuration
+        self._install(source.Document(document, told.written))
+        is_same = told.digest in (b'', self._digest)
+        return is_same and self._number() == told.configuration
+
+    def _patched(self, patch: bytes) -> bytes | None:
+        # A document that is told whole is a patch of nothing.
+        for base in (self._document, b''):
+            try:
+                return patch_lib.apply(base, patch)
+            except error.PatchError:
+                continue
+        return None
 
     def _number(self) -> int:
         table = self._holder.current
         return table.version if table else 0
 
-    def _install(self, document: bytes) -> None:
+    def _install(self, found: source.Document) -> int:
+        """Takes a document if it counts more; returns its number, 0 for none.
+
+        The number that operators give decides. A source that has come back from
+        a copy may hold an older one, which would serve keys that they have
+        withdrawn.
+        """
         try:
-            table = self._read(document)
+            table = self._read(found.data)
         except error.ConfigurationError as exc:
             event.note(event.ConfigurationInvalid(str(exc), exc.advice))
+            return 0
+        if table.version == self._number():
+            self._settle(found, table)
+        elif self._holder.install(table):
+            self._replace(found)
+        return table.version
+
+    def _settle(
+        self, found: source.Document, table: routing_table.RoutingTable
+    ) -> None:
+        """Settles which of two documents that bear one number is in force.
+
+        The one that was written last, as the source and every gateway come to
+        see, in whatever order they are told of both.
+        """
+        if found.written <= self._written:
             return
-        if not self._holder.install(table):
-            return
+        if found.data != self._document:
+            event.note(
+                event.ConfigurationReplaced(
+                    table.version,
+                    str(self._written),
+                    str(found.written),
+                    'Write the configuration that is meant with a new number.',
+                )
+            )
+            self._holder.replace(table)
+            self._replace(found)
+        self._written = found.written
+
+    def _replace(self, found: source.Document) -> None:
         if self._document:
-            self._patch = patch_lib.make(self._document, document) or b''
+            self._patch = patch_lib.make(self._document, found.data) or b''
             self._patched_s = asyncio.get_running_loop().time()
-        self._document = document
+        self._document = found.data
+        self._digest = patch_lib.digest(found.data)
+        self._written = found.written
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/epoch.py
@@ -0,0 +1,93 @@
+"""Which epoch the source is in, as its answers to this gateway say.
+
+A source that loses its newest changes enters a new epoch (`fleet.revision`).
+Whichever call hears of it first speaks for all: every table is listed anew, and
+what the gateway has written there is written again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from quetzalsill_gateway import error, event, meter
+
+__all__ = ['BEHIND_S', 'Epochs']
+
+# A source that tells an older epoch for so long, and no newer one in between,
+# is in that one: the newer was a fault of one answer's. No answer is under way
+# for longer.
+BEHIND_S = 1.0
+# Least time between two log lines of answers that were left out.
+LOG_EVERY_S = 60.0
+
+
+class Epochs:
+    """The newest epoch that the source has told.
+
+    Attributes:
+      newest: That epoch; 0 before any, and for a source that tells none.
+    """
+
+    def __init__(self) -> None:
+        self.newest = 0
+        self._is_known = False
+        self._behind_s: float | None = None
+        self._quiet_until_s = 0.0
+        self._on_new: list[Callable[[], None]] = []
+
+    def on_new(self, callback: Callable[[], None]) -> None:
+        """Calls back when the source has entered another epoch."""
+        self._on_new.append(callback)
+
+    def answered(self, call: str, told: int, asked: int) -> None:
+        """Takes the epoch of an answer, whatever else is in it.
+
+        Args:
+          call: Name of the call.
+          told: The epoch.
+          asked: `newest` as the call was sent.
+
+        Raises:
+          error.StaleAnswerError: The answer is of an epoch that has ended; it
+            changes nothing.
+        """
+        if told < self.newest and not self._has_fallen(told, asked):
+            meter.epochs.inc({'what': 'stale'})
+            self._note_stale(call, told)
+            raise error.StaleAnswerError(
+                f'{call}: epoch {told}, after {self.newest}'
+            )
+        self._behind_s = None
+        if told != self.newest:
+            self._enter(call, told)
+        self._is_known = True
+
+    def _has_fallen(self, told: int, asked: int) -> bool:
+        """Whether the newer epoch that is known was a fault.
+
+        Held for good, one answer's fault would make the gateway deaf for all
+        later ones. Calls sent before it was known count for nothing: they are
+        late, as answers are that overtake each other.
+        """
+        if asked != self.newest:
+            return False
+        now = asyncio.get_running_loop().time()
+        if self._behind_s is None:
+            self._behind_s = now
+        return now - self._behind_s > BEHIND_S
+
+    def _enter(self, call: str, told: int) -> None:
+        before, self.newest = self.newest, told
+        if not self._is_known:
+            return
+        meter.epochs.inc({'what': 'new' if told > before else 'fallen'})
+        event.note(event.EpochEntered(call, before, told))
+        for callback in self._on_new:
+            callback()
+
+    def _note_stale(self, call: str, told: int) -> None:
+        now = asyncio.get_running_loop().time()
+        if now >= self._quiet_until_s:
+            self._quiet_until_s = now + LOG_EVERY_S
+            event.note(event.AnswerStale(call, self.newest, told))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event, meter
+from quetzalsill_gateway.fleet import revision as revision_lib
+from quetzalsill_gateway.watch import epoch
 from quetzalsill_gateway.watch import news as news_lib
 from quetzalsill_gateway.watch import recent as recent_lib
 from quetzalsill_gateway.watch import turn as turn_lib
@@ -36,6 +38,13 @@
 # Whoever watches asks on after so long, which takes in what changes with what
 # was told, and bounds its calls where entries change without end.
 ASK_ON_S = 0.03
+# In a new epoch of the source every gateway is to list all anew, and sees so at
+# the same moment. The first that has the list tells the others, who draw the
+# time at which they ask from this and have no need to.
+ANEW_S = 1.0
+# Entries that are told whole in one datagram, some 100 bytes each; of more,
+# each gateway asks for itself.
+MOST_TOLD = 160
 # Share of the time in which a notice must be known, after which a gateway that
 # hears nothing asks at the latest.
 BOUND_SHARE = 0.75
@@ -51,6 +60,7 @@
         health: source.Health,
         bound_s: float,
         rng: random.Random | None = None,
+        epochs: epoch.Epochs | None = None,
     ) -> None:
         """Prepares to follow.
 
@@ -60,11 +70,15 @@
           health: Told whether the source answers.
           bound_s: Time in which a change must be known, in seconds.
           rng: Draws the times of looks.
+          epochs: The epoch that the source has told; None if it tells none.
         """
         self._ask = ask
         self._upstreams = upstreams
         self._health = health
-        self._version: int | None = None
+        self._epochs = epochs or epoch.Epochs()
+        self._epochs.on_new(lambda: self._turn.within(ANEW_S))
+        self._revision: revision_lib.Revision | None = None
+        self._listed: revision_lib.Revision | None = None
         self._recent = recent_lib.Recent()
         scale = min(1.0, BOUND_SHARE * bound_s / (LEAST_S + SPREAD_S))
         self._wait_s = scale * WAIT_S
@@ -83,12 +97,12 @@
 
     def whole(self) -> news_lib.MembershipNews | None:
         """Returns all that is known, for a gateway that knows nothing."""
-        if self._version is None:
+        if self._revision is None:
             return None
         return news_lib.MembershipNews(
             news_lib.EVERYTHING,
-            self._version,
-            self._recent.all(self._version),
+            self._revision,
+            self._recent.all(self._revision),
             self._upstreams.lapses_left_s,
         )
 
@@ -100,91 +114,196 @@
 
     def hear(self, told: news_lib.MembershipNews) -> None:
         """Takes what another gateway was told."""
-        known = self._version
-        if known is None and told.since == news_lib.EVERYTHING:
-            self._restart(list(told.changes), told.version)
-            if not told.is_echo:
-                self._turn.heard(asyncio.get_running_loop().time())
+        if not self._take_told(told):
             return
-        if known is None or told.version < known:
+        if told.revision.epoch > self._epochs.newest:
+            # Its word counts; but whether the source is there, only the source
+            # can say.
+            self._turn.within(ANEW_S)
+        elif told.revision.epoch == self._epochs.newest and not told.is_echo:
+            self._turn.heard(asyncio.get_running_loop().time())
+
+    def _take_told(self, told: news_lib.MembershipNews) -> bool:
+        """Returns whether news was of use."""
+        known = self._revision
+        if known is None and told.is_whole or self._is_newer_list(told):
+            self._begin(told, known)
+            return True
+        if known is None or told.revision < known:
             meter.news.inc({'of': NAME, 'result': 'old'})
-            return
+            return False
         if told.since > known:
             # Datagrams were lost: what came between is not known here.
             meter.news.inc({'of': NAME, 'result': 'gap'})
-            self._turn.hurry()
-            return
+            if told.since.epoch > known.epoch:
+                self._note_told(told, known)
+                self._turn.within(ANEW_S, is_behind=True)
+            else:
+                self._turn.hurry()
+            return False
         meter.news.inc({'of': NAME, 'result': 'taken'})
         if told.lapses_s > 0:
             self._upstreams.expect_lapsed(told.lapses_s)
-        fresh = [one for one in told.changes if one.version > known]
-        self._take(fresh, known, told.version)
-        if not told.is_echo:
-            self._turn.heard(asyncio.get_running_loop().time())
+        fresh = [one for one in told.changes if one.revision > known]
+        self._take(fresh, known, told.revision)
+        return True
+
+    def _is_newer_list(self, told: news_lib.MembershipNews) -> bool:
+        """Whether a list is newer than what is known.
+
+        One without any entry is left for the source to tell: a faulty sender's
+        would leave nobody to serve.
+        """
+        return (
+            told.is_whole
+            and bool(told.changes)
+            and told.revision > (self._revision or revision_lib.NONE)
+        )
+
+    def _begin(
+        self,
+        told: news_lib.MembershipNews,
+        known: revision_lib.Revision | None,
+    ) -> None:
+        """Begins anew with all that another gateway has listed."""
+        meter.news.inc({'of': NAME, 'result': 'whole'})
+        if known is not None and told.revision.epoch > known.epoch:
+            self._note_told(told, known)
+        if told.lapses_s > 0:
+            self._upstreams.expect_lapsed(told.lapses_s)
+        self._restart(list(told.changes), told.revision, told.teller)
+
+    def _note_told(
+        self, told: news_lib.MembershipNews, known: revision_lib.Revision
+    ) -> None:
+        if told.revision.epoch > self._epochs.newest:
+            event.note(
+                event.EpochTold(
+                    NAME, told.teller, str(known), str(told.revision)
+                )
+            )
 
     async def _look(self) -> None:
         loop = asyncio.get_running_loop()
-        known = self._version
+        known = self._revision
+        is_ended = known is not None and known.epoch < self._epochs.newest
         try:
-            found = await self._ask(known, self._wait_s)
+            found = await self._ask(None if is_ended else known, self._wait_s)
+        except error.StaleAnswerError:
+            self._turn.failed(loop.time())
+            return
         except error.SourceError as exc:
             self._health.lose(NAME, str(exc))
             self._turn.failed(loop.time())
-            if self._version is None and self._on_lack is not None:
+            if self._revision is None and self._on_lack is not None:
                 self._on_lack()
             return
         self._health.regain(NAME)
         if found is None:
-            event.note(event.StoreHistoryLost(NAME, known))
-            self._version = None
+            self._end_feed(known)
+            return
+        if found.revision.epoch < self._epochs.newest:
+            # Told of a newer one by another call meanwhile.
             return
-        newest = self._version
-        if newest is not None and found.version < newest:
-            self._correct(known, found.version)
+        newest = self._revision
+        if newest is not None and found.revision < newest:
+            self._correct(known, found.revision)
             return
+        is_new = found.is_whole and self._is_new_epoch(found.revision)
         if found.is_whole:
-            self._restart(found.items, found.version)
+            self._restart(found.items, found.revision, 'store')
         else:
+            self._turn.told_on()
             # Told by others meanwhile, if it is not behind `newest`.
-            fresh = [one for one in found.items if one.version > newest]
-            self._take(fresh, newest, found.version)
+            fresh = [one for one in found.items if one.revision > newest]
+            self._take(fresh, newest, found.revision)
         if self._turn.answered(loop.time()):
-            self._tell()
+            self._tell(is_new=is_new)
 
-    def _correct(self, known: int | None, told: int) -> None:
+    def _end_feed(self, known: revision_lib.Revision | None) -> None:
+        """Meets a source that doesn't tell on from what was known."""
+        if self._revision != known:
+            # Another gateway has told the whole list meanwhile.
+            return
+        newest = self._epochs.newest
+        if known is not None and known.epoch == newest:
+            event.note(event.StoreHistoryLost(NAME, str(known)))
+        elif known is not None and known.epoch > newest:
+            told = revision_lib.Revision(newest, 0)
+            event.note(event.VersionAhead(NAME, str(known), str(told)))
+        self._turn.ended(asyncio.get_running_loop().time())
+        self._revision = None
+
+    def _correct(
+        self, known: revision_lib.Revision | None, told: revision_lib.Revision
+    ) -> None:
         """Meets an answer from before what is known here.
 
         Others may have told more while the call was under way. But what was
-        known when it was sent is in every answer: a version above it can only
+        known when it was sent is in every answer: a revision above it can only
         come from a faulty datagram, and nothing would be heard until the
         source has come so far.
         """
         if known is not None and told < known:
-            event.note(event.VersionAhead(NAME, known, told))
-            self._version = None
+            event.note(event.VersionAhead(NAME, str(known), str(told)))
+            self._revision = None
 
-    def _restart(self, found: list[upstream.Change], version: int) -> None:
+    def _is_new_epoch(self, revision: revision_lib.Revision) -> bool:
+        return self._listed is not None and self._listed.epoch != revision.epoch
+
+    def _restart(
+        self,
+        found: list[upstream.Change],
+        revision: revision_lib.Revision,
+        source: str,
+    ) -> None:
+        if self._is_new_epoch(revision):
+            # Its copy lacks what was written last, which is written again.
+            self._upstreams.expect_lapsed()
+            self._note_listed(found, revision, source)
         self._upstreams.confirm()
-        self._upstreams.replace(found, version)
-        self._recent.restart(found, version)
-        self._version = version
+        self._upstreams.replace(found, revision)
+        self._recent.restart(found, revision)
+        self._revision = self._listed = revision
+
+    def _note_listed(
+        self,
+        found: list[upstream.Change],
+        revision: revision_lib.Revision,
+        source: str,
+    ) -> None:
+        meter.epochs.inc({'what': 'listed'})
+        event.note(
+            event.TableListed(
+                NAME, source, str(self._listed), str(revision), len(found)
+            )
+        )
 
     def _take(
-        self, changes: list[upstream.Change], before: int, version: int
+        self,
+        changes: list[upstream.Change],
+        before: revision_lib.Revision,
+        revision: revision_lib.Revision,
     ) -> None:
         self._upstreams.confirm()
-        self._version = version
+        self._revision = revision
         now = asyncio.get_running_loop().time()
         for change in self._recent.step(now, before, changes):
             self._upstreams.apply(change)
 
-    def _tell(self) -> None:
-        if self._announce is not None:
-            self._announce(
-                news_lib.MembershipNews(
-                    self._recent.since,
-                    self._version,
-                    self._recent.changes,
-                    self._upstreams.lapses_left_s,
-                )
+    def _tell(self, *, is_new: bool) -> None:
+        if self._announce is None:
+            return
+        whole = self.whole()
+        if is_new and len(whole.changes) <= MOST_TOLD:
+            # Nobody can go on from the epoch before.
+            self._announce(whole)
+            return
+        self._announce(
+            news_lib.MembershipNews(
+                self._recent.since,
+                self._revision,
+                self._recent.changes,
+                self._upstreams.lapses_left_s,
             )
+        )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/patch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/patch.py
@@ -19,7 +19,7 @@
 
 from quetzalsill_gateway import error
 
-__all__ = ['apply', 'make']
+__all__ = ['apply', 'digest', 'make']
 
 # Sent to every other gateway: some packets each. A larger edit is read from
 # the source by each, whose link is a hundred times that of a small entry host.
@@ -38,6 +38,11 @@
 )
 
 
+def digest(document: bytes) -> bytes:
+    """Returns what tells a document from others."""
+    return xxhash.xxh64_digest(document)
+
+
 def make(
     base: bytes, document: bytes, most_bytes: int = MOST_PATCH_BYTES
 ) -> bytes | None:
@@ -52,7 +57,7 @@
             steps[-1][1] += 1
         else:
             steps.append([found, 1])
-    patch = xxhash.xxh64_digest(base) + zlib.compress(msgpack.packb(steps))
+    patch = digest(base) + zlib.compress(msgpack.packb(steps))
     return patch if len(patch) <= most_bytes else None
 
 
@@ -62,7 +67,7 @@
     Raises:
       error.PatchError: It belongs to another base, or is damaged.
     """
-    if patch[:DIGEST_BYTES] != xxhash.xxh64_digest(base):
+    if patch[:DIGEST_BYTES] != digest(base):
         raise error.PatchError('it belongs to another base')
     try:
         return _built(base.split(SEPARATOR), patch[DIGEST_BYTES:])
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/recent.py
@@ -8,6 +8,7 @@
 
 import collections
 
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import upstream
 
 __all__ = ['Recent']
@@ -20,22 +21,24 @@
 
 
 class Recent:
-    """Changes behind a version, in the order of their versions.
+    """Changes behind a revision, in the order of their revisions.
 
     What means nothing is left out: an upstream may write its entry anew with
     nothing but a count in it changed. Every gateway goes through the same
-    versions, and so takes the same changes for meaningful.
+    revisions, and so takes the same changes for meaningful.
     """
 
     def __init__(self) -> None:
-        self._steps: collections.deque[tuple[float, int]] = collections.deque()
+        self._steps: collections.deque[tuple[float, revision_lib.Revision]] = (
+            collections.deque()
+        )
         self._changes: collections.deque[upstream.Change] = collections.deque()
-        self._since = 0
+        self._since = revision_lib.NONE
         self._entries: dict[str, upstream.Upstream] = {}
 
     @property
-    def since(self) -> int:
-        """Version behind which every change is in `changes`."""
+    def since(self) -> revision_lib.Revision:
+        """Revision behind which every change is in `changes`."""
         return self._since
 
     @property
@@ -43,30 +46,37 @@
         """Changes behind `since`, the oldest first."""
         return tuple(self._changes)
 
-    def all(self, version: int) -> tuple[upstream.Change, ...]:
-        """Returns every entry, as of a version."""
+    def all(
+        self, revision: revision_lib.Revision
+    ) -> tuple[upstream.Change, ...]:
+        """Returns every entry, as of a revision."""
         return tuple(
-            upstream.Change(name, version, found)
+            upstream.Change(name, revision, found)
             for name, found in self._entries.items()
         )
 
-    def restart(self, found: list[upstream.Change], version: int) -> None:
-        """Begins anew with all entries as of a version."""
+    def restart(
+        self, found: list[upstream.Change], revision: revision_lib.Revision
+    ) -> None:
+        """Begins anew with all entries as of a revision."""
         self._steps.clear()
         self._changes.clear()
-        self._since = version
+        self._since = revision
         self._entries.clear()
         for change in found:
             self._enter(change)
 
     def step(
-        self, now: float, before: int, found: list[upstream.Change]
+        self,
+        now: float,
+        before: revision_lib.Revision,
+        found: list[upstream.Change],
     ) -> list[upstream.Change]:
-        """Takes all changes behind a version; returns those that mean anything.
+        """Takes what changed behind a revision; returns what means anything.
 
         Args:
           now: Loop time, in seconds.
-          before: Version behind which they came.
+          before: Revision behind which they came.
           found: The changes, in order.
         """
         changes = [change for change in found if self._enter(change)]
@@ -78,7 +88,7 @@
             self._steps.popleft()
         self._drop_until(self._steps[0][1])
         if len(self._changes) > MOST_CHANGES:
-            self._drop_until(self._changes[-MOST_CHANGES - 1].version)
+            self._drop_until(self._changes[-MOST_CHANGES - 1].revision)
         return changes
 
     def _enter(self, change: upstream.Change) -> bool:
@@ -90,7 +100,7 @@
         self._entries[change.id] = change.upstream
         return before is None or not before.says_the_same(change.upstream)
 
-    def _drop_until(self, version: int) -> None:
-        self._since = max(self._since, version)
-        while self._changes and self._changes[0].version <= self._since:
+    def _drop_until(self, revision: revision_lib.Revision) -> None:
+        self._since = max(self._since, revision)
+        while self._changes and self._changes[0].revision <= self._since:
             self._changes.popleft()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/turn.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/turn.py
@@ -77,6 +77,8 @@
         self._heard_s = 0.0
         self._is_hurried = False
         self._hurried = asyncio.Event()
+        self._is_drawn = False
+        self._dead_ends = 0
 
     @property
     def is_behind(self) -> bool:
@@ -92,6 +94,7 @@
                 async with asyncio.timeout(left_s):
                     await self._hurried.wait()
         self._asked_s = loop.time()
+        self._is_drawn = False
 
     def hurry(self) -> None:
         """Makes the call due now: others know what is not known here."""
@@ -99,6 +102,44 @@
         self._is_hurried = True
         self._hurried.set()
 
+    def within(self, spread_s: float, *, is_behind: bool = False) -> None:
+        """Makes the call due at a draw of the time that follows.
+
+        Also if another is told meanwhile; but not sooner than after a failed
+        call, since a source that is away is not to be asked the more for it.
+
+        Args:
+          spread_s: Width of the draw, in seconds.
+          is_behind: Whether others have been told already.
+        """
+        self._is_hurried = self._is_hurried or is_behind
+        if self._failures or self._is_drawn:
+            # Drawn anew at each word of the others, it would come early.
+            return
+        self._is_drawn = True
+        now = asyncio.get_running_loop().time()
+        due_s = now + self._rng.uniform(0.0, spread_s)
+        if due_s < self._due_s:
+            self._due_s = due_s
+            self._hurried.set()
+
+    def ended(self, now: float) -> None:
+        """Notes that the source doesn't tell on from what is known.
+
+        All is asked for anew, at once. A source that lists all and then doesn't
+        tell on from there either, each time, is asked the more rarely: without
+        a pause each gateway would have a call there at any time.
+        """
+        if self._dead_ends:
+            retry_s = FIRST_RETRY_S * 2**self._dead_ends
+            retry_s = min(LONGEST_RETRY_OF_MANY_S, retry_s)
+            self._due_s = now + retry_s * self._rng.uniform(*JITTER)
+        self._dead_ends = min(self._dead_ends + 1, 10)
+
+    def told_on(self) -> None:
+        """Notes that the source has told on from what was known."""
+        self._dead_ends = 0
+
     def answered(self, now: float) -> bool:
         """Notes that the source has answered this gateway.
 
@@ -128,6 +169,7 @@
     def heard(self, now: float) -> None:
         """Notes that another gateway was answered, and what it was told."""
         self._heard_s = now
+        self._is_drawn = False
         if self._failures:
             # Put off each time, it would never notice that it is served again.
             self._due_s = self._told_due_s
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -8,7 +8,7 @@
 
 from quetzalsill_gateway import routing_table
 from quetzalsill_gateway.balance import admission, book, forecast, waiting
-from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet import revision, upstream
 from quetzalsill_gateway.http import message
 from tests.quetzalsill_gateway import quotas
 
@@ -23,7 +23,7 @@
     async def asyncSetUp(self):
         self.upstreams = upstream.Upstreams()
         self.engine = upstream.Upstream('u-1', 's', ('10.0.0.1', 1), 'z')
-        self.upstreams.put(self.engine, 1)
+        self.upstreams.put(self.engine, revision.Revision(0, 1))
         self.pages = book.Book()
         # Memory comes back soon, so that none is refused for a long wait.
         self.pages.mean_held_s = 0.2
@@ -208,8 +208,8 @@
         self.pages.mean_held_s = 1.0
         for number in range(8):
             gone = upstream.Upstream(f'g-{number}', 's', ('10.0.0.9', 1), 'z')
-            self.upstreams.put(gone, 2)
-            self.upstreams.remove(gone.id, 3)
+            self.upstreams.put(gone, revision.Revision(0, 2))
+            self.upstreams.remove(gone.id, revision.Revision(0, 3))
         self.upstreams.confirm()
         patient = self.ask('patient', tokens=2000, objective_s=10.0)
         await asyncio.sleep(0.1)
@@ -267,7 +267,7 @@
         The runs find no engine to go on at, and their callers lose them.
         """
         leaving = upstream.Upstream('u-2', 's', ('10.0.0.2', 1), 'z')
-        self.upstreams.put(leaving, 2)
+        self.upstreams.put(leaving, revision.Revision(0, 2))
         runs = self.pages.page(leaving).reservations
         runs.add(book.Reservation(0, 10_000, is_reading=False))
         leaving.leaving = True
--- a/tests/quetzalsill_gateway/fleet/test_upstream.py
+++ b/tests/quetzalsill_gateway/fleet/test_upstream.py
@@ -5,7 +5,12 @@
 import unittest
 
 from quetzalsill_gateway.balance import book
-from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet import revision, upstream
+
+
+def at(version):
+    """Returns a revision of a source that tells no epochs."""
+    return revision.Revision(0, version)
 
 
 def entry(name='u-1', port=80, **more):
@@ -14,7 +19,7 @@
 
 def written(*found):
     """Returns the changes by which entries were written."""
-    return [upstream.Change(one.id, 1, one) for one in found]
+    return [upstream.Change(one.id, at(1), one) for one in found]
 
 
 class UpstreamsTest(unittest.IsolatedAsyncioTestCase):
@@ -29,23 +34,23 @@
         return [found.id for found in self.upstreams.of('s')]
 
     async def test_leaving_is_told_once_and_never_taken_back(self):
-        self.upstreams.put(entry(), 1)
-        self.upstreams.put(entry(leaving=True), 2)
-        self.upstreams.put(entry(leaving=True), 3)
-        self.upstreams.put(entry(), 4)
+        self.upstreams.put(entry(), at(1))
+        self.upstreams.put(entry(leaving=True), at(2))
+        self.upstreams.put(entry(leaving=True), at(3))
+        self.upstreams.put(entry(), at(4))
         self.assertEqual((self.ids(), self.left), ([], ['u-1']))
-        self.upstreams.remove('u-1', 5)
+        self.upstreams.remove('u-1', at(5))
         self.assertEqual(self.left, ['u-1'])
 
     async def test_a_whole_list_drops_what_is_not_in_it(self):
-        self.upstreams.replace(written(entry('u-1'), entry('u-2', 81)), 1)
-        self.upstreams.replace(written(entry('u-2', 81)), 2)
+        self.upstreams.replace(written(entry('u-1'), entry('u-2', 81)), at(1))
+        self.upstreams.replace(written(entry('u-2', 81)), at(2))
         self.assertEqual((self.ids(), self.left), (['u-2'], ['u-1']))
 
     async def test_another_address_is_another_upstream(self):
-        self.upstreams.put(entry(), 1)
+        self.upstreams.put(entry(), at(1))
         old = self.upstreams.get('u-1')
-        self.upstreams.put(entry(port=81), 2)
+        self.upstreams.put(entry(port=81), at(2))
         self.assertTrue(old.gone)
         self.assertEqual(self.upstreams.of('s')[0].address[1], 81)
 
@@ -55,11 +60,11 @@
         What was held, learned or told of it before is not true of it now: its
         memory is empty, and a notice that it leaves was of the one before.
         """
-        self.upstreams.put(entry(incarnation=10), 1)
+        self.upstreams.put(entry(incarnation=10), at(1))
         old = self.upstreams.get('u-1')
         pages = book.Book()
         pages.page(old).note_failure()
-        self.upstreams.put(entry(incarnation=20), 2)
+        self.upstreams.put(entry(incarnation=20), at(2))
         new = self.upstreams.get('u-1')
         self.assertTrue(old.gone)
         self.assertFalse(new.leaving)
@@ -71,7 +76,7 @@
 
     async def test_an_answer_of_another_start_is_not_taken(self):
         """The store is away; an engine that is asked has started again."""
-        self.upstreams.put(entry(incarnation=20), 1)
+        self.upstreams.put(entry(incarnation=20), at(1))
         known = self.upstreams.get('u-1')
         confirm = self.upstreams.confirm_incarnation
         self.assertTrue(confirm(known, 0), 'one that tells none')
@@ -83,25 +88,25 @@
         self.assertEqual(self.ids(), [])
 
     async def test_an_older_start_told_late_changes_nothing(self):
-        self.upstreams.put(entry(incarnation=20), 2)
+        self.upstreams.put(entry(incarnation=20), at(2))
         new = self.upstreams.get('u-1')
-        self.upstreams.put(entry(incarnation=10, leaving=True), 3)
+        self.upstreams.put(entry(incarnation=10, leaving=True), at(3))
         self.assertIs(self.upstreams.get('u-1'), new)
         self.assertFalse(new.leaving)
 
     async def test_an_entry_without_a_start_is_not_the_servers(self):
         """A server that tells its starts has an entry that tells none."""
-        self.upstreams.put(entry(incarnation=20), 1)
-        self.upstreams.put(entry(), 2)
+        self.upstreams.put(entry(incarnation=20), at(1))
+        self.upstreams.put(entry(), at(2))
         self.assertEqual(self.ids(), [])
-        self.upstreams.put(entry(incarnation=20), 3)
+        self.upstreams.put(entry(incarnation=20), at(3))
         self.assertEqual(self.ids(), ['u-1'])
 
     async def test_another_service_under_an_id_is_another_upstream(self):
-        self.upstreams.put(entry(), 1)
+        self.upstreams.put(entry(), at(1))
         other = entry()
         other.service = 't'
-        self.upstreams.put(other, 2)
+        self.upstreams.put(other, at(2))
         self.assertEqual(self.ids(), [])
         self.assertEqual(self.upstreams.of('t'), [other])
 
@@ -110,14 +115,14 @@
 
         An upstream's notice reaches only the other machine, which tells it.
         """
-        self.upstreams.put(entry(), 1)
+        self.upstreams.put(entry(), at(1))
         self.upstreams.hear_leaving(['u-1', 'u-unknown'], 'entry-2')
         self.assertEqual((self.ids(), self.left), ([], ['u-1']))
 
     async def test_entries_that_lapsed_in_an_outage_wait(self):
-        self.upstreams.put(entry(), 1)
+        self.upstreams.put(entry(), at(1))
         self.upstreams.expect_lapsed()
-        self.upstreams.remove('u-1', 2)
+        self.upstreams.remove('u-1', at(2))
         self.assertEqual(self.ids(), ['u-1'])
         self.upstreams._drop_lapsed()
         self.assertEqual(self.ids(), ['u-1'], 'too early')
--- a/tests/quetzalsill_gateway/fleet/test_zones.py
+++ b/tests/quetzalsill_gateway/fleet/test_zones.py
@@ -11,7 +11,7 @@
 
 from quetzalsill_dev.simulation import clock
 from quetzalsill_gateway import event
-from quetzalsill_gateway.fleet import upstream, zones
+from quetzalsill_gateway.fleet import revision, upstream, zones
 
 NAMES = ('a', 'b')
 HISTORY = st.lists(
@@ -19,6 +19,11 @@
 )
 
 
+def at(version):
+    """Returns a revision of a source that tells no epochs."""
+    return revision.Revision(0, version)
+
+
 class ZonesTest(unittest.IsolatedAsyncioTestCase):
     """Orders come late, twice, and out of order."""
 
@@ -33,7 +38,7 @@
 
         Taken in, it would keep a third of the upstreams idle for good.
         """
-        on, off = zones.Drain('a', 5, True), zones.Drain('a', 9, False)
+        on, off = zones.Drain('a', at(5), True), zones.Drain('a', at(9), False)
         self.zones.hear([on])
         self.zones.hear([off])
         self.zones.hear([on])
@@ -44,10 +49,10 @@
 
         The order isn't in it. Forgotten, the zone would get new work.
         """
-        self.zones.hear([zones.Drain('a', 9, True)])
-        self.zones.replace([], 7)
+        self.zones.hear([zones.Drain('a', at(9), True)])
+        self.zones.replace([], at(7))
         self.assertTrue(self.zones.is_drained('a'))
-        self.zones.replace([], 9)
+        self.zones.replace([], at(9))
         self.assertFalse(self.zones.is_drained('a'))
 
     async def test_a_run_may_still_go_on_where_it_was_copied_to(self):
@@ -58,7 +63,7 @@
         loop = asyncio.get_running_loop()
         with mock.patch.object(loop, 'time') as time:
             time.return_value = 100.0
-            self.zones.hear([zones.Drain('a', 1, True)])
+            self.zones.hear([zones.Drain('a', at(1), True)])
             time.return_value += zones.CONTINUE_S / 2
             self.assertTrue(self.zones.takes_runs('a'))
             time.return_value += zones.CONTINUE_S
@@ -68,25 +73,52 @@
     async def test_orders_stay_bounded(self):
         """A writer leaves orders for ten thousand names."""
         for number in range(10_000):
-            self.zones.hear([zones.Drain(f'z{number}', number + 1, True)])
+            self.zones.hear([zones.Drain(f'z{number}', at(number + 1), True)])
         self.assertEqual(len(self.zones.drains), zones.MOST_DRAINS)
-        self.zones.replace([], 10_001)
-        self.zones.hear([zones.Drain('a', 10_002, True)])
+        self.zones.replace([], at(10_001))
+        self.zones.hear([zones.Drain('a', at(10_002), True)])
         self.assertTrue(self.zones.is_drained('a'))
         self.assertEqual(len(self.zones.drains), zones.MOST_DRAINS)
 
     async def test_a_version_that_never_was_can_be_dropped(self):
-        self.zones.hear([zones.Drain('a', 2**50, True)])
-        self.zones.forget_newer(10)
+        self.zones.hear([zones.Drain('a', at(2**50), True)])
+        self.zones.forget_newer(at(10))
         self.assertFalse(self.zones.is_drained('a'))
-        self.zones.hear([zones.Drain('a', 11, True)])
+        self.zones.hear([zones.Drain('a', at(11), True)])
         self.assertTrue(self.zones.is_drained('a'))
 
+    async def test_an_order_of_an_epoch_that_is_over_is_told_late(self):
+        """A gateway that was cut off for long tells of an order it still holds.
+
+        The source has come back without it, and all others know that it is off;
+        one that has started since would take it for news.
+        """
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, 'time') as time:
+            time.return_value = 100.0
+            self.zones.enter(revision.Revision(2, 5))
+            self.zones.hear([zones.Drain('a', revision.Revision(1, 90), True)])
+            self.assertTrue(self.zones.is_drained('a'), 'it may be written yet')
+            time.return_value += zones.LAPSE_S
+            self.zones.hear([zones.Drain('b', revision.Revision(1, 91), True)])
+            self.assertFalse(self.zones.is_drained('b'))
+            self.zones.hear([zones.Drain('b', revision.Revision(2, 1), True)])
+            self.assertTrue(self.zones.is_drained('b'))
+
+    async def test_an_order_of_a_later_epoch_counts_though_its_version_is_less(
+        self,
+    ):
+        self.zones.hear([zones.Drain('a', revision.Revision(1, 90), True)])
+        self.zones.hear([zones.Drain('a', revision.Revision(2, 3), False)])
+        self.assertFalse(self.zones.is_drained('a'))
+        self.zones.hear([zones.Drain('a', revision.Revision(1, 95), True)])
+        self.assertFalse(self.zones.is_drained('a'))
+
     async def test_it_is_logged_once_a_change(self):
         for _ in range(3):
-            self.zones.hear([zones.Drain('a', 5, True)])
-        self.zones.hear([zones.Drain('a', 6, True)])
-        self.zones.replace([], 7)
+            self.zones.hear([zones.Drain('a', at(5), True)])
+        self.zones.hear([zones.Drain('a', at(6), True)])
+        self.zones.replace([], at(7))
         told = [call.args[0] for call in self.note.call_args_list]
         self.assertEqual([one.is_on for one in told], [True, False])
 
@@ -98,7 +130,7 @@
         What the last change says is told in the end, as each gateway does.
         """
         steps = [
-            zones.Drain(name, version, is_on)
+            zones.Drain(name, at(version), is_on)
             for version, (name, is_on) in enumerate(history, 1)
         ]
         told = [data.draw(st.sampled_from(steps)) for _ in range(8)]
@@ -110,7 +142,8 @@
                 if data.draw(st.booleans()):
                     known.hear([step])
                 else:
-                    known.replace(stands(steps, step.version), step.version)
+                    orders = stands(steps, step.revision.version)
+                    known.replace(orders, step.revision)
             known.hear(newest(steps, len(steps)))
             return {name for name in NAMES if known.is_drained(name)}
 
@@ -130,24 +163,24 @@
             found = upstream.Upstream(
                 f'u-{number}', 's', ('10.0.0.1', number + 1), zone
             )
-            self.upstreams.put(found, 1)
+            self.upstreams.put(found, at(1))
 
     def ids(self, regions=None):
         return [found.id for found in self.upstreams.of('s', regions)]
 
     async def test_a_drained_zone_gets_nothing_until_it_is_taken_back(self):
-        self.upstreams.zones.hear([zones.Drain('a', 2, True)])
+        self.upstreams.zones.hear([zones.Drain('a', at(2), True)])
         self.assertEqual(self.ids(), ['u-2'])
-        self.upstreams.zones.hear([zones.Drain('b', 3, True)])
+        self.upstreams.zones.hear([zones.Drain('b', at(3), True)])
         self.assertEqual(self.ids(), [])
-        self.upstreams.zones.hear([zones.Drain('a', 4, False)])
+        self.upstreams.zones.hear([zones.Drain('a', at(4), False)])
         self.assertEqual(self.ids(), ['u-0', 'u-1'])
 
     async def test_work_that_is_bound_to_regions_stays_there(self):
         self.assertEqual(self.ids(frozenset(('south',))), ['u-2'])
         self.assertEqual(self.ids(frozenset(('west',))), [])
         stray = upstream.Upstream('u-9', 's', ('10.0.0.9', 1), 'unlisted')
-        self.upstreams.put(stray, 2)
+        self.upstreams.put(stray, at(2))
         self.assertNotIn('u-9', self.ids(frozenset(('north', 'south'))))
         self.assertIn('u-9', self.ids())
 
@@ -164,12 +197,12 @@
         known = self.upstreams.get('u-0')
         with mock.patch.object(loop, 'time') as time:
             time.return_value = 100.0
-            self.upstreams.put(entry(2.0), 2)
+            self.upstreams.put(entry(2.0), at(2))
             self.assertEqual(known.cold_until_s, 102.0)
             time.return_value = 102.0
-            self.upstreams.put(entry(5.0), 3)
+            self.upstreams.put(entry(5.0), at(3))
             self.assertEqual(known.cold_until_s, 107.0)
-            self.upstreams.put(entry(0.0), 4)
+            self.upstreams.put(entry(0.0), at(4))
             self.assertLess(known.cold_until_s, 102.0)
 
 
@@ -180,7 +213,7 @@
 
 def newest(steps, version):
     """Returns the newest order for each zone at a version."""
-    found = {step.zone: step for step in steps if step.version <= version}
+    found = {step.zone: step for step in steps if step.revision <= at(version)}
     return list(found.values())
 
 
--- a/tests/quetzalsill_gateway/http/test_pool.py
+++ b/tests/quetzalsill_gateway/http/test_pool.py
@@ -7,7 +7,7 @@
 import unittest
 
 from quetzalsill_gateway import attempt, routing_table
-from quetzalsill_gateway.fleet import upstream, zones
+from quetzalsill_gateway.fleet import revision, upstream, zones
 from quetzalsill_gateway.http import error, pool
 
 BOUND_S = 5.0
@@ -108,10 +108,12 @@
         """
         upstreams = upstream.Upstreams()
         found = upstream.Upstream('u', 's', ('10.0.0.1', 1), 'z')
-        upstreams.put(found, 1)
+        upstreams.put(found, revision.Revision(0, 1))
 
         async def take(address, **_):
-            upstreams.zones.hear([zones.Drain('z', 2, True)])
+            upstreams.zones.hear(
+                [zones.Drain('z', revision.Revision(0, 2), True)]
+            )
             return types.SimpleNamespace(send=self.fail)
 
         core = types.SimpleNamespace(
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -13,7 +13,7 @@
 
 from quetzalsill_gateway import error, retry_budget, source
 from quetzalsill_gateway.balance import admission, book
-from quetzalsill_gateway.fleet import members, pace, upstream
+from quetzalsill_gateway.fleet import members, pace, revision, upstream
 from quetzalsill_gateway.fleet.held import Held
 from quetzalsill_gateway.peers import (
     bulletin,
@@ -58,23 +58,24 @@
     st.booleans(),
     incarnation=COUNT,
 )
+REVISIONS = st.builds(revision.Revision, COUNT, COUNT)
 NEWS = st.one_of(
-    st.builds(news.ConfigurationNews, COUNT, COUNT, st.binary(max_size=20)),
+    st.builds(news.ConfigurationNews, REVISIONS, COUNT, st.binary(max_size=20)),
     st.builds(
         news.MembershipNews,
-        COUNT,
-        COUNT,
+        REVISIONS,
+        REVISIONS,
         st.lists(
             st.one_of(
                 st.builds(
-                    lambda found, version: upstream.Change(
-                        found.id, version, found
+                    lambda found, newest: upstream.Change(
+                        found.id, newest, found
                     ),
                     UPSTREAMS,
-                    COUNT,
+                    REVISIONS,
                 ),
                 st.builds(
-                    upstream.Change, WORD, COUNT, st.none(), st.booleans()
+                    upstream.Change, WORD, REVISIONS, st.none(), st.booleans()
                 ),
             ),
             max_size=3,
@@ -98,12 +99,12 @@
         return told
     return (
         told.since,
-        told.version,
+        told.revision,
         told.lapses_s,
         [
             (
                 one.id,
-                one.version,
+                one.revision,
                 one.lapses if one.upstream is None else True,
                 one.upstream
                 and [
@@ -231,13 +232,13 @@
             for number in (1, 2):
                 address = ('10.0.0.1', number)
                 found = upstream.Upstream(f'u-{number}', 's', address, 'z')
-                gateway.core.upstreams.put(found, 1)
+                gateway.core.upstreams.put(found, revision.Revision(0, 1))
         # Greetings that are on their way would carry the notice too.
         await asyncio.sleep(0.5)
         first, *others = (g.core.upstreams for g in self.gateways)
         with mock.patch.multiple(pace, WHOLE_S=1000.0, ALIVE_S=1000.0):
             first.leave(first.get('u-1'), 'membership')
-            first.remove('u-2', 2)
+            first.remove('u-2', revision.Revision(0, 2))
             await self.until(
                 lambda: all(
                     found.get(name).leaving
@@ -325,11 +326,13 @@
         found = membership.Membership(
             None, second._core.upstreams, second._core.health, 2.0
         )
-        found._version = 7
-        second.on_news(frame.Kind.MEMBERSHIP, found.hear)
+        found._revision = revision.Revision(0, 7)
+        second.on_news(news.MembershipNews, found.hear)
         engine = upstream.Upstream('u-1', 's', ('10.0.0.1', 80), 'z')
-        told = upstream.Change('u-1', 8, engine)
-        first.announce(news.MembershipNews(7, 8, (told,)))
+        told = upstream.Change('u-1', revision.Revision(0, 8), engine)
+        first.announce(
+            news.MembershipNews(found._revision, told.revision, (told,))
+        )
         await self.until(lambda: second._core.upstreams.of('s'))
 
     async def test_runs_to_move_are_told(self):
@@ -349,8 +352,8 @@
         one, two = await self.start('entry-1'), await self.start('entry-2')
         await self.until(lambda: one.peers == two.peers == 1)
         heard = []
-        two.on_news(frame.Kind.CONFIGURATION, heard.append)
-        told = news.ConfigurationNews(5, 7)
+        two.on_news(news.ConfigurationNews, heard.append)
+        told = news.ConfigurationNews(revision.Revision(0, 5), 7)
         data = bulletin.encode('entry-3', told)
         here = ('127.0.0.1', two.port)
         group = [(socket.inet_aton(here[0]), here[1])]
--- a/tests/quetzalsill_gateway/peers/test_roster.py
+++ b/tests/quetzalsill_gateway/peers/test_roster.py
@@ -13,7 +13,7 @@
 
 from quetzalsill_gateway import event, retry_budget, source
 from quetzalsill_gateway.balance import admission, book
-from quetzalsill_gateway.fleet import members, upstream
+from quetzalsill_gateway.fleet import members, revision, upstream
 from quetzalsill_gateway.fleet.held import Held
 from quetzalsill_gateway.peers import exchange, frame, roster, state
 from quetzalsill_gateway.stream import link_queue, live
@@ -115,7 +115,9 @@
 
     async def test_only_a_gateway_that_is_heard_is_told_all(self):
         """Whoever asks for the configuration would get the callers' keys."""
-        self.hearer.on_ask(lambda: news.ConfigurationNews(7, 3, b'keys'))
+        self.hearer.on_ask(
+            lambda: news.ConfigurationNews(revision.Revision(0, 7), 3, b'keys')
+        )
         asked = frame.pack(frame.Kind.ASK_WHOLE, ('stranger',))
         with mock.patch.object(event, 'note'):
             self.hearer.datagram_received(asked, THERE)
--- /dev/null
+++ b/tests/quetzalsill_gateway/watch/test_drill.py
@@ -0,0 +1,434 @@
+"""The store is away for a moment, and comes back from an older copy.
+
+What was written there since is gone, its versions are given out again for other
+changes, and whoever had written something writes it again. Bounds are those of
+an outage as long: nobody is taken out for the drill, no order is lost, and all
+know within `KNOWN_S` of the return what the store says then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from quetzalsill_dev.simulation.store import Away
+from quetzalsill_gateway import event
+from tests.quetzalsill_gateway.watch import drill
+
+ZONE = 'z'
+LIVE = {f'server-{n}' for n in range(20)}
+
+
+class MembershipTest(drill.DrillTest):
+    """Entries of servers."""
+
+    def test_a_version_given_out_again_hides_no_notice(self):
+        """A server says that it leaves, and work goes to it all the same.
+
+        The store comes back, takes the notice, and gives out versions past
+        those that the gateways know. Read on from there, its feed has no notice
+        in it, and there is no failure to see.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            known = self.fleet.store.version + 50
+            self.fill(known)
+            await asyncio.sleep(1.0)
+            self.fleet.store.treat = lambda _: Away.REFUSES
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            self.fleet.drain('server-2')
+            self.fill(known + 50)
+            self.fleet.store.treat = lambda _: Away.SERVES
+            await self.within(
+                drill.KNOWN_S, lambda one: 'server-2' not in one.ids()
+            )
+
+        self.play(story)
+
+    def test_a_server_that_came_back_under_a_lower_version_serves(self):
+        """A server leaves; after the drill it starts again, and gets nothing.
+
+        Its new entry has a lower version than the notice that is known, and
+        the versions of others have passed that by the time anyone asks.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            self.fill(self.fleet.store.version + 50)
+            self.fleet.drop('server-3')
+            await self.within(1.0, lambda one: 'server-3' not in one.ids())
+            known = self.fleet.store.version
+            self.fleet.store.treat = lambda _: Away.REFUSES
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            self.fleet.add_server('server-3', incarnation=2)
+            self.fill(known + 50)
+            self.fleet.store.treat = lambda _: Away.SERVES
+            await self.within(drill.KNOWN_S, lambda one: one.ids() == LIVE)
+
+        self.play(story)
+
+    def test_nobody_is_taken_out_because_a_copy_is_older(self):
+        """Half of the servers have come since the copy was taken.
+
+        They enter themselves again within two seconds. Taken for gone until
+        then, they would leave the other half with all the work.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            new = {f'new-{n}' for n in range(20)}
+            for name in new:
+                self.fleet.add_server(name)
+            await self.within(1.0, lambda one: one.ids() == LIVE | new)
+            async with self.always(lambda one: one.ids() == LIVE | new):
+                await self.fleet.drill(copy)
+                await asyncio.sleep(6.0)
+
+        self.play(story)
+
+    def test_who_does_not_come_back_is_gone_after_the_grace(self):
+        """A server has come since the copy, and dies in the drill."""
+
+        async def story():
+            copy = self.fleet.store.copy()
+            self.fleet.add_server('new')
+            await self.within(1.0, lambda one: 'new' in one.ids())
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            await self.within(
+                drill.KNOWN_S + 2.5, lambda one: one.ids() == LIVE
+            )
+
+        self.play(story)
+
+    def test_two_drills_within_three_seconds(self):
+        """The second comes while the servers still enter themselves again."""
+
+        async def story():
+            first = self.fleet.store.copy()
+            for name in ('new-1', 'new-2'):
+                self.fleet.add_server(name)
+            await asyncio.sleep(1.0)
+            alive = LIVE | {'new-1', 'new-2'}
+            async with self.always(lambda one: one.ids() == alive):
+                await self.fleet.drill(first)
+                await asyncio.sleep(1.0)
+                second = self.fleet.store.copy()
+                await asyncio.sleep(0.5)
+                await self.fleet.drill(second)
+                await asyncio.sleep(6.0)
+            self.fleet.drain('server-5')
+            await self.within(1.0, lambda one: 'server-5' not in one.ids())
+            epochs = {one.epochs.newest for one in self.fleet.all}
+            self.assertEqual(epochs, {2})
+
+        self.play(story)
+
+    def test_a_third_is_cut_off_from_the_store(self):
+        """Those that are served tell the rest, of which nobody asks itself."""
+
+        async def story():
+            self.fleet.store.treat = lambda node: (
+                Away.SILENT if int(node[6:]) % 3 == 0 else Away.SERVES
+            )
+            await asyncio.sleep(3.0)
+            copy = self.fleet.store.copy()
+            known = self.fleet.store.version + 50
+            self.fill(known)
+            async with self.always(
+                lambda one: LIVE - {'server-2'} <= one.ids()
+            ):
+                await self.fleet.drill(copy, rewrite_s=0.0)
+                self.fleet.drain('server-2')
+                self.fill(known + 50)
+                await self.within(
+                    drill.KNOWN_S, lambda one: 'server-2' not in one.ids()
+                )
+                self.fleet.add_server('late')
+                await self.within(2.0, lambda one: 'late' in one.ids())
+
+        self.play(story)
+
+    def test_who_was_cut_off_from_all_does_not_carry_the_old_order_on(self):
+        """One gateway hears of the drill last, when others are far on.
+
+        It holds what was lost; told to the others as newer, it would count.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            self.fill(self.fleet.store.version + 200)
+            self.fleet.drop('server-3')
+            await self.within(1.0, lambda one: 'server-3' not in one.ids())
+            treat = lambda node: (  # noqa: E731
+                Away.SILENT if node == 'entry-3' else Away.SERVES
+            )
+            self.fleet.store.treat = treat
+            self.fleet.net.is_cut = lambda one, other: 'entry-3' in (one, other)
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            self.fleet.add_server('server-3', incarnation=2)
+            others = [one for one in self.fleet.all if one.node != 'entry-3']
+            await self.within(
+                drill.KNOWN_S, lambda one: one.ids() == LIVE, others
+            )
+            self.fleet.net.is_cut = lambda _, __: False
+            self.fleet.store.treat = lambda _: Away.SERVES
+            await self.within(drill.KNOWN_S, lambda one: one.ids() == LIVE)
+            await asyncio.sleep(5.0)
+            self.assertTrue(all(one.ids() == LIVE for one in self.fleet.all))
+
+        self.play(story)
+
+    def test_a_drill_during_a_rolling_restart(self):
+        """Gateways of the release before know versions only.
+
+        They are replaced one by one while the store comes back. What they tell
+        must not be taken for newer by those that have been replaced.
+        """
+
+        async def story():
+            for name in list(self.fleet.gateways):
+                self.fleet.kill(name)
+                self.fleet.add_gateway(name, is_plain=True)
+            await asyncio.sleep(3.0)
+            copy = self.fleet.store.copy()
+            known = self.fleet.store.version + 100
+            self.fill(known)
+            for number, name in enumerate(list(self.fleet.gateways)):
+                self.fleet.kill(name)
+                self.fleet.add_gateway(name)
+                await asyncio.sleep(0.3)
+                if number == 8:
+                    await self.fleet.drill(copy, rewrite_s=0.0)
+                    self.fleet.drain('server-2')
+                    self.fleet.configure(2)
+                    self.fill(known + 50)
+            await self.within(
+                drill.KNOWN_S,
+                lambda one: (
+                    one.ids() == LIVE - {'server-2'} and one.number == 2
+                ),
+            )
+
+        self.play(story)
+
+
+class LoadTest(drill.DrillTest):
+    """Calls at the store, of all gateways together."""
+
+    def test_each_gateway_asks_a_few_times(self):
+        """68 gateways see the drill at the same moment.
+
+        Each lists both tables at once, the store would have 136 lists to answer
+        and refuse some, which ask again. Here one lists each, and the others
+        ask once whether it is so, drawn from a second. In any tenth of it there
+        are fewer calls than gateways; a drill costs each three beyond what an
+        outage as long does.
+        """
+        costs = {}
+        for epochs in (0, 1):
+
+            async def story(epochs=epochs):
+                store = self.fleet.store
+                copy = store.copy()
+                before = sum(store.calls.values())
+                await self.fleet.drill(copy, epochs=epochs)
+                most = 0
+                for _ in range(100):
+                    started = sum(store.calls.values())
+                    await asyncio.sleep(0.1)
+                    most = max(most, sum(store.calls.values()) - started)
+                self.assertLess(most, 68)
+                costs[epochs] = sum(store.calls.values()) - before
+                self.assertTrue(all(o.ids() == LIVE for o in self.fleet.all))
+
+            self.play(story, 68)
+        self.assertLess(costs[1] - costs[0], 3 * 68)
+
+
+class ConfigurationTest(drill.DrillTest):
+    """Versions of the configuration."""
+
+    def test_a_key_that_was_withdrawn_stays_withdrawn(self):
+        """Operators withdraw a key; whoever holds it is let in again.
+
+        The copy was taken just before, or just after, and holds the older
+        configuration in the first case until operators write theirs again.
+        """
+        for is_in_copy in (False, True):
+            with self.subTest(is_in_copy):
+
+                async def story(is_in_copy=is_in_copy):
+                    copy = self.fleet.store.copy()
+                    self.fleet.configure(5)
+                    if is_in_copy:
+                        copy = self.fleet.store.copy()
+                    await self.within(1.0, lambda one: one.number == 5)
+                    async with self.always(lambda one: one.number == 5):
+                        await self.fleet.drill(copy)
+                        await asyncio.sleep(6.0)
+
+                self.play(story)
+
+    def test_a_version_given_out_again_hides_no_configuration(self):
+        """A key is withdrawn right after the drill, and goes on being taken.
+
+        The configuration without it has a version that was given out before,
+        and versions are past what the gateways know when they ask.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            known = self.fleet.store.version + 50
+            self.fill(known)
+            await asyncio.sleep(1.0)
+            # No call fails, so that there is nothing else to see of it.
+            await self.fleet.drill(copy, away_s=0.0, rewrite_s=0.0)
+            self.fleet.configure(2)
+            self.fill(known + 50)
+            await self.within(drill.KNOWN_S, lambda one: one.number == 2)
+
+        self.play(story)
+
+    def test_who_starts_after_the_drill_gets_the_newest(self):
+        """The copy has an older configuration, and operators are slow.
+
+        A gateway that starts reads that. The others tell it of the newer one,
+        which the store doesn't have: asked for it, the store would be called
+        all the time, and the key that was withdrawn would be good there.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            self.fleet.configure(5)
+            await self.within(1.0, lambda one: one.number == 5)
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            await asyncio.sleep(3.0)
+            fresh = self.fleet.add_gateway('entry-99')
+            await self.within(3.0, lambda one: one.number == 5, [fresh])
+            before = sum(self.fleet.store.calls.values())
+            await asyncio.sleep(10.0)
+            calls = sum(self.fleet.store.calls.values()) - before
+            self.assertLess(calls, 10 * 30)
+            self.fleet.configure(6)
+            await self.within(2.0, lambda one: one.number == 6)
+
+        self.play(story)
+
+    def test_of_two_with_one_number_all_take_the_one_written_last(self):
+        """Operators write version 5; the store loses it, and gets another 5.
+
+        Gateways that took the first beside some that took the second would
+        serve other routes, each for good.
+        """
+
+        def document(name):
+            return json.dumps({'version': 5, 'name': name}).encode()
+
+        async def story():
+            store = self.fleet.store
+            copy = store.copy()
+            store.configure(document('first'))
+            await self.within(1.0, lambda one: one.number == 5)
+            for name in ('entry-1', 'entry-2', 'entry-3'):
+                store.treat = lambda node, cut=name: (
+                    Away.SILENT if node == cut else Away.SERVES
+                )
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            store.configure(document('second'))
+            await self.within(
+                drill.KNOWN_S,
+                lambda one: one.configuration._document == document('second'),
+            )
+            replaced = self.told(event.ConfigurationReplaced)
+            self.assertEqual(len(replaced), drill.GATEWAYS)
+            fresh = self.fleet.add_gateway('entry-99')
+            await self.within(1.0, lambda one: one.number == 5, [fresh])
+            await asyncio.sleep(3.0)
+            for one in self.fleet.all:
+                self.assertEqual(
+                    one.configuration._document, document('second')
+                )
+
+        self.play(story)
+
+    def test_one_written_again_changes_nothing(self):
+        async def story():
+            self.fleet.configure(5)
+            await self.within(1.0, lambda one: one.number == 5)
+            await self.fleet.drill(self.fleet.store.copy())
+            await asyncio.sleep(4.0)
+            self.assertEqual(self.told(event.ConfigurationReplaced), [])
+            installed = self.told(event.ConfigurationInstalled)
+            self.assertEqual(len(installed), 2 * drill.GATEWAYS)
+
+        self.play(story)
+
+
+class ZoneTest(drill.DrillTest):
+    """Orders to drain a zone."""
+
+    def is_on(self, one):
+        return one.upstreams.zones.is_drained(ZONE)
+
+    def test_an_order_holds_through_the_drill(self):
+        """Operators empty a zone; in the drill new work goes there.
+
+        The copy has the order, or lacks it until it is written again.
+        """
+        for is_in_copy in (False, True):
+            with self.subTest(is_in_copy):
+
+                async def story(is_in_copy=is_in_copy):
+                    copy = self.fleet.store.copy()
+                    self.fleet.drain_zone(ZONE, is_on=True)
+                    if is_in_copy:
+                        copy = self.fleet.store.copy()
+                    await self.within(1.0, self.is_on)
+                    async with self.always(self.is_on):
+                        await self.fleet.drill(copy, rewrite_s=4.0)
+                        await asyncio.sleep(15.0)
+                    self.fleet.drain_zone(ZONE, is_on=False)
+                    await self.within(1.0, lambda one: not self.is_on(one))
+
+                self.play(story)
+
+    def test_an_order_that_nobody_writes_again_ends(self):
+        """Kept for good, the zone would stand idle until it is drained anew."""
+
+        async def story():
+            copy = self.fleet.store.copy()
+            self.fleet.drain_zone(ZONE, is_on=True)
+            await self.within(1.0, self.is_on)
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            await self.within(14.0, lambda one: not self.is_on(one))
+            fresh = self.fleet.add_gateway('entry-99')
+            await asyncio.sleep(3.0)
+            self.assertFalse(self.is_on(fresh))
+
+        self.play(story)
+
+    def test_an_order_is_taken_back_under_a_lower_version(self):
+        """A zone stands idle, although operators have taken it back.
+
+        The order was written at a version that the store lost, and taken back
+        at a lower one.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            self.fill(self.fleet.store.version + 200)
+            self.fleet.drain_zone(ZONE, is_on=True)
+            await self.within(1.0, self.is_on)
+            await self.fleet.drill(copy, rewrite_s=0.0)
+            self.fleet.drain_zone(ZONE, is_on=True)
+            await asyncio.sleep(3.0)
+            self.fleet.drain_zone(ZONE, is_on=False)
+            await self.within(1.0, lambda one: not self.is_on(one))
+
+        self.play(story)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill_gateway/watch/test_fleet.py
+++ b/tests/quetzalsill_gateway/watch/test_fleet.py
@@ -15,6 +15,7 @@
 from quetzalsill_dev.simulation import clock, watchers
 from quetzalsill_dev.simulation.store import Away
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import revision
 from quetzalsill_gateway.watch import news
 
 BOUND_S = 2.0
@@ -299,8 +300,8 @@
 
         async def story():
             for one in self.fleet.all:
-                far = 2**52
-                one.membership.hear(news.MembershipNews(0, far))
+                far = revision.Revision(0, 2**52)
+                one.membership.hear(news.MembershipNews(news.EVERYTHING, far))
                 one.configuration.hear(news.ConfigurationNews(far, 1))
             await asyncio.sleep(1.5 * BOUND_S)
             await self.edit_is_known(2)
--- a/tests/quetzalsill_gateway/watch/test_zone_drain.py
+++ b/tests/quetzalsill_gateway/watch/test_zone_drain.py
@@ -15,7 +15,7 @@
 from quetzalsill_dev.simulation import clock, watchers
 from quetzalsill_dev.simulation.store import Away
 from quetzalsill_gateway import event
-from quetzalsill_gateway.fleet import zones
+from quetzalsill_gateway.fleet import revision, zones
 from quetzalsill_gateway.watch import news
 
 SEED = 5
@@ -206,9 +206,10 @@
         async def story():
             one = self.fleet.all[0]
             number = one.number
-            faulty = zones.Drain(ZONE, 2**40, True)
+            far = revision.Revision(0, 2**40)
+            faulty = zones.Drain(ZONE, far, True)
             one.configuration.hear(
-                news.ConfigurationNews(2**40, number, b'', (faulty,))
+                news.ConfigurationNews(far, number, b'', (faulty,))
             )
             self.assertTrue(one.upstreams.zones.is_drained(ZONE))
             await self.within(20.0, False)
--- a/tests/quetzalsill_platform/test_adapter.py
+++ b/tests/quetzalsill_platform/test_adapter.py
@@ -22,7 +22,7 @@
     follow,
     headers,
     membership,
-    store,
+    rows,
 )
 
 from quetzalsill.daemon import command, exit_code
@@ -30,6 +30,7 @@
 from quetzalsill.schema import load
 from quetzalsill_gateway import error, event, plugin, routing_table
 from quetzalsill_gateway import settings as settings_lib
+from quetzalsill_gateway.fleet import revision
 from quetzalsill_gateway.fleet import upstream as upstream_lib
 from quetzalsill_gateway.http import error as http_error
 from tests.quetzalsill_platform import fixture
@@ -264,10 +265,10 @@
     async def followed(self, data, known):
         """Returns the upstreams after an answer with a row of some bytes."""
         upstreams = upstream_lib.Upstreams()
-        upstreams.put(known, 1)
+        upstreams.put(known, revision.Revision(0, 1))
         text = base64.b64encode(data).decode()
         raw = {'key': 'i-1', 'ver': 2, 'value': text}
-        answer = store.Changes([store._row(raw)], 2)
+        answer = rows.decode(0, {'rows': [raw], 'ver': 2})
         with mock.patch.object(event, 'note'):
             for change in follow.changes_of(answer):
                 upstreams.apply(change)
--- /dev/null
+++ b/tests/quetzalsill_platform/test_era.py
@@ -0,0 +1,240 @@
+"""The store's header that counts how often it came back from an older copy."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+from quetzalsill_platform import era, rows
+from quetzalsill_platform import store as store_lib
+
+from quetzalsill_dev.simulation import clock
+from quetzalsill_dev.users_platform import scripted
+from quetzalsill_gateway import error, event
+from quetzalsill_gateway.fleet import revision
+from quetzalsill_gateway.http import pool
+
+HUGE = 2**53 + 1
+
+
+def header(*values):
+    """Returns headers in which it stands that often."""
+    return [(b'date', b'x')] + [(era.HEADER, value) for value in values]
+
+
+class ReaderTest(unittest.TestCase):
+    """What the header may hold."""
+
+    def setUp(self):
+        self.reader = era.Reader()
+
+    def test_a_store_that_never_sends_it_stays_in_its_first_epoch(self):
+        for _ in range(3):
+            self.assertEqual(self.reader.read(header(), 0), 0)
+
+    def test_it_is_a_whole_number(self):
+        for text, epoch in ((b'0', 0), (b'7', 7), (b'%d' % 2**53, 2**53)):
+            self.assertEqual(self.reader.read(header(text), 0), epoch)
+
+    def test_anything_else_is_a_failure_that_names_it(self):
+        """Text, a sign, a fraction, digits of other scripts, a huge number.
+
+        Read as some number all the same, an epoch would end that has not, or
+        one that has would go on.
+        """
+        wrong = (b'', b'x', b'-1', b'+1', b'1.0', b' 1 2', b'1e3', b'0x1')
+        for text in (*wrong, '٣'.encode(), b'%d' % HUGE, b'9' * 5000):
+            with self.subTest(text[:20]):
+                with self.assertRaises(error.MalformedSourceError) as caught:
+                    self.reader.read(header(text), 0)
+                self.assertIn('store-era', str(caught.exception))
+                self.assertLess(len(str(caught.exception)), 200)
+                self.assertTrue(caught.exception.advice)
+
+    def test_two_that_differ_are_a_failure(self):
+        self.assertEqual(self.reader.read(header(b'3', b'3'), 0), 3)
+        with self.assertRaises(error.MalformedSourceError):
+            self.reader.read(header(b'3', b'4'), 3)
+
+    def test_a_store_that_leaves_it_out_is_not_believed(self):
+        """A proxy drops the header from some answers.
+
+        Taken for the epoch before, an answer of a later one would be read on
+        from a version that has been given out again.
+        """
+
+        async def story():
+            self.reader.read(header(b'2'), 0)
+            for _ in range(10):
+                with self.assertRaises(error.MalformedSourceError) as caught:
+                    self.reader.read(header(), 2)
+                self.assertIn('store-era', str(caught.exception))
+                await asyncio.sleep(era.MISSED_S / 2)
+                self.reader.read(header(b'2'), 2)
+                await asyncio.sleep(era.MISSED_S)
+
+        clock.run(story)
+
+    def test_a_store_that_no_longer_sends_it_is_heard_again(self):
+        """One faulty answer has the header, of a store that never sends it.
+
+        Everything after would be left out, for as long as the gateway runs.
+        """
+
+        async def story():
+            self.reader.read(header(b'2'), 0)
+            with self.assertRaises(error.MalformedSourceError):
+                self.reader.read(header(), 2)
+            await asyncio.sleep(era.MISSED_S + 1.0)
+            self.assertEqual(self.reader.read(header(), 2), 2)
+
+        clock.run(story)
+
+
+class RowsTest(unittest.TestCase):
+    """Fields that the store writes."""
+
+    def test_a_field_of_another_kind_is_a_failure_that_names_it(self):
+        row = {'key': 'a', 'ver': 3, 'value': 'e30='}
+        good = {'rows': [row], 'ver': 5}
+        at = revision.Revision(2, 5)
+        self.assertEqual(rows.decode(2, good).revision, at)
+        for version in (HUGE, -1, 1.5, '7', None, True, [], float('inf')):
+            for raw in (
+                good | {'ver': version},
+                good | {'rows': [row | {'ver': version}]},
+            ):
+                with self.subTest(raw):
+                    with self.assertRaises(
+                        error.MalformedSourceError
+                    ) as caught:
+                        rows.decode(0, raw)
+                    self.assertIn('ver', str(caught.exception))
+        for raw in ({}, {'ver': 1}, {'rows': 7, 'ver': 1}, [], None, 7):
+            with self.assertRaises(error.MalformedSourceError):
+                rows.decode(0, raw)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Calls at a store whose answers are written here."""
+
+    async def asyncSetUp(self):
+        self.status, self.version = 200, 5
+        self.headers, self.more = {}, {}
+        self.server = scripted.ScriptedServer(self.answer)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        conns = pool.Pool()
+        self.store = store_lib.Store(conns, self.server.address)
+        quiet = mock.patch.object(event, 'note')
+        self.note = quiet.start()
+        self.addCleanup(quiet.stop)
+
+    async def answer(self, call):
+        body = {'rows': [], 'ver': self.version} | self.more
+        call.answer(self.status, json.dumps(body).encode(), self.headers)
+
+    def told(self, kind):
+        events = [call.args[0] for call in self.note.call_args_list]
+        return [one for one in events if isinstance(one, kind)]
+
+    def in_epoch(self, epoch, status=200):
+        self.headers = {'Store-Era': str(epoch)}
+        self.status = status
+
+    async def test_every_answer_tells_it(self):
+        """The first to tell of a drill is whatever call comes first.
+
+        While the store is still away that is a refusal; its epoch counts, as
+        that of a lost history, and of a write does.
+        """
+        seen = []
+        self.store.epochs.on_new(lambda: seen.append(self.store.epochs.newest))
+        self.in_epoch(1)
+        await self.store.read('t')
+        for epoch, status in enumerate((503, 429, 412, 410), 2):
+            self.in_epoch(epoch, status)
+            with self.assertRaises(error.SourceError):
+                await self.store.read('t')
+            self.assertEqual(self.store.epochs.newest, epoch)
+        self.in_epoch(6)
+        await self.store.write('t', 'k', 1)
+        self.assertEqual(seen, [2, 3, 4, 5, 6])
+
+    async def test_a_feed_of_an_epoch_before_is_not_read_on(self):
+        after = revision.Revision(1, 3)
+        self.in_epoch(1)
+        found = await self.store.changes('t', after, 0.0)
+        self.assertEqual(found.revision, revision.Revision(1, 5))
+        self.in_epoch(2)
+        self.assertIsNone(await self.store.changes('t', after, 0.0))
+
+    async def test_an_answer_of_an_epoch_that_ended_changes_nothing(self):
+        self.in_epoch(2)
+        await self.store.read('t')
+        self.in_epoch(1)
+        with self.assertRaises(error.StaleAnswerError):
+            await self.store.read('t')
+        self.assertEqual(self.store.epochs.newest, 2)
+        self.assertEqual(len(self.told(event.AnswerStale)), 1)
+
+    async def test_pages_of_two_epochs_are_no_list(self):
+        """The store comes back between two pages of one list.
+
+        Put together, they lack what the copy lacks in the one, and hold what
+        is gone in the other.
+        """
+        row = {'key': 'a', 'ver': 1, 'value': 'e30='}
+        pages = iter(((1, True), (2, False)))
+
+        async def answer(call):
+            number, is_cut = next(pages)
+            self.in_epoch(number)
+            self.more = {'rows': [row], 'truncated': is_cut}
+            await type(self).answer(self, call)
+
+        self.server._handler = answer
+        with self.assertRaises(error.SourceError):
+            await self.store.read('t')
+
+    async def test_a_long_list_is_as_of_its_first_page(self):
+        """A row of the first page changes while the second is read.
+
+        Taken as of the second, the list would hide that change for good: the
+        feed is read on from behind it.
+        """
+        row = {'key': 'a', 'ver': 1, 'value': 'e30='}
+        pages = iter(((5, True), (9, False)))
+
+        async def answer(call):
+            self.version, is_cut = next(pages)
+            self.more = {'rows': [row], 'truncated': is_cut}
+            await type(self).answer(self, call)
+
+        self.server._handler = answer
+        found = await self.store.read('t')
+        self.assertEqual(found.revision.version, 5)
+
+    async def test_a_write_that_is_gone_is_no_write(self):
+        self.status = 410
+        with self.assertRaises(error.SourceError):
+            await self.store.write('t', 'k', 1)
+
+    async def test_a_faulty_answer_is_logged_once_a_minute(self):
+        """Each gateway asks several times a second, for as long as it lasts."""
+        self.in_epoch(1)
+        await self.store.read('t')
+        self.headers = {}
+        for _ in range(5):
+            with self.assertRaises(error.MalformedSourceError):
+                await self.store.read('t')
+        [told] = self.told(event.AnswerMalformed)
+        self.assertIn('store-era', told.reason)
+        self.assertTrue(told.advice)
+        self.assertEqual(self.store.epochs.newest, 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/quetzalsill_platform/test_names.py
+++ b/tests/quetzalsill_platform/test_names.py
@@ -14,7 +14,7 @@
     r'x-quetzalsill|kv-(from|move|fetch|handle|backup)|rows-(get|feed|tx)'
     r'|server-stamp|not-executed|expect-instance|attempt-id|length-hint'
     r'|expectedRevision|routeType|streamResume|maxAttempts|kvCapacity'
-    r'|leaves_ms|draining',
+    r'|leaves_ms|draining|store-era|\beras?\b',
     re.IGNORECASE,
 )
 
