Enter a gateway in the directory again in each epoch of the store

A gateway wrote its row once, at its start. A copy of the store may lack it, and who starts after the drill would not find that gateway; where all rows are newer than the copy, it would find nobody. Now each writes it again in a new epoch, drawn over five seconds, and reads and greets whoever else is listed. Nothing else is written by the gateways.

Red without it: test_its_entry_is_written_again_in_a_new_epoch.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
+    from quetzalsill_gateway.watch import epoch
     from quetzalsill_gateway.watch import news as news_lib
 
 __all__ = ['Exchange', 'Join']
@@ -42,6 +43,10 @@
 # Members of a directory that has aged are asked this often until they answer.
 JOIN_TRIES = 5
 JOIN_S = 1.0
+# All gateways see a new epoch of the source at about the same moment. Spread
+# out over this, their entries are no load, and who starts meanwhile finds those
+# that are entered already.
+REJOIN_S = 5.0
 
 
 class Exchange(asyncio.DatagramProtocol):
@@ -52,8 +57,17 @@
       left_out: Datagrams that were malformed, or of no use any more.
     """
 
-    def __init__(self, core: core_lib.Core, node: str, join: Join) -> None:
+    def __init__(
+        self,
+        core: core_lib.Core,
+        node: str,
+        join: Join,
+        epochs: epoch.Epochs | None = None,
+    ) -> None:
         self._core = core
+        self._is_lost = asyncio.Event()
+        if epochs is not None:
+            epochs.on_new(self._is_lost.set)
         self._node = node
         self._join = join
         self._roster = roster.Roster()
@@ -125,8 +139,18 @@
             self._transport.close()
 
     async def find(self) -> None:
-        """Finds the others in the directory and greets them; then waits."""
-        found = await self._listed()
+        """Enters this gateway in the directory, and greets those listed there.
+
+        Again in each epoch of the source: its copy may lack the entry, so that
+        a gateway that starts would not find this one.
+        """
+        while True:
+            self._is_lost.clear()
+            await self._greet_listed(await self._listed())
+            await self._is_lost.wait()
+            await asyncio.sleep(random.uniform(0.0, REJOIN_S))
+
+    async def _greet_listed(self, found: dict[str, str]) -> None:
         for _ in range(JOIN_TRIES):
             heard = set(self._roster.addresses)
             for text in found.values():
@@ -135,7 +159,6 @@
                 if address not in heard:
                     self._greet(address)
             await asyncio.sleep(JOIN_S)
-        await asyncio.Event().wait()
 
     async def _listed(self) -> dict[str, str]:
         host, port = self._transport.get_extra_info('sockname')[:2]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -106,7 +106,7 @@
         self.asked = listener.Listener(asked, listener.Limits)
         self.metrics = listener.Listener(asked, listener.Limits)
         self.peers = peer_exchange.Exchange(
-            self.core, settings.node.name, sources.join
+            self.core, settings.node.name, sources.join, sources.epochs
         )
         kinds = {
             news.MembershipNews: self.membership,
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -23,7 +23,7 @@
     teller,
 )
 from quetzalsill_gateway.stream import link_queue, live
-from quetzalsill_gateway.watch import membership, news
+from quetzalsill_gateway.watch import epoch, membership, news
 from tests.quetzalsill_gateway import quotas
 
 BOUND_S = 10.0
@@ -178,7 +178,8 @@
         core.admission = admission.Admission(
             core.upstreams, core.pages, 'z', quotas.unbounded()
         )
-        found = exchange.Exchange(core, node, self.join)
+        self.epochs = epoch.Epochs()
+        found = exchange.Exchange(core, node, self.join, self.epochs)
         await found.open(('127.0.0.1', 0))
         tasks = [
             asyncio.create_task(work()) for work in (found.find, found.tell)
@@ -373,6 +374,27 @@
         self.down = False
         await self.until(lambda: late.peers == 3)
 
+    async def test_its_entry_is_written_again_in_a_new_epoch(self):
+        """The source comes back from a copy that lacks a gateway's entry.
+
+        Trusted to last, it would be missing for as long as the gateway runs,
+        and one that starts would not find it.
+        """
+        with (
+            mock.patch.object(exchange, 'JOIN_S', 0.01),
+            mock.patch.object(exchange, 'REJOIN_S', 0.05),
+        ):
+            late = await self.start('entry-4')
+            epochs = self.epochs
+            epochs.answered('write', 1, 0)
+            for number in (2, 3):
+                await self.until(lambda: 'entry-4' in self.directory)
+                await asyncio.sleep(0.1)
+                del self.directory['entry-4']
+                epochs.answered('write', number, epochs.newest)
+            await self.until(lambda: 'entry-4' in self.directory)
+        self.assertEqual(self.directory['entry-4'], f'127.0.0.1:{late.port}')
+
 
 if __name__ == '__main__':
     unittest.main()
