Send nothing to servers that only an older copy holds

A server that ended after the copy was taken stands in it. Listed anew, its entry was an upstream again, and requests went to an address where nobody answers until its entry was removed once more. Entries of upstreams that went within the last minute, by id and incarnation, now get no new work for the time in which others enter themselves again; what then still stands there counts.

Also: an entry that is read again with the same warm-up does not make an upstream cold a second time; whoever hears of a newer epoch logs it once an epoch and not with each datagram; tests that a drill takes nobody out at 68 gateways, also with more servers than one datagram tells.

Ruled out: leaving such entries out until they change. A server that lives writes only what is new, and one whose entry had lapsed would stay out for good.

Red without: test_a_server_that_has_ended_gets_nothing_for_a_copy, test_an_entry_that_is_read_again_makes_no_upstream_cold.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -26,6 +26,10 @@
 # With nothing told for this long the source is away for all gateways: a call
 # that waits for a change is answered sooner.
 UNTOLD_S = 0.8
+# A copy from which the source comes back is seconds old, and it was away for
+# some; an upstream whose entry went so long ago may stand in it yet.
+ENDED_S = 60.0
+MOST_ENDED = 4096
 # Engines are taken away every few seconds; the rate is that of so long.
 LEFT_S = 8.0
 MOST_LEFT = 4096
@@ -135,6 +139,10 @@
         self._removed: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
+        self._ended: collections.deque[tuple[float, str]] = collections.deque(
+            maxlen=MOST_ENDED
+        )
+        self._doubted: set[str] = set()
         self._lapsed: dict[str, revision_lib.Revision] = {}
         self._lapses_until_s = 0.0
         self._left: collections.deque[tuple[float, str]] = collections.deque(
@@ -203,8 +211,12 @@
 
     def takes_new(self, upstream: Upstream) -> bool:
         """Whether new work may go to an upstream."""
-        zone = upstream.availability_zone
-        return not upstream.leaving and not self.zones.is_drained(zone)
+        if upstream.leaving or self._is_doubted(upstream):
+            return False
+        return not self.zones.is_drained(upstream.availability_zone)
+
+    def _is_doubted(self, upstream: Upstream) -> bool:
+        return bool(self._doubted) and upstream.key in self._doubted
 
     def _region(self, upstream: Upstream) -> str | None:
         return self._regions.get(upstream.availability_zone)
@@ -229,6 +241,27 @@
         # Also if it is less: what was known was then a faulty sender's.
         self.revision = revision
 
+    def doubt_ended(self, found: Iterable[Change]) -> None:
+        """Doubts the entries of a copy whose upstreams have ended since.
+
+        An upstream has ended and its entry went; the copy is from before. Sent
+        there, requests would wait for nobody. Whoever removed the entry does so
+        again, in the time that it takes others to enter themselves again; what
+        stands there still is that of one that lives.
+        """
+        loop = asyncio.get_running_loop()
+        oldest_s = loop.time() - ENDED_S
+        ended = {key for ended_s, key in self._ended if ended_s > oldest_s}
+        doubted = {
+            change.upstream.key
+            for change in found
+            if change.upstream is not None
+            and change.upstream.key in ended
+            and change.id not in self._by_id
+        }
+        self._doubted |= doubted
+        loop.call_later(LAPSE_S, self._doubted.difference_update, doubted)
+
     def apply(self, change: Change) -> None:
         """Takes one entry, written or dropped."""
         if change.upstream is None:
@@ -268,7 +301,10 @@
                 )
             )
             return
-        known.cold_until_s = _cold_until_s(found)
+        if found.warmup_s != known.warmup_s:
+            # An entry that was read again says nothing that is new.
+            known.warmup_s = found.warmup_s
+            known.cold_until_s = _cold_until_s(found)
         if found.leaving:
             self.leave(known, 'membership')
 
@@ -354,6 +390,7 @@
         self.leave(upstream, 'removed')
         upstream.gone = True
         self._removed.append((now, upstream.key))
+        self._ended.append((now, upstream.key))
         event.note(event.UpstreamRemoved(upstream_id, str(revision)))
 
     def confirm_incarnation(self, upstream: Upstream, told: int) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -199,12 +199,8 @@
         if told.revision.epoch > newest:
             # Its word counts; but whether the source is there, only the source
             # can say.
-            if known is not None and told.revision.epoch > known.epoch:
-                event.note(
-                    event.EpochTold(
-                        NAME, told.teller, str(known), str(told.revision)
-                    )
-                )
+            if known is not None:
+                self._epochs.hear(NAME, told.teller, known, told.revision)
             self._turn.within(ANEW_S)
         elif told.revision.epoch < self._drained.newest.epoch:
             # The source has to say of the newer order; the call is due already.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/epoch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/epoch.py
@@ -9,14 +9,17 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event, meter
 
+if TYPE_CHECKING:
+    from quetzalsill_gateway.fleet import revision
+
 __all__ = ['BEHIND_S', 'Epochs']
 
-# A source that tells an older epoch for so long, and no newer one in between,
-# is in that one: the newer was a fault of one answer's. No answer is under way
-# for longer.
+# A source that tells an older epoch for so long, and the newer not once in
+# between, is in the older: the other was a fault of one answer's.
 BEHIND_S = 1.0
 # Least time between two log lines of answers that were left out.
 LOG_EVERY_S = 60.0
@@ -32,6 +35,7 @@
     def __init__(self) -> None:
         self.newest = 0
         self._is_known = False
+        self._told = 0
         self._behind_s: float | None = None
         self._quiet_until_s = 0.0
         self._on_new: list[Callable[[], None]] = []
@@ -63,6 +67,25 @@
             self._enter(call, told)
         self._is_known = True
 
+    def hear(
+        self,
+        table: str,
+        peer: str,
+        known: revision.Revision,
+        told: revision.Revision,
+    ) -> None:
+        """Notes what another gateway tells; one line for each new epoch.
+
+        Args:
+          table: Which table its news is of.
+          peer: Its name.
+          known: Revision known here.
+          told: Revision that it tells.
+        """
+        if told.epoch > max(self.newest, self._told):
+            self._told = told.epoch
+            event.note(event.EpochTold(table, peer, str(known), str(told)))
+
     def _has_fallen(self, told: int, asked: int) -> bool:
         """Whether the newer epoch that is known was a fault.
 
@@ -79,6 +102,7 @@
 
     def _enter(self, call: str, told: int) -> None:
         before, self.newest = self.newest, told
+        self._told = 0
         if not self._is_known:
             return
         meter.epochs.inc({'what': 'new' if told > before else 'fallen'})
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -136,7 +136,7 @@
             # Datagrams were lost: what came between is not known here.
             meter.news.inc({'of': NAME, 'result': 'gap'})
             if told.since.epoch > known.epoch:
-                self._note_told(told, known)
+                self._epochs.hear(NAME, told.teller, known, told.revision)
                 self._turn.within(ANEW_S, is_behind=True)
             else:
                 self._turn.hurry()
@@ -167,22 +167,12 @@
     ) -> None:
         """Begins anew with all that another gateway has listed."""
         meter.news.inc({'of': NAME, 'result': 'whole'})
-        if known is not None and told.revision.epoch > known.epoch:
-            self._note_told(told, known)
+        if known is not None:
+            self._epochs.hear(NAME, told.teller, known, told.revision)
         if told.lapses_s > 0:
             self._upstreams.expect_lapsed(told.lapses_s)
         self._restart(list(told.changes), told.revision, told.teller)
 
-    def _note_told(
-        self, told: news_lib.MembershipNews, known: revision_lib.Revision
-    ) -> None:
-        if told.revision.epoch > self._epochs.newest:
-            event.note(
-                event.EpochTold(
-                    NAME, told.teller, str(known), str(told.revision)
-                )
-            )
-
     async def _look(self) -> None:
         loop = asyncio.get_running_loop()
         known = self._revision
@@ -260,6 +250,7 @@
         if self._is_new_epoch(revision):
             # Its copy lacks what was written last, which is written again.
             self._upstreams.expect_lapsed()
+            self._upstreams.doubt_ended(found)
             self._note_listed(found, revision, source)
         self._upstreams.confirm()
         self._upstreams.replace(found, revision)
--- a/tests/quetzalsill_gateway/fleet/test_upstream.py
+++ b/tests/quetzalsill_gateway/fleet/test_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from quetzalsill_gateway.balance import book
@@ -47,6 +48,20 @@
         self.upstreams.replace(written(entry('u-2', 81)), at(2))
         self.assertEqual((self.ids(), self.left), (['u-2'], ['u-1']))
 
+    async def test_an_entry_that_is_read_again_makes_no_upstream_cold(self):
+        """A table is listed anew, with the entry of a server that is warm now.
+
+        Counted from then, the warm-up that it tells would begin a second time.
+        """
+        self.upstreams.put(entry(warmup_s=5.0), at(1))
+        known = self.upstreams.get('u-1')
+        until_s = known.cold_until_s
+        await asyncio.sleep(0.01)
+        self.upstreams.put(entry(warmup_s=5.0), at(2))
+        self.assertEqual(known.cold_until_s, until_s)
+        self.upstreams.put(entry(warmup_s=4.0), at(3))
+        self.assertNotEqual(known.cold_until_s, until_s)
+
     async def test_another_address_is_another_upstream(self):
         self.upstreams.put(entry(), at(1))
         old = self.upstreams.get('u-1')
--- a/tests/quetzalsill_gateway/watch/test_drill.py
+++ b/tests/quetzalsill_gateway/watch/test_drill.py
@@ -102,6 +102,32 @@
 
         self.play(story)
 
+    def test_a_server_that_has_ended_gets_nothing_for_a_copy(self):
+        """A server ends a second after the copy; the copy still has its entry.
+
+        Requests would go to an address where nobody answers, until whoever
+        removed the entry does so again. One that lives enters itself again.
+        """
+
+        async def story():
+            copy = self.fleet.store.copy()
+            lives = self.fleet.entry('server-4')
+            for name in ('server-3', 'server-4'):
+                self.fleet.drop(name)
+            alive = LIVE - {'server-3'}
+            await self.within(
+                1.0, lambda one: one.ids() == alive - {'server-4'}
+            )
+            async with self.always(lambda one: one.ids() <= alive):
+                await self.fleet.drill(copy, rewrite_s=0.0)
+                self.fleet.store.enter(lives)
+                await asyncio.sleep(1.0)
+                self.fleet.store.drop('server-3')
+                await self.within(3.0, lambda one: one.ids() == alive)
+                await asyncio.sleep(3.0)
+
+        self.play(story)
+
     def test_two_drills_within_three_seconds(self):
         """The second comes while the servers still enter themselves again."""
 
@@ -233,19 +259,40 @@
                 store = self.fleet.store
                 copy = store.copy()
                 before = sum(store.calls.values())
-                await self.fleet.drill(copy, epochs=epochs)
                 most = 0
-                for _ in range(100):
-                    started = sum(store.calls.values())
-                    await asyncio.sleep(0.1)
-                    most = max(most, sum(store.calls.values()) - started)
+                async with self.always(lambda one: one.ids() == LIVE):
+                    await self.fleet.drill(copy, epochs=epochs)
+                    for _ in range(100):
+                        started = sum(store.calls.values())
+                        await asyncio.sleep(0.1)
+                        most = max(most, sum(store.calls.values()) - started)
                 self.assertLess(most, 68)
                 costs[epochs] = sum(store.calls.values()) - before
-                self.assertTrue(all(o.ids() == LIVE for o in self.fleet.all))
 
             self.play(story, 68)
         self.assertLess(costs[1] - costs[0], 3 * 68)
 
+    def test_more_servers_than_a_datagram_holds(self):
+        """Nobody can be told the whole list; each lists the table once.
+
+        A feed that is refused, a list of each table, and an answer that another
+        gateway's was newer than: five calls each at the most.
+        """
+
+        async def story():
+            store = self.fleet.store
+            alive = {f'server-{n}' for n in range(200)}
+            before = sum(store.calls.values())
+            async with self.always(lambda one: one.ids() == alive):
+                await self.fleet.drill(store.copy())
+                await asyncio.sleep(8.0)
+            self.fleet.drain('server-1')
+            await self.within(1.0, lambda one: 'server-1' not in one.ids())
+            calls = sum(store.calls.values()) - before
+            self.assertLess(calls, 5 * 68 + 8 * 10)
+
+        self.play(story, 68, 200)
+
 
 class ConfigurationTest(drill.DrillTest):
     """Versions of the configuration."""
