Don't let a gateway that has just started hide an order taken back

A gateway that starts lists the orders that stand. It knows nothing of one that was taken back a moment ago, and its news tells the others how far the store has come. They took that for all and asked for what came behind it: the zone stood idle for good. News without an order that stands here at its revision is a gap now, and the store is asked.

Older than this work: red on, and here without the guard: test_who_starts_hides_no_order_that_was_taken_back.

Ruled out: taking every order back that news doesn't name. A faulty datagram without any would open all zones.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/zones.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/zones.py
@@ -132,6 +132,23 @@
             if is_current or self._has_lapsed(drain):
                 self._take(Drain(drain.zone, revision, is_on=False))
 
+    def is_missing(
+        self, told: Iterable[Drain], revision: revision_lib.Revision
+    ) -> bool:
+        """Whether an order stands here that is not among all of a revision.
+
+        It was taken back by then. Whoever tells has listed the orders since and
+        knows nothing of those that no longer stood.
+        """
+        named = {drain.zone for drain in told}
+        return any(
+            drain.is_on
+            and drain.zone not in named
+            and drain.revision <= revision
+            and drain.revision.epoch == revision.epoch
+            for drain in self._drains.values()
+        )
+
     def forget_newer(self, revision: revision_lib.Revision) -> None:
         """Drops orders above a revision that the source has not come to.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -163,6 +163,11 @@
         if told.revision < known:
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
+        if self._drained.is_missing(told.drains, told.revision):
+            # Followed, it would hide for good that an order was taken back.
+            meter.news.inc({'of': NAME, 'result': 'gap'})
+            self._turn.within(ANEW_S, is_behind=True)
+            return
         meter.news.inc({'of': NAME, 'result': 'taken'})
         self._follow(told)
 
--- a/tests/quetzalsill_gateway/watch/test_zone_drain.py
+++ b/tests/quetzalsill_gateway/watch/test_zone_drain.py
@@ -187,6 +187,29 @@
 
         self.play(story)
 
+    def test_who_starts_hides_no_order_that_was_taken_back(self):
+        """A zone stands idle, although operators have taken it back.
+
+        The gateways that watch die, and one starts. It lists the orders that
+        stand and tells the others how far the store has come; they ask for what
+        came behind that, and the order was taken back before.
+        """
+
+        async def story():
+            self.drain()
+            await self.within(KNOWN_S, True)
+            before = dict(self.fleet.store.calls)
+            await asyncio.sleep(2.0)
+            calls = self.fleet.store.calls
+            # Of either table.
+            for watcher in [one for one in calls if calls[one] > before[one]]:
+                self.fleet.kill(watcher)
+            self.drain(False)
+            self.fleet.add_gateway('entry-99')
+            await self.within(BACK_S, False)
+
+        self.play(story)
+
     def test_who_starts_in_an_outage_is_told_by_others(self):
         async def story():
             self.drain()
