Play drills among cuts, restarts and edits by seed

Red where epochs are not told, where they don't count in the order, and where any number of a configuration is installed.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
@@ -59,6 +59,8 @@
       gateways: Those that run, by name.
       store: The source of both tables.
       net: Carries what gateways tell each other.
+      written: What each server has written last; None for one that is removed.
+      orders: What operators have written last of each zone.
     """
 
     def __init__(
@@ -88,9 +90,9 @@
         self._names = [f'entry-{n}' for n in range(gateways)]
         self._servers = [f'server-{n}' for n in range(servers)]
         self._beats: dict[str, asyncio.Task[None]] = {}
-        self._written: dict[str, upstream.Upstream | None] = {}
+        self.written: dict[str, upstream.Upstream | None] = {}
         self._document = b''
-        self._orders: dict[str, bool] = {}
+        self.orders: dict[str, bool] = {}
         self._plain: set[str] = set()
         self._rewriting: list[asyncio.Task[None]] = []
         self._at: dict[tuple[str, int], str] = {}
@@ -117,7 +119,7 @@
 
     def drain_zone(self, zone: str, *, is_on: bool) -> None:
         """Writes operators' order to drain a zone, or takes it back."""
-        self._orders[zone] = is_on
+        self.orders[zone] = is_on
         self.store.drain_zone(zone, is_on=is_on)
 
     async def drill(
@@ -147,18 +149,18 @@
             self._rewriting.append(task)
 
     async def _write_again(self, within_s: float) -> None:
-        writes = [*self._written, *self._orders, None]
+        writes = [*self.written, *self.orders, None]
         self._rng.shuffle(writes)
         for name in writes:
             await asyncio.sleep(within_s / len(writes))
             if name is None:
                 self.store.configure(self._document)
-            elif name in self._orders:
-                self.store.drain_zone(name, is_on=self._orders[name])
-            elif self._written[name] is None:
+            elif name in self.orders:
+                self.store.drain_zone(name, is_on=self.orders[name])
+            elif self.written[name] is None:
                 self.store.drop(name)
             else:
-                self.store.enter(self._written[name])
+                self.store.enter(self.written[name])
 
     def add_server(self, name: str, incarnation: int = 1) -> None:
         """Starts a server, which writes its entry."""
@@ -185,15 +187,11 @@
     def drop(self, name: str) -> None:
         """Removes a server and its entry."""
         self._beats.pop(name).cancel()
-        self._written[name] = None
+        self.written[name] = None
         self.store.drop(name)
 
-    def entry(self, name: str) -> upstream.Upstream:
-        """Returns what a server has written last."""
-        return self._written[name]
-
     def _enter(self, found: upstream.Upstream) -> None:
-        self._written[found.id] = found
+        self.written[found.id] = found
         self.store.enter(found)
 
     def add_gateway(self, name: str, *, is_plain: bool = False) -> Watcher:
--- a/tests/quetzalsill_gateway/watch/test_drill.py
+++ b/tests/quetzalsill_gateway/watch/test_drill.py
@@ -111,7 +111,7 @@
 
         async def story():
             copy = self.fleet.store.copy()
-            lives = self.fleet.entry('server-4')
+            lives = self.fleet.written['server-4']
             for name in ('server-3', 'server-4'):
                 self.fleet.drop(name)
             alive = LIVE - {'server-3'}
--- /dev/null
+++ b/tests/quetzalsill_gateway/watch/test_random_drills.py
@@ -0,0 +1,184 @@
+"""Drills, cuts, restarts and edits in any order, by seed.
+
+Whatever happened, once it is over all gateways agree with what operators and
+servers have written, go on hearing, and no configuration has stepped back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from quetzalsill_dev.simulation import clock, watchers
+from quetzalsill_dev.simulation.store import Away
+from quetzalsill_gateway import event
+
+ZONE = 'other'
+SEEDS = range(40)
+# Servers that stay, whatever else happens.
+LEAST_SERVERS = 4
+# An order of an epoch before ends 10 s after the return of the store, and who
+# has been cut off finds it again in 3.5 s; half as much again.
+SETTLED_S = 20.0
+KNOWN_S = 3.0
+
+
+class Story:
+    """One fleet and what happens to it."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        gateways = self.rng.choice((3, 8, 24))
+        self.fleet = watchers.Fleet(gateways, 12, seed)
+        self.store = self.fleet.store
+        self.copies = []
+        self.drills = []
+        self.number = 1
+        self.servers = 12
+        self.faults = []
+
+    async def play(self):
+        """Returns what was wrong in the end, or at any moment."""
+        await self.fleet.start()
+        self.fleet.net.loss = self.rng.choice((0.0, 0.0, 0.1, 0.3))
+        self.copies.append(self.store.copy())
+        watch = asyncio.create_task(self.watch())
+        for _ in range(self.rng.randint(5, 14)):
+            self.rng.choice(STEPS)(self)
+            await asyncio.sleep(self.rng.choice((0.0, 0.05, 0.5, 1.5)))
+        await asyncio.gather(*self.drills)
+        self.heal()
+        await asyncio.sleep(SETTLED_S)
+        self.compare()
+        self.configure()
+        self.add()
+        self.fleet.drain_zone(ZONE, is_on=True)
+        await asyncio.sleep(KNOWN_S)
+        self.compare()
+        watch.cancel()
+        self.fleet.stop()
+        return self.faults
+
+    async def watch(self):
+        """Notes configurations that step back, and loops that have ended."""
+        seen = {}
+        while True:
+            for one in self.fleet.all:
+                if one.number < seen.get(one, 0):
+                    self.faults.append((one.node, 'stepped back'))
+                if any(task.done() for task in one.tasks):
+                    self.faults.append((one.node, 'ended'))
+                seen[one] = one.number
+            await asyncio.sleep(0.02)
+
+    def compare(self):
+        """Notes gateways that know anything else than what was written."""
+        alive = {
+            name
+            for name, found in self.fleet.written.items()
+            if found is not None and not found.leaving
+        }
+        is_on = self.fleet.orders.get(ZONE, False)
+        for one in self.fleet.all:
+            known = {
+                'servers': (one.ids(), alive),
+                'number': (one.number, self.number),
+                'order': (one.upstreams.zones.is_drained(ZONE), is_on),
+                'epoch': (one.epochs.newest, self.store.epoch),
+            }
+            self.faults += [
+                (one.node, name, found, wanted)
+                for name, (found, wanted) in known.items()
+                if found != wanted
+            ]
+
+    def some(self):
+        """Returns the names of about a third of the gateways."""
+        names = self.fleet.gateways
+        return {name for name in names if self.rng.random() < 1 / 3}
+
+    def configure(self):
+        self.number += 1
+        self.fleet.configure(self.number)
+
+    def add(self):
+        self.fleet.add_server(f'server-{self.servers}')
+        self.servers += 1
+
+    def server(self):
+        alive = [
+            name
+            for name, found in self.fleet.written.items()
+            if found is not None and not found.leaving
+        ]
+        return self.rng.choice(alive) if len(alive) > LEAST_SERVERS else None
+
+    def drop(self):
+        if name := self.server():
+            self.fleet.drop(name)
+
+    def leave(self):
+        if name := self.server():
+            self.fleet.drain(name)
+
+    def order(self):
+        self.fleet.drain_zone(ZONE, is_on=self.rng.random() < 0.5)
+
+    def copy(self):
+        self.copies.append(self.store.copy())
+
+    def drill(self):
+        work = self.fleet.drill(
+            self.copies[-1],
+            away_s=self.rng.choice((0.0, 0.1, 0.5, 2.0)),
+            rewrite_s=self.rng.uniform(0.2, 2.0),
+        )
+        self.drills.append(asyncio.create_task(work))
+
+    def cut(self):
+        those = self.some()
+        self.fleet.net.is_cut = lambda a, b: (a in those) != (b in those)
+
+    def turn_away(self):
+        those = self.some()
+        how = self.rng.choice((Away.REFUSES, Away.SILENT, Away.LOSES_ANSWERS))
+        self.store.treat = lambda node: how if node in those else Away.SERVES
+
+    def restart(self):
+        name = self.rng.choice(list(self.fleet.gateways))
+        self.fleet.kill(name)
+        self.fleet.add_gateway(name)
+
+    def slow(self):
+        self.store.answer_s = self.rng.choice((0.004, 0.24))
+
+    def forget(self):
+        self.store.forget_history()
+
+    def heal(self):
+        self.store.answer_s = 0.004
+        self.store.treat = lambda _: Away.SERVES
+        self.fleet.net.is_cut = lambda _, __: False
+
+
+STEPS = (
+    *(Story.drill, Story.drill, Story.copy, Story.copy),
+    *(Story.configure, Story.add, Story.drop, Story.leave, Story.order),
+    *(Story.cut, Story.turn_away, Story.restart, Story.slow),
+    *(Story.forget, Story.heal),
+)
+
+
+class RandomDrillsTest(unittest.TestCase):
+    """Faults that overlap."""
+
+    def test_all_agree_in_the_end(self):
+        for seed in SEEDS:
+            with self.subTest(seed), mock.patch.object(event, 'note'):
+                self.assertEqual(clock.run(Story(seed).play), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
