--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
+from quetzalsill_gateway.watch import epoch
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -59,10 +60,8 @@
     'quetzalsill_gateway_news_total',
     'News of the sources that other gateways told, by source and use.',
 )
-epochs = metric.counter(
-    'quetzalsill_gateway_store_epochs_total',
-    'Epochs of the store: entered, tables listed for it, answers left out.',
-)
+# Counted below what this module looks at.
+epochs = epoch.count
 answers = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
     'Time from a request to its whole answer, by kind of route.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/epoch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/epoch.py
@@ -11,12 +11,13 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import error, event, meter
+from quetzalsill.telemetry import metric
+from quetzalsill_gateway import error, event
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import revision
 
-__all__ = ['BEHIND_S', 'Epochs']
+__all__ = ['BEHIND_S', 'Epochs', 'count']
 
 # A source that tells an older epoch for so long, and the newer not once in
 # between, is in the older: the other was a fault of one answer's.
@@ -24,6 +25,12 @@
 # Least time between two log lines of answers that were left out.
 LOG_EVERY_S = 60.0
 
+# `meter.epochs` to all others; that looks at what holds a source.
+count = metric.counter(
+    'quetzalsill_gateway_store_epochs_total',
+    'Epochs of the store: entered, tables listed for it, answers left out.',
+)
+
 
 class Epochs:
     """The newest epoch that the source has told.
@@ -57,7 +64,7 @@
             changes nothing.
         """
         if told < self.newest and not self._has_fallen(told, asked):
-            meter.epochs.inc({'what': 'stale'})
+            count.inc({'what': 'stale'})
             self._note_stale(call, told)
             raise error.StaleAnswerError(
                 f'{call}: epoch {told}, after {self.newest}'
@@ -105,7 +112,7 @@
         self._told = 0
         if not self._is_known:
             return
-        meter.epochs.inc({'what': 'new' if told > before else 'fallen'})
+        count.inc({'what': 'new' if told > before else 'fallen'})
         event.note(event.EpochEntered(call, before, told))
         for callback in self._on_new:
             callback()
