--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -138,7 +138,7 @@
     service: str
     address: str
     leaving: bool
-    version: int
+    version: str
 
 
 @base.define
@@ -153,7 +153,7 @@
 
     upstream: str
     source: str
-    version: int
+    version: str
 
 
 @base.define
@@ -166,7 +166,7 @@
     """
 
     upstream: str
-    version: int
+    version: str
 
 
 @base.define
@@ -179,7 +179,7 @@
     """
 
     upstream: str
-    version: int
+    version: str
 
 
 @base.define
@@ -205,4 +205,4 @@
     """
 
     upstream: str
-    version: int
+    version: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
+from quetzalsill_gateway.watch import epoch
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -14,6 +15,7 @@
 __all__ = [
     'attempts',
     'datagrams',
+    'epochs',
     'moves',
     'news',
     'note_request',
@@ -58,6 +60,8 @@
     'quetzalsill_gateway_news_total',
     'News of the sources that other gateways told, by source and use.',
 )
+# Counted below what this module looks at.
+epochs = epoch.count
 answers = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
     'Time from a request to its whole answer, by kind of route.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
+    from quetzalsill_gateway.watch import epoch
     from quetzalsill_gateway.watch import news as news_lib
 
 __all__ = ['Exchange', 'Join']
@@ -42,6 +43,10 @@
 # Members of a directory that has aged are asked this often until they answer.
 JOIN_TRIES = 5
 JOIN_S = 1.0
+# All gateways see a new epoch of the source at about the same moment. Spread
+# out over this, their entries are no load, and who starts meanwhile finds those
+# that are entered already.
+REJOIN_S = 5.0
 
 
 class Exchange(asyncio.DatagramProtocol):
@@ -52,8 +57,17 @@
       left_out: Datagrams that were malformed, or of no use any more.
     """
 
-    def __init__(self, core: core_lib.Core, node: str, join: Join) -> None:
+    def __init__(
+        self,
+        core: core_lib.Core,
+        node: str,
+        join: Join,
+        epochs: epoch.Epochs | None = None,
+    ) -> None:
         self._core = core
+        self._is_lost = asyncio.Event()
+        if epochs is not None:
+            epochs.on_new(self._is_lost.set)
         self._node = node
         self._join = join
         self._roster = roster.Roster()
@@ -62,7 +76,9 @@
         self._is_telling = False
         self.taken = 0
         self.left_out = 0
-        self._hearers: dict[frame.Kind, Callable[[news_lib.News], None]] = {}
+        self._hearers: dict[
+            type[news_lib.News], Callable[[news_lib.News], None]
+        ] = {}
         self._wholes: list[Callable[[], news_lib.News | None]] = []
         self._told_s = 0.0
         self._broadcast = relay.Broadcast(
@@ -71,7 +87,9 @@
         core.live.on_changed(self._tell_soon)
 
     def on_news(
-        self, kind: frame.Kind, hear: Callable[[news_lib.News], None]
+        self,
+        kind: type[news_lib.News],
+        hear: Callable[[news_lib.News], None],
     ) -> None:
         """Sets what takes the other gateways' news of a source."""
         self._hearers[kind] = hear
@@ -121,8 +139,18 @@
             self._transport.close()
 
     async def find(self) -> None:
-        """Finds the others in the directory and greets them; then waits."""
-        found = await self._listed()
+        """Enters this gateway in the directory, and greets those listed there.
+
+        Again in each epoch of the source: its copy may lack the entry, so that
+        a gateway that starts would not find this one.
+        """
+        while True:
+            self._is_lost.clear()
+            await self._greet_listed(await self._listed())
+            await self._is_lost.wait()
+            await asyncio.sleep(random.uniform(0.0, REJOIN_S))
+
+    async def _greet_listed(self, found: dict[str, str]) -> None:
         for _ in range(JOIN_TRIES):
             heard = set(self._roster.addresses)
             for text in found.values():
@@ -131,7 +159,6 @@
                 if address not in heard:
                     self._greet(address)
             await asyncio.sleep(JOIN_S)
-        await asyncio.Event().wait()
 
     async def _listed(self) -> dict[str, str]:
         host, port = self._transport.get_extra_info('sockname')[:2]
@@ -211,7 +238,7 @@
             elif kind is frame.Kind.RELAY:
                 self._relay(*relay.decode(fields), addr)
             else:
-                self._hear_news(kind, *bulletin.decode(kind, fields))
+                self._hear_news(*bulletin.decode(kind, fields))
         except error.PeerError as exc:
             self._leave_out(addr, str(exc))
 
@@ -229,7 +256,7 @@
             if address in known:
                 self._transport.sendto(data, address)
         kind, fields = frame.unpack(data)
-        self._hear_news(kind, *bulletin.decode(kind, fields))
+        self._hear_news(*bulletin.decode(kind, fields))
 
     def _leave_out(self, addr: Address, reason: str) -> None:
         self.left_out += 1
@@ -247,10 +274,8 @@
                 data = bulletin.encode(self._node, told)
                 self._transport.sendto(data, addr)
 
-    def _hear_news(
-        self, kind: frame.Kind, node: str, told: news_lib.News
-    ) -> None:
-        hear = self._hearers.get(kind)
+    def _hear_news(self, node: str, told: news_lib.News) -> None:
+        hear = self._hearers.get(type(told))
         if hear is not None and node != self._node:
             hear(told)
 
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -13,7 +13,7 @@
 
 from quetzalsill_gateway import error, retry_budget, source
 from quetzalsill_gateway.balance import admission, book
-from quetzalsill_gateway.fleet import members, pace, upstream
+from quetzalsill_gateway.fleet import members, pace, revision, upstream
 from quetzalsill_gateway.fleet.held import Held
 from quetzalsill_gateway.peers import (
     bulletin,
@@ -23,7 +23,7 @@
     teller,
 )
 from quetzalsill_gateway.stream import link_queue, live
-from quetzalsill_gateway.watch import membership, news
+from quetzalsill_gateway.watch import epoch, membership, news
 from tests.quetzalsill_gateway import quotas
 
 BOUND_S = 10.0
@@ -58,23 +58,24 @@
     st.booleans(),
     incarnation=COUNT,
 )
+REVISIONS = st.builds(revision.Revision, COUNT, COUNT)
 NEWS = st.one_of(
-    st.builds(news.ConfigurationNews, COUNT, COUNT, st.binary(max_size=20)),
+    st.builds(news.ConfigurationNews, REVISIONS, COUNT, st.binary(max_size=20)),
     st.builds(
         news.MembershipNews,
-        COUNT,
-        COUNT,
+        REVISIONS,
+        REVISIONS,
         st.lists(
             st.one_of(
                 st.builds(
-                    lambda found, version: upstream.Change(
-                        found.id, version, found
+                    lambda found, newest: upstream.Change(
+                        found.id, newest, found
                     ),
                     UPSTREAMS,
-                    COUNT,
+                    REVISIONS,
                 ),
                 st.builds(
-                    upstream.Change, WORD, COUNT, st.none(), st.booleans()
+                    upstream.Change, WORD, REVISIONS, st.none(), st.booleans()
                 ),
             ),
             max_size=3,
@@ -98,12 +99,12 @@
         return told
     return (
         told.since,
-        told.version,
+        told.revision,
         told.lapses_s,
         [
             (
                 one.id,
-                one.version,
+                one.revision,
                 one.lapses if one.upstream is None else True,
                 one.upstream
                 and [
@@ -177,7 +178,8 @@
         core.admission = admission.Admission(
             core.upstreams, core.pages, 'z', quotas.unbounded()
         )
-        found = exchange.Exchange(core, node, self.join)
+        self.epochs = epoch.Epochs()
+        found = exchange.Exchange(core, node, self.join, self.epochs)
         await found.open(('127.0.0.1', 0))
         tasks = [
             asyncio.create_task(work()) for work in (found.find, found.tell)
@@ -231,13 +233,13 @@
             for number in (1, 2):
                 address = ('10.0.0.1', number)
                 found = upstream.Upstream(f'u-{number}', 's', address, 'z')
-                gateway.core.upstreams.put(found, 1)
+                gateway.core.upstreams.put(found, revision.Revision(0, 1))
         # Greetings that are on their way would carry the notice too.
         await asyncio.sleep(0.5)
         first, *others = (g.core.upstreams for g in self.gateways)
         with mock.patch.multiple(pace, WHOLE_S=1000.0, ALIVE_S=1000.0):
             first.leave(first.get('u-1'), 'membership')
-            first.remove('u-2', 2)
+            first.remove('u-2', revision.Revision(0, 2))
             await self.until(
                 lambda: all(
                     found.get(name).leaving
@@ -325,11 +327,13 @@
         found = membership.Membership(
             None, second._core.upstreams, second._core.health, 2.0
         )
-        found._version = 7
-        second.on_news(frame.Kind.MEMBERSHIP, found.hear)
+        found._revision = revision.Revision(0, 7)
+        second.on_news(news.MembershipNews, found.hear)
         engine = upstream.Upstream('u-1', 's', ('10.0.0.1', 80), 'z')
-        told = upstream.Change('u-1', 8, engine)
-        first.announce(news.MembershipNews(7, 8, (told,)))
+        told = upstream.Change('u-1', revision.Revision(0, 8), engine)
+        first.announce(
+            news.MembershipNews(found._revision, told.revision, (told,))
+        )
         await self.until(lambda: second._core.upstreams.of('s'))
 
     async def test_runs_to_move_are_told(self):
@@ -349,8 +353,8 @@
         one, two = await self.start('entry-1'), await self.start('entry-2')
         await self.until(lambda: one.peers == two.peers == 1)
         heard = []
-        two.on_news(frame.Kind.CONFIGURATION, heard.append)
-        told = news.ConfigurationNews(5, 7)
+        two.on_news(news.ConfigurationNews, heard.append)
+        told = news.ConfigurationNews(revision.Revision(0, 5), 7)
         data = bulletin.encode('entry-3', told)
         here = ('127.0.0.1', two.port)
         group = [(socket.inet_aton(here[0]), here[1])]
@@ -370,6 +374,27 @@
         self.down = False
         await self.until(lambda: late.peers == 3)
 
+    async def test_its_entry_is_written_again_in_a_new_epoch(self):
+        """The source comes back from a copy that lacks a gateway's entry.
+
+        Trusted to last, it would be missing for as long as the gateway runs,
+        and one that starts would not find it.
+        """
+        with (
+            mock.patch.object(exchange, 'JOIN_S', 0.01),
+            mock.patch.object(exchange, 'REJOIN_S', 0.05),
+        ):
+            late = await self.start('entry-4')
+            epochs = self.epochs
+            epochs.answered('write', 1, 0)
+            for number in (2, 3):
+                await self.until(lambda: 'entry-4' in self.directory)
+                await asyncio.sleep(0.1)
+                del self.directory['entry-4']
+                epochs.answered('write', number, epochs.newest)
+            await self.until(lambda: 'entry-4' in self.directory)
+        self.assertEqual(self.directory['entry-4'], f'127.0.0.1:{late.port}')
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/quetzalsill_gateway/watch/test_zone_drain.py
+++ b/tests/quetzalsill_gateway/watch/test_zone_drain.py
@@ -15,7 +15,7 @@
 from quetzalsill_dev.simulation import clock, watchers
 from quetzalsill_dev.simulation.store import Away
 from quetzalsill_gateway import event
-from quetzalsill_gateway.fleet import zones
+from quetzalsill_gateway.fleet import revision, zones
 from quetzalsill_gateway.watch import news
 
 SEED = 5
@@ -187,6 +187,29 @@
 
         self.play(story)
 
+    def test_who_starts_hides_no_order_that_was_taken_back(self):
+        """A zone stands idle, although operators have taken it back.
+
+        The gateways that watch die, and one starts. It lists the orders that
+        stand and tells the others how far the store has come; they ask for what
+        came behind that, and the order was taken back before.
+        """
+
+        async def story():
+            self.drain()
+            await self.within(KNOWN_S, True)
+            before = dict(self.fleet.store.calls)
+            await asyncio.sleep(2.0)
+            calls = self.fleet.store.calls
+            # Of either table.
+            for watcher in [one for one in calls if calls[one] > before[one]]:
+                self.fleet.kill(watcher)
+            self.drain(False)
+            self.fleet.add_gateway('entry-99')
+            await self.within(BACK_S, False)
+
+        self.play(story)
+
     def test_who_starts_in_an_outage_is_told_by_others(self):
         async def story():
             self.drain()
@@ -206,9 +229,10 @@
         async def story():
             one = self.fleet.all[0]
             number = one.number
-            faulty = zones.Drain(ZONE, 2**40, True)
+            far = revision.Revision(0, 2**40)
+            faulty = zones.Drain(ZONE, far, True)
             one.configuration.hear(
-                news.ConfigurationNews(2**40, number, b'', (faulty,))
+                news.ConfigurationNews(far, number, b'', (faulty,))
             )
             self.assertTrue(one.upstreams.zones.is_drained(ZONE))
             await self.within(20.0, False)
