Engines of the stand-in reset what they begin, and may ignore copies

Tests of at-most-once need an engine that takes a request, begins its run and ends it before any event, and one that runs a request which names a copy that it does not hold from the beginning, where a correct one refuses it as not run.

`reset_as_begun` counts how many of the next requests are reset as they begin; `ignores_copies` makes an engine run such a request anew. Both are off unless set.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -76,6 +76,10 @@
       break_after: Breaks a stream off behind this event; None for never.
       works_on_s: Works on for this long behind a connection that it broke.
       refuse: Status with which new runs are refused as not run; 0 for none.
+      reset_as_begun: How many of the next requests are reset right after
+        their run began: nothing of an answer is sent, and the run is over.
+      ignores_copies: Runs a request that names a copy which is not held from
+        the beginning, where it should refuse it as not run.
       requests: Headers of each request that came.
     """
 
@@ -92,6 +96,8 @@
         self.break_after: int | None = None
         self.works_on_s = 0.0
         self.refuse = 0
+        self.reset_as_begun = 0
+        self.ignores_copies = False
         self.requests: list[dict[str, str]] = []
         self.reports = 0
         self._fleet = fleet
@@ -191,14 +197,18 @@
         source = call.headers.get('kv-from')
         backup = call.headers.get(PREFIX + 'kv-backup')
         after = int(call.headers.get('last-event-id', 0))
-        if source is not None:
-            copy = self._copies.pop(source.rpartition('/')[2], None)
-            if copy is None or copy.request_id != request_id:
+        anew = source is None
+        if source is not None and not self._take_copy(source, request_id):
+            if not self.ignores_copies:
                 call.answer(503, headers=echo | {PREFIX + 'not-executed': '1'})
                 return
-        await self._stream(
-            call, request_id, after, anew=source is None, backup=backup
-        )
+            after, anew = 0, True
+        await self._stream(call, request_id, after, anew=anew, backup=backup)
+
+    def _take_copy(self, source: str, request_id: str) -> bool:
+        """Uses up the copy that a request names, if it is held here."""
+        copy = self._copies.pop(source.rpartition('/')[2], None)
+        return copy is not None and copy.request_id == request_id
 
     async def _stream(
         self,
@@ -211,6 +221,12 @@
     ) -> None:
         run = self._runs[request_id] = _Run(request_id, after)
         self._fleet.begin(request_id, self.id, anew=anew)
+        if self.reset_as_begun:
+            self.reset_as_begun -= 1
+            run.running = False
+            self._fleet.end(request_id, self.id)
+            call.abort()
+            return
         head = {
             PREFIX + 'attempt-id': request_id,
             PREFIX + 'server-stamp': f'{self.id}.{request_id}',
