The store's stand-in comes back from a copy, and tells its era

Nothing could play a store that loses what it has acknowledged: the stand-in held one history, gave each version out once and had no conditional writes.

Its rows and history move to a ledger of their own, which can be copied and gone back to. `restore` is away (busy, silent or reset), returns from the copy under the next era, and has operators' and servers' rows written and dropped again in a drawn order; rows of the system's own tables stay lost. With an era set, every answer carries it, and a watch from a version that is not held gets 410; without one, which is the default, answers are as before. `era_fault` and `always_gone` make it misbehave. Writes take conditions and drops, one version a transaction.

Ruled out: recording the operators' writes as a log to be replayed. Two returns that overlap would replay over each other; what each writer meant last, compared with what is held, needs no order.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -4,53 +4,64 @@
 
 import asyncio
 import base64
-import dataclasses
 import json
 import time
 import urllib.parse
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from quetzalsill_dev.users_platform import scripted
+from quetzalsill_dev.users_platform import ledger, scripted
 
-__all__ = ['Store']
-
-MOST_ROWS = 500
-# Tables that the system must not write.
-OPERATED = ('op', 'servers')
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
 
+__all__ = ['ERA_FAULTS', 'ERA_HEADER', 'Store']
 
-@dataclasses.dataclass(slots=True)
-class _Change:
-    version: int
-    table: str
-    key: str
-    value: bytes | None
-
-    def plain(self) -> dict[str, Any]:
-        row = {'table': self.table, 'part': '', 'key': self.key}
-        row['ver'] = self.version
-        if self.value is None:
-            return row | {'tombstone': True}
-        return row | {'value': base64.b64encode(self.value).decode()}
+MOST_ROWS = 500
+ERA_HEADER = 'Store-Era'
+# What a faulty store says in place of its era; None leaves the header out.
+ERA_FAULTS: dict[str, Callable[[int], str | None]] = {
+    'absent': lambda _: None,
+    'text': lambda era: f'era {era}',
+    'fraction': lambda era: f'{era}.5',
+    'negative': lambda era: f'-{era}',
+    'falls': lambda era: str(era - 1),
+    'jumps': lambda era: str(era + 7),
+    'huge': lambda _: '9' * 400,
+}
 
 
 class Store:
     """Keeps rows in memory.
 
     Attributes:
-      down: Empty while it serves; `busy` answers 503, `silent` nothing.
+      down: Empty while it serves; `busy` answers 503, `silent` nothing,
+        `reset` breaks connections off.
+      era: Told in every answer, one more with each return from a copy; None
+        for a store that tells none.
+      era_fault: Name of what is told in its place; empty for none.
+      always_gone: Each watch gets 410, whatever it asks for.
+      cuts_watches: Breaks off the watches that wait as it comes back from a
+        copy; it answers them from what it holds then otherwise.
       calls: Calls received, by path.
     """
 
     def __init__(self) -> None:
         self.server = scripted.ScriptedServer(self._handle)
         self.down = ''
+        self.era: int | None = None
+        self.era_fault = ''
+        self.always_gone = False
+        self.cuts_watches = False
         self.calls: dict[str, int] = {}
-        self._version = 0
-        self._rows: dict[tuple[str, str], _Change] = {}
-        self._changes: list[_Change] = []
-        self._oldest = 0
+        self._ledger = ledger.Ledger()
         self._changed = asyncio.Event()
+        self._returns = 0
+
+    @property
+    def version(self) -> int:
+        """Version of the newest transaction."""
+        return self._ledger.version
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Writes a row as JSON."""
@@ -62,18 +73,66 @@
 
     def lose_history(self) -> None:
         """Forgets what changed, so that watches from before get 410."""
-        self._changes.clear()
-        self._oldest = self._version
+        self._ledger.forget()
         self._wake()
 
+    def snapshot(self) -> ledger.Copy:
+        """Returns a copy of all that is held."""
+        return self._ledger.copy()
+
+    async def restore(
+        self,
+        copy: ledger.Copy,
+        rng: random.Random,
+        *,
+        down: str = 'busy',
+        away_s: float = 0.3,
+        rewrite_s: float = 1.0,
+        skipped: int = 0,
+    ) -> None:
+        """Is away, comes back from a copy, and is told again what it lost.
+
+        Operators and servers write and drop their rows again, each at a time
+        of its own, so that versions are given out again in another order.
+        Nobody does so for the system's own tables.
+
+        Args:
+          copy: What it comes back with.
+          rng: Draws order and times of what is written again.
+          down: How it is away.
+          away_s: For how long, in seconds.
+          rewrite_s: Time until all is written again, in seconds.
+          skipped: Versions that transactions elsewhere use up on its return.
+        """
+        self.down = down
+        await asyncio.sleep(away_s)
+        self.come_back(copy)
+        self._ledger.skip(skipped)
+        self.down = ''
+        await self._write_again(rng, rewrite_s)
+
+    def come_back(self, copy: ledger.Copy) -> None:
+        """Holds what a copy holds, under the next era."""
+        self._ledger.go_back(copy)
+        self._returns += 1
+        if self.era is not None:
+            self.era += 1
+        self._wake()
+
+    async def _write_again(self, rng: random.Random, for_s: float) -> None:
+        places = list(self._ledger.lost())
+        rng.shuffle(places)
+        times = sorted(rng.uniform(0.0, for_s) for _ in places)
+        begun_s = time.monotonic()
+        for place, at_s in zip(places, times, strict=True):
+            await asyncio.sleep(max(0.0, begun_s + at_s - time.monotonic()))
+            # Written meanwhile, or lost again, in a return that overlaps.
+            lost = self._ledger.lost()
+            if place in lost:
+                self._note(*place, lost[place])
+
     def _note(self, table: str, key: str, value: bytes | None) -> None:
-        self._version += 1
-        change = _Change(self._version, table, key, value)
-        self._changes.append(change)
-        if value is None:
-            self._rows.pop((table, key), None)
-        else:
-            self._rows[table, key] = change
+        self._ledger.write({(table, key): value})
         self._wake()
 
     def _wake(self) -> None:
@@ -83,7 +142,10 @@
     async def _handle(self, call: scripted.Exchange) -> None:
         self.calls[call.path] = self.calls.get(call.path, 0) + 1
         if self.down == 'busy':
-            call.answer(503)
+            self._reply(call, 503)
+            return
+        if self.down == 'reset':
+            call.abort()
             return
         if self.down:
             await asyncio.Event().wait()
@@ -95,43 +157,49 @@
         elif call.path == '/-/rows-tx':
             self._write(call)
         else:
-            call.answer(404)
+            self._reply(call, 404)
 
     def _get(self, call: scripted.Exchange, query: dict[str, str]) -> None:
         limit = min(MOST_ROWS, int(query.get('limit', MOST_ROWS)))
-        keys = sorted(
-            key
-            for table, key in self._rows
-            if table == query['table'] and key >= query.get('from', '')
-        )
-        rows = [self._rows[query['table'], key] for key in keys[:limit]]
-        self._answer(call, rows, truncated=len(keys) > limit)
+        rows = self._ledger.table(query['table'], query.get('from', ''))
+        self._answer(call, 200, rows[:limit], truncated=len(rows) > limit)
 
     def _write(self, call: scripted.Exchange) -> None:
         order = json.loads(call.body)
-        rows = [(row['table'], row['key']) for row in order['writes']]
-        if any(table in OPERATED for table, _ in rows):
-            call.answer(403)
+        values = {_place(row): None for row in order.get('remove', ())}
+        for row in order.get('writes', ()):
+            values[_place(row)] = base64.b64decode(row['value'])
+        if any(table in ledger.OPERATED for table, _ in values):
+            self._reply(call, 403)
+            return
+        expected = {
+            _place(row): row['ver'] for row in order.get('expectedRevision', ())
+        }
+        held = {place: self._ledger.get(place) for place in expected}
+        if any(
+            (found.version if found else 0) != expected[place]
+            for place, found in held.items()
+        ):
+            self._answer(call, 412, [row for row in held.values() if row])
             return
-        for row in order['writes']:
-            value = base64.b64decode(row['value'])
-            self._note(row['table'], row['key'], value)
-        self._answer(call, [])
+        self._ledger.write(values)
+        self._wake()
+        self._answer(call, 200, [])
 
     async def _feed(
         self, call: scripted.Exchange, query: dict[str, str]
     ) -> None:
         after = int(query['after'])
         end = time.monotonic() + int(query['waitMs']) / 1000
+        returns = self._returns
         while True:
-            if after < self._oldest:
-                call.answer(410)
+            if self.cuts_watches and returns != self._returns:
+                call.abort()
+                return
+            if self._is_gone(after):
+                self._reply(call, 410)
                 return
-            rows = [
-                change
-                for change in self._changes
-                if change.version > after and change.table == query['table']
-            ]
+            rows = self._ledger.since(query['table'], after)
             left_s = end - time.monotonic()
             if rows or left_s <= 0:
                 break
@@ -142,19 +210,44 @@
                 continue
         if self.down:
             await asyncio.Event().wait()
-        self._answer(call, rows)
+        self._answer(call, 200, rows)
+
+    def _is_gone(self, after: int) -> bool:
+        """Whether a watch from a version cannot be told what came behind it."""
+        # A store without eras never goes back: such a version was never its
+        # own, and the watch waits until it is.
+        is_ahead = self.era is not None and after > self.version
+        return self.always_gone or is_ahead or after < self._ledger.oldest
 
     def _answer(
         self,
         call: scripted.Exchange,
-        rows: list[_Change],
+        status: int,
+        rows: list[ledger.Change],
         *,
         truncated: bool = False,
     ) -> None:
         body = {
             'rows': [row.plain() for row in rows],
             'truncated': truncated,
-            'ver': self._version,
+            'ver': self.version,
             'nowMs': int(time.monotonic() * 1000),
         }
-        call.answer(200, json.dumps(body).encode())
+        self._reply(call, status, json.dumps(body).encode())
+
+    def _reply(
+        self, call: scripted.Exchange, status: int, body: bytes = b''
+    ) -> None:
+        """Answers, with the era where one is told."""
+        call.answer(status, body, self._era_header())
+
+    def _era_header(self) -> dict[str, str]:
+        if self.era is None:
+            return {}
+        fault = ERA_FAULTS.get(self.era_fault, str)
+        told = fault(self.era)
+        return {} if told is None else {ERA_HEADER: told}
+
+
+def _place(row: dict[str, Any]) -> ledger.Place:
+    return row['table'], row['key']
--- /dev/null
+++ b/tests/quetzalsill_dev/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins of the users' platform."""
