Tests of a gateway whose store comes back from an older copy

Everything known of the fleet is ordered by version alone, and the store gives versions out again after a drill.

The fixture's store tells an era where a test asks for one.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -88,7 +88,7 @@
         down: str = 'busy',
         away_s: float = 0.3,
         rewrite_s: float = 1.0,
-        skipped: int = 0,
+        stride: int = 0,
     ) -> None:
         """Is away, comes back from a copy, and is told again what it lost.
 
@@ -102,14 +102,14 @@
           down: How it is away.
           away_s: For how long, in seconds.
           rewrite_s: Time until all is written again, in seconds.
-          skipped: Versions that transactions elsewhere use up on its return.
+          stride: Versions that transactions elsewhere use up after each row
+            that is written again.
         """
         self.down = down
         await asyncio.sleep(away_s)
         self.come_back(copy)
-        self._ledger.skip(skipped)
         self.down = ''
-        await self._write_again(rng, rewrite_s)
+        await self._write_again(rng, rewrite_s, stride)
 
     def come_back(self, copy: ledger.Copy) -> None:
         """Holds what a copy holds, under the next era."""
@@ -119,7 +119,13 @@
             self.era += 1
         self._wake()
 
-    async def _write_again(self, rng: random.Random, for_s: float) -> None:
+    def skip(self, count: int) -> None:
+        """Uses versions up, as transactions elsewhere do."""
+        self._ledger.skip(count)
+
+    async def _write_again(
+        self, rng: random.Random, for_s: float, stride: int
+    ) -> None:
         places = list(self._ledger.lost())
         rng.shuffle(places)
         times = sorted(rng.uniform(0.0, for_s) for _ in places)
@@ -130,6 +136,7 @@
             lost = self._ledger.lost()
             if place in lost:
                 self._note(*place, lost[place])
+                self._ledger.skip(stride)
 
     def _note(self, table: str, key: str, value: bytes | None) -> None:
         self._ledger.write({(table, key): value})
--- a/tests/quetzalsill_dev/users_platform/test_store.py
+++ b/tests/quetzalsill_dev/users_platform/test_store.py
@@ -226,14 +226,16 @@
             self.store.put('servers', 'c', {'n': 2})
 
     async def test_versions_run_past_those_of_before(self):
-        """The counter is ahead of the old one: no watch is told a 410."""
+        """The counter is past the old one: a watch misses a row, untold."""
         self.store.put('servers', 'c', {'n': 2})
-        await self.back(self.copy, skipped=5)
-        answer = await self.feed(3)
+        self.store.put('servers', 'd', {'n': 2})
+        await self.back(self.copy, stride=5)
+        answer = await self.feed(4)
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers['store-era'], '2')
         [row] = json.loads(answer.body)['rows']
-        self.assertEqual((row['key'], row['ver']), ('c', 8))
+        self.assertEqual(row['ver'], 9)
+        self.assertEqual(set(await self.rows('servers')), {*'abcd'})
 
 
 if __name__ == '__main__':
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -87,13 +87,16 @@
     Attributes:
       engine: Figures of the engines that differ from `SERVICES`.
       services: Figures of services that differ, by name.
+      era: First era of the store; None if it tells none.
     """
 
     engine: dict[str, object] = {}
     services: dict[str, dict[str, object]] = {}
+    era: int | None = None
 
     async def asyncSetUp(self):
         self.store = store.Store()
+        self.store.era = self.era
         await self.serve(self.store.server)
         self.desks = [plain_server.PlainServer(f'desk-{n}') for n in (1, 2)]
         self.fleet = engine.Fleet()
