The soak plays drills of the store and engines that reset what they begin

The soak never lost what its store had acknowledged, took no request and dropped it before its first event, and did not judge configurations that step back.

Each seed draws, besides its faults as before, situations with a drill: alone, while a third of the gateways is cut off from the store, twice within three seconds, during a rolling restart; operators and servers go on writing through each. Engines reset requests as they begin. Gateways reach the store through a relay each. Callers ask for routes and keys that versions add and withdraw, and the verdict says where one process answers by an older version than it has shown. `--beside` plays a seed again with outages as long and compares the shares of lost requests pair by pair, `--only-drills` leaves the other faults out.

Drills and resets are drawn from generators of their own, so that the faults of a seed stay those that they were.

Ruled out: a bound on lost requests within one seed. What one outage costs varies with the moments at which faults meet requests.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import pathlib
+import statistics
 import sys
 
 import click
 
-from quetzalsill_dev.soak import run
+from quetzalsill_dev.soak import run, verdict
 
 __all__ = ['main']
 
@@ -18,29 +19,72 @@
 @click.option('--seeds', default=1, help='How many seeds, one after another.')
 @click.option('--seconds', default=10.0, help='How long faults are done.')
 @click.option('--gateways', default=3, help='Processes under test.')
-@click.option('--keep', type=click.Path(path_type=pathlib.Path),
-              help='Folder for settings and logs of each seed.')  # fmt: skip
+@click.option(
+    '--keep',
+    type=click.Path(path_type=pathlib.Path),
+    help='Folder for settings and logs of each seed.',
+)
+@click.option(
+    '--only-drills',
+    is_flag=True,
+    help='Drills of the store, and what overlaps with them.',
+)
+@click.option(
+    '--beside',
+    is_flag=True,
+    help='Plays each seed again, with outages for drills.',
+)
 def main(
     first: int,
     seeds: int,
     seconds: float,
     gateways: int,
     keep: pathlib.Path | None,
+    *,
+    only_drills: bool,
+    beside: bool,
 ) -> None:
     """Plays seeds; ends with an exit status other than 0 if one broke."""
-    failed = 0
-    for seed in range(first, first + seeds):
-        folder = keep / str(seed) if keep else None
-        result = asyncio.run(run.run(seed, seconds, gateways, folder))
-        failed += bool(result.broken)
+
+    def play(seed: int, *, goes_back: bool) -> run.Result:
+        name = str(seed) if goes_back else f'{seed}-outage'
+        result = asyncio.run(
+            run.run(
+                seed,
+                seconds,
+                gateways,
+                keep / name if keep else None,
+                goes_back=goes_back,
+                only_drills=only_drills,
+            )
+        )
         click.echo(
-            f'seed {seed}: {result.strikes} faults, {result.asked} asked, '
-            f'{result.served} served, {len(result.broken)} broken'
+            f'seed {name}: {result.strikes} faults, {result.asked} asked, '
+            f'{result.served} served, {result.lost} lost, '
+            f'{len(result.broken)} broken'
         )
         for line in result.broken:
             click.echo(f'  {line}')
+        return result
+
+    numbers = range(first, first + seeds)
+    failed = 0
+    more_lost = []
+    for seed in numbers:
+        result = play(seed, goes_back=True)
+        failed += bool(result.broken)
+        if beside:
+            outage = play(seed, goes_back=False)
+            more_lost.append(result.lost_share - outage.lost_share)
     click.echo(f'{seeds - failed} seeds held, {failed} broke')
-    sys.exit(1 if failed else 0)
+    is_worse = verdict.is_above_chance(more_lost)
+    if more_lost:
+        mean = statistics.fmean(more_lost)
+        word = 'more' if is_worse else 'no more'
+        click.echo(
+            f'{word} lost than in outages: {mean:+.5f} of all in the mean'
+        )
+    sys.exit(1 if failed or is_worse else 0)
 
 
 if __name__ == '__main__':
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
@@ -19,13 +19,17 @@
 KINDS = (
     *(('safe', 'GET', 3), ('unsafe', 'POST', 3)),
     *(('plan', 'POST', 2), ('verdict', 'POST', 2)),
+    *(('edit', 'GET', 1), ('revoked', 'GET', 1)),
 )
+# How far back callers ask for what operators changed, in versions.
+VERSIONS = 2
 # A caller waits a little longer than the time limit that it gives.
 DEADLINE_MS = 4000
 BOUND_S = 6.0
 PAUSE_S = 0.03
 # Share of requests whose callers leave before their answers.
 LEAVING_SHARE = 0.03
+OK = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,12 +41,45 @@
       kind: Its route.
       gateway: Name of the gateway asked.
       answer: What came of the answer.
+      version: Of the configuration whose route (`edit`) or key (`revoked`) was
+        asked with.
+      incarnation: Process of the gateway; 0 if it was replaced meanwhile.
+      sent_s: Loop time at which it was sent.
+      ended_s: Loop time at which its answer had come.
+      left: The caller left before its answer.
     """
 
     request_id: str
     kind: str
     gateway: str
     answer: caller.Answer
+    version: int = 0
+    incarnation: int = 0
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    left: bool = False
+
+    @property
+    def served(self) -> bool:
+        """Whether its answer came whole, with success."""
+        return self.answer.status == OK and self.answer.whole
+
+    @property
+    def lost(self) -> bool:
+        """Whether it should have been served, and was not."""
+        return not (self.served or self.left or self.version)
+
+    @property
+    def target(self) -> str:
+        """Path that is asked for."""
+        if self.kind == 'edit':
+            return f'/v{self.version}/x'
+        return f'/{"safe" if self.kind == "revoked" else self.kind}/x'
+
+    @property
+    def key(self) -> str:
+        """Key that is asked with."""
+        return f'key-v{self.version}' if self.kind == 'revoked' else 'key-1'
 
 
 class Load:
@@ -88,9 +125,16 @@
         if conn is None:
             conn = caller.Caller('127.0.0.1', gateway.relay.port)
         told = self._begin(kind, gateway)
-        leaves = self._rng.random() < LEAVING_SHARE
-        bound_s = self._rng.uniform(0.01, 0.2) if leaves else BOUND_S
+        if kind in ('edit', 'revoked'):
+            newest = self._stage.version
+            oldest = max(1, newest + 1 - VERSIONS)
+            told.version = self._rng.randint(oldest, newest)
+        told.left = self._rng.random() < LEAVING_SHARE
+        bound_s = self._rng.uniform(0.01, 0.2) if told.left else BOUND_S
         await self._ask(conn, told, method, bound_s)
+        told.ended_s = asyncio.get_running_loop().time()
+        if told.incarnation != gateway.incarnation:
+            told.incarnation = 0
         if told.answer.whole:
             kept[gateway.name] = conn
 
@@ -100,6 +144,8 @@
             kind,
             gateway.name,
             caller.Answer(),
+            incarnation=gateway.incarnation,
+            sent_s=asyncio.get_running_loop().time(),
         )
         self.told.append(told)
         return told
@@ -114,9 +160,10 @@
         try:
             async with asyncio.timeout(bound_s):
                 await conn.ask(
-                    f'/{told.kind}/x',
+                    told.target,
                     method=method,
                     body=b'order' if method == 'POST' else b'',
+                    key=told.key,
                     deadline_ms=DEADLINE_MS,
                     request_id=told.request_id,
                     answer=told.answer,
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -20,7 +20,6 @@
 CALM_S = 6.0
 PROBES = 10
 MOST_LOST = 1
-OK = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +30,7 @@
       seed: Its seed.
       asked: Requests sent.
       served: Answers with success that came whole.
+      lost: Requests that should have been served, and were not.
       strikes: Faults done.
       broken: What must not be, a line each.
     """
@@ -38,15 +38,24 @@
     seed: int
     asked: int
     served: int
+    lost: int
     strikes: int
     broken: list[str]
 
+    @property
+    def lost_share(self) -> float:
+        """Share of all requests that were lost."""
+        return self.lost / max(1, self.asked)
+
 
 async def run(
     seed: int,
     length_s: float,
     gateways: int = 3,
     folder: pathlib.Path | None = None,
+    *,
+    goes_back: bool = True,
+    only_drills: bool = False,
 ) -> Result:
     """Plays one seed.
 
@@ -55,21 +64,30 @@
       length_s: How long faults are done, in seconds.
       gateways: Processes under test.
       folder: Keeps settings and logs; a temporary one if None.
+      goes_back: Whether drills have the store lose what it was told; they are
+        outages as long otherwise.
+      only_drills: Whether drills are all that is done, with what is meant to
+        overlap with them.
     """
+    strikes = (plan.drills if only_drills else plan.draw)(seed, length_s)
     async with launch.Launcher(folder) as launcher:
         scene = stage.Stage(launcher, gateways)
         try:
             await scene.start(desks=3, engines=4)
-            return await _play(scene, seed, length_s)
+            striker = strike.Striker(scene, goes_back=goes_back)
+            return await _play(scene, seed, strikes, striker)
         finally:
             await scene.stop()
 
 
-async def _play(scene: stage.Stage, seed: int, length_s: float) -> Result:
+async def _play(
+    scene: stage.Stage,
+    seed: int,
+    strikes: list[plan.Strike],
+    striker: strike.Striker,
+) -> Result:
     traffic = load.Load(scene, seed)
     callers = [asyncio.create_task(traffic.run()) for _ in range(CALLERS)]
-    strikes = plan.draw(seed, length_s)
-    striker = strike.Striker(scene)
     await asyncio.sleep(1.0)
     begun_s = asyncio.get_running_loop().time()
     for one in strikes:
@@ -83,11 +101,11 @@
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
     broken += verdict.broken(scene, traffic.told)
+    broken += verdict.stepped_back(traffic.told)
     broken += verdict.of_logs(scene.logs())
-    served = sum(
-        one.answer.status == OK and one.answer.whole for one in traffic.told
-    )
-    return Result(seed, len(traffic.told), served, len(strikes), broken)
+    served = sum(one.served for one in traffic.told)
+    lost = sum(one.lost for one in traffic.told)
+    return Result(seed, len(traffic.told), served, lost, len(strikes), broken)
 
 
 async def _recovered(scene: stage.Stage, traffic: load.Load) -> list[str]:
@@ -102,11 +120,7 @@
             told = await asyncio.gather(
                 *(traffic.probe(kind, gateway) for _ in range(PROBES))
             )
-            lost = [one.answer.status for one in told if not _served(one)]
+            lost = [one.answer.status for one in told if not one.served]
             if len(lost) > MOST_LOST:
                 found.append(f'{gateway.name} gives {lost} for {kind}, in calm')
     return found
-
-
-def _served(one: load.Told) -> bool:
-    return one.answer.status == OK and one.answer.whole
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
@@ -38,6 +38,7 @@
     Attributes:
       name: Its node.
       relay: What callers connect to.
+      store_relay: What stands between it and the store.
       process: Its present process; None while it is down.
       incarnation: Counts its processes.
       stopping: It was asked to end.
@@ -46,6 +47,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.relay = relay.Relay('127.0.0.1', 1)
+        self.store_relay = relay.Relay('127.0.0.1', 1)
         self.process: launch.Process | None = None
         self.incarnation = 0
         self.stopping = False
@@ -84,7 +86,7 @@
         self._launcher = launcher
         self._log_level = log_level
         self.store = store.Store()
-        self.store_relay = relay.Relay('127.0.0.1', 1)
+        self.store.era = 1
         self.fleet = engine.Fleet()
         self.gateways = [Gateway(f'entry-{n}') for n in range(gateways)]
         self.upstreams: list[Upstream] = []
@@ -95,10 +97,10 @@
     async def start(self, desks: int, engines: int) -> None:
         """Starts all of it."""
         await self.store.server.start()
-        self.store_relay.target = self.store.server.address
         for gateway in self.gateways:
+            gateway.store_relay.target = self.store.server.address
             await gateway.relay.start()
-        await self.store_relay.start()
+            await gateway.store_relay.start()
         for _ in range(desks):
             await self.add(DESK)
         for _ in range(engines):
@@ -113,7 +115,7 @@
             await upstream.server.server.stop()
         for gateway in self.gateways:
             await gateway.relay.stop()
-        await self.store_relay.stop()
+            await gateway.store_relay.stop()
         await self.store.server.stop()
 
     async def add(self, service: str) -> Upstream:
@@ -149,7 +151,7 @@
         return [one for one in self.upstreams if one.service == service]
 
     def configure(self) -> None:
-        """Writes the next version, which adds a route and drops none."""
+        """Writes the next version: it adds a route, and has its own key."""
         self.version += 1
         self.store.put('op', 'config', _configuration(self.version))
 
@@ -176,7 +178,7 @@
             'node': {'name': gateway.name, 'availability_zone': 'zone-a'},
             'listen': f'127.0.0.1:{port}',
             'ready': ANYWHERE,
-            'store': f'127.0.0.1:{self.store_relay.port}',
+            'store': f'127.0.0.1:{gateway.store_relay.port}',
             'deployment': 'platform',
             'peers': ANYWHERE,
             'telemetry': {'log_level': self._log_level},
@@ -216,7 +218,7 @@
                 },
             },
         ],
-        'tenants': [{'name': 'first', 'apiKeys': ['key-1']}],
+        'tenants': [{'name': 'first', 'apiKeys': ['key-1', f'key-v{version}']}],
         'limits': {},
     }
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,13 @@
 STOP_BOUND_S = stage.GRACE_S + 3.0
 DELAY_S = 0.15
 FEWEST = 2
+PARTS = 3
+# Age of the copy with which the store comes back, in seconds.
+COPY_AGES_S = (0.5, 1.0, 2.0)
+# Servers have two seconds to enter themselves again.
+REWRITE_S = 2.0
+# Versions that others use up in the meantime: none, or past the old ones.
+STRIDES = (0, 3, 50)
 
 
 class Striker:
@@ -27,8 +35,16 @@
     need its process; everything else meets it all the same.
     """
 
-    def __init__(self, scene: stage.Stage) -> None:
+    def __init__(self, scene: stage.Stage, *, goes_back: bool = True) -> None:
+        """Prepares to strike.
+
+        Args:
+          scene: Everything that may be struck.
+          goes_back: Whether drills have the store lose what it was told; they
+            are outages as long otherwise.
+        """
         self._stage = scene
+        self._goes_back = goes_back
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: list[str] = []
         self._going: list[stage.Upstream] = []
@@ -53,10 +69,13 @@
             fault.CRASH: self._crash,
             fault.STORE_BUSY: self._store,
             fault.STORE_SILENT: self._store,
-            fault.STORE_CUT: self._links,
-            fault.STORE_DELAY: self._links,
+            fault.STORE_CUT: self._store_cut,
+            fault.STORE_DELAY: self._store_delay,
             fault.STORE_FORGETS: self._forget,
             fault.CONFIGURE: self._configure,
+            fault.STORE_PART: self._part,
+            fault.DRILL: self._drill,
+            fault.RESET_BEGUN: self._reset_begun,
         }
 
     def do(self, strike: plan.Strike) -> None:
@@ -123,8 +142,6 @@
         fault = strike.fault
         if fault.value.endswith('callers'):
             relay = self._gateway(strike).relay
-        elif fault.value.startswith('store'):
-            relay = self._stage.store_relay
         else:
             upstreams = self._stage.upstreams
             relay = upstreams[strike.target % len(upstreams)].relay
@@ -132,10 +149,6 @@
             relay.delay(DELAY_S)
             await asyncio.sleep(strike.for_s)
             relay.delay(0.0)
-        elif fault is plan.Fault.STORE_DELAY:
-            relay.delay(DELAY_S * 4)
-            await asyncio.sleep(strike.for_s)
-            relay.delay(0.0)
         elif fault is plan.Fault.REFUSE_UPSTREAM:
             relay.refusing = True
             relay.cut()
@@ -206,7 +219,59 @@
         await asyncio.sleep(strike.for_s)
         store.down = ''
         # What was held without an answer stays so; its callers give it up.
-        self._stage.store_relay.cut()
+        self._cut_store()
+
+    def _cut_store(self) -> None:
+        for gateway in self._stage.gateways:
+            gateway.store_relay.cut()
+
+    async def _store_cut(self, strike: plan.Strike) -> None:
+        del strike
+        self._cut_store()
+
+    async def _store_delay(self, strike: plan.Strike) -> None:
+        for delay_s in (DELAY_S * 4, 0.0):
+            for gateway in self._stage.gateways:
+                gateway.store_relay.delay(delay_s)
+            await asyncio.sleep(strike.for_s if delay_s else 0.0)
+
+    async def _part(self, strike: plan.Strike) -> None:
+        """A third of the gateways does not reach the store."""
+        first = strike.target % PARTS
+        relays = [one.store_relay for one in self._stage.gateways[first::PARTS]]
+        for relay in relays:
+            relay.refusing = True
+            relay.cut()
+        await asyncio.sleep(strike.for_s)
+        for relay in relays:
+            relay.refusing = False
+
+    async def _drill(self, strike: plan.Strike) -> None:
+        """The store is away, and comes back from a copy some seconds old."""
+        store = self._stage.store
+        rng = random.Random(strike.target)
+        copy = store.snapshot()
+        await asyncio.sleep(rng.choice(COPY_AGES_S))
+        store.cuts_watches = rng.random() < 0.5
+        away_s = strike.for_s if strike.script else 0.0
+        if self._goes_back:
+            await store.restore(
+                copy,
+                rng,
+                down=strike.script,
+                away_s=away_s,
+                rewrite_s=REWRITE_S,
+                stride=rng.choice(STRIDES),
+            )
+        else:
+            store.down = strike.script
+            await asyncio.sleep(away_s)
+            store.down = ''
+
+    async def _reset_begun(self, strike: plan.Strike) -> None:
+        engines = self._stage.of(stage.WRITERS)
+        engine = engines[strike.target % len(engines)].server
+        engine.reset_as_begun += 1 + strike.target % 3
 
     async def _forget(self, strike: plan.Strike) -> None:
         del strike
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/verdict.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/verdict.py
@@ -4,21 +4,29 @@
 
 import collections
 import re
+import statistics
 from typing import TYPE_CHECKING
 
 from quetzalsill_dev.soak import stage as stage_lib
 from quetzalsill_dev.users_platform import engine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Sequence
 
     from quetzalsill_dev.soak import load as load_lib
 
-__all__ = ['broken', 'of_logs']
+__all__ = ['broken', 'is_above_chance', 'of_logs', 'stepped_back']
 
 NOT_RUN = (408, 421, 429, 503)
 ONCE = ('unsafe', 'plan')
 OK = 200
+NOT_FOUND = 404
+# A request that is sent this long after another was answered is handled by the
+# same process behind it.
+BEHIND_S = 0.25
+# Standard errors above which a mean is not by chance.
+SIGMAS = 3.0
+FEWEST_PAIRS = 5
 # What a process writes when something happened that nobody thought of.
 UNFORESEEN = re.compile(r'Traceback|level=(?:error|critical)')
 
@@ -50,6 +58,51 @@
             yield f'plan {name} ran at two engines at once'
 
 
+def stepped_back(told: Iterable[load_lib.Told]) -> Iterator[str]:
+    """Yields where a process serves an older configuration than before.
+
+    A route that was served shows that its version is in force; from then on,
+    that process knows the route, and no key of versions before.
+    """
+    asked = [one for one in told if one.version and one.incarnation]
+    shown = [
+        (one.ended_s + BEHIND_S, 0, one)
+        for one in asked
+        if one.kind == 'edit' and one.answer.status == OK
+    ]
+    sent = [(one.sent_s, 1, one) for one in asked]
+    in_force: dict[tuple[str, int], int] = {}
+    for _, is_sent, one in sorted(shown + sent, key=lambda at: at[:2]):
+        process = (one.gateway, one.incarnation)
+        newest = in_force.get(process, 0)
+        if not is_sent:
+            in_force[process] = max(newest, one.version)
+        elif _is_of_before(one, newest):
+            yield (
+                f'{one.kind} {one.request_id} of version {one.version} got '
+                f'{one.answer.status} at {one.gateway}, behind {newest}'
+            )
+
+
+def _is_of_before(one: load_lib.Told, newest: int) -> bool:
+    """Whether only a configuration before a version handles it so."""
+    if one.kind == 'edit':
+        return one.answer.status == NOT_FOUND and one.version <= newest
+    return one.answer.status == OK and one.version < newest
+
+
+def is_above_chance(differences: Sequence[float]) -> bool:
+    """Whether the mean of differences between pairs is above zero for sure.
+
+    Faults that meet requests at other moments lose a few more or fewer; few
+    pairs show nothing.
+    """
+    if len(differences) < FEWEST_PAIRS:
+        return False
+    error = statistics.stdev(differences) / len(differences) ** 0.5
+    return statistics.fmean(differences) > SIGMAS * error
+
+
 def _stream(one: load_lib.Told, where: str) -> Iterator[str]:
     if one.answer.status != OK:
         return
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -13,11 +13,15 @@
 SEEDS = pathlib.Path(__file__).parent / 'seeds.txt'
 SHORT_S = 4.0
 SHORT_SEED = 7
+# Drills while gateways are restarted one after the other, twice within three
+# seconds, and while a third of the gateways is cut off from the store.
+DRILL_SEEDS = (1, 4, 5)
+DRILL_S = 4.0
 
 
-def told(kind, status=200, body=b'', request_id='a', *, whole=True):
+def told(kind, status=200, body=b'', request_id='a', *, whole=True, **more):
     answer = caller.Answer(status, {}, body, whole)
-    return load.Told(request_id, kind, 'entry-0', answer)
+    return load.Told(request_id, kind, 'entry-0', answer, **more)
 
 
 def scene(runs=(), started=(), doubled=()):
@@ -41,6 +45,29 @@
         drawn = {one.fault for n in range(50) for one in plan.draw(n, 20.0)}
         self.assertEqual(drawn, set(plan.Fault))
 
+    def test_each_seed_has_a_drill_whatever_else_it_draws(self):
+        for seed in range(50):
+            drills = plan.drills(seed, 4.0)
+            self.assertIn(plan.Fault.DRILL, [one.fault for one in drills])
+            self.assertLessEqual(set(drills), set(plan.draw(seed, 4.0)))
+
+    def test_drills_overlap_with_cuts_restarts_and_each_other(self):
+        """Each situation comes among a few seeds."""
+        met = set()
+        for seed in range(50):
+            drills = plan.drills(seed, 4.0)
+            [first, *others] = sorted(
+                drills, key=lambda one: one.fault is not plan.Fault.DRILL
+            )
+            met.update(
+                one.fault
+                for one in others
+                if abs(one.at_s - first.at_s) <= plan.SECOND_DRILL_S
+            )
+        fault = plan.Fault
+        overlapping = {fault.DRILL, fault.STORE_PART, fault.STOP}
+        self.assertEqual(met, overlapping | set(plan.CHANGES))
+
 
 class VerdictTest(unittest.TestCase):
     """Each promise is seen to be broken where it is."""
@@ -89,6 +116,43 @@
         found = self.broken(one, started=['a'], doubled=['a'])
         self.assertIn('two engines', found[0])
 
+    def test_a_process_goes_back_to_a_configuration_before(self):
+        """A route is served, and not known any more a second later."""
+        served = told('edit', 200, version=4, incarnation=1, ended_s=1.0)
+        for late in (
+            told('edit', 404, version=4, incarnation=1, sent_s=2.0),
+            told('edit', 404, version=3, incarnation=1, sent_s=2.0),
+            told('revoked', 200, version=3, incarnation=1, sent_s=2.0),
+        ):
+            [found] = verdict.stepped_back([late, served])
+            self.assertIn('behind 4', found)
+
+    def test_what_is_no_step_back(self):
+        """Newer versions, at the same time, and another process."""
+        served = told('edit', 200, version=4, incarnation=1, ended_s=1.0)
+        for late in (
+            told('edit', 404, version=5, incarnation=1, sent_s=2.0),
+            told('edit', 404, version=4, incarnation=1, sent_s=1.1),
+            told('edit', 404, version=4, incarnation=2, sent_s=2.0),
+            told('edit', 404, version=4, incarnation=0, sent_s=2.0),
+            told('edit', 503, version=4, incarnation=1, sent_s=2.0),
+            told('revoked', 200, version=4, incarnation=1, sent_s=2.0),
+            told('revoked', 401, version=3, incarnation=1, sent_s=2.0),
+        ):
+            self.assertEqual(list(verdict.stepped_back([served, late])), [])
+
+    def test_more_is_lost_than_in_outages(self):
+        self.assertTrue(verdict.is_above_chance([0.02, 0.03, 0.02, 0.03, 0.02]))
+        self.assertFalse(verdict.is_above_chance([0.02, -0.03, 0.02, 0.0, 0.0]))
+        self.assertFalse(verdict.is_above_chance([0.02, 0.03]))
+
+    def test_who_left_or_asked_for_what_changes_has_lost_nothing(self):
+        self.assertTrue(told('safe', 503).lost)
+        self.assertTrue(told('safe', whole=False).lost)
+        self.assertFalse(told('safe').lost)
+        self.assertFalse(told('safe', 0, left=True).lost)
+        self.assertFalse(told('edit', 404, version=2).lost)
+
     def test_a_traceback_in_a_log(self):
         logs = [('entry-0.0.log', 'event=listening\nTraceback (most\n')]
         self.assertEqual(len(list(verdict.of_logs(logs))), 1)
@@ -97,14 +161,19 @@
 class SoakTest(unittest.TestCase):
     """Real processes, with faults from outside."""
 
-    def play(self, seed, length_s):
-        result = asyncio.run(run.run(seed, length_s))
+    def play(self, seed, length_s, **more):
+        result = asyncio.run(run.run(seed, length_s, **more))
         self.assertEqual(result.broken, [], f'seed {seed}, {length_s} s')
         self.assertGreater(result.served, 0)
 
     def test_a_short_soak_holds(self):
         self.play(SHORT_SEED, SHORT_S)
 
+    def test_drills_alone_hold(self):
+        for seed in DRILL_SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed, DRILL_S, only_drills=True)
+
     def test_seeds_that_once_failed_hold(self):
         for line in SEEDS.read_text().splitlines():
             if line.strip() and not line.startswith('#'):
