Drills of the soak meet what is written while the store is away

While it is away in a drill, the stand-in no longer takes rows of operators and servers: their writers bring them after its return, a share of them (`at_once`) before it answers anybody, as heartbeats that waited do. Each drill has configurations and leaving servers fall into the outage. In calm, nobody may call a server whose entry is gone: the soak listens at the addresses of those again, four seconds after the last fault.

Requests that are under way when the soak ends no longer count as lost.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
@@ -66,8 +66,9 @@
 
     @property
     def lost(self) -> bool:
-        """Whether it should have been served, and was not."""
-        return not (self.served or self.left or self.version)
+        """Whether it was given up without being served, as it should be."""
+        is_over = self.ended_s > 0
+        return is_over and not (self.served or self.left or self.version)
 
     @property
     def target(self) -> str:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Iterator
 
-__all__ = ['Fault', 'Strike', 'draw', 'drills']
+__all__ = ['Fault', 'Strike', 'copy_age_s', 'draw', 'drills']
 
 
 class Fault(enum.Enum):
@@ -50,8 +50,10 @@
 DRILL_EVERY_S = 6.0
 DRILL_LEAD_S = 1.5
 SECOND_DRILL_S = 3.0
-# Operators and servers go on writing until it is over.
-CHANGES = (Fault.CONFIGURE, Fault.CONFIGURE, Fault.LEAVE)
+# Age of the copy with which the store comes back, in seconds.
+COPY_AGES_S = (0.5, 1.0, 2.0)
+# Operators and servers go on writing, while the store is away and behind it.
+CHANGES = (Fault.CONFIGURE, Fault.LEAVE)
 CHANGED_S = 4.0
 AWAY = ('busy', 'silent', 'reset', '')
 LONGEST_AWAY_S = 1.0
@@ -116,8 +118,8 @@
     at_s = rng.uniform(0.5, DRILL_LEAD_S)
     while at_s < length_s:
         situation = rng.choice((_alone, _cut_off, _twice, _rolling))
-        strikes += situation(rng, round(at_s, 3))
-        strikes += _changes(rng, at_s)
+        struck = [*situation(rng, round(at_s, 3))]
+        strikes += [*struck, *_changes(rng, struck[0])]
         at_s += rng.uniform(0.5, 1.5) * DRILL_EVERY_S
     return sorted(strikes, key=lambda one: one.at_s)
 
@@ -158,10 +160,17 @@
         yield Strike(stop_s, Fault.STOP, first + number, 0.0, '')
 
 
-def _changes(rng: random.Random, at_s: float) -> Iterator[Strike]:
+def copy_age_s(drill: Strike) -> float:
+    """Returns the time from the copy of a drill until the store is away."""
+    return random.Random(drill.target).choice(COPY_AGES_S)
+
+
+def _changes(rng: random.Random, drill: Strike) -> Iterator[Strike]:
+    away_s = drill.at_s + copy_age_s(drill)
     for fault in CHANGES:
-        changed_s = round(at_s + rng.uniform(0.5, CHANGED_S), 3)
-        yield Strike(changed_s, fault, rng.randrange(1000), 0.0, '')
+        for span_s in (drill.for_s, CHANGED_S):
+            changed_s = round(away_s + rng.uniform(0.0, span_s), 3)
+            yield Strike(changed_s, fault, rng.randrange(1000), 0.0, '')
 
 
 def _resets(seed: int, length_s: float) -> Iterator[Strike]:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -18,6 +18,9 @@
 # Everything is back this long after the last fault; the adapter waits 2.2 s
 # for entries that lapsed, and pauses of up to 2 s lie between its tries.
 CALM_S = 6.0
+# Entries that lapsed come back within two seconds, and those that leave get
+# nothing new two seconds later.
+FORGOTTEN_S = 4.0
 PROBES = 10
 MOST_LOST = 1
 
@@ -95,8 +98,15 @@
         await asyncio.sleep(max(0.0, delay_s))
         striker.do(one)
     broken = await striker.heal()
-    await asyncio.sleep(CALM_S)
+    await asyncio.sleep(FORGOTTEN_S)
+    removed = await scene.listen_for_removed()
+    await asyncio.sleep(CALM_S - FORGOTTEN_S)
     broken += await _recovered(scene, traffic)
+    broken += [
+        f'{one.server.id} was removed, and is called {one.relay.accepted} times'
+        for one in removed
+        if one.relay.accepted
+    ]
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
@@ -54,7 +54,14 @@
 
 
 class Upstream:
-    """A stand-in server behind a relay, and its row."""
+    """A stand-in server behind a relay, and its row.
+
+    Attributes:
+      server: The stand-in.
+      service: Name of its service.
+      relay: What gateways connect to.
+      port: Where that listens, or did.
+    """
 
     def __init__(
         self, server: plain_server.PlainServer | engine.Engine, service: str
@@ -62,11 +69,19 @@
         self.server = server
         self.service = service
         self.relay = relay.Relay('127.0.0.1', 1)
+        self.port = 0
+
+    async def open(self) -> None:
+        """Starts server and relay."""
+        await self.server.start()
+        self.relay.target = self.server.server.address
+        await self.relay.start()
+        self.port = self.relay.port
 
     @property
     def address(self) -> str:
         """Where gateways reach it."""
-        return f'127.0.0.1:{self.relay.port}'
+        return f'127.0.0.1:{self.port}'
 
     def row(self) -> dict[str, Any]:
         """Returns its row in the table of servers."""
@@ -90,6 +105,7 @@
         self.fleet = engine.Fleet()
         self.gateways = [Gateway(f'entry-{n}') for n in range(gateways)]
         self.upstreams: list[Upstream] = []
+        self.removed: list[Upstream] = []
         self.desks: list[plain_server.PlainServer] = []
         self.version = 0
         self._numbers = iter(range(1, 10_000))
@@ -110,7 +126,7 @@
 
     async def stop(self) -> None:
         """Ends all but the processes, which the launcher ends."""
-        for upstream in self.upstreams:
+        for upstream in (*self.upstreams, *self.removed):
             await upstream.relay.stop()
             await upstream.server.server.stop()
         for gateway in self.gateways:
@@ -127,10 +143,8 @@
         else:
             server = engine.Engine(self.fleet, name)
             server.length, server.event_s = EVENTS, EVENT_S
-        await server.start()
         upstream = Upstream(server, service)
-        upstream.relay.target = server.server.address
-        await upstream.relay.start()
+        await upstream.open()
         if service == WRITERS:
             self.fleet.engines[upstream.address] = server
         self.upstreams.append(upstream)
@@ -140,12 +154,30 @@
     async def remove(self, upstream: Upstream) -> None:
         """Ends a server and drops its row."""
         self.upstreams.remove(upstream)
+        self.removed.append(upstream)
         self.store.remove('servers', upstream.server.id)
         if upstream.service == WRITERS:
             await upstream.server.crash()
         await upstream.relay.stop()
         await upstream.server.server.stop()
 
+    async def listen_for_removed(self) -> list[Upstream]:
+        """Takes connections to servers that are gone, and resets them.
+
+        Returns:
+          Those whose ports nobody has taken since.
+        """
+        found = []
+        for upstream in self.removed:
+            upstream.relay.refusing = True
+            upstream.relay.accepted = 0
+            try:
+                await upstream.relay.start(upstream.port)
+            except OSError:
+                continue
+            found.append(upstream)
+        return found
+
     def of(self, service: str) -> list[Upstream]:
         """Returns the servers of a service."""
         return [one for one in self.upstreams if one.service == service]
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
@@ -20,8 +20,6 @@
 DELAY_S = 0.15
 FEWEST = 2
 PARTS = 3
-# Age of the copy with which the store comes back, in seconds.
-COPY_AGES_S = (0.5, 1.0, 2.0)
 # Servers have two seconds to enter themselves again.
 REWRITE_S = 2.0
 # Versions that others use up in the meantime: none, or past the old ones.
@@ -251,7 +249,7 @@
         store = self._stage.store
         rng = random.Random(strike.target)
         copy = store.snapshot()
-        await asyncio.sleep(rng.choice(COPY_AGES_S))
+        await asyncio.sleep(plan.copy_age_s(strike))
         store.cuts_watches = rng.random() < 0.5
         away_s = strike.for_s if strike.script else 0.0
         if self._goes_back:
@@ -261,6 +259,7 @@
                 down=strike.script,
                 away_s=away_s,
                 rewrite_s=REWRITE_S,
+                at_once=rng.random(),
                 stride=rng.choice(STRIDES),
             )
         else:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/ledger.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/ledger.py
@@ -81,6 +81,10 @@
             if place[0] in OPERATED:
                 self._meant[place] = value
 
+    def mean(self, place: Place, value: bytes | None) -> None:
+        """Notes what its writer could not write; it is lost until then."""
+        self._meant[place] = value
+
     def skip(self, count: int) -> None:
         """Uses versions up, as transactions in other tables do."""
         self.version += count
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -57,6 +57,7 @@
         self._ledger = ledger.Ledger()
         self._changed = asyncio.Event()
         self._returns = 0
+        self._is_away = False
 
     @property
     def version(self) -> int:
@@ -88,13 +89,15 @@
         down: str = 'busy',
         away_s: float = 0.3,
         rewrite_s: float = 1.0,
+        at_once: float = 0.0,
         stride: int = 0,
     ) -> None:
         """Is away, comes back from a copy, and is told again what it lost.
 
         Operators and servers write and drop their rows again, each at a time
         of its own, so that versions are given out again in another order.
-        Nobody does so for the system's own tables.
+        What they write while it is away reaches it like that, too. Nobody
+        writes again for the system's own tables.
 
         Args:
           copy: What it comes back with.
@@ -102,14 +105,23 @@
           down: How it is away.
           away_s: For how long, in seconds.
           rewrite_s: Time until all is written again, in seconds.
+          at_once: Share of what is written again before it answers anybody.
           stride: Versions that transactions elsewhere use up after each row
             that is written again.
         """
         self.down = down
+        self._is_away = True
         await asyncio.sleep(away_s)
         self.come_back(copy)
+        self._is_away = False
         self.down = ''
-        await self._write_again(rng, rewrite_s, stride)
+        places = list(self._ledger.lost())
+        rng.shuffle(places)
+        times = sorted(
+            0.0 if rng.random() < at_once else rng.uniform(0.0, rewrite_s)
+            for _ in places
+        )
+        await self._write_again(dict(zip(places, times, strict=True)), stride)
 
     def come_back(self, copy: ledger.Copy) -> None:
         """Holds what a copy holds, under the next era."""
@@ -124,14 +136,13 @@
         self._ledger.skip(count)
 
     async def _write_again(
-        self, rng: random.Random, for_s: float, stride: int
+        self, times: dict[ledger.Place, float], stride: int
     ) -> None:
-        places = list(self._ledger.lost())
-        rng.shuffle(places)
-        times = sorted(rng.uniform(0.0, for_s) for _ in places)
         begun_s = time.monotonic()
-        for place, at_s in zip(places, times, strict=True):
-            await asyncio.sleep(max(0.0, begun_s + at_s - time.monotonic()))
+        for place, at_s in times.items():
+            if at_s > 0:
+                delay_s = begun_s + at_s - time.monotonic()
+                await asyncio.sleep(max(0.0, delay_s))
             # Written meanwhile, or lost again, in a return that overlaps.
             lost = self._ledger.lost()
             if place in lost:
@@ -139,6 +150,9 @@
                 self._ledger.skip(stride)
 
     def _note(self, table: str, key: str, value: bytes | None) -> None:
+        if self._is_away:
+            self._ledger.mean((table, key), value)
+            return
         self._ledger.write({(table, key): value})
         self._wake()
 
--- a/tests/quetzalsill_dev/users_platform/test_store.py
+++ b/tests/quetzalsill_dev/users_platform/test_store.py
@@ -215,6 +215,25 @@
         self.assertEqual((await self.feed(0)).status, 0)
         await returning
 
+    async def test_what_is_written_while_it_is_away_comes_with_its_return(
+        self,
+    ):
+        """A watch that waits sees the return and the row at one moment."""
+        self.store.put('servers', 'c', {'n': 2})
+        waiting = asyncio.create_task(self.feed(3, wait_ms=4000))
+        await asyncio.sleep(0.05)
+        returning = asyncio.create_task(
+            self.back(self.copy, away_s=0.1, at_once=1.0, stride=9)
+        )
+        await asyncio.sleep(0.05)
+        self.store.put('servers', 'd', {'n': 4})
+        await returning
+        self.assertEqual((await self.rows('servers'))['d'], {'n': 4})
+        answer = await waiting
+        self.assertEqual(answer.headers['store-era'], '2')
+        [row] = json.loads(answer.body)['rows']
+        self.assertGreater(row['ver'], 3)
+
     async def test_watches_that_wait_are_cut_or_answered(self):
         self.store.put('servers', 'c', {'n': 2})
         for cuts, status in ((True, 0), (False, 410)):
