--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
@@ -38,6 +38,7 @@
     Attributes:
       name: Its node.
       relay: What callers connect to.
+      store_relay: What stands between it and the store.
       process: Its present process; None while it is down.
       incarnation: Counts its processes.
       stopping: It was asked to end.
@@ -46,13 +47,21 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.relay = relay.Relay('127.0.0.1', 1)
+        self.store_relay = relay.Relay('127.0.0.1', 1)
         self.process: launch.Process | None = None
         self.incarnation = 0
         self.stopping = False
 
 
 class Upstream:
-    """A stand-in server behind a relay, and its row."""
+    """A stand-in server behind a relay, and its row.
+
+    Attributes:
+      server: The stand-in.
+      service: Name of its service.
+      relay: What gateways connect to.
+      port: Where that listens, or did.
+    """
 
     def __init__(
         self, server: plain_server.PlainServer | engine.Engine, service: str
@@ -60,11 +69,19 @@
         self.server = server
         self.service = service
         self.relay = relay.Relay('127.0.0.1', 1)
+        self.port = 0
+
+    async def open(self) -> None:
+        """Starts server and relay."""
+        await self.server.start()
+        self.relay.target = self.server.server.address
+        await self.relay.start()
+        self.port = self.relay.port
 
     @property
     def address(self) -> str:
         """Where gateways reach it."""
-        return f'127.0.0.1:{self.relay.port}'
+        return f'127.0.0.1:{self.port}'
 
     def row(self) -> dict[str, Any]:
         """Returns its row in the table of servers."""
@@ -84,10 +101,11 @@
         self._launcher = launcher
         self._log_level = log_level
         self.store = store.Store()
-        self.store_relay = relay.Relay('127.0.0.1', 1)
+        self.store.era = 1
         self.fleet = engine.Fleet()
         self.gateways = [Gateway(f'entry-{n}') for n in range(gateways)]
         self.upstreams: list[Upstream] = []
+        self.removed: list[Upstream] = []
         self.desks: list[plain_server.PlainServer] = []
         self.version = 0
         self._numbers = iter(range(1, 10_000))
@@ -95,10 +113,10 @@
     async def start(self, desks: int, engines: int) -> None:
         """Starts all of it."""
         await self.store.server.start()
-        self.store_relay.target = self.store.server.address
         for gateway in self.gateways:
+            gateway.store_relay.target = self.store.server.address
             await gateway.relay.start()
-        await self.store_relay.start()
+            await gateway.store_relay.start()
         for _ in range(desks):
             await self.add(DESK)
         for _ in range(engines):
@@ -108,12 +126,12 @@
 
     async def stop(self) -> None:
         """Ends all but the processes, which the launcher ends."""
-        for upstream in self.upstreams:
+        for upstream in (*self.upstreams, *self.removed):
             await upstream.relay.stop()
             await upstream.server.server.stop()
         for gateway in self.gateways:
             await gateway.relay.stop()
-        await self.store_relay.stop()
+            await gateway.store_relay.stop()
         await self.store.server.stop()
 
     async def add(self, service: str) -> Upstream:
@@ -125,10 +143,8 @@
         else:
             server = engine.Engine(self.fleet, name)
             server.length, server.event_s = EVENTS, EVENT_S
-        await server.start()
         upstream = Upstream(server, service)
-        upstream.relay.target = server.server.address
-        await upstream.relay.start()
+        await upstream.open()
         if service == WRITERS:
             self.fleet.engines[upstream.address] = server
         self.upstreams.append(upstream)
@@ -138,18 +154,36 @@
     async def remove(self, upstream: Upstream) -> None:
         """Ends a server and drops its row."""
         self.upstreams.remove(upstream)
+        self.removed.append(upstream)
         self.store.remove('servers', upstream.server.id)
         if upstream.service == WRITERS:
             await upstream.server.crash()
         await upstream.relay.stop()
         await upstream.server.server.stop()
 
+    async def listen_for_removed(self) -> list[Upstream]:
+        """Takes connections to servers that are gone, and resets them.
+
+        Returns:
+          Those whose ports nobody has taken since.
+        """
+        found = []
+        for upstream in self.removed:
+            upstream.relay.refusing = True
+            upstream.relay.accepted = 0
+            try:
+                await upstream.relay.start(upstream.port)
+            except OSError:
+                continue
+            found.append(upstream)
+        return found
+
     def of(self, service: str) -> list[Upstream]:
         """Returns the servers of a service."""
         return [one for one in self.upstreams if one.service == service]
 
     def configure(self) -> None:
-        """Writes the next version, which adds a route and drops none."""
+        """Writes the next version: it adds a route, and has its own key."""
         self.version += 1
         self.store.put('op', 'config', _configuration(self.version))
 
@@ -176,7 +210,7 @@
             'node': {'name': gateway.name, 'availability_zone': 'zone-a'},
             'listen': f'127.0.0.1:{port}',
             'ready': ANYWHERE,
-            'store': f'127.0.0.1:{self.store_relay.port}',
+            'store': f'127.0.0.1:{gateway.store_relay.port}',
             'deployment': 'platform',
             'peers': ANYWHERE,
             'telemetry': {'log_level': self._log_level},
@@ -216,7 +250,7 @@
                 },
             },
         ],
-        'tenants': [{'name': 'first', 'apiKeys': ['key-1']}],
+        'tenants': [{'name': 'first', 'apiKeys': ['key-1', f'key-v{version}']}],
         'limits': {},
     }
 
