Migration in place of evacuation for moves of runs; departures by themselves

'Evacuation' had come to mean a zone's as well. The field's word for moving a run with its memory is migration; so is the event. What is known of an engine that leaves stands in a module of its own.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/story.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/story.py
@@ -13,7 +13,7 @@
 FIELD = re.compile(r'(\w+)(?:=("(?:[^"\\]|\\.)*"|\S*))?')
 HEAD = ('timestamp', 'level', 'event', 'node', 'role', 'module')
 # Events that say what an upstream did, by the field that names it.
-OF_UPSTREAM = ('upstream_leaving', 'upstream_removed', 'evacuation_started')
+OF_UPSTREAM = ('upstream_leaving', 'upstream_removed', 'migration_started')
 STORE = ('store_lost', 'store_regained')
 
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -58,7 +58,7 @@
         'return False and LEAST',
     ),
     'moves': _gateway(
-        'stream/evacuation.py',
+        'stream/migration.py',
         'if engine is None or not engine.moves',
         'if True or not engine.moves',
     ),
@@ -73,7 +73,7 @@
         'patience_s = SWITCH_S',
     ),
     'only-what-is-in-time': _gateway(
-        'stream/evacuation.py',
+        'stream/migration.py',
         'if left_s\n            >=',
         'if 60.0\n            >=',
     ),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -49,7 +49,7 @@
 from quetzalsill_gateway.event.upstream import (
     CopyNotFreed,
     EntryInvalid,
-    EvacuationStarted,
+    MigrationStarted,
     ReportFailed,
     RunBrokeOff,
     RunOrdered,
@@ -75,7 +75,7 @@
     'EpochEntered',
     'EpochTold',
     'CopyNotFreed',
-    'EvacuationStarted',
+    'MigrationStarted',
     'Event',
     'LegEnded',
     'Listening',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -7,7 +7,7 @@
 __all__ = [
     'EntryInvalid',
     'CopyNotFreed',
-    'EvacuationStarted',
+    'MigrationStarted',
     'ReportFailed',
     'RunBrokeOff',
     'RunOrdered',
@@ -35,7 +35,7 @@
 
 
 @base.define
-class EvacuationStarted(base.Event):
+class MigrationStarted(base.Event):
     """An engine leaves and its runs are moved.
 
     Attributes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -10,7 +10,7 @@
 from quetzalsill_gateway import exchange as exchange_lib
 from quetzalsill_gateway import routing_table as routing_lib
 from quetzalsill_gateway.http import message
-from quetzalsill_gateway.stream import evacuation, relay
+from quetzalsill_gateway.stream import migration, relay
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -35,8 +35,8 @@
 
     def __init__(self, core: core_lib.Core) -> None:
         self._core = core
-        self._evacuation = evacuation.Evacuation(core)
-        core.upstreams.on_leaving(self._evacuation.start)
+        self._migration = migration.Migration(core)
+        core.upstreams.on_leaving(self._migration.start)
 
     async def handle(
         self, req: message.Request, responder: responder_lib.Responder
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/evacuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
@@ -14,13 +14,13 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import attempt, event, meter
 from quetzalsill_gateway.balance import book, choose
 from quetzalsill_gateway.http import error
+from quetzalsill_gateway.stream import departure as departure_lib
 from quetzalsill_gateway.stream import live
 
 if TYPE_CHECKING:
@@ -29,7 +29,7 @@
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['Evacuation']
+__all__ = ['Migration']
 
 # How long after its notice an engine is searched for runs to move.
 SEARCH_S = 2.5
@@ -37,15 +37,6 @@
 REPORT_S = 0.3
 # A notice is in an engine's report this long after it was given.
 NOTICE_S = book.REPORT_AGE_S + 0.05
-# Shortest notice given; an engine that does not say when it goes is taken to
-# go then.
-LEAST_NOTICE_S = 1.45
-# The order to stop, the copy of what is new by then, and their round trips.
-LAST_S = 0.06
-# A run grows while it is copied, and the link carries backups besides.
-GROWTH = 1.1
-# Between availability zones memory moves at half the rate.
-CROSSING = 2.0
 # A move that takes this much longer than reckoned holds nobody up any longer.
 PATIENCE_S = 0.15
 # Gateways learn of a leaving engine, and of each other's runs there, within a
@@ -57,41 +48,7 @@
 DESTINATIONS = 3
 
 
-@dataclasses.dataclass(slots=True)
-class _Departure:
-    """An engine that leaves.
-
-    Attributes:
-      source: The engine.
-      engine: What engines of its service have.
-      begun_s: Loop time at which its leaving was learned.
-      page: What is known of the engine.
-      tokens: Tokens in memory of its runs, by request, as it reported.
-    """
-
-    source: upstream_lib.Upstream
-    engine: routing_table.Engine
-    begun_s: float
-    page: book.Page
-    tokens: dict[str, int]
-
-    @property
-    def leaves_at_s(self) -> float:
-        """Loop time at which it goes."""
-        return self.page.leaves_at_s or self.begun_s + LEAST_NOTICE_S
-
-    def held(self, stream: live.Stream) -> int:
-        """Returns a run's tokens in memory, of late."""
-        reported = self.tokens.get(stream.exchange.id_text, 0)
-        return max(reported, stream.prompt.input_tokens)
-
-    def move_s(self, stream: live.Stream, *, crossing: bool = True) -> float:
-        """Returns how long a move takes on a free link, in seconds."""
-        copy_s = GROWTH * self.engine.copy_s(self.held(stream))
-        return copy_s * (CROSSING if crossing else 1.0) + LAST_S
-
-
-class Evacuation:
+class Migration:
     """Moves runs away from engines that leave."""
 
     def __init__(self, core: core_lib.Core) -> None:
@@ -109,7 +66,7 @@
         if not self._core.live.of(source):
             return
         self._running.add(source.key)
-        self._spawn(self._evacuate(source, engine))
+        self._spawn(self._migrate(source, engine))
 
     def _engine(
         self, source: upstream_lib.Upstream
@@ -123,7 +80,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _evacuate(
+    async def _migrate(
         self, source: upstream_lib.Upstream, engine: routing_table.Engine
     ) -> None:
         begun_s = attempt.now()
@@ -132,7 +89,9 @@
             runs = report.runs if report else ()
             tokens = {run.request_id: run.tokens for run in runs}
             page = self._core.pages.page(source)
-            departure = _Departure(source, engine, begun_s, page, tokens)
+            departure = departure_lib.Departure(
+                source, engine, begun_s, page, tokens
+            )
             self._note_start(departure)
             self._spawn(self._ask_again(source))
             while attempt.now() < begun_s + SEARCH_S:
@@ -146,11 +105,11 @@
             self._running.discard(source.key)
             self._core.link_queue.forget(source.key)
 
-    def _note_start(self, departure: _Departure) -> None:
+    def _note_start(self, departure: departure_lib.Departure) -> None:
         left_s = departure.leaves_at_s - departure.begun_s
         source = departure.source
         event.note(
-            event.EvacuationStarted(
+            event.MigrationStarted(
                 upstream=source.id,
                 runs=len(departure.tokens),
                 own=len(self._core.live.of(source)),
@@ -194,7 +153,9 @@
         self._core.pages.page(source).note_leaving(report.leaves_s)
         return report
 
-    async def _move(self, stream: live.Stream, departure: _Departure) -> None:
+    async def _move(
+        self, stream: live.Stream, departure: departure_lib.Departure
+    ) -> None:
         """Moves a run when its turn comes, if there is time for it."""
         source, request = departure.source, stream.exchange.id_text
         queue = self._core.link_queue
@@ -215,7 +176,9 @@
             await asyncio.sleep(RETRY_S)
             self._moving.discard(stream)
 
-    async def _turn(self, stream: live.Stream, departure: _Departure) -> bool:
+    async def _turn(
+        self, stream: live.Stream, departure: departure_lib.Departure
+    ) -> bool:
         """Waits for a run's turn; returns whether to move it."""
         source, request = departure.source, stream.exchange.id_text
         queue = self._core.link_queue
@@ -235,7 +198,7 @@
         return stream.ended or stream.upstream is not source
 
     def _targets(
-        self, stream: live.Stream, departure: _Departure
+        self, stream: live.Stream, departure: departure_lib.Departure
     ) -> list[upstream_lib.Upstream]:
         """Returns destinations to which a run can be moved in time."""
         source = departure.source
@@ -262,7 +225,7 @@
         ]
 
     async def _copy(
-        self, stream: live.Stream, departure: _Departure
+        self, stream: live.Stream, departure: departure_lib.Departure
     ) -> upstream_lib.Upstream | None:
         """Copies a run while it goes on; returns where it is now."""
         source = departure.source
--- a/tests/quetzalsill_platform/test_missing_signs.py
+++ b/tests/quetzalsill_platform/test_missing_signs.py
@@ -262,7 +262,7 @@
         caller.leave()
         await self.until(lambda: any(e._copies for e in self.engines))
         core = self.process.core
-        moving = self.process._gateway._evacuation._moving
+        moving = self.process._gateway._migration._moving
         await self.until(lambda: not moving)
         for found in core.upstreams.all():
             self.assertEqual(core.pages.page(found).reserved_tokens, 0)
--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -9,8 +9,8 @@
 from quetzalsill_dev.users_platform import store as store_lib
 from tests.quetzalsill_platform import fixture
 
-# Within this an evacuation is in force: `evacuationMs` of the deployments.
-EVACUATION_S = 5.0
+# Within this an order to drain a zone is in force, on every deployment.
+DRAINED_S = 5.0
 # What the store's rates leave each of its gateways, where they leave least.
 CALLS_PER_S = 6000 / 28
 # How long a store that misbehaves is watched.
@@ -236,7 +236,7 @@
         self.store.down = ''
         await self.until(lambda: not self.process.core.health.is_down)
         self.drain()
-        await asyncio.sleep(EVACUATION_S)
+        await asyncio.sleep(DRAINED_S)
         self.assertEqual(await self.served_by(8), {'desk-2'})
 
     async def test_an_order_under_a_version_given_out_again(self):
@@ -252,7 +252,7 @@
         self.drain()
         self.store.skip(2 * BETWEEN)
         await self.mark('after')
-        await asyncio.sleep(EVACUATION_S)
+        await asyncio.sleep(DRAINED_S)
         self.assertEqual(await self.served_by(8), {'desk-2'})
 
 
