Keep a sidecar until routers have its refusals

Cause: a sidecar ended once routers had echoed its GoAway and nothing ran. Routers acknowledge no refusal, so one could still be on its way; whatever the router wrote meanwhile met a closed connection, and its reset took the refusal with it. The caller of the order was told 504 outcome_unknown. Change: before it ends a sidecar asks for another echo, which says that routers have all that it sent.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -153,17 +153,22 @@
         self.leaving.begin(reason)
 
     async def drained(self) -> bool:
-        """Waits until nothing runs and all answers are acknowledged.
+        """Waits until nothing runs and routers have taken all answers.
 
         Returns:
           False if something was left after `grace_s`.
         """
-        ended = await self._wait_until(
-            self._is_drained, self._settings.timing.grace_s
-        )
-        if not ended:
+        now = asyncio.get_running_loop().time()
+        limit = now + self._settings.timing.grace_s
+        if not await self._wait_until(self._is_drained, limit):
             self._log_unfinished()
-        return ended
+            return False
+        # Routers acknowledge no refusal. Should one still be on its way when
+        # this end closes, whatever the router writes meanwhile has the link
+        # reset, which may take the refusal with it: its caller is told that
+        # the outcome is unknown. An echo says that the router has all of them.
+        self._ask_for_echoes()
+        return await self._wait_until(self._is_drained, limit)
 
     async def stop(self) -> None:
         """Closes everything at once."""
@@ -178,6 +183,10 @@
         for one in self._sessions:
             one.put(msg)
 
+    def _ask_for_echoes(self) -> None:
+        """Has each router echo once it has taken all that was sent so far."""
+        self._told = [(link, link.ping()) for link in self.links]
+
     def _is_drained(self) -> bool:
         """Whether routers know of the leaving and have all their answers.
 
@@ -203,10 +212,9 @@
         return lost_s >= timing.silence_s + timing.connect_s + REDIAL_S
 
     async def _wait_until(
-        self, condition: Callable[[], bool], timeout_s: float
+        self, condition: Callable[[], bool], limit: float
     ) -> bool:
         loop = asyncio.get_running_loop()
-        limit = loop.time() + timeout_s
         while not condition():
             if loop.time() >= limit:
                 return False
@@ -253,7 +261,7 @@
     def _say_leaving(self, reason: str) -> None:
         self.send_to_all(self._leaving_message(reason))
         self.send_to_all(message.GoAway(reason))
-        self._told = [(link, link.ping()) for link in self.links]
+        self._ask_for_echoes()
         self.intake.refuse_waiting()
         self._changed()
 
--- a/tests/quetzalsill_sidecar/test_leaving.py
+++ b/tests/quetzalsill_sidecar/test_leaving.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from quetzalsill.config import document
 from quetzalsill.wire import message
+from quetzalsill_dev import relay
 from tests.quetzalsill_sidecar import support
 
+LINK_DELAY_S = 0.4
+# The last moment at which a router does not know yet that the sidecar leaves.
+BEFORE_THE_WORD_S = 0.3
+# Writes that reach a sidecar which ends on hearing that the router knows, while
+# the refusal is on its way.
+WRITES = 2
+WRITE_EVERY_S = 0.18
+
 
 class LeavingTest(unittest.IsolatedAsyncioTestCase):
     """One answer runs, one attempt waits, and a third comes later."""
@@ -75,6 +85,41 @@
         self.assertIsInstance(messages[-1], message.Finished)
 
 
+class LastWordTest(unittest.IsolatedAsyncioTestCase):
+    """A router with a slow link to a sidecar that ends."""
+
+    async def test_refusal_on_its_way_while_the_sidecar_ends(self):
+        """A shop is told that nobody knows what became of its order.
+
+        The order meets a sidecar that is leaving; it is refused, and the
+        sidecar ends. The refusal is still on its way when the router writes
+        again: that write meets a closed connection, which is reset, and the
+        refusal is lost with it.
+        """
+        _, url = await self.enterAsyncContext(support.engine())
+        sidecar = await self.enterAsyncContext(support.sidecar(url))
+        between = relay.Relay('127.0.0.1', sidecar.port)
+        await between.start()
+        self.addAsyncCleanup(between.stop)
+        router = await self.enterAsyncContext(support.router(between.port))
+        between.delay(LINK_DELAY_S)
+        ending = asyncio.create_task(self.end(sidecar))
+        await asyncio.sleep(BEFORE_THE_WORD_S)
+        refused = router.dispatch()
+        for _ in range(WRITES):
+            await asyncio.sleep(WRITE_EVERY_S)
+            router.send(message.Withdraw(refused))
+        answer = await router.receive(refused)
+        self.assertIsInstance(answer, message.Refused)
+        await ending
+
+    async def end(self, sidecar):
+        """Ends a sidecar as its process does."""
+        sidecar.leave('shutting down')
+        self.assertTrue(await sidecar.drained())
+        await sidecar.stop()
+
+
 class RevisionTest(unittest.IsolatedAsyncioTestCase):
     """A Dispatch is judged under the revision that it was made under."""
 
