Take a killed process for ended before its end is learned

Cause: the launcher took a killed process for running until its end was learned. Looked at before, it was not started again, and `Cluster.wait_ready` asked where nobody listens. Change: a killed process does not run any more; a start at its port waits until it has really ended. Ruled out: a port taken by another process between close and bind. That ends the start with StartFailedError, not with the ConnectError that was seen.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -108,7 +108,7 @@
     async def start_upstream(self, name: str) -> launch.Process:
         """Starts an engine or service, where it was before if it was."""
         spec = self._upstream_spec(name)
-        port = _port_of(self.upstreams.get(name))
+        port = await _port_behind(self.upstreams.get(name))
         if isinstance(spec, layout.EngineSpec):
             started = await self._start_engine(spec, port)
         else:
@@ -125,7 +125,7 @@
         settings = process_settings.sidecar(
             name,
             spec.availability_zone,
-            _port_of(self.sidecars.get(name)),
+            await _port_behind(self.sidecars.get(name)),
             self._platform(),
             f'http://{self._told[f"upstream:{name}"]}',
             'model' if isinstance(spec, layout.EngineSpec) else 'app',
@@ -141,7 +141,7 @@
         settings = process_settings.router(
             name,
             spec.availability_zone,
-            _port_of(self.routers.get(name)),
+            await _port_behind(self.routers.get(name)),
             self._platform(),
         )
         started = await self._start_role('router', name, settings)
@@ -286,8 +286,14 @@
         )
 
 
-def _port_of(process: launch.Process | None) -> int:
-    return process.port if process else 0
+async def _port_behind(before: launch.Process | None) -> int:
+    """Port of the process before, free if that has ended; 0 without one."""
+    if before is None:
+        return 0
+    if not before.running:
+        # A process that was just killed holds its port for a moment yet.
+        await before.wait()
+    return before.port
 
 
 def _host(spec: Any, kind: str, address: str) -> dict[str, str]:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -50,6 +50,7 @@
     _inner: asyncio.subprocess.Process
     port: int = 0
     scheme: str = 'http'
+    _killed: bool = False
 
     @property
     def pid(self) -> int:
@@ -69,10 +70,14 @@
     @property
     def running(self) -> bool:
         """It has not ended; a stopped process is running."""
-        return self._inner.returncode is None
+        # The end of a killed process is learned some time later. Taken for
+        # running meanwhile, it is not started again, and whoever looks for it
+        # finds nobody at its port.
+        return self._inner.returncode is None and not self._killed
 
     def kill(self) -> None:
-        """Ends it at once."""
+        """Ends it at once; `wait` tells when its port is free."""
+        self._killed = True
         self._signal(signal.SIGKILL)
 
     def terminate(self) -> None:
