A run goes on from its first copy once its engine has gone

What callers saw: a plan was cut off although a copy of it lay at another engine: its engine stopped it and was gone before the last copy was through. Gone a little later, the run would have gone on from the first copy. Change: a run that broke off and is at work nowhere goes on from a copy that its engine has named, like one with a backup.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/at_most_once.py
@@ -28,7 +28,8 @@
         it or because nothing was sent.
       REPEATABLE: Its work may be done more than once.
       COPY: An engine has named a copy of its memory. It has stopped the run by
-        order, or closed its stream behind the order to stop it.
+        order, or closed its stream behind the order to stop it, or the run is
+        at work nowhere.
       BACKUP: The run is at work nowhere, and made events where it was for so
         long that memory of it has been sent to its backup.
     """
@@ -85,7 +86,9 @@
         return Grounds.REPEATABLE if self.may_repeat else None
 
 
-def to_go_on(state: RunState, made_s: float) -> Grounds | None:
+def to_go_on(
+    state: RunState, made_s: float, *, is_copied: bool = False
+) -> Grounds | None:
     """Returns the grounds on which a run goes on that broke off.
 
     An engine may end a run as it begins it, or soon after. No memory has gone
@@ -96,9 +99,12 @@
       state: What is known of it where it broke off.
       made_s: For how long events came of it from there, in seconds; 0 if none
         did, or one.
+      is_copied: Whether an engine has named a copy of it.
     """
-    if state is RunState.STOPPED:
+    if state is RunState.AT_WORK:
+        return None
+    if state is RunState.STOPPED or is_copied:
         return Grounds.COPY
-    if state is RunState.AT_WORK or made_s < MEMORY_SENT_S:
+    if made_s < MEMORY_SENT_S:
         return None
     return Grounds.BACKUP
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -97,12 +97,12 @@
 
 @base.define
 class RunBrokeOff(base.Event):
-    """A stream broke off whose run had a backup; says if it goes on.
+    """A stream broke off whose run had a copy; says if it goes on.
 
     Attributes:
       request: Id of the request.
       source: Engine that had the run.
-      target: Engine that was to keep the copy.
+      target: Engine that keeps the copy, or was to keep it.
       stop: What is known of the run at its source after an order to stop it:
         `stopped`, `ended`, `unreached` or `at_work`.
       events: Events that came of it from there.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -73,6 +73,7 @@
         """
         if end is leg_lib.WHOLE and leg.is_framed:
             return None
+        copied = self._stream.copied
         ordered = await self._ordered(leg, end)
         # Its stream may end with its connection, and then tells nothing.
         leg.may_be_stopped = ordered not in (None, live.NoSwitch.NOT_STOPPED)
@@ -83,7 +84,7 @@
         if leg_lib.is_not_run(end):
             return await self._after_refused() if leg.continues else None
         if isinstance(end, error.CallError):
-            return await self._recovered(leg)
+            return await self._recovered(leg, copied)
         return None
 
     def resume_after(self) -> message.Headers:
@@ -135,20 +136,30 @@
         self._late_switch = late
         return ordered
 
-    async def _recovered(self, leg: leg_lib.Leg) -> leg_lib.Leg | None:
+    async def _recovered(
+        self, leg: leg_lib.Leg, copied: live.Switch | None
+    ) -> leg_lib.Leg | None:
         """Goes on with a run whose stream broke off, where it surely may.
 
         The connection may have broken although the engine lives and works on:
         going on elsewhere, the run would be at work twice. So the engine is
         ordered to stop it first.
+
+        Args:
+          leg: The part that broke off.
+          copied: The first copy of a move that has not come to its last one.
         """
-        target = self._stream.backup
+        if copied is not None and copied.source is not leg.upstream:
+            copied = None
+        target = copied.target if copied else self._stream.backup
         if target is None or target.gone:
             return None
         request = self._req.id_text
         calls = self._core.calls
         stopped = await stop.stop(calls, leg.upstream, request, target)
-        grounds = at_most_once.to_go_on(stopped.state, leg.made_s)
+        grounds = at_most_once.to_go_on(
+            stopped.state, leg.made_s, is_copied=copied is not None
+        )
         may_switch = grounds is not None and self._take_switch('recovery')
         event.note(
             event.RunBrokeOff(
@@ -166,6 +177,8 @@
             return None
         if grounds is at_most_once.Grounds.BACKUP:
             return self._continued(target, target, request, grounds)
+        if stopped.state is not at_most_once.RunState.STOPPED:
+            return self._from_copy(copied)
         where = target if stopped.move.copied else leg.upstream
         return self._from_copy(
             live.Switch(leg.upstream, where, stopped.move.handle)
--- a/tests/quetzalsill_gateway/test_at_most_once.py
+++ b/tests/quetzalsill_gateway/test_at_most_once.py
@@ -60,6 +60,13 @@
             found = at_most_once.to_go_on(RunState.AT_WORK, made_s)
             self.assertIsNone(found)
 
+    def test_a_run_with_a_copy_goes_on_once_it_is_at_work_nowhere(self):
+        for state in (RunState.ENDED, RunState.UNREACHED):
+            found = at_most_once.to_go_on(state, 0.02, is_copied=True)
+            self.assertIs(found, Grounds.COPY)
+        found = at_most_once.to_go_on(RunState.AT_WORK, 8.0, is_copied=True)
+        self.assertIsNone(found)
+
     def test_a_run_that_made_events_for_a_while_goes_on_from_its_backup(self):
         for state, made_s in itertools.product(
             (RunState.ENDED, RunState.UNREACHED),
--- a/tests/quetzalsill_platform/test_moves.py
+++ b/tests/quetzalsill_platform/test_moves.py
@@ -22,6 +22,8 @@
 # patience for a last copy ends in between.
 SHORT = 10
 ORDER_S = 1.0
+# Sooner than the last copy, and than the patience for it.
+GOES_S = 0.05
 
 
 class _Engine(engine.Engine):
@@ -30,15 +32,21 @@
     Attributes:
       order_s: Time that such an order is under way.
       pause_s: The process is paused so long behind the answer to one.
+      goes_s: It is gone so long after one, unanswered; 0 if it stays.
     """
 
     order_s = 0.0
     pause_s = 0.0
+    goes_s = 0.0
 
     async def _move(self, call):
         is_last = json.loads(call.body).get('last')
         if is_last:
             await asyncio.sleep(self.order_s)
+        if is_last and self.goes_s:
+            self.last_copy_s = 10 * self.goes_s
+            going = asyncio.get_running_loop().call_later
+            going(self.goes_s, lambda: asyncio.ensure_future(self.crash()))
         await super()._move(call)
         if is_last:
             time.sleep(self.pause_s)
@@ -96,6 +104,20 @@
         requests = [sent for writer in self.engines for sent in writer.requests]
         self.assertEqual(len(requests), 1)
 
+    async def test_an_engine_that_goes_during_the_last_copy(self):
+        """A plan is cut off although a copy of it is at another engine.
+
+        Its engine leaves and stops the run, and is gone before the last copy
+        is through. Had it gone a little later, the run would have been gone
+        on with from the first copy.
+        """
+        for writer in self.engines:
+            writer.goes_s = GOES_S
+        source, asked = await self.leave_with_a_run('p3', LENGTH)
+        self.assert_whole(await asked, 'p3', LENGTH)
+        self.assertEqual(self.fleet.started['p3'], [source.id])
+        self.assertEqual(self.fleet.doubled, set())
+
 
 if __name__ == '__main__':
     unittest.main()
