Bound what is asked of others in vain; one module for the document in force

A gateway that cannot make the configuration which the others have, and which the store lacks (a copy, and a document that only a later release reads), asked two others at each word of it. Each answer was such a word: the questions grew without end. It asks once a second now.

The document in force, its patch, and which of two counts were half of watch.configuration; they are watch.in_force now. A revision at which a document is said to be written is bounded by how far the store has come: a faulty one would count above all that is written later with that number.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -14,16 +14,14 @@
 from quetzalsill_gateway import error, event, meter, source
 from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import zones
-from quetzalsill_gateway.watch import epoch
+from quetzalsill_gateway.watch import epoch, in_force
 from quetzalsill_gateway.watch import news as news_lib
-from quetzalsill_gateway.watch import patch as patch_lib
 from quetzalsill_gateway.watch import turn as turn_lib
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from quetzalsill_gateway import routing_table
 
 __all__ = ['Configuration']
 
@@ -39,21 +37,24 @@
 # have heard of each other by then; at once, each would take the other's word
 # for that of who watches from now on, and both would stop.
 ASK_ON_S = 0.03
-# A patch is told as often as it takes to reach those that missed a datagram.
-PATCH_S = 3.0
 # An order to drain a zone that is newer than what the source has come to for
 # this long is a sender's fault: the source is never behind itself for longer.
 AHEAD_S = 5.0
 # Draw of the time at which a gateway asks in a new epoch of the source, unless
 # another has told by then.
 ANEW_S = 1.0
-# A document whole fits a datagram up to this size; packed, it is some tenth of
-# what operators write.
-MOST_WHOLE_BYTES = 49_152
+# Others are asked for a configuration that the source lacks this rarely. Each
+# answers: if that makes nothing here either, such as one that only a later
+# release can read, every answer would be met with further questions.
+ASK_OTHERS_S = 1.0
 
 
 class Configuration:
-    """Follows the source of configuration; one task runs `run`."""
+    """Follows the source of configuration; one task runs `run`.
+
+    Attributes:
+      in_force: The document in force.
+    """
 
     def __init__(
         self,
@@ -81,8 +82,8 @@
           epochs: The epoch that the source has told; None if it tells none.
         """
         self._ask = ask
-        self._read = read
         self._holder = holder
+        self.in_force = in_force.InForce(read, holder)
         self._drained = drained
         self._ahead_s: float | None = None
         self._health = health
@@ -91,12 +92,8 @@
         self._epochs.on_new(lambda: self._turn.within(ANEW_S))
         self._revision: revision_lib.Revision | None = None
         self._listed: revision_lib.Revision | None = None
-        self._document = b''
-        self._digest = b''
-        self._written = revision_lib.NONE
         self._wanted = self._lacking = 0
-        self._patch = b''
-        self._patched_s = 0.0
+        self._ask_others_s = 0.0
         pace = turn_lib.Pace(LEAST * bound_s, SPREAD * bound_s, ASK_ON_S)
         self._turn = turn_lib.Turn(pace, sharers, rng)
         self._announce: Callable[[news_lib.News], None] | None = None
@@ -112,10 +109,8 @@
 
     def whole(self) -> news_lib.ConfigurationNews | None:
         """Returns all that is known, for a gateway that knows nothing."""
-        if self._revision is None or not self._document:
-            return None
-        document = patch_lib.make(b'', self._document, MOST_WHOLE_BYTES)
-        if document is None:
+        document = self.in_force.whole()
+        if self._revision is None or document is None:
             return None
         return self._news(document)
 
@@ -123,12 +118,12 @@
         drains = self._drained.drains
         return news_lib.ConfigurationNews(
             self._revision,
-            self._number(),
+            self.in_force.number,
             patch,
             # One that is newer than the rest would make all of it malformed.
             tuple(one for one in drains if one.revision <= self._revision),
-            written=self._written,
-            digest=self._digest,
+            written=min(self.in_force.written, self._revision),
+            digest=self.in_force.digest,
         )
 
     async def run(self) -> None:
@@ -148,14 +143,14 @@
             # Told late, or the order is faulty: the source has to say.
             self._turn.within(ANEW_S)
         known = self._revision
-        if known is None and self._is_patched(told):
+        if known is None and self.in_force.apply(told):
             self._enter(told.revision, told.teller)
             self._holder.confirm()
             return
-        if known is None or told.configuration < self._number():
+        if known is None or told.configuration < self.in_force.number:
             meter.news.inc({'of': NAME, 'result': 'old'})
             return
-        if self._is_other(told) and not self._is_patched(told):
+        if self.in_force.is_less_than(told) and not self.in_force.apply(told):
             # The revision known here stays, so that no edit is passed over.
             meter.news.inc({'of': NAME, 'result': 'newer'})
             self._fetch(told)
@@ -171,26 +166,17 @@
         meter.news.inc({'of': NAME, 'result': 'taken'})
         self._follow(told)
 
-    def _is_other(self, told: news_lib.ConfigurationNews) -> bool:
-        """Whether a configuration that counts more than the one here is told.
-
-        A greater number does; of two with the same, the one written last.
-        """
-        if told.configuration != self._number():
-            return told.configuration > self._number()
-        is_same = told.digest in (b'', self._digest)
-        if is_same:
-            self._written = max(self._written, told.written)
-        return not is_same and told.written > self._written
-
     def _fetch(self, told: news_lib.ConfigurationNews) -> None:
         """Asks for a configuration that another gateway has.
 
         Of the source, or of the other gateways if the source has lost it and
         lists an older one, however often it is asked.
         """
-        if told.configuration <= self._lacking and self._on_lack is not None:
-            self._on_lack()
+        if told.configuration == self._lacking and self._on_lack is not None:
+            now = asyncio.get_running_loop().time()
+            if now >= self._ask_others_s:
+                self._ask_others_s = now + ASK_OTHERS_S
+                self._on_lack()
             return
         self._wanted = told.configuration
         self._turn.hurry()
@@ -288,11 +274,12 @@
 
     def _take(self, found: source.Found[source.OperatorItem]) -> None:
         drains, held = [], 0
+        self.in_force.bound(found.revision)
         for item in found.items:
             if isinstance(item, zones.Drain):
                 drains.append(item)
             else:
-                held = max(held, self._install(item))
+                held = max(held, self.in_force.install(item))
         self._drained.enter(found.revision)
         if found.is_whole:
             self._drained.replace(drains, found.revision)
@@ -300,8 +287,8 @@
         else:
             self._turn.told_on()
             self._drained.hear(drains)
-        if 0 < held < self._number():
-            event.note(event.ConfigurationKept(self._number(), held))
+        if 0 < held < self.in_force.number:
+            event.note(event.ConfigurationKept(self.in_force.number, held))
 
     def _correct_drains(
         self, known: revision_lib.Revision, told: revision_lib.Revision
@@ -321,81 +308,5 @@
             self._ahead_s = self._revision = None
 
     def _tell(self) -> None:
-        if self._announce is None:
-            return
-        now = asyncio.get_running_loop().time()
-        is_new = now - self._patched_s < PATCH_S
-        self._announce(self._news(self._patch if is_new else b''))
-
-    def _is_patched(self, told: news_lib.ConfigurationNews) -> bool:
-        """Whether what is told has made the newest configuration here."""
-        if not told.patch:
-            return False
-        document = self._patched(told.patch)
-        if document is None:
-            return False
-        self._install(source.Document(document, told.written))
-        is_same = told.digest in (b'', self._digest)
-        return is_same and self._number() == told.configuration
-
-    def _patched(self, patch: bytes) -> bytes | None:
-        # A document that is told whole is a patch of nothing.
-        for base in (self._document, b''):
-            try:
-                return patch_lib.apply(base, patch)
-            except error.PatchError:
-                continue
-        return None
-
-    def _number(self) -> int:
-        table = self._holder.current
-        return table.version if table else 0
-
-    def _install(self, found: source.Document) -> int:
-        """Takes a document if it counts more; returns its number, 0 for none.
-
-        The number that operators give decides. A source that has come back from
-        a copy may hold an older one, which would serve keys that they have
-        withdrawn.
-        """
-        try:
-            table = self._read(found.data)
-        except error.ConfigurationError as exc:
-            event.note(event.ConfigurationInvalid(str(exc), exc.advice))
-            return 0
-        if table.version == self._number():
-            self._settle(found, table)
-        elif self._holder.install(table):
-            self._replace(found)
-        return table.version
-
-    def _settle(
-        self, found: source.Document, table: routing_table.RoutingTable
-    ) -> None:
-        """Settles which of two documents that bear one number is in force.
-
-        The one that was written last, as the source and every gateway come to
-        see, in whatever order they are told of both.
-        """
-        if found.written <= self._written:
-            return
-        if found.data != self._document:
-            event.note(
-                event.ConfigurationReplaced(
-                    table.version,
-                    str(self._written),
-                    str(found.written),
-                    'Write the configuration that is meant with a new number.',
-                )
-            )
-            self._holder.replace(table)
-            self._replace(found)
-        self._written = found.written
-
-    def _replace(self, found: source.Document) -> None:
-        if self._document:
-            self._patch = patch_lib.make(self._document, found.data) or b''
-            self._patched_s = asyncio.get_running_loop().time()
-        self._document = found.data
-        self._digest = patch_lib.digest(found.data)
-        self._written = found.written
+        if self._announce is not None:
+            self._announce(self._news(self.in_force.patch))
--- a/tests/quetzalsill_gateway/watch/test_drill.py
+++ b/tests/quetzalsill_gateway/watch/test_drill.py
@@ -14,6 +14,8 @@
 
 from quetzalsill_dev.simulation.store import Away
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import revision
+from quetzalsill_gateway.watch import news
 from tests.quetzalsill_gateway.watch import drill
 
 ZONE = 'z'
@@ -363,6 +365,28 @@
 
         self.play(story)
 
+    def test_what_others_tell_in_vain_is_not_asked_for_on_and_on(self):
+        """A gateway cannot make the configuration that the others have.
+
+        The store lacks it, and a document of a later release is none to it. It
+        asks two others, and each answer would have it ask two again: within a
+        second they would do nothing else.
+        """
+
+        async def story():
+            asked = []
+            one = self.fleet.all[0]
+            one.configuration.on_lack(lambda: asked.append(one.node))
+            told = news.ConfigurationNews(revision.Revision(0, 1), 9, b'patch')
+            one.configuration.hear(told)
+            await asyncio.sleep(1.0)
+            for _ in range(300):
+                one.configuration.hear(told)
+                await asyncio.sleep(0.01)
+            self.assertIn(len(asked), (3, 4))
+
+        self.play(story, 2)
+
     def test_of_two_with_one_number_all_take_the_one_written_last(self):
         """Operators write version 5; the store loses it, and gets another 5.
 
@@ -386,7 +410,9 @@
             store.configure(document('second'))
             await self.within(
                 drill.KNOWN_S,
-                lambda one: one.configuration._document == document('second'),
+                lambda one: (
+                    one.configuration.in_force.data == document('second')
+                ),
             )
             replaced = self.told(event.ConfigurationReplaced)
             self.assertEqual(len(replaced), drill.GATEWAYS)
@@ -395,7 +421,7 @@
             await asyncio.sleep(3.0)
             for one in self.fleet.all:
                 self.assertEqual(
-                    one.configuration._document, document('second')
+                    one.configuration.in_force.data, document('second')
                 )
 
         self.play(story)
