Have a deployment bring the epochs of its source

Sources.epochs had a default, so that a deployment which forgot it had watches that knew of no epoch, and said nothing of it (seen in a trial over HTTP: one epoch entered, and version_ahead in the log of the other table).

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -81,12 +81,13 @@
         )
         self.core.health.on_regained(self.core.upstreams.regained)
         sources = deployment.sources(settings, conns)
+        self.epochs = sources.epochs
         self.membership = membership.Membership(
             sources.ask_membership,
             self.core.upstreams,
             self.core.health,
             settings.watch.leaving_ms / MS_PER_S,
-            epochs=sources.epochs,
+            epochs=self.epochs,
         )
         self.configuration = configuration.Configuration(
             sources.ask_configuration,
@@ -96,7 +97,7 @@
             self.core.health,
             lambda: self.core.upstreams.sharers,
             settings.watch.configuration_ms / MS_PER_S,
-            epochs=sources.epochs,
+            epochs=self.epochs,
         )
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
@@ -106,7 +107,7 @@
         self.asked = listener.Listener(asked, listener.Limits)
         self.metrics = listener.Listener(asked, listener.Limits)
         self.peers = peer_exchange.Exchange(
-            self.core, settings.node.name, sources.join, sources.epochs
+            self.core, settings.node.name, sources.join, self.epochs
         )
         kinds = {
             news.MembershipNews: self.membership,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -10,11 +10,11 @@
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import zones
-from quetzalsill_gateway.watch import epoch
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.fleet import upstream
+    from quetzalsill_gateway.watch import epoch
 
 __all__ = [
     'Ask',
@@ -205,4 +205,4 @@
     read_configuration: ReadDocument
     ask_membership: Ask[upstream.Change]
     join: Callable[[str, str], Awaitable[dict[str, str]]]
-    epochs: epoch.Epochs = dataclasses.field(default_factory=epoch.Epochs)
+    epochs: epoch.Epochs
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -141,6 +141,7 @@
                 follow.read_document,
                 follow.membership_of(of_store),
                 lambda node, address: directory.join(of_store, node, address),
+                of_store.epochs,
             )
 
         process = run.Process(
