Take an empty list of another gateway for a gap

A list without entries is left for the store to tell. Its revision was taken all the same, as that up to which everything was known: what the store had changed in the new epoch until then stayed hidden. Now it is a gap, as is news from one epoch to the next that is no list, and the store is asked.

Seen in a read-through. Red without: test_an_empty_list_of_a_peer_hides_nothing.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -132,10 +132,10 @@
         if known is None or told.revision < known:
             meter.news.inc({'of': NAME, 'result': 'old'})
             return False
-        if told.since > known:
+        if _is_gap(told, known):
             # Datagrams were lost: what came between is not known here.
             meter.news.inc({'of': NAME, 'result': 'gap'})
-            if told.since.epoch > known.epoch:
+            if told.revision.epoch > known.epoch:
                 self._epochs.hear(NAME, told.teller, known, told.revision)
                 self._turn.within(ANEW_S, is_behind=True)
             else:
@@ -298,3 +298,16 @@
                 self._upstreams.lapses_left_s,
             )
         )
+
+
+def _is_gap(
+    told: news_lib.MembershipNews, known: revision_lib.Revision
+) -> bool:
+    """Whether changes behind what is known are not told.
+
+    No changes lead from one epoch to the next, and none from what is known to a
+    list that is not taken.
+    """
+    is_list = told.is_whole and told.revision > known
+    is_later = told.revision.epoch > known.epoch
+    return is_list or is_later or told.since > known
--- a/tests/quetzalsill_gateway/watch/test_epoch_faults.py
+++ b/tests/quetzalsill_gateway/watch/test_epoch_faults.py
@@ -146,6 +146,28 @@
 
         self.play(story)
 
+    def test_an_empty_list_of_a_peer_hides_nothing(self):
+        """A gateway tells of a new epoch, with a list that has no entries.
+
+        The list is not taken, for it would leave nobody to serve. Taken for all
+        that has changed, it would hide a server that has gone in that epoch.
+        """
+
+        async def story():
+            store = self.fleet.store
+            store.restore(store.copy())
+            self.fleet.drop('server-2')
+            at = revision.Revision(store.epoch, store.version)
+            for one in self.fleet.all:
+                one.membership.hear(news.MembershipNews(news.EVERYTHING, at))
+            left = LIVE - {'server-2'}
+            async with self.always(lambda one: left <= one.ids()):
+                await self.within(
+                    drill.KNOWN_S + 2.5, lambda one: one.ids() == left
+                )
+
+        self.play(story)
+
     def test_a_faulty_order_of_a_peer_ends(self):
         """A zone is drained at an epoch that never was; it is not for good.
 
