The soak sees gateways that know another fleet than the store's

In calm, what each process wrote of entries that it took in and dropped is compared with the servers that there are. Each drill has a server crash whose entry ends while the store is away, others use up versions between copy and loss, and lost rows come back at once, in part, or later. The listener at addresses of servers that are gone, which found nothing, is left out again.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
@@ -55,6 +55,8 @@
 # Operators and servers go on writing, while the store is away and behind it.
 CHANGES = (Fault.CONFIGURE, Fault.LEAVE)
 CHANGED_S = 4.0
+# From the crash of a server to the end of its entry.
+LAPSE_S = 0.5
 AWAY = ('busy', 'silent', 'reset', '')
 LONGEST_AWAY_S = 1.0
 ROLLED = 3
@@ -171,6 +173,9 @@
         for span_s in (drill.for_s, CHANGED_S):
             changed_s = round(away_s + rng.uniform(0.0, span_s), 3)
             yield Strike(changed_s, fault, rng.randrange(1000), 0.0, '')
+    crash_s = max(0.0, away_s + rng.uniform(0.0, drill.for_s) - LAPSE_S)
+    target = rng.randrange(1000)
+    yield Strike(round(crash_s, 3), Fault.CRASH, target, LAPSE_S, '')
 
 
 def _resets(seed: int, length_s: float) -> Iterator[Strike]:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -18,9 +18,6 @@
 # Everything is back this long after the last fault; the adapter waits 2.2 s
 # for entries that lapsed, and pauses of up to 2 s lie between its tries.
 CALM_S = 6.0
-# Entries that lapsed come back within two seconds, and those that leave get
-# nothing new two seconds later.
-FORGOTTEN_S = 4.0
 PROBES = 10
 MOST_LOST = 1
 
@@ -98,15 +95,8 @@
         await asyncio.sleep(max(0.0, delay_s))
         striker.do(one)
     broken = await striker.heal()
-    await asyncio.sleep(FORGOTTEN_S)
-    removed = await scene.listen_for_removed()
-    await asyncio.sleep(CALM_S - FORGOTTEN_S)
+    await asyncio.sleep(CALM_S)
     broken += await _recovered(scene, traffic)
-    broken += [
-        f'{one.server.id} was removed, and is called {one.relay.accepted} times'
-        for one in removed
-        if one.relay.accepted
-    ]
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
@@ -122,10 +112,17 @@
     """Returns what each gateway still does not do once all is calm."""
     found = []
     newest = f'v{scene.version}'
+    entered = {upstream.server.id for upstream in scene.upstreams}
     for gateway in scene.gateways:
         if not gateway.process.running:
             found.append(f'{gateway.name} has ended by itself')
             continue
+        known = verdict.known_upstreams(gateway.process.log_text())
+        if known != entered:
+            found.append(
+                f'{gateway.name} lacks {sorted(entered - known)} and holds on '
+                f'to {sorted(known - entered)}, in calm'
+            )
         for kind in ('safe', newest):
             told = await asyncio.gather(
                 *(traffic.probe(kind, gateway) for _ in range(PROBES))
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/stage.py
@@ -105,7 +105,6 @@
         self.fleet = engine.Fleet()
         self.gateways = [Gateway(f'entry-{n}') for n in range(gateways)]
         self.upstreams: list[Upstream] = []
-        self.removed: list[Upstream] = []
         self.desks: list[plain_server.PlainServer] = []
         self.version = 0
         self._numbers = iter(range(1, 10_000))
@@ -126,7 +125,7 @@
 
     async def stop(self) -> None:
         """Ends all but the processes, which the launcher ends."""
-        for upstream in (*self.upstreams, *self.removed):
+        for upstream in self.upstreams:
             await upstream.relay.stop()
             await upstream.server.server.stop()
         for gateway in self.gateways:
@@ -154,30 +153,12 @@
     async def remove(self, upstream: Upstream) -> None:
         """Ends a server and drops its row."""
         self.upstreams.remove(upstream)
-        self.removed.append(upstream)
         self.store.remove('servers', upstream.server.id)
         if upstream.service == WRITERS:
             await upstream.server.crash()
         await upstream.relay.stop()
         await upstream.server.server.stop()
 
-    async def listen_for_removed(self) -> list[Upstream]:
-        """Takes connections to servers that are gone, and resets them.
-
-        Returns:
-          Those whose ports nobody has taken since.
-        """
-        found = []
-        for upstream in self.removed:
-            upstream.relay.refusing = True
-            upstream.relay.accepted = 0
-            try:
-                await upstream.relay.start(upstream.port)
-            except OSError:
-                continue
-            found.append(upstream)
-        return found
-
     def of(self, service: str) -> list[Upstream]:
         """Returns the servers of a service."""
         return [one for one in self.upstreams if one.service == service]
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
@@ -22,8 +22,12 @@
 PARTS = 3
 # Servers have two seconds to enter themselves again.
 REWRITE_S = 2.0
-# Versions that others use up in the meantime: none, or past the old ones.
-STRIDES = (0, 3, 50)
+# Versions that others use up between copy and loss, and on the store's return:
+# none, or past the old ones.
+BETWEEN = 50
+SKIPPED = (0, 2 * BETWEEN)
+# Share of lost rows that are there again before anybody is answered.
+AT_ONCE = (0.0, 0.5, 1.0)
 
 
 class Striker:
@@ -249,6 +253,7 @@
         store = self._stage.store
         rng = random.Random(strike.target)
         copy = store.snapshot()
+        store.skip(BETWEEN)
         await asyncio.sleep(plan.copy_age_s(strike))
         store.cuts_watches = rng.random() < 0.5
         away_s = strike.for_s if strike.script else 0.0
@@ -259,8 +264,8 @@
                 down=strike.script,
                 away_s=away_s,
                 rewrite_s=REWRITE_S,
-                at_once=rng.random(),
-                stride=rng.choice(STRIDES),
+                at_once=rng.choice(AT_ONCE),
+                skipped=rng.choice(SKIPPED),
             )
         else:
             store.down = strike.script
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/verdict.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/verdict.py
@@ -15,7 +15,13 @@
 
     from quetzalsill_dev.soak import load as load_lib
 
-__all__ = ['broken', 'is_above_chance', 'of_logs', 'stepped_back']
+__all__ = [
+    'broken',
+    'is_above_chance',
+    'known_upstreams',
+    'of_logs',
+    'stepped_back',
+]
 
 NOT_RUN = (408, 421, 429, 503)
 ONCE = ('unsafe', 'plan')
@@ -27,6 +33,8 @@
 # Standard errors above which a mean is not by chance.
 SIGMAS = 3.0
 FEWEST_PAIRS = 5
+# What a process writes when it takes an entry in, or drops it.
+ENTRY = re.compile(r'event=upstream_(added|removed) .*?\bupstream=(\S+)')
 # What a process writes when something happened that nobody thought of.
 UNFORESEEN = re.compile(r'Traceback|level=(?:error|critical)')
 
@@ -121,3 +129,18 @@
         for line in text.splitlines():
             if UNFORESEEN.search(line):
                 yield f'{name}: {line[:300]}'
+
+
+def known_upstreams(text: str) -> set[str]:
+    """Returns the upstreams that a process knows, by what it wrote.
+
+    Callers hardly see that one is missing, or is there that has ended: others
+    serve them.
+    """
+    known: set[str] = set()
+    for done, name in ENTRY.findall(text):
+        if done == 'added':
+            known.add(name)
+        else:
+            known.discard(name)
+    return known
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -90,7 +90,7 @@
         away_s: float = 0.3,
         rewrite_s: float = 1.0,
         at_once: float = 0.0,
-        stride: int = 0,
+        skipped: int = 0,
     ) -> None:
         """Is away, comes back from a copy, and is told again what it lost.
 
@@ -106,8 +106,7 @@
           away_s: For how long, in seconds.
           rewrite_s: Time until all is written again, in seconds.
           at_once: Share of what is written again before it answers anybody.
-          stride: Versions that transactions elsewhere use up after each row
-            that is written again.
+          skipped: Versions that transactions elsewhere use up then.
         """
         self.down = down
         self._is_away = True
@@ -121,7 +120,8 @@
             0.0 if rng.random() < at_once else rng.uniform(0.0, rewrite_s)
             for _ in places
         )
-        await self._write_again(dict(zip(places, times, strict=True)), stride)
+        at_times = dict(zip(places, times, strict=True))
+        await self._write_again(at_times, skipped)
 
     def come_back(self, copy: ledger.Copy) -> None:
         """Holds what a copy holds, under the next era."""
@@ -136,18 +136,23 @@
         self._ledger.skip(count)
 
     async def _write_again(
-        self, times: dict[ledger.Place, float], stride: int
+        self, times: dict[ledger.Place, float], skipped: int
     ) -> None:
         begun_s = time.monotonic()
+        for place in [place for place, at_s in times.items() if not at_s]:
+            self._write_lost(place)
+        self.skip(skipped)
         for place, at_s in times.items():
-            if at_s > 0:
+            if at_s:
                 delay_s = begun_s + at_s - time.monotonic()
                 await asyncio.sleep(max(0.0, delay_s))
-            # Written meanwhile, or lost again, in a return that overlaps.
-            lost = self._ledger.lost()
-            if place in lost:
-                self._note(*place, lost[place])
-                self._ledger.skip(stride)
+                self._write_lost(place)
+
+    def _write_lost(self, place: ledger.Place) -> None:
+        # Written meanwhile, or lost again, in a return that overlaps.
+        lost = self._ledger.lost()
+        if place in lost:
+            self._note(*place, lost[place])
 
     def _note(self, table: str, key: str, value: bytes | None) -> None:
         if self._is_away:
