Tests of huge versions and of one list under two eras

Both are among the bad input that a store may give and were not played: a counter beyond 2^53 that a drill brings back, and drills in which nothing was written since the copy.

--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -17,6 +17,8 @@
 WATCHED_S = 2.0
 OK = 200
 WITHOUT_KEY_1 = [{'name': 'first', 'apiKeys': ['key-2']}]
+# Beyond what a float counts one by one, as other programs' JSON does.
+HUGE_VERSION = 2**53 + 1
 # Versions that the store gives out between a copy and its loss.
 BETWEEN = 20
 
@@ -456,6 +458,29 @@
         self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
         await self.until(lambda: self.desks_known() == {'desk-2'})
 
+    async def test_a_version_beyond_what_others_can_count(self):
+        """The counter jumps beyond 2^53, and a drill brings it back.
+
+        Whatever is made of such a version, callers are served, and what is
+        written under the next era counts.
+        """
+        copy = self.store.snapshot()
+        self.store.skip(HUGE_VERSION)
+        self.enter_desk(1)
+        self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
+        self.store.come_back(copy)
+        self.store.remove('servers', 'desk-1')
+        await self.until(lambda: self.desks_known() == {'desk-2'})
+
+    async def test_the_same_list_under_two_eras(self):
+        """A drill in which nothing was written since the copy."""
+        before = self.process.core.upstreams.all()
+        for _ in range(3):
+            self.store.come_back(self.store.snapshot())
+            self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
+        lost = [one.id for one in before if one.gone or one.leaving]
+        self.assertEqual(lost, [])
+
     async def test_history_that_is_gone_for_ever(self):
         """Each watch gets 410; read anew without pause, it would be a storm."""
         self.store.always_gone = True
