Name what the soak's drills draw, and what writers intend

No behaviour changes: a delay written as a loop over two values is written out, figures have names, and the ledger's `mean` is `intend`.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
@@ -57,8 +57,10 @@
 CHANGED_S = 4.0
 # From the crash of a server to the end of its entry.
 LAPSE_S = 0.5
+# How the store is away; empty if it is back before a call notices.
 AWAY = ('busy', 'silent', 'reset', '')
 LONGEST_AWAY_S = 1.0
+# Gateways that are restarted one after the other.
 ROLLED = 3
 ROLLED_EVERY_S = 0.7
 RESETS_EVERY_S = 1.5
@@ -168,6 +170,7 @@
 
 
 def _changes(rng: random.Random, drill: Strike) -> Iterator[Strike]:
+    """Yields what is written while the store is away, and on its return."""
     away_s = drill.at_s + copy_age_s(drill)
     for fault in CHANGES:
         for span_s in (drill.for_s, CHANGED_S):
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/strike.py
@@ -18,14 +18,19 @@
 NOTICE_S = 1.5
 STOP_BOUND_S = stage.GRACE_S + 3.0
 DELAY_S = 0.15
+STORE_DELAY_S = 0.6
 FEWEST = 2
+# One of so many gateways is cut off from the store.
 PARTS = 3
+MOST_RESETS = 3
 # Servers have two seconds to enter themselves again.
 REWRITE_S = 2.0
 # Versions that others use up between copy and loss, and on the store's return:
 # none, or past the old ones.
 BETWEEN = 50
 SKIPPED = (0, 2 * BETWEEN)
+# Share of drills that break off the watches that wait.
+CUT_SHARE = 0.5
 # Share of lost rows that are there again before anybody is answered.
 AT_ONCE = (0.0, 0.5, 1.0)
 
@@ -232,10 +237,12 @@
         self._cut_store()
 
     async def _store_delay(self, strike: plan.Strike) -> None:
-        for delay_s in (DELAY_S * 4, 0.0):
-            for gateway in self._stage.gateways:
-                gateway.store_relay.delay(delay_s)
-            await asyncio.sleep(strike.for_s if delay_s else 0.0)
+        relays = [gateway.store_relay for gateway in self._stage.gateways]
+        for relay in relays:
+            relay.delay(STORE_DELAY_S)
+        await asyncio.sleep(strike.for_s)
+        for relay in relays:
+            relay.delay(0.0)
 
     async def _part(self, strike: plan.Strike) -> None:
         """A third of the gateways does not reach the store."""
@@ -255,7 +262,7 @@
         copy = store.snapshot()
         store.skip(BETWEEN)
         await asyncio.sleep(plan.copy_age_s(strike))
-        store.cuts_watches = rng.random() < 0.5
+        store.cuts_watches = rng.random() < CUT_SHARE
         away_s = strike.for_s if strike.script else 0.0
         if self._goes_back:
             await store.restore(
@@ -275,7 +282,7 @@
     async def _reset_begun(self, strike: plan.Strike) -> None:
         engines = self._stage.of(stage.WRITERS)
         engine = engines[strike.target % len(engines)].server
-        engine.reset_as_begun += 1 + strike.target % 3
+        engine.reset_as_begun += 1 + strike.target % MOST_RESETS
 
     async def _forget(self, strike: plan.Strike) -> None:
         del strike
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/ledger.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/ledger.py
@@ -66,7 +66,7 @@
         self._rows: dict[Place, Change] = {}
         self._changes: list[Change] = []
         # What operators and servers wrote last; it outlives a copy, as they do.
-        self._meant: dict[Place, bytes | None] = {}
+        self._intended: dict[Place, bytes | None] = {}
 
     def write(self, values: Mapping[Place, bytes | None]) -> None:
         """Writes and drops rows in one transaction."""
@@ -79,11 +79,11 @@
             else:
                 self._rows[place] = change
             if place[0] in OPERATED:
-                self._meant[place] = value
+                self._intended[place] = value
 
-    def mean(self, place: Place, value: bytes | None) -> None:
+    def intend(self, place: Place, value: bytes | None) -> None:
         """Notes what its writer could not write; it is lost until then."""
-        self._meant[place] = value
+        self._intended[place] = value
 
     def skip(self, count: int) -> None:
         """Uses versions up, as transactions in other tables do."""
@@ -126,9 +126,9 @@
     def lost(self) -> dict[Place, bytes | None]:
         """Returns what operators and servers wrote that is not held."""
         return {
-            place: self._meant[place]
-            for place in sorted(self._meant)
-            if self._meant[place] != self._value(place)
+            place: self._intended[place]
+            for place in sorted(self._intended)
+            if self._intended[place] != self._value(place)
         }
 
     def _value(self, place: Place) -> bytes | None:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -156,7 +156,7 @@
 
     def _note(self, table: str, key: str, value: bytes | None) -> None:
         if self._is_away:
-            self._ledger.mean((table, key), value)
+            self._ledger.intend((table, key), value)
             return
         self._ledger.write({(table, key): value})
         self._wake()
