--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
@@ -55,8 +55,12 @@
 # Operators and servers go on writing, while the store is away and behind it.
 CHANGES = (Fault.CONFIGURE, Fault.LEAVE)
 CHANGED_S = 4.0
+# From the crash of a server to the end of its entry.
+LAPSE_S = 0.5
+# How the store is away; empty if it is back before a call notices.
 AWAY = ('busy', 'silent', 'reset', '')
 LONGEST_AWAY_S = 1.0
+# Gateways that are restarted one after the other.
 ROLLED = 3
 ROLLED_EVERY_S = 0.7
 RESETS_EVERY_S = 1.5
@@ -166,11 +170,15 @@
 
 
 def _changes(rng: random.Random, drill: Strike) -> Iterator[Strike]:
+    """Yields what is written while the store is away, and on its return."""
     away_s = drill.at_s + copy_age_s(drill)
     for fault in CHANGES:
         for span_s in (drill.for_s, CHANGED_S):
             changed_s = round(away_s + rng.uniform(0.0, span_s), 3)
             yield Strike(changed_s, fault, rng.randrange(1000), 0.0, '')
+    crash_s = max(0.0, away_s + rng.uniform(0.0, drill.for_s) - LAPSE_S)
+    target = rng.randrange(1000)
+    yield Strike(round(crash_s, 3), Fault.CRASH, target, LAPSE_S, '')
 
 
 def _resets(seed: int, length_s: float) -> Iterator[Strike]:
