--- a/tests/quetzalsill_platform/test_era_path.py
+++ b/tests/quetzalsill_platform/test_era_path.py
@@ -6,41 +6,14 @@
 import unittest
 from unittest import mock
 
-from quetzalsill_dev.users_platform import store as store_lib
 from quetzalsill_gateway import event
 from tests.quetzalsill_platform import fixture
 
 
-class Told:
-    """An exchange whose answer has the header."""
-
-    def __init__(self, call, era):
-        self._call = call
-        self._era = era
-
-    def __getattr__(self, name):
-        return getattr(self._call, name)
-
-    def answer(self, status, body=b'', headers=None):
-        more = {'Store-Era': str(self._era())}
-        self._call.answer(status, body, (headers or {}) | more)
-
-
-class Store(store_lib.Store):
-    """Tells it, in refusals, too."""
-
-    era = 1
-
-    async def _handle(self, call):
-        await super()._handle(Told(call, lambda: self.era))
-
-
 class EraPathTest(fixture.PathTest):
     """The parts of a process hear of it from each other."""
 
-    async def asyncSetUp(self):
-        with mock.patch.object(store_lib, 'Store', Store):
-            await super().asyncSetUp()
+    era = 1
 
     async def test_both_tables_are_listed_anew_and_work_goes_on(self):
         """One call tells of it, to the watch of the other table as well.
