--- a/tests/quetzalsill_gateway/fleet/test_upstream.py
+++ b/tests/quetzalsill_gateway/fleet/test_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from quetzalsill_dev.simulation import clock
 from quetzalsill_gateway.balance import book
 from quetzalsill_gateway.fleet import revision, upstream
 
@@ -146,5 +147,49 @@
         self.assertEqual(self.ids(), [])
 
 
+class DoubtTest(unittest.TestCase):
+    """Entries of a copy whose upstreams have ended."""
+
+    def ids(self, upstreams):
+        return [found.id for found in upstreams.of('s')]
+
+    def play(self, second):
+        """Plays two drills, two seconds apart; their copies have the entry.
+
+        Args:
+          second: Called between the two, with the upstreams.
+        """
+
+        async def work():
+            upstreams = upstream.Upstreams()
+            upstreams.put(entry(incarnation=1), at(1))
+            upstreams.remove('u-1', at(2))
+            copy = written(entry(incarnation=1))
+            upstreams.doubt_ended(copy)
+            upstreams.replace(copy, revision.Revision(1, 1))
+            self.assertEqual(self.ids(upstreams), [])
+            await asyncio.sleep(1.0)
+            second(upstreams)
+            await asyncio.sleep(1.0)
+            upstreams.doubt_ended(copy)
+            upstreams.replace(copy, revision.Revision(2, 1))
+            await asyncio.sleep(upstream.LAPSE_S - 0.2)
+            self.assertEqual(self.ids(upstreams), [])
+
+        clock.run(work)
+
+    def test_a_further_drill_begins_a_further_doubt(self):
+        """Requests go to a server that has ended, and wait for nobody.
+
+        Two drills come within three seconds. Whoever removes entries begins
+        anew with the second, and the doubt ends with the grace of the first.
+        """
+        self.play(lambda _: None)
+
+    def test_the_end_of_a_doubt_is_not_that_of_the_next(self):
+        """The same, though the entry was removed between the two drills."""
+        self.play(lambda found: found.remove('u-1', at(3), lapses=False))
+
+
 if __name__ == '__main__':
     unittest.main()
