--- a/tests/quetzalsill_gateway/watch/test_older_word.py
+++ b/tests/quetzalsill_gateway/watch/test_older_word.py
@@ -288,5 +288,43 @@
         self.assertTrue(is_drained(one))
 
 
+class WrongWatcherTest(drill.DrillTest):
+    """One gateway is told another epoch than the others, for good."""
+
+    def test_the_others_do_not_ask_all_the_time(self):
+        """The store has thirty times as many calls, until somebody notices.
+
+        A proxy before one gateway answers with an epoch that never was. Each
+        word of that gateway sends all others to the store within a second,
+        which has told them each time that it is in no such epoch. They are to
+        ask as often as in a drill, three times each, and as usual otherwise.
+        """
+
+        async def story():
+            store = self.fleet.store
+            await self.fleet.drill(store.copy())
+            await asyncio.sleep(5.0)
+            usual, watcher = await self.calls(20.0)
+            right = store._epoch_for
+            store._epoch_for = lambda node: (
+                1000 if node == watcher else right(node)
+            )
+            await asyncio.sleep(5.0)
+            found, _ = await self.calls(20.0)
+            self.assertLess(found, 2 * usual + 3 * drill.GATEWAYS)
+
+        self.play(story)
+
+    async def calls(self, for_s):
+        """Returns how many calls there are, and who makes the most."""
+        before = dict(self.fleet.store.calls)
+        await asyncio.sleep(for_s)
+        made = {
+            name: calls - before.get(name, 0)
+            for name, calls in self.fleet.store.calls.items()
+        }
+        return sum(made.values()), max(made, key=made.get)
+
+
 if __name__ == '__main__':
     unittest.main()
