--- a/tests/quetzalsill_gateway/watch/test_older_word.py
+++ b/tests/quetzalsill_gateway/watch/test_older_word.py
@@ -292,7 +292,7 @@
     """One gateway is told another epoch than the others, for good."""
 
     def test_the_others_do_not_ask_all_the_time(self):
-        """The store has thirty times as many calls, until somebody notices.
+        """The store has a dozen times as many calls, until somebody notices.
 
         A proxy before one gateway answers with an epoch that never was. Each
         word of that gateway sends all others to the store within a second,
