Tests of five guards whose removal no test saw

Each passes, and fails with its guard taken out: a document written before, a late word of the epoch before, a second drill within the wait for orders, an order of the epoch before that a new list lacks, a call sent before an epoch was known that is answered after.

--- a/tests/quetzalsill_gateway/fleet/test_zones.py
+++ b/tests/quetzalsill_gateway/fleet/test_zones.py
@@ -217,5 +217,49 @@
     return list(found.values())
 
 
+class DrillTest(unittest.TestCase):
+    """Orders of an epoch that has ended."""
+
+    def setUp(self):
+        quiet = mock.patch.object(event, 'note')
+        quiet.start()
+        self.addCleanup(quiet.stop)
+
+    def test_a_further_drill_begins_a_further_wait(self):
+        """New work goes to a drained zone five seconds after a second drill.
+
+        The wait of the first drill ends, and operators have not written their
+        order again yet, which the second copy lacks too.
+        """
+
+        async def work():
+            found = zones.Zones()
+            found.enter(revision.Revision(7, 1))
+            found.hear([zones.Drain('a', revision.Revision(7, 2), True)])
+            found.enter(revision.Revision(8, 1))
+            await asyncio.sleep(zones.LAPSE_S / 2)
+            found.enter(revision.Revision(9, 1))
+            await asyncio.sleep(zones.LAPSE_S - 1.0)
+            self.assertTrue(found.is_drained('a'))
+            await asyncio.sleep(2.0)
+            self.assertFalse(found.is_drained('a'))
+
+        clock.run(work)
+
+    def test_an_order_of_the_epoch_before_is_not_missing(self):
+        """It stands for a while, and whoever has the new list is followed.
+
+        Left out, the news of all others would have each gateway ask itself.
+        """
+
+        async def work():
+            found = zones.Zones()
+            found.hear([zones.Drain('a', revision.Revision(7, 2), True)])
+            self.assertFalse(found.is_missing((), revision.Revision(8, 1)))
+            self.assertTrue(found.is_missing((), revision.Revision(7, 3)))
+
+        clock.run(work)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/quetzalsill_gateway/watch/test_older_word.py
+++ b/tests/quetzalsill_gateway/watch/test_older_word.py
@@ -236,6 +236,52 @@
 
         self.play(follower, story)
 
+    def test_a_word_of_the_epoch_before_takes_no_order_back(self):
+        """The same, of gateways that are cut off since before a drill."""
+        stands = zones.Drain('z', at(20, 8), True)
+
+        def follower():
+            document = source.Document(DOCUMENT, at(10, 8))
+            return self.configuration(
+                source.Found([document, stands], at(30, 8), True),
+            )
+
+        async def story(one):
+            for _ in range(2):
+                one.hear(news.ConfigurationNews(at(55), 5, teller='cut-off'))
+                await asyncio.sleep(configuration.AHEAD_S + 1.0)
+            self.assertTrue(self.upstreams.zones.is_drained('z'))
+
+        self.play(follower, story)
+
+    def test_of_two_with_one_number_the_older_does_not_come_again(self):
+        """Keys that operators have withdrawn are good again.
+
+        They have written another document under the same number. The store
+        loses its history and is away; a gateway that was cut off since before
+        tells the document that it has.
+        """
+        first = json.dumps({'version': 5, 'name': 'first'}).encode()
+
+        def follower():
+            found = source.Document(DOCUMENT, at(40))
+            return self.configuration(source.Found([found], at(50), True), None)
+
+        async def story(one):
+            one.hear(
+                news.ConfigurationNews(
+                    at(35),
+                    5,
+                    patch_lib.make(b'', first),
+                    written=at(30),
+                    digest=patch_lib.digest(first),
+                    teller='cut-off',
+                )
+            )
+            self.assertEqual(one._document, DOCUMENT)
+
+        self.play(follower, story)
+
 
 class FallenEpochTest(drill.DrillTest):
     """The store tells an older epoch from now on."""
--- a/tests/quetzalsill_platform/test_era.py
+++ b/tests/quetzalsill_platform/test_era.py
@@ -15,6 +15,7 @@
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.fleet import revision
 from quetzalsill_gateway.http import pool
+from quetzalsill_gateway.watch import epoch as epoch_lib
 
 HUGE = 2**53 + 1
 
@@ -180,6 +181,42 @@
         self.assertEqual(self.store.epochs.newest, 2)
         self.assertEqual(len(self.told(event.AnswerStale)), 1)
 
+    async def test_a_call_of_before_says_nothing_of_an_epoch_that_fell(self):
+        """A slow call is answered long after the drill, and its epoch counts.
+
+        What falls is believed only of calls that were sent later, and here at
+        once.
+        """
+        held = asyncio.Event()
+        for module, name, value in (
+            (epoch_lib, 'BEHIND_S', -1.0),
+            (store_lib, 'CALL_S', 60.0),
+        ):
+            patch = mock.patch.object(module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+        at_server = asyncio.Event()
+
+        async def answer(call):
+            body = json.dumps({'rows': [], 'ver': 5}).encode()
+            if 'slow' not in str(call.target):
+                call.answer(200, body, {'Store-Era': '2'})
+                return
+            at_server.set()
+            await held.wait()
+            call.answer(200, body, {'Store-Era': '1'})
+
+        self.server._handler = answer
+        slow = asyncio.create_task(self.store.read('slow'))
+        await at_server.wait()
+        await self.store.read('t')
+        self.assertEqual(self.store.epochs.newest, 2)
+        held.set()
+        with self.assertRaises(error.StaleAnswerError):
+            await slow
+        self.assertEqual(self.store.epochs.newest, 2)
+
     async def test_pages_of_two_epochs_are_no_list(self):
         """The store comes back between two pages of one list.
 
