--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -3,78 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
 
-from quetzalsill_dev.users_platform import store as store_lib
+from tests.quetzalsill_platform import drill as drill_lib
 from tests.quetzalsill_platform import fixture
 
 # Within this an evacuation is in force: `evacuationMs` of the deployments.
 EVACUATION_S = 5.0
-# What the store's rates leave each of its gateways, where they leave least.
-CALLS_PER_S = 6000 / 28
-# How long a store that misbehaves is watched.
-WATCHED_S = 2.0
-OK = 200
 WITHOUT_KEY_1 = [{'name': 'first', 'apiKeys': ['key-2']}]
-# Beyond what a float counts one by one, as other programs' JSON does.
-HUGE_VERSION = 2**53 + 1
-# Versions that the store gives out between a copy and its loss.
-BETWEEN = 20
 
 
-class DrillTest(fixture.PathTest):
-    """One gateway on a store that tells its era."""
-
-    era = 1
-
-    def desks_known(self):
-        """Returns the plain servers to which the gateway sends."""
-        found = self.process.core.upstreams.of('desk')
-        return {upstream.id for upstream in found}
-
-    def version(self):
-        return self.process.core.holder.current.version
-
-    def enter_desk(self, number, **more):
-        desk = self.desks[number - 1]
-        self.store.put('servers', desk.id, desk.entry('desk', 'zone-a', **more))
-
-    async def mark(self, name):
-        """Writes an entry and waits until the gateway has come so far.
-
-        Everything that was written before, in both tables, is known then.
-        """
-        spare = self.desks[0].entry('spare', 'zone-a')
-        self.store.put('servers', name, spare)
-        self.store.put('op', 'evacuate/' + name, {})
-        upstreams = self.process.core.upstreams
-        await self.until(lambda: upstreams.get(name) is not None)
-        await self.until(lambda: upstreams.zones.is_drained(name))
-
-    async def lose(self, copy):
-        """The store is away until the gateway sees it, and holds the copy."""
-        self.store.down = 'busy'
-        await self.until(lambda: self.process.core.health.is_down)
-        self.store.come_back(copy)
-
-    def drill(self, copy, **more):
-        """Begins a drill that is played to its end in the background."""
-        task = asyncio.create_task(
-            self.store.restore(copy, random.Random(7), **more)
-        )
-        self.addAsyncCleanup(asyncio.wait, [task])
-        return task
-
-    async def served_by(self, count=4):
-        """Returns who serves a number of requests."""
-        answers = [await self.ask('/safe/') for _ in range(count)]
-        self.assertEqual({one.status for one in answers}, {OK})
-        stamps = [one.headers['x-quetzalsill-server-stamp'] for one in answers]
-        return {stamp.partition('.')[0] for stamp in stamps}
-
-
-class FeedTest(DrillTest):
+class FeedTest(drill_lib.DrillTest):
     """A feed that is read on from a version given out again."""
 
     async def test_an_upstream_leaves_under_a_version_given_out_again(self):
@@ -85,11 +24,11 @@
         from 30, the feed tells neither an error nor the notice.
         """
         copy = self.store.snapshot()
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         await self.mark('before')
         await self.lose(copy)
         self.enter_desk(1, state='draining')
-        self.store.skip(2 * BETWEEN)
+        self.store.skip(2 * drill_lib.BETWEEN)
         self.store.down = ''
         await self.mark('after')
         await self.until(lambda: self.desks_known() == {'desk-2'})
@@ -104,13 +43,13 @@
         self.store.remove('servers', 'desk-1')
         copy = self.store.snapshot()
         self.enter_desk(1)
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         self.store.remove('servers', 'desk-1')
         await self.mark('before')
         await self.until(lambda: self.desks_known() == {'desk-2'})
         await self.lose(copy)
         self.enter_desk(1)
-        self.store.skip(2 * BETWEEN)
+        self.store.skip(2 * drill_lib.BETWEEN)
         self.store.down = ''
         await self.until(lambda: self.desks_known() == {'desk-1', 'desk-2'})
 
@@ -119,7 +58,7 @@
         self.store.remove('servers', 'desk-1')
         copy = self.store.snapshot()
         self.enter_desk(1)
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         self.store.remove('servers', 'desk-1')
         await self.mark('before')
         await self.until(lambda: self.desks_known() == {'desk-2'})
@@ -136,12 +75,12 @@
         the watch that waits there is never told that it was passed over.
         """
         copy = self.store.snapshot()
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         await self.mark('before')
         self.store.come_back(copy)
         document = fixture.configuration(9, accounts=WITHOUT_KEY_1)
         self.store.put('op', 'config', document)
-        self.store.skip(2 * BETWEEN)
+        self.store.skip(2 * drill_lib.BETWEEN)
         await self.mark('after')
         await self.until(lambda: self.version() == 9)
         self.assertEqual((await self.ask('/safe/', key='key-1')).status, 401)
@@ -149,18 +88,18 @@
     async def test_a_configuration_after_an_outage(self):
         """As before, after an outage that the gateway has seen."""
         copy = self.store.snapshot()
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         await self.mark('before')
         await self.lose(copy)
         document = fixture.configuration(9, accounts=WITHOUT_KEY_1)
         self.store.put('op', 'config', document)
-        self.store.skip(2 * BETWEEN)
+        self.store.skip(2 * drill_lib.BETWEEN)
         self.store.down = ''
         await self.until(lambda: self.version() == 9)
         self.assertEqual((await self.ask('/safe/', key='key-1')).status, 401)
 
 
-class ZoneTest(DrillTest):
+class ZoneTest(drill_lib.DrillTest):
     """Drained zones.
 
     `desk-1` is in the gateway's own zone, which is the one that is drained:
@@ -212,7 +151,7 @@
         self.drain()
         copy = self.store.snapshot()
         await self.until_drained()
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         self.take_back()
         await self.until_drained(False)
         await self.lose(copy)
@@ -229,7 +168,7 @@
         era before.
         """
         copy = self.store.snapshot()
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         self.drain()
         await self.until_drained()
         self.take_back()
@@ -248,17 +187,17 @@
         at a later version of the era before is not told the order.
         """
         copy = self.store.snapshot()
-        self.store.skip(BETWEEN)
+        self.store.skip(drill_lib.BETWEEN)
         await self.mark('before')
         self.store.come_back(copy)
         self.drain()
-        self.store.skip(2 * BETWEEN)
+        self.store.skip(2 * drill_lib.BETWEEN)
         await self.mark('after')
         await asyncio.sleep(EVACUATION_S)
         self.assertEqual(await self.served_by(8), {'desk-2'})
 
 
-class KeyTest(DrillTest):
+class KeyTest(drill_lib.DrillTest):
     """A key is withdrawn around the moment of the copy."""
 
     async def withdraw(self):
@@ -271,7 +210,7 @@
         while not drill.done():
             answer = await self.ask('/safe/', key='key-1')
             self.assertEqual(answer.status, 401)
-            self.assertEqual(await self.other_key(), OK)
+            self.assertEqual(await self.other_key(), drill_lib.OK)
         self.assertEqual((await self.ask('/safe/', key='key-1')).status, 401)
 
     async def other_key(self):
@@ -294,7 +233,9 @@
         await self.refused_through(drill)
         self.store.put('op', 'config', fixture.configuration(8))
         await self.until(lambda: self.version() == 8)
-        self.assertEqual((await self.ask('/safe/', key='key-1')).status, OK)
+        self.assertEqual(
+            (await self.ask('/safe/', key='key-1')).status, drill_lib.OK
+        )
 
     async def test_two_drills_within_three_seconds(self):
         """The second comes while rows are still written again for the first."""
@@ -310,7 +251,7 @@
         self.assertEqual((await self.ask('/safe/', key='key-1')).status, 401)
 
 
-class CallerTest(DrillTest):
+class CallerTest(drill_lib.DrillTest):
     """Callers through a drill, beside an outage that is as long."""
 
     async def lost_through(self, trouble):
@@ -325,7 +266,7 @@
             lost += [
                 one.status
                 for one in answers
-                if one.status != OK or not one.whole
+                if one.status != drill_lib.OK or not one.whole
             ]
         return lost
 
@@ -397,113 +338,5 @@
         await self.until(lambda: self.desks_known() == {'desk-2'})
 
 
-class FaultTest(DrillTest):
-    """A store whose era is no era, or that has never any history."""
-
-    async def served_meanwhile(self):
-        """Asks for a while; returns calls at the store in each second."""
-        before = sum(self.store.calls.values())
-        end_s = asyncio.get_running_loop().time() + WATCHED_S
-        while asyncio.get_running_loop().time() < end_s:
-            answers = await asyncio.gather(
-                self.ask('/safe/'), self.ask('/plan/', method='POST')
-            )
-            self.assertEqual({one.status for one in answers}, {OK})
-            await asyncio.sleep(0.02)
-        return (sum(self.store.calls.values()) - before) / WATCHED_S
-
-    async def check(self, fault, *, known):
-        """Plays a fault with a change under it, and the end of the fault.
-
-        Args:
-          fault: Its name in the stand-in.
-          known: Plain servers that the gateway must know under the fault.
-        """
-        self.store.era_fault = fault
-        self.store.remove('servers', 'desk-1')
-        self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
-        self.assertEqual(self.desks_known(), known)
-        self.store.era_fault = ''
-        await self.until(lambda: self.desks_known() == {'desk-2'})
-        self.assertTrue(self.process.is_ready())
-
-    async def test_a_header_that_is_missing_once_it_was_told(self):
-        """Something between answers for the store, with rows of its own.
-
-        An answer without the era that was told before changes nothing.
-        """
-        await self.check('absent', known={'desk-1', 'desk-2'})
-
-    async def test_a_header_that_is_no_whole_number(self):
-        """A faulty store tells text, a fraction and a negative number."""
-        for fault in ('text', 'fraction', 'negative'):
-            with self.subTest(fault):
-                self.enter_desk(1)
-                both = {'desk-1', 'desk-2'}
-                await self.until(lambda both=both: self.desks_known() == both)
-                await self.check(fault, known=both)
-
-    async def test_a_header_that_falls(self):
-        """An answer of an era that is over arrives late, or is a fault's."""
-        await self.check('falls', known={'desk-1', 'desk-2'})
-
-    async def test_a_header_that_is_huge(self):
-        """Four hundred digits: believed, no later era would ever count."""
-        await self.check('huge', known={'desk-1', 'desk-2'})
-
-    async def test_an_era_that_jumps_is_believed(self):
-        """Several drills came while the gateway was cut off from the store."""
-        self.store.era = 8
-        self.store.remove('servers', 'desk-1')
-        self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
-        await self.until(lambda: self.desks_known() == {'desk-2'})
-
-    async def test_a_version_beyond_what_others_can_count(self):
-        """The counter jumps beyond 2^53, and a drill brings it back.
-
-        Whatever is made of such a version, callers are served, and what is
-        written under the next era counts.
-        """
-        copy = self.store.snapshot()
-        self.store.skip(HUGE_VERSION)
-        self.enter_desk(1)
-        self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
-        self.store.come_back(copy)
-        self.store.remove('servers', 'desk-1')
-        await self.until(lambda: self.desks_known() == {'desk-2'})
-
-    async def test_the_same_list_under_two_eras(self):
-        """A drill in which nothing was written since the copy."""
-        before = self.process.core.upstreams.all()
-        for _ in range(3):
-            self.store.come_back(self.store.snapshot())
-            self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
-        lost = [one.id for one in before if one.gone or one.leaving]
-        self.assertEqual(lost, [])
-
-    async def test_history_that_is_gone_for_ever(self):
-        """Each watch gets 410; read anew without pause, it would be a storm."""
-        self.store.always_gone = True
-        self.store.remove('servers', 'desk-1')
-        self.assertLess(await self.served_meanwhile(), CALLS_PER_S)
-        await self.until(lambda: self.desks_known() == {'desk-2'})
-        self.store.always_gone = False
-        self.enter_desk(1)
-        await self.until(lambda: self.desks_known() == {'desk-1', 'desk-2'})
-
-    async def test_a_store_that_begins_to_tell_its_era(self):
-        """Its program is replaced by one that has drills."""
-        self.store.era = None
-        self.process = await self.start_gateway()
-        await self.mark('before')
-        self.store.era = 1
-        self.store.remove('servers', 'desk-1')
-        await self.until(lambda: self.desks_known() == {'desk-2'})
-
-    def test_each_fault_of_the_stand_in_is_played(self):
-        played = {'absent', 'text', 'fraction', 'negative', 'falls', 'huge'}
-        self.assertEqual(set(store_lib.ERA_FAULTS) - played, {'jumps'})
-
-
 if __name__ == '__main__':
     unittest.main()
