A failing test: the drills of one gateway are not played as it ships

tests/quetzalsill_platform/fixture.py gives source.Sources no epochs, so that membership, configuration and exchange each go by one of their own, which stays 0; the adapter that ships gives the store's.

--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -157,6 +157,16 @@
         await self.until(lambda: self.version() == 9)
         self.assertEqual((await self.ask('/safe/', key='key-1')).status, 401)
 
+    async def test_who_follows_goes_by_the_epoch_of_the_store(self):
+        """A drill is seen by one call, and every table is listed for it.
+
+        With an epoch of its own for each, each would wait for its own feed.
+        """
+        await self.mark('spare')
+        followers = (self.process.membership, self.process.configuration)
+        for follower in followers:
+            self.assertEqual(follower._epochs.newest, self.era)
+
 
 class ZoneTest(DrillTest):
     """Drained zones.
