--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -98,6 +98,16 @@
         await self.until(lambda: self.version() == 9)
         self.assertEqual((await self.ask('/safe/', key='key-1')).status, 401)
 
+    async def test_who_follows_goes_by_the_epoch_of_the_store(self):
+        """A drill is seen by one call, and every table is listed for it.
+
+        With an epoch of its own for each, each would wait for its own feed.
+        """
+        await self.mark('spare')
+        followers = (self.process.membership, self.process.configuration)
+        for follower in followers:
+            self.assertEqual(follower._epochs.newest, self.era)
+
 
 class ZoneTest(drill_lib.DrillTest):
     """Drained zones.
