A call that spans an outage tells of it too

Cause: only the call for the configuration failed; that for the membership was under way all the while and was the first to be answered, with the removals. It had noticed no outage, so that they got no grace. Change: whichever table is answered first while any is lost passes the outage on.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -135,13 +135,19 @@
         self._update()
 
     def regain(self, name: str) -> None:
-        """Notes that a source answered."""
-        if name not in self._lost:
+        """Notes that a source answered.
+
+        One whose call was under way during an outage hasn't noticed it, and may
+        be the first to tell what has lapsed meanwhile: it is told of the outage
+        as well, although another may still be away.
+        """
+        if not self._lost:
             return
-        lost_s = self._lost.pop(name)
-        event.note(event.StoreRegained(name))
-        self._update()
-        # Before what it tells is taken in, although another may still be away.
+        lost_s = min(self._lost.values())
+        if self._lost.pop(name, None) is not None:
+            event.note(event.StoreRegained(name))
+            self._update()
+        # Before what it tells is taken in.
         for callback in self._on_regained:
             callback(lost_s)
 
