Tell a large fleet bit by bit, in place of in bursts

Cause: above 70 gateways a state is gathered for up to 2.3 s and then sent to all in one go. At 300 that is more than the queue of a thin link holds.

Change: it goes out over half of the gap, in an order drawn anew; what others wait for over 0.2 s. To one address everything goes in order. Up to 70 gateways as before, at once.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/pace.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/pace.py
@@ -4,15 +4,24 @@
 all carry with its square: at 300 gateways it filled the links of the thin ones.
 Up to `NEAR` gateways everything is told as soon as it changes. In larger fleets
 what changes with each request is gathered for longer, so that a gateway takes
-in about as many datagrams as at `NEAR`; what is rare and urgent is told at once
-in all of them.
+in about as many datagrams as at `NEAR`; what is rare and urgent is told without
+being gathered. Neither goes out to all of a large fleet in one burst
+(`peers.outbox`).
 """
 
 from __future__ import annotations
 
 import math
 
-__all__ = ['NEAR', 'alive_s', 'candidates', 'gap_s', 'silent_s', 'whole_s']
+__all__ = [
+    'NEAR',
+    'alive_s',
+    'candidates',
+    'gap_s',
+    'silent_s',
+    'spread_s',
+    'whole_s',
+]
 
 # Gateways up to which telling at once costs each a few datagrams a second and
 # peer, some 14 KB a second in all.
@@ -22,6 +31,11 @@
 GAP_PER_GATEWAY_S = 0.01
 # Whoever floods the fleet with names cannot make it fall silent for longer.
 MOST_GAP_S = 2.5
+# Share of it over which what is told goes out, so that it is out before the
+# next.
+SPREAD_SHARE = 0.5
+# What others wait for takes as long as a thin link takes for some 300 of them.
+URGENT_SPREAD_S = 0.2
 # Something is told without a change too, so that silence means something.
 ALIVE_S = 1.0
 # A lost change leaves room unused, or given out twice, for so long at most;
@@ -40,6 +54,12 @@
     return min(MOST_GAP_S, GAP_PER_GATEWAY_S * max(0, gateways - NEAR))
 
 
+def spread_s(gateways: int, *, is_urgent: bool = False) -> float:
+    """Returns over how long one datagram goes out to all; 0 for at once."""
+    over_s = SPREAD_SHARE * gap_s(gateways)
+    return min(over_s, URGENT_SPREAD_S) if is_urgent else over_s
+
+
 def alive_s(gateways: int) -> float:
     """Returns after how long without a change something is told."""
     return max(ALIVE_S, gap_s(gateways))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -20,7 +20,14 @@
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.fleet import held as held_lib
 from quetzalsill_gateway.fleet import pace
-from quetzalsill_gateway.peers import bulletin, frame, relay, roster, teller
+from quetzalsill_gateway.peers import (
+    bulletin,
+    frame,
+    outbox,
+    relay,
+    roster,
+    teller,
+)
 from quetzalsill_gateway.peers import state as state_lib
 
 if TYPE_CHECKING:
@@ -84,6 +91,7 @@
         self._broadcast = relay.Broadcast(
             node, lambda: self._roster.addresses, self._send
         )
+        self._outbox = outbox.Outbox(self._send)
         core.live.on_changed(self._tell_soon)
 
     def on_news(
@@ -135,6 +143,7 @@
 
     def close(self) -> None:
         """Listens no more."""
+        self._outbox.close()
         if self._transport is not None:
             self._transport.close()
 
@@ -198,12 +207,13 @@
             return
         if is_urgent or not self._gap_s():
             self._is_telling = True
-            asyncio.get_running_loop().call_soon(self._tell_news)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._tell_news, is_urgent)
 
     def _gap_s(self) -> float:
         return pace.gap_s(1 + len(self._roster))
 
-    def _tell_news(self) -> None:
+    def _tell_news(self, is_urgent: bool = False) -> None:
         self._is_telling = False
         if self._transport.is_closing():
             return
@@ -212,7 +222,11 @@
         told = self._teller.news(now, self._current(), gateways)
         if told is not None:
             self._told_s = now
-            self._send_all(state_lib.encode(told))
+            self._outbox.tell(
+                state_lib.encode(told),
+                self._roster.addresses,
+                pace.spread_s(gateways, is_urgent=is_urgent),
+            )
 
     def _current(self) -> state_lib.State:
         core = self._core
@@ -316,10 +330,6 @@
         if not self._transport.is_closing():
             self._transport.sendto(data, address)
 
-    def _send_all(self, data: bytes) -> None:
-        for address in self._roster.addresses:
-            self._transport.sendto(data, address)
-
     def _held(self) -> dict[str, held_lib.Held]:
         held = {}
         now = asyncio.get_running_loop().time()
