--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
@@ -34,6 +34,9 @@
 SECONDS = 20.0
 DELAY_S = (0.0005, 0.002)
 HEADERS_BYTES = 28
+# A link of 10 Mbit/s; what waits in it delays answers to callers, and is lost
+# beyond some 50 ms of it.
+LINK_BYTES_PER_S = 1_250_000
 MS_PER_S = 1000
 SEED = 1
 
@@ -44,6 +47,7 @@
     def __init__(self, fleet: Fleet, address: tuple[str, int]) -> None:
         self._fleet = fleet
         self._address = address
+        self._free_s = 0.0
 
     def is_closing(self) -> bool:
         """It never is."""
@@ -56,21 +60,32 @@
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
         """Hands a datagram over, a little later."""
         fleet = self._fleet
+        size = len(data) + HEADERS_BYTES
         fleet.datagrams += 1
-        fleet.sent_bytes += len(data) + HEADERS_BYTES
-        delay_s = fleet.rng.uniform(*DELAY_S)
-        asyncio.get_running_loop().call_later(
-            delay_s, fleet.deliver, data, address, self._address
-        )
+        fleet.sent_bytes += size
+        loop = asyncio.get_running_loop()
+        self._free_s = max(loop.time(), self._free_s) + size / LINK_BYTES_PER_S
+        waits_s = self._free_s - loop.time()
+        fleet.longest_wait_s = max(fleet.longest_wait_s, waits_s)
+        delay_s = waits_s + fleet.rng.uniform(*DELAY_S)
+        loop.call_later(delay_s, fleet.deliver, data, address, self._address)
 
 
 class Fleet:
-    """Gateways with work."""
+    """Gateways with work.
+
+    Attributes:
+      rng: Every draw.
+      datagrams: How many were sent.
+      sent_bytes: Bytes of them.
+      longest_wait_s: Longest time of one in its sender's link, in seconds.
+    """
 
     def __init__(self, gateways: int) -> None:
         self.rng = random.Random(SEED)
         self.datagrams = 0
         self.sent_bytes = 0
+        self.longest_wait_s = 0.0
         self._hearers: dict[tuple[str, int], exchange.Exchange] = {}
         engines = max(1, int(gateways * ENGINES_PER_GATEWAY))
         self._engines = [
@@ -92,6 +107,7 @@
             self._start(('10.1.0.1', number + 1), node)
         await asyncio.sleep(2 * LONG_S)
         self.datagrams = self.sent_bytes = 0
+        self.longest_wait_s = 0.0
         await asyncio.sleep(SECONDS)
         for task in self._tasks:
             task.cancel()
@@ -172,7 +188,8 @@
             f'{count} gateways: each takes in '
             f'{fleet.datagrams / each:.0f} datagrams and '
             f'{fleet.sent_bytes / each / MS_PER_S:.1f} KB a second, '
-            f'{share:.4f} of a core'
+            f'{share:.4f} of a core; at most '
+            f'{fleet.longest_wait_s * MS_PER_S:.1f} ms in a thin link'
         )
 
 
