Revert: what is read at a start is told once, not four times

With it tests.quetzalsill_gateway.watch.test_zone_drain.ZoneDrainTest. test_rare_news_is_fast_in_a_large_fleet is red (238 of 285 gateways know within 0.5 s, 282.15 asked). So the bound does not hold on either; that has to be traced first.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
@@ -66,10 +66,7 @@
         substance = _substance(told)
         if self._newest.get(type(told)) == substance:
             return
-        is_first = type(told) not in self._newest
         self._newest[type(told)] = substance
-        if is_first and _is_known(told):
-            return
         # What is told now says what was told just before, too.
         for repeat in self._repeats.pop(type(told), ()):
             repeat.cancel()
@@ -87,17 +84,6 @@
             self._send(datagram, address)
 
 
-def _is_known(told: news_lib.News) -> bool:
-    """Whether what a gateway tells first is new to nobody.
-
-    When all of a large fleet start at once, each has read the same and heard
-    nobody. Told again by each, it fills the links while the tables are read.
-    """
-    if isinstance(told, news_lib.MembershipNews):
-        return not told.changes and told.lapses_s <= 0
-    return not told.patch and not told.drains
-
-
 def _substance(told: news_lib.News) -> object:
     """Returns what counts of news, without how far the source has come."""
     if isinstance(told, news_lib.MembershipNews):
--- a/tests/quetzalsill_gateway/peers/test_relay.py
+++ b/tests/quetzalsill_gateway/peers/test_relay.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
-import random
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_dev.simulation import clock
 from quetzalsill_gateway import error
-from quetzalsill_gateway.fleet import pace, revision, upstream, zones
-from quetzalsill_gateway.peers import bulletin, frame, relay
-from quetzalsill_gateway.watch import news
+from quetzalsill_gateway.fleet import pace
+from quetzalsill_gateway.peers import frame, relay
 
 PLAIN = st.recursive(
     st.none() | st.booleans() | st.integers(-9, 2**63) | st.binary(max_size=9),
@@ -73,72 +69,5 @@
             self.assertIn(port, relay.PORTS)
 
 
-class RepeatTest(unittest.TestCase):
-    """What is told again, since datagrams are lost."""
-
-    NOW = revision.Revision(1, 7)
-
-    def told(self, *announced):
-        """Returns what goes to others, in order, of news announced in turn."""
-        told = []
-
-        async def play():
-            broadcast = relay.Broadcast(
-                'entry-1',
-                lambda: fleet(299),
-                lambda data, _: told.append(
-                    relay.decode(frame.unpack(data)[1])
-                ),
-                random.Random(1),
-            )
-            for one in announced:
-                broadcast.announce(one)
-                await asyncio.sleep(2.0)
-
-        clock.run(play)
-        kinds = [frame.unpack(data) for data, _ in told]
-        return [bulletin.decode(*one)[1] for one in kinds]
-
-    def tellings(self, *announced):
-        """Returns how often all are told."""
-        return len(self.told(*announced)) / len(
-            list(relay.spread(b'', fleet(299)))
-        )
-
-    def test_what_is_read_at_a_start_is_told_once(self):
-        """300 gateways start at once, and each reads both tables.
-
-        Each has heard nobody and so tells all others how far the source has
-        come. None of that is new to anybody; told four times it is 2,400
-        datagrams to each gateway, while its link is to carry the tables.
-        """
-        listed = news.MembershipNews(self.NOW, self.NOW, ())
-        configured = news.ConfigurationNews(self.NOW, 3, b'')
-        self.assertEqual(self.tellings(listed), 1)
-        self.assertEqual(self.tellings(configured), 1)
-        self.assertEqual(self.tellings(listed, configured), 2)
-
-    def test_what_has_changed_is_told_again(self):
-        listed = news.MembershipNews(self.NOW, self.NOW, ())
-        gone = upstream.Change('u-1', self.NOW, None)
-        changed = news.MembershipNews(revision.NONE, self.NOW, (gone,))
-        often = 1 + len(relay.REPEATS_S)
-        self.assertEqual(self.tellings(changed), often)
-        self.assertEqual(self.tellings(listed, changed), 1 + often)
-        lapsed = news.MembershipNews(self.NOW, self.NOW, (), 5.0)
-        self.assertEqual(self.tellings(lapsed), often)
-
-    def test_a_configuration_that_has_changed_is_told_again(self):
-        often = 1 + len(relay.REPEATS_S)
-        first = news.ConfigurationNews(self.NOW, 3, b'')
-        second = news.ConfigurationNews(self.NOW, 4, b'')
-        self.assertEqual(self.tellings(first, second), 1 + often)
-        patched = news.ConfigurationNews(self.NOW, 3, b'p')
-        self.assertEqual(self.tellings(patched), often)
-        drain = zones.Drain('z', self.NOW, True)
-        drained = news.ConfigurationNews(self.NOW, 3, b'', (drain,))
-        self.assertEqual(self.tellings(drained), often)
-
-
 if __name__ == '__main__':
     unittest.main()
