A copy that a run goes on from is no longer the move's to free

What callers would have seen: a plan cut off as it went on from the first copy of its move: while the gateway asked its broken engine whether it was at work, the move gave its order to stop, found the run gone, and freed the copy; and its order without an answer made the next part look as if it had been stopped. Cause: found by reading how a recovery and a move overlap, since runs go on from a first copy once their engine has gone. Change: whoever goes on from a copy takes it, and an order of the part before ends with it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -149,6 +149,8 @@
           leg: The part that broke off.
           copied: The first copy of a move that has not come to its last one.
         """
+        # Left to the move, the copy would be freed once the run has gone.
+        self._stream.copied = None
         if copied is not None and copied.source is not leg.upstream:
             copied = None
         target = copied.target if copied else self._stream.backup
@@ -224,6 +226,8 @@
         ]
         self._source = holder
         self._handle = handle
+        # An order that was given meanwhile is for where the run was.
+        self._stream.switch = None
         return self._leg(target, extra, grounds)
 
     def _leg(
--- a/tests/quetzalsill_gateway/stream/test_continuation.py
+++ b/tests/quetzalsill_gateway/stream/test_continuation.py
@@ -5,8 +5,9 @@
 import asyncio
 import types
 import unittest
+from unittest import mock
 
-from quetzalsill_gateway import at_most_once, routing_table
+from quetzalsill_gateway import at_most_once, event, routing_table
 from quetzalsill_gateway.balance import book
 from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import error
@@ -33,7 +34,7 @@
         ]
         self.stream = live.Stream(_exchange(), None, book.Reservation(0, 100))
         self.stream.last_id = 80
-        core = types.SimpleNamespace(
+        self.core = types.SimpleNamespace(
             pages=book.Book(),
             dialect=types.SimpleNamespace(
                 priority=b'priority',
@@ -42,7 +43,7 @@
                 memory_source=lambda holder, handle: handle.encode(),
             ),
         )
-        self.continuation = continuation.Continuation(core, self.stream)
+        self.continuation = continuation.Continuation(self.core, self.stream)
 
     def stopped(self, source, target):
         """Has the run stopped at its source by an order to move."""
@@ -109,6 +110,30 @@
         self.assertIs(back.upstream, second)
         self.assertIn((b'from', b'handle'), back.extra)
 
+    async def test_a_copy_that_is_gone_on_from_is_nobody_elses(self):
+        """A plan is cut off as it goes on from the first copy of its move.
+
+        Its engine breaks off before it was told to stop. While the gateway
+        asks whether the run is at work, the move gives the order to stop it,
+        finds that the run has gone, and frees the copy that it goes on from.
+        """
+        source, target, _ = self.engines
+        self.stream.copied = live.Switch(source, target, 'early')
+
+        async def move(*_):
+            self.stream.switch = asyncio.get_running_loop().create_future()
+            raise error.ConnectError('refused')
+
+        self.core.calls = types.SimpleNamespace(move=move)
+        broken = error.TruncatedError('the connection ended', was_reset=True)
+        quiet = mock.patch.object(event, 'note')
+        with quiet:
+            found = await self.continuation.after(self.part(source), broken)
+        self.assertIs(found.upstream, target)
+        self.assertIn((b'from', b'early'), found.extra)
+        self.assertIsNone(self.stream.copied)
+        self.assertIsNone(self.stream.switch)
+
 
 if __name__ == '__main__':
     unittest.main()
