--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -65,10 +65,12 @@
         self.writer.write(b'%x\r\n%s\r\n' % (len(data), data))
 
     def abort(self) -> None:
-        """Resets the connection.
+        """Resets the connection, unless the other end has left it.
 
         Without the option the kernel closes it as if the answer had ended.
         """
+        if not self.is_open:
+            return
         sock = self.writer.get_extra_info('socket')
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.writer.transport.abort()
