--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -2,7 +2,8 @@
 
 A process counts as started once it has printed `ready port=N`, or a log line
 whose event is `listening` or ends in `ready` and that holds the port.
-Everything that it prints goes to a log file in the launcher's folder.
+Everything that it prints goes to a log file in the launcher's folder, and
+`steps.txt` there has what the launcher did to each process, in order.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import datetime
 import pathlib
 import re
 import signal
@@ -28,6 +30,7 @@
 LINE_LIMIT = 1024 * 1024
 LOG_TAIL = 4000
 KNOCK_S = 0.05
+STEPS = 'steps.txt'
 
 
 class StartFailedError(Exception):
@@ -109,7 +112,14 @@
         """Everything that it printed so far."""
         return self.log.read_text(errors='replace')
 
+    def note(self, step: str) -> None:
+        """Adds a step to the launcher's record, with the time of the logs."""
+        now = datetime.datetime.now(datetime.UTC).time().isoformat()
+        with (self.log.parent / STEPS).open('a') as file:
+            file.write(f'{now} {self.name} {self.pid} {step}\n')
+
     def _signal(self, number: signal.Signals) -> None:
+        self.note(number.name)
         with contextlib.suppress(ProcessLookupError):
             self._inner.send_signal(number)
 
@@ -188,6 +198,7 @@
         log = self.folder / f'{name}.{count}.log'
         process = Process(name, log, inner)
         self.processes.append(process)
+        process.note('start')
         ready = asyncio.get_running_loop().create_future()
         self._pumps.append(asyncio.create_task(_pump(inner, log, ready)))
         if port:
@@ -199,6 +210,7 @@
             raise StartFailedError(f'{name} is not ready in time') from exc
         if not process.port:
             raise StartFailedError(f'{name}:\n{process.log_text()[-LOG_TAIL:]}')
+        process.note(f'ready port={process.port}')
         return process
 
 
--- /dev/null
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/testing/evidence.py
@@ -0,0 +1,42 @@
+"""Keeps what a failed test leaves behind, for a trace after the run."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import pathlib
+import shutil
+
+__all__ = ['ENVIRONMENT', 'folder', 'keep', 'write']
+
+ENVIRONMENT = 'QUETZALSILL_EVIDENCE'
+DEFAULT = 'test-evidence'
+
+
+def folder(root: pathlib.Path) -> pathlib.Path:
+    """Returns where evidence is kept: `$QUETZALSILL_EVIDENCE`, or in a root."""
+    return pathlib.Path(os.environ.get(ENVIRONMENT, root / DEFAULT))
+
+
+def keep(within: pathlib.Path, test: str, source: pathlib.Path) -> pathlib.Path:
+    """Copies the files of a failed test; returns the folder of the copy."""
+    target = _unused(within, test)
+    shutil.copytree(source, target)
+    return target
+
+
+def write(
+    within: pathlib.Path, test: str, name: str, text: str
+) -> pathlib.Path:
+    """Writes a file as evidence of a failed test; returns its path."""
+    target = _unused(within, test)
+    target.mkdir(parents=True)
+    path = target / name
+    path.write_text(text)
+    return path
+
+
+def _unused(within: pathlib.Path, test: str) -> pathlib.Path:
+    """Returns a folder of its own for each failure of a test."""
+    names = (within / f'{test}.{number}' for number in itertools.count())
+    return next(path for path in names if not path.exists())
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/testing/run_suite.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/testing/run_suite.py
@@ -5,6 +5,9 @@
 The last line is `N passed, N failed`. Tests listed in KNOWN-RED.txt count as
 failed too, but do not fail the run. Exit status 1 if any other test failed,
 if a module crashed or was stopped at its time bound, or if no test ran.
+
+The report of a module in which a test failed is kept, beside the logs that its
+tests left (`quetzalsill_dev.testing.evidence`).
 """
 
 from __future__ import annotations
@@ -19,7 +22,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from quetzalsill_dev.testing import known_red
+from quetzalsill_dev.testing import evidence, known_red
 from quetzalsill_dev.testing import outcome as outcome_lib
 
 if TYPE_CHECKING:
@@ -48,7 +51,11 @@
     process = subprocess.Popen(
         [sys.executable, '-m', 'unittest', module],
         cwd=root,
-        env=os.environ | {'PYTHONHASHSEED': '0'},
+        env=os.environ
+        | {
+            'PYTHONHASHSEED': '0',
+            evidence.ENVIRONMENT: str(evidence.folder(root).absolute()),
+        },
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -89,13 +96,17 @@
             yield fut.result()
 
 
-def _print_module(outcome: outcome_lib.Outcome) -> None:
+def _print_module(outcome: outcome_lib.Outcome, root: pathlib.Path) -> None:
     verdict = 'FAILED' if outcome.failed else 'ok'
     skipped = f', {outcome.skipped} skipped' if outcome.skipped else ''
     counts = f'{outcome.ran} tests{skipped}, {outcome.seconds:.1f} s'
     print(f'{verdict:6} {outcome.module} ({counts})', flush=True)
     if outcome.failed:
         print(outcome.report, flush=True)
+        kept = evidence.write(
+            evidence.folder(root), outcome.module, 'report.txt', outcome.report
+        )
+        print(f'evidence: {kept}', flush=True)
 
 
 def summarize(
@@ -131,7 +142,7 @@
     modules = [m for m in discover(args.root) if m.startswith(prefixes)]
     outcomes = []
     for outcome in run_modules(args.root, modules):
-        _print_module(outcome)
+        _print_module(outcome, args.root)
         outcomes.append(outcome)
     return summarize(outcomes, known_red.load(args.root))
 
--- a/tests/failure/fixture.py
+++ b/tests/failure/fixture.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import functools
+import pathlib
 import unittest
 
 from quetzalsill_dev import board, cluster, launch
+from quetzalsill_dev.testing import evidence
 
 LOG_TAIL = 6000
 
@@ -22,7 +24,7 @@
 
 
 class _LogShowingTestCase(unittest.TestCase):
-    """Prints the end of each process's log if a test has failed."""
+    """Keeps logs, settings and steps of a failed test, and prints log ends."""
 
     def run(self, result=None):
         self.result = result or self.defaultTestResult()
@@ -32,6 +34,9 @@
         found = [*self.result.failures, *self.result.errors]
         failed = [getattr(case, 'test_case', case) for case, _ in found]
         if self in failed:
+            within = evidence.folder(pathlib.Path.cwd())
+            kept = evidence.keep(within, self.id(), self.launcher.folder)
+            print(f'evidence: {kept}')
             for process in self.launcher.processes:
                 tail = process.log_text()[-LOG_TAIL:]
                 print(f'--- {process.log.name}\n{tail}')
--- a/tests/quetzalsill_dev/testing/test_run_suite.py
+++ b/tests/quetzalsill_dev/testing/test_run_suite.py
@@ -103,6 +103,15 @@
         self.assertIn(f'listed, did not fail: {stale}', lines)
         self.assertEqual(lines[-1], '1 passed, 2 failed')
 
+    def test_reports_of_failed_modules_are_kept(self):
+        """A failure that shows once can't be traced: its lines are gone."""
+        self.write('test_good', GOOD)
+        self.write('test_bad', BAD)
+        lines = self.run_all()[1]
+        (kept,) = (self.root / 'test-evidence').rglob('report.txt')
+        self.assertIn('AssertionError: 1 != 2', kept.read_text())
+        self.assertIn(f'evidence: {kept}', lines)
+
     def test_no_test_at_all_fails(self):
         self.assertEqual(self.run_all()[0], 1)
 
