Pass on an answer that has come as its deadline passes

What callers saw: 504 for an order that its server had confirmed, and a stream cut off, (200, False), whose last event had come. Cause: a gateway that is paused wakes to the answer and to the deadline in one turn of its loop. The bytes are read first, then the timer of `asyncio.timeout_at` cancels the task, whose wakeup is queued behind it: a task that is cancelled does not get the result of the future that it waits for, though that is done. Why it works: `quetzalsill.net.deadline` lets the loop turn four times between the timer and the cancellation, in which the task takes what has come. A task with nothing to take is cancelled as before. Ruled out: a longer deadline (the answer is passed on only if it is there), and a check of the connection's buffer on timeout (the task that owns it is cancelled by then).

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -6,6 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import deadline
 from quetzalsill_gateway import event, meter, plain
 from quetzalsill_gateway import exchange as exchange_lib
 from quetzalsill_gateway import routing_table as routing_lib
@@ -47,7 +48,7 @@
             return
         bound_s = exchange.deadline_s - ANSWER_S
         try:
-            async with asyncio.timeout_at(bound_s):
+            async with deadline.timeout_at(bound_s):
                 outcome = await self._forward(exchange)
         except TimeoutError:
             outcome = _answer_timeout(exchange)
--- /dev/null
+++ b/tests/quetzalsill_platform/test_deadline.py
@@ -0,0 +1,65 @@
+"""Answers that come as the deadline of their request passes."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from unittest import mock
+
+from quetzalsill_dev.users_platform import engine, plain_server
+from tests.quetzalsill_platform import fixture
+
+DEADLINE_S = 0.6
+HEADERS = {'X-Quetzalsill-Token-Usage': '1000,400'}
+
+
+class _Desk(plain_server.PlainServer):
+    """A server right behind whose answer the process is paused."""
+
+    async def _answer(self, call, *args):
+        await super()._answer(call, *args)
+        time.sleep(DEADLINE_S)
+
+
+class _Engine(engine.Engine):
+    """An engine right behind whose last event the process is paused."""
+
+    async def _generate(self, call):
+        await super()._generate(call)
+        time.sleep(DEADLINE_S)
+
+
+class DeadlineTest(fixture.PathTest):
+    """The gateway wakes from a pause to an answer, and past its deadline."""
+
+    async def asyncSetUp(self):
+        with (
+            mock.patch.object(plain_server, 'PlainServer', _Desk),
+            mock.patch.object(engine, 'Engine', _Engine),
+        ):
+            await super().asyncSetUp()
+
+    async def order(self, target, request_id):
+        return await self.ask(
+            target,
+            method='POST',
+            request_id=request_id,
+            deadline_ms=int(DEADLINE_S * 1000),
+            headers=HEADERS,
+        )
+
+    async def test_an_order_that_was_answered(self):
+        """A shop is told that its order timed out, though it is confirmed."""
+        answer = await self.order('/unsafe/', 'o1')
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual([run[0] for run in self.runs], ['o1'])
+
+    async def test_a_plan_that_is_complete(self):
+        """A plan is cut off before its last event, which is there."""
+        answer = await self.order('/plan/', 'p1')
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body, self.whole('p1'))
+
+
+if __name__ == '__main__':
+    unittest.main()
