Take a connection that came about as the time for it ended

What callers would have seen: nothing; their run at work at two engines, its work done twice. Cause: `call.connect` bounds the opening of a connection by `asyncio.timeout`, which cancels it although it is open, if the gateway was paused meanwhile and wakes to both. An order to stop a run has 0.12 s for that, and `stream.stop` takes an engine that lets nobody connect for gone: its run goes on at the backup. Why it works: `deadline.timeout` lets the loop turn until the opened connection is with its task.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from quetzalsill.net import deadline
 from quetzalsill_gateway.http import error, message, socket_option
 
 __all__ = ['Conn', 'connect']
@@ -262,7 +263,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with deadline.timeout(timeout_s):
             _, conn = await loop.create_connection(
                 lambda: Conn(address, count), address[0], address[1]
             )
--- /dev/null
+++ b/tests/quetzalsill_gateway/http/test_call.py
@@ -0,0 +1,44 @@
+"""Tests of connections to upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from quetzalsill_gateway.http import call, error
+
+CONNECT_S = 0.05
+
+
+class ConnectTest(unittest.IsolatedAsyncioTestCase):
+    """A server that takes connections, or does not."""
+
+    async def asyncSetUp(self):
+        self.server = await asyncio.start_server(
+            lambda _, writer: writer.close(), '127.0.0.1', 0
+        )
+        self.address = self.server.sockets[0].getsockname()[:2]
+        self.addAsyncCleanup(self.server.wait_closed)
+        self.addCleanup(self.server.close)
+
+    async def test_a_pause_while_a_connection_is_opened(self):
+        """An engine that takes connections is taken for gone.
+
+        Its run would go on at a second engine while the first works on.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_soon(time.sleep, 2 * CONNECT_S)
+        conn = await call.connect(self.address, CONNECT_S)
+        self.assertTrue(conn.is_usable)
+        conn.abort()
+
+    async def test_nobody_listens(self):
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(error.ConnectError):
+            await call.connect(self.address, CONNECT_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
