Keep the answer to an order that came as its time ended

What callers saw: an answer cut off as its engine left or broke off, although the engine had stopped the run and told the handle of its memory. Cause: `http.fetch` bounds an order by `asyncio.timeout`, which drops an answer that a paused gateway wakes to together with the end of the time. `stream.stop` then asks again and hears that the run is unknown, which counts as ended.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
@@ -7,6 +7,7 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+from quetzalsill.net import deadline
 from quetzalsill_gateway.http import error, message
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
     head = '\r\n'.join([*lines, '\r\n']).encode()
     conn = None
     try:
-        async with asyncio.timeout(timeout_s) as bound:
+        async with deadline.timeout(timeout_s) as bound:
             conn = await conns.take(address, connect_s or timeout_s)
             conn.send(head, data)
             found = await conn.head()
--- /dev/null
+++ b/tests/quetzalsill_gateway/http/test_fetch.py
@@ -0,0 +1,53 @@
+"""Tests of the gateway's own small calls."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from quetzalsill_gateway.http import error, fetch, pool
+
+BOUND_S = 0.1
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+
+
+class FetchTest(unittest.IsolatedAsyncioTestCase):
+    """A server that answers, and then pauses the process."""
+
+    async def asyncSetUp(self):
+        self.answer = ANSWER
+        self.pause_s = 0.0
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.addAsyncCleanup(self.server.wait_closed)
+        self.addCleanup(self.server.close)
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.answer)
+        time.sleep(self.pause_s)
+        await reader.read()
+        writer.close()
+
+    async def fetch(self):
+        address = self.server.sockets[0].getsockname()[:2]
+        return await fetch.fetch(
+            pool.Pool(), address, 'POST', '/', timeout_s=BOUND_S
+        )
+
+    async def test_an_answer_that_comes_as_its_time_ends(self):
+        """An engine has stopped a run and told its handle, which is lost.
+
+        The run can't go on without it, and its caller's answer is cut off.
+        """
+        self.pause_s = 2 * BOUND_S
+        self.assertEqual((await self.fetch()).json(), {})
+
+    async def test_silence(self):
+        self.answer = b''
+        with self.assertRaises(error.SilentError):
+            await self.fetch()
+
+
+if __name__ == '__main__':
+    unittest.main()
