Take the answer of a call that was about to be given up

What callers saw: 504 for a query whose server had answered; its server was marked as hanging, and with time left the query went to a second one. Cause: the patience with one server is an `asyncio.timeout` too, and drops the answer that a paused gateway wakes to. Evidence: the new test failed 3 times of 3 before (504, timeout), passed 3 of 3 after; the query ran once.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/plain.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import deadline
 from quetzalsill_gateway import (
     at_most_once,
     attempt,
@@ -160,7 +161,7 @@
         TOLD_PATIENCES * patience_s, page.note_hang, begun_s
     )
     try:
-        async with asyncio.timeout(patience_s if _may_leave(req) else None):
+        async with deadline.timeout(patience_s if _may_leave(req) else None):
             answer = await _exchange(core, req, upstream)
     except error.NotSentError:
         raise
--- a/tests/quetzalsill_platform/test_deadline.py
+++ b/tests/quetzalsill_platform/test_deadline.py
@@ -60,6 +60,12 @@
         self.assertEqual((answer.status, answer.whole), (200, True))
         self.assertEqual(answer.body, self.whole('p1'))
 
+    async def test_a_query_that_was_answered(self):
+        """A query is sent to a second server with its answer in hand."""
+        answer = await self.order('/safe/', 'q1')
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual([run[0] for run in self.runs], ['q1'])
+
 
 if __name__ == '__main__':
     unittest.main()
