Let one of two gateways that were answered at once watch on

What callers saw: as before this, new work at an engine that had said that it leaves, in a large fleet. Cause: who watches a source pauses between its calls, 0.13 s at 300 gateways. If another was answered at the same time, each heard the other in that pause and left the source to it for 0.75 s or more. No call was at the source then, and a change seen by nobody. The new test failed before, [False, False] for who asks on. Change: in its pause a gateway steps back only for one whose name comes first. Of several that hear each other one is left; whoever is heard during a call of its own still falls silent, as before. Ruled out: a draw in place of the names (both step back in a quarter of cases), and both asking on (while entries change often both would for good).

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/watchers.py
@@ -216,6 +216,7 @@
             self._bound_s,
             random.Random(self._rng.random()),
             epochs,
+            name,
         )
         configured = configuration.Configuration(
             self.store.ask_configuration(name, epochs),
@@ -227,6 +228,7 @@
             self._bound_s,
             random.Random(self._rng.random()),
             epochs,
+            name,
         )
         hearers = {
             news_lib.MembershipNews: follower.hear,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -88,6 +88,7 @@
             self.core.health,
             settings.watch.leaving_ms / MS_PER_S,
             epochs=self.epochs,
+            node=settings.node.name,
         )
         self.configuration = configuration.Configuration(
             sources.ask_configuration,
@@ -98,6 +99,7 @@
             lambda: self.core.upstreams.sharers,
             settings.watch.configuration_ms / MS_PER_S,
             epochs=self.epochs,
+            node=settings.node.name,
         )
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -67,6 +67,7 @@
         bound_s: float,
         rng: random.Random | None = None,
         epochs: epoch.Epochs | None = None,
+        node: str = '',
     ) -> None:
         """Prepares to follow.
 
@@ -80,8 +81,10 @@
           bound_s: Time in which a change must be in force, in seconds.
           rng: Draws the times of calls.
           epochs: The epoch that the source has told; None if it tells none.
+          node: Name of this gateway.
         """
         self._ask = ask
+        self._node = node
         self._holder = holder
         self.in_force = in_force.InForce(read, holder)
         self._drained = drained
@@ -216,7 +219,10 @@
             # The source has to say of the newer order; the call is due already.
             return
         elif told.revision.epoch == newest and not told.is_echo:
-            self._turn.heard(asyncio.get_running_loop().time())
+            self._turn.heard(
+                asyncio.get_running_loop().time(),
+                is_first=self._node < told.teller,
+            )
 
     async def _look(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -61,6 +61,7 @@
         bound_s: float,
         rng: random.Random | None = None,
         epochs: epoch.Epochs | None = None,
+        node: str = '',
     ) -> None:
         """Prepares to follow.
 
@@ -71,8 +72,10 @@
           bound_s: Time in which a change must be known, in seconds.
           rng: Draws the times of looks.
           epochs: The epoch that the source has told; None if it tells none.
+          node: Name of this gateway.
         """
         self._ask = ask
+        self._node = node
         self._upstreams = upstreams
         self._health = health
         self._epochs = epochs or epoch.Epochs()
@@ -128,7 +131,10 @@
             # can say.
             self._turn.within(ANEW_S)
         elif told.revision.epoch == self._epochs.newest and not told.is_echo:
-            self._turn.heard(asyncio.get_running_loop().time())
+            self._turn.heard(
+                asyncio.get_running_loop().time(),
+                is_first=self._node < told.teller,
+            )
 
     def _take_told(self, told: news_lib.MembershipNews) -> bool:
         """Returns whether news was of use."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/turn.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/turn.py
@@ -78,6 +78,7 @@
         self._is_hurried = False
         self._hurried = asyncio.Event()
         self._is_drawn = False
+        self._watches = False
         self._dead_ends = 0
 
     @property
@@ -94,7 +95,7 @@
                 async with asyncio.timeout(left_s):
                     await self._hurried.wait()
         self._asked_s = loop.time()
-        self._is_drawn = False
+        self._is_drawn = self._watches = False
 
     def hurry(self) -> None:
         """Makes the call due now: others know what is not known here."""
@@ -157,6 +158,7 @@
         self._failures = 0
         is_alone = self._heard_s < self._asked_s and not self._is_hurried
         self._is_hurried = False
+        self._watches = is_alone
         after_s = self._ask_on_s() if is_alone else self._draw_s()
         self._due_s = now + after_s
         return is_alone
@@ -172,10 +174,22 @@
         told_s = RETRY_WHILE_TOLD_S * self._rng.uniform(*JITTER)
         self._told_due_s = now + told_s
 
-    def heard(self, now: float) -> None:
-        """Notes that another gateway was answered, and what it was told."""
+    def heard(self, now: float, *, is_first: bool = False) -> None:
+        """Notes that another gateway was answered, and what it was told.
+
+        Of two that were answered at once each hears the other as it pauses
+        before it asks on. One of them has to: if both left the source to the
+        other, nobody would see a change until the next draw.
+
+        Args:
+          now: Loop time.
+          is_first: Whether this gateway goes before the other.
+        """
         self._heard_s = now
         self._is_drawn = False
+        if self._watches and is_first:
+            return
+        self._watches = False
         if self._failures:
             # Put off each time, it would never notice that it is served again.
             self._due_s = self._told_due_s
--- a/tests/quetzalsill_gateway/watch/test_turn.py
+++ b/tests/quetzalsill_gateway/watch/test_turn.py
@@ -7,9 +7,10 @@
 import unittest
 
 from quetzalsill_dev.simulation import clock
-from quetzalsill_gateway.watch import configuration, turn
+from quetzalsill_gateway.watch import configuration, membership, turn
 
 NEAR_S = 0.001
+LEAST_S = 0.75
 
 
 class TurnTest(unittest.TestCase):
@@ -42,6 +43,32 @@
 
         self.assertTrue(any(clock.run(work)))
 
+    def test_one_of_two_watches_on_in_a_large_fleet(self):
+        """A notice is known late: both leave the source to the other.
+
+        Who watches a large fleet pauses between its calls. Each of two that
+        were answered at once hears the other in that pause.
+        """
+
+        async def work():
+            loop = asyncio.get_running_loop()
+            pace = turn.Pace(LEAST_S, 0.4, membership.ASK_ON_S)
+            both = [
+                turn.Turn(pace, lambda: 300, random.Random(n)) for n in (1, 2)
+            ]
+            await asyncio.sleep(1.0)
+            for one in both:
+                await one.wait()
+                self.assertTrue(one.answered(loop.time()))
+            await asyncio.sleep(NEAR_S)
+            for one, is_first in zip(both, (True, False), strict=True):
+                one.heard(loop.time(), is_first=is_first)
+            waits = [asyncio.create_task(one.wait()) for one in both]
+            await asyncio.sleep(LEAST_S / 2)
+            return [wait.done() for wait in waits]
+
+        self.assertEqual(clock.run(work), [True, False])
+
 
 if __name__ == '__main__':
     unittest.main()
