Keep the record of steps harmless once a launcher is closed

Cause: a launcher that is closed a second time signals its processes again; the record of that went to a folder that was gone, FileNotFoundError. The runner's test of kept reports read the folder of the runner that ran it.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -115,7 +115,11 @@
     def note(self, step: str) -> None:
         """Adds a step to the launcher's record, with the time of the logs."""
         now = datetime.datetime.now(datetime.UTC).time().isoformat()
-        with (self.log.parent / STEPS).open('a') as file:
+        # A launcher that is closed twice has no folder the second time.
+        with (
+            contextlib.suppress(FileNotFoundError),
+            (self.log.parent / STEPS).open('a') as file,
+        ):
             file.write(f'{now} {self.name} {self.pid} {step}\n')
 
     def _signal(self, number: signal.Signals) -> None:
--- a/tests/quetzalsill_dev/testing/test_run_suite.py
+++ b/tests/quetzalsill_dev/testing/test_run_suite.py
@@ -8,8 +8,9 @@
 import tempfile
 import textwrap
 import unittest
+from unittest import mock
 
-from quetzalsill_dev.testing import run_suite
+from quetzalsill_dev.testing import evidence, run_suite
 
 GOOD = """
     import unittest
@@ -54,7 +55,12 @@
     def run_all(self):
         """Exit status and printed lines of a run."""
         printed = io.StringIO()
-        with contextlib.redirect_stdout(printed):
+        # The runner of this very test has set its own.
+        kept = {evidence.ENVIRONMENT: str(self.root / 'test-evidence')}
+        with (
+            contextlib.redirect_stdout(printed),
+            mock.patch.dict('os.environ', kept),
+        ):
             status = run_suite.main(['--root', str(self.root)])
         return status, printed.getvalue().splitlines()
 
