Wait for a router whose link has ended as the sidecar leaves

What callers saw: 504 outcome_unknown, "the sidecar could not be reached again in time", for an order that had surely not run. Cause: a sidecar that leaves ends once every link has echoed and nothing is left to be answered. A link that has ended counted as one that had echoed. What waited for its router was refused to nobody; a refusal or a Dispatch on the way was lost with the link; the router dialed again and found nobody. A router says goodbye as it stops, or when it has nothing left there, so that nobody waits for it. Ruled out: keeping refusals until they are acknowledged (a lost Dispatch leaves nothing to keep).

--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -240,6 +240,10 @@
         if not self.send(msg):
             self._deferred.append(msg)
 
+    def say_goodbye(self, reason: str) -> None:
+        """Tells the sidecar not to wait for this router when the link ends."""
+        self.send(message.GoAway(reason))
+
     async def send_body(self, msg: message.Body) -> None:
         """Sends a message and waits while the link is congested.
 
@@ -262,6 +266,7 @@
     def _end_if_done(self) -> None:
         if self._done:
             self._wake.set()
+            self.say_goodbye('no work left here')
             if self._link is not None:
                 self._link.close()
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -29,6 +29,7 @@
 
     Attributes:
       link: The link that is served.
+      is_going_away: Whether the router has said that it ends.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
     ) -> None:
         """Takes a link whose handshake is done."""
         self.link = link
+        self.is_going_away = False
         self._intake = intake
         self._attempts = attempts
         self._configuration = configuration
@@ -149,6 +151,7 @@
         self._fetch.answered(self)
 
     def _on_go_away(self, msg: message.GoAway) -> None:
+        self.is_going_away = True
         event.note(
             event.RouterLeaving(router=self.link.peer.node, reason=msg.reason)
         )
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -69,6 +69,9 @@
         self._settings = settings
         self._sessions: set[session.Session] = set()
         self._told: list[tuple[link_lib.Link, int]] = []
+        # When the link of a router ended that may dial again, by its node.
+        self._lost: dict[str, float] = {}
+        self._links_taken = 0
         policies = self.configuration.current.policies
         self.queue = schedule.Schedule(
             registry.get('fairness', policies.fairness)(),
@@ -167,8 +170,14 @@
         # this end closes, whatever the router writes meanwhile has the link
         # reset, which may take the refusal with it: its caller is told that
         # the outcome is unknown. An echo says that the router has all of them.
-        self._ask_for_echoes()
-        return await self._wait_until(self._is_drained, limit)
+        # One that has dialed again meanwhile may have asked behind its echo.
+        links_taken = -1
+        while links_taken != self._links_taken:
+            links_taken = self._links_taken
+            self._ask_for_echoes()
+            if not await self._wait_until(self._is_drained, limit):
+                return False
+        return True
 
     async def stop(self) -> None:
         """Closes everything at once."""
@@ -194,21 +203,34 @@
         caller with an unknown outcome. Routers send none once they have taken
         GoAway, and by their echo all that they sent before has been read.
         """
+        links = self.links
         told = all(
-            link.closed or link.echoed >= echo for link, echo in self._told
+            link.echoed >= echo for link, echo in self._told if link in links
         )
-        return told and all(map(self._is_given_up, self.attempts))
+        # A Dispatch or a refusal may have been lost with a link.
+        return (
+            told
+            and all(map(self._is_given_up, self._lost.values()))
+            and all(map(self._is_over, self.attempts))
+        )
+
+    def _is_over(self, attempt: state.Attempt) -> bool:
+        """Whether an attempt has ended and nobody comes back for it."""
+        if attempt.terminal is None or attempt.link is not None:
+            return False
+        return self._is_given_up(attempt.detached)
 
-    def _is_given_up(self, attempt: state.Attempt) -> bool:
-        """Whether an ended attempt's router had time to come back for it.
+    def _is_given_up(self, lost: float) -> bool:
+        """Whether a router has had time to come back since a link ended.
 
-        A router that was paused, or whose link fell silent, finds that after
+        One that was paused, or whose link fell silent, finds that after
         `silence_s` and dials anew; its caller would lose the answer.
+
+        Args:
+          lost: When the link ended, in seconds of the event loop.
         """
-        if attempt.terminal is None or attempt.link is not None:
-            return False
         timing = self._settings.link
-        lost_s = asyncio.get_running_loop().time() - attempt.detached
+        lost_s = asyncio.get_running_loop().time() - lost
         return lost_s >= timing.silence_s + timing.connect_s + REDIAL_S
 
     async def _wait_until(
@@ -246,8 +268,11 @@
             self.configuration,
             self._fetch,
         )
+        node = link.peer.node
         self._sessions.add(one)
-        event.note(event.RouterLinked(router=link.peer.node))
+        self._links_taken += 1
+        self._lost.pop(node, None)
+        event.note(event.RouterLinked(router=node))
         try:
             one.put(self.load.message())
             if self.leaving.reason:
@@ -256,7 +281,10 @@
             await one.serve()
         finally:
             self._sessions.discard(one)
-            event.note(event.RouterUnlinked(router=link.peer.node))
+            nodes = [other.link.peer.node for other in self._sessions]
+            if not one.is_going_away and node not in nodes:
+                self._lost[node] = asyncio.get_running_loop().time()
+            event.note(event.RouterUnlinked(router=node))
 
     def _say_leaving(self, reason: str) -> None:
         self.send_to_all(self._leaving_message(reason))
--- a/tests/quetzalsill_router/peer/test_peers.py
+++ b/tests/quetzalsill_router/peer/test_peers.py
@@ -87,6 +87,14 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
+    async def test_a_router_that_stops_says_goodbye(self):
+        """Sidecars wait seconds for a router that doesn't come back."""
+        await self.linked()
+        await self.peers.stop()
+        await self.until(
+            lambda: message.GoAway in [type(msg) for msg in self.received]
+        )
+
     def produce(self, count):
         for work in self.engine.work.values():
             work.made = min(TOTAL, work.made + count)
