Restart processes that are about to end

What was seen: the first step of a test failed with ConnectError in `Cluster.wait_ready`: nobody was at the port of a router that counted as running. Cause: `Process.running` is true until the event loop learns of an end, and `restart_ended` believes it. Repaired before for processes that the launcher killed; one that got SIGTERM, that ends by itself, or that has closed its port and takes time to end still counted as running. Evidence: three new tests, one of each. All failed before, two with the ConnectError of the listed test and one with the process that had ended in its place. Change: whether a process has ended is asked of the kernel, which does not collect it then; one that was told to end, or at whose port nobody takes a connection, is waited for and started again. After: the module's four tests pass, and those of the launcher, shutdown and restart.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -151,7 +151,11 @@
         return started
 
     async def restart_ended(self) -> None:
-        """Starts the sidecars and routers that have ended, where they were."""
+        """Starts the sidecars and routers that have ended, where they were.
+
+        Those that are about to end count as ended: nobody may be at their port
+        any more, and soon nobody will be.
+        """
         starts = [
             start(name)
             for processes, start in (
@@ -159,7 +163,7 @@
                 (self.routers, self.start_router),
             )
             for name, process in processes.items()
-            if not process.running
+            if not await _stays(process)
         ]
         await asyncio.gather(*starts)
 
@@ -211,7 +215,7 @@
           NotReadyError: Not within the bound.
         """
         for process in self.routers.values():
-            if process.running:
+            if process.running and not process.ending:
                 await _wait_ready(process, self.tls)
 
     async def _start_platform(self, part: str) -> launch.Process:
@@ -290,12 +294,24 @@
     """Port of the process before, free if that has ended; 0 without one."""
     if before is None:
         return 0
-    if not before.running:
-        # A process that was just killed holds its port for a moment yet.
+    if not await _stays(before):
+        # A process that is about to end holds its port for a moment yet.
         await before.wait()
     return before.port
 
 
+async def _stays(process: launch.Process) -> bool:
+    """Whether a process runs, is not told to end and takes connections."""
+    if process.ending or not process.running:
+        return False
+    try:
+        _, writer = await asyncio.open_connection('127.0.0.1', process.port)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    return True
+
+
 def _host(spec: Any, kind: str, address: str) -> dict[str, str]:
     return {
         'name': spec.name,
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -12,6 +12,7 @@
 import contextlib
 import dataclasses
 import datetime
+import os
 import pathlib
 import re
 import signal
@@ -46,6 +47,7 @@
       log: File with everything that it printed.
       port: Port that it said it listens on; 0 if it said none.
       scheme: `https` if it listens with TLS.
+      ending: It was told to end, at once or gracefully.
     """
 
     name: str
@@ -53,6 +55,7 @@
     _inner: asyncio.subprocess.Process
     port: int = 0
     scheme: str = 'http'
+    ending: bool = False
     _killed: bool = False
 
     @property
@@ -72,19 +75,19 @@
 
     @property
     def running(self) -> bool:
-        """It has not ended; a stopped process is running."""
-        # The end of a killed process is learned some time later. Taken for
-        # running meanwhile, it is not started again, and whoever looks for it
-        # finds nobody at its port.
-        return self._inner.returncode is None and not self._killed
+        """It has not ended, nor been killed; a stopped process is running."""
+        if self._killed or self._inner.returncode is not None:
+            return False
+        return not _has_ended(self.pid)
 
     def kill(self) -> None:
         """Ends it at once; `wait` tells when its port is free."""
-        self._killed = True
+        self.ending = self._killed = True
         self._signal(signal.SIGKILL)
 
     def terminate(self) -> None:
         """Asks it to end gracefully."""
+        self.ending = True
         self._signal(signal.SIGTERM)
 
     def stop(self) -> None:
@@ -128,6 +131,15 @@
             self._inner.send_signal(number)
 
 
+def _has_ended(pid: int) -> bool:
+    """Whether a child has ended, though its end may not be collected yet."""
+    how = os.WEXITED | os.WNOHANG | os.WNOWAIT
+    try:
+        return os.waitid(os.P_PID, pid, how) is not None
+    except ChildProcessError:
+        return True
+
+
 class Launcher:
     """Starts processes; used as an asynchronous context manager.
 
--- a/tests/quetzalsill_dev/test_cluster.py
+++ b/tests/quetzalsill_dev/test_cluster.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
+import signal
 import unittest
+from unittest import mock
 
 from quetzalsill_dev import board, cluster, launch
 
@@ -31,6 +35,43 @@
         self.assertIsNot(router, killed)
         self.assertEqual(router.port, killed.port)
 
+    async def assert_restarted(self, ended):
+        await self.cluster.restart_ended()
+        await self.cluster.wait_ready()
+        (router,) = self.cluster.routers.values()
+        self.assertIsNot(router, ended)
+        self.assertEqual(router.port, ended.port)
+
+    async def test_restart_while_a_process_ends_gracefully(self):
+        """A test fails in its first step: its router is about to end."""
+        (ending,) = self.cluster.routers.values()
+        ending.terminate()
+        await self.assert_restarted(ending)
+
+    async def test_restart_of_a_process_that_ended_by_itself(self):
+        """A test fails in its first step: nobody has noticed an end."""
+        (ended,) = self.cluster.routers.values()
+        _end(ended.pid)
+        await self.assert_restarted(ended)
+
+    async def test_restart_of_a_process_that_has_closed_its_port(self):
+        """A test fails in its first step: a process takes time to end."""
+        (closed,) = self.cluster.routers.values()
+        closed.kill()
+        await closed.wait()
+        with mock.patch.object(launch.Process, 'running', True):
+            await self.cluster.restart_ended()
+        await self.cluster.wait_ready()
+        (router,) = self.cluster.routers.values()
+        self.assertIsNot(router, closed)
+
+
+def _end(pid):
+    """Kills a process behind the launcher's back, and waits for its end."""
+    os.kill(pid, signal.SIGKILL)
+    with contextlib.suppress(ChildProcessError):
+        os.waitid(os.P_PID, pid, os.WEXITED | os.WNOWAIT)
+
 
 if __name__ == '__main__':
     unittest.main()
