Keep the store's answer that came as the time for it ended

What callers saw: 503 store_unavailable, "no answer within 0.3 s", for plans that the store had taken or would have taken. Cause: a call of the store is bounded by `asyncio.timeout`, which drops the answer that a paused router wakes to. A write that took effect counted as one that may be lost, a read as unavailable.

--- a/packages/quetzalsill/src/quetzalsill/platform/exchange.py
+++ b/packages/quetzalsill/src/quetzalsill/platform/exchange.py
@@ -12,6 +12,7 @@
 
 from blacksheep import contents, messages, url
 
+from quetzalsill.net import deadline
 from quetzalsill.net import error as net_error
 from quetzalsill.platform import error, health
 
@@ -133,7 +134,7 @@
 
     async def _send(self, req: messages.Request) -> Reply:
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with deadline.timeout(self._timeout_s):
                 await self._slots.acquire()
         except TimeoutError as exc:
             raise error.PlatformUnavailableError('too many calls') from exc
@@ -145,7 +146,7 @@
     async def _exchange(self, req: messages.Request) -> Reply:
         sent = False
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with deadline.timeout(self._timeout_s):
                 conn = await self._connection(req.url)
                 sent = True
                 reply = await _answer(conn, req)
--- a/tests/quetzalsill/platform/test_exchange.py
+++ b/tests/quetzalsill/platform/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 
 from quetzalsill.platform import error, table
@@ -10,6 +11,7 @@
 
 TIMEOUT_S = 0.5
 BOUND_S = 10.0
+SHORT_S = 0.1
 CREATE = [table.Condition('t', 'row', 0)]
 WRITE = [table.Write('t', 'row', {'n': 1})]
 
@@ -172,5 +174,40 @@
             await self.table.transact(CREATE, WRITE)
 
 
+class PauseTest(unittest.IsolatedAsyncioTestCase):
+    """A store that answers, and a process that is paused right behind."""
+
+    async def asyncSetUp(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.addAsyncCleanup(self.server.wait_closed)
+        self.addCleanup(self.server.close)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.clients = await standin.open_clients(
+            self, f'http://{host}:{port}', SHORT_S
+        )
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        body = b'{"version": 1, "value": 7, "versions": [1]}'
+        writer.write(
+            b'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
+            b'content-length: %d\r\n\r\n%s' % (len(body), body)
+        )
+        if head.startswith((b'GET', b'POST')):
+            time.sleep(2 * SHORT_S)
+        await reader.read()
+        writer.close()
+
+    async def test_an_answer_that_comes_as_its_time_ends(self):
+        """A plan is refused for a store that has answered."""
+        row = await self.clients.table.get('t', 'row')
+        self.assertEqual(row, table.Row(1, 7))
+
+    async def test_a_write_that_is_answered_as_its_time_ends(self):
+        """A write that took effect counts as one that may be lost."""
+        versions = await self.clients.table.transact(CREATE, WRITE)
+        self.assertEqual(versions, [1])
+
+
 if __name__ == '__main__':
     unittest.main()
