Finish a run whose answer came as its deadline passed

What callers saw: outcome_unknown or deadline_exceeded for an order that the service had confirmed, when the sidecar was paused. Cause: as at the gateway: `asyncio.timeout_at` drops what a paused process wakes to together with the deadline. The calls of an engine and the opening of a connection have the same bound.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/runner.py
@@ -7,6 +7,7 @@
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
+from quetzalsill.net import deadline
 from quetzalsill.telemetry import trace
 from quetzalsill.wire import kind, message
 from quetzalsill_sidecar import error, event
@@ -121,7 +122,7 @@
             'sidecar.attempt', parent=dispatch.trace, attempt=attempt.id
         ):
             try:
-                async with asyncio.timeout_at(attempt.deadline):
+                async with deadline.timeout_at(attempt.deadline):
                     terminal = await self._serve(attempt, demand)
             except TimeoutError:
                 terminal = self._stopped(
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/engine.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 import json
 import urllib.parse
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import deadline
 from quetzalsill.wire import kind as wire_kind
 from quetzalsill_sidecar import error
 from quetzalsill_sidecar.upstream import http
@@ -148,7 +148,7 @@
         headers = JSON_HEADERS if content else []
         try:
             async with (
-                asyncio.timeout(timeout_s or self._answer_s),
+                deadline.timeout(timeout_s or self._answer_s),
                 http.exchange(self._origin, self._connect_s) as conn,
             ):
                 check()
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/http.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/http.py
@@ -19,8 +19,8 @@
 
 import h11
 
+from quetzalsill.net import deadline, keepalive, parser
 from quetzalsill.net import error as net_error
-from quetzalsill.net import keepalive, parser
 from quetzalsill_sidecar import error
 
 if TYPE_CHECKING:
@@ -202,7 +202,7 @@
       UpstreamConnectError: refused, unreachable or not open in `timeout_s`.
     """
     try:
-        async with asyncio.timeout(timeout_s):
+        async with deadline.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(
                 origin.host, origin.port
             )
--- a/tests/quetzalsill_sidecar/test_calls.py
+++ b/tests/quetzalsill_sidecar/test_calls.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import time
 import unittest
 
 from quetzalsill.wire import message
@@ -10,6 +12,7 @@
 from tests.quetzalsill_sidecar import support
 
 MEBIBYTE = 1 << 20
+DEADLINE_MS = 300
 
 
 def call(**changes: object) -> dict[str, object]:
@@ -201,5 +204,34 @@
         self.assertEqual(messages[0].code, 'bad_request')
 
 
+class PauseTest(unittest.IsolatedAsyncioTestCase):
+    """A service that answers, and a process that is paused right behind."""
+
+    async def test_an_answer_that_comes_as_the_deadline_passes(self):
+        """A shop is told that its order's time ran out, though it is taken."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\ntaken')
+            time.sleep(2 * DEADLINE_MS / 1000)
+            await reader.read()
+            writer.close()
+
+        service = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addAsyncCleanup(service.wait_closed)
+        self.addCleanup(service.close)
+        port = service.sockets[0].getsockname()[1]
+        sidecar = await self.enterAsyncContext(
+            support.sidecar(f'http://127.0.0.1:{port}', kind='app')
+        )
+        router = await self.enterAsyncContext(support.router(sidecar.port))
+        attempt = router.dispatch(
+            **call(path='/orders', idempotent=False, remaining_ms=DEADLINE_MS)
+        )
+        messages = await router.receive_all(attempt)
+        self.assertIsInstance(messages[-1], message.Finished)
+        self.assertEqual(body(messages), b'taken')
+
+
 if __name__ == '__main__':
     unittest.main()
