Tell an acceptance that was stored before its bound from one in doubt

What callers saw: 504 outcome_unknown, "acceptance of ... is not settled", for plans that the store had taken. Cause: a router that is paused for longer than an acceptance may take wakes to the store's answer and to its own bound. The answer goes through the exchange, the log writer and a future; the bound fires before that. Change: acceptances, records of a dispatch, claims and settlements are bounded by `net.deadline`, and a deadline whose timer comes over 20 ms late gives what came in the pause 50 ms to arrive. Four turns of the loop were too few for that: the new test of an answer that takes 20 turns fails without it.

--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/claim.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/claim.py
@@ -10,6 +10,7 @@
 
 from quetzalsill.error import base
 from quetzalsill.error import request as request_error
+from quetzalsill.net import deadline
 from quetzalsill.platform import error as platform_error
 from quetzalsill.telemetry import log as telemetry_log
 from quetzalsill_router.durable import answer as durable_answer
@@ -85,7 +86,7 @@
           SupersededError: Another router has taken the entry over.
         """
         try:
-            async with asyncio.timeout(self._bound_s()):
+            async with deadline.timeout(self._bound_s()):
                 holder = await self._acquire(entry)
         except (
             TimeoutError,
@@ -166,7 +167,7 @@
         """
         exc = self._journal.unavailable('the key could not be claimed')
         try:
-            async with asyncio.timeout(self._bound_s()):
+            async with deadline.timeout(self._bound_s()):
                 await self._journal.settle(entry, durable_answer.failure(exc))
         except TimeoutError:
             return request_error.OutcomeUnknownError(
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/journal.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import request as request_error
+from quetzalsill.net import deadline
 from quetzalsill.telemetry import metric
 from quetzalsill_router.durable import error
 from quetzalsill_router.durable import pace as durable_pace
@@ -67,7 +68,7 @@
         self._writer.queue.add(waiting)
         bound_s = durable_pace.bound_s(self._cfg, self._pace)
         try:
-            async with asyncio.timeout(bound_s):
+            async with deadline.timeout(bound_s):
                 await waiting.done
         except TimeoutError:
             return self._late(waiting)
@@ -106,7 +107,7 @@
         self._writer.queue.add(waiting)
         bound_s = durable_pace.bound_s(self._cfg, self._pace)
         try:
-            async with asyncio.timeout(bound_s):
+            async with deadline.timeout(bound_s):
                 await asyncio.shield(waiting.done)
         except TimeoutError:
             self._writer.queue.remove(waiting)
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/record.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/record.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import request as request_error
+from quetzalsill.net import deadline
 from quetzalsill_router import event
 from quetzalsill_router.durable import answer as durable_answer
 from quetzalsill_router.request import piece, spec
@@ -81,7 +81,7 @@
         ctx.recent.put(work.account, request, answer)
         return
     try:
-        async with asyncio.timeout(SETTLE_WAIT_S):
+        async with deadline.timeout(SETTLE_WAIT_S):
             await ctx.journal.settle(work.entry, answer)
     except TimeoutError:
         event.note(event.SettleDelayed(request=request))
--- a/packages/quetzalsill/src/quetzalsill/net/deadline.py
+++ b/packages/quetzalsill/src/quetzalsill/net/deadline.py
@@ -3,6 +3,10 @@
 A process that was paused wakes to an answer and to the end of the wait for it
 in one turn of the event loop. `asyncio.timeout` then cancels the task although
 its answer is there; a `Deadline` lets the task take the answer first.
+
+What has come passes through other tasks before it is with the one that waits,
+some of them with work of their own. So a process that notices by the lateness
+of the timer that it was paused gives them a moment.
 """
 
 from __future__ import annotations
@@ -13,11 +17,15 @@
 if TYPE_CHECKING:
     import types
 
-__all__ = ['Deadline', 'timeout', 'timeout_at']
+__all__ = ['LATE_S', 'Deadline', 'timeout', 'timeout_at']
 
 # Turns of the loop from received bytes to the task that waits for them: through
 # a reader, a task of its own and a shield around that.
 TURNS = 4
+# A timer that is this late tells of a pause; a loaded event loop is less so.
+LATE_S = 0.02
+# How long what came during a pause may take to arrive.
+GRACE_S = 0.05
 
 
 class Deadline:
@@ -62,12 +70,18 @@
         self._cancel_timer()
         self._when_s = when_s
         if when_s is not None:
-            self._handle = self._loop.call_at(when_s, self._expire, TURNS)
+            self._handle = self._loop.call_at(when_s, self._due)
 
     def _cancel_timer(self) -> None:
         if self._handle is not None:
             self._handle.cancel()
 
+    def _due(self) -> None:
+        if self._loop.time() - self._when_s > LATE_S:
+            self._handle = self._loop.call_later(GRACE_S, self._expire, TURNS)
+        else:
+            self._expire(TURNS)
+
     def _expire(self, turns: int) -> None:
         if turns:
             self._handle = self._loop.call_soon(self._expire, turns - 1)
--- a/tests/quetzalsill/net/test_deadline.py
+++ b/tests/quetzalsill/net/test_deadline.py
@@ -10,6 +10,7 @@
 from quetzalsill.net import deadline
 
 SHORT_S = 0.02
+MANY_TURNS = 20
 
 
 class DeadlineTest(unittest.IsolatedAsyncioTestCase):
@@ -25,7 +26,7 @@
     def answer_and_pause(self):
         """An answer arrives, and the process is paused past the deadline."""
         self.far.sendall(b'answer\n')
-        time.sleep(2 * SHORT_S)
+        time.sleep(2 * SHORT_S + deadline.LATE_S)
 
     async def read_shielded(self):
         reading = asyncio.create_task(self.reader.readline())
@@ -40,6 +41,19 @@
                     found = await read()
                 self.assertEqual(found, b'answer\n')
 
+    async def test_an_answer_that_takes_many_turns_to_arrive(self):
+        """An answer goes through more parts than a moment has turns."""
+
+        async def read():
+            for _ in range(MANY_TURNS):
+                await asyncio.sleep(0)
+            return await self.reader.readline()
+
+        asyncio.get_running_loop().call_soon(self.answer_and_pause)
+        async with deadline.timeout(SHORT_S):
+            found = await read()
+        self.assertEqual(found, b'answer\n')
+
     async def test_silence_ends_at_the_deadline(self):
         with self.assertRaises(TimeoutError):
             async with deadline.timeout(SHORT_S):
--- a/tests/quetzalsill_router/durable/test_journal.py
+++ b/tests/quetzalsill_router/durable/test_journal.py
@@ -70,6 +70,22 @@
 
         virtual.run(story)
 
+    def test_process_is_paused_during_an_acceptance(self):
+        """A plan that the store took is told to be in doubt.
+
+        The router is paused for longer than an acceptance may take, and wakes
+        to the store's answer and to the end of the wait for it.
+        """
+
+        async def story():
+            _, router = await one_router()
+            loop = asyncio.get_running_loop()
+            loop.call_soon(loop.pause, 2 * world.CFG.accept_s)
+            entry = world.make_entry('first')
+            self.assertTrue(await router.state.journal.accept(entry))
+
+        virtual.run(story)
+
     def test_answer_lost(self):
         """The store takes a manifest and its answer to that is lost.
 
--- a/tests/quetzalsill_router/durable/virtual.py
+++ b/tests/quetzalsill_router/durable/virtual.py
@@ -38,6 +38,10 @@
         # Else a timer due within the clock's resolution would run early.
         self._clock_resolution = 1e-9
 
+    def pause(self, duration_s):
+        """Lets the time pass as if the process did not run."""
+        self._virtual.now += duration_s
+
     def time(self):
         """Gives the virtual time in seconds."""
         return self._virtual.now
