Take an engine for gone at the second connection that nobody answers

What callers would have seen: nothing; their run at work at two engines. Cause: `stream.stop` takes an engine that lets nobody connect for gone, and the run goes on at its backup. Evidence: read, then a test: an engine whose first connection nobody answers, and whose second order stops the run. UNREACHED before, STOPPED after. Change: a connection that is refused says at once that nobody is there, as before; one that nobody answers has to be followed by another.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -259,7 +259,8 @@
     """Opens a connection.
 
     Raises:
-      error.ConnectError: It did not come about in time.
+      error.UnansweredError: Nobody answered in time.
+      error.ConnectError: It was refused, or could not be made.
     """
     loop = asyncio.get_running_loop()
     try:
@@ -267,6 +268,8 @@
             _, conn = await loop.create_connection(
                 lambda: Conn(address, count), address[0], address[1]
             )
-    except (TimeoutError, OSError) as exc:
+    except TimeoutError as exc:
+        raise error.UnansweredError(f'{address[0]}:{address[1]}') from exc
+    except OSError as exc:
         raise error.ConnectError(f'{address[0]}:{address[1]}: {exc}') from exc
     return conn
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -14,6 +14,7 @@
     'NotSentError',
     'SilentError',
     'TruncatedError',
+    'UnansweredError',
 ]
 
 
@@ -35,6 +36,16 @@
     ran = base.Ran.NO
 
 
+class UnansweredError(ConnectError):
+    """Nobody answered in time that a connection should be opened.
+
+    A refusal says that nobody listens there; silence may be a lost packet, or a
+    queue of connections that is full.
+    """
+
+    code = 'upstream_unanswered'
+
+
 class EndedError(ConnectError):
     """The connection ended before anything was sent on it.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/stop.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/stop.py
@@ -21,6 +21,8 @@
 # Between two orders, doubled each time: small at first against the time of a
 # copy, which is what a refused order waits for.
 FIRST_PAUSE_S = 0.01
+# So many connections in a row that nobody answers are no lost packet.
+UNANSWERED = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -47,7 +49,8 @@
     An engine with another order for the run under way refuses, and one with
     too many connections resets this one: both are there, and may have the run.
     So does one that takes the order and is slow to answer. Only an engine that
-    lets nobody connect is taken for gone, unless it has refused just before.
+    lets nobody connect is taken for gone, unless it has refused just before:
+    at once if the connection is refused, at the second if nobody answers.
 
     Args:
       calls: Orders to engines.
@@ -59,6 +62,7 @@
     pause_s = FIRST_PAUSE_S
     move = dialect_lib.Move()
     has_refused = False
+    unanswered = 0
     while (left_s := end_s - attempt.now()) > 0:
         order = asyncio.ensure_future(calls.move(engine, request, target, True))
         try:
@@ -71,6 +75,12 @@
             has_refused |= move.refused
         except error.EndedError as exc:
             move = dialect_lib.Move(refused=True, code=exc.code)
+        except error.UnansweredError as exc:
+            unanswered += 1
+            is_gone = unanswered >= UNANSWERED and not has_refused
+            move = dialect_lib.Move(refused=not is_gone, code=exc.code)
+            if is_gone:
+                return Stopped(at_most_once.RunState.UNREACHED, move)
         except error.ConnectError as exc:
             move = dialect_lib.Move(refused=has_refused, code=exc.code)
             if not has_refused:
--- a/tests/quetzalsill_gateway/http/test_call.py
+++ b/tests/quetzalsill_gateway/http/test_call.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from quetzalsill_gateway.http import call, error
 
@@ -36,7 +37,19 @@
     async def test_nobody_listens(self):
         self.server.close()
         await self.server.wait_closed()
-        with self.assertRaises(error.ConnectError):
+        with self.assertRaises(error.ConnectError) as caught:
+            await call.connect(self.address, CONNECT_S)
+        self.assertNotIsInstance(caught.exception, error.UnansweredError)
+
+    async def test_nobody_answers(self):
+        async def never(*_):
+            await asyncio.Event().wait()
+
+        loop = asyncio.get_running_loop()
+        with (
+            mock.patch.object(loop, 'create_connection', never),
+            self.assertRaises(error.UnansweredError),
+        ):
             await call.connect(self.address, CONNECT_S)
 
 
--- a/tests/quetzalsill_gateway/stream/test_stop.py
+++ b/tests/quetzalsill_gateway/stream/test_stop.py
@@ -63,6 +63,17 @@
         for lost in (error.TruncatedError(), error.EndedError()):
             self.assertIs(await self.stop(lost), RunState.AT_WORK)
 
+    async def test_one_connection_that_nobody_answers_says_little(self):
+        """A plan is at work at two engines.
+
+        The first packet to its engine is lost, or the queue of connections
+        there is full for a moment.
+        """
+        silent = error.UnansweredError('nobody answers')
+        self.assertIs(await self.stop(silent, STOPPED), RunState.STOPPED)
+        self.assertIs(await self.stop(silent, REFUSED), RunState.AT_WORK)
+        self.assertIs(await self.stop(silent), RunState.UNREACHED)
+
     async def test_a_refusal_outlasts_a_connection_that_fails(self):
         """The engine has said that it has the run; a full one says no more."""
         found = await self.stop(REFUSED, error.ConnectError('full'))
