--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -13,6 +13,7 @@
 
 __all__ = ['Exchange', 'ScriptedServer']
 
+SHOWN_BYTES = 200
 READ_BYTES = 65536
 # Linger for no time: what is not sent by then is dropped, and so is the
 # connection.
@@ -136,9 +137,19 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        last = ''
         while not writer.transport.is_closing():
             parser = h11.Connection(h11.SERVER)
-            request = await _event(parser, reader)
+            try:
+                request = await _event(parser, reader)
+            except h11.RemoteProtocolError as exc:
+                data, _ = parser.trailing_data
+                peer = writer.get_extra_info('peername')
+                exc.add_note(
+                    f'from {peer}, behind {last or "nothing"}: '
+                    f'{data[:SHOWN_BYTES]!r}'
+                )
+                raise
             if not isinstance(request, h11.Request):
                 return
             body = b''
@@ -151,6 +162,7 @@
                 body,
                 writer,
             )
+            last = f'{exchange.method} {exchange.target}'
             working = asyncio.create_task(self._work(exchange))
             await self._until_done(working, reader, writer)
 
