--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -13,7 +13,6 @@
 
 __all__ = ['Exchange', 'ScriptedServer']
 
-SHOWN_BYTES = 200
 READ_BYTES = 65536
 # Linger for no time: what is not sent by then is dropped, and so is the
 # connection.
@@ -143,12 +142,8 @@
             try:
                 request = await _event(parser, reader)
             except h11.RemoteProtocolError as exc:
-                data, _ = parser.trailing_data
                 peer = writer.get_extra_info('peername')
-                exc.add_note(
-                    f'from {peer}, behind {last or "nothing"}: '
-                    f'{data[:SHOWN_BYTES]!r}'
-                )
+                exc.add_note(f'from {peer}, behind {last or "nothing"}')
                 raise
             if not isinstance(request, h11.Request):
                 return
