--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -23,6 +23,14 @@
 
 __all__ = ['Session']
 
+# What ends an attempt. A router that takes it acknowledges only some of them.
+ENDS = (
+    message.Refused,
+    message.Withdrawn,
+    message.Finished,
+    message.Failed,
+)
+
 
 class Session:
     """Acts on the messages of one router.
@@ -30,6 +38,7 @@
     Attributes:
       link: The link that is served.
       is_going_away: Whether the router has said that it ends.
+      ends: Ends of attempts that were sent.
     """
 
     def __init__(
@@ -43,6 +52,7 @@
         """Takes a link whose handshake is done."""
         self.link = link
         self.is_going_away = False
+        self.ends = 0
         self._intake = intake
         self._attempts = attempts
         self._configuration = configuration
@@ -76,6 +86,7 @@
 
     def put(self, msg: message.Message) -> None:
         """Sends to the router; a link that is gone is noticed by `serve`."""
+        self.ends += isinstance(msg, ENDS)
         with contextlib.suppress(wire_error.LinkClosedError):
             self.link.send_nowait(msg)
 
