Take a link's handshake that came as its time ended

What callers saw: refusals, or a wait of two seconds, for a link that was there. Cause: a handshake is bounded by `asyncio.timeout`; a router that was paused wakes to the sidecar's Welcome and to the bound, and drops the link. Calls of the command line and of plain HTTP sessions have the same bound.

--- a/packages/quetzalsill/src/quetzalsill/net/client.py
+++ b/packages/quetzalsill/src/quetzalsill/net/client.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from blacksheep.client import session as library_session
 
-from quetzalsill.net import error, pool
+from quetzalsill.net import deadline, error, pool
 from quetzalsill.settings import section
 
 if TYPE_CHECKING:
@@ -44,7 +43,7 @@
         """
         kept = self.pools.get_pool(url.schema, url.host, url.port)
         try:
-            async with asyncio.timeout(self.connection_timeout):
+            async with deadline.timeout(self.connection_timeout):
                 return await kept.get_connection()
         except OSError as exc:
             raise error.ConnectFailedError(
@@ -56,7 +55,7 @@
     ) -> blacksheep.Response:
         conn = await self.get_connection(request.url)
         try:
-            async with asyncio.timeout(self.request_timeout):
+            async with deadline.timeout(self.request_timeout):
                 return await conn.send(request)
         except TimeoutError as exc:
             conn.note_silence()
--- a/packages/quetzalsill/src/quetzalsill/net/connection.py
+++ b/packages/quetzalsill/src/quetzalsill/net/connection.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import weakref
 from collections.abc import AsyncIterator, Callable
 from typing import TYPE_CHECKING
@@ -16,7 +15,7 @@
 import h11
 from blacksheep.client import connection as library_connection
 
-from quetzalsill.net import error, keepalive, parser
+from quetzalsill.net import deadline, error, keepalive, parser
 
 if TYPE_CHECKING:
     import ssl
@@ -81,7 +80,7 @@
 
     async def _more(self) -> None:
         try:
-            async with asyncio.timeout(self._silence_s):
+            async with deadline.timeout(self._silence_s):
                 await self._conn.feed_parser()
         except TimeoutError as exc:
             self._conn.note_silence()
@@ -193,7 +192,7 @@
     async def _receive_response(
         self, timeout: float | None = None
     ) -> blacksheep.Response:
-        async with asyncio.timeout(timeout):
+        async with deadline.timeout(timeout):
             while self._parser.head is None:
                 await self.feed_parser()
         head = self._parser.head
--- a/packages/quetzalsill/src/quetzalsill/wire/dial.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/dial.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import deadline
 from quetzalsill.wire import error, frame, handshake, link
 
 if TYPE_CHECKING:
@@ -48,7 +49,7 @@
       error.WireError: The other end broke the protocol.
     """
     try:
-        async with asyncio.timeout(timing.connect_s):
+        async with deadline.timeout(timing.connect_s):
             reader, writer = await asyncio.open_connection(host, port, ssl=tls)
             try:
                 return await _shake_hands(
--- a/packages/quetzalsill/src/quetzalsill/wire/listen.py
+++ b/packages/quetzalsill/src/quetzalsill/wire/listen.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill import event
+from quetzalsill.net import deadline
 from quetzalsill.wire import error, frame, handshake, link, message
 
 if TYPE_CHECKING:
@@ -139,7 +140,7 @@
         try:
             # A client that sends its Hello byte by byte, or none, would
             # hold the connection for good.
-            async with asyncio.timeout(self._timing.connect_s):
+            async with deadline.timeout(self._timing.connect_s):
                 first = await handshake.read_first(reader, splitter)
         except TimeoutError as exc:
             raise error.HandshakeTimeoutError(
--- a/tests/quetzalsill/wire/test_link.py
+++ b/tests/quetzalsill/wire/test_link.py
@@ -6,6 +6,7 @@
 import dataclasses
 import pathlib
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -214,6 +215,18 @@
         with self.assertRaises(error.HandshakeTimeoutError):
             await self.dial(timing=Timing(connect_s=0.2), port=port)
 
+    async def test_a_welcome_that_comes_as_its_time_ends(self):
+        """A router that was paused takes a sidecar for silent, and waits."""
+        short = Timing(connect_s=0.1)
+
+        def welcome_and_pause(msg):
+            time.sleep(2 * short.connect_s)
+            return welcome(msg)
+
+        self.server._welcome = welcome_and_pause
+        conn = await self.dial(timing=short)
+        self.assertEqual(conn.peer.node, 'host-1')
+
     async def test_nobody_listens(self):
         server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
