--- a/tests/quetzalsill_gateway/http/test_fetch.py
+++ b/tests/quetzalsill_gateway/http/test_fetch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 import unittest
 
@@ -48,6 +49,19 @@
         with self.assertRaises(error.SilentError):
             await self.fetch()
 
+    async def test_a_server_that_is_paused_is_not_gone(self):
+        """A plan is at work at two engines, one of them just paused."""
+        paused = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(paused.close)
+        with self.assertRaises(error.SilentError):
+            await fetch.fetch(
+                pool.Pool(),
+                paused.getsockname()[:2],
+                'POST',
+                '/',
+                timeout_s=BOUND_S,
+            )
+
 
 if __name__ == '__main__':
     unittest.main()
