--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -30,7 +30,7 @@
 END_BOUND_S = 30.0
 LINE_LIMIT = 1024 * 1024
 LOG_TAIL = 4000
-KNOCK_S = 0.05
+PROBE_S = 0.05
 STEPS = 'steps.txt'
 
 
@@ -218,7 +218,7 @@
         ready = asyncio.get_running_loop().create_future()
         self._pumps.append(asyncio.create_task(_pump(inner, log, ready)))
         if port:
-            self._pumps.append(asyncio.create_task(_knock(port, ready)))
+            self._pumps.append(asyncio.create_task(_probe(port, ready)))
         try:
             async with asyncio.timeout(READY_BOUND_S):
                 process.port = await ready
@@ -246,13 +246,13 @@
         ready.set_result(0)
 
 
-async def _knock(port: int, ready: asyncio.Future[int]) -> None:
+async def _probe(port: int, ready: asyncio.Future[int]) -> None:
     """Connects until it is let in, or nobody waits any longer."""
     while not ready.done():
         try:
             _, writer = await asyncio.open_connection('127.0.0.1', port)
         except OSError:
-            await asyncio.sleep(KNOCK_S)
+            await asyncio.sleep(PROBE_S)
             continue
         writer.close()
         if not ready.done():
--- a/tests/failure/fixture.py
+++ b/tests/failure/fixture.py
@@ -80,7 +80,7 @@
     """Runs all tests of a class on one cluster, which starts but once.
 
     Its tests are coroutines under `on_cluster`. One may leave processes
-    killed or paused and switches set: the next begins with `mend`.
+    killed or paused and switches set: the next begins with `restore`.
 
     Attributes:
       LAYOUT: Processes of the cluster.
@@ -119,9 +119,9 @@
 
     def setUp(self):
         self.addCleanup(self.show_logs)
-        self.runner.run(self.mend())
+        self.runner.run(self.restore())
 
-    async def mend(self):
+    async def restore(self):
         """Brings every process back; a subclass resets its switches too."""
         for process in self.launcher.processes:
             process.cont()
--- a/tests/failure/patient.py
+++ b/tests/failure/patient.py
@@ -51,9 +51,9 @@
         )
         return cfg
 
-    async def mend(self):
+    async def restore(self):
         await self.set_store()
-        await super().mend()
+        await super().restore()
         self.first, self.second = self.cluster.routers.values()
         # Both stores of a router must know that the platform is back.
         for router in (self.first, self.second):
@@ -138,7 +138,7 @@
         self.first.stop()
 
     async def heal(self):
-        """Mends what failed, without a look at whether all serve."""
+        """Restores what failed, without a look at whether all serve."""
         for process in self.launcher.processes:
             process.cont()
         await self.set_store()
@@ -202,7 +202,7 @@
     async def run_case(self, name, *rounds):
         """Has work accepted, lets faults strike round by round, and checks."""
         with self.subTest(name):
-            await self.mend()
+            await self.restore()
             accepted = await self.submit(name, self.first)
             await self.until_first_tokens(accepted)
             before = {}
--- a/tests/failure/relayed.py
+++ b/tests/failure/relayed.py
@@ -60,11 +60,11 @@
         for middle in cls.relays.values():
             await middle.stop()
 
-    async def mend(self):
+    async def restore(self):
         for middle in self.relays.values():
             middle.refusing = False
             middle.delay(0.0)
-        await super().mend()
+        await super().restore()
         await self.until(self.is_served)
         self.seen_runs = {
             name: await self._run_ids(name) for name in self.engines
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -38,13 +38,13 @@
         )
         return cfg
 
-    async def mend(self):
+    async def restore(self):
         await self.slow_down(store_s=0, app_s=0, stall=False)
         await self.cluster.switch(
             self.cluster.store, lose_answers=0, lose_only=''
         )
         await self.cluster.switch(self.app, close_orders=0)
-        await super().mend()
+        await super().restore()
         await asking.until_served(self.cluster)
         self.first, self.second = self.cluster.routers.values()
 
@@ -123,7 +123,7 @@
           strike: Does it.
           lost: Kinds of which nobody can tell the outcome afterwards.
         """
-        await self.mend()
+        await self.restore()
         names = {f'{kind}-{fault}-{step}': ASKS[kind] for kind in ASKS}
         if step == 'unread':
             await strike()
--- a/tests/failure/test_bad_input.py
+++ b/tests/failure/test_bad_input.py
@@ -210,8 +210,8 @@
     RELAYED = ()
     LAYOUT = board.board_layout(engines=1, services=1, routers=1)
 
-    async def mend(self):
-        await super().mend()
+    async def restore(self):
+        await super().restore()
         self.commands = asyncio.Semaphore(4)
         (self.router,) = self.cluster.routers.values()
         (name,) = self.engines
@@ -349,7 +349,7 @@
 
     @relayed.fixture.on_cluster
     async def test_commands(self):
-        """An operator mistypes; the command names the word and its mend."""
+        """An operator mistypes; the command names the word and its restore."""
         with tempfile.NamedTemporaryFile('w', suffix='.json') as file:
             file.write('{"profiles": {"prompt": {"deadline_s": "FILE"}}}')
             file.flush()
--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -58,7 +58,7 @@
         for one in cls.relays.values():
             one.delay(seconds)
 
-    async def mend(self):
+    async def restore(self):
         self.delay_sidecars(0)
         await self.cluster.switch(
             self.cluster.store,
@@ -69,7 +69,7 @@
         )
         seeds = [process.address for process in self.cluster.sidecars.values()]
         self.cluster.changes['router']['seeds'] = seeds
-        await super().mend()
+        await super().restore()
         self.first, self.second = self.cluster.routers.values()
         self.urls = [self.first.url, self.second.url]
         await self.until_everywhere()
--- a/tests/failure/test_leaving.py
+++ b/tests/failure/test_leaving.py
@@ -39,14 +39,14 @@
 
     RELAYED = tuple(f'sidecar:{name}' for name in LEAVING)
 
-    async def mend(self):
+    async def restore(self):
         for name, process in self.cluster.upstreams.items():
             if not process.running:
                 await self.cluster.start_upstream(name)
         engine = self.cluster.upstreams[RECLAIMED]
         await self.cluster.switch(engine, leaving=False)
         await self.cluster.switch(self.cluster.hosts, lag_s=HOST_LIST_LAG_S)
-        await super().mend()
+        await super().restore()
         for between in self.relays.values():
             between.delay(LINK_DELAY_S)
         self.routers = list(self.cluster.routers.values())
--- a/tests/failure/test_membership.py
+++ b/tests/failure/test_membership.py
@@ -34,9 +34,9 @@
         'sidecar': {'link': LINKS},
     }
 
-    async def mend(self):
+    async def restore(self):
         await self.cluster.switch(self.cluster.hosts, down=False, lag_s=LAG_S)
-        await super().mend()
+        await super().restore()
         await self.cluster.set_hosts()
         (self.router,) = self.cluster.routers.values()
         await traffic.until_state([self.router], 'live')
--- a/tests/failure/test_not_run.py
+++ b/tests/failure/test_not_run.py
@@ -50,9 +50,9 @@
         cfg.profiles['brief'] = model.Profile(idempotent=False)
         return cfg
 
-    async def mend(self):
+    async def restore(self):
         await self.slow_down(1)
-        await super().mend()
+        await super().restore()
         await asking.until_served(self.cluster)
 
     async def slow_down(self, factor, stall=False):
--- a/tests/failure/test_orders.py
+++ b/tests/failure/test_orders.py
@@ -41,9 +41,9 @@
         cfg.models[OTHER] = model.Model(adapters=['x1', 'x2', 'x3'])
         return cfg
 
-    async def mend(self):
+    async def restore(self):
         await self.cluster.switch(self.cluster.store, down=False)
-        await super().mend()
+        await super().restore()
         for name in (IGNORES, CHECKS):
             await self.cluster.switch(self.cluster.upstreams[name], order_s=0)
             self.wanted(name).models = [board.MODEL]
--- a/tests/failure/test_patient.py
+++ b/tests/failure/test_patient.py
@@ -33,7 +33,7 @@
         queries are answered all the while.
         """
         for fault in patient.BROKEN_STORE:
-            await self.mend()
+            await self.restore()
             await self.set_store(**{fault: True})
             # The first may have to find out; from then on it is known.
             await asking.long_brief(
--- a/tests/failure/test_shutdown.py
+++ b/tests/failure/test_shutdown.py
@@ -27,11 +27,11 @@
         'sidecar': {'bounds': {'running': 4}, 'link': {'silence_s': 4.0}},
     }
 
-    async def mend(self):
+    async def restore(self):
         for name in self.cluster.upstreams:
             slow = {'delay_s': 0} if name == APP else {'stall': False}
             await self.cluster.switch(self.cluster.upstreams[name], **slow)
-        await super().mend()
+        await super().restore()
         self.first, self.second = self.cluster.routers.values()
         await traffic.until_state([self.first, self.second], 'live')
 
@@ -205,10 +205,10 @@
         self.cluster.changes['sidecar'] = {'timing': {'grace_s': GRACE_S}}
         await self.end_those_of_short_grace()
         self.addCleanup(self.runner.run, self.end_those_of_short_grace())
-        await self.mend()
+        await self.restore()
 
     async def end_those_of_short_grace(self):
-        """Lets `mend` start them again, with what the settings are then."""
+        """Lets `restore` start them again, with what the settings are then."""
         router = self.cluster.routers[self.first.name]
         sidecars = [self.cluster.sidecars[name] for name in ENGINES]
         for process in (router, *sidecars):
--- a/tests/failure/test_silent_connections.py
+++ b/tests/failure/test_silent_connections.py
@@ -56,10 +56,10 @@
                 route.timeout_s = ORDER_S
         return cfg
 
-    async def mend(self):
+    async def restore(self):
         app = self.cluster.upstreams[asking.APP]
         await self.cluster.switch(app, delay_s=0.0)
-        await super().mend()
+        await super().restore()
 
     async def replaced(self, hop, bound_s):
         """Waits until the hop has a new connection, with slack for load."""
--- a/tests/failure/test_tls.py
+++ b/tests/failure/test_tls.py
@@ -56,12 +56,12 @@
         cls.TLS = context(cls.caller)
         super().setUpClass()
 
-    async def mend(self):
+    async def restore(self):
         self.ours.path.write_bytes(self.pem)
         for name in NAMES:
             self.ours.issue(name)
         self.cluster.tls = context(self.caller)
-        await super().mend()
+        await super().restore()
 
     def ask(self, tokens, name='plan', profile='prompt', router=0, **headers):
         answer = caller.Answer()
--- a/tests/failure/test_unknown.py
+++ b/tests/failure/test_unknown.py
@@ -36,11 +36,11 @@
         orders.timeout_s = RECOVER_S / 2
         return cfg
 
-    async def mend(self):
+    async def restore(self):
         await self.cluster.switch(
             self.cluster.store, lose_answers=0, lose_only='', silent=False
         )
-        await super().mend()
+        await super().restore()
         await asking.until_served(self.cluster)
         self.first, self.second = self.cluster.routers.values()
 
