--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -21,11 +21,21 @@
 
 
 async def run(sidecar: parts.Parts) -> None:
-    """Sweeps for ever."""
+    """Sweeps for ever.
+
+    A process that was paused wakes to its timers before it reads what has come.
+    A router may have taken work over in that time, so that a late sweep is left
+    out once.
+    """
     clock = asyncio.get_running_loop().time
     expiry = clock()
+    was_late = False
     while True:
+        due = clock() + INTERVAL_S
         await asyncio.sleep(INTERVAL_S)
+        was_late = not was_late and clock() - due > INTERVAL_S
+        if was_late:
+            continue
         sweep(sidecar, clock())
         if clock() >= expiry:
             expiry = clock() + EXPIRY_S
--- a/tests/quetzalsill/net/test_deadline.py
+++ b/tests/quetzalsill/net/test_deadline.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import socket
-import time
 import unittest
 
 from quetzalsill.net import deadline
+from quetzalsill_dev.testing import pause
 
 SHORT_S = 0.02
 MANY_TURNS = 20
@@ -26,7 +26,7 @@
     def answer_and_pause(self):
         """An answer arrives, and the process is paused past the deadline."""
         self.far.sendall(b'answer\n')
-        time.sleep(2 * SHORT_S + deadline.LATE_S)
+        pause.pause(2 * SHORT_S + deadline.LATE_S)
 
     async def read_shielded(self):
         reading = asyncio.create_task(self.reader.readline())
--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from quetzalsill.wire import message
 from quetzalsill_dev.engine_standin import engine as engine_standin
 from quetzalsill_dev.engine_standin import generation
+from quetzalsill_dev.testing import pause
 from tests.quetzalsill_sidecar import support
 
+ORPHAN_S = 0.4
+
 
 class RecoverTest(unittest.IsolatedAsyncioTestCase):
     """The sidecar process dies; its engine may live on."""
@@ -52,6 +56,29 @@
         self.assertIsInstance(messages[-1], message.Finished)
         self.assertEqual(len(self.engine.audit()['runs']), 1)
 
+    async def test_taken_over_while_the_sidecar_is_paused(self):
+        """A plan is lost with a router, though another has taken it over.
+
+        The sidecar wakes to the new router's Dispatch, and past the time that
+        it waits for the old one.
+        """
+        loop = asyncio.get_running_loop()
+        async with support.sidecar(self.url, orphan_s=ORPHAN_S) as sidecar:
+            async with support.router(sidecar.port) as lost:
+                attempt = lost.dispatch(tokens=300)
+                while not support.indexes([await lost.receive(attempt)]):
+                    pass
+            async with support.router(sidecar.port) as router:
+                router.dispatch(
+                    attempt=attempt,
+                    recover=True,
+                    engine=self.engine.incarnation,
+                )
+                # Behind the write of the Dispatch, which follows this tick.
+                loop.call_soon(pause.pause, 2 * ORPHAN_S)
+                messages = await router.receive_all(attempt)
+        self.assertIsInstance(messages[-1], message.Finished)
+
     async def test_link_cut_again_before_the_engine_is_read(self):
         """A plan fails though its engine goes on with it.
 
