Say of work given up for a lost router that it failed

What callers saw: 409 cancelled for an accepted plan that nobody had cancelled. Cause: a sidecar that ends the work of a router that does not come back says "cancelled". For whoever takes the work over, that is a caller's word and final; a plan that may run twice was not run again. The new test of the sidecar failed before ('cancelled'); with that code the new test of the router ends in CancelledError in place of the plan's answer. Change: the sidecar says upstream_failed. A plan that may run twice is dispatched again; a brief that has run in part is told so. Left: an engine that has finished the work by then is not asked for its answer.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -63,8 +63,9 @@
         _sweep_waiting(sidecar, attempt, now, timing)
     elif attempt.link is None and now - attempt.detached >= attempt.orphan_s:
         # Its router is gone or has given it up; nobody would take the
-        # answer, and its memory on the engine is needed.
-        sidecar.intake.stop(attempt, request_error.CancelledError.code)
+        # answer, and its memory on the engine is needed. Nobody has cancelled
+        # it: whoever takes it over later may run it again if that is allowed.
+        sidecar.intake.stop(attempt, request_error.UpstreamFailedError.code)
 
 
 def _sweep_waiting(
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -373,6 +373,14 @@
         # An engine that was restarted since can't prove that it never ran.
         self.assertEqual(sent.engine, 4)
 
+    async def test_plan_that_was_given_up_as_its_router_was_lost(self):
+        """An accepted plan gets no answer: its sidecar waited for no taker."""
+        lost = fake.failed(base.Ran.YES)
+        peer = fake.Peer('one', (lost,), whole(b'a'))
+        ctx = fake.make_context(peer)
+        found = await collect(ctx, self._taken_over(ctx, idempotent=True))
+        self.assertEqual(found, [b'a'])
+
     async def test_answer_is_acknowledged_only_once_it_is_stored(self):
         """An order was taken, and nobody can tell what its answer was.
 
--- a/tests/quetzalsill_sidecar/test_recover.py
+++ b/tests/quetzalsill_sidecar/test_recover.py
@@ -79,6 +79,24 @@
                 messages = await router.receive_all(attempt)
         self.assertIsInstance(messages[-1], message.Finished)
 
+    async def test_taken_over_too_late(self):
+        """A caller is told that its plan was cancelled, which nobody did."""
+        async with support.sidecar(self.url, orphan_s=ORPHAN_S) as sidecar:
+            async with support.router(sidecar.port) as lost:
+                attempt = lost.dispatch(tokens=2000)
+                while not support.indexes([await lost.receive(attempt)]):
+                    pass
+            await support.until(lambda: not sidecar.queue.running)
+            async with support.router(sidecar.port) as router:
+                router.dispatch(
+                    attempt=attempt,
+                    recover=True,
+                    engine=self.engine.incarnation,
+                )
+                messages = await router.receive_all(attempt)
+        self.assertIsInstance(messages[-1], message.Failed)
+        self.assertEqual(messages[-1].code, 'upstream_failed')
+
     async def test_link_cut_again_before_the_engine_is_read(self):
         """A plan fails though its engine goes on with it.
 
