Let go of work that another router has taken over

What callers saw: an accepted plan pending at the router that took it, until its deadline, an hour for a patient profile, although its answer was stored. Cause: a router that is paused, or cut off from the store, for longer than its log lives is taken over. The sidecar hands the attempt to the router that takes over, and sends nothing more on the old link. If that link has lived on, the old router waits for an answer that never comes; a caller that asks there is told that it runs here. Change: once a router learns that its log was taken over, it ends what it runs of it, without a word to the sidecar, where a Cancel would end the run of the other router. A caller that waits there is told outcome_unknown and asks again by its id. Ruled out: a word of the sidecar to the old link alone (the old router believes that it owns the work until it learns better, and would dispatch again what may run twice).

--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/log_writer.py
@@ -69,6 +69,7 @@
         register: Callable[[], Awaitable[str]],
         index: durable_index.Index,
         pace: durable_pace.Pace,
+        on_superseded: Callable[[], None] = lambda: None,
     ) -> None:
         """Makes a writer without an open log.
 
@@ -78,6 +79,7 @@
             repeats until the platform took it.
           index: Told of each outcome.
           pace: Spaces the segments.
+          on_superseded: Called once another router has taken the log over.
         """
         self.log = ''
         self.last = 0
@@ -88,6 +90,7 @@
         self._register = register
         self._index = index
         self._pace = pace
+        self._on_superseded = on_superseded
         self._writing: list[durable_queue.Item] = []
         self._adopted: dict[str, Callable[[], None]] = {}
         self._probe = False
@@ -258,6 +261,7 @@
         items, self._writing = self._writing, []
         for item in (*items, *self.queue.take_all()):
             item.fail(_sealed_failure(item))
+        self._on_superseded()
 
 
 def _record_anew(entry: durable_entry.Entry) -> durable_queue.Item:
--- a/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/durable/state.py
@@ -22,7 +22,7 @@
 from quetzalsill_router.durable import takeover as durable_takeover
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from quetzalsill.platform import objects as platform_objects
     from quetzalsill.platform import table as platform_table
@@ -53,7 +53,19 @@
         router: durable_registration.Router,
         cfg: setting.Durable,
         recover: durable_recovery.Recover,
+        on_superseded: Callable[[], None] = lambda: None,
     ) -> None:
+        """Prepares the state; `start` starts its tasks.
+
+        Args:
+          table: Client of the table service.
+          objects: Client of the object store.
+          router: This router.
+          cfg: Settings.
+          recover: Serves an entry that was taken over.
+          on_superseded: Called once another router has taken over what this
+            one holds.
+        """
         self.registration = durable_registration.Registration(
             table, router, cfg
         )
@@ -63,7 +75,11 @@
             table, durable_pace.index_pace(cfg, count)
         )
         self._writer = durable_log_writer.LogWriter(
-            objects, self.registration.register, self._index, pace
+            objects,
+            self.registration.register,
+            self._index,
+            pace,
+            on_superseded,
         )
         self.journal = durable_journal.Journal(self._writer, pace, cfg)
         self.answers = durable_lookup.Answers(
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
@@ -153,6 +153,12 @@
         self.cancel()
         self._start_timer()
 
+    def leave(self) -> None:
+        """Ends the interest without a word: another router has the run."""
+        self._closed = True
+        self._stop_timer()
+        self._owner.forget(self)
+
     def refuse(self, code: str, detail: str) -> None:
         """Ends an attempt whose Dispatch was never written to any link."""
         self._end(message.Refused(self.id, code, detail, 0))
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
@@ -121,6 +121,15 @@
         self.cancelled = error
         self.task.cancel()
 
+    def supersede(self) -> None:
+        """Ends the task here; another router has the run and its outcome."""
+        self.handed_over = True
+        self.fail(
+            request_error.OutcomeUnknownError(
+                'another router has taken the request over'
+            )
+        )
+
     def hand_over(self) -> None:
         """Ends the task; a journalled run goes on for another router."""
         self.handed_over = self.work.entry is not None
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -114,10 +114,11 @@
             sender.cancel()
         # The router that takes a journalled request over attaches to this
         # run; cancelled here, it would be lost there.
-        if active.unacknowledged is not attempt and (
-            ended or not active.handed_over
-        ):
-            attempt.close()
+        if active.unacknowledged is not attempt:
+            if ended or not active.handed_over:
+                attempt.close()
+            else:
+                attempt.leave()
 
 
 def _end(
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/takeover.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/takeover.py
@@ -1,4 +1,4 @@
-"""Recovers requests that a dead router had accepted."""
+"""Recovers requests that a dead router had accepted, and lets go of them."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
     from quetzalsill_router import context
     from quetzalsill_router.durable import entry as durable_entry
 
-__all__ = ['recover']
+__all__ = ['let_go', 'recover']
 
 LOST_CODE = 'shutting_down'
 
@@ -48,6 +48,18 @@
     await active.task
 
 
+def let_go(ctx: context.Context) -> None:
+    """Ends the requests here that another router has taken over.
+
+    Their sidecars send on to that router alone. Left running, they would be
+    told as pending until their deadlines, with their answers stored.
+    """
+    for running in ctx.active:
+        entry = running.work.entry
+        if entry is not None and not ctx.journal.owns(entry):
+            running.supersede()
+
+
 def _not_run() -> durable_answer.Answer:
     """Makes the outcome of a request that ended before its dispatch."""
     return durable_answer.Answer(
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -119,6 +119,7 @@
         me,
         settings.durable,
         lambda entry: takeover.recover(ctx, entry),
+        lambda: takeover.let_go(ctx),
     )
     puller = membership.Puller(holder)
     peers = peers_module.Peers(
--- a/tests/quetzalsill_router/durable/test_takeover.py
+++ b/tests/quetzalsill_router/durable/test_takeover.py
@@ -175,6 +175,25 @@
 class PausedRouterTest(unittest.TestCase):
     """A router that is stopped and goes on later."""
 
+    def test_learns_that_it_was_taken_over(self):
+        """A plan is told as pending for an hour with its answer stored."""
+
+        async def story():
+            board = world.World(['a', 'b'])
+            await asyncio.sleep(1)
+            paused = board.routers['a']
+            entry = world.make_entry('manifest')
+            paused.serve(entry)
+            await asyncio.sleep(1)
+            paused.pause()
+            await world.until(lambda: sealed_by(board, 'a.1.1'))
+            self.assertFalse(paused.superseded)
+            paused.wake()
+            await world.until(lambda: paused.superseded)
+            self.assertFalse(paused.state.journal.owns(entry))
+
+        virtual.run(story)
+
     def test_wakes_after_takeover(self):
         """The same order goes through two routers while one is paused.
 
--- a/tests/quetzalsill_router/durable/world.py
+++ b/tests/quetzalsill_router/durable/world.py
@@ -134,12 +134,14 @@
         self._world = world
         self._attempts = itertools.count(1)
         self._tasks = set()
+        self.superseded = False
         self.state = state.DurableState(
             fakes.Table(self.link),
             fakes.Objects(self.link),
             registration.Router(node, incarnation, '', 'ikeja-hall', 1),
             cfg,
             self._recover,
+            lambda: setattr(self, 'superseded', True),
         )
         self.state.start()
 
--- a/tests/quetzalsill_router/request/fake.py
+++ b/tests/quetzalsill_router/request/fake.py
@@ -43,6 +43,7 @@
         self.body = []
         self.body_ended = asyncio.Event()
         self.cancelled = False
+        self.left = False
         self.gave_up = False
         self.withdrawn = asyncio.Event()
         self.closed = asyncio.Event()
@@ -68,6 +69,9 @@
     def close(self):
         self.closed.set()
 
+    def leave(self):
+        self.left = True
+
     async def send_body(self, data, *, last):
         self.body.append(data)
         if last:
