--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/attempt.py
@@ -153,7 +153,7 @@
         self.cancel()
         self._start_timer()
 
-    def leave(self) -> None:
+    def detach(self) -> None:
         """Ends the interest without a word: another router has the run."""
         self._closed = True
         self._stop_timer()
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peer.py
@@ -260,7 +260,7 @@
         if not self.send(msg):
             self._deferred.append(msg)
 
-    def say_goodbye(self, reason: str) -> None:
+    def send_go_away(self, reason: str) -> None:
         """Tells the sidecar not to wait for this router when the link ends."""
         self.send(message.GoAway(reason))
 
@@ -286,7 +286,7 @@
     def _end_if_done(self) -> None:
         if self._done:
             self._wake.set()
-            self.say_goodbye('no work left here')
+            self.send_go_away('no work left here')
             if self._link is not None:
                 self._link.close()
 
--- a/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/peer/peers.py
@@ -139,7 +139,7 @@
     async def stop(self) -> None:
         """Closes all links; open attempts end with an unknown outcome."""
         for peer in self._tasks:
-            peer.say_goodbye('shutting down')
+            peer.send_go_away('shutting down')
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/dispatch.py
@@ -118,7 +118,7 @@
             if ended or not active.handed_over:
                 attempt.close()
             else:
-                attempt.leave()
+                attempt.detach()
 
 
 def _end(
--- a/packages/quetzalsill-router/src/quetzalsill_router/request/takeover.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/takeover.py
@@ -15,7 +15,7 @@
     from quetzalsill_router import context
     from quetzalsill_router.durable import entry as durable_entry
 
-__all__ = ['let_go', 'recover']
+__all__ = ['release_superseded', 'recover']
 
 LOST_CODE = 'shutting_down'
 
@@ -48,7 +48,7 @@
     await active.task
 
 
-def let_go(ctx: context.Context) -> None:
+def release_superseded(ctx: context.Context) -> None:
     """Ends the requests here that another router has taken over.
 
     Their sidecars send on to that router alone. Left running, they would be
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -119,7 +119,7 @@
         me,
         settings.durable,
         lambda entry: takeover.recover(ctx, entry),
-        lambda: takeover.let_go(ctx),
+        lambda: takeover.release_superseded(ctx),
     )
     puller = membership.Puller(holder)
     peers = peers_module.Peers(
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/session.py
@@ -23,8 +23,8 @@
 
 __all__ = ['Session']
 
-# What ends an attempt. A router that takes it acknowledges only some of them.
-ENDS = (
+# What ends an attempt. Routers acknowledge only some of them.
+TERMINALS = (
     message.Refused,
     message.Withdrawn,
     message.Finished,
@@ -38,7 +38,7 @@
     Attributes:
       link: The link that is served.
       is_going_away: Whether the router has said that it ends.
-      ends: Ends of attempts that were sent.
+      terminals: How many terminal messages were sent.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         """Takes a link whose handshake is done."""
         self.link = link
         self.is_going_away = False
-        self.ends = 0
+        self.terminals = 0
         self._intake = intake
         self._attempts = attempts
         self._configuration = configuration
@@ -86,7 +86,7 @@
 
     def put(self, msg: message.Message) -> None:
         """Sends to the router; a link that is gone is noticed by `serve`."""
-        self.ends += isinstance(msg, ENDS)
+        self.terminals += isinstance(msg, TERMINALS)
         with contextlib.suppress(wire_error.LinkClosedError):
             self.link.send_nowait(msg)
 
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sidecar.py
@@ -171,9 +171,9 @@
         # reset, which may take the refusal with it: its caller is told that
         # the outcome is unknown. An echo says that the router has all of them.
         # Whoever has dialed again, or was told more, meanwhile is asked again.
-        told = None
-        while told != self._told_so_far():
-            told = self._told_so_far()
+        sent = None
+        while sent != self._sent_so_far():
+            sent = self._sent_so_far()
             self._ask_for_echoes()
             if not await self._wait_until(self._is_drained, limit):
                 return False
@@ -192,9 +192,9 @@
         for one in self._sessions:
             one.put(msg)
 
-    def _told_so_far(self) -> tuple[int, int]:
-        """Returns how many links were taken, and ends sent on those there."""
-        return self._links_taken, sum(one.ends for one in self._sessions)
+    def _sent_so_far(self) -> tuple[int, int]:
+        """Returns how many links were taken and terminal messages sent."""
+        return self._links_taken, sum(one.terminals for one in self._sessions)
 
     def _ask_for_echoes(self) -> None:
         """Has each router echo once it has taken all that was sent so far."""
--- a/tests/quetzalsill_router/peer/test_peers.py
+++ b/tests/quetzalsill_router/peer/test_peers.py
@@ -87,7 +87,7 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
-    async def test_a_router_that_stops_says_goodbye(self):
+    async def test_a_router_that_stops_sends_go_away(self):
         """Sidecars wait seconds for a router that doesn't come back."""
         await self.linked()
         await self.peers.stop()
--- a/tests/quetzalsill_router/request/fake.py
+++ b/tests/quetzalsill_router/request/fake.py
@@ -43,7 +43,7 @@
         self.body = []
         self.body_ended = asyncio.Event()
         self.cancelled = False
-        self.left = False
+        self.detached = False
         self.gave_up = False
         self.withdrawn = asyncio.Event()
         self.closed = asyncio.Event()
@@ -69,8 +69,8 @@
     def close(self):
         self.closed.set()
 
-    def leave(self):
-        self.left = True
+    def detach(self):
+        self.detached = True
 
     async def send_body(self, data, *, last):
         self.body.append(data)
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -474,17 +474,17 @@
         running = serve.start_unattended(ctx, work)
         await peer.opened.wait()
         (attempt,) = peer.attempts
-        takeover.let_go(ctx)
+        takeover.release_superseded(ctx)
         await asyncio.sleep(0.05)
         self.assertIs(ctx.active.get(work.request), running)
         ctx.journal.owns = lambda _: False
-        takeover.let_go(ctx)
+        takeover.release_superseded(ctx)
         async with asyncio.timeout(BOUND_S):
             await running.task
         self.assertIsNone(ctx.active.get(work.request))
         # Closed, it would be cancelled for the router that has it now.
         self.assertFalse(attempt.closed.is_set())
-        self.assertTrue(attempt.left)
+        self.assertTrue(attempt.detached)
 
 
 class DeadlineTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/quetzalsill_sidecar/test_leaving.py
+++ b/tests/quetzalsill_sidecar/test_leaving.py
@@ -168,7 +168,7 @@
         self.relay.delay(LINK_DELAY_S)
         await self.assert_not_run(self.router.dispatch())
 
-    async def test_router_that_has_said_goodbye_is_not_waited_for(self):
+    async def test_router_that_has_sent_go_away_is_not_waited_for(self):
         self.router.send(message.GoAway('shutting down'))
         await asyncio.sleep(REDIAL_S)
         self.router.link.close()
