--- a/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
@@ -122,7 +122,9 @@
         self.task.cancel()
 
     def supersede(self) -> None:
-        """Ends the task here; another router has the run and its outcome."""
+        """Ends the task, unless its answer is here; another router has the run."""
+        if self.answered:
+            return
         self.handed_over = True
         self.fail(
             request_error.OutcomeUnknownError(
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -5,7 +5,7 @@
 import asyncio
 import copy
 import unittest
-import unittest.mock
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -486,6 +486,17 @@
         self.assertFalse(attempt.closed.is_set())
         self.assertTrue(attempt.detached)
 
+    async def test_an_answer_that_is_here_is_delivered(self):
+        """A caller is told "unknown" with the whole answer at its router."""
+        ctx = fake.make_context(fake.Peer('one'))
+        work = fake.make_work(ctx, entry=fake.make_entry())
+        running = active.Active(work, task=mock.Mock())
+        ctx.active.add(running)
+        ctx.journal.owns = lambda _: False
+        running.answered = True
+        takeover.release_superseded(ctx)
+        running.task.cancel.assert_not_called()
+
 
 class DeadlineTest(unittest.IsolatedAsyncioTestCase):
     """Requests that run out of time."""
@@ -498,7 +509,7 @@
             peer = fake.Peer('one', script)
             ctx = fake.make_context(peer)
             work = fake.make_work(ctx, deadline_s=0.05)
-            with unittest.mock.patch.object(serve, 'DEADLINE_GRACE_S', 0.0):
+            with mock.patch.object(serve, 'DEADLINE_GRACE_S', 0.0):
                 running = serve.start(ctx, work)
                 async with asyncio.timeout(BOUND_S):
                     await running.task
