--- a/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/request/active.py
@@ -122,7 +122,7 @@
         self.task.cancel()
 
     def supersede(self) -> None:
-        """Ends the task, unless its answer is here; another router has the run."""
+        """Ends the task here unless it has the answer: another router has it."""
         if self.answered:
             return
         self.handed_over = True
