Wait in a large fleet for announcements that are on their way

Cause: an answer that came second is announced after a draw of up to 50 ms, unless another gateway has told as much by then. In a fleet of hundreds an announcement goes out over 0.2 s and passes thin links, so that several are made of the same change, each four times to all. Change: above 70 gateways the draw begins at half of the time over which an announcement goes out.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/configuration.py
@@ -98,7 +98,7 @@
         self._revision: revision_lib.Revision | None = None
         self._listed: revision_lib.Revision | None = None
         self._wanted = self._lacking = 0
-        self._overlap = overlap.Overlap(rng)
+        self._overlap = overlap.Overlap(sharers, rng)
         self._ask_others_s = 0.0
         pace = turn_lib.Pace(LEAST * bound_s, SPREAD * bound_s, ASK_ON_S)
         self._turn = turn_lib.Turn(pace, sharers, rng)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/membership.py
@@ -85,7 +85,7 @@
         # What was known up to when the source told no further.
         self._floor = revision_lib.NONE
         self._recent = recent_lib.Recent()
-        self._overlap = overlap.Overlap(rng)
+        self._overlap = overlap.Overlap(lambda: upstreams.sharers, rng)
         scale = min(1.0, BOUND_SHARE * bound_s / (LEAST_S + SPREAD_S))
         self._wait_s = scale * WAIT_S
         pace = turn_lib.Pace(scale * LEAST_S, scale * SPREAD_S, ASK_ON_S)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/overlap.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/overlap.py
@@ -3,7 +3,8 @@
 Of gateways whose calls overlap only the first to be answered announces its
 answer (`watch.turn`). A change that follows that answer is in those of the
 others alone. Each of them waits for a draw and announces it, unless another
-has by then.
+has by then. In a large fleet an announcement takes longer to arrive, and costs
+more.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import random
 from collections.abc import Callable
 
+from quetzalsill_gateway.fleet import pace
 from quetzalsill_gateway.fleet import revision as revision_lib
 
 __all__ = ['Overlap']
@@ -23,12 +25,16 @@
 class Overlap:
     """One gateway's announcements of answers that came second."""
 
-    def __init__(self, rng: random.Random | None = None) -> None:
+    def __init__(
+        self, sharers: Callable[[], int], rng: random.Random | None = None
+    ) -> None:
         """Starts with nothing announced.
 
         Args:
+          sharers: Returns how many gateways tell each other, this included.
           rng: Draws the waits.
         """
+        self._sharers = sharers
         self._rng = rng or random.Random()
         self._announced = revision_lib.NONE
         self._timer: asyncio.TimerHandle | None = None
@@ -58,6 +64,7 @@
             if self._announced < revision:
                 announce()
 
-        delay_s = self._rng.uniform(0.0, SPREAD_S)
+        least_s = pace.spread_s(self._sharers(), is_urgent=True) / 2
+        delay_s = self._rng.uniform(least_s, 2 * least_s + SPREAD_S)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(delay_s, due)
--- a/tests/quetzalsill_gateway/watch/test_overlap.py
+++ b/tests/quetzalsill_gateway/watch/test_overlap.py
@@ -7,7 +7,7 @@
 import unittest
 
 from quetzalsill_dev.simulation import clock
-from quetzalsill_gateway.fleet import revision
+from quetzalsill_gateway.fleet import pace, revision
 from quetzalsill_gateway.watch import overlap
 
 FIRST, SECOND = revision.Revision(0, 1), revision.Revision(0, 2)
@@ -16,13 +16,13 @@
 class OverlapTest(unittest.TestCase):
     """What is announced once every draw is over."""
 
-    def announced(self, story):
+    def announced(self, story, gateways=2, wait_s=2 * overlap.SPREAD_S):
         made = []
 
         async def work():
-            one = overlap.Overlap(random.Random(1))
+            one = overlap.Overlap(lambda: gateways, random.Random(1))
             story(one, made)
-            await asyncio.sleep(2 * overlap.SPREAD_S)
+            await asyncio.sleep(wait_s)
 
         clock.run(work)
         return made
@@ -42,6 +42,16 @@
 
         self.assertEqual(self.announced(story), [])
 
+    def test_a_large_fleet_waits_for_announcements_on_their_way(self):
+        """Each of many announces the same to hundreds, four times over."""
+
+        def story(one, made):
+            one.offer(SECOND, lambda: made.append(SECOND))
+
+        arrive_s = pace.spread_s(300, is_urgent=True) / 2
+        self.assertEqual(self.announced(story, 300, arrive_s), [])
+        self.assertEqual(self.announced(story, 300, 4 * arrive_s), [SECOND])
+
     def test_a_false_revision_silences_nobody_for_good(self):
         def story(one, made):
             one.note(revision.Revision(0, 1_000_000))
