Give tests of at-most-once work one line each

The stories, which stood in the tests. Two trucks at one door: a router is paused with a shop's order in hand (not yet read, its key claimed, or dispatched), the shop repeats it through another router, and the first wakes and goes on where it stood. A brief billed twice: a router dies with it in hand, its key claimed but nothing sent, or sent and not answered, and the retoucher repeats it. Router and sidecars killed: a rack loses power while service and engine work on; briefs are had from the engine, the order's outcome nobody can tell, and it is not sent again. Lost answer to a claim: the store takes the claim and its answer is lost, once or again and again, so that the router can't know who holds the key. Sidecar killed while its upstream works: both sidecars are started anew, callers with and without a key wait; a brief is taken up, of an order nobody can tell. Own repeat: the service takes the order and closes the connection unanswered; a repeat of the key is told the same, and nothing is sent again. No assertion changes.

--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -61,33 +61,19 @@
 
     @fixture.on_cluster
     async def test_repeat_while_the_first_router_is_paused(self):
-        """Two trucks of melting product come to one door.
-
-        A router is paused with a shop's order in hand: not yet read, its key
-        claimed, or dispatched. The shop gives up and repeats it through
-        another router. The first wakes and goes on where it stood.
-        """
+        """Two trucks of melting product come to one door."""
         for step in ('unread', 'claimed', 'dispatched'):
             await self.strike_at(step, 'pause', self.pause)
 
     @fixture.on_cluster
     async def test_repeat_after_the_first_router_was_killed(self):
-        """A brief is billed twice.
-
-        A router dies with it in hand: its key claimed but nothing sent, or
-        sent and not answered. The retoucher repeats it through another one.
-        """
+        """A brief is billed twice."""
         for step in ('claimed', 'dispatched'):
             await self.strike_at(step, 'kill', self.kill)
 
     @fixture.on_cluster
     async def test_repeat_after_router_and_sidecars_were_killed(self):
-        """The router that takes over believes a sidecar that can't know.
-
-        A rack loses power: router and sidecars are gone together while
-        service and engine work on. Briefs are had from the engine; what
-        became of the order nobody can tell, and it is not sent again.
-        """
+        """The router that takes over believes a sidecar that can't know."""
         await self.strike_at(
             'dispatched', 'rack', self.kill_rack, lost=('order',)
         )
@@ -180,11 +166,7 @@
 
     @fixture.on_cluster
     async def test_lost_answer_to_the_write_of_a_claim(self):
-        """An order is refused for ever, or doubled by its repeat.
-
-        The store takes the claim of a key and its answer is lost, once or
-        again and again, so that the router can't know who holds the key.
-        """
+        """An order is refused for ever, or doubled by its repeat."""
         for losses in (1, 2, 20):
             names = {kind: f'{kind}-lost-{losses}' for kind in ASKS}
             lost = await asking.count(self.cluster.store, 'lost')
@@ -214,12 +196,7 @@
 
     @fixture.on_cluster
     async def test_sidecar_is_killed_while_its_upstream_works(self):
-        """A new sidecar repeats what the old one had sent.
-
-        Both sidecars are killed and started anew while service and engine
-        still work at what they were sent. Callers with and without a key
-        wait; a brief is taken up, of an order nobody can tell.
-        """
+        """A new sidecar repeats what the old one had sent."""
         await self.slow_down(app_s=1.0, stall=True)
         names = {
             f'{kind}-sidecar-{key}': (ask, key * f'{kind}-sidecar')
@@ -252,12 +229,7 @@
 
     @fixture.on_cluster
     async def test_service_closes_the_connection_under_an_order(self):
-        """An HTTP client doubles an order by itself.
-
-        The service takes the order and closes the connection instead of
-        answering. Its outcome is unknown; a repeat of the key is told the
-        same, and nothing is sent again.
-        """
+        """An HTTP client doubles an order by itself."""
         await self.cluster.switch(self.app, close_orders=2)
         names = {'order-closed': '', 'order-closed-key': 'closed'}
         for name, key in names.items():
