--- a/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/cluster.py
@@ -301,7 +301,7 @@
 
 
 async def _stays(process: launch.Process) -> bool:
-    """Whether a process runs, is not told to end and takes connections."""
+    """Whether a process runs, is not ending and takes connections."""
     if process.ending or not process.running:
         return False
     try:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/launch.py
@@ -47,7 +47,7 @@
       log: File with everything that it printed.
       port: Port that it said it listens on; 0 if it said none.
       scheme: `https` if it listens with TLS.
-      ending: It was told to end, at once or gracefully.
+      ending: It was sent a signal to end, at once or gracefully.
     """
 
     name: str
