Have drained zones' tests hold however long an answer takes

Cause: the gateway sends a plain request where it expects the least time. The first answer of `desk-1` took longer (mean 23.1 ms in the log, 20 ms before any answer), and another zone costs 2 ms: from then on `desk-2` is the better choice, as it should be. The precondition was a timed assertion in disguise.

No other line of the class failed.

Change: `desk-2` is known as slow, so that only a drained zone sends requests there. Every check stands as it was, and those of `desk-2` alone say more: the gateway goes to the slower server because it must.

--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -10,6 +10,7 @@
 
 # Within this an order to drain a zone is in force, on every deployment.
 DRAINED_S = 5.0
+SLOW_S = 3600.0
 WITHOUT_KEY_1 = [{'name': 'first', 'apiKeys': ['key-2']}]
 
 
@@ -113,7 +114,8 @@
     """Drained zones.
 
     `desk-1` is in the gateway's own zone, which is the one that is drained:
-    as long as it may, the gateway sends there before it sends to `desk-2`.
+    as long as it may, the gateway sends there before it sends to `desk-2`,
+    which is known to answer slowly.
     """
 
     async def asyncSetUp(self):
@@ -126,6 +128,9 @@
         await self.until(
             lambda: upstreams.get('desk-2').availability_zone == 'zone-b'
         )
+        # However long the test's process is paused, `desk-1` is faster.
+        desk_2 = upstreams.get('desk-2')
+        self.process.core.pages.page(desk_2).mean_s = SLOW_S
         self.assertEqual(await self.served_by(), {'desk-1'})
 
     def drain(self):
