Play orders to stop a run in virtual time

Cause: the test cut the time that an engine has to answer to 0.05 s, so that one pause between two orders used it up. The gateway was right to say so.

The checks are the same.

--- a/tests/quetzalsill_gateway/stream/test_stop.py
+++ b/tests/quetzalsill_gateway/stream/test_stop.py
@@ -4,8 +4,8 @@
 
 import itertools
 import unittest
-from unittest import mock
 
+from quetzalsill_dev.simulation import clock
 from quetzalsill_gateway import at_most_once, dialect
 from quetzalsill_gateway.fleet import upstream
 from quetzalsill_gateway.http import error
@@ -17,10 +17,13 @@
 REFUSED = dialect.Move(refused=True, code='409')
 
 
-class StopTest(unittest.IsolatedAsyncioTestCase):
-    """An engine that is ordered to stop a run, again and again."""
+class StopTest(unittest.TestCase):
+    """An engine that is ordered to stop a run, again and again.
 
-    async def stop(self, *answers):
+    Played in virtual time, which no pause of the test's process shortens.
+    """
+
+    def stop(self, *answers):
         """Returns what is known of the run; the last answer is repeated."""
         given = itertools.chain(answers, itertools.repeat(answers[-1]))
 
@@ -35,48 +38,52 @@
             for name in 'et'
         )
         calls = dialect.EngineCalls(None, move, None)
-        with mock.patch.object(stop, 'ANSWER_S', 0.05):
-            found = await stop.stop(calls, engine, 'r', target)
-        return found.state
-
-    async def test_an_answer_tells(self):
-        self.assertIs(await self.stop(STOPPED), RunState.STOPPED)
-        self.assertIs(await self.stop(UNKNOWN), RunState.ENDED)
-        self.assertIs(await self.stop(REFUSED), RunState.AT_WORK)
-        self.assertIs(await self.stop(REFUSED, STOPPED), RunState.STOPPED)
-
-    async def test_an_engine_that_takes_no_connection_is_not_reached(self):
-        found = await self.stop(error.ConnectError('refused'))
+        found = []
+
+        async def work():
+            found.append(await stop.stop(calls, engine, 'r', target))
+
+        clock.run(work)
+        return found[0].state
+
+    def test_an_answer_tells(self):
+        self.assertIs(self.stop(STOPPED), RunState.STOPPED)
+        self.assertIs(self.stop(UNKNOWN), RunState.ENDED)
+        self.assertIs(self.stop(REFUSED), RunState.AT_WORK)
+        self.assertIs(self.stop(REFUSED, STOPPED), RunState.STOPPED)
+
+    def test_an_engine_that_takes_no_connection_is_not_reached(self):
+        found = self.stop(error.ConnectError('refused'))
         self.assertIs(found, RunState.UNREACHED)
 
-    async def test_an_engine_that_crashes_meanwhile_is_not_reached(self):
+    def test_an_engine_that_crashes_meanwhile_is_not_reached(self):
         lost = error.TruncatedError('the connection ended')
-        found = await self.stop(lost, error.ConnectError('refused'))
+        found = self.stop(lost, error.ConnectError('refused'))
         self.assertIs(found, RunState.UNREACHED)
 
-    async def test_an_engine_that_resets_orders_is_there(self):
+    def test_an_engine_that_resets_orders_is_there(self):
         """A plan is at work at two engines.
 
         Its engine has too many connections and resets new ones, some as they
         open. Each was taken for word that nobody is there.
         """
         for lost in (error.TruncatedError(), error.EndedError()):
-            self.assertIs(await self.stop(lost), RunState.AT_WORK)
+            self.assertIs(self.stop(lost), RunState.AT_WORK)
 
-    async def test_one_connection_that_nobody_answers_says_little(self):
+    def test_one_connection_that_nobody_answers_says_little(self):
         """A plan is at work at two engines.
 
         The first packet to its engine is lost, or the queue of connections
         there is full for a moment.
         """
         silent = error.UnansweredError('nobody answers')
-        self.assertIs(await self.stop(silent, STOPPED), RunState.STOPPED)
-        self.assertIs(await self.stop(silent, REFUSED), RunState.AT_WORK)
-        self.assertIs(await self.stop(silent), RunState.UNREACHED)
+        self.assertIs(self.stop(silent, STOPPED), RunState.STOPPED)
+        self.assertIs(self.stop(silent, REFUSED), RunState.AT_WORK)
+        self.assertIs(self.stop(silent), RunState.UNREACHED)
 
-    async def test_a_refusal_outlasts_a_connection_that_fails(self):
+    def test_a_refusal_outlasts_a_connection_that_fails(self):
         """The engine has said that it has the run; a full one says no more."""
-        found = await self.stop(REFUSED, error.ConnectError('full'))
+        found = self.stop(REFUSED, error.ConnectError('full'))
         self.assertIs(found, RunState.AT_WORK)
 
 
