Load the code of a role only in its own processes

Cause: a start that takes long. Nothing in it waits for others; it is imports. Each process registers every role that is installed, and with it loaded the code of all: a sidecar that of router and gateway.

Evidence: `Cluster.start()` of two engines and two routers on 5 cores. Alone a sidecar is ready after 1.4 to 2.0 s.

Change: a role's code is imported as the role is run.

The new test failed before.

Ruled out: a wait for the platform or the engine within the start (the sidecar listens, then says that it is ready; both loops of load come behind); a lost word in the launcher (each late process said so, late).

The gateway through the adapter is not touched: it names its own plug-ins.

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/plugin.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/plugin.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.plugin import role
-from quetzalsill_sidecar import run, settings
+from quetzalsill_sidecar import settings
 from quetzalsill_sidecar.queue import (
     admission_baseline,
     admission_predicted,
@@ -14,6 +14,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from quetzalsill.plugin import registry as registry_lib
 
 __all__ = ['register']
@@ -24,7 +26,7 @@
     registry.add(
         'role',
         'sidecar',
-        role.Role('sidecar', settings.SidecarSettings, run.run),
+        role.Role('sidecar', settings.SidecarSettings, _run),
         'The only path to one upstream.',
     )
     registry.add(
@@ -60,3 +62,11 @@
         admission_baseline.fixed_batch,
         'Keeps a fixed number of attempts on the engine.',
     )
+
+
+def _run(cfg: settings.SidecarSettings) -> Awaitable[None]:
+    # Loaded by the processes of this role alone: each process registers every
+    # role that is installed.
+    from quetzalsill_sidecar import run
+
+    return run.run(cfg)
--- a/tests/quetzalsill/plugin/test_registry.py
+++ b/tests/quetzalsill/plugin/test_registry.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import importlib.metadata
+import subprocess
+import sys
 import types
 import unittest
 from unittest import mock
 
 from quetzalsill.plugin import error, registry
 
+ROLES = ('gateway', 'router', 'sidecar')
+LOAD = """
+import sys
+from quetzalsill.plugin import registry
+registry.REGISTRY.load()
+print(*registry.REGISTRY.names('role'))
+print(*[name for name in sys.modules if name.endswith('.run')])
+"""
+
 
 def entry(module):
     fake = mock.create_autospec(importlib.metadata.EntryPoint, instance=True)
@@ -54,6 +65,13 @@
         self.load(module)
         module.register.assert_called_once_with(self.registry)
 
+    def test_a_role_that_does_not_run_is_not_loaded(self):
+        """A sidecar comes back late: it loads the code of all other roles."""
+        printed = subprocess.run(
+            [sys.executable, '-c', LOAD], check=True, capture_output=True
+        ).stdout
+        self.assertEqual(printed.decode().splitlines(), [' '.join(ROLES), ''])
+
     def test_names_a_module_that_does_not_register(self):
         with self.assertRaisesRegex(error.PluginLoadError, 'fake.plugin'):
             self.load(types.SimpleNamespace())
