Stop engines that are about to be killed before they are audited

What was seen: LeavingTest.test_reclaimed_at_short_notice (KNOWN-RED.txt, once at a load of 16 to 19): two plans answered whole, but finished at no engine that was audited (0 != 1).

Cause: the test asks two engines for their audits and kills them afterwards. A plan that ends between the two is answered whole, by an engine whose audit was taken before and whose memory is gone. It is the test's word that is missing.

Change: both engines stop making tokens before they are audited. All checks stand as they were; that no plan of the killed ones had ended is now sure.

--- a/tests/failure/test_leaving.py
+++ b/tests/failure/test_leaving.py
@@ -184,6 +184,10 @@
         for name in reclaimed:
             await traffic.until_running(self.cluster, name, 3)
         await asyncio.gather(*map(self.engine_says, reclaimed))
+        # A plan that ends between an engine's audit and its kill is in neither.
+        for name in reclaimed:
+            engine = self.cluster.upstreams[name]
+            await self.cluster.switch(engine, stall=True)
         found = [await self.cluster.audit(name) for name in reclaimed]
         for name in reclaimed:
             self.cluster.upstreams[name].kill()
