Have the plans of a reclaimed engine run long enough to be seen

Cause: the test waits for a moment in which three plans run at an engine. A plan takes 0.8 s, and the twelve were begun over 2.2 s (logs of the run: 51.4 to 53.6 s), so that no more than two ever ran there at once.

Change: 200 tokens in place of 80, 2 s.

--- a/tests/failure/test_leaving.py
+++ b/tests/failure/test_leaving.py
@@ -20,7 +20,7 @@
 LONG = 1000
 ORDERS = 6
 PLANS = 12
-PLAN_TOKENS = 80
+PLAN_TOKENS = 200
 
 
 class LeavingTest(relayed.RelayedTestCase):
