Take events that came as the wait for them ended

What callers saw (by reading; a test shows it): a plan is given up as lost, "no answer in 15 s", although its engine goes on with it and its events have come.

Cause: a sidecar whose connection to the engine broke resumes the generation on another. Paused for longer than `resume_s` it wakes to the events and to the end of the wait in one turn of its loop; `asyncio.timeout` discards them, and the look at how long the engine has been silent gives the generation up.

Change: `quetzalsill.net.deadline` in its place.

Before: GenerationUnreachableError in the new test.

Looked at besides: the gateway's patience with a switch (it takes the result whatever ends the wait), a peer's pause and a revision waited for (nothing is lost).

--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generation.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/upstream/generation.py
@@ -7,6 +7,7 @@
 import json
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import deadline
 from quetzalsill_sidecar import error
 from quetzalsill_sidecar.upstream import engine as engine_lib
 from quetzalsill_sidecar.upstream import sse
@@ -131,7 +132,7 @@
             with another one.
           TimeoutError: the stream fell silent; `resume` may carry on.
         """
-        async with asyncio.timeout(self._bounds.stall_s):
+        async with deadline.timeout(self._bounds.stall_s):
             head = await conn.read_head()
             if head.status != OK:
                 body = await conn.read_all(ERROR_BODY_BYTES)
@@ -143,7 +144,7 @@
             # A connection that something on the way has lost track of looks
             # like a slow engine: no data, no error. Silence beyond the bound
             # ends this one, and the next carries on at the same event.
-            async with asyncio.timeout(self._bounds.stall_s):
+            async with deadline.timeout(self._bounds.stall_s):
                 data = await conn.read_data()
             if not data:
                 raise error.AnswerLostError('stream ended before its mark')
--- /dev/null
+++ b/tests/quetzalsill_sidecar/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the calls of an upstream."""
--- /dev/null
+++ b/tests/quetzalsill_sidecar/upstream/test_generation.py
@@ -0,0 +1,54 @@
+"""A generation whose process is paused while its events come."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from quetzalsill_dev.testing import pause
+from quetzalsill_sidecar.upstream import engine, generation, http
+
+BOUNDS = generation.Bounds(stall_s=0.3, resume_s=0.2, refused_s=0.1)
+EVENT = {'generation': 'g', 'index': 0}
+ANSWER = (
+    'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+    'connection: close\r\n\r\n'
+    f'data: {json.dumps(EVENT)}\n\ndata: [DONE]\n\n'
+)
+
+
+class GenerationTest(unittest.IsolatedAsyncioTestCase):
+    """An engine that answers as its client is paused."""
+
+    async def asyncSetUp(self):
+        self.asked = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        await self.enterAsyncContext(server)
+        host, port = server.sockets[0].getsockname()
+        self.engine = engine.Engine(http.Origin(host, port), 1.0, 1.0)
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        if not self.asked.done():
+            self.asked.set_result(writer)
+
+    async def test_events_that_came_during_a_pause_are_delivered(self):
+        """A plan is given up as lost although its engine goes on with it."""
+        delivered = []
+
+        async def deliver(events):
+            delivered.extend(events)
+
+        run = generation.Generation(self.engine, 'a', BOUNDS, deliver)
+        resumed = asyncio.create_task(run.resume())
+        writer = await self.asked
+        writer.write(ANSWER.encode())
+        writer.write_eof()
+        pause.pause(2 * BOUNDS.stall_s)
+        await resumed
+        self.assertEqual([json.loads(one) for one in delivered], [EVENT])
+
+
+if __name__ == '__main__':
+    unittest.main()
