Count a connection as closed from when it is aborted

Cause: a gateway's share of a server's connections is one where gateways are many. A kept connection that rested for longer than it may (2 s where the server says nothing) is closed for the next call, but was counted until the event loop told of its end. So it stood in the call's way: `no_connection_left` at that server, the same at the next two, and the call was refused, since three sends that reach nobody are the most. The next call found the places free.

Change: a connection leaves the count as it is aborted. The new test failed before: "1 open".

Ruled out: load (the gateway answers in 1.6 ms), too few places in the stage (a call waits for a place, up to half of its objective; these did not wait, since a place was there), two calls for one place (one call at a time in the log).

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -38,7 +38,7 @@
         Args:
           address: Address of the upstream.
           count: Called with the address and 1 when it is open, and with -1
-            once it has ended.
+            once it has ended or is closed from here.
         """
         self.address = address
         self._count = count
@@ -83,8 +83,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the answer: as whole only if it had no length and no reset."""
-        if self._count is not None:
-            self._count(self.address, -1)
+        self._uncount()
         if (
             self._awaits
             and self._until_close
@@ -210,6 +209,12 @@
         self._reusable = False
         if self._transport is not None:
             self._transport.abort()
+            self._uncount()
+
+    def _uncount(self) -> None:
+        count, self._count = self._count, None
+        if count is not None:
+            count(self.address, -1)
 
     def _is_foreign(self) -> bool:
         # A server may answer an earlier request twice; the second answer
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
@@ -66,12 +66,11 @@
             if conn.is_usable and now - conn.idle_since_s < _bound_s(conn):
                 return conn
             conn.abort()
-        if (
-            most is not None
-            and self._count[address] >= most
-            and not self._close_idle(address)
-        ):
-            raise error.NoPlaceError(f'{address[0]}:{address[1]}: {most} open')
+        if most is not None and self._count[address] >= most:
+            self._close_idle(address)
+            if self._count[address] >= most:
+                detail = f'{address[0]}:{address[1]}: {most} open'
+                raise error.NoPlaceError(detail)
         return await self._open(address, connect_s)
 
     def give_back(self, conn: call.Conn, most_idle: int | None = None) -> None:
@@ -106,16 +105,15 @@
         if not self._count[address]:
             del self._count[address]
 
-    def _close_idle(self, address: Address) -> bool:
-        """Closes the connection that rested longest; whether there was one."""
+    def _close_idle(self, address: Address) -> None:
+        """Closes the connection that rested longest, if there is one."""
         kept = self._idle.get(address)
         while kept:
             conn = kept.popleft()
             was_usable = conn.is_usable
             conn.abort()
             if was_usable:
-                return True
-        return False
+                return
 
 
 def _bound_s(conn: call.Conn) -> float:
--- a/tests/quetzalsill_gateway/http/test_pool.py
+++ b/tests/quetzalsill_gateway/http/test_pool.py
@@ -11,6 +11,7 @@
 from quetzalsill_gateway.http import error, pool
 
 BOUND_S = 5.0
+LONG_S = 3600.0
 
 
 class PoolTest(unittest.IsolatedAsyncioTestCase):
@@ -57,6 +58,21 @@
             while self.count() > 2:  # noqa: ASYNC110
                 await asyncio.sleep(0)
 
+    async def test_one_that_rested_too_long_leaves_its_place(self):
+        """A call is refused although its gateway carries none.
+
+        In a large fleet each gateway may have one connection to a server. One
+        that rested for too long was closed for the call, and stood in its way.
+        """
+        for _ in range(3):
+            conn = await self.pool.take(self.address, most=1)
+            conn.idle_since_s = asyncio.get_running_loop().time() - LONG_S
+            self.pool.give_back(conn)
+            fresh = await self.pool.take(self.address, most=1)
+            self.assertIsNot(fresh, conn)
+            self.assertEqual(self.count(), 1)
+            fresh.abort()
+
     async def test_one_that_has_ended_leaves_its_place(self):
         """Counted for ever, ended ones would shut the server out."""
         for _ in range(20):
