--- a/packages/quetzalsill-router/src/quetzalsill_router/plugin.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/plugin.py
@@ -10,8 +10,6 @@
 from quetzalsill_router.routing import baseline, expected_wait
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-
     from quetzalsill.plugin import registry
 
 __all__ = ['register']
@@ -22,7 +20,11 @@
     registry.add(
         'role',
         'router',
-        role.Role('router', settings.RouterSettings, _run),
+        role.Role(
+            'router',
+            settings.RouterSettings,
+            role.late('quetzalsill_router.run'),
+        ),
         'Takes the requests of callers on an entry host.',
     )
     registry.add(
@@ -44,11 +46,3 @@
         shares.shares,
         'Even parts of each limit for the live routers.',
     )
-
-
-def _run(cfg: settings.RouterSettings) -> Awaitable[None]:
-    # Loaded by the processes of this role alone: each process registers every
-    # role that is installed.
-    from quetzalsill_router import run
-
-    return run.run(cfg)
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/plugin.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/plugin.py
@@ -14,8 +14,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-
     from quetzalsill.plugin import registry as registry_lib
 
 __all__ = ['register']
@@ -26,7 +24,11 @@
     registry.add(
         'role',
         'sidecar',
-        role.Role('sidecar', settings.SidecarSettings, _run),
+        role.Role(
+            'sidecar',
+            settings.SidecarSettings,
+            role.late('quetzalsill_sidecar.run'),
+        ),
         'The only path to one upstream.',
     )
     registry.add(
@@ -62,11 +64,3 @@
         admission_baseline.fixed_batch,
         'Keeps a fixed number of attempts on the engine.',
     )
-
-
-def _run(cfg: settings.SidecarSettings) -> Awaitable[None]:
-    # Loaded by the processes of this role alone: each process registers every
-    # role that is installed.
-    from quetzalsill_sidecar import run
-
-    return run.run(cfg)
--- a/packages/quetzalsill/src/quetzalsill/plugin/role.py
+++ b/packages/quetzalsill/src/quetzalsill/plugin/role.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import importlib
 from collections.abc import Awaitable, Callable
+from typing import Any
 
-__all__ = ['Role']
+__all__ = ['Role', 'late']
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -27,3 +29,18 @@
     settings_class: type
     run: Callable[..., Awaitable[None]]
     reloads: bool = False
+
+
+def late(module: str) -> Callable[..., Awaitable[None]]:
+    """Returns the `run` of a module that is loaded once it is called.
+
+    Each process registers every role that is installed, and runs one of them.
+
+    Args:
+      module: Dotted name.
+    """
+
+    def run(*args: Any) -> Awaitable[None]:
+        return importlib.import_module(module).run(*args)
+
+    return run
