Forget no gateway in a turn that comes late

What callers saw (by reading, and the test): after a pause of 3.5 s or more a gateway sends runs to engines that others have filled. A run is pushed off there: a pause in its stream, and its prompt is read a second time.

Cause: a process that was paused runs its timers before it reads. The turn in which silent gateways are forgotten came before the datagrams that they had sent meanwhile, so that all were forgotten, and what they hold with them, until each had told it in full again.

Change: a turn that is late by more than its own interval forgets nobody, unless the one before it was late as well.

Looked at besides: `fleet.members` keeps shares for 60 s without a word; a pause longer than that shows the same for a moment.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -184,11 +184,20 @@
             return found
 
     async def tell(self) -> None:
-        """Tells what changed; runs until cancelled."""
+        """Tells what changed; runs until cancelled.
+
+        A process that was paused wakes to this before it reads what the others
+        have told meanwhile. So nobody is forgotten in a turn that comes late,
+        unless the one before it did as well.
+        """
         loop = asyncio.get_running_loop()
+        was_late = False
         while True:
+            due_s = loop.time() + CHANGED_S
             await asyncio.sleep(CHANGED_S)
-            self._forget_silent(loop.time())
+            was_late = not was_late and loop.time() - due_s > CHANGED_S
+            if not was_late:
+                self._forget_silent(loop.time())
             gateways = 1 + len(self._roster)
             self._core.upstreams.sharers = gateways
             self._core.budget.share_among(gateways)
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -11,7 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalsill_gateway import error, retry_budget, source
+from quetzalsill_dev.testing import pause
+from quetzalsill_gateway import error, event, retry_budget, source
 from quetzalsill_gateway.balance import admission, book
 from quetzalsill_gateway.fleet import members, pace, revision, upstream
 from quetzalsill_gateway.fleet.held import Held
@@ -276,6 +277,25 @@
             task.cancel()
         await self.until(lambda: self.heard(self.gateways[2]) == 0)
 
+    async def test_who_was_paused_forgets_nobody(self):
+        """A gateway wakes, and fills engines that others have filled."""
+        first, second, _ = self.gateways
+        self.hold(second, 100)
+        await self.until(lambda: self.heard(first) == 100)
+        notes = []
+        with (
+            mock.patch.multiple(pace, SILENT_S=0.5, ALIVE_S=0.1),
+            mock.patch.object(event, 'note', notes.append),
+        ):
+            await asyncio.sleep(0.3)
+            for other in self.gateways:
+                second._greet(('127.0.0.1', other.port))
+            pause.pause(1.0)
+            await asyncio.sleep(0.3)
+        lost = [one for one in notes if isinstance(one, event.PeerLost)]
+        self.assertNotIn('entry-2', [one.peer for one in lost])
+        self.assertEqual(self.heard(first), 100)
+
     async def test_a_restarted_gateway_is_heard_at_once(self):
         """A gateway restarts at its address; its datagrams count from 1 anew.
 
