Have one ticker for periodic work that acts on silence

`quetzalsill.net.ticker` is that rule, once; behaviour is the same, and each loop's own test stands as it was. The gateway's docstring is in the field's words.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from quetzalsill.net import ticker
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.fleet import held as held_lib
 from quetzalsill_gateway.fleet import pace
@@ -184,19 +185,11 @@
             return found
 
     async def tell(self) -> None:
-        """Tells what changed; runs until cancelled.
-
-        A process that was paused wakes to this before it reads what the others
-        have told meanwhile. So nobody is forgotten in a turn that comes late,
-        unless the one before it did as well.
-        """
+        """Publishes changes; runs until cancelled."""
         loop = asyncio.get_running_loop()
-        was_late = False
+        turns = ticker.Ticker()
         while True:
-            due_s = loop.time() + CHANGED_S
-            await asyncio.sleep(CHANGED_S)
-            was_late = not was_late and loop.time() - due_s > CHANGED_S
-            if not was_late:
+            if await turns.wait(CHANGED_S):
                 self._forget_silent(loop.time())
             gateways = 1 + len(self._roster)
             self._core.upstreams.sharers = gateways
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/sweep.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import request as request_error
+from quetzalsill.net import ticker
 from quetzalsill.wire import message
 from quetzalsill_sidecar.attempt import state
 
@@ -21,20 +22,13 @@
 
 
 async def run(sidecar: parts.Parts) -> None:
-    """Sweeps for ever.
-
-    A process that was paused wakes to its timers before it reads what has come.
-    A router may have taken work over in that time, so that a late sweep is left
-    out once.
-    """
+    """Sweeps for ever."""
     clock = asyncio.get_running_loop().time
     expiry = clock()
-    was_late = False
+    turns = ticker.Ticker()
     while True:
-        due = clock() + INTERVAL_S
-        await asyncio.sleep(INTERVAL_S)
-        was_late = not was_late and clock() - due > INTERVAL_S
-        if was_late:
+        # A router may have taken work over during a pause.
+        if not await turns.wait(INTERVAL_S):
             continue
         sweep(sidecar, clock())
         if clock() >= expiry:
--- /dev/null
+++ b/tests/quetzalsill/net/test_ticker.py
@@ -0,0 +1,45 @@
+"""Turns of a periodic loop, on time and after pauses."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from quetzalsill.net import ticker
+from quetzalsill_dev.simulation import clock
+from quetzalsill_dev.testing import pause
+
+INTERVAL_S = 0.02
+
+
+class TickerTest(unittest.TestCase):
+    """A loop with a turn every 20 ms."""
+
+    def test_turns_on_time_count(self):
+        found = []
+
+        async def work():
+            turns = ticker.Ticker()
+            found.extend([await turns.wait(INTERVAL_S) for _ in range(5)])
+
+        clock.run(work)
+        self.assertEqual(found, [True] * 5)
+
+
+class PausedTest(unittest.IsolatedAsyncioTestCase):
+    """The same loop in a process that is paused."""
+
+    async def test_only_the_first_of_late_turns_does_not_count(self):
+        """Everybody else is taken for gone as a paused process wakes."""
+        loop = asyncio.get_running_loop()
+        turns = ticker.Ticker()
+        found = []
+        for _ in range(2):
+            # Runs once the wait has begun.
+            loop.call_soon(pause.pause, 5 * INTERVAL_S)
+            found.append(await turns.wait(INTERVAL_S))
+        self.assertEqual(found, [False, True])
+
+
+if __name__ == '__main__':
+    unittest.main()
