--- a/tests/failure/test_leaving.py
+++ b/tests/failure/test_leaving.py
@@ -79,13 +79,7 @@
 
     @fixture.on_cluster
     async def test_nothing_new_after_the_notice(self):
-        """A shop's query starts on a host that is about to go.
-
-        Both routers are under load. Engines and a service leave by their own
-        word or by a signal to their sidecar, while the host list still calls
-        them live. From the acknowledgement on nothing is begun there, and no
-        caller notices.
-        """
+        """A shop's query starts on a host that is about to go."""
         async with traffic.Traffic(self.routers) as load:
             places = await asyncio.gather(
                 self.engine_says(RECLAIMED),
@@ -100,12 +94,7 @@
 
     @fixture.on_cluster
     async def test_orders_on_their_way_while_the_sidecar_ends(self):
-        """Orders are lost between a router and a sidecar that has ended.
-
-        Nothing runs beside the service when its sidecar gets SIGTERM, while
-        orders are on the link's way. The sidecar stays until it has read
-        them and refused them; another service takes them.
-        """
+        """Orders are lost between a router and a sidecar that has ended."""
         between = self.relays[f'sidecar:{APP}']
         between.delay(SLOW_LINK_S)
         before = between.received_up
@@ -127,11 +116,7 @@
 
     @fixture.on_cluster
     async def test_nothing_new_after_a_drain(self):
-        """A host is worked on while it still gets orders.
-
-        An operator drains an engine and a service under load. From where
-        their sidecars have the edit in force nothing is begun there.
-        """
+        """A host is worked on while it still gets orders."""
         drained = (RECLAIMED, APP)
         async with traffic.Traffic(self.routers) as load:
             places = [await self.operator_drains(name) for name in drained]
@@ -167,12 +152,7 @@
 
     @fixture.on_cluster
     async def test_reclaimed_at_short_notice(self):
-        """A loading plan is lost with the engine that wrote it.
-
-        Two engines give notice with plans running and queued, and are killed
-        before these end, one of them together with its sidecar. Each plan
-        comes whole from the engine that is left; none is finished twice.
-        """
+        """A loading plan is lost with the engine that wrote it."""
         names = [f'plan-{number}' for number in range(PLANS)]
         asked = [
             asyncio.create_task(
--- a/tests/quetzalsill_gateway/http/test_pool.py
+++ b/tests/quetzalsill_gateway/http/test_pool.py
@@ -37,11 +37,7 @@
         return self.pool.connections(self.address).count
 
     async def test_no_more_than_it_may_have(self):
-        """A server hangs, and each call opens a connection of its own.
-
-        Those beyond its bound are reset with the orders on them, and their
-        callers may not ask again.
-        """
+        """Orders beyond a server's bound on connections are reset with them."""
         for _ in range(2):
             await self.take()
         with self.assertRaises(error.NoPlaceError):
@@ -59,11 +55,7 @@
                 await asyncio.sleep(0)
 
     async def test_one_that_rested_too_long_leaves_its_place(self):
-        """A call is refused although its gateway carries none.
-
-        In a large fleet each gateway may have one connection to a server. One
-        that rested for too long was closed for the call, and stood in its way.
-        """
+        """A call is refused although its gateway carries none."""
         for _ in range(3):
             conn = await self.pool.take(self.address, most=1)
             conn.idle_since_s = asyncio.get_running_loop().time() - LONG_S
@@ -84,11 +76,7 @@
                     await asyncio.sleep(0)
 
     async def test_few_are_kept_idle(self):
-        """All hosts lose power, with idle connections to every server.
-
-        The servers hold them for seconds: those of all gateways together took
-        most places, and 162 orders of returning callers were reset.
-        """
+        """Idle connections of lost hosts shut returning callers out."""
         conns = [await self.pool.take(self.address) for _ in range(6)]
         for conn in conns:
             self.pool.give_back(conn, 2)
--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -278,7 +278,7 @@
         await self.until(lambda: self.heard(self.gateways[2]) == 0)
 
     async def test_who_was_paused_forgets_nobody(self):
-        """A gateway wakes, and fills engines that others have filled."""
+        """After a pause, runs go to engines that other gateways have filled."""
         first, second, _ = self.gateways
         self.hold(second, 100)
         await self.until(lambda: self.heard(first) == 100)
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -89,7 +89,7 @@
       services: Figures of services that differ, by name.
       era: First era of the store; None if it tells none.
       grace_s: Longest time that the gateway takes to stop, in seconds.
-      leave_s: How long it serves new callers after it was told to stop.
+      leave_s: How long it serves new callers after a stop was requested.
     """
 
     engine: dict[str, object] = {}
--- a/tests/quetzalsill_router/request/test_attempts.py
+++ b/tests/quetzalsill_router/request/test_attempts.py
@@ -107,24 +107,25 @@
         self.assertEqual(caught.exception.retry_after_s, 1.5)
         self.assertIs(caught.exception.ran, base.Ran.NO)
 
-    async def test_only_link_returns_within_a_moment(self):
-        """A query is refused although its server is well, and a dial away."""
+    async def while_a_link_returns(self):
+        """Returns the only peer, its context and a request that waits."""
         peer = fake.Peer('one', whole(b'a'))
         ctx = fake.make_context(peer)
         peer.linked, ctx.peers.returning = False, True
         collecting = asyncio.create_task(collect(ctx, fake.make_work(ctx)))
         await asyncio.sleep(0.1)
+        return peer, ctx, collecting
+
+    async def test_only_link_returns_within_a_moment(self):
+        """A query is refused although its server is well, and a dial away."""
+        peer, ctx, collecting = await self.while_a_link_returns()
         self.assertFalse(collecting.done())
         peer.linked, ctx.peers.returning = True, False
         self.assertEqual(await collecting, [b'a'])
 
     async def test_only_link_does_not_return(self):
         """A query waits for a server that is known to be gone."""
-        peer = fake.Peer('one', whole(b'a'))
-        ctx = fake.make_context(peer)
-        peer.linked, ctx.peers.returning = False, True
-        collecting = asyncio.create_task(collect(ctx, fake.make_work(ctx)))
-        await asyncio.sleep(0.1)
+        _, ctx, collecting = await self.while_a_link_returns()
         ctx.peers.returning = False
         with self.assertRaises(request_error.NoUpstreamError) as caught:
             await collecting
--- a/tests/quetzalsill_router/request/test_takeover.py
+++ b/tests/quetzalsill_router/request/test_takeover.py
@@ -40,7 +40,7 @@
         self.assertTrue(attempt.detached)
 
     async def test_an_answer_that_is_here_is_delivered(self):
-        """A caller is told "unknown" with the whole answer at its router."""
+        """A caller gets "unknown" with the whole answer at its router."""
         ctx = fake.make_context(fake.Peer('one'))
         work = fake.make_work(ctx, entry=fake.make_entry())
         running = active.Active(work, task=mock.Mock())
