Log crashes of upstreams and the requests that were running

Our logs did not tell a crash from a reset of one stream, nor that two requests are the same but for their ids, so the hypotheses could not be told apart.

A response that breaks off starts a look for evidence: the address refuses connections, another process answers 421 there, or the membership lists another one at the address. A connection that is not accepted in time is none, as it looks the same behind a partition; neither is a reset beside other open connections. An upstream that was to leave ends without a crash. The same request is recognised by a digest of method, host, path, account and body, computed only for requests that broke off.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -11,6 +11,7 @@
 
 from quetzalsill.error import base
 from quetzalsill_gateway.http import error, message
+from quetzalsill_gateway.quarantine import in_flight
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -110,15 +111,7 @@
         may have run.
     """
     dialect = core.dialect
-    conn = await core.conns.acquire(
-        upstream.address,
-        repeatable=exchange.route.kind.may_repeat,
-        # The limit does not apply to a resumed run: it has been stopped at its
-        # source, and would be lost without a connection.
-        max_connections=None
-        if continues
-        else core.quota.max_connections(upstream),
-    )
+    conn = await _acquire(core, exchange, upstream, continues=continues)
     try:
         if not _accepts_work(core.upstreams, upstream, continues=continues):
             raise error.UpstreamClosedError(upstream.address_text)
@@ -130,13 +123,51 @@
             (dialect.request_id, exchange.request_id),
         )
         exchange.sends += 0 if continues else 1
-        answer = await conn.head()
-        response_class = classify(answer, dialect, exchange.request_id)
-        yield SentRequest(conn, answer, response_class)
+        run = in_flight.Run(exchange, upstream, conn, now())
+        core.in_flight.add(run)
+        try:
+            answer = await conn.head()
+            run.begun_s = now()
+            response_class = classify(answer, dialect, exchange.request_id)
+            if response_class is ResponseClass.WRONG_UPSTREAM:
+                core.detector.record_replaced(upstream)
+            yield SentRequest(conn, answer, response_class)
+        except error.TruncatedError:
+            core.detector.record_broken(run)
+            raise
+        finally:
+            core.in_flight.discard(run)
     finally:
         core.conns.release(conn, core.quota.max_idle(upstream))
 
 
+async def _acquire(
+    core: core_lib.Core,
+    exchange: exchange_lib.Exchange,
+    upstream: upstream_lib.Upstream,
+    *,
+    continues: bool,
+) -> call.Conn:
+    """Returns a connection to an upstream.
+
+    Raises:
+      error.ConnectError: None could be opened.
+    """
+    try:
+        return await core.conns.acquire(
+            upstream.address,
+            repeatable=exchange.route.kind.may_repeat,
+            # The limit does not apply to a resumed run: it has been stopped at
+            # its source, and would be lost without a connection.
+            max_connections=None
+            if continues
+            else core.quota.max_connections(upstream),
+        )
+    except error.RefusedError:
+        core.detector.record_refused(upstream)
+        raise
+
+
 def _accepts_work(
     upstreams: upstream_lib.Upstreams,
     upstream: upstream_lib.Upstream,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -7,11 +7,13 @@
 __all__ = [
     'EntryInvalid',
     'CopyNotFreed',
+    'CrashSuspected',
     'MigrationStarted',
     'ReportFailed',
     'RunBrokeOff',
     'RunOrdered',
     'UpstreamAdded',
+    'UpstreamCrashed',
     'UpstreamLapsed',
     'UpstreamLeaving',
     'UpstreamRemoved',
@@ -207,3 +209,36 @@
 
     upstream: str
     version: str
+
+
+@base.define
+class CrashSuspected(base.Event):
+    """A request was running at an upstream when it crashed.
+
+    Attributes:
+      upstream: The upstream.
+      fingerprint: Identifies the request across repeats with other ids.
+      label: Its route, client account and path.
+      ran_ms: For how long it had been running.
+    """
+
+    upstream: str
+    fingerprint: str
+    label: str
+    ran_ms: float
+
+
+@base.define
+class UpstreamCrashed(base.Event):
+    """An upstream has crashed while it ran requests of this gateway.
+
+    Attributes:
+      upstream: The upstream.
+      evidence: `refused` if its address refuses connections, `replaced` if
+        another process has taken over the address.
+      requests: Number of requests of this gateway that were running.
+    """
+
+    upstream: str
+    evidence: str
+    requests: int
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.http import message
+from quetzalsill_gateway.quarantine import fingerprint as fingerprint_lib
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
@@ -69,6 +70,21 @@
     tokens: int = 0
     retry_after_s: float = RETRY_AFTER_S
     regions: frozenset[str] | None = None
+    _fingerprint: bytes = b''
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Identifies the request across repeats, which have other ids."""
+        if not self._fingerprint:
+            req = self.request
+            self._fingerprint = fingerprint_lib.compute(
+                req.method,
+                message.first(req.headers, b'host') or b'',
+                req.target,
+                self.account or b'',
+                req.body,
+            )
+        return self._fingerprint
 
     def record_event(self) -> None:
         """Records that events are being sent to the caller now."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -272,7 +272,8 @@
 
     Raises:
       error.ConnectTimeoutError: It was not accepted in time.
-      error.ConnectError: It was refused, or failed otherwise.
+      error.RefusedError: It was refused.
+      error.ConnectError: It failed otherwise.
     """
     loop = asyncio.get_running_loop()
     try:
@@ -282,6 +283,8 @@
             )
     except TimeoutError as exc:
         raise error.ConnectTimeoutError(f'{address[0]}:{address[1]}') from exc
+    except ConnectionRefusedError as exc:
+        raise error.RefusedError(f'{address[0]}:{address[1]}') from exc
     except OSError as exc:
         raise error.ConnectError(f'{address[0]}:{address[1]}: {exc}') from exc
     return conn
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -12,6 +12,7 @@
     'MalformedResponseError',
     'ConnectionLimitError',
     'NotSentError',
+    'RefusedError',
     'ResponseTimeoutError',
     'TruncatedError',
     'ConnectTimeoutError',
@@ -36,6 +37,10 @@
     ran = base.Ran.NO
 
 
+class RefusedError(ConnectError):
+    """A connection was refused: no process listens at the address."""
+
+
 class ConnectTimeoutError(ConnectError):
     """A connection was not accepted in time.
 
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -0,0 +1,298 @@
+"""Attributes crashes of upstreams to the requests that caused them.
+
+A crash ends every run of its upstream, so each of them is a suspect. Where one
+request crashes upstreams again and again, its neighbours meet several crashes
+too, long generations most of all. What tells them apart:
+
+- a request that an upstream has answered since a crash did not cause it;
+- a crash at which a known culprit was running is charged to nobody else;
+- upstreams that crash at the same moment, as those of a rack do, count once;
+- a request that was running at some of many crashes may have been there by
+  chance, depending on for how long it has been running.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Callable, Iterable, Iterator
+
+__all__ = ['Crash', 'Evidence', 'Suspect', 'groups']
+
+MIN_CRASHES = 3
+# Upstreams that crash within this time of each other count as one crash.
+GROUP_S = 0.25
+# Largest probability that as many crashes meet a request by chance.
+MAX_CHANCE = 1e-3
+# Window over which the rate of crashes is measured.
+RATE_WINDOW_S = 10.0
+# A request that is repeated less often than this is found again each time.
+RETENTION_S = 600.0
+MAX_CRASHES = 512
+MAX_SUSPECTS = 128
+MAX_COMPLETIONS = 4096
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Suspect:
+    """A request that was running at an upstream that crashed.
+
+    Attributes:
+      fingerprint: Fingerprint of the request.
+      exposure_s: For how long it had been running, in seconds.
+      label: Route, client account and path, for operators.
+    """
+
+    fingerprint: bytes
+    exposure_s: float
+    label: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """The crash of one incarnation of an upstream.
+
+    Attributes:
+      key: Key of the upstream.
+      service: Its service.
+      at_s: Loop time at which its connections ended.
+      suspects: Requests that were running, by fingerprint.
+    """
+
+    key: str
+    service: str
+    at_s: float
+    suspects: dict[bytes, Suspect] = dataclasses.field(default_factory=dict)
+
+    def merge(self, other: Crash) -> bool:
+        """Adds what another report of the crash says; whether any is new."""
+        self.at_s = min(self.at_s, other.at_s)
+        before = dict(self.suspects)
+        for fingerprint, suspect in other.suspects.items():
+            known = self.suspects.get(fingerprint)
+            is_full = len(self.suspects) >= MAX_SUSPECTS
+            if (known is None and not is_full) or (
+                known is not None and suspect.exposure_s < known.exposure_s
+            ):
+                self.suspects[fingerprint] = suspect
+        return self.suspects != before
+
+
+class Evidence:
+    """Recent crashes, and requests that have been answered since."""
+
+    def __init__(self, upstream_count: Callable[[str], int]) -> None:
+        """Starts without crashes.
+
+        Args:
+          upstream_count: Returns the number of upstreams of a service.
+        """
+        self._upstream_count = upstream_count
+        self._crashes: dict[str, Crash] = {}
+        self._keys: dict[bytes, set[str]] = {}
+        # Loop time of the latest answer, by fingerprint.
+        self._completed: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+        # Upstreams that have answered after they seemed to have crashed.
+        self._alive: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def __bool__(self) -> bool:
+        """Whether any crash is known."""
+        return bool(self._crashes)
+
+    @property
+    def crashes(self) -> list[Crash]:
+        """All known crashes, in the order in which they became known."""
+        return list(self._crashes.values())
+
+    @property
+    def completions(self) -> dict[bytes, float]:
+        """Loop times at which suspects were answered, by fingerprint."""
+        return dict(self._completed)
+
+    @property
+    def alive(self) -> dict[str, float]:
+        """Loop times at which upstreams proved alive, by key."""
+        return dict(self._alive)
+
+    def crash_time_s(self, key: str) -> float | None:
+        """Returns the loop time at which an upstream crashed, None if not."""
+        crash = self._crashes.get(key)
+        return None if crash is None else crash.at_s
+
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Whether a request was running at any of the crashes."""
+        return fingerprint in self._keys
+
+    def add(self, crash: Crash) -> bool:
+        """Adds a crash or what is new about it; returns whether any was."""
+        if crash.key in self._alive:
+            return False
+        known = self._crashes.get(crash.key)
+        if known is None:
+            while len(self._crashes) >= MAX_CRASHES:
+                self._remove(next(iter(self._crashes)))
+            suspects = dict(list(crash.suspects.items())[:MAX_SUSPECTS])
+            known = dataclasses.replace(crash, suspects=suspects)
+            self._crashes[crash.key] = known
+            is_new = True
+        else:
+            is_new = known.merge(crash)
+        for fingerprint in known.suspects:
+            self._keys.setdefault(fingerprint, set()).add(crash.key)
+        return is_new
+
+    def record_alive(self, key: str, now: float) -> bool:
+        """Drops the crash of an upstream that has answered since.
+
+        What looks like a crash to one gateway may be a network fault between
+        the two.
+        """
+        if key in self._alive:
+            return False
+        self._alive[key] = now
+        while len(self._alive) > MAX_CRASHES:
+            self._alive.popitem(last=False)
+        self._remove(key)
+        return True
+
+    def record_completion(self, fingerprint: bytes, at_s: float) -> bool:
+        """Records that an upstream has answered a request without crashing."""
+        if at_s <= self._completed.get(fingerprint, -math.inf):
+            return False
+        self._completed[fingerprint] = at_s
+        self._completed.move_to_end(fingerprint)
+        while len(self._completed) > MAX_COMPLETIONS:
+            self._completed.popitem(last=False)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Drops what is older than `RETENTION_S`."""
+        oldest_s = now - RETENTION_S
+        for crash in self.crashes:
+            if crash.at_s < oldest_s:
+                self._remove(crash.key)
+        for times in (self._completed, self._alive):
+            for key in [key for key, at_s in times.items() if at_s < oldest_s]:
+                del times[key]
+
+    def charges(
+        self, fingerprint: bytes, culprits: Iterable[bytes] = ()
+    ) -> list[Crash]:
+        """Returns the crashes that a request may have caused, by time.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          culprits: Known culprits; their crashes count for nobody else.
+        """
+        others = frozenset(culprits) - {fingerprint}
+        since_s = self._completed.get(fingerprint, -math.inf)
+        crashes = (
+            self._crashes[key] for key in self._keys.get(fingerprint, ())
+        )
+        charged = (
+            crash
+            for crash in crashes
+            if crash.at_s > since_s and others.isdisjoint(crash.suspects)
+        )
+        return sorted(charged, key=lambda crash: crash.at_s)
+
+    def chance(
+        self, fingerprint: bytes, charged: list[Crash], now: float
+    ) -> float:
+        """Returns how likely a request meets its crashes by chance.
+
+        Upstreams crash without the request at some rate, which is taken for a
+        Poisson process; the request was exposed to it while it was running.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          charged: The crashes at which it was running.
+          now: Loop time.
+        """
+        found = groups(charged)
+        exposure_s = sum(
+            min(crash.suspects[fingerprint].exposure_s for crash in group)
+            for group in found
+        )
+        mean = exposure_s * max(
+            self._background_per_s(fingerprint, service, now)
+            for service in {crash.service for crash in charged}
+        )
+        below = sum(
+            mean**count / math.factorial(count) for count in range(len(found))
+        )
+        return 1.0 - math.exp(-mean) * below
+
+    def culprits(
+        self, known: Iterable[bytes], now: float
+    ) -> Iterator[tuple[Suspect, list[Crash]]]:
+        """Yields the requests that are found to have caused crashes.
+
+        Of those that ran at the same crashes, the one that had been running for
+        the shortest time is taken first; it then explains the crashes.
+
+        Args:
+          known: Culprits that are known already.
+          now: Loop time.
+        """
+        found = set(known)
+        while True:
+            candidates = [
+                (self._exposure_s(fingerprint, charged), fingerprint, charged)
+                for fingerprint, keys in self._keys.items()
+                if fingerprint not in found
+                and len(keys) >= MIN_CRASHES
+                and len(groups(charged := self.charges(fingerprint, found)))
+                >= MIN_CRASHES
+                and self.chance(fingerprint, charged, now) <= MAX_CHANCE
+            ]
+            if not candidates:
+                return
+            _, fingerprint, charged = min(candidates, key=lambda one: one[:2])
+            found.add(fingerprint)
+            yield charged[-1].suspects[fingerprint], charged
+
+    def _exposure_s(self, fingerprint: bytes, charged: list[Crash]) -> float:
+        return sum(crash.suspects[fingerprint].exposure_s for crash in charged)
+
+    def _background_per_s(
+        self, fingerprint: bytes, service: str, now: float
+    ) -> float:
+        """Returns the crashes per second and upstream without a request."""
+        count = sum(
+            crash.service == service
+            and crash.at_s > now - RATE_WINDOW_S
+            and fingerprint not in crash.suspects
+            for crash in self._crashes.values()
+        )
+        return count / RATE_WINDOW_S / max(1, self._upstream_count(service))
+
+    def _remove(self, key: str) -> None:
+        crash = self._crashes.pop(key, None)
+        if crash is None:
+            return
+        for fingerprint in crash.suspects:
+            keys = self._keys[fingerprint]
+            keys.discard(key)
+            if not keys:
+                del self._keys[fingerprint]
+
+
+def groups(charged: Iterable[Crash]) -> list[list[Crash]]:
+    """Returns crashes in groups that count as one each.
+
+    Args:
+      charged: Crashes in the order of their times.
+    """
+    found: list[list[Crash]] = []
+    for crash in charged:
+        if found and crash.at_s - found[-1][0].at_s <= GROUP_S:
+            found[-1].append(crash)
+        else:
+            found.append([crash])
+    return found
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -24,6 +24,7 @@
 from quetzalsill_gateway.fleet import members, quota, revision, upstream
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
+from quetzalsill_gateway.quarantine import detector
 from quetzalsill_gateway.stream import engine_poll, live
 from quetzalsill_gateway.watch import configuration, membership, update
 
@@ -53,6 +54,7 @@
         self._settings = settings
         conns = pool.Pool()
         stats_table = upstream_stats.StatsTable()
+        upstreams = upstream.Upstreams(settings.regions)
         holder = source.RoutingTableHolder()
         gateways = members.Members(settings.node.name)
         if not settings.peers:
@@ -63,7 +65,7 @@
             calls=deployment.calls(conns),
             holder=holder,
             health=source.Health(),
-            upstreams=upstream.Upstreams(settings.regions),
+            upstreams=upstreams,
             stats_table=stats_table,
             conns=conns,
             budget=_make_budget(settings.retry),
@@ -78,6 +80,7 @@
                 conns.connections,
                 settings.retry.gateways,
             ),
+            detector=detector.Detector(conns, upstreams, lambda _: None),
         )
         self.core.health.on_recovery(self.core.upstreams.mark_source_recovered)
         sources = deployment.sources(settings, conns)
--- /dev/null
+++ b/tests/quetzalsill_gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `quetzalsill_gateway.quarantine`."""
