Reproduce repeats of a request that crashes engines

The stand-in engine crashes on a request with a given body and can listen on a given port, to be back at its address under a new id.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -44,12 +44,21 @@
       started: Engines that ran each request from its beginning.
       running_on: Engines that currently run each request.
       concurrent: Requests that two engines ran at the same time.
+      crash_body: Requests with this body crash the engine that runs them; None
+        for none.
+      crash_after_s: Time from the start of the run to the crash, in seconds.
+      crashed: Engines that such a request has crashed.
+      bodies: Bodies of the requests that engines received, in order.
     """
 
     engines: dict[str, Engine] = dataclasses.field(default_factory=dict)
     started: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     running_on: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     concurrent: set[str] = dataclasses.field(default_factory=set)
+    crash_body: bytes | None = None
+    crash_after_s: float = 0.06
+    crashed: list[str] = dataclasses.field(default_factory=list)
+    bodies: list[bytes] = dataclasses.field(default_factory=list)
 
     def run_started(
         self, request_id: str, engine: str, *, is_new: bool
@@ -119,9 +128,9 @@
         self._numbers = itertools.count(1)
         self._detached: list[asyncio.Task[None]] = []
 
-    async def start(self) -> None:
-        """Starts to accept connections."""
-        await self.server.start()
+    async def start(self, port: int = 0) -> None:
+        """Starts to accept connections on a port; 0 for any."""
+        await self.server.start(port)
         self._fleet.engines[self.server.address_text] = self
 
     async def crash(self) -> None:
@@ -206,6 +215,7 @@
 
     async def _generate(self, call: scripted.Exchange) -> None:
         self.requests.append(call.headers)
+        self._fleet.bodies.append(call.body)
         request_id = call.headers[PREFIX + 'attempt-id']
         echo = {PREFIX + 'attempt-id': request_id}
         if call.headers.get(PREFIX + 'expect-instance') != self.id:
@@ -245,6 +255,8 @@
     ) -> None:
         run = self._runs[request_id] = _Run(request_id, after)
         self._fleet.run_started(request_id, self.id, is_new=is_new)
+        if call.body == self._fleet.crash_body:
+            self._detached.append(asyncio.create_task(self._crash_soon()))
         if self.resets_at_start:
             self.resets_at_start -= 1
             run.running = False
@@ -287,6 +299,12 @@
                 run.running = False
                 self._fleet.run_ended(request_id, self.id)
 
+    async def _crash_soon(self) -> None:
+        await asyncio.sleep(self._fleet.crash_after_s)
+        if self.id not in self._fleet.crashed:
+            self._fleet.crashed.append(self.id)
+            await self.crash()
+
     def _update_backup(self, run: _Run, address: str | None) -> None:
         """Updates the copy of a run on its backup engine."""
         target = self._fleet.engines.get(address)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -109,9 +109,11 @@
         """IP address and port, separated by a colon."""
         return '{}:{}'.format(*self.address)
 
-    async def start(self) -> None:
-        """Listens on a port chosen by the kernel."""
-        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+    async def start(self, port: int = 0) -> None:
+        """Listens on a port; 0 lets the kernel choose."""
+        self._server = await asyncio.start_server(
+            self._accept, '127.0.0.1', port
+        )
 
     async def stop(self) -> None:
         """Stops listening and resets every connection."""
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -137,11 +137,18 @@
         await server.start()
         self.addAsyncCleanup(server.stop)
 
-    async def start_gateway(self, *, wait=True):
-        """Starts a gateway and, by default, waits until it is ready."""
+    async def start_gateway(self, *, wait=True, name='entry-1', peers=''):
+        """Starts a gateway and, by default, waits until it is ready.
+
+        Args:
+          wait: Whether to wait until it knows all upstreams.
+          name: Name of its node.
+          peers: Address for datagrams of other gateways; empty for none.
+        """
         cfg = settings.Settings(
-            node=section.Node('entry-1', 'zone-a'),
+            node=section.Node(name, 'zone-a'),
             listen=ANYWHERE,
+            peers=peers,
             ready=ANYWHERE,
             store=self.store.server.address_text,
             ready_path='/-/readyz',
@@ -183,9 +190,10 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
-    def caller(self):
-        """Returns a client of the gateway that is not connected yet."""
-        client = caller.Caller('127.0.0.1', self.process.callers.port)
+    def caller(self, process=None):
+        """Returns a client of a gateway that is not connected yet."""
+        port = (process or self.process).callers.port
+        client = caller.Caller('127.0.0.1', port)
         self.addCleanup(lambda: client._writer and client.disconnect())
         return client
 
--- /dev/null
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -0,0 +1,90 @@
+"""Requests that crash the engines that run them, at several gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+
+from quetzalsill_dev.users_platform import engine
+from tests.quetzalsill_platform import fixture
+
+CRASHING = b'a prompt that crashes engines'
+RESTART_S = 0.3
+PAUSE_S = 0.1
+# Repeats that may go on reaching engines once it is known what they do.
+MAX_REPEATS = 3
+
+
+class CrashingRequestTestCase(fixture.GatewayTestCase):
+    """Three gateways; an engine that crashed is back under a new id."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.numbers = itertools.count(100)
+        self.fleet.crash_body = CRASHING
+        self.gateways = [
+            await self.start_gateway(name=f'node-{n}', peers=fixture.ANYWHERE)
+            for n in range(3)
+        ]
+        for gateway in self.gateways:
+            await self.wait_until(lambda g=gateway: g.peers.peer_count >= 2)
+        restarts = asyncio.create_task(self.restart_crashed())
+        self.addCleanup(restarts.cancel)
+
+    async def restart_crashed(self):
+        """Replaces each engine that has crashed, at the same address."""
+        for count in itertools.count():
+            while len(self.fleet.crashed) <= count:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            asyncio.create_task(self.replace(self.fleet.crashed[count]))
+
+    async def replace(self, engine_id):
+        old = next(one for one in self.engines if one.id == engine_id)
+        self.engines.remove(old)
+        address = next(a for a, one in self.fleet.engines.items() if one is old)
+        port = int(address.rpartition(':')[2])
+        await asyncio.sleep(RESTART_S)
+        new = engine.Engine(self.fleet, f'engine-{next(self.numbers)}')
+        new.length, new.event_s = old.length, old.event_s
+        await new.start(port)
+        self.addAsyncCleanup(new.server.stop)
+        self.engines.append(new)
+        self.store.remove('servers', old.id)
+        self.register(new)
+
+    async def send(self, number, body=CRASHING, path='/verdict/1', key='key-1'):
+        """Sends a request to one of the gateways in turn."""
+        client = self.caller(self.gateways[number % len(self.gateways)])
+        async with asyncio.timeout(fixture.WAIT_TIMEOUT_S):
+            return await client.request(path, method='POST', body=body, key=key)
+
+    async def repeat(self, count):
+        """Repeats the crashing request; returns how often it reached engines.
+
+        Returns:
+          How often, in the first and in the second half of the repeats.
+        """
+        half = 0
+        for number in range(count):
+            if number == count // 2:
+                half = self.fleet.bodies.count(CRASHING)
+            await self.send(number)
+            await asyncio.sleep(PAUSE_S)
+        return half, self.fleet.bodies.count(CRASHING) - half
+
+
+class CrashingRequestTest(CrashingRequestTestCase):
+    """One request that crashes engines, and the requests beside it."""
+
+    async def test_repeats_stop_reaching_engines(self):
+        """A request crashes one engine after the other.
+
+        Its caller repeats it at any gateway under new ids.
+        """
+        _, later = await self.repeat(30)
+        self.assertLessEqual(later, MAX_REPEATS)
+
+
+if __name__ == '__main__':
+    unittest.main()
