Let operators list quarantined requests and lift a quarantine

The addresses for readiness and metrics list what is refused, why, since when and until when; a quarantine that is lifted at one gateway is lifted at all, and the crashes before don't bring it back. Bad input names the field and the remedy. A gauge counts the requests in quarantine.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -87,7 +87,8 @@
 )
 state = metric.gauge(
     'quetzalsill_gateway_state',
-    'Version in force, connections of callers, streams, gateways heard.',
+    'Version in force, connections of callers, streams, gateways heard,'
+    ' requests in quarantine.',
 )
 
 
@@ -126,5 +127,6 @@
         {'of': 'streams'}, sum(len(core.live.of(u)) for u in all_upstreams)
     )
     state.set({'of': 'peers'}, peers.peer_count)
+    state.set({'of': 'quarantined'}, len(core.quarantine.entries))
     datagrams.set({'result': 'taken'}, peers.accepted)
     datagrams.set({'result': 'left_out'}, peers.dropped)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/readiness.py
@@ -1,4 +1,4 @@
-"""Serves the load balancer's readiness check, and metrics."""
+"""Serves the load balancer's readiness check, metrics and operators."""
 
 from __future__ import annotations
 
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
+from quetzalsill_gateway.quarantine import api
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.http import listener, message
     from quetzalsill_gateway.http import responder as responder_lib
+    from quetzalsill_gateway.quarantine import quarantine as quarantine_lib
 
 __all__ = ['METRICS_PATH', 'make_handler']
 
@@ -20,14 +22,18 @@
 
 
 def make_handler(
-    path: str, is_ready: Callable[[], bool], observe: Callable[[], None]
+    path: str,
+    is_ready: Callable[[], bool],
+    observe: Callable[[], None],
+    quarantine: quarantine_lib.Quarantine,
 ) -> listener.Handler:
-    """Returns the HTTP handler for readiness checks and metrics.
+    """Returns the HTTP handler for readiness checks, metrics and operators.
 
     Args:
       path: Path of the readiness check.
       is_ready: Whether callers are accepted.
       observe: Updates the gauges before they are rendered.
+      quarantine: Quarantined requests.
     """
     ready_path = path.encode()
 
@@ -40,6 +46,8 @@
             observe()
             content_type = (b'content-type', metric.CONTENT_TYPE.encode())
             responder.reply(OK, [content_type], metric.render())
+        elif req.path.startswith(api.PATH):
+            api.handle(quarantine, req, responder)
         else:
             responder.reply(NOT_FOUND, [])
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -105,7 +105,10 @@
         self._gateway = gateway.Gateway(self.core)
         self.callers = listener.Listener(self._gateway.handle, self._limits)
         handler = readiness.make_handler(
-            settings.ready_path, self.is_ready, self._observe
+            settings.ready_path,
+            self.is_ready,
+            self._observe,
+            self.core.quarantine,
         )
         self.readiness = listener.Listener(handler, listener.Limits)
         self.metrics = listener.Listener(handler, listener.Limits)
--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import itertools
+import json
 import unittest
 
-from quetzalsill_dev.users_platform import engine
+from quetzalsill_dev.users_platform import caller, engine
 from tests.quetzalsill_platform import fixture
 
 CRASHING = b'a prompt that crashes engines'
@@ -116,12 +117,36 @@
         self.assertEqual(self.fleet.bodies.count(CRASHING), sent)
         self.assertGreater(float(response.headers['retry-after']), 1.0)
 
+    async def operate(self, method, path):
+        """Sends an operator's request; returns status and body."""
+        port = self.gateways[0].readiness.port
+        client = caller.Caller('127.0.0.1', port)
+        response = await client.request(path, method=method)
+        client.disconnect()
+        return response.status, json.loads(response.body)
+
+    async def test_bad_operator_requests_name_field_and_remedy(self):
+        for method, path, status, field in (
+            ('DELETE', '/quarantine/xyz', 400, 'fingerprint'),
+            ('DELETE', '/quarantine/00ff', 404, 'fingerprint'),
+            ('PUT', '/quarantine', 405, 'method'),
+        ):
+            with self.subTest(path=path):
+                got, body = await self.operate(method, path)
+                self.assertEqual((got, body['field']), (status, field))
+                self.assertTrue(body['advice'])
+
     async def test_an_operator_lifts_it(self):
         """The engines have been fixed before the quarantine ends."""
         await self.repeat(12)
         self.fleet.crash_body = None
-        [entry] = self.gateways[0].core.quarantine.entries
-        self.gateways[0].core.quarantine.lift(entry.fingerprint)
+        status, listed = await self.operate('GET', '/quarantine')
+        [entry] = listed['requests']
+        self.assertEqual(status, 200)
+        self.assertEqual(entry['label'], 'verdict first /verdict/1')
+        self.assertGreaterEqual(len(entry['upstreams']), 3)
+        path = f'/quarantine/{entry["fingerprint"]}'
+        self.assertEqual((await self.operate('DELETE', path))[0], 200)
         for gateway in self.gateways:
             await self.wait_until(
                 lambda g=gateway: not g.core.quarantine.entries
