Play a request that crashes engines in the soak

Each seed repeats one under new ids at any gateway for 7 s, beside its other faults; engines refuse connections after a crash and are back under new ids. Two checks: that it reaches engines at most three times later than 3 s after the third crash, gateways that were down, paused or stopping excused; and that no other request is refused for it. The other requests of one route have the same path and body.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
@@ -24,6 +24,7 @@
     'upstreams_in_log',
     'find_unexpected_log_lines',
     'find_config_rollbacks',
+    'find_crashing_sends',
 ]
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -33,6 +34,12 @@
 # A request sent this long after the response to another one is handled after it
 # by the same process.
 CONFIG_SETTLE_S = 0.25
+# A request that has crashed this many engines may reach engines this often
+# more, this long after the last of these crashes.
+MAX_CRASHES = 3
+MAX_CRASHING_SENDS = 3
+STABLE_WINDOW_S = 3.0
+QUARANTINED = b'quarantined\n'
 # A mean this many standard errors above zero is not due to chance.
 MIN_STANDARD_ERRORS = 3.0
 MIN_PAIRS = 5
@@ -57,6 +64,8 @@
     for record in records:
         where = f'{record.kind} {record.request_id} at {record.gateway}'
         runs = run_counts[record.request_id]
+        if record.answer.body == QUARANTINED:
+            yield f'{where} was refused as if it crashed engines'
         if record.kind in AT_MOST_ONCE_KINDS and runs > 1:
             yield f'{where} ran {runs} times'
         if (
@@ -82,6 +91,38 @@
             yield f'plan {name} ran on two engines at once'
 
 
+def find_crashing_sends(
+    testbed: testbed_lib.Testbed, gateway_by_request: dict[str, str]
+) -> Iterator[str]:
+    """Yields a line if a request that crashes engines was sent too often.
+
+    Gateways that were down, paused or stopping shortly before are excused.
+
+    Args:
+      testbed: Engines and gateways.
+      gateway_by_request: Gateway by id of each request that crashes engines.
+    """
+    times_s = testbed.fleet.crash_times_s
+    if len(times_s) < MAX_CRASHES:
+        return
+    since_s = times_s[MAX_CRASHES - 1] + STABLE_WINDOW_S
+    gateways = {one.name: one for one in testbed.gateways}
+    late = [
+        one
+        for one in testbed.fleet.arrivals
+        if one.at_s > since_s
+        and one.request_id in gateway_by_request
+        and not gateways[gateway_by_request[one.request_id]].is_disturbed(
+            one.at_s - STABLE_WINDOW_S, one.at_s
+        )
+    ]
+    if len(late) > MAX_CRASHING_SENDS:
+        yield (
+            f'a request that crashes engines reached {len(late)} engines after '
+            f'it had crashed {MAX_CRASHES}; {len(times_s)} crashed in all'
+        )
+
+
 def find_config_rollbacks(
     records: Iterable[load_lib.RequestRecord],
 ) -> Iterator[str]:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
 
 from quetzalsill_dev.soak import plan
 from quetzalsill_dev.soak import testbed as testbed_lib
+from quetzalsill_dev.users_platform import caller, engine
 
 if TYPE_CHECKING:
     from quetzalsill_dev import launch
@@ -34,11 +36,18 @@
 CUT_WATCHES_PROBABILITY = 0.5
 # Share of lost rows written again before the store answers any call.
 IMMEDIATE_REWRITE_SHARES = (0.0, 0.5, 1.0)
+# A request that crashes engines is repeated at this interval.
+CRASHING_INTERVAL_S = 0.15
+# A crashed engine is back after this time, and its old entry lapses.
+ENGINE_RESTART_S = 0.7
 
 
 class FaultInjector:
     """Injects faults, which may overlap.
 
+    Attributes:
+      crashing_sends: Gateway by id of each request that crashes engines.
+
     Faults of a gateway's process are skipped while it is down, paused or
     stopping; all other faults apply to the gateway even then.
     """
@@ -56,6 +65,8 @@
         self._testbed = testbed
         self._rolls_back = rolls_back
         self._tasks: set[asyncio.Task[None]] = set()
+        self.crashing_sends: dict[str, str] = {}
+        testbed.fleet.on_crash = self._restart_engine
         self._violations: list[str] = []
         self._departing: list[testbed_lib.Upstream] = []
         fault = plan.Fault
@@ -86,6 +97,7 @@
             fault.STORE_PARTITION: self._partition_store,
             fault.DRILL: self._drill,
             fault.RESET_ON_START: self._reset_on_start,
+            fault.CRASHING_REQUEST: self._repeat_crashing_request,
         }
 
     def inject(self, injection: plan.Injection) -> None:
@@ -95,6 +107,8 @@
 
     async def wait(self) -> list[str]:
         """Waits until all faults have ended; returns the violations seen."""
+        while pending := [task for task in self._tasks if not task.done()]:
+            await asyncio.gather(*pending)
         await asyncio.gather(*self._tasks)
         return self._violations
 
@@ -299,3 +313,50 @@
     async def _configure(self, injection: plan.Injection) -> None:
         del injection
         self._testbed.publish_configuration()
+
+    async def _repeat_crashing_request(self, injection: plan.Injection) -> None:
+        """Repeats a request that crashes engines, with new ids, anywhere."""
+        rng = random.Random(injection.target)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + injection.duration_s
+        sends = []
+        while loop.time() < end_s:
+            gateway = rng.choice(self._testbed.gateways)
+            request_id = f'c{len(sends):015x}'
+            self.crashing_sends[request_id] = gateway.name
+            sends.append(
+                asyncio.create_task(_send_crashing(gateway, request_id))
+            )
+            await asyncio.sleep(CRASHING_INTERVAL_S)
+        await asyncio.gather(*sends)
+
+    def _restart_engine(self, crashed: engine.Engine) -> None:
+        """Replaces an engine that a request has crashed."""
+        upstream = next(
+            one for one in self._testbed.upstreams if one.server is crashed
+        )
+        task = asyncio.create_task(self._replace_engine(upstream))
+        self._tasks.add(task)
+
+    async def _replace_engine(self, upstream: testbed_lib.Upstream) -> None:
+        is_departing = upstream in self._departing
+        self._departing.append(upstream)
+        # Connections are refused, as by a host whose process has ended.
+        await upstream.relay.stop()
+        await asyncio.sleep(ENGINE_RESTART_S)
+        if not is_departing:
+            await self._testbed.add_upstream(upstream.service)
+            await self._testbed.remove_upstream(upstream)
+
+
+async def _send_crashing(gateway: testbed_lib.Gateway, request_id: str) -> None:
+    conn = caller.Caller('127.0.0.1', gateway.relay.port)
+    with contextlib.suppress(TimeoutError, OSError):
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            await conn.request(
+                '/verdict/crashing',
+                method='POST',
+                body=testbed_lib.CRASHING_BODY,
+                request_id=request_id,
+            )
+    conn.disconnect()
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
@@ -30,6 +30,8 @@
 EVENT_INTERVAL_S = 0.01
 ENGINE_SERVICE = 'writers'
 HTTP_SERVICE = 'desk'
+# Requests with this body crash the engine that runs them.
+CRASHING_BODY = b'a prompt that crashes engines'
 
 
 class Gateway:
@@ -42,6 +44,7 @@
       process: Latest process; None before the first start.
       incarnation: Number of processes started so far.
       stopping: Whether the process is down, paused or stopping.
+      disturbed_s: Loop times at which that began and ended, in turn.
     """
 
     def __init__(self, name: str) -> None:
@@ -50,7 +53,29 @@
         self.store_relay = relay.Relay('127.0.0.1', 1)
         self.process: launch.Process | None = None
         self.incarnation = 0
-        self.stopping = False
+        self._is_stopping = False
+        self.disturbed_s: list[float] = []
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process is down, paused or stopping."""
+        return self._is_stopping
+
+    @stopping.setter
+    def stopping(self, is_stopping: bool) -> None:
+        if is_stopping != self._is_stopping:
+            now = asyncio.get_running_loop().time()
+            self.disturbed_s.append(now)
+        self._is_stopping = is_stopping
+
+    def is_disturbed(self, since_s: float, until_s: float) -> bool:
+        """Whether it was down, paused or stopping within some time."""
+        starts, ends = self.disturbed_s[::2], self.disturbed_s[1::2]
+        ends = [*ends, float('inf')]
+        return any(
+            start <= until_s and end >= since_s
+            for start, end in zip(starts, ends, strict=False)
+        )
 
 
 class Upstream:
@@ -102,7 +127,7 @@
         self._log_level = log_level
         self.store = store.Store()
         self.store.era = 1
-        self.fleet = engine.Fleet()
+        self.fleet = engine.Fleet(crash_body=CRASHING_BODY)
         self.gateways = [Gateway(f'entry-{n}') for n in range(gateways)]
         self.upstreams: list[Upstream] = []
         self.http_servers: list[http_server.HttpServer] = []
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 import json
+from collections.abc import Callable
 from typing import Any
 
 from quetzalsill_dev.users_platform import scripted
@@ -35,6 +36,21 @@
     running: bool = True
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request that reached an engine.
+
+    Attributes:
+      at_s: Loop time.
+      request_id: Id of the request.
+      body: Its body.
+    """
+
+    at_s: float
+    request_id: str
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class Fleet:
     """Engines that can move runs to each other, and a record of all runs.
@@ -48,7 +64,9 @@
         for none.
       crash_after_s: Time from the start of the run to the crash, in seconds.
       crashed: Engines that such a request has crashed.
-      bodies: Bodies of the requests that engines received, in order.
+      crash_times_s: Loop times at which they crashed.
+      on_crash: Called with each of them.
+      arrivals: Requests that reached engines, in order.
     """
 
     engines: dict[str, Engine] = dataclasses.field(default_factory=dict)
@@ -58,7 +76,9 @@
     crash_body: bytes | None = None
     crash_after_s: float = 0.06
     crashed: list[str] = dataclasses.field(default_factory=list)
-    bodies: list[bytes] = dataclasses.field(default_factory=list)
+    crash_times_s: list[float] = dataclasses.field(default_factory=list)
+    on_crash: Callable[[Engine], None] | None = None
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
 
     def run_started(
         self, request_id: str, engine: str, *, is_new: bool
@@ -215,8 +235,9 @@
 
     async def _generate(self, call: scripted.Exchange) -> None:
         self.requests.append(call.headers)
-        self._fleet.bodies.append(call.body)
         request_id = call.headers[PREFIX + 'attempt-id']
+        now = asyncio.get_running_loop().time()
+        self._fleet.arrivals.append(Arrival(now, request_id, call.body))
         echo = {PREFIX + 'attempt-id': request_id}
         if call.headers.get(PREFIX + 'expect-instance') != self.id:
             call.respond(421, headers={PREFIX + 'instance-id': self.id})
@@ -303,6 +324,10 @@
         await asyncio.sleep(self._fleet.crash_after_s)
         if self.id not in self._fleet.crashed:
             self._fleet.crashed.append(self.id)
+            now = asyncio.get_running_loop().time()
+            self._fleet.crash_times_s.append(now)
+            if self._fleet.on_crash is not None:
+                self._fleet.on_crash(self)
             await self.crash()
 
     def _update_backup(self, run: _Run, address: str | None) -> None:
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -175,6 +175,26 @@
         )
         self.assertFalse(checks.is_significantly_above_zero([0.02, 0.03]))
 
+    def test_a_request_that_crashes_engines_reaches_too_many(self):
+        gateway = testbed_lib.Gateway('entry-0')
+        fleet = engine.Fleet(
+            crash_times_s=[1.0, 2.0, 3.0],
+            arrivals=[
+                engine.Arrival(at_s, 'c', b'')
+                for at_s in (5.9, 6.1, 7.0, 8.0, 9.0)
+            ],
+        )
+        found = types.SimpleNamespace(fleet=fleet, gateways=[gateway])
+        sends = {'c': 'entry-0'}
+        [line] = checks.find_crashing_sends(found, sends)
+        self.assertIn('reached 4 engines', line)
+        gateway.disturbed_s = [3.0, 5.0]
+        self.assertEqual(list(checks.find_crashing_sends(found, sends)), [])
+
+    def test_a_request_is_refused_for_the_crashes_of_another(self):
+        request = record('plan', 503, body=b'quarantined\n')
+        self.assertIn('as if it crashed', self.violations(request)[0])
+
     def test_who_left_or_asked_for_what_changes_has_lost_nothing(self):
         over = {'ended_s': 1.0}
         self.assertTrue(record('safe', 503, **over).lost)
--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -61,6 +61,10 @@
         async with asyncio.timeout(fixture.WAIT_TIMEOUT_S):
             return await client.request(path, method='POST', body=body, key=key)
 
+    def sends(self):
+        """Returns how often the crashing request has reached engines."""
+        return sum(one.body == CRASHING for one in self.fleet.arrivals)
+
     async def repeat(self, count):
         """Repeats the crashing request; returns how often it reached engines.
 
@@ -70,10 +74,10 @@
         half = 0
         for number in range(count):
             if number == count // 2:
-                half = self.fleet.bodies.count(CRASHING)
+                half = self.sends()
             await self.send(number)
             await asyncio.sleep(PAUSE_S)
-        return half, self.fleet.bodies.count(CRASHING) - half
+        return half, self.sends() - half
 
 
 class CrashingRequestTest(CrashingRequestTestCase):
@@ -107,14 +111,14 @@
     async def test_a_gateway_that_starts_knows_it(self):
         """A gateway restarts, and a repeat is its first request."""
         await self.repeat(12)
-        sent = self.fleet.bodies.count(CRASHING)
+        sent = self.sends()
         await self.gateways[0].close()
         self.gateways[0] = await self.start_gateway(
             name='node-0', peers=fixture.ANYWHERE, wait=False
         )
         response = await self.send(0)
         self.assertEqual((response.status, response.body), REFUSAL)
-        self.assertEqual(self.fleet.bodies.count(CRASHING), sent)
+        self.assertEqual(self.sends(), sent)
         self.assertGreater(float(response.headers['retry-after']), 1.0)
 
     async def operate(self, method, path):
