Keep two requests that crash engines from hiding each other

In the model, two culprits at once were convicted late: the crashes of each counted as crashes that happen without the other, and so made its own likely by chance. Crashes that another request explains at least as well are left out of that rate.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -319,11 +319,24 @@
         candidates: dict[bytes, _Candidate],
         now: float,
     ) -> float:
-        """Returns the crashes per second and upstream without a request."""
+        """Returns the crashes per second and upstream without a request.
+
+        Crashes that are explained at least as well by another request are left
+        out: else two culprits would hide each other.
+        """
+
+        def explains(fingerprint: bytes) -> bool:
+            other = candidates.get(fingerprint)
+            return fingerprint in known or (
+                other is not None
+                and other.mean_exposure_s <= candidate.mean_exposure_s
+            )
+
         count = sum(
             crash.service == service
             and crash.at_s > now - RATE_WINDOW_S
             and candidate.fingerprint not in crash.suspects
+            and not any(map(explains, crash.suspects))
             for crash in self._crashes.values()
         )
         upstreams = max(1, self._upstream_count(service))
