Keep quarantined requests while all gateways restart

What gateways know of a request that crashes engines was kept in their memories only: after a loss of power of all of them, callers would see three more engines crash. Entries are now rows of the platform's store as well, written by two gateways each (all find a culprit at about the same time) and read once at the start, in parallel with the greeting of peers. A gateway that starts waits for either, within the half second for which it waits for its sources anyway. Times are the wall clock's, whose skew of seconds is small beside a quarantine of 10 minutes.

Test seen to fail first: test_gateways_that_all_restart_know_it.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -68,6 +68,10 @@
         """Writes a row, encoded as JSON."""
         self._put_row(table, key, json.dumps(value).encode())
 
+    def rows(self, table: str) -> list[Any]:
+        """Returns the rows of a table."""
+        return list(self._rows.table(table, ''))
+
     def remove(self, table: str, key: str) -> None:
         """Removes a row."""
         self._put_row(table, key, None)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -65,6 +65,7 @@
         self._announce: Callable[[update_lib.QuarantineUpdate], None] = (
             lambda _: None
         )
+        self._on_changed: Callable[[table.Entry], None] = lambda _: None
         self._judged: dict[bytes, int] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -84,6 +85,16 @@
         """Sets the function that sends updates to the other gateways."""
         self._announce = announce
 
+    def on_changed(self, callback: Callable[[table.Entry], None]) -> None:
+        """Sets a callback for entries that have changed."""
+        self._on_changed = callback
+
+    def restore(self, entries: list[table.Entry]) -> None:
+        """Applies entries that were stored."""
+        for entry in entries:
+            self._table.merge(entry)
+        self._table.expire(_now())
+
     def admit(self, exchange: exchange_lib.Exchange) -> float | None:
         """Decides whether a request may be forwarded.
 
@@ -190,7 +201,10 @@
     def receive(self, update: update_lib.QuarantineUpdate) -> None:
         """Applies an update of another gateway."""
         for entry in update.entries:
-            if self._table.merge(entry) and entry.is_active:
+            if not self._table.merge(entry):
+                continue
+            self._on_changed(entry)
+            if entry.is_active:
                 self._enforce(entry, update.sender)
         for key, at_s in update.alive:
             self._apply_alive(key, at_s)
@@ -328,6 +342,7 @@
         return owners == [self._members.node]
 
     def _publish(self, entry: table.Entry) -> None:
+        self._on_changed(entry)
         self._send(update_lib.split((), (), (), [entry]))
 
     def _send(self, updates: Iterator[update_lib.QuarantineUpdate]) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -24,6 +24,7 @@
 from quetzalsill_gateway.fleet import members, quota, revision, upstream
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
+from quetzalsill_gateway.quarantine import persistence
 from quetzalsill_gateway.quarantine import update as quarantine_update
 from quetzalsill_gateway.stream import engine_poll, live
 from quetzalsill_gateway.watch import configuration, membership, update
@@ -129,6 +130,12 @@
         self.peers.on_update(quarantine_update.QuarantineUpdate, found.receive)
         self.peers.on_greeting(found.snapshot)
         self.peers.on_refresh(found.recent)
+        self._persistence = persistence.Persistence(
+            found,
+            gateways,
+            sources.load_quarantine,
+            sources.save_quarantine,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -160,6 +167,7 @@
             await self.peers.open(settings_lib.address(self._settings.peers))
             loops['directory'] = self.peers.join_directory
             loops['peers'] = self.peers.publish_changes
+            loops['quarantine'] = self._persistence.run
         self._tasks = [
             asyncio.create_task(background.keep_running(name, loop))
             for name, loop in loops.items()
@@ -181,14 +189,16 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + FIRST_READ_TIMEOUT_S
         while (  # noqa: ASYNC110
-            not (self.is_ready() and self._knows_peers())
+            not (self.is_ready() and self._knows_quarantine())
             and loop.time() < end_s
         ):
             await asyncio.sleep(FIRST_READ_POLL_S)
 
-    def _knows_peers(self) -> bool:
-        """Whether peers have sent what they know, such as quarantines."""
-        return not self._settings.peers or self.peers.is_greeted
+    def _knows_quarantine(self) -> bool:
+        """Whether quarantined requests are known, from peers or the store."""
+        return not self._settings.peers or (
+            self.peers.is_greeted or self._persistence.is_loaded
+        )
 
     async def stop(self) -> None:
         """Stops accepting callers and waits for requests in flight.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import revision as revision_lib
@@ -209,6 +209,9 @@
       join: Registers a gateway, by name and address, in the directory of
         gateways, and returns the addresses of all others in it by name.
       epochs: Tracks the epoch that the source reports.
+      load_quarantine: Returns the stored rows of quarantined requests.
+      save_quarantine: Stores such a row under a key. Both raise
+        `error.SourceError`.
     """
 
     poll_configuration: Poll[OperatorItem]
@@ -216,3 +219,5 @@
     poll_membership: Poll[upstream.Change]
     join: Callable[[str, str], Awaitable[dict[str, str]]]
     epochs: epoch.EpochTracker
+    load_quarantine: Callable[[], Awaitable[list[Any]]]
+    save_quarantine: Callable[[str, Any], Awaitable[None]]
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from quetzalsill_platform import directory, headers, polling
+from quetzalsill_platform import directory, headers, polling, quarantine
 from quetzalsill_platform import engine as engine_calls
 from quetzalsill_platform import store as platform_store
 
@@ -168,6 +168,8 @@
                     store_client, node, address
                 ),
                 store_client.epochs,
+                lambda: quarantine.load(store_client),
+                lambda key, value: quarantine.save(store_client, key, value),
             )
 
         process = run.Process(
--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -121,6 +121,26 @@
         self.assertEqual(self.sends(), sent)
         self.assertGreater(float(response.headers['retry-after']), 1.0)
 
+    async def test_gateways_that_all_restart_know_it(self):
+        """All gateways lose power at once, and a repeat comes again."""
+        await self.repeat(12)
+        await self.wait_until(lambda: self.store.rows('quarantine'))
+        sent = self.sends()
+        for gateway in self.gateways:
+            await gateway.close()
+        self.gateways = await asyncio.gather(
+            *(
+                self.start_gateway(
+                    name=f'node-{n}', peers=fixture.ANYWHERE, wait=False
+                )
+                for n in range(3)
+            )
+        )
+        for number in range(6):
+            response = await self.send(number)
+            self.assertEqual((response.status, response.body), REFUSAL)
+        self.assertEqual(self.sends(), sent)
+
     async def operate(self, method, path):
         """Sends an operator's request; returns status and body."""
         port = self.gateways[0].readiness.port
