Log the limits that upstreams name

Server-Limit occurred nowhere, so the logs could not show whether a gateway knew a limit, whether all did, or what passed by it. Gateways now read it from responses, know when it was lifted, and log both; the header is input: of several values the lowest counts, what is no decimal number changes nothing and is logged with the remedy.

A server that gets nothing names nothing, so a limit stays until a response without one was requested after the last one with it had arrived. No decision changes yet.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -69,6 +69,23 @@
     return ResponseClass.FAILED
 
 
+# A response without these may be somebody else's.
+PROVED_CLASSES = (
+    ResponseClass.SUCCESS,
+    ResponseClass.FAILED,
+    ResponseClass.NOT_RUN,
+)
+
+
+def _echoes_id(
+    head: message.ResponseHead,
+    dialect: dialect_lib.Dialect,
+    exchange: exchange_lib.Exchange,
+) -> bool:
+    found = message.first(head.headers, dialect.request_id)
+    return found == exchange.request_id
+
+
 @dataclasses.dataclass(slots=True)
 class SentRequest:
     """A request that was sent, with the head of its response.
@@ -135,6 +152,13 @@
                 core.detector.record_replaced(upstream)
             else:
                 core.quarantine.record_answer(upstream, run.sent_s)
+                core.server_limits.record_response(
+                    upstream,
+                    message.values(answer.headers, dialect.server_limit),
+                    run.sent_s,
+                    is_proved=response_class in PROVED_CLASSES
+                    and _echoes_id(answer, dialect, exchange),
+                )
             yield SentRequest(conn, answer, response_class)
         except error.TruncatedError:
             core.detector.record_broken(run)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import admission
+from quetzalsill_gateway.fleet import server_limits
 from quetzalsill_gateway.quarantine import detector, in_flight, quarantine
 from quetzalsill_gateway.stream import link_queue
 
@@ -40,6 +41,7 @@
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
       in_flight: Requests that upstreams are running.
+      server_limits: Limits that upstreams name.
       link_queue: Schedules moves of runs away from leaving engines.
       quarantine: Refuses requests that crash upstreams.
       detector: Detects crashes of upstreams.
@@ -62,6 +64,9 @@
     in_flight: in_flight.InFlight = dataclasses.field(
         default_factory=in_flight.InFlight
     )
+    server_limits: server_limits.ServerLimits = dataclasses.field(
+        default_factory=server_limits.ServerLimits
+    )
     link_queue: link_queue.LinkQueue = dataclasses.field(
         default_factory=link_queue.LinkQueue
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -127,6 +127,8 @@
       priority: Priority at the engine.
       resume_after: Id of the last event that the caller has received.
       kv_from: KV cache copy from which to resume a run.
+      server_limit: Requests a second that an upstream accepts from all
+        gateways together.
       backup: Upstream to which a run's KV cache is copied as it grows.
       reserved: Headers that callers must not set.
       parse_prompt: Reads the token counts that a caller states.
@@ -143,6 +145,7 @@
     resume_after: bytes
     kv_from: bytes
     backup: bytes
+    server_limit: bytes
     reserved: frozenset[bytes]
     parse_prompt: Callable[[message.Headers], Prompt]
     format_kv_from: Callable[[Upstream, str], bytes]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -12,6 +12,8 @@
     'ReportFailed',
     'RunBrokeOff',
     'RunOrdered',
+    'ServerLimit',
+    'ServerLimitInvalid',
     'UpstreamAdded',
     'UpstreamCrashed',
     'UpstreamLapsed',
@@ -242,3 +244,33 @@
     upstream: str
     evidence: str
     requests: int
+
+
+@base.define
+class ServerLimit(base.Event):
+    """An upstream limits what all gateways together may send to it.
+
+    Attributes:
+      upstream: The upstream.
+      per_s: Requests a second; None if the limit was lifted.
+      source: Gateway that received it from the upstream; empty for this one.
+    """
+
+    upstream: str
+    per_s: float | None
+    source: str
+
+
+@base.define
+class ServerLimitInvalid(base.Event):
+    """An upstream named a limit that is no number, negative or too large.
+
+    Attributes:
+      upstream: The upstream.
+      value: What it named.
+      advice: What it should name.
+    """
+
+    upstream: str
+    value: str
+    advice: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -12,6 +12,7 @@
     'first',
     'reason',
     'relayed_headers',
+    'values',
 ]
 
 Headers = list[tuple[bytes, bytes]]
@@ -89,6 +90,11 @@
     length: int | None = None
 
 
+def values(headers: Headers, name: bytes) -> list[bytes]:
+    """Returns the values of all headers of a name, in lower case."""
+    return [value for key, value in headers if key == name]
+
+
 def first(headers: Headers, name: bytes) -> bytes | None:
     """Returns the first value of a header; None if it is absent."""
     for key, value in headers:
