--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -27,6 +27,8 @@
       id: Id of this incarnation.
       scripts: Scripts for the next requests.
       runs: Executed requests: id, target, headers and body.
+      limit: Value of the header in which it names a limit; empty for none.
+      arrivals_s: Loop times at which requests arrived.
     """
 
     def __init__(self, name: str) -> None:
@@ -34,6 +36,8 @@
         self.id = name
         self.scripts: list[str] = []
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.limit = ''
+        self.arrivals_s: list[float] = []
 
     async def start(self) -> None:
         """Starts to accept connections."""
@@ -54,7 +58,10 @@
     async def _handle(self, call: scripted.Exchange) -> None:
         script = self.scripts.pop(0) if self.scripts else 'ok'
         request_id = call.headers.get(PREFIX + 'attempt-id', '')
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         echo = {PREFIX + 'attempt-id': request_id}
+        if self.limit:
+            echo['server-limit'] = self.limit
         expected = call.headers.get(PREFIX + 'expect-instance')
         if script == 'moved' or expected != self.id:
             call.respond(421, headers={PREFIX + 'instance-id': 'another'})
