Keep the limits that servers name, over all gateways together

Callers saw servers in need drowned: a server that named 2.5 requests a second got 36 in 4 s, as nothing read Server-Limit.

Cause: the header was relayed and ignored. Class of fault: back-pressure that is not applied; and, had each gateway applied it alone, a limit multiplied by the number of gateways.

Change: fleet.quota shares a named limit as it shares the rate of a cold upstream: by rendezvous hashing over as many gateways as may send at the same moment, each with a token bucket. A gateway announces a limit when it is named, changed or lifted; one that starts is sent all, and a few others at random get them every 2 s. Sends, resends and resumed runs count. Where all servers of a service are limited, the most urgent calls go first, and what would have to wait for more than half of its objective is refused at once with the time at which the rate has room; generations likewise. A limit of 0 is probed by one gateway every 4 s; if nobody had a response for 10 s, other gateways get their turn.

Ruled out: each gateway for itself (three gateways would send three times the limit), and a time after which a limit lapses (silence is not a lift).

Tried: a probe every 10 s at a limit of 0; each turn began without a token, so that none was sent in a fleet of 68.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -141,7 +141,10 @@
             exchange.request.method,
             (dialect.request_id, exchange.request_id),
         )
-        exchange.sends += 0 if continues else 1
+        if continues:
+            core.quota.consume(upstream)
+        else:
+            exchange.sends += 1
         run = in_flight.Run(exchange, upstream, conn, now())
         core.in_flight.add(run)
         try:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -173,11 +173,17 @@
         ahead_per_s = self._upstreams.gateway_count * demand.tokens_ahead_per_s(
             now, entry.priority, entry.size
         )
-        entry.expected_s = search.expected_wait_s(rank, ahead, ahead_per_s)
+        entry.expected_s = max(
+            search.expected_wait_s(rank, ahead, ahead_per_s),
+            search.rate_wait_s(sum(one.rank(now) <= rank for one in others)),
+        )
         if entry.expected_s <= bound_s:
             return False
         ahead = sum(one.tokens for one in others)
-        retry_after_s = search.expected_wait_s(queue_entry.LAST_RANK, ahead)
+        retry_after_s = max(
+            search.expected_wait_s(queue_entry.LAST_RANK, ahead),
+            search.rate_wait_s(len(others)),
+        )
         retry_after_s = min(retry_after_s, req.remaining_s * RETRY_AFTER_SHARE)
         req.retry_after_s = max(exchange.RETRY_AFTER_S, retry_after_s)
         return True
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -5,8 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway.balance import admission
-from quetzalsill_gateway.fleet import server_limits
+from quetzalsill_gateway.balance import admission, rate_queue
 from quetzalsill_gateway.quarantine import detector, in_flight, quarantine
 from quetzalsill_gateway.stream import link_queue
 
@@ -14,7 +13,12 @@
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import retry_budget, source
     from quetzalsill_gateway.balance import upstream_stats
-    from quetzalsill_gateway.fleet import members, quota, upstream
+    from quetzalsill_gateway.fleet import (
+        members,
+        quota,
+        server_limits,
+        upstream,
+    )
     from quetzalsill_gateway.http import pool
     from quetzalsill_gateway.stream import live
 
@@ -38,10 +42,11 @@
       live: Streams being relayed.
       members: Gateways that send to the same upstreams.
       quota: Limits on requests and connections to each upstream.
+      server_limits: Limits that upstreams name.
+      rate_queue: Calls that wait until a limit allows them.
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
       in_flight: Requests that upstreams are running.
-      server_limits: Limits that upstreams name.
       link_queue: Schedules moves of runs away from leaving engines.
       quarantine: Refuses requests that crash upstreams.
       detector: Detects crashes of upstreams.
@@ -60,13 +65,14 @@
     live: live.LiveStreams
     members: members.Members
     quota: quota.Quota
+    server_limits: server_limits.ServerLimits
     ends_at_s: float | None = None
+    rate_queue: rate_queue.RateQueue = dataclasses.field(
+        default_factory=rate_queue.RateQueue
+    )
     in_flight: in_flight.InFlight = dataclasses.field(
         default_factory=in_flight.InFlight
     )
-    server_limits: server_limits.ServerLimits = dataclasses.field(
-        default_factory=server_limits.ServerLimits
-    )
     link_queue: link_queue.LinkQueue = dataclasses.field(
         default_factory=link_queue.LinkQueue
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
@@ -3,10 +3,11 @@
 An upstream accepts a limited number of connections from all gateways together;
 it resets further ones, and whatever was sent on them is lost. While it is cold
 it also accepts a limited number of requests a second, and crashes well above
-that. A gateway counts only its own connections and requests, so each keeps to a
-share of both limits.
+that; and an upstream in need names such a limit in its responses
+(`fleet.server_limits`). A gateway counts only its own connections and requests,
+so each keeps to a share of these limits.
 
-The rate of a cold upstream is shared by some of the gateways only. They are
+A rate is shared by some of the gateways only. They are
 chosen by rendezvous hashing, so gateways that know the same members choose the
 same ones. Their number is such that all of them may send a request at the same
 moment without exceeding the limit, and the rate at which each may send again
@@ -17,17 +18,20 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from quetzalsill_gateway.fleet import server_limits
+
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table, source
     from quetzalsill_gateway.fleet import members as members_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['Connections', 'Quota', 'Warmup', 'rate_owners']
+__all__ = ['Connections', 'Quota', 'Tolerance', 'Warmup', 'rate_owners']
 
 # Shares of an upstream's connections that all gateways may use and keep idle. A
 # host that loses power closes nothing: its connections stay open at the
@@ -45,7 +49,19 @@
 BURST_SHARE = 0.5
 # Keeps the sustained rate below the rate that the upstream announces.
 RATE_SHARE = 0.9
-# Cold upstreams whose rate is tracked; the least recently renewed is evicted.
+# The same for a limit that an upstream names. It lasts longer than a warm-up,
+# so little of it should stay unused.
+NAMED_SAFE_SHARE = 0.8
+NAMED_RATE_SHARE = 0.95
+# Time within which the requests that may be sent at the same moment are spread
+# by an upstream's own limit.
+NAMED_BURST_S = 2.0
+# At a limit of zero too, a request now and then shows whether it was lifted.
+MIN_NAMED_PER_S = 0.25
+# If nobody had a response from a limited upstream for this long, other gateways
+# get their turn: those that may send to it perhaps have no callers.
+NAMED_TURN_S = 10.0
+# Upstreams whose rate is tracked; the least recently renewed is evicted.
 MAX_BUCKETS = 4096
 
 
@@ -62,6 +78,40 @@
     allowance: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tolerance:
+    """By how much a limit that an upstream names may be exceeded.
+
+    Attributes:
+      overage: Multiple of the limit that it accepts within the window.
+      allowance: Number of requests that it accepts in addition.
+      window_s: Length of the window, in seconds.
+    """
+
+    overage: float = 1.5
+    allowance: float = 5.0
+    window_s: float = 4.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Rate:
+    """A limited rate of requests, of all gateways together.
+
+    Attributes:
+      key: Determines which gateways share it.
+      per_s: Sustained rate.
+      burst: Number of requests that may be sent at the same moment.
+      accepted: Number of requests that may be sent within the window.
+      window_s: Length of the window, in seconds.
+    """
+
+    key: str
+    per_s: float
+    burst: int
+    accepted: float
+    window_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Connections:
     """Connections of this gateway to one address.
@@ -77,9 +127,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
-    """Token bucket for the requests to one cold upstream.
+    """Token bucket for this gateway's share of a rate.
 
     Attributes:
+      rate: The rate.
       names: Gateways for which the share was computed.
       rate_per_s: Rate at which tokens are added.
       capacity: Maximum number of tokens.
@@ -87,6 +138,7 @@
       updated_s: Loop time.
     """
 
+    rate: _Rate
     names: tuple[str, ...]
     rate_per_s: float
     capacity: float
@@ -110,6 +162,8 @@
         warmup: Warmup,
         connections: Callable[[tuple[str, int]], Connections],
         min_gateways: int = 1,
+        limits: server_limits.ServerLimits | None = None,
+        tolerance: Tolerance | None = None,
     ) -> None:
         """Creates the quota of one gateway.
 
@@ -120,13 +174,17 @@
           connections: Returns the connections to an address.
           min_gateways: Number of gateways assumed at least, until the
             directory has been read.
+          limits: Limits that upstreams name.
+          tolerance: By how much these may be exceeded.
         """
+        self._limits = limits or server_limits.ServerLimits()
+        self._tolerance = tolerance or Tolerance()
         self._holder = holder
         self._members = members
         self._warmup = warmup
         self._connections = connections
         self._min_gateways = min_gateways
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[tuple[str, str], _Bucket] = {}
 
     def allows(self, upstream: upstream_lib.Upstream) -> bool:
         """Whether a request may be sent to an upstream now."""
@@ -134,9 +192,50 @@
 
     def consume(self, upstream: upstream_lib.Upstream) -> None:
         """Counts a request that is sent to an upstream."""
-        if self._is_cold(upstream):
-            bucket = self._bucket(upstream)
-            bucket.tokens -= 1.0
+        for kind, rate in self._rates(upstream):
+            self._bucket(upstream, kind, rate).tokens -= 1.0
+
+    def is_limited(self, upstreams: Iterable[upstream_lib.Upstream]) -> bool:
+        """Whether all of some upstreams have named a limit."""
+        found = list(upstreams)
+        return bool(found) and all(
+            self._limits.in_force(one) is not None for one in found
+        )
+
+    def wait_s(
+        self, upstreams: Iterable[upstream_lib.Upstream], ahead: int = 0
+    ) -> float:
+        """Returns the time until a rate allows a request to some upstreams.
+
+        Args:
+          upstreams: The upstreams, of which any will do.
+          ahead: Number of requests that go first.
+
+        Returns:
+          The time in seconds; infinite if this gateway has no share.
+        """
+        tokens = per_s = 0.0
+        for upstream in upstreams:
+            buckets = [
+                self._bucket(upstream, kind, rate)
+                for kind, rate in self._rates(upstream)
+            ]
+            if not buckets:
+                return 0.0
+            if self._members.is_directory_read:
+                tokens += max(0.0, min(one.tokens for one in buckets))
+                per_s += min(one.rate_per_s for one in buckets)
+        missing = ahead + 1 - tokens
+        if missing <= 0:
+            return 0.0
+        return missing / per_s if per_s else math.inf
+
+    def total_per_s(self, upstreams: Iterable[upstream_lib.Upstream]) -> float:
+        """Returns the limited rate of upstreams, of all gateways together."""
+        return sum(
+            min((rate.per_s for _, rate in self._rates(one)), default=math.inf)
+            for one in upstreams
+        )
 
     def max_connections(self, upstream: upstream_lib.Upstream) -> int | None:
         """Returns this gateway's share of connections; None for no limit."""
@@ -165,11 +264,40 @@
         return found.count < limit or found.idle > 0
 
     def _has_rate(self, upstream: upstream_lib.Upstream) -> bool:
-        if not self._is_cold(upstream):
-            return True
-        if not self._members.is_directory_read:
-            return False
-        return self._bucket(upstream).tokens >= 1.0
+        return all(
+            self._members.is_directory_read
+            and self._bucket(upstream, kind, rate).tokens >= 1.0
+            for kind, rate in self._rates(upstream)
+        )
+
+    def _rates(
+        self, upstream: upstream_lib.Upstream
+    ) -> Iterator[tuple[str, _Rate]]:
+        """Yields the rates that apply to an upstream, each with its kind."""
+        if self._is_cold(upstream):
+            yield 'cold', self._cold_rate(upstream)
+        limit = self._limits.in_force(upstream)
+        if limit is not None:
+            yield 'named', self._named_rate(limit)
+
+    def _cold_rate(self, upstream: upstream_lib.Upstream) -> _Rate:
+        per_s = self._service(upstream).warmup_per_s
+        accepted = self._warmup.overage * per_s + self._warmup.allowance
+        accepted *= SAFE_SHARE
+        burst = max(1, int(BURST_SHARE * accepted))
+        return _Rate(upstream.key, RATE_SHARE * per_s, burst, accepted, 1.0)
+
+    def _named_rate(self, limit: server_limits.Limit) -> _Rate:
+        found = self._tolerance
+        accepted = limit.per_s * found.overage * found.window_s
+        accepted = NAMED_SAFE_SHARE * (accepted + found.allowance)
+        per_s = max(MIN_NAMED_PER_S, NAMED_RATE_SHARE * limit.per_s)
+        burst = min(
+            NAMED_BURST_S * limit.per_s, accepted - per_s * found.window_s
+        )
+        turn = int(max(0.0, _now() - limit.named_s) / NAMED_TURN_S)
+        key = f'{limit.key}/{turn}' if turn else limit.key
+        return _Rate(key, per_s, max(1, int(burst)), accepted, found.window_s)
 
     def _is_cold(self, upstream: upstream_lib.Upstream) -> bool:
         if upstream.cold_until_s <= _now():
@@ -183,39 +311,36 @@
         table = self._holder.current
         return table.services.get(upstream.service) if table else None
 
-    def _bucket(self, upstream: upstream_lib.Upstream) -> _Bucket:
+    def _bucket(
+        self, upstream: upstream_lib.Upstream, kind: str, rate: _Rate
+    ) -> _Bucket:
         now = _now()
         names = self._members.names(now)
-        found = self._buckets.get(upstream.key)
-        if found is None or found.names is not names:
+        key = (upstream.key, kind)
+        found = self._buckets.get(key)
+        if found is None or found.names is not names or found.rate != rate:
             tokens = None if found is None else found.tokens
-            found = self._new_bucket(upstream, names, now)
+            found = self._new_bucket(rate, names, now)
             if tokens is not None:
                 # Requests sent under the previous membership still count.
                 found.tokens = min(found.tokens, tokens)
-            self._store(upstream.key, found)
+            self._store(key, found)
         found.refill(now)
         return found
 
     def _new_bucket(
-        self,
-        upstream: upstream_lib.Upstream,
-        names: tuple[str, ...],
-        now: float,
+        self, rate: _Rate, names: tuple[str, ...], now: float
     ) -> _Bucket:
-        per_s = self._service(upstream).warmup_per_s
-        limit = self._warmup.overage * per_s + self._warmup.allowance
-        burst = max(1, int(BURST_SHARE * SAFE_SHARE * limit))
-        owners = rate_owners(upstream.key, names, burst)
+        owners = rate_owners(rate.key, names, rate.burst)
         if self._members.node not in owners:
-            return _Bucket(names, 0.0, 0.0, 0.0, now)
-        capacity = max(1, burst // len(owners))
-        total_per_s = SAFE_SHARE * limit - capacity * len(owners)
-        total_per_s = max(0.0, min(RATE_SHARE * per_s, total_per_s))
+            return _Bucket(rate, names, 0.0, 0.0, 0.0, now)
+        capacity = max(1, rate.burst // len(owners))
+        left = rate.accepted - capacity * len(owners)
+        total_per_s = max(0.0, min(rate.per_s, left / rate.window_s))
         own_per_s = total_per_s / len(owners)
-        return _Bucket(names, own_per_s, capacity, capacity, now)
+        return _Bucket(rate, names, own_per_s, capacity, capacity, now)
 
-    def _store(self, key: str, bucket: _Bucket) -> None:
+    def _store(self, key: tuple[str, str], bucket: _Bucket) -> None:
         self._buckets.pop(key, None)
         if len(self._buckets) >= MAX_BUCKETS:
             del self._buckets[next(iter(self._buckets))]
@@ -223,10 +348,10 @@
 
 
 def rate_owners(key: str, names: tuple[str, ...], count: int) -> list[str]:
-    """Returns the gateways that share the rate of a cold upstream.
+    """Returns the gateways that share something.
 
     Args:
-      key: Key of the upstream.
+      key: Key of what is shared.
       names: Known gateways.
       count: Maximum number of owners.
     """
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -79,7 +79,8 @@
 )
 upstreams = metric.gauge(
     'quetzalsill_gateway_upstreams',
-    'Upstreams known, by whether they take new work.',
+    'Upstreams known, by whether they take new work; those that limit it are'
+    ' counted once more.',
 )
 source_ages = metric.gauge(
     'quetzalsill_gateway_age_seconds',
@@ -118,6 +119,11 @@
     leaving = sum(upstream.leaving for upstream in all_upstreams)
     upstreams.set({'state': 'leaving'}, leaving)
     upstreams.set({'state': 'live'}, len(all_upstreams) - leaving)
+    limited = sum(
+        core.server_limits.in_force(found) is not None
+        for found in all_upstreams
+    )
+    upstreams.set({'state': 'limited'}, limited)
     source_ages.set({'of': 'configuration'}, core.holder.age_s)
     source_ages.set({'of': 'membership'}, core.upstreams.age_s)
     table = core.holder.current
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -34,7 +34,6 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
-    from quetzalsill_gateway.quarantine import update as quarantine_update
     from quetzalsill_gateway.watch import epoch
     from quetzalsill_gateway.watch import update as update_lib
 
@@ -46,7 +45,7 @@
 Join = Callable[[str, str], Awaitable[dict[str, str]]]
 
 # Returns updates for another gateway.
-UpdateProvider = Callable[[], 'Iterable[quarantine_update.QuarantineUpdate]']
+UpdateProvider = Callable[[], Iterable[update_codec.PeerUpdate]]
 
 # Interval of checks for changes such as released capacity. Published late, that
 # only leaves capacity unused for a moment.
@@ -112,8 +111,7 @@
 
     def on_update(
         self,
-        kind: type[update_lib.Update]
-        | type[quarantine_update.QuarantineUpdate],
+        kind: type[update_codec.PeerUpdate],
         handler: Callable[..., None],
     ) -> None:
         """Sets the handler of the other gateways' updates of one type."""
@@ -147,9 +145,7 @@
         ):
             self._transport.sendto(data, address)
 
-    def announce(
-        self, update: update_lib.Update | quarantine_update.QuarantineUpdate
-    ) -> None:
+    def announce(self, update: update_codec.PeerUpdate) -> None:
         """Sends an update to the others."""
         if self._transport is None or self._transport.is_closing():
             return
@@ -342,7 +338,7 @@
     def _receive_update(
         self,
         node: str,
-        update: update_lib.Update | quarantine_update.QuarantineUpdate,
+        update: update_codec.PeerUpdate,
     ) -> None:
         handler = self._update_handlers.get(type(update))
         if handler is not None and node != self._node:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -50,6 +50,7 @@
     MEMBERSHIP = 6
     CONFIGURATION = 7
     QUARANTINE = 8
+    LIMITS = 9
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
@@ -21,7 +21,6 @@
 from quetzalsill_gateway import error
 from quetzalsill_gateway.fleet import publish_timing
 from quetzalsill_gateway.peers import frame, update_codec
-from quetzalsill_gateway.quarantine import update as quarantine_update
 from quetzalsill_gateway.watch import update as update_lib
 
 __all__ = ['Broadcast', 'decode', 'fan_out']
@@ -63,13 +62,11 @@
         self._newest: dict[type, object] = {}
         self._resends: dict[type, list[asyncio.TimerHandle]] = {}
 
-    def announce(
-        self, update: update_lib.Update | quarantine_update.QuarantineUpdate
-    ) -> None:
+    def announce(self, update: update_codec.PeerUpdate) -> None:
         """Sends an update; in a large fleet a few times, if it is new."""
         data = update_codec.encode(self._node, update)
         self._fan_out(data)
-        if isinstance(update, quarantine_update.QuarantineUpdate):
+        if not isinstance(update, update_lib.Update):
             # It includes nothing of the previous one, whose repeats go on.
             self._schedule_repeats(data)
             return
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -1,4 +1,4 @@
-"""Encodes and decodes updates of the sources in datagrams.
+"""Encodes and decodes updates of gateways in datagrams.
 
 A revision is sent as epoch and version. Gateways of the previous release send
 versions only, which get epoch 0, so that in any later epoch their updates are
@@ -11,12 +11,18 @@
 
 from quetzalsill_gateway import error
 from quetzalsill_gateway.fleet import revision as revision_lib
-from quetzalsill_gateway.fleet import upstream, zones
-from quetzalsill_gateway.peers import frame, quarantine_codec
+from quetzalsill_gateway.fleet import server_limits, upstream, zones
+from quetzalsill_gateway.peers import frame, limit_codec, quarantine_codec
 from quetzalsill_gateway.quarantine import update as quarantine_update
 from quetzalsill_gateway.watch import update as update_lib
 
-__all__ = ['decode', 'encode']
+__all__ = ['PeerUpdate', 'decode', 'encode']
+
+PeerUpdate = (
+    update_lib.Update
+    | quarantine_update.QuarantineUpdate
+    | server_limits.LimitUpdate
+)
 
 PORTS = range(1, 65536)
 MAX_GRACE_S = 60.0
@@ -24,12 +30,12 @@
 MAX_DIGEST_BYTES = 16
 
 
-def encode(
-    node: str, update: update_lib.Update | quarantine_update.QuarantineUpdate
-) -> bytes:
+def encode(node: str, update: PeerUpdate) -> bytes:
     """Returns the datagram for an update of the gateway `node`."""
     if isinstance(update, quarantine_update.QuarantineUpdate):
         return quarantine_codec.encode(node, update)
+    if isinstance(update, server_limits.LimitUpdate):
+        return limit_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -58,9 +64,7 @@
     return frame.pack(frame.Kind.MEMBERSHIP, fields)
 
 
-def decode(
-    kind: frame.Kind, fields: list[Any]
-) -> tuple[str, update_lib.Update | quarantine_update.QuarantineUpdate]:
+def decode(kind: frame.Kind, fields: list[Any]) -> tuple[str, PeerUpdate]:
     """Returns the sending gateway and its update.
 
     Raises:
@@ -75,6 +79,8 @@
             found = _legacy_membership(*fields)
         elif kind is frame.Kind.QUARANTINE:
             found = quarantine_codec.decode(fields)
+        elif kind is frame.Kind.LIMITS:
+            found = limit_codec.decode(fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -21,7 +21,13 @@
 )
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import upstream_stats
-from quetzalsill_gateway.fleet import members, quota, revision, upstream
+from quetzalsill_gateway.fleet import (
+    members,
+    quota,
+    revision,
+    server_limits,
+    upstream,
+)
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
 from quetzalsill_gateway.quarantine import persistence
@@ -55,6 +61,7 @@
         self._settings = settings
         conns = pool.Pool()
         stats_table = upstream_stats.StatsTable()
+        limits = server_limits.ServerLimits()
         holder = source.RoutingTableHolder()
         gateways = members.Members(settings.node.name)
         if not settings.peers:
@@ -79,7 +86,14 @@
                 ),
                 conns.connections,
                 settings.retry.gateways,
+                limits,
+                quota.Tolerance(
+                    settings.server_limit.overage,
+                    settings.server_limit.allowance,
+                    settings.server_limit.window_s,
+                ),
             ),
+            server_limits=limits,
         )
         self.core.health.on_recovery(self.core.upstreams.mark_source_recovered)
         sources = deployment.sources(settings, conns)
@@ -130,6 +144,10 @@
         self.peers.on_update(quarantine_update.QuarantineUpdate, found.receive)
         self.peers.on_greeting(found.snapshot)
         self.peers.on_refresh(found.recent)
+        limits.set_announcer(self.peers.announce)
+        self.peers.on_update(server_limits.LimitUpdate, limits.receive)
+        self.peers.on_greeting(limits.updates)
+        self.peers.on_refresh(limits.updates)
         self._persistence = persistence.Persistence(
             found,
             gateways,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -7,7 +7,15 @@
 from quetzalsill.schema import key as schema_key
 from quetzalsill.settings import section
 
-__all__ = ['Retry', 'Settings', 'Stop', 'Warmup', 'Watch', 'address']
+__all__ = [
+    'Retry',
+    'ServerLimit',
+    'Settings',
+    'Stop',
+    'Warmup',
+    'Watch',
+    'address',
+]
 
 key = schema_key.key
 ADDRESS = r'[0-9A-Fa-f.:]+:[0-9]{1,5}'
@@ -52,6 +60,24 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class ServerLimit:
+    """How far all gateways may exceed a limit that an upstream names."""
+
+    overage: float = key(
+        'Multiple of its limit that an upstream takes in the window.',
+        1.5,
+        minimum=1,
+        maximum=100,
+    )
+    allowance: float = key(
+        'Requests that it takes in the window besides.', 5.0, minimum=0
+    )
+    window_s: float = key(
+        'Window in which both hold.', 4.0, unit='s', minimum=0.1
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Watch:
     """How quickly a gateway learns of changes in the store."""
@@ -128,6 +154,9 @@
     )
     retry: Retry = key('Bounds of retries.', factory=Retry)
     warmup: Warmup = key('Bounds of cold upstreams.', factory=Warmup)
+    server_limit: ServerLimit = key(
+        'Bounds of upstreams that name a limit.', factory=ServerLimit
+    )
     regions: dict[str, str] = key(
         'Region of each availability zone; for requests that are bound to'
         ' regions.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from quetzalsill.net import deadline
@@ -14,7 +15,7 @@
     exchange,
     meter,
 )
-from quetzalsill_gateway.balance import choice_log, choose
+from quetzalsill_gateway.balance import choice_log, choose, rate_queue
 from quetzalsill_gateway.http import error, message
 
 if TYPE_CHECKING:
@@ -136,16 +137,38 @@
 
     An upstream that hangs occupies this gateway's quota of connections to it
     and gets no further calls. If the quota of every upstream is used up, waits
-    for a connection.
+    for a connection. Where all upstreams limit the rate, the most urgent calls
+    go first, and one whose turn will come too late gets none at once.
     """
+    entry = core.rate_queue.enter(req.service.name, req.priority)
+    try:
+        return await _wait_for_upstream(core, req, progress, entry)
+    finally:
+        core.rate_queue.leave(entry)
+
+
+async def _wait_for_upstream(
+    core: core_lib.Core,
+    req: exchange.Exchange,
+    progress: _CallProgress,
+    entry: rate_queue.Entry,
+) -> upstream_lib.Upstream | None:
     end_s = (
         req.request.received_s + CONNECTION_WAIT_SHARE * req.route.objective_s
     )
     while True:
         candidates = core.upstreams.available(req.service.name, req.regions)
-        allowed = [one for one in candidates if core.quota.allows(one)]
+        accepting = list(choose.accepting_work(candidates, progress.tried))
+        ahead = 0
+        if core.quota.is_limited(accepting):
+            ahead = core.rate_queue.ahead(entry)
+            wait_s = core.quota.wait_s(accepting, ahead)
+            if attempt.now() + wait_s > end_s:
+                req.retry_after_s = _retry_after_s(core, accepting, wait_s)
+                return None
+        allowed = [one for one in accepting if core.quota.allows(one)]
         upstream = choose.choose_for_call(
-            allowed,
+            [] if ahead else allowed,
             core.stats_table,
             core.zone,
             progress.tried,
@@ -153,11 +176,24 @@
         )
         if upstream is not None or attempt.now() >= end_s:
             return upstream
-        if not any(choose.accepting_work(candidates, progress.tried)):
+        if not accepting:
             return None
         await asyncio.sleep(CONNECTION_POLL_S)
 
 
+def _retry_after_s(
+    core: core_lib.Core, limited: list[upstream_lib.Upstream], wait_s: float
+) -> float:
+    """Returns when a call may come again that a limited rate does not allow.
+
+    A gateway without a share of the rate names the mean time between two
+    requests that others may send.
+    """
+    if math.isinf(wait_s):
+        wait_s = 1.0 / core.quota.total_per_s(limited)
+    return max(exchange.RETRY_AFTER_S, wait_s)
+
+
 async def _call(
     core: core_lib.Core, req: exchange.Exchange, upstream: upstream_lib.Upstream
 ) -> _Response:
--- a/tests/quetzalsill_gateway/fleet/test_quota.py
+++ b/tests/quetzalsill_gateway/fleet/test_quota.py
@@ -16,13 +16,19 @@
 
 from quetzalsill_dev.simulation import clock
 from quetzalsill_gateway import source
-from quetzalsill_gateway.fleet import members, quota, upstream
+from quetzalsill_gateway.fleet import (
+    members,
+    quota,
+    server_limits,
+    upstream,
+)
 
 SEED = 3
 NONE_OPEN = quota.Connections(0, 0)
 # The platforms served so far allow one and a half times the rate, and five
 # requests.
 WARMUP = quota.Warmup(1.5, 5.0)
+TOLERANCE = quota.Tolerance(1.5, 5.0, 4.0)
 # Maximum time between two states that a gateway publishes.
 PUBLISH_INTERVAL_S = 1.0
 
@@ -104,16 +110,201 @@
         for task in self.tasks:
             task.cancel()
 
-    def max_in_a_second(self):
-        """Returns the maximum number of requests in any sliding second."""
+    def max_in_window(self, window_s=1.0):
+        """Returns the maximum number of requests in any sliding window."""
         highest, first = 0, 0
         for last, sent_s in enumerate(self.sent_s):
-            while sent_s - self.sent_s[first] >= 1.0:
+            while sent_s - self.sent_s[first] >= window_s:
                 first += 1
             highest = max(highest, last - first + 1)
         return highest
 
 
+class NamedFleet(Fleet):
+    """Gateways that always have requests for one upstream in need.
+
+    Attributes:
+      named: Value of the header in its responses; None for none.
+      heard: Names of gateways that had a response with that header.
+    """
+
+    RESPONSE_S = 0.02
+    MAX_DELAY_S = 0.2
+
+    def __init__(self, gateways, named):
+        super().__init__(gateways, 0.0)
+        self.named = named
+        self.heard = set()
+        self.target.cold_until_s = 0.0
+        self.limits = {}
+
+    async def send(self, name):
+        limits = self.limits[name] = server_limits.ServerLimits()
+        limits.set_announcer(
+            lambda update: self.tasks.append(
+                asyncio.ensure_future(self.deliver(name, update))
+            )
+        )
+        found = quota.Quota(
+            self.holder,
+            self.members[name],
+            WARMUP,
+            lambda _: NONE_OPEN,
+            limits=limits,
+            tolerance=TOLERANCE,
+        )
+        loop = asyncio.get_running_loop()
+        while name in self.members:
+            await asyncio.sleep(self.rng.uniform(0.01, 0.2))
+            if name not in self.paused and found.allows(self.target):
+                found.consume(self.target)
+                self.sent_s.append(loop.time())
+                self.sent_by[name] += 1
+                self.tasks.append(
+                    asyncio.ensure_future(self.respond(name, loop.time()))
+                )
+
+    async def respond(self, name, sent_s):
+        await asyncio.sleep(self.rng.uniform(0.5, 1.5) * self.RESPONSE_S)
+        values = [] if self.named is None else [self.named]
+        if values:
+            self.heard.add(name)
+        self.limits[name].record_response(
+            self.target, values, sent_s, is_proved=True
+        )
+
+    async def deliver(self, sender, update):
+        """Delivers an update to each gateway after a delay of its own."""
+        for name in self.members:
+            if name != sender and not self.is_partitioned(sender, name):
+                self.tasks.append(
+                    asyncio.ensure_future(self.receive(name, update))
+                )
+
+    async def receive(self, name, update):
+        await asyncio.sleep(self.rng.uniform(0.0, self.MAX_DELAY_S))
+        if name in self.limits and name not in self.paused:
+            self.limits[name].receive(update)
+
+
+class NamedTest(unittest.TestCase):
+    """The rate at which a fleet sends to an upstream that names a limit."""
+
+    SIZES = (1, 5, 68, 300)
+    STABLE_S = 3.0
+
+    def play(self, story, gateways, named):
+        async def work():
+            self.fleet = NamedFleet(gateways, named)
+            await self.fleet.start()
+            try:
+                await asyncio.sleep(self.STABLE_S)
+                self.fleet.sent_s.clear()
+                await story()
+            finally:
+                self.fleet.stop()
+
+        clock.run(work)
+
+    def assert_kept(self, per_s):
+        accepted = TOLERANCE.overage * per_s * TOLERANCE.window_s
+        self.assertLessEqual(
+            self.fleet.max_in_window(TOLERANCE.window_s),
+            accepted + TOLERANCE.allowance,
+        )
+
+    def test_it_is_kept_and_used(self):
+        """Also by gateways that had no response from the upstream since."""
+
+        async def story():
+            await asyncio.sleep(20.0)
+
+        for gateways in self.SIZES:
+            for per_s in (0.4, 2.5, 40.0):
+                with self.subTest((gateways, per_s)):
+                    self.play(story, gateways, str(per_s).encode())
+                    self.assert_kept(per_s)
+                    used = len(self.fleet.sent_s) / 20.0
+                    self.assertGreater(used, 0.8 * min(per_s, 9 * gateways))
+
+    def test_gateways_lost_partitioned_paused_and_new(self):
+        """A partition halves the fleet, and gateways stop, pause and start."""
+
+        async def story():
+            fleet = self.fleet
+            half = set(fleet.names[::2])
+            fleet.is_partitioned = lambda one, other: (
+                (one in half) != (other in half)
+            )
+            fleet.paused = set(fleet.names[:2])
+            await asyncio.sleep(5.0)
+            fleet.paused = set()
+            for name in fleet.names[2:4]:
+                del fleet.members[name]
+            for number in range(2):
+                fleet.add(f'fresh-{number}')
+                found = fleet.members[f'fresh-{number}']
+                found.add_listed(
+                    fleet.members, asyncio.get_running_loop().time()
+                )
+                await asyncio.sleep(0)
+                known = fleet.limits[fleet.names[-1]].updates()
+                for update in known:
+                    fleet.limits[f'fresh-{number}'].receive(update)
+            await asyncio.sleep(6.0)
+            fleet.is_partitioned = lambda one, other: False
+            await asyncio.sleep(6.0)
+
+        for gateways in (5, 68):
+            for per_s in (2.5, 40.0):
+                with self.subTest((gateways, per_s)):
+                    self.play(story, gateways, str(per_s).encode())
+                    self.assert_kept(per_s)
+
+    def test_a_limit_that_is_lifted_is_noticed(self):
+        async def story():
+            await asyncio.sleep(2.0)
+            self.fleet.named = None
+            await asyncio.sleep(5.0)
+            self.fleet.sent_s.clear()
+            await asyncio.sleep(1.0)
+
+        for gateways in (1, 5, 68):
+            with self.subTest(gateways):
+                self.play(story, gateways, b'2.5')
+                self.assertGreater(len(self.fleet.sent_s), 5 * gateways)
+
+    def test_a_limit_of_zero_is_probed(self):
+        async def story():
+            await asyncio.sleep(40.0)
+            self.assertGreater(len(self.fleet.sent_s), 0)
+            self.fleet.named = None
+            await asyncio.sleep(30.0)
+            self.fleet.sent_s.clear()
+            await asyncio.sleep(1.0)
+
+        for gateways in (1, 68):
+            with self.subTest(gateways):
+                self.play(story, gateways, b'0')
+                self.assertGreater(len(self.fleet.sent_s), 5 * gateways)
+
+    def test_owners_without_callers_give_way(self):
+        """Those that may send to a limited upstream have no callers for it."""
+
+        async def story():
+            owners = quota.rate_owners(
+                self.fleet.target.key, tuple(self.fleet.names), 5
+            )
+            self.fleet.paused = set(owners)
+            self.fleet.named = None
+            await asyncio.sleep(4 * quota.NAMED_TURN_S)
+            self.fleet.sent_s.clear()
+            await asyncio.sleep(1.0)
+            self.assertGreater(len(self.fleet.sent_s), 68)
+
+        self.play(story, 68, b'2.5')
+
+
 class ColdTest(unittest.TestCase):
     """The rate at which a fleet sends to one cold upstream."""
 
@@ -127,7 +318,7 @@
                 self.fleet.stop()
 
         clock.run(work)
-        self.assertLessEqual(self.fleet.max_in_a_second(), limit(per_s))
+        self.assertLessEqual(self.fleet.max_in_window(), limit(per_s))
 
     def test_rate_is_used_and_not_exceeded(self):
         for gateways in (1, 2, 24, 68):
--- a/tests/quetzalsill_gateway/fleet/test_server_limits.py
+++ b/tests/quetzalsill_gateway/fleet/test_server_limits.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import math
 import types
 import unittest
 from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_gateway import error
 from quetzalsill_gateway.fleet import server_limits, upstream
+from quetzalsill_gateway.peers import frame, update_codec
 
 
 class ParseTest(unittest.TestCase):
@@ -34,6 +40,55 @@
                 self.assertEqual(server_limits.parse(values), expected)
 
 
+class CodecTest(unittest.TestCase):
+    """Datagrams between gateways whose clocks differ."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.builds(
+                server_limits.Limit,
+                st.text(max_size=20),
+                st.floats(0, 1e6),
+                st.floats(0, 1e5),
+                st.just(-math.inf) | st.floats(0, 1e5),
+            ),
+            max_size=4,
+        )
+    )
+    def test_round_trip(self, limits):
+        loop = types.SimpleNamespace(time=lambda: 1e5)
+        with mock.patch('asyncio.get_running_loop', return_value=loop):
+            data = update_codec.encode(
+                'entry-1', server_limits.LimitUpdate(tuple(limits))
+            )
+            node, decoded = update_codec.decode(*frame.unpack(data))
+        self.assertEqual(node, 'entry-1')
+        for sent, got in zip(limits, decoded.limits, strict=True):
+            self.assertEqual((sent.key, sent.per_s), (got.key, got.per_s))
+            self.assertAlmostEqual(sent.named_s, got.named_s, places=6)
+            self.assertAlmostEqual(sent.lifted_s, got.lifted_s, places=6)
+
+    def test_malformed_fields_are_refused(self):
+        loop = types.SimpleNamespace(time=lambda: 0.0)
+        with mock.patch('asyncio.get_running_loop', return_value=loop):
+            for fields in (
+                [],
+                ['entry-1'],
+                ['entry-1', 7],
+                ['entry-1', [('u', 1.0, 0.0)]],
+                ['entry-1', [('u', 'x', 0.0, None)]],
+                ['entry-1', [('u', float('nan'), 0.0, None)]],
+                ['entry-1', [(7, 1.0, 0.0, None)]],
+                ['entry-1', [('u', 1.0, 0.0, None)] * 17],
+            ):
+                with (
+                    self.subTest(fields=fields),
+                    self.assertRaises(error.PeerError),
+                ):
+                    update_codec.decode(frame.Kind.LIMITS, fields)
+
+
 class ServerLimitsTest(unittest.TestCase):
     """Two gateways; updates reach the other when the test delivers them."""
 
--- a/tests/quetzalsill_platform/test_server_limit.py
+++ b/tests/quetzalsill_platform/test_server_limit.py
@@ -67,6 +67,62 @@
         await self.load(8.0)
         self.assert_kept()
 
+    async def test_others_learn_it_without_a_response(self):
+        """Only one gateway has had a response that names the limit."""
+        self.name_limits()
+        for server in self.http_servers:
+            while self.limit(0, server) is None:
+                await self.call(0)
+            for number in (1, 2):
+                await self.wait_until(
+                    lambda n=number, s=server: self.limit(n, s) == PER_S
+                )
+
+    async def test_a_gateway_that_starts_learns_it(self):
+        self.name_limits()
+        await self.load(1.0)
+        await self.gateways[0].close()
+        self.gateways[0] = await self.start_gateway(
+            name='node-0', peers=fixture.ANYWHERE
+        )
+        for server in self.http_servers:
+            await self.wait_until(lambda s=server: self.limit(0, s) == PER_S)
+
+    async def test_what_the_limits_leave_no_room_for_is_refused(self):
+        """The refusal says when the rate has room again."""
+        self.name_limits()
+        responses = await self.load(3.0)
+        refused = [one for one in responses if one.status == 503]
+        self.assertGreater(len(refused), len(responses) / 2)
+        for one in refused:
+            self.assertGreaterEqual(float(one.headers['retry-after']), 0.1)
+        self.assertEqual({one.status for one in responses}, {200, 503})
+
+    async def test_an_unlimited_server_takes_the_rest(self):
+        self.http_servers[0].limit = '0.5'
+        responses = await self.load(3.0)
+        self.assertEqual({one.status for one in responses}, {200})
+
+    async def test_a_lifted_limit_is_no_longer_kept(self):
+        self.name_limits()
+        await self.load(1.0)
+        for server in self.http_servers:
+            server.limit = ''
+        while any(
+            self.limit(n, server) is not None
+            for n in range(3)
+            for server in self.http_servers
+        ):
+            await self.load(0.2)
+        responses = await self.load(1.0)
+        self.assertEqual({one.status for one in responses}, {200})
+
+    def limit(self, number, server):
+        """Returns the limit that a gateway knows of a server, None if none."""
+        core = self.gateways[number].core
+        found = core.server_limits.in_force(core.upstreams.get(server.id))
+        return found and found.per_s
+
 
 if __name__ == '__main__':
     unittest.main()
