Name limits in the soak, and check that they are kept

In each seed all plain servers, or all but one, name limits of 0.5 to 20 a second for 8 s beside the other faults; none may get more than the rule allows from gateways that were not down, paused or stopping in the 7 s before.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
+import math
 import re
 import statistics
 from typing import TYPE_CHECKING
@@ -17,8 +19,11 @@
     from collections.abc import Iterable, Iterator, Sequence
 
     from quetzalsill_dev.soak import load as load_lib
+    from quetzalsill_dev.users_platform import http_server
 
 __all__ = [
+    'LimitedServer',
+    'find_excess_calls',
     'find_violations',
     'is_significantly_above_zero',
     'upstreams_in_log',
@@ -40,6 +45,10 @@
 MAX_CRASHING_SENDS = 3
 STABLE_WINDOW_S = 3.0
 QUARANTINED = b'quarantined\n'
+# What a server that names a limit may get within a window.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_ALLOWANCE = 5
 # A mean this many standard errors above zero is not due to chance.
 MIN_STANDARD_ERRORS = 3.0
 MIN_PAIRS = 5
@@ -51,6 +60,28 @@
 UNEXPECTED_LINE = re.compile(r'Traceback|level=(?:error|critical)')
 
 
+@dataclasses.dataclass(slots=True)
+class LimitedServer:
+    """A server that named a limit for a while.
+
+    Attributes:
+      server: The server.
+      per_s: The limit, in requests a second.
+      since_s: Loop time from which its responses named it.
+      until_s: Loop time until which they did.
+    """
+
+    server: http_server.HttpServer
+    per_s: float
+    since_s: float
+    until_s: float = math.inf
+
+    @property
+    def allowed(self) -> float:
+        """Requests that it may get within `LIMIT_WINDOW_S`."""
+        return LIMIT_OVERAGE * self.per_s * LIMIT_WINDOW_S + LIMIT_ALLOWANCE
+
+
 def find_violations(
     testbed: testbed_lib.Testbed, records: Iterable[load_lib.RequestRecord]
 ) -> Iterator[str]:
@@ -123,6 +154,48 @@
         )
 
 
+def find_excess_calls(
+    testbed: testbed_lib.Testbed,
+    limited: Iterable[LimitedServer],
+    records: Iterable[load_lib.RequestRecord],
+) -> Iterator[str]:
+    """Yields a line for each server that got more than its limit allows.
+
+    Gateways that were down, paused or stopping shortly before are excused.
+    """
+    names = {record.request_id: record.gateway for record in records}
+    gateways = {one.name: one for one in testbed.gateways}
+
+    def counts(at_s: float, request_id: str) -> bool:
+        gateway = gateways[names[request_id]]
+        since_s = at_s - LIMIT_WINDOW_S - STABLE_WINDOW_S
+        return not gateway.is_disturbed(since_s, at_s)
+
+    for one in limited:
+        times_s = [
+            at_s
+            for at_s, request_id in one.server.arrivals
+            if one.since_s + STABLE_WINDOW_S < at_s < one.until_s
+            and counts(at_s, request_id)
+        ]
+        highest = _max_in_window(times_s, LIMIT_WINDOW_S)
+        if highest > one.allowed:
+            yield (
+                f'{one.server.id} named {one.per_s} a second and got {highest} '
+                f'in {LIMIT_WINDOW_S:g} s; allowed {one.allowed:g}'
+            )
+
+
+def _max_in_window(times_s: Sequence[float], window_s: float) -> int:
+    """Returns the maximum number of times in any sliding window."""
+    highest, first = 0, 0
+    for last, at_s in enumerate(times_s):
+        while at_s - times_s[first] >= window_s:
+            first += 1
+        highest = max(highest, last - first + 1)
+    return highest
+
+
 def find_config_rollbacks(
     records: Iterable[load_lib.RequestRecord],
 ) -> Iterator[str]:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
 
-from quetzalsill_dev.soak import plan
+from quetzalsill_dev.soak import checks, plan
 from quetzalsill_dev.soak import testbed as testbed_lib
 from quetzalsill_dev.users_platform import caller, engine
 
@@ -40,6 +40,10 @@
 CRASHING_INTERVAL_S = 0.15
 # A crashed engine is back after this time, and its old entry lapses.
 ENGINE_RESTART_S = 0.7
+# Limits that servers name, in requests a second.
+SERVER_LIMITS = ('0.5', '2.5', '6', '20')
+# One in this many seeds has a server without a limit.
+UNLIMITED_STRIDE = 2
 
 
 class FaultInjector:
@@ -47,6 +51,7 @@
 
     Attributes:
       crashing_sends: Gateway by id of each request that crashes engines.
+      limited: Servers that named a limit.
 
     Faults of a gateway's process are skipped while it is down, paused or
     stopping; all other faults apply to the gateway even then.
@@ -66,6 +71,7 @@
         self._rolls_back = rolls_back
         self._tasks: set[asyncio.Task[None]] = set()
         self.crashing_sends: dict[str, str] = {}
+        self.limited: list[checks.LimitedServer] = []
         testbed.fleet.on_crash = self._restart_engine
         self._violations: list[str] = []
         self._departing: list[testbed_lib.Upstream] = []
@@ -98,6 +104,7 @@
             fault.DRILL: self._drill,
             fault.RESET_ON_START: self._reset_on_start,
             fault.CRASHING_REQUEST: self._repeat_crashing_request,
+            fault.SERVER_LIMIT: self._name_limits,
         }
 
     def inject(self, injection: plan.Injection) -> None:
@@ -330,6 +337,25 @@
             await asyncio.sleep(CRASHING_INTERVAL_S)
         await asyncio.gather(*sends)
 
+    async def _name_limits(self, injection: plan.Injection) -> None:
+        """Has all plain servers, or all but one, name a limit for a while."""
+        rng = random.Random(injection.target)
+        upstreams = self._testbed.upstreams_of(testbed_lib.HTTP_SERVICE)
+        unlimited = injection.target % UNLIMITED_STRIDE
+        loop = asyncio.get_running_loop()
+        limited = []
+        for upstream in upstreams[unlimited:]:
+            upstream.server.limit = rng.choice(SERVER_LIMITS)
+            per_s = float(upstream.server.limit)
+            limited.append(
+                checks.LimitedServer(upstream.server, per_s, loop.time())
+            )
+        self.limited += limited
+        await asyncio.sleep(injection.duration_s)
+        for one in limited:
+            one.server.limit = ''
+            one.until_s = loop.time()
+
     def _restart_engine(self, crashed: engine.Engine) -> None:
         """Replaces an engine that a request has crashed."""
         upstream = next(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -108,6 +108,9 @@
     await asyncio.gather(*callers, return_exceptions=True)
     violations += checks.find_violations(testbed, traffic.records)
     violations += checks.find_crashing_sends(testbed, injector.crashing_sends)
+    violations += checks.find_excess_calls(
+        testbed, injector.limited, traffic.records
+    )
     violations += checks.find_config_rollbacks(traffic.records)
     violations += checks.find_unexpected_log_lines(testbed.logs())
     served = sum(record.served for record in traffic.records)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -28,7 +28,7 @@
       scripts: Scripts for the next requests.
       runs: Executed requests: id, target, headers and body.
       limit: Value of the header in which it names a limit; empty for none.
-      arrivals_s: Loop times at which requests arrived.
+      arrivals: Loop times at which requests arrived, with their ids.
     """
 
     def __init__(self, name: str) -> None:
@@ -37,7 +37,7 @@
         self.scripts: list[str] = []
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.limit = ''
-        self.arrivals_s: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
 
     async def start(self) -> None:
         """Starts to accept connections."""
@@ -58,7 +58,8 @@
     async def _handle(self, call: scripted.Exchange) -> None:
         script = self.scripts.pop(0) if self.scripts else 'ok'
         request_id = call.headers.get(PREFIX + 'attempt-id', '')
-        self.arrivals_s.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append((now, request_id))
         echo = {PREFIX + 'attempt-id': request_id}
         if self.limit:
             echo['server-limit'] = self.limit
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -191,6 +191,26 @@
         gateway.disturbed_s = [3.0, 5.0]
         self.assertEqual(list(checks.find_crashing_sends(found, sends)), [])
 
+    def test_a_server_gets_more_than_its_limit_allows(self):
+        gateway = testbed_lib.Gateway('entry-0')
+        found = types.SimpleNamespace(gateways=[gateway])
+        server = types.SimpleNamespace(id='desk-1', arrivals=[])
+        limited = checks.LimitedServer(server, 0.5, 0.0, until_s=100.0)
+        server.arrivals = [(10.0 + n / 4, 'a') for n in range(9)]
+        self.assertEqual(limited.allowed, 8)
+        [line] = checks.find_excess_calls(found, [limited], [record('safe')])
+        self.assertIn('got 9 in 4 s', line)
+        for change in (
+            {'arrivals': server.arrivals[:8]},
+            {'arrivals': [(at_s - 9, one) for at_s, one in server.arrivals]},
+            {'arrivals': [(at_s + 95, one) for at_s, one in server.arrivals]},
+        ):
+            limited.server = types.SimpleNamespace(id='desk-1', **change)
+            found_lines = checks.find_excess_calls(
+                found, [limited], [record('safe')]
+            )
+            self.assertEqual(list(found_lines), [])
+
     def test_a_request_is_refused_for_the_crashes_of_another(self):
         request = record('plan', 503, body=b'quarantined\n')
         self.assertIn('as if it crashed', self.violations(request)[0])
--- a/tests/quetzalsill_platform/test_server_limit.py
+++ b/tests/quetzalsill_platform/test_server_limit.py
@@ -58,8 +58,9 @@
     def assert_kept(self):
         """Checks the arrivals since `STABLE_WINDOW_S` after the first."""
         for server in self.http_servers:
-            since_s = server.arrivals_s[0] + STABLE_WINDOW_S
-            later = [at_s for at_s in server.arrivals_s if at_s > since_s]
+            times_s = [at_s for at_s, _ in server.arrivals]
+            since_s = times_s[0] + STABLE_WINDOW_S
+            later = [at_s for at_s in times_s if at_s > since_s]
             self.assertLessEqual(max_in_window(later), ALLOWED)
 
     async def test_all_gateways_together_keep_to_it(self):
