Bound the time of a verdict about many crashes

After more than 170 crashes that a request met, its probability overflowed a float, so that no verdict came any more; and with the memory of crashes full, a verdict would have stopped the event loop for 50 s, and every caller with it.

The terms of the sum are computed one from the other; at most 128 requests, those at the most crashes, are considered, 16 compared and 3 convicted at a time; 256 crashes with 64 requests each are kept. Test seen to fail first: test_a_request_at_very_many_crashes_is_judged.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
@@ -36,8 +36,6 @@
 WATCH_S = 8.0
 WATCH_POLL_S = 0.25
 MAX_LABEL_LENGTH = 120
-# Requests of one crash that are logged and announced.
-MAX_RUNS = 128
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,7 +103,7 @@
             found.watch = asyncio.create_task(self._watch(found))
         fingerprint = run.exchange.fingerprint
         known = found.crash.suspects.get(fingerprint)
-        if known is None and len(found.crash.suspects) >= MAX_RUNS:
+        if known is None and len(found.crash.suspects) >= evidence.MAX_SUSPECTS:
             return
         before_s = known.exposure_s if known else 0.0
         suspect = evidence.Suspect(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -17,6 +17,7 @@
 
 import collections
 import dataclasses
+import heapq
 import math
 from collections.abc import Callable, Iterable, Iterator
 
@@ -40,9 +41,14 @@
 MIN_CRASHES_PER_S = 0.01
 # A request that is repeated less often than this is found again each time.
 RETENTION_S = 600.0
-MAX_CRASHES = 512
-MAX_SUSPECTS = 128
+MAX_CRASHES = 256
+MAX_SUSPECTS = 64
 MAX_COMPLETIONS = 4096
+# Bound the time of a verdict: requests that are considered, those at the most
+# crashes first; those compared with each other; and culprits found.
+MAX_CANDIDATES = 128
+MAX_COMPARED = 16
+MAX_CULPRITS = 3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -177,6 +183,18 @@
         """Whether a request was running at any of the crashes."""
         return fingerprint in self._keys
 
+    def is_repeated(self, fingerprint: bytes) -> bool:
+        """Whether a request was running at `MIN_CRASHES` or more."""
+        return len(self._keys.get(fingerprint, ())) >= MIN_CRASHES
+
+    def repeated(self) -> Iterator[bytes]:
+        """Yields the requests that were running at `MIN_CRASHES` or more."""
+        return (
+            fingerprint
+            for fingerprint in self._keys
+            if self.is_repeated(fingerprint)
+        )
+
     def add(self, crash: Crash) -> bool:
         """Adds a crash or what is new about it; returns whether any was."""
         if crash.key in self._alive:
@@ -255,14 +273,18 @@
     ) -> Iterator[tuple[Suspect, list[Crash]]]:
         """Yields the requests that are found to have caused crashes.
 
-        Each of them explains its crashes before the next is looked for.
+        Each of them explains its crashes before the next is looked for. At most
+        `MAX_CULPRITS`; more may be found at the next call.
 
         Args:
           known: Culprits that are known already.
           now: Loop time.
         """
         found = set(known)
-        while candidate := self._culprit(found, now):
+        for _ in range(MAX_CULPRITS):
+            candidate = self._culprit(found, now)
+            if candidate is None:
+                return
             found.add(candidate.fingerprint)
             yield (
                 candidate.charged[-1].suspects[candidate.fingerprint],
@@ -270,20 +292,29 @@
             )
 
     def _culprit(self, known: set[bytes], now: float) -> _Candidate | None:
+        repeated = heapq.nlargest(
+            MAX_CANDIDATES,
+            (one for one in self.repeated() if one not in known),
+            key=lambda one: len(self._keys[one]),
+        )
         candidates = {
             fingerprint: _Candidate(fingerprint, charged)
-            for fingerprint, keys in self._keys.items()
-            if fingerprint not in known
-            and len(keys) >= MIN_CRASHES
-            and len(groups(charged := self.charges(fingerprint, known)))
+            for fingerprint in repeated
+            if len(groups(charged := self.charges(fingerprint, known)))
             >= MIN_CRASHES
         }
+        recent = [
+            (crash, _shortest_mean_s(crash, known, candidates))
+            for crash in self._crashes.values()
+            if crash.at_s > now - RATE_WINDOW_S
+        ]
         found = [
             one
             for one in candidates.values()
-            if self._chance(one, known, candidates, now) <= MAX_CHANCE
+            if self._chance(one, recent) <= MAX_CHANCE
         ]
         found.sort(key=lambda one: (one.exposure_s, one.fingerprint))
+        del found[MAX_COMPARED:]
         clear = (
             one
             for one in found
@@ -293,11 +324,7 @@
         return next(clear, None)
 
     def _chance(
-        self,
-        candidate: _Candidate,
-        known: set[bytes],
-        candidates: dict[bytes, _Candidate],
-        now: float,
+        self, candidate: _Candidate, recent: list[tuple[Crash, float]]
     ) -> float:
         """Returns how likely a request meets its crashes by chance.
 
@@ -305,39 +332,31 @@
         Poisson process; the request was exposed to it while it was running.
         """
         mean = candidate.exposure_s * max(
-            self._background_per_s(candidate, service, known, candidates, now)
+            self._background_per_s(candidate, service, recent)
             for service in {crash.service for crash in candidate.charged}
         )
-        below = sum(mean**n / math.factorial(n) for n in range(candidate.count))
-        return 1.0 - math.exp(-mean) * below
+        term = below = math.exp(-mean)
+        for number in range(1, candidate.count):
+            term *= mean / number
+            below += term
+        return 1.0 - below
 
     def _background_per_s(
         self,
         candidate: _Candidate,
         service: str,
-        known: set[bytes],
-        candidates: dict[bytes, _Candidate],
-        now: float,
+        recent: list[tuple[Crash, float]],
     ) -> float:
         """Returns the crashes per second and upstream without a request.
 
         Crashes that are explained at least as well by another request are left
         out: else two culprits would hide each other.
         """
-
-        def explains(fingerprint: bytes) -> bool:
-            other = candidates.get(fingerprint)
-            return fingerprint in known or (
-                other is not None
-                and other.mean_exposure_s <= candidate.mean_exposure_s
-            )
-
         count = sum(
             crash.service == service
-            and crash.at_s > now - RATE_WINDOW_S
+            and shortest_mean_s > candidate.mean_exposure_s
             and candidate.fingerprint not in crash.suspects
-            and not any(map(explains, crash.suspects))
-            for crash in self._crashes.values()
+            for crash, shortest_mean_s in recent
         )
         upstreams = max(1, self._upstream_count(service))
         return MIN_CRASHES_PER_S + count / RATE_WINDOW_S / upstreams
@@ -353,6 +372,25 @@
                 del self._keys[fingerprint]
 
 
+def _shortest_mean_s(
+    crash: Crash, known: set[bytes], candidates: dict[bytes, _Candidate]
+) -> float:
+    """Returns the shortest mean exposure of those that explain a crash.
+
+    It is 0 for known culprits, and infinite if nothing explains the crash.
+    """
+    if not known.isdisjoint(crash.suspects):
+        return 0.0
+    return min(
+        (
+            candidates[fingerprint].mean_exposure_s
+            for fingerprint in crash.suspects
+            if fingerprint in candidates
+        ),
+        default=math.inf,
+    )
+
+
 def groups(charged: Iterable[Crash]) -> list[list[Crash]]:
     """Returns crashes in groups that count as one each.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -276,6 +276,8 @@
         if self._timer is not None:
             return
         for fingerprint in crash.suspects:
+            if not self._evidence.is_repeated(fingerprint):
+                continue
             count = len(self._charges(fingerprint))
             if count >= evidence.MIN_CRASHES and count > self._judged.get(
                 fingerprint, 0
@@ -300,8 +302,7 @@
             self._lift_explained(suspect.fingerprint)
         self._judged = {
             fingerprint: len(self._charges(fingerprint))
-            for crash in self._evidence.crashes
-            for fingerprint in crash.suspects
+            for fingerprint in self._evidence.repeated()
         }
 
     def _lift_explained(self, culprit: bytes) -> None:
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -111,6 +111,12 @@
         )
         self.assertEqual(culprits(found, 3.0, known=[b'bad']), [])
 
+    def test_a_request_at_very_many_crashes_is_judged(self):
+        found = collect(
+            *(crash(str(n), n, bad=0.1, long=9.0) for n in range(300))
+        )
+        self.assertEqual(culprits(found, 300.0), ['bad'])
+
     def test_memory_is_bounded(self):
         found = collect(
             *(
