Keep the label of a request when another gateway reports it too

Operators saw a quarantined request without its route and path: other gateways send no labels, and their report took the place of this gateway's own where it named a longer time. The label is kept, and looked for at all crashes of the request. Test seen to fail first: test_a_report_of_another_gateway_keeps_the_label.

What the code called a trial is a probe, the field's word for one request that finds out whether a fault is still there.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -220,8 +220,8 @@
       label: Its route, client account and path; empty if this gateway never
         ran it.
       upstreams: Ids of upstreams that crashed while they ran it.
-      for_s: Time until a trial, in seconds.
-      failed_trials: Number of trials so far that crashed an upstream.
+      for_s: Time until a probe, in seconds.
+      failed_probes: Number of probes so far that crashed an upstream.
       source: Gateway that found it; empty for this one.
       stopped: Number of its runs that this gateway has stopped.
     """
@@ -230,7 +230,7 @@
     label: str
     upstreams: str
     for_s: float
-    failed_trials: int
+    failed_probes: int
     source: str
     stopped: int
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -47,7 +47,7 @@
         next event.
       gap_cause: `switch_cause` of the longest pause; empty if the run did not
         switch.
-      is_trial: Whether it is forwarded to find out if it still crashes
+      is_probe: Whether it is forwarded to find out if it still crashes
         upstreams.
       is_suspect: Whether it may have crashed an upstream.
       tokens: Expected KV cache use, in tokens; 0 if it is no generation.
@@ -73,7 +73,7 @@
     tokens: int = 0
     retry_after_s: float = RETRY_AFTER_S
     regions: frozenset[str] | None = None
-    is_trial: bool = False
+    is_probe: bool = False
     is_suspect: bool = False
     _fingerprint: bytes = b''
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/api.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/api.py
@@ -61,8 +61,8 @@
         'label': entry.label,
         'upstreams': list(entry.upstreams),
         'since_s': round(now - entry.since_s, 1),
-        'trial_in_s': round(max(0.0, entry.until_s - now), 1),
-        'failed_trials': entry.failed_trials,
+        'probe_in_s': round(max(0.0, entry.until_s - now), 1),
+        'failed_probes': entry.failed_probes,
     }
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
@@ -89,7 +89,7 @@
 
     def record_broken(self, run: in_flight.Run) -> None:
         """Records that the response to a request broke off."""
-        # An upstream that was told to leave ends without a crash.
+        # An upstream that is leaving ends without a crash.
         if run.aborted or run.upstream.leaving:
             return
         now = asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -2,7 +2,7 @@
 
 A crash ends every run of its upstream, so each of them is a suspect. Where one
 request crashes upstreams again and again, its neighbours meet several crashes
-too, long generations most of all. What tells them apart:
+too, long generations most of all. What distinguishes them:
 
 - a request that an upstream has answered since a crash did not cause it;
 - a crash at which a known culprit was running is charged to nobody else;
@@ -34,7 +34,7 @@
 GROUP_S = 0.25
 # Largest probability that as many crashes meet a request by chance.
 MAX_CHANCE = 1e-6
-# Window over which the rate of crashes is measured.
+# Window for the rate of crashes.
 RATE_WINDOW_S = 10.0
 # Rate at which an upstream is assumed to crash though none has lately; few
 # crashes show little about it.
@@ -89,11 +89,16 @@
         before = dict(self.suspects)
         for fingerprint, suspect in other.suspects.items():
             known = self.suspects.get(fingerprint)
-            is_full = len(self.suspects) >= MAX_SUSPECTS
-            if (known is None and not is_full) or (
-                known is not None and suspect.exposure_s > known.exposure_s
-            ):
-                self.suspects[fingerprint] = suspect
+            if known is None:
+                if len(self.suspects) < MAX_SUSPECTS:
+                    self.suspects[fingerprint] = suspect
+                continue
+            # Other gateways don't send labels.
+            self.suspects[fingerprint] = Suspect(
+                fingerprint,
+                max(known.exposure_s, suspect.exposure_s),
+                known.label or suspect.label,
+            )
         return self.suspects != before
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -28,10 +28,10 @@
 VERDICT_POLL_S = 0.01
 # After this many crashes a request waits until the next one is understood.
 SUSPICIOUS_CRASHES = 2
-# How long only one gateway may make the trial; then it is another's turn.
-TRIAL_TURN_S = 10.0
-# When a caller may come back while another gateway is to make the trial.
-TRIAL_RETRY_AFTER_S = 1.0
+# How long a probe is up to one gateway; then it is another's turn.
+PROBE_TURN_S = 10.0
+# When a caller may retry while the probe is up to another gateway.
+PROBE_RETRY_AFTER_S = 1.0
 MAX_LISTED_UPSTREAMS = 8
 # Crashes sent to a gateway that starts, and from time to time to any of them.
 SNAPSHOT_CRASHES = 64
@@ -50,7 +50,7 @@
         """Starts without any.
 
         Args:
-          members: Gateways that take turns in making trials.
+          members: Gateways that take turns in making probes.
           upstreams: Known upstreams.
           runs: Requests in flight.
         """
@@ -109,16 +109,16 @@
         if now < entry.until_s:
             return entry.until_s - now
         if not self._has_turn(entry, now):
-            return TRIAL_RETRY_AFTER_S
-        exchange.is_trial = True
-        self._publish(self._table.begin_trial(entry, now))
+            return PROBE_RETRY_AFTER_S
+        exchange.is_probe = True
+        self._publish(self._table.begin_probe(entry, now))
         return None
 
     def rejects(self, exchange: exchange_lib.Exchange) -> bool:
         """Whether a request must not be sent to an upstream now."""
         if not self._table or self._table.get(exchange.fingerprint) is None:
             return False
-        return not (exchange.is_trial and not exchange.sends)
+        return not (exchange.is_probe and not exchange.sends)
 
     def is_charged(self, exchange: exchange_lib.Exchange) -> bool:
         """Whether a request may have caused a crash."""
@@ -154,7 +154,7 @@
             return True
         entry = self._table.get(fingerprint)
         exchange.retry_after_s = max(
-            TRIAL_RETRY_AFTER_S, entry.until_s - _now()
+            PROBE_RETRY_AFTER_S, entry.until_s - _now()
         )
         return False
 
@@ -242,10 +242,10 @@
             entry = self._table.get(fingerprint)
             if (
                 entry is not None
-                and entry.trial_s is not None
-                and crash.at_s >= entry.trial_s
+                and entry.probe_s is not None
+                and crash.at_s >= entry.probe_s
             ):
-                self._publish(self._table.fail_trial(entry, _now()))
+                self._publish(self._table.fail_probe(entry, _now()))
         self._schedule_verdict(crash)
         return True
 
@@ -295,7 +295,7 @@
             keys = [crash.key for crash in charged[-MAX_LISTED_UPSTREAMS:]]
             ids = (key.partition(upstream.KEY_SEPARATOR)[0] for key in keys)
             entry = self._table.add(
-                suspect.fingerprint, suspect.label, tuple(ids), now
+                suspect.fingerprint, _label(suspect, charged), tuple(ids), now
             )
             self._enforce(entry, '')
             self._publish(entry)
@@ -311,7 +311,7 @@
         for entry in self._table.active:
             charged = self._evidence.charges(entry.fingerprint, ())
             keys = {crash.key for crash in charged}
-            if keys and keys < explained and not entry.failed_trials:
+            if keys and keys < explained and not entry.failed_probes:
                 self._lift(entry, 'explained')
 
     def _enforce(self, entry: table.Entry, sender: str) -> None:
@@ -322,10 +322,10 @@
                 label=entry.label,
                 upstreams=','.join(entry.upstreams),
                 for_s=round(max(0.0, entry.until_s - _now()), 1),
-                failed_trials=entry.failed_trials,
+                failed_probes=entry.failed_probes,
                 source=sender,
                 stopped=self._runs.abort(entry.fingerprint)
-                if entry.trial_s is None
+                if entry.probe_s is None
                 else 0,
             )
         )
@@ -337,7 +337,7 @@
         self._publish(self._table.lift(entry, reason, _now()))
 
     def _has_turn(self, entry: table.Entry, now: float) -> bool:
-        turn = int((now - entry.until_s) / TRIAL_TURN_S)
+        turn = int((now - entry.until_s) / PROBE_TURN_S)
         key = f'{entry.fingerprint.hex()}/{entry.version}/{turn}'
         owners = quota.rate_owners(key, self._members.names(now), 1)
         return owners == [self._members.node]
@@ -351,5 +351,11 @@
             self._announce(dataclasses.replace(one, sender=self._members.node))
 
 
+def _label(suspect: evidence.Suspect, charged: list[evidence.Crash]) -> str:
+    """Returns the label of a request; empty if this gateway never ran it."""
+    labels = (crash.suspects[suspect.fingerprint].label for crash in charged)
+    return next(filter(None, labels), '')
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
@@ -1,7 +1,7 @@
 """Requests that are refused because they crash upstreams.
 
 A quarantine ends by itself, so that a request is served again once the fault
-that it met is fixed: after a while one gateway lets it through, as a trial.
+that it met is fixed: after a while one gateway lets it through, as a probe.
 If that crashes an upstream too, the quarantine lasts longer than before.
 """
 
@@ -11,12 +11,12 @@
 
 __all__ = ['Entry', 'QuarantineTable']
 
-# How long a quarantine lasts until the next trial, by the number of trials that
+# How long a quarantine lasts until the next probe, by the number of probes that
 # have failed.
 HOLD_S = (600.0, 3_600.0, 21_600.0, 86_400.0)
-# A trial that has no result after this time has none at all: its caller may
+# A probe that has no result after this time has none at all: its caller may
 # have left.
-TRIAL_S = 60.0
+PROBE_S = 60.0
 # A lifted entry is kept until its news has reached every gateway.
 LIFTED_RETENTION_S = 600.0
 # An entry that nobody asks for is forgotten this long after it was due.
@@ -33,9 +33,9 @@
       version: Grows with each change; the highest one applies.
       is_active: Whether the request is refused.
       since_s: Loop time at which the quarantine began.
-      until_s: Loop time from which a trial may be made.
-      failed_trials: Number of trials that crashed an upstream.
-      trial_s: Loop time at which the latest trial began; None if it has ended.
+      until_s: Loop time from which a probe may be made.
+      failed_probes: Number of probes that crashed an upstream.
+      probe_s: Loop time at which the latest probe began; None if it has ended.
       label: Route, client account and path, for operators.
       upstreams: Upstreams that it crashed; the newest, if they are many.
       reason: Why it was lifted; empty while it is active.
@@ -46,8 +46,8 @@
     is_active: bool
     since_s: float
     until_s: float
-    failed_trials: int = 0
-    trial_s: float | None = None
+    failed_probes: int = 0
+    probe_s: float | None = None
     label: str = ''
     upstreams: tuple[str, ...] = ()
     reason: str = ''
@@ -87,7 +87,7 @@
     ) -> Entry:
         """Puts a request in quarantine and returns its entry."""
         known = self._entries.get(fingerprint)
-        failed = known.failed_trials if known else 0
+        failed = known.failed_probes if known else 0
         return self._store(
             Entry(
                 fingerprint,
@@ -101,24 +101,24 @@
             )
         )
 
-    def begin_trial(self, entry: Entry, now: float) -> Entry:
+    def begin_probe(self, entry: Entry, now: float) -> Entry:
         """Records that a request is let through once."""
-        return self._update(entry, until_s=now + TRIAL_S, trial_s=now)
+        return self._update(entry, until_s=now + PROBE_S, probe_s=now)
 
-    def fail_trial(self, entry: Entry, now: float) -> Entry:
-        """Records that a trial has crashed an upstream."""
-        failed = entry.failed_trials + 1
+    def fail_probe(self, entry: Entry, now: float) -> Entry:
+        """Records that a probe has crashed an upstream."""
+        failed = entry.failed_probes + 1
         return self._update(
             entry,
             until_s=now + _hold_s(failed),
-            failed_trials=failed,
-            trial_s=None,
+            failed_probes=failed,
+            probe_s=None,
         )
 
     def lift(self, entry: Entry, reason: str, now: float) -> Entry:
         """Ends a quarantine."""
         return self._update(
-            entry, is_active=False, until_s=now, trial_s=None, reason=reason
+            entry, is_active=False, until_s=now, probe_s=None, reason=reason
         )
 
     def merge(self, entry: Entry) -> bool:
@@ -161,5 +161,5 @@
         return entry
 
 
-def _hold_s(failed_trials: int) -> float:
-    return HOLD_S[min(failed_trials, len(HOLD_S) - 1)]
+def _hold_s(failed_probes: int) -> float:
+    return HOLD_S[min(failed_probes, len(HOLD_S) - 1)]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/update.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/update.py
@@ -1,4 +1,4 @@
-"""What gateways tell each other about requests that crash upstreams."""
+"""Updates between gateways about requests that crash upstreams."""
 
 from __future__ import annotations
 
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -117,6 +117,15 @@
         )
         self.assertEqual(culprits(found, 300.0), ['bad'])
 
+    def test_a_report_of_another_gateway_keeps_the_label(self):
+        """Operators saw a quarantined request without its route and path."""
+        own = crash('a', 1.0)
+        own.suspects[b'bad'] = evidence.Suspect(b'bad', 0.1, 'plan first /1')
+        found = collect(own, crash('a', 1.0, bad=0.3))
+        [merged] = found.crashes
+        self.assertEqual(merged.suspects[b'bad'].label, 'plan first /1')
+        self.assertEqual(merged.suspects[b'bad'].exposure_s, 0.3)
+
     def test_memory_is_bounded(self):
         found = collect(
             *(
--- a/tests/quetzalsill_gateway/quarantine/test_quarantine.py
+++ b/tests/quetzalsill_gateway/quarantine/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Trials of quarantined requests, and what gateways tell each other."""
+"""Probes of quarantined requests, and what gateways tell each other."""
 
 from __future__ import annotations
 
@@ -80,10 +80,10 @@
 
 def exchange(found=BAD):
     """Returns a request that has not been sent."""
-    return types.SimpleNamespace(fingerprint=found, is_trial=False, sends=0)
+    return types.SimpleNamespace(fingerprint=found, is_probe=False, sends=0)
 
 
-class TrialTest(unittest.TestCase):
+class ProbeTest(unittest.TestCase):
     """Five gateways that receive each other's updates at once."""
 
     def setUp(self):
@@ -134,21 +134,21 @@
         [entry] = self.fleet[4].entries
         self.assertEqual(entry.upstreams, ('1', '2', '3'))
 
-    def test_few_trials_are_made_and_ever_fewer(self):
+    def test_few_probes_are_made_and_ever_fewer(self):
         """Callers repeat the request for a day; it is never fixed."""
         self.quarantine()
-        trials = 0
+        probes = 0
         while self.clock.now < 1000 + 86_400:
             self.clock.now += 5.0
             through = self.ask_all()
             self.assertLessEqual(len(through), 1)
-            trials += len(through)
+            probes += len(through)
             for gateway in through:
                 self.clock.now += 0.1
                 self.crash(gateway)
-        self.assertEqual(trials, 3)
+        self.assertEqual(probes, 3)
 
-    def test_a_trial_that_is_answered_lifts_it(self):
+    def test_a_probe_that_is_answered_lifts_it(self):
         self.quarantine()
         while not (through := self.ask_all()):
             self.clock.now += 5.0
@@ -157,7 +157,7 @@
         through[0].record_completion(exchange())
         self.assertEqual(len(self.ask_all()), len(self.fleet))
 
-    def test_a_trial_is_sent_once(self):
+    def test_a_probe_is_sent_once(self):
         self.quarantine()
         self.clock.now += table.HOLD_S[0]
         requests = [exchange() for _ in self.fleet]
@@ -166,10 +166,10 @@
             for gateway, req in zip(self.fleet, requests, strict=True)
         ):
             self.clock.now += 5.0
-        trial = next(req for req in requests if req.is_trial)
-        self.assertFalse(self.fleet[0].rejects(trial))
-        trial.sends = 1
-        self.assertTrue(self.fleet[0].rejects(trial))
+        probe = next(req for req in requests if req.is_probe)
+        self.assertFalse(self.fleet[0].rejects(probe))
+        probe.sends = 1
+        self.assertTrue(self.fleet[0].rejects(probe))
 
     def test_a_late_report_does_not_bring_it_back(self):
         """A report of a crash arrives after the request was answered."""
--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -84,10 +84,7 @@
     """One request that crashes engines, and the requests beside it."""
 
     async def test_repeats_stop_reaching_engines(self):
-        """A request crashes one engine after the other.
-
-        Its caller repeats it at any gateway under new ids.
-        """
+        """A request crashes engines, and its caller repeats it everywhere."""
         _, later = await self.repeat(30)
         self.assertLessEqual(later, MAX_REPEATS)
 
