--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
@@ -61,7 +61,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LimitUpdate:
-    """Limits that a gateway tells the others.
+    """Limits that a gateway announces.
 
     Attributes:
       limits: The limits.
--- a/tests/quetzalsill_gateway/fleet/test_quota.py
+++ b/tests/quetzalsill_gateway/fleet/test_quota.py
@@ -125,7 +125,6 @@
 
     Attributes:
       named: Value of the header in its responses; None for none.
-      heard: Names of gateways that had a response with that header.
     """
 
     RESPONSE_S = 0.02
@@ -134,7 +133,6 @@
     def __init__(self, gateways, named):
         super().__init__(gateways, 0.0)
         self.named = named
-        self.heard = set()
         self.target.cold_until_s = 0.0
         self.limits = {}
 
@@ -167,8 +165,6 @@
     async def respond(self, name, sent_s):
         await asyncio.sleep(self.rng.uniform(0.5, 1.5) * self.RESPONSE_S)
         values = [] if self.named is None else [self.named]
-        if values:
-            self.heard.add(name)
         self.limits[name].record_response(
             self.target, values, sent_s, is_proved=True
         )
