Look again for a crash that follows a reset, or whose connections close late

A crash was missed, and with it the request that caused it, in two ways: an engine reset a stream and crashed within the 8 s for which the first look was remembered; or one connection to it was still open 5 ms after the first run broke off, which was taken for a sign of life. A look that is over is begun anew with the next run that breaks off, without those before it, and open connections are looked at again for 1.5 s.

Tests seen to fail first: test_a_crash_soon_after_a_reset_is_found, test_connections_that_close_one_after_the_other.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
@@ -29,7 +29,7 @@
 # A process that ends closes all of its connections within this time.
 CLOSE_S = 0.005
 CONNECT_TIMEOUT_S = 0.12
-# Delays before connecting again when a connection was not accepted in time.
+# Delays before looking again while there is no answer.
 RETRY_DELAYS_S = (0.0, 0.1, 0.4, 1.0)
 # The entry of a crashed upstream expires, and the process that replaces it
 # registers, within this time.
@@ -56,6 +56,11 @@
     check: asyncio.Task[None] | None = None
     watch: asyncio.Task[None] | None = None
 
+    @property
+    def is_refuted(self) -> bool:
+        """Whether the upstream still accepted connections."""
+        return not self.is_confirmed and self.check.done()
+
 
 class Detector:
     """Looks for evidence of a crash when a response breaks off."""
@@ -95,12 +100,8 @@
         now = asyncio.get_running_loop().time()
         key = run.upstream.key
         found = self._suspicions.get(key)
-        if found is None:
-            crash = evidence.Crash(key, run.upstream.service, now)
-            found = _Suspicion(run.upstream, crash)
-            self._suspicions[key] = found
-            found.check = asyncio.create_task(self._check(found))
-            found.watch = asyncio.create_task(self._watch(found))
+        if found is None or found.is_refuted:
+            found = self._suspect(run.upstream, now)
         fingerprint = run.exchange.fingerprint
         known = found.crash.suspects.get(fingerprint)
         if known is None and len(found.crash.suspects) >= evidence.MAX_SUSPECTS:
@@ -115,6 +116,18 @@
         if found.is_confirmed:
             self._on_crash(found.crash)
 
+    def _suspect(
+        self, upstream: upstream_lib.Upstream, now: float
+    ) -> _Suspicion:
+        before = self._suspicions.get(upstream.key)
+        if before is not None:
+            before.watch.cancel()
+        crash = evidence.Crash(upstream.key, upstream.service, now)
+        found = self._suspicions[upstream.key] = _Suspicion(upstream, crash)
+        found.check = asyncio.create_task(self._check(found))
+        found.watch = asyncio.create_task(self._watch(found))
+        return found
+
     def record_refused(self, upstream: upstream_lib.Upstream) -> None:
         """Records that an upstream's address refused a connection."""
         self._confirm(upstream.key, 'refused')
@@ -131,7 +144,8 @@
             if found.is_confirmed:
                 return
             if self._conns.connections(upstream.address).count:
-                return
+                # They are closed one after the other, if it has crashed.
+                continue
             try:
                 conn = await call.connect(upstream.address, CONNECT_TIMEOUT_S)
             except error.RefusedError:
--- a/tests/quetzalsill_gateway/quarantine/test_detector.py
+++ b/tests/quetzalsill_gateway/quarantine/test_detector.py
@@ -6,7 +6,7 @@
 import types
 import unittest
 
-from quetzalsill_gateway.fleet import revision, upstream
+from quetzalsill_gateway.fleet import quota, revision, upstream
 from quetzalsill_gateway.http import pool
 from quetzalsill_gateway.quarantine import detector, in_flight
 
@@ -80,6 +80,33 @@
             while not self.crashes:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
 
+    async def test_a_crash_soon_after_a_reset_is_found(self):
+        """An engine resets a stream, and crashes a moment later."""
+        self.detector.record_broken(run_at(self.found))
+        await self.checked()
+        self.server.close()
+        self.detector.record_broken(run_at(self.found, b'second'))
+        await self.checked(b'second')
+        [found] = self.crashes
+        self.assertEqual(set(found.suspects), {b'second'})
+
+    async def test_connections_that_close_one_after_the_other(self):
+        """An engine crashes, and not all of its runs break off at once."""
+        self.server.close()
+        conns = types.SimpleNamespace(
+            connections=lambda _: quota.Connections(self.open_conns, 0)
+        )
+        self.open_conns = 1
+        found = detector.Detector(conns, self.upstreams, self.crashes.append)
+        found.record_broken(run_at(self.found))
+        await asyncio.sleep(3 * detector.CLOSE_S)
+        self.open_conns = 0
+        found.record_broken(run_at(self.found, b'second'))
+        async with asyncio.timeout(10):
+            while not self.crashes:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.assertEqual(set(self.crashes[0].suspects), {b'first', b'second'})
+
     async def test_an_upstream_that_was_to_leave_has_not_crashed(self):
         self.server.close()
         self.found.leaving = True
