Read stored quarantines when a gateway sees a crash

A gateway that reaches the store and the engines, but none of the other gateways, knew of no quarantine that they had made, and could have crashed three more engines before it found the culprit itself. It reads the store's entries when it detects a crash, at most once a second; without crashes it still reads once, at its start.

Test seen to fail first: test_a_gateway_cut_off_from_the_others_learns_it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -222,7 +222,7 @@
       upstreams: Ids of upstreams that crashed while they ran it.
       for_s: Time until a probe, in seconds.
       failed_probes: Number of probes so far that crashed an upstream.
-      source: Gateway that found it; empty for this one.
+      source: Gateway that found it, or `store`; empty for this one.
       stopped: Number of its runs that this gateway has stopped.
     """
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
@@ -32,7 +32,7 @@
 
 
 class Persistence:
-    """Loads the stored entries once, and stores those that change.
+    """Loads the stored entries, and stores those that change.
 
     Attributes:
       is_loaded: Whether the entries have been loaded.
@@ -45,7 +45,7 @@
         load: Callable[[], Awaitable[list[Any]]],
         save: Callable[[str, Any], Awaitable[None]],
     ) -> None:
-        """Creates it; `run` does the work.
+        """Creates it; the two loops do the work.
 
         Args:
           quarantine: Quarantine of this gateway.
@@ -59,20 +59,35 @@
         self._save = save
         self._changed: asyncio.Queue[table.Entry] = asyncio.Queue()
         self.is_loaded = False
+        self._is_due = asyncio.Event()
+        self._is_due.set()
         quarantine.on_changed(self._changed.put_nowait)
+        quarantine.on_crash(self._is_due.set)
 
-    async def run(self) -> None:
-        """Loads and stores entries; runs until cancelled."""
-        while not self.is_loaded:
+    async def load_entries(self) -> None:
+        """Loads entries at the start, and after crashes, until cancelled.
+
+        A gateway that sees a crash may be cut off from the others, which know
+        the culprit.
+        """
+        while True:
+            await self._is_due.wait()
+            self._is_due.clear()
             try:
                 rows = await self._load()
             except error.SourceError:
-                await asyncio.sleep(RETRY_S)
-                continue
-            self._quarantine.restore(
-                [entry for row in rows if (entry := _decode(row)) is not None]
-            )
-            self.is_loaded = True
+                if not self.is_loaded:
+                    self._is_due.set()
+            else:
+                entries = [_decode(row) for row in rows]
+                self._quarantine.restore(
+                    [entry for entry in entries if entry is not None]
+                )
+                self.is_loaded = True
+            await asyncio.sleep(RETRY_S)
+
+    async def store_changes(self) -> None:
+        """Stores entries that change, until cancelled."""
         while True:
             await self._store(await self._changed.get())
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -66,6 +66,7 @@
             lambda _: None
         )
         self._on_changed: Callable[[table.Entry], None] = lambda _: None
+        self._on_crash: Callable[[], None] = lambda: None
         self._judged: dict[bytes, int] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -89,10 +90,15 @@
         """Sets a callback for entries that have changed."""
         self._on_changed = callback
 
+    def on_crash(self, callback: Callable[[], None]) -> None:
+        """Sets a callback for crashes that this gateway has detected."""
+        self._on_crash = callback
+
     def restore(self, entries: list[table.Entry]) -> None:
         """Applies entries that were stored."""
         for entry in entries:
-            self._table.merge(entry)
+            if self._table.merge(entry) and entry.is_active:
+                self._enforce(entry, 'store')
         self._table.expire(_now())
 
     def admit(self, exchange: exchange_lib.Exchange) -> float | None:
@@ -162,6 +168,7 @@
         """Applies a crash that this gateway has detected."""
         if self._apply_crash(crash):
             self._send(update_lib.split([crash], (), (), ()))
+            self._on_crash()
 
     def record_completion(self, exchange: exchange_lib.Exchange) -> None:
         """Records that an upstream has answered a request."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -185,7 +185,8 @@
             await self.peers.open(settings_lib.address(self._settings.peers))
             loops['directory'] = self.peers.join_directory
             loops['peers'] = self.peers.publish_changes
-            loops['quarantine'] = self._persistence.run
+            loops['quarantine'] = self._persistence.load_entries
+            loops['quarantine-store'] = self._persistence.store_changes
         self._tasks = [
             asyncio.create_task(background.keep_running(name, loop))
             for name, loop in loops.items()
--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -138,6 +138,21 @@
             self.assertEqual((response.status, response.body), REFUSAL)
         self.assertEqual(self.sends(), sent)
 
+    async def test_a_gateway_cut_off_from_the_others_learns_it(self):
+        """It reaches the store and the engines, but none of the others."""
+        alone = self.gateways.pop()
+        alone.peers.close()
+        await self.repeat(12)
+        await self.wait_until(lambda: self.store.rows('quarantine'))
+        self.gateways = [alone]
+        sent = self.sends()
+        await self.send(0)
+        await self.wait_until(lambda: alone.core.quarantine.entries)
+        for number in range(4):
+            response = await self.send(number)
+            self.assertEqual((response.status, response.body), REFUSAL)
+        self.assertLessEqual(self.sends() - sent, MAX_REPEATS)
+
     async def operate(self, method, path):
         """Sends an operator's request; returns status and body."""
         port = self.gateways[0].readiness.port
