Show that calls that crash plain servers are refused too

Plain servers share the code with engines; no test had crashed one by a request. The stand-in server crashes on a given target.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -27,6 +27,8 @@
       id: Id of this incarnation.
       scripts: Scripts for the next requests.
       runs: Executed requests: id, target, headers and body.
+      crash_target: A request with this target crashes it before it responds;
+        None for none.
       limit: Value of the header in which it names a limit; empty for none.
       arrivals: Loop times at which requests arrived, with their ids.
     """
@@ -37,11 +39,13 @@
         self.scripts: list[str] = []
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.limit = ''
+        self.crash_target: str | None = None
+        self._crash: asyncio.Task[None] | None = None
         self.arrivals: list[tuple[float, str]] = []
 
-    async def start(self) -> None:
-        """Starts to accept connections."""
-        await self.server.start()
+    async def start(self, port: int = 0) -> None:
+        """Starts to accept connections on a port; 0 for any."""
+        await self.server.start(port)
 
     def entry(
         self, service: str, zone: str, state: str = 'ready'
@@ -71,6 +75,10 @@
             call.respond(503, headers=echo | {PREFIX + 'not-executed': '1'})
             return
         self.runs.append((request_id, call.target, call.headers, call.body))
+        if call.target == self.crash_target:
+            self._crash = asyncio.create_task(self.server.stop())
+            await asyncio.shield(self._crash)
+            return
         receipt = echo | {PREFIX + 'server-stamp': f'{self.id}.{request_id}'}
         await self._respond(call, script, receipt, f'{self.id}:{request_id}')
 
--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -7,7 +7,7 @@
 import json
 import unittest
 
-from quetzalsill_dev.users_platform import caller, engine
+from quetzalsill_dev.users_platform import caller, engine, http_server
 from tests.quetzalsill_platform import fixture
 
 CRASHING = b'a prompt that crashes engines'
@@ -80,6 +80,55 @@
         return half, self.sends() - half
 
 
+class CrashingCallTest(CrashingRequestTestCase):
+    """A call that crashes plain servers, of which new ones start."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.calls = 0
+
+    async def replace_servers(self):
+        """Replaces the servers that have crashed by new ones elsewhere."""
+        for server in list(self.http_servers):
+            if server._crash is None:
+                continue
+            self.http_servers.remove(server)
+            self.calls += len(server.runs)
+            self.store.remove('servers', server.id)
+            new = http_server.HttpServer(f'desk-{next(self.numbers)}')
+            new.crash_target = server.crash_target
+            await new.start()
+            self.addAsyncCleanup(new.server.stop)
+            self.http_servers.append(new)
+            self.store.put('servers', new.id, new.entry('desk', 'zone-a'))
+            for gateway in self.gateways:
+                await self.wait_until(
+                    lambda g=gateway, s=new: g.core.upstreams.get(s.id)
+                )
+
+    async def call(self, number, target='/safe/crashing'):
+        client = self.caller(self.gateways[number % len(self.gateways)])
+        async with asyncio.timeout(fixture.WAIT_TIMEOUT_S):
+            return await client.request(target)
+
+    async def test_calls_stop_reaching_servers(self):
+        """A call without a body crashes one server after the other."""
+        for server in self.http_servers:
+            server.crash_target = '/safe/crashing'
+        for number in range(12):
+            await self.call(number)
+            await self.replace_servers()
+            await asyncio.sleep(PAUSE_S)
+        before = self.calls
+        for number in range(12):
+            response = await self.call(number)
+            self.assertEqual((response.status, response.body), REFUSAL)
+            await self.replace_servers()
+        self.assertEqual(self.calls, before)
+        response = await self.call(0, '/safe/sound')
+        self.assertEqual(response.status, 200)
+
+
 class CrashingRequestTest(CrashingRequestTestCase):
     """One request that crashes engines, and the requests beside it."""
 
