Refuse generations that limited engines will not take in time

Callers of generations waited until their deadline at engines that limit their rate: 58 of 250 were told after 4 s that nothing had been sent, one was sent with 30 ms left. Its wait was expected to be 0.5 s, but others went ahead; the expected wait was computed again only while no engine could join.

It is computed again while all engines limit their rate, too. Test seen to fail first: test_generations_keep_to_it_and_are_refused_in_time.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -118,6 +118,7 @@
         run has started: no part of a response is sent, and the run ends.
       ignores_copies: Whether a request that names a missing copy is run from
         the beginning. A correct engine refuses it as not executed.
+      limit: Value of the header in which it names a limit; empty for none.
       busy_moves: Number of next copy commands that get a 409, as if another
         copy were in progress.
       requests: Headers of each received request.
@@ -140,6 +141,7 @@
         self.resets_at_start = 0
         self.ignores_copies = False
         self.busy_moves = 0
+        self.limit = ''
         self.requests: list[dict[str, str]] = []
         self.reports = 0
         self._fleet = fleet
@@ -239,6 +241,8 @@
         now = asyncio.get_running_loop().time()
         self._fleet.arrivals.append(Arrival(now, request_id, call.body))
         echo = {PREFIX + 'attempt-id': request_id}
+        if self.limit:
+            echo['server-limit'] = self.limit
         if call.headers.get(PREFIX + 'expect-instance') != self.id:
             call.respond(421, headers={PREFIX + 'instance-id': self.id})
             return
@@ -290,6 +294,8 @@
             'Content-Type': 'text/event-stream',
             'Transfer-Encoding': 'chunked',
         }
+        if self.limit:
+            head['server-limit'] = self.limit
         call.send_head(200, head)
         try:
             while (
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -43,7 +43,7 @@
 # caller is better off with a refusal and a time to retry after.
 MAX_LATE_WAIT_S = 2.0
 # Minimum interval at which the expected wait is computed again while no engine
-# can join.
+# can join, or all of them limit their rate.
 MIN_RECHECK_S = 0.25
 # Largest share of the caller's remaining time to ask it to retry after.
 RETRY_AFTER_SHARE = 0.33
@@ -249,7 +249,8 @@
             now = loop.time()
             if not search.has_engine:
                 return None
-            if now >= recheck_s and not self._upstreams.can_grow:
+            may_wait_longer = self._upstreams.can_grow and not search.is_limited
+            if now >= recheck_s and not may_wait_longer:
                 if self._exceeds_wait_bound(search, queue):
                     return None
                 recheck_s = self._next_recheck_s(search)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -138,16 +138,20 @@
         )
         return missing / per_s if per_s else math.inf
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether all engines limit their rate."""
+        return self._quota.is_limited(self._available())
+
     def rate_wait_s(self, ahead: int) -> float:
         """Returns the time until the engines' own limits allow the request.
 
         Args:
           ahead: Number of requests of this gateway that go first.
         """
-        available = self._available()
-        if not self._quota.is_limited(available):
+        if not self.is_limited:
             return 0.0
-        return self._quota.wait_s(available, ahead)
+        return self._quota.wait_s(self._available(), ahead)
 
     def _engines_with_room(self, now: float) -> list[upstream_lib.Upstream]:
         """Returns engines with room, if possible with room beside backups.
--- a/tests/quetzalsill_platform/test_server_limit.py
+++ b/tests/quetzalsill_platform/test_server_limit.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from tests.quetzalsill_platform import fixture
+from tests.quetzalsill_platform import fixture, test_streams
 
 PER_S = 2.5
 WINDOW_S = 4.0
@@ -68,6 +68,31 @@
         await self.load(8.0)
         self.assert_kept()
 
+    async def test_generations_keep_to_it_and_are_refused_in_time(self):
+        """One that waits is refused once others go first for too long."""
+        for replica in self.engines:
+            replica.limit, replica.length = '1', 2
+        calls = []
+        for number in range(250):
+            calls.append(asyncio.create_task(self.generate(number)))
+            await asyncio.sleep(CALL_INTERVAL_S)
+        responses = await asyncio.gather(*calls)
+        self.assertEqual({one.status for one in responses}, {200, 503})
+        first_s = self.fleet.arrivals[0].at_s
+        later = [
+            one.at_s
+            for one in self.fleet.arrivals
+            if one.at_s > first_s + STABLE_WINDOW_S
+        ]
+        allowed = len(self.engines) * (1.5 * 1.0 * WINDOW_S + 5)
+        self.assertLessEqual(max_in_window(later), allowed)
+
+    async def generate(self, number):
+        client = self.caller(self.gateways[number % len(self.gateways)])
+        return await client.request(
+            '/plan/1', method='POST', headers=test_streams.PROMPT
+        )
+
     async def test_others_learn_it_without_a_response(self):
         """Only one gateway has had a response that names the limit."""
         self.name_limits()
