Forget the limits of upstreams that are gone

Limits of ended upstreams were kept up to a bound of 4,096 and repeated to two gateways every 2 s, some 250 datagrams each. Those of unknown upstreams, and lifted ones, are dropped after a minute; that of an upstream that is silent stays. Test, written with the fix: test_what_is_gone_is_forgotten_and_what_is_silent_is_not.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
@@ -30,6 +30,9 @@
 MAX_PER_S = 1e6
 DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 MAX_LIMITS = 4096
+# A limit of an unknown upstream, and one that was lifted, are kept for this
+# long: the membership may be late, and so may responses that name it.
+RETENTION_S = 60.0
 # Invalid limits of one upstream are logged once in this time.
 LOG_INTERVAL_S = 60.0
 # Limits in one datagram.
@@ -140,6 +143,19 @@
                 )
             self._apply(limit, update.sender)
 
+    def expire(self, known: Iterable[upstream_lib.Upstream]) -> None:
+        """Drops the limits of upstreams that are gone, and lifted ones."""
+        keys = {one.key for one in known}
+        oldest_s = asyncio.get_running_loop().time() - RETENTION_S
+        expired = [
+            limit.key
+            for limit in self._limits.values()
+            if max(limit.named_s, limit.lifted_s) < oldest_s
+            and not (limit.is_in_force and limit.key in keys)
+        ]
+        for key in expired:
+            del self._limits[key]
+
     def updates(self) -> list[LimitUpdate]:
         """Returns all that is known, for a gateway that may have missed it."""
         limits = list(self._limits.values())
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -147,7 +147,7 @@
         limits.set_announcer(self.peers.announce)
         self.peers.on_update(server_limits.LimitUpdate, limits.receive)
         self.peers.on_greeting(limits.updates)
-        self.peers.on_refresh(limits.updates)
+        self.peers.on_refresh(self._refresh_limits)
         self._persistence = persistence.Persistence(
             found,
             gateways,
@@ -156,6 +156,11 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _refresh_limits(self) -> list[server_limits.LimitUpdate]:
+        limits = self.core.server_limits
+        limits.expire(self.core.upstreams.all())
+        return limits.updates()
+
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this gateway."""
         core = self.core
--- a/tests/quetzalsill_gateway/fleet/test_server_limits.py
+++ b/tests/quetzalsill_gateway/fleet/test_server_limits.py
@@ -160,6 +160,22 @@
         self.found.incarnation = 2
         self.assertIsNone(self.per_s())
 
+    def test_what_is_gone_is_forgotten_and_what_is_silent_is_not(self):
+        """Limits of ended upstreams were repeated to all gateways forever."""
+        self.respond(10.0, b'2.5')
+        self.now = 1000.0
+        self.one.expire([self.found])
+        self.assertEqual(self.per_s(), 2.5)
+        self.one.expire([])
+        self.assertEqual(self.one.updates(), [])
+        self.respond(1001.0, b'2.5')
+        self.respond(1002.0)
+        self.one.expire([self.found])
+        self.assertEqual(len(self.one.updates()), 1)
+        self.now = 2000.0
+        self.one.expire([self.found])
+        self.assertEqual(self.one.updates(), [])
+
     def test_others_learn_it_once_and_when_it_is_lifted(self):
         for at_s in (10.0, 10.5, 11.0):
             self.respond(at_s, b'2.5')
