Count whole tokens where a call waits for a server's limit

A call was held although no rate had room in time: half a token at each of two servers counted as one. It waited for half of its objective, and was refused then without a time to come again. The wait is now that for the next whole token at any server, after the calls ahead. Test: test_parts_of_tokens_at_two_servers_are_no_token.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
@@ -145,6 +145,15 @@
     tokens: float
     updated_s: float
 
+    def waits_s(self, count: int) -> list[float]:
+        """Returns the times until each of the next requests may be sent."""
+        if not self.rate_per_s:
+            return [0.0] * min(count, int(self.tokens))
+        return [
+            max(0.0, (number - self.tokens) / self.rate_per_s)
+            for number in range(1, count + 1)
+        ]
+
     def refill(self, now: float) -> None:
         """Adds the tokens since the last update."""
         self.tokens += (now - self.updated_s) * self.rate_per_s
@@ -214,7 +223,7 @@
         Returns:
           The time in seconds; infinite if this gateway has no share.
         """
-        tokens = per_s = 0.0
+        waits: list[float] = []
         for upstream in upstreams:
             buckets = [
                 self._bucket(upstream, kind, rate)
@@ -223,12 +232,11 @@
             if not buckets:
                 return 0.0
             if self._members.is_directory_read:
-                tokens += max(0.0, min(one.tokens for one in buckets))
-                per_s += min(one.rate_per_s for one in buckets)
-        missing = ahead + 1 - tokens
-        if missing <= 0:
-            return 0.0
-        return missing / per_s if per_s else math.inf
+                # All of its rates must have room.
+                times = (one.waits_s(ahead + 1) for one in buckets)
+                waits += map(max, zip(*times, strict=False))
+        waits.sort()
+        return waits[ahead] if len(waits) > ahead else math.inf
 
     def total_per_s(self, upstreams: Iterable[upstream_lib.Upstream]) -> float:
         """Returns the limited rate of upstreams, of all gateways together."""
--- a/tests/quetzalsill_gateway/fleet/test_quota.py
+++ b/tests/quetzalsill_gateway/fleet/test_quota.py
@@ -183,6 +183,44 @@
             self.limits[name].receive(update)
 
 
+class WaitTest(unittest.TestCase):
+    """When a rate has room for a call, and for the calls before it."""
+
+    def waits(self, *tokens, per_s=2.0, gateways=1):
+        """Returns the waits of four calls for servers with these tokens."""
+
+        async def work():
+            known = members.Members('entry-0')
+            now = asyncio.get_running_loop().time()
+            known.add_listed([f'entry-{n}' for n in range(gateways)], now)
+            limits = server_limits.ServerLimits()
+            found = quota.Quota(
+                holder(), known, WARMUP, lambda _: NONE_OPEN, limits=limits
+            )
+            servers = [
+                upstream.Upstream(f'u{n}', 's', ('10.0.0.1', 1), 'z')
+                for n in range(len(tokens))
+            ]
+            for server, count in zip(servers, tokens, strict=True):
+                limits.record_response(
+                    server, [str(per_s).encode()], now, is_proved=True
+                )
+                found.allows(server)
+                bucket = found._buckets[server.key, 'named']
+                bucket.tokens, bucket.rate_per_s = count, per_s
+            return [found.wait_s(servers, ahead) for ahead in range(4)]
+
+        return clock.run(work)
+
+    def test_parts_of_tokens_at_two_servers_are_no_token(self):
+        """A call was held for a rate that had no room in time."""
+        self.assertEqual(self.waits(0.5, 0.5), [0.25, 0.25, 0.75, 0.75])
+
+    def test_calls_ahead_take_what_there_is(self):
+        self.assertEqual(self.waits(2.0), [0.0, 0.0, 0.5, 1.0])
+        self.assertEqual(self.waits(1.0, 0.0), [0.0, 0.5, 0.5, 1.0])
+
+
 class NamedTest(unittest.TestCase):
     """The rate at which a fleet sends to an upstream that names a limit."""
 
