Announce the first answer to a suspected request only

For 10 minutes after a crash, each answer to a request that had been running then, such as a hot key, was sent to all gateways, though only the first is news. It is announced while a crash is charged to the request. Test seen to fail first: test_an_answer_is_announced_once.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -184,10 +184,6 @@
         crash = self._crashes.get(key)
         return None if crash is None else crash.at_s
 
-    def is_suspect(self, fingerprint: bytes) -> bool:
-        """Whether a request was running at any of the crashes."""
-        return fingerprint in self._keys
-
     def is_repeated(self, fingerprint: bytes) -> bool:
         """Whether a request was running at `MIN_CRASHES` or more."""
         return len(self._keys.get(fingerprint, ())) >= MIN_CRASHES
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -173,10 +173,8 @@
     def record_completion(self, exchange: exchange_lib.Exchange) -> None:
         """Records that an upstream has answered a request."""
         fingerprint = exchange.fingerprint
-        if not (
-            self._evidence.is_suspect(fingerprint)
-            or self._table.get(fingerprint) is not None
-        ):
+        is_news = self._evidence.charges(fingerprint)
+        if not is_news and self._table.get(fingerprint) is None:
             return
         now = _now()
         self._apply_completion(fingerprint, now)
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -140,7 +140,7 @@
         )
         found.expire(1e6)
         self.assertFalse(found)
-        self.assertFalse(found.is_suspect(b's500-1'))
+        self.assertEqual(found.charges(b's260-1'), [])
 
 
 class Fleet:
--- a/tests/quetzalsill_gateway/quarantine/test_quarantine.py
+++ b/tests/quetzalsill_gateway/quarantine/test_quarantine.py
@@ -171,6 +171,16 @@
         probe.sends = 1
         self.assertTrue(self.fleet[0].rejects(probe))
 
+    def test_an_answer_is_announced_once(self):
+        """Each answer to a hot key was sent to all gateways for minutes."""
+        self.crash(self.fleet[0])
+        sent = []
+        self.fleet[0].set_announcer(sent.append)
+        for _ in range(3):
+            self.clock.now += 1.0
+            self.fleet[0].record_completion(exchange())
+        self.assertEqual(len(sent), 1)
+
     def test_a_late_report_does_not_bring_it_back(self):
         """A report of a crash arrives after the request was answered."""
         self.quarantine()
