Do nothing for named limits and refreshes while there is nothing to do

Each poll of a waiting generation listed the engines once more to see whether all limit their rate, and each refresh drew peers from the global generator with nothing to send.

No decision changes.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -249,8 +249,9 @@
             now = loop.time()
             if not search.has_engine:
                 return None
-            may_wait_longer = self._upstreams.can_grow and not search.is_limited
-            if now >= recheck_s and not may_wait_longer:
+            if now >= recheck_s and (
+                not self._upstreams.can_grow or search.is_limited
+            ):
                 if self._exceeds_wait_bound(search, queue):
                     return None
                 recheck_s = self._next_recheck_s(search)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -141,7 +141,9 @@
     @property
     def is_limited(self) -> bool:
         """Whether all engines limit their rate."""
-        return self._quota.is_limited(self._available())
+        return self._quota.has_limits and self._quota.is_limited(
+            self._available()
+        )
 
     def rate_wait_s(self, ahead: int) -> float:
         """Returns the time until the engines' own limits allow the request.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
@@ -186,7 +186,9 @@
           limits: Limits that upstreams name.
           tolerance: By how much these may be exceeded.
         """
-        self._limits = limits or server_limits.ServerLimits()
+        self._limits = (
+            server_limits.ServerLimits() if limits is None else limits
+        )
         self._tolerance = tolerance or Tolerance()
         self._holder = holder
         self._members = members
@@ -204,6 +206,11 @@
         for kind, rate in self._rates(upstream):
             self._bucket(upstream, kind, rate).tokens -= 1.0
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any upstream may have named a limit."""
+        return bool(self._limits)
+
     def is_limited(self, upstreams: Iterable[upstream_lib.Upstream]) -> bool:
         """Whether all of some upstreams have named a limit."""
         found = list(upstreams)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
@@ -85,6 +85,10 @@
         self._logged_s: dict[str, float] = {}
         self._announce: Callable[[LimitUpdate], None] = lambda _: None
 
+    def __bool__(self) -> bool:
+        """Whether any limit is known, also lifted ones."""
+        return bool(self._limits)
+
     def set_announcer(self, announce: Callable[[LimitUpdate], None]) -> None:
         """Sets the function that sends updates to the other gateways."""
         self._announce = announce
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -234,13 +234,17 @@
 
     def _refresh_some(self) -> None:
         """Repeats updates to a few random peers."""
+        updates = [
+            update for provider in self._refreshes for update in provider()
+        ]
+        if not updates:
+            return
         addresses = self._peers.addresses
         chosen = random.sample(addresses, min(REFRESH_PEERS, len(addresses)))
-        for provider in self._refreshes:
-            for update in provider():
-                data = update_codec.encode(self._node, update)
-                for address in chosen:
-                    self._send(data, address)
+        for update in updates:
+            data = update_codec.encode(self._node, update)
+            for address in chosen:
+                self._send(data, address)
 
     def _publish_soon(self, is_urgent: bool) -> None:
         """Publishes a generation as soon as it has started.
