Reproduce requests to a server that said that it leaves

A server that leaves says so in its responses.

The stand-in server and engine name the header on request.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -119,6 +119,8 @@
       ignores_copies: Whether a request that names a missing copy is run from
         the beginning. A correct engine refuses it as not executed.
       limit: Value of the header in which it names a limit; empty for none.
+      leaving_header: Value of the header in which it says that it leaves; empty
+        for none.
       busy_moves: Number of next copy commands that get a 409, as if another
         copy were in progress.
       requests: Headers of each received request.
@@ -142,6 +144,7 @@
         self.ignores_copies = False
         self.busy_moves = 0
         self.limit = ''
+        self.leaving_header = ''
         self.requests: list[dict[str, str]] = []
         self.reports = 0
         self._fleet = fleet
@@ -240,9 +243,7 @@
         request_id = call.headers[PREFIX + 'attempt-id']
         now = asyncio.get_running_loop().time()
         self._fleet.arrivals.append(Arrival(now, request_id, call.body))
-        echo = {PREFIX + 'attempt-id': request_id}
-        if self.limit:
-            echo['server-limit'] = self.limit
+        echo = {PREFIX + 'attempt-id': request_id} | self._state_headers()
         if call.headers.get(PREFIX + 'expect-instance') != self.id:
             call.respond(421, headers={PREFIX + 'instance-id': self.id})
             return
@@ -264,6 +265,13 @@
             call, request_id, after, is_new=is_new, backup=backup
         )
 
+    def _state_headers(self) -> dict[str, str]:
+        headers = {
+            'server-limit': self.limit,
+            'server-leaving': self.leaving_header,
+        }
+        return {name: value for name, value in headers.items() if value}
+
     def _take_copy(self, source: str, request_id: str) -> bool:
         """Consumes the copy that a request names; False if it isn't held."""
         copy = self._copies.pop(source.rpartition('/')[2], None)
@@ -294,9 +302,7 @@
             'Content-Type': 'text/event-stream',
             'Transfer-Encoding': 'chunked',
         }
-        if self.limit:
-            head['server-limit'] = self.limit
-        call.send_head(200, head)
+        call.send_head(200, head | self._state_headers())
         try:
             while (
                 run.running and run.event_count < self.length and call.is_open
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -30,6 +30,8 @@
       crash_target: A request with this target crashes it before it responds;
         None for none.
       limit: Value of the header in which it names a limit; empty for none.
+      leaving: Value of the header in which it says that it leaves; empty for
+        none.
       arrivals: Loop times at which requests arrived, with their ids.
     """
 
@@ -39,6 +41,7 @@
         self.scripts: list[str] = []
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.limit = ''
+        self.leaving = ''
         self.crash_target: str | None = None
         self._crash: asyncio.Task[None] | None = None
         self.arrivals: list[tuple[float, str]] = []
@@ -67,9 +70,13 @@
         echo = {PREFIX + 'attempt-id': request_id}
         if self.limit:
             echo['server-limit'] = self.limit
+        if self.leaving:
+            echo['server-leaving'] = self.leaving
         expected = call.headers.get(PREFIX + 'expect-instance')
         if script == 'moved' or expected != self.id:
-            call.respond(421, headers={PREFIX + 'instance-id': 'another'})
+            call.respond(
+                421, headers=echo | {PREFIX + 'instance-id': 'another'}
+            )
             return
         if script == 'shed':
             call.respond(503, headers=echo | {PREFIX + 'not-executed': '1'})
