Keep facts about incarnations of upstreams in one kind of table

What responses show about an incarnation is stored by its key, bounded, and dropped when nobody needs it any more; invalid values are logged once a minute. Limits that servers name had this in their own module; notices and pauses need the same.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/server_limits.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import math
 import re
@@ -19,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event
-from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.fleet import incarnation_table, upstream
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import upstream as upstream_lib
@@ -29,12 +28,9 @@
 # A larger limit is as good as none.
 MAX_PER_S = 1e6
 DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?|\.[0-9]+')
-MAX_LIMITS = 4096
 # A limit of an unknown upstream, and one that was lifted, are kept for this
 # long: the membership may be late, and so may responses that name it.
 RETENTION_S = 60.0
-# Invalid limits of one upstream are logged once in this time.
-LOG_INTERVAL_S = 60.0
 # Limits in one datagram.
 MAX_ITEMS = 16
 
@@ -79,10 +75,10 @@
     """The limits that are known to a gateway."""
 
     def __init__(self) -> None:
-        self._limits: collections.OrderedDict[str, Limit] = (
-            collections.OrderedDict()
+        self._limits: incarnation_table.IncarnationTable[Limit] = (
+            incarnation_table.IncarnationTable(_observed_s, RETENTION_S)
         )
-        self._logged_s: dict[str, float] = {}
+        self._invalid = incarnation_table.InvalidValueLog(_invalid_limit)
         self._announce: Callable[[LimitUpdate], None] = lambda _: None
 
     def __bool__(self) -> bool:
@@ -124,7 +120,7 @@
         if values:
             per_s = parse(values)
             if per_s is None:
-                self._log_invalid(found, values)
+                self._invalid.note(found, values)
             elif known is None or sent_s > known.lifted_s:
                 self._name(found.key, per_s, known)
         elif (
@@ -133,8 +129,9 @@
             and is_proved
             and sent_s > known.named_s
         ):
-            self._apply(dataclasses.replace(known, lifted_s=sent_s), '')
-            self._announce(LimitUpdate((self._limits[found.key],)))
+            lifted = dataclasses.replace(known, lifted_s=sent_s)
+            self._apply(lifted, '')
+            self._announce(LimitUpdate((lifted,)))
 
     def receive(self, update: LimitUpdate) -> None:
         """Applies the limits that another gateway knows."""
@@ -149,16 +146,7 @@
 
     def expire(self, known: Iterable[upstream_lib.Upstream]) -> None:
         """Drops the limits of upstreams that are gone, and lifted ones."""
-        keys = {one.key for one in known}
-        oldest_s = asyncio.get_running_loop().time() - RETENTION_S
-        expired = [
-            limit.key
-            for limit in self._limits.values()
-            if max(limit.named_s, limit.lifted_s) < oldest_s
-            and not (limit.is_in_force and limit.key in keys)
-        ]
-        for key in expired:
-            del self._limits[key]
+        self._limits.expire(known, lambda limit: limit.is_in_force)
 
     def updates(self) -> list[LimitUpdate]:
         """Returns all that is known, for a gateway that may have missed it."""
@@ -177,10 +165,8 @@
             self._announce(LimitUpdate((limit,)))
 
     def _apply(self, limit: Limit, sender: str) -> None:
-        known = self._limits.pop(limit.key, None)
-        self._limits[limit.key] = limit
-        while len(self._limits) > MAX_LIMITS:
-            self._limits.popitem(last=False)
+        known = self._limits.get(limit.key)
+        self._limits.put(limit.key, limit)
         before = known.per_s if known and known.is_in_force else None
         after = limit.per_s if limit.is_in_force else None
         if before != after:
@@ -192,22 +178,17 @@
                 )
             )
 
-    def _log_invalid(
-        self, found: upstream_lib.Upstream, values: list[bytes]
-    ) -> None:
-        now = asyncio.get_running_loop().time()
-        if now - self._logged_s.get(found.key, -math.inf) < LOG_INTERVAL_S:
-            return
-        if len(self._logged_s) >= MAX_LIMITS:
-            self._logged_s.clear()
-        self._logged_s[found.key] = now
-        event.note(
-            event.ServerLimitInvalid(
-                upstream=found.id,
-                value=b', '.join(values)[:80].decode('latin-1'),
-                advice='Name a decimal number of requests a second, from 0.',
-            )
-        )
+
+def _observed_s(limit: Limit) -> float:
+    return max(limit.named_s, limit.lifted_s)
+
+
+def _invalid_limit(upstream_id: str, value: str) -> event.ServerLimitInvalid:
+    return event.ServerLimitInvalid(
+        upstream=upstream_id,
+        value=value,
+        advice='Name a decimal number of requests a second, from 0.',
+    )
 
 
 def parse(values: Iterable[bytes]) -> float | None:
