Send nothing new to servers that say in their responses that they leave

Callers saw nothing; the leaving server got requests up to its exit, and those in flight then were lost.

Cause: a server that leaves could be known from its row and, for engines in an outage of the store, from its report only. Server-Leaving was relayed and not read. While the store was away, no gateway knew that the server left.

Change: a response with the header is a notice of shutdown. Notices are kept by incarnation, apart from the entries of the membership, so that an older entry that says ready takes none back; they are announced to the other gateways, repeated for a minute, and given to gateways that start. A drained row that lapses and is listed as ready by a restored store is covered by the same table; it was not before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -155,13 +155,7 @@
                 core.detector.record_replaced(upstream)
             else:
                 core.quarantine.record_answer(upstream, run.sent_s)
-                core.server_limits.record_response(
-                    upstream,
-                    message.values(answer.headers, dialect.server_limit),
-                    run.sent_s,
-                    is_proved=response_class in PROVED_CLASSES
-                    and _echoes_id(answer, dialect, exchange),
-                )
+                _record_headers(core, run, answer, response_class)
             yield SentRequest(conn, answer, response_class)
         except error.TruncatedError:
             core.detector.record_broken(run)
@@ -172,6 +166,28 @@
         core.conns.release(conn, core.quota.max_idle(upstream))
 
 
+def _record_headers(
+    core: core_lib.Core,
+    run: in_flight.Run,
+    head: message.ResponseHead,
+    response_class: ResponseClass,
+) -> None:
+    """Records what a response shows about its upstream."""
+    dialect, found = core.dialect, run.upstream
+    is_own = _echoes_id(head, dialect, run.exchange)
+    core.server_limits.record_response(
+        found,
+        message.values(head.headers, dialect.server_limit),
+        run.sent_s,
+        is_proved=is_own and response_class in PROVED_CLASSES,
+    )
+    # A failure without the id is relayed too.
+    is_evidence = is_own or response_class is ResponseClass.FAILED
+    notice = message.values(head.headers, dialect.server_leaving)
+    if notice and is_evidence and core.upstreams.notices.read(found, notice):
+        core.upstreams.mark_leaving(found, 'response', is_shared=True)
+
+
 async def _acquire(
     core: core_lib.Core,
     exchange: exchange_lib.Exchange,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -129,6 +129,7 @@
       kv_from: KV cache copy from which to resume a run.
       server_limit: Requests a second that an upstream accepts from all
         gateways together.
+      server_leaving: `1` in the response of an upstream that leaves.
       backup: Upstream to which a run's KV cache is copied as it grows.
       reserved: Headers that callers must not set.
       parse_prompt: Reads the token counts that a caller states.
@@ -146,6 +147,7 @@
     kv_from: bytes
     backup: bytes
     server_limit: bytes
+    server_leaving: bytes
     reserved: frozenset[bytes]
     parse_prompt: Callable[[message.Headers], Prompt]
     format_kv_from: Callable[[Upstream, str], bytes]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -14,6 +14,7 @@
     'RunOrdered',
     'ServerLimit',
     'ServerLimitInvalid',
+    'ShutdownNoticeInvalid',
     'UpstreamAdded',
     'UpstreamCrashed',
     'UpstreamLapsed',
@@ -151,8 +152,8 @@
 
     Attributes:
       upstream: Id of the upstream.
-      source: Origin of the information: `membership`, `removed`, `report` or
-        a peer.
+      source: Origin of the information: `response`, `membership`, `removed`,
+        `report` or a peer.
       version: Version of the membership.
     """
 
@@ -274,3 +275,18 @@
     upstream: str
     value: str
     advice: str
+
+
+@base.define
+class ShutdownNoticeInvalid(base.Event):
+    """An upstream did not clearly say whether it leaves.
+
+    Attributes:
+      upstream: The upstream.
+      value: Value of the header.
+      advice: What it should send.
+    """
+
+    upstream: str
+    value: str
+    advice: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -9,7 +9,7 @@
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import revision as revision_lib
-from quetzalsill_gateway.fleet import zones
+from quetzalsill_gateway.fleet import shutdown_notices, zones
 
 __all__ = ['Change', 'Upstream', 'Upstreams', 'bounded_warmup_s']
 
@@ -124,6 +124,7 @@
       revision: Revision of the newest change applied.
       gateway_count: Number of gateways that share upstreams, this one included.
       zones: Availability zones that operators drain.
+      notices: Notices of shutdown, which outlast the entries.
     """
 
     def __init__(self, regions: Mapping[str, str] | None = None) -> None:
@@ -134,6 +135,7 @@
         """
         self._regions = regions or {}
         self.zones = zones.Zones()
+        self.notices = shutdown_notices.ShutdownNotices()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
@@ -310,6 +312,9 @@
             if known is not None:
                 self.remove(found.id, revision, may_have_lapsed=False)
             found.cold_until_s = _cold_until_s(found)
+            if found.leaving:
+                self.notices.record(found)
+            found.leaving = self.notices.includes(found)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
             event.note(
@@ -329,13 +334,24 @@
         if found.leaving:
             self.mark_leaving(known, 'membership')
 
-    def mark_leaving(self, upstream: Upstream, source: str) -> None:
-        """Records that an upstream accepts no new work.
+    def mark_leaving(
+        self, upstream: Upstream, source: str, *, is_shared: bool = False
+    ) -> None:
+        """Records that an upstream has given notice of its shutdown.
 
         Args:
           upstream: The upstream.
           source: Where the information comes from, for the log.
+          is_shared: Whether to announce it to the other gateways.
         """
+        self.notices.record(upstream, is_shared=is_shared)
+        self._set_leaving(upstream, source)
+        # Its entry may have lapsed and be back meanwhile.
+        current = self._by_id.get(upstream.id)
+        if current is not None and current.key == upstream.key:
+            self._set_leaving(current, source)
+
+    def _set_leaving(self, upstream: Upstream, source: str) -> None:
         if upstream.leaving:
             return
         upstream.leaving = True
@@ -386,7 +402,16 @@
         for key in keys:
             upstream = self._by_id.get(key.partition(KEY_SEPARATOR)[0])
             if upstream is not None and upstream.key == key:
-                self.mark_leaving(upstream, f'peer {node}')
+                self._set_leaving(upstream, f'peer {node}')
+
+    def receive_notices(self, update: shutdown_notices.NoticeUpdate) -> None:
+        """Records the notices that another gateway has announced.
+
+        Those of upstreams that are still unknown are kept.
+        """
+        self.notices.receive(update)
+        keys = [notice.key for notice in update.notices]
+        self.receive_leaving(keys, update.sender)
 
     def remove(
         self,
@@ -414,7 +439,8 @@
         if upstream is None:
             return
         self._by_service[upstream.service].remove(upstream)
-        self.mark_leaving(upstream, 'removed')
+        # The entry of a live upstream may lapse, and be written again.
+        self._set_leaving(upstream, 'removed')
         upstream.removed = True
         self._removed.append((now, upstream.key))
         self._ended.append((now, upstream.key))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Any
 
 import msgpack
@@ -13,7 +14,10 @@
 __all__ = [
     'DECODE_ERRORS',
     'Kind',
+    'bounded_age_s',
     'bounded_count',
+    'bounded_key',
+    'bounded_number',
     'bounded_revision',
     'pack',
     'unpack',
@@ -23,6 +27,9 @@
 # No count that is sent gets near it, so a larger one comes from a faulty
 # sender.
 MAX_COUNT = revision_lib.MAX
+# A longer time or key comes from a faulty sender.
+MAX_AGE_S = 1e7
+MAX_KEY_LENGTH = 200
 # Raised by decoding fields of an unexpected number, type or size.
 DECODE_ERRORS = (
     ValueError,
@@ -51,6 +58,7 @@
     CONFIGURATION = 7
     QUARANTINE = 8
     LIMITS = 9
+    NOTICES = 10
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
@@ -85,3 +93,35 @@
     """Returns a received revision, limited to the valid range."""
     epoch, version = pair
     return revision_lib.Revision(bounded_count(epoch), bounded_count(version))
+
+
+def bounded_age_s(value: Any) -> float:
+    """Returns a received age in seconds, limited to the valid range.
+
+    Raises:
+      ValueError: It is not a number.
+    """
+    return bounded_number(value, MAX_AGE_S)
+
+
+def bounded_number(value: Any, limit: float) -> float:
+    """Returns a received number, limited to the range from 0 to `limit`.
+
+    Raises:
+      ValueError: It is not a number.
+    """
+    number = float(value)
+    if math.isnan(number):
+        raise ValueError('not a number')
+    return min(limit, max(0.0, number))
+
+
+def bounded_key(value: Any) -> str:
+    """Returns a received key of an upstream.
+
+    Raises:
+      ValueError: It is no text, or too long.
+    """
+    if not isinstance(value, str) or len(value) > MAX_KEY_LENGTH:
+        raise ValueError('invalid key')
+    return value
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/limit_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/limit_codec.py
@@ -14,10 +14,6 @@
 
 __all__ = ['decode', 'encode']
 
-# A longer time comes from a faulty sender.
-MAX_AGE_S = 1e7
-MAX_KEY_LENGTH = 200
-
 
 def encode(node: str, update: server_limits.LimitUpdate) -> bytes:
     """Returns the datagram for limits that the gateway `node` knows."""
@@ -51,21 +47,12 @@
 def _limit(
     key: Any, per_s: Any, named_age_s: Any, lifted_age_s: Any
 ) -> server_limits.Limit:
-    if not isinstance(key, str) or len(key) > MAX_KEY_LENGTH:
-        raise ValueError('invalid key')
     now = asyncio.get_running_loop().time()
     return server_limits.Limit(
-        key,
-        _bounded(per_s, server_limits.MAX_PER_S),
-        now - _bounded(named_age_s, MAX_AGE_S),
+        frame.bounded_key(key),
+        frame.bounded_number(per_s, server_limits.MAX_PER_S),
+        now - frame.bounded_age_s(named_age_s),
         -math.inf
         if lifted_age_s is None
-        else now - _bounded(lifted_age_s, MAX_AGE_S),
+        else now - frame.bounded_age_s(lifted_age_s),
     )
-
-
-def _bounded(value: Any, limit: float) -> float:
-    number = float(value)
-    if math.isnan(number):
-        raise ValueError('not a number')
-    return min(limit, max(0.0, number))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -11,8 +11,18 @@
 
 from quetzalsill_gateway import error
 from quetzalsill_gateway.fleet import revision as revision_lib
-from quetzalsill_gateway.fleet import server_limits, upstream, zones
-from quetzalsill_gateway.peers import frame, limit_codec, quarantine_codec
+from quetzalsill_gateway.fleet import (
+    server_limits,
+    shutdown_notices,
+    upstream,
+    zones,
+)
+from quetzalsill_gateway.peers import (
+    frame,
+    limit_codec,
+    notice_codec,
+    quarantine_codec,
+)
 from quetzalsill_gateway.quarantine import update as quarantine_update
 from quetzalsill_gateway.watch import update as update_lib
 
@@ -22,6 +32,7 @@
     update_lib.Update
     | quarantine_update.QuarantineUpdate
     | server_limits.LimitUpdate
+    | shutdown_notices.NoticeUpdate
 )
 
 PORTS = range(1, 65536)
@@ -36,6 +47,8 @@
         return quarantine_codec.encode(node, update)
     if isinstance(update, server_limits.LimitUpdate):
         return limit_codec.encode(node, update)
+    if isinstance(update, shutdown_notices.NoticeUpdate):
+        return notice_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -81,6 +94,8 @@
             found = quarantine_codec.decode(fields)
         elif kind is frame.Kind.LIMITS:
             found = limit_codec.decode(fields)
+        elif kind is frame.Kind.NOTICES:
+            found = notice_codec.decode(fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -26,6 +26,7 @@
     quota,
     revision,
     server_limits,
+    shutdown_notices,
     upstream,
 )
 from quetzalsill_gateway.http import listener, pool
@@ -148,6 +149,13 @@
         self.peers.on_update(server_limits.LimitUpdate, limits.receive)
         self.peers.on_greeting(limits.updates)
         self.peers.on_refresh(self._refresh_limits)
+        upstreams = self.core.upstreams
+        upstreams.notices.set_announcer(self.peers.announce)
+        self.peers.on_update(
+            shutdown_notices.NoticeUpdate, upstreams.receive_notices
+        )
+        self.peers.on_greeting(upstreams.notices.updates)
+        self.peers.on_refresh(self._refresh_notices)
         self._persistence = persistence.Persistence(
             found,
             gateways,
@@ -161,6 +169,11 @@
         limits.expire(self.core.upstreams.all())
         return limits.updates()
 
+    def _refresh_notices(self) -> list[shutdown_notices.NoticeUpdate]:
+        upstreams = self.core.upstreams
+        upstreams.notices.expire(upstreams.all())
+        return upstreams.notices.recent()
+
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this gateway."""
         core = self.core
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/engine_poll.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/engine_poll.py
@@ -56,4 +56,4 @@
         return
     core.stats_table.of(engine).record_time_left(report.leaving_in_s)
     if report.leaving:
-        core.upstreams.mark_leaving(engine, 'report')
+        core.upstreams.mark_leaving(engine, 'report', is_shared=True)
