Reproduce requests to a server that asked for a pause

The stand-in server and engine reject with a time on request, and a request may take time at the server.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -121,6 +121,8 @@
       limit: Value of the header in which it names a limit; empty for none.
       leaving_header: Value of the header in which it says that it leaves; empty
         for none.
+      retry_after: Value of the header in which it asks for a pause; while it is
+        set, it rejects all requests with a 503.
       busy_moves: Number of next copy commands that get a 409, as if another
         copy were in progress.
       requests: Headers of each received request.
@@ -145,6 +147,7 @@
         self.busy_moves = 0
         self.limit = ''
         self.leaving_header = ''
+        self.retry_after = ''
         self.requests: list[dict[str, str]] = []
         self.reports = 0
         self._fleet = fleet
@@ -247,10 +250,11 @@
         if call.headers.get(PREFIX + 'expect-instance') != self.id:
             call.respond(421, headers={PREFIX + 'instance-id': self.id})
             return
-        if self.refuse:
-            call.respond(
-                self.refuse, headers=echo | {PREFIX + 'not-executed': '1'}
-            )
+        if self.refuse or self.retry_after:
+            headers = echo | {PREFIX + 'not-executed': '1'}
+            if self.retry_after:
+                headers['retry-after'] = self.retry_after
+            call.respond(self.refuse or 503, headers=headers)
             return
         source = call.headers.get('kv-from')
         backup = call.headers.get(PREFIX + 'kv-backup')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -32,6 +32,9 @@
       limit: Value of the header in which it names a limit; empty for none.
       leaving: Value of the header in which it says that it leaves; empty for
         none.
+      retry_after: Value of the header in which it asks for a pause, in its 503
+        responses. While it is set, requests without a script are shed.
+      work_s: Time that a request takes, in seconds.
       arrivals: Loop times at which requests arrived, with their ids.
     """
 
@@ -42,6 +45,8 @@
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.limit = ''
         self.leaving = ''
+        self.retry_after = ''
+        self.work_s = 0.0
         self.crash_target: str | None = None
         self._crash: asyncio.Task[None] | None = None
         self.arrivals: list[tuple[float, str]] = []
@@ -63,7 +68,8 @@
         }
 
     async def _handle(self, call: scripted.Exchange) -> None:
-        script = self.scripts.pop(0) if self.scripts else 'ok'
+        default = 'shed' if self.retry_after else 'ok'
+        script = self.scripts.pop(0) if self.scripts else default
         request_id = call.headers.get(PREFIX + 'attempt-id', '')
         now = asyncio.get_running_loop().time()
         self.arrivals.append((now, request_id))
@@ -78,9 +84,13 @@
                 421, headers=echo | {PREFIX + 'instance-id': 'another'}
             )
             return
+        pause = {'retry-after': self.retry_after} if self.retry_after else {}
         if script == 'shed':
-            call.respond(503, headers=echo | {PREFIX + 'not-executed': '1'})
+            not_executed = {PREFIX + 'not-executed': '1'}
+            call.respond(503, headers=echo | not_executed | pause)
             return
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
         self.runs.append((request_id, call.target, call.headers, call.body))
         if call.target == self.crash_target:
             self._crash = asyncio.create_task(self.server.stop())
@@ -101,7 +111,10 @@
             case 'fail':
                 call.respond(500, body, receipt)
             case 'false_503':
-                call.respond(503, body, receipt)
+                pause = {'retry-after': self.retry_after}
+                call.respond(
+                    503, body, receipt | (pause if self.retry_after else {})
+                )
             case 'no_receipt':
                 name = PREFIX + 'attempt-id'
                 call.respond(200, body, {name: receipt[name]})
