--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/incarnation_table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/incarnation_table.py
@@ -6,15 +6,14 @@
 import collections
 import math
 from collections.abc import Callable, Collection, Iterable
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
     from quetzalsill.telemetry import event as base_event
-    from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['IncarnationTable', 'InvalidValueLog']
+__all__ = ['Incarnation', 'IncarnationTable', 'InvalidValueLog']
 
 Fact = TypeVar('Fact')
 
@@ -24,6 +23,20 @@
 MAX_VALUE_LENGTH = 80
 
 
+class Incarnation(Protocol):
+    """One incarnation of an upstream.
+
+    Attributes:
+      id: Id of the upstream.
+    """
+
+    id: str
+
+    @property
+    def key(self) -> str:
+        """Identifies the incarnation."""
+
+
 class IncarnationTable(Generic[Fact]):
     """Facts about incarnations of upstreams, by their keys.
 
@@ -82,7 +95,7 @@
 
     def expire(
         self,
-        known: Iterable[upstream_lib.Upstream],
+        known: Iterable[Incarnation],
         is_needed: Callable[[Fact], bool] = lambda _: True,
     ) -> None:
         """Removes the facts that no known upstream has needed for long.
@@ -117,9 +130,7 @@
         self._make_event = make_event
         self._logged_s: dict[str, float] = {}
 
-    def note(
-        self, found: upstream_lib.Upstream, values: Iterable[bytes]
-    ) -> None:
+    def note(self, found: Incarnation, values: Iterable[bytes]) -> None:
         """Logs the invalid values of a header."""
         now = _now()
         if now - self._logged_s.get(found.key, -math.inf) < LOG_INTERVAL_S:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/shutdown_notices.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/shutdown_notices.py
@@ -12,14 +12,10 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import incarnation_table
 
-if TYPE_CHECKING:
-    from quetzalsill_gateway.fleet import upstream as upstream_lib
-
 __all__ = ['Notice', 'NoticeUpdate', 'ShutdownNotices', 'parse']
 
 LEAVING = b'1'
@@ -76,12 +72,12 @@
         """Sets the function that sends updates to the other gateways."""
         self._announce = announce
 
-    def includes(self, found: upstream_lib.Upstream) -> bool:
+    def includes(self, found: incarnation_table.Incarnation) -> bool:
         """Whether an upstream has given notice."""
         return self._notices.get(found.key) is not None
 
     def read(
-        self, found: upstream_lib.Upstream, values: Iterable[bytes]
+        self, found: incarnation_table.Incarnation, values: Iterable[bytes]
     ) -> bool:
         """Returns whether a response of an upstream gives notice.
 
@@ -96,7 +92,7 @@
         return bool(is_leaving)
 
     def record(
-        self, found: upstream_lib.Upstream, *, is_shared: bool = False
+        self, found: incarnation_table.Incarnation, *, is_shared: bool = False
     ) -> None:
         """Records that an upstream has given notice.
 
@@ -120,7 +116,7 @@
             if known is None or not known.is_shared:
                 self._notices.put(notice.key, notice)
 
-    def expire(self, known: Iterable[upstream_lib.Upstream]) -> None:
+    def expire(self, known: Iterable[incarnation_table.Incarnation]) -> None:
         """Drops the notices of upstreams that are gone."""
         self._notices.expire(known)
 
