Keep the pauses that servers ask for

Cause: Retry-After of a server was relayed and not read; back-pressure that is not applied.

Change: a 503 with a time pauses this gateway's sends to that incarnation: first sends, repeats, waiting generations, moves, backups and, but for one per pause, runs that resume. fleet.quota, which says what may be sent now, asks fleet.backoff. Where all servers of a service pause, what the earliest end leaves time for waits by priority, the rest is refused at once with that end. Afterwards one request is sent, then two more for each that is answered, and gateways that were asked together return one after another.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -26,6 +26,8 @@
 # Statuses by which callers conclude that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MISDIRECTED_STATUS = 421
+# A longer pause of a stream is taken for its end by some callers.
+MAX_RESUME_WAIT_S = 1.5
 
 
 class ResponseClass(enum.Enum):
@@ -132,6 +134,8 @@
     try:
         if not _accepts_work(core.upstreams, upstream, continues=continues):
             raise error.UpstreamClosedError(upstream.address_text)
+        if not await _wait_for_pause(core, upstream, continues=continues):
+            raise error.UpstreamPausingError(upstream.address_text)
         if core.quarantine.rejects(exchange):
             raise error.QuarantinedError(exchange.id_text)
         head = exchange.head(dialect, upstream.id, extra_headers)
@@ -181,6 +185,13 @@
         run.sent_s,
         is_proved=is_own and response_class in PROVED_CLASSES,
     )
+    core.backoffs.record_response(
+        found,
+        head.status,
+        message.values(head.headers, b'retry-after'),
+        message.first(head.headers, b'date'),
+        run.sent_s,
+    )
     # A failure without the id is relayed too.
     is_evidence = is_own or response_class is ResponseClass.FAILED
     notice = message.values(head.headers, dialect.server_leaving)
@@ -227,6 +238,28 @@
     return upstreams.accepts_new_work(upstream)
 
 
+async def _wait_for_pause(
+    core: core_lib.Core,
+    upstream: upstream_lib.Upstream,
+    *,
+    continues: bool,
+) -> bool:
+    """Returns whether a request may be sent in spite of a pause.
+
+    Other requests go elsewhere. A run that resumes would be lost, so it waits
+    for the end of the pause, if this is soon.
+    """
+    if not continues:
+        return not core.backoffs.is_pausing(upstream)
+    if core.backoffs.try_resume(upstream):
+        return True
+    left_s = core.backoffs.left_s(upstream)
+    if left_s > MAX_RESUME_WAIT_S:
+        return False
+    await asyncio.sleep(left_s)
+    return True
+
+
 async def read_body(conn: call.Conn, limit: int) -> tuple[bytes, bool]:
     """Reads the body of a response up to a limit.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -118,13 +118,33 @@
           The time in seconds; infinite if the request will not get memory.
         """
         available = self._available()
+        pausing = [one for one in available if self._quota.pause_s([one])]
+        if not pausing:
+            return self._memory_wait_s(
+                available, rank, ahead_tokens, ahead_per_s
+            )
+        others = [one for one in available if one not in pausing]
+        wait_s = self._memory_wait_s(
+            others or available, rank, ahead_tokens, ahead_per_s
+        )
+        with_pausing_s = self._memory_wait_s(
+            available, rank, ahead_tokens, ahead_per_s
+        )
+        return min(wait_s, max(with_pausing_s, self._quota.pause_s(pausing)))
+
+    def _memory_wait_s(
+        self,
+        engines: list[upstream_lib.Upstream],
+        rank: int,
+        ahead_tokens: int,
+        ahead_per_s: float,
+    ) -> float:
+        """Returns the expected time until some engines have enough memory."""
         service = self.req.service.name
         wanted = self.entry.tokens + ahead_tokens + self._displaced_tokens()
         wanted += self._stats_table.waiting_at_peers(service, rank)
-        missing = wanted - sum(self._usable_tokens(one) for one in available)
-        held = sum(
-            self._stats_table.of(one).reserved_tokens for one in available
-        )
+        missing = wanted - sum(self._usable_tokens(one) for one in engines)
+        held = sum(self._stats_table.of(one).reserved_tokens for one in engines)
         if missing <= 0 or not held:
             return 0.0
         if self._upstreams.can_grow:
@@ -140,7 +160,7 @@
 
     @property
     def is_limited(self) -> bool:
-        """Whether all engines limit their rate."""
+        """Whether all engines limit what they get."""
         return self._quota.has_limits and self._quota.is_limited(
             self._available()
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -227,6 +227,10 @@
         now = asyncio.get_running_loop().time()
         self.leaves_at_s = now + leaves_s - MAX_REPORT_AGE_S
 
+    def reset_latency(self) -> None:
+        """Forgets the latency, after a time without load."""
+        self.mean_latency_s = INITIAL_LATENCY_S
+
     def record_latency(self, took_s: float) -> None:
         """Records the latency of a call that was answered."""
         self.hangs.record_success()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -14,6 +14,7 @@
     from quetzalsill_gateway import retry_budget, source
     from quetzalsill_gateway.balance import upstream_stats
     from quetzalsill_gateway.fleet import (
+        backoff,
         members,
         quota,
         server_limits,
@@ -43,6 +44,7 @@
       members: Gateways that send to the same upstreams.
       quota: Limits on requests and connections to each upstream.
       server_limits: Limits that upstreams name.
+      backoffs: Pauses that upstreams ask for.
       rate_queue: Calls that wait until a limit allows them.
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
@@ -66,6 +68,7 @@
     members: members.Members
     quota: quota.Quota
     server_limits: server_limits.ServerLimits
+    backoffs: backoff.Backoffs
     ends_at_s: float | None = None
     rate_queue: rate_queue.RateQueue = dataclasses.field(
         default_factory=rate_queue.RateQueue
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -10,8 +10,11 @@
     'CrashSuspected',
     'MigrationStarted',
     'ReportFailed',
+    'RetryAfterInvalid',
     'RunBrokeOff',
     'RunOrdered',
+    'ServerBackoff',
+    'ServerBackoffEnded',
     'ServerLimit',
     'ServerLimitInvalid',
     'ShutdownNoticeInvalid',
@@ -290,3 +293,46 @@
     upstream: str
     value: str
     advice: str
+
+
+@base.define
+class ServerBackoff(base.Event):
+    """An upstream has rejected a request and asked this gateway for a pause.
+
+    Attributes:
+      upstream: The upstream.
+      for_s: Time that it named.
+      resumes_in_s: Time until this gateway sends to it again.
+    """
+
+    upstream: str
+    for_s: float
+    resumes_in_s: float
+
+
+@base.define
+class ServerBackoffEnded(base.Event):
+    """This gateway sends to an upstream again after a pause.
+
+    Attributes:
+      upstream: The upstream.
+      paused_s: How long the pause was.
+    """
+
+    upstream: str
+    paused_s: float
+
+
+@base.define
+class RetryAfterInvalid(base.Event):
+    """An upstream asked for a pause without a valid time.
+
+    Attributes:
+      upstream: The upstream.
+      value: Value of the header.
+      advice: What it should send.
+    """
+
+    upstream: str
+    value: str
+    advice: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
@@ -3,9 +3,9 @@
 An upstream accepts a limited number of connections from all gateways together;
 it resets further ones, and whatever was sent on them is lost. While it is cold
 it also accepts a limited number of requests a second, and crashes well above
-that; and an upstream in need names such a limit in its responses
-(`fleet.server_limits`). A gateway counts only its own connections and requests,
-so each keeps to a share of these limits.
+that; an upstream in need names such a limit in its responses
+(`fleet.server_limits`), or asks for a pause (`fleet.backoff`). A gateway counts
+only its own connections and requests, so each keeps to a share of these limits.
 
 A rate is shared by some of the gateways only. They are
 chosen by rendezvous hashing, so gateways that know the same members choose the
@@ -24,7 +24,7 @@
 
 import xxhash
 
-from quetzalsill_gateway.fleet import server_limits
+from quetzalsill_gateway.fleet import backoff, server_limits
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import routing_table, source
@@ -173,6 +173,7 @@
         min_gateways: int = 1,
         limits: server_limits.ServerLimits | None = None,
         tolerance: Tolerance | None = None,
+        backoffs: backoff.Backoffs | None = None,
     ) -> None:
         """Creates the quota of one gateway.
 
@@ -185,7 +186,11 @@
             directory has been read.
           limits: Limits that upstreams name.
           tolerance: By how much these may be exceeded.
+          backoffs: Pauses that upstreams have asked for.
         """
+        self._backoffs = (
+            backoff.Backoffs(members) if backoffs is None else backoffs
+        )
         self._limits = (
             server_limits.ServerLimits() if limits is None else limits
         )
@@ -199,29 +204,49 @@
 
     def allows(self, upstream: upstream_lib.Upstream) -> bool:
         """Whether a request may be sent to an upstream now."""
-        return self._has_connection(upstream) and self._has_rate(upstream)
+        return (
+            self._backoffs.allows(upstream)
+            and self._has_connection(upstream)
+            and self._has_rate(upstream)
+        )
 
     def consume(self, upstream: upstream_lib.Upstream) -> None:
         """Counts a request that is sent to an upstream."""
+        self._backoffs.consume(upstream)
         for kind, rate in self._rates(upstream):
             self._bucket(upstream, kind, rate).tokens -= 1.0
 
     @property
     def has_limits(self) -> bool:
-        """Whether any upstream may have named a limit."""
-        return bool(self._limits)
+        """Whether any upstream may limit what it gets."""
+        return bool(self._limits) or bool(self._backoffs)
 
     def is_limited(self, upstreams: Iterable[upstream_lib.Upstream]) -> bool:
-        """Whether all of some upstreams have named a limit."""
+        """Whether all of some upstreams limit what they get.
+
+        They have named a limit, or have asked for a pause, from which this
+        gateway has not quite returned.
+        """
         found = list(upstreams)
         return bool(found) and all(
-            self._limits.in_force(one) is not None for one in found
+            self._limits.in_force(one) is not None
+            or self._backoffs.is_active(one)
+            for one in found
         )
 
+    def pause_s(self, upstreams: Iterable[upstream_lib.Upstream]) -> float:
+        """Returns until when all of some upstreams have asked for a pause.
+
+        Returns:
+          The time in seconds until the first pause ends; 0 if there are
+          upstreams without one, or none at all.
+        """
+        return min(map(self._backoffs.left_s, upstreams), default=0.0)
+
     def wait_s(
         self, upstreams: Iterable[upstream_lib.Upstream], ahead: int = 0
     ) -> float:
-        """Returns the time until a rate allows a request to some upstreams.
+        """Returns the time until a request may be sent to some upstreams.
 
         Args:
           upstreams: The upstreams, of which any will do.
@@ -232,15 +257,18 @@
         """
         waits: list[float] = []
         for upstream in upstreams:
-            buckets = [
-                self._bucket(upstream, kind, rate)
+            times = [
+                self._bucket(upstream, kind, rate).waits_s(ahead + 1)
                 for kind, rate in self._rates(upstream)
             ]
-            if not buckets:
+            has_share = not times or self._members.is_directory_read
+            pauses = self._backoffs.waits_s(upstream, ahead + 1)
+            if pauses is not None:
+                times.append(pauses)
+            if not times:
                 return 0.0
-            if self._members.is_directory_read:
-                # All of its rates must have room.
-                times = (one.waits_s(ahead + 1) for one in buckets)
+            if has_share:
+                # All of its limits must have room.
                 waits += map(max, zip(*times, strict=False))
         waits.sort()
         return waits[ahead] if len(waits) > ahead else math.inf
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -7,6 +7,7 @@
 __all__ = [
     'CallError',
     'UpstreamClosedError',
+    'UpstreamPausingError',
     'ConnectError',
     'ConnectionEndedError',
     'MalformedResponseError',
@@ -73,6 +74,12 @@
     code = 'upstream_closed'
 
 
+class UpstreamPausingError(NotSentError):
+    """The upstream asked for a pause after it was chosen."""
+
+    code = 'upstream_pausing'
+
+
 class QuarantinedError(NotSentError):
     """The request has crashed the upstreams that ran it."""
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -79,8 +79,8 @@
 )
 upstreams = metric.gauge(
     'quetzalsill_gateway_upstreams',
-    'Upstreams known, by whether they take new work; those that limit it are'
-    ' counted once more.',
+    'Upstreams known, by whether they take new work; those that limit it or'
+    ' asked for a pause are counted once more.',
 )
 source_ages = metric.gauge(
     'quetzalsill_gateway_age_seconds',
@@ -124,6 +124,8 @@
         for found in all_upstreams
     )
     upstreams.set({'state': 'limited'}, limited)
+    pausing = sum(map(core.backoffs.is_pausing, all_upstreams))
+    upstreams.set({'state': 'pausing'}, pausing)
     source_ages.set({'of': 'configuration'}, core.holder.age_s)
     source_ages.set({'of': 'membership'}, core.upstreams.age_s)
     table = core.holder.current
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -22,6 +22,7 @@
 from quetzalsill_gateway import settings as settings_lib
 from quetzalsill_gateway.balance import upstream_stats
 from quetzalsill_gateway.fleet import (
+    backoff,
     members,
     quota,
     revision,
@@ -67,6 +68,7 @@
         gateways = members.Members(settings.node.name)
         if not settings.peers:
             gateways.add_listed((), 0.0)
+        backoffs = backoff.Backoffs(gateways)
         self.core = core_lib.Core(
             zone=settings.node.availability_zone,
             dialect=deployment.dialect,
@@ -93,9 +95,12 @@
                     settings.server_limit.allowance,
                     settings.server_limit.window_s,
                 ),
+                backoffs,
             ),
             server_limits=limits,
+            backoffs=backoffs,
         )
+        backoffs.on_end(lambda found: stats_table.of(found).reset_latency())
         self.core.health.on_recovery(self.core.upstreams.mark_source_recovered)
         sources = deployment.sources(settings, conns)
         self.epochs = sources.epochs
@@ -165,8 +170,9 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     def _refresh_limits(self) -> list[server_limits.LimitUpdate]:
-        limits = self.core.server_limits
-        limits.expire(self.core.upstreams.all())
+        limits, known = self.core.server_limits, self.core.upstreams.all()
+        limits.expire(known)
+        self.core.backoffs.expire(known)
         return limits.updates()
 
     def _refresh_notices(self) -> list[shutdown_notices.NoticeUpdate]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import at_most_once, event
@@ -262,8 +263,11 @@
             return segment
         if not backup.is_worthwhile(engine, stats_table, stream.reservation):
             return segment
+        available = self._core.upstreams.available(
+            upstream.service, req.regions
+        )
         segment.backup = backup.destination(
-            self._core.upstreams.available(upstream.service, req.regions),
+            itertools.filterfalse(self._core.backoffs.is_pausing, available),
             stats_table,
             upstream,
             engine,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -259,7 +259,7 @@
                 UNAVAILABLE,
                 'not_run',
                 may_retry=True,
-                retry_after_s=self._req.retry_after_s,
+                retry_after_s=max(self._req.retry_after_s, self._pause_s()),
             )
             return 'refused'
         if (
@@ -273,6 +273,11 @@
         exchange.refuse(responder, BAD_GATEWAY, 'upstream_failed')
         return 'failed'
 
+    def _pause_s(self) -> float:
+        req = self._req
+        engines = self._core.upstreams.available(req.service.name, req.regions)
+        return self._core.quota.pause_s(engines)
+
     def _log_segment(
         self,
         segment: segment_lib.Segment,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -106,7 +106,7 @@
     while True:
         upstream = await _choose(core, req, progress)
         if upstream is None:
-            return _respond(req, progress)
+            return _respond(core, req, progress)
         progress.tried |= {upstream.id}
         core.quota.consume(upstream)
         choice_log.log_choice(core, req, upstream)
@@ -127,7 +127,7 @@
             )
         )
         if not again:
-            return _respond(req, progress)
+            return _respond(core, req, progress)
 
 
 async def _choose(
@@ -164,7 +164,7 @@
             ahead = core.rate_queue.ahead(entry)
             wait_s = core.quota.wait_s(accepting, ahead)
             if attempt.now() + wait_s > end_s:
-                req.retry_after_s = _retry_after_s(core, accepting, wait_s)
+                req.retry_after_s = _retry_after_s(core, candidates, ahead)
                 return None
         allowed = [one for one in accepting if core.quota.allows(one)]
         upstream = choose.choose_for_call(
@@ -182,15 +182,16 @@
 
 
 def _retry_after_s(
-    core: core_lib.Core, limited: list[upstream_lib.Upstream], wait_s: float
+    core: core_lib.Core, candidates: list[upstream_lib.Upstream], ahead: int
 ) -> float:
-    """Returns when a call may come again that a limited rate does not allow.
+    """Returns when a call may come again that no upstream takes in time.
 
-    A gateway without a share of the rate names the mean time between two
-    requests that others may send.
+    It may then go to any upstream, tried or not. A gateway without a share of
+    the rate names the mean time between two requests that others may send.
     """
+    wait_s = core.quota.wait_s(candidates, ahead)
     if math.isinf(wait_s):
-        wait_s = 1.0 / core.quota.total_per_s(limited)
+        wait_s = 1.0 / core.quota.total_per_s(candidates)
     return max(exchange.RETRY_AFTER_S, wait_s)
 
 
@@ -227,7 +228,9 @@
         hang_timer.cancel()
         stats.outstanding -= 1
     stats.record_latency(attempt.now() - begun_s)
-    if response.response_class is not attempt.ResponseClass.SUCCESS:
+    is_success = response.response_class is attempt.ResponseClass.SUCCESS
+    # A pause keeps calls away for as long as needed.
+    if not is_success and not core.backoffs.is_pausing(upstream):
         stats.record_failure(0.3)
     return response
 
@@ -305,7 +308,9 @@
     )
 
 
-def _respond(req: exchange.Exchange, progress: _CallProgress) -> str:
+def _respond(
+    core: core_lib.Core, req: exchange.Exchange, progress: _CallProgress
+) -> str:
     responder = req.responder
     if responder.started:
         responder.abort()
@@ -325,7 +330,12 @@
             UNAVAILABLE,
             'not_run',
             may_retry=True,
-            retry_after_s=req.retry_after_s,
+            retry_after_s=max(
+                req.retry_after_s,
+                core.quota.pause_s(
+                    core.upstreams.available(req.service.name, req.regions)
+                ),
+            ),
         )
         return 'refused'
     exchange.refuse(responder, BAD_GATEWAY, 'upstream_failed')
