Do not take rejections for fast calls

A server that rejects calls does so within a millisecond, and each rejection was averaged into its latency: the more it shed, the faster it looked.

Change: a response that says that the call was not executed shows that the server answers, and nothing about its latency.

Failed before: RejectionTest.test_rejections_are_no_fast_calls (0.0018 s for 0.02 s after 30 calls).

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -231,11 +231,14 @@
         """Forgets the latency, after a time without load."""
         self.mean_latency_s = INITIAL_LATENCY_S
 
-    def record_latency(self, took_s: float) -> None:
-        """Records the latency of a call that was answered."""
+    def record_answer(self, begun_s: float) -> None:
+        """Records that a call was answered, which was sent at `begun_s`."""
         self.hangs.record_success()
-        begun_s = asyncio.get_running_loop().time() - took_s
         self.last_answered_sent_s = max(self.last_answered_sent_s, begun_s)
+
+    def record_latency(self, took_s: float) -> None:
+        """Records the latency of a call that was processed."""
+        self.record_answer(asyncio.get_running_loop().time() - took_s)
         self.mean_latency_s += LATENCY_WEIGHT * (took_s - self.mean_latency_s)
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -227,7 +227,11 @@
     finally:
         hang_timer.cancel()
         stats.outstanding -= 1
-    stats.record_latency(attempt.now() - begun_s)
+    if response.response_class.is_not_run:
+        # A server rejects calls faster than it processes them.
+        stats.record_answer(begun_s)
+    else:
+        stats.record_latency(attempt.now() - begun_s)
     is_success = response.response_class is attempt.ResponseClass.SUCCESS
     # A pause keeps calls away for as long as needed.
     if not is_success and not core.backoffs.is_pausing(upstream):
--- a/tests/quetzalsill_platform/test_unary_calls.py
+++ b/tests/quetzalsill_platform/test_unary_calls.py
@@ -88,6 +88,24 @@
             self.assertTrue(body.endswith(request_id.encode()), body)
 
 
+class RejectionTest(fixture.GatewayTestCase):
+    """A server rejects all calls within a millisecond."""
+
+    async def test_rejections_are_no_fast_calls(self):
+        """A server that sheds load looks faster than all others."""
+        shedding, working = self.http_servers
+        shedding.scripts = ['shed'] * 100
+        working.work_s = 0.03
+        stats_table = self.process.core.stats_table
+        found = self.process.core.upstreams.get(shedding.id)
+        initial_s = stats_table.of(found).mean_latency_s
+        for _ in range(30):
+            response = await self.request('/safe/1')
+            self.assertEqual(response.status, 200)
+        self.assertGreater(len(shedding.arrivals), 0)
+        self.assertEqual(stats_table.of(found).mean_latency_s, initial_s)
+
+
 class MisbehaviourTest(fixture.GatewayTestCase):
     """Responses to callers of servers that misbehave."""
 
