Measure upstreams again whose latency was high long ago

The choice of an upstream for a call takes the lowest mean latency. One that was slow once got no calls any more, so that its mean never changed: it stayed idle for good, also after a pause that it had asked for.

Change: the excess of a mean over the initial latency halves every 5 s without a call. The slower an upstream was, the longer it takes until it is tried again, by one call, which sets its mean anew. Decisions only; what counts as a hang is unchanged.

ZoneTest of tests.quetzalsill_platform.test_store_drill sets a mean by hand so that one server stays the slower one however long the test takes; it now sets the time of the measurement too, to the same end.

Failed before: test_a_latency_that_was_high_once_is_measured_again.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
@@ -33,7 +33,7 @@
             upstream=upstream.id,
             able=len(core.upstreams.available(upstream.service)),
             outstanding=stats.outstanding,
-            mean_ms=round(stats.mean_latency_s * MS_PER_S, 1),
+            mean_ms=round(stats.expected_latency_s(now) * MS_PER_S, 1),
             runs=stats.runs,
             reserved_tokens=stats.reserved_tokens,
             reading_tokens=stats.prefill_tokens,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -80,7 +80,7 @@
     def cost(candidate: upstream.Upstream) -> float:
         stats = stats_table.of(candidate)
         rounds = 1.0 + stats.outstanding / max(1, candidate.slots)
-        time_s = stats.mean_latency_s * rounds
+        time_s = stats.expected_latency_s(now) * rounds
         time_s *= 1.0 + CALL_FAILURE_WEIGHT * stats.recent_failures(now)
         if (
             faults.health_state(stats.fleet_hangs(now))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -25,6 +25,9 @@
 # that becomes slow within about ten calls.
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY_S = 0.02
+# Without calls, a high latency loses half of its excess in this time, so that
+# the upstream is measured again. The slower it was, the longer this takes.
+LATENCY_HALF_LIFE_S = 5.0
 # Maximum age of an engine's report on arrival; the times in it are relative to
 # the moment at which it was made.
 MAX_REPORT_AGE_S = 0.5
@@ -77,6 +80,7 @@
     Attributes:
       outstanding: Number of own calls in flight.
       mean_latency_s: Moving average of the latency of own calls.
+      measured_s: Loop time of the latest of them.
       failures: Decaying score of own calls that failed.
       hangs: Decaying score of own calls that hung.
       last_answered_sent_s: Loop time at which the newest answered call was
@@ -90,6 +94,7 @@
 
     outstanding: int = 0
     mean_latency_s: float = INITIAL_LATENCY_S
+    measured_s: float = 0.0
     failures: faults.FailureScore = dataclasses.field(
         default_factory=faults.FailureScore
     )
@@ -152,6 +157,14 @@
         """Number of generations of all gateways."""
         return len(self.reservations) + self.peer_load.runs
 
+    def expected_latency_s(self, now: float) -> float:
+        """Returns the mean latency, with less weight the older it is."""
+        excess_s = self.mean_latency_s - INITIAL_LATENCY_S
+        if excess_s <= 0.0:
+            return self.mean_latency_s
+        half_lives = (now - self.measured_s) / LATENCY_HALF_LIFE_S
+        return INITIAL_LATENCY_S + excess_s * 0.5**half_lives
+
     def recent_failures(self, now: float) -> float:
         """Returns the failure score of own calls, decayed to `now`."""
         return self.failures.decayed(now)
@@ -238,7 +251,9 @@
 
     def record_latency(self, took_s: float) -> None:
         """Records the latency of a call that was processed."""
-        self.record_answer(asyncio.get_running_loop().time() - took_s)
+        now = asyncio.get_running_loop().time()
+        self.record_answer(now - took_s)
+        self.measured_s = now
         self.mean_latency_s += LATENCY_WEIGHT * (took_s - self.mean_latency_s)
 
 
--- a/tests/quetzalsill_gateway/balance/test_choose.py
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import collections
+import types
 import unittest
+from unittest import mock
 
 from quetzalsill_gateway import routing_table
 from quetzalsill_gateway.balance import choose, upstream_stats
@@ -56,6 +58,26 @@
         for _ in range(20):
             self.assertIs(self.engine(), self.found[5])
 
+    async def test_a_latency_that_was_high_once_is_measured_again(self):
+        """An idle server that was slow once never gets another call."""
+        now = asyncio.get_running_loop().time()
+        for found in self.found:
+            self.stats_table.of(found).record_latency(0.03)
+        slow = self.stats_table.of(self.found[0])
+        for _ in range(10):
+            slow.record_latency(0.3)
+        self.assertIsNot(self.call(), self.found[0])
+        later = types.SimpleNamespace(time=lambda: now + 60.0)
+        with mock.patch('asyncio.get_running_loop', return_value=later):
+            for found in self.found[1:]:
+                self.stats_table.of(found).record_latency(0.03)
+            self.assertIs(self.call(), self.found[0])
+            slow.record_latency(0.3)
+            self.assertIsNot(self.call(), self.found[0])
+
+    def call(self):
+        return choose.choose_for_call(self.found, self.stats_table, 'a')
+
     async def test_leaving_and_tried_ones_are_left_out(self):
         self.found[0].leaving = True
         tried = frozenset(('u-1', 'u-2', 'u-3', 'u-4'))
--- a/tests/quetzalsill_platform/test_store_drill.py
+++ b/tests/quetzalsill_platform/test_store_drill.py
@@ -11,6 +11,8 @@
 # Longest time until a zone drain takes effect, in any deployment.
 DRAINED_S = 5.0
 SLOW_S = 3600.0
+# Longer than any test.
+NOT_AGED_S = 3600.0
 WITHOUT_KEY_1 = [{'name': 'first', 'apiKeys': ['key-2']}]
 
 
@@ -139,7 +141,9 @@
         )
         # `desk-1` stays faster, however long the test's process is paused.
         server_2 = upstreams.get('desk-2')
-        self.process.core.stats_table.of(server_2).mean_latency_s = SLOW_S
+        stats = self.process.core.stats_table.of(server_2)
+        stats.mean_latency_s = SLOW_S
+        stats.measured_s = asyncio.get_running_loop().time() + NOT_AGED_S
         self.assertEqual(await self.served_by(), {'desk-1'})
 
     def drain(self):
