--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
@@ -22,6 +22,7 @@
     from quetzalsill_dev.users_platform import http_server
 
 __all__ = [
+    'Disruption',
     'LimitedServer',
     'find_excess_calls',
     'find_violations',
@@ -30,6 +31,8 @@
     'find_unexpected_log_lines',
     'find_config_rollbacks',
     'find_crashing_sends',
+    'find_sends_in_pauses',
+    'find_sends_to_leaving',
 ]
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -49,6 +52,13 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 1.5
 LIMIT_ALLOWANCE = 5
+# From a response that says that its server leaves until nothing may be sent.
+DRAIN_S = 2.0
+# What a gateway may send within a pause, later than this after its begin.
+PAUSE_SLACK_S = 0.5
+MAX_SENDS_IN_PAUSE = 2
+STAMP_HEADER = 'x-quetzalsill-server-stamp'
+LEAVING_HEADER = 'server-leaving'
 # A mean this many standard errors above zero is not due to chance.
 MIN_STANDARD_ERRORS = 3.0
 MIN_PAIRS = 5
@@ -82,6 +92,21 @@
         return LIMIT_OVERAGE * self.per_s * LIMIT_WINDOW_S + LIMIT_ALLOWANCE
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Disruption:
+    """A disruption of the link to an upstream.
+
+    Attributes:
+      server: Id of the upstream.
+      since_s: Loop time at which it began.
+      until_s: Loop time at which it ended.
+    """
+
+    server: str
+    since_s: float
+    until_s: float
+
+
 def find_violations(
     testbed: testbed_lib.Testbed, records: Iterable[load_lib.RequestRecord]
 ) -> Iterator[str]:
@@ -186,6 +211,93 @@
             )
 
 
+def find_sends_to_leaving(
+    testbed: testbed_lib.Testbed, records: Sequence[load_lib.RequestRecord]
+) -> Iterator[str]:
+    """Yields the requests that reached a server that had said that it leaves.
+
+    The gateway that sent them had relayed a response that says so, some time
+    before the caller sent the request, and was not disturbed since.
+    """
+    notices: dict[tuple[str, str], float] = {}
+    for record in records:
+        headers = record.answer.headers
+        if headers.get(LEAVING_HEADER) == '1' and record.ended_s:
+            server = headers.get(STAMP_HEADER, '').partition('.')[0]
+            key = (record.gateway, server)
+            at_s = min(record.ended_s, notices.get(key, math.inf))
+            notices[key] = at_s
+    by_id = {record.request_id: record for record in records}
+    gateways = {one.name: one for one in testbed.gateways}
+    for server, _, request_id in _arrivals(testbed):
+        record = by_id.get(request_id)
+        if record is None:
+            continue
+        noticed_s = notices.get((record.gateway, server), math.inf)
+        if record.sent_s > noticed_s + DRAIN_S and not gateways[
+            record.gateway
+        ].is_disturbed(noticed_s, record.sent_s):
+            yield (
+                f'{record.kind} {request_id} reached {server} from '
+                f'{record.gateway}, sent {record.sent_s - noticed_s:.2f} s '
+                'after a response that said that it leaves'
+            )
+
+
+def find_sends_in_pauses(
+    testbed: testbed_lib.Testbed,
+    records: Iterable[load_lib.RequestRecord],
+    disrupted: Sequence[Disruption],
+) -> Iterator[str]:
+    """Yields the pauses in which a server got too many requests of a gateway.
+
+    Gateways that were disturbed and links that were disrupted are excused, and
+    responses that may have found their caller gone.
+    """
+    records = list(records)
+    names = {record.request_id: record.gateway for record in records}
+    abandoned = {one.request_id for one in records if one.abandoned}
+    gateways = {one.name: one for one in testbed.gateways}
+    times_s: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
+    for server, at_s, request_id in _arrivals(testbed):
+        if request_id in names:
+            times_s[server, names[request_id]].append(at_s)
+    pauses = [one for server in testbed.http_servers for one in server.pauses]
+    for pause in (*pauses, *testbed.fleet.pauses):
+        if pause.request_id not in names or pause.request_id in abandoned:
+            continue
+        name = names[pause.request_id]
+        end_s = pause.at_s + pause.for_s
+        is_excused = gateways[name].is_disturbed(pause.at_s, end_s)
+        if is_excused or any(
+            one.server == pause.server
+            and one.since_s < end_s
+            and one.until_s > pause.at_s - STABLE_WINDOW_S
+            for one in disrupted
+        ):
+            continue
+        sends = sum(
+            pause.at_s + PAUSE_SLACK_S < at_s < end_s
+            for at_s in times_s[pause.server, name]
+        )
+        if sends > MAX_SENDS_IN_PAUSE:
+            yield (
+                f'{pause.server} asked {name} for {pause.for_s:g} s without '
+                f'requests and got {sends} in that time'
+            )
+
+
+def _arrivals(
+    testbed: testbed_lib.Testbed,
+) -> Iterator[tuple[str, float, str]]:
+    """Yields the server, loop time and id of each request that arrived."""
+    for server in testbed.http_servers:
+        for at_s, request_id in server.arrivals:
+            yield server.id, at_s, request_id
+    for one in testbed.fleet.arrivals:
+        yield one.engine, one.at_s, one.request_id
+
+
 def _max_in_window(times_s: Sequence[float], window_s: float) -> int:
     """Returns the maximum number of times in any sliding window."""
     highest, first = 0, 0
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
@@ -44,6 +45,9 @@
 SERVER_LIMITS = ('0.5', '2.5', '6', '20')
 # One in this many seeds has a server without a limit.
 UNLIMITED_STRIDE = 2
+# Pauses that servers ask for, in seconds, and how many servers do.
+PAUSES = ('0.7', '1.5', '3')
+PAUSING_SERVERS = (1, 1, 2, 4)
 
 
 class FaultInjector:
@@ -52,6 +56,7 @@
     Attributes:
       crashing_sends: Gateway by id of each request that crashes engines.
       limited: Servers that named a limit.
+      disrupted: Disruptions of links to upstreams.
 
     Faults of a gateway's process are skipped while it is down, paused or
     stopping; all other faults apply to the gateway even then.
@@ -72,6 +77,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.crashing_sends: dict[str, str] = {}
         self.limited: list[checks.LimitedServer] = []
+        self.disrupted: list[checks.Disruption] = []
         testbed.fleet.on_crash = self._restart_engine
         self._violations: list[str] = []
         self._departing: list[testbed_lib.Upstream] = []
@@ -105,6 +111,8 @@
             fault.RESET_ON_START: self._reset_on_start,
             fault.CRASHING_REQUEST: self._repeat_crashing_request,
             fault.SERVER_LIMIT: self._name_limits,
+            fault.LEAVING_RESPONSE: self._leave_by_response,
+            fault.SERVER_PAUSE: self._ask_for_pauses,
         }
 
     def inject(self, injection: plan.Injection) -> None:
@@ -175,7 +183,18 @@
             relay = self._pick_gateway(injection).relay
         else:
             upstreams = self._testbed.upstreams
-            relay = upstreams[injection.target % len(upstreams)].relay
+            upstream = upstreams[injection.target % len(upstreams)]
+            relay = upstream.relay
+            now = asyncio.get_running_loop().time()
+            # A silenced connection stays silent.
+            until_s = (
+                math.inf
+                if 'silence' in fault.value
+                else now + injection.duration_s
+            )
+            self.disrupted.append(
+                checks.Disruption(upstream.server.id, now, until_s)
+            )
         if fault in (plan.Fault.DELAY_CALLERS, plan.Fault.DELAY_UPSTREAM):
             relay.delay(LINK_DELAY_S)
             await asyncio.sleep(injection.duration_s)
@@ -356,6 +375,34 @@
             one.server.limit = ''
             one.until_s = loop.time()
 
+    async def _leave_by_response(self, injection: plan.Injection) -> None:
+        """Has an upstream leave whose row says ready until it is removed."""
+        upstream = self._pick_departing(injection)
+        if upstream is None:
+            return
+        await self._testbed.add_upstream(upstream.service)
+        if upstream.service == testbed_lib.ENGINE_SERVICE:
+            upstream.server.leaving_header = '1'
+        else:
+            upstream.server.leaving = '1'
+        await asyncio.sleep(injection.duration_s)
+        await self._remove(upstream)
+
+    async def _ask_for_pauses(self, injection: plan.Injection) -> None:
+        """Has some upstreams reject all requests and ask for pauses."""
+        rng = random.Random(injection.target)
+        service = rng.choice(
+            (testbed_lib.HTTP_SERVICE, testbed_lib.ENGINE_SERVICE)
+        )
+        upstreams = self._testbed.upstreams_of(service)
+        count = min(rng.choice(PAUSING_SERVERS), len(upstreams))
+        pausing = rng.sample(upstreams, count)
+        for upstream in pausing:
+            upstream.server.retry_after = rng.choice(PAUSES)
+        await asyncio.sleep(injection.duration_s)
+        for upstream in pausing:
+            upstream.server.retry_after = ''
+
     def _restart_engine(self, crashed: engine.Engine) -> None:
         """Replaces an engine that a request has crashed."""
         upstream = next(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -111,6 +111,10 @@
     violations += checks.find_excess_calls(
         testbed, injector.limited, traffic.records
     )
+    violations += checks.find_sends_to_leaving(testbed, traffic.records)
+    violations += checks.find_sends_in_pauses(
+        testbed, traffic.records, injector.disrupted
+    )
     violations += checks.find_config_rollbacks(traffic.records)
     violations += checks.find_unexpected_log_lines(testbed.logs())
     served = sum(record.served for record in traffic.records)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from quetzalsill_dev.users_platform import scripted
+from quetzalsill_dev.users_platform import pause, scripted
 
 __all__ = ['Engine', 'Fleet', 'event']
 
@@ -44,11 +44,13 @@
       at_s: Loop time.
       request_id: Id of the request.
       body: Its body.
+      engine: Id of the engine.
     """
 
     at_s: float
     request_id: str
     body: bytes
+    engine: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,6 +69,7 @@
       crash_times_s: Loop times at which they crashed.
       on_crash: Called with each of them.
       arrivals: Requests that reached engines, in order.
+      pauses: Pauses that engines have asked for.
     """
 
     engines: dict[str, Engine] = dataclasses.field(default_factory=dict)
@@ -79,6 +82,7 @@
     crash_times_s: list[float] = dataclasses.field(default_factory=list)
     on_crash: Callable[[Engine], None] | None = None
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    pauses: list[pause.Pause] = dataclasses.field(default_factory=list)
 
     def run_started(
         self, request_id: str, engine: str, *, is_new: bool
@@ -245,7 +249,9 @@
         self.requests.append(call.headers)
         request_id = call.headers[PREFIX + 'attempt-id']
         now = asyncio.get_running_loop().time()
-        self._fleet.arrivals.append(Arrival(now, request_id, call.body))
+        self._fleet.arrivals.append(
+            Arrival(now, request_id, call.body, self.id)
+        )
         echo = {PREFIX + 'attempt-id': request_id} | self._state_headers()
         if call.headers.get(PREFIX + 'expect-instance') != self.id:
             call.respond(421, headers={PREFIX + 'instance-id': self.id})
@@ -254,6 +260,10 @@
             headers = echo | {PREFIX + 'not-executed': '1'}
             if self.retry_after:
                 headers['retry-after'] = self.retry_after
+                for_s = float(self.retry_after)
+                self._fleet.pauses.append(
+                    pause.Pause(self.id, now, request_id, for_s)
+                )
             call.respond(self.refuse or 503, headers=headers)
             return
         source = call.headers.get('kv-from')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from quetzalsill_dev.users_platform import pause as pause_lib
 from quetzalsill_dev.users_platform import scripted
 
 __all__ = ['HttpServer']
@@ -36,6 +37,7 @@
         responses. While it is set, requests without a script are shed.
       work_s: Time that a request takes, in seconds.
       arrivals: Loop times at which requests arrived, with their ids.
+      pauses: Pauses that it has asked for.
     """
 
     def __init__(self, name: str) -> None:
@@ -50,6 +52,7 @@
         self.crash_target: str | None = None
         self._crash: asyncio.Task[None] | None = None
         self.arrivals: list[tuple[float, str]] = []
+        self.pauses: list[pause_lib.Pause] = []
 
     async def start(self, port: int = 0) -> None:
         """Starts to accept connections on a port; 0 for any."""
@@ -84,9 +87,9 @@
                 421, headers=echo | {PREFIX + 'instance-id': 'another'}
             )
             return
-        pause = {'retry-after': self.retry_after} if self.retry_after else {}
         if script == 'shed':
             not_executed = {PREFIX + 'not-executed': '1'}
+            pause = self._ask_for_pause(request_id)
             call.respond(503, headers=echo | not_executed | pause)
             return
         if self.work_s:
@@ -99,6 +102,15 @@
         receipt = echo | {PREFIX + 'server-stamp': f'{self.id}.{request_id}'}
         await self._respond(call, script, receipt, f'{self.id}:{request_id}')
 
+    def _ask_for_pause(self, request_id: str) -> dict[str, str]:
+        if not self.retry_after:
+            return {}
+        now = asyncio.get_running_loop().time()
+        self.pauses.append(
+            pause_lib.Pause(self.id, now, request_id, float(self.retry_after))
+        )
+        return {'retry-after': self.retry_after}
+
     async def _respond(
         self,
         call: scripted.Exchange,
@@ -111,10 +123,9 @@
             case 'fail':
                 call.respond(500, body, receipt)
             case 'false_503':
-                pause = {'retry-after': self.retry_after}
-                call.respond(
-                    503, body, receipt | (pause if self.retry_after else {})
-                )
+                request_id = receipt[PREFIX + 'attempt-id']
+                pause = self._ask_for_pause(request_id)
+                call.respond(503, body, receipt | pause)
             case 'no_receipt':
                 name = PREFIX + 'attempt-id'
                 call.respond(200, body, {name: receipt[name]})
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -9,7 +9,7 @@
 
 from quetzalsill_dev.soak import checks, load, plan, run
 from quetzalsill_dev.soak import testbed as testbed_lib
-from quetzalsill_dev.users_platform import caller, engine
+from quetzalsill_dev.users_platform import caller, engine, pause
 
 SEEDS = pathlib.Path(__file__).parent / 'seeds.txt'
 SHORT_S = 4.0
@@ -211,6 +211,55 @@
             )
             self.assertEqual(list(found_lines), [])
 
+    def test_a_leaving_server_gets_a_request(self):
+        gateway = testbed_lib.Gateway('entry-0')
+        server = types.SimpleNamespace(id='desk-1', arrivals=[(5.0, 'b')])
+        found = types.SimpleNamespace(
+            gateways=[gateway], http_servers=[server], fleet=engine.Fleet()
+        )
+        notice = record('safe', ended_s=1.0)
+        notice.answer.headers = {
+            'server-leaving': '1',
+            'x-quetzalsill-server-stamp': 'desk-1.a',
+        }
+        late = record('safe', request_id='b', sent_s=3.1)
+        [line] = checks.find_sends_to_leaving(found, [notice, late])
+        self.assertIn('b reached desk-1 from entry-0, sent 2.10 s', line)
+        early = record('safe', request_id='b', sent_s=2.9)
+        self.assertEqual(
+            list(checks.find_sends_to_leaving(found, [notice, early])), []
+        )
+        gateway.disturbed_s = [1.5, 2.0]
+        self.assertEqual(
+            list(checks.find_sends_to_leaving(found, [notice, late])), []
+        )
+
+    def test_a_server_gets_requests_in_a_pause(self):
+        gateway = testbed_lib.Gateway('entry-0')
+        server = types.SimpleNamespace(
+            id='desk-1',
+            arrivals=[(at_s, 'a') for at_s in (1.0, 1.4, 2.0, 3.0, 3.9, 4.1)],
+            pauses=[pause.Pause('desk-1', 1.0, 'a', 3.0)],
+        )
+        found = types.SimpleNamespace(
+            gateways=[gateway], http_servers=[server], fleet=engine.Fleet()
+        )
+
+        def lines(*disrupted):
+            return list(
+                checks.find_sends_in_pauses(found, [record('safe')], disrupted)
+            )
+
+        [line] = lines()
+        self.assertIn('asked entry-0 for 3 s without requests and got 3', line)
+        self.assertEqual(lines(checks.Disruption('desk-1', 0.0, 9.0)), [])
+        self.assertEqual(len(lines(checks.Disruption('desk-2', 0.0, 9.0))), 1)
+        gateway.disturbed_s = [1.5, 2.0]
+        self.assertEqual(lines(), [])
+        gateway.disturbed_s = []
+        del server.arrivals[3]
+        self.assertEqual(lines(), [])
+
     def test_a_request_is_refused_for_the_crashes_of_another(self):
         request = record('plan', 503, body=b'quarantined\n')
         self.assertIn('as if it crashed', self.violations(request)[0])
