--- a/tests/quetzalsill_gateway/http/test_pool.py
+++ b/tests/quetzalsill_gateway/http/test_pool.py
@@ -7,7 +7,13 @@
 import unittest
 
 from quetzalsill_gateway import attempt, routing_table
-from quetzalsill_gateway.fleet import revision, upstream, zones
+from quetzalsill_gateway.fleet import (
+    backoff,
+    members,
+    revision,
+    upstream,
+    zones,
+)
 from quetzalsill_gateway.http import error, pool
 
 TIMEOUT_S = 5.0
@@ -152,5 +158,71 @@
         self.assertFalse(attempt.may_have_run(caught.exception))
 
 
+class ResumeInPauseTest(unittest.IsolatedAsyncioTestCase):
+    """Runs that resume at an upstream that has asked for a pause."""
+
+    async def asyncSetUp(self):
+        upstreams = upstream.Upstreams()
+        self.found = upstream.Upstream('u', 's', ('10.0.0.1', 1), 'z')
+        upstreams.put(self.found, revision.Revision(0, 1))
+        self.backoffs = backoff.Backoffs(members.Members('entry-1'))
+        self.sent = 0
+
+        async def acquire(address, **_):
+            return types.SimpleNamespace(send=self.send)
+
+        self.core = types.SimpleNamespace(
+            upstreams=upstreams,
+            backoffs=self.backoffs,
+            quarantine=types.SimpleNamespace(rejects=lambda _: False),
+            dialect=types.SimpleNamespace(request_id=b'id'),
+            conns=types.SimpleNamespace(
+                acquire=acquire, release=lambda *_: None
+            ),
+            quota=types.SimpleNamespace(
+                max_connections=lambda _: None, max_idle=lambda _: None
+            ),
+        )
+        self.req = types.SimpleNamespace(
+            route=types.SimpleNamespace(kind=routing_table.Kind.IDEMPOTENT),
+            head=lambda *_: b'',
+            request=types.SimpleNamespace(body=b'', method=b'GET'),
+            request_id=b'1',
+        )
+
+    def send(self, *_):
+        self.sent += 1
+        raise error.ConnectionEndedError('the test ends here')
+
+    async def resume(self):
+        async with attempt.send_request(
+            self.core, self.req, self.found, [], continues=True
+        ):
+            self.fail('it was answered')
+
+    def pause(self, value):
+        self.backoffs.record_response(self.found, 503, [value], None, 0.0)
+
+    async def test_one_resumes_and_others_go_elsewhere(self):
+        """All runs of an engine that ends would reach one that pauses."""
+        self.pause(b'60')
+        with self.assertRaises(error.ConnectionEndedError):
+            await self.resume()
+        for _ in range(3):
+            with self.assertRaises(error.UpstreamPausingError) as caught:
+                await self.resume()
+            self.assertFalse(attempt.may_have_run(caught.exception))
+        self.assertEqual(self.sent, 1)
+
+    async def test_others_wait_for_an_end_that_is_near(self):
+        """A run would be lost for want of a moment's patience."""
+        self.pause(b'0.2')
+        for _ in range(2):
+            with self.assertRaises(error.ConnectionEndedError):
+                await self.resume()
+        self.assertEqual(self.sent, 2)
+        self.assertFalse(self.backoffs.is_pausing(self.found))
+
+
 if __name__ == '__main__':
     unittest.main()
