Wait for the real end of a pause that was extended; start peers in one place

Found in review: a run that waited for the end of a pause was sent when the time first named had passed, though the pause had been extended meanwhile. Tests of several gateways start them by one method of their fixture.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -253,10 +253,11 @@
         return not core.backoffs.is_pausing(upstream)
     if core.backoffs.try_resume(upstream):
         return True
-    left_s = core.backoffs.left_s(upstream)
-    if left_s > MAX_RESUME_WAIT_S:
-        return False
-    await asyncio.sleep(left_s)
+    end_s = now() + MAX_RESUME_WAIT_S
+    while left_s := core.backoffs.left_s(upstream):
+        if now() + left_s > end_s:
+            return False
+        await asyncio.sleep(left_s)
     return True
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/quota.py
@@ -235,7 +235,7 @@
         )
 
     def pause_s(self, upstreams: Iterable[upstream_lib.Upstream]) -> float:
-        """Returns until when all of some upstreams have asked for a pause.
+        """Returns for how long all of some upstreams are pausing.
 
         Returns:
           The time in seconds until the first pause ends; 0 if there are
@@ -261,13 +261,13 @@
                 self._bucket(upstream, kind, rate).waits_s(ahead + 1)
                 for kind, rate in self._rates(upstream)
             ]
-            has_share = not times or self._members.is_directory_read
+            knows_share = not times or self._members.is_directory_read
             pauses = self._backoffs.waits_s(upstream, ahead + 1)
             if pauses is not None:
                 times.append(pauses)
             if not times:
                 return 0.0
-            if has_share:
+            if knows_share:
                 # All of its limits must have room.
                 waits += map(max, zip(*times, strict=False))
         waits.sort()
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -186,6 +186,18 @@
             await self.wait_until(lambda: len(upstreams.all()) == 5)
         return process
 
+    async def start_peers(self, count):
+        """Starts gateways and waits until they know each other."""
+        gateways = [
+            await self.start_gateway(name=f'node-{n}', peers=ANYWHERE)
+            for n in range(count)
+        ]
+        for gateway in gateways:
+            await self.wait_until(
+                lambda g=gateway: g.peers.peer_count >= count - 1
+            )
+        return gateways
+
     async def wait_until(self, condition):
         """Polls until a condition is true."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
--- a/tests/quetzalsill_platform/test_leaving_header.py
+++ b/tests/quetzalsill_platform/test_leaving_header.py
@@ -19,12 +19,7 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.gateways = [
-            await self.start_gateway(name=f'node-{n}', peers=fixture.ANYWHERE)
-            for n in range(3)
-        ]
-        for gateway in self.gateways:
-            await self.wait_until(lambda g=gateway: g.peers.peer_count >= 2)
+        self.gateways = await self.start_peers(3)
 
     async def call(self, gateway, target='/safe/1'):
         return await self.caller(gateway).request(target)
