--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -26,7 +26,7 @@
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY_S = 0.02
 # Without calls, a high latency loses half of its excess in this time, so that
-# the upstream is measured again. The slower it was, the longer this takes.
+# the upstream gets a call again. The slower it was, the longer this takes.
 LATENCY_HALF_LIFE_S = 5.0
 # Maximum age of an engine's report on arrival; the times in it are relative to
 # the moment at which it was made.
--- a/tests/quetzalsill_gateway/balance/test_choose.py
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -43,10 +43,7 @@
             self.assertIs(self.engine(), self.found[5])
 
     async def test_what_other_gateways_hold_counts(self):
-        """An engine that is full with the work of peers is not chosen.
-
-        By its own work alone, each gateway would take it for idle.
-        """
+        """An engine that is full with the work of peers looks idle."""
         for number in range(5):
             self.stats_table.replace_peer_loads(
                 'entry-2',
@@ -85,13 +82,7 @@
         self.assertIsNone(self.engine(avoid=tried | {'u-5'}))
 
     async def test_memory_counts_for_more_than_a_short_queue(self):
-        """An engine with free memory is preferred to one with a short queue.
-
-        Chosen by queued prefill alone, engines collect long generations whose
-        memory grows until one is preempted and prefilled again: 98,000 tokens
-        in one scenario with a drained zone. A prompt that waits for a quarter
-        of a second is still in time.
-        """
+        """Engines with short queues collect runs until memory runs out."""
         for number in range(1, 6):
             self.hold(number, 5000, 4)
         self.hold(0, 4000, 3)
@@ -110,11 +101,7 @@
         self.assertLessEqual(max(counts.values()), 13)
 
     async def test_the_prefill_rate_is_learned(self):
-        """The prefill rate follows engines that are slower than assumed.
-
-        At a third of the assumed rate, an engine would be sent three prompts
-        of which it can prefill one in time.
-        """
+        """A slow engine is sent three prompts, and prefills one in time."""
         before_s = self.stats_table.prefill_s(7000)
         for _ in range(200):
             self.stats_table.record_prefill(4600, 2.0)
@@ -136,12 +123,7 @@
         self.assertNotIn('u-0', chosen)
 
     async def test_non_repeatable_calls_avoid_one_that_hangs(self):
-        """Calls that must not be repeated avoid an upstream that hangs.
-
-        With one of three servers hanging, 24 gateways that each detected it by
-        their own calls lost 45 of them in six seconds. A report of one peer is
-        sufficient, and only calls that may be repeated probe the server again.
-        """
+        """Each gateway loses calls until it detects a hanging server alone."""
         loads = {'u-0': usage_lib.Usage(0, 0, 0, failures=2.0)}
         self.stats_table.replace_peer_loads('entry-2', loads)
         near = [self.found[0], self.found[5]]
@@ -163,12 +145,7 @@
         self.assertEqual(chosen(False), {'u-0'})
 
     async def test_one_slow_call_is_no_hang(self):
-        """A single slow call is not counted as a hang.
-
-        One call in a hundred takes five times as long as the others. Counted as
-        a hang, it moved its server's work to the two others, whose callers then
-        had to wait.
-        """
+        """A slow call taken for a hang moves its server's work to others."""
         stats = self.stats_table.of(self.found[0])
         now = asyncio.get_running_loop().time()
         for one in self.found:
@@ -188,11 +165,7 @@
         )
 
     async def test_failures_of_unary_calls_are_not_announced(self):
-        """Failures of unary calls are not announced to peers.
-
-        If a seventh of a service's responses are failures of its own, each
-        would cause a datagram to every gateway.
-        """
+        """Each failure of a call causes a datagram to every gateway."""
         stats = self.stats_table.of(self.found[0])
         now = asyncio.get_running_loop().time()
         for _ in range(5):
