--- /dev/null
+++ b/tests/quetzalsill_gateway/balance/test_search.py
@@ -0,0 +1,101 @@
+"""The expected wait of a generation for an engine."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+import unittest
+
+from quetzalsill_gateway import routing_table, source
+from quetzalsill_gateway.balance import (
+    forecast,
+    queue_entry,
+    search,
+    upstream_stats,
+)
+from quetzalsill_gateway.fleet import (
+    backoff,
+    members,
+    quota,
+    revision,
+    upstream,
+)
+
+ENGINE = routing_table.Engine(24, 10_000, 18432.0, 2700.0)
+RANK = 3
+TOKENS = 5000
+# Times are far longer than any pause of the test's own process.
+SLACK_S = 60.0
+HELD_S = 4000.0
+
+
+class PauseTest(unittest.IsolatedAsyncioTestCase):
+    """A full engine, and an empty one that asks for a pause."""
+
+    async def asyncSetUp(self):
+        self.upstreams = upstreams = upstream.Upstreams()
+        for number in (1, 2):
+            upstreams.put(
+                upstream.Upstream(
+                    f'u-{number}', 's', ('10.0.0.1', number), 'z'
+                ),
+                revision.Revision(0, number),
+            )
+        stats_table = upstream_stats.StatsTable()
+        stats_table.mean_held_s = HELD_S
+        self.full, self.empty = upstreams.all()
+        stats_table.of(self.full).reservations.add(
+            upstream_stats.Reservation(0, 11_000, False)
+        )
+        known = members.Members('entry-1')
+        self.backoffs = backoff.Backoffs(known)
+        now = asyncio.get_running_loop().time()
+        self.search = search.EngineSearch(
+            upstreams,
+            stats_table,
+            'z',
+            quota.Quota(
+                source.RoutingTableHolder(),
+                known,
+                quota.Warmup(),
+                lambda _: quota.Connections(0, 0),
+                backoffs=self.backoffs,
+            ),
+            types.SimpleNamespace(
+                service=types.SimpleNamespace(name='s'), regions=None
+            ),
+            ENGINE,
+            upstream_stats.Reservation(1000, TOKENS),
+            frozenset(),
+            queue_entry.QueueEntry(1, 0, 0, now + 60.0, TOKENS, now),
+            forecast.Demand(),
+        )
+
+    def pause(self, found, value):
+        self.backoffs.record_response(found, 503, [value], None, 0.0)
+
+    def wait_s(self):
+        self.upstreams.mark_confirmed()
+        return self.search.expected_wait_s(RANK, 0)
+
+    async def test_memory_behind_a_pause_counts_from_its_end(self):
+        """A generation waited in vain for an engine that pauses for long."""
+        self.assertEqual(self.wait_s(), 0.0)
+        self.pause(self.empty, b'300')
+        self.assertAlmostEqual(self.wait_s(), 300.0, delta=SLACK_S)
+
+    async def test_memory_that_is_released_sooner_counts_first(self):
+        self.pause(self.empty, b'60000')
+        self.assertAlmostEqual(
+            self.wait_s(), HELD_S * TOKENS / 11_000, delta=SLACK_S
+        )
+
+    async def test_the_first_end_counts_where_all_pause(self):
+        self.pause(self.full, b'900')
+        self.pause(self.empty, b'600')
+        self.assertTrue(self.search.is_limited)
+        self.assertAlmostEqual(self.search.rate_wait_s(0), 600.0, delta=SLACK_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
