--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -52,6 +52,7 @@
 from quetzalsill_gateway.event.upstream import (
     CopyNotFreed,
     CrashSuspected,
+    EngineSpeedKnown,
     EntryInvalid,
     MigrationStarted,
     ReportFailed,
@@ -88,6 +89,7 @@
     'CopyNotFreed',
     'CrashRefuted',
     'CrashSuspected',
+    'EngineSpeedKnown',
     'MigrationStarted',
     'Event',
     'LegEnded',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -8,6 +8,7 @@
     'EntryInvalid',
     'CopyNotFreed',
     'CrashSuspected',
+    'EngineSpeedKnown',
     'MigrationStarted',
     'ReportFailed',
     'RetryAfterInvalid',
@@ -250,6 +251,25 @@
     requests: int
 
 
+@base.define
+class EngineSpeedKnown(base.Event):
+    """The speed of an engine is known to this gateway for the first time.
+
+    Attributes:
+      upstream: The engine.
+      event_ms: Time between two events of a run at a light load; 0 if unknown.
+      prefill_per_s: Prompt tokens prefilled per second; 0 if unknown.
+      slowness: Time between events relative to the median of its service.
+      source: Gateway that measured it; empty for this one.
+    """
+
+    upstream: str
+    event_ms: float
+    prefill_per_s: int
+    slowness: float
+    source: str
+
+
 @base.define
 class ServerLimit(base.Event):
     """An upstream limits what all gateways together may send to it.
