--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -55,7 +55,7 @@
     ),
     'backups': _gateway(
         'balance/backup.py',
-        'return stats_table.generation_s(reservation) >= MIN',
+        'return duration_s >= MIN',
         'return False and MIN',
     ),
     'moves': _gateway(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/backup.py
@@ -43,10 +43,19 @@
     engine: routing_table.Engine,
     stats_table: upstream_stats.StatsTable,
     reservation: upstream_stats.Reservation,
+    source: upstream.Upstream | None = None,
 ) -> bool:
-    """Whether a run lasts much longer than the copying of its prompt."""
+    """Whether a run lasts much longer than the copying of its prompt.
+
+    Args:
+      engine: Properties of the engines.
+      stats_table: Statistics of each.
+      reservation: Memory that the run is expected to need.
+      source: Engine of the run.
+    """
     copy_s = engine.copy_s(reservation.prompt_tokens)
-    return stats_table.generation_s(reservation) >= MIN_COPIES_PER_RUN * copy_s
+    duration_s = stats_table.generation_s(reservation, source)
+    return duration_s >= MIN_COPIES_PER_RUN * copy_s
 
 
 def destination(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -116,7 +116,7 @@
 
     def cost(candidate: upstream.Upstream) -> float:
         stats = stats_table.of(candidate)
-        wait_s = stats_table.prefill_s(stats.prefill_tokens)
+        wait_s = stats_table.prefill_s(stats.prefill_tokens, candidate)
         wait_s += stats.runs * RUN_COST_S
         wait_s += FAILURE_COST_S * stats.fleet_failures(now)
         share = (stats.held_tokens + needs_tokens) / max(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -258,8 +258,10 @@
     def _fits(self, candidate: upstream_lib.Upstream, now: float) -> bool:
         if self.entry.tokens > self._free_tokens(candidate):
             return False
-        own_s = self._stats_table.prefill_s(self._reservation.prompt_tokens)
+        own_s = self._stats_table.prefill_s(
+            self._reservation.prompt_tokens, candidate
+        )
         ahead = self._stats_table.of(candidate).prefill_tokens
         left_s = self.entry.late_at_s - now
         bound_s = max(left_s - own_s, LATE_PREFILL_AHEAD_S)
-        return self._stats_table.prefill_s(ahead) <= bound_s
+        return self._stats_table.prefill_s(ahead, candidate) <= bound_s
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -6,12 +6,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway.balance import faults
+from quetzalsill_gateway.balance import engine_averages, faults
 from quetzalsill_gateway.fleet import usage as usage_lib
 
 if TYPE_CHECKING:
     from collections.abc import ItemsView
 
+    from quetzalsill_gateway.fleet import engine_speed
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = [
@@ -31,46 +32,11 @@
 # Maximum age of an engine's report on arrival; the times in it are relative to
 # the moment at which it was made.
 MAX_REPORT_AGE_S = 0.5
-# Assumed time for which a generation holds memory, before any has ended: long
-# ones run for about 8 s, short ones for less than one.
-INITIAL_HELD_S = 5.0
-# Weight of the newest generation of typical size in the moving averages.
-GENERATION_WEIGHT = 0.05
-TYPICAL_TOKENS = 4000
-TYPICAL_OUTPUT_TOKENS = 800
-# Assumed time per output token before any generation has ended: one step of an
-# engine with a few runs, in some of which it also prefills a prompt.
-INITIAL_TOKEN_S = 0.01
-# Assumed prefill rate before any prompt was prefilled: a chunk of 112 tokens in
-# a step of 16 ms.
-INITIAL_PREFILL_TOKENS_PER_S = 7000.0
-# Upper bound of a sample: an engine that has part of a prompt cached appears
-# to be faster than it is.
-MAX_PREFILL_TOKENS_PER_S = 50_000.0
-PREFILL_WEIGHT = 0.03
 # Bounds the table, since peers may announce keys that no upstream has. Several
 # times the upstreams of the largest planned fleet.
 MAX_UPSTREAMS = 8192
 
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Reservation:
-    """Memory that one generation is expected to hold at an engine.
-
-    Attributes:
-      prompt_tokens: Tokens to prefill before the first event.
-      memory_tokens: Memory that it is expected to need at its end, in tokens.
-      is_prefilling: Whether no event has arrived yet.
-    """
-
-    prompt_tokens: int = 0
-    memory_tokens: int = 0
-    is_prefilling: bool = True
-
-    @property
-    def output_tokens(self) -> int:
-        """Expected length of the output, in tokens."""
-        return self.memory_tokens - self.prompt_tokens
+Reservation = engine_averages.Reservation
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -257,24 +223,19 @@
         self.mean_latency_s += LATENCY_WEIGHT * (took_s - self.mean_latency_s)
 
 
-class StatsTable:
-    """Statistics of all upstreams, with averages over all engines.
+class StatsTable(engine_averages.EngineAverages):
+    """Statistics of all upstreams, with averages over all engines."""
 
-    Attributes:
-      mean_held_s: Average time for which a token of memory is held.
-      prefill_tokens_per_s: Average prefill rate of an engine that also
-        generates.
-      mean_token_s: Average time that a generation takes per expected output
-        token.
-    """
+    def __init__(self, speeds: engine_speed.EngineSpeeds | None = None) -> None:
+        """Creates an empty table.
 
-    def __init__(self) -> None:
+        Args:
+          speeds: Estimated speed of each engine.
+        """
+        super().__init__(speeds)
         self._stats: dict[str, UpstreamStats] = {}
         self._keys_by_peer: dict[str, set[str]] = {}
         self._waiting_by_peer: dict[str, usage_lib.WaitingTokens] = {}
-        self.mean_held_s = INITIAL_HELD_S
-        self.mean_token_s = INITIAL_TOKEN_S
-        self.prefill_tokens_per_s = INITIAL_PREFILL_TOKENS_PER_S
 
     def of(self, upstream: upstream_lib.Upstream) -> UpstreamStats:
         """Returns the statistics of an upstream, creating them if needed."""
@@ -302,44 +263,6 @@
                 self._get_or_create(key).set_peer_load(node, entry)
                 self._keys_by_peer.setdefault(node, set()).add(key)
 
-    def record_generation(
-        self, reservation: Reservation, held_s: float
-    ) -> None:
-        """Updates the averages with the time a generation held its memory."""
-        weight = GENERATION_WEIGHT * min(
-            1.0, reservation.memory_tokens / TYPICAL_TOKENS
-        )
-        self.mean_held_s += weight * (held_s - self.mean_held_s)
-        if reservation.output_tokens:
-            token_s = held_s / reservation.output_tokens
-            # The time of a short output is mostly the prefill of its prompt.
-            weight = GENERATION_WEIGHT * min(
-                1.0, reservation.output_tokens / TYPICAL_OUTPUT_TOKENS
-            )
-            self.mean_token_s += weight * (token_s - self.mean_token_s)
-
-    def record_prefill(self, tokens: int, took_s: float) -> None:
-        """Updates the prefill rate; an engine prefills prompts sequentially.
-
-        Args:
-          tokens: Prompt tokens of the request and of those queued ahead of it.
-          took_s: Time from the send to the first event.
-        """
-        if took_s > 0:
-            weight = PREFILL_WEIGHT * min(1.0, tokens / TYPICAL_TOKENS)
-            rate = min(tokens / took_s, MAX_PREFILL_TOKENS_PER_S)
-            self.prefill_tokens_per_s += weight * (
-                rate - self.prefill_tokens_per_s
-            )
-
-    def prefill_s(self, tokens: int) -> float:
-        """Returns the expected time in seconds to prefill `tokens`."""
-        return tokens / self.prefill_tokens_per_s
-
-    def generation_s(self, reservation: Reservation) -> float:
-        """Returns the expected duration of a generation in seconds."""
-        return reservation.output_tokens * self.mean_token_s
-
     def set_peer_waiting(
         self, node: str, waiting: usage_lib.WaitingTokens
     ) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -261,7 +261,9 @@
             or req.route.kind.may_repeat
         ):
             return segment
-        if not backup.is_worthwhile(engine, stats_table, stream.reservation):
+        if not backup.is_worthwhile(
+            engine, stats_table, stream.reservation, upstream
+        ):
             return segment
         available = self._core.upstreams.available(
             upstream.service, req.regions
