--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -59,6 +59,7 @@
     QUARANTINE = 8
     LIMITS = 9
     NOTICES = 10
+    SPEEDS = 11
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -10,18 +10,20 @@
 from typing import Any
 
 from quetzalsill_gateway import error
-from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import (
+    engine_speed,
     server_limits,
     shutdown_notices,
     upstream,
     zones,
 )
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.peers import (
     frame,
     limit_codec,
     notice_codec,
     quarantine_codec,
+    speed_codec,
 )
 from quetzalsill_gateway.quarantine import update as quarantine_update
 from quetzalsill_gateway.watch import update as update_lib
@@ -33,6 +35,7 @@
     | quarantine_update.QuarantineUpdate
     | server_limits.LimitUpdate
     | shutdown_notices.NoticeUpdate
+    | engine_speed.SpeedUpdate
 )
 
 PORTS = range(1, 65536)
@@ -49,6 +52,8 @@
         return limit_codec.encode(node, update)
     if isinstance(update, shutdown_notices.NoticeUpdate):
         return notice_codec.encode(node, update)
+    if isinstance(update, engine_speed.SpeedUpdate):
+        return speed_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -96,6 +101,8 @@
             found = limit_codec.decode(fields)
         elif kind is frame.Kind.NOTICES:
             found = notice_codec.decode(fields)
+        elif kind is frame.Kind.SPEEDS:
+            found = speed_codec.decode(fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
