--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -7,7 +7,7 @@
 
 from quetzalsill_gateway.balance import admission, rate_queue
 from quetzalsill_gateway.quarantine import detector, in_flight, quarantine
-from quetzalsill_gateway.stream import link_queue
+from quetzalsill_gateway.stream import link_queue, loop_delay
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
@@ -15,6 +15,7 @@
     from quetzalsill_gateway.balance import upstream_stats
     from quetzalsill_gateway.fleet import (
         backoff,
+        engine_speed,
         members,
         quota,
         server_limits,
@@ -45,6 +46,8 @@
       quota: Limits on requests and connections to each upstream.
       server_limits: Limits that upstreams name.
       backoffs: Pauses that upstreams ask for.
+      engine_speeds: Estimated speed of each engine.
+      loop_delay: Detects pauses of the event loop.
       rate_queue: Calls that wait until a limit allows them.
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
@@ -69,7 +72,11 @@
     quota: quota.Quota
     server_limits: server_limits.ServerLimits
     backoffs: backoff.Backoffs
+    engine_speeds: engine_speed.EngineSpeeds
     ends_at_s: float | None = None
+    loop_delay: loop_delay.LoopDelay = dataclasses.field(
+        default_factory=loop_delay.LoopDelay
+    )
     rate_queue: rate_queue.RateQueue = dataclasses.field(
         default_factory=rate_queue.RateQueue
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -15,6 +15,7 @@
 __all__ = [
     'attempts',
     'datagrams',
+    'engine_speeds',
     'epochs',
     'moves',
     'updates',
@@ -91,6 +92,11 @@
     'Version in force, connections of callers, streams, gateways heard,'
     ' requests in quarantine.',
 )
+engine_speeds = metric.gauge(
+    'quetzalsill_gateway_engine_speeds',
+    'Speeds of engines, by service: slowest to fastest engine, share, factor'
+    ' and onsets per second of short slowdowns.',
+)
 
 
 def record_request(
@@ -136,5 +142,15 @@
     )
     state.set({'of': 'peers'}, peers.peer_count)
     state.set({'of': 'quarantined'}, len(core.quarantine.entries))
+    for service in core.engine_speeds.services:
+        noise = core.engine_speeds.noise(service)
+        values = {
+            'spread': core.engine_speeds.spread(service),
+            'noise_share': noise.share,
+            'noise_factor': noise.factor,
+            'noise_onsets': noise.onsets_per_s,
+        }
+        for name, value in values.items():
+            engine_speeds.set({'service': service, 'of': name}, value)
     datagrams.set({'result': 'taken'}, peers.accepted)
     datagrams.set({'result': 'left_out'}, peers.dropped)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -23,6 +23,7 @@
 from quetzalsill_gateway.balance import upstream_stats
 from quetzalsill_gateway.fleet import (
     backoff,
+    engine_speed,
     members,
     quota,
     revision,
@@ -99,6 +100,7 @@
             ),
             server_limits=limits,
             backoffs=backoffs,
+            engine_speeds=stats_table.engine_speeds,
         )
         backoffs.on_end(lambda found: stats_table.of(found).reset_latency())
         self.core.health.on_recovery(self.core.upstreams.mark_source_recovered)
@@ -154,6 +156,11 @@
         self.peers.on_update(server_limits.LimitUpdate, limits.receive)
         self.peers.on_greeting(limits.updates)
         self.peers.on_refresh(self._refresh_limits)
+        speeds = self.core.engine_speeds
+        speeds.set_announcer(self.peers.announce)
+        self.peers.on_update(engine_speed.SpeedUpdate, self._receive_speeds)
+        self.peers.on_greeting(speeds.updates)
+        self.peers.on_refresh(self._refresh_speeds)
         upstreams = self.core.upstreams
         upstreams.notices.set_announcer(self.peers.announce)
         self.peers.on_update(
@@ -175,6 +182,15 @@
         self.core.backoffs.expire(known)
         return limits.updates()
 
+    def _receive_speeds(self, update: engine_speed.SpeedUpdate) -> None:
+        self.core.engine_speeds.receive(update)
+        self.core.engine_speeds.identify(self.core.upstreams.all())
+
+    def _refresh_speeds(self) -> list[engine_speed.SpeedUpdate]:
+        speeds = self.core.engine_speeds
+        speeds.expire(self.core.upstreams.all())
+        return speeds.recent()
+
     def _refresh_notices(self) -> list[shutdown_notices.NoticeUpdate]:
         upstreams = self.core.upstreams
         upstreams.notices.expire(upstreams.all())
@@ -204,6 +220,7 @@
             'callers': self.callers.enforce_timeouts,
             'readiness': self.readiness.enforce_timeouts,
             'lookout': lambda: engine_poll.run(self.core),
+            'loop-delay': self.core.loop_delay.run,
         }
         if self._settings.peers:
             await self.peers.open(settings_lib.address(self._settings.peers))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -160,13 +160,22 @@
         if upstream.leaving and self._on_leaving is not None:
             self._on_leaving(upstream)
 
-    def record_prefill(self, stream: Stream) -> None:
-        """Records that an upstream has completed the prefill of a stream."""
+    def record_prefill(self, stream: Stream, *, is_sample: bool = True) -> None:
+        """Records that an upstream has completed the prefill of a stream.
+
+        Args:
+          stream: The stream.
+          is_sample: Whether its duration shows the speed of the upstream.
+        """
         stream.reservation.is_prefilling = False
         ahead, since_s = stream.prefill_since
         duration_s = asyncio.get_running_loop().time() - since_s
         tokens = ahead + stream.reservation.prompt_tokens
         self._stats_table.record_prefill(tokens, duration_s)
+        if is_sample and stream.upstream is not None:
+            self._stats_table.engine_speeds.record_prefill(
+                stream.upstream, tokens, duration_s
+            )
 
     def end(self, stream: Stream) -> None:
         """Removes a stream that has ended and records its duration."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -21,12 +21,18 @@
 )
 from quetzalsill_gateway.balance import choice_log
 from quetzalsill_gateway.http import error, message
-from quetzalsill_gateway.stream import continuation, events, live
+from quetzalsill_gateway.stream import (
+    continuation,
+    events,
+    gap_sampler,
+    live,
+)
 from quetzalsill_gateway.stream import segment as segment_lib
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway.balance import upstream_stats
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.http import call
 
 __all__ = ['forward']
@@ -60,7 +66,9 @@
 
 
 def _outlives_process(
-    core: core_lib.Core, reservation: upstream_stats.Reservation
+    core: core_lib.Core,
+    reservation: upstream_stats.Reservation,
+    upstream: upstream_lib.Upstream | None = None,
 ) -> bool:
     """Whether a generation is expected to outlast this process.
 
@@ -71,7 +79,8 @@
     if core.ends_at_s is None:
         return False
     now = asyncio.get_running_loop().time()
-    return now + core.stats_table.generation_s(reservation) > core.ends_at_s
+    duration_s = core.stats_table.generation_s(reservation, upstream)
+    return now + duration_s > core.ends_at_s
 
 
 class _Relay:
@@ -119,6 +128,12 @@
         )
         if upstream is None:
             return None
+        if (
+            not self._sends.may_have_run
+            and self._core.engine_speeds.differ(upstream.service)
+            and _outlives_process(self._core, reservation, upstream)
+        ):
+            return None
         self._excluded |= {upstream.id}
         self._core.quota.consume(upstream)
         memory_tokens = reservation.memory_tokens
@@ -175,14 +190,21 @@
     ) -> None:
         splitter = events.Splitter()
         stream, responder = self._stream, self._req.responder
+        sampler = gap_sampler.GapSampler(self._core, segment.upstream)
         while data := await conn.read():
             if stream.reservation.is_prefilling:
-                self._core.live.record_prefill(stream)
+                self._core.live.record_prefill(
+                    stream, is_sample=sampler.is_punctual(attempt.now())
+                )
+            before = segment.event_count
             new_data = b''.join(self._new_events(segment, splitter.feed(data)))
+            if segment.event_count > before and stream.pending_stop is None:
+                sampler.record(segment.event_count - before, attempt.now())
             if new_data:
                 self._req.record_event()
                 responder.write(new_data)
                 await responder.drain()
+                sampler.resume(attempt.now())
         if splitter.remainder and stream.pending_stop is None:
             raise error.TruncatedError('stream ended in the middle of an event')
 
--- /dev/null
+++ b/tests/quetzalsill_gateway/fleet/test_engine_speed.py
@@ -0,0 +1,263 @@
+"""Estimated speeds of engines, as one gateway and its peers know them."""
+
+from __future__ import annotations
+
+import random
+import types
+import unittest
+from unittest import mock
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalsill_gateway import error
+from quetzalsill_gateway.balance import upstream_stats
+from quetzalsill_gateway.fleet import engine_speed, upstream
+from quetzalsill_gateway.peers import frame, update_codec
+
+EVENT_S = 0.04
+FACTORS = (0.6, 1.0, 1.6)
+SLOWDOWN_S = 0.3
+SLOWDOWN_SHARE = 0.15
+
+
+class EngineSpeedsTest(unittest.TestCase):
+    """Engines of one service; peers' updates arrive when the test says so."""
+
+    def setUp(self):
+        self.now = 1000.0
+        loop = types.SimpleNamespace(time=lambda: self.now)
+        patched = mock.patch('asyncio.get_running_loop', return_value=loop)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.engines = [
+            upstream.Upstream(f'e-{n}', 's', ('10.0.0.1', n), 'z')
+            for n in range(len(FACTORS))
+        ]
+        self.new = upstream.Upstream('new', 's', ('10.0.0.1', 9), 'z')
+        self.stats_table = upstream_stats.StatsTable()
+        self.speeds = self.stats_table.engine_speeds
+        self.announced = []
+        self.speeds.set_announcer(self.announced.append)
+
+    def run_load(self, samples, seed=1):
+        """Takes samples of each engine at a load that changes slowly."""
+        rng = random.Random(seed)
+        ends_s = [0.0] * len(FACTORS)
+        runs = 3
+        pause_s = SLOWDOWN_S / SLOWDOWN_SHARE - SLOWDOWN_S
+        for _ in range(samples):
+            self.now += 0.1
+            runs = min(14, max(0, runs + rng.choice((-1, 0, 1))))
+            for number, factor in enumerate(FACTORS):
+                if self.now > ends_s[number] and rng.random() < 0.1 / pause_s:
+                    ends_s[number] = self.now + SLOWDOWN_S
+                is_prefilling = rng.random() < 0.25
+                gap_s = EVENT_S * factor * (1 + 0.02 * runs)
+                gap_s *= 2.4 if is_prefilling else 1.0
+                gap_s *= 2.5 if self.now < ends_s[number] else 1.0
+                self.speeds.record_event(
+                    self.engines[number],
+                    gap_s * rng.uniform(0.95, 1.05),
+                    runs,
+                    is_prefilling=is_prefilling,
+                )
+
+    def receive(self, node, key, event_s=0.0, per_s=0.0, samples=40, age_s=0.0):
+        speed = engine_speed.Speed(
+            key, event_s, per_s, samples, self.now - age_s
+        )
+        self.speeds.receive(engine_speed.SpeedUpdate((speed,), node))
+        self.speeds.identify([*self.engines, self.new])
+
+    def receive_three(self):
+        for one, factor in zip(self.engines, FACTORS, strict=True):
+            self.receive('peer', one.key, EVENT_S * factor, 7000 / factor)
+
+    def test_it_converges_in_spite_of_slowdowns(self):
+        """A short slowdown makes an engine count as slow."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.run_load(40, seed)
+                self.now += 1.0
+                for one, factor in zip(self.engines, FACTORS, strict=True):
+                    self.assertAlmostEqual(
+                        self.speeds.slowness(one) / factor, 1.0, delta=0.1
+                    )
+
+    def test_noise_and_load_are_found(self):
+        """Slowdowns and prefills are not told apart from slow engines."""
+        self.run_load(400)
+        noise = self.speeds.noise('s')
+        self.assertAlmostEqual(noise.share, SLOWDOWN_SHARE, delta=0.05)
+        self.assertAlmostEqual(noise.factor, 2.5, delta=0.4)
+        self.assertAlmostEqual(
+            noise.onsets_per_s, SLOWDOWN_SHARE / SLOWDOWN_S, delta=0.2
+        )
+        self.assertAlmostEqual(self.speeds.prefill_share('s'), 0.25, delta=0.1)
+        quiet_s, beside_s = (
+            self.speeds.pause_s(self.engines[1], 2, is_prefilling=value)
+            for value in (False, True)
+        )
+        self.assertAlmostEqual(beside_s / quiet_s, 2.4, delta=0.24)
+
+    def test_before_any_sample(self):
+        self.assertIsNone(self.speeds.event_s(self.new))
+        self.assertIsNone(self.speeds.prefill_per_s(self.new))
+        self.assertIsNone(self.speeds.pause_s(self.new, 3, is_prefilling=True))
+        self.assertEqual(self.speeds.slowness(self.new), 1.0)
+        self.assertEqual(self.speeds.noise('s'), engine_speed.Noise())
+        self.receive('peer', 'e-0', EVENT_S)
+        self.assertEqual(
+            self.speeds.pause_s(self.engines[0], 3, is_prefilling=True),
+            self.speeds.pause_s(self.engines[0], 3, is_prefilling=False) * 2,
+        )
+
+    def test_an_engine_that_has_just_joined(self):
+        """A new engine counts as fast because nothing is known of it."""
+        self.receive_three()
+        self.assertFalse(self.speeds.is_known(self.new))
+        self.assertAlmostEqual(self.speeds.event_s(self.new), EVENT_S)
+        self.assertAlmostEqual(
+            self.speeds.prefill_per_s(self.new), 7000 / FACTORS[-1]
+        )
+
+    def test_one_value_is_derived_from_the_other(self):
+        self.receive_three()
+        self.receive('peer', self.new.key, 0.0, 3500)
+        self.assertAlmostEqual(
+            self.speeds.event_s(self.new), 2 * EVENT_S, delta=0.01 * EVENT_S
+        )
+
+    def test_an_estimate_loses_weight_with_age(self):
+        """An engine that was slow once never gets work again."""
+        for one, factor in zip(self.engines, FACTORS, strict=True):
+            self.receive('peer', one.key, EVENT_S * factor)
+        self.assertAlmostEqual(self.speeds.slowness(self.engines[2]), 1.6)
+        self.now += 30.0
+        self.assertAlmostEqual(self.speeds.slowness(self.engines[2]), 1.6**0.5)
+        self.now += 600.0
+        self.assertAlmostEqual(self.speeds.slowness(self.engines[2]), 1.0, 4)
+
+    def test_estimates_of_peers_are_weighted_by_samples(self):
+        self.receive('one', 'e-0', 0.05, samples=60)
+        self.receive('two', 'e-0', 0.1, samples=20)
+        self.assertAlmostEqual(
+            self.speeds.event_s(self.engines[0]), 0.05 * 2**0.25
+        )
+        self.receive('two', 'e-0', 0.05, samples=20)
+        self.now += 1.0
+        self.assertAlmostEqual(self.speeds.event_s(self.engines[0]), 0.05)
+
+    def test_number_of_announcements_is_bounded(self):
+        """Each gateway announces each engine again and again."""
+        self.run_load(100)
+        first = len(self.announced)
+        self.assertLessEqual(first, 3 * 4)
+        for one, factor in zip(self.engines, FACTORS, strict=True):
+            self.assertIn(one.key, {u.speeds[0].key for u in self.announced})
+            self.receive('peer', one.key, EVENT_S * factor)
+        self.run_load(300, seed=2)
+        self.assertLessEqual(len(self.announced) - first, 3)
+        [repeated] = self.speeds.recent()
+        self.assertEqual(len(repeated.speeds), 3)
+
+    def test_a_known_estimate_is_not_announced_by_each_gateway(self):
+        """28 gateways announce the same engine when it joins."""
+        self.receive('peer', 'e-1', EVENT_S)
+        for _ in range(40):
+            self.now += 0.1
+            self.speeds.record_event(
+                self.engines[1], EVENT_S * 1.1, 2, is_prefilling=False
+            )
+        self.assertEqual(self.announced, [])
+
+    def test_engines_that_are_gone_are_dropped(self):
+        self.receive_three()
+        self.now += 60.0
+        self.speeds.expire(self.engines[:2])
+        self.assertTrue(self.speeds.is_known(self.engines[0]))
+        self.assertFalse(self.speeds.is_known(self.engines[2]))
+
+    def test_unknown_keys_are_bounded(self):
+        """A faulty peer replaces the estimates of all engines."""
+        self.receive_three()
+        self.speeds.expire(self.engines)
+        for number in range(1000):
+            self.receive('faulty', f'x-{number}', EVENT_S)
+        self.assertTrue(self.speeds.is_known(self.engines[0]))
+        self.assertFalse(
+            self.speeds.is_known(upstream.Upstream('x-999', 's', ('', 1), 'z'))
+        )
+
+    def test_averages_are_used_unless_engines_differ(self):
+        """Similar engines are told apart by the error of their estimates."""
+        reservation = upstream_stats.Reservation(1000, 2000)
+        table, slow = self.stats_table, self.engines[2]
+        self.receive('peer', 'e-0', EVENT_S, 7000)
+        self.receive('peer', 'e-2', EVENT_S * 1.5, 4000)
+        self.assertEqual(table.prefill_s(700, slow), table.prefill_s(700))
+        self.receive_three()
+        self.now += 1.0
+        self.assertAlmostEqual(table.prefill_s(700, slow), 0.16, delta=0.01)
+        self.assertGreater(
+            table.generation_s(reservation, slow),
+            1.3 * table.generation_s(reservation),
+        )
+
+
+VALUE = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**64 - 1),
+    st.integers(0, 100_000),
+    st.floats(),
+    st.text(max_size=5),
+    st.binary(max_size=5),
+    st.lists(st.integers(0, 9), max_size=2),
+)
+
+
+class CodecTest(unittest.TestCase):
+    """Datagrams between gateways whose clocks differ."""
+
+    def setUp(self):
+        loop = types.SimpleNamespace(time=lambda: 1e5)
+        patched = mock.patch('asyncio.get_running_loop', return_value=loop)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def test_round_trip(self):
+        sent = engine_speed.Speed('e\n7', 0.041, 7000.0, 12, 1e5 - 2.5)
+        data = update_codec.encode('a', engine_speed.SpeedUpdate((sent,)))
+        node, update = update_codec.decode(*frame.unpack(data))
+        self.assertEqual((node, update.speeds), ('a', (sent,)))
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        VALUE | st.text(max_size=3),
+        VALUE | st.lists(st.tuples(*[VALUE] * 5) | VALUE, max_size=3),
+    )
+    def test_invalid_values_have_no_effect(self, node, items):
+        """A faulty peer stops this gateway or distorts its estimates."""
+        fields = msgpack.unpackb(
+            msgpack.packb((node, items)), strict_map_key=False
+        )
+        speeds = engine_speed.EngineSpeeds()
+        try:
+            _, update = update_codec.decode(frame.Kind.SPEEDS, fields)
+        except error.PeerError:
+            return
+        speeds.receive(update)
+        for speed in update.speeds:
+            found = upstream.Upstream(speed.key, 's', ('', 1), 'z')
+            event_s, per_s = speeds.event_s(found), speeds.prefill_per_s(found)
+            self.assertTrue(event_s is None or 1e-5 < event_s < 11)
+            self.assertTrue(per_s is None or 0.5 < per_s <= 1e6)
+
+    def test_too_large_lists_are_refused(self):
+        items = [('e', 40_000, 7000, 1, 0)] * 33
+        with self.assertRaises(error.PeerError):
+            update_codec.decode(frame.Kind.SPEEDS, ['a', items])
