--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
@@ -9,8 +9,9 @@
 
 __all__ = ['Bucket', 'Median', 'Noise', 'Recent', 'ServiceLoad', 'bucket']
 
-# Number of the bucket, and whether a prompt is prefilled.
-Bucket = tuple[int, bool]
+# Whether a prompt is prefilled, and the number of the bucket of runs. They sort
+# by load.
+Bucket = tuple[bool, int]
 
 # Samples from which a median is computed. Within a window of 40, a slowdown of
 # some hundred milliseconds is a minority, and an engine that becomes slow for
@@ -24,7 +25,7 @@
 MIN_IDLE_S = 1.0
 # Buckets of runs double in size, from 0 to 3, 4 to 7 and so on.
 MAX_BUCKET = 4
-LIGHT_LOAD: Bucket = (0, False)
+LIGHT_LOAD: Bucket = (False, 0)
 # Assumed effect of a prefill beside a run before any sample.
 INITIAL_PREFILL_FACTOR = math.log(2.0)
 # Samples of one engine are compared only within this time, in which its speed
@@ -187,13 +188,13 @@
         factor = self._factors.get(found)
         if factor is not None:
             return factor.value
-        number, is_prefilling = found
+        is_prefilling, number = found
         for lower in range(number, 0, -1):
-            factor = self._factors.get((lower - 1, is_prefilling))
+            factor = self._factors.get((is_prefilling, lower - 1))
             if factor is not None:
                 return factor.value
         if is_prefilling:
-            return INITIAL_PREFILL_FACTOR + self.log_factor((number, False))
+            return INITIAL_PREFILL_FACTOR + self.log_factor((False, number))
         return 0.0
 
     def learn_ratio(
@@ -215,7 +216,7 @@
             return
         # Only the factor of the higher load is learned, from that of the lower
         # one. If each were learned from the other, both would drift.
-        if _rank(found) > _rank(other):
+        if found > other:
             self._learn(found, self.log_factor(other) + ratio)
         else:
             self._learn(other, self.log_factor(found) - ratio)
@@ -272,11 +273,6 @@
         factor.record(min(MAX_FACTOR, max(-MAX_FACTOR, value)))
 
 
-def _rank(found: Bucket) -> tuple[bool, int]:
-    number, is_prefilling = found
-    return is_prefilling, number
-
-
 # Loads of a service without samples.
 PRIOR = ServiceLoad()
 
@@ -289,4 +285,4 @@
       is_prefilling: Whether the engine prefills a prompt.
     """
     number = max(0, int(runs).bit_length() - 2)
-    return min(MAX_BUCKET, number), bool(is_prefilling)
+    return bool(is_prefilling), min(MAX_BUCKET, number)
