--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
@@ -7,7 +7,15 @@
 import dataclasses
 import math
 
-__all__ = ['Bucket', 'Median', 'Noise', 'Recent', 'ServiceLoad', 'bucket']
+__all__ = [
+    'Bucket',
+    'LightLoadMedian',
+    'Median',
+    'Noise',
+    'Recent',
+    'ServiceLoad',
+    'bucket',
+]
 
 # Whether a prompt is prefilled, and the number of the bucket of runs. They sort
 # by load.
@@ -23,6 +31,10 @@
 RECENT_WINDOW = 8
 # Shorter times without samples occur between runs.
 MIN_IDLE_S = 1.0
+# The median of a full window is computed once for this many samples, as that
+# costs more than the rest.
+COMPUTE_INTERVAL = 4
+MIN_WINDOW = 16
 # Buckets of runs double in size, from 0 to 3, 4 to 7 and so on.
 MAX_BUCKET = 4
 LIGHT_LOAD: Bucket = (False, 0)
@@ -110,6 +122,54 @@
         self._newest.popleft()
 
 
+class LightLoadMedian:
+    """Median of the newest gaps of an engine, reduced to a light load.
+
+    The ratios are applied when the median is computed: those known when the
+    first gaps arrived were inaccurate.
+
+    Attributes:
+      value: Logarithm of the median; 0 before the first sample.
+    """
+
+    __slots__ = ('_newest', '_pending', 'value')
+
+    def __init__(self) -> None:
+        self._newest: collections.deque[tuple[float, Bucket]] = (
+            collections.deque(maxlen=WINDOW)
+        )
+        self._pending = 0
+        self.value = 0.0
+
+    @property
+    def count(self) -> int:
+        """Number of samples that count."""
+        return len(self._newest)
+
+    def record(self, log_gap: float, found: Bucket, load: ServiceLoad) -> None:
+        """Adds a sample, and computes the median after every few."""
+        self._newest.append((log_gap, found))
+        self._pending += 1
+        if self._pending >= COMPUTE_INTERVAL or self.count < MIN_WINDOW:
+            self._pending = 0
+            factors = {
+                bucket: load.log_factor(bucket)
+                for bucket in {bucket for _, bucket in self._newest}
+            }
+            values = sorted(
+                [gap - factors[bucket] for gap, bucket in self._newest]
+            )
+            self.value = values[len(values) // 2]
+
+    def age(self, idle_s: float, half_life_s: float) -> None:
+        """Drops the oldest samples after a time without any."""
+        if idle_s < MIN_IDLE_S or not self._newest:
+            return
+        remaining = max(1.0, self.count * 0.5 ** (idle_s / half_life_s))
+        while self.count > remaining:
+            self._newest.popleft()
+
+
 class Recent:
     """Recent samples of one engine, by bucket.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -124,8 +124,8 @@
 
     key: str
     service: str = ''
-    event: engine_load.Median = dataclasses.field(
-        default_factory=engine_load.Median
+    event: engine_load.LightLoadMedian = dataclasses.field(
+        default_factory=engine_load.LightLoadMedian
     )
     prefill: engine_load.Median = dataclasses.field(
         default_factory=engine_load.Median
@@ -232,14 +232,15 @@
         log_gap = math.log(gap_s)
         bucket = engine_load.bucket(runs, is_prefilling=is_prefilling)
         load.learn_ratio(engine.recent, log_gap, bucket, now)
-        quiet = log_gap - load.log_factor(bucket)
         median = engine.event
-        excess = quiet - median.value if median.count >= MIN_SAMPLES else None
+        excess = None
+        if median.count >= MIN_SAMPLES:
+            excess = log_gap - load.log_factor(bucket) - median.value
         load.record(engine.recent, excess, now, is_prefilling=is_prefilling)
         engine.recent.add(log_gap, bucket, now)
         median.age(now - engine.own_event_s, HALF_LIFE_S)
         engine.own_event_s = now
-        median.record(quiet)
+        median.record(log_gap, bucket, load)
         self._note_sample(engine, now)
 
     def record_prefill(
@@ -327,17 +328,17 @@
         event_s = self.event_s(upstream)
         if event_s is None:
             return None
-        load = self._loads.get(upstream.service, engine_load.PRIOR)
+        load = self._load(upstream.service)
         bucket = engine_load.bucket(runs, is_prefilling=is_prefilling)
         return event_s * math.exp(load.log_factor(bucket))
 
     def noise(self, service: str) -> Noise:
         """Returns how the engines of a service slow down for a short time."""
-        return self._loads.get(service, engine_load.PRIOR).noise
+        return self._load(service).noise
 
     def prefill_share(self, service: str) -> float:
         """Returns the share of samples that had a prefill beside them."""
-        return self._loads.get(service, engine_load.PRIOR).prefill_share
+        return self._load(service).prefill_share
 
     def spread(self, service: str) -> float:
         """Returns slowest / fastest known engine; 1.0 if fewer than two."""
@@ -416,6 +417,9 @@
         for service in set(self._loads) - services:
             del self._loads[service]
 
+    def _load(self, service: str) -> engine_load.ServiceLoad:
+        return self._loads.get(service, engine_load.PRIOR)
+
     def _get_or_create(self, upstream: upstream_lib.Upstream) -> _Engine:
         engine = self._engines.get(upstream.key)
         if engine is None:
@@ -492,6 +496,8 @@
         return engine.combined
 
     def _summary(self, service: str) -> _Summary:
+        if not self._engines:
+            return NO_SUMMARY
         now = self._clock()
         if not 0.0 <= now - self._summarized_s < SUMMARY_INTERVAL_S:
             self._summarized_s = now
@@ -508,7 +514,9 @@
         return self._summaries.get(service, NO_SUMMARY)
 
 
-def _has_changed(median: engine_load.Median, reference: float) -> bool:
+def _has_changed(
+    median: engine_load.Median | engine_load.LightLoadMedian, reference: float
+) -> bool:
     if not median.count:
         return False
     if not reference:
