--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -85,12 +85,17 @@
         service = self.req.service.name
         same_or_ahead = self._stats_table.waiting_at_peers(service, rank)
         ahead = self._stats_table.waiting_at_peers(service, rank - 1)
-        needed_first = ahead + self._displaced_tokens()
-        if not same_or_ahead and not needed_first:
+        displaced = self._displaced_tokens()
+        if not same_or_ahead and not displaced:
             return self._lowest_cost(with_room)
         free_tokens = [self._free_tokens(one) for one in with_room]
-        left = sum(free_tokens) - needed_first
-        if left < self.entry.tokens:
+        # Runs on leaving engines may move to any engine, also to one without
+        # room for this request.
+        total = sum(
+            max(0.0, self._free_tokens(one)) for one in self._available()
+        )
+        left = min(sum(free_tokens), total - displaced) - ahead
+        if not with_room or left < self.entry.tokens:
             return None
         share = RACE_SHARE * left / (same_or_ahead - ahead + self.entry.tokens)
         if random.random() >= share:
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -294,6 +294,26 @@
         runs.clear()
         self.assertIs(await waiting, self.engine)
 
+    async def test_runs_of_leaving_engines_may_move_to_any_engine(self):
+        """Three engines leave at a peak, and their runs fit elsewhere.
+
+        The memory that they need was subtracted from that of the one engine
+        with room for the waiting request, which was held for seconds.
+        """
+        for number in range(2, 9):
+            one = upstream.Upstream(
+                f'u-{number}', 's', ('10.0.0.2', number), 'z'
+            )
+            self.upstreams.put(one, revision.Revision(0, number))
+            one.leaving = number < 5
+            held = 4000 if one.leaving else 7000
+            self.stats_table.of(one).reservations.add(
+                upstream_stats.Reservation(0, held, is_prefilling=False)
+            )
+        self.stats.reservations.discard(self.full)
+        found = await asyncio.wait_for(self.ask('a', tokens=5000), 1.0)
+        self.assertIs(found, self.engine)
+
     async def test_streams_without_known_memory_do_not_wait(self):
         """Streams of a service without engines are not queued.
 
