--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -17,10 +17,15 @@
 import bisect
 import collections
 import itertools
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event, exchange
-from quetzalsill_gateway.balance import forecast, queue_entry
+from quetzalsill_gateway.balance import (
+    expected_wait,
+    forecast,
+    queue_entry,
+)
 from quetzalsill_gateway.balance import search as search_lib
 
 if TYPE_CHECKING:
@@ -120,9 +125,16 @@
             self._first_request_s(req) + late_s,
             min(reservation.memory_tokens, engine.memory_tokens),
             now,
+            prompt_tokens=reservation.prompt_tokens,
         )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
-        demand.record_arrival(now, entry.priority, entry.size, entry.tokens)
+        demand.record_arrival(
+            now,
+            entry.priority,
+            entry.size,
+            entry.tokens,
+            min(reservation.prompt_tokens, entry.tokens),
+        )
         queue = self._queues.setdefault(req.service.name, [])
         search = search_lib.EngineSearch(
             self._upstreams,
@@ -166,24 +178,26 @@
         now = asyncio.get_running_loop().time()
         rank = entry.rank(now)
         others = [one for one in queue if one is not entry]
-        ahead = sum(one.tokens for one in others if one.rank(now) <= rank)
+        ahead = [one for one in others if one.rank(now) <= rank]
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
         bound_s = min(until_s - now, req.remaining_s * MAX_REMAINING_SHARE)
         demand = self._demand[req.service.name]
         ahead_per_s = self._upstreams.gateway_count * demand.tokens_ahead_per_s(
             now, entry.priority, entry.size
         )
-        entry.expected_s = max(
-            search.expected_wait_s(rank, ahead, ahead_per_s),
-            search.rate_wait_s(sum(one.rank(now) <= rank for one in others)),
+        entry.expected = expected_wait.longest(
+            search.expected_wait(now, rank, _sum_ahead(ahead, ahead_per_s)),
+            search.rate_wait(len(ahead)),
         )
-        if entry.expected_s <= bound_s:
+        if entry.expected.seconds <= bound_s:
             return False
-        ahead = sum(one.tokens for one in others)
-        retry_after_s = max(
-            search.expected_wait_s(queue_entry.LAST_RANK, ahead),
-            search.rate_wait_s(len(others)),
+        with_room = expected_wait.longest(
+            search.expected_wait(
+                now, queue_entry.LAST_RANK, _sum_ahead(others)
+            ),
+            search.rate_wait(len(others)),
         )
+        retry_after_s = with_room.seconds
         retry_after_s = min(retry_after_s, req.remaining_s * RETRY_AFTER_SHARE)
         req.retry_after_s = max(exchange.RETRY_AFTER_S, retry_after_s)
         return True
@@ -201,10 +215,11 @@
             event.RequestHeld(
                 request=search.req.id_text,
                 waited_ms=round(waited_s * 1000, 1),
-                expected_ms=round(search.entry.expected_s * 1000, 1),
+                expected_ms=round(search.entry.expected.seconds * 1000, 1),
                 waiting=len(queue),
                 admitted=chosen is not None,
                 come_back_ms=round(search.req.retry_after_s * 1000, 1),
+                bound_by=search.entry.expected.bound_by.value,
             )
         )
 
@@ -234,7 +249,7 @@
     def _next_recheck_s(self, search: search_lib.EngineSearch) -> float:
         """Returns the loop time at which to check the expected wait again."""
         now = asyncio.get_running_loop().time()
-        return now + max(MIN_RECHECK_S, search.entry.expected_s)
+        return now + max(MIN_RECHECK_S, search.entry.expected.seconds)
 
     async def _wait(
         self,
@@ -260,3 +275,14 @@
             if chosen is not None:
                 return chosen
         return None
+
+
+def _sum_ahead(
+    entries: Iterable[queue_entry.QueueEntry], tokens_per_s: float = 0.0
+) -> expected_wait.Ahead:
+    found = list(entries)
+    return expected_wait.Ahead(
+        sum(one.tokens for one in found),
+        sum(one.prompt_tokens for one in found),
+        tokens_per_s,
+    )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/forecast.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/forecast.py
@@ -25,6 +25,7 @@
     priority: int
     size: int
     tokens: int
+    prompt_tokens: int
 
 
 class Demand:
@@ -36,10 +37,24 @@
         )
 
     def record_arrival(
-        self, now: float, priority: int, size: int, tokens: int
+        self,
+        now: float,
+        priority: int,
+        size: int,
+        tokens: int,
+        prompt_tokens: int = 0,
     ) -> None:
         """Records the arrival of a generation."""
-        self._arrivals.append(_Arrival(now, priority, size, tokens))
+        self._arrivals.append(
+            _Arrival(now, priority, size, tokens, prompt_tokens)
+        )
+
+    def prompt_share(self, now: float) -> float:
+        """Returns the share of prompts in the memory that generations need."""
+        self._drop_old(now)
+        tokens = sum(one.tokens for one in self._arrivals)
+        prompt_tokens = sum(one.prompt_tokens for one in self._arrivals)
+        return prompt_tokens / tokens if tokens else 0.0
 
     def arrivals_per_s(self, now: float) -> float:
         """Returns the number of arrivals per second."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from quetzalsill_gateway.balance import expected_wait
+
 __all__ = ['LAST_RANK', 'SIZE_BOUNDS', 'QueueEntry']
 
 # Bounds between size classes, as multiples of the route's mean output. Within a
@@ -27,7 +29,8 @@
       late_at_s: Loop time from which it is late.
       tokens: Memory that it needs, in tokens.
       arrived_s: Loop time at which it arrived.
-      expected_s: Latest estimate of its waiting time, in seconds.
+      expected: Latest estimate of its waiting time.
+      prompt_tokens: Tokens of its prompt.
     """
 
     priority: int
@@ -36,7 +39,8 @@
     late_at_s: float
     tokens: int
     arrived_s: float = 0.0
-    expected_s: float = 0.0
+    expected: expected_wait.ExpectedWait = expected_wait.NO_WAIT
+    prompt_tokens: int = 0
 
     def rank(self, now: float) -> int:
         """Returns its rank among all queued requests; the lowest goes first."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway.balance import choose, forecast
+from quetzalsill_gateway.balance import choose, expected_wait
 from quetzalsill_gateway.fleet import publish_timing
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway import routing_table
-    from quetzalsill_gateway.balance import queue_entry, upstream_stats
+    from quetzalsill_gateway.balance import (
+        forecast,
+        queue_entry,
+        upstream_stats,
+    )
     from quetzalsill_gateway.fleet import quota as quota_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
@@ -26,8 +29,6 @@
 # Urgent requests are short, and end before concurrent runs have grown.
 URGENT_OVERCOMMIT_SHARE = 1.2
 URGENT_PRIORITY = 0
-# Prefill time that may be queued ahead of a request that is late anyway.
-LATE_PREFILL_AHEAD_S = 0.3
 # Gateways learn of each other's choices about one polling interval later. If
 # half of the free memory is assigned per interval, what all take in the
 # meantime still fits.
@@ -106,62 +107,56 @@
         """Returns the engine with the lowest expected cost, full or not."""
         return self._lowest_cost(self._sendable())
 
-    def expected_wait_s(
-        self, rank: int, ahead_tokens: int, ahead_per_s: float = 0.0
-    ) -> float:
-        """Returns the expected time until a request of a rank gets memory.
+    def expected_wait(
+        self, now: float, rank: int, ahead: expected_wait.Ahead
+    ) -> expected_wait.ExpectedWait:
+        """Returns the expected time until there is room for the request.
 
         Args:
-          rank: The request waits behind all entries of this rank or lower.
-          ahead_tokens: Tokens of such entries at this gateway.
-          ahead_per_s: Tokens per second that arrive later and go ahead of it,
-            at all gateways. They count only while no engine can join: a burst
-            passes if lost engines are replaced, and a slightly longer wait
-            than expected is better than a refusal.
-
-        Returns:
-          The time in seconds; infinite if the request will not get memory.
+          now: Loop time.
+          rank: Entries of this rank or lower at peers go first.
+          ahead: What goes first at this gateway.
         """
-        available = self._available()
-        pausing = [one for one in available if self._quota.pause_s([one])]
-        if not pausing:
-            return self._memory_wait_s(
-                available, rank, ahead_tokens, ahead_per_s
-            )
-        others = [one for one in available if one not in pausing]
-        wait_s = self._memory_wait_s(
-            others or available, rank, ahead_tokens, ahead_per_s
+        table, service = self._stats_table, self.req.service.name
+        at_peers = table.waiting_at_peers(service, rank)
+        # Of those with the same rank, about half go first.
+        going_first = at_peers + table.waiting_at_peers(service, rank - 1)
+        share = self._demand.prompt_share(now)
+        everything_ahead = expected_wait.Ahead(
+            ahead.tokens + at_peers + self._displaced_tokens(),
+            ahead.prompt_tokens + share * going_first / 2,
+            ahead.tokens_per_s,
         )
-        with_pausing_s = self._memory_wait_s(
-            available, rank, ahead_tokens, ahead_per_s
+        lost_per_s = self._upstreams.departures_per_s(service)
+        return expected_wait.with_pauses(
+            [self._load(one) for one in self._available()],
+            self._wanted(now),
+            everything_ahead,
+            expected_wait.Fleet(
+                table.mean_held_s,
+                table.prefill_tokens_per_s,
+                lost_per_s * self._engine.memory_tokens,
+                self._upstreams.can_grow,
+            ),
         )
-        return min(wait_s, max(with_pausing_s, self._quota.pause_s(pausing)))
 
-    def _memory_wait_s(
-        self,
-        engines: list[upstream_lib.Upstream],
-        rank: int,
-        ahead_tokens: int,
-        ahead_per_s: float,
-    ) -> float:
-        """Returns the expected time until some engines have enough memory."""
-        service = self.req.service.name
-        wanted = self.entry.tokens + ahead_tokens + self._displaced_tokens()
-        wanted += self._stats_table.waiting_at_peers(service, rank)
-        missing = wanted - sum(self._usable_tokens(one) for one in engines)
-        held = sum(self._stats_table.of(one).reserved_tokens for one in engines)
-        if missing <= 0 or not held:
-            return 0.0
-        if self._upstreams.can_grow:
-            return missing * self._stats_table.mean_held_s / held
-        leaves_per_s = self._upstreams.departures_per_s(service)
-        per_s = forecast.freed_tokens_per_s(
-            held,
-            self._stats_table.mean_held_s,
-            ahead_per_s,
-            leaves_per_s * self._engine.memory_tokens,
+    def _load(
+        self, candidate: upstream_lib.Upstream
+    ) -> expected_wait.EngineLoad:
+        stats = self._stats_table.of(candidate)
+        return expected_wait.EngineLoad(
+            self._free_tokens(candidate),
+            stats.reserved_tokens,
+            stats.prefill_tokens,
+            self._quota.pause_s([candidate]),
+        )
+
+    def _wanted(self, now: float) -> expected_wait.Wanted:
+        return expected_wait.Wanted(
+            self.entry.tokens,
+            self._stats_table.prefill_s(self._reservation.prompt_tokens),
+            self.entry.late_at_s - now,
         )
-        return missing / per_s if per_s else math.inf
 
     @property
     def is_limited(self) -> bool:
@@ -170,15 +165,21 @@
             self._available()
         )
 
-    def rate_wait_s(self, ahead: int) -> float:
-        """Returns the time until the engines' own limits allow the request.
+    def rate_wait(self, ahead: int) -> expected_wait.ExpectedWait:
+        """Returns the wait until the engines' own limits allow the request.
 
         Args:
           ahead: Number of requests of this gateway that go first.
         """
         if not self.is_limited:
-            return 0.0
-        return self._quota.wait_s(self._available(), ahead)
+            return expected_wait.NO_WAIT
+        available = self._available()
+        bound_by = expected_wait.BoundBy.RATE
+        if self._quota.pause_s(available):
+            bound_by = expected_wait.BoundBy.PAUSE
+        return expected_wait.ExpectedWait(
+            self._quota.wait_s(available, ahead), bound_by
+        )
 
     def _engines_with_room(self, now: float) -> list[upstream_lib.Upstream]:
         """Returns engines with room, if possible with room beside backups.
@@ -255,16 +256,9 @@
         used = self._stats_table.of(candidate).reserved_tokens
         return share * self._engine.memory_tokens - used
 
-    def _usable_tokens(self, candidate: upstream_lib.Upstream) -> float:
-        """Returns the free memory, in multiples of what the request needs."""
-        piece = max(1, self.entry.tokens)
-        return max(0.0, self._free_tokens(candidate) // piece * piece)
-
     def _fits(self, candidate: upstream_lib.Upstream, now: float) -> bool:
         if self.entry.tokens > self._free_tokens(candidate):
             return False
-        own_s = self._stats_table.prefill_s(self._reservation.prompt_tokens)
         ahead = self._stats_table.of(candidate).prefill_tokens
-        left_s = self.entry.late_at_s - now
-        bound_s = max(left_s - own_s, LATE_PREFILL_AHEAD_S)
+        bound_s = expected_wait.prefill_ahead_bound_s(self._wanted(now))
         return self._stats_table.prefill_s(ahead) <= bound_s
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -130,6 +130,8 @@
       waiting: Number of generations still queued.
       admitted: Whether it is sent now; if not, its caller is told to retry.
       come_back_ms: Delay after which a refused caller is told to retry.
+      bound_by: What determines the expected wait: `memory`, `prefill`, `rate`
+        or `pause`; empty if no wait was expected.
     """
 
     request: str
@@ -138,6 +140,7 @@
     waiting: int
     admitted: bool
     come_back_ms: float
+    bound_by: str = ''
 
 
 @base.define
--- a/tests/quetzalsill_gateway/balance/test_search.py
+++ b/tests/quetzalsill_gateway/balance/test_search.py
@@ -8,6 +8,7 @@
 
 from quetzalsill_gateway import routing_table, source
 from quetzalsill_gateway.balance import (
+    expected_wait,
     forecast,
     queue_entry,
     search,
@@ -76,7 +77,9 @@
 
     def wait_s(self):
         self.upstreams.mark_confirmed()
-        return self.search.expected_wait_s(RANK, 0)
+        now = asyncio.get_running_loop().time()
+        found = self.search.expected_wait(now, RANK, expected_wait.Ahead())
+        return found.seconds
 
     async def test_memory_behind_a_pause_counts_from_its_end(self):
         """A generation waited in vain for an engine that pauses for long."""
@@ -94,7 +97,9 @@
         self.pause(self.full, b'900')
         self.pause(self.empty, b'600')
         self.assertTrue(self.search.is_limited)
-        self.assertAlmostEqual(self.search.rate_wait_s(0), 600.0, delta=SLACK_S)
+        self.assertAlmostEqual(
+            self.search.rate_wait(0).seconds, 600.0, delta=SLACK_S
+        )
 
 
 if __name__ == '__main__':
