Derive the longest wait of a generation from what its caller allows

The bound was 5 s for all routes, so requests were sent that could no longer be prefilled in time, and others were held until they were refused.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -39,17 +39,22 @@
 
 # A request that has not been sent after this share of its objective is late.
 LATE_SHARE = 0.75
-# Callers give up on a stream a few seconds after its objective.
-MAX_WAIT_S = 5.0
+# Callers give up on a stream after this multiple of its objective without a
+# first event, but not before this time.
+PATIENCE_OBJECTIVES = 4.0
+MIN_PATIENCE_S = 2.0
 POLL_S = 0.02
 # Weight of the newest generation in the moving average of a route's output.
 OUTPUT_WEIGHT = 0.05
 # A late request may be queued for this long after its arrival; beyond that its
 # caller is better off with a refusal and a time to retry after.
 MAX_LATE_WAIT_S = 2.0
-# Minimum interval at which the expected wait is computed again while no engine
-# can join, or all of them limit their rate.
+# Minimum interval at which the expected wait is computed again.
 MIN_RECHECK_S = 0.25
+# A queued request is rejected before it must be sent only if its expected wait
+# is this multiple of the time left: half of the mean passes for most waits, and
+# an engine that joins ends it sooner.
+RECHECK_FACTOR = 2.0
 # Largest share of the caller's remaining time to ask it to retry after.
 RETRY_AFTER_SHARE = 0.33
 # Largest share of the caller's remaining time to queue for, so that a refused
@@ -117,6 +122,7 @@
           the time for which the request may be queued.
         """
         now = asyncio.get_running_loop().time()
+        own_prefill_s = self._stats_table.prefill_s(reservation.prompt_tokens)
         late_s = LATE_SHARE * req.route.objective_s
         entry = queue_entry.QueueEntry(
             req.priority,
@@ -126,6 +132,7 @@
             min(reservation.memory_tokens, engine.memory_tokens),
             now,
             prompt_tokens=reservation.prompt_tokens,
+            send_by_s=self._send_by_s(req, own_prefill_s, now),
         )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
         demand.record_arrival(
@@ -153,6 +160,9 @@
         if not engine.memory_tokens:
             # A service without engines, or engines of unknown memory size.
             return search.lowest_cost()
+        if now >= req.deadline_s - own_prefill_s:
+            self._log_wait(search, now, queue, None)
+            return None
         if not queue:
             chosen = search.try_choose(now)
             if chosen is not None:
@@ -185,12 +195,35 @@
         ahead_per_s = self._upstreams.gateway_count * demand.tokens_ahead_per_s(
             now, entry.priority, entry.size
         )
-        entry.expected = expected_wait.longest(
+        found = expected_wait.longest(
             search.expected_wait(now, rank, _sum_ahead(ahead, ahead_per_s)),
             search.rate_wait(len(ahead)),
         )
-        if entry.expected.seconds <= bound_s:
-            return False
+        send_within_s = entry.send_by_s - now
+        if entry.is_estimated and self._can_improve(search):
+            bound_s = send_within_s * RECHECK_FACTOR
+        elif found.bound_by is expected_wait.BoundBy.PREFILL:
+            # Prompts are prefilled at a steady rate, so this wait ends, and
+            # its caller is better served late than refused.
+            bound_s = max(bound_s, send_within_s)
+        else:
+            bound_s = min(bound_s, send_within_s)
+        is_exceeded = found.seconds > bound_s
+        if is_exceeded or not entry.is_estimated:
+            entry.expected = found
+            entry.is_estimated = True
+        entry.latest_s = found.seconds
+        if is_exceeded:
+            self._set_retry_after(search, others, now)
+        return is_exceeded
+
+    def _set_retry_after(
+        self,
+        search: search_lib.EngineSearch,
+        others: list[queue_entry.QueueEntry],
+        now: float,
+    ) -> None:
+        req = search.req
         with_room = expected_wait.longest(
             search.expected_wait(
                 now, queue_entry.LAST_RANK, _sum_ahead(others)
@@ -200,7 +233,27 @@
         retry_after_s = with_room.seconds
         retry_after_s = min(retry_after_s, req.remaining_s * RETRY_AFTER_SHARE)
         req.retry_after_s = max(exchange.RETRY_AFTER_S, retry_after_s)
-        return True
+
+    def _can_improve(self, search: search_lib.EngineSearch) -> bool:
+        """Whether engines may join, and some do not limit what they get."""
+        return self._upstreams.can_grow and not search.is_limited
+
+    def _send_by_s(
+        self, req: exchange_lib.Exchange, own_prefill_s: float, now: float
+    ) -> float:
+        """Returns the loop time by which a queued request must be sent.
+
+        Sent later, it would have its first event after its deadline, or after
+        its caller has given up.
+        """
+        patience_s = PATIENCE_OBJECTIVES * req.route.objective_s
+        # The prefill of a very long prompt takes longer than that, but its
+        # caller stays nevertheless.
+        patience_s = max(patience_s - own_prefill_s, MIN_PATIENCE_S)
+        return min(
+            max(req.request.received_s + patience_s, now + POLL_S),
+            req.deadline_s - own_prefill_s,
+        )
 
     def _log_wait(
         self,
@@ -249,7 +302,7 @@
     def _next_recheck_s(self, search: search_lib.EngineSearch) -> float:
         """Returns the loop time at which to check the expected wait again."""
         now = asyncio.get_running_loop().time()
-        return now + max(MIN_RECHECK_S, search.entry.expected.seconds)
+        return now + max(MIN_RECHECK_S, search.entry.latest_s / 2)
 
     async def _wait(
         self,
@@ -257,24 +310,26 @@
         queue: list[queue_entry.QueueEntry],
     ) -> upstream_lib.Upstream | None:
         loop = asyncio.get_running_loop()
-        end_s = min(loop.time() + MAX_WAIT_S, search.req.deadline_s)
+        entry = search.entry
         recheck_s = self._next_recheck_s(search)
-        while loop.time() < end_s:
+        while True:
             await asyncio.sleep(POLL_S)
             now = loop.time()
             if not search.has_engine:
                 return None
-            if now >= recheck_s and (
-                not self._upstreams.can_grow or search.is_limited
-            ):
-                if self._exceeds_wait_bound(search, queue):
-                    return None
-                recheck_s = self._next_recheck_s(search)
+            if now >= entry.send_by_s:
+                # Perhaps the process was paused.
+                others = [one for one in queue if one is not entry]
+                self._set_retry_after(search, others, now)
+                return None
             ahead = min(queue, key=lambda one: (one.rank(now), one.sequence))
-            chosen = search.try_choose(now) if ahead is search.entry else None
+            chosen = search.try_choose(now) if ahead is entry else None
             if chosen is not None:
                 return chosen
-        return None
+            if now >= recheck_s:
+                if self._exceeds_wait_bound(search, queue):
+                    return None
+                recheck_s = self._next_recheck_s(search)
 
 
 def _sum_ahead(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from quetzalsill_gateway.balance import expected_wait
 
@@ -29,8 +30,11 @@
       late_at_s: Loop time from which it is late.
       tokens: Memory that it needs, in tokens.
       arrived_s: Loop time at which it arrived.
-      expected: Latest estimate of its waiting time.
+      expected: Expected wait on arrival, or that for which it was rejected.
+      is_estimated: Whether `expected` is known.
+      latest_s: Latest estimate of the time that it still waits.
       prompt_tokens: Tokens of its prompt.
+      send_by_s: Loop time after which it is no longer worth sending.
     """
 
     priority: int
@@ -40,7 +44,10 @@
     tokens: int
     arrived_s: float = 0.0
     expected: expected_wait.ExpectedWait = expected_wait.NO_WAIT
+    is_estimated: bool = False
+    latest_s: float = 0.0
     prompt_tokens: int = 0
+    send_by_s: float = math.inf
 
     def rank(self, now: float) -> int:
         """Returns its rank among all queued requests; the lowest goes first."""
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import types
 import unittest
 
@@ -314,6 +315,63 @@
         found = await asyncio.wait_for(self.ask('a', tokens=5000), 1.0)
         self.assertIs(found, self.engine)
 
+    async def test_no_prefill_in_the_time_left(self):
+        """A request with a time limit of 6 s is sent only if it suffices.
+
+        Its prompt takes 0.14 s to prefill, so it would be cut before its first
+        event, and an engine would have prefilled it in vain.
+        """
+        self.stats.reservations.discard(self.full)
+        self.assertIsNone(await self.ask('a', left_s=0.1))
+        self.assertIs(await self.ask('b', left_s=0.5), self.engine)
+
+    async def test_a_pause_of_the_process_does_not_extend_the_wait(self):
+        """The process is paused while requests wait, beyond their deadline."""
+        waiting = self.ask('a', left_s=0.6)
+        await asyncio.sleep(0.1)
+        self.assertFalse(waiting.done())
+        time.sleep(0.6)  # noqa: ASYNC251
+        self.stats.reservations.discard(self.full)
+        self.assertIsNone(await waiting)
+
+    async def test_it_is_queued_while_engines_prefill(self):
+        """All engines are busy with prefill while memory is free.
+
+        The wait ends within the time for which callers stay, so the request is
+        served late instead of refused: its objective and the two seconds after
+        its arrival have passed by then.
+        """
+        self.stats.reservations.discard(self.full)
+        ahead = upstream_stats.Reservation(24_500, 4000)
+        self.stats.reservations.add(ahead)
+        waiting = self.ask('a', objective_s=1.5, left_s=40.0)
+        await asyncio.sleep(0.05)
+        self.assertFalse(waiting.done())
+        ahead.is_prefilling = False
+        self.assertIs(await waiting, self.engine)
+
+    async def test_a_prefill_that_takes_too_long_is_refused_at_once(self):
+        """Far more prompts are queued than can be prefilled in time.
+
+        The expected wait was 0, and the request was refused after 5 s.
+        """
+        self.stats.reservations.discard(self.full)
+        ahead = upstream_stats.Reservation(70_000, 4000)
+        self.stats.reservations.add(ahead)
+        refused = self.ask('a', objective_s=1.5, left_s=40.0)
+        self.assertIsNone(await asyncio.wait_for(refused, 1.0))
+        self.assertGreater(refused.req.retry_after_s, 5.0)
+
+    async def test_it_is_not_held_longer_than_callers_stay(self):
+        """A burst of one kind on a full engine: callers give up after 2 s.
+
+        Room is expected within the bound, but does not become free.
+        """
+        self.stats_table.mean_held_s = 2.0
+        refused = self.ask('a', objective_s=0.4, left_s=40.0)
+        self.assertIsNone(await asyncio.wait_for(refused, 3.0))
+        self.assertGreater(refused.req.retry_after_s, 0.5)
+
     async def test_streams_without_known_memory_do_not_wait(self):
         """Streams of a service without engines are not queued.
 
