--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -17,6 +17,7 @@
 import bisect
 import collections
 import itertools
+import random
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
@@ -57,6 +58,12 @@
 RECHECK_FACTOR = 2.0
 # Largest share of the caller's remaining time to ask it to retry after.
 RETRY_AFTER_SHARE = 0.33
+# Rejected callers return between the expected wait and this multiple of it: the
+# room that they wait for becomes free gradually.
+RETRY_SPREAD_FACTOR = 2.0
+# Smallest spread, as a share of the latest time. It matters where the time left
+# is too short to wait until there is room.
+MIN_RETRY_SPREAD_SHARE = 0.25
 # Largest share of the caller's remaining time to queue for, so that a refused
 # caller can still retry.
 MAX_REMAINING_SHARE = 0.5
@@ -71,6 +78,7 @@
         stats_table: upstream_stats.StatsTable,
         zone: str,
         quota: quota_lib.Quota,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates empty queues for engines among `upstreams`.
 
@@ -79,7 +87,9 @@
           stats_table: Statistics of each.
           zone: Availability zone of this gateway, whose engines are preferred.
           quota: Which engines this gateway may send to now.
+          rng: Spreads the times at which rejected callers return.
         """
+        self._rng = random.Random() if rng is None else rng
         self._upstreams = upstreams
         self._stats_table = stats_table
         self._zone = zone
@@ -230,8 +240,14 @@
             ),
             search.rate_wait(len(others)),
         )
-        retry_after_s = with_room.seconds
-        retry_after_s = min(retry_after_s, req.remaining_s * RETRY_AFTER_SHARE)
+        latest_s = min(
+            with_room.seconds * RETRY_SPREAD_FACTOR,
+            req.remaining_s * RETRY_AFTER_SHARE,
+        )
+        earliest_s = min(
+            with_room.seconds, latest_s * (1.0 - MIN_RETRY_SPREAD_SHARE)
+        )
+        retry_after_s = self._rng.uniform(earliest_s, latest_s)
         req.retry_after_s = max(exchange.RETRY_AFTER_S, retry_after_s)
 
     def _can_improve(self, search: search_lib.EngineSearch) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import admission, rate_queue
@@ -91,5 +92,9 @@
             self.conns, self.upstreams, self.quarantine.record_crash
         )
         self.admission = admission.Admission(
-            self.upstreams, self.stats_table, self.zone, self.quota
+            self.upstreams,
+            self.stats_table,
+            self.zone,
+            self.quota,
+            random.Random(),
         )
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import types
 import unittest
@@ -35,7 +36,11 @@
         self.stats_table.mean_held_s = 0.2
         self.stats = self.stats_table.of(self.engine)
         self.admission = admission.Admission(
-            self.upstreams, self.stats_table, 'z', quotas.unbounded()
+            self.upstreams,
+            self.stats_table,
+            'z',
+            quotas.unbounded(),
+            random.Random(7),
         )
         self.served = []
         self.full = upstream_stats.Reservation(0, 10_000, False)
@@ -372,6 +377,28 @@
         self.assertIsNone(await asyncio.wait_for(refused, 3.0))
         self.assertGreater(refused.req.retry_after_s, 0.5)
 
+    async def test_refused_callers_do_not_all_return_at_once(self):
+        """A burst of one kind that is refused returns spread over time.
+
+        Told the same time, its callers would return as another burst.
+        """
+        self.stats_table.mean_held_s = 10.0
+        refused = [self.ask(f'{n}', objective_s=1.0) for n in range(20)]
+        await asyncio.gather(*refused)
+        told = sorted(one.req.retry_after_s for one in refused)
+        self.assertGreaterEqual(told[0], 10.0 * 4000 / 10_000)
+        self.assertLessEqual(told[-1], 2 * 10.0 * 5000 / 10_000)
+        self.assertGreater(told[-1] - told[0], 2.0)
+
+    async def test_times_to_return_after_stay_below_a_third(self):
+        """With hours of work ahead, the spread is within the time left."""
+        self.stats_table.mean_held_s = 3000.0
+        refused = [self.ask(f'{n}', left_s=9.0) for n in range(20)]
+        await asyncio.gather(*refused)
+        told = sorted(one.req.retry_after_s for one in refused)
+        self.assertLessEqual(told[-1], 3.0)
+        self.assertGreater(told[-1] - told[0], 0.3)
+
     async def test_streams_without_known_memory_do_not_wait(self):
         """Streams of a service without engines are not queued.
 
