Order the queue by lateness and let no request starve

A request that has waited for twice its objective goes before all others of its priority. Entries of equal rank go by when they are late, so that a caller that returns keeps its place.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -9,6 +9,7 @@
 
 Requests that can no longer start in time go behind those that can. Served
 first, each would make the next one late too, for as long as the burst lasts.
+Those that have waited for long go first, so that no burst starves them.
 """
 
 from __future__ import annotations
@@ -45,6 +46,9 @@
 PATIENCE_OBJECTIVES = 4.0
 MIN_PATIENCE_S = 2.0
 POLL_S = 0.02
+# A request that is queued for this multiple of its objective goes before all
+# others of its priority. Callers stay for about twice as long.
+STARVING_OBJECTIVES = 2.0
 # Weight of the newest generation in the moving average of a route's output.
 OUTPUT_WEIGHT = 0.05
 # A late request may be queued for this long after its arrival; beyond that its
@@ -143,6 +147,7 @@
             now,
             prompt_tokens=reservation.prompt_tokens,
             send_by_s=self._send_by_s(req, own_prefill_s, now),
+            first_at_s=now + STARVING_OBJECTIVES * req.route.objective_s,
         )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
         demand.record_arrival(
@@ -198,7 +203,8 @@
         now = asyncio.get_running_loop().time()
         rank = entry.rank(now)
         others = [one for one in queue if one is not entry]
-        ahead = [one for one in others if one.rank(now) <= rank]
+        key = entry.sort_key(now)
+        ahead = [one for one in others if one.sort_key(now) < key]
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
         bound_s = min(until_s - now, req.remaining_s * MAX_REMAINING_SHARE)
         demand = self._demand[req.service.name]
@@ -338,7 +344,7 @@
                 others = [one for one in queue if one is not entry]
                 self._set_retry_after(search, others, now)
                 return None
-            ahead = min(queue, key=lambda one: (one.rank(now), one.sequence))
+            ahead = min(queue, key=lambda one: one.sort_key(now))
             chosen = search.try_choose(now) if ahead is entry else None
             if chosen is not None:
                 return chosen
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/expected_wait.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/expected_wait.py
@@ -85,11 +85,15 @@
       tokens: Memory, in tokens.
       prefill_s: Expected time to prefill its own prompt.
       in_time_s: Time left until it is late.
+      first_in_s: Time left until it goes before all others of its priority.
+      send_in_s: Time left until it must be sent.
     """
 
     tokens: int
     prefill_s: float = 0.0
     in_time_s: float = math.inf
+    first_in_s: float = math.inf
+    send_in_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -127,8 +131,13 @@
 
 
 def prefill_ahead_bound_s(wanted: Wanted) -> float:
-    """Returns the prefill time that may be queued ahead of a generation."""
-    return max(wanted.in_time_s - wanted.prefill_s, LATE_PREFILL_AHEAD_S)
+    """Returns the prefill time that may be queued ahead of a generation.
+
+    One that goes before all others must not hold them up until little prefill
+    is queued, so it is sent while its caller still stays.
+    """
+    bound_s = max(wanted.in_time_s - wanted.prefill_s, LATE_PREFILL_AHEAD_S)
+    return max(bound_s, wanted.send_in_s) if wanted.first_in_s <= 0 else bound_s
 
 
 def longest(*waits: ExpectedWait) -> ExpectedWait:
@@ -216,7 +225,10 @@
     ahead_s = queued / fleet.prefill_tokens_per_s
     if ahead_s <= prefill_ahead_bound_s(wanted):
         return NO_WAIT
-    return ExpectedWait(ahead_s - LATE_PREFILL_AHEAD_S, BoundBy.PREFILL)
+    wait_s = ahead_s - LATE_PREFILL_AHEAD_S
+    if ahead_s <= wanted.send_in_s:
+        wait_s = min(wait_s, wanted.first_in_s)
+    return ExpectedWait(wait_s, BoundBy.PREFILL)
 
 
 def _level(queued: Sequence[int], more: float) -> float:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -26,7 +26,7 @@
     Attributes:
       priority: Priority of the request; 0 is the most urgent.
       size: Index of its size class; 0 is the shortest.
-      sequence: Increasing number, which orders entries of the same rank.
+      sequence: Increasing number, which orders entries of equal rank.
       late_at_s: Loop time from which it is late.
       tokens: Memory that it needs, in tokens.
       arrived_s: Loop time at which it arrived.
@@ -35,6 +35,8 @@
       latest_s: Latest estimate of the time that it still waits.
       prompt_tokens: Tokens of its prompt.
       send_by_s: Loop time after which it is no longer worth sending.
+      first_at_s: Loop time from which it goes before all others of its
+        priority, so that it does not starve.
     """
 
     priority: int
@@ -48,8 +50,24 @@
     latest_s: float = 0.0
     prompt_tokens: int = 0
     send_by_s: float = math.inf
+    first_at_s: float = math.inf
 
     def rank(self, now: float) -> int:
-        """Returns its rank among all queued requests; the lowest goes first."""
+        """Returns its rank among all queued requests; the lowest goes first.
+
+        Ranks are announced to peers, which know no others than those of the
+        size classes, timely and late.
+        """
+        if self.is_first(now):
+            return self.priority * SIZE_RANKS
         rank = self.priority * SIZE_RANKS + self.size
         return rank + (LATE_RANK if now >= self.late_at_s else 0)
+
+    def sort_key(self, now: float) -> tuple[int, bool, float, int]:
+        """Returns the key by which queued requests are ordered."""
+        rank = self.rank(now)
+        return rank, not self.is_first(now), self.late_at_s, self.sequence
+
+    def is_first(self, now: float) -> bool:
+        """Whether it goes before all others of its priority."""
+        return now >= self.first_at_s
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -156,6 +156,8 @@
             self.entry.tokens,
             self._stats_table.prefill_s(self._reservation.prompt_tokens),
             self.entry.late_at_s - now,
+            self.entry.first_at_s - now,
+            self.entry.send_by_s - now,
         )
 
     @property
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -399,6 +399,54 @@
         self.assertLessEqual(told[-1], 3.0)
         self.assertGreater(told[-1] - told[0], 0.3)
 
+    async def test_a_caller_keeps_its_place_at_another_gateway(self):
+        """A request that returns to another gateway goes before newer ones.
+
+        Its first attempt, 4 s ago at a gateway that has refused it, is known
+        from the time that its caller has left.
+        """
+        self.stats.reservations.discard(self.full)
+        self.assertIs(await self.ask('other'), self.engine)
+        self.stats.reservations.add(self.full)
+        self.ask('new')
+        await asyncio.sleep(0.05)
+        self.ask('back', left_s=56.0)
+        await asyncio.sleep(0.05)
+        self.stats.reservations = set()
+        await self.until_served(3)
+        self.assertEqual(self.served, ['other', 'back', 'new'])
+
+    async def test_none_waits_forever_behind_others(self):
+        """A burst of short requests does not starve a long one.
+
+        After twice its objective, the long one goes first, although it is late
+        and would be behind all short ones that can still be in time.
+        """
+        for tokens in (1500, 6000):
+            self.admission._size_class(
+                'r', upstream_stats.Reservation(1000, tokens)
+            )
+        self.ask('long', tokens=6000, objective_s=0.4)
+        await asyncio.sleep(0.85)
+        self.ask('short', tokens=1500)
+        await asyncio.sleep(0.05)
+        self.stats.reservations.discard(self.full)
+        await self.until_served(2)
+        self.assertEqual(self.served, ['long', 'short'])
+
+    async def test_one_that_goes_first_does_not_hold_up_the_queue(self):
+        """All engines are busy with prefill while memory is free.
+
+        A late request would wait for an engine with little of it. As it goes
+        first after a while, all others would wait behind it.
+        """
+        self.stats.reservations.discard(self.full)
+        self.stats.reservations.add(upstream_stats.Reservation(7000, 4000))
+        late = self.ask('late', objective_s=0.4)
+        await asyncio.sleep(0.7)
+        self.assertFalse(late.done())
+        self.assertIs(await asyncio.wait_for(late, 0.5), self.engine)
+
     async def test_streams_without_known_memory_do_not_wait(self):
         """Streams of a service without engines are not queued.
 
