--- a/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
@@ -11,15 +11,19 @@
 import dataclasses
 import datetime
 import enum
+import math
 from collections.abc import Iterable, Iterator
 
 from quetzalsill_cli import request_log
 
-__all__ = ['Entry', 'Ledger', 'Verdict', 'build', 'format_table']
+__all__ = ['Entry', 'Hold', 'Ledger', 'Verdict', 'build', 'format_table']
 
 # A late generation that spent at least this share of its time to first event at
 # admission waited for memory; otherwise for its prefill or its engine.
 MIN_MEMORY_WAIT_SHARE = 0.5
+HELD = 'request_held'
+# A request that is rejected should be rejected sooner than this.
+LONG_HOLD_MS = 500.0
 
 
 class Verdict(enum.Enum):
@@ -52,6 +56,21 @@
     tokens: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Hold:
+    """A time for which a generation was queued.
+
+    Attributes:
+      waited_ms: Its length.
+      expected_ms: Its expected length.
+      admitted: Whether the generation was sent then.
+    """
+
+    waited_ms: float
+    expected_ms: float
+    admitted: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ledger:
     """All classified requests of a log.
@@ -59,10 +78,12 @@
     Attributes:
       entries: One per request, in order of first appearance.
       unreadable_lines: Number of lines with an event that cannot be parsed.
+      holds: All times for which generations were queued.
     """
 
     entries: list[Entry]
     unreadable_lines: int
+    holds: list[Hold] = dataclasses.field(default_factory=list)
 
 
 def build(texts: Iterable[str]) -> Ledger:
@@ -80,13 +101,37 @@
         if request:
             by_request[request].append(line)
     entries = []
+    holds: list[Hold] = []
     for request, lines in by_request.items():
         try:
             entries.append(_entry(request, lines))
         except ValueError:
             # Written by another version, or truncated within a number.
             unreadable_lines += len(lines)
-    return Ledger(entries, unreadable_lines)
+            continue
+        for line in lines:
+            if line.event == HELD:
+                hold = _parse_hold(line)
+                if hold is None:
+                    unreadable_lines += 1
+                else:
+                    holds.append(hold)
+    return Ledger(entries, unreadable_lines, holds)
+
+
+def _parse_hold(line: request_log.LogLine) -> Hold | None:
+    """Returns what a line tells; None if it is truncated or malformed."""
+    try:
+        waited_ms = _float_field(line, 'waited_ms')
+        expected_ms = _float_field(line, 'expected_ms')
+    except ValueError:
+        return None
+    if waited_ms is None or expected_ms is None:
+        return None
+    if 'come_back_ms' not in line.fields:
+        return None
+    admitted = line.fields.get('admitted', '').lower() == 'true'
+    return Hold(waited_ms, expected_ms, admitted)
 
 
 def _entry(request: str, lines: list[request_log.LogLine]) -> Entry:
@@ -193,6 +238,7 @@
             by_route[entry.route or '(not known)'].append(entry)
     for route, entries in sorted(by_route.items()):
         yield from _format_route(route, entries)
+    yield from _format_holds(ledger.holds)
     if ledger.unreadable_lines:
         yield f'{ledger.unreadable_lines} lines could not be read'
 
@@ -221,6 +267,32 @@
         )
 
 
+def _format_holds(holds: list[Hold]) -> Iterator[str]:
+    """Formats the error of the expected wait, and how long rejections took."""
+    errors_ms = sorted(
+        abs(one.waited_ms - one.expected_ms) for one in holds if one.admitted
+    )
+    if errors_ms:
+        yield (
+            f'queued, then sent: {len(errors_ms)}, error of the expected wait '
+            f'p50 {_percentile(errors_ms, 50):.0f} ms, '
+            f'p90 {_percentile(errors_ms, 90):.0f} ms'
+        )
+    rejected = [one.waited_ms for one in holds if not one.admitted]
+    if rejected:
+        long = sum(waited_ms > LONG_HOLD_MS for waited_ms in rejected)
+        yield (
+            f'queued, then rejected: {len(rejected)}, '
+            f'{100 * long / len(rejected):.1f} in 100 of them after more than '
+            f'{LONG_HOLD_MS:.0f} ms'
+        )
+
+
+def _percentile(ordered: list[float], percent: int) -> float:
+    """Returns the smallest value that reaches a share of ordered values."""
+    return ordered[max(1, math.ceil(len(ordered) * percent / 100)) - 1]
+
+
 def _busiest_seconds(entries: list[Entry], limit: int = 3) -> str:
     """Formats the seconds in which the most entries ended."""
     counts = collections.Counter(f'{entry.at:%H:%M:%S}' for entry in entries)
--- a/tests/quetzalsill_cli/test_ledger.py
+++ b/tests/quetzalsill_cli/test_ledger.py
@@ -101,6 +101,16 @@
             counts = collections.Counter(e.verdict for e in found.entries)
             self.assertLessEqual(counts[ledger.Verdict.IN_TIME], 1)
 
+    def test_a_malformed_wait_does_not_hide_its_request(self):
+        """A line that was written by another version, or is truncated."""
+        held = event.RequestHeld('in-time', 9.0, 4.0, 3, True, 100.0)
+        text = line(1.0, held)
+        for broken in (text.replace('=4.0', '=soon'), text.split(' come')[0]):
+            found = ledger.build([broken, *LOG])
+            self.assertEqual(found.holds, [])
+            self.assertEqual(found.unreadable_lines, 1)
+            self.assertEqual(len(found.entries), len(self.causes()))
+
     def run_command(self, *args, log=LOG):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, 'gateway.log')
@@ -113,6 +123,28 @@
             drawn = plot_path.exists() and plot_path.stat().st_size
         return result, drawn
 
+    def test_the_error_of_the_expected_wait(self):
+        """A burst of one kind: expected waits of 0 went unnoticed."""
+
+        def held(request, waited_ms, expected_ms, *, admitted=True):
+            return event.RequestHeld(
+                request, waited_ms, expected_ms, 3, admitted, 100.0
+            )
+
+        log = [line(1.0, held(f'r-{n}', 100.0 * n, 0.0)) for n in range(1, 11)]
+        log += [
+            line(2.0, held('told', 5.0, 4000.0, admitted=False)),
+            line(2.1, held('late', 5000.0, 0.0, admitted=False)),
+            line(2.2, held('sure', 700.0, float('inf'), admitted=False)),
+            line(2.3, held('once', 0.2, 3000.0, admitted=False)),
+        ]
+        result, _ = self.run_command('--ledger', log=log)
+        self.assertIn('sent: 10, error of the expected wait', result.output)
+        self.assertIn('p50 500 ms, p90 900 ms', result.output)
+        self.assertIn('rejected: 4, 50.0 in 100', result.output)
+        result, _ = self.run_command('--ledger')
+        self.assertNotIn('queued', result.output)
+
     def test_the_table_shows_counts_and_shares(self):
         result, _ = self.run_command('--ledger')
         self.assertIn('plan: owed 7, in time 1, late 4, lost 2', result.output)
