--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -286,6 +286,8 @@
     ) -> None:
         waited_s = asyncio.get_running_loop().time() - since_s
         search.req.held_s += waited_s
+        bound_by = search.entry.expected.bound_by.value
+        search.req.held_by = bound_by
         event.note(
             event.RequestHeld(
                 request=search.req.id_text,
@@ -294,7 +296,7 @@
                 waiting=len(queue),
                 admitted=chosen is not None,
                 come_back_ms=round(search.req.retry_after_s * 1000, 1),
-                bound_by=search.entry.expected.bound_by.value,
+                bound_by=bound_by,
             )
         )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -43,6 +43,8 @@
       widest_gap_s: Longest pause between events so far.
       last_event_s: Loop time of the latest event.
       held_s: Time spent queued for an engine with room.
+      held_by: What determined its expected wait when it was queued; None if it
+        was not queued.
       switch_cause: Why the run resumes at another upstream; cleared by the
         next event.
       gap_cause: `switch_cause` of the longest pause; empty if the run did not
@@ -68,6 +70,7 @@
     widest_gap_s: float = 0.0
     last_event_s: float = 0.0
     held_s: float = 0.0
+    held_by: str | None = None
     switch_cause: str = ''
     gap_cause: str = ''
     tokens: int = 0
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -16,6 +16,7 @@
     'attempts',
     'datagrams',
     'epochs',
+    'held',
     'moves',
     'updates',
     'record_request',
@@ -38,6 +39,10 @@
     'quetzalsill_gateway_refused_total',
     'Requests refused before an upstream was chosen, by reason.',
 )
+held = metric.counter(
+    'quetzalsill_gateway_held_total',
+    'Generations queued for an engine, by result and by what they waited for.',
+)
 attempts = metric.counter(
     'quetzalsill_gateway_attempts_total',
     'Sends to upstreams, by what came of them.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -117,6 +117,10 @@
         upstream = await self._core.admission.acquire_engine(
             req, engine, reservation, self._excluded
         )
+        if req.held_by is not None:
+            result = 'rejected' if upstream is None else 'sent'
+            meter.held.inc({'result': result, 'bound_by': req.held_by})
+            req.held_by = None
         if upstream is None:
             return None
         self._excluded |= {upstream.id}
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -365,6 +365,7 @@
         self.stats.reservations.add(ahead)
         refused = self.ask('a', objective_s=1.5, left_s=40.0)
         self.assertIsNone(await asyncio.wait_for(refused, 1.0))
+        self.assertEqual(refused.req.held_by, 'prefill')
         self.assertGreater(refused.req.retry_after_s, 5.0)
 
     async def test_it_is_not_held_longer_than_callers_stay(self):
