--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -9,6 +9,7 @@
 
 Requests that can no longer start in time go behind those that can. Served
 first, each would make the next one late too, for as long as the burst lasts.
+Those that have waited for long go first, so that no burst starves them.
 """
 
 from __future__ import annotations
@@ -17,10 +18,16 @@
 import bisect
 import collections
 import itertools
+import random
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event, exchange
-from quetzalsill_gateway.balance import forecast, queue_entry
+from quetzalsill_gateway.balance import (
+    expected_wait,
+    forecast,
+    queue_entry,
+)
 from quetzalsill_gateway.balance import search as search_lib
 
 if TYPE_CHECKING:
@@ -34,19 +41,33 @@
 
 # A request that has not been sent after this share of its objective is late.
 LATE_SHARE = 0.75
-# Callers give up on a stream a few seconds after its objective.
-MAX_WAIT_S = 5.0
+# Callers give up on a stream after this multiple of its objective without a
+# first event, but not before this time.
+PATIENCE_OBJECTIVES = 4.0
+MIN_PATIENCE_S = 2.0
 POLL_S = 0.02
+# A request that is queued for this multiple of its objective goes before all
+# others of its priority. Callers stay for about twice as long.
+STARVING_OBJECTIVES = 2.0
 # Weight of the newest generation in the moving average of a route's output.
 OUTPUT_WEIGHT = 0.05
 # A late request may be queued for this long after its arrival; beyond that its
 # caller is better off with a refusal and a time to retry after.
 MAX_LATE_WAIT_S = 2.0
-# Minimum interval at which the expected wait is computed again while no engine
-# can join, or all of them limit their rate.
+# Minimum interval at which the expected wait is computed again.
 MIN_RECHECK_S = 0.25
+# A queued request is rejected before it must be sent only if its expected wait
+# is this multiple of the time left: half of the mean passes for most waits, and
+# an engine that joins ends it sooner.
+RECHECK_FACTOR = 2.0
 # Largest share of the caller's remaining time to ask it to retry after.
 RETRY_AFTER_SHARE = 0.33
+# Rejected callers return between the expected wait and this multiple of it: the
+# room that they wait for becomes free gradually.
+RETRY_SPREAD_FACTOR = 2.0
+# Smallest spread, as a share of the latest time. It matters where the time left
+# is too short to wait until there is room.
+MIN_RETRY_SPREAD_SHARE = 0.25
 # Largest share of the caller's remaining time to queue for, so that a refused
 # caller can still retry.
 MAX_REMAINING_SHARE = 0.5
@@ -61,6 +82,7 @@
         stats_table: upstream_stats.StatsTable,
         zone: str,
         quota: quota_lib.Quota,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates empty queues for engines among `upstreams`.
 
@@ -69,7 +91,9 @@
           stats_table: Statistics of each.
           zone: Availability zone of this gateway, whose engines are preferred.
           quota: Which engines this gateway may send to now.
+          rng: Spreads the times at which rejected callers return.
         """
+        self._rng = random.Random() if rng is None else rng
         self._upstreams = upstreams
         self._stats_table = stats_table
         self._zone = zone
@@ -112,6 +136,7 @@
           the time for which the request may be queued.
         """
         now = asyncio.get_running_loop().time()
+        own_prefill_s = self._stats_table.prefill_s(reservation.prompt_tokens)
         late_s = LATE_SHARE * req.route.objective_s
         entry = queue_entry.QueueEntry(
             req.priority,
@@ -120,9 +145,18 @@
             self._first_request_s(req) + late_s,
             min(reservation.memory_tokens, engine.memory_tokens),
             now,
+            prompt_tokens=reservation.prompt_tokens,
+            send_by_s=self._send_by_s(req, own_prefill_s, now),
+            first_at_s=now + STARVING_OBJECTIVES * req.route.objective_s,
         )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
-        demand.record_arrival(now, entry.priority, entry.size, entry.tokens)
+        demand.record_arrival(
+            now,
+            entry.priority,
+            entry.size,
+            entry.tokens,
+            min(reservation.prompt_tokens, entry.tokens),
+        )
         queue = self._queues.setdefault(req.service.name, [])
         search = search_lib.EngineSearch(
             self._upstreams,
@@ -141,6 +175,9 @@
         if not engine.memory_tokens:
             # A service without engines, or engines of unknown memory size.
             return search.lowest_cost()
+        if now >= req.deadline_s - own_prefill_s:
+            self._log_wait(search, now, queue, None)
+            return None
         if not queue:
             chosen = search.try_choose(now)
             if chosen is not None:
@@ -166,27 +203,79 @@
         now = asyncio.get_running_loop().time()
         rank = entry.rank(now)
         others = [one for one in queue if one is not entry]
-        ahead = sum(one.tokens for one in others if one.rank(now) <= rank)
+        key = entry.sort_key(now)
+        ahead = [one for one in others if one.sort_key(now) < key]
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
         bound_s = min(until_s - now, req.remaining_s * MAX_REMAINING_SHARE)
         demand = self._demand[req.service.name]
         ahead_per_s = self._upstreams.gateway_count * demand.tokens_ahead_per_s(
             now, entry.priority, entry.size
         )
-        entry.expected_s = max(
-            search.expected_wait_s(rank, ahead, ahead_per_s),
-            search.rate_wait_s(sum(one.rank(now) <= rank for one in others)),
+        found = expected_wait.longest(
+            search.expected_wait(now, rank, _sum_ahead(ahead, ahead_per_s)),
+            search.rate_wait(len(ahead)),
         )
-        if entry.expected_s <= bound_s:
-            return False
-        ahead = sum(one.tokens for one in others)
-        retry_after_s = max(
-            search.expected_wait_s(queue_entry.LAST_RANK, ahead),
-            search.rate_wait_s(len(others)),
+        send_within_s = entry.send_by_s - now
+        if entry.is_estimated and self._can_improve(search):
+            bound_s = send_within_s * RECHECK_FACTOR
+        elif found.bound_by is expected_wait.BoundBy.PREFILL:
+            # Prompts are prefilled at a steady rate, so this wait ends, and
+            # its caller is better served late than refused.
+            bound_s = max(bound_s, send_within_s)
+        else:
+            bound_s = min(bound_s, send_within_s)
+        is_exceeded = found.seconds > bound_s
+        if is_exceeded or not entry.is_estimated:
+            entry.expected = found
+            entry.is_estimated = True
+        entry.latest_s = found.seconds
+        if is_exceeded:
+            self._set_retry_after(search, others, now)
+        return is_exceeded
+
+    def _set_retry_after(
+        self,
+        search: search_lib.EngineSearch,
+        others: list[queue_entry.QueueEntry],
+        now: float,
+    ) -> None:
+        req = search.req
+        with_room = expected_wait.longest(
+            search.expected_wait(
+                now, queue_entry.LAST_RANK, _sum_ahead(others)
+            ),
+            search.rate_wait(len(others)),
+        )
+        latest_s = min(
+            with_room.seconds * RETRY_SPREAD_FACTOR,
+            req.remaining_s * RETRY_AFTER_SHARE,
         )
-        retry_after_s = min(retry_after_s, req.remaining_s * RETRY_AFTER_SHARE)
+        earliest_s = min(
+            with_room.seconds, latest_s * (1.0 - MIN_RETRY_SPREAD_SHARE)
+        )
+        retry_after_s = self._rng.uniform(earliest_s, latest_s)
         req.retry_after_s = max(exchange.RETRY_AFTER_S, retry_after_s)
-        return True
+
+    def _can_improve(self, search: search_lib.EngineSearch) -> bool:
+        """Whether engines may join, and some do not limit what they get."""
+        return self._upstreams.can_grow and not search.is_limited
+
+    def _send_by_s(
+        self, req: exchange_lib.Exchange, own_prefill_s: float, now: float
+    ) -> float:
+        """Returns the loop time by which a queued request must be sent.
+
+        Sent later, it would have its first event after its deadline, or after
+        its caller has given up.
+        """
+        patience_s = PATIENCE_OBJECTIVES * req.route.objective_s
+        # The prefill of a very long prompt takes longer than that, but its
+        # caller stays nevertheless.
+        patience_s = max(patience_s - own_prefill_s, MIN_PATIENCE_S)
+        return min(
+            max(req.request.received_s + patience_s, now + POLL_S),
+            req.deadline_s - own_prefill_s,
+        )
 
     def _log_wait(
         self,
@@ -197,14 +286,17 @@
     ) -> None:
         waited_s = asyncio.get_running_loop().time() - since_s
         search.req.held_s += waited_s
+        bound_by = search.entry.expected.bound_by.value
+        search.req.held_by = bound_by
         event.note(
             event.RequestHeld(
                 request=search.req.id_text,
                 waited_ms=round(waited_s * 1000, 1),
-                expected_ms=round(search.entry.expected_s * 1000, 1),
+                expected_ms=round(search.entry.expected.seconds * 1000, 1),
                 waiting=len(queue),
                 admitted=chosen is not None,
                 come_back_ms=round(search.req.retry_after_s * 1000, 1),
+                bound_by=bound_by,
             )
         )
 
@@ -234,7 +326,7 @@
     def _next_recheck_s(self, search: search_lib.EngineSearch) -> float:
         """Returns the loop time at which to check the expected wait again."""
         now = asyncio.get_running_loop().time()
-        return now + max(MIN_RECHECK_S, search.entry.expected_s)
+        return now + max(MIN_RECHECK_S, search.entry.latest_s / 2)
 
     async def _wait(
         self,
@@ -242,21 +334,34 @@
         queue: list[queue_entry.QueueEntry],
     ) -> upstream_lib.Upstream | None:
         loop = asyncio.get_running_loop()
-        end_s = min(loop.time() + MAX_WAIT_S, search.req.deadline_s)
+        entry = search.entry
         recheck_s = self._next_recheck_s(search)
-        while loop.time() < end_s:
+        while True:
             await asyncio.sleep(POLL_S)
             now = loop.time()
             if not search.has_engine:
                 return None
-            if now >= recheck_s and (
-                not self._upstreams.can_grow or search.is_limited
-            ):
+            if now >= entry.send_by_s:
+                # Perhaps the process was paused.
+                others = [one for one in queue if one is not entry]
+                self._set_retry_after(search, others, now)
+                return None
+            ahead = min(queue, key=lambda one: one.sort_key(now))
+            chosen = search.try_choose(now) if ahead is entry else None
+            if chosen is not None:
+                return chosen
+            if now >= recheck_s:
                 if self._exceeds_wait_bound(search, queue):
                     return None
                 recheck_s = self._next_recheck_s(search)
-            ahead = min(queue, key=lambda one: (one.rank(now), one.sequence))
-            chosen = search.try_choose(now) if ahead is search.entry else None
-            if chosen is not None:
-                return chosen
-        return None
+
+
+def _sum_ahead(
+    entries: Iterable[queue_entry.QueueEntry], tokens_per_s: float = 0.0
+) -> expected_wait.Ahead:
+    found = list(entries)
+    return expected_wait.Ahead(
+        sum(one.tokens for one in found),
+        sum(one.prompt_tokens for one in found),
+        tokens_per_s,
+    )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Iterator
+import types
+from collections.abc import Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -39,6 +40,9 @@
 # Above this share of its memory an engine is likely to preempt soon.
 NEARLY_FULL_SHARE = 0.9
 NEARLY_FULL_COST_S = 30.0
+# Waiting time worth accepting so that one generation fewer is late. A late one
+# is worth a fraction, so this exceeds what memory and prefill differ by.
+LATE_COST_S = 10.0
 FAILURE_COST_S = 0.5
 CALL_FAILURE_WEIGHT = 2.0
 # A call that hangs takes about ten times as long as one that is answered. Calls
@@ -52,6 +56,7 @@
 # in another availability zone with room is preferred to a full one in the same
 # zone: the copy is slower, but nothing is lost.
 MAX_MEMORY_SHARE = 0.95
+NO_LATE_COSTS: Mapping[str, float] = types.MappingProxyType({})
 
 
 def choose_for_call(
@@ -101,6 +106,7 @@
     engine: routing_table.Engine,
     needs_tokens: int,
     avoid: frozenset[str] = frozenset(),
+    late_costs: Mapping[str, float] = NO_LATE_COSTS,
 ) -> upstream.Upstream | None:
     """Returns the engine with the lowest expected cost, memory included.
 
@@ -111,6 +117,8 @@
       engine: Properties of the engines.
       needs_tokens: Memory that the generation is expected to need.
       avoid: Ids of engines not to use.
+      late_costs: Expected number of generations that the choice makes late, by
+        key of the engine; 0 for engines that are missing.
     """
     now = asyncio.get_running_loop().time()
 
@@ -123,6 +131,7 @@
             1, engine.memory_tokens
         )
         wait_s += MEMORY_COST_S * share
+        wait_s += LATE_COST_S * late_costs.get(candidate.key, 0.0)
         if share > NEARLY_FULL_SHARE:
             wait_s += NEARLY_FULL_COST_S * (share - NEARLY_FULL_SHARE)
         if candidate.availability_zone != zone:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -165,6 +165,7 @@
       slow_prefill_per_s: The slower quartile of it.
       event_tokens: Tokens prefilled in the time between two events.
       spread: Slowest / fastest engine.
+      slowness: Time between events of each engine relative to `event_s`.
     """
 
     event_s: float | None = None
@@ -172,6 +173,7 @@
     slow_prefill_per_s: float | None = None
     event_tokens: float | None = None
     spread: float = 1.0
+    slowness: tuple[float, ...] = ()
 
 
 NO_SUMMARY = _Summary()
@@ -332,6 +334,19 @@
         bucket = engine_load.bucket(runs, is_prefilling=is_prefilling)
         return event_s * math.exp(load.log_factor(bucket))
 
+    def known_slowness(self, service: str) -> tuple[float, ...]:
+        """Returns the slowness of each known engine of a service."""
+        return self._summary(service).slowness
+
+    def longest_gap_s(self, service: str) -> float:
+        """Returns the time between events beside a prefill at the slowest."""
+        summary = self._summary(service)
+        if summary.event_s is None:
+            return 0.0
+        factor = self._load(service).log_factor((0, True))
+        slowest = max(summary.slowness, default=1.0)
+        return summary.event_s * slowest * math.exp(factor)
+
     def noise(self, service: str) -> Noise:
         """Returns how the engines of a service slow down for a short time."""
         return self._load(service).noise
@@ -580,6 +595,7 @@
         rates[len(rates) // 4] if rates else None,
         statistics.median(products) if products else None,
         max(measured) / min(measured) if len(measured) > 1 else 1.0,
+        tuple(measured),
     )
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -17,6 +17,7 @@
     'datagrams',
     'engine_speeds',
     'epochs',
+    'held',
     'moves',
     'updates',
     'record_request',
@@ -39,6 +40,10 @@
     'quetzalsill_gateway_refused_total',
     'Requests refused before an upstream was chosen, by reason.',
 )
+held = metric.counter(
+    'quetzalsill_gateway_held_total',
+    'Generations queued for an engine, by result and by what they waited for.',
+)
 attempts = metric.counter(
     'quetzalsill_gateway_attempts_total',
     'Sends to upstreams, by what came of them.',
