--- a/tests/quetzalsill_gateway/fleet/test_engine_speed.py
+++ b/tests/quetzalsill_gateway/fleet/test_engine_speed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import types
 import unittest
@@ -218,6 +219,15 @@
     st.binary(max_size=5),
     st.lists(st.integers(0, 9), max_size=2),
 )
+VALID = ('e', 40_000, 7000, 12, 250)
+
+
+def _replaced(number, value):
+    """Returns a valid item with one value replaced."""
+    return VALID[:number] + (value,) + VALID[number + 1 :]
+
+
+ITEM = st.builds(_replaced, st.integers(0, 4), VALUE)
 
 
 class CodecTest(unittest.TestCase):
@@ -236,28 +246,36 @@
         self.assertEqual((node, update.speeds), ('a', (sent,)))
 
     @settings(derandomize=True, deadline=None)
-    @given(
-        VALUE | st.text(max_size=3),
-        VALUE | st.lists(st.tuples(*[VALUE] * 5) | VALUE, max_size=3),
-    )
-    def test_invalid_values_have_no_effect(self, node, items):
-        """A faulty peer stops this gateway or distorts its estimates."""
-        fields = msgpack.unpackb(
-            msgpack.packb((node, items)), strict_map_key=False
-        )
+    @given(VALUE, VALUE | st.lists(st.tuples(*[VALUE] * 5) | VALUE, max_size=2))
+    def test_malformed_fields(self, node, items):
+        """A faulty peer stops this gateway."""
+        with contextlib.suppress(error.PeerError):
+            update_codec.decode(frame.Kind.SPEEDS, [node, items])
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.lists(ITEM, max_size=2))
+    def test_invalid_values_have_no_effect(self, items):
+        """A faulty peer distorts the estimates of this gateway."""
+        fields = msgpack.unpackb(msgpack.packb(('peer', items)))
         speeds = engine_speed.EngineSpeeds()
         try:
             _, update = update_codec.decode(frame.Kind.SPEEDS, fields)
         except error.PeerError:
             return
+        for item in fields[1]:
+            self.assertEqual(
+                [type(value) for value in item], [str, int, int, int, int]
+            )
         speeds.receive(update)
+        speeds.updates()
         for speed in update.speeds:
+            self.assertLessEqual(speed.samples, engine_speed.MAX_SAMPLES)
             found = upstream.Upstream(speed.key, 's', ('', 1), 'z')
             event_s, per_s = speeds.event_s(found), speeds.prefill_per_s(found)
             self.assertTrue(event_s is None or 1e-5 < event_s < 11)
             self.assertTrue(per_s is None or 0.5 < per_s <= 1e6)
 
     def test_too_large_lists_are_refused(self):
-        items = [('e', 40_000, 7000, 1, 0)] * 33
+        items = [VALID] * 33
         with self.assertRaises(error.PeerError):
             update_codec.decode(frame.Kind.SPEEDS, ['a', items])
