--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -271,7 +271,8 @@
         patience_s = PATIENCE_OBJECTIVES * req.route.objective_s
         # The prefill of a very long prompt takes longer than that, but its
         # caller stays nevertheless.
-        patience_s = max(patience_s - own_prefill_s, MIN_PATIENCE_S)
+        prefill_s = own_prefill_s + expected_wait.LATE_PREFILL_AHEAD_S
+        patience_s = max(patience_s - prefill_s, MIN_PATIENCE_S)
         return min(
             max(req.request.received_s + patience_s, now + POLL_S),
             req.deadline_s - own_prefill_s,
@@ -346,10 +347,11 @@
                 others = [one for one in queue if one is not entry]
                 self._set_retry_after(search, others, now)
                 return None
-            ahead = min(queue, key=lambda one: one.sort_key(now))
-            chosen = search.try_choose(now) if ahead is entry else None
-            if chosen is not None:
-                return chosen
+            key = entry.sort_key(now)
+            if all(key <= one.sort_key(now) for one in queue):
+                chosen = search.try_choose(now)
+                if chosen is not None:
+                    return chosen
             if now >= recheck_s:
                 if self._exceeds_wait_bound(search, queue):
                     return None
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/expected_wait.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/expected_wait.py
@@ -32,6 +32,9 @@
 
 # Prefill time that may be queued ahead of a request that is late anyway.
 LATE_PREFILL_AHEAD_S = 0.3
+# Share of the time left to send a request that goes first which queued prefill
+# may take.
+FIRST_PREFILL_AHEAD_SHARE = 0.5
 
 
 class BoundBy(enum.Enum):
@@ -134,10 +137,13 @@
     """Returns the prefill time that may be queued ahead of a generation.
 
     One that goes before all others must not hold them up until little prefill
-    is queued, so it is sent while its caller still stays.
+    is queued, so it is sent while its caller still stays. Half of that time is
+    left for engines that prefill at half the average rate.
     """
     bound_s = max(wanted.in_time_s - wanted.prefill_s, LATE_PREFILL_AHEAD_S)
-    return max(bound_s, wanted.send_in_s) if wanted.first_in_s <= 0 else bound_s
+    if wanted.first_in_s > 0:
+        return bound_s
+    return max(bound_s, FIRST_PREFILL_AHEAD_SHARE * wanted.send_in_s)
 
 
 def longest(*waits: ExpectedWait) -> ExpectedWait:
@@ -226,8 +232,11 @@
     if ahead_s <= prefill_ahead_bound_s(wanted):
         return NO_WAIT
     wait_s = ahead_s - LATE_PREFILL_AHEAD_S
-    if ahead_s <= wanted.send_in_s:
-        wait_s = min(wait_s, wanted.first_in_s)
+    # From then on, both its queue and the time left decrease.
+    at_first_s = ahead_s - wanted.first_in_s
+    left_s = wanted.send_in_s - wanted.first_in_s
+    if at_first_s <= FIRST_PREFILL_AHEAD_SHARE * left_s:
+        wait_s = min(wait_s, max(0.0, wanted.first_in_s))
     return ExpectedWait(wait_s, BoundBy.PREFILL)
 
 
