--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -126,7 +126,8 @@
     Attributes:
       request: Id of the request.
       waited_ms: Time spent in the queue.
-      expected_ms: Wait expected when it was queued.
+      expected_ms: Wait expected when it was queued, or when it was rejected for
+        that.
       waiting: Number of generations still queued.
       admitted: Whether it is sent now; if not, its caller is told to retry.
       come_back_ms: Delay after which a refused caller is told to retry.
