Let late requests use slow engines; log the expected lateness

A request that is late already cannot become late by its gaps. Ratios by load that were learned from few samples were not monotone, so that some engines seemed slower without a prefill than beside one.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
@@ -38,6 +38,8 @@
             reserved_tokens=stats.reserved_tokens,
             reading_tokens=stats.prefill_tokens,
             needs_tokens=needs_tokens,
+            late_probability=round(req.late_probability, 2),
+            pace_miss=req.pace_miss,
             failures=round(stats.recent_failures(now), 2),
             configuration_age_ms=int(core.holder.age_s * MS_PER_S),
             membership_age_ms=int(core.upstreams.age_s * MS_PER_S),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/pace.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/pace.py
@@ -21,7 +21,7 @@
     from quetzalsill_gateway.fleet import engine_speed
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['Assessment', 'Gaps', 'Work', 'assess', 'is_needed']
+__all__ = ['ON_TIME', 'Assessment', 'Gaps', 'Work', 'assess', 'is_needed']
 
 # Single gaps exceed their median by about this factor without a slowdown.
 GAP_MARGIN = 1.15
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -88,7 +88,7 @@
         with_room = self._engines_with_room(now)
         if self.req.is_suspect:
             with_room = self._with_fewest_runs(with_room)
-        assessments = self._assess(with_room)
+        assessments = self._assess(with_room, now)
         with_room = self._matching(with_room, assessments, now)
         rank = self.entry.rank(now)
         service = self.req.service.name
@@ -117,10 +117,11 @@
     def lowest_cost(self) -> upstream_lib.Upstream | None:
         """Returns the engine with the lowest expected cost, full or not."""
         sendable = self._sendable()
-        return self._lowest_cost(sendable, self._assess(sendable))
+        now = asyncio.get_running_loop().time()
+        return self._lowest_cost(sendable, self._assess(sendable, now))
 
     def _assess(
-        self, candidates: list[upstream_lib.Upstream]
+        self, candidates: list[upstream_lib.Upstream], now: float
     ) -> dict[str, pace.Assessment]:
         """Returns the expected lateness by engine, empty if all keep up."""
         table, max_gap_s = self._stats_table, self.req.route.max_gap_s
@@ -129,7 +130,10 @@
             return {}
         work = pace.Work(
             max_gap_s,
-            table.generation_s(self._reservation),
+            # One that is late already cannot become late by its gaps.
+            0.0
+            if now >= self.entry.late_at_s
+            else table.generation_s(self._reservation),
             table.prefill_s(self._reservation.prompt_tokens),
         )
         return {
@@ -278,7 +282,7 @@
                 gateways, len(candidates), self._demand.arrivals_per_s(now)
             )
             candidates = random.sample(candidates, min(len(candidates), count))
-        return choose.choose_engine(
+        found = choose.choose_engine(
             candidates,
             self._stats_table,
             self._zone,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -99,6 +99,8 @@
       reserved_tokens: Expected KV cache use of these, in tokens.
       reading_tokens: Prompt tokens that it has yet to prefill.
       needs_tokens: Expected KV cache use of this request, in tokens.
+      late_probability: Probability that a gap between its events is too long.
+      pace_miss: Whether no engine was fast enough for its gaps.
       failures: Decayed count of recent failures there.
       configuration_age_ms: Time since the configuration was last confirmed.
       membership_age_ms: Time since the membership was last confirmed.
@@ -114,6 +116,8 @@
     reserved_tokens: int
     reading_tokens: int
     needs_tokens: int
+    late_probability: float
+    pace_miss: bool
     failures: float
     configuration_age_ms: int
     membership_age_ms: int
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -49,6 +49,9 @@
         next event.
       gap_cause: `switch_cause` of the longest pause; empty if the run did not
         switch.
+      late_probability: Probability, expected when its engine was chosen, that
+        a gap between its events is too long.
+      pace_miss: Whether it was sent to an engine that is too slow for it.
       is_probe: Whether it is forwarded to find out if it still crashes
         upstreams.
       is_suspect: Whether it may have crashed an upstream.
@@ -76,6 +79,8 @@
     tokens: int = 0
     retry_after_s: float = RETRY_AFTER_S
     regions: frozenset[str] | None = None
+    late_probability: float = 0.0
+    pace_miss: bool = False
     is_probe: bool = False
     is_suspect: bool = False
     _fingerprint: bytes = b''
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
@@ -45,7 +45,7 @@
 MAX_PAIR_S = 5.0
 # Samples that the assumed factor of a bucket counts for. With 3, changes of the
 # load take longer to learn.
-PRIOR_COUNT = 1
+PRIOR_COUNT = 8
 # An engine counts as observed between samples that follow within this time.
 MAX_INTERVAL_S = 1.0
 MAX_FACTOR = math.log(8.0)
@@ -245,17 +245,28 @@
 
     def log_factor(self, found: Bucket) -> float:
         """Returns the logarithm of a gap's ratio to one at a light load."""
-        factor = self._factors.get(found)
-        if factor is not None:
-            return factor.value
         is_prefilling, number = found
-        for lower in range(number, 0, -1):
-            factor = self._factors.get((is_prefilling, lower - 1))
-            if factor is not None:
-                return factor.value
-        if is_prefilling:
-            return INITIAL_PREFILL_FACTOR + self.log_factor((False, number))
-        return 0.0
+        quiet = self._highest(False, number)
+        if not is_prefilling:
+            return quiet
+        if not any(busy for busy, _ in self._factors):
+            return INITIAL_PREFILL_FACTOR + quiet
+        return max(quiet, self._highest(True, number))
+
+    def _highest(self, is_prefilling: bool, number: int) -> float:
+        """Returns the highest factor of a load up to a number of runs.
+
+        A higher load makes no engine faster, so a lower factor is an error of
+        the few samples that it was learned from.
+        """
+        return max(
+            (
+                factor.value
+                for (busy, lower), factor in self._factors.items()
+                if busy == is_prefilling and lower <= number
+            ),
+            default=0.0,
+        )
 
     def learn_ratio(
         self, recent: Recent, log_gap: float, found: Bucket, now: float
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -343,7 +343,7 @@
         summary = self._summary(service)
         if summary.event_s is None:
             return 0.0
-        factor = self._load(service).log_factor((0, True))
+        factor = self._load(service).log_factor((True, 0))
         slowest = max(summary.slowness, default=1.0)
         return summary.event_s * slowest * math.exp(factor)
 
