--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -288,8 +288,13 @@
             self._zone,
             self._engine,
             self.entry.tokens,
-            late_costs={key: found.cost for key, found in assessments.items()},
+            late_costs={key: one.cost for key, one in assessments.items()},
         )
+        if found is not None:
+            expected = assessments.get(found.key, pace.ON_TIME)
+            self.req.late_probability = expected.late
+            self.req.pace_miss = not expected.is_match
+        return found
 
     def _displaced_tokens(self) -> int:
         """Returns the memory of runs on leaving engines, which must be moved.
