Share slowdowns among gateways; move runs to fast enough engines

A gateway sees few slowdowns itself and expected almost none for the first seconds, and moves took no account of speed.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choose.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import types
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -194,20 +194,31 @@
     engine: routing_table.Engine,
     request_id: bytes,
     needs_tokens: int,
+    is_match: Callable[[upstream.Upstream], bool] = lambda _: True,
 ) -> list[upstream.Upstream]:
     """Returns the engines that a run may be moved to, the best first.
 
-    Engines with room go first, then those in the availability zone of the
-    source, where a copy is twice as fast. A hash of the request id decides
-    between equals: all gateways know the same load, and if each took the
-    emptiest engine, all runs of a source would go through one link.
+    Engines with room go first, then those that are fast enough, then those in
+    the availability zone of the source, where a copy is twice as fast. A hash
+    of the request id decides between equals: all gateways know the same load,
+    and if each took the emptiest engine, all runs of a source would go through
+    one link.
+
+    Args:
+      candidates: Engines of the service.
+      stats_table: Statistics of each.
+      source: Engine that the run leaves.
+      engine: Properties of the engines.
+      request_id: Id of the request.
+      needs_tokens: Memory that the run is expected to need.
+      is_match: Whether an engine is fast enough for the run's gaps.
     """
 
-    def rank(candidate: upstream.Upstream) -> tuple[bool, bool, int]:
+    def rank(candidate: upstream.Upstream) -> tuple[bool, bool, bool, int]:
         is_full = not has_room(stats_table.of(candidate), engine, needs_tokens)
         crossing = candidate.availability_zone != source.availability_zone
         tie_break = xxhash.xxh32_intdigest(request_id + candidate.id.encode())
-        return is_full, crossing, tie_break
+        return is_full, not is_match(candidate), crossing, tie_break
 
     return sorted(accepting_work(candidates, frozenset((source.id,))), key=rank)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_load.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Callable, Iterable
 
 __all__ = [
     'Bucket',
@@ -57,6 +58,8 @@
 # Number of samples that the priors count for, and the highest weight of one
 # sample, which comes after a time without any.
 PRIOR_SAMPLES = 20
+# Samples up to which an estimate of slowdowns gains weight.
+MAX_INTERFERENCE_SAMPLES = 300
 MAX_WEIGHT = 0.1
 
 
@@ -75,6 +78,46 @@
     onsets_per_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Interference:
+    """What delays the events of a service's runs, as seen by one gateway.
+
+    Attributes:
+      noise: Short slowdowns.
+      prefill_share: Share of samples that had a prefill beside them.
+      samples: Number of samples, at most MAX_INTERFERENCE_SAMPLES.
+    """
+
+    noise: Noise = Noise()
+    prefill_share: float = 0.0
+    samples: int = 0
+
+
+def combine(found: Iterable[Interference]) -> Interference:
+    """Returns the mean over gateways, weighted by their samples."""
+    found = [one for one in found if one.samples]
+    samples = sum(one.samples for one in found)
+    if not samples:
+        return Interference()
+    slow = sum(one.samples * one.noise.share for one in found)
+    # The factor is known only from samples in a slowdown.
+    factor = (
+        sum(one.samples * one.noise.share * one.noise.factor for one in found)
+        / slow
+        if slow
+        else 1.0
+    )
+
+    def mean(value: Callable[[Interference], float]) -> float:
+        return sum(one.samples * value(one) for one in found) / samples
+
+    return Interference(
+        Noise(slow / samples, factor, mean(lambda one: one.noise.onsets_per_s)),
+        mean(lambda one: one.prefill_share),
+        min(MAX_INTERFERENCE_SAMPLES, samples),
+    )
+
+
 class Median:
     """Median of the newest samples.
 
@@ -229,6 +272,7 @@
         self._sampled_s = -math.inf
         self._count = 0
         self._slow_count = 0
+        self._compared = 0
         self._share = 0.0
         self._log_factor = 0.0
         self._onsets = 0.0
@@ -243,6 +287,15 @@
         )
         return Noise(self._share, math.exp(self._log_factor), onsets_per_s)
 
+    @property
+    def interference(self) -> Interference:
+        """What delays events, as seen by this gateway."""
+        return Interference(
+            self.noise,
+            self.prefill_share,
+            min(MAX_INTERFERENCE_SAMPLES, self._compared),
+        )
+
     def log_factor(self, found: Bucket) -> float:
         """Returns the logarithm of a gap's ratio to one at a light load."""
         is_prefilling, number = found
@@ -319,6 +372,7 @@
         self.prefill_share += weight * (is_prefilling - self.prefill_share)
         if excess is None:
             return
+        self._compared += 1
         is_slow = excess > SLOWDOWN
         self._share += weight * (is_slow - self._share)
         if is_slow:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -51,6 +51,10 @@
 # Other gateways whose estimates of one engine are kept. Their median error is
 # well below that of one.
 MAX_SENDERS = 8
+# Other gateways whose slowdowns of a service are kept, and services in one
+# datagram.
+MAX_LOAD_SENDERS = 32
+MAX_SERVICES = 8
 # An estimate from fewer samples is not used for the spread or to detect
 # slowdowns: it may be half or twice the true value.
 MIN_SAMPLES = 10
@@ -95,10 +99,14 @@
     Attributes:
       speeds: The speeds.
       sender: Name of the sending gateway; set on receipt.
+      interferences: What delays events, by service.
     """
 
     speeds: tuple[Speed, ...]
     sender: str = dataclasses.field(default='', compare=False)
+    interferences: dict[str, engine_load.Interference] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -195,6 +203,12 @@
             )
         )
         self._loads: dict[str, engine_load.ServiceLoad] = {}
+        self._peer_loads: dict[
+            str, dict[str, tuple[float, engine_load.Interference]]
+        ] = {}
+        self._interferences: dict[
+            str, tuple[float, engine_load.Interference]
+        ] = {}
         self._summaries: dict[str, _Summary] = {}
         self._summarized_s = -math.inf
         self._announce: Callable[[SpeedUpdate], None] = lambda _: None
@@ -349,11 +363,11 @@
 
     def noise(self, service: str) -> Noise:
         """Returns how the engines of a service slow down for a short time."""
-        return self._load(service).noise
+        return self._interference(service).noise
 
     def prefill_share(self, service: str) -> float:
         """Returns the share of samples that had a prefill beside them."""
-        return self._load(service).prefill_share
+        return self._interference(service).prefill_share
 
     def spread(self, service: str) -> float:
         """Returns slowest / fastest known engine; 1.0 if fewer than two."""
@@ -368,7 +382,7 @@
         speeds = [engine.own for engine in self._engines.values()]
         speeds = [speed for speed in speeds if speed.samples]
         return [
-            SpeedUpdate(tuple(speeds[first : first + MAX_ITEMS]))
+            self._update(speeds[first : first + MAX_ITEMS])
             for first in range(0, len(speeds), MAX_ITEMS)
         ]
 
@@ -381,8 +395,8 @@
             if engine.own_observed_s >= since_s
         ]
         engines.sort(key=lambda engine: -engine.own_observed_s)
-        speeds = tuple(engine.own for engine in engines[:MAX_ITEMS])
-        return [SpeedUpdate(speeds)] if speeds else []
+        speeds = [engine.own for engine in engines[:MAX_ITEMS]]
+        return [self._update(speeds)] if speeds else []
 
     def receive(self, update: SpeedUpdate) -> None:
         """Stores the estimates of another gateway."""
@@ -407,6 +421,14 @@
             engine.observed_s = max(engine.observed_s, speed.observed_s)
             engine.combined = None
             self._log_first(engine, update.sender)
+        for service, found in update.interferences.items():
+            if service not in self._loads:
+                # Not a service of which this gateway relays streams.
+                continue
+            peers = self._peer_loads.setdefault(service, {})
+            if update.sender not in peers and len(peers) >= MAX_LOAD_SENDERS:
+                del peers[min(peers, key=lambda node: peers[node][0])]
+            peers[update.sender] = now, found
 
     def identify(self, known: Iterable[upstream_lib.Upstream]) -> None:
         """Assigns received estimates to the services of their engines.
@@ -431,6 +453,37 @@
         services = {one.service for one in known}
         for service in set(self._loads) - services:
             del self._loads[service]
+            self._peer_loads.pop(service, None)
+            self._interferences.pop(service, None)
+
+    def _interference(self, service: str) -> engine_load.Interference:
+        """Returns the mean of all gateways that sent theirs recently."""
+        now = self._clock()
+        found = self._interferences.get(service)
+        if found is None or not 0.0 <= now - found[0] < SUMMARY_INTERVAL_S:
+            peers = [
+                one
+                for at_s, one in self._peer_loads.get(service, {}).values()
+                if now - at_s <= HALF_LIFE_S
+            ]
+            own = self._load(service).interference
+            found = now, engine_load.combine([own, *peers])
+            self._interferences[service] = found
+        return found[1]
+
+    def _update(self, speeds: Iterable[Speed]) -> SpeedUpdate:
+        """Returns an update with speeds and with what delays events."""
+        loads = {
+            service: load.interference for service, load in self._loads.items()
+        }
+        return SpeedUpdate(
+            tuple(speeds),
+            interferences={
+                service: one
+                for service, one in list(loads.items())[:MAX_SERVICES]
+                if one.samples
+            },
+        )
 
     def _load(self, service: str) -> engine_load.ServiceLoad:
         return self._loads.get(service, engine_load.PRIOR)
@@ -466,7 +519,7 @@
             engine.prefill, reference.prefill_per_s
         ):
             engine.announced = engine.own
-            self._announce(SpeedUpdate((engine.announced,)))
+            self._announce(self._update([engine.announced]))
 
     def _log_first(self, engine: _Engine, sender: str) -> None:
         """Logs the first estimate of an engine once its service is known."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/speed_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/speed_codec.py
@@ -9,13 +9,17 @@
 import math
 from typing import Any
 
-from quetzalsill_gateway.fleet import engine_speed
+from quetzalsill_gateway.fleet import engine_load, engine_speed
 from quetzalsill_gateway.peers import frame
 
 __all__ = ['decode', 'encode']
 
 US_PER_S = 1_000_000
 MS_PER_S = 1000
+PER_MILLE = 1000
+MAX_FACTOR = 100
+# Slowdowns that begin more often are the normal course of events.
+MAX_ONSETS_PER_S = 100
 # Of sensible estimates, none is outside. Others are dropped rather than
 # limited, since they would still distort the medians.
 MIN_EVENT_US = 100
@@ -37,7 +41,18 @@
         )
         for one in update.speeds
     ]
-    return frame.pack(frame.Kind.SPEEDS, (node, speeds))
+    interferences = [
+        (
+            service,
+            round(one.noise.share * PER_MILLE),
+            round(one.noise.factor * PER_MILLE),
+            round(one.noise.onsets_per_s * PER_MILLE),
+            round(one.prefill_share * PER_MILLE),
+            one.samples,
+        )
+        for service, one in update.interferences.items()
+    ]
+    return frame.pack(frame.Kind.SPEEDS, (node, speeds, interferences))
 
 
 def decode(fields: list[Any]) -> engine_speed.SpeedUpdate:
@@ -46,12 +61,38 @@
     Raises:
       ValueError, TypeError, LookupError: The fields are malformed.
     """
-    node, speeds = fields
+    node, speeds, interferences = fields
     if not isinstance(node, str) or len(node) > frame.MAX_KEY_LENGTH:
         raise ValueError('invalid node')
     if not isinstance(speeds, list) or len(speeds) > engine_speed.MAX_ITEMS:
         raise ValueError('invalid list of speeds')
-    return engine_speed.SpeedUpdate(tuple(_speed(*one) for one in speeds), node)
+    if len(interferences) > engine_speed.MAX_SERVICES:
+        raise ValueError('too many services')
+    return engine_speed.SpeedUpdate(
+        tuple(_speed(*one) for one in speeds),
+        node,
+        dict(_interference(*one) for one in interferences),
+    )
+
+
+def _interference(
+    service: Any,
+    share: Any,
+    factor: Any,
+    onsets: Any,
+    prefill_share: Any,
+    samples: Any,
+) -> tuple[str, engine_load.Interference]:
+    noise = engine_load.Noise(
+        _integer(share, PER_MILLE) / PER_MILLE,
+        max(1.0, _integer(factor, MAX_FACTOR * PER_MILLE) / PER_MILLE),
+        _integer(onsets, MAX_ONSETS_PER_S * PER_MILLE) / PER_MILLE,
+    )
+    return frame.bounded_key(service), engine_load.Interference(
+        noise,
+        _integer(prefill_share, PER_MILLE) / PER_MILLE,
+        _integer(samples, engine_load.MAX_INTERFERENCE_SAMPLES),
+    )
 
 
 def _speed(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
@@ -19,7 +19,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import attempt, event, meter
-from quetzalsill_gateway.balance import choose, upstream_stats
+from quetzalsill_gateway.balance import choose, pace, upstream_stats
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import leaving_engine, live
 
@@ -212,6 +212,7 @@
             leaving.spec,
             stream.exchange.request_id,
             stream.reservation.memory_tokens,
+            lambda target: self._is_match(stream, target),
         )
         remaining_s = leaving.leaves_at_s - attempt.now()
         zone = source.availability_zone
@@ -224,6 +225,22 @@
             )
         ]
 
+    def _is_match(
+        self, stream: live.Stream, target: upstream_lib.Upstream
+    ) -> bool:
+        """Whether an engine is fast enough for the rest of a run."""
+        req, table = stream.exchange, self._core.stats_table
+        max_gap_s = req.route.max_gap_s
+        speeds = self._core.engine_speeds
+        if not pace.is_needed(speeds, target.service, max_gap_s):
+            return True
+        if req.widest_gap_s > max_gap_s:
+            # It is late already.
+            return True
+        work = pace.Work(max_gap_s, table.generation_s(stream.reservation), 0.0)
+        found = pace.assess(speeds, table.of(target), target, work)
+        return found.is_match
+
     async def _precopy(
         self, stream: live.Stream, leaving: leaving_engine.LeavingEngine
     ) -> upstream_lib.Upstream | None:
