--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -39,6 +39,8 @@
 # A generation that waits for a faster engine is sent this long before it would
 # be late for want of time to prefill its prompt.
 MATCH_MARGIN_S = 0.15
+# A request that has not been sent after this share of its objective is late.
+DUE_SHARE = 0.75
 
 
 class EngineSearch:
@@ -120,6 +122,15 @@
         now = asyncio.get_running_loop().time()
         return self._lowest_cost(sendable, self._assess(sendable, now))
 
+    @property
+    def _due_s(self) -> float:
+        """Loop time from which it is late for want of an engine here.
+
+        Not counted from the caller's first attempt, which is only estimated: a
+        caller with a short time limit looks like one that returns.
+        """
+        return self.entry.arrived_s + DUE_SHARE * self.req.route.objective_s
+
     def _assess(
         self, candidates: list[upstream_lib.Upstream], now: float
     ) -> dict[str, pace.Assessment]:
@@ -132,7 +143,7 @@
             max_gap_s,
             # One that is late already cannot become late by its gaps.
             0.0
-            if now >= self.entry.late_at_s
+            if now >= self._due_s
             else table.generation_s(self._reservation),
             table.prefill_s(self._reservation.prompt_tokens),
         )
@@ -158,7 +169,7 @@
         if matching:
             return matching
         own_s = self._stats_table.prefill_s(self._reservation.prompt_tokens)
-        may_wait = now + own_s + MATCH_MARGIN_S < self.entry.late_at_s
+        may_wait = now + own_s + MATCH_MARGIN_S < self._due_s
         return [] if may_wait else candidates
 
     def expected_wait(
