Reset the upstreams before each test of unknown outcomes

test_link_that_is_lost_for_long stalls the engine. When it failed before it resumed the engine, each later test of the module timed out in restore after 30 s, as no router returned a complete answer.

--- a/tests/failure/test_unknown.py
+++ b/tests/failure/test_unknown.py
@@ -38,7 +38,14 @@
 
     async def restore(self):
         await self.cluster.switch(
-            self.cluster.store, lose_answers=0, lose_only='', silent=False
+            self.cluster.store,
+            lose_answers=0,
+            lose_only='',
+            silent=False,
+        )
+        await self.slow_down()
+        await self.cluster.switch(
+            self.cluster.upstreams[harness.APP], close_orders=0
         )
         await super().restore()
         await harness.wait_until_served(self.cluster)
