Let the store itself fall silent with the response that it loses

test_acceptance lost the response of a write, polled the store until it counted the loss, and only then made it silent. A router retries a lost write after 25 to 50 ms, so under load the retry came first: the acceptance was stored, the order ran, and the later answer was its 200 with not_run None. The answer was true; the test had not set up the fault that it describes. The new switch of the stand-in leaves no time between the two. The checks are the same.

The new test of the stand-in fails without the switch's effect.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/platform_standin/fault.py
@@ -32,6 +32,8 @@
         is then reset.
       lose_only: Only responses to writes whose body contains this text are
         lost.
+      silent_after_loss: The platform becomes silent with the last of
+        `lose_answers`, before a client can retry the write.
       mute_open: Connections that are open now get no more responses while new
         ones work. This is an action, not a state.
       writes_per_s: Rate limit of writes; 0 for none.
@@ -45,6 +47,7 @@
     slow_s: float = 0.0
     lose_answers: int = 0
     lose_only: str = ''
+    silent_after_loss: bool = False
     mute_open: bool = False
     writes_per_s: float = 0.0
     reads_per_s: float = 0.0
@@ -94,6 +97,8 @@
         await asyncio.sleep(self.switches.slow_s)
         if self._loses_response(scope, events):
             self.switches.lose_answers -= 1
+            if self.switches.silent_after_loss:
+                self.switches.silent = self.switches.lose_answers == 0
             self.counts['lost'] += 1
             await self._app(scope, receive, _discard)
             await _abort(send.__self__.transport, receive)
--- a/tests/failure/test_unknown.py
+++ b/tests/failure/test_unknown.py
@@ -41,6 +41,7 @@
             self.cluster.store,
             lose_answers=0,
             lose_only='',
+            silent_after_loss=False,
             silent=False,
         )
         await self.slow_down()
@@ -61,12 +62,15 @@
         store = self.cluster.store
         lost = await harness.read_count(store, 'lost')
         # Only this write, not a router's renewal, which may come at any time.
-        await self.cluster.switch(store, lose_answers=1, lose_only='late')
+        # The store itself becomes silent: a switch set by the test could come
+        # after the retry of the write, and the order would run.
+        await self.cluster.switch(
+            store, lose_answers=1, lose_only='late', silent_after_loss=True
+        )
         tasks = asyncio.create_task(
             harness.send_order(self.first, 'late', 'late')
         )
         await harness.wait_for_count(store, 'lost', lost + 1)
-        await self.cluster.switch(store, silent=True)
         result = await tasks
         await self.cluster.switch(store, silent=False)
         later = await harness.wait_for_outcome(self.second, result)
--- a/tests/quetzalsill/platform/test_exchange.py
+++ b/tests/quetzalsill/platform/test_exchange.py
@@ -83,6 +83,24 @@
         self.assertEqual(row, table.Row(1, {'n': 1}))
         self.assertTrue(self.clients.health.up)
 
+    async def test_silence_after_a_lost_response(self):
+        """The store becomes silent with the response that it loses.
+
+        If it served a single call in between, the retry of the write would
+        succeed, and a test of an unknown acceptance would test nothing.
+        """
+        self.switches.lose_answers = 2
+        self.switches.silent_after_loss = True
+        for key in ('first', 'second'):
+            self.assertFalse(self.switches.silent)
+            with self.assertRaises(error.PlatformAnswerLostError):
+                await self.table.transact([], [table.Write('t', key, 1)])
+        with self.assertRaises(error.PlatformAnswerLostError):
+            await self.table.transact(CREATE, WRITE)
+        self.assertEqual(self.counts['transact'], 2)
+        self.switches.silent = False
+        self.assertEqual(await self.table.transact(CREATE, WRITE), [1])
+
     async def test_store_down(self):
         """The store rejects every call for a while.
 
