Wait until the routers store acceptances before each test of unknown outcomes

A write that is caught by the silence of the store in test_acceptance has no answer for up to 2 s, and the log of its router can be taken over meanwhile, as the tests set a time to live of 1 s. The next test started within that time.

--- a/tests/failure/test_unknown.py
+++ b/tests/failure/test_unknown.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import unittest
+import uuid
 
 from quetzalsill.config import model
 from quetzalsill_dev import board
@@ -51,6 +53,16 @@
         await super().restore()
         await harness.wait_until_served(self.cluster)
         self.first, self.second = self.cluster.routers.values()
+        # After a fault of the store, a write without an answer can hold up a
+        # router's journal until its log is taken over; entries that wait
+        # behind it are then refused as not run.
+        for router in (self.first, self.second):
+            await harness.wait_until(functools.partial(self.journals, router))
+
+    async def journals(self, router):
+        """Whether a router stores the acceptance of an order."""
+        key = uuid.uuid4().hex
+        return (await harness.send_order(router, 'test', key)).succeeded
 
     @fixture.on_cluster
     async def test_acceptance(self):
