Ask engines whose entry is missing whether they leave

An engine whose row is missing after the store has lost its history may be leaving without having announced it. Gateways with runs there ask for its report, in an order drawn by rendezvous hashing, and announce a notice in it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -157,6 +157,15 @@
         """Number of generations of all gateways."""
         return len(self.reservations) + self.peer_load.runs
 
+    def gateways_with_runs(self, node: str) -> list[str]:
+        """Returns the names of the gateways that have generations here.
+
+        Args:
+          node: Name of this gateway.
+        """
+        names = [name for name, one in self._load_by_peer.items() if one.runs]
+        return [*names, node] if self.reservations else names
+
     def expected_latency_s(self, now: float) -> float:
         """Returns the mean latency, with less weight the older it is."""
         excess_s = self.mean_latency_s - INITIAL_LATENCY_S
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -8,6 +8,7 @@
     'EntryInvalid',
     'CopyNotFreed',
     'CrashSuspected',
+    'LapsedEngineAsked',
     'MigrationStarted',
     'ReportFailed',
     'RetryAfterInvalid',
@@ -191,6 +192,25 @@
     version: str
 
 
+@base.define
+class LapsedEngineAsked(base.Event):
+    """An engine whose entry is missing was asked whether it is leaving.
+
+    Attributes:
+      upstream: Id of the upstream.
+      answer: `leaving`, `serving`, or why there is no valid answer.
+      leaving: Whether its report says that it is leaving.
+      left_ms: Reported time left; None if it is not reported.
+      asked_by_turn: Number of gateways whose turn was earlier.
+    """
+
+    upstream: str
+    answer: str
+    leaving: bool
+    left_ms: float | None
+    asked_by_turn: int
+
+
 @base.define
 class EntryInvalid(base.Event, level='error'):
     """An upstream's entry is invalid and ignored.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -139,6 +139,7 @@
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
+        self._on_lapsed: Callable[[Upstream], None] = lambda _: None
         self.revision = revision_lib.NONE
         self.gateway_count = 1
         self._confirmed_s = 0.0
@@ -200,6 +201,14 @@
         """Registers a callback for upstreams that leave or are removed."""
         self._on_leaving.append(callback)
 
+    def on_lapsed(self, callback: Callable[[Upstream], None]) -> None:
+        """Sets a callback for upstreams that are kept without an entry."""
+        self._on_lapsed = callback
+
+    def is_lapsed(self, upstream: Upstream) -> bool:
+        """Whether an upstream is kept although its entry is missing."""
+        return upstream.id in self._lapsed and not upstream.removed
+
     def available(
         self, service: str, regions: frozenset[str] | None = None
     ) -> list[Upstream]:
@@ -431,9 +440,13 @@
         self.revision = max(self.revision, revision)
         now = asyncio.get_running_loop().time()
         if may_have_lapsed and now < self._lapse_grace_until_s:
-            if upstream_id in self._by_id:
+            known = self._by_id.get(upstream_id)
+            if known is not None:
+                is_new = upstream_id not in self._lapsed
                 self._lapsed[upstream_id] = revision
                 event.note(event.UpstreamLapsed(upstream_id, str(revision)))
+                if is_new:
+                    self._on_lapsed(known)
             return
         upstream = self._by_id.pop(upstream_id, None)
         if upstream is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -35,7 +35,12 @@
 from quetzalsill_gateway.quarantine import persistence
 from quetzalsill_gateway.quarantine import update as quarantine_update
 from quetzalsill_gateway.stream import engine_poll, live
-from quetzalsill_gateway.watch import configuration, membership, update
+from quetzalsill_gateway.watch import (
+    configuration,
+    lapsed_engines,
+    membership,
+    update,
+)
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import deployment as deployment_lib
@@ -161,6 +166,13 @@
         )
         self.peers.on_greeting(upstreams.notices.updates)
         self.peers.on_refresh(self._refresh_notices)
+        self.lapsed_engines = lapsed_engines.LapsedEngines(
+            settings.node.name,
+            lambda found: engine_poll.ask(self.core, found),
+            lambda found: engine_poll.askers(self.core, found),
+            upstreams.is_lapsed,
+        )
+        upstreams.on_lapsed(self.lapsed_engines.start)
         self._persistence = persistence.Persistence(
             found,
             gateways,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/engine_poll.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/engine_poll.py
@@ -15,12 +15,13 @@
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.http import error
+from quetzalsill_gateway.watch import lapsed_engines
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['run']
+__all__ = ['ask', 'askers', 'run']
 
 # An engine shuts down 1.5 s after its notice at the earliest, and its report
 # may be 0.5 s old. This interval leaves about 1 s to move its runs.
@@ -45,15 +46,47 @@
 
 
 async def _poll(core: core_lib.Core, engine: upstream_lib.Upstream) -> None:
-    if engine.leaving:
-        return
+    if not engine.leaving:
+        await ask(core, engine)
+
+
+def askers(
+    core: core_lib.Core, engine: upstream_lib.Upstream
+) -> tuple[str, ...]:
+    """Returns the gateways that ask an engine whose entry is missing.
+
+    Those that have runs there; if there are none, all gateways; none if the
+    upstream is no engine.
+    """
+    table = core.holder.current
+    service = table.services.get(engine.service) if table else None
+    if service is None or service.engine is None:
+        return ()
+    node = core.members.node
+    found = core.stats_table.of(engine).gateways_with_runs(node)
+    now = asyncio.get_running_loop().time()
+    return tuple(found) or core.members.names(now)
+
+
+async def ask(
+    core: core_lib.Core, engine: upstream_lib.Upstream
+) -> lapsed_engines.Answer:
+    """Asks an engine for its report, and applies a notice in it."""
     try:
         report = await core.calls.report(engine)
     except error.CallError as exc:
         event.note(event.ReportFailed(engine.id, exc.code))
-        return
+        return lapsed_engines.Answer(
+            lapsed_engines.Outcome.NO_ANSWER, reason=exc.code
+        )
     if not core.upstreams.verify_incarnation(engine, report.incarnation):
-        return
+        return lapsed_engines.Answer(
+            lapsed_engines.Outcome.NO_ANSWER, reason='other_incarnation'
+        )
     core.stats_table.of(engine).record_time_left(report.leaving_in_s)
     if report.leaving:
         core.upstreams.mark_leaving(engine, 'report', is_shared=True)
+        outcome = lapsed_engines.Outcome.LEAVING
+    else:
+        outcome = lapsed_engines.Outcome.SERVING
+    return lapsed_engines.Answer(outcome, report.leaving_in_s)
