Announce answers of lapsed engines and poll while nothing confirms the membership

A gateway that got an answer without a notice announces it, so that an engine gets one request at a time. Also polls engines with runs while calls to the store hang without failing, and ignores the reported removal of an entry that was written again.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -5,7 +5,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import revision as revision_lib
@@ -23,6 +23,9 @@
 # Upper bound of the time an upstream stays cold. A larger value is a fault of
 # its writer, which the next entry corrects.
 MAX_WARMUP_S = 60.0
+# After an entry was written again, peers may still publish its removal for this
+# long: those that get both changes up to a second later.
+RETURN_GRACE_S = REMOVED_PUBLISH_S + 1.0
 # A source that has confirmed nothing for this long is unavailable to all
 # gateways: a query that waits for a change is answered sooner.
 SOURCE_SILENT_S = 0.8
@@ -151,6 +154,11 @@
         )
         # Loop time until which an upstream gets no new work, by key.
         self._suspected: dict[str, float] = {}
+        # Revisions at which only a peer's state said that an upstream is
+        # leaving, by key.
+        self._reported_by_peers: dict[str, revision_lib.Revision] = {}
+        # Loop time at which a removed entry was written again, by key.
+        self._returned: dict[str, float] = {}
         self._lapsed: dict[str, revision_lib.Revision] = {}
         self._lapse_grace_until_s = 0.0
         self._departures: collections.deque[tuple[float, str]] = (
@@ -324,6 +332,8 @@
             if found.leaving:
                 self.notices.record(found)
             found.leaving = self.notices.includes(found)
+            if any(key == found.key for _, key in self._ended):
+                self._mark_returned(found.key)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
             event.note(
@@ -342,6 +352,46 @@
             known.cold_until_s = _cold_until_s(found)
         if found.leaving:
             self.mark_leaving(known, 'membership')
+        elif self._is_newer_than_report(known.key, revision):
+            # A peer has seen its entry removed, which is back.
+            known.leaving = False
+            self._mark_returned(known.key)
+
+    def _is_newer_than_report(
+        self, key: str, revision: revision_lib.Revision
+    ) -> bool:
+        """Whether an entry was written after a peer's report of its removal.
+
+        An entry in a later epoch may be older: it comes from a restored copy.
+        """
+        reported = self._reported_by_peers.get(key)
+        return (
+            reported is not None
+            and revision.epoch == reported.epoch
+            and revision > reported
+        )
+
+    def _mark_returned(self, key: str) -> None:
+        """Records that a removed entry of a live upstream is back.
+
+        Reports of its removal in the state of peers no longer count. If it
+        leaves, its entry or a notice says so.
+        """
+        now = asyncio.get_running_loop().time()
+        self._reported_by_peers.pop(key, None)
+        self._returned = {
+            other: at_s
+            for other, at_s in self._returned.items()
+            if at_s > now - RETURN_GRACE_S
+        } | {key: now}
+        self._removed = collections.deque(
+            entry for entry in self._removed if entry[1] != key
+        )
+
+    def _has_returned(self, key: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        returned_s = self._returned.get(key)
+        return returned_s is not None and now < returned_s + RETURN_GRACE_S
 
     def mark_leaving(
         self, upstream: Upstream, source: str, *, is_shared: bool = False
@@ -354,6 +404,7 @@
           is_shared: Whether to announce it to the other gateways.
         """
         self.notices.record(upstream, is_shared=is_shared)
+        self._reported_by_peers.pop(upstream.key, None)
         self._set_leaving(upstream, source)
         # Its entry may have lapsed and be back meanwhile.
         current = self._by_id.get(upstream.id)
@@ -408,10 +459,17 @@
         The store may refuse some hosts and serve others; those that it serves
         pass its notices on to the rest.
         """
+        for upstream in self._find(keys):
+            if not upstream.leaving and not self._has_returned(upstream.key):
+                self._reported_by_peers[upstream.key] = self.revision
+                self._set_leaving(upstream, f'peer {node}')
+
+    def _find(self, keys: Iterable[str]) -> Iterator[Upstream]:
+        """Yields the known upstreams that have one of the keys."""
         for key in keys:
             upstream = self._by_id.get(key.partition(KEY_SEPARATOR)[0])
             if upstream is not None and upstream.key == key:
-                self._set_leaving(upstream, f'peer {node}')
+                yield upstream
 
     def receive_notices(self, update: shutdown_notices.NoticeUpdate) -> None:
         """Records the notices that another gateway has announced.
@@ -420,7 +478,9 @@
         """
         self.notices.receive(update)
         keys = [notice.key for notice in update.notices]
-        self.receive_leaving(keys, update.sender)
+        for upstream in self._find(keys):
+            self._reported_by_peers.pop(upstream.key, None)
+            self._set_leaving(upstream, f'peer {update.sender}')
 
     def remove(
         self,
@@ -455,6 +515,7 @@
         # The entry of a live upstream may lapse, and be written again.
         self._set_leaving(upstream, 'removed')
         upstream.removed = True
+        self._reported_by_peers.pop(upstream.key, None)
         self._removed.append((now, upstream.key))
         self._ended.append((now, upstream.key))
         event.note(event.UpstreamRemoved(upstream_id, str(revision)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -19,11 +19,13 @@
 )
 from quetzalsill_gateway.peers import (
     frame,
+    lapse_codec,
     limit_codec,
     notice_codec,
     quarantine_codec,
 )
 from quetzalsill_gateway.quarantine import update as quarantine_update
+from quetzalsill_gateway.watch import lapsed_engines
 from quetzalsill_gateway.watch import update as update_lib
 
 __all__ = ['PeerUpdate', 'decode', 'encode']
@@ -33,6 +35,7 @@
     | quarantine_update.QuarantineUpdate
     | server_limits.LimitUpdate
     | shutdown_notices.NoticeUpdate
+    | lapsed_engines.AnswerUpdate
 )
 
 PORTS = range(1, 65536)
@@ -49,6 +52,8 @@
         return limit_codec.encode(node, update)
     if isinstance(update, shutdown_notices.NoticeUpdate):
         return notice_codec.encode(node, update)
+    if isinstance(update, lapsed_engines.AnswerUpdate):
+        return lapse_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -96,6 +101,8 @@
             found = limit_codec.decode(fields)
         elif kind is frame.Kind.NOTICES:
             found = notice_codec.decode(fields)
+        elif kind is frame.Kind.LAPSED:
+            found = lapse_codec.decode(fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -173,6 +173,10 @@
             upstreams.is_lapsed,
         )
         upstreams.on_lapsed(self.lapsed_engines.start)
+        self.lapsed_engines.set_announcer(self.peers.announce)
+        self.peers.on_update(
+            lapsed_engines.AnswerUpdate, self.lapsed_engines.receive
+        )
         self._persistence = persistence.Persistence(
             found,
             gateways,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/engine_poll.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/engine_poll.py
@@ -1,11 +1,12 @@
-"""Polls engines for shutdown notices while the membership source is down.
+"""Polls engines for shutdown notices while the membership is not confirmed.
 
 An engine that is about to shut down reports this to the membership source and
 in its own status report. During an outage of the source the notice would not
 reach the gateways, and all runs on the engine would be lost when it shuts down.
 Polling costs a request per engine, so it is limited to outages and to engines
 with streams of this gateway. If the source is unavailable to some gateways
-only, the others forward its updates to them.
+only, the others forward its updates to them. An outage may also be silent:
+calls neither fail nor return, so the source isn't known to be down.
 """
 
 from __future__ import annotations
@@ -14,12 +15,13 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event
+from quetzalsill_gateway.fleet import upstream as upstream_lib
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.watch import lapsed_engines
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
-    from quetzalsill_gateway.fleet import upstream as upstream_lib
+    from quetzalsill_gateway import source
 
 __all__ = ['ask', 'askers', 'run']
 
@@ -32,17 +34,31 @@
 
 
 async def run(core: core_lib.Core) -> None:
-    """Polls during outages of the membership source, until cancelled."""
+    """Polls while the membership is not confirmed, until cancelled."""
     while True:
-        await core.health.wait_until_down()
-        if core.upstreams.age_s > MAX_UPDATE_AGE_S:
+        is_down = await _wait_until_down(core.health)
+        max_age_s = (
+            MAX_UPDATE_AGE_S if is_down else upstream_lib.SOURCE_SILENT_S
+        )
+        if core.upstreams.age_s > max_age_s:
             engines = [
                 upstream
                 for upstream in core.upstreams.all()
                 if core.live.of(upstream)
             ]
             await asyncio.gather(*(_poll(core, engine) for engine in engines))
-        await asyncio.sleep(POLL_INTERVAL_S)
+        if is_down:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def _wait_until_down(health: source.Health) -> bool:
+    """Waits for an outage for one interval; returns whether there is one."""
+    try:
+        async with asyncio.timeout(POLL_INTERVAL_S):
+            await health.wait_until_down()
+    except TimeoutError:
+        return False
+    return True
 
 
 async def _poll(core: core_lib.Core, engine: upstream_lib.Upstream) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
@@ -6,7 +6,8 @@
 
 One gateway asks. The gateways with runs at the engine are ranked by rendezvous
 hashing, so those that know the same ones agree on the order. The others ask in
-their turn if they have heard neither of a notice nor of an answer by then.
+their turn if they have heard neither of a notice nor of an answer by then. So
+an engine gets one request at a time, however many gateways there are.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['Answer', 'LapsedEngines', 'Outcome', 'rank']
+__all__ = ['Answer', 'AnswerUpdate', 'LapsedEngines', 'Outcome', 'rank']
 
 MS_PER_S = 1000
 # A gateway that asks has its answer, and the others have heard of it, within a
@@ -36,6 +37,9 @@
 # Two answers that are closer together may come from the same report.
 MIN_RECHECK_S = 0.5
 RETRY_S = 0.25
+# Bounds what is kept of answers to other gateways; several times the engines of
+# the largest planned fleet.
+MAX_HEARD = 1024
 
 
 class Outcome(enum.Enum):
@@ -67,6 +71,21 @@
     reason: str = ''
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerUpdate:
+    """An answer without a notice, which a gateway announces.
+
+    Attributes:
+      key: Key of the upstream.
+      outcome: What it has shown.
+      sender: Name of the sending gateway; set on receipt.
+    """
+
+    key: str
+    outcome: Outcome
+    sender: str = dataclasses.field(default='', compare=False)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class _Inquiry:
     """Decides when a gateway asks one engine.
@@ -138,6 +157,24 @@
         self._is_lapsed = is_lapsed
         self._inquiries: dict[str, _Inquiry] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        # Latest answer to another gateway and its loop time, by key.
+        self._heard: dict[str, tuple[Outcome, float]] = {}
+        self._announce: Callable[[AnswerUpdate], None] = lambda _: None
+
+    def set_announcer(self, announce: Callable[[AnswerUpdate], None]) -> None:
+        """Sets the function that sends updates to the other gateways."""
+        self._announce = announce
+
+    def receive(self, update: AnswerUpdate) -> None:
+        """Records the answer of an engine to another gateway."""
+        now = asyncio.get_running_loop().time()
+        self._heard.pop(update.key, None)
+        if len(self._heard) >= MAX_HEARD:
+            del self._heard[next(iter(self._heard))]
+        self._heard[update.key] = update.outcome, now
+        inquiry = self._inquiries.get(update.key)
+        if inquiry is not None:
+            inquiry.record(update.outcome, now)
 
     def start(self, upstream: upstream_lib.Upstream) -> None:
         """Starts to ask an engine whose entry is missing."""
@@ -148,6 +185,10 @@
             return
         loop = asyncio.get_running_loop()
         inquiry = _Inquiry(order, loop.time())
+        outcome, heard_s = self._heard.get(upstream.key, (None, 0.0))
+        if outcome is not None and loop.time() - heard_s < RETRY_S:
+            # The others have noticed earlier that its entry is missing.
+            inquiry.record(outcome, heard_s)
         self._inquiries[upstream.key] = inquiry
         task = loop.create_task(self._run(upstream, inquiry))
         self._tasks.add(task)
@@ -189,6 +230,8 @@
         turn = inquiry.turn(self._node)
         answer = await self._ask(upstream)
         inquiry.record(answer.outcome, asyncio.get_running_loop().time())
+        if answer.outcome is not Outcome.LEAVING:
+            self._announce(AnswerUpdate(upstream.key, answer.outcome))
         left_ms = None
         if answer.left_s is not None:
             left_ms = round(answer.left_s * MS_PER_S, 1)
@@ -207,5 +250,8 @@
     """Returns gateways in the order in which they ask an upstream."""
     return sorted(
         set(names),
-        key=lambda name: (xxhash.xxh32_intdigest(f'{key}/{name}'), name),
+        key=lambda name: (
+            xxhash.xxh32_intdigest(f'{key}/{name}'.encode()),
+            name,
+        ),
     )
