--- a/tests/quetzalsill_gateway/fleet/test_upstream.py
+++ b/tests/quetzalsill_gateway/fleet/test_upstream.py
@@ -7,7 +7,7 @@
 
 from quetzalsill_dev.simulation import clock
 from quetzalsill_gateway.balance import upstream_stats
-from quetzalsill_gateway.fleet import revision, upstream
+from quetzalsill_gateway.fleet import revision, shutdown_notices, upstream
 
 
 def at(version):
@@ -146,6 +146,72 @@
         self.upstreams._drop_lapsed()
         self.assertEqual(self.ids(), [])
 
+    async def test_lapse_is_notified_once(self):
+        """Each list that lacks an entry must not cause another request."""
+        lapsed = []
+        self.upstreams.on_lapsed(lapsed.append)
+        self.upstreams.put(entry(), at(1))
+        known = self.upstreams.get('u-1')
+        self.upstreams.start_lapse_grace()
+        self.upstreams.replace([], at(2))
+        self.upstreams.replace([], at(3))
+        self.assertEqual(lapsed, [known])
+        self.assertTrue(self.upstreams.is_lapsed(known))
+        self.upstreams.put(entry(), at(4))
+        self.assertFalse(self.upstreams.is_lapsed(known))
+        self.assertEqual(self.ids(), ['u-1'])
+
+
+class ReturnedTest(unittest.IsolatedAsyncioTestCase):
+    """The entry of a live upstream is removed and written again.
+
+    Gateways publish removed upstreams for some seconds, and once marked a live
+    engine as leaving for good in all of them.
+    """
+
+    async def asyncSetUp(self):
+        self.upstreams = upstream.Upstreams()
+        self.upstreams.put(entry(incarnation=7), at(1))
+        self.key = self.upstreams.get('u-1').key
+
+    def ids(self):
+        return [found.id for found in self.upstreams.available('s')]
+
+    async def test_removal_is_published_no_longer(self):
+        self.upstreams.remove('u-1', at(2))
+        self.assertEqual(self.upstreams.leaving_keys(), (self.key,))
+        self.upstreams.put(entry(incarnation=7), at(3))
+        self.assertEqual(self.upstreams.leaving_keys(), ())
+
+    async def test_peer_that_publishes_the_removal_late(self):
+        self.upstreams.remove('u-1', at(2))
+        self.upstreams.put(entry(incarnation=7), at(3))
+        self.upstreams.receive_leaving([self.key], 'entry-2')
+        self.assertEqual(self.ids(), ['u-1'])
+
+    async def test_peer_has_seen_the_removal_first(self):
+        """Only the peer has seen the removal; both changes come as one here."""
+        self.upstreams.receive_leaving([self.key], 'entry-2')
+        self.assertEqual(self.ids(), [])
+        self.upstreams.put(entry(incarnation=7), at(1))
+        self.assertEqual(self.ids(), [], 'an older entry')
+        self.upstreams.put(entry(incarnation=7), revision.Revision(1, 1))
+        self.assertEqual(self.ids(), [], 'an entry of a restored copy')
+        self.upstreams.revision = at(1)
+        self.upstreams.put(entry(incarnation=7), at(3))
+        self.assertEqual(self.ids(), ['u-1'])
+
+    async def test_notice_counts_all_the_same(self):
+        """The engine is back, and then leaves."""
+        self.upstreams.remove('u-1', at(2))
+        self.upstreams.put(entry(incarnation=7), at(3))
+        notice = shutdown_notices.Notice(self.key, 0.0)
+        self.upstreams.receive_notices(
+            shutdown_notices.NoticeUpdate((notice,), 'entry-2')
+        )
+        self.upstreams.put(entry(incarnation=7), at(4))
+        self.assertEqual(self.ids(), [])
+
 
 class SuspectEndedTest(unittest.TestCase):
     """A restored copy lists entries of upstreams that have ended."""
--- a/tests/quetzalsill_gateway/peers/test_update_codec.py
+++ b/tests/quetzalsill_gateway/peers/test_update_codec.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from quetzalsill_dev.simulation import legacy
 from quetzalsill_gateway import error
 from quetzalsill_gateway.fleet import revision, upstream, zones
-from quetzalsill_gateway.peers import frame, update_codec
+from quetzalsill_gateway.peers import frame, lapse_codec, update_codec
+from quetzalsill_gateway.watch import lapsed_engines
 from quetzalsill_gateway.watch import update as update_lib
 
 AT = revision.Revision(3, 7)
@@ -30,6 +35,16 @@
     digest=b'12345678',
 )
 
+VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=300),
+    strategies.binary(max_size=8),
+    strategies.lists(strategies.integers(0, 1), max_size=3),
+)
+
 
 def decode_update(data):
     """Returns the update in a datagram."""
@@ -109,6 +124,22 @@
             with self.assertRaises(error.PeerError):
                 decode_update(data)
 
+    def test_answers_of_lapsed_engines_round_trip(self):
+        for outcome in lapse_codec.CODES:
+            sent = lapsed_engines.AnswerUpdate('u-1', outcome)
+            update = decode_update(update_codec.encode('entry-1', sent))
+            self.assertEqual((update, update.sender), (sent, 'entry-1'))
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(strategies.lists(VALUES, max_size=4))
+    def test_malformed_answers_are_rejected(self, fields):
+        """A faulty gateway must not stop the others from asking engines."""
+        with contextlib.suppress(error.PeerError):
+            _, update = update_codec.decode(frame.Kind.LAPSED, fields)
+            self.assertIs(type(update.key), str)
+            self.assertLessEqual(len(update.key), frame.MAX_KEY_LENGTH)
+            self.assertIn(update.outcome, lapse_codec.CODES)
+
 
 if __name__ == '__main__':
     unittest.main()
