--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -126,7 +126,7 @@
     ),
     'asking-in-an-outage': _gateway(
         'stream/engine_poll.py',
-        'await core.health.wait_until_down()',
+        'await _wait_until_down(core.health)',
         'await asyncio.Event().wait()',
     ),
     'telling-of-an-outage': _gateway(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -113,6 +113,7 @@
             fault.SERVER_LIMIT: self._name_limits,
             fault.LEAVING_RESPONSE: self._leave_by_response,
             fault.SERVER_PAUSE: self._ask_for_pauses,
+            fault.VANISHED_ROW: self._lose_row,
         }
 
     def inject(self, injection: plan.Injection) -> None:
@@ -388,6 +389,30 @@
         await asyncio.sleep(injection.duration_s)
         await self._remove(upstream)
 
+    async def _lose_row(self, injection: plan.Injection) -> None:
+        """Has the store lose a live upstream's row together with its history.
+
+        Half of the engines leave at this moment, and only their reports say so.
+        The other upstreams write their row again.
+        """
+        upstream = self._pick_departing(injection)
+        if upstream is None:
+            return
+        await self._testbed.add_upstream(upstream.service)
+        store, name = self._testbed.store, upstream.server.id
+        is_engine = upstream.service == testbed_lib.ENGINE_SERVICE
+        store.remove('servers', name)
+        store.load_snapshot(store.snapshot())
+        if is_engine and random.Random(injection.target).random() < 0.5:
+            upstream.server.leaving = True
+            upstream.server.leaves_ms = round(DRAIN_NOTICE_S * 1000)
+            await asyncio.sleep(DRAIN_NOTICE_S)
+            await self._remove(upstream)
+            return
+        await asyncio.sleep(injection.duration_s)
+        store.put('servers', name, upstream.row())
+        self._departing.remove(upstream)
+
     async def _ask_for_pauses(self, injection: plan.Injection) -> None:
         """Has some upstreams reject all requests and ask for pauses."""
         rng = random.Random(injection.target)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -6,6 +6,7 @@
 
 from quetzalsill.telemetry import metric
 from quetzalsill_gateway.watch import epoch
+from quetzalsill_gateway.watch import lapsed_engines as lapsed_engines_lib
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -16,6 +17,7 @@
     'attempts',
     'datagrams',
     'epochs',
+    'lapsed_engines',
     'moves',
     'updates',
     'record_request',
@@ -60,7 +62,9 @@
     'quetzalsill_gateway_news_total',
     'News of the sources that other gateways told, by source and use.',
 )
-# Defined in `watch.epoch`, on which the state observed here depends.
+# Defined in `watch`, since the state observed here or the codecs of peers depend
+# on these modules.
+lapsed_engines = lapsed_engines_lib.asked_total
 epochs = epoch.epochs_total
 response_times = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
@@ -20,14 +20,26 @@
 
 import xxhash
 
+from quetzalsill.telemetry import metric
 from quetzalsill_gateway import event
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['Answer', 'AnswerUpdate', 'LapsedEngines', 'Outcome', 'rank']
+__all__ = [
+    'Answer',
+    'AnswerUpdate',
+    'LapsedEngines',
+    'Outcome',
+    'asked_total',
+    'rank',
+]
 
 MS_PER_S = 1000
+asked_total = metric.counter(
+    'quetzalsill_gateway_lapsed_engines_asked_total',
+    'Requests to engines whose entry is missing, by what the report says.',
+)
 # A gateway that asks has its answer, and the others have heard of it, within a
 # few round trips.
 TURN_S = 0.15
@@ -232,6 +244,7 @@
         inquiry.record(answer.outcome, asyncio.get_running_loop().time())
         if answer.outcome is not Outcome.LEAVING:
             self._announce(AnswerUpdate(upstream.key, answer.outcome))
+        asked_total.inc({'answer': answer.outcome.value})
         left_ms = None
         if answer.left_s is not None:
             left_ms = round(answer.left_s * MS_PER_S, 1)
