--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -62,7 +62,7 @@
     'quetzalsill_gateway_news_total',
     'News of the sources that other gateways told, by source and use.',
 )
-# Defined in `watch`, as the state observed here and the codecs of peers depend on
+# Defined in `watch`, as the state observed here and codecs of peers depend on
 # these modules.
 lapsed_engines = lapsed_engines_lib.asked_total
 epochs = epoch.epochs_total
