--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -60,6 +60,7 @@
     LIMITS = 9
     NOTICES = 10
     SPEEDS = 11
+    LAPSED = 13
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -20,12 +20,14 @@
 from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.peers import (
     frame,
+    lapse_codec,
     limit_codec,
     notice_codec,
     quarantine_codec,
     speed_codec,
 )
 from quetzalsill_gateway.quarantine import update as quarantine_update
+from quetzalsill_gateway.watch import lapsed_engines
 from quetzalsill_gateway.watch import update as update_lib
 
 __all__ = ['PeerUpdate', 'decode', 'encode']
@@ -36,6 +38,7 @@
     | server_limits.LimitUpdate
     | shutdown_notices.NoticeUpdate
     | engine_speed.SpeedUpdate
+    | lapsed_engines.AnswerUpdate
 )
 
 PORTS = range(1, 65536)
@@ -54,6 +57,8 @@
         return notice_codec.encode(node, update)
     if isinstance(update, engine_speed.SpeedUpdate):
         return speed_codec.encode(node, update)
+    if isinstance(update, lapsed_engines.AnswerUpdate):
+        return lapse_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -103,6 +108,8 @@
             found = notice_codec.decode(fields)
         elif kind is frame.Kind.SPEEDS:
             found = speed_codec.decode(fields)
+        elif kind is frame.Kind.LAPSED:
+            found = lapse_codec.decode(fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
