--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -36,9 +36,9 @@
 # While requests are queued at several gateways, each chooses the better of a
 # few engines drawn by free memory, so that they don't all choose the same one.
 DRAWN_ENGINES = 2
-# A generation that waits for a faster engine is sent this long before it would
-# be late for want of time to prefill its prompt.
-MATCH_MARGIN_S = 0.15
+# Share of its objective for which a generation waits for an engine that is
+# fast enough for it. The rest is for its prefill, behind others, at any engine.
+MATCH_WAIT_SHARE = 0.25
 # A request that has not been sent after this share of its objective is late.
 DUE_SHARE = 0.75
 
@@ -160,16 +160,18 @@
     ) -> list[upstream_lib.Upstream]:
         """Returns the engines to choose from; empty to wait for a better one.
 
-        While its first event is not due yet, a generation waits for an engine
-        that it is fast enough for. After that, all engines are candidates.
+        A generation waits for an engine that is fast enough for it as long as
+        its first event can still be in time. After that, all are candidates.
         """
         if not assessments:
             return candidates
         matching = [one for one in candidates if assessments[one.key].is_match]
         if matching:
             return matching
-        own_s = self._stats_table.prefill_s(self._reservation.prompt_tokens)
-        may_wait = now + own_s + MATCH_MARGIN_S < self._due_s
+        waits_until_s = (
+            self.entry.arrived_s + MATCH_WAIT_SHARE * self.req.route.objective_s
+        )
+        may_wait = now < min(waits_until_s, self._due_s)
         return [] if may_wait else candidates
 
     def expected_wait(
