Assess engines once per generation and move matching to its own module

The effect at an engine is computed from the median of the service and kept for a quarter of a second. Where engines are alike, or none is fast enough, no generation waits for a faster one.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/pace.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/pace.py
@@ -14,14 +14,16 @@
 
 import dataclasses
 import math
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from quetzalsill_gateway.fleet import engine_load
+
 if TYPE_CHECKING:
-    from quetzalsill_gateway.balance import upstream_stats
     from quetzalsill_gateway.fleet import engine_speed
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['ON_TIME', 'Assessment', 'Gaps', 'Work', 'assess', 'is_needed']
+__all__ = ['ON_TIME', 'Assessment', 'Assessor', 'Gaps', 'Work', 'is_needed']
 
 # Single gaps exceed their median by about this factor without a slowdown.
 GAP_MARGIN = 1.15
@@ -30,6 +32,12 @@
 # Above this probability a generation is not sent to an engine while it can
 # still wait for another one.
 MAX_LATE_PROBABILITY = 0.25
+# Assessments of one generation are as old as that at most; about the age of the
+# estimates that they are made of.
+MAX_ASSESSOR_AGE_S = 0.25
+# Speeds that stand for the mixture of a service's engines. Evaluated for each
+# engine, the mixture costs more than all known engines.
+MIXTURE_SIZE = 6
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,53 +101,129 @@
 def is_needed(
     speeds: engine_speed.EngineSpeeds, service: str, max_gap_s: float | None
 ) -> bool:
-    """Whether some engine of a service is expected to exceed a limit."""
-    if max_gap_s is None:
+    """Whether some engine of a service is expected to exceed a limit.
+
+    Where the engines are alike, no choice among them makes a difference.
+    """
+    if max_gap_s is None or not speeds.differ(service):
         return False
     noise = speeds.noise(service)
     factor = noise.factor if noise.share >= MIN_NOISE_SHARE else 1.0
     return speeds.longest_gap_s(service) * factor * GAP_MARGIN > max_gap_s
 
 
-def assess(
-    speeds: engine_speed.EngineSpeeds,
-    stats: upstream_stats.UpstreamStats,
-    candidate: upstream_lib.Upstream,
-    work: Work,
-) -> Assessment:
-    """Returns the expected effect of sending a generation to an engine.
+class Assessor:
+    """Assesses the engines of a service for one generation.
 
-    An engine of unknown speed counts as a mixture of the known ones.
+    What the engines have in common is computed once, and an assessment is kept,
+    because a generation that waits assesses each engine every few milliseconds.
+    An assessor is used for MAX_ASSESSOR_AGE_S at most.
     """
-    quiet_s = speeds.pause_s(candidate, stats.runs, is_prefilling=False)
-    busy_s = speeds.pause_s(candidate, stats.runs, is_prefilling=True)
-    if quiet_s is None or busy_s is None:
-        return ON_TIME
-    gaps = Gaps(quiet_s, busy_s)
-    service = candidate.service
-    is_known = speeds.is_known(candidate)
-    mixture = speeds.known_slowness(service) or (1.0,)
-    factors = (speeds.slowness(candidate),) if is_known else mixture
-    # The gaps include the slowness of a known engine.
-    scales = (1.0,) if is_known else mixture
-    noise = speeds.noise(service)
-    share = speeds.prefill_share(service)
-    late = delayed = 0.0
-    for factor, scale in zip(factors, scales, strict=True):
-        at_engine = gaps.scaled(scale)
-        prefill_s = work.prefill_s * factor
-        late += late_probability(
-            at_engine,
-            noise,
-            dataclasses.replace(
-                work, duration_s=work.duration_s * factor, prefill_s=prefill_s
-            ),
-            share,
+
+    def __init__(
+        self, speeds: engine_speed.EngineSpeeds, service: str, work: Work
+    ) -> None:
+        """Starts without an assessment.
+
+        Args:
+          speeds: Estimated speed of each engine.
+          service: The service of the engines.
+          work: The generation, with its times at an engine of median speed.
+        """
+        self._speeds = speeds
+        self._service = service
+        self._work = work
+        self._median_s = speeds.median_event_s(service)
+        self._noise = speeds.noise(service)
+        self._prefill_share = speeds.prefill_share(service)
+        self._mixture = _representatives(speeds.known_slowness(service))
+        # By number of the bucket of runs.
+        self._median_gaps: dict[int, Gaps] = {}
+        self._unknown: dict[int, Assessment] = {}
+        self._found: dict[tuple[str, int], Assessment] = {}
+
+    @property
+    def has_match(self) -> bool:
+        """Whether the fastest known engine is fast enough at a light load."""
+        return self._at(min(self._mixture), 0).is_match
+
+    def assess(self, candidate: upstream_lib.Upstream, runs: int) -> Assessment:
+        """Returns the expected effect of sending the generation to an engine.
+
+        An engine of unknown speed counts as a mixture of the known ones.
+
+        Args:
+          candidate: The engine.
+          runs: Number of runs there.
+        """
+        _, number = engine_load.bucket(runs, is_prefilling=False)
+        found = self._found.get((candidate.key, number))
+        if found is None:
+            estimate = self._speeds.estimate(candidate)
+            if estimate.is_known:
+                found = self._at(estimate.slowness, number)
+            else:
+                found = self._at_unknown(number)
+            self._found[candidate.key, number] = found
+        if not found.delayed:
+            return found
+        return Assessment(found.late, found.delayed * runs)
+
+    def _at_unknown(self, number: int) -> Assessment:
+        """Returns the mean effect over the mixture of engines."""
+        found = self._unknown.get(number)
+        if found is None:
+            mixture = [self._at(slowness, number) for slowness in self._mixture]
+            found = self._unknown[number] = Assessment(
+                sum(one.late for one in mixture) / len(mixture),
+                sum(one.delayed for one in mixture) / len(mixture),
+            )
+        return found
+
+    def _at(self, slowness: float, number: int) -> Assessment:
+        """Returns the effect at an engine, as if it had one other run.
+
+        Args:
+          slowness: Time between its events relative to the median.
+          number: Number of the bucket of its runs.
+        """
+        if self._median_s is None:
+            return ON_TIME
+        median = self._median_gaps.get(number)
+        if median is None:
+            median = self._median_gaps[number] = self._gaps(number)
+        work, noise = self._work, self._noise
+        worst_s = median.busy_s * slowness * noise.factor
+        if worst_s * GAP_MARGIN <= work.max_gap_s:
+            return ON_TIME
+        gaps = median.scaled(slowness)
+        prefill_s = work.prefill_s * slowness
+        here = Work(work.max_gap_s, work.duration_s * slowness, prefill_s)
+        return Assessment(
+            late_probability(gaps, noise, here, self._prefill_share),
+            delay_probability(gaps, noise, work.max_gap_s, prefill_s),
         )
-        delayed += stats.runs * delay_probability(
-            at_engine, noise, work.max_gap_s, prefill_s
+
+    def _gaps(self, number: int) -> Gaps:
+        """Returns the gaps at an engine of median speed."""
+        quiet, busy = (
+            self._median_s
+            * math.exp(self._speeds.log_factor(self._service, (value, number)))
+            for value in (False, True)
         )
-    return Assessment(late / len(factors), delayed / len(factors))
+        return Gaps(quiet, busy)
+
+
+def _representatives(slowness: Sequence[float]) -> list[float]:
+    """Returns a few values at evenly spaced ranks, with both extremes."""
+    values = sorted(slowness) or [1.0]
+    if len(values) <= MIXTURE_SIZE:
+        return values
+    last = len(values) - 1
+    return [
+        values[round(rank * last / (MIXTURE_SIZE - 1))]
+        for rank in range(MIXTURE_SIZE)
+    ]
 
 
 def late_probability(
@@ -153,6 +237,9 @@
       work: The generation, with its times at this engine.
       prefill_share: Share of the time in which an engine prefills.
     """
+    if not work.duration_s:
+        # It has no event after the first one.
+        return 0.0
     limit_s = work.max_gap_s / GAP_MARGIN
     prefill_s = max(work.prefill_s, 1e-3)
     if gaps.quiet_s > limit_s:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -6,7 +6,12 @@
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway.balance import choose, expected_wait, pace
+from quetzalsill_gateway.balance import (
+    choose,
+    expected_wait,
+    matching,
+    pace,
+)
 from quetzalsill_gateway.fleet import publish_timing
 
 if TYPE_CHECKING:
@@ -36,11 +41,6 @@
 # While requests are queued at several gateways, each chooses the better of a
 # few engines drawn by free memory, so that they don't all choose the same one.
 DRAWN_ENGINES = 2
-# Share of its objective for which a generation waits for an engine that is
-# fast enough for it. The rest is for its prefill, behind others, at any engine.
-MATCH_WAIT_SHARE = 0.25
-# A request that has not been sent after this share of its objective is late.
-DUE_SHARE = 0.75
 
 
 class EngineSearch:
@@ -74,6 +74,9 @@
         self._avoid = avoid
         self.entry = entry
         self._demand = demand
+        self._matcher = matching.Matcher(
+            stats_table, req, reservation, entry.arrived_s
+        )
 
     @property
     def has_engine(self) -> bool:
@@ -90,8 +93,7 @@
         with_room = self._engines_with_room(now)
         if self.req.is_suspect:
             with_room = self._with_fewest_runs(with_room)
-        assessments = self._assess(with_room, now)
-        with_room = self._matching(with_room, assessments, now)
+        with_room, assessments = self._matcher.match(with_room, now)
         rank = self.entry.rank(now)
         service = self.req.service.name
         same_or_ahead = self._stats_table.waiting_at_peers(service, rank)
@@ -114,65 +116,14 @@
         if assessments:
             drawn = random.choices(with_room, free_tokens, k=DRAWN_ENGINES)
             return self._lowest_cost(drawn, assessments)
+        self.req.late_probability, self.req.pace_miss = 0.0, False
         return random.choices(with_room, free_tokens)[0]
 
     def lowest_cost(self) -> upstream_lib.Upstream | None:
         """Returns the engine with the lowest expected cost, full or not."""
         sendable = self._sendable()
         now = asyncio.get_running_loop().time()
-        return self._lowest_cost(sendable, self._assess(sendable, now))
-
-    @property
-    def _due_s(self) -> float:
-        """Loop time from which it is late for want of an engine here.
-
-        Not counted from the caller's first attempt, which is only estimated: a
-        caller with a short time limit looks like one that returns.
-        """
-        return self.entry.arrived_s + DUE_SHARE * self.req.route.objective_s
-
-    def _assess(
-        self, candidates: list[upstream_lib.Upstream], now: float
-    ) -> dict[str, pace.Assessment]:
-        """Returns the expected lateness by engine, empty if all keep up."""
-        table, max_gap_s = self._stats_table, self.req.route.max_gap_s
-        speeds = table.engine_speeds
-        if not pace.is_needed(speeds, self.req.service.name, max_gap_s):
-            return {}
-        work = pace.Work(
-            max_gap_s,
-            # One that is late already cannot become late by its gaps.
-            0.0
-            if now >= self._due_s
-            else table.generation_s(self._reservation),
-            table.prefill_s(self._reservation.prompt_tokens),
-        )
-        return {
-            one.key: pace.assess(speeds, table.of(one), one, work)
-            for one in candidates
-        }
-
-    def _matching(
-        self,
-        candidates: list[upstream_lib.Upstream],
-        assessments: dict[str, pace.Assessment],
-        now: float,
-    ) -> list[upstream_lib.Upstream]:
-        """Returns the engines to choose from; empty to wait for a better one.
-
-        A generation waits for an engine that is fast enough for it as long as
-        its first event can still be in time. After that, all are candidates.
-        """
-        if not assessments:
-            return candidates
-        matching = [one for one in candidates if assessments[one.key].is_match]
-        if matching:
-            return matching
-        waits_until_s = (
-            self.entry.arrived_s + MATCH_WAIT_SHARE * self.req.route.objective_s
-        )
-        may_wait = now < min(waits_until_s, self._due_s)
-        return [] if may_wait else candidates
+        return self._lowest_cost(sendable, self._matcher.assess(sendable, now))
 
     def expected_wait(
         self, now: float, rank: int, ahead: expected_wait.Ahead
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
-__all__ = ['EngineSpeeds', 'Noise', 'Speed', 'SpeedUpdate']
+__all__ = ['EngineSpeeds', 'Estimate', 'Noise', 'Speed', 'SpeedUpdate']
 
 Noise = engine_load.Noise
 
@@ -67,8 +67,8 @@
 ANNOUNCE_INTERVAL_S = 1.0
 # Estimates are repeated to other gateways while they are this recent.
 REPEAT_AGE_S = 10.0
-# Medians of a service are computed at most this often, as each choice of an
-# engine needs them for each candidate.
+# Medians of a service and estimates of its engines are computed at most this
+# often, as each choice of an engine needs them for each candidate.
 SUMMARY_INTERVAL_S = 0.25
 
 
@@ -92,6 +92,24 @@
     observed_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Estimate:
+    """Speed that is expected of an engine, at the age of its samples.
+
+    Attributes:
+      event_s: Time between two events of a run at a light load; None if nothing
+        is known of the service.
+      prefill_per_s: Prompt tokens prefilled per second; None likewise.
+      slowness: Time between events relative to the median of the service.
+      is_known: Whether the engine itself was measured, here or by a peer.
+    """
+
+    event_s: float | None = None
+    prefill_per_s: float | None = None
+    slowness: float = 1.0
+    is_known: bool = False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SpeedUpdate:
     """Speeds that a gateway announces.
@@ -126,6 +144,9 @@
       announced: What this gateway announced last.
       check_s: Loop time from which it may announce the estimate again.
       combined: Own and received estimates; None if it has to be computed.
+      estimate: What it was expected to do when the medians of its service were
+        computed last.
+      estimated_s: Loop time of that computation.
       recent: Recent samples, for the ratios by load.
       is_logged: Whether its first estimate was logged.
     """
@@ -145,6 +166,8 @@
     announced: Speed | None = None
     check_s: float = -math.inf
     combined: Speed | None = None
+    estimate: Estimate = Estimate()
+    estimated_s: float = -math.inf
     recent: engine_load.Recent = dataclasses.field(
         default_factory=engine_load.Recent
     )
@@ -174,6 +197,7 @@
       event_tokens: Tokens prefilled in the time between two events.
       spread: Slowest / fastest engine.
       slowness: Time between events of each engine relative to `event_s`.
+      unknown: Estimate of an engine that was not measured.
     """
 
     event_s: float | None = None
@@ -182,6 +206,7 @@
     event_tokens: float | None = None
     spread: float = 1.0
     slowness: tuple[float, ...] = ()
+    unknown: Estimate = Estimate()
 
 
 NO_SUMMARY = _Summary()
@@ -285,17 +310,7 @@
           The median of the service if the engine is unknown; None if nothing is
           known of the service.
         """
-        speed, weight = self._find(upstream)
-        summary = self._summary(upstream.service)
-        median_s = summary.event_s
-        if median_s is None or speed is None:
-            return median_s
-        value = speed.event_s
-        if not value:
-            if summary.event_tokens is None:
-                return median_s
-            value = summary.event_tokens / speed.prefill_per_s
-        return median_s * (value / median_s) ** weight
+        return self.estimate(upstream).event_s
 
     def prefill_per_s(self, upstream: upstream_lib.Upstream) -> float | None:
         """Returns the prompt tokens that an engine prefills per second.
@@ -304,33 +319,36 @@
           The slower quartile of the service if the engine is unknown; None if
           nothing is known of the service.
         """
-        speed, weight = self._find(upstream)
-        summary = self._summary(upstream.service)
-        median = summary.prefill_per_s
-        if median is None or speed is None:
-            return summary.slow_prefill_per_s
-        value = speed.prefill_per_s
-        if not value:
-            if summary.event_tokens is None:
-                return summary.slow_prefill_per_s
-            value = summary.event_tokens / speed.event_s
-        return median * (value / median) ** weight
+        return self.estimate(upstream).prefill_per_s
 
     def slowness(self, upstream: upstream_lib.Upstream) -> float:
         """Returns the time between events relative to the service's median."""
-        event_s = self.event_s(upstream)
-        summary = self._summary(upstream.service)
-        if event_s is not None:
-            return event_s / summary.event_s
-        speed, weight = self._find(upstream)
-        if summary.prefill_per_s is None or speed is None:
-            return 1.0
-        return (summary.prefill_per_s / speed.prefill_per_s) ** weight
+        return self.estimate(upstream).slowness
 
     def is_known(self, upstream: upstream_lib.Upstream) -> bool:
         """Whether the engine itself was measured, here or by a peer."""
         return self._engines.get(upstream.key) is not None
 
+    def estimate(self, upstream: upstream_lib.Upstream) -> Estimate:
+        """Returns the speed that is expected of an engine.
+
+        It is up to SUMMARY_INTERVAL_S old, except the first one.
+        """
+        engine = self._engines.get(upstream.key)
+        if engine is None:
+            return self._summary(upstream.service).unknown
+        if not engine.service:
+            self._assign(engine, upstream.service)
+        summary = self._summary(upstream.service)
+        if engine.estimated_s != self._summarized_s:
+            engine.estimated_s = self._summarized_s
+            engine.estimate = _estimate(
+                self._combined(engine, self._summarized_s),
+                _weight(engine, self._summarized_s),
+                summary,
+            )
+        return engine.estimate
+
     def pause_s(
         self, upstream: upstream_lib.Upstream, runs: int, *, is_prefilling: bool
     ) -> float | None:
@@ -348,6 +366,14 @@
         bucket = engine_load.bucket(runs, is_prefilling=is_prefilling)
         return event_s * math.exp(load.log_factor(bucket))
 
+    def median_event_s(self, service: str) -> float | None:
+        """Returns the median of `event_s` over the known engines."""
+        return self._summary(service).event_s
+
+    def log_factor(self, service: str, found: engine_load.Bucket) -> float:
+        """Returns the logarithm of a gap's ratio to one at a light load."""
+        return self._load(service).log_factor(found)
+
     def known_slowness(self, service: str) -> tuple[float, ...]:
         """Returns the slowness of each known engine of a service."""
         return self._summary(service).slowness
@@ -451,10 +477,9 @@
         self.identify(known)
         self._engines.expire(known)
         services = {one.service for one in known}
-        for service in set(self._loads) - services:
-            del self._loads[service]
-            self._peer_loads.pop(service, None)
-            self._interferences.pop(service, None)
+        for table in (self._loads, self._peer_loads, self._interferences):
+            for service in table.keys() - services:
+                del table[service]
 
     def _interference(self, service: str) -> engine_load.Interference:
         """Returns the mean of all gateways that sent theirs recently."""
@@ -543,19 +568,6 @@
             )
         )
 
-    def _find(
-        self, upstream: upstream_lib.Upstream
-    ) -> tuple[Speed | None, float]:
-        """Returns the estimate of an engine and the weight left at its age."""
-        engine = self._engines.get(upstream.key)
-        if engine is None:
-            return None, 0.0
-        if not engine.service:
-            self._assign(engine, upstream.service)
-        now = self._clock()
-        age_s = max(0.0, now - engine.observed_s)
-        return self._combined(engine, now), 0.5 ** (age_s / HALF_LIFE_S)
-
     def _combined(self, engine: _Engine, now: float) -> Speed:
         if engine.combined is None:
             engine.combined = _combine(
@@ -571,10 +583,8 @@
             self._summarized_s = now
             by_service = collections.defaultdict(list)
             for engine in self._engines.values():
-                age_s = max(0.0, now - engine.observed_s)
-                weight = 0.5 ** (age_s / HALF_LIFE_S)
                 by_service[engine.service].append(
-                    (self._combined(engine, now), weight)
+                    (self._combined(engine, now), _weight(engine, now))
                 )
             self._summaries = {
                 name: _summarize(speeds) for name, speeds in by_service.items()
@@ -582,6 +592,45 @@
         return self._summaries.get(service, NO_SUMMARY)
 
 
+def _weight(engine: _Engine, now: float) -> float:
+    """Returns the weight that is left of an estimate at its age."""
+    return 0.5 ** (max(0.0, now - engine.observed_s) / HALF_LIFE_S)
+
+
+def _estimate(speed: Speed, weight: float, summary: _Summary) -> Estimate:
+    """Returns the estimate of a known engine.
+
+    Args:
+      speed: Combined estimate of all gateways.
+      weight: Weight left of it; the rest is that of the service's medians.
+      summary: Medians of the service.
+    """
+    event_s, per_s = speed.event_s, speed.prefill_per_s
+    if summary.event_tokens is not None:
+        if not event_s and per_s:
+            event_s = summary.event_tokens / per_s
+        elif not per_s and event_s:
+            per_s = summary.event_tokens / event_s
+    slowness = 1.0
+    if summary.event_s is not None:
+        if event_s:
+            slowness = (event_s / summary.event_s) ** weight
+        event_s = summary.event_s * slowness
+    elif summary.prefill_per_s is not None and per_s:
+        slowness = (summary.prefill_per_s / per_s) ** weight
+    if summary.prefill_per_s is not None and per_s:
+        ratio = per_s / summary.prefill_per_s
+        per_s = summary.prefill_per_s * ratio**weight
+    else:
+        per_s = summary.slow_prefill_per_s
+    return Estimate(
+        event_s if summary.event_s is not None else None,
+        per_s,
+        slowness,
+        is_known=True,
+    )
+
+
 def _has_changed(
     median: engine_load.Median | engine_load.LightLoadMedian, reference: float
 ) -> bool:
@@ -642,13 +691,15 @@
         for speed, weight in speeds
         if speed.event_s and speed.samples >= MIN_SAMPLES
     ]
+    slow_per_s = rates[len(rates) // 4] if rates else None
     return _Summary(
         event_s,
         prefill_per_s,
-        rates[len(rates) // 4] if rates else None,
+        slow_per_s,
         statistics.median(products) if products else None,
         max(measured) / min(measured) if len(measured) > 1 else 1.0,
         tuple(measured),
+        Estimate(event_s, slow_per_s),
     )
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
@@ -228,7 +228,7 @@
     def _is_match(
         self, stream: live.Stream, target: upstream_lib.Upstream
     ) -> bool:
-        """Whether an engine is fast enough for the rest of a run."""
+        """Whether an engine is fast enough for a run, by its whole length."""
         req, table = stream.exchange, self._core.stats_table
         max_gap_s = req.route.max_gap_s
         speeds = self._core.engine_speeds
@@ -238,8 +238,8 @@
             # It is late already.
             return True
         work = pace.Work(max_gap_s, table.generation_s(stream.reservation), 0.0)
-        found = pace.assess(speeds, table.of(target), target, work)
-        return found.is_match
+        assessor = pace.Assessor(speeds, target.service, work)
+        return assessor.assess(target, table.of(target).runs).is_match
 
     async def _precopy(
         self, stream: live.Stream, leaving: leaving_engine.LeavingEngine
--- a/tests/quetzalsill_gateway/balance/test_pace.py
+++ b/tests/quetzalsill_gateway/balance/test_pace.py
@@ -158,7 +158,8 @@
                 stats.reservations = set(
                     range(sum(run['end_s'] > t for run in engine.runs))
                 )
-                found = pace.assess(self.speeds, stats, engine.upstream, work)
+                assessor = pace.Assessor(self.speeds, 's', work)
+                found = assessor.assess(engine.upstream, stats.runs)
                 wait_s += 10.0 * found.cost
             return wait_s + 0.02 * len(engine.runs) + 0.01 * rng.random()
 
