--- a/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/bench/telling.py
@@ -22,7 +22,7 @@
 from quetzalsill_gateway.balance import admission, upstream_stats
 from quetzalsill_gateway.fleet import members, upstream
 from quetzalsill_gateway.peers import exchange
-from quetzalsill_gateway.stream import link_queue, live
+from quetzalsill_gateway.stream import link_queue, live, loop_delay
 
 __all__ = ['main']
 
@@ -123,6 +123,7 @@
             link_queue=link_queue.LinkQueue(),
             health=source.Health(),
             budget=retry_budget.RetryBudget(0.2, 10.0, 10.0, 16),
+            loop_delay=loop_delay.LoopDelay(),
         )
         core.live = live.LiveStreams(core.stats_table)
         core.members = members.Members(node)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -220,8 +220,9 @@
         """Publishes changes; runs until cancelled."""
         loop = asyncio.get_running_loop()
         ticks = ticker.Ticker()
+        delay = self._core.loop_delay
         while True:
-            if await ticks.wait(PUBLISH_INTERVAL_S):
+            if await delay.wait(ticks, PUBLISH_INTERVAL_S):
                 self._remove_expired(loop.time())
             gateways = 1 + len(self._peers)
             self._core.upstreams.gateway_count = gateways
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -236,7 +236,6 @@
             'callers': self.callers.enforce_timeouts,
             'readiness': self.readiness.enforce_timeouts,
             'lookout': lambda: engine_poll.run(self.core),
-            'loop-delay': self.core.loop_delay.run,
         }
         if self._settings.peers:
             await self.peers.open(settings_lib.address(self._settings.peers))
--- a/tests/quetzalsill_gateway/stream/test_gap_sampler.py
+++ b/tests/quetzalsill_gateway/stream/test_gap_sampler.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 import types
 import unittest
 from unittest import mock
 
+from quetzalsill.net import ticker
 from quetzalsill_gateway.balance import upstream_stats
 from quetzalsill_gateway.fleet import upstream
+from quetzalsill_gateway.peers import exchange
 from quetzalsill_gateway.stream import gap_sampler, live, loop_delay
 
 
@@ -64,8 +67,13 @@
     def test_no_sample_while_the_loop_is_late(self):
         """A pause of this process makes an engine look slow."""
 
+        async def tick():
+            ticks = ticker.Ticker()
+            while True:
+                await self.delay.wait(ticks, exchange.PUBLISH_INTERVAL_S)
+
         async def pause():
-            task = asyncio.create_task(self.delay.run())
+            task = asyncio.create_task(tick())
             await asyncio.sleep(0.01)
             clock = asyncio.get_running_loop().time
             self.sampler.record(1, clock())
@@ -77,8 +85,22 @@
 
         asyncio.run(pause())
         self.assertEqual([gap_s for gap_s in self.gaps() if gap_s > 0.1], [])
+        self.assertEqual(self.delay.late_ticks, 1)
         self.assertFalse(loop_delay.LoopDelay().was_late(0.0, 1.0))
 
+    def test_samples_without_ticks(self):
+        """A gateway without peers, or whose loop has ended, takes no sample."""
+
+        async def end():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.01):
+                    await self.delay.wait(ticker.Ticker(), 60.0)
+
+        asyncio.run(end())
+        self.sampler.record(1, 1e9)
+        self.sampler.record(1, 1e9 + 0.04)
+        self.assertEqual(self.gaps(), [0.04])
+
 
 class PrefillTest(unittest.IsolatedAsyncioTestCase):
     """A stream behind another one at an engine."""
