--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
@@ -1,11 +1,11 @@
-"""Log event for the choice of an upstream."""
+"""Log event and metric for the choice of an upstream."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
 
-from quetzalsill_gateway import event
+from quetzalsill_gateway import event, meter
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
@@ -26,6 +26,8 @@
     """Logs the choice with the statistics it was based on, and their age."""
     stats = core.stats_table.of(upstream)
     now = asyncio.get_running_loop().time()
+    if req.pace_miss:
+        meter.pace_misses.inc({'kind': req.route.kind.value})
     event.note(
         event.UpstreamChosen(
             request=req.id_text,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -24,6 +24,7 @@
     'updates',
     'record_request',
     'observe',
+    'pace_misses',
     'refused',
     'store_calls',
 ]
@@ -46,6 +47,11 @@
     'quetzalsill_gateway_held_total',
     'Generations queued for an engine, by result and by what they waited for.',
 )
+pace_misses = metric.counter(
+    'quetzalsill_gateway_pace_misses_total',
+    'Generations sent to an engine that is too slow for their gaps, by kind of'
+    ' route.',
+)
 attempts = metric.counter(
     'quetzalsill_gateway_attempts_total',
     'Sends to upstreams, by what came of them.',
