Test what gateways share of slowdowns, and matching

Property tests of SPEEDS datagrams lacked the third field, so each datagram was rejected before its items were checked. Estimates out of range are limited when they are sent, as one of them would void the whole datagram. Of the services, those without samples no longer displace others.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -498,16 +498,12 @@
 
     def _update(self, speeds: Iterable[Speed]) -> SpeedUpdate:
         """Returns an update with speeds and with what delays events."""
-        loads = {
+        found = {
             service: load.interference for service, load in self._loads.items()
         }
+        sampled = [item for item in found.items() if item[1].samples]
         return SpeedUpdate(
-            tuple(speeds),
-            interferences={
-                service: one
-                for service, one in list(loads.items())[:MAX_SERVICES]
-                if one.samples
-            },
+            tuple(speeds), interferences=dict(sampled[:MAX_SERVICES])
         )
 
     def _load(self, service: str) -> engine_load.ServiceLoad:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/speed_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/speed_codec.py
@@ -17,8 +17,8 @@
 US_PER_S = 1_000_000
 MS_PER_S = 1000
 PER_MILLE = 1000
-MAX_FACTOR = 100
-# Slowdowns that begin more often are the normal course of events.
+MAX_FACTOR = round(math.exp(engine_load.MAX_SLOWDOWN))
+# A slowdown that begins with each event is not one.
 MAX_ONSETS_PER_S = 100
 # Of sensible estimates, none is outside. Others are dropped rather than
 # limited, since they would still distort the medians.
@@ -34,7 +34,7 @@
     speeds = [
         (
             one.key,
-            round(one.event_s * US_PER_S),
+            _event_us(one.event_s),
             math.ceil(one.prefill_per_s),
             one.samples,
             max(0, round((now - one.observed_s) * MS_PER_S)),
@@ -46,7 +46,7 @@
             service,
             round(one.noise.share * PER_MILLE),
             round(one.noise.factor * PER_MILLE),
-            round(one.noise.onsets_per_s * PER_MILLE),
+            round(min(MAX_ONSETS_PER_S, one.noise.onsets_per_s) * PER_MILLE),
             round(one.prefill_share * PER_MILLE),
             one.samples,
         )
@@ -66,8 +66,9 @@
         raise ValueError('invalid node')
     if not isinstance(speeds, list) or len(speeds) > engine_speed.MAX_ITEMS:
         raise ValueError('invalid list of speeds')
-    if len(interferences) > engine_speed.MAX_SERVICES:
-        raise ValueError('too many services')
+    is_list = isinstance(interferences, list)
+    if not is_list or len(interferences) > engine_speed.MAX_SERVICES:
+        raise ValueError('invalid list of services')
     return engine_speed.SpeedUpdate(
         tuple(_speed(*one) for one in speeds),
         node,
@@ -75,6 +76,13 @@
     )
 
 
+def _event_us(event_s: float) -> int:
+    """Returns a time between events in the range that is accepted."""
+    if not event_s:
+        return 0
+    return min(MAX_EVENT_US, max(MIN_EVENT_US, round(event_s * US_PER_S)))
+
+
 def _interference(
     service: Any,
     share: Any,
--- a/tests/quetzalsill_gateway/balance/test_choose.py
+++ b/tests/quetzalsill_gateway/balance/test_choose.py
@@ -205,6 +205,28 @@
         self.assertEqual(order[0].availability_zone, 'b')
         self.assertNotIn(self.found[0], order)
 
+    async def test_a_run_moves_to_an_engine_that_is_fast_enough(self):
+        """A run moves within its zone to where its gaps become too long."""
+
+        def order():
+            return choose.rank_destinations(
+                self.found,
+                self.stats_table,
+                self.found[0],
+                ENGINE,
+                b'r',
+                4000,
+                lambda one: one.id in ('u-4', 'u-5'),
+            )
+
+        self.assertEqual({one.id for one in order()[:2]}, {'u-4', 'u-5'})
+        self.assertEqual({one.id for one in order()[2:4]}, {'u-1', 'u-2'})
+        self.hold(4, 9000, 3)
+        self.assertEqual(order()[0].id, 'u-5')
+        self.hold(5, 9000, 3)
+        first = {one.id for one in order()[:3]}
+        self.assertEqual(first, {'u-1', 'u-2', 'u-3'}, 'no room goes last')
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/quetzalsill_gateway/fleet/test_engine_speed.py
+++ b/tests/quetzalsill_gateway/fleet/test_engine_speed.py
@@ -14,7 +14,7 @@
 
 from quetzalsill_gateway import error
 from quetzalsill_gateway.balance import upstream_stats
-from quetzalsill_gateway.fleet import engine_speed, upstream
+from quetzalsill_gateway.fleet import engine_load, engine_speed, upstream
 from quetzalsill_gateway.peers import frame, update_codec
 
 EVENT_S = 0.04
@@ -209,6 +209,76 @@
         )
 
 
+class InterferenceTest(unittest.TestCase):
+    """Slowdowns of a service, as several gateways have seen them."""
+
+    def setUp(self):
+        self.now = 1000.0
+        self.speeds = engine_speed.EngineSpeeds(lambda: self.now)
+        self.engine = upstream.Upstream('e', 's', ('10.0.0.1', 1), 'z')
+        self.speeds.record_event(self.engine, 0.04, 0, is_prefilling=False)
+
+    def receive(self, node, found, service='s'):
+        self.speeds.receive(
+            engine_speed.SpeedUpdate((), node, {service: found})
+        )
+        self.now += 1.0
+
+    def test_weighted_by_samples(self):
+        """A gateway with a few samples decides for all."""
+        self.receive('one', interference(0.2, 3.0, 0.6, 0.5, 300))
+        self.receive('two', interference(0.1, 2.0, 0.3, 0.2, 100))
+        self.receive('three', interference(1.0, 9.0, 9.0, 1.0, 0))
+        noise = self.speeds.noise('s')
+        self.assertAlmostEqual(noise.share, (0.2 * 3 + 0.1) / 4)
+        # Weighted by the samples in a slowdown: 60 and 10.
+        self.assertAlmostEqual(noise.factor, (3.0 * 60 + 2.0 * 10) / 70)
+        self.assertAlmostEqual(noise.onsets_per_s, (0.6 * 3 + 0.3) / 4)
+        self.assertAlmostEqual(
+            self.speeds.prefill_share('s'), (0.5 * 3 + 0.2) / 4
+        )
+
+    def test_without_a_slowdown(self):
+        """The factor of no samples is a division by zero."""
+        self.receive('one', interference(0.0, 1.0, 0.0, 0.0, 50))
+        self.assertEqual(self.speeds.noise('s'), engine_speed.Noise())
+
+    def test_a_gateway_that_is_gone(self):
+        """What a gateway saw before it ended counts for ever."""
+        self.receive('one', interference(0.2, 3.0, 0.6, 0.5, 300))
+        self.now += engine_speed.HALF_LIFE_S
+        self.assertEqual(self.speeds.noise('s'), engine_speed.Noise())
+
+    def test_number_of_senders_is_bounded(self):
+        """A faulty peer fills the memory with names."""
+        for number in range(200):
+            self.receive(f'g-{number}', interference(0.2, 3.0, 0.6, 0.5, 300))
+        kept = self.speeds._peer_loads['s']
+        newest = range(200 - engine_speed.MAX_LOAD_SENDERS, 200)
+        self.assertEqual(set(kept), {f'g-{number}' for number in newest})
+
+    def test_service_that_is_not_relayed(self):
+        """A faulty peer fills the memory with services."""
+        found = interference(0.2, 3.0, 0.6, 0.5, 300)
+        for number in range(100):
+            self.receive('one', found, f'other-{number}')
+        self.assertEqual(list(self.speeds._peer_loads), [])
+        self.assertEqual(self.speeds.noise('other-1'), engine_speed.Noise())
+
+    def test_number_of_services_sent_is_bounded(self):
+        for number in range(50):
+            engine = upstream.Upstream(
+                f'e-{number}', f's-{number}', ('', 1), ''
+            )
+            for _ in range(20):
+                self.now += 0.01
+                self.speeds.record_event(engine, 0.04, 0, is_prefilling=False)
+        for update in self.speeds.updates():
+            self.assertEqual(
+                len(update.interferences), engine_speed.MAX_SERVICES
+            )
+
+
 VALUE = st.one_of(
     st.none(),
     st.booleans(),
@@ -222,12 +292,24 @@
 VALID = ('e', 40_000, 7000, 12, 250)
 
 
-def _replaced(number, value):
+SLOWDOWNS = ('s', 150, 2500, 500, 250, 120)
+
+
+def _replaced(valid, number, value):
     """Returns a valid item with one value replaced."""
-    return VALID[:number] + (value,) + VALID[number + 1 :]
+    return valid[:number] + (value,) + valid[number + 1 :]
 
 
-ITEM = st.builds(_replaced, st.integers(0, 4), VALUE)
+ITEM = st.builds(_replaced, st.just(VALID), st.integers(0, 4), VALUE)
+SLOWDOWNS_ITEM = st.builds(
+    _replaced, st.just(SLOWDOWNS), st.integers(0, 5), VALUE
+)
+
+
+def interference(share, factor, onsets_per_s, prefill_share, samples):
+    """Returns what a gateway has seen of a service."""
+    noise = engine_load.Noise(share, factor, onsets_per_s)
+    return engine_load.Interference(noise, prefill_share, samples)
 
 
 class CodecTest(unittest.TestCase):
@@ -250,13 +332,13 @@
     def test_malformed_fields(self, node, items):
         """A faulty peer stops this gateway."""
         with contextlib.suppress(error.PeerError):
-            update_codec.decode(frame.Kind.SPEEDS, [node, items])
+            update_codec.decode(frame.Kind.SPEEDS, [node, items, []])
 
     @settings(derandomize=True, deadline=None, max_examples=300)
     @given(st.lists(ITEM, max_size=2))
     def test_invalid_values_have_no_effect(self, items):
         """A faulty peer distorts the estimates of this gateway."""
-        fields = msgpack.unpackb(msgpack.packb(('peer', items)))
+        fields = msgpack.unpackb(msgpack.packb(('peer', items, [])))
         speeds = engine_speed.EngineSpeeds()
         try:
             _, update = update_codec.decode(frame.Kind.SPEEDS, fields)
@@ -276,6 +358,66 @@
             self.assertTrue(per_s is None or 0.5 < per_s <= 1e6)
 
     def test_too_large_lists_are_refused(self):
-        items = [VALID] * 33
-        with self.assertRaises(error.PeerError):
-            update_codec.decode(frame.Kind.SPEEDS, ['a', items])
+        fields = ['a', [VALID] * 32, [SLOWDOWNS] * 8]
+        update_codec.decode(frame.Kind.SPEEDS, fields)
+        for number, value in ((1, [VALID] * 33), (2, [SLOWDOWNS] * 9)):
+            with self.assertRaises(error.PeerError):
+                update_codec.decode(
+                    frame.Kind.SPEEDS,
+                    [*fields[:number], value, *fields[number + 1 :]],
+                )
+
+    def test_round_trip_of_interference(self):
+        sent = engine_speed.SpeedUpdate(
+            (),
+            interferences={
+                's': interference(0.15, 2.5, 0.5, 0.25, 120),
+                # An estimate beyond the bounds must not void the datagram.
+                't': interference(1.0, 20.0, 1e4, 1.0, 300),
+            },
+        )
+        data = update_codec.encode('a', sent)
+        _, update = update_codec.decode(*frame.unpack(data))
+        found = update.interferences
+        self.assertEqual(found['s'], sent.interferences['s'])
+        self.assertEqual(found['t'].noise.onsets_per_s, 100.0)
+
+    def test_extreme_estimates_are_sent(self):
+        """One engine out of range voids the estimates of all others."""
+        speeds = tuple(
+            engine_speed.Speed(f'e-{event_s}', event_s, 7000.0, 12, 1e5)
+            for event_s in (1e-6, 0.04, 25.0)
+        )
+        data = update_codec.encode('a', engine_speed.SpeedUpdate(speeds))
+        _, update = update_codec.decode(*frame.unpack(data))
+        self.assertEqual(
+            [one.event_s for one in update.speeds], [1e-4, 0.04, 10.0]
+        )
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(VALUE | st.lists(st.tuples(*[VALUE] * 6) | VALUE, max_size=2))
+    def test_malformed_interference(self, items):
+        """A faulty peer stops this gateway."""
+        with contextlib.suppress(error.PeerError):
+            update_codec.decode(frame.Kind.SPEEDS, ['peer', [], items])
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.lists(SLOWDOWNS_ITEM, max_size=2))
+    def test_invalid_interference_has_no_effect(self, items):
+        """A faulty peer makes all engines count as slow."""
+        fields = msgpack.unpackb(msgpack.packb(('peer', [], items)))
+        speeds = engine_speed.EngineSpeeds()
+        found = upstream.Upstream('e', 's', ('', 1), 'z')
+        speeds.record_event(found, EVENT_S, 0, is_prefilling=False)
+        try:
+            _, update = update_codec.decode(frame.Kind.SPEEDS, fields)
+        except error.PeerError:
+            return
+        for item in fields[2]:
+            self.assertEqual([type(value) for value in item], [str, *[int] * 5])
+        speeds.receive(update)
+        noise = speeds.noise('s')
+        self.assertTrue(0.0 <= noise.share <= 1.0)
+        self.assertTrue(1.0 <= noise.factor <= 20.0)
+        self.assertTrue(0.0 <= noise.onsets_per_s <= 100.0)
+        self.assertTrue(0.0 <= speeds.prefill_share('s') <= 1.0)
