--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -303,6 +303,7 @@
         self.readiness.stop()
         self.metrics.stop()
         self.peers.close()
+        self.lapsed_engines.close()
         for conn in [*self.callers.connections, *self.readiness.connections]:
             conn.abort()
         for task in self._tasks:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
@@ -206,6 +206,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def close(self) -> None:
+        """Stops asking."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _run(
         self, upstream: upstream_lib.Upstream, inquiry: _Inquiry
     ) -> None:
--- a/tests/quetzalsill_gateway/watch/test_lapsed_engines.py
+++ b/tests/quetzalsill_gateway/watch/test_lapsed_engines.py
@@ -29,6 +29,7 @@
         self.dead = []
         self.deaf = []
         self.late = ''
+        self.stops_at_s = 4.0
         self.grace_s = GRACE_S
 
     def run(self):
@@ -46,7 +47,10 @@
                 upstream = self.upstreams[name]
                 loop = asyncio.get_running_loop()
                 loop.call_later(delay_s, gateway.start, upstream)
-            await asyncio.sleep(4.0)
+            await asyncio.sleep(self.stops_at_s)
+            for gateway in self.gateways.values():
+                gateway.close()
+            await asyncio.sleep(4.0 - self.stops_at_s)
 
         with mock.patch.object(event, 'note') as note:
             clock.run(work)
@@ -145,6 +149,12 @@
         fleet.grace_s = 0.2
         self.assertEqual(len(fleet.run()), 1)
 
+    def test_no_more_questions_after_the_gateway_has_stopped(self):
+        """A gateway that stops would ask until the grace ends."""
+        fleet = Fleet(lambda *_: Outcome.NO_ANSWER)
+        fleet.stops_at_s = 0.1
+        self.assertEqual(len(fleet.run()), 1)
+
     def test_order_differs_between_engines(self):
         """One gateway would get all requests if many entries are missing."""
         names = [f'entry-{n}' for n in range(GATEWAYS)]
