Leave memory for runs of engines whose rows were removed

Engines that leave without a notice are removed from the membership about 1.5 s before they stop. Their runs still have to be moved, but new work took the memory that they need.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -315,9 +315,8 @@
         They take precedence: a run that finds no room is lost.
         """
         return sum(
-            self._stats_table.of(one).reserved_tokens
-            for one in self._upstreams.all()
-            if one.leaving and one.service == self.req.service.name
+            self._stats_table.reserved_tokens(one)
+            for one in self._upstreams.leaving(self.req.service.name)
         )
 
     def _available(self) -> list[upstream_lib.Upstream]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -250,6 +250,11 @@
         """Returns the statistics of an upstream, creating them if needed."""
         return self._get_or_create(upstream.key)
 
+    def reserved_tokens(self, upstream: upstream_lib.Upstream) -> int:
+        """Returns what generations are expected to need, also if removed."""
+        found = self._stats.get(upstream.key)
+        return found.reserved_tokens if found is not None else 0
+
     def items(self) -> ItemsView[str, UpstreamStats]:
         """Returns all statistics with the keys of their upstreams."""
         return self._stats.items()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -146,7 +146,7 @@
         self.revision = revision_lib.NONE
         self.gateway_count = 1
         self._confirmed_s = 0.0
-        self._removed: collections.deque[tuple[float, str]] = (
+        self._removed: collections.deque[tuple[float, Upstream]] = (
             collections.deque()
         )
         self._ended: collections.deque[tuple[float, str]] = collections.deque(
@@ -385,7 +385,7 @@
             if at_s > now - RETURN_GRACE_S
         } | {key: now}
         self._removed = collections.deque(
-            entry for entry in self._removed if entry[1] != key
+            entry for entry in self._removed if entry[1].key != key
         )
 
     def _has_returned(self, key: str) -> bool:
@@ -447,11 +447,25 @@
         Some never announce that they leave: their entry is removed, and they
         continue to serve for a while.
         """
+        leaving = [u.key for u in self._by_id.values() if u.leaving]
+        return (*leaving, *(one.key for one in self._recently_removed()))
+
+    def leaving(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that leave or have just left.
+
+        Includes those that were recently removed, which may still have runs.
+        """
+        return [
+            one
+            for one in (*self._by_id.values(), *self._recently_removed())
+            if one.leaving and one.service == service
+        ]
+
+    def _recently_removed(self) -> list[Upstream]:
         oldest_s = asyncio.get_running_loop().time() - REMOVED_PUBLISH_S
         while self._removed and self._removed[0][0] < oldest_s:
             self._removed.popleft()
-        leaving = [u.key for u in self._by_id.values() if u.leaving]
-        return (*leaving, *(removed for _, removed in self._removed))
+        return [removed for _, removed in self._removed]
 
     def receive_leaving(self, keys: Iterable[str], node: str) -> None:
         """Marks the upstreams that another gateway reports as leaving.
@@ -516,7 +530,7 @@
         self._set_leaving(upstream, 'removed')
         upstream.removed = True
         self._reported_by_peers.pop(upstream.key, None)
-        self._removed.append((now, upstream.key))
+        self._removed.append((now, upstream))
         self._ended.append((now, upstream.key))
         event.note(event.UpstreamRemoved(upstream_id, str(revision)))
 
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -287,18 +287,22 @@
         """New work does not take the memory that runs to be moved need.
 
         Otherwise the runs of a leaving engine find no destination and are lost.
+        Some engines leave without a notice: their rows are removed.
         """
-        leaving = upstream.Upstream('u-2', 's', ('10.0.0.2', 1), 'z')
-        self.upstreams.put(leaving, revision.Revision(0, 2))
-        runs = self.stats_table.of(leaving).reservations
-        runs.add(upstream_stats.Reservation(0, 10_000, is_prefilling=False))
-        leaving.leaving = True
-        self.stats.reservations.discard(self.full)
-        waiting = self.ask('a', tokens=8000)
-        await asyncio.sleep(0.3)
-        self.assertFalse(waiting.done())
-        runs.clear()
-        self.assertIs(await waiting, self.engine)
+        for is_removed in (False, True):
+            leaving = upstream.Upstream('u-2', 's', ('10.0.0.2', 1), 'z')
+            self.upstreams.put(leaving, revision.Revision(0, 2))
+            runs = self.stats_table.of(leaving).reservations
+            runs.add(upstream_stats.Reservation(0, 10_000, is_prefilling=False))
+            leaving.leaving = True
+            if is_removed:
+                self.upstreams.remove('u-2', revision.Revision(0, 3))
+            self.stats.reservations.clear()
+            waiting = self.ask('a', tokens=8000)
+            await asyncio.sleep(0.3)
+            self.assertFalse(waiting.done())
+            runs.clear()
+            self.assertIs(await waiting, self.engine)
 
     async def test_runs_of_leaving_engines_may_move_to_any_engine(self):
         """Three engines leave at a peak, and their runs fit elsewhere.
