--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/matching.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/matching.py
@@ -14,11 +14,9 @@
 
 __all__ = ['Matcher']
 
-# Share of its objective for which a generation waits for an engine that is
-# fast enough for it. The rest is for its prefill, behind others, at any engine.
-MATCH_WAIT_SHARE = 0.25
-# A request that has not been sent after this share of its objective is late.
-DUE_SHARE = 0.75
+# A generation stops waiting for a faster engine this long before it would be
+# late for want of time to prefill its prompt.
+MATCH_MARGIN_S = 0.15
 
 
 class Matcher:
@@ -29,7 +27,7 @@
         stats_table: upstream_stats.StatsTable,
         req: exchange_lib.Exchange,
         reservation: upstream_stats.Reservation,
-        arrived_s: float,
+        late_at_s: float,
     ) -> None:
         """Starts with the arrival of a request.
 
@@ -37,14 +35,12 @@
           stats_table: Statistics of each engine.
           req: The request.
           reservation: Memory that it is expected to need.
-          arrived_s: Loop time of its arrival at this gateway. Not that of the
-            caller's first attempt, which is only estimated: a caller with a
-            short time limit looks like one that returns.
+          late_at_s: Loop time from which it is late if it was not sent.
         """
         self._stats_table = stats_table
         self._req = req
         self._reservation = reservation
-        self._arrived_s = arrived_s
+        self._late_at_s = late_at_s
         self._assessor: pace.Assessor | None = None
         self._assessor_until_s = -math.inf
 
@@ -75,8 +71,9 @@
         matching = [one for one in candidates if found[one.key].is_match]
         if matching:
             return matching, found
-        waits_s = MATCH_WAIT_SHARE * self._req.route.objective_s
-        may_wait = now < self._arrived_s + waits_s and assessor.has_match
+        own_s = self._stats_table.prefill_s(self._reservation.prompt_tokens)
+        send_by_s = self._late_at_s - own_s - MATCH_MARGIN_S
+        may_wait = now < send_by_s and assessor.has_match
         return [] if may_wait else candidates, found
 
     def _current(self, now: float) -> pace.Assessor | None:
@@ -92,12 +89,14 @@
         self._assessor_until_s = now + pace.MAX_ASSESSOR_AGE_S
         self._assessor = None
         if pace.is_needed(speeds, service, max_gap_s):
-            due_s = self._arrived_s + DUE_SHARE * req.route.objective_s
-            if now < due_s:
-                self._assessor_until_s = min(self._assessor_until_s, due_s)
+            is_late = now >= self._late_at_s
+            if not is_late:
+                self._assessor_until_s = min(
+                    self._assessor_until_s, self._late_at_s
+                )
             work = pace.Work(
                 max_gap_s,
-                table.generation_s(self._reservation) if now < due_s else 0.0,
+                0.0 if is_late else table.generation_s(self._reservation),
                 table.prefill_s(self._reservation.prompt_tokens),
             )
             self._assessor = pace.Assessor(speeds, service, work)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -75,7 +75,7 @@
         self.entry = entry
         self._demand = demand
         self._matcher = matching.Matcher(
-            stats_table, req, reservation, entry.arrived_s
+            stats_table, req, reservation, entry.late_at_s
         )
 
     @property
--- a/tests/quetzalsill_gateway/balance/test_matching.py
+++ b/tests/quetzalsill_gateway/balance/test_matching.py
@@ -59,16 +59,18 @@
         self.now += 1.0
 
     def matcher(self):
-        return matching.Matcher(self.table, self.req, RESERVATION, self.now)
+        late_at_s = self.now + 0.75 * OBJECTIVE_S
+        return matching.Matcher(self.table, self.req, RESERVATION, late_at_s)
 
-    def test_waits_for_a_quarter_of_the_objective(self):
+    def test_waits_while_its_first_event_can_be_in_time(self):
         """A generation waits for a fast engine until it is late."""
         self.observe(0.03, 0.1)
         matcher = self.matcher()
         everyone = [*self.slow, *self.fast]
         self.assertEqual(matcher.match(everyone, self.now)[0], self.fast)
         self.assertEqual(matcher.match(self.slow, self.now)[0], [])
-        self.now += OBJECTIVE_S / 4 + 0.01
+        own_s = self.table.prefill_s(RESERVATION.prompt_tokens)
+        self.now += 0.75 * OBJECTIVE_S - own_s - matching.MATCH_MARGIN_S
         found, assessments = matcher.match(self.slow, self.now)
         self.assertEqual(found, self.slow)
         for one in found:
