--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/pace.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/pace.py
@@ -116,7 +116,7 @@
     """Assesses the engines of a service for one generation.
 
     What the engines have in common is computed once, and an assessment is kept,
-    because a generation that waits assesses each engine every few milliseconds.
+    because a generation that waits assesses each engine every 20 ms.
     An assessor is used for MAX_ASSESSOR_AGE_S at most.
     """
 
@@ -195,6 +195,7 @@
         work, noise = self._work, self._noise
         worst_s = median.busy_s * slowness * noise.factor
         if worst_s * GAP_MARGIN <= work.max_gap_s:
+            # Most engines: the probabilities below are 0.
             return ON_TIME
         gaps = median.scaled(slowness)
         prefill_s = work.prefill_s * slowness
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -572,10 +572,11 @@
         return engine.combined
 
     def _summary(self, service: str) -> _Summary:
-        if not self._engines:
-            return NO_SUMMARY
         now = self._clock()
         if not 0.0 <= now - self._summarized_s < SUMMARY_INTERVAL_S:
+            if not self._engines:
+                # The first estimate has effect at once.
+                return NO_SUMMARY
             self._summarized_s = now
             by_service = collections.defaultdict(list)
             for engine in self._engines.values():
