Let requests that are queued for long go first in turn with others

In a burst, many requests are queued for twice their objective at once. Each of them that went first made a timely one late. One send in four goes to them now.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -9,7 +9,8 @@
 
 Requests that can no longer start in time go behind those that can. Served
 first, each would make the next one late too, for as long as the burst lasts.
-Those that have waited for long go first, so that no burst starves them.
+Those that have waited for long go first at one send in four, so that no burst
+starves them.
 """
 
 from __future__ import annotations
@@ -47,7 +48,8 @@
 MIN_PATIENCE_S = 2.0
 POLL_S = 0.02
 # A request that is queued for this multiple of its objective goes before all
-# others of its priority. Callers stay for about twice as long.
+# others of its priority when it is its turn. Callers stay for about twice as
+# long.
 STARVING_OBJECTIVES = 2.0
 # Weight of the newest generation in the moving average of a route's output.
 OUTPUT_WEIGHT = 0.05
@@ -103,6 +105,9 @@
         self._mean_output: dict[str, float] = {}
         self._longest_left_s: dict[tuple[str, float], float] = {}
         self._demand: dict[str, forecast.Demand] = {}
+        self._turns: dict[tuple[str, int], queue_entry.StarvingTurns] = (
+            collections.defaultdict(queue_entry.StarvingTurns)
+        )
 
     def waiting_tokens(self) -> dict[str, dict[int, int]]:
         """Returns the tokens queued here, by service and rank."""
@@ -148,6 +153,7 @@
             prompt_tokens=reservation.prompt_tokens,
             send_by_s=self._send_by_s(req, own_prefill_s, now),
             first_at_s=now + STARVING_OBJECTIVES * req.route.objective_s,
+            turns=self._turns[req.service.name, req.priority],
         )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
         demand.record_arrival(
@@ -181,6 +187,7 @@
         if not queue:
             chosen = search.try_choose(now)
             if chosen is not None:
+                entry.turns.record_sent(is_first=False)
                 return chosen
         if self._exceeds_wait_bound(search, queue):
             self._log_wait(search, now, queue, None)
@@ -351,6 +358,7 @@
             if all(key <= one.sort_key(now) for one in queue):
                 chosen = search.try_choose(now)
                 if chosen is not None:
+                    entry.turns.record_sent(is_first=entry.is_first(now))
                     return chosen
             if now >= recheck_s:
                 if self._exceeds_wait_bound(search, queue):
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -7,7 +7,7 @@
 
 from quetzalsill_gateway.balance import expected_wait
 
-__all__ = ['LAST_RANK', 'SIZE_BOUNDS', 'QueueEntry']
+__all__ = ['LAST_RANK', 'SIZE_BOUNDS', 'QueueEntry', 'StarvingTurns']
 
 # Bounds between size classes, as multiples of the route's mean output. Within a
 # priority shorter generations go first: they need less memory for the same
@@ -17,6 +17,32 @@
 # Added to the rank of a late request, which places it behind all others.
 LATE_RANK = 10 * SIZE_RANKS
 LAST_RANK = 2 * LATE_RANK
+# Requests that are sent between two that go first because they are queued for
+# long.
+OTHERS_PER_STARVING = 3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StarvingTurns:
+    """Limits how often requests that are queued for long go first.
+
+    In a burst many are queued for long at the same time. If all of them went
+    first, each would make another one late that can still be in time.
+
+    Attributes:
+      others_sent: Requests sent since one that went first.
+    """
+
+    others_sent: int = OTHERS_PER_STARVING
+
+    def record_sent(self, *, is_first: bool) -> None:
+        """Records that a request was sent."""
+        self.others_sent = 0 if is_first else self.others_sent + 1
+
+    @property
+    def is_due(self) -> bool:
+        """Whether a request that is queued for long goes first now."""
+        return self.others_sent >= OTHERS_PER_STARVING
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -36,7 +62,8 @@
       prompt_tokens: Tokens of its prompt.
       send_by_s: Loop time after which it is no longer worth sending.
       first_at_s: Loop time from which it goes before all others of its
-        priority, so that it does not starve.
+        priority, in turn with them, so that it does not starve.
+      turns: Limits how often such a request goes first.
     """
 
     priority: int
@@ -51,6 +78,7 @@
     prompt_tokens: int = 0
     send_by_s: float = math.inf
     first_at_s: float = math.inf
+    turns: StarvingTurns = dataclasses.field(default_factory=StarvingTurns)
 
     def rank(self, now: float) -> int:
         """Returns its rank among all queued requests; the lowest goes first.
@@ -70,4 +98,4 @@
 
     def is_first(self, now: float) -> bool:
         """Whether it goes before all others of its priority."""
-        return now >= self.first_at_s
+        return now >= self.first_at_s and self.turns.is_due
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -439,6 +439,21 @@
         await self.until_served(2)
         self.assertEqual(self.served, ['long', 'short'])
 
+    async def test_those_queued_for_long_go_first_in_turn(self):
+        """A burst in which many are late does not make all others late.
+
+        Going before all others, each would delay those still in time.
+        """
+        for name in ('old-1', 'old-2'):
+            self.ask(name, tokens=1500, objective_s=0.4)
+        await asyncio.sleep(0.85)
+        for name in 'abcd':
+            self.ask(name, tokens=1500)
+        await asyncio.sleep(0.05)
+        self.stats.reservations.discard(self.full)
+        await self.until_served(6)
+        self.assertEqual(self.served, ['old-1', 'a', 'b', 'c', 'old-2', 'd'])
+
     async def test_one_that_goes_first_does_not_hold_up_the_queue(self):
         """All engines are busy with prefill while memory is free.
 
