Count arrivals that go before a late request in its expected wait

A request that becomes late while queued is placed behind those that arrive later. Its wait was underestimated, so it was held and rejected in the end.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -18,6 +18,7 @@
 import asyncio
 import bisect
 import collections
+import dataclasses
 import itertools
 import random
 from collections.abc import Iterable
@@ -215,11 +216,18 @@
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
         bound_s = min(until_s - now, req.remaining_s * MAX_REMAINING_SHARE)
         demand = self._demand[req.service.name]
-        ahead_per_s = self._upstreams.gateway_count * demand.tokens_ahead_per_s(
-            now, entry.priority, entry.size
+        gateways = self._upstreams.gateway_count
+        ahead_per_s, late_per_s = (
+            gateways * demand.tokens_ahead_per_s(now, entry.priority, size)
+            for size in (entry.size, queue_entry.SIZE_RANKS)
+        )
+        everything_ahead = dataclasses.replace(
+            _sum_ahead(ahead),
+            tokens_per_s=ahead_per_s,
+            late_tokens_per_s=late_per_s,
         )
         found = expected_wait.longest(
-            search.expected_wait(now, rank, _sum_ahead(ahead, ahead_per_s)),
+            search.expected_wait(now, rank, everything_ahead),
             search.rate_wait(len(ahead)),
         )
         send_within_s = entry.send_by_s - now
@@ -367,11 +375,10 @@
 
 
 def _sum_ahead(
-    entries: Iterable[queue_entry.QueueEntry], tokens_per_s: float = 0.0
+    entries: Iterable[queue_entry.QueueEntry],
 ) -> expected_wait.Ahead:
     found = list(entries)
     return expected_wait.Ahead(
         sum(one.tokens for one in found),
         sum(one.prompt_tokens for one in found),
-        tokens_per_s,
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/expected_wait.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/expected_wait.py
@@ -109,11 +109,14 @@
       tokens_per_s: Memory taken by requests that arrive later and go first, at
         all gateways. They count only while no engine can join: a burst passes
         if lost engines are replaced.
+      late_tokens_per_s: Memory taken by requests that arrive once the
+        generation is late, and go first, at all gateways.
     """
 
     tokens: float = 0
     prompt_tokens: float = 0.0
     tokens_per_s: float = 0.0
+    late_tokens_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -197,9 +200,29 @@
             fleet.lost_tokens_per_s,
         )
         wait_s = missing / per_s if per_s else math.inf
+    wait_s = _with_late_arrivals(wait_s, missing, wanted, ahead)
     return ExpectedWait(wait_s, BoundBy.MEMORY)
 
 
+def _with_late_arrivals(
+    wait_s: float, missing: float, wanted: Wanted, ahead: Ahead
+) -> float:
+    """Returns a wait for memory with those that go first once it is late.
+
+    Requests that arrive from then on can still be in time, and go before it
+    until it goes before all others.
+    """
+    late_s = max(0.0, wanted.in_time_s)
+    if not late_s < wait_s < wanted.first_in_s:
+        return wait_s
+    freed_per_s = missing / wait_s
+    left_per_s = freed_per_s - ahead.late_tokens_per_s
+    if left_per_s <= 0.0:
+        return wanted.first_in_s
+    left = (wait_s - late_s) * freed_per_s
+    return min(wanted.first_in_s, late_s + left / left_per_s)
+
+
 def _prefill_wait(
     engines: Sequence[EngineLoad], wanted: Wanted, ahead: Ahead, fleet: Fleet
 ) -> ExpectedWait:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -7,7 +7,13 @@
 
 from quetzalsill_gateway.balance import expected_wait
 
-__all__ = ['LAST_RANK', 'SIZE_BOUNDS', 'QueueEntry', 'StarvingTurns']
+__all__ = [
+    'LAST_RANK',
+    'SIZE_BOUNDS',
+    'SIZE_RANKS',
+    'QueueEntry',
+    'StarvingTurns',
+]
 
 # Bounds between size classes, as multiples of the route's mean output. Within a
 # priority shorter generations go first: they need less memory for the same
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -193,6 +193,7 @@
             ahead.tokens + at_peers + self._displaced_tokens(),
             ahead.prompt_tokens + share * going_first / 2,
             ahead.tokens_per_s,
+            ahead.late_tokens_per_s,
         )
         lost_per_s = self._upstreams.departures_per_s(service)
         return expected_wait.with_pauses(
--- a/tests/quetzalsill_gateway/balance/test_expected_wait.py
+++ b/tests/quetzalsill_gateway/balance/test_expected_wait.py
@@ -65,6 +65,23 @@
         self.assertEqual(found.bound_by, BoundBy.MEMORY)
         self.assertAlmostEqual(found.seconds, 54_000 * 5 / 36_000)
 
+    def test_arrivals_go_before_a_late_request(self):
+        """A request that becomes late while queued waited longer than told.
+
+        Of 7,200 tokens per second, it gets those that newer ones leave.
+        """
+        wanted = expected_wait.Wanted(4000, in_time_s=1.5, first_in_s=4.0)
+        for tokens, per_s, wait_s in (
+            (4000, 3600.0, 8000 / 7200),
+            (10_400, 0.0, 2.0),
+            (10_400, 3600.0, 2.5),
+            (10_400, 9000.0, 4.0),
+            (32_000, 3600.0, 5.0),
+        ):
+            ahead = expected_wait.Ahead(tokens, late_tokens_per_s=per_s)
+            found = estimate(engines(0, 0, free=0.0), ahead, wanted)
+            self.assertAlmostEqual(found.seconds, wait_s)
+
     def test_no_engines_and_zero_rates(self):
         """A service without engines, or without samples, raises nothing."""
         self.assertEqual(estimate([]), expected_wait.NO_WAIT)
