--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -9,7 +9,8 @@
 
 Requests that can no longer start in time go behind those that can. Served
 first, each would make the next one late too, for as long as the burst lasts.
-Those that have waited for long go first, so that no burst starves them.
+Those that have waited for long go first at one send in four, so that no burst
+starves them.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import asyncio
 import bisect
 import collections
+import dataclasses
 import itertools
 import random
 from collections.abc import Iterable
@@ -47,7 +49,8 @@
 MIN_PATIENCE_S = 2.0
 POLL_S = 0.02
 # A request that is queued for this multiple of its objective goes before all
-# others of its priority. Callers stay for about twice as long.
+# others of its priority when it is its turn. Callers stay for about twice as
+# long.
 STARVING_OBJECTIVES = 2.0
 # Weight of the newest generation in the moving average of a route's output.
 OUTPUT_WEIGHT = 0.05
@@ -103,6 +106,9 @@
         self._mean_output: dict[str, float] = {}
         self._longest_left_s: dict[tuple[str, float], float] = {}
         self._demand: dict[str, forecast.Demand] = {}
+        self._turns: dict[tuple[str, int], queue_entry.StarvingTurns] = (
+            collections.defaultdict(queue_entry.StarvingTurns)
+        )
 
     def waiting_tokens(self) -> dict[str, dict[int, int]]:
         """Returns the tokens queued here, by service and rank."""
@@ -148,6 +154,7 @@
             prompt_tokens=reservation.prompt_tokens,
             send_by_s=self._send_by_s(req, own_prefill_s, now),
             first_at_s=now + STARVING_OBJECTIVES * req.route.objective_s,
+            turns=self._turns[req.service.name, req.priority],
         )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
         demand.record_arrival(
@@ -181,6 +188,7 @@
         if not queue:
             chosen = search.try_choose(now)
             if chosen is not None:
+                entry.turns.record_sent(is_first=False)
                 return chosen
         if self._exceeds_wait_bound(search, queue):
             self._log_wait(search, now, queue, None)
@@ -208,11 +216,18 @@
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
         bound_s = min(until_s - now, req.remaining_s * MAX_REMAINING_SHARE)
         demand = self._demand[req.service.name]
-        ahead_per_s = self._upstreams.gateway_count * demand.tokens_ahead_per_s(
-            now, entry.priority, entry.size
+        gateways = self._upstreams.gateway_count
+        ahead_per_s, late_per_s = (
+            gateways * demand.tokens_ahead_per_s(now, entry.priority, size)
+            for size in (entry.size, queue_entry.SIZE_RANKS)
+        )
+        everything_ahead = dataclasses.replace(
+            _sum_ahead(ahead),
+            tokens_per_s=ahead_per_s,
+            late_tokens_per_s=late_per_s,
         )
         found = expected_wait.longest(
-            search.expected_wait(now, rank, _sum_ahead(ahead, ahead_per_s)),
+            search.expected_wait(now, rank, everything_ahead),
             search.rate_wait(len(ahead)),
         )
         send_within_s = entry.send_by_s - now
@@ -351,6 +366,7 @@
             if all(key <= one.sort_key(now) for one in queue):
                 chosen = search.try_choose(now)
                 if chosen is not None:
+                    entry.turns.record_sent(is_first=entry.is_first(now))
                     return chosen
             if now >= recheck_s:
                 if self._exceeds_wait_bound(search, queue):
@@ -359,11 +375,10 @@
 
 
 def _sum_ahead(
-    entries: Iterable[queue_entry.QueueEntry], tokens_per_s: float = 0.0
+    entries: Iterable[queue_entry.QueueEntry],
 ) -> expected_wait.Ahead:
     found = list(entries)
     return expected_wait.Ahead(
         sum(one.tokens for one in found),
         sum(one.prompt_tokens for one in found),
-        tokens_per_s,
     )
