Drop the statistics of upstreams that are gone

Only upstreams with own streams were dropped when they were removed. With engines that are replaced every few seconds, the table grew without bound, and so did the keys that are kept for each peer.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -10,7 +10,7 @@
 from quetzalsill_gateway.fleet import usage as usage_lib
 
 if TYPE_CHECKING:
-    from collections.abc import ItemsView
+    from collections.abc import ItemsView, Iterable
 
     from quetzalsill_gateway.fleet import engine_speed
     from quetzalsill_gateway.fleet import upstream as upstream_lib
@@ -118,6 +118,16 @@
         """Prompt tokens of all gateways that are not prefilled yet."""
         return self.own_prefill_tokens + self.peer_load.prefill_tokens
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether calls, generations or backups of any gateway are here."""
+        return bool(
+            self.outstanding
+            or self.reservations
+            or self.backup_reservations
+            or self._load_by_peer
+        )
+
     @property
     def runs(self) -> int:
         """Number of generations of all gateways."""
@@ -272,10 +282,17 @@
         self, node: str, held: dict[str, usage_lib.Usage]
     ) -> None:
         """Applies changes to what a peer holds, by upstream key."""
+        keys = self._keys_by_peer.setdefault(node, set())
         for key, entry in held.items():
-            if key in self._stats or len(self._stats) < MAX_UPSTREAMS:
+            if entry == usage_lib.NO_USAGE:
+                keys.discard(key)
+                if key in self._stats:
+                    self._stats[key].set_peer_load(node, entry)
+            elif key in self._stats or len(self._stats) < MAX_UPSTREAMS:
+                keys.add(key)
                 self._get_or_create(key).set_peer_load(node, entry)
-                self._keys_by_peer.setdefault(node, set()).add(key)
+        if not keys:
+            del self._keys_by_peer[node]
 
     def set_peer_waiting(
         self, node: str, waiting: usage_lib.WaitingTokens
@@ -304,6 +321,15 @@
         """Removes the statistics of an upstream that is gone."""
         self._stats.pop(upstream.key, None)
 
+    def expire(self, known: Iterable[upstream_lib.Upstream]) -> None:
+        """Removes the statistics of unknown upstreams that nothing uses."""
+        keys = {one.key for one in known}
+        self._stats = {
+            key: stats
+            for key, stats in self._stats.items()
+            if key in keys or stats.is_in_use
+        }
+
     def _get_or_create(self, key: str) -> UpstreamStats:
         found = self._stats.get(key)
         if found is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -196,6 +196,7 @@
         limits, known = self.core.server_limits, self.core.upstreams.all()
         limits.expire(known)
         self.core.backoffs.expire(known)
+        self.core.stats_table.expire(known)
         return limits.updates()
 
     def _receive_speeds(self, update: engine_speed.SpeedUpdate) -> None:
