--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -19,9 +19,12 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from quetzalsill.telemetry import metric
 from quetzalsill_gateway import event, exchange
 from quetzalsill_gateway.balance import forecast, queue_entry
 from quetzalsill_gateway.balance import search as search_lib
+from quetzalsill_gateway.balance import shares as shares_lib
+from quetzalsill_gateway.fleet import account_usage
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
@@ -51,6 +54,12 @@
 # caller can still retry.
 MAX_REMAINING_SHARE = 0.5
 
+passed_over_total = metric.counter(
+    'quetzalsill_gateway_passed_over_total',
+    "Generations held back for their client account's share, by whether the"
+    ' one that went first was in the same queue or at a peer.',
+)
+
 
 class Admission:
     """Queues of the generations of one gateway, one per service."""
@@ -61,6 +70,7 @@
         stats_table: upstream_stats.StatsTable,
         zone: str,
         quota: quota_lib.Quota,
+        shares: shares_lib.Shares | None = None,
     ) -> None:
         """Creates empty queues for engines among `upstreams`.
 
@@ -69,7 +79,9 @@
           stats_table: Statistics of each.
           zone: Availability zone of this gateway, whose engines are preferred.
           quota: Which engines this gateway may send to now.
+          shares: Shares of client accounts; None if they are disabled.
         """
+        self._shares = shares or shares_lib.Shares()
         self._upstreams = upstreams
         self._stats_table = stats_table
         self._zone = zone
@@ -121,6 +133,13 @@
             min(reservation.memory_tokens, engine.memory_tokens),
             now,
         )
+        if self._shares.is_enabled:
+            name = account_usage.bounded_name(req.account or b'')
+            entry.account = name
+            entry.start_tag = lambda: self._shares.start_tag(name)
+            entry.waiting_at_peers = lambda: self._shares.waiting_at_peers(
+                name, asyncio.get_running_loop().time()
+            )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
         demand.record_arrival(now, entry.priority, entry.size, entry.tokens)
         queue = self._queues.setdefault(req.service.name, [])
@@ -144,15 +163,20 @@
         if not queue:
             chosen = search.try_choose(now)
             if chosen is not None:
+                self._record_share(entry, was_queued=False)
                 return chosen
         if self._exceeds_wait_bound(search, queue):
             self._log_wait(search, now, queue, None)
             return None
         queue.append(entry)
+        self._shares.enter(entry.account, entry.tokens, now)
         try:
             chosen = await self._wait(search, queue)
         finally:
             queue.remove(entry)
+            self._shares.leave(entry.account, entry.tokens)
+        if chosen is not None:
+            self._record_share(entry, was_queued=True)
         self._log_wait(search, now, queue, chosen)
         return chosen
 
@@ -166,7 +190,9 @@
         now = asyncio.get_running_loop().time()
         rank = entry.rank(now)
         others = [one for one in queue if one is not entry]
-        ahead = sum(one.tokens for one in others if one.rank(now) <= rank)
+        share_rank = entry.share_rank(now)
+        first = [one for one in others if one.share_rank(now) <= share_rank]
+        ahead = sum(one.tokens for one in first)
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
         bound_s = min(until_s - now, req.remaining_s * MAX_REMAINING_SHARE)
         demand = self._demand[req.service.name]
@@ -174,8 +200,10 @@
             now, entry.priority, entry.size
         )
         entry.expected_s = max(
-            search.expected_wait_s(rank, ahead, ahead_per_s),
-            search.rate_wait_s(sum(one.rank(now) <= rank for one in others)),
+            search.expected_wait_s(
+                self._rank_at_peers(entry, rank, now), ahead, ahead_per_s
+            ),
+            search.rate_wait_s(len(first)),
         )
         if entry.expected_s <= bound_s:
             return False
@@ -188,6 +216,57 @@
         req.retry_after_s = max(exchange.RETRY_AFTER_S, retry_after_s)
         return True
 
+    def _rank_at_peers(
+        self, entry: queue_entry.QueueEntry, rank: int, now: float
+    ) -> int:
+        """Returns the highest rank that goes first at other gateways.
+
+        Requests of equal rank there yield to an account that is behind.
+        """
+        shares = self._shares
+        if shares.has_others(entry.account, now):
+            return rank - (shares.lead_s(entry.account, now) <= 0.0)
+        return rank
+
+    def _note_passed_over(
+        self,
+        search: search_lib.EngineSearch,
+        ahead: queue_entry.QueueEntry | None,
+        now: float,
+    ) -> None:
+        """Logs that a request waits for one of another account.
+
+        Args:
+          search: Its search.
+          ahead: The request that goes first; None if it is at another gateway.
+          now: Loop time.
+        """
+        entry = search.entry
+        if ahead is not None and ahead.rank(now) != entry.rank(now):
+            return
+        if not entry.passed_over:
+            entry.passed_over = True
+            passed_over_total.inc({'for': 'queue' if ahead else 'peer'})
+        if self._shares.should_log(entry.account, now):
+            event.note(
+                event.RequestPassedOver(
+                    request=search.req.id_text,
+                    account=(search.req.account or b'').decode(
+                        errors='replace'
+                    ),
+                    at_peer=ahead is None,
+                    lead_s=round(self._shares.lead_s(entry.account, now), 2),
+                )
+            )
+
+    def _record_share(
+        self, entry: queue_entry.QueueEntry, *, was_queued: bool
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self._shares.record(
+            entry.account, entry.tokens, now, was_queued=was_queued
+        )
+
     def _log_wait(
         self,
         search: search_lib.EngineSearch,
@@ -255,8 +334,14 @@
                 if self._exceeds_wait_bound(search, queue):
                     return None
                 recheck_s = self._next_recheck_s(search)
-            ahead = min(queue, key=lambda one: (one.rank(now), one.sequence))
-            chosen = search.try_choose(now) if ahead is search.entry else None
+            ahead = min(queue, key=lambda one: one.sort_key(now))
+            if ahead is not search.entry:
+                if ahead.sequence > search.entry.sequence:
+                    self._note_passed_over(search, ahead, now)
+                continue
+            chosen = search.try_choose(now)
             if chosen is not None:
                 return chosen
+            if search.has_yielded:
+                self._note_passed_over(search, None, now)
         return None
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import math
+from collections.abc import Callable
 
 __all__ = ['LAST_RANK', 'SIZE_BOUNDS', 'QueueEntry']
 
@@ -28,6 +30,13 @@
       tokens: Memory that it needs, in tokens.
       arrived_s: Loop time at which it arrived.
       expected_s: Latest estimate of its waiting time, in seconds.
+      start_tag: Returns the key of its client account's share, by which entries
+        of the same rank are ordered.
+      waiting_at_peers: Returns the tokens queued at peers that go first for
+        their accounts' shares, and of those that compete with it; the others
+        of equal rank yield to it.
+      account: Client account, as in `balance.shares`.
+      passed_over: Whether it was held back for its account's share.
     """
 
     priority: int
@@ -37,8 +46,23 @@
     tokens: int
     arrived_s: float = 0.0
     expected_s: float = 0.0
+    start_tag: Callable[[], float] = lambda: 0.0
+    waiting_at_peers: Callable[[], tuple[float, float]] = lambda: (
+        0,
+        math.inf,
+    )
+    account: bytes = b''
+    passed_over: bool = False
 
     def rank(self, now: float) -> int:
         """Returns its rank among all queued requests; the lowest goes first."""
         rank = self.priority * SIZE_RANKS + self.size
         return rank + (LATE_RANK if now >= self.late_at_s else 0)
+
+    def share_rank(self, now: float) -> tuple[int, float]:
+        """Returns its rank and the key of its account's share."""
+        return self.rank(now), self.start_tag()
+
+    def sort_key(self, now: float) -> tuple[int, float, int]:
+        """Returns the key by which the queue is ordered."""
+        return *self.share_rank(now), self.sequence
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -40,6 +40,8 @@
     Attributes:
       req: The request.
       entry: Its entry in the queue.
+      has_yielded: Whether the latest choice left memory to other client
+        accounts at peers.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self._avoid = avoid
         self.entry = entry
         self._demand = demand
+        self.has_yielded = False
 
     @property
     def has_engine(self) -> bool:
@@ -86,13 +89,19 @@
         same_or_ahead = self._stats_table.waiting_at_peers(service, rank)
         ahead = self._stats_table.waiting_at_peers(service, rank - 1)
         needed_first = ahead + self._displaced_tokens()
+        self.has_yielded = False
         if not same_or_ahead and not needed_first:
             return self._lowest_cost(with_room)
         free_tokens = [self._free_tokens(one) for one in with_room]
         left = sum(free_tokens) - needed_first
-        if left < self.entry.tokens:
+        first, rivals = self.entry.waiting_at_peers()
+        first = min(first, same_or_ahead - ahead)
+        if left - first < self.entry.tokens:
+            self.has_yielded = left >= self.entry.tokens
             return None
-        share = RACE_SHARE * left / (same_or_ahead - ahead + self.entry.tokens)
+        left -= first
+        rivals = min(rivals, same_or_ahead - ahead - first)
+        share = RACE_SHARE * left / (rivals + self.entry.tokens)
         if random.random() >= share:
             return None
         return random.choices(with_room, free_tokens)[0]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/upstream_stats.py
@@ -349,6 +349,11 @@
         else:
             self._waiting_by_peer.pop(node, None)
 
+    @property
+    def is_waiting_at_peers(self) -> bool:
+        """Whether any generation is queued at a peer."""
+        return bool(self._waiting_by_peer)
+
     def waiting_at_peers(self, service: str, rank: int) -> int:
         """Returns the tokens queued at all peers for engines of a service.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import admission, rate_queue
+from quetzalsill_gateway.balance import shares as shares_lib
 from quetzalsill_gateway.quarantine import detector, in_flight, quarantine
 from quetzalsill_gateway.stream import link_queue
 
@@ -46,6 +47,7 @@
       server_limits: Limits that upstreams name.
       backoffs: Pauses that upstreams ask for.
       rate_queue: Calls that wait until a limit allows them.
+      shares: Shares of client accounts.
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
       in_flight: Requests that upstreams are running.
@@ -69,6 +71,9 @@
     quota: quota.Quota
     server_limits: server_limits.ServerLimits
     backoffs: backoff.Backoffs
+    shares: shares_lib.Shares = dataclasses.field(
+        default_factory=shares_lib.Shares
+    )
     ends_at_s: float | None = None
     rate_queue: rate_queue.RateQueue = dataclasses.field(
         default_factory=rate_queue.RateQueue
@@ -91,5 +96,9 @@
             self.conns, self.upstreams, self.quarantine.record_crash
         )
         self.admission = admission.Admission(
-            self.upstreams, self.stats_table, self.zone, self.quota
+            self.upstreams,
+            self.stats_table,
+            self.zone,
+            self.quota,
+            self.shares,
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -14,6 +14,7 @@
     'RequestFault',
     'RequestHeld',
     'RequestMalformed',
+    'RequestPassedOver',
     'RequestRefused',
     'UpstreamChosen',
 ]
@@ -45,6 +46,7 @@
       gap_cause: Cause of the longest pause: `move`, `recovery`, or empty if
         the gateway knows of none.
       tokens: Expected KV cache use, in tokens; 0 if it is no generation.
+      account: Client account; empty if callers need no key.
     """
 
     request: str
@@ -63,6 +65,7 @@
     held_ms: float = 0.0
     gap_cause: str = ''
     tokens: int = 0
+    account: str = ''
 
 
 @base.define
@@ -140,6 +143,26 @@
     come_back_ms: float
 
 
+@base.define
+class RequestPassedOver(base.Event):
+    """A queued request waits, as its client account is ahead of its share.
+
+    Logged at most once a second for each account.
+
+    Attributes:
+      request: Id of the request.
+      account: Client account.
+      at_peer: Whether the request that goes first is at another gateway.
+      lead_s: How far the account is ahead, as the time in which all gateways
+        serve as many tokens.
+    """
+
+    request: str
+    account: str
+    at_peer: bool
+    lead_s: float
+
+
 @base.define
 class AttemptEnded(base.Event):
     """One attempt to send a call has its result.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -172,6 +172,7 @@
                 held_ms=_ms(exchange.held_s),
                 gap_cause=exchange.gap_cause,
                 tokens=exchange.tokens,
+                account=(exchange.account or b'').decode(errors='replace'),
             )
         )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
+from quetzalsill_gateway.balance import admission
 from quetzalsill_gateway.watch import epoch
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
     'datagrams',
     'epochs',
     'moves',
+    'passed_over',
     'updates',
     'record_request',
     'observe',
@@ -62,6 +64,8 @@
 )
 # Defined in `watch.epoch`, on which the state observed here depends.
 epochs = epoch.epochs_total
+# Defined in `balance.admission`, on which the state observed here depends.
+passed_over = admission.passed_over_total
 response_times = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
     'Time from a request to its whole answer, by kind of route.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -59,6 +59,7 @@
     QUARANTINE = 8
     LIMITS = 9
     NOTICES = 10
+    ACCOUNTS = 12
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/relay.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 from quetzalsill_gateway import error
-from quetzalsill_gateway.fleet import publish_timing
+from quetzalsill_gateway.fleet import account_usage, publish_timing
 from quetzalsill_gateway.peers import frame, update_codec
 from quetzalsill_gateway.watch import update as update_lib
 
@@ -66,6 +66,9 @@
         """Sends an update; in a large fleet a few times, if it is new."""
         data = update_codec.encode(self._node, update)
         self._fan_out(data)
+        if isinstance(update, account_usage.AccountUpdate):
+            # The next one replaces it soon.
+            return
         if not isinstance(update, update_lib.Update):
             # It includes nothing of the previous one, whose repeats go on.
             self._schedule_repeats(data)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -10,14 +10,16 @@
 from typing import Any
 
 from quetzalsill_gateway import error
-from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.fleet import (
+    account_usage,
     server_limits,
     shutdown_notices,
     upstream,
     zones,
 )
+from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.peers import (
+    account_codec,
     frame,
     limit_codec,
     notice_codec,
@@ -33,6 +35,7 @@
     | quarantine_update.QuarantineUpdate
     | server_limits.LimitUpdate
     | shutdown_notices.NoticeUpdate
+    | account_usage.AccountUpdate
 )
 
 PORTS = range(1, 65536)
@@ -49,6 +52,8 @@
         return limit_codec.encode(node, update)
     if isinstance(update, shutdown_notices.NoticeUpdate):
         return notice_codec.encode(node, update)
+    if isinstance(update, account_usage.AccountUpdate):
+        return account_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -96,6 +101,8 @@
             found = limit_codec.decode(fields)
         elif kind is frame.Kind.NOTICES:
             found = notice_codec.decode(fields)
+        elif kind is frame.Kind.ACCOUNTS:
+            found = account_codec.decode(fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/routing_table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/routing_table.py
@@ -141,11 +141,14 @@
       name: Name of the account.
       priority: Priority of its requests; None for that of the route.
       regions: Regions in which its requests may be served; None for any.
+      weight: Its share of the engines while they are short, relative to the
+        other accounts.
     """
 
     name: str
     priority: int | None = None
     regions: frozenset[str] | None = None
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -20,8 +20,9 @@
     source,
 )
 from quetzalsill_gateway import settings as settings_lib
-from quetzalsill_gateway.balance import upstream_stats
+from quetzalsill_gateway.balance import shares, upstream_stats
 from quetzalsill_gateway.fleet import (
+    account_usage,
     backoff,
     members,
     quota,
@@ -44,6 +45,8 @@
 
 MS_PER_S = 1000
 STOP_POLL_S = 0.05
+# Interval of checks whether to announce the use of accounts.
+USAGE_POLL_S = 0.1
 # A store that responds delivers both tables within a few round trips. After
 # this time the gateway starts without them and refuses callers.
 FIRST_READ_TIMEOUT_S = 0.5
@@ -99,6 +102,10 @@
             ),
             server_limits=limits,
             backoffs=backoffs,
+            shares=shares.Shares(
+                shares.Weights(lambda: _accounts(holder)),
+                is_enabled=settings.shares.enabled,
+            ),
         )
         backoffs.on_end(lambda found: stats_table.of(found).reset_latency())
         self.core.health.on_recovery(self.core.upstreams.mark_source_recovered)
@@ -161,6 +168,7 @@
         )
         self.peers.on_greeting(upstreams.notices.updates)
         self.peers.on_refresh(self._refresh_notices)
+        self.peers.on_update(account_usage.AccountUpdate, self._receive_usage)
         self._persistence = persistence.Persistence(
             found,
             gateways,
@@ -169,6 +177,23 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _receive_usage(self, update: account_usage.AccountUpdate) -> None:
+        now = asyncio.get_running_loop().time()
+        self.core.shares.receive(update, now)
+
+    async def _announce_usage(self) -> None:
+        """Announces the use of accounts while requests wait somewhere."""
+        core, loop = self.core, asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(USAGE_POLL_S)
+            if (
+                core.admission.waiting_tokens()
+                or core.stats_table.is_waiting_at_peers
+            ):
+                update = core.shares.usage(loop.time())
+                if update is not None:
+                    self.peers.announce(update)
+
     def _refresh_limits(self) -> list[server_limits.LimitUpdate]:
         limits, known = self.core.server_limits, self.core.upstreams.all()
         limits.expire(known)
@@ -209,6 +234,8 @@
             await self.peers.open(settings_lib.address(self._settings.peers))
             loops['directory'] = self.peers.join_directory
             loops['peers'] = self.peers.publish_changes
+            if self.core.shares.is_enabled:
+                loops['accounts'] = self._announce_usage
             loops['quarantine'] = self._persistence.load_entries
             loops['quarantine-store'] = self._persistence.store_changes
         self._tasks = [
@@ -284,6 +311,11 @@
         return table.limits if table else listener.Limits()
 
 
+def _accounts(holder: source.RoutingTableHolder) -> dict | None:
+    table = holder.current
+    return table.accounts if table else None
+
+
 def _make_budget(cfg: settings_lib.Retry) -> retry_budget.RetryBudget:
     return retry_budget.RetryBudget(
         cfg.ratio, cfg.allowance, cfg.window_s, cfg.gateways
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -11,6 +11,7 @@
     'Retry',
     'ServerLimit',
     'Settings',
+    'Shares',
     'Stop',
     'Warmup',
     'Watch',
@@ -98,6 +99,17 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Shares:
+    """Shares of client accounts while engines are short."""
+
+    enabled: bool = key(
+        'Whether waiting generations are ordered by the share of their client'
+        ' account; set it at all gateways.',
+        False,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Stop:
     """Timing of a graceful shutdown."""
@@ -157,6 +169,7 @@
     server_limit: ServerLimit = key(
         'Bounds of upstreams that name a limit.', factory=ServerLimit
     )
+    shares: Shares = key('Shares of client accounts.', factory=Shares)
     regions: dict[str, str] = key(
         'Region of each availability zone; for requests that are bound to'
         ' regions.',
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -11,6 +11,7 @@
     admission,
     forecast,
     queue_entry,
+    shares,
     upstream_stats,
 )
 from quetzalsill_gateway.fleet import revision, upstream
@@ -33,8 +34,13 @@
         # Memory is released soon, so that no wait is too long to be queued.
         self.stats_table.mean_held_s = 0.2
         self.stats = self.stats_table.of(self.engine)
+        self.shares = shares.Shares(is_enabled=False)
         self.admission = admission.Admission(
-            self.upstreams, self.stats_table, 'z', quotas.unbounded()
+            self.upstreams,
+            self.stats_table,
+            'z',
+            quotas.unbounded(),
+            self.shares,
         )
         self.served = []
         self.full = upstream_stats.Reservation(0, 10_000, False)
@@ -49,6 +55,7 @@
         tokens=5000,
         left_s=60.0,
         engine=ENGINE,
+        account=b'a',
     ):
         """Starts a request that needs half of the engine's memory."""
         now = asyncio.get_running_loop().time()
@@ -73,6 +80,7 @@
             held_s=0.0,
             regions=None,
             is_suspect=False,
+            account=account,
         )
         task = asyncio.create_task(self.serve(name, req, tokens, engine))
         self.addCleanup(task.cancel)
@@ -132,6 +140,30 @@
         await self.until_served(2)
         self.assertEqual(self.served, ['urgent', 'long'])
 
+    async def test_an_account_ahead_of_its_share_is_passed_over(self):
+        """A backlog of one account does not hold back the others."""
+        self.shares.is_enabled = True
+        now = asyncio.get_running_loop().time()
+        self.shares.record(b'heavy', 100_000, now, was_queued=False)
+        for name, account in (('1', b'heavy'), ('2', b'heavy'), ('3', b'b')):
+            self.ask(name, account=account)
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.shares.should_log(b'heavy', now + 0.5))
+        self.stats.reservations.discard(self.full)
+        await self.until_served(2)
+        self.assertEqual(self.served, ['3', '1'])
+
+    async def test_account_order_is_ignored_while_disabled(self):
+        now = asyncio.get_running_loop().time()
+        self.shares.record(b'heavy', 100_000, now, was_queued=False)
+        for name, account in (('1', b'heavy'), ('2', b'b')):
+            self.ask(name, account=account)
+            await asyncio.sleep(0)
+        self.stats.reservations.discard(self.full)
+        await self.until_served(2)
+        self.assertEqual(self.served, ['1', '2'])
+
     async def test_queued_prefill_holds_it_back(self):
         """A request waits while too much prefill is queued ahead of it.
 
