--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/shares.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/shares.py
@@ -14,8 +14,9 @@
 
 from __future__ import annotations
 
+import collections
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from quetzalsill_gateway.fleet import account_usage
 
@@ -29,6 +30,8 @@
 # While the same accounts wait, a gateway announces less often. So the first
 # request of another account is announced at once.
 REPEAT_INTERVAL_S = 1.0
+# Interval at which outdated reports of peers are left out.
+SUM_INTERVAL_S = 0.1
 # Counts of other gateways are as old as the interval of announcements and their
 # delay, so that a smaller lead may not exist.
 MIN_LEAD_S = 0.6
@@ -100,6 +103,8 @@
         self._queued: dict[bytes, list[int]] = {}
         self._peers: dict[str, tuple[float, dict[bytes, int]]] = {}
         self._served: tuple[float, float] = (0.0, -math.inf)
+        self._summed: collections.Counter[bytes] = collections.Counter()
+        self._summed_s = -math.inf
         self._announced_s = -math.inf
         self._announced: set[bytes] = set()
         self._known_level: tuple[float, float] = (0.0, -math.inf)
@@ -168,6 +173,7 @@
             if item.waiting:
                 self._activate(item.account, now)
                 waiting[item.account] = item.waiting
+        _, before = self._peers.get(sender, (0.0, {}))
         self._peers = {
             node: report
             for node, report in self._peers.items()
@@ -175,6 +181,8 @@
         }
         if waiting and len(self._peers) < account_usage.MAX_SENDERS:
             self._peers[sender] = (now, waiting)
+        if waiting.keys() != before.keys():
+            self._summed_s = -math.inf
 
     def lead_s(self, account: bytes, now: float) -> float:
         """Returns how far an account is ahead of the others that wait.
@@ -215,18 +223,17 @@
         own = self.start_tag(account)
         is_ahead = self._use(account) > MIN_AHEAD * level
         first = rivals = yielding = 0
-        for waiting in self._recent_reports(now):
-            for name, tokens in waiting.items():
-                lead = own - self.start_tag(name)
-                if is_ahead and lead * self._weight_of(account) > slack:
-                    first += RESERVE * tokens
-                elif (
-                    self._use(name) > MIN_AHEAD * level
-                    and -lead * self._weight_of(name) > slack
-                ):
-                    yielding += tokens
-                else:
-                    rivals += tokens
+        for name, tokens in self._waiting_peers(now).items():
+            lead = own - self.start_tag(name)
+            if is_ahead and lead * self._weight_of(account) > slack:
+                first += RESERVE * tokens
+            elif (
+                self._use(name) > MIN_AHEAD * level
+                and -lead * self._weight_of(name) > slack
+            ):
+                yielding += tokens
+            else:
+                rivals += tokens
         others = rivals + yielding
         if not yielding:
             return first, 1.0
@@ -245,7 +252,7 @@
         """Lifts an account that has had no queued request."""
         if account in self._queued:
             return
-        if any(account in names for names in self._recent_reports(now)):
+        if account in self._waiting_peers(now):
             return
         scale = self._usage.scale(now)
         floor, weight = self._floor(account, now)
@@ -264,10 +271,7 @@
         Returns:
           The tag, None if no other account waits; and the account's weight.
         """
-        waiting = set(self._queued)
-        for names in self._recent_reports(now):
-            waiting.update(names)
-        waiting.discard(account)
+        waiting = {*self._queued, *self._waiting_peers(now)} - {account}
         lowest = min(waiting, key=self.start_tag, default=None)
         if lowest is None:
             return None, DEFAULT_WEIGHT
@@ -288,8 +292,12 @@
             self._known_level = (level, now + ANNOUNCE_INTERVAL_S)
         return level * account_usage.DECAY_S * scale
 
-    def _recent_reports(self, now: float) -> Iterator[dict[bytes, int]]:
-        """Yields the tokens queued by account, for each peer."""
-        for reported_s, waiting in self._peers.values():
-            if now < reported_s + PEER_WAITING_S:
-                yield waiting
+    def _waiting_peers(self, now: float) -> dict[bytes, int]:
+        """Returns the tokens queued at all peers, by account."""
+        if now >= self._summed_s + SUM_INTERVAL_S:
+            self._summed_s = now
+            self._summed = collections.Counter()
+            for reported_s, waiting in self._peers.values():
+                if now < reported_s + PEER_WAITING_S:
+                    self._summed.update(waiting)
+        return self._summed
