Bound the work of a report of account use and the smallest weight

A report of 32 new accounts read the tags of all waiting accounts once for each; it took 25 ms beside 28 other gateways.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/shares.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/shares.py
@@ -16,7 +16,7 @@
 
 import collections
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from quetzalsill_gateway.fleet import account_usage
 
@@ -126,7 +126,7 @@
         """Notes that a request is queued."""
         if not self.is_enabled:
             return
-        self._activate(account, now)
+        self._activate((account,), now)
         self._queued.setdefault(account, []).append(tokens)
 
     def leave(self, account: bytes, tokens: int) -> None:
@@ -171,8 +171,8 @@
         for item in update.items:
             self._usage.set_peer(sender, item.account, item.tokens, now)
             if item.waiting:
-                self._activate(item.account, now)
                 waiting[item.account] = item.waiting
+        self._activate(waiting, now)
         _, before = self._peers.get(sender, (0.0, {}))
         self._peers = {
             node: report
@@ -202,7 +202,10 @@
 
     def has_others(self, account: bytes, now: float) -> bool:
         """Whether requests of other accounts are known to wait."""
-        return self.is_enabled and self._floor(account, now)[0] is not None
+        if not self.is_enabled:
+            return False
+        known = (self._queued, self._waiting_peers(now))
+        return any(one != account for names in known for one in names)
 
     def waiting_at_peers(self, account: bytes, now: float) -> tuple[int, float]:
         """Returns the tokens of other requests queued at peers.
@@ -248,22 +251,29 @@
         found.logged_s = now
         return True
 
-    def _activate(self, account: bytes, now: float) -> None:
-        """Lifts an account that has had no queued request."""
-        if account in self._queued:
-            return
-        if account in self._waiting_peers(now):
+    def _activate(self, accounts: Iterable[bytes], now: float) -> None:
+        """Lifts those accounts that have had no queued request."""
+        known = self._waiting_peers(now)
+        returning = [
+            one
+            for one in accounts
+            if one not in self._queued and one not in known
+        ]
+        if not returning:
             return
         scale = self._usage.scale(now)
-        floor, weight = self._floor(account, now)
+        # None of them counts as waiting yet, so the lowest tag of the others is
+        # the same for all of them.
+        floor, weight = self._floor(returning[0], now)
         if floor is None:
             tag, at_s = self._served
             is_recent = now < at_s + PEER_WAITING_S
             floor = tag * scale if is_recent else 0.0
         credit = MAX_CREDIT_S * self._usage.tokens_per_s(now) * scale / weight
-        behind = floor - credit - self.start_tag(account)
-        if behind > 0:
-            self._usage.touch(account).lift += behind
+        for account in returning:
+            behind = floor - credit - self.start_tag(account)
+            if behind > 0:
+                self._usage.touch(account).lift += behind
 
     def _floor(self, account: bytes, now: float) -> tuple[float | None, float]:
         """Returns the lowest tag of the other accounts that wait.
--- a/tests/quetzalsill_gateway/balance/test_shares.py
+++ b/tests/quetzalsill_gateway/balance/test_shares.py
@@ -155,7 +155,12 @@
     """Several gateways, which know of each other by lossy announcements."""
 
     def test_an_account_at_ten_times_its_share(self):
-        """One large account makes all others wait behind its backlog."""
+        """One large account makes all others wait behind its backlog.
+
+        This covers the mean time to first event over all other accounts, not
+        its p90 nor that of each account. Only waiting in the queue is modelled;
+        the prefill is a constant.
+        """
         heavy = {b'heavy': 10 * CAPACITY_PER_S / 24}
         for gateways, load in ((5, 0.62), (5, 0.7), (28, 0.62), (28, 0.7)):
             with self.subTest(gateways=gateways, load=load):
@@ -259,6 +264,22 @@
             found.leave(b'a', TOKENS)
             found.leave(b'b', TOKENS)
 
+    def test_a_report_reads_each_waiting_account_once(self):
+        """A report of 32 new accounts took 25 ms beside 28 other gateways."""
+        looked_up = []
+        found = shares.Shares(
+            lambda name: looked_up.append(name) or 1.0, is_enabled=True
+        )
+        for gateway in range(29):
+            looked_up.clear()
+            items = tuple(
+                account_usage.Item(b'%d-%d' % (gateway, index), 1_000, 1_000)
+                for index in range(account_usage.MAX_ITEMS)
+            )
+            update = account_usage.AccountUpdate(items, f'g-{gateway}')
+            found.receive(update, 1.0)
+        self.assertLessEqual(len(looked_up), 30 * account_usage.MAX_ITEMS)
+
     def test_weights_follow_the_configuration(self):
         """A reload changes weights; an odd name must not stop the lookup."""
         accounts = {
--- a/tests/quetzalsill_platform/test_weights.py
+++ b/tests/quetzalsill_platform/test_weights.py
@@ -27,13 +27,16 @@
         self.assertEqual(decode().weight, 1.0)
         self.assertEqual(decode(weight=3).weight, 3.0)
         self.assertEqual(decode(weight=1000).weight, 1000.0)
-        self.assertEqual(decode(weight=0.5).weight, 0.5)
+        self.assertEqual(decode(weight=0.001).weight, 0.001)
 
     def test_invalid_weights_reject_the_configuration(self):
-        """A weight of 0 would divide by zero; a huge one would starve all."""
+        """A weight of 0 would divide by zero; a huge one would starve all.
+
+        With a tiny one, a virtual time would become infinite.
+        """
         for weight in (
             *(0, -1, 1000.5, 10**400, float('nan'), float('inf')),
-            *(True, None, '3', [], {}),
+            *(True, None, '3', [], {}, 1e-320, 0.0009),
         ):
             with (
                 self.subTest(weight=weight),
