--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -24,6 +24,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+from quetzalsill.telemetry import metric
 from quetzalsill_gateway import event, exchange
 from quetzalsill_gateway.balance import (
     expected_wait,
@@ -31,6 +32,8 @@
     queue_entry,
 )
 from quetzalsill_gateway.balance import search as search_lib
+from quetzalsill_gateway.balance import shares as shares_lib
+from quetzalsill_gateway.fleet import account_usage
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
@@ -75,6 +78,12 @@
 # caller can still retry.
 MAX_REMAINING_SHARE = 0.5
 
+passed_over_total = metric.counter(
+    'quetzalsill_gateway_passed_over_total',
+    "Generations held back for their client account's share, by whether the"
+    ' one that went first was in the same queue or at a peer.',
+)
+
 
 class Admission:
     """Queues of the generations of one gateway, one per service."""
@@ -86,6 +95,7 @@
         zone: str,
         quota: quota_lib.Quota,
         rng: random.Random | None = None,
+        shares: shares_lib.Shares | None = None,
     ) -> None:
         """Creates empty queues for engines among `upstreams`.
 
@@ -95,8 +105,10 @@
           zone: Availability zone of this gateway, whose engines are preferred.
           quota: Which engines this gateway may send to now.
           rng: Spreads the times at which rejected callers return.
+          shares: Shares of client accounts; None if they are disabled.
         """
         self._rng = random.Random() if rng is None else rng
+        self._shares = shares or shares_lib.Shares()
         self._upstreams = upstreams
         self._stats_table = stats_table
         self._zone = zone
@@ -156,6 +168,13 @@
             first_at_s=now + STARVING_OBJECTIVES * req.route.objective_s,
             turns=self._turns[req.service.name, req.priority],
         )
+        if self._shares.is_enabled:
+            name = account_usage.bounded_name(req.account or b'')
+            entry.account = name
+            entry.start_tag = lambda: self._shares.start_tag(name)
+            entry.waiting_at_peers = lambda: self._shares.waiting_at_peers(
+                name, asyncio.get_running_loop().time()
+            )
         demand = self._demand.setdefault(req.service.name, forecast.Demand())
         demand.record_arrival(
             now,
@@ -189,15 +208,20 @@
             chosen = search.try_choose(now)
             if chosen is not None:
                 entry.turns.record_sent(is_first=False)
+                self._record_share(entry, was_queued=False)
                 return chosen
         if self._exceeds_wait_bound(search, queue):
             self._log_wait(search, now, queue, None)
             return None
         queue.append(entry)
+        self._shares.enter(entry.account, entry.tokens, now)
         try:
             chosen = await self._wait(search, queue)
         finally:
             queue.remove(entry)
+            self._shares.leave(entry.account, entry.tokens)
+        if chosen is not None:
+            self._record_share(entry, was_queued=True)
         self._log_wait(search, now, queue, chosen)
         return chosen
 
@@ -227,7 +251,9 @@
             late_tokens_per_s=late_per_s,
         )
         found = expected_wait.longest(
-            search.expected_wait(now, rank, everything_ahead),
+            search.expected_wait(
+                now, self._rank_at_peers(entry, rank, now), everything_ahead
+            ),
             search.rate_wait(len(ahead)),
         )
         send_within_s = entry.send_by_s - now
@@ -293,6 +319,55 @@
             req.deadline_s - own_prefill_s,
         )
 
+    def _rank_at_peers(
+        self, entry: queue_entry.QueueEntry, rank: int, now: float
+    ) -> int:
+        """Returns the highest rank that goes first at other gateways.
+
+        Requests of equal rank there yield to an account that is behind.
+        """
+        shares = self._shares
+        if shares.has_others(entry.account, now):
+            return rank - (shares.lead_s(entry.account, now) <= 0.0)
+        return rank
+
+    def _note_passed_over(
+        self,
+        search: search_lib.EngineSearch,
+        ahead: queue_entry.QueueEntry | None,
+        now: float,
+    ) -> None:
+        """Logs that a request waits for one of another account.
+
+        Args:
+          search: Its search.
+          ahead: The request that goes first; None if it is at another gateway.
+          now: Loop time.
+        """
+        entry = search.entry
+        if not entry.passed_over:
+            entry.passed_over = True
+            passed_over_total.inc({'for': 'queue' if ahead else 'peer'})
+        if self._shares.should_log(entry.account, now):
+            event.note(
+                event.RequestPassedOver(
+                    request=search.req.id_text,
+                    account=(search.req.account or b'').decode(
+                        errors='replace'
+                    ),
+                    at_peer=ahead is None,
+                    lead_s=round(self._shares.lead_s(entry.account, now), 2),
+                )
+            )
+
+    def _record_share(
+        self, entry: queue_entry.QueueEntry, *, was_queued: bool
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self._shares.record(
+            entry.account, entry.tokens, now, was_queued=was_queued
+        )
+
     def _log_wait(
         self,
         search: search_lib.EngineSearch,
@@ -368,6 +443,12 @@
                 if chosen is not None:
                     entry.turns.record_sent(is_first=entry.is_first(now))
                     return chosen
+                if search.has_yielded:
+                    self._note_passed_over(search, None, now)
+            elif self._shares.is_enabled:
+                ahead = min(queue, key=lambda one: one.sort_key(now))
+                if entry.yields_to(ahead, now):
+                    self._note_passed_over(search, ahead, now)
             if now >= recheck_s:
                 if self._exceeds_wait_bound(search, queue):
                     return None
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Callable
 
 from quetzalsill_gateway.balance import expected_wait
 
@@ -70,6 +71,13 @@
       first_at_s: Loop time from which it goes before all others of its
         priority, in turn with them, so that it does not starve.
       turns: Limits how often such a request goes first.
+      start_tag: Returns the key of its client account's share, by which entries
+        of the same rank are ordered; None if shares are disabled.
+      waiting_at_peers: Returns the tokens queued at peers that go first for
+        their accounts' shares, and of the others of equal rank the share that
+        competes with it; the rest yields to it. None if shares are disabled.
+      account: Client account, as in `balance.shares`.
+      passed_over: Whether it was held back for its account's share.
     """
 
     priority: int
@@ -85,6 +93,10 @@
     send_by_s: float = math.inf
     first_at_s: float = math.inf
     turns: StarvingTurns = dataclasses.field(default_factory=StarvingTurns)
+    start_tag: Callable[[], float] | None = None
+    waiting_at_peers: Callable[[], tuple[int, float]] | None = None
+    account: bytes = b''
+    passed_over: bool = False
 
     def rank(self, now: float) -> int:
         """Returns its rank among all queued requests; the lowest goes first.
@@ -97,11 +109,27 @@
         rank = self.priority * SIZE_RANKS + self.size
         return rank + (LATE_RANK if now >= self.late_at_s else 0)
 
-    def sort_key(self, now: float) -> tuple[int, bool, float, int]:
+    def sort_key(self, now: float) -> tuple[int, bool, float, float, int]:
         """Returns the key by which queued requests are ordered."""
-        rank = self.rank(now)
-        return rank, not self.is_first(now), self.late_at_s, self.sequence
+        return (
+            self.rank(now),
+            not self.is_first(now),
+            0.0 if self.start_tag is None else self.start_tag(),
+            self.late_at_s,
+            self.sequence,
+        )
 
     def is_first(self, now: float) -> bool:
         """Whether it goes before all others of its priority."""
         return now >= self.first_at_s and self.turns.is_due
+
+    def yields_to(self, other: QueueEntry, now: float) -> bool:
+        """Whether only the shares of accounts put another entry first."""
+        if self.start_tag is None or other.start_tag is None:
+            return False
+        key, other_key = self.sort_key(now), other.sort_key(now)
+        return (
+            other_key[:2] == key[:2]
+            and other_key[2] < key[2]
+            and other_key[3:] > key[3:]
+        )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -49,6 +49,8 @@
     Attributes:
       req: The request.
       entry: Its entry in the queue.
+      has_yielded: Whether the latest choice left memory to other client
+        accounts at peers.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self._matcher = matching.Matcher(
             stats_table, req, reservation, entry.late_at_s
         )
+        self.has_yielded = False
 
     @property
     def has_engine(self) -> bool:
@@ -99,6 +102,7 @@
         same_or_ahead = self._stats_table.waiting_at_peers(service, rank)
         ahead = self._stats_table.waiting_at_peers(service, rank - 1)
         displaced = self._displaced_tokens()
+        self.has_yielded = False
         if not same_or_ahead and not displaced:
             return self._lowest_cost(with_room, assessments)
         free_tokens = [self._free_tokens(one) for one in with_room]
@@ -110,7 +114,17 @@
         left = min(sum(free_tokens), total - displaced) - ahead
         if not with_room or left < self.entry.tokens:
             return None
-        share = RACE_SHARE * left / (same_or_ahead - ahead + self.entry.tokens)
+        first, rival_share = 0, 1.0
+        # One that has waited for long goes first whatever its account used.
+        if self.entry.waiting_at_peers and not self.entry.is_first(now):
+            first, rival_share = self.entry.waiting_at_peers()
+            first = min(first, same_or_ahead - ahead)
+        if left - first < self.entry.tokens:
+            self.has_yielded = True
+            return None
+        left -= first
+        rivals = rival_share * (same_or_ahead - ahead - first)
+        share = RACE_SHARE * left / (rivals + self.entry.tokens)
         if random.random() >= share:
             return None
         if assessments:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import admission, rate_queue
+from quetzalsill_gateway.balance import shares as shares_lib
 from quetzalsill_gateway.quarantine import detector, in_flight, quarantine
 from quetzalsill_gateway.stream import link_queue, loop_delay
 
@@ -50,6 +51,7 @@
       engine_speeds: Estimated speed of each engine.
       loop_delay: Detects pauses of the event loop.
       rate_queue: Calls that wait until a limit allows them.
+      shares: Shares of client accounts.
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
       in_flight: Requests that upstreams are running.
@@ -74,6 +76,9 @@
     server_limits: server_limits.ServerLimits
     backoffs: backoff.Backoffs
     engine_speeds: engine_speed.EngineSpeeds
+    shares: shares_lib.Shares = dataclasses.field(
+        default_factory=shares_lib.Shares
+    )
     ends_at_s: float | None = None
     loop_delay: loop_delay.LoopDelay = dataclasses.field(
         default_factory=loop_delay.LoopDelay
@@ -104,4 +109,5 @@
             self.zone,
             self.quota,
             random.Random(),
+            self.shares,
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
+from quetzalsill_gateway.balance import admission
 from quetzalsill_gateway.watch import epoch
 from quetzalsill_gateway.watch import lapsed_engines as lapsed_engines_lib
 
@@ -21,6 +22,7 @@
     'lapsed_engines',
     'held',
     'moves',
+    'passed_over',
     'updates',
     'record_request',
     'observe',
@@ -78,6 +80,8 @@
 # these modules.
 lapsed_engines = lapsed_engines_lib.asked_total
 epochs = epoch.epochs_total
+# Defined in `balance.admission`, on which the state observed here depends.
+passed_over = admission.passed_over_total
 response_times = metric.histogram(
     'quetzalsill_gateway_answer_seconds',
     'Time from a request to its whole answer, by kind of route.',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -60,6 +60,7 @@
     LIMITS = 9
     NOTICES = 10
     SPEEDS = 11
+    ACCOUNTS = 12
     LAPSED = 13
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -11,6 +11,7 @@
 
 from quetzalsill_gateway import error
 from quetzalsill_gateway.fleet import (
+    account_usage,
     engine_speed,
     server_limits,
     shutdown_notices,
@@ -19,6 +20,7 @@
 )
 from quetzalsill_gateway.fleet import revision as revision_lib
 from quetzalsill_gateway.peers import (
+    account_codec,
     frame,
     lapse_codec,
     limit_codec,
@@ -37,6 +39,7 @@
     | quarantine_update.QuarantineUpdate
     | server_limits.LimitUpdate
     | shutdown_notices.NoticeUpdate
+    | account_usage.AccountUpdate
     | engine_speed.SpeedUpdate
     | lapsed_engines.AnswerUpdate
 )
@@ -55,6 +58,8 @@
         return limit_codec.encode(node, update)
     if isinstance(update, shutdown_notices.NoticeUpdate):
         return notice_codec.encode(node, update)
+    if isinstance(update, account_usage.AccountUpdate):
+        return account_codec.encode(node, update)
     if isinstance(update, engine_speed.SpeedUpdate):
         return speed_codec.encode(node, update)
     if isinstance(update, lapsed_engines.AnswerUpdate):
@@ -106,6 +111,8 @@
             found = limit_codec.decode(fields)
         elif kind is frame.Kind.NOTICES:
             found = notice_codec.decode(fields)
+        elif kind is frame.Kind.ACCOUNTS:
+            found = account_codec.decode(fields)
         elif kind is frame.Kind.SPEEDS:
             found = speed_codec.decode(fields)
         elif kind is frame.Kind.LAPSED:
--- a/tests/quetzalsill_gateway/balance/test_search.py
+++ b/tests/quetzalsill_gateway/balance/test_search.py
@@ -42,7 +42,7 @@
                 ),
                 revision.Revision(0, number),
             )
-        stats_table = upstream_stats.StatsTable()
+        self.stats_table = stats_table = upstream_stats.StatsTable()
         stats_table.mean_held_s = HELD_S
         self.full, self.empty = upstreams.all()
         stats_table.of(self.full).reservations.add(
@@ -63,7 +63,10 @@
                 backoffs=self.backoffs,
             ),
             types.SimpleNamespace(
-                service=types.SimpleNamespace(name='s'), regions=None
+                service=types.SimpleNamespace(name='s'),
+                regions=None,
+                is_suspect=False,
+                route=types.SimpleNamespace(max_gap_s=None, objective_s=1.0),
             ),
             ENGINE,
             upstream_stats.Reservation(1000, TOKENS),
@@ -81,6 +84,29 @@
         found = self.search.expected_wait(now, RANK, expected_wait.Ahead())
         return found.seconds
 
+    async def test_memory_is_left_to_other_accounts_at_peers(self):
+        """An account ahead of its share took what others waited for."""
+        now = asyncio.get_running_loop().time()
+        self.stats_table.set_peer_waiting('entry-2', {'s': {RANK: 10**6}})
+        self.search.entry.waiting_at_peers = lambda: (10**6, 0.0)
+        self.assertIsNone(self.search.try_choose(now))
+        self.assertTrue(self.search.has_yielded)
+        # Nobody else waits any more, whatever the reports say.
+        self.stats_table.set_peer_waiting('entry-2', {})
+        self.assertIs(self.search.try_choose(now), self.empty)
+        self.assertFalse(self.search.has_yielded)
+
+    async def test_a_starving_request_yields_to_no_account(self):
+        """An account far ahead of its share waited until its callers left."""
+        now = asyncio.get_running_loop().time()
+        self.stats_table.set_peer_waiting('entry-2', {'s': {RANK: 10**6}})
+        entry = self.search.entry
+        entry.waiting_at_peers = lambda: (10**6, 1.0)
+        for first_at_s, yields in ((now + 1.0, True), (now, False)):
+            entry.first_at_s = first_at_s
+            self.search.try_choose(now)
+            self.assertIs(self.search.has_yielded, yields)
+
     async def test_memory_behind_a_pause_counts_from_its_end(self):
         """A generation waited in vain for an engine that pauses for long."""
         self.assertEqual(self.wait_s(), 0.0)
