--- a/tests/quetzalsill_gateway/peers/test_exchange.py
+++ b/tests/quetzalsill_gateway/peers/test_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 import types
 import unittest
 from unittest import mock
@@ -28,7 +29,7 @@
     state,
     update_codec,
 )
-from quetzalsill_gateway.stream import link_queue, live
+from quetzalsill_gateway.stream import link_queue, live, loop_delay
 from quetzalsill_gateway.watch import epoch, membership
 from quetzalsill_gateway.watch import update as update_lib
 from tests.quetzalsill_gateway import quotas
@@ -185,6 +186,7 @@
             link_queue=link_queue.LinkQueue(),
             health=source.Health(),
             budget=retry_budget.RetryBudget(0.2, 10.0, 10.0, 16),
+            loop_delay=loop_delay.LoopDelay(),
         )
         core.live = live.LiveStreams(core.stats_table)
         core.members = members.Members('entry-1')
@@ -211,6 +213,18 @@
         self.directory[node] = address
         return others
 
+    async def test_pause_of_the_process_is_noted(self):
+        """A pause of this process makes an engine look slow."""
+        delay = self.gateways[0].core.loop_delay
+        await self.until(lambda: delay.ticks)
+        late_ticks = delay.late_ticks
+        clock = asyncio.get_running_loop().time
+        paused_s = clock()
+        time.sleep(2 * exchange.PUBLISH_INTERVAL_S)  # noqa: ASYNC251
+        self.assertTrue(delay.was_late(paused_s, clock()))
+        await self.until(lambda: delay.late_ticks > late_ticks)
+        self.assertTrue(delay.was_late(paused_s, clock()))
+
     async def until(self, condition):
         async with asyncio.timeout(BOUND_S):
             while not condition():  # noqa: ASYNC110
