--- a/tests/quetzalsill_gateway/peers/test_outbox.py
+++ b/tests/quetzalsill_gateway/peers/test_outbox.py
@@ -12,7 +12,7 @@
 from quetzalsill_gateway.balance import admission, upstream_stats
 from quetzalsill_gateway.fleet import members, publish_timing, upstream
 from quetzalsill_gateway.peers import exchange, outbox, state
-from quetzalsill_gateway.stream import link_queue, live
+from quetzalsill_gateway.stream import link_queue, live, loop_delay
 from tests.quetzalsill_gateway import quotas
 
 # A link of 10 Mbit/s with a queue of 50 ms.
@@ -70,6 +70,7 @@
             link_queue=link_queue.LinkQueue(),
             health=source.Health(),
             budget=retry_budget.RetryBudget(0.2, 10.0, 10.0, 16),
+            loop_delay=loop_delay.LoopDelay(),
         )
         core.live = live.LiveStreams(core.stats_table)
         core.members = members.Members('entry-a')
