--- a/tests/quetzalsill_cli/test_explain.py
+++ b/tests/quetzalsill_cli/test_explain.py
@@ -29,7 +29,21 @@
 
 def chosen(request, upstream='u-1'):
     return event.UpstreamChosen(
-        request, 'r', upstream, 3, 1, 20.0, 4, 9000, 500, 4000, 0.0, 100, 200
+        request,
+        'r',
+        upstream,
+        3,
+        1,
+        20.0,
+        4,
+        9000,
+        500,
+        4000,
+        late_probability=0.0,
+        pace_miss=False,
+        failures=0.0,
+        configuration_age_ms=100,
+        membership_age_ms=200,
     )
 
 
