--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -80,8 +80,13 @@
     ),
     'destinations-in-the-zone': _gateway(
         'balance/choose.py',
-        'return is_full, crossing, tie_break',
-        'return is_full, False, tie_break',
+        'not is_match(candidate), crossing, tie_break',
+        'not is_match(candidate), False, tie_break',
+    ),
+    'matching-by-pace': _gateway(
+        'balance/pace.py',
+        'if max_gap_s is None or not speeds.differ(service)',
+        'if True',
     ),
     'failures-of-all': _gateway(
         'balance/upstream_stats.py',
@@ -115,8 +120,8 @@
     ),
     'room-for-runs-that-move': _gateway(
         'balance/search.py',
-        'if one.leaving and one.service',
-        'if False and one.service',
+        'for one in self._upstreams.leaving(self.req.service.name)',
+        'for one in ()',
     ),
     'runs-beside-copies-last': _gateway(
         'balance/search.py', 'return beside or fitting', 'return fitting'
