--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/engine_speed.py
@@ -11,7 +11,6 @@
 import collections
 import dataclasses
 import math
-import statistics
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,7 @@
 from quetzalsill_gateway.fleet import (
     engine_load,
     incarnation_table,
+    speed_estimate,
     upstream,
 )
 
@@ -28,8 +28,12 @@
 __all__ = ['EngineSpeeds', 'Estimate', 'Noise', 'Speed', 'SpeedUpdate']
 
 Noise = engine_load.Noise
+Speed = speed_estimate.Speed
+Estimate = speed_estimate.Estimate
+
+MAX_SAMPLES = speed_estimate.MAX_SAMPLES
+HALF_LIFE_S = speed_estimate.HALF_LIFE_S
 
-MAX_SAMPLES = 64
 # Speeds in one datagram.
 MAX_ITEMS = 32
 # A longer gap is a preemption or a fault, and a faster rate a cached prompt.
@@ -38,9 +42,6 @@
 # The first event of a short prompt is mostly the time of a step and of the
 # network.
 MIN_PREFILL_TOKENS = 500
-# Without a sample, half of the distance to the median of the service is lost in
-# this time, and so is half of the weight.
-HALF_LIFE_S = 30.0
 # An estimate of another gateway that is older has no weight left.
 MAX_AGE_S = 300.0
 # Estimates of engines that are gone are kept for this long: their entries may
@@ -55,9 +56,6 @@
 # datagram.
 MAX_LOAD_SENDERS = 32
 MAX_SERVICES = 8
-# An estimate from fewer samples is not used for the spread or to detect
-# slowdowns: it may be half or twice the true value.
-MIN_SAMPLES = 10
 # Ratio of the slowest to the fastest engine above which engines count as
 # different; about the error of the estimates.
 MIN_SPREAD = 1.6
@@ -72,44 +70,6 @@
 SUMMARY_INTERVAL_S = 0.25
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Speed:
-    """Estimated speed of one incarnation of an engine.
-
-    Attributes:
-      key: Key of the upstream.
-      event_s: Median time between two events of a run, with few other runs and
-        no prefill beside it; 0 if unknown.
-      prefill_per_s: Prompt tokens prefilled per second; 0 if unknown.
-      samples: Number of samples, at most MAX_SAMPLES.
-      observed_s: Loop time of the newest sample.
-    """
-
-    key: str
-    event_s: float
-    prefill_per_s: float
-    samples: int
-    observed_s: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Estimate:
-    """Speed that is expected of an engine, at the age of its samples.
-
-    Attributes:
-      event_s: Time between two events of a run at a light load; None if nothing
-        is known of the service.
-      prefill_per_s: Prompt tokens prefilled per second; None likewise.
-      slowness: Time between events relative to the median of the service.
-      is_known: Whether the engine itself was measured, here or by a peer.
-    """
-
-    event_s: float | None = None
-    prefill_per_s: float | None = None
-    slowness: float = 1.0
-    is_known: bool = False
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class SpeedUpdate:
     """Speeds that a gateway announces.
@@ -186,32 +146,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Summary:
-    """Medians over the known engines of a service; None if unknown.
-
-    Attributes:
-      event_s: Time between two events.
-      prefill_per_s: Tokens prefilled per second.
-      slow_prefill_per_s: The slower quartile of it.
-      event_tokens: Tokens prefilled in the time between two events.
-      spread: Slowest / fastest engine.
-      slowness: Time between events of each engine relative to `event_s`.
-      unknown: Estimate of an engine that was not measured.
-    """
-
-    event_s: float | None = None
-    prefill_per_s: float | None = None
-    slow_prefill_per_s: float | None = None
-    event_tokens: float | None = None
-    spread: float = 1.0
-    slowness: tuple[float, ...] = ()
-    unknown: Estimate = Estimate()
-
-
-NO_SUMMARY = _Summary()
-
-
 class EngineSpeeds:
     """Speeds of engines that are known to a gateway."""
 
@@ -234,7 +168,7 @@
         self._interferences: dict[
             str, tuple[float, engine_load.Interference]
         ] = {}
-        self._summaries: dict[str, _Summary] = {}
+        self._summaries: dict[str, speed_estimate.Summary] = {}
         self._summarized_s = -math.inf
         self._announce: Callable[[SpeedUpdate], None] = lambda _: None
 
@@ -275,7 +209,7 @@
         load.learn_ratio(engine.recent, log_gap, bucket, now)
         median = engine.event
         excess = None
-        if median.count >= MIN_SAMPLES:
+        if median.count >= speed_estimate.MIN_SAMPLES:
             excess = log_gap - load.log_factor(bucket) - median.value
         load.record(engine.recent, excess, now, is_prefilling=is_prefilling)
         engine.recent.add(log_gap, bucket, now)
@@ -342,7 +276,7 @@
         summary = self._summary(upstream.service)
         if engine.estimated_s != self._summarized_s:
             engine.estimated_s = self._summarized_s
-            engine.estimate = _estimate(
+            engine.estimate = speed_estimate.estimate(
                 self._combined(engine, self._summarized_s),
                 _weight(engine, self._summarized_s),
                 summary,
@@ -533,7 +467,7 @@
         if now < engine.check_s:
             return
         engine.check_s = now + ANNOUNCE_INTERVAL_S
-        reference = engine.announced or _combine(
+        reference = engine.announced or speed_estimate.combine(
             engine.key, engine.peers.values(), now
         )
         if _has_changed(engine.event, reference.event_s) or _has_changed(
@@ -548,7 +482,7 @@
             return
         engine.is_logged = True
         speed = self._combined(engine, self._clock())
-        summary = self._summaries.get(engine.service, NO_SUMMARY)
+        summary = self._summaries.get(engine.service, speed_estimate.NO_SUMMARY)
         slowness = 1.0
         if speed.event_s and summary.event_s:
             slowness = speed.event_s / summary.event_s
@@ -566,17 +500,17 @@
 
     def _combined(self, engine: _Engine, now: float) -> Speed:
         if engine.combined is None:
-            engine.combined = _combine(
+            engine.combined = speed_estimate.combine(
                 engine.key, (engine.own, *engine.peers.values()), now
             )
         return engine.combined
 
-    def _summary(self, service: str) -> _Summary:
+    def _summary(self, service: str) -> speed_estimate.Summary:
         now = self._clock()
         if not 0.0 <= now - self._summarized_s < SUMMARY_INTERVAL_S:
             if not self._engines:
                 # The first estimate has effect at once.
-                return NO_SUMMARY
+                return speed_estimate.NO_SUMMARY
             self._summarized_s = now
             by_service = collections.defaultdict(list)
             for engine in self._engines.values():
@@ -584,9 +518,10 @@
                     (self._combined(engine, now), _weight(engine, now))
                 )
             self._summaries = {
-                name: _summarize(speeds) for name, speeds in by_service.items()
+                name: speed_estimate.summarize(speeds)
+                for name, speeds in by_service.items()
             }
-        return self._summaries.get(service, NO_SUMMARY)
+        return self._summaries.get(service, speed_estimate.NO_SUMMARY)
 
 
 def _weight(engine: _Engine, now: float) -> float:
@@ -594,40 +529,6 @@
     return 0.5 ** (max(0.0, now - engine.observed_s) / HALF_LIFE_S)
 
 
-def _estimate(speed: Speed, weight: float, summary: _Summary) -> Estimate:
-    """Returns the estimate of a known engine.
-
-    Args:
-      speed: Combined estimate of all gateways.
-      weight: Weight left of it; the rest is that of the service's medians.
-      summary: Medians of the service.
-    """
-    event_s, per_s = speed.event_s, speed.prefill_per_s
-    if summary.event_tokens is not None:
-        if not event_s and per_s:
-            event_s = summary.event_tokens / per_s
-        elif not per_s and event_s:
-            per_s = summary.event_tokens / event_s
-    slowness = 1.0
-    if summary.event_s is not None:
-        if event_s:
-            slowness = (event_s / summary.event_s) ** weight
-        event_s = summary.event_s * slowness
-    elif summary.prefill_per_s is not None and per_s:
-        slowness = (summary.prefill_per_s / per_s) ** weight
-    if summary.prefill_per_s is not None and per_s:
-        ratio = per_s / summary.prefill_per_s
-        per_s = summary.prefill_per_s * ratio**weight
-    else:
-        per_s = summary.slow_prefill_per_s
-    return Estimate(
-        event_s if summary.event_s is not None else None,
-        per_s,
-        slowness,
-        is_known=True,
-    )
-
-
 def _has_changed(
     median: engine_load.Median | engine_load.LightLoadMedian, reference: float
 ) -> bool:
@@ -638,67 +539,5 @@
     return abs(median.value - math.log(reference)) > ANNOUNCED_CHANGE
 
 
-def _combine(key: str, speeds: Iterable[Speed], now: float) -> Speed:
-    """Returns the mean of estimates, weighted by samples and age."""
-    event_sum = prefill_sum = event_weight = prefill_weight = 0.0
-    samples, observed_s = 0, -math.inf
-    for speed in speeds:
-        if not speed.samples:
-            continue
-        samples += speed.samples
-        observed_s = max(observed_s, speed.observed_s)
-        age_s = max(0.0, now - speed.observed_s)
-        weight = speed.samples * 0.5 ** (age_s / HALF_LIFE_S)
-        if speed.event_s:
-            event_sum += weight * math.log(speed.event_s)
-            event_weight += weight
-        if speed.prefill_per_s:
-            prefill_sum += weight * math.log(speed.prefill_per_s)
-            prefill_weight += weight
-    return Speed(
-        key,
-        math.exp(event_sum / event_weight) if event_weight else 0.0,
-        math.exp(prefill_sum / prefill_weight) if prefill_weight else 0.0,
-        samples,
-        observed_s,
-    )
-
-
-def _summarize(speeds: list[tuple[Speed, float]]) -> _Summary:
-    """Returns the medians and the spread of a service.
-
-    Args:
-      speeds: Estimate of each engine, and the weight left at its age.
-    """
-    events = [speed.event_s for speed, _ in speeds if speed.event_s]
-    rates = sorted(
-        speed.prefill_per_s for speed, _ in speeds if speed.prefill_per_s
-    )
-    event_s = statistics.median(events) if events else None
-    prefill_per_s = statistics.median(rates) if rates else None
-    products = [
-        speed.event_s * speed.prefill_per_s
-        for speed, _ in speeds
-        if speed.event_s and speed.prefill_per_s
-    ]
-    if not products and events and rates:
-        products = [event_s * prefill_per_s]
-    measured = [
-        (speed.event_s / event_s) ** weight
-        for speed, weight in speeds
-        if speed.event_s and speed.samples >= MIN_SAMPLES
-    ]
-    slow_per_s = rates[len(rates) // 4] if rates else None
-    return _Summary(
-        event_s,
-        prefill_per_s,
-        slow_per_s,
-        statistics.median(products) if products else None,
-        max(measured) / min(measured) if len(measured) > 1 else 1.0,
-        tuple(measured),
-        Estimate(event_s, slow_per_s),
-    )
-
-
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
