--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -410,7 +410,9 @@
             await self._remove(upstream)
             return
         await asyncio.sleep(injection.duration_s)
-        store.put('servers', name, upstream.row())
+        # A crashing request may have stopped it meanwhile.
+        if upstream.server.server.is_listening:
+            store.put('servers', name, upstream.row())
         self._departing.remove(upstream)
 
     async def _ask_for_pauses(self, injection: plan.Injection) -> None:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -98,6 +98,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections = 0
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it was started and not stopped."""
+        return self._server is not None and self._server.is_serving()
+
     @property
     def address(self) -> tuple[str, int]:
         """IP address and port."""
