--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -410,9 +410,11 @@
             await self._remove(upstream)
             return
         await asyncio.sleep(injection.duration_s)
-        # A crashing request may have stopped it meanwhile.
-        if upstream.server.server.is_listening:
-            store.put('servers', name, upstream.row())
+        if not upstream.server.server.is_listening:
+            # A crashing request has stopped it meanwhile.
+            await self._remove(upstream)
+            return
+        store.put('servers', name, upstream.row())
         self._departing.remove(upstream)
 
     async def _ask_for_pauses(self, injection: plan.Injection) -> None:
