--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/account_usage.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/account_usage.py
@@ -126,7 +126,8 @@
     def touch(self, name: bytes) -> Account:
         """Returns an account as the most recently used, creating it if needed.
 
-        Dropping one that has a queued request would lose its lift only.
+        One that is dropped while it has a queued request loses its count and
+        its lift, and is treated like an account that is new.
         """
         found = self._accounts.get(name)
         if found is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
@@ -7,7 +7,8 @@
 One gateway asks. The gateways with runs at the engine are ranked by rendezvous
 hashing, so those that know the same ones agree on the order. The others ask in
 their turn if they have heard neither of a notice nor of an answer by then. So
-an engine gets one request at a time, however many gateways there are.
+an engine that answers within a turn gets one request at a time, however many
+gateways there are.
 """
 
 from __future__ import annotations
