--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -195,6 +195,7 @@
             avoid,
             entry,
             demand,
+            self._rng,
         )
         if not search.has_engine:
             return None
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import (
@@ -15,6 +14,8 @@
 from quetzalsill_gateway.fleet import publish_timing
 
 if TYPE_CHECKING:
+    import random
+
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import (
@@ -65,6 +66,7 @@
         avoid: frozenset[str],
         entry: queue_entry.QueueEntry,
         demand: forecast.Demand,
+        rng: random.Random,
     ) -> None:
         self._upstreams = upstreams
         self._stats_table = stats_table
@@ -76,6 +78,7 @@
         self._avoid = avoid
         self.entry = entry
         self._demand = demand
+        self._rng = rng
         self._matcher = matching.Matcher(
             stats_table, req, reservation, entry.late_at_s
         )
@@ -125,13 +128,13 @@
         left -= first
         rivals = rival_share * (same_or_ahead - ahead - first)
         share = RACE_SHARE * left / (rivals + self.entry.tokens)
-        if random.random() >= share:
+        if self._rng.random() >= share:
             return None
         if assessments:
-            drawn = random.choices(with_room, free_tokens, k=DRAWN_ENGINES)
+            drawn = self._rng.choices(with_room, free_tokens, k=DRAWN_ENGINES)
             return self._lowest_cost(drawn, assessments)
         self.req.late_probability, self.req.pace_miss = 0.0, False
-        return random.choices(with_room, free_tokens)[0]
+        return self._rng.choices(with_room, free_tokens)[0]
 
     def lowest_cost(self) -> upstream_lib.Upstream | None:
         """Returns the engine with the lowest expected cost, full or not."""
@@ -260,7 +263,9 @@
             count = publish_timing.candidate_count(
                 gateways, len(candidates), self._demand.arrivals_per_s(now)
             )
-            candidates = random.sample(candidates, min(len(candidates), count))
+            candidates = self._rng.sample(
+                candidates, min(len(candidates), count)
+            )
         found = choose.choose_engine(
             candidates,
             self._stats_table,
--- a/tests/quetzalsill_gateway/balance/test_search.py
+++ b/tests/quetzalsill_gateway/balance/test_search.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import types
 import unittest
 
@@ -73,6 +74,7 @@
             frozenset(),
             queue_entry.QueueEntry(1, 0, 0, now + 60.0, TOKENS, now),
             forecast.Demand(),
+            random.Random(5),
         )
 
     def pause(self, found, value):
