Use the usual terms in new comments; one line for tests of failures

The stories of the six shortened docstrings: the store writes the acceptance, loses its response and stops responding; links to both sidecars are lost with orders in progress; the only router that knows an order is killed; a router is killed in the middle of a streamed brief; a store that applies a write unanswered; a store that is silent after a lost response.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
@@ -120,7 +120,7 @@
 
 
 def _parse_hold(line: request_log.LogLine) -> Hold | None:
-    """Returns what a line tells; None if it is truncated or malformed."""
+    """Returns the contents of a line; None if it is truncated or malformed."""
     try:
         waited_ms = _float_field(line, 'waited_ms')
         expected_ms = _float_field(line, 'expected_ms')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -34,8 +34,7 @@
 # removed within this time.
 ENDED_RETENTION_S = 60.0
 MAX_ENDED = 4096
-# Window over which the rate of departures is measured. Engines are taken away
-# every few seconds.
+# Window of the rate of departures. Engines leave every few seconds.
 DEPARTURE_WINDOW_S = 8.0
 MAX_DEPARTURES = 4096
 # Occurs in no id that a platform assigns.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/lapsed_engines.py
@@ -2,11 +2,11 @@
 
 Such an engine is gone, will write its entry again, or is leaving without having
 announced it: its entry is removed, and it stops about 1.5 s later. Its report
-tells these cases apart, so that its runs can be moved in time.
+distinguishes these cases, so that its runs can be moved in time.
 
 One gateway asks. The gateways with runs at the engine are ranked by rendezvous
 hashing, so those that know the same ones agree on the order. The others ask in
-their turn if they have heard neither of a notice nor of an answer by then. So
+their turn if they have received neither a notice nor an answer by then. So
 an engine that answers within a turn gets one request at a time, however many
 gateways there are.
 """
@@ -41,7 +41,7 @@
     'quetzalsill_gateway_lapsed_engines_asked_total',
     'Requests to engines whose entry is missing, by what the report says.',
 )
-# A gateway that asks has its answer, and the others have heard of it, within a
+# A gateway that asks has its answer, and the others have received it, within a
 # few round trips.
 TURN_S = 0.15
 # Reports are up to 0.5 s old, so one that shows no notice is checked once after
--- a/tests/failure/test_unknown.py
+++ b/tests/failure/test_unknown.py
@@ -66,11 +66,7 @@
 
     @fixture.on_cluster
     async def test_acceptance(self):
-        """A client gets "outcome unknown" with a request id that is not found.
-
-        The store writes the acceptance, its response is lost, and the store
-        stops responding. After its recovery the outcome can be queried.
-        """
+        """A client gets "outcome unknown" and a request id that is unknown."""
         store = self.cluster.store
         lost = await harness.read_count(store, 'lost')
         # Only this write, not a router's renewal, which may come at any time.
@@ -93,13 +89,7 @@
 
     @fixture.on_cluster
     async def test_link_that_is_lost_for_long(self):
-        """The outcome of an order that ran stays unknown forever.
-
-        The links to both sidecars are lost with orders in progress, which
-        soon exceed their deadline, and a brief, whose recovery times out.
-        After reconnecting, the router learns the outcome of each and returns
-        it on query.
-        """
+        """The outcome of an order that ran stays unknown forever."""
         asks = {
             'order': (harness.send_order, '', 'deadline_exceeded'),
             'order-key': (harness.send_order, 'order', 'deadline_exceeded'),
@@ -148,11 +138,7 @@
 
     @fixture.on_cluster
     async def test_request_that_nobody_knows_any_more(self):
-        """A client repeats an order that ran, because it is not found.
-
-        The outcome of an order without a key is unknown, and the only router
-        with a record of it is killed. "Not found" must not mean "not run".
-        """
+        """A client repeats an order that ran, because it is not found."""
         await self.cluster.switch(
             self.cluster.upstreams[harness.APP], close_orders=1
         )
@@ -165,12 +151,7 @@
 
     @fixture.on_cluster
     async def test_router_killed_in_mid_answer(self):
-        """A query about one answer stalls all others on the link.
-
-        A router is killed after its client received part of a streamed brief.
-        Queried through another router, the outcome is that it ran; other
-        answers on the links of that router are unaffected.
-        """
+        """A query about one answer stalls all others on the link."""
         answer, tasks = self.start_request(
             TOKENS, 'cut', 'brief', idempotency_key='cut'
         )
--- a/tests/quetzalsill/platform/test_exchange.py
+++ b/tests/quetzalsill/platform/test_exchange.py
@@ -69,12 +69,7 @@
         self.assertIsNone(await objects.get('a/ü'))
 
     async def test_response_lost_after_the_write(self):
-        """The store applies a write and closes the connection unanswered.
-
-        The client must not report that nothing was written: the caller would
-        write again, or reject a journalled request as not run. The client must
-        not retry the write itself either.
-        """
+        """The store applies a write and closes the connection unanswered."""
         self.switches.lose_answers = 1
         with self.assertRaises(error.PlatformAnswerLostError):
             await self.table.transact(CREATE, WRITE)
@@ -84,11 +79,7 @@
         self.assertTrue(self.clients.health.up)
 
     async def test_silence_after_a_lost_response(self):
-        """The store becomes silent with the response that it loses.
-
-        If it served a single call in between, the retry of the write would
-        succeed, and a test of an unknown acceptance would test nothing.
-        """
+        """The store becomes silent with the response that it loses."""
         self.switches.lose_answers = 2
         self.switches.silent_after_loss = True
         for key in ('first', 'second'):
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -412,26 +412,23 @@
         self.assertGreater(refused.req.retry_after_s, 0.5)
 
     async def test_refused_callers_do_not_all_return_at_once(self):
-        """A burst of one kind that is refused returns spread over time.
-
-        Told the same time, its callers would return as another burst.
-        """
+        """A burst of one kind that is refused returns spread over time."""
         self.stats_table.mean_held_s = 10.0
         refused = [self.ask(f'{n}', objective_s=1.0) for n in range(20)]
         await asyncio.gather(*refused)
-        told = sorted(one.req.retry_after_s for one in refused)
-        self.assertGreaterEqual(told[0], 10.0 * 4000 / 10_000)
-        self.assertLessEqual(told[-1], 2 * 10.0 * 5000 / 10_000)
-        self.assertGreater(told[-1] - told[0], 2.0)
+        delays_s = sorted(one.req.retry_after_s for one in refused)
+        self.assertGreaterEqual(delays_s[0], 10.0 * 4000 / 10_000)
+        self.assertLessEqual(delays_s[-1], 2 * 10.0 * 5000 / 10_000)
+        self.assertGreater(delays_s[-1] - delays_s[0], 2.0)
 
     async def test_times_to_return_after_stay_below_a_third(self):
         """With hours of work ahead, the spread is within the time left."""
         self.stats_table.mean_held_s = 3000.0
         refused = [self.ask(f'{n}', left_s=9.0) for n in range(20)]
         await asyncio.gather(*refused)
-        told = sorted(one.req.retry_after_s for one in refused)
-        self.assertLessEqual(told[-1], 3.0)
-        self.assertGreater(told[-1] - told[0], 0.3)
+        delays_s = sorted(one.req.retry_after_s for one in refused)
+        self.assertLessEqual(delays_s[-1], 3.0)
+        self.assertGreater(delays_s[-1] - delays_s[0], 0.3)
 
     async def test_a_caller_keeps_its_place_at_another_gateway(self):
         """A request that returns to another gateway goes before newer ones.
