--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -115,7 +115,7 @@
     ),
     'lots-for-room': _gateway(
         'balance/search.py',
-        'if random.random() >= share:',
+        'if self._rng.random() >= share:',
         'if False:',
     ),
     'room-for-runs-that-move': _gateway(
