Log and count the software versions of upstreams

Cause: no part of a gateway knew an upstream's software version, and no log line named one, or said that a caller takes a stream up. The hypotheses on streams of two versions couldn't be told apart.

The test of unknown kinds starts above the highest known one instead of at 14, which is one now; it covers every unknown kind as before.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/legacy.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/simulation/legacy.py
@@ -12,7 +12,7 @@
 __all__ = ['DATAGRAM_KINDS', 'encode']
 
 DATAGRAM_KINDS = {
-    frame.Kind.MEMBERSHIP: frame.Kind.LEGACY_MEMBERSHIP,
+    frame.Kind.VERSIONED_MEMBERSHIP: frame.Kind.LEGACY_MEMBERSHIP,
     frame.Kind.CONFIGURATION: frame.Kind.LEGACY_CONFIGURATION,
 }
 
@@ -35,8 +35,10 @@
         )
     else:
         node, since, revision, grace_s, changes, is_repeat = fields
+        # The last field of an entry is its software version.
         entries = [
-            (name, _version(changed), *rest) for name, changed, *rest in changes
+            (name, _version(changed), *(rest if len(rest) == 1 else rest[:-1]))
+            for name, changed, *rest in changes
         ]
         legacy_fields = (
             node,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/choice_log.py
@@ -45,5 +45,6 @@
             failures=round(stats.recent_failures(now), 2),
             configuration_age_ms=int(core.holder.age_s * MS_PER_S),
             membership_age_ms=int(core.upstreams.age_s * MS_PER_S),
+            software_version=upstream.software_version,
         )
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -126,6 +126,7 @@
       not_run: Present in the response to a request that has not run.
       priority: Priority at the engine.
       resume_after: Id of the last event that the caller has received.
+      resumes: Id of the request whose stream a caller takes up.
       kv_from: KV cache copy from which to resume a run.
       server_limit: Requests a second that an upstream accepts from all
         gateways together.
@@ -144,6 +145,7 @@
     not_run: bytes
     priority: bytes
     resume_after: bytes
+    resumes: bytes
     kv_from: bytes
     backup: bytes
     server_limit: bytes
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -47,6 +47,9 @@
         the gateway knows of none.
       tokens: Expected KV cache use, in tokens; 0 if it is no generation.
       account: Client account; empty if callers need no key.
+      resumes: Earlier request whose stream the caller takes up; empty if it
+        names none.
+      resume_after: Id of the last event that it has; empty if none.
     """
 
     request: str
@@ -66,6 +69,8 @@
     gap_cause: str = ''
     tokens: int = 0
     account: str = ''
+    resumes: str = ''
+    resume_after: str = ''
 
 
 @base.define
@@ -107,6 +112,7 @@
       failures: Decayed count of recent failures there.
       configuration_age_ms: Time since the configuration was last confirmed.
       membership_age_ms: Time since the membership was last confirmed.
+      software_version: Version of the upstream; empty if unknown.
     """
 
     request: str
@@ -124,6 +130,7 @@
     failures: float
     configuration_age_ms: int
     membership_age_ms: int
+    software_version: str = ''
 
 
 @base.define
@@ -206,6 +213,8 @@
         `repeatable`, or resumed from a `copy` that an engine has named or
         from its `backup`.
       events: Number of events of the segment.
+      software_version: Version of the upstream; empty if unknown.
+      next_version: That of the upstream where the stream continues.
     """
 
     request: str
@@ -218,6 +227,8 @@
     backup: str
     grounds: str = ''
     events: int = 0
+    software_version: str = ''
+    next_version: str = ''
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -120,6 +120,8 @@
       grounds: Why it resumes: from a `copy` that its source has named, or
         from its `backup`; empty if it does not.
       answer: The source's response to the stop command, or why there is none.
+      source_version: Software version of the source; empty if unknown.
+      target_version: That of the target.
     """
 
     request: str
@@ -130,6 +132,8 @@
     made_ms: float
     grounds: str
     answer: str
+    source_version: str = ''
+    target_version: str = ''
 
 
 @base.define
@@ -142,6 +146,7 @@
       address: IP address and port.
       leaving: Whether it accepts no new work.
       version: Version of the membership.
+      software_version: Version of its software; empty if unknown.
     """
 
     upstream: str
@@ -149,6 +154,7 @@
     address: str
     leaving: bool
     version: str
+    software_version: str = ''
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -37,6 +37,8 @@
 # Window of the rate of departures. Engines leave every few seconds.
 DEPARTURE_WINDOW_S = 8.0
 MAX_DEPARTURES = 4096
+# A longer version comes from a faulty writer.
+MAX_VERSION_LENGTH = 64
 # Occurs in no id that a platform assigns.
 KEY_SEPARATOR = '\n'
 
@@ -58,6 +60,7 @@
       warmup_s: For how long it stays cold, as its entry says, in seconds.
       cold_until_s: Loop time at which it is warm; set when the entry is
         applied.
+      software_version: Version of its software; empty if unknown.
     """
 
     id: str
@@ -70,6 +73,7 @@
     incarnation: int = 0
     warmup_s: float = 0.0
     cold_until_s: float = 0.0
+    software_version: str = ''
 
     @property
     def key(self) -> str:
@@ -97,6 +101,7 @@
             and self.slots == other.slots
             and self.leaving == other.leaving
             and self.warmup_s == other.warmup_s
+            and self.software_version == other.software_version
         )
 
 
@@ -342,9 +347,14 @@
                     address=found.address_text,
                     leaving=found.leaving,
                     version=str(revision),
+                    software_version=found.software_version,
                 )
             )
             return
+        # An update of a gateway of the previous release has no version.
+        known.software_version = (
+            found.software_version or known.software_version
+        )
         if found.warmup_s != known.warmup_s:
             # Reading the same entry again must not restart the warm-up.
             known.warmup_s = found.warmup_s
@@ -572,6 +582,12 @@
 
 def _is_another_process(known: Upstream, found: Upstream) -> bool:
     """Whether an entry belongs to another process than the known one."""
+    if (
+        known.software_version
+        and found.software_version
+        and known.software_version != found.software_version
+    ):
+        return True
     return (known.incarnation, known.service, known.address) != (
         found.incarnation,
         found.service,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -31,6 +31,8 @@
 # A timeout is answered this long before the caller's deadline, so that the
 # response arrives in time.
 RESPONSE_MARGIN_S = 0.02
+# Longer values of callers' headers are truncated in the log.
+MAX_LOGGED_BYTES = 64
 
 
 class Gateway:
@@ -173,9 +175,17 @@
                 gap_cause=exchange.gap_cause,
                 tokens=exchange.tokens,
                 account=(exchange.account or b'').decode(errors='replace'),
+                resumes=self._logged_header(exchange, 'resumes'),
+                resume_after=self._logged_header(exchange, 'resume_after'),
             )
         )
 
+    def _logged_header(self, exchange: exchange_lib.Exchange, name: str) -> str:
+        """Returns the value of a header of the dialect, truncated."""
+        header = getattr(self._core.dialect, name)
+        value = message.first(exchange.request.headers, header) or b''
+        return value[:MAX_LOGGED_BYTES].decode('latin-1')
+
 
 def _ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
@@ -12,12 +14,14 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
     from quetzalsill_gateway import exchange as exchange_lib
+    from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.peers import exchange
 
 __all__ = [
     'attempts',
     'datagrams',
     'engine_speeds',
+    'engines',
     'epochs',
     'lapsed_engines',
     'held',
@@ -102,6 +106,10 @@
     'Upstreams known, by whether they take new work; those that limit it or'
     ' asked for a pause are counted once more.',
 )
+engines = metric.gauge(
+    'quetzalsill_gateway_engines',
+    'Upstreams that take new work, by service and software version.',
+)
 source_ages = metric.gauge(
     'quetzalsill_gateway_age_seconds',
     'Time since configuration and membership were last confirmed.',
@@ -118,6 +126,10 @@
 )
 
 
+# Label values of `engines`, which a version that is gone keeps with a zero.
+_observed_versions: set[tuple[str, str]] = set()
+
+
 def record_request(
     exchange: exchange_lib.Exchange, outcome: str, elapsed_s: float
 ) -> None:
@@ -144,6 +156,7 @@
     leaving = sum(upstream.leaving for upstream in all_upstreams)
     upstreams.set({'state': 'leaving'}, leaving)
     upstreams.set({'state': 'live'}, len(all_upstreams) - leaving)
+    _observe_versions(all_upstreams)
     limited = sum(
         core.server_limits.in_force(found) is not None
         for found in all_upstreams
@@ -173,3 +186,15 @@
             engine_speeds.set({'service': service, 'of': name}, value)
     datagrams.set({'result': 'taken'}, peers.accepted)
     datagrams.set({'result': 'left_out'}, peers.dropped)
+
+
+def _observe_versions(found: Iterable[upstream_lib.Upstream]) -> None:
+    """Counts the upstreams of each software version."""
+    counts = collections.Counter(
+        (one.service, one.software_version) for one in found if not one.leaving
+    )
+    for pair in _observed_versions | counts.keys():
+        service, version = pair
+        labels = {'service': service, 'version': version}
+        engines.set(labels, counts[pair])
+    _observed_versions.update(counts)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -19,6 +19,7 @@
     'bounded_key',
     'bounded_number',
     'bounded_revision',
+    'bounded_text',
     'pack',
     'unpack',
 ]
@@ -46,7 +47,8 @@
 
     The `LEGACY` kinds are updates that have versions without epochs. Gateways
     of the previous release send them during a rolling restart, and drop the
-    kinds that they don't know. The other kinds are the same in both releases.
+    kinds that they don't know. `MEMBERSHIP` has no software versions; it is
+    only received. The other kinds are the same in both releases.
     """
 
     STATE = 1
@@ -62,6 +64,7 @@
     SPEEDS = 11
     ACCOUNTS = 12
     LAPSED = 13
+    VERSIONED_MEMBERSHIP = 14
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
@@ -125,6 +128,15 @@
     Raises:
       ValueError: It is no text, or too long.
     """
-    if not isinstance(value, str) or len(value) > MAX_KEY_LENGTH:
-        raise ValueError('invalid key')
+    return bounded_text(value, MAX_KEY_LENGTH)
+
+
+def bounded_text(value: Any, limit: int) -> str:
+    """Returns a received text of at most `limit` characters.
+
+    Raises:
+      ValueError: It is no text, or too long.
+    """
+    if not isinstance(value, str) or len(value) > limit:
+        raise ValueError('invalid text')
     return value
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -89,7 +89,7 @@
         changes,
         update.is_repeat,
     )
-    return frame.pack(frame.Kind.MEMBERSHIP, fields)
+    return frame.pack(frame.Kind.VERSIONED_MEMBERSHIP, fields)
 
 
 def decode(kind: frame.Kind, fields: list[Any]) -> tuple[str, PeerUpdate]:
@@ -224,6 +224,7 @@
         found.leaving,
         found.incarnation,
         found.warmup_s,
+        found.software_version,
     )
 
 
@@ -232,7 +233,9 @@
     if len(rest) == 1:
         [may_have_lapsed] = rest
         return upstream.Change(str(name), revision, None, bool(may_have_lapsed))
-    service, host, port, zone, slots, leaving, incarnation, warmup_s = rest
+    # Gateways of the previous release send no software version.
+    *known, warmup_s, software_version = rest if len(rest) > 8 else (*rest, '')
+    service, host, port, zone, slots, leaving, incarnation = known
     if port not in PORTS:
         raise ValueError(f'invalid port {port!r}')
     found = upstream.Upstream(
@@ -244,5 +247,8 @@
         leaving=bool(leaving),
         incarnation=frame.bounded_count(incarnation),
         warmup_s=upstream.bounded_warmup_s(warmup_s),
+        software_version=frame.bounded_text(
+            software_version, upstream.MAX_VERSION_LENGTH
+        ),
     )
     return upstream.Change(str(name), revision, found)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -182,6 +182,8 @@
                 made_ms=round(segment.active_s * MS_PER_S, 1),
                 grounds=grounds.value if may_switch else '',
                 answer=stopped.move.code,
+                source_version=segment.upstream.software_version,
+                target_version=target.software_version,
             )
         )
         if not may_switch:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -323,6 +323,10 @@
                 backup=segment.backup.id if segment.backup else '',
                 grounds=segment.grounds.value,
                 events=segment.event_count,
+                software_version=segment.upstream.software_version,
+                next_version=next_segment.upstream.software_version
+                if next_segment
+                else '',
             )
         )
 
--- a/tests/quetzalsill_gateway/peers/test_account_codec.py
+++ b/tests/quetzalsill_gateway/peers/test_account_codec.py
@@ -82,7 +82,7 @@
                 decode(frame.pack(frame.Kind.ACCOUNTS, ('g', [item])))
 
     @SETTINGS
-    @hypothesis.given(strategies.integers(14, 2**32), VALUES)
+    @hypothesis.given(strategies.integers(max(frame.Kind) + 1, 2**32), VALUES)
     def test_an_unknown_kind_raises_peer_error_only(self, kind, value):
         """Old gateways drop kind 12 by this path, during a rolling restart."""
         data = msgpack.packb((frame.VERSION, kind, 'g-1', value))
