Failing test: streams hold events of two software versions

Five gateways, three engines of one version and three of another, engines that break off one event in 50, and callers that take their streams up at any gateway with Last-Event-Id and Resumes.

The stand-in engine gets a version, in its row and its events.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 import json
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -16,15 +17,19 @@
 PREFIX = 'x-quetzalsill-'
 EVENT_S = 0.02
 TOKENS_PER_EVENT = 4
+# Share of broken streams that end in the middle of an event.
+PARTIAL_EVENT_SHARE = 0.3
 
 
-def event(request_id: str, number: int) -> bytes:
+def event(request_id: str, number: int, version: str = '') -> bytes:
     """Returns an event of a request's stream.
 
-    Events follow from the request's id and their number alone, so that a
-    resumed stream can be compared with the expected one.
+    Events follow from the request's id, their number and the engine's software
+    version alone, so that a resumed stream can be compared with the expected
+    one.
     """
-    return f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
+    suffix = f'/{version}' if version else ''
+    return f'id: {number}\ndata: {request_id}/{number}{suffix}\n\n'.encode()
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,6 +110,8 @@
 
     Attributes:
       id: Id of this incarnation.
+      version: Version of its software, which its row and each of its events
+        name; empty for neither.
       length: Number of events of a complete stream.
       event_s: Time between events, in seconds.
       leaving: Whether it reports that it is draining.
@@ -114,6 +121,8 @@
       final_copy_s: Duration of the copy of a stopped run, in seconds.
       abort_after: Number of the event after which it aborts a stream; None for
         never.
+      break_share: Probability that it breaks a stream off at an event, at times
+        in the middle of the event.
       keeps_running_s: How long it keeps running a request after it aborted the
         connection, in seconds.
       refuse: Status with which it refuses new runs as not executed; 0 to
@@ -136,6 +145,7 @@
     def __init__(self, fleet: Fleet, name: str) -> None:
         self.server = scripted.ScriptedServer(self._handle)
         self.id = name
+        self.version = ''
         self.length = 10
         self.event_s = EVENT_S
         self.leaving = False
@@ -144,6 +154,8 @@
         self.copy_s = 0.01
         self.final_copy_s = 0.01
         self.abort_after: int | None = None
+        self.break_share = 0.0
+        self.rng = random.Random(name)
         self.keeps_running_s = 0.0
         self.refuse = 0
         self.resets_at_start = 0
@@ -175,13 +187,14 @@
 
     def entry(self, service: str, zone: str) -> dict[str, Any]:
         """Returns its row for the table of servers."""
-        return {
+        row = {
             'service': service,
             'address': self.server.address_text,
             'zone': zone,
             'slots': 24,
             'state': 'draining' if self.leaving else 'ready',
         }
+        return row | ({'version': self.version} if self.version else {})
 
     async def _handle(self, call: scripted.Exchange) -> None:
         if call.path == '/-/report':
@@ -326,7 +339,15 @@
                     break
                 run.event_count += 1
                 self._update_backup(run, backup)
-                call.send_chunk(event(request_id, run.event_count))
+                call.send_chunk(
+                    event(request_id, run.event_count, self.version)
+                )
+                if self.rng.random() < self.break_share:
+                    if self.rng.random() < PARTIAL_EVENT_SHARE:
+                        call.send_chunk(b'id: 999\nda')
+                    await call.writer.drain()
+                    call.abort()
+                    return
                 if run.event_count == self.abort_after:
                     call.writer.write(b'10\r\nid: 999\nda')
                     await call.writer.drain()
