--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
@@ -34,6 +34,7 @@
       events: Number of events that it brought.
       versions: Software versions that wrote them.
       reason: Body of a refusal.
+      is_connected: Whether a gateway accepted its connection.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     events: int
     versions: frozenset[str]
     reason: str = ''
+    is_connected: bool = True
 
     @property
     def is_served(self) -> bool:
@@ -97,8 +99,11 @@
             more |= {'Last-Event-Id': str(last_event), 'Resumes': first_id}
         response = caller_lib.Response()
         client = caller_lib.Caller(*pick())
+        is_connected = False
         try:
             async with asyncio.timeout(TRY_TIMEOUT_S):
+                await client.open()
+                is_connected = True
                 await client.request(
                     target,
                     method=method,
@@ -120,6 +125,7 @@
             response.body.decode(errors='replace')
             if response.status != OK
             else '',
+            is_connected,
         )
         record.attempts.append(attempt)
         for number, _ in found:
