Continue a stream only at its software version within a response

Cause: the version of an upstream took part in no choice.

Change: fleet.software_versions answers in one place which upstreams may continue a stream. The search for an engine, destinations of moves, backups (already at the first send) and recoveries ask it, and the relay asks it again before each segment. Before the caller has an event, any version will do. An unknown version differs from all others, except where no upstream of the service names one.

A generation that is bound to a version goes first at its engines, and one that isn't doesn't wait behind it for engines of the others. New ones begin at a version that is about to be gone only if the others have no room, and for 1 s not at one that has just appeared, which other gateways may not know yet. Memory of runs on leaving engines is kept free only where these runs may go.

With one version, every choice is as before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -40,6 +40,7 @@
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import upstream_stats
     from quetzalsill_gateway.fleet import quota as quota_lib
+    from quetzalsill_gateway.fleet import software_versions
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Admission']
@@ -140,6 +141,7 @@
         engine: routing_table.Engine,
         reservation: upstream_stats.Reservation,
         avoid: frozenset[str],
+        origin: software_versions.Origin | None = None,
     ) -> upstream_lib.Upstream | None:
         """Waits for an engine with room.
 
@@ -148,10 +150,11 @@
           engine: Properties of the service's engines.
           reservation: Memory that the generation is expected to need.
           avoid: Ids of engines not to use.
+          origin: Origin of its stream; None if its caller has no event yet.
 
         Returns:
-          The engine; None if the service has none, or if none has room within
-          the time for which the request may be queued.
+          The engine; None if the service has none that may serve it, or if none
+          has room within the time for which the request may be queued.
         """
         now = asyncio.get_running_loop().time()
         own_prefill_s = self._stats_table.prefill_s(reservation.prompt_tokens)
@@ -168,6 +171,11 @@
             first_at_s=now + STARVING_OBJECTIVES * req.route.objective_s,
             turns=self._turns[req.service.name, req.priority],
         )
+        if origin and self._upstreams.versions.has_several(req.service.name):
+            # It has no other engines to go to, so it goes first at these.
+            entry.pool = origin.pool
+            entry.first_at_s = now
+            entry.turns = queue_entry.StarvingTurns()
         if self._shares.is_enabled:
             name = account_usage.bounded_name(req.account or b'')
             entry.account = name
@@ -196,6 +204,7 @@
             entry,
             demand,
             self._rng,
+            origin,
         )
         if not search.has_engine:
             return None
@@ -235,7 +244,7 @@
         entry, req = search.entry, search.req
         now = asyncio.get_running_loop().time()
         rank = entry.rank(now)
-        others = [one for one in queue if one is not entry]
+        others = _competing(entry, queue)
         key = entry.sort_key(now)
         ahead = [one for one in others if one.sort_key(now) < key]
         until_s = max(entry.late_at_s, entry.arrived_s + MAX_LATE_WAIT_S)
@@ -435,27 +444,41 @@
                 return None
             if now >= entry.send_by_s:
                 # Perhaps the process was paused.
-                others = [one for one in queue if one is not entry]
+                others = _competing(entry, queue)
                 self._set_retry_after(search, others, now)
                 return None
             key = entry.sort_key(now)
-            if all(key <= one.sort_key(now) for one in queue):
-                chosen = search.try_choose(now)
+            ahead = [one for one in queue if one.sort_key(now) < key]
+            pools = frozenset(one.pool for one in ahead)
+            if not pools & {entry.pool, ''}:
+                chosen = search.try_choose(now, pools)
                 if chosen is not None:
                     entry.turns.record_sent(is_first=entry.is_first(now))
                     return chosen
                 if search.has_yielded:
                     self._note_passed_over(search, None, now)
             elif self._shares.is_enabled:
-                ahead = min(queue, key=lambda one: one.sort_key(now))
-                if entry.yields_to(ahead, now):
-                    self._note_passed_over(search, ahead, now)
+                first = min(ahead, key=lambda one: one.sort_key(now))
+                if entry.yields_to(first, now):
+                    self._note_passed_over(search, first, now)
             if now >= recheck_s:
                 if self._exceeds_wait_bound(search, queue):
                     return None
                 recheck_s = self._next_recheck_s(search)
 
 
+def _competing(
+    entry: queue_entry.QueueEntry, queue: Iterable[queue_entry.QueueEntry]
+) -> list[queue_entry.QueueEntry]:
+    """Returns the other entries that may take engines of an entry."""
+    return [
+        one
+        for one in queue
+        if one is not entry
+        and (not entry.pool or not one.pool or one.pool == entry.pool)
+    ]
+
+
 def _sum_ahead(
     entries: Iterable[queue_entry.QueueEntry],
 ) -> expected_wait.Ahead:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/queue_entry.py
@@ -77,6 +77,8 @@
         their accounts' shares, and of the others of equal rank the share that
         competes with it; the rest yields to it. None if shares are disabled.
       account: Client account, as in `balance.shares`.
+      pool: Identifies the engines that may continue the generation; empty if
+        it may run at any. Entries of several pools don't wait for each other.
       passed_over: Whether it was held back for its account's share.
     """
 
@@ -96,6 +98,7 @@
     start_tag: Callable[[], float] | None = None
     waiting_at_peers: Callable[[], tuple[int, float]] | None = None
     account: bytes = b''
+    pool: str = ''
     passed_over: bool = False
 
     def rank(self, now: float) -> int:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import (
@@ -11,7 +12,7 @@
     matching,
     pace,
 )
-from quetzalsill_gateway.fleet import publish_timing
+from quetzalsill_gateway.fleet import publish_timing, software_versions
 
 if TYPE_CHECKING:
     import random
@@ -67,6 +68,7 @@
         entry: queue_entry.QueueEntry,
         demand: forecast.Demand,
         rng: random.Random,
+        origin: software_versions.Origin | None = None,
     ) -> None:
         self._upstreams = upstreams
         self._stats_table = stats_table
@@ -79,6 +81,8 @@
         self.entry = entry
         self._demand = demand
         self._rng = rng
+        self._origin = origin
+        self._reserved: frozenset[str] = frozenset()
         self._matcher = matching.Matcher(
             stats_table, req, reservation, entry.late_at_s
         )
@@ -89,13 +93,21 @@
         """Whether any engine is available to the request."""
         return any(self._available())
 
-    def try_choose(self, now: float) -> upstream_lib.Upstream | None:
+    def try_choose(
+        self, now: float, reserved: frozenset[str] = frozenset()
+    ) -> upstream_lib.Upstream | None:
         """Returns an engine with room, unless other requests go first.
 
         All gateways see free memory at the same time. While requests are also
         queued at peers, each gateway takes it with a probability such that
         together they take no more than there is.
+
+        Args:
+          now: Loop time.
+          reserved: Pools of engines that are left to requests of the same queue
+            which go first.
         """
+        self._reserved = reserved
         with_room = self._engines_with_room(now)
         if self.req.is_suspect:
             with_room = self._with_fewest_runs(with_room)
@@ -239,7 +251,23 @@
             if self.entry.tokens + self._stats_table.of(one).backup_tokens
             <= self._free_tokens(one)
         ]
-        return beside or fitting
+        return self._lasting(beside or fitting)
+
+    def _lasting(
+        self, candidates: list[upstream_lib.Upstream]
+    ) -> list[upstream_lib.Upstream]:
+        """Returns the engines whose version is not about to be gone, if any.
+
+        Applies to generations that have not begun; the others have no choice.
+        """
+        if self._origin is not None or not self._has_several_versions:
+            return candidates
+        lasting = itertools.filterfalse(self._upstreams.is_retiring, candidates)
+        return list(lasting) or candidates
+
+    @property
+    def _has_several_versions(self) -> bool:
+        return self._upstreams.versions.has_several(self.req.service.name)
 
     def _with_fewest_runs(
         self, candidates: list[upstream_lib.Upstream]
@@ -285,23 +313,46 @@
 
         They take precedence: a run that finds no room is lost.
         """
-        return sum(
-            self._stats_table.reserved_tokens(one)
-            for one in self._upstreams.leaving(self.req.service.name)
-        )
+        leaving = self._upstreams.leaving(self.req.service.name)
+        if leaving and self._has_several_versions:
+            # Where no engine of its version is left, a run ends where it is.
+            pools = set(map(software_versions.pool_of, self._available()))
+            leaving = [
+                one
+                for one in leaving
+                if software_versions.pool_of(one) in pools
+            ]
+        return sum(map(self._stats_table.reserved_tokens, leaving))
 
     def _available(self) -> list[upstream_lib.Upstream]:
         candidates = self._upstreams.available(
             self.req.service.name, self.req.regions
         )
-        accepting = choose.accepting_work(candidates, self._avoid)
+        versions = self._upstreams.versions
+        accepting = (
+            one
+            for one in choose.accepting_work(candidates, self._avoid)
+            if versions.may_continue(self._origin, one)
+        )
         return choose.without_faulty(
             accepting, self._stats_table, self._upstreams.gateway_count
         )
 
     def _sendable(self) -> list[upstream_lib.Upstream]:
         """Returns the available engines for which the quota allows a send."""
-        return [one for one in self._available() if self._quota.allows(one)]
+        sendable = [one for one in self._available() if self._quota.allows(one)]
+        if not self._has_several_versions:
+            return sendable
+        if self._origin is None:
+            settling = self._upstreams.versions.is_settling
+            sendable = [one for one in sendable if not settling(one)] or (
+                sendable if all(map(settling, self._available())) else []
+            )
+        return [
+            one
+            for one in sendable
+            if software_versions.pool_of(one) not in self._reserved
+        ]
 
     def _free_tokens(self, candidate: upstream_lib.Upstream) -> float:
         urgent = self.entry.priority <= URGENT_PRIORITY
--- /dev/null
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/software_versions.py
@@ -0,0 +1,227 @@
+"""Which upstreams may continue a stream, by their software versions.
+
+Upstreams of several software versions may serve a service side by side. What
+two versions generate does not fit together, and upstreams don't check it. Once
+a caller has an event of a stream, the stream continues only at upstreams of the
+version that generated it, whatever brings it there: a restart, a move, a
+backup, or the caller itself. Everything that chooses an upstream asks
+`may_continue`.
+
+A version belongs to an incarnation of an upstream. One that is unknown differs
+from all others, and two that are unknown differ too unless no upstream of the
+service names a version.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import math
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+__all__ = ['Origin', 'SoftwareVersions', 'Versioned', 'origin_of', 'pool_of']
+
+# New streams begin at a version that was first seen less than this ago only if
+# there is no other. By then, the other gateways know the version too, and none
+# of them takes a stream of it for one of the only version.
+SETTLING_S = 1.0
+# Until the configuration is known.
+DEFAULT_LIFETIME_S = 600.0
+# Bounds what a faulty writer can add to the table.
+MAX_VERSIONS = 64
+UNKNOWN = ''
+
+
+class Versioned(Protocol):
+    """An incarnation of an upstream.
+
+    Attributes:
+      service: Service that it serves.
+      software_version: Version of its software; empty if unknown.
+    """
+
+    service: str
+    software_version: str
+
+    @property
+    def key(self) -> str:
+        """Identifies the incarnation."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Origin:
+    """What generated the first event of a stream that its caller has.
+
+    Attributes:
+      service: Its service.
+      version: Its software version; empty if unknown.
+      key: Key of the incarnation; empty if any of that version is meant.
+    """
+
+    service: str
+    version: str
+    key: str = ''
+
+    @property
+    def pool(self) -> str:
+        """Identifies the upstreams that may continue the stream."""
+        return self.version or self.key
+
+
+def origin_of(upstream: Versioned) -> Origin:
+    """Returns the origin of a stream whose first event is from an upstream."""
+    version = upstream.software_version
+    key = UNKNOWN if version else upstream.key
+    return Origin(upstream.service, version, key)
+
+
+def pool_of(upstream: Versioned) -> str:
+    """Returns the `Origin.pool` of the streams that begin at an upstream."""
+    return upstream.software_version or upstream.key
+
+
+class SoftwareVersions:
+    """The software versions seen in each service, while streams may need them.
+
+    Attributes:
+      lifetime_s: Longest time from the first event of a stream to its caller's
+        last try, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.lifetime_s = DEFAULT_LIFETIME_S
+        self._first_s: dict[str, dict[str, float]] = collections.defaultdict(
+            dict
+        )
+        self._last_s: dict[str, dict[str, float]] = collections.defaultdict(
+            dict
+        )
+        # Loop time since which every version in use has been seen.
+        self._complete_since_s = math.inf
+        self._on_several: list[Callable[[str], None]] = []
+
+    def on_several(self, callback: Callable[[str], None]) -> None:
+        """Registers a callback for services that get a second version."""
+        self._on_several.append(callback)
+
+    def may_continue(self, origin: Origin | None, upstream: Versioned) -> bool:
+        """Whether a stream may continue at an upstream.
+
+        Args:
+          origin: Origin of the stream; None if its caller has no event yet.
+          upstream: The upstream.
+        """
+        if origin is None:
+            return True
+        if origin.service != upstream.service:
+            return False
+        if origin.key and origin.key == upstream.key:
+            return True
+        if origin.version and upstream.software_version:
+            return origin.version == upstream.software_version
+        return self.names(upstream.service) <= {UNKNOWN}
+
+    def names(self, service: str) -> frozenset[str]:
+        """Returns the versions seen in a service."""
+        return frozenset(self._last_s.get(service, ()))
+
+    def ages(self, service: str | None = None) -> list[tuple[str, str, float]]:
+        """Returns services, their versions, and the time since each was seen.
+
+        Args:
+          service: Restricts them to a service; None for all.
+        """
+        now = _now()
+        return [
+            (name, version, round(max(0.0, now - seen_s), 1))
+            for name, found in self._last_s.items()
+            for version, seen_s in found.items()
+            if service in (None, name)
+        ]
+
+    @property
+    def services_with_several(self) -> list[str]:
+        """Services in which several versions were seen."""
+        return [name for name, found in self._last_s.items() if len(found) > 1]
+
+    def has_several(self, service: str) -> bool:
+        """Whether several versions were seen in a service."""
+        return len(self._last_s.get(service, ())) > 1
+
+    def is_settling(self, upstream: Versioned) -> bool:
+        """Whether other gateways may not know an upstream's version yet."""
+        first_s = self._first_s.get(upstream.service, {})
+        at_s = first_s.get(upstream.software_version, -math.inf)
+        if _now() >= at_s + SETTLING_S:
+            return False
+        # Versions that a gateway finds when it starts are known to others.
+        return at_s > min(first_s.values()) + SETTLING_S
+
+    def record(self, service: str, version: str, age_s: float = 0.0) -> None:
+        """Records that a version serves, or has served some time ago."""
+        now = _now()
+        seen_s = now - age_s
+        if seen_s < now - self.lifetime_s:
+            return
+        versions = self._last_s[service]
+        is_new = version not in versions
+        if is_new and len(versions) >= MAX_VERSIONS:
+            return
+        versions[version] = max(seen_s, versions.get(version, -math.inf))
+        if is_new:
+            self._first_s[service][version] = now
+            if len(versions) > 1:
+                for callback in self._on_several:
+                    callback(service)
+
+    def refresh(self, serving: Iterable[Versioned], lifetime_s: float) -> None:
+        """Records the versions that serve, and forgets those long gone.
+
+        Args:
+          serving: All known upstreams.
+          lifetime_s: New value of `lifetime_s`.
+        """
+        self.lifetime_s = lifetime_s
+        for service, version in {
+            (one.service, one.software_version) for one in serving
+        }:
+            self.record(service, version)
+        oldest_s = _now() - self.lifetime_s
+        for service, versions in list(self._last_s.items()):
+            for version, seen_s in list(versions.items()):
+                if seen_s < oldest_s:
+                    del versions[version]
+                    del self._first_s[service][version]
+            if not versions:
+                del self._last_s[service], self._first_s[service]
+
+    @property
+    def complete_s(self) -> float:
+        """For how long every version in use has been seen, in seconds."""
+        return max(0.0, _now() - self._complete_since_s)
+
+    def mark_complete(self, for_s: float = math.inf) -> None:
+        """Records that what was seen is all there was for some time."""
+        self._complete_since_s = min(self._complete_since_s, _now() - for_s)
+
+    def mark_isolated(self) -> None:
+        """Records that versions may serve which this gateway does not see."""
+        self._complete_since_s = _now()
+
+    def only(self, service: str) -> Origin | None:
+        """Returns the origin of any stream of a service, if there is but one.
+
+        None if several versions have served within the lifetime of a stream,
+        or if some may have that were not seen.
+        """
+        versions = self._last_s.get(service, {})
+        if len(versions) != 1 or self.complete_s < self.lifetime_s:
+            return None
+        [version] = versions
+        return Origin(service, version)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -9,7 +9,11 @@
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import revision as revision_lib
-from quetzalsill_gateway.fleet import shutdown_notices, zones
+from quetzalsill_gateway.fleet import (
+    shutdown_notices,
+    software_versions,
+    zones,
+)
 
 __all__ = ['Change', 'Upstream', 'Upstreams', 'bounded_warmup_s']
 
@@ -132,6 +136,7 @@
       gateway_count: Number of gateways that share upstreams, this one included.
       zones: Availability zones that operators drain.
       notices: Notices of shutdown, which outlast the entries.
+      versions: Software versions seen, by which streams may continue.
     """
 
     def __init__(self, regions: Mapping[str, str] | None = None) -> None:
@@ -143,6 +148,7 @@
         self._regions = regions or {}
         self.zones = zones.Zones()
         self.notices = shutdown_notices.ShutdownNotices()
+        self.versions = software_versions.SoftwareVersions()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._on_leaving: list[Callable[[Upstream], None]] = []
@@ -237,6 +243,29 @@
             and (regions is None or self._region(upstream) in regions)
         ]
 
+    def is_retiring(self, upstream: Upstream) -> bool:
+        """Whether an upstream's software version is about to be gone.
+
+        That is, at least as many upstreams of it have given notice of their
+        shutdown as take new work. A stream that begins there may soon have no
+        other upstream to continue at.
+        """
+        pool = software_versions.pool_of(upstream)
+        left = remaining = 0
+        for one in (
+            *self._by_service.get(upstream.service, ()),
+            *self._recently_removed(),
+        ):
+            if one.service != upstream.service:
+                continue
+            if software_versions.pool_of(one) != pool:
+                continue
+            if self.notices.includes(one):
+                left += 1
+            else:
+                remaining += not one.leaving
+        return left > 0 and left >= remaining
+
     def accepts_new_work(self, upstream: Upstream) -> bool:
         """Whether new work may go to an upstream."""
         if upstream.leaving or self._is_suspected(upstream):
@@ -338,6 +367,7 @@
             found.leaving = self.notices.includes(found)
             if any(key == found.key for _, key in self._ended):
                 self._mark_returned(found.key)
+            self.versions.record(found.service, found.software_version)
             self._by_id[found.id] = found
             self._by_service.setdefault(found.service, []).append(found)
             event.note(
@@ -352,9 +382,9 @@
             )
             return
         # An update of a gateway of the previous release has no version.
-        known.software_version = (
-            found.software_version or known.software_version
-        )
+        if found.software_version and not known.software_version:
+            known.software_version = found.software_version
+            self.versions.record(known.service, known.software_version)
         if found.warmup_s != known.warmup_s:
             # Reading the same entry again must not restart the warm-up.
             known.warmup_s = found.warmup_s
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/continuation.py
@@ -11,11 +11,11 @@
 
 import asyncio
 import contextlib
-import itertools
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import at_most_once, event
 from quetzalsill_gateway.balance import backup
+from quetzalsill_gateway.fleet import software_versions
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import live, stop
 from quetzalsill_gateway.stream import segment as segment_lib
@@ -94,6 +94,11 @@
             return await self._recover(segment, precopy)
         return None
 
+    def may_run_at(self, upstream: upstream_lib.Upstream) -> bool:
+        """Whether the software version of an upstream may go on with it."""
+        versions = self._core.upstreams.versions
+        return versions.may_continue(self._stream.origin, upstream)
+
     def resume_headers(self) -> message.Headers:
         """Returns the headers with the id of the last event the caller has."""
         last = self._stream.last_id
@@ -165,6 +170,8 @@
         target = precopy.target if precopy else self._stream.backup
         if target is None or target.removed:
             return None
+        if not self.may_run_at(target):
+            return None
         request = self._req.id_text
         calls = self._core.calls
         stopped = await stop.stop(calls, segment.upstream, request, target)
@@ -270,8 +277,15 @@
         available = self._core.upstreams.available(
             upstream.service, req.regions
         )
+        origin = self._stream.origin or software_versions.origin_of(upstream)
+        may_continue = self._core.upstreams.versions.may_continue
         segment.backup = backup.destination(
-            itertools.filterfalse(self._core.backoffs.is_pausing, available),
+            (
+                one
+                for one in available
+                if may_continue(origin, one)
+                and not self._core.backoffs.is_pausing(one)
+            ),
             stats_table,
             upstream,
             engine,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/live.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
     from quetzalsill_gateway import exchange as exchange_lib
+    from quetzalsill_gateway.fleet import software_versions
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['LiveStreams', 'ResumePoint', 'StopFailure', 'StopOutcome', 'Stream']
@@ -63,6 +64,7 @@
       reservation: Memory that it is expected to need at its upstream.
       upstream: Upstream that runs it; None before the first send.
       backup: Upstream that receives a copy of its KV cache as it grows.
+      origin: What generated the first event that its caller has; None before.
       last_id: Number of the last event written to the caller; None before it.
       pending_stop: Set while its run is being stopped to resume elsewhere.
       precopy: First copy of a move, made while the run continued. Once the run
@@ -78,6 +80,7 @@
     reservation: upstream_stats.Reservation
     upstream: upstream_lib.Upstream | None = None
     backup: upstream_lib.Upstream | None = None
+    origin: software_versions.Origin | None = None
     last_id: int | None = None
     pending_stop: asyncio.Future[StopOutcome] | None = None
     precopy: ResumePoint | None = None
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/migration.py
@@ -20,6 +20,7 @@
 
 from quetzalsill_gateway import attempt, event, meter
 from quetzalsill_gateway.balance import choose, pace, upstream_stats
+from quetzalsill_gateway.fleet import software_versions
 from quetzalsill_gateway.http import error
 from quetzalsill_gateway.stream import leaving_engine, live
 
@@ -205,8 +206,11 @@
         upstreams = self._core.upstreams.available(
             source.service, stream.exchange.regions
         )
+        may_continue = self._core.upstreams.versions.may_continue
+        origin = stream.origin or software_versions.origin_of(source)
+        able = [one for one in upstreams if may_continue(origin, one)]
         candidates = choose.rank_destinations(
-            filter(self._core.quota.allows, upstreams),
+            filter(self._core.quota.allows, able),
             self._core.stats_table,
             source,
             leaving.spec,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -20,6 +20,7 @@
     routing_table,
 )
 from quetzalsill_gateway.balance import choice_log
+from quetzalsill_gateway.fleet import software_versions
 from quetzalsill_gateway.http import error, message
 from quetzalsill_gateway.stream import (
     continuation,
@@ -113,6 +114,8 @@
                 self._req.responder.end()
                 return 'served'
             segment = next_segment
+            if segment and not self._continuation.may_run_at(segment.upstream):
+                break
         return self._respond_to_failure(outcome)
 
     async def _first_segment(self) -> segment_lib.Segment | None:
@@ -124,7 +127,7 @@
         engine = req.service.engine or routing_table.Engine()
         reservation = self._stream.reservation
         upstream = await self._core.admission.acquire_engine(
-            req, engine, reservation, self._excluded
+            req, engine, reservation, self._excluded, self._stream.origin
         )
         if req.held_by is not None:
             result = 'rejected' if upstream is None else 'sent'
@@ -205,6 +208,7 @@
             if segment.event_count > before and stream.pending_stop is None:
                 sampler.record(segment.event_count - before, attempt.now())
             if new_data:
+                self._record_origin(segment)
                 self._req.record_event()
                 responder.write(new_data)
                 await responder.drain()
@@ -212,6 +216,11 @@
         if splitter.remainder and stream.pending_stop is None:
             raise error.TruncatedError('stream ended in the middle of an event')
 
+    def _record_origin(self, segment: segment_lib.Segment) -> None:
+        """Records what generates the first event that the caller gets."""
+        if self._stream.origin is None:
+            self._stream.origin = software_versions.origin_of(segment.upstream)
+
     def _new_events(
         self, segment: segment_lib.Segment, parsed: Iterator[events.Event]
     ) -> Iterator[bytes]:
--- a/tests/quetzalsill_gateway/balance/test_matching.py
+++ b/tests/quetzalsill_gateway/balance/test_matching.py
@@ -147,7 +147,7 @@
         core.upstreams.available.return_value = [*self.slow, *self.fast]
         self.req.regions, self.req.request_id = None, b'r'
         stream = types.SimpleNamespace(
-            exchange=self.req, reservation=RESERVATION
+            exchange=self.req, reservation=RESERVATION, origin=None
         )
         leaving = mock.Mock()
         leaving.upstream = self.engine('leaving')
--- a/tests/quetzalsill_gateway/stream/test_continuation.py
+++ b/tests/quetzalsill_gateway/stream/test_continuation.py
@@ -38,6 +38,7 @@
         self.stream.last_id = 80
         self.core = types.SimpleNamespace(
             stats_table=upstream_stats.StatsTable(),
+            upstreams=upstream.Upstreams(),
             dialect=types.SimpleNamespace(
                 priority=b'priority',
                 kv_from=b'from',
