Continue a stream that a caller takes up at its software version

Resumes was read nowhere, and what began the stream was known to nobody once the gateway that relayed it had died.

Change: a gateway records the origin of each resumable stream before its caller gets the first event, by a digest of client account and request id. While a service has several versions the record goes to three others, which every gateway derives from the digest, and to those of them that restart; it expires after twice the timeout of its route. A gateway that doesn't know the origin asks all others, in large fleets the likely holders first, for 1 s at most; one answer is enough. Unknown is not any: without an origin a stream goes on only if its service has had one version for the lifetime of a stream, which needs a view that the store or another gateway has just confirmed and a history without a gap. What nothing can continue is refused at once, not run, with Retry-After.

So that the history outlasts a restart of all gateways, services with several versions are stored in the platform's store, by two gateways, on change. With one version nothing is published or stored; each process reads the table once.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
@@ -35,6 +35,7 @@
       versions: Software versions that wrote them.
       reason: Body of a refusal.
       is_connected: Whether a gateway accepted its connection.
+      is_complete: Whether the response ended as its framing requires.
     """
 
     request_id: str
@@ -44,11 +45,12 @@
     versions: frozenset[str]
     reason: str = ''
     is_connected: bool = True
+    is_complete: bool = False
 
     @property
     def is_served(self) -> bool:
-        """Whether it brought any part of the stream."""
-        return self.status == OK and self.events > 0
+        """Whether it brought a part of the stream, or found it at its end."""
+        return self.status == OK and (self.events > 0 or self.is_complete)
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,6 +128,7 @@
             if response.status != OK
             else '',
             is_connected,
+            response.complete,
         )
         record.attempts.append(attempt)
         for number, _ in found:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -4,10 +4,12 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import admission, rate_queue
 from quetzalsill_gateway.balance import shares as shares_lib
+from quetzalsill_gateway.fleet import stream_origins
 from quetzalsill_gateway.quarantine import detector, in_flight, quarantine
 from quetzalsill_gateway.stream import link_queue, loop_delay
 
@@ -52,6 +54,9 @@
       loop_delay: Detects pauses of the event loop.
       rate_queue: Calls that wait until a limit allows them.
       shares: Shares of client accounts.
+      origins: Software versions that began streams.
+      is_view_confirmed: Whether no gateway can know of an upstream that is
+        unknown here.
       ends_at_s: Loop time at which the process exits, set when it begins to
         stop; None before.
       in_flight: Requests that upstreams are running.
@@ -92,11 +97,14 @@
     link_queue: link_queue.LinkQueue = dataclasses.field(
         default_factory=link_queue.LinkQueue
     )
+    is_view_confirmed: Callable[[], bool] = lambda: True
+    origins: stream_origins.StreamOrigins = dataclasses.field(init=False)
     quarantine: quarantine.Quarantine = dataclasses.field(init=False)
     detector: detector.Detector = dataclasses.field(init=False)
     admission: admission.Admission = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.origins = stream_origins.StreamOrigins(self.upstreams.versions)
         self.quarantine = quarantine.Quarantine(
             self.members, self.upstreams, self.in_flight
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/__init__.py
@@ -48,6 +48,7 @@
     RequestPassedOver,
     RequestQuarantined,
     RequestRefused,
+    StreamNotResumed,
     UpstreamChosen,
 )
 from quetzalsill_gateway.event.upstream import (
@@ -124,6 +125,7 @@
     'StoreHistoryLost',
     'StoreLost',
     'StoreRegained',
+    'StreamNotResumed',
     'TableListed',
     'UpstreamAdded',
     'UpstreamCrashed',
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -231,6 +231,28 @@
     next_version: str = ''
 
 
+@base.define
+class StreamNotResumed(base.Event):
+    """A stream that its caller takes up was refused.
+
+    Attributes:
+      request: Id of the request.
+      resumes: Request that began the stream, as its caller says.
+      service: Its service.
+      reason: `unknown_origin`, nobody knows which software version began it;
+        `no_upstream_of_version`, none that may continue it takes new work.
+      software_version: Version that began it; empty if unknown.
+      versions: Versions seen in the service, separated by commas.
+    """
+
+    request: str
+    resumes: str
+    service: str
+    reason: str
+    software_version: str
+    versions: str
+
+
 @base.define
 class RequestFault(base.Event, level='error'):
     """The handler of a request raised an unexpected exception.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -31,8 +31,6 @@
 # A timeout is answered this long before the caller's deadline, so that the
 # response arrives in time.
 RESPONSE_MARGIN_S = 0.02
-# Longer values of callers' headers are truncated in the log.
-MAX_LOGGED_BYTES = 64
 
 
 class Gateway:
@@ -153,6 +151,7 @@
         now_s = asyncio.get_running_loop().time()
         took_ms = round((now_s - exchange.request.received_s) * 1000, 1)
         kind = exchange.route.kind.value
+        headers = exchange.request.headers
         if outcome in ANSWERED and self._core.quarantine.is_active:
             self._core.quarantine.record_completion(exchange)
         meter.record_request(exchange, outcome, took_ms / 1000)
@@ -175,17 +174,13 @@
                 gap_cause=exchange.gap_cause,
                 tokens=exchange.tokens,
                 account=(exchange.account or b'').decode(errors='replace'),
-                resumes=self._logged_header(exchange, 'resumes'),
-                resume_after=self._logged_header(exchange, 'resume_after'),
+                resumes=message.logged(headers, self._core.dialect.resumes),
+                resume_after=message.logged(
+                    headers, self._core.dialect.resume_after
+                ),
             )
         )
 
-    def _logged_header(self, exchange: exchange_lib.Exchange, name: str) -> str:
-        """Returns the value of a header of the dialect, truncated."""
-        header = getattr(self._core.dialect, name)
-        value = message.first(exchange.request.headers, header) or b''
-        return value[:MAX_LOGGED_BYTES].decode('latin-1')
-
 
 def _ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -10,6 +10,7 @@
     'ResponseHead',
     'end_to_end',
     'first',
+    'logged',
     'reason',
     'relayed_headers',
     'values',
@@ -17,6 +18,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Longer values of headers are truncated in the log.
+MAX_LOGGED_BYTES = 64
+
 HOP_BY_HOP = frozenset(
     (
         b'connection',
@@ -95,6 +99,11 @@
     return [value for key, value in headers if key == name]
 
 
+def logged(headers: Headers, name: bytes) -> str:
+    """Returns the first value of a header as text for the log, truncated."""
+    return (first(headers, name) or b'')[:MAX_LOGGED_BYTES].decode('latin-1')
+
+
 def first(headers: Headers, name: bytes) -> bytes | None:
     """Returns the first value of a header; None if it is absent."""
     for key, value in headers:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -26,6 +26,7 @@
     'lapsed_engines',
     'held',
     'moves',
+    'not_resumed',
     'passed_over',
     'updates',
     'record_request',
@@ -53,6 +54,10 @@
     'quetzalsill_gateway_held_total',
     'Generations queued for an engine, by result and by what they waited for.',
 )
+not_resumed = metric.counter(
+    'quetzalsill_gateway_not_resumed_total',
+    'Streams that callers took up in vain, by reason.',
+)
 pace_misses = metric.counter(
     'quetzalsill_gateway_pace_misses_total',
     'Generations sent to an engine that is too slow for their gaps, by kind of'
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -102,6 +102,7 @@
         self._refreshed_s = 0.0
         self._greetings: list[UpdateProvider] = []
         self._refreshes: list[UpdateProvider] = []
+        self._on_new_peer: list[Callable[[str], None]] = []
         self._is_greeted = False
         self._broadcast = relay.Broadcast(
             node, lambda: self._peers.addresses, self._send
@@ -127,6 +128,27 @@
         """Adds a provider of updates for a gateway that has just started."""
         self._greetings.append(provider)
 
+    def on_new_peer(self, callback: Callable[[str], None]) -> None:
+        """Registers a callback for the name of a gateway that has started."""
+        self._on_new_peer.append(callback)
+
+    @property
+    def peer_names(self) -> list[str]:
+        """Names of the peers."""
+        return list(self._peers.addresses_by_name)
+
+    def send_to(
+        self, names: Iterable[str], update: update_codec.PeerUpdate
+    ) -> None:
+        """Sends an update to some of the peers only."""
+        if self._transport is None:
+            return
+        data = update_codec.encode(self._node, update)
+        addresses = self._peers.addresses_by_name
+        for name in names:
+            if name in addresses:
+                self._send(data, addresses[name])
+
     def on_refresh(self, provider: UpdateProvider) -> None:
         """Adds a provider of updates that others may have missed."""
         self._refreshes.append(provider)
@@ -362,6 +384,8 @@
         if is_new:
             event.note(event.PeerFound(node, len(self._peers)))
             self._greet(addr)
+            for callback in self._on_new_peer:
+                callback(node)
         self._is_greeted = True
         core = self._core
         core.members.mark_seen((node,), now)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -65,6 +65,10 @@
     ACCOUNTS = 12
     LAPSED = 13
     VERSIONED_MEMBERSHIP = 14
+    ORIGINS = 15
+    ORIGIN_QUERY = 16
+    ORIGIN_ANSWER = 17
+    VERSIONS = 18
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/peer_table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/peer_table.py
@@ -69,6 +69,11 @@
         """Addresses of all peers."""
         return [peer.address for peer in self._peers.values()]
 
+    @property
+    def addresses_by_name(self) -> dict[str, Address]:
+        """Addresses of all peers, by name."""
+        return {name: peer.address for name, peer in self._peers.items()}
+
     def accept(
         self, state: state_lib.State, address: Address, now: float
     ) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -15,6 +15,7 @@
     engine_speed,
     server_limits,
     shutdown_notices,
+    stream_origins,
     upstream,
     zones,
 )
@@ -25,6 +26,7 @@
     lapse_codec,
     limit_codec,
     notice_codec,
+    origin_codec,
     quarantine_codec,
     speed_codec,
 )
@@ -42,6 +44,10 @@
     | account_usage.AccountUpdate
     | engine_speed.SpeedUpdate
     | lapsed_engines.AnswerUpdate
+    | stream_origins.OriginUpdate
+    | origin_codec.OriginQuery
+    | origin_codec.OriginAnswer
+    | origin_codec.VersionsUpdate
 )
 
 PORTS = range(1, 65536)
@@ -64,6 +70,8 @@
         return speed_codec.encode(node, update)
     if isinstance(update, lapsed_engines.AnswerUpdate):
         return lapse_codec.encode(node, update)
+    if isinstance(update, origin_codec.UPDATES):
+        return origin_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
         drains = [
             (drain.zone, _pair(drain.revision), drain.is_on)
@@ -117,6 +125,8 @@
             found = speed_codec.decode(fields)
         elif kind is frame.Kind.LAPSED:
             found = lapse_codec.decode(fields)
+        elif kind in origin_codec.DECODERS:
+            found = origin_codec.DECODERS[kind](fields)
         else:
             found = _membership(*fields)
     except frame.DECODE_ERRORS as exc:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -34,14 +34,16 @@
 )
 from quetzalsill_gateway.http import listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
+from quetzalsill_gateway.peers import origin_lookup
 from quetzalsill_gateway.quarantine import persistence
 from quetzalsill_gateway.quarantine import update as quarantine_update
-from quetzalsill_gateway.stream import engine_poll, live
+from quetzalsill_gateway.stream import engine_poll, live, resumption
 from quetzalsill_gateway.watch import (
     configuration,
     lapsed_engines,
     membership,
     update,
+    version_history,
 )
 
 if TYPE_CHECKING:
@@ -198,6 +200,22 @@
             sources.load_quarantine,
             sources.save_quarantine,
         )
+        lookup = origin_lookup.OriginLookup(
+            self.peers,
+            gateways,
+            upstreams,
+            self.core.origins,
+            has_peers=bool(settings.peers),
+        )
+        self.core.is_view_confirmed = lambda: lookup.is_view_confirmed
+        self._version_history = version_history.VersionHistory(
+            upstreams,
+            gateways,
+            sources.load_versions,
+            sources.save_versions,
+            lambda: resumption.lifetime_s(holder.current),
+            lambda: lookup.is_isolated,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def _receive_usage(self, update: account_usage.AccountUpdate) -> None:
@@ -262,6 +280,7 @@
             'callers': self.callers.enforce_timeouts,
             'readiness': self.readiness.enforce_timeouts,
             'lookout': lambda: engine_poll.run(self.core),
+            'versions': self._version_history.run,
         }
         if self._settings.peers:
             await self.peers.open(settings_lib.address(self._settings.peers))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -212,6 +212,10 @@
       load_quarantine: Returns the stored rows of quarantined requests.
       save_quarantine: Stores such a row under a key. Both raise
         `error.SourceError`.
+      load_versions: Returns the stored rows of services that had several
+        software versions.
+      save_versions: Stores such a row under a key. Both raise
+        `error.SourceError`.
     """
 
     poll_configuration: Poll[OperatorItem]
@@ -221,3 +225,5 @@
     epochs: epoch.EpochTracker
     load_quarantine: Callable[[], Awaitable[list[Any]]]
     save_quarantine: Callable[[str, Any], Awaitable[None]]
+    load_versions: Callable[[], Awaitable[list[Any]]]
+    save_versions: Callable[[str, Any], Awaitable[None]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -27,6 +27,7 @@
     events,
     gap_sampler,
     live,
+    resumption,
 )
 from quetzalsill_gateway.stream import segment as segment_lib
 
@@ -53,15 +54,25 @@
 
 async def forward(core: core_lib.Core, req: exchange.Exchange) -> str:
     """Relays a stream and returns its outcome for the log."""
+    start = await resumption.resolve(core, req)
     core.budget.record_request(req.service.name)
+    if isinstance(start, resumption.Refused):
+        exchange.refuse(
+            req.responder,
+            UNAVAILABLE,
+            start.reason,
+            may_retry=True,
+            retry_after_s=start.retry_after_s,
+        )
+        return 'refused'
     prompt = core.dialect.parse_prompt(req.request.headers)
-    stream = live.Stream(req, prompt, live.reserve(prompt))
+    stream = live.Stream(req, prompt, live.reserve(prompt), origin=start.origin)
     req.tokens = stream.reservation.memory_tokens
     if _outlives_process(core, stream.reservation):
         exchange.refuse(req.responder, UNAVAILABLE, 'stopping', may_retry=True)
         return 'refused'
     try:
-        return await _Relay(core, stream).run()
+        return await _Relay(core, stream, start).run()
     finally:
         core.live.end(stream)
 
@@ -87,9 +98,16 @@
 class _Relay:
     """Relays one stream, segment by segment."""
 
-    def __init__(self, core: core_lib.Core, stream: live.Stream) -> None:
+    def __init__(
+        self,
+        core: core_lib.Core,
+        stream: live.Stream,
+        start: resumption.Start,
+    ) -> None:
         self._core = core
         self._stream = stream
+        self._start = start
+        self._is_origin_recorded = False
         self._req = stream.exchange
         self._excluded: frozenset[str] = frozenset()
         self._unreachable = 0
@@ -218,8 +236,15 @@
 
     def _record_origin(self, segment: segment_lib.Segment) -> None:
         """Records what generates the first event that the caller gets."""
-        if self._stream.origin is None:
-            self._stream.origin = software_versions.origin_of(segment.upstream)
+        if self._is_origin_recorded:
+            return
+        self._is_origin_recorded = True
+        stream = self._stream
+        if stream.origin is None:
+            stream.origin = software_versions.origin_of(segment.upstream)
+        resumption.record_origin(
+            self._core, self._req, self._start, stream.origin
+        )
 
     def _new_events(
         self, segment: segment_lib.Segment, parsed: Iterator[events.Event]
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -5,7 +5,13 @@
 import asyncio
 import unittest
 
-from quetzalsill_platform import directory, headers, polling, quarantine
+from quetzalsill_platform import (
+    directory,
+    headers,
+    polling,
+    quarantine,
+    versions,
+)
 from quetzalsill_platform import engine as engine_calls
 from quetzalsill_platform import store as platform_store
 
@@ -174,6 +180,8 @@
                 store_client.epochs,
                 lambda: quarantine.load(store_client),
                 lambda key, value: quarantine.save(store_client, key, value),
+                lambda: versions.load(store_client),
+                lambda key, value: versions.save(store_client, key, value),
             )
 
         process = run.Process(
