Soak: engines of several software versions, and callers that go on

Each seed has engines of two versions, one rollout that replaces the older one by a new version (in one seed of four it goes back), and callers of long streams that take them up at any gateway; engines break off one event in 50. Checks: no stream and no response holds events of several versions, and of 12 or more streams that are taken up while two engines of their version serve at least half of the share of new streams that begin goes on, the users' bound. Both figures are printed.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
@@ -61,7 +61,9 @@
         click.echo(
             f'seed {name}: {result.injections} faults, {result.sent} sent, '
             f'{result.served} served, {result.lost} lost, '
-            f'{len(result.violations)} violations'
+            f'{result.streams} streams, {result.mixed} mixed, '
+            f'{result.taken_up} taken up, {result.went_on:.2f} go on, '
+            f'{result.began:.2f} begin, {len(result.violations)} violations'
         )
         for line in result.violations:
             click.echo(f'  {line}')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_dev.soak import testbed as testbed_lib
-from quetzalsill_dev.users_platform import engine
+from quetzalsill_dev.users_platform import engine, resuming
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
@@ -33,6 +33,10 @@
     'find_crashing_sends',
     'find_sends_in_pauses',
     'find_sends_to_leaving',
+    'find_mixed_streams',
+    'find_lost_resumptions',
+    'ResumptionShares',
+    'resumption_shares',
 ]
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -52,6 +56,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 1.5
 LIMIT_ALLOWANCE = 5
+# Of this many streams that are taken up, at least this multiple of the share of
+# new streams that begin must go on.
+MIN_TAKEN_UP = 12
+MIN_RESUMED_SHARE = 0.5
 # From a response that says that its server leaves until nothing may be sent.
 DRAIN_S = 2.0
 # What a gateway may send within a pause, later than this after its begin.
@@ -107,6 +115,24 @@
     until_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResumptionShares:
+    """How often streams that callers take up go on.
+
+    Attributes:
+      taken_up: Number of times that callers took streams up while two engines
+        of their version served.
+      went_on: Share of these that went on.
+      began: Share of new streams that began.
+      refusals: What became of the others.
+    """
+
+    taken_up: int
+    went_on: float
+    began: float
+    refusals: collections.Counter[str]
+
+
 def find_violations(
     testbed: testbed_lib.Testbed, records: Iterable[load_lib.RequestRecord]
 ) -> Iterator[str]:
@@ -361,8 +387,13 @@
 def _check_stream(record: load_lib.RequestRecord, where: str) -> Iterator[str]:
     if record.answer.status != OK:
         return
+    versions = engine.versions_of(record.answer.body)
+    if len(versions) > 1:
+        yield f'{where} holds events of versions {sorted(versions)}'
+        return
+    [version] = versions or ['']
     expected = b''.join(
-        engine.event(record.request_id, n)
+        engine.event(record.request_id, n, version)
         for n in range(1, testbed_lib.EVENTS_PER_STREAM + 1)
     )
     if record.answer.complete and record.answer.body != expected:
@@ -371,6 +402,60 @@
         yield f'{where} got unexpected events: {record.answer.body[-80:]!r}'
 
 
+def find_mixed_streams(
+    streams: Iterable[resuming.StreamRecord],
+) -> Iterator[str]:
+    """Yields a line for each stream with events of several versions."""
+    for stream in streams:
+        names = [one.request_id for one in stream.attempts]
+        if len(stream.versions) > 1:
+            versions = sorted(stream.versions)
+            yield f'stream {names} holds events of versions {versions}'
+        if stream.gaps:
+            yield f'stream {names} lacks an event, or has one twice'
+
+
+def find_lost_resumptions(
+    streams: Iterable[resuming.StreamRecord],
+) -> Iterator[str]:
+    """Yields a line if streams that are taken up go on too rarely.
+
+    Compared with the share of new streams that begin, while two engines of
+    their version serve.
+    """
+    shares = resumption_shares(streams)
+    if shares.taken_up < MIN_TAKEN_UP:
+        return
+    if shares.went_on < MIN_RESUMED_SHARE * shares.began:
+        yield (
+            f'{shares.went_on:.2f} of {shares.taken_up} streams that are taken '
+            f'up go on, {shares.began:.2f} of new ones begin: '
+            f'{dict(shares.refusals)}'
+        )
+
+
+def resumption_shares(
+    streams: Iterable[resuming.StreamRecord],
+) -> ResumptionShares:
+    """Returns how often streams go on, and how often new ones begin."""
+    attempts = [
+        one for stream in streams for one in stream.attempts if one.is_connected
+    ]
+    new = [one.is_served for one in attempts if not one.takes_up]
+    taken_up = [one for one in attempts if one.takes_up and one.serving >= 2]
+    served = [one.is_served for one in taken_up]
+    return ResumptionShares(
+        len(taken_up),
+        statistics.fmean(served) if served else 1.0,
+        statistics.fmean(new) if new else 1.0,
+        collections.Counter(
+            one.reason.strip() or str(one.status)
+            for one in taken_up
+            if not one.is_served
+        ),
+    )
+
+
 def find_unexpected_log_lines(logs: Iterable[tuple[str, str]]) -> Iterator[str]:
     """Yields the log lines that show an unforeseen failure."""
     for name, text in logs:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -48,6 +48,8 @@
 # Pauses that servers ask for, in seconds, and how many servers do.
 PAUSES = ('0.7', '1.5', '3')
 PAUSING_SERVERS = (1, 1, 2, 4)
+# One rollout in this many goes back to the other version that serves.
+ROLLBACK_STRIDE = 4
 
 
 class FaultInjector:
@@ -114,6 +116,7 @@
             fault.LEAVING_RESPONSE: self._leave_by_response,
             fault.SERVER_PAUSE: self._ask_for_pauses,
             fault.VANISHED_ROW: self._lose_row,
+            fault.ROLLOUT: self._roll_out,
         }
 
     def inject(self, injection: plan.Injection) -> None:
@@ -417,6 +420,28 @@
         store.put('servers', name, upstream.row())
         self._departing.remove(upstream)
 
+    async def _roll_out(self, injection: plan.Injection) -> None:
+        """Replaces the engines of the oldest version one after the other.
+
+        New ones run a version that was not there before, or in one seed of four
+        the other one.
+        """
+        oldest, newer = self._testbed.versions
+        is_rollback = injection.target % ROLLBACK_STRIDE == 0
+        added = newer if is_rollback else f'v{int(newer[1:]) + 1}'
+        self._testbed.versions = (newer, added)
+        for upstream in self._testbed.engines_of(oldest):
+            if upstream in self._departing:
+                continue
+            self._departing.append(upstream)
+            await self._testbed.add_upstream(upstream.service)
+            upstream.server.leaving = True
+            upstream.server.leaves_ms = round(DRAIN_NOTICE_S * 1000)
+            store, name = self._testbed.store, upstream.server.id
+            store.put('servers', name, upstream.row())
+            await asyncio.sleep(DRAIN_NOTICE_S)
+            await self._remove(upstream)
+
     async def _ask_for_pauses(self, injection: plan.Injection) -> None:
         """Has some upstreams reject all requests and ask for pauses."""
         rng = random.Random(injection.target)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
@@ -8,7 +8,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from quetzalsill_dev.users_platform import caller
+from quetzalsill_dev.users_platform import caller, engine, resuming
 
 if TYPE_CHECKING:
     from quetzalsill_dev.soak import testbed as testbed_lib
@@ -29,6 +29,10 @@
 REQUEST_INTERVAL_S = 0.03
 # Share of requests whose callers disconnect before the response.
 ABANDON_PROBABILITY = 0.03
+# Streams that their callers take up again: number of events, and probability
+# that an engine breaks one off at an event.
+LONG_STREAM_EVENTS = 100
+BREAK_SHARE = 0.02
 OK = 200
 
 
@@ -90,6 +94,7 @@
 
     Attributes:
       records: All requests so far.
+      streams: Streams whose callers take them up again.
     """
 
     def __init__(self, testbed: testbed_lib.Testbed, seed: int) -> None:
@@ -97,6 +102,8 @@
         self._rng = random.Random(seed)
         self._request_numbers = itertools.count(1)
         self.records: list[RequestRecord] = []
+        self.streams: list[resuming.StreamRecord] = []
+        self._stream_rng = random.Random(f'{seed} streams')
 
     async def run(self) -> None:
         """Sends requests to random gateways until cancelled."""
@@ -110,6 +117,31 @@
             for conn in connections.values():
                 conn.disconnect()
 
+    async def stream(self) -> None:
+        """Requests long streams, and takes them up when they break off."""
+
+        def pick() -> tuple[str, int]:
+            gateway = self._stream_rng.choice(self._testbed.gateways)
+            return '127.0.0.1', gateway.relay.port
+
+        headers = {
+            engine.EVENTS_HEADER: str(LONG_STREAM_EVENTS),
+            engine.BREAK_SHARE_HEADER: str(BREAK_SHARE),
+        }
+        while True:
+            found = await resuming.run(
+                pick,
+                '/verdict/long',
+                self._stream_rng,
+                headers,
+                # Each has a fingerprint of its own.
+                body=b'long %d' % next(self._request_numbers),
+                count_serving=lambda version: len(
+                    self._testbed.engines_of(version)
+                ),
+            )
+            self.streams.append(found)
+
     async def probe(
         self, kind: str, gateway: testbed_lib.Gateway
     ) -> RequestRecord:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -17,6 +17,7 @@
 __all__ = ['Result', 'run']
 
 CALLERS = 8
+STREAM_CALLERS = 4
 # Everything has recovered this long after the last fault: the adapter waits
 # 2.2 s for lapsed entries, and its retries are up to 2 s apart.
 RECOVERY_S = 6.0
@@ -35,6 +36,12 @@
       lost: Number of requests that should have been served but were not.
       injections: Number of faults injected.
       violations: A line for each violated invariant.
+      streams: Number of streams whose callers take them up.
+      taken_up: Number of times that they did.
+      mixed: Number of these streams with events of several versions.
+      went_on: Share of those taken up that went on, while two engines of their
+        version served.
+      began: Share of new streams that began.
     """
 
     seed: int
@@ -43,6 +50,11 @@
     lost: int
     injections: int
     violations: list[str]
+    streams: int = 0
+    taken_up: int = 0
+    mixed: int = 0
+    went_on: float = 1.0
+    began: float = 1.0
 
     @property
     def lost_share(self) -> float:
@@ -94,6 +106,9 @@
 ) -> Result:
     traffic = load.LoadGenerator(testbed, seed)
     callers = [asyncio.create_task(traffic.run()) for _ in range(CALLERS)]
+    callers += [
+        asyncio.create_task(traffic.stream()) for _ in range(STREAM_CALLERS)
+    ]
     await asyncio.sleep(1.0)
     start_s = asyncio.get_running_loop().time()
     for injection in injections:
@@ -116,11 +131,24 @@
         testbed, traffic.records, injector.disrupted
     )
     violations += checks.find_config_rollbacks(traffic.records)
+    violations += checks.find_mixed_streams(traffic.streams)
+    violations += checks.find_lost_resumptions(traffic.streams)
     violations += checks.find_unexpected_log_lines(testbed.logs())
     served = sum(record.served for record in traffic.records)
     lost = sum(record.lost for record in traffic.records)
+    shares = checks.resumption_shares(traffic.streams)
     return Result(
-        seed, len(traffic.records), served, lost, len(injections), violations
+        seed,
+        len(traffic.records),
+        served,
+        lost,
+        len(injections),
+        violations,
+        len(traffic.streams),
+        shares.taken_up,
+        sum(len(one.versions) > 1 for one in traffic.streams),
+        shares.went_on,
+        shares.began,
     )
 
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
@@ -30,6 +30,8 @@
 EVENT_INTERVAL_S = 0.01
 ENGINE_SERVICE = 'writers'
 HTTP_SERVICE = 'desk'
+# Software versions of engines that serve side by side.
+FIRST_VERSIONS = ('v1', 'v2')
 # Requests with this body crash the engine that runs them.
 CRASHING_BODY = b'a prompt that crashes engines'
 
@@ -132,6 +134,7 @@
         self.upstreams: list[Upstream] = []
         self.http_servers: list[http_server.HttpServer] = []
         self.config_version = 0
+        self.versions = FIRST_VERSIONS
         self._server_numbers = iter(range(1, 10_000))
 
     async def start(self, http_servers: int, engines: int) -> None:
@@ -166,6 +169,8 @@
             self.http_servers.append(server)
         else:
             server = engine.Engine(self.fleet, name)
+            count = len(self.upstreams_of(ENGINE_SERVICE))
+            server.version = self.versions[count % len(self.versions)]
             server.length, server.event_s = EVENTS_PER_STREAM, EVENT_INTERVAL_S
         upstream = Upstream(server, service)
         await upstream.open()
@@ -184,6 +189,16 @@
         await upstream.relay.stop()
         await upstream.server.server.stop()
 
+    def engines_of(self, version: str) -> list[Upstream]:
+        """Returns the engines of a software version that take new work."""
+        return [
+            upstream
+            for upstream in self.upstreams_of(ENGINE_SERVICE)
+            if upstream.server.version == version
+            and not upstream.server.leaving
+            and not upstream.server.leaving_header
+        ]
+
     def upstreams_of(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service."""
         return [
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -7,16 +7,22 @@
 import itertools
 import json
 import random
+import re
 from collections.abc import Callable
 from typing import Any
 
 from quetzalsill_dev.users_platform import pause, scripted
 
-__all__ = ['Engine', 'Fleet', 'event']
+__all__ = ['Engine', 'Fleet', 'event', 'versions_of']
 
 PREFIX = 'x-quetzalsill-'
 EVENT_S = 0.02
+# Headers by which a caller sets the number of events of a stream, and the
+# probability that the engine breaks it off at an event.
+EVENTS_HEADER = 'stand-in-events'
+BREAK_SHARE_HEADER = 'stand-in-break-share'
 TOKENS_PER_EVENT = 4
+VERSION = re.compile(rb'data: [^\n/]*/\d+/([^\n]+)\n\n')
 # Share of broken streams that end in the middle of an event.
 PARTIAL_EVENT_SHARE = 0.3
 
@@ -32,6 +38,11 @@
     return f'id: {number}\ndata: {request_id}/{number}{suffix}\n\n'.encode()
 
 
+def versions_of(body: bytes) -> frozenset[str]:
+    """Returns the software versions that the events of a body name."""
+    return frozenset(one.decode() for one in VERSION.findall(body))
+
+
 @dataclasses.dataclass(slots=True)
 class _Run:
     """A generation and the number of events that it has produced."""
@@ -314,6 +325,10 @@
         backup: str | None,
     ) -> None:
         run = self._runs[request_id] = _Run(request_id, after)
+        length = int(call.headers.get(EVENTS_HEADER, self.length))
+        break_share = float(
+            call.headers.get(BREAK_SHARE_HEADER, self.break_share)
+        )
         self._fleet.run_started(request_id, self.id, is_new=is_new)
         if call.body == self._fleet.crash_body:
             self._detached.append(asyncio.create_task(self._crash_soon()))
@@ -331,9 +346,7 @@
         }
         call.send_head(200, head | self._state_headers())
         try:
-            while (
-                run.running and run.event_count < self.length and call.is_open
-            ):
+            while run.running and run.event_count < length and call.is_open:
                 await asyncio.sleep(self.event_s)
                 if not run.running:
                     break
@@ -342,7 +355,7 @@
                 call.send_chunk(
                     event(request_id, run.event_count, self.version)
                 )
-                if self.rng.random() < self.break_share:
+                if self.rng.random() < break_share:
                     if self.rng.random() < PARTIAL_EVENT_SHARE:
                         call.send_chunk(b'id: 999\nda')
                     await call.writer.drain()
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
@@ -36,6 +36,8 @@
       reason: Body of a refusal.
       is_connected: Whether a gateway accepted its connection.
       is_complete: Whether the response ended as its framing requires.
+      serving: Number of upstreams that could continue the stream when its
+        caller took it up.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     reason: str = ''
     is_connected: bool = True
     is_complete: bool = False
+    serving: int = 0
 
     @property
     def is_served(self) -> bool:
@@ -81,6 +84,7 @@
     *,
     method: str = 'POST',
     body: bytes = b'',
+    count_serving: Callable[[str], int] = lambda _: 0,
 ) -> StreamRecord:
     """Requests a stream until it is complete, at most `MAX_TRIES` times.
 
@@ -91,6 +95,8 @@
       headers: Headers of every attempt.
       method: Method in capitals.
       body: Body of every attempt.
+      count_serving: Returns the number of upstreams of a software version that
+        take new work.
     """
     record = StreamRecord()
     first_id, last_event = '', 0
@@ -99,6 +105,7 @@
         more = dict(headers or {})
         if first_id:
             more |= {'Last-Event-Id': str(last_event), 'Resumes': first_id}
+        serving = sum(map(count_serving, record.versions))
         response = caller_lib.Response()
         client = caller_lib.Caller(*pick())
         is_connected = False
@@ -129,6 +136,7 @@
             else '',
             is_connected,
             response.complete,
+            serving,
         )
         record.attempts.append(attempt)
         for number, _ in found:
