Explain streams that were not taken up; ablations of both mechanisms

quetzalsill explain and the ledger name the version at which a refused stream began, or that nobody knows it, and a served stream of two versions. Ablations switch off the versions in choices, and the publishing of origins; two older edits follow the search for an engine. The soak prints what became of streams that did not go on.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/ledger.py
@@ -171,6 +171,10 @@
         return _classify_served(end)
     if outcome in ('cut', 'failed'):
         return Verdict.LOST, _interruption_cause(lines)
+    not_resumed = [line for line in lines if line.event == 'stream_not_resumed']
+    if not_resumed:
+        reason = not_resumed[-1].fields.get('reason', '')
+        return Verdict.LOST, _NOT_RESUMED_CAUSES.get(reason, reason)
     return Verdict.LOST, _OUTCOME_CAUSES.get(outcome, outcome)
 
 
@@ -208,6 +212,10 @@
     return 'its upstream broke off'
 
 
+_NOT_RESUMED_CAUSES = {
+    'unknown_origin': 'taken up: its software version is unknown',
+    'no_upstream_of_version': 'taken up: its software version is gone',
+}
 _OUTCOME_CAUSES = {
     'refused': 'told to come back',
     'not_sent': 'no upstream took it in time',
--- a/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
@@ -120,6 +120,9 @@
             refusals[-1].fields.get('reason', ''),
             'It was refused; the reason is in its line.',
         )
+    not_resumed = [line for line in lines if line.event == 'stream_not_resumed']
+    if not_resumed:
+        return _explain_not_resumed(not_resumed[-1].fields)
     starts = [line for line in lines if line.event == 'process_started']
     if not ends and starts:
         return (
@@ -138,7 +141,7 @@
     last_attempt = results[-1].fields if results else {}
     was_store_lost = any(line.event == 'store_lost' for line in lines)
     if outcome == 'served':
-        return _explain_served(ends[-1])
+        return _explain_served(ends[-1]) + _explain_versions(results)
     held = [line for line in lines if line.event == 'request_held']
     if outcome == 'refused' and held and _is_false(held[-1], 'admitted'):
         return (
@@ -150,6 +153,39 @@
     return _OUTCOME_SENTENCES.get(outcome, f'It ended as {outcome}.')
 
 
+def _explain_not_resumed(fields: dict[str, str]) -> str:
+    began = fields.get('resumes') or 'a request that it does not name'
+    if fields.get('reason') == 'no_upstream_of_version':
+        return (
+            f'Its caller took up the stream that {began} began at version '
+            f'{fields.get("software_version") or "unknown"}; no upstream of '
+            'that version takes new work. Nothing ran.'
+        )
+    return (
+        f'Its caller took up the stream that {began} began; no gateway knows '
+        'at which version, and its service may have had several: '
+        f'{fields.get("versions", "")}. Nothing ran.'
+    )
+
+
+def _explain_versions(segments: list[LogLine]) -> str:
+    """Names the versions of a stream's upstreams, if there are several."""
+    versions = sorted(
+        {
+            line.fields.get('software_version', '')
+            for line in segments
+            if line.event == 'leg_ended' and line.fields.get('events') != '0'
+        }
+        - {''}
+    )
+    if len(versions) < 2:
+        return ''
+    return (
+        f' Its events are of software versions {" and ".join(versions)}, which '
+        'do not fit together.'
+    )
+
+
 def _is_false(line: LogLine, field: str) -> bool:
     return line.fields.get(field, '').lower() == 'false'
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -58,6 +58,16 @@
         'return duration_s >= MIN',
         'return False and MIN',
     ),
+    'software-versions': _gateway(
+        'fleet/software_versions.py',
+        '        if origin is None:\n            return True',
+        '        if origin is None or upstream:\n            return True',
+    ),
+    'published-origins': _gateway(
+        'fleet/stream_origins.py',
+        'if self._versions.has_several(origin.service):',
+        'if False:',
+    ),
     'moves': _gateway(
         'stream/migration.py',
         'if spec is None or not spec.can_move',
@@ -120,11 +130,13 @@
     ),
     'room-for-runs-that-move': _gateway(
         'balance/search.py',
-        'for one in self._upstreams.leaving(self.req.service.name)',
-        'for one in ()',
+        'leaving = self._upstreams.leaving(self.req.service.name)',
+        'leaving = []',
     ),
     'runs-beside-copies-last': _gateway(
-        'balance/search.py', 'return beside or fitting', 'return fitting'
+        'balance/search.py',
+        'return self._lasting(beside or fitting)',
+        'return self._lasting(fitting)',
     ),
     'engine-priorities': _gateway(
         'stream/continuation.py', 'PRIORITY_STEP = 2', 'PRIORITY_STEP = 0'
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
@@ -63,7 +63,8 @@
             f'{result.served} served, {result.lost} lost, '
             f'{result.streams} streams, {result.mixed} mixed, '
             f'{result.taken_up} taken up, {result.went_on:.2f} go on, '
-            f'{result.began:.2f} begin, {len(result.violations)} violations'
+            f'{result.began:.2f} begin, refused {result.refusals}, '
+            f'{len(result.violations)} violations'
         )
         for line in result.violations:
             click.echo(f'  {line}')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -42,6 +42,7 @@
       went_on: Share of those taken up that went on, while two engines of their
         version served.
       began: Share of new streams that began.
+      refusals: What became of the streams that did not go on.
     """
 
     seed: int
@@ -55,6 +56,7 @@
     mixed: int = 0
     went_on: float = 1.0
     began: float = 1.0
+    refusals: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def lost_share(self) -> float:
@@ -149,6 +151,7 @@
         sum(len(one.versions) > 1 for one in traffic.streams),
         shares.went_on,
         shares.began,
+        dict(shares.refusals),
     )
 
 
--- a/tests/quetzalsill_cli/test_explain.py
+++ b/tests/quetzalsill_cli/test_explain.py
@@ -9,7 +9,7 @@
 
 from click import testing
 
-from quetzalsill_cli import request_log
+from quetzalsill_cli import ledger, request_log
 from quetzalsill_cli.commands import explain
 from quetzalsill_gateway import event
 
@@ -122,6 +122,21 @@
         )
         self.assertIn('broke off without a notice', cause)
 
+    def test_a_stream_that_was_not_taken_up(self):
+        """The logs don't tell which version a refused stream began at."""
+        for reason, version, expected in (
+            ('unknown_origin', '', 'no gateway knows at which version'),
+            ('no_upstream_of_version', 'v1', 'began at version v1'),
+        ):
+            refused = event.StreamNotResumed(
+                'r-2', 'r-1', 's', reason, version, 'v1,v2'
+            )
+            lines = [line(1, refused), line(1, ended('r-2', 'refused'))]
+            found = request_log.select(request_log.read(lines), 'r-2')
+            self.assertIn(expected, request_log.explain_outcome(found))
+            [entry] = ledger.build(lines).entries
+            self.assertIn('taken up', entry.cause)
+
     def test_every_reason_and_outcome_has_a_cause(self):
         """Guards against a new outcome without an explanation."""
         reasons = _documented_values(event.RequestRefused, 'reason')
