Publish origins at once in large fleets, and load versions again after isolation

Cause: in a fleet of 300 gateways an origin was held back for 2.3 s to be sent with others, which go to other holders anyway; a gateway that failed meanwhile took it along. A gateway that had lost contact with the store and with all others kept refusing streams of services with one version for a stream's lifetime. A lookup without peers waited in vain, and one whose peers had all gone could have run without a pause.

Change: origins are sent at once; after an isolation the stored versions are loaded again; a lookup ends at once if there is nobody to ask.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/origin_lookup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/origin_lookup.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 from collections.abc import Callable, Iterable
@@ -33,7 +34,7 @@
 REPEAT_S = 0.15
 MAX_WAIT_S = 1.0
 # Bounds what callers that name made-up streams can cause.
-MAX_LOOKUPS = 64
+MAX_LOOKUPS = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,7 +86,6 @@
         self._origins = origins
         self._has_peers = has_peers
         self._lookups: dict[bytes, _Lookup] = {}
-        self._unsent: list[stream_origins.Record] = []
         self._confirmed_s = float('-inf')
         origins.set_publisher(self._publish)
         origins.set_finder(self.find)
@@ -143,8 +143,14 @@
         end_s = _now() + MAX_WAIT_S
         is_first = True
         while (left_s := end_s - _now()) > 0:
+            if self._have_all_answered(lookup):
+                break
             names = self._next_asked(key, lookup, is_first=is_first)
             is_first = False
+            if not names:
+                # A gateway that starts does not know its peers yet.
+                await asyncio.sleep(min(REPEAT_S, left_s))
+                continue
             lookup.asked.update(names)
             query = origin_codec.OriginQuery(key, lookup.service)
             self._peers.send_to(names, query)
@@ -157,7 +163,7 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(wait_s):
                         await lookup.changed.wait()
-            if lookup.is_found or self._have_all_answered(lookup):
+            if lookup.is_found:
                 break
         if lookup.is_fresh or self._have_all_answered(lookup):
             self._confirmed_s = _now()
@@ -188,22 +194,19 @@
         return others <= lookup.answered
 
     def _publish(self, records: Iterable[stream_origins.Record]) -> None:
-        """Sends origins to their holders, batched in a large fleet."""
-        self._unsent.extend(records)
-        delay_s = publish_timing.min_interval_s(1 + self._peers.peer_count)
-        if not delay_s:
-            self._send_unsent()
-        elif len(self._unsent) == 1:
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._send_unsent)
-
-    def _send_unsent(self) -> None:
-        records, self._unsent = self._unsent, []
+        """Sends origins to their holders.
+
+        At once also in a large fleet: the holders of two streams differ, so
+        that collecting records would save few datagrams, and those of a gateway
+        that fails would be lost.
+        """
         names = tuple(self._peers.peer_names)
-        by_holder: dict[str, list[stream_origins.Record]] = {}
+        by_holder: dict[str, list[stream_origins.Record]] = (
+            collections.defaultdict(list)
+        )
         for record in records:
             for name in quota.rate_owners(record.key.hex(), names, HOLDERS):
-                by_holder.setdefault(name, []).append(record)
+                by_holder[name].append(record)
         for name, found in by_holder.items():
             self._send_records(name, found)
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -75,6 +75,7 @@
                 pass
             if self._is_isolated():
                 versions.mark_isolated()
+                self._is_loaded = False
             lifetime_s = self._lifetime_s()
             if lifetime_s is not None:
                 versions.refresh(self._upstreams.all(), lifetime_s)
