Send no versions to gateways that start while each service has one

With one version, nothing is sent for it any more.

The soak's rollout failed (ValueError in a test's own code) where a crashing request had stopped the engine that it was about to drain; it removes such an engine now.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -435,11 +435,13 @@
                 continue
             self._departing.append(upstream)
             await self._testbed.add_upstream(upstream.service)
-            upstream.server.leaving = True
-            upstream.server.leaves_ms = round(DRAIN_NOTICE_S * 1000)
-            store, name = self._testbed.store, upstream.server.id
-            store.put('servers', name, upstream.row())
-            await asyncio.sleep(DRAIN_NOTICE_S)
+            # A crashing request may have stopped it meanwhile.
+            if upstream.server.server.is_listening:
+                upstream.server.leaving = True
+                upstream.server.leaves_ms = round(DRAIN_NOTICE_S * 1000)
+                store, name = self._testbed.store, upstream.server.id
+                store.put('servers', name, upstream.row())
+                await asyncio.sleep(DRAIN_NOTICE_S)
             await self._remove(upstream)
 
     async def _ask_for_pauses(self, injection: plan.Injection) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/origin_lookup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/origin_lookup.py
@@ -90,8 +90,8 @@
         origins.set_publisher(self._publish)
         origins.set_finder(self.find)
         peers.on_new_peer(self._replicate)
-        peers.on_greeting(lambda: [self._versions()])
-        peers.on_refresh(self._refresh)
+        peers.on_greeting(self._recent_versions)
+        peers.on_refresh(self._recent_versions)
         handlers: dict[type, Callable[..., None]] = {
             stream_origins.OriginUpdate: origins.receive,
             origin_codec.OriginQuery: self._answer,
@@ -248,7 +248,7 @@
             self._upstreams.can_grow,
         )
 
-    def _refresh(self) -> list[origin_codec.VersionsUpdate]:
+    def _recent_versions(self) -> list[origin_codec.VersionsUpdate]:
         """Returns what others may have missed; nothing with one version."""
         self._origins.expire()
         if not self._upstreams.versions.services_with_several:
