--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -431,7 +431,8 @@
         added = newer if is_rollback else f'v{int(newer[1:]) + 1}'
         self._testbed.versions = (newer, added)
         for upstream in self._testbed.engines_of(oldest):
-            if upstream in self._departing:
+            is_removed = upstream not in self._testbed.upstreams
+            if is_removed or upstream in self._departing:
                 continue
             self._departing.append(upstream)
             await self._testbed.add_upstream(upstream.service)
