Find the versions that are about to be gone in one pass

Cause: the search for an engine counted the upstreams of a service once for each candidate, which at 1,000 engines is a million steps for each poll of a queued generation while several versions serve.

Change: Upstreams.retiring_pools counts them once. The log fields that name the request which began a stream are called first_request.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
@@ -154,7 +154,7 @@
 
 
 def _explain_not_resumed(fields: dict[str, str]) -> str:
-    began = fields.get('resumes') or 'a request that it does not name'
+    began = fields.get('first_request') or 'a request that it does not name'
     if fields.get('reason') == 'no_upstream_of_version':
         return (
             f'Its caller took up the stream that {began} began at version '
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.balance import (
@@ -262,8 +261,13 @@
         """
         if self._origin is not None or not self._has_several_versions:
             return candidates
-        lasting = itertools.filterfalse(self._upstreams.is_retiring, candidates)
-        return list(lasting) or candidates
+        retiring = self._upstreams.retiring_pools(self.req.service.name)
+        lasting = [
+            one
+            for one in candidates
+            if software_versions.pool_of(one) not in retiring
+        ]
+        return lasting or candidates
 
     @property
     def _has_several_versions(self) -> bool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -47,8 +47,8 @@
         the gateway knows of none.
       tokens: Expected KV cache use, in tokens; 0 if it is no generation.
       account: Client account; empty if callers need no key.
-      resumes: Earlier request whose stream the caller takes up; empty if it
-        names none.
+      first_request: Request that began the stream which the caller takes up;
+        empty if it names none.
       resume_after: Id of the last event that it has; empty if none.
     """
 
@@ -69,7 +69,7 @@
     gap_cause: str = ''
     tokens: int = 0
     account: str = ''
-    resumes: str = ''
+    first_request: str = ''
     resume_after: str = ''
 
 
@@ -237,7 +237,7 @@
 
     Attributes:
       request: Id of the request.
-      resumes: Request that began the stream, as its caller says.
+      first_request: Request that began the stream, as its caller says.
       service: Its service.
       reason: `unknown_origin`, nobody knows which software version began it;
         `no_upstream_of_version`, none that may continue it takes new work.
@@ -246,7 +246,7 @@
     """
 
     request: str
-    resumes: str
+    first_request: str
     service: str
     reason: str
     software_version: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/upstream.py
@@ -243,28 +243,29 @@
             and (regions is None or self._region(upstream) in regions)
         ]
 
-    def is_retiring(self, upstream: Upstream) -> bool:
-        """Whether an upstream's software version is about to be gone.
+    def retiring_pools(self, service: str) -> frozenset[str]:
+        """Returns the pools of software versions that are about to be gone.
 
-        That is, at least as many upstreams of it have given notice of their
+        That is, at least as many upstreams of them have given notice of their
         shutdown as take new work. A stream that begins there may soon have no
         other upstream to continue at.
         """
-        pool = software_versions.pool_of(upstream)
-        left = remaining = 0
+        leaving: collections.Counter[str] = collections.Counter()
+        remaining: collections.Counter[str] = collections.Counter()
         for one in (
-            *self._by_service.get(upstream.service, ()),
+            *self._by_service.get(service, ()),
             *self._recently_removed(),
         ):
-            if one.service != upstream.service:
-                continue
-            if software_versions.pool_of(one) != pool:
+            if one.service != service:
                 continue
+            pool = software_versions.pool_of(one)
             if self.notices.includes(one):
-                left += 1
+                leaving[pool] += 1
             else:
-                remaining += not one.leaving
-        return left > 0 and left >= remaining
+                remaining[pool] += not one.leaving
+        return frozenset(
+            pool for pool, count in leaving.items() if count >= remaining[pool]
+        )
 
     def accepts_new_work(self, upstream: Upstream) -> bool:
         """Whether new work may go to an upstream."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -174,7 +174,9 @@
                 gap_cause=exchange.gap_cause,
                 tokens=exchange.tokens,
                 account=(exchange.account or b'').decode(errors='replace'),
-                resumes=message.logged(headers, self._core.dialect.resumes),
+                first_request=message.logged(
+                    headers, self._core.dialect.resumes
+                ),
                 resume_after=message.logged(
                     headers, self._core.dialect.resume_after
                 ),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/resumption.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/resumption.py
@@ -53,7 +53,7 @@
       reason: `unknown_origin`: nobody knows what began it, and it may have been
         another version than those that serve; `no_upstream_of_version`: none
         that takes new work may continue it.
-      retry_after_s: When its caller is told to retry, in seconds.
+      retry_after_s: Value of Retry-After, in seconds.
     """
 
     reason: str
@@ -183,7 +183,7 @@
     event.note(
         event.StreamNotResumed(
             request=req.id_text,
-            resumes=message.logged(headers, dialect.resumes),
+            first_request=message.logged(headers, dialect.resumes),
             service=req.service.name,
             reason=reason,
             software_version=version,
