Log the shared parts of prompts of the requests at a crash

What the log could not tell: whether the requests at the crashes of an engine have a part of their prompts in common, or only route and client account.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -80,6 +80,8 @@
       concurrent: Requests that two engines ran at the same time.
       crash_body: Requests with this body crash the engine that runs them; None
         for none.
+      crash_part: Requests with this part in their prompts crash it too, unless
+        it is the last part; None for none.
       crash_after_s: Time from the start of the run to the crash, in seconds.
       crashed: Engines that such a request has crashed.
       crash_times_s: Loop times at which they crashed.
@@ -93,6 +95,7 @@
     running_on: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     concurrent: set[str] = dataclasses.field(default_factory=set)
     crash_body: bytes | None = None
+    crash_part: str | None = None
     crash_after_s: float = 0.06
     crashed: list[str] = dataclasses.field(default_factory=list)
     crash_times_s: list[float] = dataclasses.field(default_factory=list)
@@ -100,6 +103,12 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     pauses: list[pause.Pause] = dataclasses.field(default_factory=list)
 
+    def is_crashing(self, call: scripted.Exchange) -> bool:
+        """Whether a request crashes the engine that runs it."""
+        header = call.headers.get(PREFIX + 'prompt-prefix', '')
+        *shared, _ = (entry.partition(':')[0] for entry in header.split(','))
+        return call.body == self.crash_body or self.crash_part in shared
+
     def run_started(
         self, request_id: str, engine: str, *, is_new: bool
     ) -> None:
@@ -330,7 +339,7 @@
             call.headers.get(BREAK_SHARE_HEADER, self.break_share)
         )
         self._fleet.run_started(request_id, self.id, is_new=is_new)
-        if call.body == self._fleet.crash_body:
+        if self._fleet.is_crashing(call):
             self._detached.append(asyncio.create_task(self._crash_soon()))
         if self.resets_at_start:
             self.resets_at_start -= 1
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -134,6 +134,8 @@
       backup: Upstream to which a run's KV cache is copied as it grows.
       reserved: Headers that callers must not set.
       parse_prompt: Reads the token counts that a caller states.
+      read_shared_parts: Reads the ids of the parts of a prompt that other
+        prompts may hold too, in their order and each once.
       format_kv_from: Value of `kv_from` for an upstream and a handle.
     """
 
@@ -152,4 +154,5 @@
     server_leaving: bytes
     reserved: frozenset[bytes]
     parse_prompt: Callable[[message.Headers], Prompt]
+    read_shared_parts: Callable[[message.Headers], tuple[bytes, ...]]
     format_kv_from: Callable[[Upstream, str], bytes]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/upstream.py
@@ -253,12 +253,15 @@
       fingerprint: Identifies the request across repeats with other ids.
       label: Its route, client account and path.
       ran_ms: For how long it had been running.
+      parts: Ids of the shared parts of its prompt; the first ones, if they are
+        many.
     """
 
     upstream: str
     fingerprint: str
     label: str
     ran_ms: float
+    parts: str = ''
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.http import message
@@ -57,6 +58,7 @@
       is_suspect: Whether it may have crashed an upstream.
       tokens: Expected KV cache use, in tokens; 0 if it is no generation.
       retry_after_s: When a refused caller is told to retry, in seconds.
+      read_shared_parts: Reads the ids of the shared parts of a prompt.
     """
 
     request: message.Request
@@ -83,6 +85,9 @@
     pace_miss: bool = False
     is_probe: bool = False
     is_suspect: bool = False
+    read_shared_parts: Callable[[message.Headers], tuple[bytes, ...]] = (
+        lambda _: ()
+    )
     _fingerprint: bytes = b''
 
     @property
@@ -99,6 +104,11 @@
             )
         return self._fingerprint
 
+    @property
+    def shared_parts(self) -> tuple[bytes, ...]:
+        """Ids of the parts of its prompt that other prompts may hold too."""
+        return self.read_shared_parts(self.request.headers)
+
     def record_event(self) -> None:
         """Records that events are being sent to the caller now."""
         now = asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -134,6 +134,7 @@
             deadline_s=self._deadline_s(req, route),
             version=table.version,
             regions=regions,
+            read_shared_parts=self._core.dialect.read_shared_parts,
         )
 
     def _deadline_s(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
@@ -36,6 +36,8 @@
 WATCH_S = 8.0
 WATCH_POLL_S = 0.25
 MAX_LABEL_LENGTH = 120
+MAX_LISTED_PARTS = 8
+MAX_PART_LENGTH = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +47,7 @@
     Attributes:
       upstream: The upstream.
       crash: The crash, if it was one.
+      parts: Shared parts of the requests that were running, by fingerprint.
       is_confirmed: Whether it was one.
       check: Connects to the address.
       watch: Waits for other evidence.
@@ -52,6 +55,7 @@
 
     upstream: upstream_lib.Upstream
     crash: evidence.Crash
+    parts: dict[bytes, str] = dataclasses.field(default_factory=dict)
     is_confirmed: bool = False
     check: asyncio.Task[None] | None = None
     watch: asyncio.Task[None] | None = None
@@ -110,6 +114,7 @@
         suspect = evidence.Suspect(
             fingerprint, before_s + run.exposure_s(now), _label(run)
         )
+        found.parts[fingerprint] = _parts(run)
         found.crash.merge(
             evidence.Crash(key, '', now, {suspect.fingerprint: suspect})
         )
@@ -184,6 +189,7 @@
                     fingerprint=suspect.fingerprint.hex(),
                     label=suspect.label,
                     ran_ms=round(suspect.exposure_s * 1000, 1),
+                    parts=found.parts[suspect.fingerprint],
                 )
             )
         event.note(
@@ -201,3 +207,9 @@
     account = (exchange.account or b'').decode('latin-1')
     path = exchange.request.path.decode('latin-1')
     return f'{exchange.route.name} {account} {path}'[:MAX_LABEL_LENGTH]
+
+
+def _parts(run: in_flight.Run) -> str:
+    """Returns the shared parts of a request's prompt, for the log."""
+    found = run.exchange.shared_parts[:MAX_LISTED_PARTS]
+    return ','.join(one[:MAX_PART_LENGTH].decode('latin-1') for one in found)
--- a/tests/quetzalsill_gateway/quarantine/test_detector.py
+++ b/tests/quetzalsill_gateway/quarantine/test_detector.py
@@ -20,6 +20,7 @@
         account=b'depot',
         route=types.SimpleNamespace(name='plan'),
         request=types.SimpleNamespace(path=b'/plan/1'),
+        shared_parts=(b'5c1e', b'91bd'),
     )
     return in_flight.Run(exchange, found, conn=None, sent_s=0.0)
 
--- a/tests/quetzalsill_platform/test_adapter.py
+++ b/tests/quetzalsill_platform/test_adapter.py
@@ -328,6 +328,31 @@
         nonsense = parse([(b'x-quetzalsill-token-usage', b'a,-3,,')])
         self.assertEqual(nonsense.input_tokens, 0)
 
+    def test_shared_parts_of_prompts(self):
+        """The last part is no shared one, and callers send what they like."""
+        name = b'x-quetzalsill-prompt-prefix'
+        for values, expected in (
+            ((), ()),
+            ((b'',), ()),
+            ((b'5c1e07a2:800',), ()),
+            ((b'5c1e07a2:800,91bd3f06:410,e4402b7d:250',), 'ab'),
+            ((b'5C1E07A2:800 , 91bd3f06 :410,e4402b7d:250',), 'ab'),
+            ((b'5c1e07a2:800', b'91bd3f06:410,e4402b7d:250'), 'ab'),
+            ((b'5c1e07a2,91bd3f06:many,e4402b7d',), 'ab'),
+            ((b',,5c1e07a2:800,,91bd3f06:410,:3,e4402b7d:250,',), 'ab'),
+            ((b'5c1e07a2:1,91bd3f06:1,5c1e07a2:1,e4402b7d:1',), 'ab'),
+            ((b'5c1e07a2:1,91bd3f06:1,5c1e07a2:1',), 'ab'),
+        ):
+            with self.subTest(values):
+                parts = headers.DIALECT.read_shared_parts(
+                    [(name, value) for value in values]
+                )
+                known = {'a': b'5c1e07a2', 'b': b'91bd3f06'}
+                self.assertEqual(parts, tuple(known[one] for one in expected))
+        many = b','.join(b'%x:1' % n for n in range(1500))
+        parts = headers.DIALECT.read_shared_parts([(name, many)])
+        self.assertEqual(len(parts), 1499)
+
     def test_the_template_is_json_with_comments(self):
         text = ''.join(
             line
