--- a/tests/quetzalsill_platform/test_crashing_request.py
+++ b/tests/quetzalsill_platform/test_crashing_request.py
@@ -19,7 +19,13 @@
 
 
 class CrashingRequestTestCase(fixture.GatewayTestCase):
-    """Three gateways; an engine that crashed is back under a new id."""
+    """Three gateways; an engine that crashed is back under a new id.
+
+    Attributes:
+      restart_s: Time from its crash until it is back, in seconds.
+    """
+
+    restart_s = RESTART_S
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -46,13 +52,23 @@
         self.engines.remove(old)
         address = next(a for a, one in self.fleet.engines.items() if one is old)
         port = int(address.rpartition(':')[2])
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(self.restart_s)
         new = engine.Engine(self.fleet, f'engine-{next(self.numbers)}')
         new.length, new.event_s = old.length, old.event_s
+        await self.add(new, port)
+        self.store.remove('servers', old.id)
+
+    async def add_engine(self):
+        """Starts one more engine."""
+        await self.add(
+            engine.Engine(self.fleet, f'engine-{next(self.numbers)}')
+        )
+
+    async def add(self, new, port=0):
+        """Starts an engine and writes its row."""
         await new.start(port)
         self.addAsyncCleanup(new.server.stop)
         self.engines.append(new)
-        self.store.remove('servers', old.id)
         self.register(new)
 
     async def send(self, number, body=CRASHING, path='/verdict/1', key='key-1'):
