--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -161,6 +161,7 @@
                 core.quarantine.record_answer(upstream, run.sent_s)
                 _record_headers(core, run, answer, response_class)
             yield SentRequest(conn, answer, response_class)
+            exchange.answered_s = run.begun_s if conn.is_framed else None
         except error.TruncatedError:
             core.detector.record_broken(run)
             raise
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -21,7 +21,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from quetzalsill.telemetry import metric
@@ -122,6 +122,15 @@
         self._turns: dict[tuple[str, int], queue_entry.StarvingTurns] = (
             collections.defaultdict(queue_entry.StarvingTurns)
         )
+        self._is_refused: Callable[[exchange_lib.Exchange], bool] = lambda _: (
+            False
+        )
+
+    def set_refusal(
+        self, is_refused: Callable[[exchange_lib.Exchange], bool]
+    ) -> None:
+        """Sets a function that says whether a queued request is refused."""
+        self._is_refused = is_refused
 
     def waiting_tokens(self) -> dict[str, dict[int, int]]:
         """Returns the tokens queued here, by service and rank."""
@@ -440,7 +449,7 @@
         while True:
             await asyncio.sleep(POLL_S)
             now = loop.time()
-            if not search.has_engine:
+            if not search.has_engine or self._is_refused(search.req):
                 return None
             if now >= entry.send_by_s:
                 # Perhaps the process was paused.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -119,3 +119,4 @@
             random.Random(),
             self.shares,
         )
+        self.admission.set_refusal(self.quarantine.rejects)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -277,17 +277,19 @@
 
 @base.define
 class RequestQuarantined(base.Event):
-    """A request is refused from now on, as it has crashed several upstreams.
+    """Requests are refused from now on, as they have crashed upstreams.
 
     Attributes:
-      fingerprint: Identifies the request across repeats with other ids.
-      label: Its route, client account and path; empty if this gateway never
-        ran it.
-      upstreams: Ids of upstreams that crashed while they ran it.
+      fingerprint: Identifies the trait that they have in common.
+      label: Route, client account and path of one; empty if this gateway never
+        ran any.
+      upstreams: Ids of upstreams that crashed while they ran one.
       for_s: Time until a probe, in seconds.
       failed_probes: Number of probes so far that crashed an upstream.
       source: Gateway that found it, or `store`; empty for this one.
-      stopped: Number of its runs that this gateway has stopped.
+      stopped: Number of their runs that this gateway has stopped.
+      trait: Kind and value of the trait; several, separated by commas, if only
+        requests with all of them are refused.
     """
 
     fingerprint: str
@@ -297,22 +299,25 @@
     failed_probes: int
     source: str
     stopped: int
+    trait: str = ''
 
 
 @base.define
 class QuarantineLifted(base.Event):
-    """A request is no longer refused.
+    """Requests are no longer refused.
 
     Attributes:
-      fingerprint: Identifies the request across repeats with other ids.
-      label: Its route, client account and path.
-      reason: `completed` if an upstream has answered it, `explained` if another
-        request has caused the same crashes, or `operator`.
+      fingerprint: Identifies the trait that they have in common.
+      label: Route, client account and path of one.
+      reason: `completed` if an upstream has answered one, `explained` if
+        another trait has caused the same crashes, or `operator`.
+      trait: Kind and value of the trait.
     """
 
     fingerprint: str
     label: str
     reason: str
+    trait: str = ''
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from quetzalsill_gateway.http import message
 from quetzalsill_gateway.quarantine import fingerprint as fingerprint_lib
+from quetzalsill_gateway.quarantine import trait
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
@@ -59,6 +60,8 @@
       tokens: Expected KV cache use, in tokens; 0 if it is no generation.
       retry_after_s: When a refused caller is told to retry, in seconds.
       read_shared_parts: Reads the ids of the shared parts of a prompt.
+      answered_s: Loop time at which its latest response began, if that shows
+        its own end; None otherwise.
     """
 
     request: message.Request
@@ -88,7 +91,9 @@
     read_shared_parts: Callable[[message.Headers], tuple[bytes, ...]] = (
         lambda _: ()
     )
+    answered_s: float | None = None
     _fingerprint: bytes = b''
+    _traits: tuple[bytes, ...] = ()
 
     @property
     def fingerprint(self) -> bytes:
@@ -104,6 +109,13 @@
             )
         return self._fingerprint
 
+    @property
+    def traits(self) -> tuple[bytes, ...]:
+        """Fingerprints of what may crash upstreams, its own first."""
+        if not self._traits:
+            self._traits = trait.of(self)
+        return self._traits
+
     @property
     def shared_parts(self) -> tuple[bytes, ...]:
         """Ids of the parts of its prompt that other prompts may hold too."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -153,8 +153,14 @@
         took_ms = round((now_s - exchange.request.received_s) * 1000, 1)
         kind = exchange.route.kind.value
         headers = exchange.request.headers
-        if outcome in ANSWERED and self._core.quarantine.is_active:
-            self._core.quarantine.record_completion(exchange)
+        if (
+            outcome in ANSWERED
+            and exchange.answered_s is not None
+            and self._core.quarantine.is_active
+        ):
+            self._core.quarantine.record_completion(
+                exchange, exchange.answered_s, is_served=outcome == 'served'
+            )
         meter.record_request(exchange, outcome, took_ms / 1000)
         event.note(
             event.RequestEnded(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -28,6 +28,8 @@
       address: Address of the upstream, as (IP address, port).
       idle_since_s: Loop time at which the last call ended.
       idle_limit_s: Keep-alive timeout stated by the upstream; None if none.
+      body_since_s: Loop time at which the body of the response began; None
+        before.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self._on_count = count
         self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
+        self.body_since_s: float | None = None
         self._transport: asyncio.Transport | None = None
         self._items: collections.deque[object] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -148,6 +151,8 @@
     def on_body(self, body: bytes) -> None:
         """Passes on a chunk of the body."""
         if self._awaiting_response and not self._skipping_response:
+            if self.body_since_s is None:
+                self.body_since_s = asyncio.get_running_loop().time()
             self._add(body)
 
     def on_message_complete(self) -> None:
@@ -183,6 +188,7 @@
         self._echo = echo
         self._skipping_response = False
         self._until_close = False
+        self.body_since_s = None
         self._is_head_request = method == b'HEAD'
         self._awaiting_response = True
         self._reusable = False
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/quarantine_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/quarantine_codec.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from quetzalsill_gateway.peers import frame
-from quetzalsill_gateway.quarantine import evidence, fingerprint, table
+from quetzalsill_gateway.quarantine import evidence, table, trait
 from quetzalsill_gateway.quarantine import update as update_lib
 
 __all__ = ['decode', 'encode']
@@ -29,10 +29,7 @@
             crash.key,
             crash.service,
             now - crash.at_s,
-            [
-                (suspect.fingerprint, suspect.exposure_s)
-                for suspect in crash.suspects.values()
-            ],
+            [_suspect_fields(one) for one in crash.suspects.values()],
         )
         for crash in update.crashes
     ]
@@ -59,23 +56,36 @@
     return update_lib.QuarantineUpdate(
         tuple(_crash(now, *one) for one in crashes),
         tuple((_text(key), now - _time_s(age)) for key, age in alive),
-        tuple(
-            (_fingerprint(one), now - _time_s(age)) for one, age in completed
-        ),
+        tuple((trait.check(one), now - _time_s(age)) for one, age in completed),
         tuple(_entry(now, *one) for one in entries),
         str(node),
     )
 
 
+def _suspect_fields(suspect: evidence.Suspect) -> tuple[Any, ...]:
+    """Returns its fields; without shared traits, those of older releases."""
+    fields = (suspect.fingerprint, suspect.exposure_s)
+    return (*fields, sorted(suspect.shared)) if suspect.shared else fields
+
+
+def _suspect(
+    fingerprint: Any, exposure_s: Any, shared: Any = ()
+) -> evidence.Suspect:
+    if len(shared) > evidence.MAX_SHARED:
+        raise ValueError('too many traits')
+    return evidence.Suspect(
+        trait.check(fingerprint),
+        _time_s(exposure_s),
+        shared=frozenset(map(trait.check, shared)),
+    )
+
+
 def _crash(
     now: float, key: Any, service: Any, age_s: Any, suspects: Any
 ) -> evidence.Crash:
     if len(suspects) > evidence.MAX_SUSPECTS:
         raise ValueError('too many suspects')
-    found = [
-        evidence.Suspect(_fingerprint(one), _time_s(exposure_s))
-        for one, exposure_s in suspects
-    ]
+    found = [_suspect(*fields) for fields in suspects]
     return evidence.Crash(
         _text(key),
         _text(service),
@@ -85,7 +95,7 @@
 
 
 def _entry_fields(entry: table.Entry, now: float) -> tuple[Any, ...]:
-    return (
+    fields = (
         entry.fingerprint,
         entry.version,
         entry.is_active,
@@ -97,6 +107,7 @@
         entry.upstreams,
         entry.reason,
     )
+    return (*fields, entry.companions) if entry.companions else fields
 
 
 def _entry(
@@ -111,11 +122,12 @@
     label: Any,
     upstreams: Any,
     reason: Any,
+    companions: Any = (),
 ) -> table.Entry:
-    if len(upstreams) > MAX_ITEMS:
-        raise ValueError('too many upstreams')
+    if max(len(upstreams), len(companions)) > MAX_ITEMS:
+        raise ValueError('too many upstreams or traits')
     return table.Entry(
-        _fingerprint(found),
+        trait.check(found),
         frame.bounded_count(version),
         bool(is_active),
         now - _time_s(age_s),
@@ -125,15 +137,10 @@
         _text(label),
         tuple(_text(one) for one in upstreams),
         _text(reason),
+        tuple(map(trait.check, companions)),
     )
 
 
-def _fingerprint(value: Any) -> bytes:
-    if not isinstance(value, bytes) or len(value) != fingerprint.LENGTH:
-        raise ValueError('invalid fingerprint')
-    return value
-
-
 def _text(value: Any) -> str:
     if not isinstance(value, str) or len(value) > MAX_TEXT:
         raise ValueError('invalid text')
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/api.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/api.py
@@ -1,4 +1,4 @@
-"""Lets operators list quarantined requests and lift a quarantine."""
+"""Lets operators list what is in quarantine and lift a quarantine."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 import json
 from typing import TYPE_CHECKING
 
+from quetzalsill_gateway.quarantine import trait
+
 if TYPE_CHECKING:
     from quetzalsill_gateway.http import message
     from quetzalsill_gateway.http import responder as responder_lib
@@ -58,6 +60,9 @@
 def _describe(entry: table.Entry, now: float) -> dict[str, object]:
     return {
         'fingerprint': entry.fingerprint.hex(),
+        'kind': trait.kind_of(entry.fingerprint),
+        'trait': trait.value_of(entry.fingerprint),
+        'together_with': [trait.describe([one]) for one in entry.companions],
         'label': entry.label,
         'upstreams': list(entry.upstreams),
         'since_s': round(now - entry.since_s, 1),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
@@ -112,7 +112,10 @@
             return
         before_s = known.exposure_s if known else 0.0
         suspect = evidence.Suspect(
-            fingerprint, before_s + run.exposure_s(now), _label(run)
+            fingerprint,
+            before_s + run.exposure_s(now),
+            _label(run),
+            frozenset(run.exchange.traits[1:]),
         )
         found.parts[fingerprint] = _parts(run)
         found.crash.merge(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -1,16 +1,23 @@
-"""Attributes crashes of upstreams to the requests that caused them.
+"""Attributes crashes of upstreams to the traits of the requests that they ran.
 
-A crash ends every run of its upstream, so each of them is a suspect. Where one
-request crashes upstreams again and again, its neighbours meet several crashes
+A crash ends every run of its upstream, so each trait of each of them is a
+suspect: the request as a whole, and what it has in common with others. Where
+one trait crashes upstreams again and again, its neighbours meet several crashes
 too, long generations most of all. What distinguishes them:
 
-- a request that an upstream has answered since a crash did not cause it;
-- a crash at which a known culprit was running is charged to nobody else;
+- a trait of a run that outlived such a crash, or was answered, did not cause
+  the crashes before it began;
+- a crash at which a known culprit was running is charged to nobody else, except
+  the traits that the culprit's own runs have;
 - upstreams that crash at the same moment, as those of a rack do, count once;
 - a request that was running at some of many crashes may have been there by
   chance, depending on for how long it has been running;
 - of requests that were running at the same crashes, the one that had been
   running for clearly the shortest time is the culprit.
+
+Traits that so far only came together can't be told apart. The verdict is then
+that requests with all of them crash upstreams, which is the narrowest that
+explains the crashes. It gets wider as they are told apart.
 """
 
 from __future__ import annotations
@@ -21,15 +28,19 @@
 import math
 from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ['Crash', 'Evidence', 'Suspect', 'groups']
+__all__ = ['Crash', 'Evidence', 'Suspect', 'Verdict', 'groups']
 
 MIN_CRASHES = 3
-# While another request may have caused the same crashes as well, this many are
-# needed.
+# While another trait may have caused the same crashes as well, or if requests
+# with this one were answered lately, this many are needed.
 MIN_AMBIGUOUS_CRASHES = 5
 # A request is clearly shorter than another if it has been running for less than
 # this share of its time.
 CLEARLY_SHORTER_SHARE = 0.5
+# A run that has been producing output for this long, and for this multiple of
+# the time after which a trait was followed by crashes, has outlived it.
+MIN_OUTLIVED_S = 0.3
+OUTLIVED_FACTOR = 2.0
 # Upstreams that crash within this time of each other count as one crash.
 GROUP_S = 0.25
 # Largest probability that as many crashes meet a request by chance.
@@ -39,17 +50,21 @@
 # Rate at which an upstream is assumed to crash though none has lately; few
 # crashes show little about it.
 MIN_CRASHES_PER_S = 0.01
-# A request that is repeated less often than this is found again each time.
+# A trait that is repeated less often than this is found again each time.
 RETENTION_S = 600.0
 MAX_CRASHES = 256
 MAX_SUSPECTS = 64
+# Shared traits of all requests at one crash.
+MAX_SHARED = 512
 MAX_COMPLETIONS = 4096
-# Bound the time of a verdict: requests that are considered, those at the most
+# Bound the time of a verdict: traits that are considered, those at the most
 # crashes first; those compared with each other; and culprits found.
 MAX_CANDIDATES = 128
 MAX_COMPARED = 16
 MAX_CULPRITS = 3
 
+Traits = frozenset[bytes]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Suspect:
@@ -60,11 +75,29 @@
       exposure_s: For how long it had been running, in seconds; the sum if it
         was running several times.
       label: Route, client account and path, for operators.
+      shared: Fingerprints of the traits that other requests may have too.
     """
 
     fingerprint: bytes
     exposure_s: float
     label: str = ''
+    shared: Traits = frozenset()
+
+    def has(self, traits: Traits) -> bool:
+        """Whether it has all of some traits."""
+        return all(
+            one == self.fingerprint or one in self.shared for one in traits
+        )
+
+    def merge(self, other: Suspect) -> Suspect:
+        """Returns it with what another report of it says."""
+        # Other gateways don't send labels.
+        return Suspect(
+            self.fingerprint,
+            max(self.exposure_s, other.exposure_s),
+            self.label or other.label,
+            self.shared | other.shared,
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,54 +109,116 @@
       service: Its service.
       at_s: Loop time at which its connections ended.
       suspects: Requests that were running, by fingerprint.
+      by_trait: These requests by the fingerprints of their traits.
     """
 
     key: str
     service: str
     at_s: float
     suspects: dict[bytes, Suspect] = dataclasses.field(default_factory=dict)
+    by_trait: dict[bytes, list[Suspect]] = dataclasses.field(
+        init=False, compare=False, repr=False
+    )
+
+    def __post_init__(self) -> None:
+        self._index()
 
     def merge(self, other: Crash) -> bool:
         """Adds what another report of the crash says; whether any is new."""
         self.at_s = min(self.at_s, other.at_s)
         before = dict(self.suspects)
+        left = MAX_SHARED - sum(len(one.shared) for one in before.values())
         for fingerprint, suspect in other.suspects.items():
             known = self.suspects.get(fingerprint)
-            if known is None:
-                if len(self.suspects) < MAX_SUSPECTS:
-                    self.suspects[fingerprint] = suspect
+            if known is None and len(self.suspects) >= MAX_SUSPECTS:
                 continue
-            # Other gateways don't send labels.
-            self.suspects[fingerprint] = Suspect(
-                fingerprint,
-                max(known.exposure_s, suspect.exposure_s),
-                known.label or suspect.label,
+            shared = suspect.shared - (known.shared if known else frozenset())
+            if len(shared) > left:
+                shared = frozenset(sorted(shared)[: max(0, left)])
+            left -= len(shared)
+            bounded = dataclasses.replace(suspect, shared=shared)
+            self.suspects[fingerprint] = (
+                known.merge(bounded) if known else bounded
             )
-        return self.suspects != before
+        if self.suspects == before:
+            return False
+        self._index()
+        return True
+
+    def matching(self, traits: Traits) -> Iterator[Suspect]:
+        """Yields the requests that have all of some traits."""
+        if not traits <= self.by_trait.keys():
+            return iter(())
+        first = next(iter(traits))
+        return (one for one in self.by_trait[first] if one.has(traits))
+
+    def exposure_s(self, fingerprint: bytes) -> float:
+        """Returns for how long all requests with a trait had been running."""
+        return sum(one.exposure_s for one in self.by_trait[fingerprint])
+
+    def shortest_s(self, fingerprint: bytes) -> float:
+        """Returns for how long the newest request with a trait had been."""
+        return min(one.exposure_s for one in self.by_trait[fingerprint])
+
+    def _index(self) -> None:
+        self.by_trait = {}
+        for one in self.suspects.values():
+            for fingerprint in (one.fingerprint, *one.shared):
+                self.by_trait.setdefault(fingerprint, []).append(one)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Verdict:
+    """Traits by which requests crash upstreams.
+
+    Attributes:
+      traits: Their fingerprints; a request crashes upstreams if it has all.
+      label: Route, client account and path of such a request; empty if this
+        gateway never ran one.
+      charged: The crashes, by time.
+    """
+
+    traits: Traits
+    label: str
+    charged: list[Crash]
 
 
 @dataclasses.dataclass(slots=True)
 class _Candidate:
-    """A request that may be a culprit.
+    """A trait that may be a culprit.
 
     Attributes:
       fingerprint: Its fingerprint.
       charged: The crashes that it may have caused.
       count: Their number, those at the same moment counted once.
       exposure_s: For how long it had been running at all of them together.
+      traits: What all requests with it at these crashes have, itself included;
+        the request alone, if it was a single one.
     """
 
     fingerprint: bytes
     charged: list[Crash]
     count: int = dataclasses.field(init=False)
     exposure_s: float = dataclasses.field(init=False)
+    traits: Traits = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.count = len(groups(self.charged))
         self.exposure_s = sum(
-            crash.suspects[self.fingerprint].exposure_s
-            for crash in self.charged
+            crash.exposure_s(self.fingerprint) for crash in self.charged
         )
+        suspects = [
+            one
+            for crash in self.charged
+            for one in crash.by_trait[self.fingerprint]
+        ]
+        request = suspects[0].fingerprint
+        if all(one.fingerprint == request for one in suspects):
+            self.traits = frozenset([request])
+        else:
+            self.traits = frozenset.intersection(
+                *(one.shared for one in suspects)
+            )
 
     @property
     def mean_exposure_s(self) -> float:
@@ -131,16 +226,18 @@
         return self.exposure_s / self.count
 
     def is_ambiguous_with(self, other: _Candidate) -> bool:
-        """Whether another request may have caused the same crashes."""
+        """Whether another trait may have caused the same crashes."""
         return (
             other is not self
+            and other.fingerprint not in self.traits
+            and self.traits != other.traits
             and self.exposure_s > CLEARLY_SHORTER_SHARE * other.exposure_s
-            and all(other.fingerprint in one.suspects for one in self.charged)
+            and all(other.fingerprint in one.by_trait for one in self.charged)
         )
 
 
 class Evidence:
-    """Recent crashes, and requests that have been answered since."""
+    """Recent crashes, and traits whose requests have been answered since."""
 
     def __init__(self, upstream_count: Callable[[str], int]) -> None:
         """Starts without crashes.
@@ -151,7 +248,8 @@
         self._upstream_count = upstream_count
         self._crashes: dict[str, Crash] = {}
         self._keys: dict[bytes, set[str]] = {}
-        # Loop time of the latest answer, by fingerprint.
+        # Loop time at which the latest run began that was answered or outlived
+        # a crash, by fingerprint.
         self._completed: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
@@ -171,7 +269,7 @@
 
     @property
     def completions(self) -> dict[bytes, float]:
-        """Loop times at which suspects were answered, by fingerprint."""
+        """Loop times from which suspects are cleared, by fingerprint."""
         return dict(self._completed)
 
     @property
@@ -185,11 +283,11 @@
         return None if crash is None else crash.at_s
 
     def is_repeated(self, fingerprint: bytes) -> bool:
-        """Whether a request was running at `MIN_CRASHES` or more."""
+        """Whether a trait was running at `MIN_CRASHES` or more."""
         return len(self._keys.get(fingerprint, ())) >= MIN_CRASHES
 
     def repeated(self) -> Iterator[bytes]:
-        """Yields the requests that were running at `MIN_CRASHES` or more."""
+        """Yields the traits that were running at `MIN_CRASHES` or more."""
         return (
             fingerprint
             for fingerprint in self._keys
@@ -201,18 +299,16 @@
         if crash.key in self._alive:
             return False
         known = self._crashes.get(crash.key)
-        if known is None:
+        is_first = known is None
+        if is_first:
             while len(self._crashes) >= MAX_CRASHES:
                 self._remove(next(iter(self._crashes)))
-            suspects = dict(list(crash.suspects.items())[:MAX_SUSPECTS])
-            known = dataclasses.replace(crash, suspects=suspects)
+            known = Crash(crash.key, crash.service, crash.at_s)
             self._crashes[crash.key] = known
-            is_new = True
-        else:
-            is_new = known.merge(crash)
-        for fingerprint in known.suspects:
+        is_new = known.merge(crash)
+        for fingerprint in known.by_trait:
             self._keys.setdefault(fingerprint, set()).add(crash.key)
-        return is_new
+        return is_new or is_first
 
     def record_alive(self, key: str, now: float) -> bool:
         """Drops the crash of an upstream that has answered since.
@@ -229,7 +325,12 @@
         return True
 
     def record_completion(self, fingerprint: bytes, at_s: float) -> bool:
-        """Records that an upstream has answered a request without crashing."""
+        """Records a run with a trait that did not crash its upstream.
+
+        Args:
+          fingerprint: Fingerprint of the trait.
+          at_s: Loop time at which the run began.
+        """
         if at_s <= self._completed.get(fingerprint, -math.inf):
             return False
         self._completed[fingerprint] = at_s
@@ -238,6 +339,36 @@
             self._completed.popitem(last=False)
         return True
 
+    def is_cleared_by(
+        self, fingerprint: bytes, begun_s: float, now: float
+    ) -> bool:
+        """Whether a run that goes on clears a trait of a suspicion.
+
+        Args:
+          fingerprint: Fingerprint of the trait.
+          begun_s: Loop time at which the run began to produce output.
+          now: Loop time.
+        """
+        if now - begun_s < MIN_OUTLIVED_S or fingerprint not in self._keys:
+            return False
+        charged = self.charges(fingerprint)
+        if not charged or (
+            begun_s <= charged[0].at_s and fingerprint in self._completed
+        ):
+            return False
+        fuse_s = max(crash.shortest_s(fingerprint) for crash in charged)
+        return now - begun_s >= OUTLIVED_FACTOR * fuse_s
+
+    def was_running_briefly(self, fingerprint: bytes) -> bool:
+        """Whether a request had just begun at the latest crash that it met."""
+        crashes = [
+            self._crashes[key] for key in self._keys.get(fingerprint, ())
+        ]
+        if not crashes:
+            return False
+        latest = max(crashes, key=lambda crash: crash.at_s)
+        return latest.exposure_s(fingerprint) < MIN_OUTLIVED_S
+
     def expire(self, now: float) -> None:
         """Drops what is older than `RETENTION_S`."""
         oldest_s = now - RETENTION_S
@@ -249,15 +380,16 @@
                 del times[key]
 
     def charges(
-        self, fingerprint: bytes, culprits: Iterable[bytes] = ()
+        self, fingerprint: bytes, culprits: Iterable[Traits] = ()
     ) -> list[Crash]:
-        """Returns the crashes that a request may have caused, by time.
+        """Returns the crashes that a trait may have caused, by time.
 
         Args:
-          fingerprint: Fingerprint of the request.
-          culprits: Known culprits; their crashes count for nobody else.
+          fingerprint: Fingerprint of the trait.
+          culprits: Traits of known culprits; their crashes count for nobody
+            else but the traits that their own runs have.
         """
-        others = frozenset(culprits) - {fingerprint}
+        others = [one for one in culprits if fingerprint not in one]
         since_s = self._completed.get(fingerprint, -math.inf)
         crashes = (
             self._crashes[key] for key in self._keys.get(fingerprint, ())
@@ -265,20 +397,21 @@
         charged = (
             crash
             for crash in crashes
-            if crash.at_s > since_s and others.isdisjoint(crash.suspects)
+            if crash.at_s > since_s
+            and not _is_explained(crash, others, fingerprint)
         )
         return sorted(charged, key=lambda crash: crash.at_s)
 
     def culprits(
-        self, known: Iterable[bytes], now: float
-    ) -> Iterator[tuple[Suspect, list[Crash]]]:
-        """Yields the requests that are found to have caused crashes.
+        self, known: Iterable[Traits], now: float
+    ) -> Iterator[Verdict]:
+        """Yields the traits that are found to have caused crashes.
 
         Each of them explains its crashes before the next is looked for. At most
         `MAX_CULPRITS`; more may be found at the next call.
 
         Args:
-          known: Culprits that are known already.
+          known: Traits of culprits that are known already.
           now: Loop time.
         """
         found = set(known)
@@ -286,26 +419,40 @@
             candidate = self._culprit(found, now)
             if candidate is None:
                 return
-            found.add(candidate.fingerprint)
-            yield (
-                candidate.charged[-1].suspects[candidate.fingerprint],
-                candidate.charged,
+            found.add(candidate.traits)
+            yield Verdict(
+                candidate.traits, _label(candidate), candidate.charged
             )
 
-    def _culprit(self, known: set[bytes], now: float) -> _Candidate | None:
+    def _culprit(self, known: set[Traits], now: float) -> _Candidate | None:
+        explained = {
+            crash.key
+            for crash in self._crashes.values()
+            if _is_explained(crash, known)
+        }
         repeated = heapq.nlargest(
             MAX_CANDIDATES,
-            (one for one in self.repeated() if one not in known),
+            (
+                one
+                for one in self.repeated()
+                if frozenset([one]) not in known
+                and not self._keys[one] <= explained
+            ),
             key=lambda one: len(self._keys[one]),
         )
-        candidates = {
-            fingerprint: _Candidate(fingerprint, charged)
-            for fingerprint in repeated
-            if len(groups(charged := self.charges(fingerprint, known)))
-            >= MIN_CRASHES
-        }
+        candidates: dict[bytes, _Candidate] = {}
+        for fingerprint in repeated:
+            charged = self.charges(fingerprint, known)
+            if len(groups(charged)) < self._min_crashes(fingerprint):
+                continue
+            candidate = _Candidate(fingerprint, charged)
+            candidate.traits = self._unseparated(candidate)
+            if self._explains_more(candidate, explained) and not any(
+                one <= candidate.traits for one in known
+            ):
+                candidates[fingerprint] = candidate
         recent = [
-            (crash, _shortest_mean_s(crash, known, candidates))
+            (crash, _shortest_mean_s(crash, explained, candidates))
             for crash in self._crashes.values()
             if crash.at_s > now - RATE_WINDOW_S
         ]
@@ -324,13 +471,51 @@
         )
         return next(clear, None)
 
+    def _unseparated(self, candidate: _Candidate) -> Traits:
+        """Returns the traits that may have caused all of the same crashes."""
+        first_s = candidate.charged[0].at_s
+        found = frozenset(
+            one
+            for one in candidate.traits
+            if self._completed.get(one, -math.inf) < first_s
+        )
+        return found or frozenset([candidate.fingerprint])
+
+    def _min_crashes(self, fingerprint: bytes) -> int:
+        if fingerprint in self._completed:
+            return MIN_AMBIGUOUS_CRASHES
+        return MIN_CRASHES
+
+    def _explains_more(
+        self, candidate: _Candidate, explained: set[str]
+    ) -> bool:
+        """Whether a trait explains crashes that known culprits don't.
+
+        If they explain the others, it must have been followed by these as
+        quickly.
+        """
+        fingerprint = candidate.fingerprint
+        shortest_s = [
+            (crash.key in explained, crash.shortest_s(fingerprint))
+            for crash in candidate.charged
+        ]
+        fuse_s = max(
+            (span_s for is_known, span_s in shortest_s if is_known),
+            default=math.inf,
+        )
+        bound_s = max(MIN_OUTLIVED_S, OUTLIVED_FACTOR * fuse_s)
+        return any(
+            not is_known and span_s <= bound_s
+            for is_known, span_s in shortest_s
+        )
+
     def _chance(
         self, candidate: _Candidate, recent: list[tuple[Crash, float]]
     ) -> float:
-        """Returns how likely a request meets its crashes by chance.
+        """Returns how likely a trait meets its crashes by chance.
 
-        Upstreams crash without the request at some rate, which is taken for a
-        Poisson process; the request was exposed to it while it was running.
+        Upstreams crash without it at some rate, which is taken for a Poisson
+        process; requests with it were exposed to that while they were running.
         """
         mean = candidate.exposure_s * max(
             self._background_per_s(candidate, service, recent)
@@ -348,15 +533,15 @@
         service: str,
         recent: list[tuple[Crash, float]],
     ) -> float:
-        """Returns the crashes per second and upstream without a request.
+        """Returns the crashes per second and upstream without a trait.
 
-        Crashes that are explained at least as well by another request are left
+        Crashes that are explained at least as well by another one are left
         out: else two culprits would hide each other.
         """
         count = sum(
             crash.service == service
             and shortest_mean_s > candidate.mean_exposure_s
-            and candidate.fingerprint not in crash.suspects
+            and candidate.fingerprint not in crash.by_trait
             for crash, shortest_mean_s in recent
         )
         upstreams = max(1, self._upstream_count(service))
@@ -366,26 +551,46 @@
         crash = self._crashes.pop(key, None)
         if crash is None:
             return
-        for fingerprint in crash.suspects:
+        for fingerprint in crash.by_trait:
             keys = self._keys[fingerprint]
             keys.discard(key)
             if not keys:
                 del self._keys[fingerprint]
 
 
+def _is_explained(
+    crash: Crash, culprits: Iterable[Traits], fingerprint: bytes | None = None
+) -> bool:
+    """Whether culprits explain a crash, by runs without a trait."""
+    return any(
+        fingerprint is None or fingerprint not in one.shared
+        for traits in culprits
+        for one in crash.matching(traits)
+    )
+
+
+def _label(candidate: _Candidate) -> str:
+    labels = (
+        one.label
+        for crash in reversed(candidate.charged)
+        for one in crash.matching(candidate.traits)
+    )
+    return next(filter(None, labels), '')
+
+
 def _shortest_mean_s(
-    crash: Crash, known: set[bytes], candidates: dict[bytes, _Candidate]
+    crash: Crash, explained: set[str], candidates: dict[bytes, _Candidate]
 ) -> float:
     """Returns the shortest mean exposure of those that explain a crash.
 
     It is 0 for known culprits, and infinite if nothing explains the crash.
     """
-    if not known.isdisjoint(crash.suspects):
+    if crash.key in explained:
         return 0.0
     return min(
         (
             candidates[fingerprint].mean_exposure_s
-            for fingerprint in crash.suspects
+            for fingerprint in crash.by_trait
             if fingerprint in candidates
         ),
         default=math.inf,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/in_flight.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/in_flight.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -38,6 +38,15 @@
         """Returns for how long it has been running, as far as is known."""
         return now - (self.sent_s if self.begun_s is None else self.begun_s)
 
+    @property
+    def wrote_s(self) -> float | None:
+        """Loop time at which the body of the response began; None before."""
+        return None if self.begun_s is None else self.conn.body_since_s
+
+    def has_outlived(self, span_s: float, now: float) -> bool:
+        """Whether it has been producing output for longer than a time."""
+        return self.wrote_s is not None and now - self.wrote_s > span_s
+
 
 class InFlight:
     """Index of the requests in flight."""
@@ -53,21 +62,17 @@
         """Removes a request whose response has ended."""
         self._runs.discard(run)
 
-    def with_fingerprint(self, fingerprint: bytes) -> Iterator[Run]:
-        """Yields the requests in flight that have a fingerprint."""
-        return (
-            run
-            for run in list(self._runs)
-            if run.exchange.fingerprint == fingerprint
-        )
+    def writing(self) -> list[Run]:
+        """Returns the requests whose response body has begun."""
+        return [run for run in self._runs if run.wrote_s is not None]
 
-    def abort(self, fingerprint: bytes) -> int:
+    def abort(self, selects: Callable[[Run], bool]) -> int:
         """Closes the connections of requests, which ends their runs.
 
         Returns:
           Number of requests whose connection was closed.
         """
-        runs = list(self.with_fingerprint(fingerprint))
+        runs = [run for run in self._runs if selects(run)]
         for run in runs:
             run.aborted = True
             run.conn.abort()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
@@ -14,8 +14,7 @@
 
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.fleet import quota
-from quetzalsill_gateway.quarantine import fingerprint as fingerprint_lib
-from quetzalsill_gateway.quarantine import table
+from quetzalsill_gateway.quarantine import table, trait
 
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import members as members_lib
@@ -108,7 +107,7 @@
 
 def _encode(entry: table.Entry, now: float) -> dict[str, Any]:
     wall = time.time()
-    return {
+    row = {
         'fingerprint': entry.fingerprint.hex(),
         'version': entry.version,
         'active': entry.is_active,
@@ -119,16 +118,18 @@
         'upstreams': list(entry.upstreams),
         'reason': entry.reason,
     }
+    if entry.companions:
+        row['companions'] = [one.hex() for one in entry.companions]
+    return row
 
 
 def _decode(row: Any) -> table.Entry | None:
     """Returns the entry in a row, None if it is malformed."""
     offset_s = asyncio.get_running_loop().time() - time.time()
     try:
-        found = bytes.fromhex(row['fingerprint'])
+        found = trait.check(bytes.fromhex(row['fingerprint']))
+        companions = map(bytes.fromhex, row.get('companions', ()))
         since_s, until_s = float(row['since']), float(row['until'])
-        if len(found) != fingerprint_lib.LENGTH:
-            raise ValueError('invalid fingerprint')
         if not abs(until_s - since_s) < MAX_TIME_S:
             raise ValueError('invalid time')
         return table.Entry(
@@ -141,6 +142,7 @@
             label=str(row['label']),
             upstreams=tuple(map(str, row['upstreams'])),
             reason=str(row['reason']),
+            companions=tuple(map(trait.check, companions)),
         )
     except DECODE_ERRORS as exc:
         event.note(event.EntryInvalid('quarantine', repr(exc)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import quota, upstream
-from quetzalsill_gateway.quarantine import evidence, table
+from quetzalsill_gateway.quarantine import evidence, table, trait
 from quetzalsill_gateway.quarantine import update as update_lib
 
 if TYPE_CHECKING:
@@ -22,12 +22,15 @@
 
 # Time for the other gateways' reports of a crash to arrive, before a request is
 # found to have caused it.
-SETTLE_S = 0.3
+SETTLE_S = 0.15
 # Longest time for which a broken-off request waits for that.
 MAX_VERDICT_WAIT_S = 0.6
 VERDICT_POLL_S = 0.01
-# After this many crashes a request waits until the next one is understood.
+# After this many crashes that it may have caused, a request that broke off is
+# not sent again until it is cleared.
 SUSPICIOUS_CRASHES = 2
+# How often runs are examined for those that outlived a crash.
+REVIEW_S = 0.1
 # How long a probe is up to one gateway; then it is another's turn.
 PROBE_TURN_S = 10.0
 # When a caller may retry while the probe is up to another gateway.
@@ -69,6 +72,7 @@
         self._on_crash: Callable[[], None] = lambda: None
         self._judged: dict[bytes, int] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._has_crashes = asyncio.Event()
 
     @property
     def is_active(self) -> bool:
@@ -77,7 +81,7 @@
 
     @property
     def entries(self) -> list[table.Entry]:
-        """The quarantined requests."""
+        """Entries of the traits whose requests are refused."""
         return self._table.active
 
     def set_announcer(
@@ -108,29 +112,39 @@
           None if it may; otherwise the time in seconds after which it may be
           sent again.
         """
-        entry = self._table.get(exchange.fingerprint) if self._table else None
-        if entry is None:
+        entries = self._matching(exchange)
+        if not entries:
             return None
         now = _now()
-        if now < entry.until_s:
-            return entry.until_s - now
-        if not self._has_turn(entry, now):
+        until_s = max(entry.until_s for entry in entries)
+        if now < until_s:
+            return until_s - now
+        if not self._has_turn(entries[0], now):
             return PROBE_RETRY_AFTER_S
         exchange.is_probe = True
-        self._publish(self._table.begin_probe(entry, now))
+        for entry in entries:
+            self._publish(self._table.begin_probe(entry, now))
         return None
 
     def rejects(self, exchange: exchange_lib.Exchange) -> bool:
-        """Whether a request must not be sent to an upstream now."""
-        if not self._table or self._table.get(exchange.fingerprint) is None:
+        """Whether a request must not be sent to an upstream now.
+
+        If so, sets when its caller is to retry.
+        """
+        entries = self._matching(exchange)
+        if not entries or (exchange.is_probe and not exchange.sends):
             return False
-        return not (exchange.is_probe and not exchange.sends)
+        until_s = max(entry.until_s for entry in entries)
+        exchange.retry_after_s = max(PROBE_RETRY_AFTER_S, until_s - _now())
+        return True
 
     def is_charged(self, exchange: exchange_lib.Exchange) -> bool:
         """Whether a request may have caused a crash."""
         if not self._evidence:
             return False
-        return bool(self._charges(exchange.fingerprint))
+        return bool(self._charges(exchange.fingerprint)) or self._is_suspicious(
+            exchange
+        )
 
     async def may_resend(
         self,
@@ -139,30 +153,25 @@
     ) -> bool:
         """Whether a request that broke off may be sent once more.
 
-        One that has met several crashes waits until it is known why it broke
-        off this time.
+        One that may have caused a crash before waits until it is known why it
+        broke off this time. One that had just begun when it met a crash, and
+        may have caused several, is not sent again unless it is cleared.
 
         Args:
           exchange: The request.
           is_checking: Whether it is not known yet why a request broke off.
         """
-        fingerprint = exchange.fingerprint
         end_s = _now() + MAX_VERDICT_WAIT_S
         while _now() < end_s and (  # noqa: ASYNC110
-            self._is_undecided(fingerprint)
+            self._is_undecided(exchange)
+            or self._may_crash_again(exchange)
             or (
-                is_checking(fingerprint)
-                and len(self._charges(fingerprint)) >= SUSPICIOUS_CRASHES
+                is_checking(exchange.fingerprint)
+                and any(map(self._charges, exchange.traits))
             )
         ):
             await asyncio.sleep(VERDICT_POLL_S)
-        if not self.rejects(exchange):
-            return True
-        entry = self._table.get(fingerprint)
-        exchange.retry_after_s = max(
-            PROBE_RETRY_AFTER_S, entry.until_s - _now()
-        )
-        return False
+        return not (self.rejects(exchange) or self._may_crash_again(exchange))
 
     def record_crash(self, crash: evidence.Crash) -> None:
         """Applies a crash that this gateway has detected."""
@@ -170,15 +179,58 @@
             self._send(update_lib.split([crash], (), (), ()))
             self._on_crash()
 
-    def record_completion(self, exchange: exchange_lib.Exchange) -> None:
-        """Records that an upstream has answered a request."""
-        fingerprint = exchange.fingerprint
-        is_news = self._evidence.charges(fingerprint)
-        if not is_news and self._table.get(fingerprint) is None:
-            return
-        now = _now()
-        self._apply_completion(fingerprint, now)
-        self._send(update_lib.split((), (), [(fingerprint, now)], ()))
+    def record_completion(
+        self,
+        exchange: exchange_lib.Exchange,
+        begun_s: float | None = None,
+        *,
+        is_served: bool = True,
+    ) -> None:
+        """Records that an upstream has answered a request.
+
+        Args:
+          exchange: The request.
+          begun_s: Loop time at which the response began; None for now.
+          is_served: Whether the response was a success; if not, it shows
+            nothing about traits that other requests have too.
+        """
+        found = exchange.traits if is_served else (exchange.fingerprint,)
+        self._record_sound(found, _now() if begun_s is None else begun_s)
+
+    async def review_runs(self) -> None:
+        """Looks for runs that outlived a crash, until cancelled.
+
+        Requests that share a trait with those are cleared of a suspicion long
+        before a generation ends.
+        """
+        while True:
+            await self._has_crashes.wait()
+            now = _now()
+            for run in self._runs.writing():
+                self._record_sound(
+                    (
+                        one
+                        for one in run.exchange.traits
+                        if self._evidence.is_cleared_by(one, run.wrote_s, now)
+                    ),
+                    run.wrote_s,
+                )
+            if not self._evidence:
+                self._has_crashes.clear()
+            await asyncio.sleep(REVIEW_S)
+
+    def _record_sound(
+        self, fingerprints: Iterable[bytes], begun_s: float
+    ) -> None:
+        """Records traits of a run that did not crash its upstream."""
+        news = [
+            (one, begun_s)
+            for one in fingerprints
+            if self._evidence.charges(one) or self._table.involves(one)
+        ]
+        for fingerprint, at_s in news:
+            self._apply_completion(fingerprint, at_s)
+        self._send(update_lib.split((), (), news, ()))
 
     def record_answer(
         self, upstream: upstream_lib.Upstream, sent_s: float
@@ -198,9 +250,11 @@
             return False
         now = _now()
         # The crashes before must not bring it back.
-        self._evidence.record_completion(fingerprint, now)
+        cleared = [(one, now) for one in entry.traits]
+        for one, at_s in cleared:
+            self._evidence.record_completion(one, at_s)
         self._lift(entry, 'operator')
-        self._send(update_lib.split((), (), [(fingerprint, now)], ()))
+        self._send(update_lib.split((), (), cleared, ()))
         return True
 
     def receive(self, update: update_lib.QuarantineUpdate) -> None:
@@ -243,44 +297,78 @@
     def _apply_crash(self, crash: evidence.Crash) -> bool:
         if not self._evidence.add(crash):
             return False
-        for fingerprint in crash.suspects:
-            entry = self._table.get(fingerprint)
+        self._has_crashes.set()
+        for entry in self._table.active:
             if (
-                entry is not None
-                and entry.probe_s is not None
+                entry.probe_s is not None
                 and crash.at_s >= entry.probe_s
+                and any(crash.matching(entry.traits))
             ):
                 self._publish(self._table.fail_probe(entry, _now()))
-        self._schedule_verdict(crash)
+        self._schedule_verdict(crash.by_trait)
         return True
 
     def _apply_completion(self, fingerprint: bytes, at_s: float) -> None:
-        self._evidence.record_completion(fingerprint, at_s)
-        entry = self._table.get(fingerprint)
-        if entry is not None and at_s > entry.since_s:
-            self._lift(entry, 'completed')
+        count = len(self._evidence.charges(fingerprint))
+        if not self._evidence.record_completion(fingerprint, at_s):
+            return
+        is_cleared = count and not self._evidence.charges(fingerprint)
+        for entry in self._table.active:
+            if fingerprint not in entry.traits or not (
+                is_cleared or at_s > entry.since_s
+            ):
+                continue
+            if fingerprint in entry.companions:
+                wider = self._table.widen(entry, fingerprint)
+                self._enforce(wider, '')
+                self._publish(wider)
+            else:
+                self._lift(entry, 'completed')
+        if is_cleared and count >= evidence.MIN_CRASHES:
+            # Another trait explains the crashes, which were ambiguous before.
+            self._judged.clear()
+            self._schedule_verdict(self._evidence.repeated())
 
     def _apply_alive(self, key: str, at_s: float) -> None:
         if not self._evidence.record_alive(key, at_s):
             return
         event.note(event.CrashRefuted(key.partition(upstream.KEY_SEPARATOR)[0]))
 
+    def _matching(self, exchange: exchange_lib.Exchange) -> list[table.Entry]:
+        """Returns the entries by which a request is refused."""
+        if not self._table:
+            return []
+        return list(self._table.matching(exchange.traits))
+
     def _charges(self, fingerprint: bytes) -> list[list[evidence.Crash]]:
-        culprits = (one.fingerprint for one in self._table.active)
+        culprits = [one.traits for one in self._table.active]
         return evidence.groups(self._evidence.charges(fingerprint, culprits))
 
-    def _is_undecided(self, fingerprint: bytes) -> bool:
-        return (
-            self._timer is not None
-            and self._table.get(fingerprint) is None
-            and len(self._charges(fingerprint)) >= evidence.MIN_CRASHES
+    def _is_undecided(self, exchange: exchange_lib.Exchange) -> bool:
+        return self._timer is not None and any(
+            self._table.get(one) is None
+            and len(self._charges(one)) >= evidence.MIN_CRASHES
+            for one in exchange.traits
         )
 
-    def _schedule_verdict(self, crash: evidence.Crash) -> None:
-        """Schedules a verdict if a request has met enough crashes."""
+    def _is_suspicious(self, exchange: exchange_lib.Exchange) -> bool:
+        """Whether a request may have caused several crashes."""
+        return any(
+            len(self._charges(one)) >= SUSPICIOUS_CRASHES
+            for one in exchange.traits
+        )
+
+    def _may_crash_again(self, exchange: exchange_lib.Exchange) -> bool:
+        """Whether a request that broke off may crash the next upstream."""
+        return self._evidence.was_running_briefly(
+            exchange.fingerprint
+        ) and self._is_suspicious(exchange)
+
+    def _schedule_verdict(self, fingerprints: Iterable[bytes]) -> None:
+        """Schedules a verdict if one of some traits has met enough crashes."""
         if self._timer is not None:
             return
-        for fingerprint in crash.suspects:
+        for fingerprint in fingerprints:
             if not self._evidence.is_repeated(fingerprint):
                 continue
             count = len(self._charges(fingerprint))
@@ -292,35 +380,46 @@
                 return
 
     def _judge(self) -> None:
-        """Puts the requests in quarantine that are found to cause crashes."""
+        """Puts the traits in quarantine that are found to cause crashes."""
         self._timer = None
         now = _now()
-        known = [one.fingerprint for one in self._table.active]
-        for suspect, charged in self._evidence.culprits(known, now):
-            keys = [crash.key for crash in charged[-MAX_LISTED_UPSTREAMS:]]
-            ids = (key.partition(upstream.KEY_SEPARATOR)[0] for key in keys)
+        known = [one.traits for one in self._table.active]
+        for verdict in self._evidence.culprits(known, now):
+            keys = [crash.key for crash in verdict.charged]
+            ids = (
+                key.partition(upstream.KEY_SEPARATOR)[0]
+                for key in keys[-MAX_LISTED_UPSTREAMS:]
+            )
+            fingerprint, *companions = sorted(verdict.traits)
             entry = self._table.add(
-                suspect.fingerprint, _label(suspect, charged), tuple(ids), now
+                fingerprint, verdict.label, tuple(ids), now, tuple(companions)
             )
             self._enforce(entry, '')
             self._publish(entry)
-            self._lift_explained(suspect.fingerprint)
+            self._lift_explained(entry)
         self._judged = {
             fingerprint: len(self._charges(fingerprint))
             for fingerprint in self._evidence.repeated()
         }
 
-    def _lift_explained(self, culprit: bytes) -> None:
+    def _lift_explained(self, culprit: table.Entry) -> None:
         """Lifts entries whose crashes another culprit explains better."""
-        explained = {crash.key for crash in self._evidence.charges(culprit, ())}
+        explained = self._crashed_by(culprit)
         for entry in self._table.active:
-            charged = self._evidence.charges(entry.fingerprint, ())
-            keys = {crash.key for crash in charged}
+            keys = self._crashed_by(entry)
             if keys and keys < explained and not entry.failed_probes:
                 self._lift(entry, 'explained')
 
+    def _crashed_by(self, entry: table.Entry) -> set[str]:
+        """Returns the keys of the upstreams that an entry's requests met."""
+        return {
+            crash.key
+            for crash in self._evidence.charges(entry.fingerprint)
+            if any(crash.matching(entry.traits))
+        }
+
     def _enforce(self, entry: table.Entry, sender: str) -> None:
-        """Stops the runs of a request that has been quarantined."""
+        """Stops the runs of requests that have been quarantined."""
         event.note(
             event.RequestQuarantined(
                 fingerprint=entry.fingerprint.hex(),
@@ -329,15 +428,29 @@
                 for_s=round(max(0.0, entry.until_s - _now()), 1),
                 failed_probes=entry.failed_probes,
                 source=sender,
-                stopped=self._runs.abort(entry.fingerprint)
-                if entry.probe_s is None
-                else 0,
+                stopped=self._stop_runs(entry) if entry.probe_s is None else 0,
+                trait=trait.describe((entry.fingerprint, *entry.companions)),
+            )
+        )
+
+    def _stop_runs(self, entry: table.Entry) -> int:
+        """Ends runs that may still crash their upstream; returns how many."""
+        now = _now()
+        return self._runs.abort(
+            lambda run: (
+                entry.traits.issubset(run.exchange.traits)
+                and not run.has_outlived(evidence.MIN_OUTLIVED_S, now)
             )
         )
 
     def _lift(self, entry: table.Entry, reason: str) -> None:
         event.note(
-            event.QuarantineLifted(entry.fingerprint.hex(), entry.label, reason)
+            event.QuarantineLifted(
+                entry.fingerprint.hex(),
+                entry.label,
+                reason,
+                trait.describe((entry.fingerprint, *entry.companions)),
+            )
         )
         self._publish(self._table.lift(entry, reason, _now()))
 
@@ -356,11 +469,5 @@
             self._announce(dataclasses.replace(one, sender=self._members.node))
 
 
-def _label(suspect: evidence.Suspect, charged: list[evidence.Crash]) -> str:
-    """Returns the label of a request; empty if this gateway never ran it."""
-    labels = (crash.suspects[suspect.fingerprint].label for crash in charged)
-    return next(filter(None, labels), '')
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
@@ -1,13 +1,14 @@
-"""Requests that are refused because they crash upstreams.
+"""Traits whose requests are refused because they crash upstreams.
 
-A quarantine ends by itself, so that a request is served again once the fault
-that it met is fixed: after a while one gateway lets it through, as a probe.
+A quarantine ends by itself, so that requests are served again once the fault
+that they met is fixed: after a while one gateway lets one through, as a probe.
 If that crashes an upstream too, the quarantine lasts longer than before.
 """
 
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable, Iterator
 
 __all__ = ['Entry', 'QuarantineTable']
 
@@ -26,12 +27,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Entry:
-    """A request that is, or was, in quarantine.
+    """A trait whose requests are, or were, in quarantine.
 
     Attributes:
-      fingerprint: Fingerprint of the request.
+      fingerprint: Fingerprint of the trait.
       version: Grows with each change; the highest one applies.
-      is_active: Whether the request is refused.
+      is_active: Whether the requests are refused.
       since_s: Loop time at which the quarantine began.
       until_s: Loop time from which a probe may be made.
       failed_probes: Number of probes that crashed an upstream.
@@ -39,6 +40,8 @@
       label: Route, client account and path, for operators.
       upstreams: Upstreams that it crashed; the newest, if they are many.
       reason: Why it was lifted; empty while it is active.
+      companions: Fingerprints of traits that a request must have as well to be
+        refused: they could not be told apart from the first one.
     """
 
     fingerprint: bytes
@@ -51,6 +54,26 @@
     label: str = ''
     upstreams: tuple[str, ...] = ()
     reason: str = ''
+    companions: tuple[bytes, ...] = ()
+
+    @property
+    def traits(self) -> frozenset[bytes]:
+        """Fingerprints of all traits that a refused request has."""
+        return frozenset((self.fingerprint, *self.companions))
+
+    @property
+    def rank(self) -> tuple[int, bool, int, tuple[bytes, ...]]:
+        """Order of two entries of the same trait; the highest one applies.
+
+        Of two of the same version, which two gateways have made independently,
+        the active one applies, and then the one that rests on more crashes.
+        """
+        return (
+            self.version,
+            self.is_active,
+            -len(self.companions),
+            self.companions,
+        )
 
 
 class QuarantineTable:
@@ -58,6 +81,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[bytes, Entry] = {}
+        # Traits of active entries; None if they are to be collected again.
+        self._involved: frozenset[bytes] | None = None
 
     def __bool__(self) -> bool:
         """Whether any entry is known."""
@@ -70,22 +95,41 @@
 
     @property
     def active(self) -> list[Entry]:
-        """Entries of requests that are refused."""
+        """Entries of traits whose requests are refused."""
         return [one for one in self._entries.values() if one.is_active]
 
     def get(self, fingerprint: bytes) -> Entry | None:
-        """Returns the active entry of a request, None if it has none."""
+        """Returns the active entry of a trait, None if it has none."""
         found = self._entries.get(fingerprint)
         return found if found is not None and found.is_active else None
 
+    def involves(self, fingerprint: bytes) -> bool:
+        """Whether a trait belongs to any active entry."""
+        if self._involved is None:
+            self._involved = frozenset().union(*(e.traits for e in self.active))
+        return fingerprint in self._involved
+
+    def matching(self, fingerprints: Iterable[bytes]) -> Iterator[Entry]:
+        """Yields the active entries by which a request is refused.
+
+        Args:
+          fingerprints: Fingerprints of all traits of the request.
+        """
+        known = set(fingerprints)
+        for fingerprint in known & self._entries.keys():
+            entry = self._entries[fingerprint]
+            if entry.is_active and known.issuperset(entry.companions):
+                yield entry
+
     def add(
         self,
         fingerprint: bytes,
         label: str,
         upstreams: tuple[str, ...],
         now: float,
+        companions: tuple[bytes, ...] = (),
     ) -> Entry:
-        """Puts a request in quarantine and returns its entry."""
+        """Puts requests with a trait in quarantine and returns its entry."""
         known = self._entries.get(fingerprint)
         failed = known.failed_probes if known else 0
         return self._store(
@@ -98,9 +142,15 @@
                 failed,
                 label=label,
                 upstreams=upstreams,
+                companions=companions,
             )
         )
 
+    def widen(self, entry: Entry, companion: bytes) -> Entry:
+        """Records that one of the companions is not needed."""
+        left = tuple(one for one in entry.companions if one != companion)
+        return self._update(entry, companions=left)
+
     def begin_probe(self, entry: Entry, now: float) -> Entry:
         """Records that a request is let through once."""
         return self._update(entry, until_s=now + PROBE_S, probe_s=now)
@@ -122,16 +172,9 @@
         )
 
     def merge(self, entry: Entry) -> bool:
-        """Applies the entry of another gateway; returns whether it was newer.
-
-        Of two entries of the same version, which two gateways have made
-        independently, the active one applies.
-        """
+        """Applies another gateway's entry; returns whether it was newer."""
         known = self._entries.get(entry.fingerprint)
-        if known is not None and (known.version, known.is_active) >= (
-            entry.version,
-            entry.is_active,
-        ):
+        if known is not None and known.rank >= entry.rank:
             if not known.label and entry.label:
                 self._store(dataclasses.replace(known, label=entry.label))
             return False
@@ -146,6 +189,7 @@
             )
             if now > entry.until_s + kept_s:
                 del self._entries[entry.fingerprint]
+                self._involved = None
 
     def _update(self, entry: Entry, **changes: object) -> Entry:
         return self._store(
@@ -158,6 +202,7 @@
             oldest = min(self._entries.values(), key=lambda one: one.since_s)
             del self._entries[oldest.fingerprint]
         self._entries[entry.fingerprint] = entry
+        self._involved = None
         return entry
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -281,6 +281,7 @@
             'readiness': self.readiness.enforce_timeouts,
             'lookout': lambda: engine_poll.run(self.core),
             'versions': self._version_history.run,
+            'outlived': self.core.quarantine.review_runs,
         }
         if self._settings.peers:
             await self.peers.open(settings_lib.address(self._settings.peers))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -156,7 +156,7 @@
     end_s = (
         req.request.received_s + CONNECTION_WAIT_SHARE * req.route.objective_s
     )
-    while True:
+    while not core.quarantine.rejects(req):
         candidates = core.upstreams.available(req.service.name, req.regions)
         accepting = list(choose.accepting_work(candidates, progress.tried))
         ahead = 0
@@ -179,6 +179,7 @@
         if not accepting:
             return None
         await asyncio.sleep(CONNECTION_POLL_S)
+    return None
 
 
 def _retry_after_s(
--- a/tests/quetzalsill_gateway/quarantine/test_detector.py
+++ b/tests/quetzalsill_gateway/quarantine/test_detector.py
@@ -17,6 +17,7 @@
     """Returns a request in flight at an upstream."""
     exchange = types.SimpleNamespace(
         fingerprint=fingerprint,
+        traits=(fingerprint,),
         account=b'depot',
         route=types.SimpleNamespace(name='plan'),
         request=types.SimpleNamespace(path=b'/plan/1'),
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -31,7 +31,8 @@
 
 def culprits(found, now, known=()):
     """Returns the names of the culprits that are found."""
-    return [s.fingerprint.decode() for s, _ in found.culprits(known, now)]
+    verdicts = found.culprits([frozenset([one]) for one in known], now)
+    return [name.decode() for one in verdicts for name in sorted(one.traits)]
 
 
 class AttributionTest(unittest.TestCase):
--- a/tests/quetzalsill_gateway/quarantine/test_quarantine.py
+++ b/tests/quetzalsill_gateway/quarantine/test_quarantine.py
@@ -80,7 +80,9 @@
 
 def exchange(found=BAD):
     """Returns a request that has not been sent."""
-    return types.SimpleNamespace(fingerprint=found, is_probe=False, sends=0)
+    return types.SimpleNamespace(
+        fingerprint=found, traits=(found,), is_probe=False, sends=0
+    )
 
 
 class ProbeTest(unittest.TestCase):
