Soak: requests with a part of their prompts that crashes engines

One or two parts, first or in the middle, at 1 to 20 a second, beside sound streams that share the other parts, the repeated request of before and all other faults. Checked: three requests at most reach engines 3 s after the fifth crash by a part, and no sound stream is refused as if it crashed engines.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
@@ -64,6 +64,7 @@
             f'{result.streams} streams, {result.mixed} mixed, '
             f'{result.taken_up} taken up, {result.went_on:.2f} go on, '
             f'{result.began:.2f} begin, refused {result.refusals}, '
+            f'{result.ended_by_parts} engines ended by parts, '
             f'{len(result.violations)} violations'
         )
         for line in result.violations:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
@@ -30,7 +30,9 @@
     'upstreams_in_log',
     'find_unexpected_log_lines',
     'find_config_rollbacks',
+    'find_crashing_part_sends',
     'find_crashing_sends',
+    'find_refused_streams',
     'find_sends_in_pauses',
     'find_sends_to_leaving',
     'find_mixed_streams',
@@ -50,6 +52,8 @@
 # more, this long after the last of these crashes.
 MAX_CRASHES = 3
 MAX_CRASHING_SENDS = 3
+# The same for different requests with one part in their prompts that does.
+MAX_PART_CRASHES = 5
 STABLE_WINDOW_S = 3.0
 QUARANTINED = b'quarantined\n'
 # What a server that names a limit may get within a window.
@@ -174,20 +178,28 @@
 
 
 def find_crashing_sends(
-    testbed: testbed_lib.Testbed, gateway_by_request: dict[str, str]
+    testbed: testbed_lib.Testbed,
+    gateway_by_request: dict[str, str],
+    times_s: Sequence[float] | None = None,
+    max_crashes: int = MAX_CRASHES,
+    what: str = 'a request',
 ) -> Iterator[str]:
-    """Yields a line if a request that crashes engines was sent too often.
+    """Yields a line if requests that crash engines were sent too often.
 
     Gateways that were down, paused or stopping shortly before are excused.
 
     Args:
       testbed: Engines and gateways.
-      gateway_by_request: Gateway by id of each request that crashes engines.
+      gateway_by_request: Gateway by id of each of these requests.
+      times_s: Loop times of the crashes; all that requests have caused if None.
+      max_crashes: Number of crashes after which they are known.
+      what: What they have in common.
     """
-    times_s = testbed.fleet.crash_times_s
-    if len(times_s) < MAX_CRASHES:
+    if times_s is None:
+        times_s = testbed.fleet.crash_times_s
+    if len(times_s) < max_crashes:
         return
-    since_s = times_s[MAX_CRASHES - 1] + STABLE_WINDOW_S
+    since_s = times_s[max_crashes - 1] + STABLE_WINDOW_S
     gateways = {one.name: one for one in testbed.gateways}
     late = [
         one
@@ -200,8 +212,39 @@
     ]
     if len(late) > MAX_CRASHING_SENDS:
         yield (
-            f'a request that crashes engines reached {len(late)} engines after '
-            f'it had crashed {MAX_CRASHES}; {len(times_s)} crashed in all'
+            f'{what} that crashes engines reached {len(late)} engines after '
+            f'it had crashed {max_crashes}; {len(times_s)} crashed in all'
+        )
+
+
+def find_crashing_part_sends(
+    testbed: testbed_lib.Testbed, sends_by_part: dict[str, dict[str, str]]
+) -> Iterator[str]:
+    """Yields a line for each part that reached engines too often."""
+    for part, sends in sends_by_part.items():
+        yield from find_crashing_sends(
+            testbed,
+            sends,
+            testbed.fleet.part_crash_times_s.get(part, ()),
+            MAX_PART_CRASHES,
+            f'the part {part}',
+        )
+
+
+def find_refused_streams(
+    streams: Iterable[resuming.StreamRecord],
+) -> Iterator[str]:
+    """Yields the sound streams that were refused as if they crashed engines."""
+    refused = [
+        one.request_id
+        for stream in streams
+        for one in stream.attempts
+        if one.reason == QUARANTINED.decode()
+    ]
+    if refused:
+        yield (
+            f'{len(refused)} sound streams were refused as if they crashed '
+            f'engines, {refused[0]} the first'
         )
 
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import math
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import TYPE_CHECKING
 
 from quetzalsill_dev.soak import checks, plan
@@ -39,6 +40,10 @@
 IMMEDIATE_REWRITE_SHARES = (0.0, 0.5, 1.0)
 # A request that crashes engines is repeated at this interval.
 CRASHING_INTERVAL_S = 0.15
+# Requests with a part that crashes engines come at one of these intervals.
+CRASHING_PART_INTERVALS_S = (0.05, 0.15, 0.3, 0.8)
+# One in this many seeds has two such parts.
+TWO_PARTS_STRIDE = 3
 # A crashed engine is back after this time, and its old entry lapses.
 ENGINE_RESTART_S = 0.7
 # Limits that servers name, in requests a second.
@@ -57,6 +62,7 @@
 
     Attributes:
       crashing_sends: Gateway by id of each request that crashes engines.
+      crashing_part_sends: The same for each part of a prompt that does.
       limited: Servers that named a limit.
       disrupted: Disruptions of links to upstreams.
 
@@ -78,6 +84,7 @@
         self._rolls_back = rolls_back
         self._tasks: set[asyncio.Task[None]] = set()
         self.crashing_sends: dict[str, str] = {}
+        self.crashing_part_sends: dict[str, dict[str, str]] = {}
         self.limited: list[checks.LimitedServer] = []
         self.disrupted: list[checks.Disruption] = []
         testbed.fleet.on_crash = self._restart_engine
@@ -112,6 +119,7 @@
             fault.DRILL: self._drill,
             fault.RESET_ON_START: self._reset_on_start,
             fault.CRASHING_REQUEST: self._repeat_crashing_request,
+            fault.CRASHING_PARTS: self._send_crashing_parts,
             fault.SERVER_LIMIT: self._name_limits,
             fault.LEAVING_RESPONSE: self._leave_by_response,
             fault.SERVER_PAUSE: self._ask_for_pauses,
@@ -347,18 +355,45 @@
     async def _repeat_crashing_request(self, injection: plan.Injection) -> None:
         """Repeats a request that crashes engines, with new ids, anywhere."""
         rng = random.Random(injection.target)
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + injection.duration_s
-        sends = []
-        while loop.time() < end_s:
-            gateway = rng.choice(self._testbed.gateways)
-            request_id = f'c{len(sends):015x}'
-            self.crashing_sends[request_id] = gateway.name
-            sends.append(
-                asyncio.create_task(_send_crashing(gateway, request_id))
-            )
-            await asyncio.sleep(CRASHING_INTERVAL_S)
-        await asyncio.gather(*sends)
+        async with asyncio.TaskGroup() as group:
+            async for number in _every(
+                CRASHING_INTERVAL_S, injection.duration_s
+            ):
+                gateway = rng.choice(self._testbed.gateways)
+                request_id = f'c{number:015x}'
+                self.crashing_sends[request_id] = gateway.name
+                group.create_task(
+                    _send_crashing(
+                        gateway, request_id, testbed_lib.CRASHING_BODY
+                    )
+                )
+
+    async def _send_crashing_parts(self, injection: plan.Injection) -> None:
+        """Sends different requests with a part that crashes engines."""
+        rng = random.Random(injection.target)
+        count = 1 + (injection.target % TWO_PARTS_STRIDE == 0)
+        parts = testbed_lib.CRASHING_PARTS[:count]
+        interval_s = rng.choice(CRASHING_PART_INTERVALS_S)
+        async with asyncio.TaskGroup() as group:
+            async for number in _every(interval_s, injection.duration_s):
+                gateway = rng.choice(self._testbed.gateways)
+                part = rng.choice(parts)
+                request_id = f'd{number:015x}'
+                sends = self.crashing_part_sends.setdefault(part, {})
+                sends[request_id] = gateway.name
+                shared = (
+                    (part, rng.choice(testbed_lib.SOUND_PARTS))
+                    if injection.variant == 'first'
+                    else (testbed_lib.COMMON_PART, part)
+                )
+                group.create_task(
+                    _send_crashing(
+                        gateway,
+                        request_id,
+                        b'prompt %d' % number,
+                        testbed_lib.parts_header(*shared, f'e{number:x}'),
+                    )
+                )
 
     async def _name_limits(self, injection: plan.Injection) -> None:
         """Has all plain servers, or all but one, name a limit for a while."""
@@ -479,14 +514,31 @@
             await self._testbed.remove_upstream(upstream)
 
 
-async def _send_crashing(gateway: testbed_lib.Gateway, request_id: str) -> None:
+async def _every(interval_s: float, duration_s: float) -> AsyncIterator[int]:
+    """Yields numbers at an interval, for a while."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + duration_s
+    for number in itertools.count():
+        if loop.time() >= end_s:
+            return
+        yield number
+        await asyncio.sleep(interval_s)
+
+
+async def _send_crashing(
+    gateway: testbed_lib.Gateway,
+    request_id: str,
+    body: bytes,
+    headers: dict[str, str] | None = None,
+) -> None:
     conn = caller.Caller('127.0.0.1', gateway.relay.port)
     with contextlib.suppress(TimeoutError, OSError):
         async with asyncio.timeout(STOP_TIMEOUT_S):
             await conn.request(
                 '/verdict/crashing',
                 method='POST',
-                body=testbed_lib.CRASHING_BODY,
+                body=body,
                 request_id=request_id,
+                headers=headers,
             )
     conn.disconnect()
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
@@ -6,13 +6,10 @@
 import dataclasses
 import itertools
 import random
-from typing import TYPE_CHECKING
 
+from quetzalsill_dev.soak import testbed as testbed_lib
 from quetzalsill_dev.users_platform import caller, engine, resuming
 
-if TYPE_CHECKING:
-    from quetzalsill_dev.soak import testbed as testbed_lib
-
 __all__ = ['REQUEST_KINDS', 'LoadGenerator', 'RequestRecord']
 
 # Kind, method and relative weight of requests.
@@ -129,13 +126,16 @@
             engine.BREAK_SHARE_HEADER: str(BREAK_SHARE),
         }
         while True:
+            number = next(self._request_numbers)
+            middle = self._stream_rng.choice(testbed_lib.SOUND_PARTS)
+            parts = (testbed_lib.COMMON_PART, middle, f'{number:x}')
             found = await resuming.run(
                 pick,
                 '/verdict/long',
                 self._stream_rng,
-                headers,
+                headers | testbed_lib.parts_header(*parts),
                 # Each has a fingerprint of its own.
-                body=b'long %d' % next(self._request_numbers),
+                body=b'long %d' % number,
                 count_serving=lambda version: len(
                     self._testbed.engines_of(version)
                 ),
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/plan.py
@@ -48,6 +48,7 @@
     DRILL = 'drill'
     RESET_ON_START = 'reset_on_start'
     CRASHING_REQUEST = 'crashing_request'
+    CRASHING_PARTS = 'crashing_parts'
     SERVER_LIMIT = 'server_limit'
     LEAVING_RESPONSE = 'leaving_response'
     SERVER_PAUSE = 'server_pause'
@@ -61,6 +62,7 @@
     Fault.DRILL,
     Fault.RESET_ON_START,
     Fault.CRASHING_REQUEST,
+    Fault.CRASHING_PARTS,
     Fault.SERVER_LIMIT,
     Fault.LEAVING_RESPONSE,
     Fault.SERVER_PAUSE,
@@ -92,6 +94,8 @@
 MEAN_RESET_INTERVAL_S = 1.5
 # How long a request that crashes engines is repeated.
 CRASHING_REQUEST_S = 7.0
+# Where the part of a prompt that crashes engines stands.
+PART_PLACES = ('first', 'middle')
 # How long servers name a limit.
 SERVER_LIMIT_S = 8.0
 # How long a server says only in its responses that it leaves, and for how long
@@ -112,8 +116,8 @@
       fault: Kind of fault.
       target: Random number that selects one of the targets available then.
       duration_s: Duration in seconds, for faults that last.
-      variant: Misbehaviour of a server (`MISBEHAVE`), or how the store fails
-        (`DRILL`).
+      variant: Misbehaviour of a server (`MISBEHAVE`), how the store fails
+        (`DRILL`), or where the part stands (`CRASHING_PARTS`).
     """
 
     at_s: float
@@ -153,6 +157,7 @@
         *generate_drills(seed, length_s),
         *_engine_resets(seed, length_s),
         _crashing_request(seed),
+        _crashing_parts(seed),
         _server_limit(seed),
         *_leaving_responses(seed),
         *_server_pauses(seed),
@@ -275,6 +280,21 @@
     )
 
 
+def _crashing_parts(seed: int) -> Injection:
+    """Returns the requests with a part in their prompts that crashes engines.
+
+    In one seed of three there are two such parts.
+    """
+    rng = random.Random(f'{seed} crashing parts')
+    return Injection(
+        round(rng.uniform(0.5, 2.5), 3),
+        Fault.CRASHING_PARTS,
+        rng.randrange(1000),
+        CRASHING_REQUEST_S,
+        rng.choice(PART_PLACES),
+    )
+
+
 def _server_limit(seed: int) -> Injection:
     """Returns the time in which servers name a limit."""
     rng = random.Random(f'{seed} server limit')
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -43,6 +43,7 @@
         version served.
       began: Share of new streams that began.
       refusals: What became of the streams that did not go on.
+      ended_by_parts: Number of engines that each part of a prompt has crashed.
     """
 
     seed: int
@@ -57,6 +58,7 @@
     went_on: float = 1.0
     began: float = 1.0
     refusals: dict[str, int] = dataclasses.field(default_factory=dict)
+    ended_by_parts: list[int] = dataclasses.field(default_factory=list)
 
     @property
     def lost_share(self) -> float:
@@ -124,7 +126,16 @@
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
     violations += checks.find_violations(testbed, traffic.records)
-    violations += checks.find_crashing_sends(testbed, injector.crashing_sends)
+    by_part = testbed.fleet.part_crash_times_s
+    violations += checks.find_crashing_sends(
+        testbed,
+        injector.crashing_sends,
+        sorted(set(testbed.fleet.crash_times_s).difference(*by_part.values())),
+    )
+    violations += checks.find_crashing_part_sends(
+        testbed, injector.crashing_part_sends
+    )
+    violations += checks.find_refused_streams(traffic.streams)
     violations += checks.find_excess_calls(
         testbed, injector.limited, traffic.records
     )
@@ -152,6 +163,7 @@
         shares.went_on,
         shares.began,
         dict(shares.refusals),
+        list(map(len, by_part.values())),
     )
 
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
@@ -34,6 +34,16 @@
 FIRST_VERSIONS = ('v1', 'v2')
 # Requests with this body crash the engine that runs them.
 CRASHING_BODY = b'a prompt that crashes engines'
+# Parts of prompts: in all of them, in some, and those that crash engines.
+COMMON_PART = '5c1e07a2'
+SOUND_PARTS = ('91bd3f06', '02f7aa90', 'c4d3811e')
+CRASHING_PARTS = ('badbad01', 'badbad02')
+PARTS_HEADER = 'X-Quetzalsill-Prompt-Prefix'
+
+
+def parts_header(*parts: str) -> dict[str, str]:
+    """Returns the header that lists the parts of a prompt."""
+    return {PARTS_HEADER: ', '.join(f'{part}:100' for part in parts)}
 
 
 class Gateway:
@@ -129,7 +139,9 @@
         self._log_level = log_level
         self.store = store.Store()
         self.store.era = 1
-        self.fleet = engine.Fleet(crash_body=CRASHING_BODY)
+        self.fleet = engine.Fleet(
+            crash_body=CRASHING_BODY, crash_parts=set(CRASHING_PARTS)
+        )
         self.gateways = [Gateway(f'entry-{n}') for n in range(gateways)]
         self.upstreams: list[Upstream] = []
         self.http_servers: list[http_server.HttpServer] = []
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -85,6 +85,8 @@
       crash_after_s: Time from the start of the run to the crash, in seconds.
       crashed: Engines that such a request has crashed.
       crash_times_s: Loop times at which they crashed.
+      crash_parts: Further parts like `crash_part`.
+      part_crash_times_s: Loop times of the crashes by each part.
       on_crash: Called with each of them.
       arrivals: Requests that reached engines, in order.
       pauses: Pauses that engines have asked for.
@@ -99,15 +101,37 @@
     crash_after_s: float = 0.06
     crashed: list[str] = dataclasses.field(default_factory=list)
     crash_times_s: list[float] = dataclasses.field(default_factory=list)
+    crash_parts: set[str] = dataclasses.field(default_factory=set)
+    part_crash_times_s: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     on_crash: Callable[[Engine], None] | None = None
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     pauses: list[pause.Pause] = dataclasses.field(default_factory=list)
 
-    def is_crashing(self, call: scripted.Exchange) -> bool:
-        """Whether a request crashes the engine that runs it."""
+    def crashing_part(self, call: scripted.Exchange) -> str | None:
+        """Returns the part of a request's prompt that crashes engines."""
         header = call.headers.get(PREFIX + 'prompt-prefix', '')
-        *shared, _ = (entry.partition(':')[0] for entry in header.split(','))
-        return call.body == self.crash_body or self.crash_part in shared
+        *shared, _ = (
+            entry.partition(':')[0].strip() for entry in header.split(',')
+        )
+        crashing = {self.crash_part, *self.crash_parts}
+        return next((one for one in shared if one in crashing), None)
+
+    def record_crash(self, engine: Engine, part: str | None) -> None:
+        """Records that a request has crashed an engine.
+
+        Args:
+          engine: The engine.
+          part: Part of the request's prompt that did; None for its body.
+        """
+        now = asyncio.get_running_loop().time()
+        self.crashed.append(engine.id)
+        self.crash_times_s.append(now)
+        if part is not None:
+            self.part_crash_times_s.setdefault(part, []).append(now)
+        if self.on_crash is not None:
+            self.on_crash(engine)
 
     def run_started(
         self, request_id: str, engine: str, *, is_new: bool
@@ -339,8 +363,9 @@
             call.headers.get(BREAK_SHARE_HEADER, self.break_share)
         )
         self._fleet.run_started(request_id, self.id, is_new=is_new)
-        if self._fleet.is_crashing(call):
-            self._detached.append(asyncio.create_task(self._crash_soon()))
+        part = self._fleet.crashing_part(call)
+        if part is not None or call.body == self._fleet.crash_body:
+            self._detached.append(asyncio.create_task(self._crash_soon(part)))
         if self.resets_at_start:
             self.resets_at_start -= 1
             run.running = False
@@ -389,14 +414,10 @@
                 run.running = False
                 self._fleet.run_ended(request_id, self.id)
 
-    async def _crash_soon(self) -> None:
+    async def _crash_soon(self, part: str | None) -> None:
         await asyncio.sleep(self._fleet.crash_after_s)
         if self.id not in self._fleet.crashed:
-            self._fleet.crashed.append(self.id)
-            now = asyncio.get_running_loop().time()
-            self._fleet.crash_times_s.append(now)
-            if self._fleet.on_crash is not None:
-                self._fleet.on_crash(self)
+            self._fleet.record_crash(self, part)
             await self.crash()
 
     def _update_backup(self, run: _Run, address: str | None) -> None:
