Clear traits by runs that outlived a crash, and know them before one

A run that was writing for long at a crash clears its traits, as one that goes on does. Traits of the last requests that did well are known from before the first crash; nothing is computed for them until then. Such a trait needs five crashes with no better explanation.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -167,6 +167,7 @@
             raise
         finally:
             core.in_flight.discard(run)
+            core.quarantine.record_run(run)
     finally:
         core.conns.release(conn, core.quota.max_idle(upstream))
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -153,11 +153,7 @@
         took_ms = round((now_s - exchange.request.received_s) * 1000, 1)
         kind = exchange.route.kind.value
         headers = exchange.request.headers
-        if (
-            outcome in ANSWERED
-            and exchange.answered_s is not None
-            and self._core.quarantine.is_active
-        ):
+        if outcome in ANSWERED and exchange.answered_s is not None:
             self._core.quarantine.record_completion(
                 exchange, exchange.answered_s, is_served=outcome == 'served'
             )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/detector.py
@@ -116,6 +116,7 @@
             before_s + run.exposure_s(now),
             _label(run),
             frozenset(run.exchange.traits[1:]),
+            run.writing_s(now),
         )
         found.parts[fingerprint] = _parts(run)
         found.crash.merge(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -31,8 +31,9 @@
 __all__ = ['Crash', 'Evidence', 'Suspect', 'Verdict', 'groups']
 
 MIN_CRASHES = 3
-# While another trait may have caused the same crashes as well, or if requests
-# with this one were answered lately, this many are needed.
+# While another trait may have caused the same crashes as well, this many are
+# needed; and for a trait whose requests were answered lately, as many for which
+# there is no better explanation.
 MIN_AMBIGUOUS_CRASHES = 5
 # A request is clearly shorter than another if it has been running for less than
 # this share of its time.
@@ -76,12 +77,15 @@
         was running several times.
       label: Route, client account and path, for operators.
       shared: Fingerprints of the traits that other requests may have too.
+      writing_s: For how long it had been producing output, in seconds; 0 if
+        that is not known.
     """
 
     fingerprint: bytes
     exposure_s: float
     label: str = ''
     shared: Traits = frozenset()
+    writing_s: float = dataclasses.field(default=0.0, compare=False)
 
     def has(self, traits: Traits) -> bool:
         """Whether it has all of some traits."""
@@ -97,6 +101,7 @@
             max(self.exposure_s, other.exposure_s),
             self.label or other.label,
             self.shared | other.shared,
+            max(self.writing_s, other.writing_s),
         )
 
 
@@ -160,6 +165,10 @@
         """Returns for how long the newest request with a trait had been."""
         return min(one.exposure_s for one in self.by_trait[fingerprint])
 
+    def longest_s(self, fingerprint: bytes) -> float:
+        """Returns for how long the oldest request with a trait had been."""
+        return max(one.exposure_s for one in self.by_trait[fingerprint])
+
     def _index(self) -> None:
         self.by_trait = {}
         for one in self.suspects.values():
@@ -253,6 +262,10 @@
         self._completed: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
+        # Traits of runs that did well, whether or not a crash concerns them.
+        self._sound: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         # Upstreams that have answered after they seemed to have crashed.
         self._alive: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -330,14 +343,27 @@
         Args:
           fingerprint: Fingerprint of the trait.
           at_s: Loop time at which the run began.
+
+        Returns:
+          Whether that was not known.
         """
-        if at_s <= self._completed.get(fingerprint, -math.inf):
-            return False
-        self._completed[fingerprint] = at_s
-        self._completed.move_to_end(fingerprint)
-        while len(self._completed) > MAX_COMPLETIONS:
-            self._completed.popitem(last=False)
-        return True
+        return _record(self._completed, fingerprint, at_s)
+
+    def record_sound(self, fingerprint: bytes, at_s: float) -> None:
+        """Remembers such a run of a trait that no crash makes suspicious."""
+        _record(self._sound, fingerprint, at_s)
+
+    def sound_before(self, crash: Crash) -> Iterator[tuple[bytes, float]]:
+        """Yields the traits at a crash of which runs did well before.
+
+        Yields:
+          Fingerprint of a trait, and the loop time at which the run began.
+        """
+        for fingerprint in crash.by_trait:
+            if fingerprint not in self._completed and (
+                fingerprint in self._sound
+            ):
+                yield fingerprint, self._sound[fingerprint]
 
     def is_cleared_by(
         self, fingerprint: bytes, begun_s: float, now: float
@@ -356,9 +382,26 @@
             begun_s <= charged[0].at_s and fingerprint in self._completed
         ):
             return False
-        fuse_s = max(crash.shortest_s(fingerprint) for crash in charged)
+        # A culprit crashes each upstream after about the same time, so that no
+        # run with it gets much older.
+        fuse_s = min(crash.longest_s(fingerprint) for crash in charged)
         return now - begun_s >= OUTLIVED_FACTOR * fuse_s
 
+    def outlived(self, crash: Crash) -> Iterator[tuple[bytes, float]]:
+        """Yields the traits that a crash clears of a suspicion.
+
+        A run that had been producing output for long at the crash has outlived
+        the time after which its traits would have caused one.
+
+        Yields:
+          Fingerprint of a trait, and the loop time at which the run began.
+        """
+        for suspect in crash.suspects.values():
+            begun_s = crash.at_s - suspect.writing_s
+            for fingerprint in (suspect.fingerprint, *suspect.shared):
+                if self.is_cleared_by(fingerprint, begun_s, crash.at_s):
+                    yield fingerprint, begun_s
+
     def was_running_briefly(self, fingerprint: bytes) -> bool:
         """Whether a request had just begun at the latest crash that it met."""
         crashes = [
@@ -375,7 +418,7 @@
         for crash in self.crashes:
             if crash.at_s < oldest_s:
                 self._remove(crash.key)
-        for times in (self._completed, self._alive):
+        for times in (self._completed, self._sound, self._alive):
             for key in [key for key, at_s in times.items() if at_s < oldest_s]:
                 del times[key]
 
@@ -387,18 +430,19 @@
         Args:
           fingerprint: Fingerprint of the trait.
           culprits: Traits of known culprits; their crashes count for nobody
-            else but the traits that their own runs have.
+            else but the traits that their own runs have, unless requests with
+            these were answered lately.
         """
         others = [one for one in culprits if fingerprint not in one]
         since_s = self._completed.get(fingerprint, -math.inf)
+        own = None if fingerprint in self._completed else fingerprint
         crashes = (
             self._crashes[key] for key in self._keys.get(fingerprint, ())
         )
         charged = (
             crash
             for crash in crashes
-            if crash.at_s > since_s
-            and not _is_explained(crash, others, fingerprint)
+            if crash.at_s > since_s and not _is_explained(crash, others, own)
         )
         return sorted(charged, key=lambda crash: crash.at_s)
 
@@ -441,9 +485,19 @@
             key=lambda one: len(self._keys[one]),
         )
         candidates: dict[bytes, _Candidate] = {}
+        fresh = self._fresh()
         for fingerprint in repeated:
             charged = self.charges(fingerprint, known)
-            if len(groups(charged)) < self._min_crashes(fingerprint):
+            count = len(groups(charged))
+            if fingerprint in self._completed:
+                unclear = (
+                    crash
+                    for crash in charged
+                    if fresh.isdisjoint(crash.by_trait)
+                )
+                if len(groups(unclear)) < MIN_AMBIGUOUS_CRASHES:
+                    continue
+            if count < MIN_CRASHES:
                 continue
             candidate = _Candidate(fingerprint, charged)
             candidate.traits = self._unseparated(candidate)
@@ -481,10 +535,24 @@
         )
         return found or frozenset([candidate.fingerprint])
 
-    def _min_crashes(self, fingerprint: bytes) -> int:
-        if fingerprint in self._completed:
-            return MIN_AMBIGUOUS_CRASHES
-        return MIN_CRASHES
+    def _fresh(self) -> Traits:
+        """Returns traits that explain crashes better than those known as sound.
+
+        None of their requests was answered, and each was at several crashes; a
+        request is sent again after a crash, whatever caused it, and so must
+        have been at more.
+        """
+        return frozenset(
+            one
+            for one, keys in self._keys.items()
+            if one not in self._completed
+            and len(keys) >= MIN_CRASHES - (not self._is_request(one))
+        )
+
+    def _is_request(self, fingerprint: bytes) -> bool:
+        """Whether a trait is a request as a whole."""
+        key = next(iter(self._keys[fingerprint]))
+        return fingerprint in self._crashes[key].suspects
 
     def _explains_more(
         self, candidate: _Candidate, explained: set[str]
@@ -569,6 +637,21 @@
     )
 
 
+def _record(
+    times_s: collections.OrderedDict[bytes, float],
+    fingerprint: bytes,
+    at_s: float,
+) -> bool:
+    """Records the latest time of a trait; returns whether it is later."""
+    if at_s <= times_s.get(fingerprint, -math.inf):
+        return False
+    times_s[fingerprint] = at_s
+    times_s.move_to_end(fingerprint)
+    while len(times_s) > MAX_COMPLETIONS:
+        times_s.popitem(last=False)
+    return True
+
+
 def _label(candidate: _Candidate) -> str:
     labels = (
         one.label
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/in_flight.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/in_flight.py
@@ -43,9 +43,9 @@
         """Loop time at which the body of the response began; None before."""
         return None if self.begun_s is None else self.conn.body_since_s
 
-    def has_outlived(self, span_s: float, now: float) -> bool:
-        """Whether it has been producing output for longer than a time."""
-        return self.wrote_s is not None and now - self.wrote_s > span_s
+    def writing_s(self, now: float) -> float:
+        """Returns for how long it has been producing output; 0 if it hasn't."""
+        return 0.0 if self.wrote_s is None else now - self.wrote_s
 
 
 class InFlight:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING
@@ -29,6 +30,10 @@
 # After this many crashes that it may have caused, a request that broke off is
 # not sent again until it is cleared.
 SUSPICIOUS_CRASHES = 2
+# Requests that are remembered for when a crash becomes known, and the largest
+# body of one.
+MAX_REMEMBERED = 128
+MAX_REMEMBERED_BYTES = 65_536
 # How often runs are examined for those that outlived a crash.
 REVIEW_S = 0.1
 # How long a probe is up to one gateway; then it is another's turn.
@@ -73,6 +78,10 @@
         self._judged: dict[bytes, int] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._has_crashes = asyncio.Event()
+        # Requests that did well while no crash was known, with their times.
+        self._recent: collections.deque[tuple[exchange_lib.Exchange, float]] = (
+            collections.deque(maxlen=MAX_REMEMBERED)
+        )
 
     @property
     def is_active(self) -> bool:
@@ -178,6 +187,7 @@
         if self._apply_crash(crash):
             self._send(update_lib.split([crash], (), (), ()))
             self._on_crash()
+        self._record_cleared(list(self._evidence.outlived(crash)))
 
     def record_completion(
         self,
@@ -194,8 +204,35 @@
           is_served: Whether the response was a success; if not, it shows
             nothing about traits that other requests have too.
         """
+        at_s = _now() if begun_s is None else begun_s
+        if is_served:
+            self._remember(exchange, at_s)
+        if not self.is_active:
+            return
         found = exchange.traits if is_served else (exchange.fingerprint,)
-        self._record_sound(found, _now() if begun_s is None else begun_s)
+        self._record_cleared(
+            [
+                (one, at_s)
+                for one in found
+                if self._evidence.charges(one) or self._table.involves(one)
+            ]
+        )
+
+    def record_run(self, run: in_flight.Run) -> None:
+        """Remembers a run that ends, if it has been producing output."""
+        if run.writing_s(_now()) >= evidence.MIN_OUTLIVED_S:
+            self._remember(run.exchange, run.wrote_s)
+
+    def _remember(self, exchange: exchange_lib.Exchange, at_s: float) -> None:
+        """Remembers a request that did not crash the upstream that ran it.
+
+        Its traits are needed only once a crash is known.
+        """
+        if self.is_active:
+            for fingerprint in exchange.traits:
+                self._evidence.record_sound(fingerprint, at_s)
+        elif len(exchange.request.body) <= MAX_REMEMBERED_BYTES:
+            self._recent.append((exchange, at_s))
 
     async def review_runs(self) -> None:
         """Looks for runs that outlived a crash, until cancelled.
@@ -206,31 +243,30 @@
         while True:
             await self._has_crashes.wait()
             now = _now()
-            for run in self._runs.writing():
-                self._record_sound(
-                    (
-                        one
-                        for one in run.exchange.traits
-                        if self._evidence.is_cleared_by(one, run.wrote_s, now)
-                    ),
-                    run.wrote_s,
-                )
+            self._record_cleared(
+                [
+                    (one, run.wrote_s)
+                    for run in self._runs.writing()
+                    for one in run.exchange.traits
+                    if self._evidence.is_cleared_by(one, run.wrote_s, now)
+                ]
+            )
             if not self._evidence:
                 self._has_crashes.clear()
             await asyncio.sleep(REVIEW_S)
 
-    def _record_sound(
-        self, fingerprints: Iterable[bytes], begun_s: float
-    ) -> None:
-        """Records traits of a run that did not crash its upstream."""
-        news = [
-            (one, begun_s)
-            for one in fingerprints
-            if self._evidence.charges(one) or self._table.involves(one)
-        ]
-        for fingerprint, at_s in news:
+    def _record_cleared(self, cleared: list[tuple[bytes, float]]) -> None:
+        """Records traits of runs that did not crash their upstream.
+
+        Args:
+          cleared: Fingerprints, with the loop times at which the runs began.
+        """
+        newest = {}
+        for fingerprint, at_s in cleared:
+            newest[fingerprint] = max(at_s, newest.get(fingerprint, at_s))
+        for fingerprint, at_s in newest.items():
             self._apply_completion(fingerprint, at_s)
-        self._send(update_lib.split((), (), news, ()))
+        self._send(update_lib.split((), (), newest.items(), ()))
 
     def record_answer(
         self, upstream: upstream_lib.Upstream, sent_s: float
@@ -298,6 +334,10 @@
         if not self._evidence.add(crash):
             return False
         self._has_crashes.set()
+        while self._recent:
+            exchange, at_s = self._recent.popleft()
+            for fingerprint in exchange.traits:
+                self._evidence.record_sound(fingerprint, at_s)
         for entry in self._table.active:
             if (
                 entry.probe_s is not None
@@ -305,6 +345,7 @@
                 and any(crash.matching(entry.traits))
             ):
                 self._publish(self._table.fail_probe(entry, _now()))
+        self._record_cleared(list(self._evidence.sound_before(crash)))
         self._schedule_verdict(crash.by_trait)
         return True
 
@@ -434,12 +475,14 @@
         )
 
     def _stop_runs(self, entry: table.Entry) -> int:
-        """Ends runs that may still crash their upstream; returns how many."""
-        now = _now()
+        """Ends runs that have not begun to produce output; returns how many.
+
+        The others either crash their upstream at once or clear the trait.
+        """
         return self._runs.abort(
             lambda run: (
-                entry.traits.issubset(run.exchange.traits)
-                and not run.has_outlived(evidence.MIN_OUTLIVED_S, now)
+                run.wrote_s is None
+                and entry.traits.issubset(run.exchange.traits)
             )
         )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
@@ -13,8 +13,9 @@
 __all__ = ['Entry', 'QuarantineTable']
 
 # How long a quarantine lasts until the next probe, by the number of probes that
-# have failed.
-HOLD_S = (600.0, 3_600.0, 21_600.0, 86_400.0)
+# have failed. The first one is early, as a wrong verdict refuses requests that
+# would be served; only three are made in a day.
+HOLD_S = (15.0, 3_600.0, 21_600.0, 86_400.0)
 # A probe that has no result after this time has none at all: its caller may
 # have left.
 PROBE_S = 60.0
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -144,6 +144,129 @@
         self.assertEqual(found.charges(b's260-1'), [])
 
 
+def crash_of(key, at_s, *runs):
+    """Returns a crash; each run is its traits by name, and its exposure."""
+    suspects = {}
+    for names, exposure_s in runs:
+        own, *shared = (name.encode() for name in names.split())
+        suspects[own] = evidence.Suspect(
+            own, exposure_s, shared=frozenset(shared)
+        )
+    return evidence.Crash(key, 'writers', at_s, suspects)
+
+
+def verdicts(found, now, known=()):
+    """Returns the names of the traits of each verdict."""
+    sets = [frozenset(name.encode() for name in one.split()) for one in known]
+    return [
+        ' '.join(sorted(name.decode() for name in one.traits))
+        for one in found.culprits(sets, now)
+    ]
+
+
+class SharedTraitTest(unittest.TestCase):
+    """Verdicts about what different requests have in common."""
+
+    def test_different_requests_with_one_part_convict_the_part(self):
+        """No request came twice, so that none was at several crashes."""
+        found = collect(
+            *(
+                crash_of(key, n, (f'r{n} first{n} bad', 0.06))
+                for n, key in enumerate('abc')
+            )
+        )
+        self.assertEqual(verdicts(found, 3.0), ['bad'])
+
+    def test_parts_that_only_came_together_are_convicted_together(self):
+        """A sound part was refused, as it had only come with a bad one."""
+        found = collect(
+            *(
+                crash_of(key, n, (f'r{n} first bad', 0.06))
+                for n, key in enumerate('abc')
+            )
+        )
+        self.assertEqual(verdicts(found, 3.0), ['bad first'])
+        found.record_completion(b'first', 3.5)
+        self.assertEqual(verdicts(found, 4.0), ['bad'])
+
+    def test_a_part_that_crashes_alone_is_convicted_alone(self):
+        """The other order of the same: the bad one comes without the other."""
+        found = collect(
+            *(
+                crash_of(key, n, (f'r{n} first bad', 0.06))
+                for n, key in enumerate('abc')
+            ),
+            crash_of('d', 4.0, ('r4 other bad', 0.06)),
+        )
+        self.assertEqual(verdicts(found, 4.5, ['bad first']), ['bad'])
+
+    def test_another_request_widens_a_verdict_to_the_part(self):
+        """One request was found first, and its part went on by others."""
+        found = collect(
+            *(
+                crash_of(key, n, ('same first bad', 0.06))
+                for n, key in enumerate('abc')
+            )
+        )
+        self.assertEqual(verdicts(found, 3.0), ['same'])
+        found.record_completion(b'first', 3.2)
+        found.add(crash_of('d', 4.0, ('r4 other bad', 0.06)))
+        self.assertEqual(verdicts(found, 4.5, ['same']), ['bad'])
+
+    def test_a_part_of_all_prompts_is_not_convicted_beside_culprits(self):
+        """Three culprits each hold it, and no engine lives long enough."""
+        found = collect()
+        found.record_completion(b'first', -1.0)
+        for number, name in enumerate(('bad1', 'bad2', 'bad3') * 3):
+            found.add(
+                crash_of(
+                    str(number),
+                    float(number),
+                    (f'c{number} first {name}', 0.06),
+                    (f's{number} first sound{number}', 0.05),
+                )
+            )
+        judged = verdicts(found, 9.0)
+        self.assertEqual(len(judged), 3)
+        for name in judged:
+            self.assertIn('bad', name)
+
+    def test_a_part_that_crashes_from_some_moment_on_is_convicted(self):
+        """Requests with it were answered before, so more crashes are needed."""
+        found = collect()
+        found.record_completion(b'bad', -1.0)
+        for number in range(5):
+            self.assertEqual(verdicts(found, float(number)), [])
+            found.add(
+                crash_of(str(number), float(number), (f'r{number} bad', 0.06))
+            )
+        self.assertEqual(verdicts(found, 5.0), ['bad'])
+
+    def test_a_run_that_goes_on_clears_its_traits(self):
+        """Long generations prove a shared part sound before they end."""
+        found = collect(crash_of('a', 1.0, ('r1 first bad', 0.06)))
+        self.assertFalse(found.is_cleared_by(b'first', 1.1, 1.3))
+        self.assertTrue(found.is_cleared_by(b'first', 1.1, 1.5))
+        slow = collect(crash_of('a', 1.0, ('r1 first bad', 2.0)))
+        self.assertFalse(slow.is_cleared_by(b'first', 1.1, 4.0))
+
+    def test_shared_traits_of_a_crash_are_bounded(self):
+        found = collect(
+            *(
+                crash_of(
+                    'a',
+                    1.0,
+                    (f'r{n} ' + ' '.join(f'{n}-{m}' for m in range(300)), 1),
+                )
+                for n in range(5)
+            )
+        )
+        [one] = found.crashes
+        shared = sum(len(suspect.shared) for suspect in one.suspects.values())
+        self.assertEqual(len(one.suspects), 5)
+        self.assertLessEqual(shared, evidence.MAX_SHARED)
+
+
 class Fleet:
     """Upstreams with long generations, and perhaps requests that crash them.
 
--- a/tests/quetzalsill_gateway/quarantine/test_quarantine.py
+++ b/tests/quetzalsill_gateway/quarantine/test_quarantine.py
@@ -18,11 +18,13 @@
     in_flight,
     quarantine,
     table,
+    trait,
 )
 from quetzalsill_gateway.quarantine import update as update_lib
 
 NAMES = [f'entry-{n}' for n in range(5)]
 BAD = fingerprint.compute(b'POST', b'shop.example', b'/plan/1', b'first', b'x')
+FIRST, PART = (bytes([1]).ljust(trait.LENGTH, one) for one in (b'f', b'p'))
 TIMES = st.floats(0, 1e6)
 TEXTS = st.text(max_size=20)
 PRINTS = st.binary(min_size=fingerprint.LENGTH, max_size=fingerprint.LENGTH)
@@ -81,11 +83,14 @@
 def exchange(found=BAD):
     """Returns a request that has not been sent."""
     return types.SimpleNamespace(
-        fingerprint=found, traits=(found,), is_probe=False, sends=0
+        fingerprint=found,
+        traits=(found,),
+        is_probe=False,
+        sends=0,
     )
 
 
-class ProbeTest(unittest.TestCase):
+class ProbeTestCase(unittest.TestCase):
     """Five gateways that receive each other's updates at once."""
 
     def setUp(self):
@@ -130,6 +135,10 @@
         """Sends the request to every gateway; returns which let it through."""
         return [one for one in self.fleet if one.admit(exchange()) is None]
 
+
+class ProbeTest(ProbeTestCase):
+    """A request that is refused, and let through from time to time."""
+
     def test_three_gateways_that_saw_one_crash_each_find_it(self):
         self.quarantine()
         self.assertEqual(self.ask_all(), [])
@@ -213,6 +222,66 @@
         self.assertEqual(active, [BAD])
 
 
+class SharedPartTest(ProbeTestCase):
+    """Different requests with one part, and what gateways conclude."""
+
+    def crash_with(self, gateway, *parts):
+        self.crashes += 1
+        own = self.crashes.to_bytes(fingerprint.LENGTH)
+        suspect = evidence.Suspect(own, 0.06, 'plan', frozenset(parts))
+        gateway.record_crash(
+            evidence.Crash(
+                str(self.crashes), 'writers', self.clock.now, {own: suspect}
+            )
+        )
+
+    def send(self, *parts):
+        """Returns the gateways that let a new request with parts through."""
+        req = exchange(b'q' * fingerprint.LENGTH)
+        req.traits = (req.fingerprint, *parts)
+        return [one for one in self.fleet if one.admit(req) is None]
+
+    def test_a_sound_part_that_came_with_it_is_not_refused(self):
+        """Nobody has seen the sound one without it since the crashes."""
+        for number in range(3):
+            self.clock.now += 1.0
+            self.crash_with(self.fleet[number], FIRST, PART)
+        self.assertEqual(self.send(FIRST, PART), [])
+        self.assertEqual(len(self.send(FIRST)), len(self.fleet))
+        self.clock.now += 1.0
+        sound = exchange(b's' * fingerprint.LENGTH)
+        sound.traits = (sound.fingerprint, FIRST)
+        self.fleet[0].record_completion(sound)
+        self.assertEqual(self.send(PART), [])
+        self.assertEqual(len(self.send(FIRST)), len(self.fleet))
+
+    def test_two_parts_are_both_found(self):
+        for number in range(6):
+            self.clock.now += 1.0
+            self.crash_with(self.fleet[0], (PART, FIRST)[number % 2])
+        self.assertEqual((self.send(PART), self.send(FIRST)), ([], []))
+
+    def test_an_operator_lifts_parts_that_are_refused_together(self):
+        for number in range(3):
+            self.clock.now += 1.0
+            self.crash_with(self.fleet[number], FIRST, PART)
+        [entry] = self.fleet[1].entries
+        self.assertTrue(self.fleet[1].lift(entry.fingerprint))
+        self.assertEqual(len(self.send(FIRST, PART)), len(self.fleet))
+
+    def test_a_gateway_that_starts_knows_it(self):
+        for number in range(3):
+            self.clock.now += 1.0
+            self.crash_with(self.fleet[number], FIRST, PART)
+        started = self.gateway('entry-5')
+        for update in self.fleet[2].snapshot():
+            data = update_codec.encode('entry-2', update)
+            started.receive(update_codec.decode(*frame.unpack(data))[1])
+        self.fleet = [started]
+        self.assertEqual(self.send(FIRST, PART), [])
+        self.assertEqual(self.send(FIRST), [started])
+
+
 class CodecTest(unittest.TestCase):
     """Datagrams between gateways whose clocks differ."""
 
@@ -249,6 +318,50 @@
         ):
             update_codec.decode(frame.Kind.QUARANTINE, ['entry-1', *fields, 0])
 
+    def test_runs_with_many_parts_fit_datagrams(self):
+        """60 runs of 4 parts, and one of 256, at a crash."""
+
+        def part(number):
+            return b'\x01' + number.to_bytes(trait.VALUE_BYTES)
+
+        runs = [range(n, n + 4) for n in range(60)] + [range(256)]
+        suspects = {
+            n.to_bytes(fingerprint.LENGTH): evidence.Suspect(
+                n.to_bytes(fingerprint.LENGTH),
+                1.0,
+                shared=frozenset(map(part, numbers)),
+            )
+            for n, numbers in enumerate(runs)
+        }
+        sent = evidence.Crash('i-0123456789', 'writers', 0.0, suspects)
+        received = evidence.Crash('i-0123456789', 'writers', 0.0)
+        with mock.patch('asyncio.get_running_loop', return_value=Clock(0.0)):
+            for one in update_lib.split([sent], (), (), ()):
+                data = quarantine_codec.encode('entry-1', one)
+                self.assertLess(len(data), 1400)
+                _, got = update_codec.decode(*frame.unpack(data))
+                received.merge(got.crashes[0])
+        self.assertEqual(received.suspects, suspects)
+
+    def test_whole_requests_are_sent_in_the_form_of_the_release_before(self):
+        """Gateways of both releases run together during an update."""
+        suspect = evidence.Suspect(BAD, 0.1)
+        other = evidence.Suspect(
+            b'o' * fingerprint.LENGTH,
+            0.1,
+            shared=frozenset([b'\x01'.ljust(trait.LENGTH, b'p')]),
+        )
+        crash = evidence.Crash(
+            'a', 'writers', 0.0, {BAD: suspect, other.fingerprint: other}
+        )
+        with mock.patch('asyncio.get_running_loop', return_value=Clock(0.0)):
+            first, second = (
+                frame.unpack(quarantine_codec.encode('entry-1', one))[1]
+                for one in update_lib.split([crash], (), (), ())
+            )
+        self.assertEqual(first[1][0][3], [[BAD, 0.1]])
+        self.assertEqual(len(second[1][0][3][0]), 3)
+
     def test_an_update_fits_a_datagram(self):
         crash = evidence.Crash(
             'i-0123456789\n12345678901',
