Failing test: a crash that ends a stream without framing

16 requests with a crashing part reach engines 3 s after the fifth crash, 30 engines end: the end of the connection between two events is taken for the end of the stream, so no crash is seen.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -182,6 +182,8 @@
         set, it rejects all requests with a 503.
       busy_moves: Number of next copy commands that get a 409, as if another
         copy were in progress.
+      is_framed: Whether its streams are chunked; if not, they end with their
+        connection.
       requests: Headers of each received request.
       reports: Number of reports that it has served.
     """
@@ -204,6 +206,7 @@
         self.refuse = 0
         self.resets_at_start = 0
         self.ignores_copies = False
+        self.is_framed = True
         self.busy_moves = 0
         self.limit = ''
         self.leaving_header = ''
@@ -376,8 +379,9 @@
             PREFIX + 'attempt-id': request_id,
             PREFIX + 'server-stamp': f'{self.id}.{request_id}',
             'Content-Type': 'text/event-stream',
-            'Transfer-Encoding': 'chunked',
         }
+        if self.is_framed:
+            head['Transfer-Encoding'] = 'chunked'
         call.send_head(200, head | self._state_headers())
         try:
             while run.running and run.event_count < length and call.is_open:
@@ -386,9 +390,11 @@
                     break
                 run.event_count += 1
                 self._update_backup(run, backup)
-                call.send_chunk(
-                    event(request_id, run.event_count, self.version)
-                )
+                data = event(request_id, run.event_count, self.version)
+                if self.is_framed:
+                    call.send_chunk(data)
+                else:
+                    call.writer.write(data)
                 if self.rng.random() < break_share:
                     if self.rng.random() < PARTIAL_EVENT_SHARE:
                         call.send_chunk(b'id: 999\nda')
@@ -400,7 +406,7 @@
                     await call.writer.drain()
                     call.abort()
                     return
-            if run.running:
+            if run.running and self.is_framed:
                 call.send_chunk(b'')
             else:
                 await call.writer.drain()
