Don't convict a trait whose crashes one at more crashes explains

A trait is ambiguous too while another, at more crashes and not for clearly longer, leaves too few that it does not explain. Its test failed before: the sound part was convicted.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -80,9 +80,11 @@
     Attributes:
       request: Id of the request, empty if it has none.
       target: Path and query.
-      reason: `no_configuration`, `no_route`, `unknown_key` or `no_id`.
+      reason: `no_configuration`, `no_route`, `unknown_key`, `no_id` or
+        `quarantined`.
       status: Status of the response.
       configuration: Active version; 0 for none.
+      trait: Kind and value of the trait for which it is in quarantine.
     """
 
     request: str
@@ -90,6 +92,7 @@
     reason: str
     status: int
     configuration: int
+    trait: str = ''
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -70,7 +70,8 @@
 
     def _refuse_quarantined(self, exchange: exchange_lib.Exchange) -> bool:
         """Refuses a request that crashes upstreams; whether it is one."""
-        retry_after_s = self._core.quarantine.admit(exchange)
+        quarantine = self._core.quarantine
+        retry_after_s = quarantine.admit(exchange)
         if retry_after_s is None:
             return False
         _refuse(
@@ -81,6 +82,7 @@
             'quarantined',
             exchange.version,
             retry_after_s,
+            quarantine.describe(exchange),
         )
         return True
 
@@ -199,6 +201,7 @@
     reason: str,
     version: int,
     retry_after_s: float = exchange_lib.RETRY_AFTER_S,
+    trait: str = '',
 ) -> None:
     event.note(
         event.RequestRefused(
@@ -207,6 +210,7 @@
             reason=reason,
             status=status,
             configuration=version,
+            trait=trait,
         )
     )
     meter.refused.inc({'reason': reason})
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/meter.py
@@ -124,6 +124,10 @@
     'Version in force, connections of callers, streams, gateways heard,'
     ' requests in quarantine.',
 )
+quarantined = metric.gauge(
+    'quetzalsill_gateway_quarantined',
+    'Traits in quarantine, by kind: whole requests, parts of prompts.',
+)
 engine_speeds = metric.gauge(
     'quetzalsill_gateway_engine_speeds',
     'Speeds of engines, by service: slowest to fastest engine, share, factor'
@@ -179,6 +183,8 @@
     )
     state.set({'of': 'peers'}, peers.peer_count)
     state.set({'of': 'quarantined'}, len(core.quarantine.entries))
+    for kind, count in core.quarantine.count_by_kind().items():
+        quarantined.set({'kind': kind}, count)
     for service in core.engine_speeds.services:
         noise = core.engine_speeds.noise(service)
         values = {
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -235,14 +235,29 @@
         return self.exposure_s / self.count
 
     def is_ambiguous_with(self, other: _Candidate) -> bool:
-        """Whether another trait may have caused the same crashes."""
-        return (
-            other is not self
-            and other.fingerprint not in self.traits
-            and self.traits != other.traits
-            and self.exposure_s > CLEARLY_SHORTER_SHARE * other.exposure_s
-            and all(other.fingerprint in one.by_trait for one in self.charged)
+        """Whether another trait may have caused the same crashes.
+
+        It may have caused all of them, or it was at more crashes and leaves too
+        few that it does not explain.
+        """
+        if (
+            other is self
+            or other.fingerprint in self.traits
+            or self.traits == other.traits
+        ):
+            return False
+        common = [
+            one for one in self.charged if other.fingerprint in one.by_trait
+        ]
+        if len(common) < len(self.charged):
+            left = [one for one in self.charged if one not in common]
+            if other.count <= self.count or len(groups(left)) >= MIN_CRASHES:
+                return False
+        own_s, others_s = (
+            sum(one.exposure_s(fingerprint) for one in common)
+            for fingerprint in (self.fingerprint, other.fingerprint)
         )
+        return own_s > CLEARLY_SHORTER_SHARE * others_s
 
 
 class Evidence:
@@ -257,6 +272,8 @@
         self._upstream_count = upstream_count
         self._crashes: dict[str, Crash] = {}
         self._keys: dict[bytes, set[str]] = {}
+        # Loop time of the latest crash, by fingerprint.
+        self._latest_s: dict[bytes, float] = {}
         # Loop time at which the latest run began that was answered or outlived
         # a crash, by fingerprint.
         self._completed: collections.OrderedDict[bytes, float] = (
@@ -321,6 +338,9 @@
         is_new = known.merge(crash)
         for fingerprint in known.by_trait:
             self._keys.setdefault(fingerprint, set()).add(crash.key)
+            self._latest_s[fingerprint] = max(
+                known.at_s, self._latest_s.get(fingerprint, known.at_s)
+            )
         return is_new or is_first
 
     def record_alive(self, key: str, now: float) -> bool:
@@ -433,8 +453,10 @@
             else but the traits that their own runs have, unless requests with
             these were answered lately.
         """
-        others = [one for one in culprits if fingerprint not in one]
         since_s = self._completed.get(fingerprint, -math.inf)
+        if self._latest_s.get(fingerprint, -math.inf) <= since_s:
+            return []
+        others = [one for one in culprits if fingerprint not in one]
         own = None if fingerprint in self._completed else fingerprint
         crashes = (
             self._crashes[key] for key in self._keys.get(fingerprint, ())
@@ -515,7 +537,7 @@
             for one in candidates.values()
             if self._chance(one, recent) <= MAX_CHANCE
         ]
-        found.sort(key=lambda one: (one.exposure_s, one.fingerprint))
+        found.sort(key=lambda one: (one.mean_exposure_s, one.fingerprint))
         del found[MAX_COMPARED:]
         clear = (
             one
@@ -624,6 +646,7 @@
             keys.discard(key)
             if not keys:
                 del self._keys[fingerprint]
+                del self._latest_s[fingerprint]
 
 
 def _is_explained(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -93,6 +93,14 @@
         """Entries of the traits whose requests are refused."""
         return self._table.active
 
+    def count_by_kind(self) -> dict[str, int]:
+        """Returns the number of entries of each kind of trait."""
+        counts = dict.fromkeys(trait.KIND_NAMES, 0)
+        for entry in self._table.active:
+            kind = trait.kind_of(entry.fingerprint)
+            counts[kind] = counts.get(kind, 0) + 1
+        return counts
+
     def set_announcer(
         self, announce: Callable[[update_lib.QuarantineUpdate], None]
     ) -> None:
@@ -135,6 +143,11 @@
             self._publish(self._table.begin_probe(entry, now))
         return None
 
+    def describe(self, exchange: exchange_lib.Exchange) -> str:
+        """Returns the traits by which a request is refused, for the log."""
+        entries = self._matching(exchange)
+        return ' '.join(trait.describe(sorted(one.traits)) for one in entries)
+
     def rejects(self, exchange: exchange_lib.Exchange) -> bool:
         """Whether a request must not be sent to an upstream now.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/trait.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/trait.py
@@ -18,6 +18,7 @@
     from quetzalsill_gateway import exchange as exchange_lib
 
 __all__ = [
+    'KIND_NAMES',
     'check',
     'describe',
     'identifies_request',
@@ -53,6 +54,7 @@
 
 KINDS = (Kind('prompt_part', 1, lambda exchange: exchange.shared_parts),)
 NAMES = {kind.code: kind.name for kind in KINDS}
+KIND_NAMES = (REQUEST, *NAMES.values())
 
 
 def of(exchange: exchange_lib.Exchange) -> tuple[bytes, ...]:
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -231,6 +231,18 @@
         for name in judged:
             self.assertIn('bad', name)
 
+    def test_a_bystander_of_two_culprits_is_not_convicted(self):
+        """A sound part met a few crashes of each, and was refused."""
+        found = collect(
+            crash_of('a', 0.0, ('bad', 0.087), ('r1 sound', 0.006)),
+            crash_of('b', 0.5, ('bad', 0.106)),
+            crash_of('c', 1.0, ('bad', 0.060), ('r3 sound', 0.214)),
+            crash_of('d', 3.0, ('bad', 0.065)),
+            crash_of('e', 4.0, ('r5 worse sound', 0.004)),
+            crash_of('f', 4.5, ('bad', 0.062), ('r6 worse sound', 0.054)),
+        )
+        self.assertEqual(verdicts(found, 5.0), ['bad'])
+
     def test_a_part_that_crashes_from_some_moment_on_is_convicted(self):
         """Requests with it were answered before, so more crashes are needed."""
         found = collect()
