Ask for more crashes while others may have caused each of them

A trait at fewer than five crashes is ambiguous if each of them has another suspect, not necessarily the same, that was at two and ran no clearly longer.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -35,6 +35,8 @@
 # needed; and for a trait whose requests were answered lately, as many for which
 # there is no better explanation.
 MIN_AMBIGUOUS_CRASHES = 5
+# Another trait may have caused a crash if it was at this many.
+MIN_RIVAL_CRASHES = 2
 # A request is clearly shorter than another if it has been running for less than
 # this share of its time.
 CLEARLY_SHORTER_SHARE = 0.5
@@ -201,14 +203,15 @@
       charged: The crashes that it may have caused.
       count: Their number, those at the same moment counted once.
       exposure_s: For how long it had been running at all of them together.
-      traits: What all requests with it at these crashes have, itself included;
-        the request alone, if it was a single one.
+      constant: What all requests with it at these crashes have.
+      traits: The same; the request alone, if it was a single one.
     """
 
     fingerprint: bytes
     charged: list[Crash]
     count: int = dataclasses.field(init=False)
     exposure_s: float = dataclasses.field(init=False)
+    constant: Traits = dataclasses.field(init=False)
     traits: Traits = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -221,44 +224,17 @@
             for crash in self.charged
             for one in crash.by_trait[self.fingerprint]
         ]
-        request = suspects[0].fingerprint
-        if all(one.fingerprint == request for one in suspects):
-            self.traits = frozenset([request])
-        else:
-            self.traits = frozenset.intersection(
-                *(one.shared for one in suspects)
-            )
+        self.constant = frozenset.intersection(
+            *(one.shared | {one.fingerprint} for one in suspects)
+        )
+        request = frozenset([suspects[0].fingerprint])
+        self.traits = request if request <= self.constant else self.constant
 
     @property
     def mean_exposure_s(self) -> float:
         """For how long it had been running at each of them."""
         return self.exposure_s / self.count
 
-    def is_ambiguous_with(self, other: _Candidate) -> bool:
-        """Whether another trait may have caused the same crashes.
-
-        It may have caused all of them, or it was at more crashes and leaves too
-        few that it does not explain.
-        """
-        if (
-            other is self
-            or other.fingerprint in self.traits
-            or self.traits == other.traits
-        ):
-            return False
-        common = [
-            one for one in self.charged if other.fingerprint in one.by_trait
-        ]
-        if len(common) < len(self.charged):
-            left = [one for one in self.charged if one not in common]
-            if other.count <= self.count or len(groups(left)) >= MIN_CRASHES:
-                return False
-        own_s, others_s = (
-            sum(one.exposure_s(fingerprint) for one in common)
-            for fingerprint in (self.fingerprint, other.fingerprint)
-        )
-        return own_s > CLEARLY_SHORTER_SHARE * others_s
-
 
 class Evidence:
     """Recent crashes, and traits whose requests have been answered since."""
@@ -542,11 +518,38 @@
         clear = (
             one
             for one in found
-            if one.count >= MIN_AMBIGUOUS_CRASHES
-            or not any(one.is_ambiguous_with(other) for other in found)
+            if one.count >= MIN_AMBIGUOUS_CRASHES or not self._is_ambiguous(one)
         )
         return next(clear, None)
 
+    def _is_ambiguous(self, candidate: _Candidate) -> bool:
+        """Whether others may have caused each of the same crashes.
+
+        One may explain all of them, or several culprits some each.
+        """
+        return all(
+            any(
+                one not in candidate.constant
+                and candidate.mean_exposure_s
+                > CLEARLY_SHORTER_SHARE * self._rival_exposure_s(one)
+                for one in crash.by_trait
+            )
+            for crash in candidate.charged
+        )
+
+    def _rival_exposure_s(self, fingerprint: bytes) -> float:
+        """Returns the mean exposure of a trait; infinite if it is no rival.
+
+        Those whose requests were answered are none, nor those at few crashes.
+        """
+        keys = self._keys[fingerprint]
+        if len(keys) < MIN_RIVAL_CRASHES or fingerprint in self._completed:
+            return math.inf
+        exposures_s = [
+            self._crashes[key].exposure_s(fingerprint) for key in keys
+        ]
+        return sum(exposures_s) / len(exposures_s)
+
     def _unseparated(self, candidate: _Candidate) -> Traits:
         """Returns the traits that may have caused all of the same crashes."""
         first_s = candidate.charged[0].at_s
