--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -497,11 +497,11 @@
 
     def _restart_engine(self, crashed: engine.Engine) -> None:
         """Replaces an engine that a request has crashed."""
-        upstream = next(
-            one for one in self._testbed.upstreams if one.server is crashed
-        )
-        task = asyncio.create_task(self._replace_engine(upstream))
-        self._tasks.add(task)
+        for upstream in self._testbed.upstreams:
+            # Another fault may have removed it meanwhile.
+            if upstream.server is crashed:
+                task = asyncio.create_task(self._replace_engine(upstream))
+                self._tasks.add(task)
 
     async def _replace_engine(self, upstream: testbed_lib.Upstream) -> None:
         is_departing = upstream in self._departing
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -24,6 +24,7 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import math
 from collections.abc import Callable, Iterable, Iterator
@@ -515,28 +516,15 @@
         ]
         found.sort(key=lambda one: (one.mean_exposure_s, one.fingerprint))
         del found[MAX_COMPARED:]
+        rival_exposure_s = functools.cache(self._rival_exposure_s)
         clear = (
             one
             for one in found
-            if one.count >= MIN_AMBIGUOUS_CRASHES or not self._is_ambiguous(one)
+            if one.count >= MIN_AMBIGUOUS_CRASHES
+            or not _is_ambiguous(one, rival_exposure_s)
         )
         return next(clear, None)
 
-    def _is_ambiguous(self, candidate: _Candidate) -> bool:
-        """Whether others may have caused each of the same crashes.
-
-        One may explain all of them, or several culprits some each.
-        """
-        return all(
-            any(
-                one not in candidate.constant
-                and candidate.mean_exposure_s
-                > CLEARLY_SHORTER_SHARE * self._rival_exposure_s(one)
-                for one in crash.by_trait
-            )
-            for crash in candidate.charged
-        )
-
     def _rival_exposure_s(self, fingerprint: bytes) -> float:
         """Returns the mean exposure of a trait; infinite if it is no rival.
 
@@ -652,6 +640,27 @@
                 del self._latest_s[fingerprint]
 
 
+def _is_ambiguous(
+    candidate: _Candidate, rival_exposure_s: Callable[[bytes], float]
+) -> bool:
+    """Whether others may have caused each of the same crashes.
+
+    One may explain all of them, or several culprits some each.
+
+    Args:
+      candidate: A trait that may be a culprit.
+      rival_exposure_s: Returns for how long another had been running.
+    """
+    bound_s = candidate.mean_exposure_s / CLEARLY_SHORTER_SHARE
+    return all(
+        any(
+            one not in candidate.constant and rival_exposure_s(one) < bound_s
+            for one in crash.by_trait
+        )
+        for crash in candidate.charged
+    )
+
+
 def _is_explained(
     crash: Crash, culprits: Iterable[Traits], fingerprint: bytes | None = None
 ) -> bool:
