--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/evidence.py
@@ -1,59 +1,27 @@
-"""Attributes crashes of upstreams to the traits of the requests that they ran.
+"""What is known of crashes of upstreams, and of the requests that they ran.
 
 A crash ends every run of its upstream, so each trait of each of them is a
-suspect: the request as a whole, and what it has in common with others. Where
-one trait crashes upstreams again and again, its neighbours meet several crashes
-too, long generations most of all. What distinguishes them:
-
-- a trait of a run that outlived such a crash, or was answered, did not cause
-  the crashes before it began;
-- a crash at which a known culprit was running is charged to nobody else, except
-  the traits that the culprit's own runs have;
-- upstreams that crash at the same moment, as those of a rack do, count once;
-- a request that was running at some of many crashes may have been there by
-  chance, depending on for how long it has been running;
-- of requests that were running at the same crashes, the one that had been
-  running for clearly the shortest time is the culprit.
-
-Traits that so far only came together can't be told apart. The verdict is then
-that requests with all of them crash upstreams, which is the narrowest that
-explains the crashes. It gets wider as they are told apart.
+suspect: the request as a whole, and what it has in common with others. A trait
+of a run that outlived such a crash, or was answered, did not cause the crashes
+before it began.
 """
 
 from __future__ import annotations
 
 import collections
 import dataclasses
-import functools
-import heapq
 import math
 from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ['Crash', 'Evidence', 'Suspect', 'Verdict', 'groups']
+__all__ = ['Crash', 'Evidence', 'Suspect', 'Traits', 'groups', 'is_explained']
 
 MIN_CRASHES = 3
-# While another trait may have caused the same crashes as well, this many are
-# needed; and for a trait whose requests were answered lately, as many for which
-# there is no better explanation.
-MIN_AMBIGUOUS_CRASHES = 5
-# Another trait may have caused a crash if it was at this many.
-MIN_RIVAL_CRASHES = 2
-# A request is clearly shorter than another if it has been running for less than
-# this share of its time.
-CLEARLY_SHORTER_SHARE = 0.5
 # A run that has been producing output for this long, and for this multiple of
 # the time after which a trait was followed by crashes, has outlived it.
 MIN_OUTLIVED_S = 0.3
 OUTLIVED_FACTOR = 2.0
 # Upstreams that crash within this time of each other count as one crash.
 GROUP_S = 0.25
-# Largest probability that as many crashes meet a request by chance.
-MAX_CHANCE = 1e-6
-# Window for the rate of crashes.
-RATE_WINDOW_S = 10.0
-# Rate at which an upstream is assumed to crash though none has lately; few
-# crashes show little about it.
-MIN_CRASHES_PER_S = 0.01
 # A trait that is repeated less often than this is found again each time.
 RETENTION_S = 600.0
 MAX_CRASHES = 256
@@ -61,11 +29,6 @@
 # Shared traits of all requests at one crash.
 MAX_SHARED = 512
 MAX_COMPLETIONS = 4096
-# Bound the time of a verdict: traits that are considered, those at the most
-# crashes first; those compared with each other; and culprits found.
-MAX_CANDIDATES = 128
-MAX_COMPARED = 16
-MAX_CULPRITS = 3
 
 Traits = frozenset[bytes]
 
@@ -179,64 +142,6 @@
                 self.by_trait.setdefault(fingerprint, []).append(one)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Verdict:
-    """Traits by which requests crash upstreams.
-
-    Attributes:
-      traits: Their fingerprints; a request crashes upstreams if it has all.
-      label: Route, client account and path of such a request; empty if this
-        gateway never ran one.
-      charged: The crashes, by time.
-    """
-
-    traits: Traits
-    label: str
-    charged: list[Crash]
-
-
-@dataclasses.dataclass(slots=True)
-class _Candidate:
-    """A trait that may be a culprit.
-
-    Attributes:
-      fingerprint: Its fingerprint.
-      charged: The crashes that it may have caused.
-      count: Their number, those at the same moment counted once.
-      exposure_s: For how long it had been running at all of them together.
-      constant: What all requests with it at these crashes have.
-      traits: The same; the request alone, if it was a single one.
-    """
-
-    fingerprint: bytes
-    charged: list[Crash]
-    count: int = dataclasses.field(init=False)
-    exposure_s: float = dataclasses.field(init=False)
-    constant: Traits = dataclasses.field(init=False)
-    traits: Traits = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        self.count = len(groups(self.charged))
-        self.exposure_s = sum(
-            crash.exposure_s(self.fingerprint) for crash in self.charged
-        )
-        suspects = [
-            one
-            for crash in self.charged
-            for one in crash.by_trait[self.fingerprint]
-        ]
-        self.constant = frozenset.intersection(
-            *(one.shared | {one.fingerprint} for one in suspects)
-        )
-        request = frozenset([suspects[0].fingerprint])
-        self.traits = request if request <= self.constant else self.constant
-
-    @property
-    def mean_exposure_s(self) -> float:
-        """For how long it had been running at each of them."""
-        return self.exposure_s / self.count
-
-
 class Evidence:
     """Recent crashes, and traits whose requests have been answered since."""
 
@@ -301,6 +206,33 @@
             if self.is_repeated(fingerprint)
         )
 
+    def traits(self) -> Iterator[bytes]:
+        """Yields all traits that were running at a crash."""
+        return iter(self._keys)
+
+    def crashes_of(self, fingerprint: bytes) -> list[Crash]:
+        """Returns the crashes at which a trait was running."""
+        return [self._crashes[key] for key in self._keys.get(fingerprint, ())]
+
+    def count_of(self, fingerprint: bytes) -> int:
+        """Returns the number of crashes at which a trait was running."""
+        return len(self._keys.get(fingerprint, ()))
+
+    def cleared_until_s(self, fingerprint: bytes) -> float:
+        """Returns the loop time until which a trait caused no crash.
+
+        It is minus infinity if nothing shows that.
+        """
+        return self._completed.get(fingerprint, -math.inf)
+
+    def is_known_sound(self, fingerprint: bytes) -> bool:
+        """Whether requests with a trait were answered or outlived a crash."""
+        return fingerprint in self._completed
+
+    def upstream_count(self, service: str) -> int:
+        """Returns the number of upstreams of a service."""
+        return self._upstream_count(service)
+
     def add(self, crash: Crash) -> bool:
         """Adds a crash or what is new about it; returns whether any was."""
         if crash.key in self._alive:
@@ -401,9 +333,7 @@
 
     def was_running_briefly(self, fingerprint: bytes) -> bool:
         """Whether a request had just begun at the latest crash that it met."""
-        crashes = [
-            self._crashes[key] for key in self._keys.get(fingerprint, ())
-        ]
+        crashes = self.crashes_of(fingerprint)
         if not crashes:
             return False
         latest = max(crashes, key=lambda crash: crash.at_s)
@@ -435,199 +365,13 @@
             return []
         others = [one for one in culprits if fingerprint not in one]
         own = None if fingerprint in self._completed else fingerprint
-        crashes = (
-            self._crashes[key] for key in self._keys.get(fingerprint, ())
-        )
         charged = (
             crash
-            for crash in crashes
-            if crash.at_s > since_s and not _is_explained(crash, others, own)
+            for crash in self.crashes_of(fingerprint)
+            if crash.at_s > since_s and not is_explained(crash, others, own)
         )
         return sorted(charged, key=lambda crash: crash.at_s)
 
-    def culprits(
-        self, known: Iterable[Traits], now: float
-    ) -> Iterator[Verdict]:
-        """Yields the traits that are found to have caused crashes.
-
-        Each of them explains its crashes before the next is looked for. At most
-        `MAX_CULPRITS`; more may be found at the next call.
-
-        Args:
-          known: Traits of culprits that are known already.
-          now: Loop time.
-        """
-        found = set(known)
-        for _ in range(MAX_CULPRITS):
-            candidate = self._culprit(found, now)
-            if candidate is None:
-                return
-            found.add(candidate.traits)
-            yield Verdict(
-                candidate.traits, _label(candidate), candidate.charged
-            )
-
-    def _culprit(self, known: set[Traits], now: float) -> _Candidate | None:
-        explained = {
-            crash.key
-            for crash in self._crashes.values()
-            if _is_explained(crash, known)
-        }
-        repeated = heapq.nlargest(
-            MAX_CANDIDATES,
-            (
-                one
-                for one in self.repeated()
-                if frozenset([one]) not in known
-                and not self._keys[one] <= explained
-            ),
-            key=lambda one: len(self._keys[one]),
-        )
-        candidates: dict[bytes, _Candidate] = {}
-        fresh = self._fresh()
-        for fingerprint in repeated:
-            charged = self.charges(fingerprint, known)
-            count = len(groups(charged))
-            if fingerprint in self._completed:
-                unclear = (
-                    crash
-                    for crash in charged
-                    if fresh.isdisjoint(crash.by_trait)
-                )
-                if len(groups(unclear)) < MIN_AMBIGUOUS_CRASHES:
-                    continue
-            if count < MIN_CRASHES:
-                continue
-            candidate = _Candidate(fingerprint, charged)
-            candidate.traits = self._unseparated(candidate)
-            if self._explains_more(candidate, explained) and not any(
-                one <= candidate.traits for one in known
-            ):
-                candidates[fingerprint] = candidate
-        recent = [
-            (crash, _shortest_mean_s(crash, explained, candidates))
-            for crash in self._crashes.values()
-            if crash.at_s > now - RATE_WINDOW_S
-        ]
-        found = [
-            one
-            for one in candidates.values()
-            if self._chance(one, recent) <= MAX_CHANCE
-        ]
-        found.sort(key=lambda one: (one.mean_exposure_s, one.fingerprint))
-        del found[MAX_COMPARED:]
-        rival_exposure_s = functools.cache(self._rival_exposure_s)
-        clear = (
-            one
-            for one in found
-            if one.count >= MIN_AMBIGUOUS_CRASHES
-            or not _is_ambiguous(one, rival_exposure_s)
-        )
-        return next(clear, None)
-
-    def _rival_exposure_s(self, fingerprint: bytes) -> float:
-        """Returns the mean exposure of a trait; infinite if it is no rival.
-
-        Those whose requests were answered are none, nor those at few crashes.
-        """
-        keys = self._keys[fingerprint]
-        if len(keys) < MIN_RIVAL_CRASHES or fingerprint in self._completed:
-            return math.inf
-        exposures_s = [
-            self._crashes[key].exposure_s(fingerprint) for key in keys
-        ]
-        return sum(exposures_s) / len(exposures_s)
-
-    def _unseparated(self, candidate: _Candidate) -> Traits:
-        """Returns the traits that may have caused all of the same crashes."""
-        first_s = candidate.charged[0].at_s
-        found = frozenset(
-            one
-            for one in candidate.traits
-            if self._completed.get(one, -math.inf) < first_s
-        )
-        return found or frozenset([candidate.fingerprint])
-
-    def _fresh(self) -> Traits:
-        """Returns traits that explain crashes better than those known as sound.
-
-        None of their requests was answered, and each was at several crashes; a
-        request is sent again after a crash, whatever caused it, and so must
-        have been at more.
-        """
-        return frozenset(
-            one
-            for one, keys in self._keys.items()
-            if one not in self._completed
-            and len(keys) >= MIN_CRASHES - (not self._is_request(one))
-        )
-
-    def _is_request(self, fingerprint: bytes) -> bool:
-        """Whether a trait is a request as a whole."""
-        key = next(iter(self._keys[fingerprint]))
-        return fingerprint in self._crashes[key].suspects
-
-    def _explains_more(
-        self, candidate: _Candidate, explained: set[str]
-    ) -> bool:
-        """Whether a trait explains crashes that known culprits don't.
-
-        If they explain the others, it must have been followed by these as
-        quickly.
-        """
-        fingerprint = candidate.fingerprint
-        shortest_s = [
-            (crash.key in explained, crash.shortest_s(fingerprint))
-            for crash in candidate.charged
-        ]
-        fuse_s = max(
-            (span_s for is_known, span_s in shortest_s if is_known),
-            default=math.inf,
-        )
-        bound_s = max(MIN_OUTLIVED_S, OUTLIVED_FACTOR * fuse_s)
-        return any(
-            not is_known and span_s <= bound_s
-            for is_known, span_s in shortest_s
-        )
-
-    def _chance(
-        self, candidate: _Candidate, recent: list[tuple[Crash, float]]
-    ) -> float:
-        """Returns how likely a trait meets its crashes by chance.
-
-        Upstreams crash without it at some rate, which is taken for a Poisson
-        process; requests with it were exposed to that while they were running.
-        """
-        mean = candidate.exposure_s * max(
-            self._background_per_s(candidate, service, recent)
-            for service in {crash.service for crash in candidate.charged}
-        )
-        term = below = math.exp(-mean)
-        for number in range(1, candidate.count):
-            term *= mean / number
-            below += term
-        return 1.0 - below
-
-    def _background_per_s(
-        self,
-        candidate: _Candidate,
-        service: str,
-        recent: list[tuple[Crash, float]],
-    ) -> float:
-        """Returns the crashes per second and upstream without a trait.
-
-        Crashes that are explained at least as well by another one are left
-        out: else two culprits would hide each other.
-        """
-        count = sum(
-            crash.service == service
-            and shortest_mean_s > candidate.mean_exposure_s
-            and candidate.fingerprint not in crash.by_trait
-            for crash, shortest_mean_s in recent
-        )
-        upstreams = max(1, self._upstream_count(service))
-        return MIN_CRASHES_PER_S + count / RATE_WINDOW_S / upstreams
-
     def _remove(self, key: str) -> None:
         crash = self._crashes.pop(key, None)
         if crash is None:
@@ -640,28 +384,7 @@
                 del self._latest_s[fingerprint]
 
 
-def _is_ambiguous(
-    candidate: _Candidate, rival_exposure_s: Callable[[bytes], float]
-) -> bool:
-    """Whether others may have caused each of the same crashes.
-
-    One may explain all of them, or several culprits some each.
-
-    Args:
-      candidate: A trait that may be a culprit.
-      rival_exposure_s: Returns for how long another had been running.
-    """
-    bound_s = candidate.mean_exposure_s / CLEARLY_SHORTER_SHARE
-    return all(
-        any(
-            one not in candidate.constant and rival_exposure_s(one) < bound_s
-            for one in crash.by_trait
-        )
-        for crash in candidate.charged
-    )
-
-
-def _is_explained(
+def is_explained(
     crash: Crash, culprits: Iterable[Traits], fingerprint: bytes | None = None
 ) -> bool:
     """Whether culprits explain a crash, by runs without a trait."""
@@ -687,34 +410,6 @@
     return True
 
 
-def _label(candidate: _Candidate) -> str:
-    labels = (
-        one.label
-        for crash in reversed(candidate.charged)
-        for one in crash.matching(candidate.traits)
-    )
-    return next(filter(None, labels), '')
-
-
-def _shortest_mean_s(
-    crash: Crash, explained: set[str], candidates: dict[bytes, _Candidate]
-) -> float:
-    """Returns the shortest mean exposure of those that explain a crash.
-
-    It is 0 for known culprits, and infinite if nothing explains the crash.
-    """
-    if crash.key in explained:
-        return 0.0
-    return min(
-        (
-            candidates[fingerprint].mean_exposure_s
-            for fingerprint in crash.by_trait
-            if fingerprint in candidates
-        ),
-        default=math.inf,
-    )
-
-
 def groups(charged: Iterable[Crash]) -> list[list[Crash]]:
     """Returns crashes in groups that count as one each.
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -10,7 +10,12 @@
 
 from quetzalsill_gateway import event
 from quetzalsill_gateway.fleet import quota, upstream
-from quetzalsill_gateway.quarantine import evidence, table, trait
+from quetzalsill_gateway.quarantine import (
+    attribution,
+    evidence,
+    table,
+    trait,
+)
 from quetzalsill_gateway.quarantine import update as update_lib
 
 if TYPE_CHECKING:
@@ -438,7 +443,7 @@
         self._timer = None
         now = _now()
         known = [one.traits for one in self._table.active]
-        for verdict in self._evidence.culprits(known, now):
+        for verdict in attribution.culprits(self._evidence, known, now):
             keys = [crash.key for crash in verdict.charged]
             ids = (
                 key.partition(upstream.KEY_SEPARATOR)[0]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/table.py
@@ -42,7 +42,7 @@
       upstreams: Upstreams that it crashed; the newest, if they are many.
       reason: Why it was lifted; empty while it is active.
       companions: Fingerprints of traits that a request must have as well to be
-        refused: they could not be told apart from the first one.
+        refused: nothing separates them from the first one so far.
     """
 
     fingerprint: bytes
--- a/tests/quetzalsill_gateway/quarantine/test_evidence.py
+++ b/tests/quetzalsill_gateway/quarantine/test_evidence.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from quetzalsill_gateway.quarantine import evidence
+from quetzalsill_gateway.quarantine import attribution, evidence
 
 SERVERS = 9
 RESTART_S = 2.0
@@ -31,7 +31,9 @@
 
 def culprits(found, now, known=()):
     """Returns the names of the culprits that are found."""
-    verdicts = found.culprits([frozenset([one]) for one in known], now)
+    verdicts = attribution.culprits(
+        found, [frozenset([one]) for one in known], now
+    )
     return [name.decode() for one in verdicts for name in sorted(one.traits)]
 
 
@@ -160,7 +162,7 @@
     sets = [frozenset(name.encode() for name in one.split()) for one in known]
     return [
         ' '.join(sorted(name.decode() for name in one.traits))
-        for one in found.culprits(sets, now)
+        for one in attribution.culprits(found, sets, now)
     ]
 
 
