--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/trait.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/trait.py
@@ -10,13 +10,10 @@
 import dataclasses
 import hashlib
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from quetzalsill_gateway.quarantine import fingerprint as fingerprint_lib
 
-if TYPE_CHECKING:
-    from quetzalsill_gateway import exchange as exchange_lib
-
 __all__ = [
     'KIND_NAMES',
     'check',
@@ -37,6 +34,18 @@
 REQUEST = 'request'
 
 
+class Request(Protocol):
+    """What traits are read from.
+
+    Attributes:
+      fingerprint: Fingerprint of the request as a whole.
+      shared_parts: Ids of the parts of its prompt that others may have too.
+    """
+
+    fingerprint: bytes
+    shared_parts: tuple[bytes, ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Kind:
     """A kind of trait that requests may share.
@@ -49,25 +58,25 @@
 
     name: str
     code: int
-    read: Callable[[exchange_lib.Exchange], Iterable[bytes]]
+    read: Callable[[Request], Iterable[bytes]]
 
 
-KINDS = (Kind('prompt_part', 1, lambda exchange: exchange.shared_parts),)
+KINDS = (Kind('prompt_part', 1, lambda req: req.shared_parts),)
 NAMES = {kind.code: kind.name for kind in KINDS}
 KIND_NAMES = (REQUEST, *NAMES.values())
 
 
-def of(exchange: exchange_lib.Exchange) -> tuple[bytes, ...]:
+def of(req: Request) -> tuple[bytes, ...]:
     """Returns the fingerprints of a request's traits, its own first."""
-    return (exchange.fingerprint, *shared(exchange))
+    return (req.fingerprint, *shared(req))
 
 
-def shared(exchange: exchange_lib.Exchange) -> tuple[bytes, ...]:
+def shared(req: Request) -> tuple[bytes, ...]:
     """Returns the fingerprints of the traits that other requests may have."""
     return tuple(
         _fingerprint(kind, value)
         for kind in KINDS
-        for value in tuple(kind.read(exchange))[:MAX_PER_KIND]
+        for value in tuple(kind.read(req))[:MAX_PER_KIND]
     )
 
 
