--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -147,13 +147,15 @@
             call = Exchange(method, target, headers, body, writer)
             handling = asyncio.ensure_future(self._handle(call))
             leaving = asyncio.ensure_future(_until_end(reader))
-            await asyncio.wait(
-                (handling, leaving), return_when=asyncio.FIRST_COMPLETED
-            )
-            has_left = not handling.done()
-            handling.cancel()
-            leaving.cancel()
-            await asyncio.gather(handling, leaving, return_exceptions=True)
+            try:
+                await asyncio.wait(
+                    (handling, leaving), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                has_left = not handling.done()
+                handling.cancel()
+                leaving.cancel()
+                await asyncio.gather(handling, leaving, return_exceptions=True)
             if has_left:
                 return
             if not writer.transport.is_closing():
