--- a/review/standins/config.py
+++ b/review/standins/config.py
@@ -26,7 +26,22 @@
             'sessionAffinity': True,
             'streamResume': False,
             'itlTargetMs': 180,
-        }
+        },
+        {
+            'name': 'tag',
+            'host': 'studio.example',
+            'prefix': '/tag/',
+            'routeType': 'streaming',
+            'timeoutMs': 6000,
+            'targetLatencyMs': 1500,
+            'priority': 0,
+            'service': 'pool',
+            'maxAttempts': 2,
+            'public': False,
+            'sessionAffinity': True,
+            'streamResume': True,
+            'itlTargetMs': 180,
+        },
     ],
     'services': [
         {
