--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
-"""A part of prompts crashes servers, and one server crashes for itself.
+"""A gateway is stopped while clients use their kept connections.
 
-The servers' streams are short and have no length. The rule that is checked is
-LOST, for sound requests with the same first part.
+Each client sends its next request as soon as it has an answer. The rule that
+is checked is LOST, around a SIGTERM.
 """
 
 from __future__ import annotations
@@ -11,34 +11,27 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import traceback
 
-from standins import client, cluster, config, engine, record
+from standins import client, cluster, config, engine, gateway, record
 
 HERE = pathlib.Path(__file__).resolve().parent
-SEED = 1
-ENGINES = 9
-MAX_EVENTS = 10
-PROMPT_TOKENS = 2200
-TIME_LIMIT_MS = 6000
-SOUND_PER_S = 16.0
-BAD_PER_S = 1.0
-# Parts of the prompts; a last part of its own follows in each.
-FIRST_PART = '5c1e07a2'
-SOUND_PARTS = ('91bd3f06', '02f7aa90', 'c4d3811e', '7be20c55')
-BAD_PART = 'badbad01'
-# Times from the start of the traffic.
-BAD_FROM_S = 5.0
-SERVER_CRASH_S = 9.0
-PLAY_S = 22.0
-RESTART_S = 2.5
-STABLE_WINDOW_S = 3.0
-# Requests of each time without which the rule says nothing, and the share of
-# those in calm that must begin at least.
-MIN_REQUESTS = 20
-MIN_SHARE = 0.5
+SEED = 9
+CLIENTS = 36
+ENGINES = 4
+TERM_AT_S = 7.0
+# After the grace time of 8 s, and 1 s more, nothing counts.
+PLAY_S = 17.0
+# What was sent up to this long after the SIGTERM is excused.
+EXCUSED_S = 3.0
+# The `lossSlackMs` of the site.
+LOSS_SLACK_S = 0.2
+MAX_EVENTS = 551
+HINT_SPREAD = 1.2
+PROMPT_TOKENS = 3000
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,16 +39,20 @@
     """A request and its answer.
 
     Attributes:
-      name: Its id.
-      is_bad: Whether it has the part that crashes servers.
+      request_id: Its id.
+      gateway: Name of the gateway that it was sent to.
       sent_s: When it was sent.
+      ended_s: When its answer or the connection ended; None before.
       response: The answer.
     """
 
-    name: str
-    is_bad: bool
+    request_id: str
+    gateway: str
     sent_s: float
-    response: client.Response
+    ended_s: float | None = None
+    response: client.Response = dataclasses.field(
+        default_factory=client.Response
+    )
 
 
 class Case:
@@ -63,152 +60,121 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.log = record.Record(HERE / 'record.txt')
-        self.is_trouble = os.environ.get('TROUBLE', '1') != '0'
-        self.rng = random.Random(SEED)
+        self.lengths: dict[str, int] = {}
         self.sent: list[Sent] = []
-        self.bad: set[str] = set()
+        engines = [
+            engine.Engine(
+                f'i-{number}', lambda name: self.lengths[name], self.log
+            )
+            for number in range(ENGINES)
+        ]
+        self.cluster = cluster.Cluster(engines)
         self.folder = folder
-        self.boots = ENGINES
-        self.started_s = 0.0
-        self.part_crashes_s: list[float] = []
-        self.cluster = cluster.Cluster(
-            [self.make_engine(number) for number in range(ENGINES)]
-        )
-        self.crashes: list[asyncio.Task[None]] = []
-
-    def make_engine(self, number: int) -> engine.Engine:
-        """Returns an engine whose streams end with their connection."""
-        found = engine.Engine(
-            f'i-{number}', self.length_of, self.log, is_framed=False
-        )
-        found.on_first_token = self.goes_on
-        return found
-
-    def length_of(self, name: str) -> int:
-        """Returns the number of events of a request's stream."""
-        rng = random.Random(f'{SEED}/{name}')
-        return min(MAX_EVENTS, max(1, round(rng.lognormvariate(0.73, 0.89))))
-
-    def goes_on(self, where: engine.Engine, run: engine.Run) -> bool:
-        """Crashes an engine that begins to write on the bad part."""
-        if not (self.is_trouble and run.request_id in self.bad):
-            return True
-        self.log.note(f'{where.id} crashes by the part in {run.request_id}')
-        self.part_crashes_s.append(self.log.now())
-        self.crashes.append(asyncio.create_task(self.crash(where)))
-        return False
-
-    async def crash(self, where: engine.Engine) -> None:
-        """Resets an engine's connections; it is back after some seconds."""
-        port = where.server.port
-        self.cluster.engines.remove(where)
-        await where.server.stop()
-        await asyncio.sleep(RESTART_S)
-        self.cluster.store.remove('servers', where.id)
-        found = self.make_engine(self.boots)
-        self.boots += 1
-        await found.server.start(port)
-        self.cluster.engines.append(found)
-        self.cluster.store.put('servers', found.id, found.entry('pool'))
-        self.log.note(f'{where.id} is back as {found.id}')
+        self.term_s: float | None = None
 
     async def play(self) -> None:
-        """Starts everything, sends requests, and ends all processes."""
+        """Starts everything, stops a gateway, and ends all processes."""
         async with cluster.run(self.cluster, self.folder, 2) as tasks:
-            self.started_s = self.log.now()
-            tasks.append(asyncio.create_task(self.send_sound(tasks)))
-            await asyncio.sleep(BAD_FROM_S)
-            tasks.append(asyncio.create_task(self.send_bad(tasks)))
-            await asyncio.sleep(SERVER_CRASH_S - BAD_FROM_S)
-            if self.is_trouble:
-                found = await self.busy_engine()
-                self.log.note(f'{found.id} crashes for itself')
-                self.crashes.append(asyncio.create_task(self.crash(found)))
-            left_s = self.started_s + PLAY_S - self.log.now()
-            await asyncio.sleep(left_s)
-        for task in self.crashes:
-            task.cancel()
-        await asyncio.gather(*self.crashes, return_exceptions=True)
-
-    async def busy_engine(self) -> engine.Engine:
-        """Returns an engine that is at work."""
-        while True:
-            for one in self.cluster.engines:
-                if any(run.ended_s is None for run in one.runs.values()):
-                    return one
-            await asyncio.sleep(0.005)
-
-    async def send_sound(self, tasks: list[asyncio.Task[None]]) -> None:
-        """Sends sound requests at a steady rate."""
-        for number in range(100_000):
-            part = self.rng.choice(SOUND_PARTS)
-            name = f'{number:016x}'
-            tasks.append(asyncio.create_task(self.send(name, part)))
-            await asyncio.sleep(self.rng.expovariate(SOUND_PER_S))
-
-    async def send_bad(self, tasks: list[asyncio.Task[None]]) -> None:
-        """Sends requests with the part that crashes servers, none alike."""
-        for number in range(100_000):
-            name = f'bad{number:013x}'
-            self.bad.add(name)
-            tasks.append(asyncio.create_task(self.send(name, BAD_PART)))
-            await asyncio.sleep(1.0 / BAD_PER_S)
-
-    async def send(self, name: str, part: str) -> None:
-        """Sends a request to one of the gateways and records its answer."""
-        node = self.rng.choice(self.cluster.in_rotation)
+            tasks += [
+                asyncio.create_task(self.use(number))
+                for number in range(CLIENTS)
+            ]
+            await asyncio.sleep(TERM_AT_S)
+            if os.environ.get('TROUBLE', '1') != '0':
+                self.term_s = self.log.now()
+                self.log.note('SIGTERM to edge-1')
+                self.cluster.gateways[0].signal(signal.SIGTERM)
+            await asyncio.sleep(PLAY_S - TERM_AT_S)
+
+    async def use(self, number: int) -> None:
+        """Sends one request after the other, on one connection if possible."""
+        conn = None
+        node = None
+        for count in range(1000):
+            if conn is None or not conn.is_open:
+                # Most clients of a zone meet the same gateway.
+                first = self.cluster.in_rotation[0]
+                last = self.cluster.in_rotation[-1]
+                node = first if number % 4 else last
+                conn = client.Client(node.port)
+                try:
+                    await conn.open()
+                except OSError:
+                    await asyncio.sleep(0.1)
+                    continue
+            await self.send(conn, node, f'{number:08x}{count:08x}')
+
+    async def send(
+        self, conn: client.Client, node: gateway.Gateway, request_id: str
+    ) -> None:
+        """Sends a request and records how it was answered."""
+        # Drawn for each request by itself, so that its place doesn't matter.
+        rng = random.Random(f'{SEED}/{request_id}')
+        events = int(rng.lognormvariate(5.1, 0.84))
+        events = min(MAX_EVENTS, max(1, events))
+        self.lengths[request_id] = events
+        tokens = events * engine.EVENT_TOKENS
+        hint = int(tokens * rng.lognormvariate(0.0, HINT_SPREAD))
         headers = {
             'Host': 'studio.example',
-            'X-Quetzalsill-Attempt-Id': name,
-            'X-Quetzalsill-Deadline-Ms': str(TIME_LIMIT_MS),
+            'X-Quetzalsill-Attempt-Id': request_id,
+            'X-Quetzalsill-Deadline-Ms': str(config.TIME_LIMIT_MS),
             'X-Quetzalsill-Model': 'm',
             'X-Quetzalsill-Token-Usage': f'{PROMPT_TOKENS},{MAX_EVENTS * 4}',
-            'X-Quetzalsill-Prompt-Prefix': (
-                f'{FIRST_PART}:210,{part}:140,{name}:1850'
-            ),
+            'X-Quetzalsill-Length-Hint': str(hint),
+            'X-Quetzalsill-Prompt-Prefix': f'{request_id}:{PROMPT_TOKENS}',
             'Authorization': f'Bearer {config.KEY}',
         }
-        sent_s = self.log.now()
-        conn = client.Client(node.port)
-        await conn.open()
-        self.log.note(f'client sends {name} to {node.name}')
-        found = await conn.request(
-            'POST', f'/tag/{name}', headers, f'tag {name}'.encode()
+        found = Sent(request_id, node.name, self.log.now())
+        self.sent.append(found)
+        self.log.note(
+            f'client sends {request_id} to {node.name}:'
+            f' {tokens} tokens, hint {hint}'
+        )
+        found.response = await conn.request(
+            'POST', f'/brief/{request_id}', headers, b'write a brief'
+        )
+        found.ended_s = self.log.now()
+        end = 'whole' if found.response.is_complete else 'cut off'
+        self.log.note(
+            f'client has {request_id}: {found.response.status},'
+            f' {engine.events_in(found.response.body)} of {events} events,'
+            f' {end}'
         )
-        conn.close()
-        self.sent.append(Sent(name, name in self.bad, sent_s, found))
-        end = 'whole' if found.is_complete else 'cut off'
-        self.log.note(f'client has {name}: {found.status}, {end}')
-
-    def begun(self, since_s: float, until_s: float) -> tuple[int, int]:
-        """Returns how many sound requests of a time were sent, and begun."""
-        found = [
-            one.response.status
+        if found.response.status != 200:
+            await asyncio.sleep(
+                float(found.response.headers.get('retry-after', 0.1))
+            )
+
+    def lost(self) -> list[tuple[Sent, str]]:
+        """Returns the requests by which the rule was broken, and how."""
+        return [
+            (one, how)
             for one in self.sent
-            if not one.is_bad and since_s <= one.sent_s < until_s
+            if one.ended_s is not None
+            and not one.response.is_complete
+            and one.gateway == 'edge-1'
+            # Until a second after the grace time, before the time limit.
+            and self.term_s < one.ended_s < self.term_s + gateway.GRACE_S + 1.0
+            and one.ended_s - one.sent_s < config.TIME_LIMIT_MS / 1000
+            if (how := self.how_lost(one))
         ]
-        return len(found), found.count(200)
-
-
-def judge(case: Case) -> int:
-    """Records what the rule says; returns the exit status."""
-    calm = case.begun(case.started_s, case.started_s + BAD_FROM_S)
-    since_s = case.started_s + BAD_FROM_S
-    if case.part_crashes_s:
-        last_s = case.part_crashes_s[:5][-1]
-        since_s = last_s + 2 * STABLE_WINDOW_S
-    after = case.begun(since_s, float('inf'))
-    bad_s = [one.sent_s for one in case.sent if one.is_bad]
-    case.log.note(
-        f'{len(case.part_crashes_s)} crashes by the part; sound requests'
-        f' begun in calm {calm[1]} of {calm[0]}, from {since_s:.1f} s on'
-        f' {after[1]} of {after[0]}, where {sum(at > since_s for at in bad_s)}'
-        ' with the part still came'
-    )
-    if min(calm[0], after[0]) < MIN_REQUESTS:
-        return 2
-    is_broken = after[1] / after[0] < MIN_SHARE * calm[1] / calm[0]
-    return 1 if is_broken else 0
+
+    def how_lost(self, one: Sent) -> str:
+        """Returns how a request that was cut off was lost; empty if excused."""
+        runs = [
+            found.runs[one.request_id]
+            for found in self.cluster.engines
+            if one.request_id in found.runs
+        ]
+        if not runs:
+            # The gateway has had it for longer than it may drop it.
+            has_time = one.ended_s - one.sent_s > LOSS_SLACK_S
+            return 'never passed on' if has_time else ''
+        # The server neither broke off nor had ended. What was sent soon after
+        # the SIGTERM is excused then.
+        is_late = one.sent_s > self.term_s + EXCUSED_S
+        return 'passed on' if is_late and runs[0].made < runs[0].length else ''
 
 
 async def main() -> int:
@@ -216,12 +182,25 @@
     with tempfile.TemporaryDirectory() as folder:
         case = Case(pathlib.Path(folder))
         await case.play()
-        if path := os.environ.get('KEEP_LOGS'):
-            for one in case.cluster.gateways:
-                (pathlib.Path(path) / one.log.name).write_bytes(
-                    one.log.read_bytes()
-                )
-    return judge(case)
+    cut = [
+        one
+        for one in case.sent
+        if one.ended_s is not None and not one.response.is_complete
+    ]
+    if case.term_s is None:
+        case.log.note(f'no SIGTERM: {len(case.sent)} sent, {len(cut)} cut off')
+        return 1 if cut else 0
+    lost = case.lost()
+    for one, how in lost:
+        case.log.note(
+            f'LOST {one.request_id}: sent'
+            f' {one.sent_s - case.term_s:.2f} s after the SIGTERM, {how},'
+            f' and cut off {one.ended_s - case.term_s:.2f} s after it'
+        )
+    case.log.note(
+        f'{len(case.sent)} sent, {len(cut)} cut off, {len(lost)} break LOST'
+    )
+    return 1 if lost else 0
 
 
 if __name__ == '__main__':
