Log what a stopping gateway knew of a request as it arrived

request_ended now has exit_in_ms (time left to the process as the request arrived), expected_ms and the request's number on its connection.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -50,6 +50,11 @@
       first_request: Request that began the stream which the caller takes up;
         empty if it names none.
       resume_after: Id of the last event that it has; empty if none.
+      exit_in_ms: Time from its arrival to the end of the process; None if the
+        process was not stopping.
+      expected_ms: Expected duration of its generation, on arrival while the
+        process stopped.
+      number: Its number on its connection, from 1.
     """
 
     request: str
@@ -71,6 +76,9 @@
     account: str = ''
     first_request: str = ''
     resume_after: str = ''
+    exit_in_ms: float | None = None
+    expected_ms: float | None = None
+    number: int = 1
 
 
 @base.define
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -62,6 +62,10 @@
       read_shared_parts: Reads the ids of the shared parts of a prompt.
       answered_s: Loop time at which its latest response began, if that shows
         its own end; None otherwise.
+      expected_s: Expected duration of its generation, in seconds; None if
+        unknown.
+      exit_in_s: Time from its arrival to the end of the process, in seconds;
+        None if the process was not stopping.
     """
 
     request: message.Request
@@ -92,6 +96,8 @@
         lambda _: ()
     )
     answered_s: float | None = None
+    expected_s: float | None = None
+    exit_in_s: float | None = None
     _fingerprint: bytes = b''
     _traits: tuple[bytes, ...] = ()
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -48,6 +48,9 @@
         exchange = self._admit(req, responder)
         if exchange is None or self._refuse_quarantined(exchange):
             return
+        if self._core.ends_at_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            exchange.exit_in_s = self._core.ends_at_s - now_s
         reply_by_s = exchange.deadline_s - RESPONSE_MARGIN_S
         try:
             async with deadline.timeout_at(reply_by_s):
@@ -185,6 +188,9 @@
                 resume_after=message.logged(
                     headers, self._core.dialect.resume_after
                 ),
+                exit_in_ms=_ms(exchange.exit_in_s),
+                expected_ms=_ms(exchange.expected_s),
+                number=exchange.request.number,
             )
         )
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -62,6 +62,7 @@
         self._refused = False
         self._serving = False
         self._last_activity_s = 0.0
+        self._request_count = 0
         self._reset()
 
     @property
@@ -158,6 +159,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the request for the task."""
+        self._request_count += 1
         request = message.Request(
             self._parser.get_method(),
             bytes(self._target),
@@ -166,6 +168,7 @@
             self._request_start_s,
             self._parser.get_http_version(),
             self._parser.should_keep_alive(),
+            self._request_count,
         )
         self._reset()
         self._enqueue(request)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -63,6 +63,7 @@
       received_s: Loop time at which its first byte arrived, in seconds.
       version: HTTP version, `1.0` or `1.1`.
       keep_alive: Whether the caller wants a persistent connection.
+      number: Its number on its connection, from 1.
     """
 
     method: bytes
@@ -72,6 +73,7 @@
     received_s: float
     version: str = '1.1'
     keep_alive: bool = True
+    number: int = 1
 
     @property
     def path(self) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -68,6 +68,8 @@
     prompt = core.dialect.parse_prompt(req.request.headers)
     stream = live.Stream(req, prompt, live.reserve(prompt), origin=start.origin)
     req.tokens = stream.reservation.memory_tokens
+    if req.exit_in_s is not None:
+        req.expected_s = core.stats_table.generation_s(stream.reservation)
     if _outlives_process(core, stream.reservation):
         exchange.refuse(req.responder, UNAVAILABLE, 'stopping', may_retry=True)
         return 'refused'
