Accept nothing while stopping that the exit may cut off

Callers of streams that were sent 3 to 7 s after a SIGTERM, on connections that were open before it, had them cut off in the middle as the process exited 7.7 s after it.

Cause: a stopping gateway accepted a generation by its expected duration, which is the caller's hint times 1.3. Such requests still came since a response whose head was sent before the SIGTERM has promised to keep its connection, and a generation ends at any time in the grace period. Calls that are not streams were accepted to the end without any check.

Now a generation is accepted while its longest output (the caller's limit, at twice the mean time per token, after the prompts ahead of it), or its time limit, ends before the exit. This is checked on arrival and again when it has an engine. After leave_s, when the balancer has taken the gateway out and all callers reach others, whatever comes is refused as not run, with Connection: close. Such a connection stays open for 0.1 s after its response instead of 0 to 0.05 s, so that a request that its caller sends at once gets this answer, by which it may be sent again.

test_a_stopping_gateway_takes_no_run_that_outlasts_it asked for a refusal of a run whose time limit of 4 s ends it before the exit, 9.7 s after the stop. Such a run cannot be cut off by the exit. The test now gives it 60 s; what it asks is unchanged, it passes on the code before, and it fails with the check switched off.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
@@ -260,6 +260,10 @@
     'no_route': 'No route of the configuration in force fits host and path.',
     'unknown_key': 'The configuration in force knows no such key.',
     'no_id': 'The request carried no id of its own.',
+    'stopping': (
+        'Its gateway was about to exit, and callers could already reach '
+        'others. Nothing ran.'
+    ),
     'quarantined': (
         'It has a trait, named in its line, by which requests crashed several '
         'upstreams. Nothing ran.'
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -160,7 +160,9 @@
         '    if not path:\n        early',
     ),
     'no-run-that-outlasts': _gateway(
-        'stream/relay.py', 'if core.ends_at_s is None:', 'if True:'
+        'shutdown.py',
+        'if left_s is None or req.responder.started:',
+        'if True:',
     ),
 }
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/engine_averages.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/engine_averages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway.fleet import engine_speed
@@ -29,6 +30,8 @@
 # to be faster than it is.
 MAX_PREFILL_TOKENS_PER_S = 50_000.0
 PREFILL_WEIGHT = 0.03
+# Runs in the largest batches take longer per token than the average.
+SLOW_RUN_FACTOR = 2.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -135,3 +138,27 @@
         if upstream is not None and self.engine_speeds.differ(upstream.service):
             duration_s *= self.engine_speeds.slowness(upstream)
         return duration_s
+
+    def longest_s(
+        self,
+        prefill_tokens: int,
+        output_limit: int,
+        upstream: upstream_lib.Upstream | None = None,
+    ) -> float:
+        """Returns the longest time that a generation is assumed to take.
+
+        It counts from the send, in seconds, for an output of the maximum
+        length; infinity if the output has no limit.
+
+        Args:
+          prefill_tokens: Prompt tokens to prefill until its first event, those
+            ahead of its own included.
+          output_limit: Maximum number of tokens to generate; 0 for no limit.
+          upstream: Engine that runs it; see `prefill_s`.
+        """
+        if not output_limit:
+            return math.inf
+        output = Reservation(memory_tokens=output_limit)
+        return SLOW_RUN_FACTOR * self.generation_s(
+            output, upstream
+        ) + self.prefill_s(prefill_tokens, upstream)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from quetzalsill_gateway import shutdown as shutdown_lib
 from quetzalsill_gateway.balance import admission, rate_queue
 from quetzalsill_gateway.balance import shares as shares_lib
 from quetzalsill_gateway.fleet import stream_origins
@@ -57,8 +58,7 @@
       origins: Software versions that began streams.
       is_view_confirmed: Whether no gateway can know of an upstream that is
         unknown here.
-      ends_at_s: Loop time at which the process exits, set when it begins to
-        stop; None before.
+      shutdown: Shutdown of this process.
       in_flight: Requests that upstreams are running.
       link_queue: Schedules moves of runs away from leaving engines.
       quarantine: Refuses requests that crash upstreams.
@@ -84,7 +84,9 @@
     shares: shares_lib.Shares = dataclasses.field(
         default_factory=shares_lib.Shares
     )
-    ends_at_s: float | None = None
+    shutdown: shutdown_lib.Shutdown = dataclasses.field(
+        default_factory=shutdown_lib.Shutdown
+    )
     loop_delay: loop_delay.LoopDelay = dataclasses.field(
         default_factory=loop_delay.LoopDelay
     )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -52,8 +52,8 @@
       resume_after: Id of the last event that it has; empty if none.
       exit_in_ms: Time from its arrival to the end of the process; None if the
         process was not stopping.
-      expected_ms: Expected duration of its generation, on arrival while the
-        process stopped.
+      longest_ms: Longest time that an upstream was assumed to take for it;
+        None if the process was not stopping or there is no limit.
       number: Its number on its connection, from 1.
     """
 
@@ -77,7 +77,7 @@
     first_request: str = ''
     resume_after: str = ''
     exit_in_ms: float | None = None
-    expected_ms: float | None = None
+    longest_ms: float | None = None
     number: int = 1
 
 
@@ -88,8 +88,8 @@
     Attributes:
       request: Id of the request, empty if it has none.
       target: Path and query.
-      reason: `no_configuration`, `no_route`, `unknown_key`, `no_id` or
-        `quarantined`.
+      reason: `no_configuration`, `no_route`, `unknown_key`, `no_id`,
+        `stopping` or `quarantined`.
       status: Status of the response.
       configuration: Active version; 0 for none.
       trait: Kind and value of the trait for which it is in quarantine.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -62,8 +63,8 @@
       read_shared_parts: Reads the ids of the shared parts of a prompt.
       answered_s: Loop time at which its latest response began, if that shows
         its own end; None otherwise.
-      expected_s: Expected duration of its generation, in seconds; None if
-        unknown.
+      longest_s: Longest time that an upstream is assumed to take for it, in
+        seconds.
       exit_in_s: Time from its arrival to the end of the process, in seconds;
         None if the process was not stopping.
     """
@@ -96,7 +97,7 @@
         lambda _: ()
     )
     answered_s: float | None = None
-    expected_s: float | None = None
+    longest_s: float = math.inf
     exit_in_s: float | None = None
     _fingerprint: bytes = b''
     _traits: tuple[bytes, ...] = ()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -46,11 +47,13 @@
     ) -> None:
         """Serves one request and logs its outcome."""
         exchange = self._admit(req, responder)
-        if exchange is None or self._refuse_quarantined(exchange):
+        if (
+            exchange is None
+            or self._refuse_stopping(exchange)
+            or self._refuse_quarantined(exchange)
+        ):
             return
-        if self._core.ends_at_s is not None:
-            now_s = asyncio.get_running_loop().time()
-            exchange.exit_in_s = self._core.ends_at_s - now_s
+        exchange.exit_in_s = self._core.shutdown.left_s()
         reply_by_s = exchange.deadline_s - RESPONSE_MARGIN_S
         try:
             async with deadline.timeout_at(reply_by_s):
@@ -67,9 +70,21 @@
 
         `stopped` if the process has reached its end, else `caller_left`.
         """
-        ends_at_s = self._core.ends_at_s
-        now_s = asyncio.get_running_loop().time()
-        return 'stopped' if ends_at_s and now_s >= ends_at_s else 'caller_left'
+        return 'stopped' if self._core.shutdown.is_due else 'caller_left'
+
+    def _refuse_stopping(self, exchange: exchange_lib.Exchange) -> bool:
+        """Refuses a request that arrives too late; whether it does."""
+        if self._core.shutdown.accepts_requests:
+            return False
+        _refuse(
+            exchange.request,
+            exchange.request_id,
+            exchange.responder,
+            UNAVAILABLE,
+            'stopping',
+            exchange.version,
+        )
+        return True
 
     def _refuse_quarantined(self, exchange: exchange_lib.Exchange) -> bool:
         """Refuses a request that crashes upstreams; whether it is one."""
@@ -189,11 +204,17 @@
                     headers, self._core.dialect.resume_after
                 ),
                 exit_in_ms=_ms(exchange.exit_in_s),
-                expected_ms=_ms(exchange.expected_s),
+                longest_ms=self._longest_ms(exchange),
                 number=exchange.request.number,
             )
         )
 
+    @staticmethod
+    def _longest_ms(exchange: exchange_lib.Exchange) -> float | None:
+        if exchange.exit_in_s is None or math.isinf(exchange.longest_s):
+            return None
+        return _ms(exchange.longest_s)
+
 
 def _ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -65,10 +65,14 @@
         self._request_count = 0
         self._reset()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is being received, queued or served."""
-        return not (self._serving or self._requests or self._receiving)
+    def idle_s(self, now: float) -> float | None:
+        """Returns for how long the connection has been idle, in seconds.
+
+        None while a request is being received, queued or served.
+        """
+        if self._serving or self._requests or self._receiving:
+            return None
+        return now - self._last_activity_s
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the connection's task."""
@@ -334,10 +338,18 @@
             for conn in list(self.connections):
                 conn.check_timeouts(now, limits)
 
-    def close_idle(self) -> None:
-        """Closes idle connections."""
+    def close_idle(self, min_idle_s: float) -> None:
+        """Closes connections that have been idle for some time.
+
+        Args:
+          min_idle_s: Time in seconds in which a request arrives that a caller
+            sent as soon as it had its response. It is answered; closing the
+            connection would leave its caller without an answer.
+        """
+        now = asyncio.get_running_loop().time()
         for conn in list(self.connections):
-            if conn.is_idle:
+            idle_s = conn.idle_s(now)
+            if idle_s is not None and idle_s >= min_idle_s:
                 conn.close()
 
     def stop(self) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -53,6 +53,8 @@
 
 MS_PER_S = 1000
 STOP_POLL_S = 0.05
+# How long a connection stays open after a response that promised to keep it.
+LINGER_S = 0.1
 # Interval of checks whether to announce the use of accounts.
 USAGE_POLL_S = 0.1
 # A store that responds delivers both tables within a few round trips. After
@@ -327,18 +329,20 @@
         """Stops accepting callers and waits for requests in flight.
 
         The load balancer sends new connections until it has polled readiness
-        twice, so connections are accepted and served until then.
+        twice, so connections are accepted and served until then. Requests that
+        arrive on open connections after that are refused as not run.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         stop = self._settings.stop
         end_s = started_s + stop.grace_s - CLOSE_MARGIN_S
-        self.core.ends_at_s = end_s
+        self.core.shutdown.begin(end_s)
         self.callers.stopping = True
         await asyncio.sleep(min(stop.leave_s, stop.grace_s))
         self.callers.stop()
+        self.core.shutdown.stop_accepting()
         while self.callers.connections and loop.time() < end_s:
-            self.callers.close_idle()
+            self.callers.close_idle(LINGER_S)
             await asyncio.sleep(STOP_POLL_S)
         took_s = round(loop.time() - started_s, 2)
         event.note(event.Stopped(len(self.callers.connections), took_s))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -33,8 +32,6 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import core as core_lib
-    from quetzalsill_gateway.balance import upstream_stats
-    from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.http import call
 
 __all__ = ['forward']
@@ -68,9 +65,10 @@
     prompt = core.dialect.parse_prompt(req.request.headers)
     stream = live.Stream(req, prompt, live.reserve(prompt), origin=start.origin)
     req.tokens = stream.reservation.memory_tokens
-    if req.exit_in_s is not None:
-        req.expected_s = core.stats_table.generation_s(stream.reservation)
-    if _outlives_process(core, stream.reservation):
+    req.longest_s = core.stats_table.longest_s(
+        prompt.input_tokens, prompt.output_limit
+    )
+    if core.shutdown.may_cut(req):
         exchange.refuse(req.responder, UNAVAILABLE, 'stopping', may_retry=True)
         return 'refused'
     try:
@@ -79,24 +77,6 @@
         core.live.end(stream)
 
 
-def _outlives_process(
-    core: core_lib.Core,
-    reservation: upstream_stats.Reservation,
-    upstream: upstream_lib.Upstream | None = None,
-) -> bool:
-    """Whether a generation is expected to outlast this process.
-
-    During shutdown, requests still arrive: on new connections until the load
-    balancer has made two health checks, and on open ones until the process
-    ends. A request that is refused now starts at another gateway at once.
-    """
-    if core.ends_at_s is None:
-        return False
-    now = asyncio.get_running_loop().time()
-    duration_s = core.stats_table.generation_s(reservation, upstream)
-    return now + duration_s > core.ends_at_s
-
-
 class _Relay:
     """Relays one stream, segment by segment."""
 
@@ -155,11 +135,14 @@
             req.held_by = None
         if upstream is None:
             return None
-        if (
-            not self._sends.may_have_run
-            and self._core.engine_speeds.differ(upstream.service)
-            and _outlives_process(self._core, reservation, upstream)
-        ):
+        prompt = self._stream.prompt
+        stats = self._core.stats_table.of(upstream)
+        req.longest_s = self._core.stats_table.longest_s(
+            stats.prefill_tokens + prompt.input_tokens,
+            prompt.output_limit,
+            upstream,
+        )
+        if self._core.shutdown.may_cut(req):
             return None
         self._excluded |= {upstream.id}
         self._core.quota.consume(upstream)
--- a/tests/quetzalsill_gateway/fleet/test_engine_speed.py
+++ b/tests/quetzalsill_gateway/fleet/test_engine_speed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 import types
 import unittest
@@ -208,6 +209,21 @@
             1.3 * table.generation_s(reservation),
         )
 
+    def test_the_longest_duration_covers_a_slow_engine_and_any_output(self):
+        """Guards against a bound that a run exceeds at a slow engine."""
+        table, slow = self.stats_table, self.engines[2]
+        self.receive_three()
+        self.now += 1.0
+        output = upstream_stats.Reservation(0, 1000)
+        self.assertGreater(
+            table.longest_s(700, 1000, slow),
+            table.generation_s(output, slow) + table.prefill_s(700, slow),
+        )
+        self.assertGreater(
+            table.longest_s(700, 1000, slow), table.longest_s(700, 1000)
+        )
+        self.assertEqual(table.longest_s(700, 0, slow), math.inf)
+
 
 class InterferenceTest(unittest.TestCase):
     """Slowdowns of a service, as several gateways have seen them."""
--- a/tests/quetzalsill_platform/test_process.py
+++ b/tests/quetzalsill_platform/test_process.py
@@ -76,10 +76,19 @@
             'X-Quetzalsill-Token-Usage': '1000,4000',
             'X-Quetzalsill-Length-Hint': '4000',
         }
+        # Its own time limit must not end it before the gateway exits.
+        routes = [one | {'timeoutMs': 60_000} for one in fixture.ROUTES]
+        self.store.put('op', 'config', fixture.configuration(6, routes))
+        holder = self.process.core.holder
+        await self.wait_until(lambda: holder.current.version == 6)
         stopping = asyncio.create_task(self.process.stop())
         await asyncio.sleep(0.02)
         long = await self.request(
-            '/plan/', method='POST', request_id='p3', headers=prompt
+            '/plan/',
+            method='POST',
+            request_id='p3',
+            headers=prompt,
+            deadline_ms=60_000,
         )
         self.assertEqual(long.status, 503)
         self.assertIn('retry-after', long.headers)
--- /dev/null
+++ b/tests/quetzalsill_platform/test_shutdown.py
@@ -0,0 +1,133 @@
+"""Tests of what a stopping gateway does with requests that may outlast it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from quetzalsill_dev.users_platform import caller
+from tests.quetzalsill_platform import fixture
+
+LONG_EVENTS = 100_000
+# A caller that expects 20 tokens and allows 4000.
+UNDERESTIMATED = {
+    'X-Quetzalsill-Token-Usage': '1000,4000',
+    'X-Quetzalsill-Length-Hint': '20',
+}
+SHORT = {
+    'X-Quetzalsill-Token-Usage': '100,80',
+    'X-Quetzalsill-Length-Hint': '80',
+}
+PATIENT_ROUTES = [
+    found | {'timeoutMs': 60_000, 'targetLatencyMs': 20_000}
+    for found in fixture.ROUTES
+]
+
+
+class ShutdownTestCase(fixture.GatewayTestCase):
+    """Starts a gateway whose callers have more time than it has to stop."""
+
+    grace_s = 2.0
+    leave_s = 0.3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        document = fixture.configuration(6, PATIENT_ROUTES)
+        self.store.put('op', 'config', document)
+        holder = self.process.core.holder
+        await self.wait_until(lambda: holder.current.version == 6)
+
+    def set_length(self, events):
+        for replica in self.engines:
+            replica.length = events
+
+    def send_later(self, request_id, target='/plan/', method='POST', **kwargs):
+        """Returns the task of a request on a new connection."""
+        kwargs = {'deadline_ms': 60_000, 'request_id': request_id} | kwargs
+        return asyncio.create_task(
+            self.request(target, method=method, **kwargs)
+        )
+
+    async def start_run(self, request_id, **kwargs):
+        """Sends a request and returns its task once an engine runs it."""
+        task = self.send_later(request_id, **kwargs)
+        await self.wait_until(lambda: self.fleet.started.get(request_id))
+        return task
+
+    async def stop(self, after_s=0.02):
+        """Returns the task of a stop that began some time ago."""
+        task = asyncio.create_task(self.process.stop())
+        await asyncio.sleep(after_s)
+        return task
+
+    async def stop_during_response(self, conn):
+        """Returns the task of a stop after a response with a kept connection.
+
+        The head of the response came before the stop, its end after `leave_s`.
+        """
+        self.set_length(60)
+        response = caller.Response()
+        reading = asyncio.create_task(
+            conn.request('/plan/', method='POST', response=response)
+        )
+        await self.wait_until(lambda: response.status)
+        stopping = await self.stop()
+        await reading
+        self.assertTrue(response.complete)
+        self.assertNotIn('connection', response.headers)
+        return stopping
+
+    def assert_not_run(self, response, request_id):
+        self.assertEqual((response.status, response.complete), (503, True))
+        self.assertIn('retry-after', response.headers)
+        self.assertEqual(response.headers['connection'], 'close')
+        self.assertNotIn(request_id, self.fleet.started)
+
+
+class NewRunTest(ShutdownTestCase):
+    """Generations that arrive while the gateway stops."""
+
+    async def test_a_run_on_a_kept_connection_is_cut_off_by_the_exit(self):
+        """Guards against runs that begin in the grace period and are cut."""
+        kept = self.caller()
+        stopping = await self.stop_during_response(kept)
+        self.set_length(LONG_EVENTS)
+        async with asyncio.timeout(fixture.WAIT_TIMEOUT_S):
+            second = await kept.request(
+                '/plan/',
+                method='POST',
+                request_id='second',
+                deadline_ms=60_000,
+                headers=UNDERESTIMATED,
+            )
+        self.assert_not_run(second, 'second')
+        await stopping
+
+    async def test_a_run_with_a_low_hint_is_cut_off_by_the_exit(self):
+        """Guards against a hint far too low for the output that is allowed."""
+        self.set_length(LONG_EVENTS)
+        stopping = await self.stop()
+        task = self.send_later('underestimated', headers=UNDERESTIMATED)
+        self.assert_not_run(await task, 'underestimated')
+        await stopping
+
+    async def test_a_run_that_ends_in_time_is_accepted(self):
+        """Guards against refusing all that new callers bring before the exit.
+
+        The balancer still sends them.
+        """
+        self.set_length(20)
+        stopping = await self.stop()
+        response = await self.send_later('short', headers=SHORT)
+        self.assertEqual((response.status, response.complete), (200, True))
+        await stopping
+
+    async def test_a_request_after_the_balancer_stopped_is_refused(self):
+        """Guards against work that begins when callers have other gateways."""
+        kept = self.caller()
+        stopping = await self.stop_during_response(kept)
+        self.script('hang')
+        async with asyncio.timeout(fixture.WAIT_TIMEOUT_S):
+            second = await kept.request('/unsafe/', method='POST')
+        self.assert_not_run(second, 'second')
+        self.assertEqual(self.runs, [])
+        await stopping
