Answer what is unfinished as a stopping gateway exits

Callers whose request waited in the gateway for an engine, or was at a server that hangs, as the process exited got a closed connection and no answer.

Cause: Process.stop aborted all connections at the end of the grace period. That cancels the task of a request, and a cancelled request has no connection left on which to answer.

Now the end of the grace period is a deadline of each request: one that is waiting has 503 with Retry-After, one that an upstream has gets 504, and only a response that has begun is cut off. Connections get 0.15 s to send this. Whether a request may have run is kept with it, since the number of sends doesn't say so: one that a full engine had rejected, and that waited for the next, got 504 at its own deadline too.

--- a/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
+++ b/packages/quetzalsill-cli/src/quetzalsill_cli/request_log.py
@@ -274,7 +274,10 @@
         'No upstream took it: those that were asked said that it has not run, '
         'or could not be reached. It was told to come back.'
     ),
-    'not_sent': 'No upstream could be reached before its deadline.',
+    'not_sent': (
+        'No upstream took it before its deadline or the exit of its gateway. '
+        'It has not run.'
+    ),
     'upstream_failed': (
         'The upstream itself answered with a failure, which was handed on.'
     ),
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
@@ -326,7 +326,7 @@
     """The gateway has shut down.
 
     Attributes:
-      cut: Number of connections aborted at the end of the grace period.
+      cut: Number of requests that were ended unfinished.
       took_s: Time since the signal.
     """
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -32,8 +32,8 @@
       outcome: `served`; `upstream_failed`, an upstream's error response was
         relayed; `refused`, not run; `failed`, may have run; `cut`, aborted in
         the middle of the response; `timeout` and `cut_at_deadline`;
-        `not_sent`, no upstream accepted it in time; `caller_left`; `stopped`,
-        the gateway exited.
+        `not_sent`, no upstream accepted it in time, or before the gateway
+        exited; `caller_left`; `stopped`, the gateway exited.
       sends: Number of upstreams to which it was sent.
       took_ms: Time since its first byte.
       first_ms: Time to the first event of a stream.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -42,6 +42,7 @@
       deadline_s: Loop time after which the caller no longer waits.
       version: Version of the configuration used for routing.
       sends: Number of upstreams to which it was sent so far.
+      may_have_run: Whether an upstream has it now, or may have run it.
       first_event_s: Time from the request to the first event; None before it.
       widest_gap_s: Longest pause between events so far.
       last_event_s: Loop time of the latest event.
@@ -79,6 +80,7 @@
     deadline_s: float
     version: int
     sends: int = 0
+    may_have_run: bool = False
     first_event_s: float | None = None
     widest_gap_s: float = 0.0
     last_event_s: float = 0.0
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -54,12 +54,15 @@
         ):
             return
         exchange.exit_in_s = self._core.shutdown.left_s()
-        reply_by_s = exchange.deadline_s - RESPONSE_MARGIN_S
+        limit = deadline.timeout_at(exchange.deadline_s - RESPONSE_MARGIN_S)
         try:
-            async with deadline.timeout_at(reply_by_s):
-                outcome = await self._forward(exchange)
+            async with limit:
+                with self._core.shutdown.ends(limit):
+                    outcome = await self._forward(exchange)
         except TimeoutError:
-            outcome = _reply_timeout(exchange)
+            is_exit = self._core.shutdown.is_due
+            self._core.shutdown.ended += is_exit
+            outcome = _reply_timeout(exchange, is_exit=is_exit)
         except asyncio.CancelledError:
             self._record_end(exchange, self._cancellation_outcome())
             raise
@@ -250,15 +253,23 @@
     )
 
 
-def _reply_timeout(exchange: exchange_lib.Exchange) -> str:
+def _reply_timeout(exchange: exchange_lib.Exchange, *, is_exit: bool) -> str:
+    """Ends a request whose time is up; returns its outcome for the log.
+
+    Args:
+      exchange: The request.
+      is_exit: Whether the process exits, and the caller still has time.
+    """
     responder = exchange.responder
     if responder.started:
         responder.abort()
-        return 'cut_at_deadline'
-    if exchange.sends:
-        exchange_lib.refuse(responder, GATEWAY_TIMEOUT, 'timeout')
-        return 'timeout'
-    exchange_lib.refuse(responder, UNAVAILABLE, 'not_sent', may_retry=True)
+        return 'stopped' if is_exit else 'cut_at_deadline'
+    if exchange.may_have_run:
+        reason = 'stopping' if is_exit else 'timeout'
+        exchange_lib.refuse(responder, GATEWAY_TIMEOUT, reason)
+        return 'stopped' if is_exit else 'timeout'
+    reason = 'stopping' if is_exit else 'not_sent'
+    exchange_lib.refuse(responder, UNAVAILABLE, reason, may_retry=True)
     return 'not_sent'
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -63,6 +63,8 @@
 FIRST_READ_POLL_S = 0.005
 # Part of the grace period reserved for closing connections and exiting.
 CLOSE_MARGIN_S = 0.3
+# Part of that in which the last responses are sent.
+FLUSH_S = 0.15
 
 
 class Process:
@@ -341,11 +343,12 @@
         await asyncio.sleep(min(stop.leave_s, stop.grace_s))
         self.callers.stop()
         self.core.shutdown.stop_accepting()
-        while self.callers.connections and loop.time() < end_s:
+        flushed_s = end_s + FLUSH_S
+        while self.callers.connections and loop.time() < flushed_s:
             self.callers.close_idle(LINGER_S)
             await asyncio.sleep(STOP_POLL_S)
         took_s = round(loop.time() - started_s, 2)
-        event.note(event.Stopped(len(self.callers.connections), took_s))
+        event.note(event.Stopped(self.core.shutdown.ended, took_s))
         await self.close()
 
     async def close(self) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/shutdown.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/shutdown.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from quetzalsill.net import deadline
     from quetzalsill_gateway import exchange as exchange_lib
 
 __all__ = ['Shutdown']
@@ -18,11 +21,14 @@
       ends_at_s: Loop time at which requests that are still in progress are
         ended; None before the stop signal.
       accepts_requests: Whether new requests are accepted.
+      ended: Number of requests that were ended unfinished.
     """
 
     def __init__(self) -> None:
         self.ends_at_s: float | None = None
         self.accepts_requests = True
+        self.ended = 0
+        self._deadlines: set[deadline.Deadline] = set()
 
     def begin(self, ends_at_s: float) -> None:
         """Begins the shutdown.
@@ -31,6 +37,29 @@
           ends_at_s: Loop time at which requests still in progress are ended.
         """
         self.ends_at_s = ends_at_s
+        for found in self._deadlines:
+            self._shorten(found)
+
+    @contextlib.contextmanager
+    def ends(self, found: deadline.Deadline) -> Iterator[None]:
+        """Ends a request with the process, if its own deadline is later.
+
+        Unlike a cancelled task, a request whose deadline is reached still
+        answers its caller.
+
+        Args:
+          found: Deadline of the request, which has been entered.
+        """
+        self._deadlines.add(found)
+        self._shorten(found)
+        try:
+            yield
+        finally:
+            self._deadlines.discard(found)
+
+    def _shorten(self, found: deadline.Deadline) -> None:
+        if self.ends_at_s is not None and found.when() > self.ends_at_s:
+            found.reschedule(self.ends_at_s)
 
     def stop_accepting(self) -> None:
         """Refuses new requests: all callers can reach other gateways."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -106,6 +106,7 @@
             self._sends.record(
                 may_have_run=not segment_lib.has_not_run(outcome)
             )
+            self._req.may_have_run = self._sends.may_have_run
             next_segment = await self._next_segment(segment, outcome)
             self._log_segment(segment, outcome, next_segment)
             if outcome is segment_lib.COMPLETE and next_segment is None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -116,6 +116,7 @@
             return 'served'
         except error.CallError as exc:
             progress.record(exc)
+        req.may_have_run = progress.history.may_have_run
         again = await _may_send_again(core, req, progress)
         meter.attempts.inc({'result': _result_text(progress.latest)})
         event.note(
--- a/tests/quetzalsill_platform/test_shutdown.py
+++ b/tests/quetzalsill_platform/test_shutdown.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from quetzalsill_dev.users_platform import caller
+from quetzalsill_gateway import event
 from tests.quetzalsill_platform import fixture
 
 LONG_EVENTS = 100_000
@@ -17,6 +19,15 @@
     'X-Quetzalsill-Token-Usage': '100,80',
     'X-Quetzalsill-Length-Hint': '80',
 }
+# Two of these need more than the memory of an engine; with a `MEDIUM` one too.
+LARGE = {
+    'X-Quetzalsill-Token-Usage': '1000,28000',
+    'X-Quetzalsill-Length-Hint': '28000',
+}
+MEDIUM = {
+    'X-Quetzalsill-Token-Usage': '5000,20',
+    'X-Quetzalsill-Length-Hint': '20',
+}
 PATIENT_ROUTES = [
     found | {'timeoutMs': 60_000, 'targetLatencyMs': 20_000}
     for found in fixture.ROUTES
@@ -53,6 +64,20 @@
         await self.wait_until(lambda: self.fleet.started.get(request_id))
         return task
 
+    async def fill(self, count):
+        """Starts runs that leave a number of engines little memory."""
+        self.set_length(LONG_EVENTS)
+        return [
+            await self.start_run(f'run-{n}', headers=LARGE)
+            for n in range(count)
+        ]
+
+    async def start_waiting(self, request_id, **kwargs):
+        """Sends a request and returns its task once it is queued."""
+        task = self.send_later(request_id, **kwargs)
+        await self.wait_until(self.process.core.admission.waiting_tokens)
+        return task
+
     async def stop(self, after_s=0.02):
         """Returns the task of a stop that began some time ago."""
         task = asyncio.create_task(self.process.stop())
@@ -131,3 +156,53 @@
         self.assert_not_run(second, 'second')
         self.assertEqual(self.runs, [])
         await stopping
+
+
+class ExitTest(ShutdownTestCase):
+    """Requests that are still in progress, or wait, at the exit."""
+
+    async def outcomes_of_stop(self):
+        """Stops the gateway and returns the outcomes of its requests."""
+        with mock.patch.object(event, 'note') as note:
+            await self.process.stop()
+            await asyncio.sleep(0)
+        logged = [call.args[0] for call in note.call_args_list]
+        return [
+            record.outcome
+            for record in logged
+            if isinstance(record, event.RequestEnded)
+        ]
+
+    async def test_a_call_that_hangs_is_closed_unanswered_by_the_exit(self):
+        """Guards against an accepted call whose connection just closes."""
+        self.script('hang', 'hang')
+        task = self.send_later('call', '/unsafe/')
+        await self.wait_until(lambda: self.runs)
+        self.assertEqual(await self.outcomes_of_stop(), ['stopped'])
+        response = await task
+        self.assertEqual((response.status, response.complete), (504, True))
+        self.assertEqual(response.headers['connection'], 'close')
+        self.assertNotIn('retry-after', response.headers)
+
+    async def test_a_queued_run_is_closed_unanswered_by_the_exit(self):
+        """Guards against a request that has not run, and gets no answer."""
+        runs = await self.fill(3)
+        waiting = await self.start_waiting('waiting', headers=MEDIUM)
+        outcomes = await self.outcomes_of_stop()
+        self.assert_not_run(await waiting, 'waiting')
+        self.assertEqual(len(outcomes), len(runs) + 1)
+        self.assertEqual(outcomes.count('stopped'), len(runs))
+        await asyncio.gather(*runs)
+
+    async def test_a_queued_run_that_an_engine_rejected_has_not_run(self):
+        """Guards against an unknown outcome of a request that has not run."""
+        runs = await self.fill(2)
+        for replica in self.engines:
+            replica.refuse = 503
+        waiting = await self.start_waiting(
+            'waiting', target='/verdict/', headers=MEDIUM
+        )
+        self.assertEqual(len(self.fleet.arrivals), len(runs) + 1)
+        await self.process.stop()
+        self.assert_not_run(await waiting, 'waiting')
+        await asyncio.gather(*runs)
