Refuse waiting requests once the exit would cut them off

A plain call was sent up to the exit, however slow its servers are known to be.

Cause: the time left was compared on arrival only, and for streams only.

Admission and send_request now ask Core.rejects, which also says no to what the exit may cut off, at each look at the queue.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -138,6 +138,8 @@
             raise error.UpstreamPausingError(upstream.address_text)
         if core.quarantine.rejects(exchange):
             raise error.QuarantinedError(exchange.id_text)
+        if not continues and core.shutdown.may_cut(exchange):
+            raise error.ProcessStoppingError(exchange.id_text)
         exchange.may_have_run = True
         head = exchange.head(dialect, upstream.id, extra_headers)
         conn.send(
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/core.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import dialect as dialect_lib
-    from quetzalsill_gateway import retry_budget, source
+    from quetzalsill_gateway import exchange, retry_budget, source
     from quetzalsill_gateway.balance import upstream_stats
     from quetzalsill_gateway.fleet import (
         backoff,
@@ -121,4 +121,8 @@
             random.Random(),
             self.shares,
         )
-        self.admission.set_refusal(self.quarantine.rejects)
+        self.admission.set_refusal(self.rejects)
+
+    def rejects(self, req: exchange.Exchange) -> bool:
+        """Whether a request that waits to be sent is refused instead."""
+        return self.quarantine.rejects(req) or self.shutdown.may_cut(req)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/error.py
@@ -13,6 +13,7 @@
     'MalformedResponseError',
     'ConnectionLimitError',
     'NotSentError',
+    'ProcessStoppingError',
     'QuarantinedError',
     'RefusedError',
     'ResponseTimeoutError',
@@ -86,6 +87,12 @@
     code = 'quarantined'
 
 
+class ProcessStoppingError(NotSentError):
+    """This gateway exits before the upstream may be done."""
+
+    code = 'process_stopping'
+
+
 class ConnectionLimitError(NotSentError):
     """This gateway has reached its limit on connections to the upstream."""
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -175,8 +175,12 @@
             progress.tried,
             may_repeat=req.route.kind.may_repeat,
         )
-        if upstream is not None or attempt.now() >= end_s:
-            return upstream
+        if upstream is not None:
+            mean_s = core.stats_table.of(upstream).mean_latency_s
+            req.longest_s = HANG_LATENCY_FACTOR * mean_s
+            return None if core.shutdown.may_cut(req) else upstream
+        if attempt.now() >= end_s:
+            return None
         if not accepting:
             return None
         await asyncio.sleep(CONNECTION_POLL_S)
--- a/tests/quetzalsill_platform/test_shutdown.py
+++ b/tests/quetzalsill_platform/test_shutdown.py
@@ -206,3 +206,54 @@
         await self.process.stop()
         self.assert_not_run(await waiting, 'waiting')
         await asyncio.gather(*runs)
+
+
+class WaitingTest(ShutdownTestCase):
+    """Requests that wait to be sent as the gateway begins to stop."""
+
+    async def test_a_queued_run_that_is_too_long_waits_for_the_exit(self):
+        """Guards against a wait for an engine after which a run is cut off."""
+        runs = await self.fill(3)
+        waiting = await self.start_waiting('waiting', headers=LARGE)
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        stopping = await self.stop()
+        self.assert_not_run(await waiting, 'waiting')
+        self.assertLess(loop.time() - begun_s, self.leave_s)
+        await stopping
+        await asyncio.gather(*runs)
+
+    async def test_a_run_whose_engine_gets_room_too_late_is_cut_off(self):
+        """Guards against a run that fits as it arrives, not as it is sent."""
+        self.set_length(70)
+        runs = [
+            await self.start_run(f'run-{n}', headers=LARGE) for n in range(3)
+        ]
+        waiting = await self.start_waiting('waiting', headers=MEDIUM)
+        self.set_length(LONG_EVENTS)
+        stopping = await self.stop()
+        self.assert_not_run(await waiting, 'waiting')
+        await stopping
+        responses = await asyncio.gather(*runs)
+        self.assertTrue(all(found.complete for found in responses))
+
+    async def test_a_slow_call_is_sent_shortly_before_the_exit(self):
+        """Guards against a call that servers are known to be too slow for."""
+        for server in self.http_servers:
+            server.work_s = 0.4
+        await asyncio.gather(
+            *(self.send_later('', '/safe/') for _ in range(30))
+        )
+        ran = len(self.runs)
+        stopping = await self.stop()
+        late = await self.send_later('late', '/unsafe/')
+        self.assert_not_run(late, 'late')
+        self.assertEqual(len(self.runs), ran)
+        await stopping
+
+    async def test_a_fast_call_with_a_distant_objective_is_served(self):
+        """Guards against refusing calls by the time that they may take."""
+        stopping = await self.stop()
+        late = await self.send_later('late', '/unsafe/')
+        self.assertEqual((late.status, late.complete), (200, True))
+        await stopping
