Close callers' connections while a router stops

A caller that kept its connection to a stopping router was refused with shutting_down on it, with Retry-After 1 s, as often as it came, for as long as any other request ran there, up to the grace period of 300 s. A new connection would have reached another router.

Cause: as in the gateway, a connection that was promised to a caller stays open. The router closed idle ones only after the last request had ended.

From SIGTERM on, each response has Connection: close. The sidecar needs nothing: it has no callers, its routers hear GoAway, and what waits in its queue is served elsewhere (test_nothing_is_cut, test_leaving).

test_a_kept_connection_leads_to_a_stopping_router fails before (None != 'close') and passes three times; the 235 tests of the router, of the HTTP server and of stops under failure pass.

--- a/packages/quetzalsill-router/src/quetzalsill_router/context.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/context.py
@@ -47,6 +47,8 @@
       policies: Names of the policies of `limiter` and `routing`.
       ready: Whether the load balancer may send new callers.
       stopping: Whether new requests are refused.
+      closes_connections: Whether each response closes its connection, since
+        this router is about to stop.
     """
 
     settings: settings.RouterSettings
@@ -68,3 +70,4 @@
     policies: model.Policies
     ready: bool = False
     stopping: bool = False
+    closes_connections: bool = False
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -76,7 +76,7 @@
     app = http_app.build(ctx)
     _mount_admin(app, ctx)
     listener = server.HttpServer(
-        asgi.wrap(app),
+        asgi.wrap(app, lambda: ctx.closes_connections),
         settings.listen,
         settings.tls,
         protocol.Limits(write_timeout_s=settings.requests.write_stall_s),
@@ -282,6 +282,7 @@
     settings = ctx.settings.stop
     event.note(event.RouterStopping(running=len(ctx.active)))
     ctx.ready = False
+    ctx.closes_connections = True
     await asyncio.sleep(settings.drain_delay_s)
     ctx.stopping = True
     for running in ctx.active:
--- a/tests/failure/test_shutdown.py
+++ b/tests/failure/test_shutdown.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from quetzalsill_dev import board
+from quetzalsill_dev import board, caller
 from tests.failure import fixture, harness, traffic
 
 ENGINE = 'model-ikeja-hall-1'
@@ -96,6 +96,24 @@
         self.assertTrue(result.not_run, result)
         return result.code == 'shutting_down'
 
+    @fixture.on_cluster
+    async def test_a_kept_connection_leads_to_a_stopping_router(self):
+        """Guards against callers that are refused for the whole grace."""
+        task, answer = traffic.start_generation(self.first, 'long', TOKENS)
+        await harness.wait_until(lambda: self.has_tokens(answer))
+        token = board.TOKENS['retailers']
+        async with caller.open_client(self.first.url, token) as client:
+            before = await client.get('/v1/requests/unknown')
+            self.assertNotEqual(before.headers.get('connection'), 'close')
+            self.first.terminate()
+            await traffic.wait_for_log(self.first, 'event=router_stopping')
+            await harness.wait_until(self.is_unready)
+            after = await client.get('/v1/requests/unknown')
+        self.assertEqual(after.headers.get('connection'), 'close')
+        await task
+        self.assertTrue(answer.is_complete, answer.error)
+        self.assertEqual(await self.first.wait(), 0)
+
     @fixture.on_cluster
     async def test_sidecar_waits_for_a_paused_router(self):
         """A finished answer is lost between sidecar and router.
@@ -131,6 +149,10 @@
         self.assertEqual(len(answer.texts), SHORT_TOKENS)
         self.assertEqual(await sidecar.wait(), 0)
 
+    async def is_unready(self):
+        """Whether the first router has asked the balancer to leave it out."""
+        return await traffic.readiness(self.first) == REFUSED
+
     def router_name(self):
         """Name of the first router."""
         return self.first.name
--- a/tests/quetzalsill_router/http/served.py
+++ b/tests/quetzalsill_router/http/served.py
@@ -27,7 +27,8 @@
     ctx: context.Context,
 ) -> AsyncIterator[httpx2.AsyncClient]:
     """Serves `ctx`; yields a client with the configured account's token."""
-    listener = server.HttpServer(asgi.wrap(app.build(ctx)), section.Listen())
+    served = asgi.wrap(app.build(ctx), lambda: ctx.closes_connections)
+    listener = server.HttpServer(served, section.Listen())
     await listener.start()
     url = f'http://127.0.0.1:{listener.port}'
     try:
