Choose an engine for a request without token counts beside others

The caller of a generation that states no token counts got 502, and the log request_fault with ZeroDivisionError, while generations with token counts waited at other gateways ahead of it.

Cause: the probability to take free memory is a share of what it and its rivals want, and both can be nothing. It then takes no memory from anybody, and is sent.

The new test failed with ZeroDivisionError before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -138,8 +138,9 @@
             return None
         left -= first
         rivals = rival_share * (same_or_ahead - ahead - first)
-        share = RACE_SHARE * left / (rivals + self.entry.tokens)
-        if self._rng.random() >= share:
+        # Without token counts a request takes no memory from rivals.
+        wanted = rivals + self.entry.tokens
+        if wanted and self._rng.random() >= RACE_SHARE * left / wanted:
             return None
         if assessments:
             drawn = self._rng.choices(with_room, free_tokens, k=DRAWN_ENGINES)
--- a/tests/quetzalsill_gateway/balance/test_search.py
+++ b/tests/quetzalsill_gateway/balance/test_search.py
@@ -98,6 +98,13 @@
         self.assertIs(self.search.try_choose(now), self.empty)
         self.assertFalse(self.search.has_yielded)
 
+    async def test_a_request_of_unknown_size_behind_others_at_peers(self):
+        """Guards against a fault of the process for one without token counts."""
+        now = asyncio.get_running_loop().time()
+        self.stats_table.set_peer_waiting('entry-2', {'s': {0: 100}})
+        self.search.entry.tokens = 0
+        self.assertIs(self.search.try_choose(now), self.empty)
+
     async def test_a_starving_request_yields_to_no_account(self):
         """An account far ahead of its share waited until its callers left."""
         now = asyncio.get_running_loop().time()
