Soak: streams on kept connections, and what an exit cuts off

Each gateway now gets two connections that are kept for as long as it keeps them, also while it stops, with streams back to back, of 1 to 300 events, with hints that are far off and limits that are at times exact. A stream that arrived while its process stopped, began, and was cut off by the exit is a violation, unless the link of its upstream was disrupted.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/checks.py
@@ -28,6 +28,7 @@
     'find_violations',
     'is_significantly_above_zero',
     'upstreams_in_log',
+    'find_runs_cut_by_exit',
     'find_unexpected_log_lines',
     'find_config_rollbacks',
     'find_crashing_part_sends',
@@ -78,6 +79,15 @@
 MEMBERSHIP_EVENT = re.compile(
     r'event=upstream_(added|removed) .*?\bupstream=(\S+)'
 )
+# Logged as a request is sent, and as a stream that arrived while its process
+# stopped, and that began, is cut off by the exit.
+CHOICE_EVENT = re.compile(
+    r'event=upstream_chosen .*?\brequest=(\S+) .*?\bupstream=(\S+)'
+)
+CUT_EVENT = re.compile(
+    r'event=request_ended .*?\brequest=(\S+) .*?\boutcome=stopped '
+    r'.*?\bfirst_ms=\d.*?\bexit_in_ms=(\d\S*)'
+)
 # Logged on an unforeseen failure.
 UNEXPECTED_LINE = re.compile(r'Traceback|level=(?:error|critical)')
 
@@ -499,6 +509,28 @@
     )
 
 
+def find_runs_cut_by_exit(
+    logs: Iterable[tuple[str, str]], disrupted: Iterable[Disruption]
+) -> Iterator[str]:
+    """Yields the streams that a stopping gateway accepted and then cut off.
+
+    Those at upstreams whose links were disrupted are excused.
+
+    Args:
+      logs: Name and text of each log.
+      disrupted: Disruptions of links to upstreams.
+    """
+    excused = {one.server for one in disrupted}
+    for name, text in logs:
+        upstreams = dict(CHOICE_EVENT.findall(text))
+        for request_id, exit_in_ms in CUT_EVENT.findall(text):
+            if upstreams.get(request_id) not in excused:
+                yield (
+                    f'{name}: stream {request_id} was accepted {exit_in_ms} ms '
+                    'before the exit and cut off'
+                )
+
+
 def find_unexpected_log_lines(logs: Iterable[tuple[str, str]]) -> Iterator[str]:
     """Yields the log lines that show an unforeseen failure."""
     for name, text in logs:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
@@ -30,6 +30,14 @@
 # that an engine breaks one off at an event.
 LONG_STREAM_EVENTS = 100
 BREAK_SHARE = 0.02
+# Streams on kept connections: mean and deviation of the logarithm of their
+# number of events, the most that they have, and the deviation of hints.
+KEPT_EVENTS = (4.0, 0.9)
+MAX_KEPT_EVENTS = 300
+KEPT_HINT_DEVIATION = 1.2
+# Share of them whose limit is their true length.
+EXACT_LIMIT_SHARE = 0.3
+KEPT_RETRY_S = 0.1
 OK = 200
 
 
@@ -101,6 +109,7 @@
         self.records: list[RequestRecord] = []
         self.streams: list[resuming.StreamRecord] = []
         self._stream_rng = random.Random(f'{seed} streams')
+        self._kept_rng = random.Random(f'{seed} kept')
 
     async def run(self) -> None:
         """Sends requests to random gateways until cancelled."""
@@ -142,6 +151,55 @@
             )
             self.streams.append(found)
 
+    async def keep_connection(self, gateway: testbed_lib.Gateway) -> None:
+        """Sends streams to a gateway, each as soon as it has the one before.
+
+        It uses one connection for as long as the gateway keeps it open, also
+        while the gateway stops. Hints are far off.
+        """
+        while True:
+            conn = caller.Caller('127.0.0.1', gateway.relay.port)
+            try:
+                async with asyncio.timeout(CALLER_TIMEOUT_S):
+                    await conn.open()
+                while await self._send_kept(conn):
+                    pass
+            except (TimeoutError, OSError):
+                pass
+            finally:
+                conn.disconnect()
+            await asyncio.sleep(KEPT_RETRY_S)
+
+    async def _send_kept(self, conn: caller.Caller) -> bool:
+        """Sends a stream; returns whether its connection stays open."""
+        rng = self._kept_rng
+        number = next(self._request_numbers)
+        events = max(1, round(rng.lognormvariate(*KEPT_EVENTS)))
+        events = min(events, MAX_KEPT_EVENTS)
+        tokens = events * engine.TOKENS_PER_EVENT
+        is_exact = rng.random() < EXACT_LIMIT_SHARE
+        limit = MAX_KEPT_EVENTS * engine.TOKENS_PER_EVENT
+        hint = round(tokens * rng.lognormvariate(0.0, KEPT_HINT_DEVIATION))
+        async with asyncio.timeout(CALLER_TIMEOUT_S):
+            response = await conn.request(
+                '/plan/kept',
+                method='POST',
+                # Each has a fingerprint of its own.
+                body=b'kept %d' % number,
+                deadline_ms=DEADLINE_MS,
+                request_id=f'{number:016x}',
+                headers={
+                    engine.EVENTS_HEADER: str(events),
+                    testbed_lib.USAGE_HEADER: (
+                        f'100,{tokens if is_exact else limit}'
+                    ),
+                    testbed_lib.HINT_HEADER: str(hint),
+                },
+            )
+        return (
+            response.complete and response.headers.get('connection') != 'close'
+        )
+
     async def probe(
         self, kind: str, gateway: testbed_lib.Gateway
     ) -> RequestRecord:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -18,6 +18,8 @@
 
 CALLERS = 8
 STREAM_CALLERS = 4
+# Of each gateway.
+KEPT_CONNECTIONS = 2
 # Everything has recovered this long after the last fault: the adapter waits
 # 2.2 s for lapsed entries, and its retries are up to 2 s apart.
 RECOVERY_S = 6.0
@@ -113,6 +115,11 @@
     callers += [
         asyncio.create_task(traffic.stream()) for _ in range(STREAM_CALLERS)
     ]
+    callers += [
+        asyncio.create_task(traffic.keep_connection(gateway))
+        for gateway in testbed.gateways
+        for _ in range(KEPT_CONNECTIONS)
+    ]
     await asyncio.sleep(1.0)
     start_s = asyncio.get_running_loop().time()
     for injection in injections:
@@ -146,6 +153,9 @@
     violations += checks.find_config_rollbacks(traffic.records)
     violations += checks.find_mixed_streams(traffic.streams)
     violations += checks.find_lost_resumptions(traffic.streams)
+    violations += checks.find_runs_cut_by_exit(
+        testbed.logs(), injector.disrupted
+    )
     violations += checks.find_unexpected_log_lines(testbed.logs())
     served = sum(record.served for record in traffic.records)
     lost = sum(record.lost for record in traffic.records)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
@@ -39,6 +39,8 @@
 SOUND_PARTS = ('91bd3f06', '02f7aa90', 'c4d3811e')
 CRASHING_PARTS = ('badbad01', 'badbad02')
 PARTS_HEADER = 'X-Quetzalsill-Prompt-Prefix'
+USAGE_HEADER = 'X-Quetzalsill-Token-Usage'
+HINT_HEADER = 'X-Quetzalsill-Length-Hint'
 
 
 def parts_header(*parts: str) -> dict[str, str]:
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -287,6 +287,26 @@
         logs = [('entry-0.0.log', 'event=listening\nTraceback (most\n')]
         self.assertEqual(len(list(checks.find_unexpected_log_lines(logs))), 1)
 
+    def test_a_stream_that_an_exit_cuts_off(self):
+        """Guards against a soak that ignores what a stop has cost callers."""
+        ended = 'event=request_ended node=e request=a route=plan outcome='
+        chosen = 'event=upstream_chosen node=e request=a upstream=writers-1'
+        cut = f'{ended}stopped sends=1 first_ms=3.0 exit_in_ms=500.0 number=3'
+        disrupted = [checks.Disruption('writers-1', 0.0, 1.0)]
+
+        def found(*lines, disrupted=()):
+            logs = [('entry-0', '\n'.join(lines))]
+            return list(checks.find_runs_cut_by_exit(logs, disrupted))
+
+        self.assertIn('500.0 ms before the exit', found(chosen, cut)[0])
+        self.assertEqual(found(chosen, cut, disrupted=disrupted), [])
+        # It arrived before the stop, it was not sent, or it was served.
+        self.assertEqual(found(cut.replace('500.0', 'None')), [])
+        self.assertEqual(
+            found(cut.replace('first_ms=3.0', 'first_ms=None')), []
+        )
+        self.assertEqual(found(cut.replace('stopped', 'served')), [])
+
 
 class SoakTest(unittest.TestCase):
     """Runs with real processes and injected faults."""
--- a/tests/quetzalsill_gateway/balance/test_search.py
+++ b/tests/quetzalsill_gateway/balance/test_search.py
@@ -99,7 +99,7 @@
         self.assertFalse(self.search.has_yielded)
 
     async def test_a_request_of_unknown_size_behind_others_at_peers(self):
-        """Guards against a fault of the process for one without token counts."""
+        """Guards against an internal fault for one without token counts."""
         now = asyncio.get_running_loop().time()
         self.stats_table.set_peer_waiting('entry-2', {'s': {0: 100}})
         self.search.entry.tokens = 0
