--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -57,11 +57,11 @@
         limit = deadline.timeout_at(exchange.deadline_s - RESPONSE_MARGIN_S)
         try:
             async with limit:
-                with self._core.shutdown.ends(limit):
+                with self._core.shutdown.limits(limit):
                     outcome = await self._forward(exchange)
         except TimeoutError:
             is_exit = self._core.shutdown.is_due
-            self._core.shutdown.ended += is_exit
+            self._core.shutdown.unfinished += is_exit
             outcome = _reply_timeout(exchange, is_exit=is_exit)
         except asyncio.CancelledError:
             self._record_end(exchange, self._cancellation_outcome())
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -348,7 +348,7 @@
             self.callers.close_idle(LINGER_S)
             await asyncio.sleep(STOP_POLL_S)
         took_s = round(loop.time() - started_s, 2)
-        event.note(event.Stopped(self.core.shutdown.ended, took_s))
+        event.note(event.Stopped(self.core.shutdown.unfinished, took_s))
         await self.close()
 
     async def close(self) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/shutdown.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/shutdown.py
@@ -21,13 +21,13 @@
       ends_at_s: Loop time at which requests that are still in progress are
         ended; None before the stop signal.
       accepts_requests: Whether new requests are accepted.
-      ended: Number of requests that were ended unfinished.
+      unfinished: Number of requests that the end of the process has ended.
     """
 
     def __init__(self) -> None:
         self.ends_at_s: float | None = None
         self.accepts_requests = True
-        self.ended = 0
+        self.unfinished = 0
         self._deadlines: set[deadline.Deadline] = set()
 
     def begin(self, ends_at_s: float) -> None:
@@ -38,26 +38,26 @@
         """
         self.ends_at_s = ends_at_s
         for found in self._deadlines:
-            self._shorten(found)
+            self._advance(found)
 
     @contextlib.contextmanager
-    def ends(self, found: deadline.Deadline) -> Iterator[None]:
-        """Ends a request with the process, if its own deadline is later.
+    def limits(self, found: deadline.Deadline) -> Iterator[None]:
+        """Lets a deadline expire at the end of the process, if not before.
 
-        Unlike a cancelled task, a request whose deadline is reached still
-        answers its caller.
+        Unlike a cancelled task, a request whose deadline expires still answers
+        its caller.
 
         Args:
-          found: Deadline of the request, which has been entered.
+          found: Deadline of a request, which has been entered.
         """
         self._deadlines.add(found)
-        self._shorten(found)
+        self._advance(found)
         try:
             yield
         finally:
             self._deadlines.discard(found)
 
-    def _shorten(self, found: deadline.Deadline) -> None:
+    def _advance(self, found: deadline.Deadline) -> None:
         if self.ends_at_s is not None and found.when() > self.ends_at_s:
             found.reschedule(self.ends_at_s)
 
