--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/shutdown.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/shutdown.py
@@ -58,8 +58,9 @@
             self._deadlines.discard(found)
 
     def _advance(self, found: deadline.Deadline) -> None:
-        if self.ends_at_s is not None and found.when() > self.ends_at_s:
-            found.reschedule(self.ends_at_s)
+        when_s, ends_at_s = found.when(), self.ends_at_s
+        if ends_at_s is not None and (when_s is None or when_s > ends_at_s):
+            found.reschedule(ends_at_s)
 
     def stop_accepting(self) -> None:
         """Refuses new requests: all callers can reach other gateways."""
