--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -79,14 +79,7 @@
         """Refuses a request that arrives too late; whether it does."""
         if self._core.shutdown.accepts_requests:
             return False
-        _refuse(
-            exchange.request,
-            exchange.request_id,
-            exchange.responder,
-            UNAVAILABLE,
-            'stopping',
-            exchange.version,
-        )
+        _refuse_routed(exchange, 'stopping')
         return True
 
     def _refuse_quarantined(self, exchange: exchange_lib.Exchange) -> bool:
@@ -95,13 +88,9 @@
         retry_after_s = quarantine.admit(exchange)
         if retry_after_s is None:
             return False
-        _refuse(
-            exchange.request,
-            exchange.request_id,
-            exchange.responder,
-            UNAVAILABLE,
+        _refuse_routed(
+            exchange,
             'quarantined',
-            exchange.version,
             retry_after_s,
             quarantine.describe(exchange),
         )
@@ -253,6 +242,25 @@
     )
 
 
+def _refuse_routed(
+    exchange: exchange_lib.Exchange,
+    reason: str,
+    retry_after_s: float = exchange_lib.RETRY_AFTER_S,
+    trait: str = '',
+) -> None:
+    """Refuses a request that has its route, and that has not run."""
+    _refuse(
+        exchange.request,
+        exchange.request_id,
+        exchange.responder,
+        UNAVAILABLE,
+        reason,
+        exchange.version,
+        retry_after_s,
+        trait,
+    )
+
+
 def _reply_timeout(exchange: exchange_lib.Exchange, *, is_exit: bool) -> str:
     """Ends a request whose time is up; returns its outcome for the log.
 
