--- a/tests/quetzalsill_platform/test_shutdown.py
+++ b/tests/quetzalsill_platform/test_shutdown.py
@@ -16,8 +16,8 @@
     'X-Quetzalsill-Length-Hint': '20',
 }
 SHORT = {
-    'X-Quetzalsill-Token-Usage': '100,80',
-    'X-Quetzalsill-Length-Hint': '80',
+    'X-Quetzalsill-Token-Usage': '100,40',
+    'X-Quetzalsill-Length-Hint': '40',
 }
 # Two of these need more than the memory of an engine; with a `MEDIUM` one too.
 LARGE = {
@@ -89,7 +89,7 @@
 
         The head of the response came before the stop, its end after `leave_s`.
         """
-        self.set_length(60)
+        self.set_length(40)
         response = caller.Response()
         reading = asyncio.create_task(
             conn.request('/plan/', method='POST', response=response)
@@ -151,7 +151,7 @@
 
         The balancer still sends them.
         """
-        self.set_length(20)
+        self.set_length(10)
         stopping = await self.stop()
         response = await self.send_later('short', headers=SHORT)
         self.assertEqual((response.status, response.complete), (200, True))
