--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_dev import launch
-from quetzalsill_dev.soak import checks, load, plan
+from quetzalsill_dev.soak import checks, load, log_checks, plan
 from quetzalsill_dev.soak import injector as injector_lib
 from quetzalsill_dev.soak import testbed as testbed_lib
 
@@ -153,10 +153,10 @@
     violations += checks.find_config_rollbacks(traffic.records)
     violations += checks.find_mixed_streams(traffic.streams)
     violations += checks.find_lost_resumptions(traffic.streams)
-    violations += checks.find_runs_cut_by_exit(
+    violations += log_checks.find_runs_cut_by_exit(
         testbed.logs(), injector.disrupted
     )
-    violations += checks.find_unexpected_log_lines(testbed.logs())
+    violations += log_checks.find_unexpected_log_lines(testbed.logs())
     served = sum(record.served for record in traffic.records)
     lost = sum(record.lost for record in traffic.records)
     shares = checks.resumption_shares(traffic.streams)
@@ -188,7 +188,7 @@
         if not gateway.process.running:
             failures.append(f'{gateway.name} exited unexpectedly')
             continue
-        known = checks.upstreams_in_log(gateway.process.log_text())
+        known = log_checks.upstreams_in_log(gateway.process.log_text())
         if known != registered:
             failures.append(
                 f'{gateway.name} lacks {sorted(registered - known)} and still '
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -7,7 +7,7 @@
 import types
 import unittest
 
-from quetzalsill_dev.soak import checks, load, plan, run
+from quetzalsill_dev.soak import checks, load, log_checks, plan, run
 from quetzalsill_dev.soak import testbed as testbed_lib
 from quetzalsill_dev.users_platform import caller, engine, pause
 
@@ -280,12 +280,14 @@
             'event=upstream_lapsed node=entry-0 upstream=desk-2 version=3',
             'event=upstream_removed node=entry-0 upstream=desk-1 version=4',
         )
-        known = checks.upstreams_in_log('\n'.join(lines))
+        known = log_checks.upstreams_in_log('\n'.join(lines))
         self.assertEqual(known, {'desk-2'})
 
     def test_a_traceback_in_a_log(self):
         logs = [('entry-0.0.log', 'event=listening\nTraceback (most\n')]
-        self.assertEqual(len(list(checks.find_unexpected_log_lines(logs))), 1)
+        self.assertEqual(
+            len(list(log_checks.find_unexpected_log_lines(logs))), 1
+        )
 
     def test_a_stream_that_an_exit_cuts_off(self):
         """Guards against a soak that ignores what a stop has cost callers."""
@@ -296,7 +298,7 @@
 
         def found(*lines, disrupted=()):
             logs = [('entry-0', '\n'.join(lines))]
-            return list(checks.find_runs_cut_by_exit(logs, disrupted))
+            return list(log_checks.find_runs_cut_by_exit(logs, disrupted))
 
         self.assertIn('500.0 ms before the exit', found(chosen, cut)[0])
         self.assertEqual(found(chosen, cut, disrupted=disrupted), [])
