--- a/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/ablation.py
@@ -125,7 +125,7 @@
     ),
     'lots-for-room': _gateway(
         'balance/search.py',
-        'if self._rng.random() >= share:',
+        'if wanted and self._rng.random() >= RACE_SHARE * left / wanted:',
         'if False:',
     ),
     'room-for-runs-that-move': _gateway(
