--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import signal
 import sys
@@ -30,7 +29,7 @@
 ALLOWED = 2
 
 
-async def play(record: standin.Record, *, trouble: bool) -> int:
+async def play(record: standin.Record, trouble: bool) -> int:
     """Plays the case; returns the exit code."""
     store = standin.Store()
     await store.server.start()
@@ -77,14 +76,5 @@
     return [one for n, one in enumerate(every) if n not in REMOVED]
 
 
-def main() -> None:
-    """Plays the case and exits with its code."""
-    record = standin.Record(FOLDER)
-    trouble = os.environ.get('TROUBLE') != '0'
-    code = asyncio.run(play(record, trouble=trouble))
-    record.note(f'exit {code}')
-    sys.exit(code)
-
-
 if __name__ == '__main__':
-    main()
+    standin.run(FOLDER, play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import sys
 
@@ -30,7 +29,7 @@
 ALLOWED = 2
 
 
-async def play(record: standin.Record, *, trouble: bool) -> int:
+async def play(record: standin.Record, trouble: bool) -> int:
     """Plays the case; returns the exit code."""
     store = standin.Store()
     store.era = 1
@@ -66,14 +65,5 @@
     return 0
 
 
-def main() -> None:
-    """Plays the case and exits with its code."""
-    record = standin.Record(FOLDER)
-    trouble = os.environ.get('TROUBLE') != '0'
-    code = asyncio.run(play(record, trouble=trouble))
-    record.note(f'exit {code}')
-    sys.exit(code)
-
-
 if __name__ == '__main__':
-    main()
+    standin.run(FOLDER, play)
--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -14,17 +14,20 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import signal
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable, Collection
-from typing import Any
+from typing import Any, NoReturn
 
 __all__ = [
     'Answer',
@@ -36,6 +39,7 @@
     'configuration',
     'open_gateways',
     'route',
+    'run',
 ]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -46,6 +50,9 @@
 BEAT_S = 1.2
 BACKUP_S = 0.15
 READY_TIMEOUT_S = 15.0
+# Below the ports of outgoing channels.
+PORTS = (20_000, 30_000)
+_given_ports: set[int] = set()
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 
 
@@ -742,7 +749,9 @@
     async def wait_until_ready(self) -> None:
         """Waits until the process is ready."""
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await self._is_ready():  # noqa: ASYNC110
+            while not await self._is_ready():
+                if self._process.poll() is not None:
+                    raise RuntimeError(f'{self.name} has ended')
                 await asyncio.sleep(0.05)
 
     async def _is_ready(self) -> bool:
@@ -763,13 +772,46 @@
 
 
 def _free_ports(count: int = 4) -> list[int]:
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Returns ports that nobody uses, below those of outgoing channels."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        if port in _given_ports or not _is_free(port):
+            continue
+        _given_ports.add(port)
+        found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
+def run(
+    folder: pathlib.Path, play: Callable[[Record, bool], Awaitable[int]]
+) -> NoReturn:
+    """Plays a case and exits with its code; 2 if it couldn't run.
+
+    Args:
+      folder: Folder of the case, for its record.
+      play: Plays it, with or without the disruption, and returns 1 if the rule
+        was broken and 0 if it held.
+    """
+    record = Record(folder)
+    try:
+        code = asyncio.run(play(record, os.environ.get('TROUBLE') != '0'))
+    except Exception as exc:
+        record.note(f'the case could not run: {exc!r}')
+        traceback.print_exc()
+        code = 2
+    record.note(f'exit {code}')
+    sys.exit(code)
 
 
 def route(name: str, service: str, **more: Any) -> dict[str, Any]:
