--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -22,6 +22,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 import traceback
@@ -130,17 +131,23 @@
 class Server:
     """An HTTP/1.1 server with keep-alive.
 
+    A thread accepts the connections, so that one beyond the limit is reset at
+    once also while the event loop is busy.
+
     Attributes:
       limit: Connections that it accepts; it resets further ones.
+      port: Port on which it listens.
     """
 
     def __init__(self, handler: Callable[[Call], Awaitable[None]]) -> None:
         self._handler = handler
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
         self._open: dict[asyncio.Task, asyncio.StreamWriter] = {}
+        self._lock = threading.Lock()
+        self._count = 0
         self.limit: int | None = None
         self.port = 0
-        self.was_reset = 0
 
     @property
     def address(self) -> str:
@@ -150,30 +157,49 @@
     @property
     def open_count(self) -> int:
         """Number of open connections."""
-        return len(self._open)
+        return self._count
 
     async def start(self) -> None:
         """Starts to listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._accept, HOST, 0, backlog=512
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._loop = asyncio.get_running_loop()
+        self._listener = socket.create_server((HOST, 0), backlog=512)
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept_all, daemon=True).start()
 
     async def stop(self) -> None:
         """Stops to listen and resets all connections."""
-        self._server.close()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
         for task, writer in list(self._open.items()):
             reset(writer)
             task.cancel()
         await asyncio.gather(*self._open, return_exceptions=True)
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        if self.limit is not None and len(self._open) >= self.limit:
-            self.was_reset += 1
-            reset(writer)
-            return
+    def _accept_all(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            with self._lock:
+                has_room = self.limit is None or self._count < self.limit
+                self._count += has_room
+            if has_room:
+                self._loop.call_soon_threadsafe(self._adopt, conn)
+            else:
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                conn.close()
+
+    def _adopt(self, conn: socket.socket) -> None:
+        self._loop.create_task(self._run(conn))
+
+    async def _run(self, conn: socket.socket) -> None:
+        reader = asyncio.StreamReader()
+        transport, protocol = await self._loop.connect_accepted_socket(
+            lambda: asyncio.StreamReaderProtocol(reader), conn
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, self._loop)
         task = asyncio.current_task()
         self._open[task] = writer
         with contextlib.suppress(
@@ -181,6 +207,8 @@
         ):
             await self._serve(reader, writer)
         del self._open[task]
+        with self._lock:
+            self._count -= 1
         writer.transport.abort()
 
     async def _serve(
@@ -804,6 +832,8 @@
         was broken and 0 if it held.
     """
     record = Record(folder)
+    # Ends the gateways too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = asyncio.run(play(record, os.environ.get('TROUBLE') != '0'))
     except Exception as exc:
