--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -166,13 +166,21 @@
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept_all, daemon=True).start()
 
-    async def stop(self) -> None:
-        """Stops to listen and resets all connections."""
+    async def stop(self, *, resets: bool = True) -> None:
+        """Stops to listen and ends all connections.
+
+        Args:
+          resets: Whether it resets them; if not, it closes them, as the kernel
+            does for a process that exits.
+        """
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for task, writer in list(self._open.items()):
-            reset(writer)
+            if resets:
+                reset(writer)
+            else:
+                writer.close()
             task.cancel()
         await asyncio.gather(*self._open, return_exceptions=True)
 
@@ -209,7 +217,8 @@
         del self._open[task]
         with self._lock:
             self._count -= 1
-        writer.transport.abort()
+        if not writer.transport.is_closing():
+            writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -382,12 +391,14 @@
         version: str = 'v1',
         zone: str = 'zone-a',
         event_s: float = 0.03,
+        is_framed: bool = True,
     ) -> None:
         self.server = Server(self._handle)
         self.name = name
         self.version = version
         self.zone = zone
         self.event_s = event_s
+        self.is_framed = is_framed
         self.state = 'ready'
         self.leaves_at_s: float | None = None
         self.runs: dict[str, Run] = {}
@@ -427,7 +438,7 @@
         self.register()
         self.note('draining', '-')
         await asyncio.sleep(serves_s)
-        await self.end()
+        await self.end(resets=False)
         self._store.put('servers', self.name, None)
 
     async def crash(self, entry_expires_s: float = 3 * BEAT_S) -> None:
@@ -437,8 +448,8 @@
             entry_expires_s, self._store.put, 'servers', self.name, None
         )
 
-    async def end(self) -> None:
-        """Ends the process."""
+    async def end(self, *, resets: bool = True) -> None:
+        """Ends the process, and its connections as in `Server.stop`."""
         self.note('ended', '-')
         self._beat.cancel()
         for run in self.runs.values():
@@ -446,7 +457,7 @@
         self.runs.clear()
         for task in self._orphans:
             task.cancel()
-        await self.server.stop()
+        await self.server.stop(resets=resets)
 
     def note(self, what: str, request_id: str) -> None:
         """Records what happens at the server."""
@@ -544,20 +555,30 @@
         run = Run(request_id, after, call=call)
         self.runs[request_id] = run
         self.note('runs', request_id)
+        framing = {'Transfer-Encoding': 'chunked'} if self.is_framed else {}
         call.head(
             200,
             own
             | {
                 PREFIX + 'server-stamp': f'{self.name}.{request_id}',
                 'Content-Type': 'text/event-stream',
-                'Transfer-Encoding': 'chunked',
-            },
+            }
+            | framing,
         )
         work = asyncio.create_task(self._work(run, call))
         self._orphans.add(work)
         work.add_done_callback(self._orphans.discard)
         await asyncio.shield(work)
 
+    def _write(self, call: Call, data: bytes) -> None:
+        """Writes a part of an answer; an empty one ends it."""
+        if self.is_framed:
+            call.chunk(data)
+        elif data:
+            call.writer.write(data)
+        else:
+            call.writer.close()
+
     async def _work(self, run: Run, call: Call) -> None:
         usage = call.headers.get(PREFIX + 'token-usage', '1000,400')
         length = int(usage.partition(',')[2]) // TOKENS_PER_EVENT
@@ -577,11 +598,11 @@
             if call.is_open:
                 data = f'id: {run.events}\ndata: {run.request_id}'
                 text = f'{data}/{run.events}/{self.version}\n\n'
-                call.chunk(text.encode())
+                self._write(call, text.encode())
         if run.is_running and run.events >= length:
             self.note('completed', run.request_id)
             if call.is_open:
-                call.chunk(b'')
+                self._write(call, b'')
         else:
             self.note('dropped', run.request_id)
         run.is_running = False
