--- a/review/5/case.py
+++ b/review/5/case.py
@@ -62,7 +62,7 @@
 async def replace_machines(
     every: list[standin.Gateway], record: standin.Record
 ) -> list[standin.Gateway]:
-    """Stops two gateways for good and starts two; returns those that run."""
+    """Starts two gateways and stops two, one by one; returns the others."""
     for number in ADDED:
         every[number].start()
         await every[number].wait_until_ready()
@@ -70,9 +70,7 @@
     for number in REMOVED:
         every[number].kill(signal.SIGTERM)
         record.note(f'{every[number].name} gets SIGTERM and is removed')
-    await asyncio.gather(
-        *(asyncio.to_thread(every[number].wait) for number in REMOVED)
-    )
+        await asyncio.to_thread(every[number].wait)
     return [one for n, one in enumerate(every) if n not in REMOVED]
 
 
