--- a/review/5/case.py
+++ b/review/5/case.py
@@ -75,4 +75,4 @@
 
 
 if __name__ == '__main__':
-    standin.run(FOLDER, play)
+    standin.run(FOLDER / 'record.txt', play)
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case once: exits with 1 if the rule was broken, 0 if it held.
+# Plays the case once and writes review/5/record.txt: exits with 1 if the rule
+# was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
 timeout --kill-after=5 115 python3 review/5/case.py
 code=$?
--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -60,8 +60,8 @@
 class Record:
     """The file that lists what was sent, answered and run."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w')
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open('w')
         self._begun_s = time.monotonic()
 
     def note(self, text: str) -> None:
@@ -843,16 +843,16 @@
 
 
 def run(
-    folder: pathlib.Path, play: Callable[[Record, bool], Awaitable[int]]
+    path: pathlib.Path, play: Callable[[Record, bool], Awaitable[int]]
 ) -> NoReturn:
     """Plays a case and exits with its code; 2 if it couldn't run.
 
     Args:
-      folder: Folder of the case, for its record.
+      path: File for the record of the case.
       play: Plays it, with or without the disruption, and returns 1 if the rule
         was broken and 0 if it held.
     """
-    record = Record(folder)
+    record = Record(path)
     # Ends the gateways too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
