Log what is stored of software versions and what an origin rests on

No logic changes. New events: software_versions_loaded (epoch and content of the table at a start), software_versions_stored (row, epoch, and the gateway that wrote it; empty if this one relies on others) and stream_origin_found (a record, or the only version).

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
@@ -22,6 +22,8 @@
     'PeersListed',
     'SettingsInvalid',
     'SettingsReloaded',
+    'SoftwareVersionsLoaded',
+    'SoftwareVersionsStored',
     'Stopped',
     'Stopping',
     'StoreHistoryLost',
@@ -167,6 +169,39 @@
     entries: int
 
 
+@base.define
+class SoftwareVersionsLoaded(base.Event):
+    """The stored software versions were read.
+
+    Attributes:
+      epoch: Epoch of the store.
+      services: Number of services with a row.
+      versions: Service and versions of each row, such as `a=v1+v2`, separated
+        by commas.
+    """
+
+    epoch: int
+    services: int
+    versions: str
+
+
+@base.define
+class SoftwareVersionsStored(base.Event):
+    """The software versions of a service have changed in the store.
+
+    Attributes:
+      service: The service.
+      versions: Its versions, separated by commas.
+      epoch: Epoch of the store.
+      by: Gateway that stored them; empty if this one relies on others.
+    """
+
+    service: str
+    versions: str
+    epoch: int
+    by: str
+
+
 @base.define
 class AnswerStale(base.Event):
     """A response is of an epoch that has ended; logged at most once a minute.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/request.py
@@ -242,6 +242,26 @@
     next_version: str = ''
 
 
+@base.define
+class StreamOriginFound(base.Event):
+    """It is known what began a stream that its caller takes up.
+
+    Attributes:
+      request: Id of the request.
+      first_request: Request that began the stream, as its caller says.
+      service: Service that began it.
+      software_version: Version that began it.
+      grounds: `record`, a gateway has recorded it; `only_version`, the service
+        has had no other.
+    """
+
+    request: str
+    first_request: str
+    service: str
+    software_version: str
+    grounds: str
+
+
 @base.define
 class StreamNotResumed(base.Event):
     """A stream that its caller takes up was refused.
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -219,6 +219,7 @@
             sources.save_versions,
             lambda: resumption.lifetime_s(holder.current),
             lambda: lookup.is_isolated,
+            sources.epochs,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/resumption.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/resumption.py
@@ -140,19 +140,40 @@
     service = req.service.name
     versions, origins = core.upstreams.versions, core.origins
 
-    def known() -> software_versions.Origin | None:
+    def known() -> tuple[software_versions.Origin | None, str]:
         found = origins.get(key) if key is not None else None
         if found is None and core.is_view_confirmed():
-            return versions.only(service)
-        return found
+            return versions.only(service), 'only_version'
+        return found, 'record'
 
-    found = known()
+    found, grounds = known()
     if found is None and (key is not None or not versions.has_several(service)):
         await origins.find(key or _key(req, b''), service)
-        found = known()
+        found, grounds = known()
+    if found is not None:
+        _note_origin(core, req, found, grounds)
     return found
 
 
+def _note_origin(
+    core: core_lib.Core,
+    req: exchange_lib.Exchange,
+    origin: software_versions.Origin,
+    grounds: str,
+) -> None:
+    event.note(
+        event.StreamOriginFound(
+            request=req.id_text,
+            first_request=message.logged(
+                req.request.headers, core.dialect.resumes
+            ),
+            service=origin.service,
+            software_version=origin.version,
+            grounds=grounds,
+        )
+    )
+
+
 def _select_service(
     core: core_lib.Core,
     req: exchange_lib.Exchange,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from quetzalsill_gateway.fleet import members as members_lib
     from quetzalsill_gateway.fleet import upstream as upstream_lib
+    from quetzalsill_gateway.watch import epoch
 
 __all__ = ['VersionHistory']
 
@@ -39,6 +40,7 @@
         save: Callable[[str, Any], Awaitable[None]],
         lifetime_s: Callable[[], float | None],
         is_isolated: Callable[[], bool],
+        epochs: epoch.EpochTracker,
     ) -> None:
         """Creates it; `run` does the work.
 
@@ -51,6 +53,7 @@
             None if it is unknown.
           is_isolated: Whether this gateway has lost contact with all others and
             with the store.
+          epochs: Tracks the epoch of the store.
         """
         self._upstreams = upstreams
         self._members = members
@@ -58,6 +61,7 @@
         self._save = save
         self._lifetime_s = lifetime_s
         self._is_isolated = is_isolated
+        self._epochs = epochs
         self._stored: dict[str, list[str]] = {}
         self._is_loaded = False
 
@@ -83,11 +87,17 @@
 
     async def _load_rows(self) -> None:
         versions = self._upstreams.versions
-        for row in await self._load():
-            found = _decode(row)
-            if found is None:
-                continue
-            service, names = found
+        rows = [found for row in await self._load() if (found := _decode(row))]
+        event.note(
+            event.SoftwareVersionsLoaded(
+                epoch=self._epochs.newest,
+                services=len(rows),
+                versions=','.join(
+                    f'{service}={"+".join(names)}' for service, names in rows
+                ),
+            )
+        )
+        for service, names in rows:
             if len(names) > 1:
                 self._stored[service] = names
                 for name in names:
@@ -109,10 +119,24 @@
             if self._members.node in owners:
                 row = {'service': service, 'versions': names}
                 await self._save(service, row)
+            self._note_stored(service, names, owners)
             self._stored[service] = names
             if len(names) <= 1:
                 del self._stored[service]
 
+    def _note_stored(
+        self, service: str, names: list[str], owners: list[str]
+    ) -> None:
+        node = self._members.node
+        event.note(
+            event.SoftwareVersionsStored(
+                service=service,
+                versions=','.join(names),
+                epoch=self._epochs.newest,
+                by=node if node in owners else '',
+            )
+        )
+
 
 def _decode(row: Any) -> tuple[str, list[str]] | None:
     """Returns a service and its versions, None if the row is malformed."""
