Store software versions through any gateway that is running

Cause: two gateways were to store that a service has had two versions, chosen by rendezvous hashing from fleet.members, which keeps a gateway that has left for 60 s and takes in every name of the directory at a start. Both had left. All others marked the row as stored and never looked again.

Evidence: with the log lines of all five gateways note software_versions_stored by= (nobody) and load services=0 after the kill.

Change: a row counts as stored once it was read back, or once the gateway that wrote it has announced that (StoredUpdate, a new kind of datagram that the previous release drops). Until then every gateway is due to store it, in turns (fleet.write_turns) over those it is in contact with, so that one write is made in a healthy fleet. Rows are written under the condition that they have not changed since they were read, and hold what they held and what the writer knows, so that two gateways with different views lose nothing. A failed call is tried again.

Why it works: no gateway's silence is taken for a write any more.

The fixture's engines have their versions from the start: they used to change from none to one under the same incarnation, which a real server can't, and which is now stored at once.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/software_versions.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/fleet/software_versions.py
@@ -98,6 +98,10 @@
         self._last_s: dict[str, dict[str, float]] = collections.defaultdict(
             dict
         )
+        # Loop times at which versions were dropped, by service.
+        self._expired_s: dict[str, dict[str, float]] = collections.defaultdict(
+            dict
+        )
         # Loop time since which every version in use has been seen.
         self._complete_since_s = math.inf
         self._on_several: list[Callable[[str], None]] = []
@@ -170,6 +174,7 @@
         if is_new and len(versions) >= MAX_VERSIONS:
             return
         versions[version] = max(seen_s, versions.get(version, -math.inf))
+        self._expired_s[service].pop(version, None)
         if is_new:
             self._first_s[service][version] = now
             if len(versions) > 1:
@@ -194,9 +199,21 @@
                 if seen_s < oldest_s:
                     del versions[version]
                     del self._first_s[service][version]
+                    self._expire(service, version)
             if not versions:
                 del self._last_s[service], self._first_s[service]
 
+    def expired_for_s(self, service: str, version: str) -> float:
+        """Returns how long ago a version expired here; 0 if it has not."""
+        at_s = self._expired_s.get(service, {}).get(version)
+        return 0.0 if at_s is None else _now() - at_s
+
+    def _expire(self, service: str, version: str) -> None:
+        expired = self._expired_s[service]
+        expired[version] = _now()
+        if len(expired) > MAX_VERSIONS:
+            del expired[next(iter(expired))]
+
     @property
     def complete_s(self) -> float:
         """For how long every version in use has been seen, in seconds."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -137,6 +137,17 @@
         """Names of the peers."""
         return list(self._peers.addresses_by_name)
 
+    @property
+    def writers(self) -> tuple[str, ...]:
+        """Names of the gateways that are known to be running, sorted.
+
+        Until any other is, the listed ones, of which some may have left.
+        """
+        names = self.peer_names
+        if not names:
+            return self._core.members.names(asyncio.get_running_loop().time())
+        return tuple(sorted((self._node, *names)))
+
     def send_to(
         self, names: Iterable[str], update: update_codec.PeerUpdate
     ) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/frame.py
@@ -69,6 +69,7 @@
     ORIGIN_QUERY = 16
     ORIGIN_ANSWER = 17
     VERSIONS = 18
+    STORED_VERSIONS = 19
 
 
 def pack(kind: Kind, fields: tuple[Any, ...]) -> bytes:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/update_codec.py
@@ -29,9 +29,10 @@
     origin_codec,
     quarantine_codec,
     speed_codec,
+    version_codec,
 )
 from quetzalsill_gateway.quarantine import update as quarantine_update
-from quetzalsill_gateway.watch import lapsed_engines
+from quetzalsill_gateway.watch import lapsed_engines, version_rows
 from quetzalsill_gateway.watch import update as update_lib
 
 __all__ = ['PeerUpdate', 'decode', 'encode']
@@ -48,6 +49,7 @@
     | origin_codec.OriginQuery
     | origin_codec.OriginAnswer
     | origin_codec.VersionsUpdate
+    | version_rows.StoredUpdate
 )
 
 PORTS = range(1, 65536)
@@ -70,6 +72,8 @@
         return speed_codec.encode(node, update)
     if isinstance(update, lapsed_engines.AnswerUpdate):
         return lapse_codec.encode(node, update)
+    if isinstance(update, version_rows.StoredUpdate):
+        return version_codec.encode(node, update)
     if isinstance(update, origin_codec.UPDATES):
         return origin_codec.encode(node, update)
     if isinstance(update, update_lib.ConfigurationUpdate):
@@ -125,6 +129,8 @@
             found = speed_codec.decode(fields)
         elif kind is frame.Kind.LAPSED:
             found = lapse_codec.decode(fields)
+        elif kind is frame.Kind.STORED_VERSIONS:
+            found = version_codec.decode(fields)
         elif kind in origin_codec.DECODERS:
             found = origin_codec.DECODERS[kind](fields)
         else:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -44,6 +44,7 @@
     membership,
     update,
     version_history,
+    version_rows,
 )
 
 if TYPE_CHECKING:
@@ -214,13 +215,20 @@
         self.core.is_view_confirmed = lambda: lookup.is_view_confirmed
         self._version_history = version_history.VersionHistory(
             upstreams,
-            gateways,
+            settings.node.name,
+            lambda: self.peers.writers,
             sources.load_versions,
             sources.save_versions,
             lambda: resumption.lifetime_s(holder.current),
             lambda: lookup.is_isolated,
             sources.epochs,
         )
+        self._version_history.set_announcer(self.peers.announce)
+        self.peers.on_update(
+            version_rows.StoredUpdate, self._version_history.receive
+        )
+        self.peers.on_greeting(self._version_history.updates)
+        self.peers.on_refresh(self._version_history.recent)
         self._tasks: list[asyncio.Task[None]] = []
 
     def _receive_usage(self, update: account_usage.AccountUpdate) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -25,6 +25,8 @@
     'PollResult',
     'RoutingTableHolder',
     'Sources',
+    'StoredRow',
+    'StoredRows',
 ]
 
 Item = TypeVar('Item')
@@ -184,6 +186,32 @@
     mod_revision: revision_lib.Revision
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredRow:
+    """A row that gateways keep in the source.
+
+    Attributes:
+      value: Its decoded value.
+      version: Number of the change that wrote it.
+    """
+
+    value: Any
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredRows:
+    """All rows of a table that gateways keep in the source.
+
+    Attributes:
+      by_key: The rows.
+      epoch: Epoch of the source in which they were read.
+    """
+
+    by_key: dict[str, StoredRow]
+    epoch: int
+
+
 # Polls for the changes after a revision, or for a snapshot if it is None, and
 # waits at most that many seconds for a change. Returns None if the source
 # cannot continue from that revision: its history no longer reaches back so far,
@@ -212,9 +240,10 @@
       load_quarantine: Returns the stored rows of quarantined requests.
       save_quarantine: Stores such a row under a key. Both raise
         `error.SourceError`.
-      load_versions: Returns the stored rows of services that had several
-        software versions.
-      save_versions: Stores such a row under a key. Both raise
+      load_versions: Returns the stored rows of the services' software versions.
+      save_versions: Stores such rows in order, by key: the version of the row
+        that is replaced, 0 for none, and the new value. Returns False if one
+        has changed since; the rows before it may have been stored. Both raise
         `error.SourceError`.
     """
 
@@ -225,5 +254,5 @@
     epochs: epoch.EpochTracker
     load_quarantine: Callable[[], Awaitable[list[Any]]]
     save_quarantine: Callable[[str, Any], Awaitable[None]]
-    load_versions: Callable[[], Awaitable[list[Any]]]
-    save_versions: Callable[[str, Any], Awaitable[None]]
+    load_versions: Callable[[], Awaitable[StoredRows]]
+    save_versions: Callable[[dict[str, tuple[int, Any]]], Awaitable[bool]]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -3,30 +3,47 @@
 A gateway that starts sees the versions that serve now. Streams that began
 before may be of another one, which has left meanwhile. Other gateways say so,
 and for the time when all restart at once, services that have had several
-versions are stored in the platform's store. While each service has one version,
-nothing is stored.
+versions are stored in the platform's store.
+
+Any gateway stores what the store lacks (`fleet.write_turns`), and none relies
+on another to have done it: a row counts as stored once it was read back, or
+once the gateway that wrote it has announced that.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+import math
+import random
+from collections.abc import Awaitable, Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
 from quetzalsill_gateway import error, event
-from quetzalsill_gateway.fleet import quota, software_versions
+from quetzalsill_gateway.fleet import write_turns
+from quetzalsill_gateway.watch import version_rows
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway.fleet import members as members_lib
+    from quetzalsill_gateway import source
     from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.watch import epoch
 
 __all__ = ['VersionHistory']
 
 REFRESH_S = 1.0
-# Gateways that store a service's versions; one of them may be down.
-WRITERS = 2
-DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
+# After a row was changed by another gateway meanwhile.
+CONFLICT_RETRY_S = 0.05
+# After a call failed; twice that for a gateway without a turn.
+RETRY_S = 0.5
+# Gateways see a version for the last time at different moments. One that has
+# expired here is kept in its row for so much longer, so that another gateway
+# doesn't store it again.
+SURPLUS_S = 10.0
+# Announcements are repeated for so long, as datagrams are lost.
+RECENT_S = 10.0
+KEY = 'versions'
+
+Announce = Callable[[version_rows.StoredUpdate], None]
 
 
 class VersionHistory:
@@ -35,120 +52,211 @@
     def __init__(
         self,
         upstreams: upstream_lib.Upstreams,
-        members: members_lib.Members,
-        load: Callable[[], Awaitable[list[Any]]],
-        save: Callable[[str, Any], Awaitable[None]],
+        node: str,
+        writers: Callable[[], tuple[str, ...]],
+        load: Callable[[], Awaitable[source.StoredRows]],
+        save: Callable[[dict[str, tuple[int, Any]]], Awaitable[bool]],
         lifetime_s: Callable[[], float | None],
         is_isolated: Callable[[], bool],
         epochs: epoch.EpochTracker,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates it; `run` does the work.
 
         Args:
           upstreams: Membership, which has the versions seen.
-          members: Gateways that may store a service's versions.
+          node: Name of this gateway.
+          writers: Returns the gateways that may store a row now, this included.
           load: Returns the stored rows.
-          save: Stores a row under a key. Both raise `error.SourceError`.
+          save: Stores rows by key: the version that is replaced, 0 for none,
+            and the value. Returns False if one has changed since. Both raise
+            `error.SourceError`.
           lifetime_s: Returns how long a stream may be taken up, in seconds;
             None if it is unknown.
           is_isolated: Whether this gateway has lost contact with all others and
             with the store.
           epochs: Tracks the epoch of the store.
+          rng: Draws the times of writes without a turn.
         """
+        self._versions = upstreams.versions
         self._upstreams = upstreams
-        self._members = members
+        self._node = node
+        self._writers = writers
         self._load = load
         self._save = save
         self._lifetime_s = lifetime_s
         self._is_isolated = is_isolated
         self._epochs = epochs
-        self._stored: dict[str, list[str]] = {}
+        self._rng = rng or random.Random()
+        self._announce: Announce = lambda _: None
+        # What each row is known to hold.
+        self._stored: dict[str, frozenset[str]] = {}
         self._is_loaded = False
+        self._stored_s = -math.inf
+        # When to store what is missing; None while nothing is.
+        self._due_s: float | None = None
+        self._changed = asyncio.Event()
+        self._versions.on_several(lambda _: self._changed.set())
+
+    def set_announcer(self, announce: Announce) -> None:
+        """Sets the function that sends an update to all other gateways."""
+        self._announce = announce
 
     async def run(self) -> None:
         """Works until cancelled."""
-        versions = self._upstreams.versions
         while True:
-            try:
-                if not self._is_loaded:
-                    await self._load_rows()
-                else:
-                    await self._store_changes()
-            except error.SourceError:
-                # Tried again; until it is loaded, no version is the only one.
-                pass
-            if self._is_isolated():
-                versions.mark_isolated()
-                self._is_loaded = False
-            lifetime_s = self._lifetime_s()
-            if lifetime_s is not None:
-                versions.refresh(self._upstreams.all(), lifetime_s)
-            await asyncio.sleep(REFRESH_S)
+            self._changed.clear()
+            self._refresh()
+            wait_s = await self._work()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+
+    def receive(self, update: version_rows.StoredUpdate) -> None:
+        """Records what another gateway knows to be stored."""
+        if update.epoch < self._epochs.newest:
+            return
+        for service, names in update.services:
+            self._record(service, frozenset(names), update.sender)
+        self._changed.set()
+
+    def updates(self) -> Iterator[version_rows.StoredUpdate]:
+        """Yields what is known to be stored, for a gateway that starts."""
+        if self._stored:
+            yield version_rows.StoredUpdate(
+                tuple(
+                    (service, tuple(sorted(names)))
+                    for service, names in self._stored.items()
+                ),
+                self._epochs.newest,
+            )
+
+    def recent(self) -> Iterator[version_rows.StoredUpdate]:
+        """Yields what other gateways may have missed."""
+        if _now() < self._stored_s + RECENT_S:
+            yield from self.updates()
+
+    def _refresh(self) -> None:
+        if self._is_isolated():
+            self._versions.mark_isolated()
+            self._is_loaded = False
+        lifetime_s = self._lifetime_s()
+        if lifetime_s is not None:
+            self._versions.refresh(self._upstreams.all(), lifetime_s)
+
+    async def _work(self) -> float:
+        """Loads, or stores what is due; returns the time to the next step."""
+        try:
+            if not self._is_loaded:
+                await self._load_rows()
+            now = _now()
+            if not any(self._missing()):
+                self._due_s = None
+                return REFRESH_S
+            if self._due_s is None:
+                self._due_s = now + self._turn_s()
+            if now < self._due_s:
+                return min(REFRESH_S, self._due_s - now)
+            if not await self._store_missing():
+                return CONFLICT_RETRY_S * (1.0 + self._rng.random())
+        except error.SourceError:
+            # Until it is loaded, no version is the only one.
+            retry_s = RETRY_S * (1.0 + self._rng.random()) + self._turn_s()
+            self._due_s = _now() + retry_s
+            return retry_s
+        self._due_s = None
+        return REFRESH_S
+
+    def _turn_s(self) -> float:
+        names = self._writers()
+        own_rank = write_turns.rank(KEY, self._node, names)
+        return write_turns.delay_s(own_rank, len(names), self._rng)
+
+    def _missing(self) -> Iterator[str]:
+        """Yields the services whose row is not known to hold their versions."""
+        for service in {*self._stored, *self._versions.services_with_several}:
+            stored = self._stored.get(service, frozenset())
+            if self._wanted(service, stored) != stored:
+                yield service
+
+    def _wanted(self, service: str, stored: frozenset[str]) -> frozenset[str]:
+        """Returns the versions that the row of a service should hold."""
+        kept = {
+            name
+            for name in stored
+            if self._versions.expired_for_s(service, name) < SURPLUS_S
+        }
+        return self._versions.names(service) | kept
 
     async def _load_rows(self) -> None:
-        versions = self._upstreams.versions
-        rows = [found for row in await self._load() if (found := _decode(row))]
+        rows, epoch = await self._read()
         event.note(
             event.SoftwareVersionsLoaded(
-                epoch=self._epochs.newest,
+                epoch=epoch,
                 services=len(rows),
                 versions=','.join(
-                    f'{service}={"+".join(names)}' for service, names in rows
+                    f'{one.service}={"+".join(sorted(one.names))}'
+                    for one in rows.values()
                 ),
             )
         )
-        for service, names in rows:
-            if len(names) > 1:
-                self._stored[service] = names
-                for name in names:
-                    versions.record(service, name)
         self._is_loaded = True
-        versions.mark_complete()
-
-    async def _store_changes(self) -> None:
-        """Stores the versions of services that have, or had, several."""
-        versions = self._upstreams.versions
-        now = asyncio.get_running_loop().time()
-        for service in {*self._stored, *versions.services_with_several}:
-            names = sorted(versions.names(service))
-            if self._stored.get(service, []) == names:
-                continue
-            owners = quota.rate_owners(
-                service, self._members.names(now), WRITERS
-            )
-            if self._members.node in owners:
-                row = {'service': service, 'versions': names}
-                await self._save(service, row)
-            self._note_stored(service, names, owners)
-            self._stored[service] = names
-            if len(names) <= 1:
-                del self._stored[service]
-
-    def _note_stored(
-        self, service: str, names: list[str], owners: list[str]
-    ) -> None:
-        node = self._members.node
+        self._versions.mark_complete()
+
+    async def _read(self) -> tuple[dict[str, version_rows.Row], int]:
+        found = await self._load()
+        rows = {
+            key: version_rows.decode(key, row)
+            for key, row in found.by_key.items()
+        }
+        for row in rows.values():
+            self._record(row.service, row.names, '')
+        for service in self._stored.keys() - rows.keys():
+            del self._stored[service]
+        return rows, found.epoch
+
+    def _record(self, service: str, names: frozenset[str], by: str) -> None:
+        """Records what the row of a service holds."""
+        known = self._versions.names(service)
+        for name in names - known:
+            if not self._versions.expired_for_s(service, name):
+                self._versions.record(service, name)
+        if self._stored.get(service, frozenset()) == names:
+            return
+        self._stored[service] = names
+        self._stored_s = _now()
         event.note(
             event.SoftwareVersionsStored(
                 service=service,
-                versions=','.join(names),
+                versions=','.join(sorted(names)),
                 epoch=self._epochs.newest,
-                by=node if node in owners else '',
+                by=by,
             )
         )
 
+    async def _store_missing(self) -> bool:
+        """Stores what the rows lack; returns False to try again soon."""
+        rows, epoch = await self._read()
+        writes: dict[str, tuple[int, Any]] = {}
+        wanted: dict[str, frozenset[str]] = {}
+        for service in self._missing():
+            row = rows.get(service)
+            stored = row.names if row else frozenset()
+            wanted[service] = self._wanted(service, stored)
+            writes[service] = (
+                row.version if row else 0,
+                version_rows.encode(service, wanted[service]),
+            )
+        if not writes:
+            return True
+        if not await self._save(writes) or self._epochs.newest != epoch:
+            return False
+        for service, names in wanted.items():
+            self._record(service, names, self._node)
+        for update in self.updates():
+            self._announce(update)
+        return True
+
 
-def _decode(row: Any) -> tuple[str, list[str]] | None:
-    """Returns a service and its versions, None if the row is malformed."""
-    try:
-        service, names = row['service'], row['versions']
-        if not isinstance(service, str):
-            raise TypeError('service is no text')
-        if len(names) > software_versions.MAX_VERSIONS or not all(
-            isinstance(name, str) for name in names
-        ):
-            raise ValueError('invalid versions')
-        return service, list(names)
-    except DECODE_ERRORS as exc:
-        event.note(event.EntryInvalid('versions', repr(exc)))
-        return None
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -97,6 +97,8 @@
       engine: Engine settings that differ from `SERVICES`.
       services: Service settings that differ, by the service's name.
       shares: Whether gateways divide engines by client account.
+      versions: Software versions of the engines; empty for engines that name
+        none.
       era: First era of the store; None if it sends none.
       grace_s: Longest time that the gateway takes to stop, in seconds.
       leave_s: How long it serves new callers after a stop was requested, in
@@ -105,6 +107,7 @@
 
     engine: dict[str, object] = {}
     services: dict[str, dict[str, object]] = {}
+    versions: tuple[str, ...] = ()
     era: int | None = None
     grace_s: float = 2.0
     leave_s: float = 0.1
@@ -122,6 +125,8 @@
         self.engines = [
             engine.Engine(self.fleet, f'engine-{n}') for n in (1, 2, 3)
         ]
+        for one, version in zip(self.engines, self.versions, strict=False):
+            one.version = version
         for upstream in (*self.http_servers, *self.engines):
             await upstream.start()
             self.addAsyncCleanup(upstream.server.stop)
@@ -181,7 +186,7 @@
                 lambda: quarantine.load(store_client),
                 lambda key, value: quarantine.save(store_client, key, value),
                 lambda: versions.load(store_client),
-                lambda key, value: versions.save(store_client, key, value),
+                lambda rows: versions.save(store_client, rows),
             )
 
         process = run.Process(
--- a/tests/quetzalsill_platform/test_taken_up_streams.py
+++ b/tests/quetzalsill_platform/test_taken_up_streams.py
@@ -31,9 +31,6 @@
             for one in fixture.ROUTES
         ]
         self.store.put('op', 'config', fixture.configuration(6, routes))
-        for one, version in zip(self.engines, self.versions, strict=True):
-            one.version = version
-            self.register(one)
         self.gateways = await self.start_peers(GATEWAYS)
         for number in range(self.added):
             await self.add_engine('v2', number)
