Store software versions again in each epoch of the store

Cause: watch.version_history compared what it had stored once with what it knows, and nothing told it that the store had lost it. watch.epoch says that what a gateway has written is written again in a new epoch; of versions this wasn't so.

A write that overlaps a change of epoch doesn't count, since versions are given out again. Rows of the previous release have no epoch and are stored again too; that release reads the new rows, as it ignores the field.

Why it works: what is believed to be stored is tied to the epoch that still has it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/event/process.py
@@ -187,18 +187,18 @@
 
 @base.define
 class SoftwareVersionsStored(base.Event):
-    """The software versions of a service have changed in the store.
+    """The software versions of a service are stored.
 
     Attributes:
       service: The service.
       versions: Its versions, separated by commas.
-      epoch: Epoch of the store.
-      by: Gateway that stored them; empty if this one relies on others.
+      epoch: Epoch in which they were stored; None if the row doesn't say it.
+      by: Gateway that stored them; empty if they were read.
     """
 
     service: str
     versions: str
-    epoch: int
+    epoch: int | None
     by: str
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -8,12 +8,16 @@
 Any gateway stores what the store lacks (`fleet.write_turns`), and none relies
 on another to have done it: a row counts as stored once it was read back, or
 once the gateway that wrote it has announced that.
+
+A store that comes back from a copy may have lost rows. So a row bears the epoch
+in which it was stored, and in a new epoch all are stored again.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import dataclasses
 import math
 import random
 from collections.abc import Awaitable, Callable, Iterator
@@ -90,13 +94,14 @@
         self._rng = rng or random.Random()
         self._announce: Announce = lambda _: None
         # What each row is known to hold.
-        self._stored: dict[str, frozenset[str]] = {}
+        self._stored: dict[str, version_rows.Row] = {}
         self._is_loaded = False
         self._stored_s = -math.inf
         # When to store what is missing; None while nothing is.
         self._due_s: float | None = None
         self._changed = asyncio.Event()
         self._versions.on_several(lambda _: self._changed.set())
+        epochs.on_change(self._changed.set)
 
     def set_announcer(self, announce: Announce) -> None:
         """Sets the function that sends an update to all other gateways."""
@@ -117,19 +122,20 @@
         if update.epoch < self._epochs.newest:
             return
         for service, names in update.services:
-            self._record(service, frozenset(names), update.sender)
+            row = version_rows.Row(service, frozenset(names), update.epoch)
+            self._record(row, update.sender)
         self._changed.set()
 
     def updates(self) -> Iterator[version_rows.StoredUpdate]:
         """Yields what is known to be stored, for a gateway that starts."""
-        if self._stored:
-            yield version_rows.StoredUpdate(
-                tuple(
-                    (service, tuple(sorted(names)))
-                    for service, names in self._stored.items()
-                ),
-                self._epochs.newest,
-            )
+        epoch = self._epochs.newest
+        services = tuple(
+            (row.service, tuple(sorted(row.names)))
+            for row in self._stored.values()
+            if row.epoch == epoch
+        )
+        if services:
+            yield version_rows.StoredUpdate(services, epoch)
 
     def recent(self) -> Iterator[version_rows.StoredUpdate]:
         """Yields what other gateways may have missed."""
@@ -172,21 +178,26 @@
         own_rank = write_turns.rank(KEY, self._node, names)
         return write_turns.delay_s(own_rank, len(names), self._rng)
 
-    def _missing(self) -> Iterator[str]:
-        """Yields the services whose row is not known to hold their versions."""
+    def _missing(self) -> Iterator[version_rows.Row]:
+        """Yields the rows that the store is not known to hold."""
         for service in {*self._stored, *self._versions.services_with_several}:
-            stored = self._stored.get(service, frozenset())
-            if self._wanted(service, stored) != stored:
-                yield service
+            stored = self._stored.get(service) or version_rows.Row(service)
+            wanted = self._wanted(stored)
+            if (wanted.names, wanted.epoch) != (stored.names, stored.epoch):
+                yield wanted
 
-    def _wanted(self, service: str, stored: frozenset[str]) -> frozenset[str]:
-        """Returns the versions that the row of a service should hold."""
+    def _wanted(self, stored: version_rows.Row) -> version_rows.Row:
+        """Returns what should be in place of a row."""
         kept = {
             name
-            for name in stored
-            if self._versions.expired_for_s(service, name) < SURPLUS_S
+            for name in stored.names
+            if self._versions.expired_for_s(stored.service, name) < SURPLUS_S
         }
-        return self._versions.names(service) | kept
+        return dataclasses.replace(
+            stored,
+            names=self._versions.names(stored.service) | kept,
+            epoch=self._epochs.newest,
+        )
 
     async def _load_rows(self) -> None:
         rows, epoch = await self._read()
@@ -210,49 +221,48 @@
             for key, row in found.by_key.items()
         }
         for row in rows.values():
-            self._record(row.service, row.names, '')
+            self._record(row, '')
         for service in self._stored.keys() - rows.keys():
             del self._stored[service]
         return rows, found.epoch
 
-    def _record(self, service: str, names: frozenset[str], by: str) -> None:
-        """Records what the row of a service holds."""
-        known = self._versions.names(service)
-        for name in names - known:
+    def _record(self, row: version_rows.Row, by: str) -> None:
+        """Records what a row holds."""
+        service = row.service
+        for name in row.names - self._versions.names(service):
             if not self._versions.expired_for_s(service, name):
                 self._versions.record(service, name)
-        if self._stored.get(service, frozenset()) == names:
+        previous = self._stored.get(service)
+        self._stored[service] = row
+        if previous is not None and (previous.names, previous.epoch) == (
+            row.names,
+            row.epoch,
+        ):
             return
-        self._stored[service] = names
         self._stored_s = _now()
         event.note(
             event.SoftwareVersionsStored(
                 service=service,
-                versions=','.join(sorted(names)),
-                epoch=self._epochs.newest,
+                versions=','.join(sorted(row.names)),
+                epoch=row.epoch,
                 by=by,
             )
         )
 
     async def _store_missing(self) -> bool:
         """Stores what the rows lack; returns False to try again soon."""
-        rows, epoch = await self._read()
-        writes: dict[str, tuple[int, Any]] = {}
-        wanted: dict[str, frozenset[str]] = {}
-        for service in self._missing():
-            row = rows.get(service)
-            stored = row.names if row else frozenset()
-            wanted[service] = self._wanted(service, stored)
-            writes[service] = (
-                row.version if row else 0,
-                version_rows.encode(service, wanted[service]),
-            )
+        _, epoch = await self._read()
+        missing = list(self._missing())
+        writes = {
+            row.service: (row.version, version_rows.encode(row))
+            for row in missing
+        }
         if not writes:
             return True
         if not await self._save(writes) or self._epochs.newest != epoch:
             return False
-        for service, names in wanted.items():
-            self._record(service, names, self._node)
+        for row in missing:
+            self._record(row, self._node)
         for update in self.updates():
             self._announce(update)
         return True
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_rows.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_rows.py
@@ -23,12 +23,14 @@
     Attributes:
       service: The service.
       names: Its software versions.
-      version: Number of the change that wrote the row.
+      epoch: Epoch of the source in which they were stored; None if unknown.
+      version: Number of the change that wrote the row; 0 if unknown.
     """
 
     service: str
-    names: frozenset[str]
-    version: int
+    names: frozenset[str] = frozenset()
+    epoch: int | None = None
+    version: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,9 +48,10 @@
     sender: str = dataclasses.field(default='', compare=False)
 
 
-def encode(service: str, names: frozenset[str]) -> dict[str, Any]:
+def encode(row: Row) -> dict[str, Any]:
     """Returns the value of a row."""
-    return {'service': service, 'versions': sorted(names)}
+    value = {'service': row.service, 'versions': sorted(row.names)}
+    return value if row.epoch is None else value | {'epoch': row.epoch}
 
 
 def decode(key: str, stored: source.StoredRow) -> Row:
@@ -59,11 +62,20 @@
       stored: The row.
     """
     try:
-        names = _decode_names(stored.value)
+        names, epoch = _decode_names(stored.value), _decode_epoch(stored.value)
     except DECODE_ERRORS as exc:
         event.note(event.EntryInvalid(f'versions of {key}', repr(exc)))
-        return Row(key, frozenset(), stored.version)
-    return Row(key, names, stored.version)
+        return Row(key, version=stored.version)
+    return Row(key, names, epoch, stored.version)
+
+
+def _decode_epoch(value: Any) -> int | None:
+    """Returns the epoch; None in a row of the previous release."""
+    epoch = value.get('epoch')
+    # An exact type check, as bool is a subclass of int.
+    if epoch is not None and type(epoch) is not int:
+        raise TypeError('epoch is no integer')
+    return epoch
 
 
 def _decode_names(value: Any) -> frozenset[str]:
--- a/tests/quetzalsill_platform/test_stored_versions.py
+++ b/tests/quetzalsill_platform/test_stored_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import unittest
 
 from tests.quetzalsill_platform import fixture, test_taken_up_streams
@@ -98,5 +99,24 @@
         self.assertEqual(await self.take_up(names), [None] * len(names))
 
 
+class RestoredStoreTest(StoredVersionsTestCase):
+    """The store comes back from a copy and loses what gateways wrote."""
+
+    era = 1
+
+    async def test_versions_are_stored_again(self):
+        """A row that the copy lacked was missing from then on (review/6)."""
+        names = await self.begin_streams()
+        copy = self.store.snapshot()
+        await self.add_engine('v2', 0)
+        await self.wait_for_engines(len(self.engines))
+        await self.wait_until(lambda: self.stored() == {'v1', 'v2'})
+        await self.store.restore(copy, random.Random(1))
+        await self.wait_until(lambda: self.stored() == {'v1', 'v2'})
+        self.remove_version('v1')
+        await self.restart_all()
+        self.assertEqual(await self.take_up(names), [None] * len(names))
+
+
 if __name__ == '__main__':
     unittest.main()
