Take no missing row for proof that a service has had one version

A service with one version had no row, so that a gateway that starts could not tell 'one version' from 'not written yet', 'lost' and 'nobody wrote it', and took all for one.

Change: - Each service has a row from its first version on, also with one version. - Write ahead (software_versions.Stage): streams begin at a version only once its row is known to be stored; until then at the others, and if there is no other they wait, 1 s at most. After that callers are served although nothing can be stored, and only if no stored version is left. - A row is proof only with the epoch in which it was stored, and only gateways that know all versions give it the current one. A row of an earlier epoch, of the previous release, or that can't be read proves nothing; nor does a missing row beside such ones. Without any rows, no stream has begun. - What is complete is known by service. The answer to an origin query has the versions of one service and marked all services as complete; it no longer does.

Cost: two calls for each new version of a service and for each epoch, of the whole fleet, and one datagram to each gateway; a stream at a version that has just appeared waits for them.

Tests, seen to fail on: test_a_kill_as_a_version_appears and test_a_kill_just_after_a_restore (3 of 3 streams go on at v2), test_a_version_begins_no_stream_before_it_is_stored. With one version all streams go on after a kill of all gateways, also after a restore.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/store.py
@@ -43,6 +43,7 @@
       always_gone: Whether each watch gets a 410, whatever its version.
       resets_watches: Whether pending watches are reset when a snapshot is
         restored. Otherwise they get a response from the restored rows.
+      refused_tables: Tables to which writes get a 503.
       calls: Number of received calls, by path.
     """
 
@@ -53,6 +54,7 @@
         self.era_fault = ''
         self.always_gone = False
         self.resets_watches = False
+        self.refused_tables: set[str] = set()
         self.calls: dict[str, int] = {}
         self._rows = versioned_rows.VersionedRows()
         self._changed = asyncio.Event()
@@ -207,6 +209,9 @@
         if any(table in versioned_rows.EXTERNAL_TABLES for table, _ in values):
             self._reply(call, 403)
             return
+        if any(table in self.refused_tables for table, _ in values):
+            self._reply(call, 503)
+            return
         expected = {
             _row_key(row): row['ver']
             for row in transaction.get('expectedRevision', ())
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/admission.py
@@ -33,14 +33,13 @@
 )
 from quetzalsill_gateway.balance import search as search_lib
 from quetzalsill_gateway.balance import shares as shares_lib
-from quetzalsill_gateway.fleet import account_usage
+from quetzalsill_gateway.fleet import account_usage, software_versions
 
 if TYPE_CHECKING:
     from quetzalsill_gateway import exchange as exchange_lib
     from quetzalsill_gateway import routing_table
     from quetzalsill_gateway.balance import upstream_stats
     from quetzalsill_gateway.fleet import quota as quota_lib
-    from quetzalsill_gateway.fleet import software_versions
     from quetzalsill_gateway.fleet import upstream as upstream_lib
 
 __all__ = ['Admission']
@@ -165,6 +164,8 @@
           The engine; None if the service has none that may serve it, or if none
           has room within the time for which the request may be queued.
         """
+        if origin is None:
+            await self._until_stored(req)
         now = asyncio.get_running_loop().time()
         own_prefill_s = self._stats_table.prefill_s(reservation.prompt_tokens)
         late_s = LATE_SHARE * req.route.objective_s
@@ -244,6 +245,16 @@
         self._log_wait(search, now, queue, chosen)
         return chosen
 
+    async def _until_stored(self, req: exchange_lib.Exchange) -> None:
+        """Waits, for `STORING_S` at most, for a version to begin at."""
+        versions, service = self._upstreams.versions, req.service.name
+        while versions.has_stages(service) and not self._is_refused(req):
+            available = self._upstreams.available(service, req.regions)
+            best = min(map(versions.stage, available), default=None)
+            if best is not software_versions.Stage.STORING:
+                return
+            await asyncio.sleep(POLL_S)
+
     def _exceeds_wait_bound(
         self,
         search: search_lib.EngineSearch,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/balance/search.py
@@ -345,14 +345,17 @@
 
     def _sendable(self) -> list[upstream_lib.Upstream]:
         """Returns the available engines for which the quota allows a send."""
-        sendable = [one for one in self._available() if self._quota.allows(one)]
+        available = self._available()
+        sendable = [one for one in available if self._quota.allows(one)]
+        versions = self._upstreams.versions
+        service = self.req.service.name
+        if self._origin is None and versions.has_stages(service):
+            best = min(map(versions.stage, available), default=None)
+            if best is software_versions.Stage.STORING:
+                return []
+            sendable = [one for one in sendable if versions.stage(one) is best]
         if not self._has_several_versions:
             return sendable
-        if self._origin is None:
-            settling = self._upstreams.versions.is_settling
-            sendable = [one for one in sendable if not settling(one)] or (
-                sendable if all(map(settling, self._available())) else []
-            )
         return [
             one
             for one in sendable
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/exchange.py
@@ -141,9 +141,12 @@
     def writers(self) -> tuple[str, ...]:
         """Names of the gateways that are known to be running, sorted.
 
-        Until any other is, the listed ones, of which some may have left.
+        Until any other is, the listed ones, of which some may have left; empty
+        before the directory was read.
         """
         names = self.peer_names
+        if not names and not self._core.members.is_directory_read:
+            return ()
         if not names:
             return self._core.members.names(asyncio.get_running_loop().time())
         return tuple(sorted((self._node, *names)))
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/origin_lookup.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/peers/origin_lookup.py
@@ -244,7 +244,7 @@
         versions = self._upstreams.versions
         return origin_codec.VersionsUpdate(
             tuple(versions.ages(service)),
-            versions.complete_s,
+            versions.complete_s(service),
             self._upstreams.can_grow,
         )
 
@@ -263,11 +263,16 @@
         self._peers.send_to((query.sender,), answer)
 
     def _receive_answer(self, answer: origin_codec.OriginAnswer) -> None:
-        self._receive_versions(answer.versions)
+        self._record_versions(answer.versions)
+        lookup = self._lookups.get(answer.key)
+        if lookup is not None:
+            # The answer has the versions of this service only.
+            self._upstreams.versions.mark_complete(
+                answer.versions.complete_s, lookup.service
+            )
         if answer.record is not None:
             update = stream_origins.OriginUpdate((answer.record,))
             self._origins.receive(update)
-        lookup = self._lookups.get(answer.key)
         if lookup is not None:
             lookup.answered.add(answer.sender)
             lookup.is_found |= answer.record is not None
@@ -275,10 +280,12 @@
             lookup.changed.set()
 
     def _receive_versions(self, update: origin_codec.VersionsUpdate) -> None:
-        versions = self._upstreams.versions
+        self._record_versions(update)
+        self._upstreams.versions.mark_complete(update.complete_s)
+
+    def _record_versions(self, update: origin_codec.VersionsUpdate) -> None:
         for service, version, age_s in update.versions:
-            versions.record(service, version, age_s)
-        versions.mark_complete(update.complete_s)
+            self._upstreams.versions.record(service, version, age_s)
 
 
 def _now() -> float:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -2,15 +2,19 @@
 
 A gateway that starts sees the versions that serve now. Streams that began
 before may be of another one, which has left meanwhile. Other gateways say so,
-and for the time when all restart at once, services that have had several
-versions are stored in the platform's store.
+and for the time when all restart at once, the versions of each service are
+stored in the platform's store, a row for each.
+
+A row is proof only if it must hold whatever began a stream. So a version is
+stored before its first stream begins (`software_versions.Stage`), and a row
+bears the epoch in which it was stored: a store that comes back from a copy has
+lost its newest rows, and in the new epoch those gateways store all again that
+know all versions. A row of an earlier epoch, or none beside rows of an earlier
+epoch, proves nothing; without any rows, no stream has begun.
 
 Any gateway stores what the store lacks (`fleet.write_turns`), and none relies
 on another to have done it: a row counts as stored once it was read back, or
 once the gateway that wrote it has announced that.
-
-A store that comes back from a copy may have lost rows. So a row bears the epoch
-in which it was stored, and in a new epoch all are stored again.
 """
 
 from __future__ import annotations
@@ -45,6 +49,11 @@
 SURPLUS_S = 10.0
 # Announcements are repeated for so long, as datagrams are lost.
 RECENT_S = 10.0
+# A gateway that starts waits so long for the names of the others, as all of a
+# system that starts would write at once.
+UNLISTED_S = 0.5
+# Services in one datagram.
+MAX_SERVICES = 50
 KEY = 'versions'
 
 Announce = Callable[[version_rows.StoredUpdate], None]
@@ -70,7 +79,8 @@
         Args:
           upstreams: Membership, which has the versions seen.
           node: Name of this gateway.
-          writers: Returns the gateways that may store a row now, this included.
+          writers: Returns the gateways that may store a row now, this included;
+            empty while they are unknown.
           load: Returns the stored rows.
           save: Stores rows by key: the version that is replaced, 0 for none,
             and the value. Returns False if one has changed since. Both raise
@@ -100,7 +110,8 @@
         # When to store what is missing; None while nothing is.
         self._due_s: float | None = None
         self._changed = asyncio.Event()
-        self._versions.on_several(lambda _: self._changed.set())
+        self._versions.store_first()
+        self._versions.on_new(self._changed.set)
         epochs.on_change(self._changed.set)
 
     def set_announcer(self, announce: Announce) -> None:
@@ -129,13 +140,14 @@
     def updates(self) -> Iterator[version_rows.StoredUpdate]:
         """Yields what is known to be stored, for a gateway that starts."""
         epoch = self._epochs.newest
-        services = tuple(
+        services = [
             (row.service, tuple(sorted(row.names)))
             for row in self._stored.values()
             if row.epoch == epoch
-        )
-        if services:
-            yield version_rows.StoredUpdate(services, epoch)
+        ]
+        for first in range(0, len(services), MAX_SERVICES):
+            part = tuple(services[first : first + MAX_SERVICES])
+            yield version_rows.StoredUpdate(part, epoch)
 
     def recent(self) -> Iterator[version_rows.StoredUpdate]:
         """Yields what other gateways may have missed."""
@@ -175,12 +187,14 @@
 
     def _turn_s(self) -> float:
         names = self._writers()
+        if not names:
+            return UNLISTED_S
         own_rank = write_turns.rank(KEY, self._node, names)
         return write_turns.delay_s(own_rank, len(names), self._rng)
 
     def _missing(self) -> Iterator[version_rows.Row]:
         """Yields the rows that the store is not known to hold."""
-        for service in {*self._stored, *self._versions.services_with_several}:
+        for service in {*self._stored, *self._versions.services}:
             stored = self._stored.get(service) or version_rows.Row(service)
             wanted = self._wanted(stored)
             if (wanted.names, wanted.epoch) != (stored.names, stored.epoch):
@@ -193,10 +207,11 @@
             for name in stored.names
             if self._versions.expired_for_s(stored.service, name) < SURPLUS_S
         }
+        is_proof = self._versions.is_complete(stored.service)
         return dataclasses.replace(
             stored,
             names=self._versions.names(stored.service) | kept,
-            epoch=self._epochs.newest,
+            epoch=self._epochs.newest if is_proof else stored.epoch,
         )
 
     async def _load_rows(self) -> None:
@@ -212,7 +227,10 @@
             )
         )
         self._is_loaded = True
-        self._versions.mark_complete()
+        if all(one.epoch == epoch for one in rows.values()):
+            self._versions.mark_complete()
+        else:
+            self._versions.mark_complete(0.0)
 
     async def _read(self) -> tuple[dict[str, version_rows.Row], int]:
         found = await self._load()
@@ -222,6 +240,8 @@
         }
         for row in rows.values():
             self._record(row, '')
+            if row.epoch == found.epoch:
+                self._versions.mark_complete(service=row.service)
         for service in self._stored.keys() - rows.keys():
             del self._stored[service]
         return rows, found.epoch
@@ -234,6 +254,7 @@
                 self._versions.record(service, name)
         previous = self._stored.get(service)
         self._stored[service] = row
+        self._versions.mark_stored(service, row.names)
         if previous is not None and (previous.names, previous.epoch) == (
             row.names,
             row.epoch,
@@ -259,6 +280,8 @@
         }
         if not writes:
             return True
+        if self._epochs.newest != epoch:
+            return False
         if not await self._save(writes) or self._epochs.newest != epoch:
             return False
         for row in missing:
