Store quarantined requests through any gateway that is running

What callers would see: a request or part that crashes servers is in quarantine, all gateways are killed, and it crashes servers again.

Two gateways were to store an entry, chosen among members.names, which keeps those that have left; all others did nothing and never looked whether it was there.

Change: quarantine.persistence stores what the store lacks in turns (fleet.write_turns) over the gateways that are running. One writes; a few more read in their turns whether it has, and so does whoever moves up as one is gone. Rows are replaced only if they have not changed since they were read, so that an older entry doesn't replace a newer one. The turn itself is a class that the software versions use too, and the adapter has one module for both tables.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
@@ -1,30 +1,35 @@
 """Keeps quarantined requests while all gateways restart.
 
 Gateways have no disk, and those that lose power at the same moment find nobody
-who knows. So each entry is stored in the platform's store too, by a few
-gateways only: all of them find a culprit at about the same time.
+who knows. So each entry is stored in the platform's store too. All of them find
+a culprit at about the same time, and one stores it (`fleet.write_turns`); a few
+others read in their turns whether it has, as it may have failed, and so does
+whoever takes the place of one that is gone.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
 from quetzalsill_gateway import error, event
-from quetzalsill_gateway.fleet import quota
+from quetzalsill_gateway.fleet import write_turns
 from quetzalsill_gateway.quarantine import table, trait
 
 if TYPE_CHECKING:
-    from quetzalsill_gateway.fleet import members as members_lib
+    import random
+
+    from quetzalsill_gateway import source
     from quetzalsill_gateway.quarantine import quarantine as quarantine_lib
+    from quetzalsill_gateway.watch import epoch
 
 __all__ = ['Persistence']
 
-# Gateways that store an entry; one of them may be down.
-WRITERS = 2
 RETRY_S = 1.0
+KEY = 'quarantine'
 # A longer time comes from a faulty clock or writer.
 MAX_TIME_S = 1e6
 DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
@@ -40,27 +45,38 @@
     def __init__(
         self,
         quarantine: quarantine_lib.Quarantine,
-        members: members_lib.Members,
-        load: Callable[[], Awaitable[list[Any]]],
-        save: Callable[[str, Any], Awaitable[None]],
+        node: str,
+        writers: Callable[[], tuple[str, ...]],
+        load: source.LoadRows,
+        save: source.SaveRows,
+        epochs: epoch.EpochTracker,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates it; the two loops do the work.
 
         Args:
           quarantine: Quarantine of this gateway.
-          members: Gateways that may store an entry.
+          node: Name of this gateway.
+          writers: Returns the gateways that may store entries now, this
+            included; empty while they are unknown.
           load: Returns the stored rows.
-          save: Stores a row under a key.
+          save: Stores rows.
+          epochs: Tracks the epoch of the store.
+          rng: Draws the times of retries.
         """
         self._quarantine = quarantine
-        self._members = members
+        self._turn = write_turns.WriteTurn(KEY, node, writers, rng)
         self._load = load
         self._save = save
-        self._changed: asyncio.Queue[table.Entry] = asyncio.Queue()
+        self._epochs = epochs
+        # What each stored entry ranks, in the epoch in which that was seen.
+        self._stored: dict[bytes, tuple[Any, ...]] = {}
+        self._stored_epoch = epochs.newest
+        self._changed = asyncio.Event()
         self.is_loaded = False
         self._is_due = asyncio.Event()
         self._is_due.set()
-        quarantine.on_changed(self._changed.put_nowait)
+        quarantine.on_changed(lambda _: self._changed.set())
         quarantine.on_crash(self._is_due.set)
 
     async def load_entries(self) -> None:
@@ -73,36 +89,74 @@
             await self._is_due.wait()
             self._is_due.clear()
             try:
-                rows = await self._load()
+                stored = await self._load()
             except error.SourceError:
                 if not self.is_loaded:
                     self._is_due.set()
             else:
-                entries = [_decode(row) for row in rows]
-                self._quarantine.restore(
-                    [entry for entry in entries if entry is not None]
-                )
+                self._record(stored)
                 self.is_loaded = True
             await asyncio.sleep(RETRY_S)
 
     async def store_changes(self) -> None:
-        """Stores entries that change, until cancelled."""
+        """Stores entries that the store lacks, until cancelled."""
         while True:
-            await self._store(await self._changed.get())
-
-    async def _store(self, entry: table.Entry) -> None:
+            self._changed.clear()
+            wait_s = await self._work()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+
+    async def _work(self) -> float:
+        """Stores what is due; returns the time to the next step."""
+        if not any(self._missing()):
+            self._turn.end()
+            return RETRY_S
+        if not self._turn.is_ordered:
+            return RETRY_S
+        try:
+            if self._turn.left_s() <= 0.0 and not await self._store_missing():
+                self._turn.postpone(is_conflict=True)
+        except error.SourceError:
+            self._turn.postpone()
+        return max(0.0, min(RETRY_S, self._turn.left_s()))
+
+    def _missing(self) -> Iterator[table.Entry]:
+        """Yields the entries that the store is not known to hold."""
+        for entry in self._quarantine.known_entries:
+            rank = self._stored.get(entry.fingerprint)
+            if rank is None or rank < entry.rank:
+                yield entry
+
+    async def _store_missing(self) -> bool:
+        """Stores what the rows lack; returns False to try again soon."""
+        stored = await self._load()
+        self._record(stored)
+        if self._epochs.newest != stored.epoch:
+            return False
         now = asyncio.get_running_loop().time()
-        key = entry.fingerprint.hex()
-        names = self._members.names(now)
-        if self._members.node not in quota.rate_owners(key, names, WRITERS):
-            return
-        while True:
-            try:
-                await self._save(key, _encode(entry, now))
-            except error.SourceError:
-                await asyncio.sleep(RETRY_S)
-            else:
-                return
+        missing = list(self._missing())
+        writes = {}
+        for entry in missing:
+            key = entry.fingerprint.hex()
+            row = stored.by_key.get(key)
+            writes[key] = (row.version if row else 0, _encode(entry, now))
+        if writes and not await self._save(writes):
+            return False
+        if self._epochs.newest != stored.epoch:
+            return False
+        for entry in missing:
+            self._stored[entry.fingerprint] = entry.rank
+        return True
+
+    def _record(self, stored: source.StoredRows) -> None:
+        """Applies the stored entries, and records that they are stored."""
+        decoded = [_decode(row.value) for row in stored.by_key.values()]
+        entries = [entry for entry in decoded if entry is not None]
+        self._quarantine.restore(entries)
+        if stored.epoch == self._epochs.newest:
+            self._stored_epoch = stored.epoch
+            self._stored = {one.fingerprint: one.rank for one in entries}
 
 
 def _encode(entry: table.Entry, now: float) -> dict[str, Any]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/quarantine.py
@@ -98,6 +98,11 @@
         """Entries of the traits whose requests are refused."""
         return self._table.active
 
+    @property
+    def known_entries(self) -> list[table.Entry]:
+        """All entries, lifted ones included."""
+        return self._table.entries
+
     def count_by_kind(self) -> dict[str, int]:
         """Returns the number of entries of each kind of trait."""
         counts = dict.fromkeys(trait.KIND_NAMES, 0)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -201,9 +201,11 @@
         self.peers.on_update(account_usage.AccountUpdate, self._receive_usage)
         self._persistence = persistence.Persistence(
             found,
-            gateways,
+            settings.node.name,
+            lambda: self.peers.writers,
             sources.load_quarantine,
             sources.save_quarantine,
+            sources.epochs,
         )
         lookup = origin_lookup.OriginLookup(
             self.peers,
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/source.py
@@ -19,11 +19,13 @@
 __all__ = [
     'Document',
     'Health',
+    'LoadRows',
     'OperatorItem',
     'ParseDocument',
     'Poll',
     'PollResult',
     'RoutingTableHolder',
+    'SaveRows',
     'Sources',
     'StoredRow',
     'StoredRows',
@@ -219,6 +221,12 @@
 Poll = Callable[
     [revision_lib.Revision | None, float], Awaitable[PollResult[Item] | None]
 ]
+# Returns the rows of a table that gateways keep. Raises `error.SourceError`.
+LoadRows = Callable[[], Awaitable[StoredRows]]
+# Stores rows in order, by key: the version of the row that is replaced, 0 for
+# none, and the new value. Returns False if one has changed since; the rows
+# before it may have been stored. Raises `error.SourceError`.
+SaveRows = Callable[[dict[str, tuple[int, Any]]], Awaitable[bool]]
 # What operators write: a configuration document, or a drain order for a zone.
 OperatorItem = Document | zones.Drain
 # Builds a routing table from a document. Raises `error.ConfigurationError`.
@@ -238,13 +246,9 @@
         gateways, and returns the addresses of all others in it by name.
       epochs: Tracks the epoch that the source reports.
       load_quarantine: Returns the stored rows of quarantined requests.
-      save_quarantine: Stores such a row under a key. Both raise
-        `error.SourceError`.
+      save_quarantine: Stores such rows.
       load_versions: Returns the stored rows of the services' software versions.
-      save_versions: Stores such rows in order, by key: the version of the row
-        that is replaced, 0 for none, and the new value. Returns False if one
-        has changed since; the rows before it may have been stored. Both raise
-        `error.SourceError`.
+      save_versions: Stores such rows.
     """
 
     poll_configuration: Poll[OperatorItem]
@@ -252,7 +256,7 @@
     poll_membership: Poll[upstream.Change]
     join: Callable[[str, str], Awaitable[dict[str, str]]]
     epochs: epoch.EpochTracker
-    load_quarantine: Callable[[], Awaitable[list[Any]]]
-    save_quarantine: Callable[[str, Any], Awaitable[None]]
-    load_versions: Callable[[], Awaitable[StoredRows]]
-    save_versions: Callable[[dict[str, tuple[int, Any]]], Awaitable[bool]]
+    load_quarantine: LoadRows
+    save_quarantine: SaveRows
+    load_versions: LoadRows
+    save_versions: SaveRows
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -23,15 +23,16 @@
 import contextlib
 import dataclasses
 import math
-import random
-from collections.abc import Awaitable, Callable, Iterator
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event
 from quetzalsill_gateway.fleet import write_turns
 from quetzalsill_gateway.watch import version_rows
 
 if TYPE_CHECKING:
+    import random
+
     from quetzalsill_gateway import source
     from quetzalsill_gateway.fleet import upstream as upstream_lib
     from quetzalsill_gateway.watch import epoch
@@ -39,19 +40,12 @@
 __all__ = ['VersionHistory']
 
 REFRESH_S = 1.0
-# After a row was changed by another gateway meanwhile.
-CONFLICT_RETRY_S = 0.05
-# After a call failed; twice that for a gateway without a turn.
-RETRY_S = 0.5
 # Gateways see a version for the last time at different moments. One that has
 # expired here is kept in its row for so much longer, so that another gateway
 # doesn't store it again.
 SURPLUS_S = 10.0
 # Announcements are repeated for so long, as datagrams are lost.
 RECENT_S = 10.0
-# A gateway that starts waits so long for the names of the others, as all of a
-# system that starts would write at once.
-UNLISTED_S = 0.5
 # Services in one datagram.
 MAX_SERVICES = 50
 KEY = 'versions'
@@ -67,8 +61,8 @@
         upstreams: upstream_lib.Upstreams,
         node: str,
         writers: Callable[[], tuple[str, ...]],
-        load: Callable[[], Awaitable[source.StoredRows]],
-        save: Callable[[dict[str, tuple[int, Any]]], Awaitable[bool]],
+        load: source.LoadRows,
+        save: source.SaveRows,
         lifetime_s: Callable[[], float | None],
         is_isolated: Callable[[], bool],
         epochs: epoch.EpochTracker,
@@ -82,9 +76,7 @@
           writers: Returns the gateways that may store a row now, this included;
             empty while they are unknown.
           load: Returns the stored rows.
-          save: Stores rows by key: the version that is replaced, 0 for none,
-            and the value. Returns False if one has changed since. Both raise
-            `error.SourceError`.
+          save: Stores rows.
           lifetime_s: Returns how long a stream may be taken up, in seconds;
             None if it is unknown.
           is_isolated: Whether this gateway has lost contact with all others and
@@ -95,20 +87,17 @@
         self._versions = upstreams.versions
         self._upstreams = upstreams
         self._node = node
-        self._writers = writers
+        self._turn = write_turns.WriteTurn(KEY, node, writers, rng)
         self._load = load
         self._save = save
         self._lifetime_s = lifetime_s
         self._is_isolated = is_isolated
         self._epochs = epochs
-        self._rng = rng or random.Random()
         self._announce: Announce = lambda _: None
         # What each row is known to hold.
         self._stored: dict[str, version_rows.Row] = {}
         self._is_loaded = False
         self._stored_s = -math.inf
-        # When to store what is missing; None while nothing is.
-        self._due_s: float | None = None
         self._changed = asyncio.Event()
         self._versions.store_first()
         self._versions.on_new(self._changed.set)
@@ -167,30 +156,15 @@
         try:
             if not self._is_loaded:
                 await self._load_rows()
-            now = _now()
             if not any(self._missing()):
-                self._due_s = None
+                self._turn.end()
                 return REFRESH_S
-            if self._due_s is None:
-                self._due_s = now + self._turn_s()
-            if now < self._due_s:
-                return min(REFRESH_S, self._due_s - now)
-            if not await self._store_missing():
-                return CONFLICT_RETRY_S * (1.0 + self._rng.random())
+            if self._turn.left_s() <= 0.0 and not await self._store_missing():
+                self._turn.postpone(is_conflict=True)
         except error.SourceError:
             # Until it is loaded, no version is the only one.
-            retry_s = RETRY_S * (1.0 + self._rng.random()) + self._turn_s()
-            self._due_s = _now() + retry_s
-            return retry_s
-        self._due_s = None
-        return REFRESH_S
-
-    def _turn_s(self) -> float:
-        names = self._writers()
-        if not names:
-            return UNLISTED_S
-        own_rank = write_turns.rank(KEY, self._node, names)
-        return write_turns.delay_s(own_rank, len(names), self._rng)
+            self._turn.postpone()
+        return max(0.0, min(REFRESH_S, self._turn.left_s()))
 
     def _missing(self) -> Iterator[version_rows.Row]:
         """Yields the rows that the store is not known to hold."""
--- a/tests/quetzalsill_gateway/watch/test_version_history.py
+++ b/tests/quetzalsill_gateway/watch/test_version_history.py
@@ -16,6 +16,7 @@
     revision,
     software_versions,
     upstream,
+    write_turns,
 )
 from quetzalsill_gateway.watch import epoch, version_history, version_rows
 
@@ -209,8 +210,15 @@
 
     def lose_writer(self):
         """The gateway whose turn comes first leaves for good."""
-        turn_s = [one.history._turn_s() for one in self.gateways]
-        self.gateways.pop(turn_s.index(min(turn_s))).stop()
+        names = self.writers()
+        first = min(
+            self.gateways,
+            key=lambda one: write_turns.rank(
+                version_history.KEY, one.name, names
+            ),
+        )
+        self.gateways.remove(first)
+        first.stop()
 
     def set_away(self):
         self.table.is_away = True
--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import unittest
 
 from quetzalsill_platform import (
     directory,
     headers,
+    kept_rows,
     polling,
-    quarantine,
-    versions,
 )
 from quetzalsill_platform import engine as engine_calls
 from quetzalsill_platform import store as platform_store
@@ -183,10 +183,10 @@
                     store_client, node, address
                 ),
                 store_client.epochs,
-                lambda: quarantine.load(store_client),
-                lambda key, value: quarantine.save(store_client, key, value),
-                lambda: versions.load(store_client),
-                lambda rows: versions.save(store_client, rows),
+                functools.partial(kept_rows.load, store_client, 'quarantine'),
+                functools.partial(kept_rows.save, store_client, 'quarantine'),
+                functools.partial(kept_rows.load, store_client, 'versions'),
+                functools.partial(kept_rows.save, store_client, 'versions'),
             )
 
         process = run.Process(
--- a/tests/quetzalsill_platform/test_crashing_part_state.py
+++ b/tests/quetzalsill_platform/test_crashing_part_state.py
@@ -7,8 +7,10 @@
 
 from tests.quetzalsill_platform import fixture, test_crashing_part
 
+GONE = 40
 
-class StateTest(test_crashing_part.CrashingPartTestCase):
+
+class StateTestCase(test_crashing_part.CrashingPartTestCase):
     """Three gateways; a few crashing requests are enough to find the part."""
 
     gateway_count = 3
@@ -42,12 +44,19 @@
             )
         )
 
-    async def test_gateways_that_all_restart_know_the_part(self):
-        """All lose power at once, and requests with the part come again."""
-        await self.find_part()
+    async def restart_all(self):
         for gateway in self.gateways:
             await gateway.close()
         self.gateways = await self.restart(f'node-{n}' for n in range(3))
+
+
+class StateTest(StateTestCase):
+    """Some or all gateways restart."""
+
+    async def test_gateways_that_all_restart_know_the_part(self):
+        """All lose power at once, and requests with the part come again."""
+        await self.find_part()
+        await self.restart_all()
         self.assertEqual(await self.count_sent(6), 0)
         sound = await self.prompt((test_crashing_part.SHARED, 'f', 'e'))
         self.assertTrue(sound.has_begun)
@@ -74,5 +83,23 @@
         )
 
 
+class DepartedGatewaysTest(StateTestCase):
+    """Most gateways of the directory have left for good."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for number in range(GONE):
+            self.store.put(
+                'gateways', f'gone-{number}', {'address': '127.0.0.1:9'}
+            )
+        await self.restart_all()
+
+    async def test_the_part_is_stored(self):
+        """Only gateways that had left were to store it."""
+        await self.find_part()
+        await self.restart_all()
+        self.assertEqual(await self.count_sent(6), 0)
+
+
 if __name__ == '__main__':
     unittest.main()
