Store quarantined requests again in each epoch of the store

What callers would see: the store comes back from a copy that lacks an entry of the quarantine, all gateways are killed later on, and the request crashes servers again.

Nothing told the persistence that the store had lost what it had written; an entry was stored once per change.

Change: what is known to be stored belongs to the epoch in which that was seen; in a new one all entries are read, and those that are missing stored, in turns as before.

Test: RestoredStoreTest of test_crashing_part_state fails on the commit before (no row after 10 s), and passes now with the rest of the module.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
@@ -4,7 +4,8 @@
 who knows. So each entry is stored in the platform's store too. All of them find
 a culprit at about the same time, and one stores it (`fleet.write_turns`); a few
 others read in their turns whether it has, as it may have failed, and so does
-whoever takes the place of one that is gone.
+whoever takes the place of one that is gone. In a new epoch, the store may have
+lost entries, and all are read and stored again.
 """
 
 from __future__ import annotations
@@ -78,6 +79,7 @@
         self._is_due.set()
         quarantine.on_changed(lambda _: self._changed.set())
         quarantine.on_crash(self._is_due.set)
+        epochs.on_change(self._changed.set)
 
     async def load_entries(self) -> None:
         """Loads entries at the start, and after crashes, until cancelled.
@@ -123,8 +125,10 @@
 
     def _missing(self) -> Iterator[table.Entry]:
         """Yields the entries that the store is not known to hold."""
+        is_current = self._stored_epoch == self._epochs.newest
+        stored = self._stored if is_current else {}
         for entry in self._quarantine.known_entries:
-            rank = self._stored.get(entry.fingerprint)
+            rank = stored.get(entry.fingerprint)
             if rank is None or rank < entry.rank:
                 yield entry
 
--- a/tests/quetzalsill_platform/test_crashing_part_state.py
+++ b/tests/quetzalsill_platform/test_crashing_part_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 
 from tests.quetzalsill_platform import fixture, test_crashing_part
@@ -101,5 +102,20 @@
         self.assertEqual(await self.count_sent(6), 0)
 
 
+class RestoredStoreTest(StateTestCase):
+    """The store comes back from a copy and loses what gateways wrote."""
+
+    era = 1
+
+    async def test_the_part_is_stored_again(self):
+        """An entry that the copy lacked was missing from then on."""
+        copy = self.store.snapshot()
+        await self.find_part()
+        await self.store.restore(copy, random.Random(1), rewrite_s=0.1)
+        await self.wait_until(lambda: self.store.rows('quarantine'))
+        await self.restart_all()
+        self.assertEqual(await self.count_sent(6), 0)
+
+
 if __name__ == '__main__':
     unittest.main()
