Bound what an upstream sends besides the body of an answer

What callers saw (first look at bytes without end; our own tests now): a server answers with header lines, one header line, trailers, interim heads or the size line of a chunk without end. The gateway reads on until the caller gives up, 16 s and more, while sound servers idle; a platform with a limit on memory ends the process (32 MB to 4.6 GB in the first look).

Cause: http.call.Conn bounds nothing but what its readers count, and they get bodies only. httptools collects headers, and a header's value, without a limit, and bytes that complete nothing wake nobody.

Change: http.framing feeds the parser and counts what is not body, by bytes (64 KiB, chunks may have size lines besides) and by the time from the first byte of a part to its end (2 s, whatever the pace; not the wait for the first byte, nor pauses between chunks). Beyond that the answer is malformed, as garbled bytes are: the request may have run, the upstream counts as failed, the connection is aborted, and what may be repeated goes elsewhere. The error names the bound. Settings: answers.head_bytes, answers.head_s. Another answer's body, which is skipped, ends at 1 MiB. All calls of the gateway go through Conn: unary calls, streams, reports, moves, stop commands, the store's client with its watches.

Tests: test_endless (6 shapes, fast and slow, and the connection is closed), 18 of 18 subtests fail before by time-out; sound answers that pause, take their time, or have many small chunks pass. test_endless_answers: one of three engines, 12 streams for each shape and pace, all whole, in under 1.5 s or 3.5 s (the bound of a head and one more try), and the process grows by under 60 MB. Stream, listener and pool tests pass.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from quetzalsill_dev.users_platform import pause, scripted
+from quetzalsill_dev.users_platform import endless, pause, scripted
 
 __all__ = ['Engine', 'Fleet', 'event', 'versions_of']
 
@@ -182,6 +182,9 @@
         set, it rejects all requests with a 503.
       busy_moves: Number of next copy commands that get a 409, as if another
         copy were in progress.
+      endless: Key in `endless.SHAPES` of what it sends without end in place of
+        a stream; empty for streams.
+      endless_interval_s: Time between the parts of that, in seconds.
       is_framed: Whether its streams are chunked; if not, they end with their
         connection.
       requests: Headers of each received request.
@@ -206,6 +209,8 @@
         self.refuse = 0
         self.resets_at_start = 0
         self.ignores_copies = False
+        self.endless = ''
+        self.endless_interval_s = 0.0
         self.is_framed = True
         self.busy_moves = 0
         self.limit = ''
@@ -380,6 +385,9 @@
             PREFIX + 'server-stamp': f'{self.id}.{request_id}',
             'Content-Type': 'text/event-stream',
         }
+        if self.endless:
+            await self._send_endless(call, head, run)
+            return
         if self.is_framed:
             head['Transfer-Encoding'] = 'chunked'
         call.send_head(200, head | self._state_headers())
@@ -420,6 +428,21 @@
                 run.running = False
                 self._fleet.run_ended(request_id, self.id)
 
+    async def _send_endless(
+        self, call: scripted.Exchange, head: dict[str, str], run: _Run
+    ) -> None:
+        lines = [f'{name}: {value}\r\n' for name, value in head.items()]
+        try:
+            await endless.write(
+                call.writer,
+                self.endless,
+                ''.join(lines).encode(),
+                self.endless_interval_s,
+            )
+        finally:
+            run.running = False
+            self._fleet.run_ended(run.request_id, self.id)
+
     async def _crash_soon(self, part: str | None) -> None:
         await asyncio.sleep(self._fleet.crash_after_s)
         if self.id not in self._fleet.crashed:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -10,12 +10,16 @@
 import httptools
 
 from quetzalsill.net import deadline
-from quetzalsill_gateway.http import error, message, socket_option
+from quetzalsill_gateway.http import error, framing, message, socket_option
 
-__all__ = ['Conn', 'connect']
+__all__ = ['Conn', 'Limits', 'connect']
 
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 NO_BODY = (204, 304)
+# A late response to an earlier request is skipped up to this size.
+MAX_SKIPPED_BYTES = 1_048_576
+Limits = framing.Limits
+DEFAULT_LIMITS = Limits()
 END_OF_BODY = object()
 # Called with an address and the change in its number of open connections.
 CountCallback = Callable[[tuple[str, int], int], None]
@@ -33,7 +37,10 @@
     """
 
     def __init__(
-        self, address: tuple[str, int], count: CountCallback | None = None
+        self,
+        address: tuple[str, int],
+        count: CountCallback | None = None,
+        limits: Limits = DEFAULT_LIMITS,
     ) -> None:
         """Initializes the protocol.
 
@@ -41,6 +48,7 @@
           address: Address of the upstream.
           count: Called with the address and 1 when the connection opens, and
             with -1 once it is closed by either side.
+          limits: Limits on what an upstream sends besides bodies.
         """
         self.address = address
         self._on_count = count
@@ -57,6 +65,8 @@
         self._is_head_request = False
         self._awaiting_response = False
         self._skipping_response = False
+        self._skipped_bytes = 0
+        self._framing = framing.Framing(limits, self._end_malformed)
         self._echo: tuple[bytes, bytes] | None = None
 
     @property
@@ -90,6 +100,7 @@
         It is complete only if it had no length and there was no reset.
         """
         self._report_closed()
+        self._framing.stop()
         if (
             self._awaiting_response
             and self._until_close
@@ -108,10 +119,9 @@
             self.abort()
             return
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            self._fail(error.MalformedResponseError(str(exc)))
-            self.abort()
+            self._framing.feed(self._parser, data)
+        except (httptools.HttpParserError, framing.TooLongError) as exc:
+            self._end_malformed(str(exc))
 
     def on_message_begin(self) -> None:
         """Starts a response."""
@@ -131,6 +141,7 @@
         self._skipping_response = self._is_mismatched()
         if self._skipping_response:
             return
+        self._framing.end_part()
         length = message.first(self._headers, b'content-length')
         coding = message.first(self._headers, b'transfer-encoding')
         self._until_close = (
@@ -150,11 +161,19 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes on a chunk of the body."""
-        if self._awaiting_response and not self._skipping_response:
+        if self._skipping_response:
+            self._skip(len(body))
+        elif self._awaiting_response:
+            self._framing.add_body(len(body))
             if self.body_since_s is None:
                 self.body_since_s = asyncio.get_running_loop().time()
             self._add(body)
 
+    def on_chunk_complete(self) -> None:
+        """Records the end of a chunk; that of the last one ends the body."""
+        if not self._skipping_response:
+            self._framing.end_part()
+
     def on_message_complete(self) -> None:
         """Completes the response."""
         if self._skipping_response:
@@ -184,6 +203,8 @@
         if not self.is_usable:
             raise error.ConnectionEndedError('the connection has ended')
         self._items.clear()
+        self._framing.begin()
+        self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._echo = echo
         self._skipping_response = False
@@ -218,6 +239,7 @@
     def abort(self) -> None:
         """Closes the connection at once."""
         self._reusable = False
+        self._framing.stop()
         if self._transport is not None:
             self._transport.abort()
             self._report_closed()
@@ -236,8 +258,21 @@
         value = message.first(self._headers, name)
         return value is not None and value != expected
 
+    def _skip(self, size: int) -> None:
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise framing.TooLongError(
+                f'more than {MAX_SKIPPED_BYTES} bytes of another response'
+            )
+        self._framing.add_body(size, is_progress=False)
+
+    def _end_malformed(self, reason: str) -> None:
+        self._fail(error.MalformedResponseError(reason))
+        self.abort()
+
     def _finish(self) -> None:
         self._awaiting_response = False
+        self._framing.stop()
         self.idle_since_s = asyncio.get_running_loop().time()
         self._add(END_OF_BODY)
 
@@ -273,9 +308,16 @@
     address: tuple[str, int],
     timeout_s: float,
     count: CountCallback | None = None,
+    limits: Limits = DEFAULT_LIMITS,
 ) -> Conn:
     """Opens a connection.
 
+    Args:
+      address: Address of the upstream.
+      timeout_s: Longest time until it is accepted, in seconds.
+      count: See `Conn`.
+      limits: Limits on what an upstream sends besides bodies.
+
     Raises:
       error.ConnectTimeoutError: It was not accepted in time.
       error.RefusedError: It was refused.
@@ -285,7 +327,7 @@
     try:
         async with deadline.timeout(timeout_s):
             _, conn = await loop.create_connection(
-                lambda: Conn(address, count), address[0], address[1]
+                lambda: Conn(address, count, limits), *address
             )
     except TimeoutError as exc:
         raise error.ConnectTimeoutError(f'{address[0]}:{address[1]}') from exc
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/pool.py
@@ -25,7 +25,13 @@
 class Pool:
     """Connections by address, both busy and idle."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: call.Limits = call.DEFAULT_LIMITS) -> None:
+        """Starts without connections.
+
+        Args:
+          limits: Limits on what upstreams send besides bodies.
+        """
+        self._limits = limits
         self._idle: dict[Address, collections.deque[call.Conn]] = {}
         # Counts connections that are open or being opened.
         self._count: collections.Counter[Address] = collections.Counter()
@@ -107,7 +113,7 @@
         self._adjust_count(address, 1)
         try:
             return await call.connect(
-                address, connect_timeout_s, self._adjust_count
+                address, connect_timeout_s, self._adjust_count, self._limits
             )
         finally:
             self._adjust_count(address, -1)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -32,7 +32,7 @@
     shutdown_notices,
     upstream,
 )
-from quetzalsill_gateway.http import listener, pool
+from quetzalsill_gateway.http import call, listener, pool
 from quetzalsill_gateway.peers import exchange as peer_exchange
 from quetzalsill_gateway.peers import origin_lookup
 from quetzalsill_gateway.quarantine import persistence
@@ -77,7 +77,8 @@
         deployment: deployment_lib.Deployment,
     ) -> None:
         self._settings = settings
-        conns = pool.Pool()
+        answers = settings.answers
+        conns = pool.Pool(call.Limits(answers.head_bytes, answers.head_s))
         stats_table = upstream_stats.StatsTable()
         limits = server_limits.ServerLimits()
         holder = source.RoutingTableHolder()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -8,6 +8,7 @@
 from quetzalsill.settings import section
 
 __all__ = [
+    'Answers',
     'Retry',
     'ServerLimit',
     'Settings',
@@ -130,6 +131,27 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Answers:
+    """Bounds of what upstreams and the store send besides bodies."""
+
+    head_bytes: int = key(
+        'Size of the status line, headers, interim answers and trailers of an'
+        ' answer together.',
+        65_536,
+        unit='bytes',
+        minimum=1024,
+        maximum=16_777_216,
+    )
+    head_s: float = key(
+        'Time from the first byte of one of them to its end.',
+        2.0,
+        unit='s',
+        minimum=0.1,
+        maximum=600,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Settings:
     """Settings of a gateway."""
@@ -169,6 +191,7 @@
     server_limit: ServerLimit = key(
         'Bounds of upstreams that name a limit.', factory=ServerLimit
     )
+    answers: Answers = key('Bounds of answers.', factory=Answers)
     shares: Shares = key('Shares of client accounts.', factory=Shares)
     regions: dict[str, str] = key(
         'Region of each availability zone; for requests that are bound to'
