End a stream whose event or comments never end

What callers saw: a server with sound headers sends one event without end, and the caller gets nothing until its deadline while the gateway buffers all of it and searches the buffer anew at each read; or comments without end, and the caller gets these. The first look saw such answers end at once, as its server did not echo the request's id, so that they were read as refusals, which are bounded.

Cause: stream.events.Splitter buffers an incomplete event without a limit.

Change: more than 256 KiB of an incomplete event and the comments before it are a malformed answer, and the stream restarts elsewhere if it may.

Test: test_bodies, 3 of 3 shapes failed before (cut at the deadline).

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/events.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/events.py
@@ -5,10 +5,15 @@
 import dataclasses
 from collections.abc import Iterator
 
+from quetzalsill_gateway.http import error
+
 __all__ = ['Event', 'Splitter']
 
 SEPARATORS = (b'\n\n', b'\r\n\r\n')
 ID_FIELD = b'id:'
+COMMENT = b':'
+# An incomplete event, and the comments before it. Events hold some tokens.
+MAX_PENDING_BYTES = 262_144
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,6 +39,7 @@
 
     def __init__(self) -> None:
         self._remainder = b''
+        self._comment_bytes = 0
 
     @property
     def remainder(self) -> bytes:
@@ -41,7 +47,12 @@
         return self._remainder
 
     def feed(self, data: bytes) -> Iterator[Event]:
-        """Yields the events that `data` completes."""
+        """Yields the events that `data` completes.
+
+        Raises:
+          error.MalformedResponseError: An event, or comments without one, do
+            not end.
+        """
         self._remainder += data
         while True:
             ends = [
@@ -50,10 +61,24 @@
                 if (found := self._remainder.find(separator)) >= 0
             ]
             if not ends:
-                return
+                break
             end = min(ends)
             raw, self._remainder = self._remainder[:end], self._remainder[end:]
+            if raw.startswith(COMMENT) and _is_comment(raw):
+                self._comment_bytes += len(raw)
+            else:
+                self._comment_bytes = 0
             yield Event(_parse_id(raw), raw)
+        if self._comment_bytes + len(self._remainder) > MAX_PENDING_BYTES:
+            raise error.MalformedResponseError(
+                f'more than {MAX_PENDING_BYTES} bytes without an event'
+            )
+
+
+def _is_comment(raw: bytes) -> bool:
+    return all(
+        not line or line.startswith(COMMENT) for line in raw.splitlines()
+    )
 
 
 def _parse_id(raw: bytes) -> int | None:
--- a/tests/quetzalsill_platform/test_endless_answers.py
+++ b/tests/quetzalsill_platform/test_endless_answers.py
@@ -60,6 +60,12 @@
             with self.subTest(shape):
                 await self.assert_served(shape, INTERVAL_S, SLOW_S)
 
+    async def test_bodies(self):
+        """Events without end reach a caller, or fill the memory."""
+        for shape in endless.BODIES:
+            with self.subTest(shape):
+                await self.assert_served(shape, 0.0, FAST_S)
+
 
 if __name__ == '__main__':
     unittest.main()
