--- a/tests/quetzalsill_platform/fixture.py
+++ b/tests/quetzalsill_platform/fixture.py
@@ -18,6 +18,7 @@
 from quetzalsill.settings import section
 from quetzalsill_dev.users_platform import caller, engine, http_server, store
 from quetzalsill_gateway import deployment, run, settings, source
+from quetzalsill_gateway.fleet import software_versions
 
 __all__ = ['GatewayTestCase', 'configuration', 'route']
 
@@ -201,6 +202,13 @@
             await self.wait_until(process.is_ready)
             upstreams = process.core.upstreams
             await self.wait_until(lambda: len(upstreams.all()) == 5)
+            known = software_versions.Stage.KNOWN
+            await self.wait_until(
+                lambda: all(
+                    upstreams.versions.stage(one) is known
+                    for one in upstreams.all()
+                )
+            )
         return process
 
     async def start_peers(self, count):
