Bound the time of the body of a small call

What is seen: a call that the gateway makes itself, such as a report or a read of the store, never ends while the body brings a byte within each 0.6 s.

Cause: http.fetch extended its timeout with each piece.

Change: a body may take 10 s in all, which a thin link needs for far less than the largest size.

Test: test_a_body_that_trickles, time-out before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
@@ -19,6 +19,8 @@
 # A large response takes long on a slow link, so once its body has begun it is
 # abandoned only after this time without progress.
 BODY_STALL_TIMEOUT_S = 0.6
+# In this time, a body of the largest size takes 1.6 MB/s.
+MAX_BODY_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,7 +69,8 @@
       method: Method in upper case.
       target: Path and query.
       body: Sent as JSON unless it is None.
-      timeout_s: Longest time to the start of the response body, in seconds.
+      timeout_s: Longest time to the start of the response body, in seconds; the
+        body may take up to `MAX_BODY_S`.
       connect_timeout_s: Longest time to open a connection, in seconds; None for
         `timeout_s`.
 
@@ -87,10 +90,12 @@
             conn.send(head, data)
             response_head = await conn.head()
             received = bytearray()
+            latest_s = max(timeout.when(), _now() + MAX_BODY_S)
             while piece := await conn.read():
                 received += piece
+                stalled_s = _now() + BODY_STALL_TIMEOUT_S
                 timeout.reschedule(
-                    max(timeout.when(), _now() + BODY_STALL_TIMEOUT_S)
+                    min(max(timeout.when(), stalled_s), latest_s)
                 )
                 if len(received) > MAX_RESPONSE_BYTES:
                     raise error.MalformedResponseError(
--- a/tests/quetzalsill_gateway/http/test_endless.py
+++ b/tests/quetzalsill_gateway/http/test_endless.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from quetzalsill_dev.users_platform import endless
-from quetzalsill_gateway.http import call, error
+from quetzalsill_gateway.http import call, error, fetch, pool
 
 CONNECT_S = 1.0
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
@@ -92,6 +93,23 @@
                     await self.ended.wait()
 
 
+class FetchTest(EndlessTestCase):
+    """Calls that the gateway makes itself."""
+
+    async def test_a_body_that_trickles(self):
+        """A body of a byte now and then is read for ever."""
+        self.shape, self.interval_s = 'event', 0.01
+        conns = pool.Pool()
+        with (
+            mock.patch.object(fetch, 'MAX_BODY_S', 1.0, create=True),
+            self.assertRaises(error.ResponseTimeoutError),
+        ):
+            async with asyncio.timeout(3.0):
+                await fetch.fetch(
+                    conns, self.address, 'GET', '/', timeout_s=0.5
+                )
+
+
 class SoundAnswersTest(unittest.IsolatedAsyncioTestCase):
     """Answers that are slow or large, but sound."""
 
