Bound a caller's head by its bytes as received, and by time

What is seen: a caller sends a target, a header, the size line of a chunk or trailers without end. httptools passes a header on only when it is complete, so that the limit on a head never saw it, and a byte now and then counted as progress, so that a head could take hours.

Cause: the listener counted what the parser passed on, and the time since the last byte.

Change: http.framing, as for upstreams, with the configured limit on a head (and 1 KiB for what separates its parts) and headerTimeoutMs: 431 or 408. The time of a body is bounded by progress as before, and its size by the limit.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -66,7 +66,7 @@
         self._awaiting_response = False
         self._skipping_response = False
         self._skipped_bytes = 0
-        self._framing = framing.Framing(limits, self._end_malformed)
+        self._framing = framing.Framing(lambda: limits, self._end_malformed)
         self._echo: tuple[bytes, bytes] | None = None
 
     @property
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/framing.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/framing.py
@@ -47,12 +47,14 @@
     """Feeds the bytes of one message at a time to a parser, within limits."""
 
     def __init__(
-        self, limits: Limits, on_timeout: Callable[[str], None]
+        self,
+        limits: Callable[[], Limits],
+        on_timeout: Callable[[str], None],
     ) -> None:
         """Starts before a message.
 
         Args:
-          limits: The limits.
+          limits: Returns the limits, which may change.
           on_timeout: Called with the reason when a part takes too long.
         """
         self._limits = limits
@@ -102,8 +104,8 @@
             left = self._left()
             if left <= 0:
                 raise TooLongError(
-                    f'more than {self._limits.head_bytes} bytes of a head, size'
-                    ' lines or trailers'
+                    f'more than {self._limits().head_bytes} bytes of a head,'
+                    ' size lines or trailers'
                 )
             part, data = data[:left], data[left:]
             before = self._body_bytes
@@ -116,17 +118,15 @@
                 self.stop()
             elif self._timer is None:
                 self._timer = asyncio.get_running_loop().call_later(
-                    self._limits.head_s, self._time_out
+                    self._limits().head_s, self._time_out
                 )
 
     def _left(self) -> int:
-        allowed = (
-            self._limits.head_bytes + BYTES_PER_BODY_BYTE * self._body_bytes
-        )
-        return allowed - self._other_bytes
+        chunk_bytes = BYTES_PER_BODY_BYTE * self._body_bytes
+        return self._limits().head_bytes + chunk_bytes - self._other_bytes
 
     def _time_out(self) -> None:
         self._timer = None
         self._on_timeout(
-            f'a head, size line or trailers took over {self._limits.head_s} s'
+            f'a head, size line or trailers took over {self._limits().head_s} s'
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -12,7 +12,12 @@
 import httptools
 
 from quetzalsill_gateway import event
-from quetzalsill_gateway.http import early_socket, message, socket_option
+from quetzalsill_gateway.http import (
+    early_socket,
+    framing,
+    message,
+    socket_option,
+)
 from quetzalsill_gateway.http import responder as responder_lib
 
 __all__ = ['Connection', 'Handler', 'Limits', 'Listener']
@@ -23,6 +28,8 @@
 # SO_LINGER on, with zero timeout: closing the socket sends a reset.
 LINGER_ZERO = struct.pack('ii', 1, 0)
 VERSIONS = ('1.0', '1.1')
+# The limit on a head counts its target and headers without what separates them.
+SEPARATOR_BYTES = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,8 +39,8 @@
     Attributes:
       header_bytes: Maximum size of a request head.
       body_bytes: Maximum size of a body.
-      header_s: Longest time without progress while a request is received, in
-        seconds.
+      header_s: Longest time in which a head, a size line or the trailers of a
+        request are received, and without progress of its body, in seconds.
       idle_s: Longest time between two requests of a connection, in seconds.
     """
 
@@ -52,6 +59,7 @@
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
+        self._framing = framing.Framing(self._framing_limits, self._time_out)
         self._transport: asyncio.Transport | None = None
         self._requests: collections.deque[message.Request | int] = (
             collections.deque()
@@ -87,6 +95,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the task, including its call to an upstream."""
         self._listener.connections.discard(self)
+        self._framing.stop()
         if self._task is not None:
             self._task.cancel()
 
@@ -112,7 +121,9 @@
         if not self._receiving and not self._request_start_s:
             self._request_start_s = self._last_activity_s
         try:
-            self._parser.feed_data(data)
+            self._framing.feed(self._parser, data)
+        except framing.TooLongError:
+            self._refuse(431)
         except httptools.HttpParserUpgrade:
             self._refuse(400)
         except httptools.HttpParserError:
@@ -136,6 +147,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks the HTTP version and the framing of the body."""
+        self._framing.end_part()
         if self._parser.get_http_version() not in VERSIONS:
             self._reject(400)
         framing = [
@@ -158,11 +170,17 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a chunk of the body."""
+        self._framing.add_body(len(body))
         self._body += body
         self._check_body(len(self._body))
 
+    def on_chunk_complete(self) -> None:
+        """Records the end of a chunk."""
+        self._framing.end_part()
+
     def on_message_complete(self) -> None:
         """Queues the request for the task."""
+        self._framing.end()
         self._request_count += 1
         request = message.Request(
             self._parser.get_method(),
@@ -212,6 +230,17 @@
         elif not self._receiving and silent_s > limits.idle_s:
             self.close()
 
+    def _framing_limits(self) -> framing.Limits:
+        limits = self._listener.limits()
+        return framing.Limits(
+            limits.header_bytes + SEPARATOR_BYTES, limits.header_s
+        )
+
+    def _time_out(self, _: str) -> None:
+        # What is pipelined may come slowly while its caller reads an answer.
+        if not self._serving and not self._requests:
+            self._refuse(408)
+
     def _reset(self) -> None:
         self._target = bytearray()
         self._headers: message.Headers = []
@@ -239,6 +268,7 @@
     def _refuse(self, status: int) -> None:
         self._refused = True
         self._receiving = False
+        self._framing.stop()
         self._enqueue(status)
 
     def _enqueue(self, item: message.Request | int) -> None:
--- a/tests/quetzalsill_gateway/http/test_listener.py
+++ b/tests/quetzalsill_gateway/http/test_listener.py
@@ -12,6 +12,8 @@
 from quetzalsill_gateway.http import listener
 
 TIMEOUT_S = 10.0
+# The reset overtakes the answer while the client goes on sending.
+REFUSALS = (b'HTTP/1.1 431 ', b'HTTP/1.1 408 ', b'HTTP/1.1 400 ', b'<reset>')
 HEAD = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
@@ -104,6 +106,47 @@
                 response = await self.send(data)
                 self.assertTrue(response.startswith(b'HTTP/1.1 400 '), response)
 
+    async def flood(self, first, part, interval_s):
+        """Sends a part without end; returns the bytes sent and the answer."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.listener.port
+        )
+        self.addCleanup(writer.transport.abort)
+        sent = len(first)
+        writer.write(first)
+        answer = asyncio.create_task(reader.read(65536))
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(3.0):
+                while not answer.done():
+                    writer.write(part)
+                    sent += len(part)
+                    await writer.drain()
+                    await asyncio.sleep(interval_s)
+        with contextlib.suppress(ConnectionError):
+            return sent, await answer
+        return sent, b'<reset>'
+
+    async def test_requests_without_end(self):
+        """A header, a target or a size line without end fills the memory."""
+        head = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        chunked = head + b'Transfer-Encoding: chunked\r\n\r\n'
+        filler = b'x' * 1000
+        for first, part in (
+            (b'GET /', filler),
+            (head + b'X-More: ', filler),
+            (head, b'X-More: ' + filler + b'\r\n'),
+            (chunked + b'5;x=', filler),
+            (chunked + b'0\r\n', b'X-More: ' + filler + b'\r\n'),
+        ):
+            for interval_s in (0.0, 0.05):
+                with self.subTest(first=first, interval_s=interval_s):
+                    if interval_s:
+                        part = part.replace(filler, b'x')
+                    sent, answer = await self.flood(first, part, interval_s)
+                    self.assertLess(sent, 4_000_000)
+                    self.assertIn(answer[:13], REFUSALS)
+                    self.assertEqual(self.seen, [])
+
     async def test_bounds_of_head_and_body(self):
         long = b'GET /a HTTP/1.1\r\nX: %s\r\n\r\n' % (b'x' * 3000)
         self.assertIn(b' 431 ', await self.send(long))
