Stop reading from an upstream while its response waits for a reader

Cause: http.call.Conn queues what arrives, and the relay waits for the caller before it takes more.

Change: with over 256 KiB waiting, reading pauses until under a quarter of it is left; the time limit of size lines doesn't run meanwhile, and a paused connection isn't pooled. The server then waits too, as for a caller of its own.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -18,6 +18,10 @@
 NO_BODY = (204, 304)
 # A late response to an earlier request is skipped up to this size.
 MAX_SKIPPED_BYTES = 1_048_576
+# Reading from an upstream pauses while more than this of its response waits for
+# a reader, until less than a quarter of it does.
+MAX_WAITING_BYTES = 262_144
+RESUME_SHARE = 0.25
 Limits = framing.Limits
 DEFAULT_LIMITS = Limits()
 END_OF_BODY = object()
@@ -57,6 +61,8 @@
         self.body_since_s: float | None = None
         self._transport: asyncio.Transport | None = None
         self._items: collections.deque[object] = collections.deque()
+        self._waiting_bytes = 0
+        self._is_paused = False
         self._waiter: asyncio.Future[None] | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._error: error.CallError | None = None
@@ -78,6 +84,7 @@
             self._reusable
             and not self._awaiting_response
             and self._error is None
+            and not self._is_paused
             and not self._transport.is_closing()
         )
 
@@ -122,6 +129,8 @@
             self._framing.feed(self._parser, data)
         except (httptools.HttpParserError, framing.TooLongError) as exc:
             self._end_malformed(str(exc))
+        if self._is_paused:
+            self._framing.stop()
 
     def on_message_begin(self) -> None:
         """Starts a response."""
@@ -203,6 +212,7 @@
         if not self.is_usable:
             raise error.ConnectionEndedError('the connection has ended')
         self._items.clear()
+        self._take_bytes(self._waiting_bytes)
         self._framing.begin()
         self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -234,6 +244,7 @@
             return b''
         while self._items and isinstance(self._items[0], bytes):
             item += self._items.popleft()
+        self._take_bytes(len(item))
         return item
 
     def abort(self) -> None:
@@ -284,8 +295,24 @@
 
     def _add(self, item: object) -> None:
         self._items.append(item)
+        if isinstance(item, bytes):
+            self._waiting_bytes += len(item)
+            if self._waiting_bytes > MAX_WAITING_BYTES and not self._is_paused:
+                self._is_paused = True
+                self._transport.pause_reading()
         self._wake()
 
+    def _take_bytes(self, size: int) -> None:
+        """Records that waiting bytes were read; reads on if few are left."""
+        self._waiting_bytes -= size
+        if (
+            self._is_paused
+            and self._waiting_bytes < RESUME_SHARE * MAX_WAITING_BYTES
+        ):
+            self._is_paused = False
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
     def _fail(self, exc: error.CallError) -> None:
         if self._error is None:
             self._error = exc
--- a/tests/quetzalsill_gateway/http/test_call.py
+++ b/tests/quetzalsill_gateway/http/test_call.py
@@ -10,6 +10,8 @@
 from quetzalsill_gateway.http import call, error
 
 CONNECT_S = 0.05
+PART = 65_536
+SIZE = 512 * PART
 
 
 class ConnectTest(unittest.IsolatedAsyncioTestCase):
@@ -54,5 +56,38 @@
             await call.connect(self.address, CONNECT_S)
 
 
+class BackpressureTest(unittest.IsolatedAsyncioTestCase):
+    """A server that sends faster than its response is read."""
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % SIZE)
+        for _ in range(SIZE // PART):
+            writer.write(bytes(PART))
+            await writer.drain()
+            self.sent += PART
+        await asyncio.sleep(1.0)
+        writer.transport.abort()
+
+    async def test_a_response_that_nobody_reads(self):
+        """A large body fills the memory while its caller reads slowly."""
+        self.sent = 0
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        conn = await call.connect(server.sockets[0].getsockname()[:2], 1.0)
+        self.addCleanup(conn.abort)
+        conn.send(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n', b'')
+        await conn.head()
+        await asyncio.sleep(0.5)
+        # Most of it is in the buffers of the kernel.
+        self.assertLess(self.sent, SIZE / 2)
+        received = 0
+        async with asyncio.timeout(10.0):
+            while data := await conn.read():
+                received += len(data)
+        self.assertEqual(received, SIZE)
+        self.assertTrue(conn.is_usable)
+
+
 if __name__ == '__main__':
     unittest.main()
