Bound size lines and trailers in the kernel's response parser too

What is seen: the sidecar's upstream connections and the router's platform client parse with quetzalsill.net.parser, which bounds a head at 64 KiB, but not what comes between the parts of a body and after it.

Change: quetzalsill.net.framing, moved from the gateway, counts there too. The time stays bounded by the callers' timeouts.

Test: test_responses_without_end, size line and trailers failed before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -9,8 +9,8 @@
 
 import httptools
 
-from quetzalsill.net import deadline
-from quetzalsill_gateway.http import error, framing, message, socket_option
+from quetzalsill.net import deadline, framing
+from quetzalsill_gateway.http import error, message, socket_option
 
 __all__ = ['Conn', 'Limits', 'connect']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -11,10 +11,10 @@
 
 import httptools
 
+from quetzalsill.net import framing
 from quetzalsill_gateway import event
 from quetzalsill_gateway.http import (
     early_socket,
-    framing,
     message,
     socket_option,
 )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/framing.py
+++ b/packages/quetzalsill/src/quetzalsill/net/framing.py
@@ -49,13 +49,14 @@
     def __init__(
         self,
         limits: Callable[[], Limits],
-        on_timeout: Callable[[str], None],
+        on_timeout: Callable[[str], None] | None = None,
     ) -> None:
         """Starts before a message.
 
         Args:
           limits: Returns the limits, which may change.
-          on_timeout: Called with the reason when a part takes too long.
+          on_timeout: Called with the reason when a part takes too long; None if
+            its time is bounded elsewhere.
         """
         self._limits = limits
         self._on_timeout = on_timeout
@@ -116,7 +117,7 @@
                 self._body_bytes = self._other_bytes = 0
             if self._has_progress:
                 self.stop()
-            elif self._timer is None:
+            elif self._timer is None and self._on_timeout is not None:
                 self._timer = asyncio.get_running_loop().call_later(
                     self._limits().head_s, self._time_out
                 )
--- a/packages/quetzalsill/src/quetzalsill/net/parser.py
+++ b/packages/quetzalsill/src/quetzalsill/net/parser.py
@@ -6,11 +6,13 @@
 
 import httptools
 
-from quetzalsill.net import error
+from quetzalsill.net import error, framing
 
 __all__ = ['MAX_HEAD_BYTES', 'ResponseParser', 'Head']
 
+# Of a head and trailers together.
 MAX_HEAD_BYTES = 65536
+LIMITS = framing.Limits(head_bytes=MAX_HEAD_BYTES)
 FIRST_FINAL_STATUS = 200
 
 Headers = list[tuple[bytes, bytes]]
@@ -42,7 +44,7 @@
         self.is_complete = False
         self._has_body = method != 'HEAD'
         self._headers: Headers = []
-        self._head_bytes = 0
+        self._framing = framing.Framing(lambda: LIMITS)
         self._chunks: list[bytes] = []
         self._keep_alive = False
         self._parser = httptools.HttpResponseParser(self)
@@ -56,16 +58,16 @@
         """Parses received bytes; an empty value marks the end of stream.
 
         Raises:
-          ResponseLostError: If they are not valid HTTP, or the stream ends
-            within the response.
+          ResponseLostError: If they are not valid HTTP, the stream ends within
+            the response, or its head, size lines or trailers are too long.
         """
         if not data:
             self._feed_eof()
             return
-        if self.head is None:
-            self._count_head_bytes(len(data))
         try:
-            self._parser.feed_data(data)
+            self._framing.feed(self._parser, data)
+        except framing.TooLongError as exc:
+            raise error.ResponseLostError(str(exc)) from exc
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             raise error.ResponseLostError(f'malformed answer: {exc}') from exc
 
@@ -108,6 +110,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a chunk of the body."""
+        self._framing.add_body(len(body))
         if not self.is_complete:
             self._chunks.append(body)
 
@@ -123,8 +126,3 @@
         if any(self.head.first(name) is not None for name in framing_headers):
             raise error.ResponseLostError('closed within an answer')
         self.is_complete = True
-
-    def _count_head_bytes(self, received: int) -> None:
-        self._head_bytes += received
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise error.ResponseLostError('the head of the answer is too large')
--- a/tests/quetzalsill/net/test_parser.py
+++ b/tests/quetzalsill/net/test_parser.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from quetzalsill.net import error, parser
+from quetzalsill_dev.users_platform import endless
 
 CHUNKED = (
     b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n'
@@ -55,6 +56,16 @@
             except error.ResponseLostError:
                 continue
 
+    def test_responses_without_end(self):
+        """Size lines or trailers without end fill the memory."""
+        for shape, (first, part) in endless.HEADS.items():
+            with self.subTest(shape):
+                parsed = parser.ResponseParser('GET')
+                parsed.feed(first.replace(b'%s', b'') or part)
+                with self.assertRaises(error.ResponseLostError):
+                    for _ in range(4 * parser.MAX_HEAD_BYTES // len(part)):
+                        parsed.feed(part)
+
     def test_body_until_the_end_of_the_stream(self):
         parsed = self.parse(b'HTTP/1.1 200 OK\r\n\r\nall', b'')
         self.assertEqual(
