Soak: kills of all gateways beside replaced versions, answers without end

--herd-kills plays seeds that begin with one software version and a directory with departed gateways, replace all engines at once, kill all gateways around that moment and at times restore the store; callers wait for the gateways and take their streams up.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
@@ -29,6 +29,11 @@
     is_flag=True,
     help='Inject only restore drills and the faults that overlap them.',
 )
+@click.option(
+    '--herd-kills',
+    is_flag=True,
+    help='Inject kills of all gateways beside replacements and drills instead.',
+)
 @click.option(
     '--beside',
     is_flag=True,
@@ -42,6 +47,7 @@
     keep: pathlib.Path | None,
     *,
     only_drills: bool,
+    herd_kills: bool,
     beside: bool,
 ) -> None:
     """Runs seeds; exits with a non-zero status if one fails."""
@@ -56,6 +62,7 @@
                 keep / name if keep else None,
                 rolls_back=rolls_back,
                 only_drills=only_drills,
+                herd_kills=herd_kills,
             )
         )
         click.echo(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -55,6 +55,11 @@
 PAUSING_SERVERS = (1, 1, 2, 4)
 # One rollout in this many goes back to the other version that serves.
 ROLLBACK_STRIDE = 4
+# Engines that are replaced at once end so long after they report that.
+REPLACED_AFTER_S = 0.3
+# One answer without end in this many comes slowly.
+SLOW_STRIDE = 2
+ENDLESS_INTERVAL_S = 0.1
 
 
 class FaultInjector:
@@ -125,6 +130,9 @@
             fault.SERVER_PAUSE: self._ask_for_pauses,
             fault.VANISHED_ROW: self._lose_row,
             fault.ROLLOUT: self._roll_out,
+            fault.ENDLESS_ANSWER: self._answer_without_end,
+            fault.REPLACEMENT: self._replace_engines,
+            fault.HERD_KILL: self._kill_all,
         }
 
     def inject(self, injection: plan.Injection) -> None:
@@ -153,6 +161,26 @@
         await asyncio.sleep(injection.duration_s)
         await self._testbed.start_gateway(gateway)
 
+    async def _kill_all(self, injection: plan.Injection) -> None:
+        """Kills all gateways that run at the same moment."""
+        killed = [one for one in self._testbed.gateways if not one.stopping]
+        for gateway in killed:
+            gateway.stopping = True
+            gateway.process.kill()
+        await asyncio.gather(*(one.process.wait() for one in killed))
+        await asyncio.sleep(injection.duration_s)
+        await asyncio.gather(*map(self._testbed.start_gateway, killed))
+
+    async def _answer_without_end(self, injection: plan.Injection) -> None:
+        """Has an engine answer new requests with bytes that never end."""
+        engines = self._testbed.upstreams_of(testbed_lib.ENGINE_SERVICE)
+        server = engines[injection.target % len(engines)].server
+        is_slow = injection.target % SLOW_STRIDE == 0
+        server.endless_interval_s = ENDLESS_INTERVAL_S if is_slow else 0.0
+        server.endless = injection.variant
+        await asyncio.sleep(injection.duration_s)
+        server.endless = ''
+
     async def _pause(self, injection: plan.Injection) -> None:
         gateway = self._pick_gateway(injection)
         if gateway.stopping:
@@ -480,6 +508,22 @@
                 await asyncio.sleep(DRAIN_NOTICE_S)
             await self._remove(upstream)
 
+    async def _replace_engines(self, injection: plan.Injection) -> None:
+        """Replaces all engines at once by those of a new version."""
+        del injection
+        testbed = self._testbed
+        old = testbed.upstreams_of(testbed_lib.ENGINE_SERVICE)
+        newest = testbed.versions[-1]
+        testbed.versions = (f'v{int(newest[1:]) + 1}',)
+        for upstream in old:
+            self._departing.append(upstream)
+            await testbed.add_upstream(upstream.service)
+        for upstream in old:
+            upstream.server.leaving = True
+            testbed.store.put('servers', upstream.server.id, upstream.row())
+        await asyncio.sleep(REPLACED_AFTER_S)
+        await asyncio.gather(*map(self._remove, old))
+
     async def _ask_for_pauses(self, injection: plan.Injection) -> None:
         """Has some upstreams reject all requests and ask for pauses."""
         rng = random.Random(injection.target)
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/load.py
@@ -148,6 +148,7 @@
                 count_serving=lambda version: len(
                     self._testbed.engines_of(version)
                 ),
+                patience_s=self._testbed.patience_s,
             )
             self.streams.append(found)
 
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -17,7 +17,6 @@
 __all__ = ['Result', 'run']
 
 CALLERS = 8
-STREAM_CALLERS = 4
 # Of each gateway.
 KEPT_CONNECTIONS = 2
 # Everything has recovered this long after the last fault: the adapter waits
@@ -25,6 +24,7 @@
 RECOVERY_S = 6.0
 PROBES_PER_KIND = 10
 MAX_LOST_PROBES = 1
+DEPARTED_GATEWAYS = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +76,7 @@
     *,
     rolls_back: bool = True,
     only_drills: bool = False,
+    herd_kills: bool = False,
 ) -> Result:
     """Runs one seed.
 
@@ -88,12 +89,20 @@
         a drill is an outage of the same length.
       only_drills: Whether to inject only restore drills and the faults that
         overlap them.
+      herd_kills: Whether to inject kills of all gateways, replacements of all
+        engines and restore drills instead, among gateways of which some were
+        replaced before.
     """
-    injections = (plan.generate_drills if only_drills else plan.generate)(
-        seed, length_s
-    )
+    if herd_kills:
+        injections = plan.generate_herd_kills(seed, length_s)
+    elif only_drills:
+        injections = plan.generate_drills(seed, length_s)
+    else:
+        injections = plan.generate(seed, length_s)
     async with launch.Launcher(folder) as launcher:
         testbed = testbed_lib.Testbed(launcher, gateways)
+        if herd_kills:
+            testbed.prepare_herd_kills(DEPARTED_GATEWAYS)
         try:
             await testbed.start(http_servers=3, engines=4)
             injector = injector_lib.FaultInjector(
@@ -113,7 +122,8 @@
     traffic = load.LoadGenerator(testbed, seed)
     callers = [asyncio.create_task(traffic.run()) for _ in range(CALLERS)]
     callers += [
-        asyncio.create_task(traffic.stream()) for _ in range(STREAM_CALLERS)
+        asyncio.create_task(traffic.stream())
+        for _ in range(testbed.stream_callers)
     ]
     callers += [
         asyncio.create_task(traffic.keep_connection(gateway))
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
@@ -25,9 +25,16 @@
 
 PLATFORM_SCRIPT = pathlib.Path(__file__).parents[5] / 'platform' / 'run.py'
 EPHEMERAL_ADDRESS = '127.0.0.1:0'
+# Nothing listens there.
+DISCARD_PORT = 9
 STOP_GRACE_S = 2.0
 EVENTS_PER_STREAM = 25
 EVENT_INTERVAL_S = 0.01
+LONG_EVENT_INTERVAL_S = 0.06
+# Longer than all gateways take to be back.
+PATIENCE_S = 4.0
+STREAM_CALLERS = 4
+MANY_STREAM_CALLERS = 24
 ENGINE_SERVICE = 'writers'
 HTTP_SERVICE = 'desk'
 # Software versions of engines that serve side by side.
@@ -148,7 +155,10 @@
         self.upstreams: list[Upstream] = []
         self.http_servers: list[http_server.HttpServer] = []
         self.config_version = 0
-        self.versions = FIRST_VERSIONS
+        self.versions: tuple[str, ...] = FIRST_VERSIONS
+        self.event_s = EVENT_INTERVAL_S
+        self.patience_s = 0.0
+        self.stream_callers = STREAM_CALLERS
         self._server_numbers = iter(range(1, 10_000))
 
     async def start(self, http_servers: int, engines: int) -> None:
@@ -165,6 +175,23 @@
         self.publish_configuration()
         await asyncio.gather(*map(self.start_gateway, self.gateways))
 
+    def prepare_herd_kills(self, departed: int) -> None:
+        """Sets what runs with kills of all gateways begin with.
+
+        Engines of one version make long streams, whose callers wait for the
+        gateways, and the directory lists gateways that have left for good.
+
+        Args:
+          departed: Number of these gateways.
+        """
+        self.versions = FIRST_VERSIONS[:1]
+        self.event_s = LONG_EVENT_INTERVAL_S
+        self.patience_s = PATIENCE_S
+        self.stream_callers = MANY_STREAM_CALLERS
+        for number in range(departed):
+            address = {'address': f'127.0.0.1:{DISCARD_PORT}'}
+            self.store.put('gateways', f'departed-{number}', address)
+
     async def stop(self) -> None:
         """Stops relays and stand-ins; the launcher stops the processes."""
         for upstream in self.upstreams:
@@ -185,7 +212,7 @@
             server = engine.Engine(self.fleet, name)
             count = len(self.upstreams_of(ENGINE_SERVICE))
             server.version = self.versions[count % len(self.versions)]
-            server.length, server.event_s = EVENTS_PER_STREAM, EVENT_INTERVAL_S
+            server.length, server.event_s = EVENTS_PER_STREAM, self.event_s
         upstream = Upstream(server, service)
         await upstream.open()
         if service == ENGINE_SERVICE:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/resuming.py
@@ -85,6 +85,7 @@
     method: str = 'POST',
     body: bytes = b'',
     count_serving: Callable[[str], int] = lambda _: 0,
+    patience_s: float = 0.0,
 ) -> StreamRecord:
     """Requests a stream until it is complete, at most `MAX_TRIES` times.
 
@@ -97,10 +98,15 @@
       body: Body of every attempt.
       count_serving: Returns the number of upstreams of a software version that
         take new work.
+      patience_s: For how long, from the first one on, tries without a response
+        don't count.
     """
     record = StreamRecord()
     first_id, last_event = '', 0
-    for _ in range(MAX_TRIES):
+    tries = 0
+    patient_until_s = 0.0
+    while tries < MAX_TRIES:
+        tries += 1
         request_id = f'{rng.getrandbits(40):010x}{next(_numbers):06x}'
         more = dict(headers or {})
         if first_id:
@@ -138,6 +144,13 @@
             response.complete,
             serving,
         )
+        now = asyncio.get_running_loop().time()
+        if not attempt.status and patience_s:
+            patient_until_s = patient_until_s or now + patience_s
+            if now < patient_until_s:
+                tries -= 1
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
         record.attempts.append(attempt)
         for number, _ in found:
             record.gaps |= int(number) != last_event + 1
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -18,6 +18,8 @@
 # with a third of the gateways cut off from the store.
 DRILL_SEEDS = (1, 4, 5)
 DRILL_S = 4.0
+HERD_SEEDS = (11, 21)
+HERD_S = 5.0
 
 
 def record(
@@ -48,10 +50,25 @@
         drawn = {
             injection.fault
             for n in range(50)
-            for injection in plan.generate(n, 20.0)
+            for injection in (
+                *plan.generate(n, 20.0),
+                *plan.generate_herd_kills(n, 20.0),
+            )
         }
         self.assertEqual(drawn, set(plan.Fault))
 
+    def test_kills_of_all_gateways_come_beside_replacements(self):
+        """A kill comes alone, and finds a version and rows that are settled."""
+        fault = plan.Fault
+        for seed in range(50):
+            found = plan.generate_herd_kills(seed, 20.0)
+            self.assertEqual(found, plan.generate_herd_kills(seed, 20.0))
+            kinds = [injection.fault for injection in found]
+            self.assertGreater(kinds.count(fault.HERD_KILL), 2)
+            self.assertEqual(
+                kinds.count(fault.REPLACEMENT), kinds.count(fault.HERD_KILL)
+            )
+
     def test_each_seed_has_a_drill_whatever_else_it_draws(self):
         for seed in range(50):
             drills = plan.generate_drills(seed, 4.0)
@@ -321,6 +338,14 @@
     def test_a_short_soak_holds(self):
         self.play(SHORT_SEED, SHORT_S)
 
+    def test_no_streams_are_mixed_by_kills_of_all_gateways(self):
+        """Gateways that all restart take streams for some of one version."""
+        for seed in HERD_SEEDS:
+            with self.subTest(seed=seed):
+                result = asyncio.run(run.run(seed, HERD_S, herd_kills=True))
+                self.assertGreater(result.taken_up, 0)
+                self.assertEqual(result.mixed, 0, result.violations)
+
     def test_drills_alone_hold(self):
         for seed in DRILL_SEEDS:
             with self.subTest(seed=seed):
