Keep one service's faulty name or versions from the rows of all

What would be seen: an entry of another writer names a service of over 200 bytes, the store refuses the call that stores the versions of all services, and none is stored any more.

Test: FaultyEntriesTest; the first failed before.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/watch/version_history.py
@@ -27,7 +27,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill_gateway import error, event
-from quetzalsill_gateway.fleet import write_turns
+from quetzalsill_gateway.fleet import software_versions, write_turns
 from quetzalsill_gateway.watch import version_rows
 
 if TYPE_CHECKING:
@@ -46,6 +46,8 @@
 SURPLUS_S = 10.0
 # Announcements are repeated for so long, as datagrams are lost.
 RECENT_S = 10.0
+# Longest key of a row.
+MAX_KEY_BYTES = 200
 # Services in one datagram.
 MAX_SERVICES = 50
 KEY = 'versions'
@@ -169,6 +171,9 @@
     def _missing(self) -> Iterator[version_rows.Row]:
         """Yields the rows that the store is not known to hold."""
         for service in {*self._stored, *self._versions.services}:
+            if len(service.encode()) > MAX_KEY_BYTES:
+                # Refused, with all other rows of the same call.
+                continue
             stored = self._stored.get(service) or version_rows.Row(service)
             wanted = self._wanted(stored)
             if (wanted.names, wanted.epoch) != (stored.names, stored.epoch):
@@ -176,15 +181,18 @@
 
     def _wanted(self, stored: version_rows.Row) -> version_rows.Row:
         """Returns what should be in place of a row."""
-        kept = {
+        names = self._versions.names(stored.service)
+        kept = [
             name
-            for name in stored.names
+            for name in sorted(stored.names - names)
             if self._versions.expired_for_s(stored.service, name) < SURPLUS_S
-        }
+        ]
         is_proof = self._versions.is_complete(stored.service)
         return dataclasses.replace(
             stored,
-            names=self._versions.names(stored.service) | kept,
+            names=names.union(
+                kept[: software_versions.MAX_VERSIONS - len(names)]
+            ),
             epoch=self._epochs.newest if is_proof else stored.epoch,
         )
 
--- a/tests/quetzalsill_gateway/watch/test_version_history.py
+++ b/tests/quetzalsill_gateway/watch/test_version_history.py
@@ -24,6 +24,7 @@
 # Has served for longer, so that an older copy has its row.
 OTHER = 'other'
 LIFETIME_S = 60.0
+MAX_KEY_LENGTH = 200
 GATEWAYS = 3
 CALL_S = 0.005
 POLL_S = 0.1
@@ -51,6 +52,8 @@
     async def save(self, writes):
         await asyncio.sleep(CALL_S)
         self.check()
+        if any(len(key) > MAX_KEY_LENGTH for key in writes):
+            raise error.SourceError('invalid key')
         for key, (version, _) in writes.items():
             found = self.rows.get(key)
             if (found.version if found else 0) != version:
@@ -332,6 +335,46 @@
                     self.assertEqual(origin.version, 'v1')
 
 
+class FaultyEntriesTest(unittest.TestCase):
+    """Entries of upstreams that other writers have made."""
+
+    def setUp(self):
+        patch = mock.patch.object(event, 'note')
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def stored_names(self, entries):
+        """Returns the stored versions of each service."""
+
+        async def work():
+            world = World()
+            world.start()
+            for service, version in entries:
+                for one in world.gateways:
+                    one.put(version, service)
+            await asyncio.sleep(1.0)
+            for one in world.gateways:
+                one.stop()
+            return {
+                key: set(row.value['versions'])
+                for key, row in world.table.rows.items()
+            }
+
+        return clock.run(work)
+
+    def test_a_service_whose_name_is_too_long_for_a_key(self):
+        """The store refused the rows of all services with it."""
+        long = 'x' * (MAX_KEY_LENGTH + 1)
+        found = self.stored_names([(long, 'v1'), (SERVICE, 'v1')])
+        self.assertEqual(found, {OTHER: {'v1'}, SERVICE: {'v1'}})
+
+    def test_more_versions_than_a_row_may_have(self):
+        """A row of too many versions can't be read again."""
+        names = [f'v{n}' for n in range(2 * software_versions.MAX_VERSIONS)]
+        found = self.stored_names([(SERVICE, name) for name in names])
+        self.assertEqual(len(found[SERVICE]), software_versions.MAX_VERSIONS)
+
+
 class RowsTest(unittest.TestCase):
     """The stored form of a service's versions."""
 
