--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/scripted.py
@@ -182,9 +182,14 @@
     ) -> None:
         """Waits for the handler and cancels it if the client disconnects."""
         disconnect = asyncio.create_task(_until_eof(reader))
-        done, _ = await asyncio.wait(
-            (handling, disconnect), return_when=asyncio.FIRST_COMPLETED
-        )
+        try:
+            done, _ = await asyncio.wait(
+                (handling, disconnect), return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            handling.cancel()
+            disconnect.cancel()
+            raise
         if handling not in done:
             handling.cancel()
             writer.transport.abort()
