Pass comments of a stream on with its next event

Cause: a comment counted as an event of a stream, and was passed on at once, also from an upstream that never made an event.

Change: comments wait for the next event of the same upstream, or for the end of its whole answer; what an upstream that fails has sent besides is dropped.

Tests: test_comments_of_a_server_that_made_no_event failed before (four comments in front of the events); comments of a whole stream are passed on in their order.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/engine.py
@@ -182,6 +182,7 @@
         set, it rejects all requests with a 503.
       busy_moves: Number of next copy commands that get a 409, as if another
         copy were in progress.
+      comment: Sent before each event and at the end of a stream.
       endless: Key in `endless.SHAPES` of what it sends without end in place of
         a stream; empty for streams.
       endless_interval_s: Time between the parts of that, in seconds.
@@ -209,6 +210,7 @@
         self.refuse = 0
         self.resets_at_start = 0
         self.ignores_copies = False
+        self.comment = b''
         self.endless = ''
         self.endless_interval_s = 0.0
         self.is_framed = True
@@ -398,7 +400,9 @@
                     break
                 run.event_count += 1
                 self._update_backup(run, backup)
-                data = event(request_id, run.event_count, self.version)
+                data = self.comment + event(
+                    request_id, run.event_count, self.version
+                )
                 if self.is_framed:
                     call.send_chunk(data)
                 else:
@@ -414,6 +418,8 @@
                     await call.writer.drain()
                     call.abort()
                     return
+            if self.comment and run.running and self.is_framed:
+                call.send_chunk(self.comment)
             if run.running and self.is_framed:
                 call.send_chunk(b'')
             else:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/events.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/events.py
@@ -23,10 +23,12 @@
     Attributes:
       id: Its numeric id; None if it has none.
       raw: All of its bytes, including the blank line that ends it.
+      is_comment: Whether these are comments, without an event.
     """
 
     id: int | None
     raw: bytes
+    is_comment: bool = False
 
 
 class Splitter:
@@ -64,11 +66,11 @@
                 break
             end = min(ends)
             raw, self._remainder = self._remainder[:end], self._remainder[end:]
-            if raw.startswith(COMMENT) and _is_comment(raw):
-                self._comment_bytes += len(raw)
-            else:
-                self._comment_bytes = 0
-            yield Event(_parse_id(raw), raw)
+            is_comment = raw.startswith(COMMENT) and _is_comment(raw)
+            self._comment_bytes = (
+                self._comment_bytes + len(raw) if is_comment else 0
+            )
+            yield Event(_parse_id(raw), raw, is_comment)
         if self._comment_bytes + len(self._remainder) > MAX_PENDING_BYTES:
             raise error.MalformedResponseError(
                 f'more than {MAX_PENDING_BYTES} bytes without an event'
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/stream/relay.py
@@ -90,6 +90,9 @@
         self._stream = stream
         self._start = start
         self._is_origin_recorded = False
+        # Passed on with the next event, so that a caller gets nothing of an
+        # upstream that fails before it.
+        self._comments = b''
         self._req = stream.exchange
         self._excluded: frozenset[str] = frozenset()
         self._unreachable = 0
@@ -202,6 +205,7 @@
     ) -> None:
         splitter = events.Splitter()
         stream, responder = self._stream, self._req.responder
+        self._comments = b''
         sampler = gap_sampler.GapSampler(self._core, segment.upstream)
         while data := await conn.read():
             if stream.reservation.is_prefilling:
@@ -226,6 +230,8 @@
             segment.upstream
         ):
             raise error.TruncatedError('upstream crashed as its stream ended')
+        if self._comments:
+            responder.write(self._comments)
 
     def _record_origin(self, segment: segment_lib.Segment) -> None:
         """Records what generates the first event that the caller gets."""
@@ -256,6 +262,10 @@
     ) -> Iterator[bytes]:
         stream = self._stream
         for item in parsed:
+            if item.is_comment:
+                self._comments += item.raw
+                continue
+            comments, self._comments = self._comments, b''
             segment.record_event(attempt.now())
             if item.id is not None:
                 if stream.last_id is not None:
@@ -266,7 +276,7 @@
                             f'received event {item.id} after {stream.last_id}'
                         )
                 stream.last_id = item.id
-            yield item.raw
+            yield comments + item.raw
 
     async def _next_segment(
         self, segment: segment_lib.Segment, outcome: segment_lib.Outcome
