--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/__main__.py
@@ -30,7 +30,7 @@
     help='Inject only restore drills and the faults that overlap them.',
 )
 @click.option(
-    '--herd-kills',
+    '--fleet-kills',
     is_flag=True,
     help='Inject kills of all gateways beside replacements and drills instead.',
 )
@@ -47,7 +47,7 @@
     keep: pathlib.Path | None,
     *,
     only_drills: bool,
-    herd_kills: bool,
+    fleet_kills: bool,
     beside: bool,
 ) -> None:
     """Runs seeds; exits with a non-zero status if one fails."""
@@ -62,7 +62,7 @@
                 keep / name if keep else None,
                 rolls_back=rolls_back,
                 only_drills=only_drills,
-                herd_kills=herd_kills,
+                fleet_kills=fleet_kills,
             )
         )
         click.echo(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/injector.py
@@ -132,7 +132,7 @@
             fault.ROLLOUT: self._roll_out,
             fault.ENDLESS_ANSWER: self._answer_without_end,
             fault.REPLACEMENT: self._replace_engines,
-            fault.HERD_KILL: self._kill_all,
+            fault.FLEET_KILL: self._kill_all,
         }
 
     def inject(self, injection: plan.Injection) -> None:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/run.py
@@ -76,7 +76,7 @@
     *,
     rolls_back: bool = True,
     only_drills: bool = False,
-    herd_kills: bool = False,
+    fleet_kills: bool = False,
 ) -> Result:
     """Runs one seed.
 
@@ -89,20 +89,20 @@
         a drill is an outage of the same length.
       only_drills: Whether to inject only restore drills and the faults that
         overlap them.
-      herd_kills: Whether to inject kills of all gateways, replacements of all
+      fleet_kills: Whether to inject kills of all gateways, replacements of all
         engines and restore drills instead, among gateways of which some were
         replaced before.
     """
-    if herd_kills:
-        injections = plan.generate_herd_kills(seed, length_s)
+    if fleet_kills:
+        injections = plan.generate_fleet_kills(seed, length_s)
     elif only_drills:
         injections = plan.generate_drills(seed, length_s)
     else:
         injections = plan.generate(seed, length_s)
     async with launch.Launcher(folder) as launcher:
         testbed = testbed_lib.Testbed(launcher, gateways)
-        if herd_kills:
-            testbed.prepare_herd_kills(DEPARTED_GATEWAYS)
+        if fleet_kills:
+            testbed.prepare_fleet_kills(DEPARTED_GATEWAYS)
         try:
             await testbed.start(http_servers=3, engines=4)
             injector = injector_lib.FaultInjector(
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/soak/testbed.py
@@ -175,7 +175,7 @@
         self.publish_configuration()
         await asyncio.gather(*map(self.start_gateway, self.gateways))
 
-    def prepare_herd_kills(self, departed: int) -> None:
+    def prepare_fleet_kills(self, departed: int) -> None:
         """Sets what runs with kills of all gateways begin with.
 
         Engines of one version make long streams, whose callers wait for the
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/persistence.py
@@ -3,8 +3,8 @@
 Gateways have no disk, and those that lose power at the same moment find nobody
 who knows. So each entry is stored in the platform's store too. All of them find
 a culprit at about the same time, and one stores it (`fleet.write_turns`); a few
-others read in their turns whether it has, as it may have failed, and so does
-whoever takes the place of one that is gone. In a new epoch, the store may have
+others read in their turns whether it has, as it may have failed, and so does a
+gateway that moves up as one has left. In a new epoch, the store may have
 lost entries, and all are read and stored again.
 """
 
--- a/tests/quetzalsill_dev/soak/test_soak.py
+++ b/tests/quetzalsill_dev/soak/test_soak.py
@@ -18,8 +18,8 @@
 # with a third of the gateways cut off from the store.
 DRILL_SEEDS = (1, 4, 5)
 DRILL_S = 4.0
-HERD_SEEDS = (11, 21)
-HERD_S = 5.0
+FLEET_KILL_SEEDS = (11, 21)
+FLEET_KILL_S = 5.0
 
 
 def record(
@@ -52,7 +52,7 @@
             for n in range(50)
             for injection in (
                 *plan.generate(n, 20.0),
-                *plan.generate_herd_kills(n, 20.0),
+                *plan.generate_fleet_kills(n, 20.0),
             )
         }
         self.assertEqual(drawn, set(plan.Fault))
@@ -61,12 +61,12 @@
         """A kill comes alone, and finds a version and rows that are settled."""
         fault = plan.Fault
         for seed in range(50):
-            found = plan.generate_herd_kills(seed, 20.0)
-            self.assertEqual(found, plan.generate_herd_kills(seed, 20.0))
+            found = plan.generate_fleet_kills(seed, 20.0)
+            self.assertEqual(found, plan.generate_fleet_kills(seed, 20.0))
             kinds = [injection.fault for injection in found]
-            self.assertGreater(kinds.count(fault.HERD_KILL), 2)
+            self.assertGreater(kinds.count(fault.FLEET_KILL), 2)
             self.assertEqual(
-                kinds.count(fault.REPLACEMENT), kinds.count(fault.HERD_KILL)
+                kinds.count(fault.REPLACEMENT), kinds.count(fault.FLEET_KILL)
             )
 
     def test_each_seed_has_a_drill_whatever_else_it_draws(self):
@@ -340,9 +340,11 @@
 
     def test_no_streams_are_mixed_by_kills_of_all_gateways(self):
         """Gateways that all restart take streams for some of one version."""
-        for seed in HERD_SEEDS:
+        for seed in FLEET_KILL_SEEDS:
             with self.subTest(seed=seed):
-                result = asyncio.run(run.run(seed, HERD_S, herd_kills=True))
+                result = asyncio.run(
+                    run.run(seed, FLEET_KILL_S, fleet_kills=True)
+                )
                 self.assertGreater(result.taken_up, 0)
                 self.assertEqual(result.mixed, 0, result.violations)
 
