Tests of crowds of clients that misbehave, as seen on today's code

The bound is the memory and the descriptors of the process (80 or 130 MB, 400), which its settings name as `machine`; nothing reads them yet. Memory counts what the kernel has received and the process has not read.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/testing/run_suite.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/testing/run_suite.py
@@ -1,5 +1,7 @@
 """Runs each test module in a separate process, several at a time.
 
+Modules that measure the memory of processes run alone, after the others.
+
 Usage: `python -m quetzalsill_dev.testing.run_suite [MODULE-PREFIX ...]`.
 
 The last line is `N passed, N failed`. Failed tests that are listed in
@@ -34,6 +36,8 @@
 MODULE_TIMEOUT_S = 600.0
 OUTPUT_TIMEOUT_S = 10.0
 SLOW_PREFIX = 'tests.failure'
+# These measure memory, and run one at a time after all others.
+ALONE_PREFIX = 'tests.failure.clients'
 
 
 def discover(root: pathlib.Path) -> list[str]:
@@ -89,11 +93,18 @@
 def run_modules(
     root: pathlib.Path, modules: Iterable[str]
 ) -> Iterator[outcome_lib.Outcome]:
-    """Runs modules, at most `PARALLEL` at once; yields results as they end."""
+    """Runs modules, at most `PARALLEL` at once; yields results as they end.
+
+    Those that run alone come last.
+    """
+    alone, shared = [], []
+    for name in modules:
+        (alone if name.startswith(ALONE_PREFIX) else shared).append(name)
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
-        futures = [pool.submit(run_module, root, name) for name in modules]
+        futures = [pool.submit(run_module, root, name) for name in shared]
         for future in concurrent.futures.as_completed(futures):
             yield future.result()
+    yield from (run_module(root, name) for name in alone)
 
 
 def _print_module(outcome: outcome_lib.Outcome, root: pathlib.Path) -> None:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/users_platform/http_server.py
@@ -38,6 +38,7 @@
       work_s: Time that a request takes, in seconds.
       arrivals: Loop times at which requests arrived, with their ids.
       pauses: Pauses that it has asked for.
+      large_body: Body of its answers to targets that end in `large`.
     """
 
     def __init__(self, name: str) -> None:
@@ -50,6 +51,7 @@
         self.retry_after = ''
         self.work_s = 0.0
         self.crash_target: str | None = None
+        self.large_body = b''
         self._crash: asyncio.Task[None] | None = None
         self.arrivals: list[tuple[float, str]] = []
         self.pauses: list[pause_lib.Pause] = []
@@ -100,6 +102,9 @@
             await asyncio.shield(self._crash)
             return
         receipt = echo | {PREFIX + 'server-stamp': f'{self.id}.{request_id}'}
+        if self.large_body and call.target.endswith('large'):
+            call.respond(200, self.large_body, receipt)
+            return
         await self._respond(call, script, receipt, f'{self.id}:{request_id}')
 
     def _ask_for_pause(self, request_id: str) -> dict[str, str]:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/settings.py
@@ -192,6 +192,9 @@
         'Bounds of upstreams that name a limit.', factory=ServerLimit
     )
     answers: Answers = key('Bounds of answers.', factory=Answers)
+    machine: section.Machine = key(
+        'What the process may use.', factory=section.Machine
+    )
     shares: Shares = key('Shares of client accounts.', factory=Shares)
     regions: dict[str, str] = key(
         'Region of each availability zone; for requests that are bound to'
--- a/packages/quetzalsill-router/src/quetzalsill_router/settings.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/settings.py
@@ -122,6 +122,9 @@
     telemetry: section.Telemetry = key(
         'Logs and traces.', factory=section.Telemetry
     )
+    machine: section.Machine = key(
+        'What the process may use.', factory=section.Machine
+    )
     requests: RequestSettings = key(
         'Requests of callers.', factory=RequestSettings
     )
--- a/packages/quetzalsill/src/quetzalsill/settings/section.py
+++ b/packages/quetzalsill/src/quetzalsill/settings/section.py
@@ -10,7 +10,15 @@
 
 from quetzalsill.schema import key as schema_key
 
-__all__ = ['LinkTiming', 'Listen', 'Node', 'Platform', 'Telemetry', 'Tls']
+__all__ = [
+    'LinkTiming',
+    'Listen',
+    'Machine',
+    'Node',
+    'Platform',
+    'Telemetry',
+    'Tls',
+]
 
 key = schema_key.key
 URL = r'https?://[^\s/]+'
@@ -32,6 +40,25 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Machine:
+    """What this process may use of its machine."""
+
+    memory_mb: float = key(
+        'Memory of the process; 0 for the memory that the machine reports.',
+        0.0,
+        unit='MB',
+        minimum=0,
+        maximum=1_048_576,
+    )
+    file_descriptors: int = key(
+        'Open descriptors of the process; 0 for the limit of the kernel.',
+        0,
+        minimum=0,
+        maximum=1_048_576,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Listen:
     """Address of a listener."""
