Count a caller's head by no more bytes than it has

A legal request of 3,990 lines `a:`, a head of 16,160 bytes as received, got 431 although it is inside `maxHeaderBytes` (16,384).

Cause: each field was charged four bytes for what separates it, but a line without a blank has three: a colon, CR and LF. Fix: fields are charged what the shortest line has, so that no head inside the limit is counted larger than it is. Heads over the limit are bounded as before by their bytes as received, 1,024 above it.

tests.failure.clients.test_legal.LegalTest.test_head_of_short_lines and test_head_in_pieces: 431 before, 200 now.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -28,8 +28,10 @@
 # SO_LINGER on, with zero timeout: closing the socket sends a reset.
 LINGER_ZERO = struct.pack('ii', 1, 0)
 VERSIONS = ('1.0', '1.1')
-# The limit on a head counts its target and headers without what separates them.
-SEPARATOR_BYTES = 1024
+# A field has at least a colon and the end of its line.
+SEPARATORS = len(b':\r\n')
+# The limit on a head counts its target and fields without optional blanks.
+BLANK_BYTES = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,7 +145,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
         self._headers.append((name.lower(), value))
-        self._add_head_bytes(len(name) + len(value))
+        self._add_head_bytes(len(name) + len(value) + SEPARATORS)
 
     def on_headers_complete(self) -> None:
         """Checks the HTTP version and the framing of the body."""
@@ -233,7 +235,7 @@
     def _framing_limits(self) -> framing.Limits:
         limits = self._listener.limits()
         return framing.Limits(
-            limits.header_bytes + SEPARATOR_BYTES, limits.header_s
+            limits.header_bytes + BLANK_BYTES, limits.header_s
         )
 
     def _time_out(self, _: str) -> None:
@@ -251,7 +253,7 @@
         self._status = 400
 
     def _add_head_bytes(self, size: int) -> None:
-        self._head_bytes += size + 4
+        self._head_bytes += size
         if self._head_bytes > self._listener.limits().header_bytes:
             self._reject(431)
 
