Keep and send the body of a request in parts

100 whole bodies of 4 MB took over four times their size of a process: as received, as one `bytes`, joined with the head, and in the write buffer to the upstream; and as one growing string of megabytes each, between which the heap keeps holes that fit no other.

A body is now a list of parts of at most 64 KB, appended as they come and never joined. They are written to the upstream as it reads them. A connection whose response came before all of its body was sent is closed, not reused.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -144,7 +144,7 @@
         head = exchange.head(dialect, upstream.id, extra_headers)
         conn.send(
             head,
-            exchange.request.body,
+            exchange.request.body.parts,
             exchange.request.method,
             (dialect.request_id, exchange.request_id),
         )
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -114,7 +114,7 @@
                 message.first(req.headers, b'host') or b'',
                 req.target,
                 self.account or b'',
-                req.body,
+                req.body.parts,
             )
         return self._fingerprint
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -5,7 +5,7 @@
 import asyncio
 import collections
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import httptools
 
@@ -63,6 +63,8 @@
         self._items: collections.deque[object] = collections.deque()
         self._waiting_bytes = 0
         self._is_paused = False
+        self._unsent: collections.deque[bytes] = collections.deque()
+        self._may_write = True
         self._waiter: asyncio.Future[None] | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._error: error.CallError | None = None
@@ -85,6 +87,7 @@
             and not self._awaiting_response
             and self._error is None
             and not self._is_paused
+            and not self._unsent
             and not self._transport.is_closing()
         )
 
@@ -107,6 +110,7 @@
         It is complete only if it had no length and there was no reset.
         """
         self._report_closed()
+        self._unsent.clear()
         self._framing.stop()
         if (
             self._awaiting_response
@@ -193,7 +197,7 @@
     def send(
         self,
         head: bytes,
-        body: bytes,
+        body: Sequence[bytes] = (),
         method: bytes = b'',
         echo: tuple[bytes, bytes] | None = None,
     ) -> None:
@@ -201,7 +205,8 @@
 
         Args:
           head: Request line and headers, including the empty line.
-          body: The complete body.
+          body: The complete body in parts, which are written as the upstream
+            reads them.
           method: Method of the request; the response to HEAD has no body.
           echo: Name and value of a header that the upstream echoes in its
             response; a response with another value is ignored.
@@ -223,7 +228,23 @@
         self._is_head_request = method == b'HEAD'
         self._awaiting_response = True
         self._reusable = False
-        self._transport.write(head + body)
+        self._unsent.extend(body)
+        first = self._unsent.popleft() if self._unsent else b''
+        self._transport.write(head + first)
+        self._send_body()
+
+    def pause_writing(self) -> None:
+        """Pauses the body while the upstream reads too slowly."""
+        self._may_write = False
+
+    def resume_writing(self) -> None:
+        """Goes on with the body."""
+        self._may_write = True
+        self._send_body()
+
+    def _send_body(self) -> None:
+        while self._unsent and self._may_write:
+            self._transport.write(self._unsent.popleft())
 
     async def head(self) -> message.ResponseHead:
         """Returns the head of the response.
@@ -250,6 +271,7 @@
     def abort(self) -> None:
         """Closes the connection at once."""
         self._reusable = False
+        self._unsent.clear()
         self._framing.stop()
         if self._transport is not None:
             self._transport.abort()
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/fetch.py
@@ -87,7 +87,7 @@
     try:
         async with deadline.timeout(timeout_s) as timeout:
             conn = await conns.acquire(address, connect_timeout_s or timeout_s)
-            conn.send(head, data)
+            conn.send(head, [data])
             response_head = await conn.head()
             received = bytearray()
             latest_s = max(timeout.when(), _now() + MAX_BODY_S)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -169,7 +169,7 @@
     def on_body(self, body: bytes) -> None:
         """Appends a chunk of the body."""
         self._framing.add_body(len(body))
-        self._body += body
+        self._body.add(body)
         self._check_body(len(self._body))
 
     def on_chunk_complete(self) -> None:
@@ -184,7 +184,7 @@
             self._parser.get_method(),
             bytes(self._target),
             self._headers,
-            bytes(self._body),
+            self._body,
             self._request_start_s,
             self._parser.get_http_version(),
             self._parser.should_keep_alive(),
@@ -242,7 +242,7 @@
     def _reset(self) -> None:
         self._target = bytearray()
         self._headers = message.Fields()
-        self._body = bytearray()
+        self._body = message.Body()
         self._head_bytes = 0
         self._receiving = False
         self._request_start_s = 0.0
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Iterator
 
 __all__ = [
+    'Body',
     'Fields',
     'Headers',
     'Request',
@@ -20,6 +21,9 @@
 
 Headers = Iterable[tuple[bytes, bytes]]
 
+# Smaller parts of a body are merged up to the larger size.
+MERGED_BYTES = 4096
+PART_BYTES = 65_536
 # Longer values of headers are truncated in the log.
 MAX_LOGGED_BYTES = 64
 
@@ -92,6 +96,42 @@
                 yield name, value
 
 
+class Body:
+    """A body in parts of bounded size.
+
+    One string of megabytes grows and moves as it is received, and with many of
+    them the heap gets holes that no other one fits in.
+
+    Attributes:
+      parts: Its parts, each of at most `PART_BYTES` unless it came as one.
+    """
+
+    __slots__ = ('_size', 'parts')
+
+    def __init__(self, data: bytes = b'') -> None:
+        self.parts: list[bytes | bytearray] = []
+        self._size = 0
+        if data:
+            self.add(data)
+
+    def add(self, data: bytes) -> None:
+        """Appends bytes."""
+        self._size += len(data)
+        last = self.parts[-1] if self.parts else None
+        if len(data) >= MERGED_BYTES:
+            self.parts.append(data)
+        elif isinstance(last, bytearray) and len(last) < PART_BYTES:
+            last += data
+        else:
+            self.parts.append(bytearray(data))
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __bytes__(self) -> bytes:
+        return b''.join(self.parts)
+
+
 @dataclasses.dataclass(slots=True)
 class Request:
     """A complete request of a caller.
@@ -110,7 +150,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: Body
     received_s: float
     version: str = '1.1'
     keep_alive: bool = True
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -76,7 +76,9 @@
             service=SERVICE,
             priority=priority,
             route=route,
-            request=message.Request(b'POST', b'/', [], b'', now - age_s),
+            request=message.Request(
+                b'POST', b'/', [], message.Body(), now - age_s
+            ),
             deadline_s=now + left_s,
             remaining_s=left_s,
             id_text=name,
--- a/tests/quetzalsill_gateway/http/test_call.py
+++ b/tests/quetzalsill_gateway/http/test_call.py
@@ -76,7 +76,7 @@
         self.addCleanup(server.close)
         conn = await call.connect(server.sockets[0].getsockname()[:2], 1.0)
         self.addCleanup(conn.abort)
-        conn.send(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n', b'')
+        conn.send(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
         await conn.head()
         await asyncio.sleep(0.5)
         # Most of it is in the buffers of the kernel.
--- a/tests/quetzalsill_gateway/http/test_endless.py
+++ b/tests/quetzalsill_gateway/http/test_endless.py
@@ -49,7 +49,7 @@
         """Reads an answer to its end."""
         conn = await call.connect(self.address, CONNECT_S)
         self.addCleanup(conn.abort)
-        conn.send(REQUEST, b'')
+        conn.send(REQUEST)
         await conn.head()
         while await conn.read():
             pass
@@ -130,7 +130,7 @@
         limits = call.Limits(head_bytes=4096, head_s=0.3)
         conn = await call.connect(address, CONNECT_S, limits=limits)
         self.addCleanup(conn.abort)
-        conn.send(REQUEST, b'')
+        conn.send(REQUEST)
         async with asyncio.timeout(5.0):
             await conn.head()
             body = b''
--- a/tests/quetzalsill_gateway/http/test_listener.py
+++ b/tests/quetzalsill_gateway/http/test_listener.py
@@ -47,7 +47,7 @@
             responder.start(200, [], None)
             responder.write(b'half')
             return
-        responder.reply(200, [], req.body)
+        responder.reply(200, [], bytes(req.body))
 
     async def send(self, *pieces):
         """Sends the pieces; returns all bytes until the connection ends."""
@@ -220,7 +220,7 @@
         for cut in range(1, len(data)):
             self.seen.clear()
             await self.send(data[:cut], data[cut:])
-            requests = [(req.target, req.body) for req in self.seen]
+            requests = [(req.target, bytes(req.body)) for req in self.seen]
             self.assertEqual(requests, [(b'/a', b'body'), (b'/b?x=%20', b'')])
 
 
--- a/tests/quetzalsill_gateway/http/test_pool.py
+++ b/tests/quetzalsill_gateway/http/test_pool.py
@@ -14,7 +14,7 @@
     upstream,
     zones,
 )
-from quetzalsill_gateway.http import error, pool
+from quetzalsill_gateway.http import error, message, pool
 
 TIMEOUT_S = 5.0
 EXPIRED_IDLE_S = 3600.0
@@ -186,7 +186,7 @@
         self.req = types.SimpleNamespace(
             route=types.SimpleNamespace(kind=routing_table.Kind.IDEMPOTENT),
             head=lambda *_: b'',
-            request=types.SimpleNamespace(body=b'', method=b'GET'),
+            request=types.SimpleNamespace(body=message.Body(), method=b'GET'),
             request_id=b'1',
         )
 
--- a/tests/quetzalsill_gateway/quarantine/test_quarantine.py
+++ b/tests/quetzalsill_gateway/quarantine/test_quarantine.py
@@ -23,7 +23,9 @@
 from quetzalsill_gateway.quarantine import update as update_lib
 
 NAMES = [f'entry-{n}' for n in range(5)]
-BAD = fingerprint.compute(b'POST', b'shop.example', b'/plan/1', b'first', b'x')
+BAD = fingerprint.compute(
+    b'POST', b'shop.example', b'/plan/1', b'first', [b'x']
+)
 FIRST, PART = (bytes([1]).ljust(trait.LENGTH, one) for one in (b'f', b'p'))
 TIMES = st.floats(0, 1e6)
 TEXTS = st.text(max_size=20)
