Parse a caller's next request after the answer to the one before it

Requests sent ahead, with their answers unread, took up to 194 MB of a process at 40 to 80 connections (80 allowed). Bodies in chunks of a byte on 40 connections stopped the event loop: ordinary callers got no answer, also for a while after the crowd had left.

Causes, all in one place: `data_received` gave the parser all of up to 256 KB at once. The queue of 16 requests filled beyond its bound before reading paused; nothing waited for answers to be read (`Responder.reply` writes at once, and the next request was served whatever the buffer held); and nothing else of the loop ran while tens of thousands of chunks were parsed, on each connection that was readable.

`net.inbound` hands the parser pieces that end where a message may end, after an empty line or a body's length. A refused caller gets a second in which what it still sends is dropped, as a reset may overtake the refusal.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -1,9 +1,12 @@
-"""HTTP server for callers; each connection is served by one task."""
+"""HTTP server for callers; each connection is served by one task.
+
+A connection parses a request only after the one before it was answered and
+most of the answer was read. What its caller sends ahead stays as received.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import socket
 import struct
@@ -11,7 +14,8 @@
 
 import httptools
 
-from quetzalsill.net import framing
+from quetzalsill.net import framing, inbound
+from quetzalsill.net import turns as turns_lib
 from quetzalsill_gateway import event
 from quetzalsill_gateway.http import (
     early_socket,
@@ -22,8 +26,7 @@
 
 __all__ = ['Connection', 'Handler', 'Limits', 'Listener']
 
-MAX_PIPELINED = 16
-WRITE_HIGH_BYTES = 262_144
+WRITE_HIGH_BYTES = 65_536
 TIMEOUT_CHECK_S = 0.5
 # SO_LINGER on, with zero timeout: closing the socket sends a reset.
 LINGER_ZERO = struct.pack('ii', 1, 0)
@@ -32,6 +35,9 @@
 SEPARATORS = len(b':\r\n')
 # The limit on a head counts its target and fields without optional blanks.
 BLANK_BYTES = 1024
+# A refused caller may still be sending. Closed at once, its connection is
+# reset, and the refusal may be lost.
+LINGER_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,23 +61,25 @@
 Handler = Callable[[message.Request, responder_lib.Responder], Awaitable[None]]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection of a caller."""
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._framing = framing.Framing(self._framing_limits, self._time_out)
+        self._inbound = inbound.Inbound(self._feed, listener.turns)
+        self._limits = listener.limits()
         self._transport: asyncio.Transport | None = None
-        self._requests: collections.deque[message.Request | int] = (
-            collections.deque()
-        )
+        self._request: message.Request | None = None
+        self._refusal: int | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._can_write: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
-        self._refused = False
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._serving = False
         self._last_activity_s = 0.0
+        self._received_s = 0.0
         self._request_count = 0
         self._reset()
 
@@ -80,13 +88,14 @@
 
         None while a request is being received, queued or served.
         """
-        if self._serving or self._requests or self._receiving:
+        if self._request or self._receiving or self._inbound.has_pending:
             return None
         return now - self._last_activity_s
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the connection's task."""
         self._transport = transport
+        self._inbound.attach(transport)
         socket_option.tune(transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         loop = asyncio.get_running_loop()
@@ -97,7 +106,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the task, including its call to an upstream."""
         self._listener.connections.discard(self)
-        self._framing.stop()
+        # The parser and this object refer to each other. Until a garbage
+        # collection, a body would stay in memory.
+        self._parser = None
+        if not self._serving:
+            self._request = None
+        self._drop_received()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -115,13 +131,21 @@
             self._can_write.set_result(None)
         self._can_write = None
 
-    def data_received(self, data: bytes) -> None:
-        """Parses bytes from the caller."""
-        if self._refused:
-            return
-        self._last_activity_s = asyncio.get_running_loop().time()
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where the next bytes are read to."""
+        del sizehint
+        return self._inbound.buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handles bytes from the caller."""
+        self._received_s = asyncio.get_running_loop().time()
+        self._last_activity_s = self._received_s
         if not self._receiving and not self._request_start_s:
-            self._request_start_s = self._last_activity_s
+            self._request_start_s = self._received_s
+        self._inbound.receive(nbytes)
+
+    def _feed(self, data: bytes | memoryview) -> None:
+        self._limits = self._listener.limits()
         try:
             self._framing.feed(self._parser, data)
         except framing.TooLongError:
@@ -133,9 +157,14 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        if self._request is not None:
+            # It has begun before the end of the bytes of another one.
+            self._reject(400)
+        # Sent ahead, it was received before the end of the request before it.
+        start_s = self._request_start_s or self._received_s
         self._reset()
         self._receiving = True
-        self._request_start_s = asyncio.get_running_loop().time()
+        self._request_start_s = start_s
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the target."""
@@ -161,13 +190,14 @@
         ):
             self._reject(400)
         if lengths and lengths[0].strip().isdigit():
-            self._check_body(int(lengths[0]))
+            self._inbound.body_left = int(lengths[0])
+            self._check_body(self._inbound.body_left)
         expects = message.first(self._headers, b'expect')
-        if expects and expects.lower() == b'100-continue' and not self._serving:
+        if expects and expects.lower() == b'100-continue':
             self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, body: bytes) -> None:
-        """Appends a chunk of the body."""
+        """Appends a part of the body."""
         self._framing.add_body(len(body))
         self._body.add(body)
         self._check_body(len(self._body))
@@ -177,10 +207,11 @@
         self._framing.end_part()
 
     def on_message_complete(self) -> None:
-        """Queues the request for the task."""
+        """Passes the request to the task."""
         self._framing.end()
+        self._inbound.end_message()
         self._request_count += 1
-        request = message.Request(
+        self._request = message.Request(
             self._parser.get_method(),
             bytes(self._target),
             self._headers,
@@ -191,12 +222,13 @@
             self._request_count,
         )
         self._reset()
-        self._enqueue(request)
+        self._wake()
 
     def write(self, data: bytes) -> None:
         """Writes data unless the connection is closing."""
-        if not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport.is_closing():
+            return
+        self._transport.write(data)
 
     async def writable(self) -> None:
         """Waits while writing is paused."""
@@ -216,11 +248,11 @@
 
     def will_close(self) -> bool:
         """Whether the connection closes after the current response."""
-        return self._listener.stopping or self._refused
+        return self._listener.stopping
 
     def check_timeouts(self, now: float, limits: Limits) -> None:
         """Closes the connection if a timeout has expired."""
-        if self._serving or self._requests:
+        if self._request is not None or self._inbound.has_pending:
             return
         silent_s = now - self._last_activity_s
         if self._receiving and silent_s > limits.header_s:
@@ -229,14 +261,14 @@
             self.close()
 
     def _framing_limits(self) -> framing.Limits:
-        limits = self._listener.limits()
+        limits = self._limits
         return framing.Limits(
             limits.header_bytes + BLANK_BYTES, limits.header_s
         )
 
     def _time_out(self, _: str) -> None:
-        # What is pipelined may come slowly while its caller reads an answer.
-        if not self._serving and not self._requests:
+        # The rest may have been received, and waits to be parsed.
+        if not self._inbound.has_pending:
             self._refuse(408)
 
     def _reset(self) -> None:
@@ -250,51 +282,59 @@
 
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > self._listener.limits().header_bytes:
+        if self._head_bytes > self._limits.header_bytes:
             self._reject(431)
 
     def _check_body(self, size: int) -> None:
-        if size > self._listener.limits().body_bytes:
+        if size > self._limits.body_bytes:
             self._reject(413)
 
     def _reject(self, status: int) -> None:
         # An exception in a callback stops the parser at once and reaches
-        # `data_received` as a parser error.
+        # `_feed` as a parser error.
         self._status = status
         raise ValueError(status)
 
     def _refuse(self, status: int) -> None:
-        self._refused = True
-        self._receiving = False
+        """Refuses what is being received; nothing of it was passed on."""
+        if self._refusal is not None:
+            return
+        self._refusal = status
+        self._drop_received()
+        self._wake()
+
+    def _drop_received(self) -> None:
         self._framing.stop()
-        self._enqueue(status)
+        self._reset()
+        self._inbound.stop()
 
-    def _enqueue(self, item: message.Request | int) -> None:
-        self._requests.append(item)
-        if len(self._requests) >= MAX_PIPELINED:
-            self._transport.pause_reading()
+    def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
     async def _serve(self) -> None:
         while not self._transport.is_closing():
-            item = await self._next_request()
-            if isinstance(item, int):
-                self._send_refusal(item)
+            req = await self._next_request()
+            if req is None:
+                self._send_refusal(self._refusal)
                 return
-            responder = responder_lib.Responder(self, item)
+            responder = responder_lib.Responder(self, req)
             self._serving = True
             try:
-                await self._listener.handler(item, responder)
+                await self._listener.handler(req, responder)
             except Exception as exc:
                 # Unhandled, it would leave the caller without a response.
-                target = item.target.decode('latin-1')
+                target = req.target.decode('latin-1')
                 event.note(event.RequestFault(target), exc=exc)
             finally:
                 self._serving = False
                 self._last_activity_s = asyncio.get_running_loop().time()
+                self._request = None
             if not responder.ended:
                 self._finish(responder)
+            del req, responder
+            await self.writable()
+            self._inbound.resume()
 
     def _finish(self, responder: responder_lib.Responder) -> None:
         if responder.started:
@@ -306,16 +346,18 @@
         event.note(event.RequestMalformed(status))
         line = b'HTTP/1.1 %d %s\r\n' % (status, message.reason(status))
         self.write(line + b'content-length: 0\r\nconnection: close\r\n\r\n')
-        self.close()
+        self._inbound.discard()
+        self._transport.write_eof()
+        self._linger_timer = asyncio.get_running_loop().call_later(
+            LINGER_S, self.abort
+        )
 
-    async def _next_request(self) -> message.Request | int:
-        while not self._requests:
+    async def _next_request(self) -> message.Request | None:
+        """Returns the next request; None once what comes next is refused."""
+        while self._request is None and self._refusal is None:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        item = self._requests.popleft()
-        if len(self._requests) == MAX_PIPELINED - 1:
-            self._transport.resume_reading()
-        return item
+        return None if self._refusal is not None else self._request
 
 
 class Listener:
@@ -325,9 +367,14 @@
       connections: The open connections.
       stopping: Set while the process stops; each response then closes its
         connection.
+      turns: Divides the time for parsing between connections.
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], Limits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits],
+    ) -> None:
         """Initializes a listener.
 
         Args:
@@ -336,6 +383,7 @@
         """
         self.handler = handler
         self.limits = limits
+        self.turns = turns_lib.Turns()
         self.connections: set[Connection] = set()
         self.stopping = False
         self._server: asyncio.Server | None = None
