Bound what all clients of a gateway hold together

Bodies of 4 MB that stopped 100 bytes short of their end, and then came a byte at a time, took 192 MB of a process with 80 at 20 connections; 40 whole bodies at once 207. The platform ends such a process, with all of its callers.

Cause: every limit was one of a request or a connection; nothing was bounded over all of them. Any byte renewed the time of a body. A request that had been served stayed in memory with its body until a garbage collection, held by the tracebacks of its attempts or by the cycle of connection and parser.

`net.client_memory` counts what each connection holds: bytes not parsed, 64 KB of the kernel for one that is not read, heads, bodies, answers buffered or not read, 8 KB for itself. The bound is a quarter of the memory of the process (`machine.memory_mb`; what the machine reports by default). Over it, those connections go first whose clients have held most for longest without progress of 64 KB; one whose request waits for an upstream never does. Bodies over 64 KB get three quarters and are admitted by their length before they are read, so that those admitted come to their end, and others get 503 with Retry-After at once. An incomplete request was never passed on, so that 503 is true. A body has its route's time limit to come. Readiness and metrics have small bounds of their own. At a SIGTERM, connections that have stalled for headerTimeoutMs are closed rather than awaited. A body over 64 KB is given back when its request ends; an answer over 64 KB is buffered only while there is memory for it.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/attempt.py
@@ -6,7 +6,7 @@
 import contextlib
 import dataclasses
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import TYPE_CHECKING
 
 from quetzalsill.error import base
@@ -26,6 +26,7 @@
 # Statuses by which callers conclude that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MISDIRECTED_STATUS = 421
+SMALL_BODY_BYTES = 65_536
 # A longer pause of a stream is taken for its end by some callers.
 MAX_RESUME_WAIT_S = 1.5
 
@@ -266,12 +267,18 @@
     return True
 
 
-async def read_body(conn: call.Conn, limit: int) -> tuple[bytes, bool]:
+async def read_body(
+    conn: call.Conn,
+    limit: int,
+    may_buffer: Callable[[int], bool] = lambda size: True,
+) -> tuple[bytes, bool]:
     """Reads the body of a response up to a limit.
 
     Args:
       conn: Connection whose response is being read.
       limit: Size in bytes beyond which reading stops.
+      may_buffer: Returns whether there is memory for a body of some size; asked
+        once for those that are not small.
 
     Returns:
       The bytes read, and whether they are the complete body.
@@ -280,11 +287,16 @@
       error.CallError: The response was truncated.
     """
     body = bytearray()
+    is_granted = False
     while len(body) <= limit:
         chunk = await conn.read()
         if not chunk:
             return bytes(body), True
         body += chunk
+        if not is_granted and len(body) > SMALL_BODY_BYTES:
+            is_granted = may_buffer(limit)
+            if not is_granted:
+                break
     return bytes(body), False
 
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -68,6 +68,21 @@
             raise
         self._record_end(exchange, outcome)
 
+    def time_limit_s(self, target: bytes, headers: message.Headers) -> float:
+        """Returns the time in which a request can be served, in seconds.
+
+        0 for one that is not routed.
+
+        Args:
+          target: Its path and query.
+          headers: Its headers.
+        """
+        table = self._core.holder.current
+        host = message.first(headers, b'host') or b''
+        path = bytes(target).partition(b'?')[0]
+        route = table.match(host, path) if table else None
+        return self._timeout_s(headers, route) if route else 0.0
+
     def _cancellation_outcome(self) -> str:
         """Returns why a request was cancelled.
 
@@ -143,20 +158,19 @@
             account=account.name.encode() if account else None,
             request_id=request_id,
             priority=account.priority if has_priority else route.priority,
-            deadline_s=self._deadline_s(req, route),
+            deadline_s=req.received_s + self._timeout_s(req.headers, route),
             version=table.version,
             regions=regions,
             read_shared_parts=self._core.dialect.read_shared_parts,
         )
 
-    def _deadline_s(
-        self, req: message.Request, route: routing_lib.Route
+    def _timeout_s(
+        self, headers: message.Headers, route: routing_lib.Route
     ) -> float:
-        header = message.first(req.headers, self._core.dialect.deadline_ms)
-        timeout_s = route.timeout_s
+        header = message.first(headers, self._core.dialect.deadline_ms)
         if header and header.isdigit():
-            timeout_s = min(timeout_s, int(header) / exchange_lib.MS_PER_S)
-        return req.received_s + timeout_s
+            return min(route.timeout_s, int(header) / exchange_lib.MS_PER_S)
+        return route.timeout_s
 
     def _record_end(
         self, exchange: exchange_lib.Exchange, outcome: str
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import dataclasses
+import math
 import socket
 import struct
 from collections.abc import Awaitable, Callable
 
 import httptools
 
-from quetzalsill.net import framing, inbound
+from quetzalsill.net import client_memory, framing, inbound
 from quetzalsill.net import turns as turns_lib
 from quetzalsill_gateway import event
 from quetzalsill_gateway.http import (
@@ -35,9 +36,13 @@
 SEPARATORS = len(b':\r\n')
 # The limit on a head counts its target and fields without optional blanks.
 BLANK_BYTES = 1024
+# Less than this is no progress of a body or of an answer that is being read.
+PROGRESS_BYTES = 65_536
 # A refused caller may still be sending. Closed at once, its connection is
 # reset, and the refusal may be lost.
 LINGER_S = 1.0
+REFUSED_RETRY_AFTER_S = 0.2
+UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,7 +54,8 @@
       body_bytes: Maximum size of a body.
       header_s: Longest time in which a head, a size line or the trailers of a
         request are received, and without progress of its body, in seconds.
-      idle_s: Longest time between two requests of a connection, in seconds.
+      idle_s: Longest time between two requests of a connection, and in which
+        nothing of an answer is read, in seconds.
     """
 
     header_bytes: int = 16_384
@@ -59,6 +65,33 @@
 
 
 Handler = Callable[[message.Request, responder_lib.Responder], Awaitable[None]]
+# Returns the time from its first byte in which a request can still be served,
+# by its target and fields, in seconds.
+TimeLimit = Callable[[bytes, message.Fields], float]
+
+
+class Progress:
+    """Since when an amount has grown by less than a step.
+
+    Attributes:
+      since_s: Loop time.
+    """
+
+    __slots__ = ('_amount', 'since_s')
+
+    def __init__(self) -> None:
+        self._amount = 0
+        self.since_s = 0.0
+
+    def begin(self, amount: int, now_s: float) -> None:
+        """Starts with an amount."""
+        self._amount = amount
+        self.since_s = now_s
+
+    def update(self, amount: int, now_s: float) -> None:
+        """Records the amount now."""
+        if amount - self._amount >= PROGRESS_BYTES:
+            self.begin(amount, now_s)
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -68,7 +101,10 @@
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._framing = framing.Framing(self._framing_limits, self._time_out)
-        self._inbound = inbound.Inbound(self._feed, listener.turns)
+        self._inbound = inbound.Inbound(
+            self._feed, listener.turns, self._update_held
+        )
+        self._account: client_memory.Account | None = None
         self._limits = listener.limits()
         self._transport: asyncio.Transport | None = None
         self._request: message.Request | None = None
@@ -81,6 +117,12 @@
         self._last_activity_s = 0.0
         self._received_s = 0.0
         self._request_count = 0
+        self._received = Progress()
+        self._read = Progress()
+        self._written_bytes = 0
+        self._read_bytes = 0
+        self._last_read_s = 0.0
+        self._answer_bytes = 0
         self._reset()
 
     def idle_s(self, now: float) -> float | None:
@@ -92,10 +134,40 @@
             return None
         return now - self._last_activity_s
 
+    def stalled_s(self, now_s: float) -> float:
+        """Returns for how long the caller has made no progress, in seconds.
+
+        It reads an answer, sends a request, or has nothing to send. 0 while an
+        upstream or this process is awaited.
+        """
+        if self._unread_bytes():
+            return now_s - self._read.since_s
+        if self._request is not None or self._inbound.has_pending:
+            return 0.0
+        if self._receiving:
+            return now_s - self._received.since_s
+        return now_s - self._last_activity_s
+
+    def evict(self) -> None:
+        """Closes the connection; a request that is incomplete is refused."""
+        is_incomplete = self._receiving and not self._unread_bytes()
+        self._refusal = UNAVAILABLE
+        self._drop_received()
+        if is_incomplete:
+            self._write_refusal(UNAVAILABLE)
+            self.close()
+        else:
+            self.abort()
+        self._account.close()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Starts the connection's task."""
+        """Starts the connection's task, unless there is no room for it."""
         self._transport = transport
         self._inbound.attach(transport)
+        self._account = self._listener.ledger.open(self)
+        if self._account is None:
+            transport.abort()
+            return
         socket_option.tune(transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         loop = asyncio.get_running_loop()
@@ -107,15 +179,17 @@
         """Cancels the task, including its call to an upstream."""
         self._listener.connections.discard(self)
         # The parser and this object refer to each other. Until a garbage
-        # collection, a body would stay in memory.
+        # collection, a body would stay in memory that nobody accounts for.
         self._parser = None
         if not self._serving:
             self._request = None
-        self._drop_received()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         if self._task is not None:
             self._task.cancel()
+        if self._account is not None:
+            self._drop_received()
+            self._account.close()
 
     def eof_received(self) -> bool:
         """Closes the connection: a half-closed caller expects no response."""
@@ -130,6 +204,7 @@
         if self._can_write is not None and not self._can_write.done():
             self._can_write.set_result(None)
         self._can_write = None
+        self._update_held()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where the next bytes are read to."""
@@ -164,6 +239,7 @@
         start_s = self._request_start_s or self._received_s
         self._reset()
         self._receiving = True
+        self._received.begin(0, asyncio.get_running_loop().time())
         self._request_start_s = start_s
 
     def on_url(self, url: bytes) -> None:
@@ -179,6 +255,7 @@
     def on_headers_complete(self) -> None:
         """Checks the HTTP version and the framing of the body."""
         self._framing.end_part()
+        self._is_head_complete = True
         if self._parser.get_http_version() not in VERSIONS:
             self._reject(400)
         codings = message.values(self._headers, b'transfer-encoding')
@@ -191,7 +268,7 @@
             self._reject(400)
         if lengths and lengths[0].strip().isdigit():
             self._inbound.body_left = int(lengths[0])
-            self._check_body(self._inbound.body_left)
+            self._admit_body(self._inbound.body_left)
         expects = message.first(self._headers, b'expect')
         if expects and expects.lower() == b'100-continue':
             self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -200,7 +277,12 @@
         """Appends a part of the body."""
         self._framing.add_body(len(body))
         self._body.add(body)
-        self._check_body(len(self._body))
+        size = len(self._body)
+        if size > self._admitted_bytes:
+            # The length is not known; each step doubles what is admitted.
+            limit = max(size, self._limits.body_bytes)
+            self._admit_body(min(limit, max(size, 2 * self._admitted_bytes)))
+        self._received.update(size, self._received_s)
 
     def on_chunk_complete(self) -> None:
         """Records the end of a chunk."""
@@ -228,7 +310,14 @@
         """Writes data unless the connection is closing."""
         if self._transport.is_closing():
             return
+        if not self._unread_bytes():
+            self._last_read_s = asyncio.get_running_loop().time()
+            self._read_bytes = self._written_bytes
+            self._read.begin(self._read_bytes, self._last_read_s)
         self._transport.write(data)
+        self._written_bytes += len(data)
+        if self._unread_bytes():
+            self._update_held()
 
     async def writable(self) -> None:
         """Waits while writing is paused."""
@@ -246,20 +335,49 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
         self._transport.abort()
 
+    def may_buffer(self, size: int) -> bool:
+        """Returns whether an answer may be buffered, and records its size."""
+        self._answer_bytes = size if self._listener.ledger.fits(size) else 0
+        self._update_held()
+        return self._answer_bytes > 0
+
     def will_close(self) -> bool:
         """Whether the connection closes after the current response."""
         return self._listener.stopping
 
     def check_timeouts(self, now: float, limits: Limits) -> None:
         """Closes the connection if a timeout has expired."""
+        if self._unread_bytes():
+            self._check_reading(now, limits)
         if self._request is not None or self._inbound.has_pending:
             return
         silent_s = now - self._last_activity_s
-        if self._receiving and silent_s > limits.header_s:
+        if self._receiving and (
+            silent_s > limits.header_s or self._is_too_late(now, limits)
+        ):
             self._refuse(408)
         elif not self._receiving and silent_s > limits.idle_s:
             self.close()
 
+    def _check_reading(self, now: float, limits: Limits) -> None:
+        """Closes the connection of a caller that reads nothing for long."""
+        read_bytes = self._written_bytes - self._unread_bytes()
+        self._read.update(read_bytes, now)
+        if read_bytes > self._read_bytes:
+            self._read_bytes = read_bytes
+            self._last_read_s = now
+        elif now - self._last_read_s > limits.idle_s:
+            self.abort()
+
+    def _is_too_late(self, now: float, limits: Limits) -> bool:
+        """Whether the request can't be served any more once it is complete."""
+        age_s = now - self._request_start_s
+        return (
+            age_s > limits.header_s
+            and self._is_head_complete
+            and age_s > self._listener.time_limit(self._target, self._headers)
+        )
+
     def _framing_limits(self) -> framing.Limits:
         limits = self._limits
         return framing.Limits(
@@ -275,8 +393,10 @@
         self._target = bytearray()
         self._headers = message.Fields()
         self._body = message.Body()
+        self._admitted_bytes = 0
         self._head_bytes = 0
         self._receiving = False
+        self._is_head_complete = False
         self._request_start_s = 0.0
         self._status = 400
 
@@ -285,9 +405,12 @@
         if self._head_bytes > self._limits.header_bytes:
             self._reject(431)
 
-    def _check_body(self, size: int) -> None:
+    def _admit_body(self, size: int) -> None:
         if size > self._limits.body_bytes:
             self._reject(413)
+        if not self._account.admit_body(size):
+            self._reject(UNAVAILABLE)
+        self._admitted_bytes = size
 
     def _reject(self, status: int) -> None:
         # An exception in a callback stops the parser at once and reaches
@@ -307,11 +430,26 @@
         self._framing.stop()
         self._reset()
         self._inbound.stop()
+        self._account.release_body()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _unread_bytes(self) -> int:
+        return self._transport.get_write_buffer_size()
+
+    def _update_held(self) -> None:
+        if self._account is None:
+            return
+        size = self._inbound.held_bytes + self._unread_bytes()
+        size += self._answer_bytes
+        if self._request is not None:
+            size += client_memory.CONNECTION_BYTES + self._request.headers.size
+        elif self._receiving:
+            size += self._headers.size
+        self._account.hold(size)
+
     async def _serve(self) -> None:
         while not self._transport.is_closing():
             req = await self._next_request()
@@ -329,13 +467,23 @@
             finally:
                 self._serving = False
                 self._last_activity_s = asyncio.get_running_loop().time()
-                self._request = None
+                self._end_request(req)
             if not responder.ended:
                 self._finish(responder)
             del req, responder
             await self.writable()
             self._inbound.resume()
 
+    def _end_request(self, req: message.Request) -> None:
+        """Gives back what a request holds that has been served."""
+        self._request = None
+        self._answer_bytes = 0
+        # Errors of its attempts refer to the request until a garbage
+        # collection.
+        if len(req.body) > client_memory.SMALL_BODY_BYTES:
+            req.body = message.Body()
+        self._account.release_body()
+
     def _finish(self, responder: responder_lib.Responder) -> None:
         if responder.started:
             responder.abort()
@@ -344,14 +492,20 @@
 
     def _send_refusal(self, status: int) -> None:
         event.note(event.RequestMalformed(status))
-        line = b'HTTP/1.1 %d %s\r\n' % (status, message.reason(status))
-        self.write(line + b'content-length: 0\r\nconnection: close\r\n\r\n')
+        self._write_refusal(status)
         self._inbound.discard()
         self._transport.write_eof()
         self._linger_timer = asyncio.get_running_loop().call_later(
             LINGER_S, self.abort
         )
 
+    def _write_refusal(self, status: int) -> None:
+        lines = [b'HTTP/1.1 %d %s' % (status, message.reason(status))]
+        if status == UNAVAILABLE:
+            lines.append(b'retry-after: %.2f' % REFUSED_RETRY_AFTER_S)
+        lines += [b'content-length: 0', b'connection: close', b'\r\n']
+        self.write(b'\r\n'.join(lines))
+
     async def _next_request(self) -> message.Request | None:
         """Returns the next request; None once what comes next is refused."""
         while self._request is None and self._refusal is None:
@@ -367,6 +521,7 @@
       connections: The open connections.
       stopping: Set while the process stops; each response then closes its
         connection.
+      ledger: What callers hold.
       turns: Divides the time for parsing between connections.
     """
 
@@ -374,15 +529,21 @@
         self,
         handler: Handler,
         limits: Callable[[], Limits],
+        bounds: client_memory.Bounds | None = None,
+        time_limit: TimeLimit = lambda target, fields: math.inf,
     ) -> None:
         """Initializes a listener.
 
         Args:
           handler: Serves one request.
           limits: Returns the current limits.
+          bounds: What all callers may hold together; defaults if None.
+          time_limit: Returns in which time a request can be served.
         """
         self.handler = handler
         self.limits = limits
+        self.time_limit = time_limit
+        self.ledger = client_memory.Ledger(bounds or client_memory.Bounds())
         self.turns = turns_lib.Turns()
         self.connections: set[Connection] = set()
         self.stopping = False
@@ -413,9 +574,10 @@
             limits = self.limits()
             for conn in list(self.connections):
                 conn.check_timeouts(now, limits)
+            self.ledger.enforce()
 
     def close_idle(self, min_idle_s: float) -> None:
-        """Closes connections that have been idle for some time.
+        """Closes connections that have been idle or stalled for some time.
 
         Args:
           min_idle_s: Time in seconds in which a request arrives that a caller
@@ -427,6 +589,8 @@
             idle_s = conn.idle_s(now)
             if idle_s is not None and idle_s >= min_idle_s:
                 conn.close()
+            elif conn.stalled_s(now) > self.limits().header_s:
+                conn.evict()
 
     def stop(self) -> None:
         """Stops accepting connections."""
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/responder.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/responder.py
@@ -12,6 +12,9 @@
 class Channel(Protocol):
     """The caller's connection, to which a response is written."""
 
+    def may_buffer(self, size: int) -> bool:
+        """Returns whether an answer may be buffered, and records its size."""
+
     def will_close(self) -> bool:
         """Whether the connection closes after the current response."""
 
@@ -82,6 +85,10 @@
         self.started = True
         self._conn.write(b'\r\n'.join(lines))
 
+    def may_buffer(self, size: int) -> bool:
+        """Returns whether an answer of some bytes may be buffered."""
+        return self._conn.may_buffer(size)
+
     def write(self, data: bytes) -> None:
         """Writes a chunk of the body."""
         if self._chunked:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalsill.daemon import background
+from quetzalsill.net import client_memory
 from quetzalsill.net import stop as net_stop
 from quetzalsill.plugin import registry
 from quetzalsill_gateway import core as core_lib
@@ -146,15 +147,24 @@
             node=settings.node.name,
         )
         self._gateway = gateway.Gateway(self.core)
-        self.callers = listener.Listener(self._gateway.handle, self._limits)
+        self.callers = listener.Listener(
+            self._gateway.handle,
+            self._limits,
+            client_memory.bounds_of(settings.machine),
+            self._gateway.time_limit_s,
+        )
         handler = readiness.make_handler(
             settings.ready_path,
             self.is_ready,
             self._observe,
             self.core.quarantine,
         )
-        self.readiness = listener.Listener(handler, listener.Limits)
-        self.metrics = listener.Listener(handler, listener.Limits)
+        self.readiness, self.metrics = (
+            listener.Listener(
+                handler, listener.Limits, client_memory.MONITORING_BOUNDS
+            )
+            for _ in range(2)
+        )
         self.peers = peer_exchange.Exchange(
             self.core, settings.node.name, sources.join, self.epochs
         )
@@ -378,6 +388,7 @@
 
     def _observe(self) -> None:
         meter.observe(self.core, len(self.callers.connections), self.peers)
+        self.callers.ledger.observe()
 
     def _limits(self) -> listener.Limits:
         table = self.core.holder.current
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/unary.py
@@ -27,6 +27,8 @@
 # Larger bodies are relayed as they arrive, since a few of them would fill the
 # memory of an entry host. A response that was started cannot be replaced.
 MAX_BUFFERED_BYTES = 1_048_576
+# Written at once; more waits until the caller has read it.
+RELAYED_BYTES = 65_536
 MAX_MISDIRECTED_SENDS = 3
 # A call that may be repeated is abandoned at an upstream after this many times
 # the mean latency there, when it is more likely to hang than to be slow.
@@ -256,7 +258,7 @@
 ) -> _Response:
     async with attempt.send_request(core, req, upstream, []) as sent:
         body, is_complete = await attempt.read_body(
-            sent.conn, MAX_BUFFERED_BYTES
+            sent.conn, MAX_BUFFERED_BYTES, req.responder.may_buffer
         )
         if is_complete:
             return _Response(sent.head, body, sent.response_class)
@@ -274,8 +276,9 @@
     headers = message.relayed_headers(sent.head)
     req.responder.start(sent.head.status, headers, sent.head.length)
     while body:
-        req.responder.write(body)
-        await req.responder.drain()
+        for start in range(0, len(body), RELAYED_BYTES):
+            req.responder.write(body[start : start + RELAYED_BYTES])
+            await req.responder.drain()
         body = await sent.conn.read()
     req.responder.end()
 
--- a/packages/quetzalsill/src/quetzalsill/event.py
+++ b/packages/quetzalsill/src/quetzalsill/event.py
@@ -8,6 +8,7 @@
     'BackgroundFailed',
     'CertificateNotReloaded',
     'CertificateReloaded',
+    'ClientsEvicted',
     'ConfigurationCallbackFailed',
     'ConfigurationInstalled',
     'ConfigurationNotRead',
@@ -60,6 +61,23 @@
     file: str
 
 
+@event.define
+class ClientsEvicted(event.Event, level='warning'):
+    """Stalled clients were refused or closed to free memory or descriptors.
+
+    Attributes:
+      count: Connections since the last such line.
+      connections: Open connections of clients.
+      held_bytes: What clients hold, in bytes.
+      bound_bytes: What they may hold together, in bytes.
+    """
+
+    count: int
+    connections: int
+    held_bytes: int
+    bound_bytes: int
+
+
 @event.define
 class ConfigurationCallbackFailed(event.Event, level='error'):
     """A component failed to apply a new configuration.
--- a/tests/quetzalsill_gateway/http/test_listener.py
+++ b/tests/quetzalsill_gateway/http/test_listener.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from quetzalsill.net import client_memory
 from quetzalsill_gateway.http import listener
 
 TIMEOUT_S = 10.0
@@ -281,3 +282,115 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class LedgerTest(unittest.IsolatedAsyncioTestCase):
+    """A listener whose callers leave in every way, and what they held."""
+
+    async def asyncSetUp(self):
+        self.limits = listener.Limits(
+            header_bytes=2000, body_bytes=400_000, header_s=0.3, idle_s=0.3
+        )
+        self.listener = listener.Listener(
+            self.handle,
+            lambda: self.limits,
+            client_memory.Bounds(1_000_000, 20),
+            lambda target, fields: 0.4,
+        )
+        await self.listener.start('127.0.0.1', 0)
+        watching = asyncio.create_task(self.listener.enforce_timeouts())
+        self.addCleanup(watching.cancel)
+        self.addCleanup(self.listener.stop)
+        self.statuses = []
+
+    async def handle(self, req, responder):
+        if req.path == b'/wait':
+            await asyncio.sleep(TIMEOUT_S)
+        if req.path == b'/fault':
+            raise LookupError('a bug in the handler')
+        responder.reply(200, [], b'x' * 300_000)
+
+    async def send(self, data, *, leaves=False, interval_s=0.0):
+        """Sends bytes, and reads until the end unless it leaves."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.listener.port
+        )
+        self.addCleanup(writer.transport.abort)
+        answer = b''
+        with contextlib.suppress(ConnectionError):
+            writer.write(data)
+            if leaves:
+                await asyncio.sleep(0.1)
+                writer.transport.abort()
+                return b''
+            async with asyncio.timeout(TIMEOUT_S):
+                while piece := await reader.read(65536):
+                    answer += piece
+                    if interval_s:
+                        writer.write(b'x')
+                        await asyncio.sleep(interval_s)
+        return answer
+
+    def body(self, size, path=b'/a'):
+        head = b'POST %s HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % (path, size)
+        return head + b'x' * size
+
+    async def test_all_is_given_back(self):
+        """A ledger that leaks refuses everybody in the end."""
+        chunked = b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        for data, leaves in (
+            (HEAD, False),
+            (HEAD * 20, False),
+            (HEAD * 20, True),
+            (HEAD[:-2], False),
+            (HEAD[:-2], True),
+            (self.body(300_000), False),
+            (self.body(300_000)[:-1], False),
+            (self.body(300_000)[:-1], True),
+            (self.body(300_000, b'/wait'), True),
+            (self.body(300_000, b'/fault') * 2, False),
+            (self.body(500_000), False),
+            (chunked + b'400\r\n%s\r\n' % (b'x' * 1024) * 200, True),
+            (chunked + b'zz\r\n', False),
+            (HEAD + b'\x16\x03\x01\r\n\r\n', False),
+            (b'GET / HTTP/1.0\r\n\r\n', False),
+            (b'GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n', 0),
+        ):
+            with self.subTest(data=data[:60], leaves=leaves):
+                await asyncio.gather(
+                    *(self.send(data, leaves=leaves) for _ in range(4))
+                )
+                async with asyncio.timeout(TIMEOUT_S):
+                    while self.listener.connections:  # noqa: ASYNC110
+                        await asyncio.sleep(0.01)
+                self.assertEqual(self.listener.ledger.connections, 0)
+                self.assertEqual(self.listener.ledger.used_bytes, 0)
+                self.assertEqual(self.listener.ledger.body_bytes, 0)
+
+    async def test_an_incomplete_body_under_pressure(self):
+        """It is refused as not run, and says when to come again."""
+        stalled = asyncio.create_task(self.send(self.body(390_000)[:-1]))
+        await asyncio.sleep(0.28)
+        others = [
+            asyncio.create_task(self.send(self.body(390_000)[:-1]))
+            for _ in range(2)
+        ]
+        answer = await stalled
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer)
+        self.assertIn(b'retry-after: ', answer)
+        await asyncio.gather(*others)
+
+    async def test_a_body_that_comes_too_late(self):
+        """Each byte renews the time without progress, but not the request's."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.listener.port
+        )
+        self.addCleanup(writer.transport.abort)
+        writer.write(self.body(1000)[:-500])
+        answer = asyncio.create_task(reader.read(100))
+        for _ in range(40):
+            writer.write(b'x')
+            await asyncio.sleep(0.05)
+            if answer.done():
+                break
+        self.assertTrue((await answer).startswith(b'HTTP/1.1 408 '))
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -7,6 +7,7 @@
 import re
 import unittest
 
+from quetzalsill.net import client_memory
 from quetzalsill.telemetry import event, metric
 from quetzalsill_dev import event_table
 from quetzalsill_gateway import meter
@@ -57,7 +58,7 @@
         self.assertEqual(named, event_names())
 
     def test_each_metric_on_the_page_exists(self):
-        self.assertTrue(meter.requests)
+        self.assertTrue(meter.requests and client_memory.evicted)
         known = metric.render().decode()
         names = METRIC.findall(PAGE)
         self.assertGreater(len(names), 5)
