Leave descriptors and kernel memory for what a gateway needs itself

600 idle connections took 611 descriptors of a process with 400: at the limit `accept` fails, and so do connections to upstreams, the store and readiness.

Cause: connections of callers had no bound, and one iteration of the event loop accepts as many as the listen queue holds (1,024) before any is refused. The kernel lets a connection that is not read receive megabytes once it has been read quickly.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/early_socket.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/early_socket.py
@@ -16,7 +16,7 @@
 import socket
 from typing import Any
 
-__all__ = ['BACKLOG', 'open_early', 'take']
+__all__ = ['BACKLOG', 'bind', 'open_early', 'take']
 
 # Length of the listen queue: half a second's connections of a busy host.
 BACKLOG = 1024
@@ -36,14 +36,29 @@
     with contextlib.suppress(*SETTINGS_ERRORS):
         settings = _parse(pathlib.Path(path).read_text(encoding='utf-8'))
         host, _, port = settings['listen'].rpartition(':')
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((host, int(port)))
+        sock = bind(host, int(port))
         sock.listen(BACKLOG)
         _opened[host, int(port)] = sock
 
 
+def bind(host: str, port: int) -> socket.socket:
+    """Returns a socket that is bound to an address and does not listen yet.
+
+    Raises:
+      OSError: The address cannot be bound.
+    """
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def _parse(text: str) -> Any:
     try:
         return json.loads(text)
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -38,6 +38,8 @@
 BLANK_BYTES = 1024
 # Less than this is no progress of a body or of an answer that is being read.
 PROGRESS_BYTES = 65_536
+# Connections accepted in one iteration of the event loop.
+ACCEPT_BATCH = 32
 # A refused caller may still be sending. Closed at once, its connection is
 # reset, and the refusal may be lost.
 LINGER_S = 1.0
@@ -557,13 +559,17 @@
     async def start(self, host: str, port: int) -> None:
         """Opens the listener; port 0 lets the kernel choose."""
         loop = asyncio.get_running_loop()
-        sock = early_socket.take(host, port)
-        endpoint = (
-            {'host': host, 'port': port} if sock is None else {'sock': sock}
+        sock = early_socket.take(host, port) or early_socket.bind(host, port)
+        # Accepted connections inherit it. Without a fixed size, the kernel
+        # receives megabytes for a connection that is no longer read.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, inbound.RECEIVE_BUFFER_BYTES
         )
         self._server = await loop.create_server(
-            lambda: Connection(self), backlog=early_socket.BACKLOG, **endpoint
+            lambda: Connection(self), sock=sock, backlog=ACCEPT_BATCH
         )
+        # The server accepts as many connections at once as its queue may hold.
+        sock.listen(early_socket.BACKLOG)
 
     async def enforce_timeouts(self) -> None:
         """Closes connections whose callers time out; runs until cancelled."""
