Bound what the clients of a router hold, and parse its requests in turn

The same crowds at a router, whose process had 130 MB and 400 descriptors: small requests ahead took 444 MB, heads of short lines 290, bodies short of their end 207, and idle connections 616 descriptors.

Cause, as at a gateway: uvicorn's protocol parses all that one read brings (up to 256 KB, thousands of requests, each with its objects) before it pauses reading, and nothing is bounded over all connections.

Its protocol now receives through `net.inbound`: the next request is parsed once the response before it is complete and read, in slices, with the parsing of all connections in turns. uvicorn's flow control pauses it within a body. Each listener has a ledger with the bounds of its process, as gateways have; fields count with the 160 bytes that a pair in a list takes, bodies twice, as the application joins them. A body that does not fit is refused with 503 and Retry-After before the application sees the request; one without a length is broken off. The sidecar's health and metrics have the small bounds. Receive buffers and accepts are as at gateways.

One legal head of 32,768 bytes in short lines and one legal body of 16 MB are served.

--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -12,7 +12,7 @@
 from quetzalsill.config import holder as config_holder
 from quetzalsill.config import store as config_store
 from quetzalsill.daemon import background
-from quetzalsill.net import protocol, server
+from quetzalsill.net import client_memory, protocol, server
 from quetzalsill.net import stop as net_stop
 from quetzalsill.net import tls as net_tls
 from quetzalsill.platform import clients
@@ -80,6 +80,7 @@
         settings.listen,
         settings.tls,
         protocol.Limits(write_timeout_s=settings.requests.write_stall_s),
+        client_memory.bounds_of(settings.machine),
     )
     await listener.start()
     state.registration.router.address = (
--- a/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/monitoring.py
+++ b/packages/quetzalsill-sidecar/src/quetzalsill_sidecar/monitoring.py
@@ -7,7 +7,7 @@
 
 import blacksheep
 
-from quetzalsill.net import server
+from quetzalsill.net import client_memory, server
 from quetzalsill.settings import section
 from quetzalsill.telemetry import metric
 
@@ -63,7 +63,12 @@
         yield
         return
     listen = section.Listen(options.host, options.port)
-    http_server = server.HttpServer(make_app(sidecar), listen, options.tls)
+    http_server = server.HttpServer(
+        make_app(sidecar),
+        listen,
+        options.tls,
+        bounds=client_memory.MONITORING_BOUNDS,
+    )
     await http_server.start()
     try:
         yield
--- a/packages/quetzalsill/src/quetzalsill/net/protocol.py
+++ b/packages/quetzalsill/src/quetzalsill/net/protocol.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from uvicorn.protocols.http import httptools_impl
+from uvicorn.protocols.http import flow_control, httptools_impl
 
 from quetzalsill import event
-from quetzalsill.net import keepalive
+from quetzalsill.net import client_memory, inbound, keepalive
+from quetzalsill.net import turns as turns_lib
 from quetzalsill.telemetry import metric
 
 __all__ = ['Limits', 'LimitedProtocol', 'make_protocol_class']
@@ -46,6 +47,15 @@
     max_connections: int = 10_000
 
 
+# A field takes this much besides its bytes, as a pair in a list.
+FIELD_BYTES = 160
+# Less than this is no progress of a body.
+PROGRESS_BYTES = 65_536
+# A body stands in memory in parts and joined.
+BODY_COPIES = 2
+RETRY_AFTER_S = 0.2
+
+
 class _Expected(enum.Enum):
     """The part of a request that the client has yet to send."""
 
@@ -54,17 +64,39 @@
     NOTHING = 'nothing'
 
 
-class LimitedProtocol(httptools_impl.HttpToolsProtocol):
+class _BodyFlow:
+    """Passes uvicorn's flow control on to the receiving side."""
+
+    def __init__(self, receiving: inbound.Inbound) -> None:
+        self._receiving = receiving
+
+    def pause_reading(self) -> None:
+        """Pauses within a body that the application does not consume."""
+        self._receiving.block(is_blocked=True)
+
+    def resume_reading(self) -> None:
+        """Goes on with the body."""
+        self._receiving.block(is_blocked=False)
+
+
+class LimitedProtocol(
+    httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol
+):
     """Closes a connection whose client exceeds a limit.
 
     A client that sends its request byte by byte, or stops in the middle,
     holds a connection and memory indefinitely; many of them block all other
     clients (slow-loris attack). One timer per connection runs while part of
     a request is outstanding, and closes the connection when it expires.
+
+    The next request is parsed once the response before it is complete and has
+    been read. What all clients hold is bounded by the ledger.
     """
 
     limits = Limits()
     on_closed: Callable[[], None] = staticmethod(lambda: None)
+    ledger: client_memory.Ledger
+    turns: turns_lib.Turns
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -76,17 +108,32 @@
         self._parsed_head_bytes = 0
         self._has_completed = False
         self._error_status = http.HTTPStatus.BAD_REQUEST
+        self._error_reason = 'malformed'
+        self._inbound = inbound.Inbound(
+            self._feed, self.turns, self._update_held
+        )
+        self._account: client_memory.Account | None = None
+        self._fields_bytes = 0
+        self._body_bytes = 0
+        self._progress_s = 0.0
+        self._progress_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the timeout of the first request head."""
         super().connection_made(transport)
+        self._inbound.attach(transport)
+        self.flow = flow_control.FlowControl(_BodyFlow(self._inbound))
         keepalive.enable(transport)
         # The write timeout runs while writing is paused. With the default
         # water marks, a client that stops reading when less than 64 KiB is left
         # never pauses the writer, and its connection stays open forever. (A
         # high mark of 0 would pause a TLS connection with nothing to write.)
         transport.set_write_buffer_limits(high=1, low=0)
-        if len(self.connections) > self.limits.max_connections:
+        self._account = self.ledger.open(self)
+        if (
+            self._account is None
+            or len(self.connections) > self.limits.max_connections
+        ):
             self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, 'connections')
             return
         self._expect_head()
@@ -95,12 +142,40 @@
         """Stops the timers."""
         self._stop_timer()
         self.resume_writing()
+        self._inbound.stop()
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
+        if self._account is not None:
+            self._account.close()
         self.on_closed()
 
-    def data_received(self, data: bytes) -> None:
+    def stalled_s(self, now_s: float) -> float:
+        """Returns for how long the client has made no progress, in seconds."""
+        is_awaited = (
+            self.flow.write_paused
+            or self._expected is not _Expected.NOTHING
+            or self._is_idle()
+        )
+        is_busy = self._inbound.has_pending or self.flow.read_paused
+        return now_s - self._progress_s if is_awaited and not is_busy else 0.0
+
+    def evict(self) -> None:
+        """Refuses or closes at once; the application sees a disconnect."""
+        self._inbound.stop()
+        self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE, 'memory')
+        self._account.close()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where the next bytes are read to."""
+        del sizehint
+        return self._inbound.buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Handles bytes received from the client."""
+        if not self.transport.is_closing():
+            self._inbound.receive(nbytes)
+
+    def _feed(self, data: bytes | memoryview) -> None:
         if self.transport.is_closing():
             return
         # The parser does not start a message at line ends before a request
@@ -108,7 +183,7 @@
         if self._expected is _Expected.NOTHING and self._is_idle():
             self._expect_head()
         self._has_completed = False
-        super().data_received(data)
+        self.data_received(data)
         # If a request ended in this data, most of it may be the body.
         if self._expected is _Expected.HEAD and not self._has_completed:
             self._count_head_bytes(len(data))
@@ -116,7 +191,8 @@
     def on_message_begin(self) -> None:
         """Handles the start of a request."""
         super().on_message_begin()
-        self._parsed_head_bytes = 0
+        self._parsed_head_bytes = self._fields_bytes = self._body_bytes = 0
+        self._record_progress(0)
         if self._expected is _Expected.NOTHING:
             self._expect_head()
 
@@ -126,6 +202,7 @@
         if self._parsed_head_bytes > self.limits.max_head_bytes:
             self._error_status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             raise ValueError(self._error_status.phrase)
+        self._fields_bytes += len(name) + len(value) + FIELD_BYTES
         super().on_header(name, value)
 
     def on_url(self, url: bytes) -> None:
@@ -140,11 +217,19 @@
         """Starts the timeout of the body."""
         self._expected = _Expected.BODY
         self._extend_deadline(self.limits.body_timeout_s)
+        lengths = [v for k, v in self.headers if k == b'content-length']
+        if lengths:
+            self._inbound.body_left = int(lengths[0])
+            self._admit_body(int(lengths[0]))
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         """Handles a chunk of the body and extends its timeout."""
         self._extend_deadline(self.limits.body_timeout_s)
+        self._body_bytes += len(body)
+        if self._body_bytes - self._progress_bytes >= PROGRESS_BYTES:
+            self._record_progress(self._body_bytes)
+            self._admit_body(self._body_bytes + PROGRESS_BYTES)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -152,14 +237,25 @@
         self._has_completed = True
         self._stop_timer()
         super().on_message_complete()
+        self._inbound.end_message()
+        self._resume_after_response()
+
+    def on_response_complete(self) -> None:
+        """Goes on with the next request."""
+        super().on_response_complete()
+        self._fields_bytes = self._body_bytes = 0
+        self._account.release_body()
+        self._resume_after_response()
 
     def send_400_response(self, msg: str) -> None:
         """Rejects a request that the parser does not accept."""
-        self._reject(self._error_status, 'malformed')
+        self._reject(self._error_status, self._error_reason)
 
     def pause_writing(self) -> None:
         """Starts the write timeout."""
         super().pause_writing()
+        self._record_progress(0)
+        self._update_held()
         self._write_timer = self.loop.call_later(
             self.limits.write_timeout_s, self._abort, 'write_stalled'
         )
@@ -170,6 +266,38 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
+        self._update_held()
+        self._resume_after_response()
+
+    def _resume_after_response(self) -> None:
+        """Parses the next request once the response before it was read."""
+        if (
+            self._expected is _Expected.NOTHING
+            and self._is_idle()
+            and not self.flow.write_paused
+        ):
+            self._record_progress(0)
+            self._inbound.resume()
+
+    def _record_progress(self, size: int) -> None:
+        self._progress_bytes = size
+        self._progress_s = self.loop.time()
+
+    def _update_held(self) -> None:
+        if self._account is not None:
+            self._account.hold(
+                self._inbound.held_bytes
+                + self._fields_bytes
+                + self.transport.get_write_buffer_size()
+            )
+
+    def _admit_body(self, size: int) -> None:
+        """Stops the parser if there is no memory for a body of some size."""
+        if self._account.admit_body(BODY_COPIES * size):
+            return
+        self._error_status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        self._error_reason = 'memory'
+        raise ValueError(self._error_status.phrase)
 
     def _is_idle(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
@@ -199,7 +327,7 @@
         self._timer = None
         # While the application does not consume the body, reading is paused,
         # and the client is not the one that stalls.
-        if self.flow.read_paused:
+        if self.flow.read_paused or self._inbound.has_pending:
             self._extend_deadline(self.limits.body_timeout_s)
         elif self.loop.time() < self._deadline:
             self._timer = self.loop.call_at(self._deadline, self._on_deadline)
@@ -223,9 +351,11 @@
         self._record_cut(reason)
         self._stop_timer()
         if not self.transport.is_closing():
-            line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-            rest = 'content-length: 0\r\nconnection: close\r\n\r\n'
-            self.transport.write((line + rest).encode())
+            lines = [f'HTTP/1.1 {status.value} {status.phrase}']
+            if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+                lines.append(f'retry-after: {RETRY_AFTER_S}')
+            lines += ['content-length: 0', 'connection: close', '\r\n']
+            self.transport.write('\r\n'.join(lines).encode())
             self.transport.close()
 
     def _abort(self, reason: str) -> None:
@@ -239,13 +369,21 @@
 
 
 def make_protocol_class(
-    limits: Limits, on_closed: Callable[[], None]
+    limits: Limits,
+    on_closed: Callable[[], None],
+    ledger: client_memory.Ledger,
 ) -> type[LimitedProtocol]:
     """Returns the protocol class of one listener.
 
     Args:
       limits: Limits on the clients of the listener.
       on_closed: Called after each connection is closed.
+      ledger: What they hold together.
     """
-    attributes = {'limits': limits, 'on_closed': staticmethod(on_closed)}
+    attributes = {
+        'limits': limits,
+        'on_closed': staticmethod(on_closed),
+        'ledger': ledger,
+        'turns': turns_lib.Turns(),
+    }
     return type('ListenerProtocol', (LimitedProtocol,), attributes)
--- a/packages/quetzalsill/src/quetzalsill/net/server.py
+++ b/packages/quetzalsill/src/quetzalsill/net/server.py
@@ -9,7 +9,7 @@
 import uvicorn
 
 from quetzalsill import event
-from quetzalsill.net import error, protocol
+from quetzalsill.net import client_memory, error, inbound, protocol
 from quetzalsill.net import tls as net_tls
 
 if TYPE_CHECKING:
@@ -18,6 +18,8 @@
 __all__ = ['HttpServer']
 
 BACKLOG = 1024
+# Connections accepted in one iteration of the event loop.
+ACCEPT_BATCH = 32
 DATE_INTERVAL_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
 
@@ -34,6 +36,7 @@
         listen: section.Listen,
         tls: section.Tls | None = None,
         limits: protocol.Limits | None = None,
+        bounds: client_memory.Bounds | None = None,
     ) -> None:
         """Initializes the server; `start` opens its listener.
 
@@ -41,18 +44,20 @@
           app: ASGI application.
           listen: Address; port 0 lets the kernel choose.
           tls: Certificates; None or empty serves without TLS.
-          limits: Limits on the clients; defaults if None.
+          limits: Limits on each client; defaults if None.
+          bounds: What all clients may hold together; defaults if None.
         """
         limits = limits or protocol.Limits()
         self._listen = listen
         self._tls = tls
         self._handshake_timeout_s = limits.head_timeout_s
         self._connection_closed = asyncio.Event()
+        self.ledger = client_memory.Ledger(bounds or client_memory.Bounds())
         config = uvicorn.Config(
             app,
             loop='asyncio',
             http=protocol.make_protocol_class(
-                limits, self._connection_closed.set
+                limits, self._connection_closed.set, self.ledger
             ),
             ws='none',
             lifespan='auto',
@@ -90,11 +95,13 @@
             self._make_protocol,
             sock=sock,
             ssl=context,
-            backlog=BACKLOG,
+            backlog=ACCEPT_BATCH,
             ssl_handshake_timeout=self._handshake_timeout_s
             if context
             else None,
         )
+        # The server accepts as many connections at once as its queue may hold.
+        sock.listen(BACKLOG)
         self._date_task = asyncio.create_task(self._refresh_date())
 
     async def stop(self, grace_s: float) -> int:
@@ -149,6 +156,11 @@
         # Nagle's algorithm on, each small write waits for an acknowledgement.
         sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it. Without a fixed size, the kernel
+        # receives megabytes for a connection that is no longer read.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, inbound.RECEIVE_BUFFER_BYTES
+        )
         try:
             sock.bind((host, port))
         except OSError as exc:
--- a/tests/failure/clients/test_router.py
+++ b/tests/failure/clients/test_router.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
+import json
 
 from quetzalsill_dev import board, crowd
 from tests.failure import fixture, harness
@@ -11,6 +13,8 @@
 MEMORY_MB = 130
 DESCRIPTORS = 400
 BODY_BYTES = 4_000_000
+HEAD_BYTES = 32_768
+SERVICE_BYTES = 16_777_216
 BLOCK = b'x' * 65536
 TOKEN = f'Authorization: Bearer {board.TOKENS["retailers"]}\r\n'.encode()
 ORDER = b'POST /services/ordering/orders HTTP/1.1\r\nHost: h\r\n' + TOKEN
@@ -71,3 +75,25 @@
     async def test_idle_connections(self):
         """More connections than the process may have descriptors."""
         await self.check_crowd(600, list)
+
+    async def check_served(self, head, body):
+        router = next(iter(self.cluster.routers.values()))
+        reader, writer = await asyncio.open_connection('127.0.0.1', router.port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(head + body)
+        async with asyncio.timeout(clients_fixture.PATIENCE_S):
+            line = await reader.readline()
+        self.assertEqual(line, b'HTTP/1.1 200 OK\r\n')
+
+    async def test_a_head_at_the_limit(self):
+        """A single legal head of short lines is served."""
+        body = json.dumps({'id': 'legal head'}).encode()
+        head = ORDER + b'Content-Length: %d\r\n\r\n' % len(body)
+        lines = b'a:\r\n' * ((HEAD_BYTES - len(head)) // 4)
+        await self.check_served(head[:-2] + lines + b'\r\n', body)
+
+    async def test_a_body_at_the_limit(self):
+        """A single legal body, the largest of a service, is served."""
+        body = json.dumps({'id': 'legal body'}).encode().ljust(SERVICE_BYTES)
+        head = ORDER + b'Content-Length: %d\r\n\r\n' % len(body)
+        await self.check_served(head, body)
