Bound clients' memory also where the settings name no machine

A process whose settings lack `machine` took its share from what the machine reports, gigabytes on a large host, so that the crowds of before still fitted. Without the setting a gateway now counts with 150 MB, the smallest entry host of the users' platform, and a router with 512, or with what the machine has if that is less.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/run.py
@@ -67,6 +67,8 @@
 CLOSE_MARGIN_S = 0.3
 # Part of that in which the last responses are sent.
 FLUSH_S = 0.15
+# Of a process whose settings do not name its memory.
+DEFAULT_MEMORY_MB = 150
 
 
 class Process:
@@ -150,7 +152,7 @@
         self.callers = listener.Listener(
             self._gateway.handle,
             self._limits,
-            client_memory.bounds_of(settings.machine),
+            client_memory.bounds_of(settings.machine, DEFAULT_MEMORY_MB),
             self._gateway.time_limit_s,
         )
         handler = readiness.make_handler(
--- a/packages/quetzalsill-router/src/quetzalsill_router/run.py
+++ b/packages/quetzalsill-router/src/quetzalsill_router/run.py
@@ -51,6 +51,8 @@
 CONFIG_RETRY_S = 0.5
 CLOSE_TIMEOUT_S = 5.0
 ADMIN_STATUS_OK = 200
+# Of a process whose settings do not name its memory.
+DEFAULT_MEMORY_MB = 512
 CONFIG_ERRORS = (
     platform_error.PlatformError,
     config_store.ConfigStoreError,
@@ -80,7 +82,7 @@
         settings.listen,
         settings.tls,
         protocol.Limits(write_timeout_s=settings.requests.write_stall_s),
-        client_memory.bounds_of(settings.machine),
+        client_memory.bounds_of(settings.machine, DEFAULT_MEMORY_MB),
     )
     await listener.start()
     state.registration.router.address = (
--- a/packages/quetzalsill/src/quetzalsill/net/client_memory.py
+++ b/packages/quetzalsill/src/quetzalsill/net/client_memory.py
@@ -78,15 +78,17 @@
 MONITORING_BOUNDS = Bounds(4 * MB, 64)
 
 
-def bounds_of(machine: section.Machine) -> Bounds:
+def bounds_of(machine: section.Machine, default_mb: float) -> Bounds:
     """Returns the bounds for the clients of a process.
 
     Args:
-      machine: What the process may use; zeros stand for what the machine and
-        the kernel report.
+      machine: What the process may use; zeros stand for defaults.
+      default_mb: Memory of a process whose settings name none, in MB, or that
+        of the machine if it has less.
     """
-    memory_bytes = machine.memory_mb * MB or (
-        os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+    reported_bytes = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+    memory_bytes = machine.memory_mb * MB or min(
+        reported_bytes, default_mb * MB
     )
     descriptors = machine.file_descriptors
     if not descriptors:
--- a/packages/quetzalsill/src/quetzalsill/settings/section.py
+++ b/packages/quetzalsill/src/quetzalsill/settings/section.py
@@ -45,14 +45,14 @@
     """What this process may use of its machine."""
 
     memory_mb: float = key(
-        'Memory of the process; 0 for the memory that the machine reports.',
+        'Memory of the process; 0 for the default of its role.',
         0.0,
         unit='MB',
         minimum=0,
         maximum=1_048_576,
     )
     file_descriptors: int = key(
-        'Open descriptors of the process; 0 for the limit of the kernel.',
+        'Open descriptors of the process; 0 for the kernel limit.',
         0,
         minimum=0,
         maximum=1_048_576,
--- a/tests/quetzalsill/net/test_client_memory.py
+++ b/tests/quetzalsill/net/test_client_memory.py
@@ -98,9 +98,9 @@
 
     def test_bounds_follow_the_machine(self):
         """The share of a process with 80 MB and 400 descriptors."""
-        bounds = client_memory.bounds_of(section.Machine(80, 400))
+        bounds = client_memory.bounds_of(section.Machine(80, 400), 150)
         self.assertEqual(bounds.memory_bytes, 20 * MB)
         self.assertEqual(bounds.connections, 150)
-        unknown = client_memory.bounds_of(section.Machine())
-        self.assertGreater(unknown.memory_bytes, 0)
+        unknown = client_memory.bounds_of(section.Machine(), 16)
+        self.assertEqual(unknown.memory_bytes, 4 * MB)
         self.assertGreaterEqual(unknown.connections, 16)
