Await a body no longer than its request can be served

A body whose request could no longer be served was awaited for headerTimeoutMs even where its time limit was shorter; it gets 408 at its limit now, which is true, as nothing of it was passed on. Without a route it has headerTimeoutMs.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -68,7 +68,7 @@
 
 Handler = Callable[[message.Request, responder_lib.Responder], Awaitable[None]]
 # Returns the time from its first byte in which a request can still be served,
-# by its target and fields, in seconds.
+# by its target and fields, in seconds; 0 if it never can.
 TimeLimit = Callable[[bytes, message.Fields], float]
 
 
@@ -373,12 +373,10 @@
 
     def _is_too_late(self, now: float, limits: Limits) -> bool:
         """Whether the request can't be served any more once it is complete."""
-        age_s = now - self._request_start_s
-        return (
-            age_s > limits.header_s
-            and self._is_head_complete
-            and age_s > self._listener.time_limit(self._target, self._headers)
-        )
+        if not self._is_head_complete:
+            return False
+        limit_s = self._listener.time_limit(self._target, self._headers)
+        return now - self._request_start_s > (limit_s or limits.header_s)
 
     def _framing_limits(self) -> framing.Limits:
         limits = self._limits
