Count the target of a request, and name types of fields and parts

A target of up to 16 KB was held without the ledger of clients knowing of it. The annotations tell fields of requests from lists of pairs, and parts of bodies; no change of behaviour.

--- a/packages/quetzalsill-dev/src/quetzalsill_dev/crowd.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/crowd.py
@@ -12,7 +12,7 @@
 import os
 import pathlib
 import socket
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable
 
 __all__ = ['Crowd', 'Peak', 'watch']
 
@@ -41,7 +41,7 @@
 
 
 @contextlib.asynccontextmanager
-async def watch(pid: int, port: int) -> Iterator[Peak]:
+async def watch(pid: int, port: int) -> AsyncIterator[Peak]:
     """Samples what a process uses while the block runs.
 
     Args:
@@ -125,7 +125,7 @@
         self.attempts = 0
 
     @contextlib.asynccontextmanager
-    async def present(self, for_s: float) -> Iterator[None]:
+    async def present(self, for_s: float) -> AsyncIterator[None]:
         """Runs the block beside the crowd, which stays for some time.
 
         Args:
--- a/packages/quetzalsill-dev/src/quetzalsill_dev/testing/run_suite.py
+++ b/packages/quetzalsill-dev/src/quetzalsill_dev/testing/run_suite.py
@@ -97,7 +97,8 @@
 
     Those that run alone come last.
     """
-    alone, shared = [], []
+    alone: list[str] = []
+    shared: list[str] = []
     for name in modules:
         (alone if name.startswith(ALONE_PREFIX) else shared).append(name)
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/dialect.py
@@ -153,6 +153,6 @@
     server_limit: bytes
     server_leaving: bytes
     reserved: frozenset[bytes]
-    parse_prompt: Callable[[message.Headers], Prompt]
-    read_shared_parts: Callable[[message.Headers], tuple[bytes, ...]]
+    parse_prompt: Callable[[message.Fields], Prompt]
+    read_shared_parts: Callable[[message.Fields], tuple[bytes, ...]]
     format_kv_from: Callable[[Upstream, str], bytes]
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/exchange.py
@@ -95,7 +95,7 @@
     pace_miss: bool = False
     is_probe: bool = False
     is_suspect: bool = False
-    read_shared_parts: Callable[[message.Headers], tuple[bytes, ...]] = (
+    read_shared_parts: Callable[[message.Fields], tuple[bytes, ...]] = (
         lambda _: ()
     )
     answered_s: float | None = None
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/gateway.py
@@ -68,7 +68,9 @@
             raise
         self._record_end(exchange, outcome)
 
-    def time_limit_s(self, target: bytes, headers: message.Headers) -> float:
+    def time_limit_s(
+        self, target: bytes | bytearray, headers: message.Fields
+    ) -> float:
         """Returns the time in which a request can be served, in seconds.
 
         0 for one that is not routed.
@@ -165,7 +167,7 @@
         )
 
     def _timeout_s(
-        self, headers: message.Headers, route: routing_lib.Route
+        self, headers: message.Fields, route: routing_lib.Route
     ) -> float:
         header = message.first(headers, self._core.dialect.deadline_ms)
         if header and header.isdigit():
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/call.py
@@ -68,7 +68,7 @@
         self._items: collections.deque[object] = collections.deque()
         self._waiting_bytes = 0
         self._is_paused = False
-        self._unsent: collections.deque[bytes] = collections.deque()
+        self._unsent: collections.deque[message.Part] = collections.deque()
         self._may_write = True
         self._waiter: asyncio.Future[None] | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -210,7 +210,7 @@
     def send(
         self,
         head: bytes,
-        body: Sequence[bytes] = (),
+        body: Sequence[message.Part] = (),
         method: bytes = b'',
         echo: tuple[bytes, bytes] | None = None,
     ) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/listener.py
@@ -69,7 +69,7 @@
 Handler = Callable[[message.Request, responder_lib.Responder], Awaitable[None]]
 # Returns the time from its first byte in which a request can still be served,
 # by its target and fields, in seconds; 0 if it never can.
-TimeLimit = Callable[[bytes, message.Fields], float]
+TimeLimit = Callable[[bytes | bytearray, message.Fields], float]
 
 
 class Progress:
@@ -442,12 +442,14 @@
     def _update_held(self) -> None:
         if self._account is None:
             return
+        req = self._request
         size = self._inbound.held_bytes + self._unread_bytes()
         size += self._answer_bytes
-        if self._request is not None:
-            size += client_memory.CONNECTION_BYTES + self._request.headers.size
+        if req is not None:
+            size += client_memory.CONNECTION_BYTES
+            size += len(req.target) + req.headers.size
         elif self._receiving:
-            size += self._headers.size
+            size += len(self._target) + self._headers.size
         self._account.hold(size)
 
     async def _serve(self) -> None:
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/message.py
@@ -9,6 +9,7 @@
     'Body',
     'Fields',
     'Headers',
+    'Part',
     'Request',
     'ResponseHead',
     'end_to_end',
@@ -19,7 +20,9 @@
     'values',
 ]
 
-Headers = Iterable[tuple[bytes, bytes]]
+Headers = list[tuple[bytes, bytes]]
+
+Part = bytes | bytearray
 
 # Smaller parts of a body are merged up to the larger size.
 MERGED_BYTES = 4096
@@ -66,7 +69,7 @@
 
     __slots__ = ('_text',)
 
-    def __init__(self, pairs: Headers = ()) -> None:
+    def __init__(self, pairs: Iterable[tuple[bytes, bytes]] = ()) -> None:
         self._text = bytearray(b'\n')
         for name, value in pairs:
             self.add(name, value)
@@ -109,7 +112,7 @@
     __slots__ = ('_size', 'parts')
 
     def __init__(self, data: bytes = b'') -> None:
-        self.parts: list[bytes | bytearray] = []
+        self.parts: list[Part] = []
         self._size = 0
         if data:
             self.add(data)
@@ -149,7 +152,7 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: Fields
     body: Body
     received_s: float
     version: str = '1.1'
@@ -177,19 +180,19 @@
     length: int | None = None
 
 
-def values(headers: Headers, name: bytes) -> list[bytes]:
+def values(headers: Headers | Fields, name: bytes) -> list[bytes]:
     """Returns the values of all headers of a name, in lower case."""
     if isinstance(headers, Fields):
         return list(headers.values(name))
     return [value for key, value in headers if key == name]
 
 
-def logged(headers: Headers, name: bytes) -> str:
+def logged(headers: Headers | Fields, name: bytes) -> str:
     """Returns the first value of a header as text for the log, truncated."""
     return (first(headers, name) or b'')[:MAX_LOGGED_BYTES].decode('latin-1')
 
 
-def first(headers: Headers, name: bytes) -> bytes | None:
+def first(headers: Headers | Fields, name: bytes) -> bytes | None:
     """Returns the first value of a header; None if it is absent."""
     if isinstance(headers, Fields):
         return next(headers.values(name), None)
@@ -199,7 +202,7 @@
     return None
 
 
-def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
+def end_to_end(headers: Headers | Fields) -> Headers:
     """Returns the headers without hop-by-hop headers."""
     named = [
         token.strip().lower()
@@ -211,7 +214,7 @@
     return [(key, value) for key, value in headers if key not in dropped]
 
 
-def relayed_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
+def relayed_headers(head: ResponseHead) -> Headers:
     """Returns the headers to relay for a response whose body is reframed."""
     return [p for p in end_to_end(head.headers) if p[0] != b'content-length']
 
--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/fingerprint.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/quarantine/fingerprint.py
@@ -18,7 +18,7 @@
     host: bytes,
     target: bytes,
     account: bytes,
-    body: Iterable[bytes],
+    body: Iterable[bytes | bytearray],
 ) -> bytes:
     """Returns the fingerprint of a request, `LENGTH` bytes.
 
--- a/packages/quetzalsill/src/quetzalsill/net/framing.py
+++ b/packages/quetzalsill/src/quetzalsill/net/framing.py
@@ -25,7 +25,7 @@
 class Parser(Protocol):
     """A parser that calls back for the parts of a message."""
 
-    def feed_data(self, data: bytes) -> None:
+    def feed_data(self, data: bytes | memoryview) -> None:
         """Parses bytes."""
 
 
@@ -95,7 +95,7 @@
         """Records that the parser has come to the end of a message."""
         self._has_ended = self._has_progress = True
 
-    def feed(self, parser: Parser, data: bytes) -> None:
+    def feed(self, parser: Parser, data: bytes | memoryview) -> None:
         """Parses bytes.
 
         Raises:
--- a/packages/quetzalsill/src/quetzalsill/net/inbound.py
+++ b/packages/quetzalsill/src/quetzalsill/net/inbound.py
@@ -59,7 +59,6 @@
         self._feed = feed
         self._turns = turns
         self._on_change = on_change
-        self._transport: asyncio.Transport | None = None
         self._pending = b''
         self._position = 0
         self._tail = b''
@@ -73,7 +72,7 @@
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Sets the transport, whose reading is paused as needed."""
-        self._transport = transport
+        self._transport: asyncio.Transport = transport
 
     @property
     def held_bytes(self) -> int:
--- a/tests/quetzalsill_gateway/balance/test_admission.py
+++ b/tests/quetzalsill_gateway/balance/test_admission.py
@@ -77,7 +77,7 @@
             priority=priority,
             route=route,
             request=message.Request(
-                b'POST', b'/', [], message.Body(), now - age_s
+                b'POST', b'/', message.Fields(), message.Body(), now - age_s
             ),
             deadline_s=now + left_s,
             remaining_s=left_s,
