Take no new client of a router for one that has stalled

At the bound of connections, which one was closed for a newcomer was up to chance: a connection that had not sent a request yet counted as stalled since the start of the machine, as the time of its progress was not set when it was opened. It is now, and the one that has idled for longest goes.

Seen to fail first: test_a_new_client_is_not_evicted_for_the_next_one.

--- a/packages/quetzalsill/src/quetzalsill/net/client_memory.py
+++ b/packages/quetzalsill/src/quetzalsill/net/client_memory.py
@@ -28,6 +28,7 @@
     'Bounds',
     'Holder',
     'Ledger',
+    'Progress',
     'bounds_of',
 ]
 
@@ -44,6 +45,8 @@
 FILE_DESCRIPTORS = 200
 DESCRIPTOR_SHARE = 0.75
 MIN_CONNECTIONS = 16
+# Less than this is no progress of a body or of an answer that is being read.
+PROGRESS_BYTES = 65_536
 # A client that takes or sends nothing for less than this is not stalled.
 MIN_STALL_S = 0.25
 # Each search goes through all connections, so it makes room for several.
@@ -99,6 +102,30 @@
     )
 
 
+class Progress:
+    """Since when an amount has grown by less than a step.
+
+    Attributes:
+      since_s: Loop time.
+    """
+
+    __slots__ = ('_amount', 'since_s')
+
+    def __init__(self) -> None:
+        self._amount = 0
+        self.since_s = 0.0
+
+    def begin(self, amount: int, now_s: float) -> None:
+        """Starts with an amount."""
+        self._amount = amount
+        self.since_s = now_s
+
+    def update(self, amount: int, now_s: float) -> None:
+        """Records the amount now."""
+        if amount - self._amount >= PROGRESS_BYTES:
+            self.begin(amount, now_s)
+
+
 class Holder(Protocol):
     """A connection that holds memory for its client."""
 
--- a/packages/quetzalsill/src/quetzalsill/net/protocol.py
+++ b/packages/quetzalsill/src/quetzalsill/net/protocol.py
@@ -49,8 +49,6 @@
 
 # A field takes this much besides its bytes, as a pair in a list.
 FIELD_BYTES = 160
-# Less than this is no progress of a body.
-PROGRESS_BYTES = 65_536
 # A body stands in memory in parts and joined.
 BODY_COPIES = 2
 RETRY_AFTER_S = 0.2
@@ -115,8 +113,8 @@
         self._account: client_memory.Account | None = None
         self._fields_bytes = 0
         self._body_bytes = 0
-        self._progress_s = 0.0
-        self._progress_bytes = 0
+        self._admitted_bytes = 0
+        self._progress = client_memory.Progress()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the timeout of the first request head."""
@@ -129,6 +127,7 @@
         # never pauses the writer, and its connection stays open forever. (A
         # high mark of 0 would pause a TLS connection with nothing to write.)
         transport.set_write_buffer_limits(high=1, low=0)
+        self._begin_progress()
         self._account = self.ledger.open(self)
         if (
             self._account is None
@@ -156,8 +155,9 @@
             or self._expected is not _Expected.NOTHING
             or self._is_idle()
         )
-        is_busy = self._inbound.has_pending or self.flow.read_paused
-        return now_s - self._progress_s if is_awaited and not is_busy else 0.0
+        if not is_awaited or self._inbound.has_pending or self.flow.read_paused:
+            return 0.0
+        return now_s - self._progress.since_s
 
     def evict(self) -> None:
         """Refuses or closes at once; the application sees a disconnect."""
@@ -191,8 +191,9 @@
     def on_message_begin(self) -> None:
         """Handles the start of a request."""
         super().on_message_begin()
-        self._parsed_head_bytes = self._fields_bytes = self._body_bytes = 0
-        self._record_progress(0)
+        self._parsed_head_bytes = self._fields_bytes = 0
+        self._body_bytes = self._admitted_bytes = 0
+        self._begin_progress()
         if self._expected is _Expected.NOTHING:
             self._expect_head()
 
@@ -227,9 +228,10 @@
         """Handles a chunk of the body and extends its timeout."""
         self._extend_deadline(self.limits.body_timeout_s)
         self._body_bytes += len(body)
-        if self._body_bytes - self._progress_bytes >= PROGRESS_BYTES:
-            self._record_progress(self._body_bytes)
-            self._admit_body(self._body_bytes + PROGRESS_BYTES)
+        self._progress.update(self._body_bytes, self.loop.time())
+        if self._body_bytes > self._admitted_bytes:
+            # The length is not known; each step doubles what is admitted.
+            self._admit_body(2 * self._body_bytes)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -254,7 +256,7 @@
     def pause_writing(self) -> None:
         """Starts the write timeout."""
         super().pause_writing()
-        self._record_progress(0)
+        self._begin_progress()
         self._update_held()
         self._write_timer = self.loop.call_later(
             self.limits.write_timeout_s, self._abort, 'write_stalled'
@@ -276,12 +278,11 @@
             and self._is_idle()
             and not self.flow.write_paused
         ):
-            self._record_progress(0)
+            self._begin_progress()
             self._inbound.resume()
 
-    def _record_progress(self, size: int) -> None:
-        self._progress_bytes = size
-        self._progress_s = self.loop.time()
+    def _begin_progress(self) -> None:
+        self._progress.begin(0, self.loop.time())
 
     def _update_held(self) -> None:
         if self._account is not None:
@@ -294,6 +295,7 @@
     def _admit_body(self, size: int) -> None:
         """Stops the parser if there is no memory for a body of some size."""
         if self._account.admit_body(BODY_COPIES * size):
+            self._admitted_bytes = size
             return
         self._error_status = http.HTTPStatus.SERVICE_UNAVAILABLE
         self._error_reason = 'memory'
--- a/tests/quetzalsill/net/test_server.py
+++ b/tests/quetzalsill/net/test_server.py
@@ -6,11 +6,15 @@
 import socket
 import unittest
 
-from quetzalsill.net import error, protocol, server
+from quetzalsill.net import client_memory, error, protocol, server
 from quetzalsill.settings import section
 from tests.quetzalsill.net import scripted_server
 
 LARGE = b'x' * 4_000_000
+REFUSED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.2\r\n'
+    b'content-length: 0\r\nconnection: close\r\n\r\n'
+)
 
 
 class _App:
@@ -212,6 +216,26 @@
         )
         self.assertTrue(response.startswith(b'HTTP/1.1 200'), response)
 
+    async def test_a_new_client_is_not_evicted_for_the_next_one(self):
+        """At the bound, the connection that has idled for longest goes."""
+        self.server = server.HttpServer(
+            self.app,
+            section.Listen(),
+            bounds=client_memory.Bounds(4_000_000, 16),
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, 0)
+        idle = await self.connect()
+        await asyncio.sleep(2 * client_memory.MIN_STALL_S)
+        newer = [await self.connect() for _ in range(16)]
+        async with asyncio.timeout(scripted_server.TIMEOUT_S):
+            self.assertEqual(await idle[0].read(), REFUSED)
+            for reader, writer in newer:
+                writer.write(b'GET / HTTP/1.0\r\n\r\n')
+                response = await reader.read()
+                self.assertTrue(response.startswith(b'HTTP/1.1 200'))
+        self.assertEqual(self.server.ledger.used_bytes, 0)
+
     async def test_connections_are_bounded(self):
         await self.serve(max_connections=1)
         await self.connect(b'GET /wait HTTP/1.1\r\n\r\n')
