Refuse requests once all of the memory for clients is held

Cause: a connection whose request waits for an upstream is never evicted, and only bodies over 64 KB were refused for want of memory. Now each request is admitted when its head is complete; where the ledger is full and nobody has stalled, it gets 503 with Retry-After, which is true, as it was not passed on.

--- a/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/connection.py
+++ b/packages/quetzalsill-gateway/src/quetzalsill_gateway/http/connection.py
@@ -242,7 +242,7 @@
             self._reject(400)
         if lengths and lengths[0].strip().isdigit():
             self._inbound.body_left = int(lengths[0])
-            self._admit_body(self._inbound.body_left)
+        self._admit_body(self._inbound.body_left)
         expects = message.first(self._headers, b'expect')
         if expects and expects.lower() == b'100-continue':
             self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
--- a/packages/quetzalsill/src/quetzalsill/net/client_memory.py
+++ b/packages/quetzalsill/src/quetzalsill/net/client_memory.py
@@ -164,16 +164,14 @@
         self._ledger.change(self, CONNECTION_BYTES + size, self.body_bytes)
 
     def admit_body(self, size: int) -> bool:
-        """Returns whether a body may take up to some size, and records it.
+        """Returns whether a request with a body is admitted, and records it.
 
-        One body is always admitted, whatever its size.
+        One large body is always admitted, whatever its size.
 
         Args:
-          size: Bytes in all.
+          size: Size that the body has or may grow to; 0 for none.
         """
-        if size > max(self.body_bytes, SMALL_BODY_BYTES) and not (
-            self._ledger.has_room_for_body(self, size)
-        ):
+        if not self._ledger.has_room_for_body(self, size):
             return False
         self._ledger.change(self, self.other_bytes, size)
         return True
@@ -271,26 +269,29 @@
         return self.used_bytes + size <= self._body_bound_bytes
 
     def has_room_for_body(self, account: Account, size: int) -> bool:
-        """Whether a large body fits, after stalled connections are evicted.
+        """Whether a body fits, after stalled connections are evicted.
 
         Args:
           account: Account of its connection.
-          size: Its size in bytes.
+          size: Its size in bytes; 0 for a request without one.
         """
-        others = self.body_bytes - _large(account.body_bytes)
-        if not others:
-            return True
+        bound = self.bounds.memory_bytes
         increase = size - account.body_bytes
 
-        def has_room() -> bool:
+        def has_room_for_small() -> bool:
+            return self._charged_bytes + increase <= bound
+
+        def has_room_for_large() -> bool:
             others = self.body_bytes - _large(account.body_bytes)
             return not others or (
                 others + size <= self._body_bound_bytes
-                and self.used_bytes + increase <= self.bounds.memory_bytes
+                and self.used_bytes + increase <= bound
             )
 
+        is_large = _large(size) > 0
+        has_room = has_room_for_large if is_large else has_room_for_small
         if not has_room():
-            self._evict_until(has_room, is_for_body=True, spared=account)
+            self._evict_until(has_room, is_for_body=is_large, spared=account)
         return has_room()
 
     def _has_room_for_connection(self, share: float) -> bool:
--- a/packages/quetzalsill/src/quetzalsill/net/protocol.py
+++ b/packages/quetzalsill/src/quetzalsill/net/protocol.py
@@ -221,7 +221,7 @@
         lengths = [v for k, v in self.headers if k == b'content-length']
         if lengths:
             self._inbound.body_left = int(lengths[0])
-            self._admit_body(int(lengths[0]))
+        self._admit_body(self._inbound.body_left)
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
--- a/tests/quetzalsill/net/test_client_memory.py
+++ b/tests/quetzalsill/net/test_client_memory.py
@@ -70,6 +70,18 @@
         self.assertEqual(admitted, [True, True, True, False])
         self.assertTrue(Holder(self.ledger).account.admit_body(60_000))
 
+    async def test_requests_that_wait_for_upstreams_are_bounded(self):
+        """Small bodies that nobody may evict would fill the memory."""
+        holders = [Holder(self.ledger) for _ in range(100)]
+        for holder in holders:
+            holder.account.hold(100_000)
+        admitted = [one.account.admit_body(65_536) for one in holders]
+        self.assertIn(True, admitted)
+        self.assertLessEqual(self.ledger.used_bytes, BOUNDS.memory_bytes)
+        self.assertFalse(holders[-1].account.admit_body(65_536))
+        holders[-1].account.release_body()
+        self.assertFalse(any(one.is_evicted for one in holders))
+
     async def test_a_stalled_body_makes_room(self):
         """A body that trickles at its end keeps out no other one."""
         holders = [Holder(self.ledger) for _ in range(3)]
